Serve a request through entry, sidecar and engine as processes

Cause: the repository was empty; the first deliverable is the whole path.

Change: the design page, the core types, the Thrift messages over mutual TLS, an entry with the completions interface, a sidecar that checks the adapter of each answer, stand-ins of engine, table service, object store, host list and weight store, and a demo that starts them as processes.

Ruled out: Thrift RPC (responses stream), keyed messages (no confidentiality and own cryptography), polling the setup from sidecars (11,200 readers).

Before: nothing ran.

Conclusion: the path stands; placement, claims, leases, limits, the console and most of the operators' commands follow.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+VENV ?= .venv
+PYTHON ?= python3
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+export PYTHONPATH := $(CURDIR)
+
+.PHONY: demo test lint format measure soak binary thrift clean
+
+$(STAMP): requirements.txt requirements-dev.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/python -m demo.run
+
+test: $(STAMP)
+	$(BIN)/python -m pytest $(ARGS)
+
+lint: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/flake8 .
+
+format: $(STAMP)
+	$(BIN)/ruff check --fix-only --quiet .
+	$(BIN)/ruff format .
+
+# Needs the Thrift compiler; its output is committed, so builds do not.
+thrift:
+	mkdir -p build/thrift
+	thrift --gen py:slots -out build/thrift ivystep/wire/ivystep.thrift
+	cp build/thrift/gen/*.py ivystep/wire/gen/
+
+clean:
+	rm -rf build dist
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""The demo: the whole path as separate processes."""
--- /dev/null
+++ b/demo/cluster.py
@@ -0,0 +1,313 @@
+"""Starts stand-ins, entries and sidecars as processes on loopback."""
+
+import configparser
+import dataclasses
+import hashlib
+import json
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+import typing
+
+import trustme
+import urllib3
+
+from ivystep.wire import tls
+
+LOOPBACK = '127.0.0.1'
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 20.0
+POLL_S = 0.05
+
+
+def free_port() -> int:
+    """Return a port that is free on loopback."""
+    with socket.socket() as probe:
+        probe.bind((LOOPBACK, 0))
+        return probe.getsockname()[1]
+
+
+def key_digest(key: str) -> str:
+    """Return the digest under which the setup stores a bearer key."""
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+@dataclasses.dataclass
+class Node:
+    """One process.
+
+    Attributes:
+        url: Base URL for HTTP.
+        operators_url: Base URL for operators, empty for stand-ins.
+    """
+
+    name: str
+    process: subprocess.Popen[bytes]
+    url: str
+    operators_url: str = ''
+
+    def stop(self, number: int = signal.SIGTERM) -> int:
+        """Signal the process and return its exit code."""
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+        return self.process.wait(STOP_TIMEOUT_S)
+
+
+class Cluster:
+    """Processes of one deployment.
+
+    Args:
+        folder: Folder for settings, certificates and logs.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.folder = folder
+        self.node_by_name: dict[str, Node] = {}
+        self.host_entries: list[dict[str, typing.Any]] = []
+        self.http = urllib3.PoolManager(retries=False, timeout=10.0)
+        self._authority = trustme.CA()
+        self._authority.cert_pem.write_to_path(str(folder / 'ca.pem'))
+        for name in (tls.ENTRY_NAME, tls.SIDECAR_NAME):
+            certificate = self._authority.issue_cert(name)
+            certificate.private_key_and_cert_chain_pem.write_to_path(
+                str(folder / f'{name}.pem')
+            )
+
+    def start_platform(self) -> None:
+        """Start table service, object store, host list and weight store."""
+        for kind in ('table', 'objects', 'hosts', 'weights'):
+            self.start_standin(kind, kind)
+
+    def start_standin(
+        self, name: str, kind: str, *options: str, port: int | None = None
+    ) -> Node:
+        """Start a stand-in.
+
+        Args:
+            name: Name of the process.
+            kind: Kind of stand-in.
+            options: Further command-line options.
+            port: Port to listen on; None takes a free one.
+        """
+        port = port or free_port()
+        node = self._start(
+            name,
+            ('standins', kind, str(port), *options),
+            f'http://{LOOPBACK}:{port}',
+        )
+        self._await_port(port, node)
+        return node
+
+    def start_upstream(
+        self, host: str, pool: str, data_centre: str, *options: str
+    ) -> None:
+        """Start an engine stand-in and its sidecar.
+
+        Args:
+            host: Name of the upstream host.
+            pool: Pool of the upstream.
+            data_centre: Data centre of the host.
+            options: Options of the engine stand-in.
+        """
+        weights_url = self.node_by_name['weights'].url
+        engine = self.start_standin(
+            f'{host}-engine', 'engine', '--weights-url', weights_url, *options
+        )
+        self.start_sidecar(host, pool, data_centre, engine.url)
+
+    def start_sidecar(
+        self,
+        host: str,
+        pool: str,
+        data_centre: str,
+        upstream_url: str,
+        kind: str = 'engine',
+    ) -> Node:
+        """Start a sidecar and enter its host in the host list."""
+        port, operators = free_port(), free_port()
+        path = self._write_settings(
+            host,
+            tls.SIDECAR_NAME,
+            {
+                'process': {'id': host, 'data_centre': data_centre},
+                'listen': {'address': LOOPBACK, 'port': port},
+                'operators': {'address': LOOPBACK, 'port': operators},
+                'upstream': {'url': upstream_url, 'kind': kind},
+                'drain': {'notice_s': 0.5, 'deadline_s': 10},
+            },
+        )
+        node = self._start(
+            host,
+            ('ivystep', 'sidecar', '--config', str(path)),
+            '',
+            f'http://{LOOPBACK}:{operators}',
+        )
+        self._await_port(port, node)
+        self.list_host(host, 'sidecar', port, data_centre, pool)
+        return node
+
+    def start_entry(self, host: str, data_centre: str) -> Node:
+        """Start an entry and wait until it is ready."""
+        port, operators, peers = free_port(), free_port(), free_port()
+        path = self._write_settings(
+            host,
+            tls.ENTRY_NAME,
+            {
+                'process': {'id': host, 'data_centre': data_centre},
+                'listen': {'address': LOOPBACK, 'port': port},
+                'operators': {'address': LOOPBACK, 'port': operators},
+                'peers': {'address': LOOPBACK, 'port': peers},
+                'drain': {'notice_s': 0.5, 'deadline_s': 10},
+            },
+        )
+        node = self._start(
+            host,
+            ('ivystep', 'entry', '--config', str(path)),
+            f'http://{LOOPBACK}:{port}',
+            f'http://{LOOPBACK}:{operators}',
+        )
+        self.list_host(host, 'entry', peers, data_centre, '')
+        return node
+
+    def list_host(
+        self, host: str, role: str, port: int, data_centre: str, pool: str
+    ) -> None:
+        """Enter a host in the host list, in place of an earlier entry."""
+        self.host_entries = [
+            entry for entry in self.host_entries if entry['host'] != host
+        ]
+        self.host_entries.append(
+            {
+                'host': host,
+                'role': role,
+                'address': LOOPBACK,
+                'port': port,
+                'data_centre': data_centre,
+                'pool': pool,
+                'state': 'live',
+            }
+        )
+        self.publish_hosts()
+
+    def publish_hosts(self) -> None:
+        """Send ``host_entries`` to the host list."""
+        url = f'{self.node_by_name["hosts"].url}/hosts'
+        self.http.request('PUT', url, json={'hosts': self.host_entries})
+
+    def submit(self, document: typing.Any, base_version: int) -> str:
+        """Submit a setup document with the command line."""
+        path = self.folder / 'setup.json'
+        path.write_text(json.dumps(document), encoding='utf-8')
+        return self.command(
+            'submit',
+            str(path),
+            '--table-url',
+            self.node_by_name['table'].url,
+            '--objects-url',
+            self.node_by_name['objects'].url,
+            '--base-version',
+            str(base_version),
+            '--operator',
+            'demo',
+        )
+
+    def command(self, *arguments: str) -> str:
+        """Run an ``ivystep`` subcommand and return what it prints."""
+        done = subprocess.run(
+            (sys.executable, '-m', 'ivystep', *arguments),
+            check=True,
+            capture_output=True,
+            text=True,
+        )
+        return done.stdout.strip()
+
+    def await_ready(self, name: str) -> None:
+        """Wait until an entry is ready."""
+        url = f'{self.node_by_name[name].operators_url}/readyz'
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            try:
+                if self.http.request('GET', url).status == 200:
+                    return
+            except urllib3.exceptions.HTTPError:
+                pass
+            time.sleep(POLL_S)
+        raise TimeoutError(f'{name} is not ready; see {self.folder}')
+
+    def call(
+        self, entry: str, key: str, document: typing.Any, **headers: str
+    ) -> urllib3.BaseHTTPResponse:
+        """Call the completions interface of an entry."""
+        return self.http.request(
+            'POST',
+            f'{self.node_by_name[entry].url}/v1/completions',
+            json=document,
+            headers={'Authorization': f'Bearer {key}', **headers},
+        )
+
+    def stop(self) -> None:
+        """Stop all processes, entries first."""
+        for node in reversed(self.node_by_name.values()):
+            try:
+                node.stop()
+            except subprocess.TimeoutExpired:
+                node.stop(signal.SIGKILL)
+
+    def _start(
+        self,
+        name: str,
+        arguments: tuple[str, ...],
+        url: str,
+        operators_url: str = '',
+    ) -> Node:
+        with (self.folder / f'{name}.log').open('ab') as log:
+            process = subprocess.Popen(
+                (sys.executable, '-m', *arguments), stdout=log, stderr=log
+            )
+        node = Node(name, process, url, operators_url)
+        self.node_by_name[name] = node
+        return node
+
+    def _await_port(self, port: int, node: Node) -> None:
+        deadline = time.monotonic() + START_TIMEOUT_S
+        while time.monotonic() < deadline:
+            with socket.socket() as probe:
+                if probe.connect_ex((LOOPBACK, port)) == 0:
+                    return
+            if node.process.poll() is not None:
+                break
+            time.sleep(POLL_S)
+        log = (self.folder / f'{node.name}.log').read_text()
+        raise RuntimeError(f'{node.name} did not start:\n{log}')
+
+    def _write_settings(
+        self,
+        host: str,
+        certificate: str,
+        sections: dict[str, dict[str, typing.Any]],
+    ) -> pathlib.Path:
+        pem = str(self.folder / f'{certificate}.pem')
+        parser = configparser.ConfigParser()
+        parser.read_dict(
+            {
+                **sections,
+                'tls': {
+                    'authority': str(self.folder / 'ca.pem'),
+                    'certificate': pem,
+                    'key': pem,
+                },
+                'platform': {
+                    'table_url': self.node_by_name['table'].url,
+                    'objects_url': self.node_by_name['objects'].url,
+                    'hosts_url': self.node_by_name['hosts'].url,
+                    'poll_interval_s': 0.5,
+                },
+            }
+        )
+        path = self.folder / f'{host}.ini'
+        with path.open('w', encoding='utf-8') as stream:
+            parser.write(stream)
+        return path
--- /dev/null
+++ b/ivystep/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the program with ``python -m ivystep``."""
+
+from ivystep.cli import main
+
+main.main()
--- /dev/null
+++ b/ivystep/cli/__init__.py
@@ -0,0 +1,3 @@
+"""Command line."""
+
+DESCRIPTION = 'Shared serving layer for very many LoRA adapters.'
--- /dev/null
+++ b/ivystep/console/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' console."""
--- /dev/null
+++ b/ivystep/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination components that can be used without the daemons."""
--- /dev/null
+++ b/ivystep/core/__init__.py
@@ -0,0 +1,1 @@
+"""Core data types, identifiers and errors shared by every package."""
--- /dev/null
+++ b/ivystep/core/types.py
@@ -0,0 +1,210 @@
+"""Core records. All are immutable and safe to share between tasks.
+
+Times are seconds of the runtime's clock (``ivystep.runtime.clock.now``) unless
+the name says otherwise.
+"""
+
+import dataclasses
+import enum
+import typing
+
+
+class Ran(enum.Enum):
+    """Whether a request was run, as far as ivystep knows."""
+
+    NO = 'no'
+    YES = 'yes'
+    UNKNOWN = 'unknown'
+
+
+class UpstreamKind(enum.Enum):
+    """What stands behind a sidecar."""
+
+    ENGINE = 'engine'
+    SERVICE = 'service'
+
+
+class HostState(enum.Enum):
+    """State of a host in the platform's host list."""
+
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class AdapterRef:
+    """One version of one adapter of one client account."""
+
+    account: str
+    name: str
+    version: int
+
+    @property
+    def lora_name(self) -> str:
+        """Name under which engines load this adapter version."""
+        return f'{self.account}/{self.name}@{self.version}'
+
+    @classmethod
+    def from_lora_name(cls, lora_name: str) -> typing.Self:
+        """Parse a name made by ``lora_name``.
+
+        Args:
+            lora_name: ``<account>/<adapter>@<version>``.
+
+        Returns:
+            The reference.
+
+        Raises:
+            ValueError: The name has another form.
+        """
+        account, _, rest = lora_name.partition('/')
+        name, _, version = rest.rpartition('@')
+        if not account or not name:
+            raise ValueError(f'not an adapter name: {lora_name!r}')
+        return cls(account, name, int(version))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A caller's request after authentication.
+
+    Attributes:
+        adapter: The adapter version to run, or None for a plain service.
+        adapter_source: Path of the weights for the engine.
+        path: HTTP path on the upstream.
+        body: JSON for the upstream, with ``model`` already set.
+        idempotent: False if the request must run at most once.
+        deadline: Time by which the answer must be complete.
+        fingerprint: Digest that is equal for a repeated request, whatever its
+            identifiers are.
+    """
+
+    request_id: str
+    account: str
+    application: str
+    pool: str
+    adapter: AdapterRef | None
+    adapter_source: str
+    path: str
+    body: bytes
+    stream: bool
+    idempotent: bool
+    arrived: float
+    deadline: float
+    fingerprint: bytes
+    setup_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """The upstream chosen for one attempt of a request."""
+
+    request: Request
+    upstream_id: str
+    sidecar_incarnation: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Attempt:
+    """One try to run a request on one upstream."""
+
+    attempt_id: str
+    placement: Placement
+
+    @property
+    def request(self) -> Request:
+        """The request that this attempt runs."""
+        return self.placement.request
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ResidentAdapter:
+    """An adapter held by an engine, with its running attempts."""
+
+    ref: AdapterRef
+    running: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamStatus:
+    """What a sidecar reports about its upstream.
+
+    Attributes:
+        sequence: Grows by one with each report of one sidecar incarnation.
+        slots: Adapters that the engine can hold.
+        max_running: Requests that one engine step can batch.
+        crash_fingerprints: Requests that were running when the engine failed,
+            one entry for each failure and request.
+    """
+
+    upstream_id: str
+    sidecar_incarnation: str
+    engine_incarnation: str
+    sequence: int
+    healthy: bool
+    draining: bool
+    running: int
+    slots: int
+    max_running: int
+    resident_by_ref: dict[AdapterRef, ResidentAdapter]
+    loading: AdapterRef | None
+    setup_version: int
+    crash_fingerprints: tuple[bytes, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadOrder:
+    """An order to load one adapter, evicting others first.
+
+    Attributes:
+        planner: Process id of the entry that plans the pool.
+    """
+
+    ref: AdapterRef
+    source: str
+    evict: tuple[AdapterRef, ...]
+    planner: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadResult:
+    """Outcome of a load order."""
+
+    ok: bool
+    code: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostEntry:
+    """One line of the platform's host list."""
+
+    host: str
+    role: str
+    address: str
+    port: int
+    data_centre: str
+    pool: str
+    state: HostState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status line and content type of an answer."""
+
+    status: int
+    content_type: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """An answer in progress.
+
+    Attributes:
+        head: Status and content type.
+        chunks: Body in order. Raises ``errors.RequestError`` if the answer is
+            cut off; ends normally only when the answer is complete.
+    """
+
+    head: AnswerHead
+    chunks: typing.Iterator[bytes]
--- /dev/null
+++ b/ivystep/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry daemon, which serves callers."""
--- /dev/null
+++ b/ivystep/entry/daemon.py
@@ -0,0 +1,105 @@
+"""The entry daemon."""
+
+import typing
+from collections.abc import Callable, Iterable
+
+import eventlet
+from eventlet import wsgi
+
+from ivystep.core import errors
+from ivystep.entry import api, membership
+from ivystep.platform import hosts, objects, table
+from ivystep.runtime import clock, drain, logs
+from ivystep.settings import models
+from ivystep.setup import store
+from ivystep.wire import tls
+
+MAX_CONNECTIONS = 2048
+
+log = logs.get('entry')
+
+
+class EntryDaemon:
+    """All parts of one entry.
+
+    Args:
+        settings: The validated settings.
+    """
+
+    def __init__(self, settings: models.EntrySettings) -> None:
+        platform = settings.platform
+        self.settings = settings
+        self.is_ready = True
+        self.setup = store.SetupStore(
+            table.TableClient(platform.table_url, platform.timeout_s),
+            objects.ObjectsClient(platform.objects_url, platform.timeout_s),
+        )
+        self._pool_by_name: dict[str, typing.Any] = {}
+        self.membership = membership.Membership(
+            settings.process.id,
+            hosts.HostsClient(platform.hosts_url, platform.timeout_s),
+            tls.TlsContexts(settings.tls.files),
+            self._pool_by_name,
+        )
+        self.api = api.CallerApi(
+            lambda: self.setup.current, self._pool_by_name, settings.requests
+        )
+
+    @classmethod
+    def from_config(cls, settings: models.EntrySettings) -> typing.Self:
+        """Build the entry that the settings describe."""
+        return cls(settings)
+
+    def run(self) -> None:
+        """Serve until drained after SIGTERM."""
+        signals = drain.DrainSignal()
+        signals.install()
+        interval_s = self.settings.platform.poll_interval_s
+        eventlet.spawn(self._follow_setup, interval_s)
+        eventlet.spawn(self.membership.follow, interval_s)
+        operators = eventlet.listen(self.settings.operators.socket_address)
+        eventlet.spawn(
+            wsgi.server, operators, self._operators_app, log_output=False
+        )
+        listener = eventlet.listen(self.settings.listen.socket_address)
+        server = eventlet.spawn(
+            wsgi.server,
+            listener,
+            self.api,
+            max_size=MAX_CONNECTIONS,
+            socket_timeout=self.settings.requests.read_timeout_s,
+            log_output=False,
+            debug=False,
+        )
+        log.info('Entry %s serves callers.', self.settings.process.id)
+        signals.wait()
+        log.info('Entry %s drains.', self.settings.process.id)
+        self.is_ready = False
+        clock.sleep(self.settings.drain.notice_s)
+        eventlet.spawn(server.kill)
+        signals.finish(
+            lambda: self.api.in_progress == 0, self.settings.drain.deadline_s
+        )
+        log.info('Entry %s stopped.', self.settings.process.id)
+
+    def _follow_setup(self, interval_s: float) -> None:
+        while True:
+            try:
+                self.setup.refresh()
+            except errors.IvystepError as error:
+                log.warning('Setup not read: %s.', error)
+            clock.sleep(interval_s)
+
+    def _operators_app(
+        self,
+        environ: dict[str, typing.Any],
+        start_response: Callable[..., typing.Any],
+    ) -> Iterable[bytes]:
+        current = self.setup.current
+        is_ready = self.is_ready and current is not None
+        if environ['PATH_INFO'] == '/readyz' and not is_ready:
+            start_response('503 Service Unavailable', [])
+            return [b'not ready\n']
+        start_response('200 OK', [('Content-Type', 'text/plain')])
+        version = 0 if current is None else current.version
+        return [f'setup_version {version}\n'.encode()]
--- /dev/null
+++ b/ivystep/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Metrics registry."""
--- /dev/null
+++ b/ivystep/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform services."""
--- /dev/null
+++ b/ivystep/platform/objects.py
@@ -0,0 +1,59 @@
+"""Client of the object store; objects are addressed by SHA-256 digest."""
+
+import hashlib
+import typing
+
+from ivystep.core import errors
+from ivystep.platform import http
+
+
+class Objects(typing.Protocol):
+    """What the rest of ivystep needs of the object store."""
+
+    def get(self, digest: str) -> bytes:
+        """Read an object and check its digest.
+
+        Raises:
+            errors.UnavailableError: The object is missing, damaged or cannot
+                be read.
+        """
+
+    def put(self, body: bytes) -> str:
+        """Store an object and return its digest; safe to repeat.
+
+        Raises:
+            errors.PlatformError: The object may not have been stored.
+        """
+
+
+class ObjectsClient:
+    """``Objects`` over HTTP."""
+
+    def __init__(self, base_url: str, timeout_s: float) -> None:
+        self._http = http.PlatformHttp('object store', base_url, timeout_s)
+
+    def get(self, digest: str) -> bytes:
+        """Read an object; see ``Objects.get``."""
+        body = self._http.get(f'/objects/{digest}')
+        if body is None or digest_of(body) != digest:
+            raise errors.UnavailableError(
+                f'object {digest} is missing or damaged',
+                step='get',
+                peer=self._http.name,
+            )
+        return body
+
+    def put(self, body: bytes) -> str:
+        """Store an object; see ``Objects.put``."""
+        digest = digest_of(body)
+        status, _ = self._http.send('PUT', f'/objects/{digest}', body)
+        if status not in {200, 201}:
+            raise errors.UnavailableError(
+                f'status {status}', step='put', peer=self._http.name
+            )
+        return digest
+
+
+def digest_of(body: bytes) -> str:
+    """Return the SHA-256 digest of an object in hexadecimal."""
+    return hashlib.sha256(body).hexdigest()
--- /dev/null
+++ b/ivystep/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic without input or output."""
--- /dev/null
+++ b/ivystep/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Clock, logging and task helpers on the eventlet runtime."""
--- /dev/null
+++ b/ivystep/settings/__init__.py
@@ -0,0 +1,1 @@
+"""INI settings of a process, validated by models."""
--- /dev/null
+++ b/ivystep/settings/models.py
@@ -0,0 +1,150 @@
+"""Models of the INI settings of each process.
+
+Each model is one section; each field is one key.
+"""
+
+import typing
+
+import pydantic
+
+from ivystep.wire import tls
+
+
+class Section(pydantic.BaseModel):
+    """Base of all sections; unknown keys are errors."""
+
+    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+
+
+Port = typing.Annotated[int, pydantic.Field(ge=0, le=65535)]
+Seconds = typing.Annotated[float, pydantic.Field(gt=0, allow_inf_nan=False)]
+
+
+class Process(Section):
+    """Who this process is."""
+
+    id: str = pydantic.Field(
+        min_length=1, description='Name of the host of this process.'
+    )
+    data_centre: str = pydantic.Field(
+        min_length=1, description='Data centre of the host.'
+    )
+    log_level: typing.Literal['DEBUG', 'INFO', 'WARNING', 'ERROR'] = (
+        pydantic.Field('INFO', description='Lowest level that is logged.')
+    )
+
+
+class Listen(Section):
+    """An address to listen on."""
+
+    address: pydantic.IPvAnyAddress = pydantic.Field(
+        description='IP address to listen on.'
+    )
+    port: Port = pydantic.Field(description='TCP port to listen on.')
+
+    @property
+    def socket_address(self) -> tuple[str, int]:
+        """Address and port for ``eventlet.listen``."""
+        return str(self.address), self.port
+
+
+class Tls(Section):
+    """PEM files for mutual TLS between ivystep's processes."""
+
+    authority: str = pydantic.Field(
+        description='Certificate of the private certificate authority.'
+    )
+    certificate: str = pydantic.Field(description='Certificate chain.')
+    key: str = pydantic.Field(description='Private key.')
+
+    @property
+    def files(self) -> tls.TlsFiles:
+        """The paths as a plain record."""
+        return tls.TlsFiles(self.authority, self.certificate, self.key)
+
+
+class Platform(Section):
+    """Base URLs of the platform services."""
+
+    table_url: str = pydantic.Field(description='Table service.')
+    objects_url: str = pydantic.Field(description='Object store.')
+    hosts_url: str = pydantic.Field(description='Host list.')
+    timeout_s: Seconds = pydantic.Field(
+        2.0, description='Longest wait for one platform call.'
+    )
+    poll_interval_s: Seconds = pydantic.Field(
+        2.0, description='Time between reads of the setup and host list.'
+    )
+
+
+class Drain(Section):
+    """Graceful shutdown."""
+
+    notice_s: float = pydantic.Field(
+        2.0,
+        ge=0,
+        description='Time between failing readiness and closing the listener.',
+    )
+    deadline_s: Seconds = pydantic.Field(
+        60.0, description='Longest time to finish requests in progress.'
+    )
+
+
+class Upstream(Section):
+    """The upstream beside a sidecar."""
+
+    url: str = pydantic.Field(description='Base URL of the upstream.')
+    kind: typing.Literal['engine', 'service'] = pydantic.Field(
+        'engine', description='Model engine or plain service.'
+    )
+    slots: int = pydantic.Field(
+        8, ge=1, description='Adapters that the engine holds at once.'
+    )
+    max_running: int = pydantic.Field(
+        16, ge=1, description='Requests that one engine step can batch.'
+    )
+    health_interval_s: Seconds = pydantic.Field(
+        0.5, description='Time between health checks.'
+    )
+
+
+class RequestLimits(Section):
+    """Bounds on what one caller connection may send."""
+
+    max_body_bytes: int = pydantic.Field(
+        1048576, ge=1, description='Longest request body.'
+    )
+    read_timeout_s: Seconds = pydantic.Field(
+        10.0, description='Longest wait for bytes of a request.'
+    )
+    default_timeout_s: Seconds = pydantic.Field(
+        30.0, description='Deadline of requests that name none.'
+    )
+    max_timeout_s: Seconds = pydantic.Field(
+        600.0, description='Longest deadline that a caller may name.'
+    )
+
+
+class EntrySettings(Section):
+    """All sections of an entry."""
+
+    process: Process
+    listen: Listen
+    operators: Listen
+    peers: Listen
+    tls: Tls
+    platform: Platform
+    drain: Drain = Drain()
+    requests: RequestLimits = RequestLimits()
+
+
+class SidecarSettings(Section):
+    """All sections of a sidecar."""
+
+    process: Process
+    listen: Listen
+    operators: Listen
+    tls: Tls
+    platform: Platform
+    upstream: Upstream
+    drain: Drain = Drain()
--- /dev/null
+++ b/ivystep/setup/__init__.py
@@ -0,0 +1,1 @@
+"""The setup document: validation, compiled form, storage."""
--- /dev/null
+++ b/ivystep/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""The sidecar daemon, which runs beside one upstream."""
--- /dev/null
+++ b/ivystep/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between ivystep's own processes."""
--- /dev/null
+++ b/ivystep/wire/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/ivystep/wire/ivystep.thrift
@@ -0,0 +1,145 @@
+// Messages between ivystep's own processes. One Frame carries one message.
+namespace py gen
+
+struct Hello {
+  1: string process_id
+  2: string incarnation
+  3: string role
+  4: i64 setup_version
+}
+
+struct AdapterId {
+  1: string account
+  2: string name
+  3: i64 version
+}
+
+struct RunAttempt {
+  1: string attempt_id
+  2: string request_id
+  3: string account
+  4: string application
+  5: optional AdapterId adapter
+  6: string sidecar_incarnation
+  7: string path
+  8: binary body
+  9: bool stream
+  10: bool idempotent
+  11: i64 budget_ms
+  12: binary fingerprint
+  13: i64 setup_version
+}
+
+struct AttemptAccepted {
+  1: string attempt_id
+}
+
+struct AnswerHead {
+  1: string attempt_id
+  2: i32 status
+  3: string content_type
+}
+
+struct AnswerChunk {
+  1: binary data
+}
+
+struct AnswerEnd {
+  1: string attempt_id
+  2: optional AdapterId adapter
+  3: string engine_incarnation
+}
+
+struct AttemptFailed {
+  1: string attempt_id
+  2: string code
+  3: string reason
+  4: string ran
+  5: i32 status
+  6: optional i64 retry_after_ms
+  7: bool engine_lost
+}
+
+struct RevokeAttempt {
+  1: string attempt_id
+  2: string sidecar_incarnation
+}
+
+struct AttemptState {
+  1: string attempt_id
+  2: string ran
+}
+
+struct LoadAdapter {
+  1: AdapterId adapter
+  2: string source
+  3: list<AdapterId> evict
+  4: string planner
+  5: i64 setup_version
+}
+
+struct LoadResult {
+  1: bool ok
+  2: string code
+  3: string reason
+}
+
+struct Watch {
+}
+
+struct Resident {
+  1: AdapterId adapter
+  2: i32 running
+}
+
+struct UpstreamStatus {
+  1: string upstream
+  2: string sidecar_incarnation
+  3: string engine_incarnation
+  4: i64 sequence
+  5: bool healthy
+  6: bool draining
+  7: i32 running
+  8: i32 slots
+  9: i32 max_running
+  10: list<Resident> resident
+  11: optional AdapterId loading
+  12: i64 setup_version
+  13: list<binary> crash_fingerprints
+}
+
+struct AdapterDemand {
+  1: AdapterId adapter
+  2: i32 waiting
+  3: i64 oldest_ms
+  4: i32 arrivals
+  5: string source
+  6: i64 tightest_ms
+}
+
+struct Demand {
+  1: string pool
+  2: list<AdapterDemand> demands
+}
+
+struct DemandAccepted {
+  1: bool planner
+}
+
+struct Frame {
+  1: optional Hello hello
+  2: optional RunAttempt run_attempt
+  3: optional AttemptAccepted attempt_accepted
+  4: optional AnswerHead answer_head
+  5: optional AnswerChunk answer_chunk
+  6: optional AnswerEnd answer_end
+  7: optional AttemptFailed attempt_failed
+  8: optional RevokeAttempt revoke_attempt
+  9: optional AttemptState attempt_state
+  10: optional LoadAdapter load_adapter
+  11: optional LoadResult load_result
+  12: optional Watch watch
+  13: optional UpstreamStatus upstream_status
+  14: optional Demand demand
+  15: optional DemandAccepted demand_accepted
+}
--- /dev/null
+++ b/ivystep/wire/tls.py
@@ -0,0 +1,73 @@
+"""Mutual TLS between ivystep's own processes.
+
+The certificate files are read again when they change, so that certificates
+rotate without a restart.
+"""
+
+import dataclasses
+import os
+import ssl
+
+ENTRY_NAME = 'entry.ivystep.internal'
+SIDECAR_NAME = 'sidecar.ivystep.internal'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TlsFiles:
+    """Paths of PEM files.
+
+    Attributes:
+        authority: Certificate of the private certificate authority.
+        certificate: This process's certificate chain.
+        key: This process's private key.
+    """
+
+    authority: str
+    certificate: str
+    key: str
+
+
+class TlsContexts:
+    """Client and server contexts that follow their files."""
+
+    def __init__(self, files: TlsFiles) -> None:
+        self._files = files
+        self._stamp: tuple[int, ...] = ()
+        self._server: ssl.SSLContext | None = None
+        self._client: ssl.SSLContext | None = None
+
+    @property
+    def server(self) -> ssl.SSLContext:
+        """Context for accepted connections; demands a client certificate."""
+        self._reload_if_changed()
+        return self._server
+
+    @property
+    def client(self) -> ssl.SSLContext:
+        """Context for opened connections."""
+        self._reload_if_changed()
+        return self._client
+
+    def _reload_if_changed(self) -> None:
+        paths = dataclasses.astuple(self._files)
+        stamp = tuple(os.stat(path).st_mtime_ns for path in paths)
+        if stamp == self._stamp:
+            return
+        self._server = self._build(ssl.PROTOCOL_TLS_SERVER)
+        self._client = self._build(ssl.PROTOCOL_TLS_CLIENT)
+        self._stamp = stamp
+
+    def _build(self, protocol: int) -> ssl.SSLContext:
+        context = ssl.SSLContext(protocol)
+        context.minimum_version = ssl.TLSVersion.TLSv1_3
+        context.verify_mode = ssl.CERT_REQUIRED
+        context.load_verify_locations(self._files.authority)
+        context.load_cert_chain(self._files.certificate, self._files.key)
+        return context
+
+
+def peer_names(connection: ssl.SSLSocket) -> frozenset[str]:
+    """Return the DNS names in the peer's certificate."""
+    certificate = connection.getpeercert() or {}
+    names = certificate.get('subjectAltName', ())
+    return frozenset(name for kind, name in names if kind == 'DNS')
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the decision code on a virtual clock."""
--- /dev/null
+++ b/standins/__main__.py
@@ -0,0 +1,66 @@
+"""Runs one stand-in as a process: ``python -m standins KIND PORT ...``."""
+
+import dataclasses
+import os
+import signal
+import sys
+import time
+import typing
+
+import cappa
+import eventlet
+
+from standins import engine, hosts, objects, service, table, web, weights
+
+LOOPBACK = '127.0.0.1'
+
+
+@cappa.command(name='standins', description='Run one stand-in.')
+@dataclasses.dataclass
+class Options:
+    """Options of a stand-in."""
+
+    kind: str
+    port: int
+    slots: typing.Annotated[int, cappa.Arg(long=True)] = 8
+    step_s: typing.Annotated[float, cappa.Arg(long=True)] = 0.01
+    loads_per_s: typing.Annotated[float, cappa.Arg(long=True)] = 10.0
+    weights_url: typing.Annotated[str, cappa.Arg(long=True)] = ''
+    delay_s: typing.Annotated[float, cappa.Arg(long=True)] = 0.0
+
+
+def build(options: Options) -> web.Handler:
+    """Return the handler of the stand-in that the options name."""
+    if options.kind == 'engine':
+        standin = engine.EngineStandin(
+            options.slots, options.step_s, options.weights_url
+        )
+        return standin.handle
+    if options.kind == 'service':
+        plain = service.ServiceStandin(options.delay_s)
+        plain.started = time.time()
+        return plain.handle
+    if options.kind == 'weights':
+        return weights.WeightsStandin(options.loads_per_s).handle
+    plain_kinds = {
+        'table': table.TableStandin,
+        'objects': objects.ObjectsStandin,
+        'hosts': hosts.HostsStandin,
+    }
+    return plain_kinds[options.kind]().handle
+
+
+def main() -> None:
+    """Serve until SIGTERM."""
+    options = cappa.parse(Options)
+    signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
+    web.serve(build(options), (LOOPBACK, options.port))
+    sys.stdout.write(f'{options.kind} listens on port {options.port}\n')
+    sys.stdout.flush()
+    while True:
+        eventlet.sleep(3600)
+
+
+if __name__ == '__main__':
+    eventlet.monkey_patch()
+    main()
--- /dev/null
+++ b/standins/objects.py
@@ -0,0 +1,25 @@
+"""Stand-in of the platform's object store."""
+
+from standins import web
+
+
+class ObjectsStandin:
+    """Objects in memory."""
+
+    def __init__(self) -> None:
+        self.body_by_digest: dict[str, bytes] = {}
+        self.is_down = False
+
+    def handle(self, environ: web.Environ) -> web.Reply:
+        """Answer one request."""
+        if environ['PATH_INFO'] == '/faults':
+            self.is_down = web.read_body(environ) == b'down'
+            return 200, {}
+        if self.is_down:
+            return 503, {'error': 'down'}
+        digest = environ['PATH_INFO'].removeprefix('/objects/')
+        if environ['REQUEST_METHOD'] == 'PUT':
+            self.body_by_digest[digest] = web.read_body(environ)
+            return 201, {}
+        body = self.body_by_digest.get(digest)
+        return (404, {}) if body is None else (200, body)
--- /dev/null
+++ b/standins/web.py
@@ -0,0 +1,72 @@
+"""A small WSGI base for the stand-ins."""
+
+import json
+import types
+import typing
+from collections.abc import Callable, Iterable
+
+import eventlet
+from eventlet import wsgi
+
+Environ = dict[str, typing.Any]
+Reply = tuple[int, typing.Any]
+Handler = Callable[[dict[str, typing.Any]], tuple[int, typing.Any]]
+REASONS = types.MappingProxyType(
+    {
+        200: 'OK',
+        201: 'Created',
+        400: 'Bad Request',
+        404: 'Not Found',
+    }
+)
+
+
+def read_body(environ: Environ) -> bytes:
+    """Return the request body."""
+    return environ['wsgi.input'].read()
+
+
+def app(handle: Callable[[Environ], Reply]) -> Callable[..., Iterable[bytes]]:
+    """Wrap a handler that returns status and JSON value, bytes or iterator.
+
+    Args:
+        handle: Function from the WSGI environment to status and body.
+    """
+
+    def application(
+        environ: Environ, start_response: Callable[..., typing.Any]
+    ) -> Iterable[bytes]:
+        status, body = handle(environ)
+        reason = REASONS.get(status, 'Status')
+        content_type = 'application/json'
+        if isinstance(body, (dict, list)):
+            chunks: Iterable[bytes] = [json.dumps(body).encode()]
+        elif isinstance(body, bytes):
+            chunks = [body]
+            content_type = 'text/plain'
+        else:
+            chunks = body
+            content_type = 'text/event-stream'
+        start_response(f'{status} {reason}', [('Content-Type', content_type)])
+        return chunks
+
+    return application
+
+
+def serve(
+    handle: Callable[[Environ], Reply], address: tuple[str, int]
+) -> typing.Any:
+    """Serve a handler in a background task.
+
+    Args:
+        handle: See ``app``.
+        address: IP address and port; port 0 takes a free one.
+
+    Returns:
+        The listening socket.
+    """
+    listener = eventlet.listen(address)
+    eventlet.spawn(
+        wsgi.server, listener, app(handle), log_output=False, debug=False
+    )
+    return listener
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests; the folders mirror the package."""
--- /dev/null
+++ b/tests/processes/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of whole processes under failure."""
