Bound and check what callers send; release upstreams on disconnect

A streamed answer whose first event was sent upstream at once had not reached the caller after 1 s, because the server collects 4 KiB first. An upstream stayed taken after its caller had disconnected.

Change: connections.py checks header lines and framing, bounds the time of head and body, sends each chunk at once and lingers before it closes. progress.py raises an error in the task of a request whose caller has gone. relay.py releases an upstream even if its answer is closed unread. dispatch keeps the outcome of earlier attempts, so that a refusal after an uncertain attempt does not say "ran: no", avoids upstreams tried before and spends a retry budget per account and pool.

Ruled out: reading the rest of refused bodies for keep-alive (unbounded time); telling a half-closed caller from a closed one (not possible before a write), so both release the upstream and the answer is still sent.

--- a/ivystep/core/types.py
+++ b/ivystep/core/types.py
@@ -64,6 +64,19 @@
         return cls(account, name, int(version))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimKey:
+    """What a non-idempotent request is claimed under.
+
+    Attributes:
+        key: The caller's idempotency key.
+        fingerprint: Digest of what the caller sent; a repeat has the same.
+    """
+
+    key: str
+    fingerprint: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
     """A caller's request after authentication.
@@ -77,6 +90,7 @@
         deadline: Time by which the answer must be complete.
         fingerprint: Digest that is equal for a repeated request, whatever its
             identifiers are.
+        claim: What a non-idempotent request is claimed under, else None.
     """
 
     request_id: str
@@ -93,6 +107,7 @@
     deadline: float
     fingerprint: bytes
     setup_version: int
+    claim: ClaimKey | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ivystep/entry/admission.py
+++ b/ivystep/entry/admission.py
@@ -3,18 +3,25 @@
 import hashlib
 import hmac
 import json
+import re
 import typing
 
+import eventlet
 import pydantic
 
 from ivystep.core import errors, ids, types, units
+from ivystep.entry import answers
 from ivystep.runtime import clock
 from ivystep.settings import models
 from ivystep.setup import compiled
 
-BEARER = 'Bearer '
+Environ = dict[str, typing.Any]
+BEARER = 'bearer '
 COMPLETION_PATHS = frozenset({'/v1/completions', '/v1/chat/completions'})
 SALT_PURPOSE = b'ivystep prefix cache'
+# ASCII digits only: str.isdigit also accepts characters that int refuses.
+POSITIVE_NUMBER = re.compile(r'0*[1-9][0-9]{0,11}')
+IDEMPOTENCY_KEY = re.compile(r'[!-~]{1,255}')
 
 
 class CompletionBody(pydantic.BaseModel):
@@ -27,7 +34,7 @@
 
 
 def authenticate(
-    environ: dict[str, typing.Any], setup: compiled.CompiledSetup
+    environ: Environ, setup: compiled.CompiledSetup
 ) -> compiled.Grant:
     """Return what the caller's bearer key stands for.
 
@@ -36,55 +43,86 @@
     """
     header = environ.get('HTTP_AUTHORIZATION', '')
     grant = None
-    if header.startswith(BEARER):
-        grant = setup.grant(header.removeprefix(BEARER))
+    if header[: len(BEARER)].lower() == BEARER:
+        grant = setup.grant(header[len(BEARER) :].strip())
     if grant is None:
-        raise errors.RefusedError(
+        raise answers.refusal(
             'invalid_key', 'The bearer key is not valid.', status=401
         )
     return grant
 
 
-def read_body(
-    environ: dict[str, typing.Any], limits: models.RequestLimits
-) -> bytes:
-    """Read a request body of bounded length.
+def read_body(environ: Environ, limits: models.RequestLimits) -> bytes:
+    """Read a request body of bounded length within a bounded time.
 
     Raises:
-        errors.RefusedError: The body is too long or was cut off.
+        errors.RefusedError: The body is too long, too slow or was cut off.
     """
-    declared = environ.get('CONTENT_LENGTH') or '0'
-    if not declared.isdigit():
-        raise _bad_request('The content length is not a number.')
-    if int(declared) > limits.max_body_bytes:
+    declared = int(environ.get('CONTENT_LENGTH') or 0)
+    if declared > limits.max_body_bytes:
         raise _too_long(limits)
-    body = environ['wsgi.input'].read(limits.max_body_bytes + 1)
+    try:
+        with eventlet.Timeout(limits.read_timeout_s, TimeoutError):
+            body = environ['wsgi.input'].read(limits.max_body_bytes + 1)
+    except TimeoutError as error:
+        raise answers.refusal(
+            'request_timeout', 'The body did not arrive in time.', status=408
+        ) from error
+    except (OSError, ValueError) as error:
+        raise bad_request('The body was cut off.') from error
     if len(body) > limits.max_body_bytes:
         raise _too_long(limits)
-    if len(body) < int(declared):
-        raise _bad_request('The body was cut off.')
+    if len(body) < declared:
+        raise bad_request('The body was cut off.')
     return body
 
 
-def deadline(
-    environ: dict[str, typing.Any], limits: models.RequestLimits
-) -> float:
+def deadline(environ: Environ, limits: models.RequestLimits) -> float:
     """Return the deadline that the caller names, or the default.
 
     Raises:
         errors.RefusedError: The header is not a positive number.
     """
-    raw = environ.get('HTTP_X_REQUEST_TIMEOUT_MS', '')
+    raw = environ.get('HTTP_X_REQUEST_TIMEOUT_MS')
     timeout_s = limits.default_timeout_s
-    if raw:
-        if not raw.isdigit() or not int(raw):
-            raise _bad_request('X-Request-Timeout-Ms is not a positive number.')
+    if raw is not None:
+        if not POSITIVE_NUMBER.fullmatch(raw):
+            raise bad_request('X-Request-Timeout-Ms is not a positive number.')
         timeout_s = min(int(raw) / units.MS_PER_S, limits.max_timeout_s)
     return clock.now() + timeout_s
 
 
+def idempotency_key(environ: Environ, *, is_required: bool) -> str:
+    """Return the caller's idempotency key, empty if there is none.
+
+    Args:
+        environ: WSGI environment.
+        is_required: Whether the setup marks the request as non-idempotent.
+
+    Raises:
+        errors.RefusedError: The key is malformed, or missing though required.
+    """
+    key = environ.get('HTTP_IDEMPOTENCY_KEY')
+    if key is None:
+        if is_required:
+            raise answers.refusal(
+                'idempotency_key_required',
+                'This request must run at most once: send Idempotency-Key.',
+                status=400,
+            )
+        return ''
+    if not IDEMPOTENCY_KEY.fullmatch(key):
+        raise answers.refusal(
+            'invalid_idempotency_key',
+            'Idempotency-Key must be 1 to 255 visible ASCII characters.',
+            status=400,
+        )
+    return key
+
+
 def completion(
-    environ: dict[str, typing.Any],
+    environ: Environ,
+    grant: compiled.Grant,
     setup: compiled.CompiledSetup,
     limits: models.RequestLimits,
     request_id: str,
@@ -93,6 +131,7 @@
 
     Args:
         environ: WSGI environment.
+        grant: What the caller's key stands for.
         setup: The setup that judges this request from start to end.
         limits: Bounds on body and deadline.
         request_id: Id of the request.
@@ -100,17 +139,13 @@
     Raises:
         errors.RefusedError: The call is not allowed or malformed.
     """
-    grant = authenticate(environ, setup)
     arrived = clock.now()
     until = deadline(environ, limits)
-    body = read_body(environ, limits)
-    try:
-        document = CompletionBody.model_validate_json(body)
-    except pydantic.ValidationError as error:
-        raise _bad_request(_first_problem(error)) from error
+    key = idempotency_key(environ, is_required=not grant.application.idempotent)
+    document = _parse(read_body(environ, limits))
     resolved = setup.adapter(grant, document.model)
     if resolved is None:
-        raise errors.RefusedError(
+        raise answers.refusal(
             'model_not_found',
             'The model does not exist or may not be called with this key.',
             status=404,
@@ -118,8 +153,12 @@
     ref, adapter, source = resolved
     path = environ['PATH_INFO']
     content = document.model_dump()
+    # The version is left out: a repeat stays a repeat after a new version
+    # has become the active one.
+    claim = _claim(key, path.encode(), _json(content, sort_keys=True))
     content['model'] = ref.lora_name
     content['cache_salt'] = _cache_salt(grant.account.name)
+    canonical = _json(content, sort_keys=True)
     return types.Request(
         request_id=request_id,
         account=grant.account.name,
@@ -128,24 +167,44 @@
         adapter=ref,
         adapter_source=source,
         path=path,
-        body=json.dumps(content).encode(),
+        body=_json(content),
         stream=document.stream,
-        idempotent=(
-            grant.application.idempotent
-            and 'HTTP_IDEMPOTENCY_KEY' not in environ
-        ),
+        idempotent=claim is None,
         arrived=arrived,
         deadline=until,
-        fingerprint=_fingerprint(ref, path, content),
+        fingerprint=ids.digest(
+            ref.lora_name.encode(), path.encode(), canonical
+        ),
         setup_version=setup.version,
+        claim=claim,
     )
 
 
-def _fingerprint(
-    ref: types.AdapterRef, path: str, content: dict[str, typing.Any]
-) -> bytes:
-    canonical = json.dumps(content, sort_keys=True).encode()
-    return ids.digest(ref.lora_name.encode(), path.encode(), canonical)
+def _parse(body: bytes) -> CompletionBody:
+    try:
+        return CompletionBody.model_validate_json(body)
+    except pydantic.ValidationError as error:
+        raise bad_request(_first_problem(error)) from error
+
+
+def _json(content: dict[str, typing.Any], *, sort_keys: bool = False) -> bytes:
+    """Return a body as JSON.
+
+    The upstream gets the caller's order of keys, which can matter to prompt
+    templates; digests are made of sorted keys.
+
+    Raises:
+        errors.RefusedError: A number has no form in JSON, such as 1e999.
+    """
+    try:
+        text = json.dumps(content, sort_keys=sort_keys, allow_nan=False)
+    except (ValueError, RecursionError) as error:
+        raise bad_request('The body has a value out of range.') from error
+    return text.encode()
+
+
+def _claim(key: str, *parts: bytes) -> types.ClaimKey | None:
+    return types.ClaimKey(key, ids.digest(*parts)) if key else None
 
 
 def _cache_salt(account: str) -> str:
@@ -158,12 +217,13 @@
     return f'The body is invalid: {place} {problem["msg"]}.'
 
 
-def _bad_request(reason: str) -> errors.RefusedError:
-    return errors.RefusedError('invalid_request', reason, status=400)
+def bad_request(reason: str) -> errors.RefusedError:
+    """Return the error of a malformed request."""
+    return answers.refusal('invalid_request', reason, status=400)
 
 
 def _too_long(limits: models.RequestLimits) -> errors.RefusedError:
-    return errors.RefusedError(
+    return answers.refusal(
         'body_too_long',
         f'The body is longer than {limits.max_body_bytes} bytes.',
         status=413,
--- a/ivystep/entry/api.py
+++ b/ivystep/entry/api.py
@@ -1,20 +1,23 @@
 """The callers' HTTP interface as a WSGI application."""
 
-import http
-import json
-import math
+import contextlib
 import typing
 from collections.abc import Callable, Iterable, Iterator
 
-from ivystep.core import errors, ids, types, units
-from ivystep.entry import admission, dispatch, pool
+from ivystep.core import errors, ids, types
+from ivystep.entry import (
+    admission,
+    answers,
+    connections,
+    dispatch,
+    progress,
+    relay,
+)
 from ivystep.runtime import logs
 from ivystep.settings import models
 from ivystep.setup import compiled
 
 Environ = dict[str, typing.Any]
-StartResponse = Callable[..., typing.Any]
-JSON_TYPE = 'application/json'
 
 log = logs.get('entry')
 
@@ -24,162 +27,203 @@
 
     Args:
         current_setup: Returns the setup in force, None before the first read.
-        pool_by_name: Pools of this entry.
+        dispatcher: Runs requests.
+        in_progress: Where requests are registered while they last.
         limits: Bounds on requests.
     """
 
     def __init__(
         self,
         current_setup: Callable[[], compiled.CompiledSetup | None],
-        pool_by_name: dict[str, pool.Pool],
+        dispatcher: dispatch.Dispatcher,
+        in_progress: progress.Progress,
         limits: models.RequestLimits,
     ) -> None:
-        self.in_progress = 0
         self._current_setup = current_setup
-        self._pool_by_name = pool_by_name
+        self._dispatcher = dispatcher
+        self._in_progress = in_progress
         self._limits = limits
 
     def __call__(
-        self, environ: Environ, start_response: StartResponse
+        self, environ: Environ, start_response: answers.StartResponse
     ) -> Iterable[bytes]:
         """Answer one HTTP request; see PEP 3333."""
-        request_id = ids.new_id('req')
-        self.in_progress += 1
+        call = Call(environ, start_response, self._in_progress)
         try:
-            chunks = self._route(environ, start_response, request_id)
+            return _Response(self._route(call), call)
         except errors.RequestError as error:
-            log.info('Request %s ends: %s.', request_id, error)
-            chunks = iter((_send_error(start_response, error, request_id),))
+            log.info('Request %s ends: %s.', call.request_id, error)
+            return _Response(call.fail(error), call)
+        except Exception:
+            log.exception('Request %s met a fault.', call.request_id)
+            return _Response(call.fail(_fault()), call)
         except BaseException:
-            self.in_progress -= 1
+            call.close()
             raise
-        return _Counted(chunks, self)
 
-    def _route(
-        self, environ: Environ, start_response: StartResponse, request_id: str
-    ) -> Iterator[bytes]:
-        method, path = environ['REQUEST_METHOD'], environ['PATH_INFO']
+    def _route(self, call: 'Call') -> Iterator[bytes]:
         setup = self._current_setup()
         if setup is None:
-            raise errors.RefusedError(
+            raise answers.refusal(
                 'no_setup',
                 'This entry has not read the setup yet.',
                 status=503,
                 retry_after_s=1.0,
             )
-        if method == 'POST' and path in admission.COMPLETION_PATHS:
-            request = admission.completion(
-                environ, setup, self._limits, request_id
+        if call.path in admission.COMPLETION_PATHS:
+            call.require('POST')
+            return self._complete(call, setup)
+        if call.path == '/v1/models':
+            call.require('GET')
+            grant = admission.authenticate(call.environ, setup)
+            return call.send(_models(grant))
+        raise answers.refusal(
+            'no_such_path', 'There is no such path.', status=404
+        )
+
+    def _complete(
+        self, call: 'Call', setup: compiled.CompiledSetup
+    ) -> Iterator[bytes]:
+        grant = admission.authenticate(call.environ, setup)
+        request = admission.completion(
+            call.environ, grant, setup, self._limits, call.request_id
+        )
+        return self._run(call, request)
+
+    def _run(self, call: 'Call', request: types.Request) -> Iterator[bytes]:
+        call.watch_caller()
+        answer = self._dispatcher.run(request, call.task)
+        call.on_close(answer.chunks.close)
+        return call.relay(answer, request)
+
+
+class Call:
+    """One HTTP call and what is released at its end.
+
+    Args:
+        environ: WSGI environment.
+        start_response: See PEP 3333.
+        in_progress: Where the call is registered while it lasts.
+    """
+
+    def __init__(
+        self,
+        environ: Environ,
+        start_response: answers.StartResponse,
+        in_progress: progress.Progress,
+    ) -> None:
+        self.environ = environ
+        self.request_id = ids.new_id('req')
+        self.path: str = environ['PATH_INFO']
+        self.task = in_progress.start()
+        self._start_response = start_response
+        self._stack = contextlib.ExitStack()
+        self._connection: connections.CallerConnection | None = environ.get(
+            connections.ENVIRON_KEY
+        )
+        self.on_close(in_progress.end, self.task)
+
+    def require(self, method: str) -> None:
+        """Check the method.
+
+        Raises:
+            errors.RefusedError: The call has another method.
+        """
+        if self.environ['REQUEST_METHOD'] != method:
+            raise answers.refusal(
+                'method_not_allowed', f'Use {method} here.', status=405
             )
-            return self._run(request, start_response)
-        if method == 'GET' and path == '/v1/models':
-            body = _models(admission.authenticate(environ, setup))
-            return iter((_send(start_response, 200, body, request_id),))
-        raise errors.RefusedError(
-            'no_such_path', f'There is no {method} {path}.', status=404
+
+    def watch_caller(self) -> None:
+        """Abort the request when its caller disconnects from now on."""
+        if self._connection is not None:
+            self._connection.watch(self.task.on_caller_gone)
+            self.on_close(self._connection.unwatch)
+
+    def on_close(
+        self, function: Callable[..., object], *arguments: object
+    ) -> None:
+        """Call a function when the call ends."""
+        self._stack.callback(function, *arguments)
+
+    def send(self, document: typing.Any) -> Iterator[bytes]:
+        """Answer with a JSON document."""
+        self._before_answer()
+        return self._body(
+            answers.send_json(self._start_response, document, self.request_id)
+        )
+
+    def fail(self, error: errors.RequestError) -> Iterator[bytes]:
+        """Answer with an error."""
+        self._before_answer()
+        return self._body(
+            answers.send_error(self._start_response, error, self.request_id)
         )
 
-    def _run(
-        self, request: types.Request, start_response: StartResponse
+    def relay(
+        self, answer: types.Answer, request: types.Request
     ) -> Iterator[bytes]:
-        answer = dispatch.dispatch(request, self._pool_by_name[request.pool])
+        """Answer with the answer of an upstream."""
+        self._before_answer()
         if request.stream:
-            _start(start_response, answer.head, request.request_id)
-            return _stream(answer, request)
+            answers.start(self._start_response, answer.head, self.request_id)
+            return relay.stream(answer.chunks, request, self.task)
         body = b''.join(answer.chunks)
-        _start(start_response, answer.head, request.request_id, len(body))
-        return iter((body,))
+        answers.start(
+            self._start_response, answer.head, self.request_id, len(body)
+        )
+        return self._body(body)
+
+    def close(self) -> None:
+        """Release everything that the call holds."""
+        self._stack.close()
+
+    def _body(self, body: bytes) -> Iterator[bytes]:
+        is_bodyless = self.environ['REQUEST_METHOD'] == 'HEAD'
+        return iter(() if is_bodyless else (body,))
 
+    def _before_answer(self) -> None:
+        """End the connection after this answer if it cannot be used again.
 
-class _Counted:
-    """Response chunks that keep count of requests in progress."""
+        Unread bytes of the body would have to be read first, at the caller's
+        speed; a connection that drains must say so in its last answer.
+        """
+        connection = self._connection
+        if connection is None:
+            return
+        if connection.is_closing or _has_unread_body(self.environ):
+            connection.close_after_answer()
 
-    def __init__(self, chunks: Iterator[bytes], api: CallerApi) -> None:
+
+class _Response:
+    """Chunks of a response, and the end of its call."""
+
+    def __init__(self, chunks: Iterator[bytes], call: Call) -> None:
         self._chunks = chunks
-        self._api = api
+        self._call = call
 
     def __iter__(self) -> Iterator[bytes]:
         return self._chunks
 
     def close(self) -> None:
-        """End the request; the WSGI server calls this once."""
-        self._api.in_progress -= 1
-        close = getattr(self._chunks, 'close', None)
-        if close is not None:
-            close()
-
-
-def _stream(answer: types.Answer, request: types.Request) -> Iterator[bytes]:
-    try:
-        yield from answer.chunks
-    except errors.RequestError as error:
-        log.warning('Request %s was cut off: %s.', request.request_id, error)
-        body = json.dumps(error_document(error, request.request_id))
-        yield f'data: {body}\n\n'.encode()
-
-
-def error_document(
-    error: errors.RequestError, request_id: str
-) -> dict[str, typing.Any]:
-    """Return the body of an error answer."""
-    document: dict[str, typing.Any] = {
-        'code': error.code,
-        'message': error.reason,
-        'ran': error.ran.value,
-        'request_id': request_id,
-    }
-    if error.retry_after_s is not None:
-        document['retry_after_ms'] = int(error.retry_after_s * units.MS_PER_S)
-    return {'error': document}
-
-
-def _send_error(
-    start_response: StartResponse, error: errors.RequestError, request_id: str
-) -> bytes:
-    headers = []
-    if error.retry_after_s is not None:
-        headers.append(('Retry-After', str(math.ceil(error.retry_after_s))))
-    document = error_document(error, request_id)
-    return _send(start_response, error.status, document, request_id, headers)
-
-
-def _send(
-    start_response: StartResponse,
-    status: int,
-    document: typing.Any,
-    request_id: str,
-    headers: Iterable[tuple[str, str]] = (),
-) -> bytes:
-    body = json.dumps(document).encode()
-    start_response(
-        _status_line(status),
-        [
-            ('Content-Type', JSON_TYPE),
-            ('Content-Length', str(len(body))),
-            ('X-Request-Id', request_id),
-            *headers,
-        ],
-    )
-    return body
-
-
-def _start(
-    start_response: StartResponse,
-    head: types.AnswerHead,
-    request_id: str,
-    length: int | None = None,
-) -> None:
-    headers = [
-        ('Content-Type', head.content_type),
-        ('X-Request-Id', request_id),
-    ]
-    if length is not None:
-        headers.append(('Content-Length', str(length)))
-    start_response(_status_line(head.status), headers)
+        """End the call; the WSGI server calls this once."""
+        self._call.close()
+
 
+def _has_unread_body(environ: Environ) -> bool:
+    body = environ['wsgi.input']
+    if body.chunked_input:
+        return body.chunk_length != 0
+    return body.position < (body.content_length or 0)
 
-def _status_line(status: int) -> str:
-    return f'{status} {http.HTTPStatus(status).phrase}'
+
+def _fault() -> errors.RequestError:
+    return errors.RequestError(
+        'internal_error',
+        'The entry met a fault.',
+        status=500,
+        ran=types.Ran.UNKNOWN,
+    )
 
 
 def _models(grant: compiled.Grant) -> dict[str, typing.Any]:
--- /dev/null
+++ b/ivystep/entry/connections.py
@@ -0,0 +1,313 @@
+"""Callers' connections: HTTP/1.1 with bounds on time and on what is accepted.
+
+Extends eventlet's HTTP protocol where it would accept an ambiguous request,
+wait without a bound, close a connection so that the kernel discards the last
+answer, or hold back small pieces of a stream.
+"""
+
+import dataclasses
+import functools
+import http
+import re
+import socket
+import typing
+from collections.abc import Callable
+from types import MappingProxyType
+
+import eventlet
+from eventlet import hubs, wsgi
+
+from ivystep.core import errors, ids, units
+from ivystep.entry import answers
+from ivystep.runtime import clock
+
+ENVIRON_KEY = 'ivystep.connection'
+# Time and bytes for which a closing connection still reads what its caller
+# sends. Closing with unread bytes makes the kernel discard the answer.
+LINGER_S = 2.0
+LINGER_BYTES = 16 * units.MIB
+READ_BYTES = 64 * units.KIB
+
+# A field name, a colon and a value without control characters. It excludes
+# folded lines, blanks before the colon and bare carriage returns, which
+# proxies and servers are known to read in different ways.
+HEADER_LINE = re.compile(
+    rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*\r?\n"
+)
+BLANK_LINES = frozenset((b'', b'\r\n', b'\n'))
+CONTENT_LENGTH = re.compile(r'[0-9]{1,15}')
+SINGLE_HEADERS = (
+    'Authorization',
+    'Content-Length',
+    'Content-Type',
+    'Host',
+    'Idempotency-Key',
+    'Transfer-Encoding',
+    'X-Request-Timeout-Ms',
+)
+CODE_BY_STATUS = MappingProxyType(
+    {
+        http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE: 'headers_too_long',
+        http.HTTPStatus.HTTP_VERSION_NOT_SUPPORTED: 'invalid_http_version',
+    }
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Door:
+    """What all connections of one listener share.
+
+    Attributes:
+        read_timeout_s: Longest time for the head of a request, in seconds.
+        is_closing: Whether each connection ends after its current answer.
+    """
+
+    read_timeout_s: float
+    is_closing: bool = False
+
+
+def serve(
+    listener: typing.Any,
+    application: Callable[..., typing.Any],
+    door: Door,
+    max_connections: int,
+) -> None:
+    """Serve callers until killed, then let open connections end.
+
+    Args:
+        listener: The listening socket.
+        application: WSGI application.
+        door: What all connections share.
+        max_connections: Connections served at once; further ones wait.
+    """
+    wsgi.server(
+        listener,
+        application,
+        max_size=max_connections,
+        protocol=functools.partial(CallerConnection, door=door),
+        socket_timeout=door.read_timeout_s,
+        log_output=False,
+        debug=False,
+    )
+
+
+class _MalformedHeadError(Exception):
+    """A header line that is refused."""
+
+
+class _HeadReader:
+    """Header lines, checked one by one."""
+
+    def __init__(self, reader: typing.Any) -> None:
+        self._reader = reader
+
+    def readline(self, size: int = -1) -> bytes:
+        line = self._reader.readline(size)
+        if line not in BLANK_LINES and not HEADER_LINE.fullmatch(line):
+            raise _MalformedHeadError
+        return line
+
+
+class CallerConnection(wsgi.HttpProtocol):
+    """One connection of a caller; ``wsgi.server`` makes one for each.
+
+    Args:
+        conn_state: See ``wsgi.HttpProtocol``.
+        server: See ``wsgi.HttpProtocol``.
+        door: What all connections share.
+    """
+
+    # Forwards each piece of a stream at once instead of collecting 4 KiB.
+    minimum_chunk_size = 1
+
+    def __init__(
+        self, conn_state: typing.Any, server: typing.Any, door: Door
+    ) -> None:
+        self._door = door
+        self._head_deadline = 0.0
+        self._listener: typing.Any = None
+        super().__init__(conn_state, server)
+
+    def setup(self) -> None:
+        """Prepare the connection; small pieces are sent without delay."""
+        super().setup()
+        self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def parse_request(self) -> bool:
+        """Read and check the head of a request.
+
+        Returns:
+            False if the request was refused; the answer has been sent then.
+        """
+        self.rfile = _HeadReader(self.rfile)
+        try:
+            with eventlet.Timeout(self._head_time_left(), TimeoutError):
+                is_parsed = super().parse_request()
+        except (wsgi.HeaderLineTooLong, wsgi.HeadersTooLarge):
+            return self._refuse(
+                431, 'headers_too_long', 'The headers are long.'
+            )
+        except _MalformedHeadError:
+            return self._refuse(400, 'invalid_header', 'A header is malformed.')
+        except TimeoutError:
+            return self._refuse_slow()
+        return is_parsed and self._check_framing()
+
+    def send_error(
+        self,
+        code: int,
+        message: str | None = None,
+        explain: str | None = None,
+    ) -> None:
+        """Answer a head that cannot be parsed.
+
+        The message of the standard library repeats what the caller sent and
+        is therefore not used.
+        """
+        stable_code = CODE_BY_STATUS.get(code, 'invalid_request')
+        phrase = http.HTTPStatus(code).phrase
+        self._refuse(code, stable_code, f'The request is invalid: {phrase}.')
+
+    def get_environ(self) -> dict[str, typing.Any]:
+        """Return the WSGI environment with this connection in it."""
+        return {**super().get_environ(), ENVIRON_KEY: self}
+
+    def close_after_answer(self) -> None:
+        """End the connection after the current answer.
+
+        Must be called before the answer starts, so that it can say so.
+        """
+        self.close_connection = True
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether connections end after their current answer."""
+        return self._door.is_closing
+
+    def watch(self, on_gone: Callable[[], None]) -> None:
+        """Watch for the end of the connection while nothing is read from it.
+
+        A caller that closes its sending side counts as gone: it cannot be
+        told apart from one that has closed the connection.
+
+        Args:
+            on_gone: Called on the hub, at most once; must not block.
+        """
+        hub = hubs.get_hub()
+        self._listener = hub.add(
+            hub.READ,
+            self.connection.fileno(),
+            lambda _: self._on_readable(on_gone),
+            lambda _: None,
+            lambda: None,
+        )
+
+    def unwatch(self) -> None:
+        """Stop watching; does nothing if the watch has ended."""
+        if self._listener is not None:
+            hubs.get_hub().remove(self._listener)
+            self._listener = None
+
+    def finish(self) -> None:
+        """Close the connection once the caller has got the last answer."""
+        try:
+            self._linger()
+        except OSError:
+            # The caller has gone, so nothing is left to be delivered.
+            self.close_connection = True
+        super().finish()
+
+    def _read_request_line(self) -> bytes:
+        """Wait for a request and return its first line, empty at the end."""
+        try:
+            # A request whose first byte has arrived is not idle any more and
+            # must be answered even if the listener is closed now.
+            is_ended = not self.rfile.peek(1)
+        except (OSError, ValueError):
+            return b''
+        if is_ended:
+            return b''
+        self.conn_state[2] = wsgi.STATE_REQUEST
+        self._head_deadline = clock.now() + self._door.read_timeout_s
+        limit = self.server.url_length_limit
+        try:
+            with eventlet.Timeout(self._head_time_left(), TimeoutError):
+                line = self.rfile.readline(limit)
+        except TimeoutError:
+            self._refuse_slow()
+            return b''
+        if len(line) >= limit:
+            self._refuse(414, 'path_too_long', 'The request line is too long.')
+            return b''
+        return line
+
+    def _head_time_left(self) -> float:
+        return max(self._head_deadline - clock.now(), 0)
+
+    def _check_framing(self) -> bool:
+        """Check that all servers would agree on where the body ends."""
+        for name in SINGLE_HEADERS:
+            if len(self.headers.get_all(name, ())) > 1:
+                return self._refuse(
+                    400, 'duplicate_header', f'{name} is given twice.'
+                )
+        length = self.headers.get('Content-Length')
+        encoding = self.headers.get('Transfer-Encoding')
+        if length is not None and not CONTENT_LENGTH.fullmatch(length):
+            return self._refuse(
+                400, 'invalid_header', 'Content-Length is not a number.'
+            )
+        if encoding is not None and (
+            length is not None
+            or encoding.lower() != 'chunked'
+            or self.request_version != 'HTTP/1.1'
+        ):
+            return self._refuse(
+                400, 'invalid_header', 'The length of the body is ambiguous.'
+            )
+        if self._door.is_closing:
+            self.close_connection = True
+        return True
+
+    def _refuse_slow(self) -> bool:
+        return self._refuse(
+            408, 'request_timeout', 'The request did not arrive in time.'
+        )
+
+    def _refuse(self, status: int, code: str, reason: str) -> bool:
+        """Answer a request that does not reach the application."""
+        error = errors.RefusedError(code, reason, status=status)
+        headers, body = answers.error_answer(error, ids.new_id('req'))
+        headers.append(('Connection', 'close'))
+        lines = [f'HTTP/1.1 {answers.status_line(status)}']
+        lines.extend(f'{name}: {header}' for name, header in headers)
+        head = '\r\n'.join((*lines, '', ''))
+        self.wfile.write(head.encode('latin-1') + body)
+        self.close_connection = True
+        return False
+
+    def _linger(self) -> None:
+        self.wfile.flush()
+        self.connection.shutdown(socket.SHUT_WR)
+        total = 0
+        with eventlet.Timeout(LINGER_S, exception=False):
+            while total < LINGER_BYTES:
+                received = len(self.connection.recv(READ_BYTES))
+                if not received:
+                    return
+                total += received
+
+    def _on_readable(self, on_gone: Callable[[], None]) -> None:
+        try:
+            waiting = self.connection.fd.recv(
+                1, socket.MSG_PEEK | socket.MSG_DONTWAIT
+            )
+        except BlockingIOError:
+            return
+        except OSError:
+            waiting = b''
+        # Bytes that wait here belong to a pipelined request. The end of the
+        # connection cannot be seen behind them, so the watch ends too.
+        self.unwatch()
+        if not waiting:
+            on_gone()
--- a/ivystep/entry/daemon.py
+++ b/ivystep/entry/daemon.py
@@ -6,8 +6,9 @@
 import eventlet
 from eventlet import wsgi
 
+from ivystep.coordination import retry_budget
 from ivystep.core import errors
-from ivystep.entry import api, membership
+from ivystep.entry import api, connections, dispatch, membership, progress
 from ivystep.platform import hosts, objects, table
 from ivystep.runtime import clock, drain, logs
 from ivystep.settings import models
@@ -41,8 +42,15 @@
             tls.TlsContexts(settings.tls.files),
             self._pool_by_name,
         )
+        self.door = connections.Door(settings.requests.read_timeout_s)
+        self.in_progress = progress.Progress()
         self.api = api.CallerApi(
-            lambda: self.setup.current, self._pool_by_name, settings.requests
+            lambda: self.setup.current,
+            dispatch.Dispatcher(
+                self._pool_by_name, retry_budget.RetryBudgets()
+            ),
+            self.in_progress,
+            settings.requests,
         )
 
     @classmethod
@@ -63,13 +71,11 @@
         )
         listener = eventlet.listen(self.settings.listen.socket_address)
         server = eventlet.spawn(
-            wsgi.server,
+            connections.serve,
             listener,
             self.api,
-            max_size=MAX_CONNECTIONS,
-            socket_timeout=self.settings.requests.read_timeout_s,
-            log_output=False,
-            debug=False,
+            self.door,
+            MAX_CONNECTIONS,
         )
         log.info('Entry %s serves callers.', self.settings.process.id)
         signals.wait()
@@ -78,7 +84,7 @@
         clock.sleep(self.settings.drain.notice_s)
         eventlet.spawn(server.kill)
         signals.finish(
-            lambda: self.api.in_progress == 0, self.settings.drain.deadline_s
+            lambda: self.in_progress.is_idle, self.settings.drain.deadline_s
         )
         log.info('Entry %s stopped.', self.settings.process.id)
 
--- a/ivystep/entry/dispatch.py
+++ b/ivystep/entry/dispatch.py
@@ -1,66 +1,204 @@
 """Runs a request: placement, attempts and retries."""
 
-import dataclasses
-from collections.abc import Iterator
+import typing
+from collections.abc import Collection, Mapping
 
+from ivystep.coordination import retry_budget
 from ivystep.core import errors, ids, types
-from ivystep.entry import pool
+from ivystep.entry import answers, links, progress, relay
 from ivystep.runtime import clock, logs
 
 MAX_ATTEMPTS = 3
+# Statuses of failures that another upstream may not have.
+RETRIED_STATUSES = frozenset((502, 503))
+# Suggested wait before a caller repeats an idempotent request that failed.
+REPEAT_AFTER_S = 1.0
 
 log = logs.get('entry')
 
 
-def dispatch(request: types.Request, target: pool.Pool) -> types.Answer:
-    """Run a request until it has an answer or has failed for good.
+class Target(typing.Protocol):
+    """What dispatch needs of a pool."""
 
-    Args:
-        request: The request.
-        target: The pool that serves it.
+    def place(
+        self, request: types.Request, avoid: Collection[str] = ()
+    ) -> types.Placement:
+        """Wait until the request has an upstream; see ``pool.Pool.place``."""
+
+    def link(self, upstream_id: str) -> links.UpstreamLink:
+        """Return the link to an upstream; see ``pool.Pool.link``."""
+
+    def finish(self, placement: types.Placement) -> None:
+        """Give back the room of a placement; see ``pool.Pool.finish``."""
+
+
+class _Course:
+    """What has happened to a request so far.
+
+    Attributes:
+        ran: Whether one of its attempts was run. An attempt that certainly
+            did not run adds nothing, so the outcome is that of the attempt
+            which got furthest.
+    """
+
+    def __init__(self) -> None:
+        self.attempts = 0
+        self.ran = types.Ran.NO
+        self.tried: frozenset[str] = frozenset()
 
-    Returns:
-        The answer. Its upstream is released when the chunks are used up or
-        closed.
+    def on_failure(
+        self, placement: types.Placement, error: errors.RequestError
+    ) -> None:
+        """Take over how an attempt ended."""
+        self.attempts += 1
+        self.tried = self.tried.union((placement.upstream_id,))
+        self.ran = self.outcome(error.ran)
 
-    Raises:
-        errors.RequestError: The request failed; ``ran`` is never ``NO``
-            unless the request was not run.
+    def outcome(self, ran: types.Ran) -> types.Ran:
+        """Return the outcome after another attempt."""
+        if types.Ran.YES in {ran, self.ran}:
+            return types.Ran.YES
+        return self.ran if ran is types.Ran.NO else ran
+
+
+class Dispatcher:
+    """Runs requests on the pools of an entry.
+
+    Args:
+        pool_by_name: The pools; more may be added later.
+        budgets: Retry budgets by account and pool.
     """
-    tried = 0
-    while True:
-        placement = target.place(request)
-        attempt = types.Attempt(ids.new_id('att'), placement)
-        tried += 1
-        log.info('Attempt %s runs %s.', attempt.attempt_id, request.request_id)
-        try:
-            answer = target.link(placement.upstream_id).run(attempt)
-        except errors.RequestError as error:
-            target.finish(placement)
-            if not _may_retry(request, error, tried):
-                raise
-            log.info('Attempt %s is retried: %s.', attempt.attempt_id, error)
-            continue
-        return dataclasses.replace(
-            answer, chunks=_released(answer.chunks, target, placement)
-        )
+
+    def __init__(
+        self,
+        pool_by_name: Mapping[str, Target],
+        budgets: retry_budget.RetryBudgets,
+    ) -> None:
+        self._pool_by_name = pool_by_name
+        self._budgets = budgets
+
+    def run(
+        self, request: types.Request, task: progress.RequestTask
+    ) -> types.Answer:
+        """Run a request until it has an answer or has failed for good.
+
+        Args:
+            request: The request.
+            task: The task it runs on.
+
+        Returns:
+            The answer. Its chunks are a ``relay.Relay`` whose first chunk, or
+            for a request that is not streamed the whole body, has arrived.
+
+        Raises:
+            errors.RequestError: The request failed; ``ran`` is never ``NO``
+                unless the request was not run.
+        """
+        target = self._pool_by_name.get(request.pool)
+        if target is None:
+            raise answers.refusal(
+                'upstream_unavailable',
+                'No upstream of the pool is known.',
+                status=503,
+                retry_after_s=REPEAT_AFTER_S,
+            )
+        budget = self._budgets.budget((request.account, request.pool))
+        budget.on_request()
+        course = _Course()
+        while True:
+            placement = _place(request, target, task, course)
+            try:
+                return _run_once(placement, target, task)
+            except errors.RequestError as error:
+                course.on_failure(placement, error)
+                if (
+                    task.is_aborted
+                    or not _may_retry(request, error, course)
+                    or not budget.try_spend()
+                ):
+                    raise _final(request, error, course.ran) from error
+                log.info(
+                    'Request %s is retried: %s.', request.request_id, error
+                )
+
+
+def _place(
+    request: types.Request,
+    target: Target,
+    task: progress.RequestTask,
+    course: _Course,
+) -> types.Placement:
+    try:
+        with task.in_phase(progress.Phase.WAITING):
+            return target.place(request, course.tried)
+    except progress.AbortedError as aborted:
+        raise aborted.with_outcome(course.ran) from aborted
+    except errors.RequestError as error:
+        raise _final(request, error, course.outcome(error.ran)) from error
+
+
+def _run_once(
+    placement: types.Placement, target: Target, task: progress.RequestTask
+) -> types.Answer:
+    attempt = types.Attempt(ids.new_id('att'), placement)
+    request = placement.request
+    log.info('Attempt %s runs %s.', attempt.attempt_id, request.request_id)
+    try:
+        answer = _start(attempt, target.link(placement.upstream_id), task)
+    except BaseException:
+        target.finish(placement)
+        raise
+    chunks = relay.Relay(answer.chunks, lambda _: target.finish(placement))
+    try:
+        with task.in_phase(progress.running_phase(request)):
+            chunks.prime(whole=not request.stream)
+    except progress.AbortedError as aborted:
+        raise aborted.with_outcome(types.Ran.UNKNOWN) from aborted
+    return types.Answer(answer.head, chunks)
+
+
+def _start(
+    attempt: types.Attempt,
+    link: links.UpstreamLink,
+    task: progress.RequestTask,
+) -> types.Answer:
+    try:
+        with task.in_phase(progress.running_phase(attempt.request)):
+            return link.run(attempt)
+    except progress.AbortedError as aborted:
+        raise aborted.with_outcome(link.revoke(attempt)) from aborted
 
 
 def _may_retry(
-    request: types.Request, error: errors.RequestError, tried: int
+    request: types.Request, error: errors.RequestError, course: _Course
 ) -> bool:
     """Return whether another attempt cannot run the request twice."""
-    if tried >= MAX_ATTEMPTS or clock.now() >= request.deadline:
+    if course.attempts >= MAX_ATTEMPTS or clock.now() >= request.deadline:
         return False
-    if error.ran is types.Ran.NO:
-        return error.status >= 500
-    return request.idempotent and error.ran is types.Ran.UNKNOWN
+    if error.status not in RETRIED_STATUSES:
+        return False
+    return course.ran is types.Ran.NO or request.idempotent
 
 
-def _released(
-    chunks: Iterator[bytes], target: pool.Pool, placement: types.Placement
-) -> Iterator[bytes]:
-    try:
-        yield from chunks
-    finally:
-        target.finish(placement)
+def _final(
+    request: types.Request, error: errors.RequestError, ran: types.Ran
+) -> errors.RequestError:
+    """Return the caller's error with the outcome of all attempts."""
+    retry_after_s = error.retry_after_s
+    can_repeat = request.idempotent or ran is types.Ran.NO
+    if (
+        retry_after_s is None
+        and can_repeat
+        and error.status in RETRIED_STATUSES
+    ):
+        retry_after_s = REPEAT_AFTER_S
+    return errors.RequestError(
+        error.code,
+        error.reason,
+        status=error.status,
+        ran=ran,
+        retry_after_s=retry_after_s,
+        engine_lost=error.engine_lost,
+        step=error.step,
+        peer=error.peer,
+    )
--- a/ivystep/entry/links.py
+++ b/ivystep/entry/links.py
@@ -79,6 +79,11 @@
         except errors.LinkError as error:
             link.close()
             raise self._lost(attempt, error) from error
+        except BaseException:
+            # The request was given up; closing the connection tells the
+            # sidecar, and a late answer cannot reach another request.
+            link.close()
+            raise
         if isinstance(reply, ttypes.AttemptFailed):
             self._release(link)
             raise failure(reply, link.peer)
--- a/ivystep/entry/pool.py
+++ b/ivystep/entry/pool.py
@@ -4,6 +4,7 @@
 """
 
 import collections
+from collections.abc import Collection
 
 import eventlet
 from eventlet import event
@@ -95,11 +96,14 @@
             )
         return view.link
 
-    def place(self, request: types.Request) -> types.Placement:
+    def place(
+        self, request: types.Request, avoid: Collection[str] = ()
+    ) -> types.Placement:
         """Wait until the request has an upstream.
 
         Args:
             request: The request.
+            avoid: Upstreams tried before, used only if there is no other.
 
         Returns:
             The placement; ``finish`` must be called with it.
@@ -107,7 +111,7 @@
         Raises:
             errors.RefusedError: The request cannot meet its deadline.
         """
-        waiting = _Waiting(request)
+        waiting = _Waiting(request, avoid)
         self._waiting.append(waiting)
         self._place_waiting()
         try:
@@ -138,7 +142,7 @@
     def _place_waiting(self) -> None:
         for waiting in list(self._waiting):
             request = waiting.request
-            view = self._route(request)
+            view = self._route(request, waiting.avoid)
             if view is not None:
                 self._waiting.remove(waiting)
                 view.sent += 1
@@ -153,7 +157,9 @@
             elif request.adapter is not None:
                 self._start_load(request)
 
-    def _route(self, request: types.Request) -> UpstreamView | None:
+    def _route(
+        self, request: types.Request, avoid: Collection[str]
+    ) -> UpstreamView | None:
         ref = request.adapter
         candidates = [
             view
@@ -162,7 +168,11 @@
             and view.sent < view.status.max_running
             and (ref is None or ref in view.status.resident_by_ref)
         ]
-        return min(candidates, key=lambda view: view.sent, default=None)
+        return min(
+            candidates,
+            key=lambda view: (view.status.upstream_id in avoid, view.sent),
+            default=None,
+        )
 
     def _start_load(self, request: types.Request) -> None:
         if request.adapter in self._loading or self._is_resident(
@@ -208,6 +218,7 @@
 class _Waiting:
     """A request that waits for an upstream."""
 
-    def __init__(self, request: types.Request) -> None:
+    def __init__(self, request: types.Request, avoid: Collection[str]) -> None:
         self.request = request
+        self.avoid = avoid
         self.placed = event.Event()
--- /dev/null
+++ b/ivystep/entry/relay.py
@@ -0,0 +1,121 @@
+"""Relays answers: what is released and recorded at their end."""
+
+import collections
+from collections.abc import Callable, Iterator
+
+from ivystep.core import errors, types
+from ivystep.entry import answers, progress
+from ivystep.runtime import logs
+
+log = logs.get('entry')
+
+
+class Relay:
+    """Chunks of one answer, and what must happen once at its end.
+
+    Unlike a generator it releases its upstream even if it is closed before
+    the first chunk is taken.
+
+    Args:
+        chunks: The chunks; closed with the relay.
+        on_end: Called once with whether the request was run.
+
+    Attributes:
+        is_ended: Whether the end was reached or the rest abandoned.
+        ran: Whether the request was run, as known at the end.
+    """
+
+    def __init__(
+        self,
+        chunks: Iterator[bytes],
+        on_end: Callable[[types.Ran], None],
+    ) -> None:
+        self.is_ended = False
+        self.ran = types.Ran.UNKNOWN
+        self._chunks = chunks
+        self._on_end = [on_end]
+        self._first: bytes | None = None
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self
+
+    def __next__(self) -> bytes:
+        first = self._first
+        self._first = None
+        if first is not None:
+            return first
+        try:
+            return next(self._chunks)
+        except StopIteration:
+            self._end(types.Ran.YES)
+            raise
+        except errors.RequestError as error:
+            self._end(error.ran)
+            raise
+        except BaseException:
+            self.close()
+            raise
+
+    def on_end(self, function: Callable[[types.Ran], None]) -> None:
+        """Call a function at the end, or now if that has passed."""
+        if self.is_ended:
+            function(self.ran)
+        else:
+            self._on_end.append(function)
+
+    def prime(self, *, whole: bool) -> None:
+        """Wait for the first chunk, or all, while nothing has been sent on.
+
+        Args:
+            whole: Whether to wait for the end of the answer.
+
+        Raises:
+            errors.RequestError: The answer failed before that.
+        """
+        self._first = b''.join(self) if whole else next(self, b'')
+
+    def drain(self) -> None:
+        """Read the rest of the answer to learn its outcome."""
+        try:
+            collections.deque(self, maxlen=0)
+        except errors.RequestError as error:
+            log.info('The rest of an answer failed: %s.', error)
+
+    def close(self) -> None:
+        """Abandon the rest; safe to call at any time and twice."""
+        if not self.is_ended:
+            close = getattr(self._chunks, 'close', None)
+            if close is not None:
+                close()
+            self._end(types.Ran.UNKNOWN)
+
+    def _end(self, ran: types.Ran) -> None:
+        if not self.is_ended:
+            self.is_ended = True
+            self.ran = ran
+            for function in self._on_end:
+                function(ran)
+
+
+def stream(
+    relay: Relay,
+    request: types.Request,
+    task: progress.RequestTask,
+) -> Iterator[bytes]:
+    """Yield a streamed answer; a cut one ends with an error event.
+
+    Args:
+        relay: The answer.
+        request: The request.
+        task: The task that the request runs on.
+    """
+    request_id = request.request_id
+    try:
+        with task.in_phase(progress.running_phase(request)):
+            yield from relay
+    except progress.AbortedError as aborted:
+        error = aborted.with_outcome(types.Ran.UNKNOWN)
+        yield answers.error_event(error, request_id)
+    except errors.RequestError as error:
+        log.warning('Request %s was cut off: %s.', request_id, error)
+        yield answers.error_event(error, request_id)
--- /dev/null
+++ b/tests/entry/harness.py
@@ -0,0 +1,192 @@
+"""A real entry server on loopback in front of in-memory upstreams."""
+
+import hashlib
+import json
+import socket
+
+import eventlet
+from eventlet import event
+
+from ivystep.coordination import retry_budget
+from ivystep.core import errors, types
+from ivystep.entry import api, connections, dispatch, progress
+from ivystep.settings import models
+from ivystep.setup import compiled, document
+
+KEY = 'key-of-fields'
+OTHER_KEY = 'key-of-depot'
+ONCE_KEY = 'key-of-dosages'
+LIMITS = models.RequestLimits(max_body_bytes=4096, read_timeout_s=0.3)
+
+
+def _application(name, key, **more):
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    return {'name': name, 'key_digests': [digest], 'grants': ['plan'], **more}
+
+
+def _account(name, *applications):
+    adapter = {
+        'name': 'plan',
+        'pool': 'base',
+        'active_version': 2,
+        'versions': [{'version': n, 'source': f's{n}'} for n in (1, 2)],
+    }
+    return {'name': name, 'applications': applications, 'adapters': [adapter]}
+
+
+def setup(limits=None):
+    """Two accounts; the first has a non-idempotent application too."""
+    more = {'limits': limits} if limits else {}
+    return compiled.CompiledSetup.from_document(
+        document.Document.model_validate(
+            {
+                'pools': [{'name': 'base'}, {'name': 'desk'}],
+                'services': [
+                    {
+                        'name': 'stock',
+                        'pool': 'desk',
+                        'non_idempotent_paths': ['/returns'],
+                    }
+                ],
+                'accounts': [
+                    _account(
+                        'fields',
+                        _application('app', KEY, services=['stock'], **more),
+                        _application('dosages', ONCE_KEY, idempotent=False),
+                    ),
+                    _account('depot', _application('app', OTHER_KEY, **more)),
+                ],
+            }
+        ),
+        7,
+    )
+
+
+class FakePool:
+    """Upstreams a, b and c; ``run`` decides what an attempt does."""
+
+    def __init__(self, run):
+        self.run = run
+        self.attempts = []
+        self.finished = 0
+        self.revoked = types.Ran.UNKNOWN
+        self.gate = None
+
+    def place(self, request, avoid=frozenset()):
+        if self.gate is not None:
+            self.gate.wait()
+        names = sorted({'a', 'b', 'c'} - avoid) or ['a']
+        return types.Placement(request, names[0], f'{names[0]}-1')
+
+    def link(self, upstream_id):
+        pool = self
+
+        class Link:
+            def run(self, attempt):
+                pool.attempts.append(attempt)
+                return pool.run(attempt)
+
+            def revoke(self, attempt):
+                return pool.revoked
+
+        return Link()
+
+    def finish(self, placement):
+        self.finished += 1
+
+    @property
+    def held(self):
+        return len(self.attempts) - self.finished
+
+
+def answer(*chunks, status=200):
+    return types.Answer(
+        types.AnswerHead(status, 'application/json'), iter(chunks)
+    )
+
+
+def lost(ran=types.Ran.UNKNOWN, status=502, code='upstream_lost'):
+    return errors.RequestError(code, 'Lost.', status=status, ran=ran)
+
+
+class Entry:
+    """The server with its parts; ``pool`` answers ``{}`` by default."""
+
+    def __init__(self, run=None, limits=LIMITS, **parts):
+        self.pool = FakePool(run or (lambda _: answer(b'{}')))
+        self.progress = progress.Progress()
+        self.door = connections.Door(limits.read_timeout_s)
+        self.setup = parts.pop('setup', None) or setup()
+        self.api = api.CallerApi(
+            lambda: self.setup,
+            dispatch.Dispatcher(
+                {'base': self.pool, 'desk': self.pool},
+                retry_budget.RetryBudgets(),
+            ),
+            self.progress,
+            limits,
+            **parts,
+        )
+        listener = eventlet.listen(('127.0.0.1', 0))
+        self.address = listener.getsockname()
+        self.server = eventlet.spawn(
+            connections.serve, listener, self.api, self.door, 64
+        )
+
+    def connect(self):
+        connection = socket.create_connection(self.address)
+        connection.settimeout(5)
+        return connection
+
+    def raw(self, *pieces):
+        """Send bytes and return all that comes back until the end."""
+        with self.connect() as connection:
+            for piece in pieces:
+                connection.sendall(piece)
+            return read_all(connection)
+
+    def call(self, body=None, key=KEY, path='/v1/completions', **headers):
+        """Call on a new connection; return status, headers and document."""
+        return parse(self.raw(head_and_body(body, key, path, **headers)))
+
+
+def head_and_body(body=None, key=KEY, path='/v1/completions', **headers):
+    if not isinstance(body, bytes):
+        body = json.dumps(body or {'model': 'plan'}).encode()
+    method = headers.pop('method', 'POST')
+    lines = [
+        f'{method} {path} HTTP/1.1',
+        'Host: entry',
+        f'Authorization: Bearer {key}',
+        f'Content-Length: {len(body)}',
+        f'Connection: {headers.pop("connection", "close")}',
+        *(f'{k.replace("_", "-")}: {v}' for k, v in headers.items()),
+    ]
+    return '\r\n'.join([*lines, '', '']).encode('latin-1') + body
+
+
+def read_all(connection):
+    received = b''
+    while chunk := connection.recv(65536):
+        received += chunk
+    return received
+
+
+def parse(raw):
+    head, _, body = raw.partition(b'\r\n\r\n')
+    first, *lines = head.decode('latin-1').split('\r\n')
+    headers = dict(line.split(': ', 1) for line in lines)
+    status = int(first.split()[1])
+    is_json = headers.get('Content-Type') == 'application/json'
+    return status, headers, json.loads(body) if is_json and body else body
+
+
+def wait_until(check):
+    """Let other tasks run until a condition holds."""
+    with eventlet.Timeout(5):
+        while not check():
+            eventlet.sleep(0.005)
+
+
+def new_gate():
+    return event.Event()
