Limit rate, concurrency, queue and memory per account and application

Cause: the setup carried limits that nothing applied, so one account could take every place of an entry.

Change: policy/limits.py keeps two token buckets, the requests in progress and a queue for each account; a refusal carries the time until a token is there, or the mean duration of the requests times the backlog over the concurrency. A request whose estimated wait passes its deadline is refused at once. A request that waits for an upstream counts as in progress.

Ruled out: one queue for all accounts (a flood would delay the others), and refusing on a deadline before a duration was measured (no basis).

--- a/ivystep/entry/admission.py
+++ b/ivystep/entry/admission.py
@@ -52,15 +52,27 @@
     return grant
 
 
-def read_body(environ: Environ, limits: models.RequestLimits) -> bytes:
-    """Read a request body of bounded length within a bounded time.
+def declared_bytes(environ: Environ, limits: models.RequestLimits) -> int:
+    """Return the memory that a body can need, in bytes, before it is read.
 
     Raises:
-        errors.RefusedError: The body is too long, too slow or was cut off.
+        errors.RefusedError: The body is too long.
     """
+    if environ.get('HTTP_TRANSFER_ENCODING'):
+        return limits.max_body_bytes
     declared = int(environ.get('CONTENT_LENGTH') or 0)
     if declared > limits.max_body_bytes:
         raise _too_long(limits)
+    return declared
+
+
+def read_body(environ: Environ, limits: models.RequestLimits) -> bytes:
+    """Read a request body of bounded length within a bounded time.
+
+    Raises:
+        errors.RefusedError: The body is too long, too slow or was cut off.
+    """
+    wanted = declared_bytes(environ, limits)
     try:
         with eventlet.Timeout(limits.read_timeout_s, TimeoutError):
             body = environ['wsgi.input'].read(limits.max_body_bytes + 1)
@@ -72,7 +84,7 @@
         raise bad_request('The body was cut off.') from error
     if len(body) > limits.max_body_bytes:
         raise _too_long(limits)
-    if len(body) < declared:
+    if 'CONTENT_LENGTH' in environ and len(body) < wanted:
         raise bad_request('The body was cut off.')
     return body
 
--- a/ivystep/entry/api.py
+++ b/ivystep/entry/api.py
@@ -13,6 +13,7 @@
     progress,
     relay,
 )
+from ivystep.policy import limits
 from ivystep.runtime import logs
 from ivystep.settings import models
 from ivystep.setup import compiled
@@ -29,7 +30,7 @@
         current_setup: Returns the setup in force, None before the first read.
         dispatcher: Runs requests.
         in_progress: Where requests are registered while they last.
-        limits: Bounds on requests.
+        bounds: Bounds on requests.
     """
 
     def __init__(
@@ -37,12 +38,13 @@
         current_setup: Callable[[], compiled.CompiledSetup | None],
         dispatcher: dispatch.Dispatcher,
         in_progress: progress.Progress,
-        limits: models.RequestLimits,
+        bounds: models.RequestLimits,
     ) -> None:
         self._current_setup = current_setup
         self._dispatcher = dispatcher
         self._in_progress = in_progress
-        self._limits = limits
+        self._bounds = bounds
+        self._account_limits = limits.AccountLimits()
 
     def __call__(
         self, environ: Environ, start_response: answers.StartResponse
@@ -85,13 +87,33 @@
         self, call: 'Call', setup: compiled.CompiledSetup
     ) -> Iterator[bytes]:
         grant = admission.authenticate(call.environ, setup)
+        ticket = self._admit(call, grant)
         request = admission.completion(
-            call.environ, grant, setup, self._limits, call.request_id
+            call.environ, grant, setup, self._bounds, call.request_id
         )
-        return self._run(call, request)
+        return self._run(call, request, ticket)
+
+    def _admit(self, call: 'Call', grant: compiled.Grant) -> limits.Ticket:
+        ticket = self._account_limits.admit(
+            limits.LimitedParty((grant.account.name, ''), grant.account.limits),
+            limits.LimitedParty(
+                (grant.account.name, grant.application.name),
+                grant.application.limits,
+            ),
+        )
+        call.on_close(ticket.close)
+        ticket.hold(admission.declared_bytes(call.environ, self._bounds))
+        return ticket
 
-    def _run(self, call: 'Call', request: types.Request) -> Iterator[bytes]:
+    def _run(
+        self, call: 'Call', request: types.Request, ticket: limits.Ticket
+    ) -> Iterator[bytes]:
         call.watch_caller()
+        try:
+            with call.task.in_phase(progress.Phase.WAITING):
+                ticket.start(request.deadline)
+        except progress.AbortedError as aborted:
+            raise aborted.with_outcome(types.Ran.NO) from aborted
         answer = self._dispatcher.run(request, call.task)
         call.on_close(answer.chunks.close)
         return call.relay(answer, request)
--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -259,3 +259,15 @@
             received += connection.recv(4096)
         gate.send()
         assert b'data: 2' in harness.read_all(connection)
+
+
+def test_a_flooding_application_is_refused_and_others_are_not():
+    """Guards against limits that are checked but not wired to the interface."""
+    narrow = {'requests_per_s': 0.01, 'burst': 1, 'concurrency': 1, 'queue': 1}
+    entry = harness.Entry(setup=harness.setup(narrow))
+    assert entry.call()[0] == 200
+    status, headers, document = entry.call()
+    assert (status, document['error']['code']) == (429, 'rate_limited')
+    assert 95 < int(headers['Retry-After']) * 2 <= 120
+    assert document['error']['ran'] == 'no'
+    assert entry.call(key=harness.OTHER_KEY)[0] == 200
--- /dev/null
+++ b/tests/policy/test_limits.py
@@ -0,0 +1,217 @@
+"""Limits of accounts on the virtual clock."""
+
+import eventlet
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ivystep.core import errors
+from ivystep.policy import limits
+from ivystep.runtime import clock, virtual_hub
+from ivystep.setup import document
+
+WIDE = document.Limits(
+    requests_per_s=1e6, burst=10**6, concurrency=10**6, queue=10**6
+)
+
+
+def parties(account, application='app', **bounds):
+    narrow = document.Limits(**{**WIDE.model_dump(), **bounds})
+    return (
+        limits.LimitedParty((account, ''), narrow),
+        limits.LimitedParty((account, application), WIDE),
+    )
+
+
+def try_admit(account_limits, both):
+    try:
+        return account_limits.admit(*both)
+    except errors.RefusedError as error:
+        return error
+
+
+def test_a_refused_rate_says_when_a_repeat_is_admitted():
+    """Guards against a Retry-After that is too early or far too late."""
+
+    def main():
+        account_limits = limits.AccountLimits()
+        both = parties('a', requests_per_s=0.5, burst=2)
+        admitted = [try_admit(account_limits, both) for _ in range(3)]
+        error = admitted[-1]
+        clock.sleep(error.retry_after_s - 0.01)
+        early = try_admit(account_limits, both)
+        clock.sleep(0.02)
+        account_limits.admit(*both)
+        return error, early
+
+    error, early = virtual_hub.run(main)
+    assert (error.code, error.retry_after_s) == ('rate_limited', 2.0)
+    assert early.code == 'rate_limited'
+
+
+def test_a_full_queue_computes_the_wait_from_its_backlog():
+    """Guards against a constant Retry-After whatever the backlog is."""
+
+    def main():
+        account_limits = limits.AccountLimits()
+        both = parties('a', concurrency=2, queue=4)
+        order = []
+
+        def work(number):
+            ticket = account_limits.admit(*both)
+            ticket.start(clock.now() + 100)
+            order.append(number)
+            clock.sleep(3)
+            ticket.close()
+
+        work(-1)
+        tasks = []
+        for number in range(6):
+            tasks.append(eventlet.spawn(work, number))
+            clock.sleep(0.1)
+        error = try_admit(account_limits, both)
+        for task in tasks:
+            task.wait()
+        return error, order
+
+    error, order = virtual_hub.run(main)
+    # Five requests with 3 s each end before a repeat can start, two at once.
+    assert (error.code, error.retry_after_s) == ('queue_full', 7.5)
+    assert order == [-1, 0, 1, 2, 3, 4, 5]
+
+
+def test_a_wait_past_the_deadline_is_refused_now():
+    """Guards against holding back the answer of a hopeless request."""
+
+    def main():
+        account_limits = limits.AccountLimits()
+        both = parties('a', concurrency=1)
+        first = account_limits.admit(*both)
+        first.start(clock.now() + 100)
+        clock.sleep(10)
+        first.close()
+        running = account_limits.admit(*both)
+        running.start(clock.now() + 100)
+        started = clock.now()
+        with pytest.raises(errors.RefusedError) as caught:
+            account_limits.admit(*both).start(clock.now() + 5)
+        return caught.value.code, clock.now() - started
+
+    assert virtual_hub.run(main) == ('deadline_unreachable', 0)
+
+
+def test_an_interrupted_wait_leaves_its_place_to_the_next():
+    """Guards against places that are lost when a waiting caller goes."""
+
+    def main():
+        account_limits = limits.AccountLimits()
+        both = parties('a', concurrency=1)
+        first = account_limits.admit(*both)
+        first.start(clock.now() + 9)
+        waiting = [account_limits.admit(*both) for _ in range(2)]
+
+        def wait(ticket):
+            try:
+                ticket.start(clock.now() + 9)
+                return clock.now()
+            finally:
+                ticket.close()
+
+        tasks = [eventlet.spawn(wait, ticket) for ticket in waiting]
+        clock.sleep(1)
+        # The first waiter is started and interrupted in the same moment.
+        first.close()
+        tasks[0].kill()
+        return tasks[1].wait()
+
+    assert virtual_hub.run(main) == 1
+
+
+def test_bodies_of_one_account_are_bounded():
+    """Guards against memory that one account fills with waiting bodies."""
+
+    def main():
+        account_limits = limits.AccountLimits(max_held_bytes=100)
+        held = account_limits.admit(*parties('a'))
+        held.hold(90)
+        account_limits.admit(*parties('b')).hold(90)
+        with pytest.raises(errors.RefusedError):
+            account_limits.admit(*parties('a')).hold(20)
+        held.close()
+        account_limits.admit(*parties('a')).hold(20)
+
+    virtual_hub.run(main)
+
+
+# Sums of these times do not meet, so that no two tasks wake at one instant,
+# for which the hub keeps no order.
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(['quiet', 'quiet', 'flood']),
+        st.sampled_from([0.0013, 0.0109, 0.2027, 70.0019]),
+        st.sampled_from([0.0507, 0.5003, 3.0011]),
+    ),
+    max_size=60,
+)
+NARROW = {'requests_per_s': 2.0, 'burst': 3, 'concurrency': 2, 'queue': 2}
+
+
+def outcomes(steps):
+    """Return what each request of the quiet account gets, and violations."""
+
+    def main():
+        account_limits = limits.AccountLimits()
+        running = {'quiet': 0, 'flood': 0}
+        admitted = []
+        violations = []
+        seen = []
+
+        def work(account, duration_s, number):
+            try:
+                ticket = account_limits.admit(*parties(account, **NARROW))
+            except errors.RefusedError as error:
+                return account, number, error.code, error.retry_after_s
+            admitted.append((account, clock.now()))
+            try:
+                ticket.start(clock.now() + 2)
+            except errors.RefusedError as error:
+                ticket.close()
+                return account, number, error.code, error.retry_after_s
+            running[account] += 1
+            if running[account] > NARROW['concurrency']:
+                violations.append('concurrency')
+            started = clock.now()
+            clock.sleep(duration_s)
+            running[account] -= 1
+            ticket.close()
+            return account, number, 'ran', started
+
+        tasks = []
+        for number, (account, pause_s, duration_s) in enumerate(steps):
+            clock.sleep(pause_s)
+            if account is not None:
+                tasks.append(eventlet.spawn(work, account, duration_s, number))
+        seen = [task.wait() for task in tasks]
+        return seen, admitted, violations
+
+    return virtual_hub.run(main)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(STEPS)
+def test_a_flood_changes_nothing_for_another_account(steps):
+    """Guards against accounts that disturb one another, and broken bounds."""
+    seen, admitted, violations = outcomes(steps)
+    alone, _, _ = outcomes(
+        [
+            (account if account == 'quiet' else None, *rest)
+            for account, *rest in steps
+        ]
+    )
+    assert [one for one in seen if one[0] == 'quiet'] == alone
+    assert not violations
+    for account in ('quiet', 'flood'):
+        times = [at for name, at in admitted if name == account]
+        for index, start in enumerate(times):
+            for count, end in enumerate(times[index:], 1):
+                assert count <= 3 + 2.0 * (end - start) + 1e-6
