Build one file that runs every subcommand as one process

Cause: hosts have no disks and a process may start no other, yet one-file builds of the usual tools unpack to a folder and start a second process.

Change: `make binary` links the interpreter's static library into a small launcher and appends an uncompressed ZIP archive with the standard library, the pinned packages and ivystep. Extension modules are loaded from anonymous memory files.

Ruled out: one-file builds with a boot process (two processes in the process table); a zipapp (needs an interpreter and a folder to unpack into); an archive that unpacks to memory and replaces itself by exec (a second copy of the files in memory).

The build host needs a C compiler and the interpreter's static library; the file needs the C library and the OpenSSL libraries.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,10 @@
 	$(BIN)/ruff check --fix-only --quiet .
 	$(BIN)/ruff format .
 
+# Needs a C compiler and the interpreter's static library.
+binary: $(STAMP)
+	$(BIN)/python tools/build_binary.py
+
 # Needs the Thrift compiler; its output is committed, so builds do not.
 thrift:
 	mkdir -p build/thrift
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -67,6 +67,7 @@
         self.folder = folder
         self.node_by_name: dict[str, Node] = {}
         self.host_entries: list[dict[str, typing.Any]] = []
+        self.program: tuple[str, ...] = (sys.executable, '-m', 'ivystep')
         self.http = urllib3.PoolManager(retries=False, timeout=10.0)
         self._authority = trustme.CA()
         self._authority.cert_pem.write_to_path(str(folder / 'ca.pem'))
@@ -95,7 +96,7 @@
         port = port or free_port()
         node = self._start(
             name,
-            ('standins', kind, str(port), *options),
+            (sys.executable, '-m', 'standins', kind, str(port), *options),
             f'http://{LOOPBACK}:{port}',
         )
         self._await_port(port, node)
@@ -141,7 +142,7 @@
         )
         node = self._start(
             host,
-            ('ivystep', 'sidecar', '--config', str(path)),
+            (*self.program, 'sidecar', '--config', str(path)),
             '',
             f'http://{LOOPBACK}:{operators}',
         )
@@ -165,7 +166,7 @@
         )
         node = self._start(
             host,
-            ('ivystep', 'entry', '--config', str(path)),
+            (*self.program, 'entry', '--config', str(path)),
             f'http://{LOOPBACK}:{port}',
             f'http://{LOOPBACK}:{operators}',
         )
@@ -217,7 +218,7 @@
     def command(self, *arguments: str) -> str:
         """Run an ``ivystep`` subcommand and return what it prints."""
         done = subprocess.run(
-            (sys.executable, '-m', 'ivystep', *arguments),
+            (*self.program, *arguments),
             check=True,
             capture_output=True,
             text=True,
@@ -264,9 +265,7 @@
         operators_url: str = '',
     ) -> Node:
         with (self.folder / f'{name}.log').open('ab') as log:
-            process = subprocess.Popen(
-                (sys.executable, '-m', *arguments), stdout=log, stderr=log
-            )
+            process = subprocess.Popen(arguments, stdout=log, stderr=log)
         node = Node(name, process, url, operators_url)
         self.node_by_name[name] = node
         return node
--- a/ivystep/cli/main.py
+++ b/ivystep/cli/main.py
@@ -5,7 +5,6 @@
 import typing
 
 import cappa
-import eventlet
 
 from ivystep import cli
 from ivystep.cli import commands
@@ -30,14 +29,9 @@
     Args:
         argv: Arguments without the program's name; None takes the process's.
     """
-    eventlet.monkey_patch()
     try:
         cappa.invoke(Ivystep, argv=None if argv is None else list(argv))
     except errors.IvystepError as error:
         sys.stderr.write(f'{error}\n')
         is_usage = isinstance(error, errors.SettingsError | errors.SetupError)
         sys.exit(EXIT_USAGE if is_usage else 1)
-
-
-if __name__ == '__main__':
-    main()
