Add claims, leases and compare-and-set updates

Cause: at-most-once requests, engine ownership and shared rows need agreement through the table service, with answers that can be lost.

Ruled out: concluding from an unchanged row that an unanswered write failed; it may still arrive. Every unanswered write is settled by a later conditional write of the same row.

--- /dev/null
+++ b/ivystep/coordination/claims.py
@@ -0,0 +1,350 @@
+"""Durable at-most-once claims, one row in the table service for each key.
+
+The first claimant of a key puts the row if it is absent; everyone else finds
+it. A claim has no holder that could lose it, so a paused or dead claimant is
+harmless: its claim stays ``taken``, which repeats are told as ``unknown``.
+
+The table service has no operation that deletes a row. Each row carries
+``expires_wall_time``, and the platform removes rows past that time. Until it
+does, a claim is in force, whatever the wall clock of this host says.
+"""
+
+import dataclasses
+import enum
+import typing
+from types import MappingProxyType
+
+from ivystep.coordination import group_commit
+from ivystep.core import errors, ids, types
+from ivystep.platform import table
+from ivystep.runtime import clock, logs
+
+RETENTION_S = 86400.0
+# One try resolves a lost answer, one a released claim that changed hands; the
+# third covers both for one call.
+MAX_TRIES = 3
+
+log = logs.get('claims')
+
+
+class ClaimState(enum.Enum):
+    """What the row of a claim says."""
+
+    TAKEN = 'taken'
+    RELEASED = 'released'
+    RAN = 'ran'
+    UNKNOWN = 'unknown'
+
+
+STATE_BY_RAN = MappingProxyType(
+    {
+        types.Ran.NO: ClaimState.RELEASED,
+        types.Ran.YES: ClaimState.RAN,
+        types.Ran.UNKNOWN: ClaimState.UNKNOWN,
+    }
+)
+RAN_BY_STATE = MappingProxyType(
+    {
+        ClaimState.TAKEN: types.Ran.UNKNOWN,
+        ClaimState.RELEASED: types.Ran.NO,
+        ClaimState.RAN: types.Ran.YES,
+        ClaimState.UNKNOWN: types.Ran.UNKNOWN,
+    }
+)
+# A claim that ran, or that was released, has its final state for its claimant.
+FINAL_STATES = frozenset((ClaimState.RELEASED, ClaimState.RAN))
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """A claim as found or taken.
+
+    Attributes:
+        granted: Whether the caller of ``take`` holds the claim and may run.
+        status: HTTP status of the answer, once recorded.
+        claimant_id: Who holds the claim, or held it last.
+        matches: Whether the caller's fingerprint is that of the claim. It is
+            True for ``read``, which compares nothing.
+    """
+
+    granted: bool
+    state: ClaimState
+    status: int | None
+    claimant_id: str
+    matches: bool
+
+    @property
+    def ran(self) -> types.Ran:
+        """Whether the claimed request was run, as far as is recorded."""
+        return RAN_BY_STATE[self.state]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Record:
+    """The value of a claim's row."""
+
+    claimant_id: str
+    process_id: str
+    fingerprint: str
+    state: ClaimState
+    status: int | None
+    expires_wall_time: float
+
+    def to_value(self) -> dict[str, typing.Any]:
+        return {**dataclasses.asdict(self), 'state': self.state.value}
+
+    @classmethod
+    def from_value(cls, value: dict[str, typing.Any]) -> typing.Self:
+        return cls(**{**value, 'state': ClaimState(value['state'])})
+
+    def claim(self, fingerprint: bytes | None = None) -> Claim:
+        """Return the record as seen by someone who does not hold it."""
+        return Claim(
+            granted=False,
+            state=self.state,
+            status=self.status,
+            claimant_id=self.claimant_id,
+            matches=fingerprint is None
+            or self.fingerprint == fingerprint.hex(),
+        )
+
+
+class ClaimLog:
+    """Claims of this process.
+
+    Args:
+        rows: The table service.
+        process_id: Id of this process, recorded for operators.
+    """
+
+    def __init__(self, rows: table.Table, process_id: str) -> None:
+        self._rows = rows
+        self._process_id = process_id
+        self._commits = group_commit.GroupCommit(rows)
+
+    def take(
+        self, account: str, key: str, claimant_id: str, fingerprint: bytes
+    ) -> Claim:
+        """Claim a key, unless it is claimed already.
+
+        A claim that was settled with ``ran: no`` is free again. A caller that
+        is interrupted here, or gets ``UncertainWriteError``, must not run the
+        request and should call ``settle`` with ``ran: no``.
+
+        Args:
+            account: Client account; keys of accounts are independent.
+            key: Idempotency key of the caller; only its digest is stored.
+            claimant_id: Id of the request, used for one run only.
+            fingerprint: Digest of what is requested.
+
+        Returns:
+            The claim, with ``granted`` set for its holder.
+
+        Raises:
+            errors.UnavailableError: No claim was taken.
+            errors.UncertainWriteError: The claim may have been taken.
+        """
+        row_key = _row_key(account, key)
+        wanted = self._record(claimant_id, fingerprint, ClaimState.TAKEN)
+        is_uncertain = False
+        expected_version = 0
+        for _ in range(MAX_TRIES):
+            try:
+                return self._try_take(
+                    row_key, wanted, fingerprint, expected_version
+                )
+            except errors.ConflictError as error:
+                problem: errors.PlatformError = error
+            except errors.UnavailableError as error:
+                raise _unsettled(error, is_uncertain) from error
+            except errors.UncertainWriteError as error:
+                is_uncertain = True
+                problem = error
+            found = self._find(row_key, is_uncertain)
+            expected_version = found.version if found else 0
+            decided = self._decide(found, wanted, fingerprint)
+            if decided is not None:
+                return decided
+        raise _unsettled(problem, is_uncertain)
+
+    def settle(
+        self,
+        account: str,
+        key: str,
+        claimant_id: str,
+        ran: types.Ran,
+        status: int | None,
+    ) -> None:
+        """Record the outcome of a claimed request.
+
+        ``ran: no`` releases the claim for a later take. Only the claimant can
+        release it; while the outcome is unknown nobody else can take it.
+        ``unknown`` may be settled again once the outcome is known.
+
+        Args:
+            account: Client account.
+            key: Idempotency key of the caller.
+            claimant_id: Id given to ``take``.
+            ran: Whether the request was run.
+            status: HTTP status of the answer; None if there was none.
+
+        Raises:
+            errors.UnavailableError: Nothing was recorded.
+            errors.UncertainWriteError: The outcome may have been recorded.
+            errors.InvariantError: The claim has another final outcome, or
+                another claimant holds it although the request ran.
+        """
+        row_key = _row_key(account, key)
+        is_uncertain = False
+        for _ in range(MAX_TRIES):
+            found = self._find(row_key, is_uncertain)
+            settled = self._settled(found, claimant_id, ran, status)
+            if settled is None:
+                return
+            try:
+                self._put(row_key, settled, found.version if found else 0)
+            except errors.ConflictError as error:
+                problem: errors.PlatformError = error
+            except errors.UnavailableError as error:
+                raise _unsettled(error, is_uncertain) from error
+            except errors.UncertainWriteError as error:
+                is_uncertain = True
+                problem = error
+            else:
+                return
+        raise _unsettled(problem, is_uncertain)
+
+    def read(self, account: str, key: str) -> Claim | None:
+        """Return what is recorded for a key, or None.
+
+        Raises:
+            errors.UnavailableError: The row could not be read.
+        """
+        found = self._rows.get(_row_key(account, key))
+        return _Record.from_value(found.value).claim() if found else None
+
+    def _try_take(
+        self,
+        row_key: str,
+        wanted: _Record,
+        fingerprint: bytes,
+        expected_version: int,
+    ) -> Claim:
+        self._put(row_key, wanted, expected_version)
+        return _granted(wanted, fingerprint)
+
+    def _decide(
+        self, found: table.Row | None, wanted: _Record, fingerprint: bytes
+    ) -> Claim | None:
+        """Return the outcome that a row shows, or None to put again.
+
+        An absent row does not prove that an unanswered put failed: it may
+        still arrive. Putting again settles it, because only one of both can
+        meet the expected version.
+        """
+        if found is None:
+            return None
+        record = _Record.from_value(found.value)
+        if record.state is ClaimState.RELEASED:
+            return None
+        if self._is_own(record, wanted):
+            return _granted(wanted, fingerprint)
+        return record.claim(fingerprint)
+
+    def _is_own(self, record: _Record, wanted: _Record) -> bool:
+        return (
+            record.claimant_id == wanted.claimant_id
+            and record.state is ClaimState.TAKEN
+        )
+
+    def _settled(
+        self,
+        found: table.Row | None,
+        claimant_id: str,
+        ran: types.Ran,
+        status: int | None,
+    ) -> _Record | None:
+        """Return the record to write, or None if nothing is left to do."""
+        state = STATE_BY_RAN[ran]
+        record = _Record.from_value(found.value) if found else None
+        if record is None or record.claimant_id != claimant_id:
+            return self._fence(record, claimant_id, state, status)
+        if record.state is state:
+            return None
+        if record.state in FINAL_STATES:
+            raise errors.InvariantError(
+                f'the claim is {record.state.value}, not {state.value}',
+                step='settle',
+            )
+        return dataclasses.replace(
+            record,
+            state=state,
+            status=status,
+            expires_wall_time=clock.wall_time() + RETENTION_S,
+        )
+
+    def _fence(
+        self,
+        record: _Record | None,
+        claimant_id: str,
+        state: ClaimState,
+        status: int | None,
+    ) -> _Record | None:
+        """Return a record that keeps an unanswered take from arriving later.
+
+        A new version of the row makes every put that is still under way
+        conflict. A row that another claimant holds has a new version already.
+        """
+        if record is None or record.state is ClaimState.RELEASED:
+            return dataclasses.replace(
+                self._record(claimant_id, b'', state), status=status
+            )
+        if state is ClaimState.RELEASED:
+            return None
+        raise errors.InvariantError(
+            f'claimant {record.claimant_id} holds the claim', step='settle'
+        )
+
+    def _record(
+        self, claimant_id: str, fingerprint: bytes, state: ClaimState
+    ) -> _Record:
+        return _Record(
+            claimant_id=claimant_id,
+            process_id=self._process_id,
+            fingerprint=fingerprint.hex(),
+            state=state,
+            status=None,
+            expires_wall_time=clock.wall_time() + RETENTION_S,
+        )
+
+    def _put(self, row_key: str, record: _Record, expected: int) -> None:
+        self._commits.put(table.Put(row_key, record.to_value(), expected))
+
+    def _find(self, row_key: str, is_uncertain: bool) -> table.Row | None:
+        try:
+            return self._rows.get(row_key)
+        except errors.UnavailableError as error:
+            raise _unsettled(error, is_uncertain) from error
+
+
+def _row_key(account: str, key: str) -> str:
+    return f'claim/{account}/{ids.digest(key.encode()).hex()}'
+
+
+def _granted(record: _Record, fingerprint: bytes) -> Claim:
+    return dataclasses.replace(record.claim(fingerprint), granted=True)
+
+
+def _unsettled(
+    error: errors.PlatformError, is_uncertain: bool
+) -> errors.PlatformError:
+    """Return the error for the caller.
+
+    Args:
+        error: What ended the last try.
+        is_uncertain: Whether a write of an earlier try was left unanswered.
+    """
+    kind = (
+        errors.UncertainWriteError if is_uncertain else errors.UnavailableError
+    )
+    return kind(error.reason, step='claim', peer=error.peer)
--- /dev/null
+++ b/ivystep/coordination/lease.py
@@ -0,0 +1,275 @@
+"""A lease with fencing tokens, held in one row of the table service.
+
+Clocks of different processes are never compared. A waiting process measures on
+its own monotonic clock that the row stays unchanged for the duration of the
+lease. The holder counts the same duration from before its last confirmed write
+was sent, less a margin, so its own view always ends first.
+
+A process can still be paused between a check of ``is_held`` and the action
+that follows. Only the receiver of the action can exclude that, by rejecting
+fencing tokens lower than the highest that it has seen. The monotonic clock
+must run while the process is stopped; on Linux it does so for stopped
+processes, but not while the whole machine is suspended.
+"""
+
+import dataclasses
+import random
+import typing
+
+from eventlet import semaphore
+
+from ivystep.core import errors, ids
+from ivystep.platform import table
+from ivystep.runtime import clock, logs
+
+# Covers clocks that run at different rates, with plenty to spare.
+SAFETY_MARGIN_SHARE = 0.1
+# Shares of the duration between renewals, between tries after a failure, and
+# between reads of another holder's row.
+RENEWAL_SHARE = 1 / 3
+RETRY_SHARE = 1 / 12
+POLL_SHARE = 1 / 4
+JITTER_SHARE = 0.2
+RELEASE_TRIES = 3
+# Forgetting a write of its own makes a process wait out its own lease, which
+# is safe; so many are unanswered only in a long outage.
+MAX_REMEMBERED_WRITES = 32
+
+log = logs.get('lease')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Record:
+    """The value of a lease's row."""
+
+    holder_id: str
+    token: int
+    duration_s: float
+    write_id: str
+    is_released: bool
+
+    def to_value(self) -> dict[str, typing.Any]:
+        return dataclasses.asdict(self)
+
+    @classmethod
+    def from_row(cls, row: table.Row) -> typing.Self:
+        return cls(**row.value)
+
+
+class Lease:
+    """A lease of one process.
+
+    Attributes:
+        token: The fencing token of the last acquisition, 0 before the first.
+
+    Args:
+        rows: The table service.
+        key: Key of the lease's row.
+        holder_id: Id of this process, recorded for operators.
+        duration_s: Time in seconds after which others may take over from a
+            silent holder; several times the time-out of the table service.
+    """
+
+    def __init__(
+        self, rows: table.Table, key: str, holder_id: str, duration_s: float
+    ) -> None:
+        self.token = 0
+        self._rows = rows
+        self._key = key
+        self._holder_id = holder_id
+        self._duration_s = duration_s
+        self._valid_until = 0.0
+        # Version and token of the row that the next write replaces.
+        self._version = 0
+        self._row_token = 0
+        self._sent_at_by_write_id: dict[str, float] = {}
+        self._write_lock = semaphore.Semaphore(1)
+        self._is_giving_up = False
+
+    def is_held(self) -> bool:
+        """Return whether the lease is certainly still held."""
+        return clock.now() < self._valid_until
+
+    def acquire(self) -> int:
+        """Wait until the lease is acquired.
+
+        Outages of the table service are waited out; ``eventlet.Timeout``
+        bounds the wait. One task at a time may acquire or release.
+
+        Returns:
+            The fencing token, higher than every earlier one of this lease.
+        """
+        self._valid_until = 0.0
+        earlier = self.token
+        # A renewal that was still under way may extend the earlier token.
+        while not self.is_held() or self.token == earlier:
+            try:
+                self._try_acquire()
+            except errors.PlatformError as error:
+                log.info('Lease %s not acquired: %s.', self._key, error)
+                self._pause(RETRY_SHARE)
+        return self.token
+
+    def keep(self) -> None:
+        """Renew until the lease is lost or released; run it as a task."""
+        share = RENEWAL_SHARE
+        while self.is_held():
+            self._pause(share)
+            try:
+                self._renew()
+            except errors.PlatformError as error:
+                log.warning('Lease %s not renewed: %s.', self._key, error)
+                share = RETRY_SHARE
+            else:
+                share = RENEWAL_SHARE
+        log.info('Lease %s with token %s has ended.', self._key, self.token)
+
+    def release(self) -> None:
+        """Give the lease up, so that others need not wait for its end.
+
+        If the table service is unavailable, the lease ends by itself.
+        """
+        self._is_giving_up = True
+        self._valid_until = 0.0
+        with self._write_lock:
+            for _ in range(RELEASE_TRIES):
+                try:
+                    is_done = self._write(self._row_token, is_released=True)
+                except errors.ConflictError:
+                    return
+                except errors.PlatformError as error:
+                    log.info('Lease %s not released: %s.', self._key, error)
+                    continue
+                if is_done:
+                    return
+
+    def _try_acquire(self) -> None:
+        row = self._rows.get(self._key)
+        if row is not None and not self._is_free(row):
+            self._watch(row)
+        with self._write_lock:
+            self._is_giving_up = False
+            self._version = row.version if row else 0
+            self._row_token = _Record.from_row(row).token if row else 0
+            self._write(self._row_token + 1)
+
+    def _renew(self) -> None:
+        with self._write_lock:
+            if not self.is_held():
+                return
+            try:
+                self._write(self.token)
+            except errors.ConflictError:
+                self._valid_until = 0.0
+                raise
+
+    def _is_free(self, row: table.Row) -> bool:
+        """Return whether nobody else can hold the lease.
+
+        A row that this object wrote itself is free too: it acts on no earlier
+        acquisition any more.
+        """
+        record = _Record.from_row(row)
+        return (
+            record.is_released or record.write_id in self._sent_at_by_write_id
+        )
+
+    def _watch(self, row: table.Row) -> None:
+        """Wait until a row has been unchanged for its duration.
+
+        Reads on the way only detect a change early. Failed ones do no harm:
+        the write that follows expects the version that was watched.
+
+        Args:
+            row: The row. It was written before its read ended, so the count
+                of its holder started before the count here.
+
+        Raises:
+            errors.ConflictError: The row has changed.
+        """
+        deadline = clock.now() + _Record.from_row(row).duration_s
+        while clock.now() < deadline:
+            clock.sleep(
+                min(deadline - clock.now(), POLL_SHARE * self._duration_s)
+            )
+            try:
+                current = self._rows.get(self._key)
+            except errors.UnavailableError:
+                continue
+            if current is None or current.version != row.version:
+                raise errors.ConflictError(
+                    'another process holds the lease', step='acquire'
+                )
+
+    def _write(self, token: int, *, is_released: bool = False) -> bool:
+        """Write the row and take over what was written.
+
+        Returns:
+            Whether this write took effect; otherwise an earlier one did.
+
+        Raises:
+            errors.ConflictError: Another process has written the row.
+            errors.UnavailableError: The row was not written.
+            errors.UncertainWriteError: The row may still be written.
+        """
+        record = _Record(
+            holder_id=self._holder_id,
+            token=token,
+            duration_s=self._duration_s,
+            write_id=ids.new_id('write'),
+            is_released=is_released,
+        )
+        self._remember(record.write_id)
+        put = table.Put(self._key, record.to_value(), self._version)
+        try:
+            self._rows.transact((put,))
+        except (errors.ConflictError, errors.UncertainWriteError):
+            return self._read_back() == record.write_id
+        self._adopt(record, self._version + 1)
+        return True
+
+    def _read_back(self) -> str:
+        """Find out whether this or an earlier write of ours took effect.
+
+        Returns:
+            Id of the write that took effect.
+
+        Raises:
+            errors.ConflictError: Another process has written the row.
+            errors.UnavailableError: The row could not be read.
+            errors.UncertainWriteError: The write may still take effect.
+        """
+        row = self._rows.get(self._key)
+        if row is None or row.version == self._version:
+            raise errors.UncertainWriteError('no answer', step='write lease')
+        record = _Record.from_row(row)
+        if record.write_id not in self._sent_at_by_write_id:
+            raise errors.ConflictError(
+                f'{record.holder_id} has the lease', step='write lease'
+            )
+        self._adopt(record, row.version)
+        return record.write_id
+
+    def _adopt(self, record: _Record, version: int) -> None:
+        """Take over a write of this object that took effect.
+
+        Every other write that is still under way expected an older version
+        and can no longer take effect.
+        """
+        sent_at = self._sent_at_by_write_id[record.write_id]
+        self._sent_at_by_write_id = {record.write_id: sent_at}
+        self._version = version
+        self._row_token = record.token
+        self.token = record.token
+        if not self._is_giving_up and not record.is_released:
+            valid_s = self._duration_s * (1 - SAFETY_MARGIN_SHARE)
+            self._valid_until = sent_at + valid_s
+
+    def _remember(self, write_id: str) -> None:
+        sent = {**self._sent_at_by_write_id, write_id: clock.now()}
+        newest = list(sent.items())[-MAX_REMEMBERED_WRITES:]
+        self._sent_at_by_write_id = dict(newest)
+
+    def _pause(self, share: float) -> None:
+        jitter = random.uniform(1 - JITTER_SHARE, 1 + JITTER_SHARE)
+        clock.sleep(share * jitter * self._duration_s)
