--- /dev/null
+++ b/ivystep/metrics/registry.py
@@ -0,0 +1,186 @@
+"""The metrics of a daemon, kept in an ``aioprometheus`` registry.
+
+The daemons record events through the methods of ``Metrics`` and never touch
+the library, so names, labels and their bounds are defined in this file only.
+"""
+
+import aioprometheus
+from aioprometheus import renderer
+
+MAX_ACCOUNT_LABELS = 200
+MAX_CODE_LABELS = 64
+OTHER = 'other'
+STALL_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0)
+FILL_BUCKETS = (0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0)
+
+
+class BoundedLabel:
+    """Limits the number of values of one label.
+
+    The first values keep their name; later ones are counted as ``other``, so
+    that the memory of the registry and the length of ``/metrics`` stay
+    bounded however many accounts exist.
+
+    Args:
+        limit: Number of values that keep their name.
+    """
+
+    def __init__(self, limit: int) -> None:
+        self._limit = limit
+        self._known: set[str] = set()
+
+    def value_for(self, name: str) -> str:
+        """Return the label value for a name."""
+        if name in self._known:
+            return name
+        if len(self._known) >= self._limit:
+            return OTHER
+        self._known.add(name)
+        return name
+
+
+class Metrics:
+    """Counters, gauges and histograms of one process."""
+
+    def __init__(self) -> None:
+        registry = aioprometheus.Registry()
+        self._registry = registry
+        self._accounts = BoundedLabel(MAX_ACCOUNT_LABELS)
+        self._codes = BoundedLabel(MAX_CODE_LABELS)
+        self._stalls = aioprometheus.Histogram(
+            'ivystep_load_stall_seconds',
+            'Time that requests waited for their adapter to load.',
+            registry=registry,
+            buckets=STALL_BUCKETS_S,
+        )
+        self._steps = aioprometheus.Histogram(
+            'ivystep_batch_fill_ratio',
+            'Running requests of an upstream divided by its batch size.',
+            registry=registry,
+            buckets=FILL_BUCKETS,
+        )
+        self._waiting = aioprometheus.Gauge(
+            'ivystep_waiting_requests',
+            'Requests that wait for an upstream.',
+            registry=registry,
+        )
+        self._setup_version = aioprometheus.Gauge(
+            'ivystep_setup_version',
+            'Setup version in force.',
+            registry=registry,
+        )
+        self._setup_age_s = aioprometheus.Gauge(
+            'ivystep_setup_age_seconds',
+            'Time since the setup was last confirmed as the newest.',
+            registry=registry,
+        )
+        self._counter_by_name = {
+            name: aioprometheus.Counter(
+                f'ivystep_{name}_total', text, registry=registry
+            )
+            for name, text in (
+                ('requests', 'Requests that ended, by outcome.'),
+                ('refusals', 'Requests refused before they ran.'),
+                ('loads', 'Adapter loads, by outcome.'),
+                ('evictions', 'Adapters evicted from an engine.'),
+                ('retries', 'Second and later attempts of requests.'),
+                ('invariant_violations', 'Responses withheld by a check.'),
+            )
+        }
+        # A counter without a value is not rendered; an alert on its growth
+        # needs the zero before the first event.
+        for name in ('evictions', 'invariant_violations'):
+            self._counter_by_name[name].set({}, 0)
+
+    def record_load_stall(self, account: str, stall_s: float) -> None:
+        """Record how long a request waited for its adapter.
+
+        Args:
+            account: Account of the request.
+            stall_s: Wait in seconds; 0 if the adapter was resident.
+        """
+        self._stalls.observe(self._account(account), float(stall_s))
+
+    def record_batch(self, running: int, max_running: int) -> None:
+        """Record how full an engine step is.
+
+        Args:
+            running: Requests in the step.
+            max_running: Requests that the step could hold.
+        """
+        self._steps.observe({}, running / max_running)
+
+    def change_waiting(self, account: str, change: int) -> None:
+        """Add to the number of waiting requests of an account.
+
+        Args:
+            account: The account.
+            change: 1 when a request starts to wait, -1 when it stops.
+        """
+        self._waiting.add(self._account(account), change)
+
+    def record_request(self, account: str, outcome: str) -> None:
+        """Count a request that ended.
+
+        Args:
+            account: Account of the request.
+            outcome: ``ok`` or the code of the error.
+        """
+        self._count('requests', account, 'outcome', outcome)
+
+    def record_refusal(self, account: str, code: str) -> None:
+        """Count a request that was refused before it ran.
+
+        Args:
+            account: Account of the request, empty if its key is unknown.
+            code: Code of the error.
+        """
+        self._count('refusals', account, 'code', code)
+
+    def record_load(self, outcome: str) -> None:
+        """Count an adapter load.
+
+        Args:
+            outcome: Code of the load result, such as ``loaded``.
+        """
+        label = {'outcome': self._codes.value_for(outcome)}
+        self._counter_by_name['loads'].inc(label)
+
+    def record_eviction(self) -> None:
+        """Count an evicted adapter."""
+        self._counter_by_name['evictions'].inc({})
+
+    def record_retry(self, account: str) -> None:
+        """Count a further attempt of a request.
+
+        Args:
+            account: Account of the request.
+        """
+        self._counter_by_name['retries'].inc(self._account(account))
+
+    def record_invariant_violation(self) -> None:
+        """Count a response that was withheld by a check."""
+        self._counter_by_name['invariant_violations'].inc({})
+
+    def set_setup(self, version: int, age_s: float) -> None:
+        """Publish which setup is in force.
+
+        Args:
+            version: The version, 0 before the first read.
+            age_s: Seconds since it was last confirmed as the newest.
+        """
+        self._setup_version.set({}, version)
+        self._setup_age_s.set({}, age_s)
+
+    def render(self) -> tuple[bytes, str]:
+        """Return the text format and its content type."""
+        body, headers = renderer.render(self._registry, [])
+        return body, headers['Content-Type']
+
+    def _account(self, account: str) -> dict[str, str]:
+        return {'account': self._accounts.value_for(account)}
+
+    def _count(self, name: str, account: str, label: str, code: str) -> None:
+        labels = self._account(account)
+        labels[label] = self._codes.value_for(code)
+        self._counter_by_name[name].inc(labels)
