Carry demand and setup versions between entries

Cause: a pool's planner is one entry, so the other entries must report their demand to it, and an entry that is cut off from the platform must hear of newer setup versions from its peers.

A version notice goes to three random peers a second, so that traffic does not grow with the number of entries.

Ruled out: a planner elected by a lease in the table service (stops in an outage); a notice to every peer (1,200 messages a second at the design size).

Before: no link between entries. After: tests/entry/test_peers.py, 4 tests over real connections: fields and units survive, the planner moves when its entry dies, versions go both ways, a sidecar's certificate is refused.

--- /dev/null
+++ b/ivystep/entry/peers.py
@@ -0,0 +1,251 @@
+"""Links between entries: demand for the planners and the setup's version.
+
+A pool's planner is the live entry with the highest rendezvous hash. Entries
+that disagree for a moment report to two planners, which only slows down the
+weight store. A peer that cannot be reached counts as gone for a while.
+
+Each entry tells a few random peers its setup version every second. With three
+peers a second a version reaches 1,200 entries within about seven rounds, at a
+traffic that does not grow with the number of entries.
+"""
+
+import functools
+import random
+import typing
+from collections.abc import Callable
+
+from ivystep.core import errors, ids, types, units
+from ivystep.entry import planner
+from ivystep.runtime import clock, logs
+from ivystep.wire import channel, convert, tls
+from ivystep.wire.gen import ttypes
+
+CALL_TIMEOUT_S = 2.0
+UNREACHABLE_S = 5.0
+NOTICE_INTERVAL_S = 1.0
+NOTICE_PEERS = 3
+
+log = logs.get('peers')
+
+
+class PeerLink:
+    """A connection to another entry, opened again after an error.
+
+    Args:
+        process_id: Id of this entry.
+        address: IP address and port of the peer.
+        contexts: TLS contexts of this entry.
+    """
+
+    def __init__(
+        self,
+        process_id: str,
+        address: tuple[str, int],
+        contexts: tls.TlsContexts,
+    ) -> None:
+        self.address = address
+        self._process_id = process_id
+        self._contexts = contexts
+        self._idle: list[channel.Channel] = []
+        self._unreachable_until = float('-inf')
+
+    @property
+    def is_reachable(self) -> bool:
+        """Whether the peer has not failed recently."""
+        return clock.now() >= self._unreachable_until
+
+    def ask(self, message: typing.Any) -> typing.Any:
+        """Send a message and wait for its answer.
+
+        Args:
+            message: A message that a peer answers.
+
+        Returns:
+            The answer.
+
+        Raises:
+            errors.LinkError: The peer did not answer.
+        """
+        link = None
+        try:
+            link = self._idle.pop() if self._idle else self._open()
+            reply = link.request(message, CALL_TIMEOUT_S)
+        except errors.LinkError:
+            self._unreachable_until = clock.now() + UNREACHABLE_S
+            self.close()
+            raise
+        except BaseException:
+            # The task was ended while the answer was outstanding.
+            if link is not None:
+                link.close()
+            raise
+        self._idle.append(link)
+        return reply
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def _open(self) -> channel.Channel:
+        link = channel.Channel.connect(
+            self.address, self._contexts, tls.ENTRY_NAME
+        )
+        link.request(
+            ttypes.Hello(self._process_id, '', 'entry', 0), CALL_TIMEOUT_S
+        )
+        return link
+
+
+class RemotePlanner:
+    """``DemandSink`` of a planner at another entry."""
+
+    def __init__(self, pool: str, link: PeerLink) -> None:
+        self._pool = pool
+        self._link = link
+
+    def report(
+        self, entry_id: str, demands: tuple[types.AdapterDemand, ...]
+    ) -> tuple[types.LoadForecast, ...]:
+        """Send the demand to the peer; see ``planner.DemandSink.report``."""
+        reply = self._link.ask(
+            ttypes.Demand(
+                self._pool, entry_id, [_demand_message(one) for one in demands]
+            ),
+        )
+        if not isinstance(reply, ttypes.DemandAccepted):
+            raise errors.LinkError('unexpected answer', step='demand')
+        return tuple(_forecast(one) for one in reply.forecasts)
+
+
+class Peers:
+    """The other entries.
+
+    Args:
+        process_id: Id of this entry.
+        contexts: TLS contexts of this entry.
+        setup_version: Returns the version in force here, 0 if none.
+        on_version: Called with each version that a peer names.
+    """
+
+    def __init__(
+        self,
+        process_id: str,
+        contexts: tls.TlsContexts,
+        setup_version: Callable[[], int],
+        on_version: Callable[[int], None],
+    ) -> None:
+        self._process_id = process_id
+        self._contexts = contexts
+        self._setup_version = setup_version
+        self._on_version = on_version
+        self._link_by_host: dict[str, PeerLink] = {}
+
+    def update(self, entry_by_host: dict[str, types.HostEntry]) -> None:
+        """Take over the entries in the host list.
+
+        Args:
+            entry_by_host: Live entries by host name.
+        """
+        for host, entry in entry_by_host.items():
+            address = (entry.address, entry.port)
+            known = self._link_by_host.get(host)
+            if host == self._process_id or (known and known.address == address):
+                continue
+            self._link_by_host[host] = PeerLink(
+                self._process_id, address, self._contexts
+            )
+        for host in set(self._link_by_host) - set(entry_by_host):
+            self._link_by_host.pop(host).close()
+
+    def sink(self, pool: str, local: planner.DemandSink) -> planner.DemandSink:
+        """Return the planner of a pool.
+
+        Args:
+            pool: Name of the pool.
+            local: The planner at this entry.
+        """
+        hosts = [
+            host
+            for host, link in self._link_by_host.items()
+            if link.is_reachable
+        ]
+        chosen = max(
+            [*hosts, self._process_id],
+            key=functools.partial(_rendezvous, pool),
+        )
+        if chosen == self._process_id:
+            return local
+        return RemotePlanner(pool, self._link_by_host[chosen])
+
+    def spread_version(self) -> None:
+        """Tell random peers the setup version until killed."""
+        while True:
+            self.exchange_versions()
+            clock.sleep(NOTICE_INTERVAL_S)
+
+    def exchange_versions(self) -> None:
+        """Tell a few random peers the setup version and hear theirs."""
+        links = self.reachable()
+        for link in random.sample(links, min(NOTICE_PEERS, len(links))):
+            try:
+                reply = link.ask(ttypes.SetupNotice(self._setup_version()))
+            except errors.LinkError as error:
+                log.info('Peer %s not reached: %s.', link.address, error)
+                continue
+            if isinstance(reply, ttypes.SetupNotice):
+                self._on_version(reply.version)
+
+    def reachable(self) -> list[PeerLink]:
+        """Return the links of peers that have not failed recently."""
+        return [
+            link for link in self._link_by_host.values() if link.is_reachable
+        ]
+
+
+def _rendezvous(pool: str, host: str) -> bytes:
+    return ids.digest(pool.encode(), host.encode())
+
+
+def _demand_message(demand: types.AdapterDemand) -> ttypes.AdapterDemand:
+    return ttypes.AdapterDemand(
+        adapter=convert.adapter_id(demand.ref),
+        source=demand.source,
+        setup_version=demand.setup_version,
+        weight=demand.weight,
+        waiting=demand.waiting,
+        oldest_wait_ms=int(demand.oldest_wait_s * units.MS_PER_S),
+        start_within_ms=int(demand.start_within_s * units.MS_PER_S),
+        arrivals=demand.arrivals,
+    )
+
+
+def demand(message: ttypes.AdapterDemand) -> types.AdapterDemand:
+    """Convert a message to an adapter's demand."""
+    return types.AdapterDemand(
+        ref=convert.adapter_ref(message.adapter),
+        source=message.source,
+        setup_version=message.setup_version,
+        weight=message.weight,
+        waiting=message.waiting,
+        oldest_wait_s=message.oldest_wait_ms / units.MS_PER_S,
+        start_within_s=message.start_within_ms / units.MS_PER_S,
+        arrivals=message.arrivals,
+    )
+
+
+def _forecast(message: ttypes.LoadForecast) -> types.LoadForecast:
+    return types.LoadForecast(
+        ref=convert.adapter_ref(message.adapter),
+        ready_in_s=message.ready_in_ms / units.MS_PER_S,
+        retry_after_s=message.retry_after_ms / units.MS_PER_S,
+    )
+
+
+def forecast_message(forecast: types.LoadForecast) -> ttypes.LoadForecast:
+    """Convert a forecast to its message."""
+    return ttypes.LoadForecast(
+        adapter=convert.adapter_id(forecast.ref),
+        ready_in_ms=int(forecast.ready_in_s * units.MS_PER_S),
+        retry_after_ms=int(forecast.retry_after_s * units.MS_PER_S),
+    )
--- a/ivystep/wire/gen/ttypes.py
+++ b/ivystep/wire/gen/ttypes.py
@@ -1629,31 +1629,37 @@
     """
     Attributes:
      - adapter
+     - source
+     - setup_version
+     - weight
      - waiting
-     - oldest_ms
+     - oldest_wait_ms
+     - start_within_ms
      - arrivals
-     - source
-     - tightest_ms
 
     """
 
     __slots__ = (
         'adapter',
+        'source',
+        'setup_version',
+        'weight',
         'waiting',
-        'oldest_ms',
+        'oldest_wait_ms',
+        'start_within_ms',
         'arrivals',
-        'source',
-        'tightest_ms',
     )
 
 
-    def __init__(self, adapter=None, waiting=None, oldest_ms=None, arrivals=None, source=None, tightest_ms=None,):
+    def __init__(self, adapter=None, source=None, setup_version=None, weight=None, waiting=None, oldest_wait_ms=None, start_within_ms=None, arrivals=None,):
         self.adapter = adapter
+        self.source = source
+        self.setup_version = setup_version
+        self.weight = weight
         self.waiting = waiting
-        self.oldest_ms = oldest_ms
+        self.oldest_wait_ms = oldest_wait_ms
+        self.start_within_ms = start_within_ms
         self.arrivals = arrivals
-        self.source = source
-        self.tightest_ms = tightest_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1671,28 +1677,38 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I32:
-                    self.waiting = iprot.readI32()
+                if ftype == TType.STRING:
+                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.I64:
-                    self.oldest_ms = iprot.readI64()
+                    self.setup_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.I32:
-                    self.arrivals = iprot.readI32()
+                if ftype == TType.DOUBLE:
+                    self.weight = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
-                if ftype == TType.STRING:
-                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.waiting = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.I64:
-                    self.tightest_ms = iprot.readI64()
+                    self.oldest_wait_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.start_within_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.arrivals = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1709,26 +1725,34 @@
             oprot.writeFieldBegin('adapter', TType.STRUCT, 1)
             self.adapter.write(oprot)
             oprot.writeFieldEnd()
+        if self.source is not None:
+            oprot.writeFieldBegin('source', TType.STRING, 2)
+            oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
+            oprot.writeFieldEnd()
+        if self.setup_version is not None:
+            oprot.writeFieldBegin('setup_version', TType.I64, 3)
+            oprot.writeI64(self.setup_version)
+            oprot.writeFieldEnd()
+        if self.weight is not None:
+            oprot.writeFieldBegin('weight', TType.DOUBLE, 4)
+            oprot.writeDouble(self.weight)
+            oprot.writeFieldEnd()
         if self.waiting is not None:
-            oprot.writeFieldBegin('waiting', TType.I32, 2)
+            oprot.writeFieldBegin('waiting', TType.I32, 5)
             oprot.writeI32(self.waiting)
             oprot.writeFieldEnd()
-        if self.oldest_ms is not None:
-            oprot.writeFieldBegin('oldest_ms', TType.I64, 3)
-            oprot.writeI64(self.oldest_ms)
+        if self.oldest_wait_ms is not None:
+            oprot.writeFieldBegin('oldest_wait_ms', TType.I64, 6)
+            oprot.writeI64(self.oldest_wait_ms)
+            oprot.writeFieldEnd()
+        if self.start_within_ms is not None:
+            oprot.writeFieldBegin('start_within_ms', TType.I64, 7)
+            oprot.writeI64(self.start_within_ms)
             oprot.writeFieldEnd()
         if self.arrivals is not None:
-            oprot.writeFieldBegin('arrivals', TType.I32, 4)
+            oprot.writeFieldBegin('arrivals', TType.I32, 8)
             oprot.writeI32(self.arrivals)
             oprot.writeFieldEnd()
-        if self.source is not None:
-            oprot.writeFieldBegin('source', TType.STRING, 5)
-            oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
-            oprot.writeFieldEnd()
-        if self.tightest_ms is not None:
-            oprot.writeFieldBegin('tightest_ms', TType.I64, 6)
-            oprot.writeI64(self.tightest_ms)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1758,18 +1782,21 @@
     """
     Attributes:
      - pool
+     - entry_id
      - demands
 
     """
 
     __slots__ = (
         'pool',
+        'entry_id',
         'demands',
     )
 
 
-    def __init__(self, pool=None, demands=None,):
+    def __init__(self, pool=None, entry_id=None, demands=None,):
         self.pool = pool
+        self.entry_id = entry_id
         self.demands = demands
 
     def read(self, iprot):
@@ -1787,6 +1814,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
+                if ftype == TType.STRING:
+                    self.entry_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
                 if ftype == TType.LIST:
                     self.demands = []
                     (_etype24, _size21) = iprot.readListBegin()
@@ -1811,8 +1843,12 @@
             oprot.writeFieldBegin('pool', TType.STRING, 1)
             oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
             oprot.writeFieldEnd()
+        if self.entry_id is not None:
+            oprot.writeFieldBegin('entry_id', TType.STRING, 2)
+            oprot.writeString(self.entry_id.encode('utf-8') if sys.version_info[0] == 2 else self.entry_id)
+            oprot.writeFieldEnd()
         if self.demands is not None:
-            oprot.writeFieldBegin('demands', TType.LIST, 2)
+            oprot.writeFieldBegin('demands', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
             for iter27 in self.demands:
                 iter27.write(oprot)
@@ -1843,20 +1879,113 @@
         return not (self == other)
 
 
+class LoadForecast(object):
+    """
+    Attributes:
+     - adapter
+     - ready_in_ms
+     - retry_after_ms
+
+    """
+
+    __slots__ = (
+        'adapter',
+        'ready_in_ms',
+        'retry_after_ms',
+    )
+
+
+    def __init__(self, adapter=None, ready_in_ms=None, retry_after_ms=None,):
+        self.adapter = adapter
+        self.ready_in_ms = ready_in_ms
+        self.retry_after_ms = retry_after_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.adapter = AdapterId()
+                    self.adapter.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.ready_in_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.retry_after_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadForecast')
+        if self.adapter is not None:
+            oprot.writeFieldBegin('adapter', TType.STRUCT, 1)
+            self.adapter.write(oprot)
+            oprot.writeFieldEnd()
+        if self.ready_in_ms is not None:
+            oprot.writeFieldBegin('ready_in_ms', TType.I64, 2)
+            oprot.writeI64(self.ready_in_ms)
+            oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I64, 3)
+            oprot.writeI64(self.retry_after_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class DemandAccepted(object):
     """
     Attributes:
-     - planner
+     - forecasts
 
     """
 
     __slots__ = (
-        'planner',
+        'forecasts',
     )
 
 
-    def __init__(self, planner=None,):
-        self.planner = planner
+    def __init__(self, forecasts=None,):
+        self.forecasts = forecasts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1868,8 +1997,14 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.BOOL:
-                    self.planner = iprot.readBool()
+                if ftype == TType.LIST:
+                    self.forecasts = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = LoadForecast()
+                        _elem33.read(iprot)
+                        self.forecasts.append(_elem33)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1882,9 +2017,356 @@
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
         oprot.writeStructBegin('DemandAccepted')
-        if self.planner is not None:
-            oprot.writeFieldBegin('planner', TType.BOOL, 1)
-            oprot.writeBool(self.planner)
+        if self.forecasts is not None:
+            oprot.writeFieldBegin('forecasts', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.forecasts))
+            for iter34 in self.forecasts:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SetupNotice(object):
+    """
+    Attributes:
+     - version
+
+    """
+
+    __slots__ = (
+        'version',
+    )
+
+
+    def __init__(self, version=None,):
+        self.version = version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SetupNotice')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GetManifest(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GetManifest')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Manifest(object):
+    """
+    Attributes:
+     - version
+     - digest_by_section
+
+    """
+
+    __slots__ = (
+        'version',
+        'digest_by_section',
+    )
+
+
+    def __init__(self, version=None, digest_by_section=None,):
+        self.version = version
+        self.digest_by_section = digest_by_section
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.MAP:
+                    self.digest_by_section = {}
+                    (_ktype36, _vtype37, _size35) = iprot.readMapBegin()
+                    for _i39 in range(_size35):
+                        _key40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val41 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.digest_by_section[_key40] = _val41
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Manifest')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.digest_by_section is not None:
+            oprot.writeFieldBegin('digest_by_section', TType.MAP, 2)
+            oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.digest_by_section))
+            for kiter42, viter43 in self.digest_by_section.items():
+                oprot.writeString(kiter42.encode('utf-8') if sys.version_info[0] == 2 else kiter42)
+                oprot.writeString(viter43.encode('utf-8') if sys.version_info[0] == 2 else viter43)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GetSection(object):
+    """
+    Attributes:
+     - digest
+
+    """
+
+    __slots__ = (
+        'digest',
+    )
+
+
+    def __init__(self, digest=None,):
+        self.digest = digest
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GetSection')
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 1)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Section(object):
+    """
+    Attributes:
+     - body
+
+    """
+
+    __slots__ = (
+        'body',
+    )
+
+
+    def __init__(self, body=None,):
+        self.body = body
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Section')
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 1)
+            oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1929,6 +2411,11 @@
      - upstream_status
      - demand
      - demand_accepted
+     - setup_notice
+     - get_manifest
+     - manifest
+     - get_section
+     - section
 
     """
 
@@ -1948,10 +2435,15 @@
         'upstream_status',
         'demand',
         'demand_accepted',
+        'setup_notice',
+        'get_manifest',
+        'manifest',
+        'get_section',
+        'section',
     )
 
 
-    def __init__(self, hello=None, run_attempt=None, attempt_accepted=None, answer_head=None, answer_chunk=None, answer_end=None, attempt_failed=None, revoke_attempt=None, attempt_state=None, load_adapter=None, load_result=None, watch=None, upstream_status=None, demand=None, demand_accepted=None,):
+    def __init__(self, hello=None, run_attempt=None, attempt_accepted=None, answer_head=None, answer_chunk=None, answer_end=None, attempt_failed=None, revoke_attempt=None, attempt_state=None, load_adapter=None, load_result=None, watch=None, upstream_status=None, demand=None, demand_accepted=None, setup_notice=None, get_manifest=None, manifest=None, get_section=None, section=None,):
         self.hello = hello
         self.run_attempt = run_attempt
         self.attempt_accepted = attempt_accepted
@@ -1967,6 +2459,11 @@
         self.upstream_status = upstream_status
         self.demand = demand
         self.demand_accepted = demand_accepted
+        self.setup_notice = setup_notice
+        self.get_manifest = get_manifest
+        self.manifest = manifest
+        self.get_section = get_section
+        self.section = section
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2067,6 +2564,36 @@
                     self.demand_accepted.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.setup_notice = SetupNotice()
+                    self.setup_notice.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRUCT:
+                    self.get_manifest = GetManifest()
+                    self.get_manifest.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRUCT:
+                    self.manifest = Manifest()
+                    self.manifest.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.STRUCT:
+                    self.get_section = GetSection()
+                    self.get_section.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRUCT:
+                    self.section = Section()
+                    self.section.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2137,6 +2664,26 @@
             oprot.writeFieldBegin('demand_accepted', TType.STRUCT, 15)
             self.demand_accepted.write(oprot)
             oprot.writeFieldEnd()
+        if self.setup_notice is not None:
+            oprot.writeFieldBegin('setup_notice', TType.STRUCT, 16)
+            self.setup_notice.write(oprot)
+            oprot.writeFieldEnd()
+        if self.get_manifest is not None:
+            oprot.writeFieldBegin('get_manifest', TType.STRUCT, 17)
+            self.get_manifest.write(oprot)
+            oprot.writeFieldEnd()
+        if self.manifest is not None:
+            oprot.writeFieldBegin('manifest', TType.STRUCT, 18)
+            self.manifest.write(oprot)
+            oprot.writeFieldEnd()
+        if self.get_section is not None:
+            oprot.writeFieldBegin('get_section', TType.STRUCT, 19)
+            self.get_section.write(oprot)
+            oprot.writeFieldEnd()
+        if self.section is not None:
+            oprot.writeFieldBegin('section', TType.STRUCT, 20)
+            self.section.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2285,22 +2832,56 @@
 AdapterDemand.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'adapter', [AdapterId, None], None, ),  # 1
-    (2, TType.I32, 'waiting', None, None, ),  # 2
-    (3, TType.I64, 'oldest_ms', None, None, ),  # 3
-    (4, TType.I32, 'arrivals', None, None, ),  # 4
-    (5, TType.STRING, 'source', 'UTF8', None, ),  # 5
-    (6, TType.I64, 'tightest_ms', None, None, ),  # 6
+    (2, TType.STRING, 'source', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'setup_version', None, None, ),  # 3
+    (4, TType.DOUBLE, 'weight', None, None, ),  # 4
+    (5, TType.I32, 'waiting', None, None, ),  # 5
+    (6, TType.I64, 'oldest_wait_ms', None, None, ),  # 6
+    (7, TType.I64, 'start_within_ms', None, None, ),  # 7
+    (8, TType.I32, 'arrivals', None, None, ),  # 8
 )
 all_structs.append(Demand)
 Demand.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
-    (2, TType.LIST, 'demands', (TType.STRUCT, [AdapterDemand, None], False), None, ),  # 2
+    (2, TType.STRING, 'entry_id', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'demands', (TType.STRUCT, [AdapterDemand, None], False), None, ),  # 3
+)
+all_structs.append(LoadForecast)
+LoadForecast.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'adapter', [AdapterId, None], None, ),  # 1
+    (2, TType.I64, 'ready_in_ms', None, None, ),  # 2
+    (3, TType.I64, 'retry_after_ms', None, None, ),  # 3
 )
 all_structs.append(DemandAccepted)
 DemandAccepted.thrift_spec = (
     None,  # 0
-    (1, TType.BOOL, 'planner', None, None, ),  # 1
+    (1, TType.LIST, 'forecasts', (TType.STRUCT, [LoadForecast, None], False), None, ),  # 1
+)
+all_structs.append(SetupNotice)
+SetupNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+)
+all_structs.append(GetManifest)
+GetManifest.thrift_spec = (
+)
+all_structs.append(Manifest)
+Manifest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.MAP, 'digest_by_section', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 2
+)
+all_structs.append(GetSection)
+GetSection.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
+)
+all_structs.append(Section)
+Section.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'body', 'BINARY', None, ),  # 1
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
@@ -2320,6 +2901,11 @@
     (13, TType.STRUCT, 'upstream_status', [UpstreamStatus, None], None, ),  # 13
     (14, TType.STRUCT, 'demand', [Demand, None], None, ),  # 14
     (15, TType.STRUCT, 'demand_accepted', [DemandAccepted, None], None, ),  # 15
+    (16, TType.STRUCT, 'setup_notice', [SetupNotice, None], None, ),  # 16
+    (17, TType.STRUCT, 'get_manifest', [GetManifest, None], None, ),  # 17
+    (18, TType.STRUCT, 'manifest', [Manifest, None], None, ),  # 18
+    (19, TType.STRUCT, 'get_section', [GetSection, None], None, ),  # 19
+    (20, TType.STRUCT, 'section', [Section, None], None, ),  # 20
 )
 fix_spec(all_structs)
 del all_structs
--- a/ivystep/wire/ivystep.thrift
+++ b/ivystep/wire/ivystep.thrift
@@ -110,20 +110,49 @@
 
 struct AdapterDemand {
   1: AdapterId adapter
-  2: i32 waiting
-  3: i64 oldest_ms
-  4: i32 arrivals
-  5: string source
-  6: i64 tightest_ms
+  2: string source
+  3: i64 setup_version
+  4: double weight
+  5: i32 waiting
+  6: i64 oldest_wait_ms
+  7: i64 start_within_ms
+  8: i32 arrivals
 }
 
 struct Demand {
   1: string pool
-  2: list<AdapterDemand> demands
+  2: string entry_id
+  3: list<AdapterDemand> demands
+}
+
+struct LoadForecast {
+  1: AdapterId adapter
+  2: i64 ready_in_ms
+  3: i64 retry_after_ms
 }
 
 struct DemandAccepted {
-  1: bool planner
+  1: list<LoadForecast> forecasts
+}
+
+struct SetupNotice {
+  1: i64 version
+}
+
+struct GetManifest {
+}
+
+struct Manifest {
+  1: i64 version
+  2: map<string, string> digest_by_section
+}
+
+struct GetSection {
+  1: string digest
+}
+
+struct Section {
+  1: optional binary body
 }
 
 struct Frame {
@@ -142,4 +171,9 @@
   13: optional UpstreamStatus upstream_status
   14: optional Demand demand
   15: optional DemandAccepted demand_accepted
+  16: optional SetupNotice setup_notice
+  17: optional GetManifest get_manifest
+  18: optional Manifest manifest
+  19: optional GetSection get_section
+  20: optional Section section
 }
--- /dev/null
+++ b/tests/entry/test_peers.py
@@ -0,0 +1,142 @@
+"""Tests of the links between entries, over real connections on loopback."""
+
+import eventlet
+import pytest
+import trustme
+
+from ivystep.core import errors, types
+from ivystep.entry import peer_server, peers
+from ivystep.wire import listener, tls
+from tests.wire import certificates
+
+REF = types.AdapterRef('authority', 'plans', 3)
+DEMAND = types.AdapterDemand(REF, 'plans-3', 7, 1.5, 2, 0.25, 9.5, 4)
+FORECAST = types.LoadForecast(REF, 12.5, 30.0)
+
+
+class FakePlanner:
+    """Records reports and answers one forecast."""
+
+    def __init__(self):
+        self.reports = []
+
+    def report(self, entry_id, demands):
+        self.reports.append((entry_id, demands))
+        return (FORECAST,)
+
+
+class FakeSetup:
+    """A setup at one version that records offers."""
+
+    def __init__(self, version):
+        self.offers = []
+        self._version = version
+
+    def version(self):
+        return self._version
+
+    def offer(self, version):
+        self.offers.append(version)
+
+    def manifest(self):
+        return self._version, {'common': 'digest'}
+
+    def section(self, digest):
+        return b'body' if digest == 'digest' else None
+
+
+class Entry:
+    """A peer server on loopback."""
+
+    def __init__(self, contexts, version=5):
+        self.planner = FakePlanner()
+        self.setup = FakeSetup(version)
+        self.socket = eventlet.listen(('127.0.0.1', 0))
+        server = peer_server.PeerServer('other', self._planner_of, self.setup)
+        self.task = eventlet.spawn(
+            listener.serve,
+            self.socket,
+            contexts,
+            tls.ENTRY_NAME,
+            server.handle,
+        )
+
+    def _planner_of(self, pool):
+        return self.planner if pool == 'base' else None
+
+    def host_entry(self):
+        address, port = self.socket.getsockname()
+        return types.HostEntry(
+            'other', 'entry', address, port, 'lier-a', '', types.HostState.LIVE
+        )
+
+    def stop(self):
+        self.socket.close()
+        self.task.kill()
+
+
+@pytest.fixture(name='authority')
+def authority_fixture():
+    return trustme.CA()
+
+
+@pytest.fixture(name='contexts')
+def contexts_fixture(tmp_path, authority):
+    return certificates.contexts(tmp_path, authority, tls.ENTRY_NAME)
+
+
+def make_peers(contexts, heard):
+    return peers.Peers('self', contexts, lambda: 4, heard.append)
+
+
+def remote_pool(group):
+    """Return a pool whose planner is the other entry."""
+    local = FakePlanner()
+    names = ('base', *(f'pool-{number}' for number in range(64)))
+    return next(name for name in names if group.sink(name, local) is not local)
+
+
+def test_demand_reaches_the_planner_unchanged(contexts):
+    """Guards against fields or units lost between entries."""
+    other = Entry(contexts)
+    other._planner_of = lambda pool: other.planner
+    link = peers.PeerLink('self', other.socket.getsockname(), contexts)
+    forecasts = peers.RemotePlanner('base', link).report('self', (DEMAND,))
+    assert forecasts == (FORECAST,)
+    assert other.planner.reports == [('self', (DEMAND,))]
+
+
+def test_planner_moves_when_its_entry_dies(contexts):
+    """Guards against demand that is reported to a dead planner for ever."""
+    other = Entry(contexts)
+    group = make_peers(contexts, [])
+    group.update({'other': other.host_entry()})
+    pool = remote_pool(group)
+    local = FakePlanner()
+    other.stop()
+    with pytest.raises(errors.LinkError):
+        group.sink(pool, local).report('self', (DEMAND,))
+    assert group.sink(pool, local) is local
+
+
+def test_versions_are_exchanged_both_ways(contexts):
+    """Guards against an entry that stays behind while the platform is cut."""
+    other = Entry(contexts, version=9)
+    heard = []
+    group = make_peers(contexts, heard)
+    group.update({'other': other.host_entry()})
+    group.exchange_versions()
+    assert (heard, other.setup.offers) == ([9], [4])
+
+
+def test_sidecar_certificate_is_refused(tmp_path, authority, contexts):
+    """Guards against a sidecar that acts as an entry."""
+    other = Entry(contexts)
+    (tmp_path / 'sidecar').mkdir()
+    wrong = certificates.contexts(
+        tmp_path / 'sidecar', authority, tls.SIDECAR_NAME
+    )
+    link = peers.PeerLink('self', other.socket.getsockname(), wrong)
+    with pytest.raises(errors.LinkError):
+        link.ask(peer_server.ttypes.SetupNotice(1))
+    assert other.setup.offers == []
