Claim non-idempotent requests before they run; route plain services

Cause: a repeated request with an idempotency key ran again, and calls of plain services had no path through the entry.

Change: claiming.py takes a durable claim before dispatch, settles it in the background when the outcome is known, and answers GET /v1/requests/<key>. A request that may have started runs to its end even if its caller leaves, so that its outcome is recorded. An interrupted or unanswered take is released and answered with "ran: no". services.py accepts one spelling of each service path, so that a path marked non-idempotent cannot be run under another one.

Ruled out: settling before each answer (adds a table write to every answer); keys for each application apart (a repeat through another application of the account would run twice); the active adapter version in the fingerprint of the claim (a repeat after an activation would look like another request).

--- a/ivystep/entry/admission.py
+++ b/ivystep/entry/admission.py
@@ -167,7 +167,7 @@
     content = document.model_dump()
     # The version is left out: a repeat stays a repeat after a new version
     # has become the active one.
-    claim = _claim(key, path.encode(), _json(content, sort_keys=True))
+    claim = claim_key(key, path.encode(), _json(content, sort_keys=True))
     content['model'] = ref.lora_name
     content['cache_salt'] = _cache_salt(grant.account.name)
     canonical = _json(content, sort_keys=True)
@@ -215,7 +215,13 @@
     return text.encode()
 
 
-def _claim(key: str, *parts: bytes) -> types.ClaimKey | None:
+def claim_key(key: str, *parts: bytes) -> types.ClaimKey | None:
+    """Return what a request is claimed under, None without a key.
+
+    Args:
+        key: Idempotency key of the caller, or ''.
+        parts: What identifies the content of the request.
+    """
     return types.ClaimKey(key, ids.digest(*parts)) if key else None
 
 
--- a/ivystep/entry/api.py
+++ b/ivystep/entry/api.py
@@ -4,21 +4,25 @@
 import typing
 from collections.abc import Callable, Iterable, Iterator
 
+from ivystep.coordination import claims
 from ivystep.core import errors, ids, types
 from ivystep.entry import (
     admission,
     answers,
+    claiming,
     connections,
     dispatch,
     progress,
     relay,
+    services,
 )
 from ivystep.policy import limits
-from ivystep.runtime import logs
+from ivystep.runtime import clock, logs
 from ivystep.settings import models
 from ivystep.setup import compiled
 
 Environ = dict[str, typing.Any]
+OUTCOME_PREFIX = '/v1/requests/'
 
 log = logs.get('entry')
 
@@ -29,6 +33,7 @@
     Args:
         current_setup: Returns the setup in force, None before the first read.
         dispatcher: Runs requests.
+        claim_log: Claims of non-idempotent requests.
         in_progress: Where requests are registered while they last.
         bounds: Bounds on requests.
     """
@@ -37,12 +42,14 @@
         self,
         current_setup: Callable[[], compiled.CompiledSetup | None],
         dispatcher: dispatch.Dispatcher,
+        claim_log: claims.ClaimLog,
         in_progress: progress.Progress,
         bounds: models.RequestLimits,
     ) -> None:
         self._current_setup = current_setup
         self._dispatcher = dispatcher
         self._in_progress = in_progress
+        self._claims = claiming.Claims(claim_log, in_progress)
         self._bounds = bounds
         self._account_limits = limits.AccountLimits()
 
@@ -72,9 +79,12 @@
                 status=503,
                 retry_after_s=1.0,
             )
-        if call.path in admission.COMPLETION_PATHS:
+        if _is_work(call.path):
             call.require('POST')
-            return self._complete(call, setup)
+            return self._work(call, setup)
+        if call.path.startswith(OUTCOME_PREFIX):
+            call.require('GET')
+            return self._outcome(call, setup)
         if call.path == '/v1/models':
             call.require('GET')
             grant = admission.authenticate(call.environ, setup)
@@ -83,12 +93,15 @@
             'no_such_path', 'There is no such path.', status=404
         )
 
-    def _complete(
+    def _work(
         self, call: 'Call', setup: compiled.CompiledSetup
     ) -> Iterator[bytes]:
         grant = admission.authenticate(call.environ, setup)
         ticket = self._admit(call, grant)
-        request = admission.completion(
+        build = admission.completion
+        if call.path.startswith(services.PREFIX):
+            build = services.service_call
+        request = build(
             call.environ, grant, setup, self._bounds, call.request_id
         )
         return self._run(call, request, ticket)
@@ -114,10 +127,31 @@
                 ticket.start(request.deadline)
         except progress.AbortedError as aborted:
             raise aborted.with_outcome(types.Ran.NO) from aborted
-        answer = self._dispatcher.run(request, call.task)
-        call.on_close(answer.chunks.close)
+        if request.claim is None:
+            answer = self._dispatcher.run(request, call.task)
+            call.on_close(answer.chunks.close)
+        else:
+            answer = self._claims.run(
+                request,
+                lambda claimed: self._dispatcher.run(claimed, call.task),
+            )
+            call.on_close(self._drain, answer.chunks)
         return call.relay(answer, request)
 
+    def _drain(self, chunks: relay.Relay) -> None:
+        """Learn the outcome of a non-idempotent request whose caller left."""
+        if not chunks.is_ended:
+            self._in_progress.spawn(chunks.drain)
+
+    def _outcome(
+        self, call: 'Call', setup: compiled.CompiledSetup
+    ) -> Iterator[bytes]:
+        grant = admission.authenticate(call.environ, setup)
+        ticket = self._admit(call, grant)
+        ticket.start(clock.now() + self._bounds.default_timeout_s)
+        key = call.path.removeprefix(OUTCOME_PREFIX)
+        return call.send(self._claims.outcome(grant.account.name, key))
+
 
 class Call:
     """One HTTP call and what is released at its end.
@@ -232,6 +266,12 @@
         self._call.close()
 
 
+def _is_work(path: str) -> bool:
+    return path in admission.COMPLETION_PATHS or path.startswith(
+        services.PREFIX
+    )
+
+
 def _has_unread_body(environ: Environ) -> bool:
     body = environ['wsgi.input']
     if body.chunked_input:
--- a/ivystep/entry/daemon.py
+++ b/ivystep/entry/daemon.py
@@ -6,7 +6,7 @@
 import eventlet
 from eventlet import wsgi
 
-from ivystep.coordination import retry_budget
+from ivystep.coordination import claims, retry_budget
 from ivystep.core import errors
 from ivystep.entry import api, connections, dispatch, membership, progress
 from ivystep.platform import hosts, objects, table
@@ -31,8 +31,9 @@
         platform = settings.platform
         self.settings = settings
         self.is_ready = True
+        rows = table.TableClient(platform.table_url, platform.timeout_s)
         self.setup = store.SetupStore(
-            table.TableClient(platform.table_url, platform.timeout_s),
+            rows,
             objects.ObjectsClient(platform.objects_url, platform.timeout_s),
         )
         self._pool_by_name: dict[str, typing.Any] = {}
@@ -49,6 +50,7 @@
             dispatch.Dispatcher(
                 self._pool_by_name, retry_budget.RetryBudgets()
             ),
+            claims.ClaimLog(rows, settings.process.id),
             self.in_progress,
             settings.requests,
         )
--- a/ivystep/entry/relay.py
+++ b/ivystep/entry/relay.py
@@ -1,6 +1,7 @@
 """Relays answers: what is released and recorded at their end."""
 
 import collections
+import functools
 from collections.abc import Callable, Iterator
 
 from ivystep.core import errors, types
@@ -112,7 +113,9 @@
     request_id = request.request_id
     try:
         with task.in_phase(progress.running_phase(request)):
-            yield from relay
+            # Unlike ``yield from relay``, this leaves the relay open when the
+            # generator is dropped; whoever holds the relay ends it.
+            yield from iter(functools.partial(next, relay, None), None)
     except progress.AbortedError as aborted:
         error = aborted.with_outcome(types.Ran.UNKNOWN)
         yield answers.error_event(error, request_id)
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -1,15 +1,17 @@
 """A real entry server on loopback in front of in-memory upstreams."""
 
 import hashlib
+import io
 import json
 import socket
 
 import eventlet
 from eventlet import event
 
-from ivystep.coordination import retry_budget
+from ivystep.coordination import claims, retry_budget
 from ivystep.core import errors, types
 from ivystep.entry import api, connections, dispatch, progress
+from ivystep.platform import table
 from ivystep.settings import models
 from ivystep.setup import compiled, document
 
@@ -109,10 +111,68 @@
     return errors.RequestError(code, 'Lost.', status=status, ran=ran)
 
 
+class MemoryTable:
+    """Table service in memory; ``faults`` holds what the next calls do."""
+
+    def __init__(self):
+        self.row_by_key = {}
+        self.faults = []
+        self.is_out = False
+
+    def get(self, key):
+        if self.is_out or self._fault() == 'unavailable':
+            raise errors.UnavailableError('out')
+        return self.row_by_key.get(key)
+
+    def transact(self, puts):
+        fault = self._fault()
+        if self.is_out or fault == 'unavailable':
+            raise errors.UnavailableError('out')
+        if fault == 'dropped':
+            raise errors.UncertainWriteError('dropped')
+        for put in puts:
+            row = self.row_by_key.get(put.key)
+            if put.expected_version != (row.version if row else 0):
+                raise errors.ConflictError('version')
+        for put in puts:
+            self.row_by_key[put.key] = table.Row(
+                put.key, put.value, put.expected_version + 1
+            )
+        if fault == 'lost':
+            raise errors.UncertainWriteError('lost')
+
+    def _fault(self):
+        eventlet.sleep(0.0017)
+        return self.faults.pop(0) if self.faults else 'ok'
+
+
+class MemoryInput(io.BytesIO):
+    """A body with what eventlet's input tells beside the bytes."""
+
+    chunked_input = False
+    position = 0
+    content_length = 0
+
+
+class FakeConnection:
+    """The caller's connection of a call in memory."""
+
+    is_closing = False
+
+    def watch(self, on_gone):
+        self.on_gone = on_gone
+
+    def unwatch(self):
+        self.on_gone = None
+
+    def close_after_answer(self):
+        pass
+
+
 class Entry:
     """The server with its parts; ``pool`` answers ``{}`` by default."""
 
-    def __init__(self, run=None, limits=LIMITS, **parts):
+    def __init__(self, run=None, limits=LIMITS, *, virtual=False, **parts):
         self.pool = FakePool(run or (lambda _: answer(b'{}')))
         self.progress = progress.Progress()
         self.door = connections.Door(limits.read_timeout_s)
@@ -123,16 +183,42 @@
                 {'base': self.pool, 'desk': self.pool},
                 retry_budget.RetryBudgets(),
             ),
+            claims.ClaimLog(parts.pop('table', None) or MemoryTable(), 'e'),
             self.progress,
             limits,
-            **parts,
         )
+        if virtual:
+            return
         listener = eventlet.listen(('127.0.0.1', 0))
         self.address = listener.getsockname()
         self.server = eventlet.spawn(
             connections.serve, listener, self.api, self.door, 64
         )
 
+    def call_in_memory(self, body, key=KEY, connection=None, **environ):
+        """Call the application without a socket, on the virtual clock."""
+        raw = json.dumps(body).encode()
+        stream = MemoryInput(raw)
+        started = []
+        response = self.api(
+            {
+                'REQUEST_METHOD': 'POST',
+                'PATH_INFO': '/v1/completions',
+                'HTTP_AUTHORIZATION': f'Bearer {key}',
+                'CONTENT_LENGTH': str(len(raw)),
+                'wsgi.input': stream,
+                connections.ENVIRON_KEY: connection,
+                **environ,
+            },
+            lambda status, headers: started.append((status, dict(headers))),
+        )
+        try:
+            received = b''.join(response)
+        finally:
+            response.close()
+        status, headers = started[0]
+        return int(status.split()[0]), headers, received
+
     def connect(self):
         connection = socket.create_connection(self.address)
         connection.settimeout(5)
--- /dev/null
+++ b/tests/entry/test_at_most_once.py
@@ -0,0 +1,249 @@
+"""Non-idempotent requests under lost answers, outages and repeats."""
+
+import json
+
+import eventlet
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ivystep.core import types
+from ivystep.runtime import clock, virtual_hub
+from tests.entry import harness
+
+TABLE_FAULTS = ['ok', 'ok', 'ok', 'unavailable', 'dropped', 'lost']
+RUNS = ['ok', 'slow', 'refused', 'lost after', 'lost before', 'cut']
+CALL = st.tuples(
+    st.sampled_from([0.0, 0.0113, 1.3, 70.0]),
+    st.integers(0, 1),
+    st.sampled_from([False, False, True]),
+    st.sampled_from(['same', 'same', 'same', 'other']),
+    st.sampled_from([None, None, 0.0011, 0.021, 2.1]),
+)
+
+
+class Upstream:
+    """Runs attempts as scripted and counts what was really run."""
+
+    def __init__(self, runs):
+        self.runs = list(runs)
+        self.attempts = []
+        self.executed = []
+
+    def run(self, attempt):
+        kind = self.runs.pop(0) if self.runs else 'ok'
+        self.attempts.append(kind)
+        eventlet.sleep(5 if kind == 'slow' else 0.0031)
+        if kind == 'refused':
+            raise harness.lost(types.Ran.NO, 503, 'draining')
+        if kind == 'lost before':
+            raise harness.lost()
+        self.executed.append(attempt.request.request_id)
+        if kind == 'lost after':
+            raise harness.lost()
+        return harness.answer(*self.chunks(kind))
+
+    def chunks(self, kind):
+        yield b'data: 1\n\n'
+        eventlet.sleep(0.02)
+        if kind == 'cut':
+            raise harness.lost()
+        yield b'data: 2\n\n'
+
+
+def play(faults, runs, calls):
+    """Return the upstream, what each call was told, and the outcome."""
+
+    def main():
+        rows = harness.MemoryTable()
+        rows.faults = list(faults)
+        upstream = Upstream(runs)
+        entries = [
+            harness.Entry(upstream.run, virtual=True, table=rows)
+            for _ in range(2)
+        ]
+
+        def call(entry, stream, prompt, leaves_after_s):
+            connection = harness.FakeConnection()
+            if leaves_after_s is not None:
+                eventlet.spawn_after(leaves_after_s, leave, connection)
+            return entry.call_in_memory(
+                {'model': 'plan', 'stream': stream, 'prompt': prompt},
+                harness.ONCE_KEY,
+                connection,
+                HTTP_IDEMPOTENCY_KEY='k',
+            )
+
+        tasks = []
+        for pause_s, number, stream, prompt, leaves_after_s in calls:
+            clock.sleep(pause_s)
+            tasks.append(
+                eventlet.spawn(
+                    call, entries[number], stream, prompt, leaves_after_s
+                )
+            )
+        told = [task.wait() for task in tasks]
+        clock.sleep(2000)
+        rows.faults = []
+        outcome = entries[0].call_in_memory(
+            {},
+            harness.ONCE_KEY,
+            REQUEST_METHOD='GET',
+            PATH_INFO='/v1/requests/k',
+        )
+        assert all(entry.progress.is_idle for entry in entries)
+        return upstream, told, json.loads(outcome[2])
+
+    return virtual_hub.run(main)
+
+
+def leave(connection):
+    gone = getattr(connection, 'on_gone', None)
+    if gone is not None:
+        gone()
+
+
+def error_in(received):
+    """Return the error of an answer or at the end of a stream, or None."""
+    last = received.rstrip().rpartition(b'\n')[2].removeprefix(b'data: ')
+    document = json.loads(last or b'{}')
+    return document.get('error') if isinstance(document, dict) else None
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(
+    st.lists(st.sampled_from(TABLE_FAULTS), max_size=12),
+    st.lists(st.sampled_from(RUNS), max_size=4),
+    st.lists(CALL, min_size=1, max_size=6),
+)
+def test_a_key_runs_at_most_once_and_no_one_is_told_wrongly(
+    faults, runs, calls
+):
+    """Guards against duplicates, and against "ran: no" of what was run."""
+    upstream, told, outcome = play(faults, runs, calls)
+    assert len(upstream.executed) <= 1
+    certain = [kind for kind in upstream.attempts if kind != 'refused']
+    assert len(certain) <= 1
+    for status, headers, received in told:
+        error = error_in(received)
+        has_run = headers['X-Request-Id'] in upstream.executed
+        if error is None:
+            assert status == 200
+            assert has_run
+        elif error['ran'] == 'no':
+            assert not has_run
+        elif error['ran'] == 'yes':
+            assert upstream.executed
+    recorded = outcome.get('ran', 'unknown')
+    if recorded != 'unknown':
+        assert (recorded == 'yes') == bool(upstream.executed)
+    if upstream.attempts and upstream.attempts[-1] in {'ok', 'slow'}:
+        assert recorded == 'yes'
+
+
+def test_repeats_get_the_outcome_and_other_bodies_are_refused():
+    """Guards against repeats that run again or learn nothing."""
+    entry = harness.Entry()
+    once = {'key': harness.ONCE_KEY, 'Idempotency_Key': 'a/b'}
+    assert entry.call(**once)[0] == 200
+    status, _, document = entry.call(**once)
+    assert (status, document['error']['ran']) == (409, 'yes')
+    status, _, document = entry.call({'model': 'plan@1'}, **once)
+    assert (status, document['error']['code']) == (
+        422,
+        'idempotency_key_reused',
+    )
+    path = '/v1/requests/a%2Fb'
+    status, _, document = entry.call(path=path, key=harness.KEY, method='GET')
+    assert (status, document['ran'], document['status']) == (200, 'yes', 200)
+    status, _, document = entry.call(
+        path=path, key=harness.OTHER_KEY, method='GET'
+    )
+    assert (status, document['error']['ran']) == (404, 'unknown')
+    assert len(entry.pool.attempts) == 1
+
+
+def test_a_missing_key_is_refused():
+    """Guards against non-idempotent requests that nothing can tell apart."""
+    entry = harness.Entry()
+    for arguments in (
+        {'key': harness.ONCE_KEY},
+        {'path': '/v1/services/stock/returns', 'body': b'{}'},
+        {'path': '/v1/services/stock/Returns?x=1', 'body': b'{}'},
+    ):
+        status, _, document = entry.call(**arguments)
+        assert (status, document['error']['code']) == (
+            400,
+            'idempotency_key_required',
+        )
+    assert not entry.pool.attempts
+
+
+def test_an_outage_refuses_claims_and_lets_other_requests_run():
+    """Guards against an outage that stops idempotent traffic too."""
+    rows = harness.MemoryTable()
+    rows.is_out = True
+    entry = harness.Entry(table=rows)
+    status, headers, document = entry.call(Idempotency_Key='k')
+    assert (status, document['error']['code']) == (503, 'platform_unavailable')
+    assert document['error']['ran'] == 'no'
+    assert headers['Retry-After'] == '1'
+    assert entry.call()[0] == 200
+
+
+@pytest.mark.parametrize(
+    ('path', 'status', 'code'),
+    [
+        ('/v1/services/stock/check', 200, None),
+        ('/v1/services/stock/check?tag=7', 200, None),
+        ('/v1/services/other/check', 404, 'service_not_found'),
+        ('/v1/services/stock', 400, 'invalid_request'),
+        ('/v1/services/stock/', 400, 'invalid_request'),
+        ('/v1/services/stock/returns/', 400, 'invalid_request'),
+        ('/v1/services/stock//returns', 400, 'invalid_request'),
+        ('/v1/services/stock/a/../returns', 400, 'invalid_request'),
+        ('/v1/services/stock/./returns', 400, 'invalid_request'),
+        ('/v1/services/stock/retur%6es', 400, 'invalid_request'),
+        ('/v1/services/stock/check?a=%0d%0aX:%20y', 200, None),
+        ('/v1/services/stock/check?a=<', 400, 'invalid_request'),
+    ],
+)
+def test_service_paths_have_one_spelling(path, status, code):
+    """Guards against a marked path that is run under another spelling."""
+    entry = harness.Entry()
+    got, _, document = entry.call(path=path, body=b'{"tag": 7}')
+    assert got == status
+    if code is None:
+        assert entry.pool.attempts[0].request.path == path.removeprefix(
+            '/v1/services/stock'
+        )
+    else:
+        assert document['error']['code'] == code
+        assert not entry.pool.attempts
+
+
+def test_outcome_is_learnt_after_the_caller_has_left_a_stream():
+    """Guards against outcomes that are lost with the caller's connection."""
+    gate = harness.new_gate()
+
+    def chunks():
+        yield b'data: 1\n\n'
+        gate.wait()
+        for _ in range(20):
+            eventlet.sleep(0.001)
+            yield b'data: 2\n\n'
+
+    head = types.AnswerHead(200, 'text/event-stream')
+    entry = harness.Entry(lambda _: types.Answer(head, chunks()))
+    with entry.connect() as connection:
+        connection.sendall(
+            harness.head_and_body(
+                {'model': 'plan', 'stream': True}, Idempotency_Key='k'
+            )
+        )
+        while b'data: 1' not in connection.recv(4096):
+            continue
+    gate.send()
+    harness.wait_until(lambda: entry.progress.is_idle)
+    _, _, document = entry.call(path='/v1/requests/k', method='GET')
+    assert (document['ran'], entry.pool.held) == ('yes', 0)
