Give the engine stand-in faults that are set over HTTP

Cause: tests of the sidecar need engines that hang, fall silent, cut answers off, name another adapter, or apply an order late. Streams were held back in 64 KiB pieces by the WSGI server and completions went on after their caller had left, unlike in the engines that the stand-in replaces.

Now POST /faults replaces all faults at once, each event of a stream is sent by itself, and a completion whose caller has closed the connection is cancelled and counted.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -1,44 +1,65 @@
 """Stand-in of a model engine that serves many LoRA adapters.
 
 It answers completions with text that names the adapter, so that tests see
-which adapter produced an answer. Prompts that contain ``CRASH`` end the
-process. Each generated token takes one engine step.
+which adapter produced an answer. Each generated token takes one engine step.
+A completion whose caller has closed the connection is cancelled. Faults are
+set over HTTP; see ``standins.faults``.
 """
 
 import json
 import os
 import time
 import typing
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 
 import eventlet
 import urllib3
 
-from standins import web
+from standins import faults, web
 
 CRASH_EXIT_CODE = 70
 DEFAULT_MAX_TOKENS = 16
 
 
-class EngineStandin:
-    """Resident adapters and running completions in memory."""
+def _exit_process() -> None:
+    os._exit(CRASH_EXIT_CODE)
+
 
-    def __init__(self, slots: int, step_s: float, weights_url: str) -> None:
+class EngineStandin:
+    """Resident adapters and running completions in memory.
+
+    Args:
+        slots: Adapters that fit at once.
+        step_s: Time of one engine step in seconds.
+        weights_url: Weight store, empty for loads without a transfer.
+        crash: What happens on a prompt that crashes the engine.
+    """
+
+    def __init__(
+        self,
+        slots: int,
+        step_s: float,
+        weights_url: str,
+        crash: Callable[[], None] = _exit_process,
+    ) -> None:
         self.slots = slots
         self.step_s = step_s
         self.running = 0
         self.steps = 0
         self.step_tokens = 0
+        self.cancelled = 0
         self.started = time.time()
         self.source_by_name: dict[str, str] = {}
         self.highest_token = 0
-        self.checks_fencing = True
+        self.faults = faults.EngineFaults()
         self.completions_by_prompt: dict[str, int] = {}
         self._weights_url = weights_url
+        self._crash = crash
         self._http = urllib3.PoolManager(retries=False)
 
     def handle(self, environ: web.Environ) -> web.Reply:
         """Answer one request."""
+        environ['eventlet.minimum_write_chunk_size'] = 1
         routes = {
             '/health': self._health,
             '/metrics': self._metrics,
@@ -48,16 +69,34 @@
             '/v1/load_lora_adapter': self._load,
             '/v1/unload_lora_adapter': self._unload,
             '/counts': self._counts,
+            '/faults': self._set_faults,
         }
-        route = routes.get(environ['PATH_INFO'])
+        path = environ['PATH_INFO']
+        if self.faults.hangs and path != '/faults':
+            self._hang()
+        route = routes.get(path)
         return route(environ) if route else (404, {'error': 'no such path'})
 
+    def restart(self) -> None:
+        """Become a new incarnation with nothing resident."""
+        self.started += 1
+        self.source_by_name.clear()
+
+    def _hang(self) -> None:
+        while self.faults.hangs:
+            eventlet.sleep(self.step_s)
+
     def _health(self, environ: web.Environ) -> web.Reply:
         return 200, {}
 
     def _counts(self, environ: web.Environ) -> web.Reply:
         return 200, self.completions_by_prompt
 
+    def _set_faults(self, environ: web.Environ) -> web.Reply:
+        document = json.loads(web.read_body(environ))
+        self.faults = faults.EngineFaults(**document)
+        return 200, {}
+
     def _metrics(self, environ: web.Environ) -> web.Reply:
         lines = (
             f'process_start_time_seconds {self.started}',
@@ -75,6 +114,9 @@
         document = json.loads(web.read_body(environ))
         if self._is_fenced(environ):
             return 409, {'error': {'message': 'old fencing token'}}
+        eventlet.sleep(self.faults.load_delay_s)
+        if self.faults.load_status:
+            return self.faults.load_status, {'error': {'message': 'failed'}}
         if len(self.source_by_name) >= self.slots:
             return 400, {'error': {'message': 'no free adapter slot'}}
         source = document['lora_path']
@@ -91,13 +133,14 @@
         document = json.loads(web.read_body(environ))
         if self._is_fenced(environ):
             return 409, {'error': {'message': 'old fencing token'}}
+        eventlet.sleep(self.faults.unload_delay_s)
         if self.source_by_name.pop(document['lora_name'], None) is None:
             return 404, {'error': {'message': 'adapter not found'}}
         return 200, b'Success'
 
     def _is_fenced(self, environ: web.Environ) -> bool:
         token = int(environ.get('HTTP_X_FENCING_TOKEN', '0'))
-        if self.checks_fencing and token < self.highest_token:
+        if self.faults.checks_fencing and token < self.highest_token:
             return True
         self.highest_token = max(token, self.highest_token)
         return False
@@ -108,36 +151,55 @@
         if name not in self.source_by_name:
             return 404, {'error': {'message': f'no model {name}'}}
         prompt = str(document.get('prompt') or document.get('messages'))
-        if 'CRASH' in prompt:
-            os._exit(CRASH_EXIT_CODE)
+        if self.faults.crash_prompt and self.faults.crash_prompt in prompt:
+            self._crash()
         count = self.completions_by_prompt.get(prompt, 0)
         self.completions_by_prompt[prompt] = count + 1
-        tokens = self._generate(document, name)
+        tokens = self._generate(document, name, environ)
+        named = self.faults.answer_model or name
         if document.get('stream'):
-            return 200, self._stream(tokens, name)
-        text = ''.join(tokens)
-        usage = {'completion_tokens': document.get('max_tokens', 0)}
-        return 200, {
-            'object': 'text_completion',
-            'model': name,
-            'choices': [{'index': 0, 'text': text, 'finish_reason': 'stop'}],
-            'usage': usage,
-        }
+            body: typing.Any = self._stream(tokens, named)
+        else:
+            body = self._whole(tokens, named)
+        return 200, faults.truncated(body, self.faults.truncate_bytes)
 
     def _generate(
-        self, document: dict[str, typing.Any], name: str
+        self, document: dict[str, typing.Any], name: str, environ: web.Environ
     ) -> Iterator[str]:
         source = self.source_by_name[name]
         self.running += 1
         try:
             for index in range(document.get('max_tokens', DEFAULT_MAX_TOKENS)):
-                eventlet.sleep(self.step_s)
-                self.steps += 1
+                self._step(environ)
                 self.step_tokens += self.running
                 yield f'{source}#{index} '
         finally:
             self.running -= 1
 
+    def _step(self, environ: web.Environ) -> None:
+        eventlet.sleep(self.step_s)
+        while self.faults.is_silent and not web.is_gone(environ):
+            eventlet.sleep(self.step_s)
+        if web.is_gone(environ):
+            self.cancelled += 1
+            raise ConnectionError('the caller has gone')
+        self.steps += 1
+
+    def _whole(self, tokens: Iterator[str], name: str) -> dict[str, typing.Any]:
+        generated = list(tokens)
+        return {
+            'object': 'text_completion',
+            'model': name,
+            'choices': [
+                {
+                    'index': 0,
+                    'text': ''.join(generated),
+                    'finish_reason': 'stop',
+                }
+            ],
+            'usage': {'completion_tokens': len(generated)},
+        }
+
     def _stream(self, tokens: Iterator[str], name: str) -> Iterator[bytes]:
         for token in tokens:
             event = {
@@ -146,4 +208,5 @@
                 'choices': [{'index': 0, 'text': token}],
             }
             yield f'data: {json.dumps(event)}\n\n'.encode()
-        yield b'data: [DONE]\n\n'
+        if not self.faults.omits_end:
+            yield b'data: [DONE]\n\n'
--- a/standins/web.py
+++ b/standins/web.py
@@ -1,6 +1,7 @@
 """A small WSGI base for the stand-ins."""
 
 import json
+import socket
 import types
 import typing
 from collections.abc import Callable, Iterable
@@ -8,6 +9,8 @@
 import eventlet
 from eventlet import wsgi
 
+from standins import faults
+
 Environ = dict[str, typing.Any]
 Reply = tuple[int, typing.Any]
 Handler = Callable[[dict[str, typing.Any]], tuple[int, typing.Any]]
@@ -17,6 +20,7 @@
         201: 'Created',
         400: 'Bad Request',
         404: 'Not Found',
+        409: 'Conflict',
     }
 )
 
@@ -26,6 +30,18 @@
     return environ['wsgi.input'].read()
 
 
+def is_gone(environ: Environ) -> bool:
+    """Return whether the caller has closed its connection."""
+    # The plain socket below the green one reports instead of waiting.
+    connection = environ['eventlet.input'].get_socket().fd
+    try:
+        return not connection.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+
+
 def app(handle: Callable[[Environ], Reply]) -> Callable[..., Iterable[bytes]]:
     """Wrap a handler that returns status and JSON value, bytes or iterator.
 
@@ -39,15 +55,21 @@
         status, body = handle(environ)
         reason = REASONS.get(status, 'Status')
         content_type = 'application/json'
+        headers = []
         if isinstance(body, (dict, list)):
             chunks: Iterable[bytes] = [json.dumps(body).encode()]
         elif isinstance(body, bytes):
             chunks = [body]
             content_type = 'text/plain'
+        elif isinstance(body, faults.Truncated):
+            chunks = body
+            headers = [('Content-Length', str(body.length))]
         else:
             chunks = body
             content_type = 'text/event-stream'
-        start_response(f'{status} {reason}', [('Content-Type', content_type)])
+        start_response(
+            f'{status} {reason}', [('Content-Type', content_type), *headers]
+        )
         return chunks
 
     return application
--- /dev/null
+++ b/tests/sidecar/test_orders.py
@@ -0,0 +1,164 @@
+"""Load and eviction orders against the engine stand-in."""
+
+import eventlet
+import pytest
+
+from ivystep.core import types
+from ivystep.runtime import clock, virtual_hub
+from ivystep.settings import models
+from ivystep.sidecar import host, upstream
+from ivystep.wire.gen import ttypes
+from tests.sidecar import bench
+
+
+@pytest.fixture
+def engine_bench():
+    made = bench.Bench()
+    made.start(bench.REF)
+    yield made
+    made.stop()
+
+
+def resident(made):
+    return set(made.beside.status().resident_by_ref)
+
+
+def test_busy_adapter_is_not_evicted_and_nothing_else_is(engine_bench):
+    """Guards against a refused order that has evicted half its list."""
+    engine_bench.start(bench.OTHER)
+    engine_bench.fault(is_silent=True)
+    engine_bench.spawn(stream=True)
+    bench.until(lambda: engine_bench.engine.running == 1)
+    third = types.AdapterRef('acme', 'third', 1)
+    outcome = engine_bench.beside.load(
+        bench.order(third, bench.OTHER, bench.REF)
+    )
+    assert outcome.code == 'adapter_in_use'
+    assert resident(engine_bench) == {bench.REF, bench.OTHER}
+
+
+def test_pin_outlives_a_reading_without_the_adapter(engine_bench):
+    """Guards against an eviction after a reading reset the use count."""
+    engine_bench.fault(is_silent=True)
+    engine_bench.spawn(stream=True)
+    bench.until(lambda: engine_bench.engine.running == 1)
+    source = engine_bench.engine.source_by_name.pop(bench.REF.lora_name)
+    engine_bench.beside.refresh()
+    engine_bench.engine.source_by_name[bench.REF.lora_name] = source
+    engine_bench.beside.refresh()
+    outcome = engine_bench.beside.load(bench.order(bench.OTHER, bench.REF))
+    assert outcome.code == 'adapter_in_use'
+
+
+def test_load_into_an_engine_that_restarts_meanwhile_fails(engine_bench):
+    """Guards against adapters of a process that no longer exists."""
+    engine_bench.fault(load_delay_s=0.05)
+    load = eventlet.spawn(engine_bench.beside.load, bench.order(bench.OTHER))
+    bench.until(lambda: engine_bench.beside.residency.loading is not None)
+    engine_bench.engine.restart()
+    load.wait()
+    # The load itself reached the new process; the earlier adapter did not.
+    assert resident(engine_bench) == {bench.OTHER}
+
+
+def test_load_that_restarts_the_engine_leaves_nothing_behind(engine_bench):
+    """Guards against trusting a load answered just before a restart."""
+    original = engine_bench.beside.http.load
+
+    def load_then_restart(*arguments):
+        original(*arguments)
+        engine_bench.engine.restart()
+
+    engine_bench.beside.http.load = load_then_restart
+    outcome = engine_bench.beside.load(bench.order(bench.OTHER))
+    assert not outcome.ok
+    assert resident(engine_bench) == set()
+
+
+def test_uncertain_load_is_taken_over_when_the_engine_shows_it(
+    engine_bench, monkeypatch
+):
+    """Guards against a late load that counts as absent for ever."""
+    monkeypatch.setattr(upstream, 'LOAD_TIMEOUT_S', 0.02)
+    engine_bench.fault(load_delay_s=0.1)
+    outcome = engine_bench.beside.load(bench.order(bench.OTHER))
+    assert not outcome.ok
+    bench.until(
+        lambda: bench.OTHER.lora_name in engine_bench.engine.source_by_name
+    )
+    assert engine_bench.beside.refresh()
+    assert resident(engine_bench) == {bench.REF, bench.OTHER}
+
+
+def test_uncertain_unload_takes_no_attempts_until_settled(
+    engine_bench, monkeypatch
+):
+    """Guards against an attempt on an adapter that a late order unloads."""
+    monkeypatch.setattr(upstream, 'LOAD_TIMEOUT_S', 0.02)
+    engine_bench.fault(unload_delay_s=0.1)
+    outcome = engine_bench.beside.load(bench.order(bench.OTHER, bench.REF))
+    assert not outcome.ok
+    assert bench.REF.lora_name in engine_bench.engine.source_by_name
+    engine_bench.beside.refresh()
+    assert bench.REF not in resident(engine_bench)
+    assert engine_bench.run()[-1].ran == 'no'
+    bench.until(lambda: not engine_bench.engine.source_by_name)
+    engine_bench.fault()
+    engine_bench.beside.refresh()
+    assert engine_bench.beside.load(bench.order(bench.REF)).ok
+
+
+def test_accepted_attempt_is_checked_again_before_the_call(engine_bench):
+    """Guards against a restart while the acceptance is being sent."""
+    entry = bench.Entry()
+    sent = bench.message(engine_bench.beside)
+    send = entry.sidecar_end.send
+
+    def send_and_restart(one):
+        send(one)
+        if isinstance(one, ttypes.AttemptAccepted):
+            engine_bench.engine.restart()
+            engine_bench.beside.refresh()
+            engine_bench.beside.load(bench.order(bench.OTHER))
+
+    entry.sidecar_end.send = send_and_restart
+    engine_bench.serve(sent, entry)
+    last = entry.frames()[-1]
+    assert (last.code, last.ran) == ('adapter_not_resident', 'no')
+    assert engine_bench.engine.completions_by_prompt == {}
+
+
+def test_foreign_model_names_do_not_stop_the_health_check(engine_bench):
+    """Guards against a monitor that dies on a name it cannot parse."""
+    engine_bench.engine.source_by_name['base@latest'] = 'base'
+    assert engine_bench.beside.refresh()
+    assert resident(engine_bench) == {bench.REF}
+
+
+def test_change_during_a_report_is_reported_at_once():
+    """Guards against a change that waits for the next heartbeat."""
+
+    def main():
+        beside = host.UpstreamHost(
+            'up-1', models.Upstream(url='http://127.0.0.1:1')
+        )
+        revision = beside.revision
+        beside.notify()
+        started = clock.now()
+        beside.wait_for_change(revision, 1.0)
+        return clock.now() - started
+
+    assert virtual_hub.run(main) == 0
+
+
+@pytest.mark.parametrize('running', [0, 1])
+def test_new_sidecar_evicts_nothing_that_may_be_serving(running):
+    """Guards against evicting under attempts of an earlier sidecar."""
+    made = bench.Bench()
+    made.engine.source_by_name[bench.REF.lora_name] = 'weights/plans'
+    made.engine.running = running
+    made.start()
+    made.beside.refresh()
+    outcome = made.beside.load(bench.order(bench.OTHER, bench.REF))
+    made.stop()
+    assert outcome.ok is (running == 0)
--- /dev/null
+++ b/tests/sidecar/test_run.py
@@ -0,0 +1,241 @@
+"""Attempts over HTTP against the engine stand-in."""
+
+import eventlet
+import pytest
+
+from ivystep.wire.gen import ttypes
+from tests.sidecar import bench
+
+
+@pytest.fixture
+def engine_bench():
+    made = bench.Bench()
+    made.start(bench.REF)
+    yield made
+    made.stop()
+
+
+def answer(frames):
+    return b''.join(
+        frame.data for frame in frames if isinstance(frame, ttypes.AnswerChunk)
+    )
+
+
+def test_answers_are_relayed_whole(engine_bench):
+    """Guards against an answer that loses bytes or its end marker."""
+    assert b'plans#3' in answer(engine_bench.run())
+    stream = answer(engine_bench.run(attempt_id='att-2', stream=True))
+    assert stream.endswith(b'data: [DONE]\n\n')
+    assert stream.count(b'plans#') == 4
+
+
+@pytest.mark.parametrize('cut', [1, 60, 200])
+@pytest.mark.parametrize('stream', [False, True])
+def test_truncated_answer_is_never_complete(engine_bench, cut, stream):
+    """Guards against a cut answer that is passed on as complete."""
+    engine_bench.fault(truncate_bytes=cut)
+    last = engine_bench.run(stream=stream)[-1]
+    assert isinstance(last, ttypes.AttemptFailed)
+    assert (last.ran, last.engine_lost) == ('unknown', False)
+
+
+def test_cut_answer_of_a_live_engine_is_no_crash(engine_bench):
+    """Guards against forgetting residency for one broken connection."""
+    engine_bench.fault(truncate_bytes=60)
+    engine_bench.run(prompt='innocent')
+    status = engine_bench.beside.status()
+    assert status.crash_fingerprints == ()
+    assert bench.REF in status.resident_by_ref
+
+
+def test_stream_without_end_marker_fails(engine_bench):
+    """Guards against a stream that ends early with correct framing."""
+    engine_bench.fault(omits_end=True)
+    last = engine_bench.run(stream=True)[-1]
+    assert (last.code, last.ran) == ('invalid_answer', 'yes')
+
+
+@pytest.mark.parametrize('stream', [False, True])
+def test_answer_of_another_adapter_is_withheld(engine_bench, stream, caplog):
+    """Guards against passing on what another adapter produced."""
+    engine_bench.fault(answer_model='rival/plans@3')
+    frames = engine_bench.run(stream=stream)
+    assert frames[-1].code == 'invalid_answer'
+    assert answer(frames) == b''
+    assert 'Invariant violated' in caplog.text
+
+
+def test_stream_that_changes_adapter_midway_is_cut_off():
+    """Guards against crossed streams whose first event was right."""
+
+    def event(model, text):
+        choices = '[{"index": 0, "text": "%s"}]' % text
+        body = '{"model": "%s", "choices": %s}' % (model, choices)
+        return f'data: {body}\n\n'.encode()
+
+    def handle(environ):
+        if environ['PATH_INFO'] != '/v1/completions':
+            return made.engine.handle(environ)
+        parts = [event(bench.REF.lora_name, 'right')]
+        parts += [event('rival/plans@3', 'secret'), b'data: [DONE]\n\n']
+        return 200, iter(parts)
+
+    made = bench.Bench(handle)
+    made.start(bench.REF)
+    frames = made.run(stream=True)
+    made.stop()
+    assert b'secret' not in answer(frames)
+    assert frames[-1].code == 'invalid_answer'
+
+
+def test_restart_between_health_checks_runs_nothing(engine_bench):
+    """Guards against relaying the 404 of an engine that came back empty."""
+    engine_bench.engine.restart()
+    last = engine_bench.run()[-1]
+    assert (last.code, last.ran) == ('adapter_not_resident', 'no')
+    assert bench.REF not in engine_bench.beside.status().resident_by_ref
+
+
+def test_refused_request_body_is_passed_on():
+    """Guards against reporting the caller's own mistake as a bad answer."""
+
+    def handle(environ):
+        if environ['PATH_INFO'] != '/v1/completions':
+            return made.engine.handle(environ)
+        return 400, {'error': {'message': 'prompt too long'}}
+
+    made = bench.Bench(handle)
+    made.start(bench.REF)
+    frames = made.run()
+    made.stop()
+    heads = [one for one in frames if isinstance(one, ttypes.AnswerHead)]
+    assert heads[0].status == 400
+    assert b'prompt too long' in answer(frames)
+
+
+def test_entry_that_leaves_cancels_the_silent_engine_call(engine_bench):
+    """Guards against an engine that keeps working for a caller who left."""
+    engine_bench.fault(is_silent=True)
+    entry = engine_bench.spawn(stream=True, budget_ms=60_000)
+    bench.until(lambda: engine_bench.engine.running == 1)
+    entry.channel.close()
+    bench.until(lambda: engine_bench.engine.cancelled == 1)
+    bench.until(lambda: engine_bench.beside.attempts.running == 0)
+    assert engine_bench.beside.status().crash_fingerprints == ()
+
+
+@pytest.mark.parametrize('stream', [False, True])
+def test_silent_engine_meets_the_deadline(engine_bench, stream):
+    """Guards against a time-out that is taken for a crash."""
+    engine_bench.fault(is_silent=True)
+    last = engine_bench.run(stream=stream, budget_ms=50)[-1]
+    assert (last.code, last.ran) == ('deadline_exceeded', 'unknown')
+    assert engine_bench.beside.status().crash_fingerprints == ()
+
+
+def test_crash_is_recorded_once_with_every_running_request(engine_bench):
+    """Guards against evidence lost to unwinding or to a health check."""
+    engine_bench.fault(is_silent=True)
+    first = engine_bench.spawn(attempt_id='att-1', prompt='one', stream=True)
+    second = engine_bench.spawn(attempt_id='att-2', prompt='two')
+    bench.until(lambda: engine_bench.engine.running == 2)
+    engine_bench.fault()
+    failures = [engine_bench.run(attempt_id='att-3', prompt='CRASH')[-1]]
+    failures += [first.frames()[-1], second.frames()[-1]]
+    assert all(failure.engine_lost for failure in failures)
+    assert {failure.ran for failure in failures} == {'unknown'}
+    recorded = engine_bench.beside.status().crash_fingerprints
+    assert sorted(recorded) == [b'CRASH', b'one', b'two']
+
+
+def test_health_check_that_sees_the_restart_first_keeps_the_evidence():
+    """Guards against a monitor that outruns the failing attempts."""
+    made = bench.Bench()
+    made.start(bench.REF)
+    made.fault(is_silent=True)
+    entry = made.spawn(prompt='guilty', stream=True)
+    bench.until(lambda: made.engine.running == 1)
+    made.engine.started += 1
+    assert made.beside.refresh()
+    assert made.beside.status().crash_fingerprints == (b'guilty',)
+    entry.channel.close()
+    made.stop()
+
+
+def test_repeated_attempt_id_is_not_reported_as_not_run(engine_bench):
+    """Guards against `ran: no` for an attempt that did run."""
+    assert isinstance(engine_bench.run()[-1], ttypes.AnswerEnd)
+    assert engine_bench.run()[-1].ran == 'yes'
+    engine_bench.beside.is_draining = True
+    assert engine_bench.run()[-1].ran == 'yes'
+    assert engine_bench.engine.completions_by_prompt == {'hello': 1}
+
+
+def test_refused_attempt_never_starts_later(engine_bench):
+    """Guards against running an attempt after reporting `ran: no`."""
+    engine_bench.beside.is_draining = True
+    assert engine_bench.run()[-1].ran == 'no'
+    engine_bench.beside.is_draining = False
+    assert engine_bench.run()[-1].ran == 'no'
+    assert engine_bench.engine.completions_by_prompt == {}
+
+
+def test_unreachable_engine_did_not_run(engine_bench):
+    """Guards against `unknown` where the connection was refused."""
+    engine_bench.stop()
+    last = engine_bench.run(idempotent=False)[-1]
+    assert last.ran == 'no'
+
+
+class PlainService:
+    """A service without a start-time metric and without models."""
+
+    def __init__(self, reply):
+        self.reply = reply
+
+    def handle(self, environ):
+        if environ['PATH_INFO'] == '/health':
+            return 200, {}
+        if environ['PATH_INFO'] in {'/metrics', '/v1/models'}:
+            return 404, {'error': 'no such path'}
+        return self.reply
+
+
+def test_plain_service_needs_no_metrics_and_keeps_its_404():
+    """Guards against treating services as engines."""
+    made = bench.Bench(
+        PlainService((404, {'error': 'no such tag'})).handle, kind='service'
+    )
+    made.start()
+    frames = made.run(ref=None, path='/tags/9')
+    refused = made.run(attempt_id='att-2', ref=bench.REF)[-1]
+    load = made.beside.load(bench.order(bench.REF))
+    made.stop()
+    assert b'no such tag' in answer(frames)
+    assert isinstance(frames[-1], ttypes.AnswerEnd)
+    assert refused.ran == 'no'
+    assert not load.ok
+
+
+def test_answer_without_framing_is_not_complete():
+    """Guards against a cut answer that nothing marks as cut."""
+
+    def serve(connection, _):
+        request = connection.recv(65536)
+        head = b'HTTP/1.1 200 OK\r\n'
+        if request.startswith(b'POST'):
+            connection.sendall(head + b'\r\n{"cut": ')
+        else:
+            connection.sendall(head + b'Content-Length: 2\r\n\r\n{}')
+        connection.close()
+
+    made = bench.Bench(kind='service')
+    listener = eventlet.listen((bench.LOOPBACK, 0))
+    task = eventlet.spawn(eventlet.serve, listener, serve)
+    port = listener.getsockname()[1]
+    made.beside.http.base_url = f'http://{bench.LOOPBACK}:{port}'
+    made.start()
+    last = made.run(ref=None, path='/tags/9')[-1]
+    task.kill()
+    made.stop()
+    assert (last.code, last.ran) == ('invalid_answer', 'yes')
