--- /dev/null
+++ b/ivystep/sidecar/answers.py
@@ -0,0 +1,173 @@
+"""Checks that an answer is whole and comes from the adapter asked for.
+
+Nothing of an answer is passed on before the engine has named its adapter: a
+whole answer is held back until it is complete, a stream until the end of each
+event.
+"""
+
+import json
+import re
+import typing
+from collections.abc import Iterable, Iterator
+
+from ivystep.core import errors, types, units
+
+MAX_ANSWER_BYTES = 16 * units.MIB
+MAX_EVENT_BYTES = units.MIB
+# Far below the longest frame, so that a chunk always fits into one.
+CHUNK_BYTES = 256 * units.KIB
+EVENT_END = re.compile(rb'\r?\n\r?\n')
+DATA_FIELD = b'data:'
+END_OF_STREAM = b'[DONE]'
+
+
+def is_framed(headers: typing.Mapping[str, str]) -> bool:
+    """Return whether the end of the body can be told from a cut.
+
+    Args:
+        headers: Headers of the answer; a body with neither length nor chunks
+            ends when the connection does.
+    """
+    encoding = headers.get('Transfer-Encoding', '').lower()
+    return 'Content-Length' in headers or 'chunked' in encoding
+
+
+def bounded(chunks: Iterable[bytes]) -> Iterator[bytes]:
+    """Pass chunks on, split to fit into frames.
+
+    Raises:
+        errors.RequestError: The answer is too long.
+    """
+    total = 0
+    for chunk in chunks:
+        total += len(chunk)
+        if total > MAX_ANSWER_BYTES:
+            raise broken('The answer is too long.')
+        for start in range(0, len(chunk), CHUNK_BYTES):
+            yield chunk[start : start + CHUNK_BYTES]
+
+
+def whole(chunks: Iterable[bytes], ref: types.AdapterRef) -> Iterator[bytes]:
+    """Pass a JSON answer on once it is complete.
+
+    Args:
+        chunks: Bytes as read.
+        ref: The adapter that was asked for.
+
+    Raises:
+        errors.InvariantError: Another adapter produced the answer.
+        errors.RequestError: The answer is malformed.
+    """
+    body = b''.join(chunks)
+    _check_model(body, ref)
+    yield from bounded((body,))
+
+
+def stream(chunks: Iterable[bytes], ref: types.AdapterRef) -> Iterator[bytes]:
+    """Pass a stream on event by event.
+
+    Args:
+        chunks: Bytes as read.
+        ref: The adapter that was asked for.
+
+    Raises:
+        errors.InvariantError: Another adapter produced an event.
+        errors.RequestError: The stream is malformed, or ends without its end
+            marker.
+    """
+    check = StreamCheck(ref)
+    for chunk in chunks:
+        checked = check.feed(chunk)
+        if checked:
+            yield checked
+    check.finish()
+
+
+class StreamCheck:
+    """Checks a stream of server-sent events.
+
+    Args:
+        ref: The adapter that every event must name.
+    """
+
+    def __init__(self, ref: types.AdapterRef) -> None:
+        self._ref = ref
+        self._pending = b''
+        self._has_ended = False
+
+    def feed(self, chunk: bytes) -> bytes:
+        """Check what completes an event.
+
+        Args:
+            chunk: Further bytes of the stream.
+
+        Returns:
+            The bytes up to the end of the last complete event.
+
+        Raises:
+            errors.InvariantError: Another adapter produced an event.
+            errors.RequestError: An event is malformed or too long.
+        """
+        buffered = self._pending + chunk
+        end = 0
+        for match in EVENT_END.finditer(buffered):
+            self._check(buffered[end : match.start()])
+            end = match.end()
+        self._pending = buffered[end:]
+        if len(self._pending) > MAX_EVENT_BYTES:
+            raise broken('An event of the stream is too long.')
+        return buffered[:end]
+
+    def finish(self) -> None:
+        """Check that the stream is complete.
+
+        Raises:
+            errors.RequestError: The end marker is missing.
+        """
+        if not self._has_ended or self._pending.strip():
+            raise broken('The stream ended without its end marker.')
+
+    def _check(self, event: bytes) -> None:
+        fields = [
+            line.removeprefix(DATA_FIELD).strip()
+            for line in event.splitlines()
+            if line.startswith(DATA_FIELD)
+        ]
+        if not fields:
+            return
+        if self._has_ended:
+            raise errors.InvariantError(
+                'the stream goes on after its end marker', step='relay'
+            )
+        document = b'\n'.join(fields)
+        if document == END_OF_STREAM:
+            self._has_ended = True
+        else:
+            _check_model(document, self._ref)
+
+
+def broken(reason: str) -> errors.RequestError:
+    """Return the error for an answer that must not be passed on.
+
+    Args:
+        reason: What is wrong with it.
+    """
+    return errors.RequestError(
+        'invalid_answer',
+        reason,
+        status=502,
+        ran=types.Ran.YES,
+        step='relay',
+    )
+
+
+def _check_model(document: bytes, ref: types.AdapterRef) -> None:
+    try:
+        model = json.loads(document)['model']
+    except (ValueError, KeyError, TypeError) as error:
+        raise broken('The answer is malformed.') from error
+    if model != ref.lora_name:
+        raise errors.InvariantError(
+            f'{ref.lora_name} was asked for and {model} answered',
+            step='relay',
+        )
--- a/ivystep/sidecar/attempts.py
+++ b/ivystep/sidecar/attempts.py
@@ -1,18 +1,21 @@
 """The record of attempts of one sidecar incarnation.
 
-It answers whether an attempt was run, and keeps a revoked attempt from ever
-starting. Records of ended attempts are kept for ``RETENTION_S``.
+It answers whether an attempt was run, and keeps a refused or revoked attempt
+from ever starting. Records of ended attempts are kept for ``RETENTION_S``.
 """
 
 import collections
+import dataclasses
 import enum
 from types import MappingProxyType
 
 from ivystep.core import types
 from ivystep.runtime import clock
 
-RETENTION_S = 600.0
-MAX_ENDED = 100_000
+# An entry revokes an attempt within seconds of its deadline, and the longest
+# deadline is 600 s; a record that has gone by then would answer "not run".
+RETENTION_S = 900.0
+MAX_ENDED = 200_000
 
 
 class State(enum.Enum):
@@ -34,6 +37,28 @@
         State.LOST: types.Ran.UNKNOWN,
     }
 )
+STATE_BY_RAN = MappingProxyType(
+    {
+        types.Ran.NO: State.NOT_RUN,
+        types.Ran.YES: State.ENDED,
+        types.Ran.UNKNOWN: State.LOST,
+    }
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Running:
+    """A running attempt.
+
+    Attributes:
+        fingerprint: Fingerprint of its request.
+        incarnation: Upstream incarnation that runs it.
+        is_isolated: Whether the request is suspected of causing crashes.
+    """
+
+    fingerprint: bytes
+    incarnation: str
+    is_isolated: bool = False
 
 
 class AttemptLog:
@@ -42,49 +67,51 @@
     def __init__(self) -> None:
         self._state_by_id: dict[str, State] = {}
         self._ended: collections.deque[tuple[float, str]] = collections.deque()
-        self._fingerprint_by_id: dict[str, bytes] = {}
+        self._running_by_id: dict[str, Running] = {}
+        self._complete_from = 0.0
 
     @property
     def running(self) -> int:
         """Number of running attempts."""
-        return len(self._fingerprint_by_id)
+        return len(self._running_by_id)
 
     @property
-    def running_fingerprints(self) -> tuple[bytes, ...]:
-        """Fingerprints of the running attempts."""
-        return tuple(self._fingerprint_by_id.values())
+    def has_isolated(self) -> bool:
+        """Whether a request that is suspected of crashes is running."""
+        return any(one.is_isolated for one in self._running_by_id.values())
+
+    def fingerprints_on(self, incarnation: str) -> tuple[bytes, ...]:
+        """Return the fingerprints that an upstream incarnation is running."""
+        return tuple(
+            one.fingerprint
+            for one in self._running_by_id.values()
+            if one.incarnation == incarnation
+        )
+
+    def seen(self, attempt_id: str) -> types.Ran | None:
+        """Return whether a known attempt was run, or None if unknown here."""
+        state = self._state_by_id.get(attempt_id)
+        return None if state is None else RAN_BY_STATE[state]
 
-    def start(self, attempt_id: str, fingerprint: bytes) -> bool:
-        """Record the start of an attempt.
+    def start(self, attempt_id: str, running: Running) -> None:
+        """Record the start of an attempt that has not been seen.
 
         Args:
             attempt_id: Id of the attempt.
-            fingerprint: Fingerprint of its request.
-
-        Returns:
-            False if the attempt was revoked or has been seen before; it must
-            not run then.
+            running: What it runs.
         """
-        if attempt_id in self._state_by_id:
-            return False
         self._state_by_id[attempt_id] = State.RUNNING
-        self._fingerprint_by_id[attempt_id] = fingerprint
-        return True
+        self._running_by_id[attempt_id] = running
 
     def end(self, attempt_id: str, ran: types.Ran) -> None:
-        """Record the end of a running attempt.
+        """Record the end of an attempt, or that it was refused.
 
         Args:
             attempt_id: Id of the attempt.
             ran: Whether the upstream ran it.
         """
-        state_by_ran = {
-            types.Ran.NO: State.NOT_RUN,
-            types.Ran.YES: State.ENDED,
-            types.Ran.UNKNOWN: State.LOST,
-        }
-        self._fingerprint_by_id.pop(attempt_id, None)
-        self._retire(attempt_id, state_by_ran[ran])
+        self._running_by_id.pop(attempt_id, None)
+        self._retire(attempt_id, STATE_BY_RAN[ran])
 
     def revoke(self, attempt_id: str) -> types.Ran:
         """Keep an attempt from starting, if it has not started.
@@ -95,19 +122,22 @@
         Returns:
             ``NO`` if it was not run and never will be.
         """
-        state = self._state_by_id.get(attempt_id)
-        if state is None:
-            self._retire(attempt_id, State.REVOKED)
-            return types.Ran.NO
-        return RAN_BY_STATE[state]
+        ran = self.seen(attempt_id)
+        if ran is not None:
+            return ran
+        self._retire(attempt_id, State.REVOKED)
+        # A record may have been dropped for want of room, so that the absence
+        # of one proves nothing until the retention time has passed.
+        is_complete = clock.now() >= self._complete_from
+        return types.Ran.NO if is_complete else types.Ran.UNKNOWN
 
     def _retire(self, attempt_id: str, state: State) -> None:
         current = clock.now()
         self._state_by_id[attempt_id] = state
         self._ended.append((current, attempt_id))
-        while self._ended and (
-            self._ended[0][0] < current - RETENTION_S
-            or len(self._ended) > MAX_ENDED
-        ):
-            _, oldest = self._ended.popleft()
+        horizon = current - RETENTION_S
+        while self._ended[0][0] < horizon or len(self._ended) > MAX_ENDED:
+            ended, oldest = self._ended.popleft()
             self._state_by_id.pop(oldest, None)
+            if ended >= horizon:
+                self._complete_from = current + RETENTION_S
--- a/ivystep/sidecar/daemon.py
+++ b/ivystep/sidecar/daemon.py
@@ -18,7 +18,7 @@
     """
     signals = drain.DrainSignal()
     signals.install()
-    beside = host.UpstreamHost.from_config(settings)
+    beside = host.UpstreamHost(settings.process.id, settings.upstream)
     contexts = tls.TlsContexts(settings.tls.files)
     listener = eventlet.listen(settings.listen.socket_address)
     eventlet.spawn(beside.monitor)
--- /dev/null
+++ b/ivystep/sidecar/departure.py
@@ -0,0 +1,63 @@
+"""Ends an attempt at once when its entry closes the data connection."""
+
+import contextlib
+import typing
+from collections.abc import Generator
+
+import eventlet
+from eventlet import hubs
+
+from ivystep.core import errors
+from ivystep.wire import channel
+
+
+@contextlib.contextmanager
+def watched(peer: channel.Channel) -> Generator[None, None, None]:
+    """Raise an error in the block when the peer leaves.
+
+    The error arises wherever the block waits, for example for an engine that
+    is silent.
+
+    Args:
+        peer: Connection to the entry, which sends nothing during an attempt.
+
+    Raises:
+        errors.LinkError: The peer has closed the connection, or has sent
+            something in the middle of an attempt.
+    """
+    departure = _Departure(peer)
+    try:
+        yield
+    finally:
+        departure.cancel()
+
+
+class _Departure:
+    """Waits for the peer and interrupts the current task."""
+
+    def __init__(self, peer: channel.Channel) -> None:
+        self._peer = peer
+        self._task = eventlet.getcurrent()
+        self._timer: typing.Any = None
+        self._watcher = eventlet.spawn(self._watch)
+
+    def cancel(self) -> None:
+        """Stop watching; nothing is raised afterwards."""
+        if self._timer is not None:
+            self._timer.cancel()
+        self._watcher.kill()
+
+    def _watch(self) -> None:
+        try:
+            self._peer.wait_readable()
+        except OSError:
+            # The connection was closed on this side, with the same meaning.
+            self._peer.close()
+        error = errors.LinkError(
+            'the entry has left', step='run', peer=self._peer.peer
+        )
+        # Raised through the hub and not from here, so that ending the block
+        # first cancels it.
+        self._timer = hubs.get_hub().schedule_call_global(
+            0, self._task.throw, error
+        )
--- a/ivystep/sidecar/host.py
+++ b/ivystep/sidecar/host.py
@@ -3,52 +3,67 @@
 import itertools
 
 import eventlet
-from eventlet import event, semaphore
+from eventlet import event
 
 from ivystep.core import errors, ids, types
 from ivystep.runtime import clock, logs
 from ivystep.settings import models
-from ivystep.sidecar import attempts, residency, upstream
+from ivystep.sidecar import (
+    attempts,
+    crashes,
+    handover,
+    orders,
+    ownership,
+    residency,
+    upstream,
+)
 
-MAX_CRASH_FINGERPRINTS = 256
-CRASH_RETENTION_S = 3600.0
 UNHEALTHY_AFTER_FAILURES = 2
 
 log = logs.get('sidecar')
 
 
 class UpstreamHost:
-    """One upstream and its state, owned by this sidecar incarnation."""
-
-    def __init__(self, upstream_id: str, settings: models.Upstream) -> None:
+    """One upstream and its state, owned by this sidecar incarnation.
+
+    Args:
+        upstream_id: Name of the upstream.
+        settings: The [upstream] section.
+        owner: Permission to give orders to the engine.
+    """
+
+    def __init__(
+        self,
+        upstream_id: str,
+        settings: models.Upstream,
+        owner: ownership.Owner | None = None,
+    ) -> None:
         self.upstream_id = upstream_id
         self.incarnation = ids.new_id('inc')
         self.engine_incarnation = ''
+        self.is_engine = settings.kind == 'engine'
         self.is_healthy = False
         self.is_draining = False
         self.setup_version = 0
         self.max_running = settings.max_running
-        self.fencing_token = 0
+        self.revision = 0
+        self.violations = 0
         self.attempts = attempts.AttemptLog()
         self.residency = residency.Residency(settings.slots)
-        self.http = upstream.UpstreamHttp(settings.url, settings.max_running)
-        self._is_engine = settings.kind == 'engine'
+        self.http = upstream.UpstreamHttp.from_settings(settings)
+        self.orders = orders.EngineOrders(
+            self, owner or ownership.UncheckedOwner()
+        )
         self._health_interval_s = settings.health_interval_s
         self._sequence = itertools.count(1)
-        self._crashes: list[tuple[float, bytes]] = []
+        self._crashes = crashes.CrashLog()
+        self._handover = handover.Handover()
+        self._unnamed = itertools.count(1)
+        self._probe_by_incarnation: dict[str, eventlet.GreenThread] = {}
         self._changed = event.Event()
-        self._load_lock = semaphore.Semaphore(1)
-
-    @classmethod
-    def from_config(cls, settings: models.SidecarSettings) -> 'UpstreamHost':
-        """Build the host that a sidecar's settings describe."""
-        return cls(settings.process.id, settings.upstream)
 
     def status(self) -> types.UpstreamStatus:
         """Return the status to report to entries."""
-        horizon = clock.now() - CRASH_RETENTION_S
-        kept = [crash for crash in self._crashes if crash[0] > horizon]
-        self._crashes = kept
         return types.UpstreamStatus(
             upstream_id=self.upstream_id,
             sidecar_incarnation=self.incarnation,
@@ -62,58 +77,37 @@
             resident_by_ref=self.residency.snapshot(),
             loading=self.residency.loading,
             setup_version=self.setup_version,
-            crash_fingerprints=tuple(
-                fingerprint for _, fingerprint in self._crashes
-            ),
+            crash_fingerprints=self._crashes.fingerprints(),
         )
 
-    def wait_for_change(self, timeout_s: float) -> None:
-        """Wait until the status changes.
+    def wait_for_change(self, revision: int, timeout_s: float) -> None:
+        """Wait until the status differs from the one reported last.
 
         Args:
+            revision: ``revision`` before the last report was made.
             timeout_s: Longest wait in seconds.
         """
+        if self.revision != revision:
+            return
         with eventlet.Timeout(timeout_s, exception=False):
             self._changed.wait()
 
     def notify(self) -> None:
         """Wake the tasks that report the status."""
+        self.revision += 1
         changed = self._changed
         self._changed = event.Event()
         changed.send()
 
     def load(self, order: types.LoadOrder) -> types.LoadResult:
-        """Evict the named adapters and load one.
-
-        Args:
-            order: The order of the pool's planner.
-
-        Returns:
-            The outcome; adapters in use are never evicted.
-        """
-        with self._load_lock:
-            if self.residency.holds(order.ref):
-                return types.LoadResult(True, 'resident', 'Already resident.')
-            self.residency.loading = order.ref
-            self.notify()
-            try:
-                self._evict_and_load(order)
-            except errors.InvariantError as error:
-                return types.LoadResult(False, 'adapter_in_use', str(error))
-            except errors.PlatformError as error:
-                log.warning('Load of %s failed: %s.', order.ref, error)
-                self.refresh()
-                return types.LoadResult(False, 'load_failed', str(error))
-            finally:
-                self.residency.loading = None
-                self.notify()
-        return types.LoadResult(True, 'loaded', 'Loaded.')
+        """Evict the named adapters and load one; see ``EngineOrders``."""
+        return self.orders.load(order)
 
     def monitor(self) -> None:
         """Watch the upstream's health and incarnation until killed."""
         failures = 0
         while True:
-            failures = 0 if self.refresh() else failures + 1
+            failures = 0 if self._is_read() else failures + 1
             if failures >= UNHEALTHY_AFTER_FAILURES and self.is_healthy:
                 log.warning('Upstream %s is unhealthy.', self.upstream_id)
                 self.is_healthy = False
@@ -126,55 +120,124 @@
         Returns:
             Whether the upstream answered.
         """
+        orders_before = self.orders.count
         try:
-            incarnation = self.http.incarnation()
-            refs = self.http.resident() if self._is_engine else set()
-        except errors.PlatformError:
+            reading = self.http.read()
+        except errors.PlatformError as error:
+            log.debug('Upstream %s: %s.', self.upstream_id, error)
             return False
+        incarnation = reading.incarnation or self._unnamed_incarnation()
         if incarnation != self.engine_incarnation:
-            self._adopt(incarnation, refs)
-        elif self.residency.loading is None:
-            self.residency.reconcile(refs)
-        if not self.is_healthy:
+            self._adopt(incarnation, reading)
+        elif orders_before == self.orders.count and not self.orders.is_active:
+            # A reading that an order overlaps shows neither before nor after.
+            self._reconcile(reading)
+        self._handover.observe(reading.refs, reading.running)
+        if not self.is_healthy and not self._handover.holds_off():
             self.is_healthy = True
             self.notify()
         return True
 
-    def record_crash(self, engine_incarnation: str) -> None:
-        """Keep the fingerprints that were running when the engine failed.
+    def may_evict(self, ref: types.AdapterRef) -> bool:
+        """Return whether nothing can be running on an adapter."""
+        return not (self.residency.is_in_use(ref) or self._handover.covers(ref))
+
+    def is_quarantined(self, fingerprint: bytes) -> bool:
+        """Return whether a request has failed this upstream too often."""
+        return self._crashes.is_quarantined(fingerprint)
+
+    def confirm_loss(self, incarnation: str) -> bool:
+        """Find out whether a lost connection means that the upstream failed.
+
+        The first attempt that loses its connection takes down what was
+        running, before any attempt is unwound, and asks the upstream for its
+        identity. The others wait for its finding.
+
+        Args:
+            incarnation: Upstream incarnation that the attempt ran on.
+
+        Returns:
+            Whether that incarnation has ended.
+        """
+        if self._crashes.has(incarnation):
+            return True
+        probe = self._probe_by_incarnation.get(incarnation)
+        if probe is None:
+            running = self.attempts.fingerprints_on(incarnation)
+            # A task of its own, because the attempt's entry may leave.
+            probe = eventlet.spawn(self._probe, incarnation, running)
+            self._probe_by_incarnation[incarnation] = probe
+        return probe.wait()
+
+    def count_violation(self, error: errors.InvariantError) -> None:
+        """Log and count an invariant that did not hold.
 
         Args:
-            engine_incarnation: Incarnation that failed; each is counted once.
+            error: What was found.
         """
-        if engine_incarnation != self.engine_incarnation:
+        self.violations += 1
+        log.error('Invariant violated: %s.', error)
+
+    def _is_read(self) -> bool:
+        try:
+            return self.refresh()
+        except Exception:
+            # The monitor must go on; an upstream that it cannot read is
+            # reported as unhealthy.
+            log.exception('Upstream %s cannot be read.', self.upstream_id)
+            return False
+
+    def _probe(self, incarnation: str, running: tuple[bytes, ...]) -> bool:
+        try:
+            current = self.http.process().incarnation
+        except errors.PlatformError:
+            current = None
+        finally:
+            self._probe_by_incarnation.pop(incarnation)
+        # An upstream that names no incarnation and answers has not failed.
+        if current in {incarnation, ''}:
+            return False
+        self._record_crash(incarnation, running)
+        return True
+
+    def _record_crash(
+        self, incarnation: str, running: tuple[bytes, ...]
+    ) -> None:
+        if not self._crashes.record(incarnation, running):
             return
-        current = clock.now()
-        self.engine_incarnation = ''
-        self.is_healthy = False
-        self.residency.replace(())
-        for fingerprint in self.attempts.running_fingerprints:
-            self._crashes.append((current, fingerprint))
-        del self._crashes[:-MAX_CRASH_FINGERPRINTS]
-        log.warning('Upstream %s failed.', self.upstream_id)
+        log.warning(
+            'Upstream %s failed with %s requests.',
+            self.upstream_id,
+            len(running),
+        )
+        if incarnation == self.engine_incarnation:
+            self.engine_incarnation = ''
+            self.is_healthy = False
+            self.residency.replace(())
         self.notify()
 
-    def _evict_and_load(self, order: types.LoadOrder) -> None:
-        engine = self.engine_incarnation
-        for ref in order.evict:
-            self.residency.remove_idle(ref)
-            self.notify()
-            self.http.unload(ref, self.fencing_token)
-        self.http.load(order.ref, order.source, self.fencing_token)
-        if engine != self.engine_incarnation:
-            raise errors.UnavailableError(
-                'the engine was restarted', step='load'
-            )
-        self.residency.add(order.ref)
-
-    def _adopt(self, incarnation: str, refs: set[types.AdapterRef]) -> None:
+    def _adopt(self, incarnation: str, reading: upstream.Reading) -> None:
+        earlier = self.engine_incarnation
+        running = self.attempts.fingerprints_on(earlier)
+        if earlier and running:
+            # The attempts have yet to notice that their process has ended.
+            self._record_crash(earlier, running)
+        if earlier or self.revision:
+            self._handover.forget()
         log.info(
             'Upstream %s has incarnation %s.', self.upstream_id, incarnation
         )
         self.engine_incarnation = incarnation
-        self.residency.replace(refs)
+        self.residency.replace(reading.refs)
         self.notify()
+
+    def _reconcile(self, reading: upstream.Reading) -> None:
+        before = self.residency.snapshot()
+        self.residency.reconcile(reading.refs)
+        if self.residency.snapshot().keys() != before.keys():
+            self.notify()
+
+    def _unnamed_incarnation(self) -> str:
+        if self.engine_incarnation:
+            return self.engine_incarnation
+        return f'{self.incarnation}-{next(self._unnamed)}'
--- a/ivystep/sidecar/residency.py
+++ b/ivystep/sidecar/residency.py
@@ -1,69 +1,132 @@
 """Which adapters the engine holds, and which of them are in use.
 
 An adapter is pinned while an attempt runs on it. A pinned adapter is never
-evicted, and an adapter that is being evicted accepts no new attempt.
+evicted, and an adapter that is being evicted accepts no new attempt. Pins
+last until their attempts end, whatever the engine reports meanwhile.
 """
 
+import collections
 import contextlib
+import dataclasses
 from collections.abc import Generator, Iterable
 
 from ivystep.core import errors, types
+from ivystep.runtime import clock
+
+# An order whose answer was lost is taken to be over after this time, because
+# its connection is closed and the engine reads orders from open ones only.
+SETTLE_S = 120.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unsettled:
+    """An order that may still take effect.
+
+    Attributes:
+        becomes_resident: Whether the order was a load.
+        until: Time from which the engine's report is trusted again.
+    """
+
+    becomes_resident: bool
+    until: float
 
 
 class Residency:
-    """Adapters of one engine incarnation.
+    """Adapters of one engine.
 
     Args:
         slots: Adapters that the engine can hold.
     """
 
     def __init__(self, slots: int) -> None:
-        self.slots = slots
         self.loading: types.AdapterRef | None = None
-        self._running_by_ref: dict[types.AdapterRef, int] = {}
-        self._epoch = 0
+        self._slots = slots
+        self._resident: set[types.AdapterRef] = set()
+        self._running_by_ref: collections.Counter[types.AdapterRef] = (
+            collections.Counter()
+        )
+        self._leaving: set[types.AdapterRef] = set()
+        self._unsettled_by_ref: dict[types.AdapterRef, Unsettled] = {}
+
+    @property
+    def slots(self) -> int:
+        """Slots that orders can use; an unsettled name may take one."""
+        return max(self._slots - len(self._unsettled_by_ref), 0)
 
     def replace(self, refs: Iterable[types.AdapterRef]) -> None:
-        """Forget everything; the engine was restarted or read again.
+        """Take over the adapters of a new engine incarnation.
 
         Args:
-            refs: Adapters that the engine reports now.
+            refs: Adapters that it reports.
         """
-        self._epoch += 1
-        self._running_by_ref = dict.fromkeys(refs, 0)
+        self._resident = set(refs)
+        # Orders to the earlier process can no longer take effect.
+        self._unsettled_by_ref.clear()
 
     def reconcile(self, refs: Iterable[types.AdapterRef]) -> None:
         """Take over what the same engine incarnation reports.
 
         Args:
-            refs: Adapters that the engine reports now; use counts stay.
+            refs: Adapters that the engine reports now.
         """
-        self._running_by_ref = {
-            ref: self._running_by_ref.get(ref, 0) for ref in refs
-        }
-
-    def add(self, ref: types.AdapterRef) -> None:
-        """Record a loaded adapter."""
-        self._running_by_ref.setdefault(ref, 0)
+        reported = set(refs)
+        current = clock.now()
+        for ref, order in list(self._unsettled_by_ref.items()):
+            has_taken_effect = (ref in reported) == order.becomes_resident
+            if has_taken_effect or current >= order.until:
+                self._unsettled_by_ref.pop(ref)
+        self._resident = reported
 
     def holds(self, ref: types.AdapterRef) -> bool:
         """Return whether an adapter can take attempts."""
-        return ref in self._running_by_ref
+        return (
+            ref in self._resident
+            and ref not in self._leaving
+            and ref not in self._unsettled_by_ref
+        )
 
-    def remove_idle(self, ref: types.AdapterRef) -> None:
-        """Take an adapter out of use, before the engine unloads it.
+    def is_unsettled(self, ref: types.AdapterRef) -> bool:
+        """Return whether an order for an adapter may still take effect."""
+        return ref in self._unsettled_by_ref
+
+    def is_in_use(self, ref: types.AdapterRef) -> bool:
+        """Return whether an attempt runs on an adapter."""
+        return self._running_by_ref[ref] > 0
+
+    def unsettle(
+        self, ref: types.AdapterRef, *, becomes_resident: bool
+    ) -> None:
+        """Record that the outcome of an order is unknown.
+
+        Args:
+            ref: The adapter; it takes no attempts until it is settled.
+            becomes_resident: Whether the order was a load.
+        """
+        self._unsettled_by_ref[ref] = Unsettled(
+            becomes_resident, clock.now() + SETTLE_S
+        )
+
+    @contextlib.contextmanager
+    def evicting(self, ref: types.AdapterRef) -> Generator[None, None, None]:
+        """Take an adapter out of use while the engine unloads it.
 
         Args:
-            ref: The adapter; one that is absent is ignored.
+            ref: The adapter. It counts as absent afterwards, unless the
+                engine reports it again.
 
         Raises:
             errors.InvariantError: The adapter is serving a request.
         """
-        if self._running_by_ref.get(ref, 0):
+        if self.is_in_use(ref):
             raise errors.InvariantError(
                 f'{ref.lora_name} is serving a request', step='evict'
             )
-        self._running_by_ref.pop(ref, None)
+        self._leaving.add(ref)
+        try:
+            yield
+        finally:
+            self._leaving.discard(ref)
+            self._resident.discard(ref)
 
     @contextlib.contextmanager
     def pinned(
@@ -77,17 +140,18 @@
         if ref is None:
             yield
             return
-        epoch = self._epoch
         self._running_by_ref[ref] += 1
         try:
             yield
         finally:
-            if epoch == self._epoch and ref in self._running_by_ref:
-                self._running_by_ref[ref] -= 1
+            self._running_by_ref[ref] -= 1
+            if not self._running_by_ref[ref]:
+                self._running_by_ref.pop(ref)
 
     def snapshot(self) -> dict[types.AdapterRef, types.ResidentAdapter]:
-        """Return the resident adapters by reference."""
+        """Return the adapters that can take attempts, by reference."""
         return {
-            ref: types.ResidentAdapter(ref, running)
-            for ref, running in self._running_by_ref.items()
+            ref: types.ResidentAdapter(ref, self._running_by_ref[ref])
+            for ref in sorted(self._resident)
+            if self.holds(ref)
         }
--- a/ivystep/sidecar/run.py
+++ b/ivystep/sidecar/run.py
@@ -1,19 +1,23 @@
-"""Runs one attempt: admission, the call, and the check of the answer."""
+"""Runs one attempt: admission, the call, and the relay of the answer."""
 
+import contextlib
+import itertools
 import json
-import typing
+from collections.abc import Generator, Iterator
+
+import eventlet
+import urllib3
 
 from ivystep.core import errors, types, units
 from ivystep.runtime import clock, logs
-from ivystep.sidecar import host, upstream
+from ivystep.sidecar import answers, attempts, departure, host, upstream
 from ivystep.wire import channel, convert
 from ivystep.wire.gen import ttypes
 
 READ_BYTES = 64 * units.KIB
-MAX_ANSWER_BYTES = 16 * units.MIB
 QUEUE_FACTOR = 2
-SSE_PREFIX = b'data: '
-SSE_END = b'data: [DONE]'
+# An entry that takes longer to read a frame past the deadline is abandoned.
+SEND_GRACE_S = 2.0
 
 log = logs.get('sidecar')
 
@@ -34,205 +38,267 @@
         errors.LinkError: The entry has gone; the upstream's answer is
             abandoned and its connection closed.
     """
-    ref = convert.optional_adapter_ref(message.adapter)
-    try:
-        _admit(beside, message, ref)
-    except errors.RefusedError as error:
-        peer.send(_failure(message, error))
-        return
-    ran = types.Ran.UNKNOWN
-    engine_incarnation = beside.engine_incarnation
+    beside.setup_version = max(beside.setup_version, message.setup_version)
     try:
-        with beside.residency.pinned(ref):
-            peer.send(ttypes.AttemptAccepted(message.attempt_id))
-            _relay(beside, message, ref, peer)
-        ran = types.Ran.YES
+        _admit(beside, message)
     except errors.RequestError as error:
-        ran = error.ran
-        if error.engine_lost:
-            beside.record_crash(engine_incarnation)
-        log.warning('Attempt %s failed: %s.', message.attempt_id, error)
         peer.send(_failure(message, error))
-    finally:
-        beside.attempts.end(message.attempt_id, ran)
-        beside.notify()
+        return
+    AttemptRun(beside, message, peer).run()
 
 
-def _admit(
-    beside: host.UpstreamHost,
-    message: ttypes.RunAttempt,
-    ref: types.AdapterRef | None,
-) -> None:
-    beside.setup_version = max(beside.setup_version, message.setup_version)
-    if message.sidecar_incarnation != beside.incarnation:
-        raise _refusal('wrong_incarnation', 'The sidecar was restarted.')
-    if beside.is_draining:
-        raise _refusal('draining', 'The upstream is leaving.')
-    if not beside.is_healthy:
-        raise _refusal('upstream_unavailable', 'The upstream is unhealthy.')
-    if message.budget_ms <= 0:
-        raise _refusal('deadline_exceeded', 'The deadline has passed.')
-    if ref is not None and not beside.residency.holds(ref):
-        raise _refusal('adapter_not_resident', 'The adapter is not loaded.')
-    if beside.attempts.running >= beside.max_running * QUEUE_FACTOR:
-        raise _refusal('overloaded', 'The upstream has too many requests.')
-    if not beside.attempts.start(message.attempt_id, message.fingerprint):
-        raise _refusal('attempt_revoked', 'The attempt was revoked.')
+class AttemptRun:
+    """One admitted attempt.
 
+    Attributes:
+        ran: Whether the upstream has run it, as far as is known by now.
+    """
 
-def _refusal(code: str, reason: str) -> errors.RefusedError:
-    return errors.RefusedError(
-        code, reason, status=503, retry_after_s=1.0, step='admit'
-    )
+    def __init__(
+        self,
+        beside: host.UpstreamHost,
+        message: ttypes.RunAttempt,
+        peer: channel.Channel,
+    ) -> None:
+        self.ran = types.Ran.NO
+        self._beside = beside
+        self._message = message
+        self._peer = peer
+        self._ref = convert.optional_adapter_ref(message.adapter)
+        self._incarnation = beside.engine_incarnation
+        self._deadline = clock.now() + message.budget_ms / units.MS_PER_S
+        beside.attempts.start(
+            message.attempt_id,
+            attempts.Running(message.fingerprint, self._incarnation),
+        )
 
+    def run(self) -> None:
+        """Run the attempt and send its answer or its failure.
 
-def _relay(
-    beside: host.UpstreamHost,
-    message: ttypes.RunAttempt,
-    ref: types.AdapterRef | None,
-    peer: channel.Channel,
-) -> None:
-    deadline = clock.now() + message.budget_ms / units.MS_PER_S
-    response = beside.http.run(
-        message.path,
-        message.body,
-        idempotent=message.idempotent,
-        budget_s=message.budget_ms / units.MS_PER_S,
-    )
-    is_complete = False
-    try:
-        _check_status(response, beside)
-        chunks = _chunks(response, deadline, beside)
-        if ref is not None:
-            chunks = _checked(chunks, ref, message.stream, beside)
-        peer.send(
+        Raises:
+            errors.LinkError: The entry has gone.
+        """
+        try:
+            with (
+                self._beside.residency.pinned(self._ref),
+                departure.watched(self._peer),
+            ):
+                self._send(ttypes.AttemptAccepted(self._message.attempt_id))
+                self._answer()
+        except errors.InvariantError as error:
+            self._beside.count_violation(error)
+            self._fail(self._error('invalid_answer', 'The answer is wrong.'))
+        except errors.RequestError as error:
+            self._fail(error)
+        finally:
+            self._beside.attempts.end(self._message.attempt_id, self.ran)
+            self._beside.notify()
+
+    def _answer(self) -> None:
+        self._check_before_call()
+        self.ran = types.Ran.UNKNOWN
+        with self._before_deadline():
+            response = self._beside.http.run(
+                self._message.path,
+                self._message.body,
+                idempotent=self._message.idempotent,
+            )
+        with _released(response):
+            self._relay(response)
+        self.ran = types.Ran.YES
+        self._send(
+            ttypes.AnswerEnd(
+                self._message.attempt_id,
+                self._message.adapter,
+                self._incarnation,
+            ),
+        )
+
+    def _check_before_call(self) -> None:
+        """Check again what may have changed while the entry was told."""
+        beside = self._beside
+        if beside.engine_incarnation != self._incarnation:
+            raise _refusal('adapter_not_resident', 'The engine was restarted.')
+        if self._ref is not None and not beside.residency.holds(self._ref):
+            raise errors.InvariantError(
+                f'{self._ref.lora_name} was evicted under an attempt',
+                step='run',
+            )
+
+    def _relay(self, response: upstream.Response) -> None:
+        self._check_status(response)
+        chunks = self._chunks(response)
+        if self._ref is None or response.status != 200:
+            # An engine's refusal of a request is produced by no adapter.
+            chunks = answers.bounded(chunks)
+        elif self._message.stream:
+            chunks = answers.stream(chunks, self._ref)
+        else:
+            chunks = answers.whole(chunks, self._ref)
+        # The entry may still retry as long as it has not seen the head, so
+        # that goes out only with the first bytes that have been checked.
+        first = next(chunks, b'')
+        self._send(
             ttypes.AnswerHead(
-                message.attempt_id,
+                self._message.attempt_id,
                 response.status,
                 response.headers.get('Content-Type', 'application/json'),
             ),
         )
-        for chunk in chunks:
-            peer.send(ttypes.AnswerChunk(chunk))
-        is_complete = True
-    finally:
-        # A connection with an abandoned answer must not serve another call.
-        if is_complete:
-            response.release_conn()
-        else:
-            response.close()
-    peer.send(
-        ttypes.AnswerEnd(
-            message.attempt_id, message.adapter, beside.engine_incarnation
-        ),
-    )
+        for chunk in itertools.chain((first,), chunks):
+            self._send(ttypes.AnswerChunk(chunk))
 
+    def _check_status(self, response: upstream.Response) -> None:
+        if response.status == 404 and self._ref is not None:
+            self._beside.refresh()
+            raise _refusal(
+                'adapter_not_resident', 'The engine does not hold the adapter.'
+            )
+        if response.status >= 500:
+            raise self._error(
+                'upstream_error',
+                f'The upstream answered with status {response.status}.',
+            )
+        if not 200 <= response.status < 300 and response.status < 400:
+            raise answers.broken(f'Status {response.status} is no answer.')
+        if not answers.is_framed(response.headers):
+            raise answers.broken('The end of the answer is not marked.')
 
-def _check_status(
-    response: upstream.Response, beside: host.UpstreamHost
-) -> None:
-    if response.status == 404 and beside.refresh():
-        raise errors.RequestError(
-            'adapter_not_resident',
-            'The engine does not hold the adapter.',
-            status=503,
-            ran=types.Ran.NO,
-            retry_after_s=1.0,
+    def _chunks(self, response: upstream.Response) -> Iterator[bytes]:
+        chunks = iter(response.stream(READ_BYTES))
+        while True:
+            try:
+                with self._before_deadline():
+                    chunk = next(chunks, None)
+            except (urllib3.exceptions.HTTPError, OSError) as error:
+                raise upstream.call_error(
+                    error, self._beside.upstream_id
+                ) from error
+            if chunk is None:
+                return
+            yield chunk
+
+    @contextlib.contextmanager
+    def _before_deadline(self) -> Generator[None, None, None]:
+        timer = eventlet.Timeout(max(self._deadline - clock.now(), 0))
+        try:
+            yield
+        except eventlet.Timeout as expired:
+            if expired is not timer:
+                raise
+            raise self._error(
+                'deadline_exceeded',
+                'The upstream did not answer before the deadline.',
+                status=504,
+            ) from expired
+        finally:
+            timer.cancel()
+
+    def _send(self, message: object) -> None:
+        """Send to the entry; one that stops reading is abandoned."""
+        limit_s = max(self._deadline - clock.now(), 0) + SEND_GRACE_S
+        with eventlet.Timeout(limit_s, TimeoutError):
+            self._peer.send(message)
+
+    def _fail(self, error: errors.RequestError) -> None:
+        self.ran = error.ran
+        if error.engine_lost:
+            error.engine_lost = self._beside.confirm_loss(self._incarnation)
+        log.warning('Attempt %s failed: %s.', self._message.attempt_id, error)
+        self._send(_failure(self._message, error))
+
+    def _error(
+        self, code: str, reason: str, status: int = 502
+    ) -> errors.RequestError:
+        return errors.RequestError(
+            code,
+            reason,
+            status=status,
+            ran=self.ran,
             step='run',
-            peer=beside.upstream_id,
+            peer=self._beside.upstream_id,
         )
-    if response.status >= 500:
+
+
+def _admit(beside: host.UpstreamHost, message: ttypes.RunAttempt) -> None:
+    """Refuse an attempt that must not run; one that is refused never will."""
+    if message.sidecar_incarnation != beside.incarnation:
+        raise _refusal('wrong_incarnation', 'The sidecar was restarted.')
+    ran = beside.attempts.seen(message.attempt_id)
+    if ran is not None:
         raise errors.RequestError(
-            'upstream_error',
-            f'The upstream answered with status {response.status}.',
-            status=502,
-            ran=types.Ran.UNKNOWN,
-            step='run',
+            'attempt_repeated',
+            'The attempt was revoked, or was sent before.',
+            status=503,
+            ran=ran,
+            step='admit',
             peer=beside.upstream_id,
         )
+    try:
+        _check_upstream(beside, message)
+        _check_request(beside, message)
+    except errors.RefusedError as error:
+        beside.attempts.end(message.attempt_id, error.ran)
+        raise
 
 
-def _chunks(
-    response: upstream.Response,
-    deadline: float,
-    beside: host.UpstreamHost,
-) -> typing.Iterator[bytes]:
-    total = 0
-    try:
-        for chunk in response.stream(READ_BYTES):
-            total += len(chunk)
-            if total > MAX_ANSWER_BYTES:
-                raise _broken('The answer is too long.', beside)
-            if clock.now() > deadline:
-                raise errors.RequestError(
-                    'deadline_exceeded',
-                    'The deadline passed during the answer.',
-                    status=504,
-                    ran=types.Ran.YES,
-                    step='relay',
-                    peer=beside.upstream_id,
-                )
-            yield chunk
-    except (upstream.TransportError, OSError) as error:
-        raise errors.RequestError(
-            'upstream_lost',
-            'The upstream failed during the answer.',
-            status=502,
-            ran=types.Ran.UNKNOWN,
-            engine_lost=True,
-            step='relay',
-            peer=beside.upstream_id,
-        ) from error
+def _check_upstream(
+    beside: host.UpstreamHost, message: ttypes.RunAttempt
+) -> None:
+    if beside.is_draining:
+        raise _refusal('draining', 'The upstream is leaving.')
+    if not beside.is_healthy:
+        raise _refusal('upstream_unavailable', 'The upstream is unhealthy.')
+    if beside.attempts.running >= beside.max_running * QUEUE_FACTOR:
+        raise _refusal('overloaded', 'The upstream has too many requests.')
+    if beside.is_quarantined(message.fingerprint):
+        raise _refusal('request_quarantined', 'The request crashes upstreams.')
 
 
-def _checked(
-    chunks: typing.Iterator[bytes],
-    ref: types.AdapterRef,
-    stream: bool,
-    beside: host.UpstreamHost,
-) -> typing.Iterator[bytes]:
-    """Withhold an answer until the engine has named the right adapter."""
-    head = b''
-    for chunk in chunks:
-        head += chunk
-        if stream and b'\n\n' in head:
-            break
-    _check_model(head, ref, stream, beside)
-    tail = head[-len(SSE_END) - 4 :]
-    yield head
-    for chunk in chunks:
-        tail = (tail + chunk)[-len(SSE_END) - 4 :]
-        yield chunk
-    if stream and SSE_END not in tail:
-        raise _broken('The stream ended without its end marker.', beside)
-
-
-def _check_model(
-    head: bytes,
-    ref: types.AdapterRef,
-    stream: bool,
-    beside: host.UpstreamHost,
+def _check_request(
+    beside: host.UpstreamHost, message: ttypes.RunAttempt
 ) -> None:
-    event = head.partition(b'\n\n')[0].removeprefix(SSE_PREFIX)
-    try:
-        model = json.loads(event if stream else head)['model']
-    except (ValueError, KeyError, TypeError) as error:
-        raise _broken('The answer is malformed.', beside) from error
-    if model != ref.lora_name:
-        log.error(
-            'Invariant violated: asked %s, answered %s.', ref.lora_name, model
+    ref = convert.optional_adapter_ref(message.adapter)
+    if message.budget_ms <= 0:
+        raise _refusal('deadline_exceeded', 'The deadline has passed.')
+    if beside.is_engine is (ref is None):
+        raise _refusal('wrong_upstream', 'The upstream is of another kind.')
+    if ref is None:
+        return
+    if not beside.residency.holds(ref):
+        raise _refusal('adapter_not_resident', 'The adapter is not loaded.')
+    if _model_of(message.body) != ref.lora_name:
+        beside.count_violation(
+            errors.InvariantError(
+                f'the body of {message.attempt_id} names another adapter',
+                step='admit',
+            )
         )
-        raise _broken('The answer came from another adapter.', beside)
+        raise _refusal('invalid_request', 'The body names another adapter.')
+
+
+def _model_of(body: bytes) -> str | None:
+    try:
+        return json.loads(body)['model']
+    except (ValueError, KeyError, TypeError):
+        return None
 
 
-def _broken(reason: str, beside: host.UpstreamHost) -> errors.RequestError:
-    return errors.RequestError(
-        'invalid_answer',
-        reason,
-        status=502,
-        ran=types.Ran.YES,
-        step='relay',
-        peer=beside.upstream_id,
+@contextlib.contextmanager
+def _released(response: upstream.Response) -> Generator[None, None, None]:
+    """Keep the connection of a complete answer; close that of any other."""
+    try:
+        yield
+    except BaseException:
+        # The rest of this answer must not reach another call.
+        response.close()
+        raise
+    response.release_conn()
+
+
+def _refusal(code: str, reason: str) -> errors.RefusedError:
+    return errors.RefusedError(
+        code, reason, status=503, retry_after_s=1.0, step='run'
     )
 
 
--- a/ivystep/sidecar/server.py
+++ b/ivystep/sidecar/server.py
@@ -129,6 +129,7 @@
     message: ttypes.Watch, beside: host.UpstreamHost, link: channel.Channel
 ) -> None:
     while True:
+        revision = beside.revision
         link.send(convert.status_message(beside.status()))
-        beside.wait_for_change(STATUS_INTERVAL_S)
+        beside.wait_for_change(revision, STATUS_INTERVAL_S)
         clock.sleep(STATUS_COALESCE_S)
--- a/ivystep/sidecar/upstream.py
+++ b/ivystep/sidecar/upstream.py
@@ -4,6 +4,7 @@
 connection was not, any other failed call may have been.
 """
 
+import dataclasses
 import functools
 import json
 import typing
@@ -12,18 +13,37 @@
 import urllib3
 
 from ivystep.core import errors, types
+from ivystep.settings import models
 
 CONNECT_TIMEOUT_S = 1.0
 LOAD_TIMEOUT_S = 60.0
 HEALTH_TIMEOUT_S = 1.0
 START_TIME_METRIC = 'process_start_time_seconds'
+RUNNING_METRIC = 'num_requests_running'
 Response: typing.TypeAlias = urllib3.BaseHTTPResponse
-TransportError = urllib3.exceptions.HTTPError
 JSON_HEADERS = MappingProxyType({'Content-Type': 'application/json'})
+# Answers to an order that say that it had no effect and never will have.
+REJECTED_STATUSES = range(400, 500)
+FENCED_STATUS = 409
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reading:
+    """What one upstream process reports about itself.
+
+    Attributes:
+        incarnation: Identity of the process; empty if it publishes none.
+        refs: Adapters that it holds.
+        running: Requests that it runs; None if it publishes no number.
+    """
+
+    incarnation: str
+    refs: frozenset[types.AdapterRef] = frozenset()
+    running: int | None = None
 
 
 class UpstreamHttp:
-    """The published HTTP interface of one upstream.
+    """The published HTTP interface of a plain service.
 
     Args:
         base_url: URL without a trailing slash.
@@ -36,18 +56,23 @@
             maxsize=max_connections, retries=False
         )
 
-    def run(
-        self, path: str, body: bytes, *, idempotent: bool, budget_s: float
-    ) -> urllib3.BaseHTTPResponse:
+    @classmethod
+    def from_settings(cls, settings: models.Upstream) -> 'UpstreamHttp':
+        """Return the interface of the kind that the settings name."""
+        chosen = EngineHttp if settings.kind == 'engine' else UpstreamHttp
+        return chosen(settings.url, settings.max_running)
+
+    def run(self, path: str, body: bytes, *, idempotent: bool) -> Response:
         """Start a call and return its answer without reading the body.
 
+        The caller bounds the time with ``eventlet.Timeout``.
+
         Args:
             path: HTTP path.
             body: JSON body.
             idempotent: False takes a new connection, so that a connection
                 that the upstream has just closed cannot make the outcome
                 unknown.
-            budget_s: Longest wait for the next bytes, in seconds.
 
         Returns:
             The response; the caller must close or release it.
@@ -67,46 +92,83 @@
                 body=body,
                 headers=headers,
                 preload_content=False,
-                timeout=urllib3.Timeout(
-                    connect=CONNECT_TIMEOUT_S, read=budget_s
-                ),
+                timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=None),
             )
         except urllib3.exceptions.HTTPError as error:
-            raise _call_error(error, self.base_url) from error
+            raise call_error(error, self.base_url) from error
 
-    def incarnation(self) -> str:
-        """Return the identity of the upstream's process.
+    def read(self) -> Reading:
+        """Read the state of the upstream.
+
+        Raises:
+            errors.UnavailableError: The upstream does not answer.
+        """
+        self._get('/health')
+        return self.process()
+
+    def process(self) -> Reading:
+        """Read identity and load from the published metrics.
 
         Returns:
-            Its start time as published in its metrics.
+            The reading; one without an incarnation if the service publishes
+            no start time.
 
         Raises:
             errors.UnavailableError: The upstream does not answer.
         """
-        text = self._get('/metrics').decode(errors='replace')
-        for line in text.splitlines():
-            name, _, value = line.partition(' ')
-            if name == START_TIME_METRIC:
-                return value.strip()
-        raise errors.UnavailableError(
-            f'no metric {START_TIME_METRIC}',
-            step='health',
-            peer=self.base_url,
+        text = self._get('/metrics', accepted=(200, 404))
+        value_by_name = dict(_samples(text.decode(errors='replace')))
+        running = value_by_name.get(RUNNING_METRIC)
+        return Reading(
+            value_by_name.get(START_TIME_METRIC, ''),
+            running=None if running is None else int(float(running)),
+        )
+
+    def _get(self, path: str, accepted: tuple[int, ...] = (200,)) -> bytes:
+        try:
+            response = self._reused.request(
+                'GET', self.base_url + path, timeout=HEALTH_TIMEOUT_S
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise self._unavailable(str(error)) from error
+        if response.status not in accepted:
+            raise self._unavailable(f'status {response.status}')
+        return response.data
+
+    def _unavailable(self, reason: str) -> errors.UnavailableError:
+        return errors.UnavailableError(
+            reason, step='health', peer=self.base_url
         )
 
-    def resident(self) -> set[types.AdapterRef]:
-        """Return the adapters that the engine holds.
+
+class EngineHttp(UpstreamHttp):
+    """The published HTTP interface of a model engine."""
+
+    def read(self) -> Reading:
+        """Read identity, load and adapters of one engine process.
+
+        Raises:
+            errors.UnavailableError: The engine does not answer, or was
+                restarted between the calls.
+        """
+        before = self.process()
+        refs = self._resident()
+        after = self.process()
+        if before.incarnation != after.incarnation:
+            raise self._unavailable('restarted while it was read')
+        return dataclasses.replace(after, refs=refs)
+
+    def process(self) -> Reading:
+        """Read identity and load from the published metrics.
 
         Raises:
-            errors.UnavailableError: The engine does not answer.
+            errors.UnavailableError: The engine does not answer, or does not
+                publish its start time.
         """
-        models = json.loads(self._get('/v1/models'))['data']
-        refs = set()
-        for model in models:
-            # The list also names the base model, which is not an adapter.
-            if '@' in model['id']:
-                refs.add(types.AdapterRef.from_lora_name(model['id']))
-        return refs
+        reading = super().process()
+        if not reading.incarnation:
+            raise self._unavailable(f'no metric {START_TIME_METRIC}')
+        return reading
 
     def load(
         self, ref: types.AdapterRef, source: str, fencing_token: int
@@ -136,6 +198,17 @@
             accepted=(200, 404),
         )
 
+    def _resident(self) -> frozenset[types.AdapterRef]:
+        try:
+            listed = json.loads(self._get('/v1/models'))['data']
+            names = [str(model['id']) for model in listed]
+        except (ValueError, KeyError, TypeError) as error:
+            raise self._unavailable(
+                'the list of models is malformed'
+            ) from error
+        refs = (_optional_ref(name) for name in names)
+        return frozenset(ref for ref in refs if ref is not None)
+
     def _order(
         self,
         path: str,
@@ -143,50 +216,88 @@
         fencing_token: int,
         accepted: tuple[int, ...] = (200,),
     ) -> None:
+        headers = {**JSON_HEADERS, 'X-Fencing-Token': str(fencing_token)}
         try:
             response = self._reused.request(
                 'POST',
                 self.base_url + path,
                 body=json.dumps(document).encode(),
-                headers={
-                    **JSON_HEADERS,
-                    'X-Fencing-Token': str(fencing_token),
-                },
+                headers=headers,
                 timeout=urllib3.Timeout(
                     connect=CONNECT_TIMEOUT_S, read=LOAD_TIMEOUT_S
                 ),
             )
         except urllib3.exceptions.HTTPError as error:
-            raise errors.UncertainWriteError(
-                str(error), step=path, peer=self.base_url
-            ) from error
+            raise _order_error(error, path, self.base_url) from error
         if response.status not in accepted:
-            raise errors.UnavailableError(
-                f'status {response.status}', step=path, peer=self.base_url
-            )
+            raise _status_error(response.status, path, self.base_url)
 
-    def _get(self, path: str) -> bytes:
-        try:
-            response = self._reused.request(
-                'GET', self.base_url + path, timeout=HEALTH_TIMEOUT_S
-            )
-        except urllib3.exceptions.HTTPError as error:
-            raise errors.UnavailableError(
-                str(error), step='health', peer=self.base_url
-            ) from error
-        if response.status != 200:
-            raise errors.UnavailableError(
-                f'status {response.status}', step='health', peer=self.base_url
-            )
-        return response.data
+
+def _samples(text: str) -> typing.Iterator[tuple[str, str]]:
+    """Yield name and value of each metric, without prefix and labels."""
+    for line in text.splitlines():
+        if line and not line.startswith('#'):
+            name, _, value = line.rpartition(' ')
+            yield name.partition('{')[0].rpartition(':')[2], value.strip()
+
+
+def _optional_ref(name: str) -> types.AdapterRef | None:
+    """Parse an adapter name; other models, such as the base, give None."""
+    try:
+        return types.AdapterRef.from_lora_name(name)
+    except ValueError:
+        return None
+
+
+@functools.singledispatch
+def _order_error(
+    error: Exception, step: str, peer: str
+) -> errors.PlatformError:
+    """Say whether a failed order can still take effect."""
+    return errors.UncertainWriteError(str(error), step=step, peer=peer)
+
+
+@_order_error.register(urllib3.exceptions.NewConnectionError)
+@_order_error.register(urllib3.exceptions.ConnectTimeoutError)
+def _order_not_sent(
+    error: Exception, step: str, peer: str
+) -> errors.PlatformError:
+    return errors.UnavailableError(str(error), step=step, peer=peer)
+
+
+def _status_error(status: int, step: str, peer: str) -> errors.PlatformError:
+    if status == FENCED_STATUS:
+        reason = 'the engine has seen a higher fencing token'
+        return errors.ConflictError(reason, step=step, peer=peer)
+    if status in REJECTED_STATUSES:
+        return errors.UnavailableError(f'status {status}', step=step, peer=peer)
+    return errors.UncertainWriteError(f'status {status}', step=step, peer=peer)
 
 
 @functools.singledispatch
-def _call_error(error: Exception, peer: str) -> errors.RequestError:
-    """Turn a transport error into a request error with its certainty."""
+def call_error(error: Exception, peer: str) -> errors.RequestError:
+    """Turn a transport error into a request error with its certainty.
+
+    Args:
+        error: The error of the HTTP library.
+        peer: The upstream.
+    """
+    return errors.RequestError(
+        'invalid_answer',
+        'The upstream broke the HTTP protocol.',
+        status=502,
+        ran=types.Ran.UNKNOWN,
+        step='run',
+        peer=peer,
+    )
+
+
+@call_error.register(urllib3.exceptions.ProtocolError)
+@call_error.register(OSError)
+def _lost_error(error: Exception, peer: str) -> errors.RequestError:
     return errors.RequestError(
         'upstream_lost',
-        'The upstream failed while running the request.',
+        'The connection to the upstream was lost.',
         status=502,
         ran=types.Ran.UNKNOWN,
         engine_lost=True,
@@ -195,8 +306,8 @@
     )
 
 
-@_call_error.register(urllib3.exceptions.NewConnectionError)
-@_call_error.register(urllib3.exceptions.ConnectTimeoutError)
+@call_error.register(urllib3.exceptions.NewConnectionError)
+@call_error.register(urllib3.exceptions.ConnectTimeoutError)
 def _connect_error(error: Exception, peer: str) -> errors.RequestError:
     return errors.RequestError(
         'upstream_unavailable',
@@ -207,15 +318,3 @@
         step='run',
         peer=peer,
     )
-
-
-@_call_error.register(urllib3.exceptions.ReadTimeoutError)
-def _timeout_error(error: Exception, peer: str) -> errors.RequestError:
-    return errors.RequestError(
-        'deadline_exceeded',
-        'The upstream did not answer before the deadline.',
-        status=504,
-        ran=types.Ran.UNKNOWN,
-        step='run',
-        peer=peer,
-    )
--- a/ivystep/wire/channel.py
+++ b/ivystep/wire/channel.py
@@ -11,6 +11,7 @@
 from types import MappingProxyType
 
 import eventlet
+from eventlet import hubs
 from thrift import Thrift
 from thrift.protocol import TCompactProtocol
 from thrift.transport import TTransport
@@ -177,6 +178,16 @@
         readable, _, _ = select.select([self._connection], [], [], 0)
         return bool(readable)
 
+    def wait_readable(self) -> None:
+        """Wait until the peer sends something or closes its end.
+
+        Another task may send meanwhile, but none may receive.
+
+        Raises:
+            OSError: The connection was closed on this side.
+        """
+        hubs.trampoline(self._connection, read=True)
+
     def close(self) -> None:
         """Close the connection; safe to call twice and from another task."""
         if self.is_closed:
--- a/tests/sidecar/test_run.py
+++ b/tests/sidecar/test_run.py
@@ -1,5 +1,7 @@
 """Attempts over HTTP against the engine stand-in."""
 
+import json
+
 import eventlet
 import pytest
 
@@ -69,8 +71,7 @@
     """Guards against crossed streams whose first event was right."""
 
     def event(model, text):
-        choices = '[{"index": 0, "text": "%s"}]' % text
-        body = '{"model": "%s", "choices": %s}' % (model, choices)
+        body = json.dumps({'model': model, 'choices': [{'text': text}]})
         return f'data: {body}\n\n'.encode()
 
     def handle(environ):
@@ -133,11 +134,42 @@
     assert engine_bench.beside.status().crash_fingerprints == ()
 
 
+def test_engine_that_falls_silent_midway_meets_the_deadline(engine_bench):
+    """Guards against a deadline that starts again with each chunk."""
+    entry = engine_bench.spawn(stream=True, max_tokens=5000, budget_ms=300)
+    bench.until(lambda: engine_bench.engine.steps > 2)
+    engine_bench.fault(is_silent=True)
+    last = entry.frames()[-1]
+    assert (last.code, last.ran) == ('deadline_exceeded', 'unknown')
+    assert engine_bench.beside.status().crash_fingerprints == ()
+
+
+def test_failed_answer_has_no_head(engine_bench):
+    """Guards against a head that keeps the entry from retrying."""
+    engine_bench.fault(truncate_bytes=60)
+    frames = engine_bench.run()
+    assert not any(isinstance(one, ttypes.AnswerHead) for one in frames)
+
+
+def test_answer_longer_than_a_frame_is_relayed(engine_bench):
+    """Guards against a chunk that no frame can hold."""
+    engine_bench.engine.step_s = 0
+    source = 'w' * 1_000_000
+    engine_bench.engine.source_by_name[bench.REF.lora_name] = source
+    frames = engine_bench.run(max_tokens=5)
+    assert answer(frames).count(source.encode()) == 5
+    assert isinstance(frames[-1], ttypes.AnswerEnd)
+
+
 def test_crash_is_recorded_once_with_every_running_request(engine_bench):
     """Guards against evidence lost to unwinding or to a health check."""
     engine_bench.fault(is_silent=True)
-    first = engine_bench.spawn(attempt_id='att-1', prompt='one', stream=True)
-    second = engine_bench.spawn(attempt_id='att-2', prompt='two')
+    first = engine_bench.spawn(
+        attempt_id='att-1', prompt='one', stream=True, max_tokens=5000
+    )
+    second = engine_bench.spawn(
+        attempt_id='att-2', prompt='two', max_tokens=5000
+    )
     bench.until(lambda: engine_bench.engine.running == 2)
     engine_bench.fault()
     failures = [engine_bench.run(attempt_id='att-3', prompt='CRASH')[-1]]
