--- a/ivystep/core/types.py
+++ b/ivystep/core/types.py
@@ -64,6 +64,19 @@
         return cls(account, name, int(version))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimKey:
+    """What a non-idempotent request is claimed under.
+
+    Attributes:
+        key: The caller's idempotency key.
+        fingerprint: Digest of what the caller sent; a repeat has the same.
+    """
+
+    key: str
+    fingerprint: bytes
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
     """A caller's request after authentication.
@@ -77,6 +90,7 @@
         deadline: Time by which the answer must be complete.
         fingerprint: Digest that is equal for a repeated request, whatever its
             identifiers are.
+        claim: What a non-idempotent request is claimed under, else None.
     """
 
     request_id: str
@@ -93,6 +107,7 @@
     deadline: float
     fingerprint: bytes
     setup_version: int
+    claim: ClaimKey | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -175,6 +190,47 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdapterDemand:
+    """What the requests of one entry need of one adapter.
+
+    Attributes:
+        source: Path of the weights, for the load order.
+        setup_version: Setup version of the latest request.
+        weight: Weight of the adapter's account in the load order.
+        waiting: Requests that wait at the entry; 0 if all were placed.
+        oldest_wait_s: Wait of the request that has waited longest.
+        start_within_s: Time within which the adapter must be resident so that
+            the most urgent waiting request can meet its deadline.
+        arrivals: Requests that arrived since the entry's last report,
+            including those that were placed at once.
+    """
+
+    ref: AdapterRef
+    source: str
+    setup_version: int
+    weight: float
+    waiting: int
+    oldest_wait_s: float
+    start_within_s: float
+    arrivals: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadForecast:
+    """A planner's answer for an adapter that comes too late for a request.
+
+    Attributes:
+        ready_in_s: Time until the adapter can be resident, given the backlog;
+            requests that must start earlier are refused.
+        retry_after_s: Time after which the backlog allows a repeat.
+    """
+
+    ref: AdapterRef
+    ready_in_s: float
+    retry_after_s: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HostEntry:
     """One line of the platform's host list."""
