--- /dev/null
+++ b/measure/summary.py
@@ -0,0 +1,108 @@
+"""The figures of one run."""
+
+import collections
+import dataclasses
+import math
+
+from measure import bench, profiles
+
+DECILES = 10
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Summary:
+    """Figures of a run; times in seconds, shares of all requests.
+
+    Attributes:
+        stall_p50: Percentiles and mean of the wait for an upstream that holds
+            the adapter, over all requests but those refused at once.
+        efficiency: Mean batch size of the engine steps over ``max_running``.
+        in_time: Share answered within the deadline.
+        refused: Share refused within 0.25 s of arrival.
+        held: Share refused later than that, without an answer.
+        late: Share answered after the deadline.
+        failed: Share that ended with another error.
+        lost: Requests without any outcome.
+        duplicated: Completed runs beyond the first of a request.
+        loads: Loads used, as a share of what the store allows.
+        worst_decile: Smallest share answered within the deadline among
+            tenths of the adapters, by popularity.
+    """
+
+    stall_mean: float
+    stall_p50: float
+    stall_p95: float
+    stall_p99: float
+    stall_max: float
+    efficiency: float
+    in_time: float
+    refused: float
+    held: float
+    late: float
+    failed: float
+    lost: int
+    duplicated: int
+    loads: float
+    worst_decile: float
+
+
+def summarize(scenario: profiles.Scenario, run: bench.Run) -> Summary:
+    """Compute the figures of a run.
+
+    Args:
+        scenario: What was run.
+        run: Its outcomes; extra requests of a scan or flood are left out.
+    """
+    outcomes = [one for one in run.outcomes if not one.arrival.is_extra]
+    kinds = [classify(scenario, outcome) for outcome in outcomes]
+    stalls = sorted(
+        outcome.waited_s
+        for outcome, kind in zip(outcomes, kinds, strict=True)
+        if kind != 'refused'
+    ) or [0.0]
+    total = len(outcomes)
+    profile = scenario.profile
+    return Summary(
+        stall_mean=sum(stalls) / len(stalls),
+        stall_p50=percentile(stalls, 0.5),
+        stall_p95=percentile(stalls, 0.95),
+        stall_p99=percentile(stalls, 0.99),
+        stall_max=stalls[-1],
+        efficiency=run.request_steps / max(run.steps, 1) / profile.max_running,
+        in_time=kinds.count('in_time') / total,
+        refused=kinds.count('refused') / total,
+        held=kinds.count('held') / total,
+        late=kinds.count('late') / total,
+        failed=kinds.count('failed') / total,
+        lost=kinds.count('lost'),
+        duplicated=run.duplicated,
+        loads=run.loads / (profile.loads_per_s * scenario.counted_s),
+        worst_decile=_worst_decile(outcomes, kinds),
+    )
+
+
+def classify(scenario: profiles.Scenario, outcome: bench.Outcome) -> str:
+    """Return what became of a request."""
+    if outcome.code == 'lost':
+        return 'lost'
+    if outcome.code == 'answered':
+        deadline = outcome.arrival.at + scenario.deadline_s
+        return 'in_time' if outcome.finished <= deadline else 'late'
+    if outcome.code not in {'deadline_exceeded', 'overloaded'}:
+        return 'failed'
+    return 'refused' if outcome.waited_s <= bench.HELD_S else 'held'
+
+
+def percentile(ordered: list[float], share: float) -> float:
+    """Return the smallest value that a share of the values do not exceed."""
+    return ordered[max(math.ceil(share * len(ordered)) - 1, 0)]
+
+
+def _worst_decile(outcomes: list[bench.Outcome], kinds: list[str]) -> float:
+    asked: collections.Counter[int] = collections.Counter()
+    answered: collections.Counter[int] = collections.Counter()
+    for outcome, kind in zip(outcomes, kinds, strict=True):
+        decile = outcome.arrival.rank * DECILES // profiles.ADAPTERS
+        asked[decile] += 1
+        answered[decile] += kind == 'in_time'
+    return min(answered[decile] / asked[decile] for decile in asked)
