Run simultaneous virtual timers in the order of setting

Cause: eventlet orders timers that are due at the same time by their memory addresses, so a run on the virtual clock differed from run to run with one seed; Hypothesis reported inconsistent data generation.

Ruled out: leftovers of an earlier example (each has its own hub) and the random module (Hypothesis seeds it).

Conclusion: runs on the virtual clock are repeatable.

--- a/ivystep/runtime/virtual_hub.py
+++ b/ivystep/runtime/virtual_hub.py
@@ -2,9 +2,11 @@
 
 Tests and measurements run the real code on this hub: when no task can run, the
 clock jumps to the next timer. No input or output is polled, so only in-memory
-links work on it.
+links work on it. Timers that are due at the same time run in the order in which
+they were set, so that a run with a seed can be repeated.
 """
 
+import itertools
 import typing
 from collections.abc import Callable
 
@@ -17,13 +19,50 @@
 _Result = typing.TypeVar('_Result')
 
 
+class _OrderedTimer:
+    """A timer that compares by the order of setting.
+
+    Eventlet orders timers of the same time by their memory addresses.
+    """
+
+    def __init__(self, timer: typing.Any, number: int) -> None:
+        self._timer = timer
+        self._number = number
+
+    def __lt__(self, other: typing.Self) -> bool:
+        return self._number < other._number
+
+    def __call__(self) -> None:
+        self._timer()
+
+    @property
+    def called(self) -> bool:
+        """Whether the timer has run or was cancelled."""
+        return self._timer.called
+
+
 class VirtualHub(hub.BaseHub):
     """Hub with a virtual clock that starts at zero seconds."""
 
     def __init__(self, clock: Callable[[], float] | None = None) -> None:
         self.virtual_now = 0.0
+        self._timer_numbers = itertools.count()
         super().__init__(clock or self._read)
 
+    def add_timer(self, timer: typing.Any) -> float:
+        """Schedule a timer.
+
+        Args:
+            timer: The timer, with its delay in seconds.
+
+        Returns:
+            The time at which it runs.
+        """
+        due = self.clock() + timer.seconds
+        ordered = _OrderedTimer(timer, next(self._timer_numbers))
+        self.next_timers.append((due, ordered))
+        return due
+
     def wait(self, seconds: float | None = None) -> None:
         """Advance the clock to the next timer.
 
