Check each message of an answer; cover retries and aborts with tests

Cause: heads and failures were not compared with their attempt, so a crossed "ran: no" would have been believed; a failure that said "ran: no" after the answer had begun was passed on; a request given up between the head and the first chunk left its data connection open; a caller with a short deadline waited up to 5 s for a silent sidecar, and up to 4 s more for the revocation.

Change: reception.py receives one answer, checks each message and closes the connection whatever ends it. Waits end 0.5 s after the deadline, a revocation after 1 s.

Ruled out: treating a crossed message as a failure of this attempt (nothing is known of it then); the attempt is revoked and counts as lost.

--- a/ivystep/entry/api.py
+++ b/ivystep/entry/api.py
@@ -61,7 +61,7 @@
         try:
             return _Response(self._route(call), call)
         except errors.RequestError as error:
-            log.info('Request %s ends: %s.', call.request_id, error)
+            log.info('Request %s ends: %s', call.request_id, error)
             return _Response(call.fail(error), call)
         except Exception:
             log.exception('Request %s met a fault.', call.request_id)
--- a/ivystep/entry/dispatch.py
+++ b/ivystep/entry/dispatch.py
@@ -117,9 +117,7 @@
                     or not budget.try_spend()
                 ):
                     raise _final(request, error, course.ran) from error
-                log.info(
-                    'Request %s is retried: %s.', request.request_id, error
-                )
+                log.info('Request %s is retried: %s', request.request_id, error)
 
 
 def _place(
@@ -153,6 +151,7 @@
         with task.in_phase(progress.running_phase(request)):
             chunks.prime(whole=not request.stream)
     except progress.AbortedError as aborted:
+        chunks.close()
         raise aborted.with_outcome(types.Ran.UNKNOWN) from aborted
     return types.Answer(answer.head, chunks)
 
--- a/ivystep/entry/links.py
+++ b/ivystep/entry/links.py
@@ -6,11 +6,13 @@
 answer.
 """
 
-import functools
 import typing
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
+
+import eventlet
 
 from ivystep.core import errors, types, units
+from ivystep.entry import reception
 from ivystep.runtime import clock, logs
 from ivystep.wire import channel, convert, tls
 from ivystep.wire.gen import ttypes
@@ -18,7 +20,8 @@
 HELLO_TIMEOUT_S = 2.0
 ACCEPT_TIMEOUT_S = 5.0
 LOAD_TIMEOUT_S = 90.0
-REVOKE_TIMEOUT_S = 2.0
+# A caller waits for the answer meanwhile, perhaps past its deadline.
+REVOKE_TIMEOUT_S = 1.0
 WATCH_TIMEOUT_S = 3.0
 RECONNECT_S = 0.5
 MAX_IDLE_CHANNELS = 32
@@ -72,26 +75,19 @@
         link = self._take(attempt)
         budget_s = attempt.request.deadline - clock.now()
         message = convert.run_attempt(attempt, int(budget_s * units.MS_PER_S))
+        received = reception.Reception(link, attempt, self._release)
         try:
-            reply = link.request(message, ACCEPT_TIMEOUT_S)
-            if isinstance(reply, ttypes.AttemptAccepted):
-                reply = link.receive(max(budget_s, 0) + HELLO_TIMEOUT_S)
+            link.send(message)
+            head = received.head(ACCEPT_TIMEOUT_S)
         except errors.LinkError as error:
-            link.close()
+            received.close()
             raise self._lost(attempt, error) from error
         except BaseException:
             # The request was given up; closing the connection tells the
             # sidecar, and a late answer cannot reach another request.
-            link.close()
+            received.close()
             raise
-        if isinstance(reply, ttypes.AttemptFailed):
-            self._release(link)
-            raise failure(reply, link.peer)
-        if not isinstance(reply, ttypes.AnswerHead):
-            link.close()
-            raise self._lost(attempt, errors.LinkError('unexpected message'))
-        head = types.AnswerHead(reply.status, reply.content_type)
-        return types.Answer(head, self._chunks(link, attempt))
+        return types.Answer(head, received)
 
     def revoke(self, attempt: types.Attempt) -> types.Ran:
         """Revoke an attempt; see ``UpstreamLink.revoke``."""
@@ -99,10 +95,14 @@
             attempt.attempt_id, attempt.placement.sidecar_incarnation
         )
         try:
-            reply = self._ask(message, REVOKE_TIMEOUT_S)
-        except errors.LinkError:
+            with eventlet.Timeout(REVOKE_TIMEOUT_S, TimeoutError):
+                reply = self._ask(message, REVOKE_TIMEOUT_S)
+        except (errors.LinkError, TimeoutError):
             return types.Ran.UNKNOWN
-        return types.Ran(reply.ran)
+        is_answer = isinstance(reply, ttypes.AttemptState)
+        if is_answer and reply.attempt_id == attempt.attempt_id:
+            return types.Ran(reply.ran)
+        return types.Ran.UNKNOWN
 
     def load(
         self, order: types.LoadOrder, setup_version: int
@@ -197,86 +197,3 @@
             step=error.step,
             peer=attempt.placement.upstream_id,
         )
-
-    def _chunks(
-        self, link: channel.Channel, attempt: types.Attempt
-    ) -> Iterator[bytes]:
-        is_complete = False
-        try:
-            while not is_complete:
-                message = link.receive(
-                    attempt.request.deadline - clock.now() + HELLO_TIMEOUT_S
-                )
-                is_complete = _is_end(message, attempt)
-                if not is_complete:
-                    yield _chunk_data(message, link.peer)
-        except errors.LinkError as error:
-            raise errors.RequestError(
-                'upstream_lost',
-                'The answer was cut off.',
-                status=502,
-                ran=types.Ran.UNKNOWN,
-                step=error.step,
-                peer=attempt.placement.upstream_id,
-            ) from error
-        finally:
-            if is_complete:
-                self._release(link)
-            else:
-                link.close()
-
-
-def failure(message: ttypes.AttemptFailed, peer: str) -> errors.RequestError:
-    """Convert a failure message to the error that it stands for."""
-    retry_after_s = None
-    if message.retry_after_ms is not None:
-        retry_after_s = message.retry_after_ms / units.MS_PER_S
-    return errors.RequestError(
-        message.code,
-        message.reason,
-        status=message.status,
-        ran=types.Ran(message.ran),
-        retry_after_s=retry_after_s,
-        engine_lost=message.engine_lost,
-        step='run',
-        peer=peer,
-    )
-
-
-def _is_end(message: typing.Any, attempt: types.Attempt) -> bool:
-    """Return whether a message ends the answer, and check whose it is."""
-    if not isinstance(message, ttypes.AnswerEnd):
-        return False
-    ref = convert.optional_adapter_ref(message.adapter)
-    if (
-        message.attempt_id != attempt.attempt_id
-        or ref != attempt.request.adapter
-    ):
-        log.error('Invariant violated: crossed %s.', attempt.attempt_id)
-        raise errors.RequestError(
-            'invalid_answer',
-            'The answer belongs to another attempt.',
-            status=502,
-            ran=types.Ran.UNKNOWN,
-            step='relay',
-            peer=attempt.placement.upstream_id,
-        )
-    return True
-
-
-@functools.singledispatch
-def _chunk_data(message: typing.Any, peer: str) -> bytes:
-    """Return the bytes in a message of an answer."""
-    raise errors.LinkError(
-        f'unexpected {type(message).__name__}', step='relay', peer=peer
-    )
-
-
-@_chunk_data.register
-def _answer_chunk(message: ttypes.AnswerChunk, peer: str) -> bytes:
-    return message.data
-
-
-@_chunk_data.register
-def _attempt_failed(message: ttypes.AttemptFailed, peer: str) -> bytes:
-    raise failure(message, peer)
--- /dev/null
+++ b/ivystep/entry/reception.py
@@ -0,0 +1,180 @@
+"""Receives one answer on a data connection.
+
+Every message names its attempt or follows one that does; a message of another
+attempt is never passed on, and its connection is never used again.
+"""
+
+import functools
+import typing
+from collections.abc import Callable
+
+from ivystep.core import errors, types, units
+from ivystep.runtime import clock, logs
+from ivystep.wire import channel, convert
+from ivystep.wire.gen import ttypes
+
+# A sidecar answers at the deadline; later than this it counts as lost.
+GRACE_S = 0.5
+
+log = logs.get('entry')
+
+
+class Reception:
+    """The answer of one attempt, message by message.
+
+    Args:
+        link: The data connection on which the attempt was sent.
+        attempt: The attempt.
+        release: Called with the connection after a complete answer.
+    """
+
+    def __init__(
+        self,
+        link: channel.Channel,
+        attempt: types.Attempt,
+        release: Callable[[channel.Channel], None],
+    ) -> None:
+        self._link = link
+        self._attempt = attempt
+        self._release = release
+        self._is_ended = False
+
+    def head(self, accept_timeout_s: float) -> types.AnswerHead:
+        """Wait for the head of the answer.
+
+        Args:
+            accept_timeout_s: Longest wait for the sidecar's first message.
+
+        Returns:
+            Status and content type.
+
+        Raises:
+            errors.RequestError: The attempt failed.
+            errors.LinkError: The connection was lost or is not usable.
+        """
+        timeout_s = min(accept_timeout_s, self._time_left())
+        reply = self._checked(self._link.receive(timeout_s))
+        if isinstance(reply, ttypes.AttemptAccepted):
+            reply = self._checked(self._link.receive(self._time_left()))
+        if isinstance(reply, ttypes.AttemptFailed):
+            self._is_ended = True
+            self._release(self._link)
+            raise failure(reply, self._link.peer)
+        if not isinstance(reply, ttypes.AnswerHead):
+            raise _unexpected(reply, self._link.peer)
+        return types.AnswerHead(reply.status, reply.content_type)
+
+    def __iter__(self) -> typing.Self:
+        return self
+
+    def __next__(self) -> bytes:
+        """Wait for the next bytes of the answer.
+
+        Raises:
+            errors.RequestError: The answer was cut off.
+        """
+        if self._is_ended:
+            raise StopIteration
+        try:
+            message = self._link.receive(self._time_left())
+            if not isinstance(message, ttypes.AnswerEnd):
+                return _chunk_data(message, self._link.peer)
+            self._end(message)
+        except errors.LinkError as error:
+            self.close()
+            raise self._cut(
+                'upstream_lost', 'The answer was cut off.'
+            ) from error
+        except BaseException:
+            self.close()
+            raise
+        raise StopIteration
+
+    def close(self) -> None:
+        """Abandon the rest; the connection is not used again."""
+        if not self._is_ended:
+            self._is_ended = True
+            self._link.close()
+
+    def _end(self, message: ttypes.AnswerEnd) -> None:
+        ref = convert.optional_adapter_ref(message.adapter)
+        self._checked(message)
+        if ref != self._attempt.request.adapter:
+            raise self._cut('invalid_answer', 'Another adapter answered.')
+        self._is_ended = True
+        self._release(self._link)
+
+    def _checked(self, message: typing.Any) -> typing.Any:
+        """Return a message of this attempt.
+
+        Raises:
+            errors.LinkError: The message belongs to another attempt.
+        """
+        found = getattr(message, 'attempt_id', self._attempt.attempt_id)
+        if found != self._attempt.attempt_id:
+            log.error(
+                'Invariant violated: %s got a message of %s.',
+                self._attempt.attempt_id,
+                found,
+            )
+            raise errors.LinkError(
+                'message of another attempt', step='run', peer=self._link.peer
+            )
+        return message
+
+    def _time_left(self) -> float:
+        deadline = self._attempt.request.deadline
+        return max(deadline - clock.now(), 0) + GRACE_S
+
+    def _cut(self, code: str, reason: str) -> errors.RequestError:
+        return errors.RequestError(
+            code,
+            reason,
+            status=502,
+            ran=types.Ran.UNKNOWN,
+            step='relay',
+            peer=self._attempt.placement.upstream_id,
+        )
+
+
+def failure(message: ttypes.AttemptFailed, peer: str) -> errors.RequestError:
+    """Convert a failure message to the error that it stands for."""
+    retry_after_s = None
+    if message.retry_after_ms is not None:
+        retry_after_s = message.retry_after_ms / units.MS_PER_S
+    return errors.RequestError(
+        message.code,
+        message.reason,
+        status=message.status,
+        ran=types.Ran(message.ran),
+        retry_after_s=retry_after_s,
+        engine_lost=message.engine_lost,
+        step='run',
+        peer=peer,
+    )
+
+
+@functools.singledispatch
+def _chunk_data(message: typing.Any, peer: str) -> bytes:
+    """Return the bytes in a message of an answer."""
+    raise _unexpected(message, peer)
+
+
+@_chunk_data.register
+def _answer_chunk(message: ttypes.AnswerChunk, peer: str) -> bytes:
+    return message.data
+
+
+@_chunk_data.register
+def _attempt_failed(message: ttypes.AttemptFailed, peer: str) -> bytes:
+    error = failure(message, peer)
+    if error.ran is types.Ran.NO:
+        # The answer has started, so the upstream has begun to run it.
+        error.ran = types.Ran.UNKNOWN
+    raise error
+
+
+def _unexpected(message: typing.Any, peer: str) -> errors.LinkError:
+    return errors.LinkError(
+        f'unexpected {type(message).__name__}', step='run', peer=peer
+    )
--- a/ivystep/entry/relay.py
+++ b/ivystep/entry/relay.py
@@ -80,7 +80,7 @@
         try:
             collections.deque(self, maxlen=0)
         except errors.RequestError as error:
-            log.info('The rest of an answer failed: %s.', error)
+            log.info('The rest of an answer failed: %s', error)
 
     def close(self) -> None:
         """Abandon the rest; safe to call at any time and twice."""
@@ -120,5 +120,5 @@
         error = aborted.with_outcome(types.Ran.UNKNOWN)
         yield answers.error_event(error, request_id)
     except errors.RequestError as error:
-        log.warning('Request %s was cut off: %s.', request_id, error)
+        log.warning('Request %s was cut off: %s', request_id, error)
         yield answers.error_event(error, request_id)
--- /dev/null
+++ b/tests/coordination/test_retry_budget.py
@@ -0,0 +1,36 @@
+"""The retry budget used on its own."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ivystep.coordination import retry_budget
+
+
+@given(
+    st.lists(st.booleans(), max_size=400),
+    st.floats(0, 1),
+    st.floats(0, 20),
+)
+def test_retries_never_exceed_ratio_and_reserve(events, ratio, reserve):
+    """Guards against a budget that lets retries amplify an outage."""
+    budget = retry_budget.RetryBudget(ratio, reserve)
+    requests = retries = 0
+    for is_request in events:
+        if is_request:
+            requests += 1
+            budget.on_request()
+        else:
+            retries += budget.try_spend()
+        assert retries <= requests * ratio + reserve + 1e-6
+
+
+def test_budgets_are_apart_and_bounded():
+    """Guards against one source using up another's, and unbounded memory."""
+    budgets = retry_budget.RetryBudgets(max_budgets=2, ratio=0, reserve=1)
+    assert budgets.budget('a').try_spend()
+    assert not budgets.budget('a').try_spend()
+    assert budgets.budget('b').try_spend()
+    budgets.budget('a')
+    budgets.budget('c')
+    assert not budgets.budget('a').try_spend()
+    assert budgets.budget('b').try_spend()
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -158,6 +158,7 @@
     """The caller's connection of a call in memory."""
 
     is_closing = False
+    on_gone = None
 
     def watch(self, on_gone):
         self.on_gone = on_gone
--- a/tests/entry/test_at_most_once.py
+++ b/tests/entry/test_at_most_once.py
@@ -98,9 +98,7 @@
 
 
 def leave(connection):
-    gone = getattr(connection, 'on_gone', None)
-    if gone is not None:
-        gone()
+    (connection.on_gone or bool)()
 
 
 def error_in(received):
--- /dev/null
+++ b/tests/entry/test_reception.py
@@ -0,0 +1,119 @@
+"""Answers on a data connection, in and out of order."""
+
+import socket
+
+import eventlet
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ivystep.core import errors, types
+from ivystep.entry import reception
+from ivystep.runtime import clock
+from ivystep.wire import channel
+from ivystep.wire.gen import ttypes
+
+REF = types.AdapterRef('fields', 'plan', 2)
+WRONG = ttypes.AdapterId('fields', 'plan', 1)
+RIGHT = ttypes.AdapterId('fields', 'plan', 2)
+
+
+def attempt():
+    request = types.Request(
+        'req', 'fields', 'app', 'base', REF, 's', '/v1/completions', b'{}',
+        True, True, clock.now(), clock.now() + 5, b'f', 7,
+    )  # fmt: skip
+    return types.Attempt('att', types.Placement(request, 'a', 'a-1'))
+
+
+def message(kind, owner):
+    failed = {'refused': 'no', 'failed': 'unknown'}
+    if kind in failed:
+        return ttypes.AttemptFailed(
+            owner, 'code', 'Reason.', failed[kind], 503, None, False
+        )
+    return {
+        'accepted': lambda: ttypes.AttemptAccepted(owner),
+        'head': lambda: ttypes.AnswerHead(owner, 200, 'text/plain'),
+        'chunk': lambda: ttypes.AnswerChunk(b'x'),
+        'end': lambda: ttypes.AnswerEnd(owner, RIGHT, 'e'),
+        'wrong end': lambda: ttypes.AnswerEnd(owner, WRONG, 'e'),
+        'status': lambda: ttypes.Hello('p', 'i', 'sidecar', 1),
+    }[kind]()
+
+
+KINDS = [
+    'accepted', 'head', 'chunk', 'chunk', 'end', 'wrong end', 'refused',
+    'failed', 'status',
+]  # fmt: skip
+
+
+@settings(max_examples=300, deadline=None, derandomize=True)
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(KINDS), st.sampled_from(['att'] * 5 + ['o']))
+    ),
+    st.booleans(),
+)
+def test_only_a_complete_answer_of_the_attempt_is_passed_on(sent, in_order):
+    """Guards against crossed answers, and "ran: no" after an answer began."""
+    if in_order:
+        sent = [('accepted', 'att'), ('head', 'att'), *sent]
+    near, far = socket.socketpair()
+    peer = channel.Channel(far, 'far')
+    released = []
+    received = reception.Reception(
+        channel.Channel(near, 'near'), attempt(), released.append
+    )
+    for kind, owner in sent:
+        peer.send(message(kind, owner))
+    peer.close()
+    got = []
+    outcome = 'complete'
+    head = None
+    try:
+        head = received.head(1)
+        got.extend(received)
+    except errors.LinkError:
+        outcome = 'lost'
+    except errors.RequestError as error:
+        outcome = error.ran.value
+    kinds = [kind for kind, _ in sent]
+    start = kinds[:1] == ['accepted']
+    body = kinds[start + 1 :]
+    if outcome == 'complete':
+        ending = body.index('end')
+        assert set(body[:ending]) <= {'chunk'}
+        assert len(got) == ending
+        own = [owner for kind, owner in sent if kind != 'chunk']
+        assert set(own[: start + 2]) == {'att'}
+    if outcome == 'no':
+        assert head is None
+        assert sent[start] == ('refused', 'att')
+    is_clean = outcome == 'complete' or (head is None and outcome != 'lost')
+    assert bool(released) == is_clean
+
+
+def test_abandoned_answer_closes_its_connection():
+    """Guards against a late answer on a connection that is used again."""
+    near, far = socket.socketpair()
+    link = channel.Channel(near, 'near')
+    received = reception.Reception(link, attempt(), lambda _: 1 / 0)
+    received.close()
+    assert link.is_closed
+    assert list(received) == []
+    with eventlet.Timeout(1):
+        assert far.recv(1) == b''
+
+
+def test_silent_sidecar_is_given_up_at_the_deadline():
+    """Guards against answers held back past the caller's deadline."""
+    near, far = socket.socketpair()
+    one = attempt()
+    received = reception.Reception(
+        channel.Channel(near, 'near'), one, lambda _: None
+    )
+    waiting = eventlet.spawn(received.head, 0.05)
+    with eventlet.Timeout(1), pytest.raises(errors.LinkError):
+        waiting.wait()
+    far.close()
