Drain an entry without cutting off a connection

Cause: the server task was killed while the listening socket stayed open until the last connection had ended, so new connections hung; a request that had arrived but not been read was cut when idle connections were closed; requests left at the drain deadline got no answer; the process ended while last answers were still under way.

Change: answers during the drain carry Connection: close; the listener closes after the notice, and connections whose next request has arrived are kept; at the deadline, or at a second SIGTERM, every remaining request is told to give up and answers with its outcome; the drain waits for connections and for the recording of outcomes.

Ruled out: killing the server before closing the listener (a connection that was accepted in between was reset in a test run).

Conclusion: holds in one process; the drain of a real process under load is not measured yet.

--- a/ivystep/entry/connections.py
+++ b/ivystep/entry/connections.py
@@ -5,7 +5,6 @@
 answer, or hold back small pieces of a stream.
 """
 
-import dataclasses
 import functools
 import http
 import re
@@ -53,17 +52,42 @@
 )
 
 
-@dataclasses.dataclass(slots=True)
 class Door:
     """What all connections of one listener share.
 
-    Attributes:
+    Args:
         read_timeout_s: Longest time for the head of a request, in seconds.
+
+    Attributes:
         is_closing: Whether each connection ends after its current answer.
     """
 
-    read_timeout_s: float
-    is_closing: bool = False
+    def __init__(self, read_timeout_s: float) -> None:
+        self.read_timeout_s = read_timeout_s
+        self.is_closing = False
+        self._open: set[CallerConnection] = set()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no connection is open."""
+        return not self._open
+
+    def add(self, connection: 'CallerConnection') -> None:
+        """Register an open connection."""
+        self._open.add(connection)
+
+    def remove(self, connection: 'CallerConnection') -> None:
+        """Remove a connection that was closed."""
+        self._open.discard(connection)
+
+    def keep_arrived(self) -> None:
+        """Keep connections open whose next request has arrived.
+
+        Must be called just before the server is killed, which closes idle
+        connections without looking for a request in them.
+        """
+        for connection in self._open:
+            connection.keep_if_arrived()
 
 
 def serve(
@@ -132,6 +156,7 @@
         """Prepare the connection; small pieces are sent without delay."""
         super().setup()
         self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._door.add(self)
 
     def parse_request(self) -> bool:
         """Read and check the head of a request.
@@ -215,8 +240,15 @@
         except OSError:
             # The caller has gone, so nothing is left to be delivered.
             self.close_connection = True
+        finally:
+            self._door.remove(self)
         super().finish()
 
+    def keep_if_arrived(self) -> None:
+        """Count as busy if the first bytes of a request are waiting."""
+        if self.conn_state[2] == wsgi.STATE_IDLE and self._peek():
+            self.conn_state[2] = wsgi.STATE_REQUEST
+
     def _read_request_line(self) -> bytes:
         """Wait for a request and return its first line, empty at the end."""
         try:
@@ -298,16 +330,17 @@
                 total += received
 
     def _on_readable(self, on_gone: Callable[[], None]) -> None:
-        try:
-            waiting = self.connection.fd.recv(
-                1, socket.MSG_PEEK | socket.MSG_DONTWAIT
-            )
-        except BlockingIOError:
-            return
-        except OSError:
-            waiting = b''
         # Bytes that wait here belong to a pipelined request. The end of the
         # connection cannot be seen behind them, so the watch ends too.
         self.unwatch()
-        if not waiting:
+        if not self._peek():
             on_gone()
+
+    def _peek(self) -> bytes:
+        """Return a byte that has arrived; empty at the end or if none has."""
+        try:
+            return self.connection.fd.recv(
+                1, socket.MSG_PEEK | socket.MSG_DONTWAIT
+            )
+        except OSError:
+            return b''
--- a/ivystep/entry/daemon.py
+++ b/ivystep/entry/daemon.py
@@ -16,10 +16,20 @@
 from ivystep.wire import tls
 
 MAX_CONNECTIONS = 2048
+# Time in which requests that were told to give up send their last answer:
+# a revocation takes up to 1 s, the close of a connection up to 2 s.
+ABORT_GRACE_S = 4.0
 
 log = logs.get('entry')
 
 
+class Deadline(typing.Protocol):
+    """What the drain needs of ``drain.DrainSignal``."""
+
+    def finish(self, is_idle: Callable[[], bool], deadline_s: float) -> bool:
+        """Wait until all is idle; False at the deadline."""
+
+
 class EntryDaemon:
     """All parts of one entry.
 
@@ -82,13 +92,49 @@
         log.info('Entry %s serves callers.', self.settings.process.id)
         signals.wait()
         log.info('Entry %s drains.', self.settings.process.id)
+        self.drain(server, listener, signals)
+        log.info('Entry %s stopped.', self.settings.process.id)
+
+    def drain(
+        self, server: typing.Any, listener: typing.Any, signals: Deadline
+    ) -> None:
+        """Stop without interrupting a request before the drain deadline.
+
+        Readiness fails first, while the listener stays open for as long as
+        load balancers need to notice.
+
+        Args:
+            server: The task that accepts callers.
+            listener: Its listening socket.
+            signals: Tells when the remaining requests must end.
+        """
         self.is_ready = False
+        self.door.is_closing = True
         clock.sleep(self.settings.drain.notice_s)
-        eventlet.spawn(server.kill)
-        signals.finish(
-            lambda: self.in_progress.is_idle, self.settings.drain.deadline_s
-        )
-        log.info('Entry %s stopped.', self.settings.process.id)
+        self.close_listener(server, listener)
+        if not signals.finish(self._is_idle, self.settings.drain.deadline_s):
+            self.in_progress.on_drain_deadline()
+            give_up = clock.now() + ABORT_GRACE_S
+            while not self._is_idle() and clock.now() < give_up:
+                clock.sleep(drain.POLL_S)
+
+    def close_listener(self, server: typing.Any, listener: typing.Any) -> None:
+        """Accept no more connections and close idle ones.
+
+        No other task runs between these steps, so that no connection is
+        accepted by the kernel and then reset.
+
+        Args:
+            server: The task that accepts callers.
+            listener: Its listening socket.
+        """
+        self.door.is_closing = True
+        self.door.keep_arrived()
+        listener.close()
+        server.kill()
+
+    def _is_idle(self) -> bool:
+        return self.in_progress.is_idle and self.door.is_empty
 
     def _follow_setup(self, interval_s: float) -> None:
         while True:
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -190,10 +190,10 @@
         )
         if virtual:
             return
-        listener = eventlet.listen(('127.0.0.1', 0))
-        self.address = listener.getsockname()
+        self.listener = eventlet.listen(('127.0.0.1', 0))
+        self.address = self.listener.getsockname()
         self.server = eventlet.spawn(
-            connections.serve, listener, self.api, self.door, 64
+            connections.serve, self.listener, self.api, self.door, 64
         )
 
     def call_in_memory(self, body, key=KEY, connection=None, **environ):
--- /dev/null
+++ b/tests/entry/test_drain.py
@@ -0,0 +1,160 @@
+"""The drain of an entry with real connections."""
+
+import socket
+import types as std_types
+
+import eventlet
+import pytest
+
+from ivystep.core import types
+from ivystep.entry import daemon
+from ivystep.runtime import drain
+from tests.entry import harness
+
+STREAM = {'model': 'plan', 'stream': True}
+
+
+class Draining:
+    """An entry that can be drained; its stream waits for ``gate``."""
+
+    def __init__(self, deadline_s=3.0, notice_s=0.05):
+        self.gate = harness.new_gate()
+        self.entry = harness.Entry(self.run)
+        self.signals = drain.DrainSignal()
+        # The daemon is built around the harness's parts, since its own
+        # constructor connects to the platform.
+        self.daemon = object.__new__(daemon.EntryDaemon)
+        self.daemon.settings = std_types.SimpleNamespace(
+            drain=std_types.SimpleNamespace(
+                notice_s=notice_s, deadline_s=deadline_s
+            )
+        )
+        self.daemon.is_ready = True
+        self.daemon.door = self.entry.door
+        self.daemon.in_progress = self.entry.progress
+
+    def run(self, attempt):
+        if not attempt.request.stream:
+            return harness.answer(b'{}')
+        head = types.AnswerHead(200, 'text/event-stream')
+        return types.Answer(head, self.chunks())
+
+    def chunks(self):
+        yield b'data: 1\n\n'
+        self.gate.wait()
+        yield b'data: [DONE]\n\n'
+
+    def start(self):
+        return eventlet.spawn(
+            self.daemon.drain,
+            self.entry.server,
+            self.entry.listener,
+            self.signals,
+        )
+
+    def open_stream(self):
+        connection = self.entry.connect()
+        connection.sendall(
+            harness.head_and_body(STREAM, connection='keep-alive')
+        )
+        received = b''
+        while b'data: 1' not in received:
+            received += connection.recv(4096)
+        return connection
+
+
+def test_streams_finish_and_idle_connections_close_cleanly():
+    """Guards against answers cut by a planned stop."""
+    draining = Draining()
+    streaming = draining.open_stream()
+    idle = draining.entry.connect()
+    kept = draining.entry.connect()
+    kept.sendall(harness.head_and_body(connection='keep-alive'))
+    while b'{}' not in kept.recv(4096):
+        continue
+    stopped = draining.start()
+    harness.wait_until(lambda: draining.daemon.door.is_closing)
+    assert not draining.daemon.is_ready
+    # A request during the notice is served and told that the end has come.
+    status, headers, _ = harness.parse(
+        draining.entry.raw(harness.head_and_body(connection='keep-alive'))
+    )
+    assert (status, headers['Connection']) == (200, 'close')
+    assert idle.recv(1) == b''
+    assert kept.recv(1) == b''
+    with pytest.raises(ConnectionRefusedError):
+        draining.entry.connect()
+    assert not stopped.dead
+    draining.gate.send()
+    assert harness.read_all(streaming).endswith(b'[DONE]\n\n\r\n0\r\n\r\n')
+    with eventlet.Timeout(2):
+        stopped.wait()
+
+
+def test_a_request_that_has_arrived_is_answered_after_the_close():
+    """Guards against requests cut between their arrival and their start."""
+    draining = Draining()
+    connections = [draining.entry.connect() for _ in range(20)]
+    for connection in connections[:10]:
+        connection.sendall(harness.head_and_body(connection='keep-alive'))
+        assert b'{}' in connection.recv(4096)
+    for connection in connections[::2]:
+        connection.sendall(harness.head_and_body()[:20])
+    eventlet.sleep(0.02)
+    for connection in connections[1::2]:
+        connection.sendall(harness.head_and_body())
+    # Of these requests no task of the entry has seen a byte yet.
+    draining.daemon.close_listener(
+        draining.entry.server, draining.entry.listener
+    )
+    for connection in connections[::2]:
+        connection.sendall(harness.head_and_body()[20:])
+    for connection in connections:
+        assert harness.parse(harness.read_all(connection))[0] == 200
+
+
+def test_drain_deadline_ends_requests_with_their_outcome():
+    """Guards against connections that end without an answer."""
+    draining = Draining(deadline_s=0.1)
+    streaming = draining.open_stream()
+    queued_gate = draining.entry.pool.gate = harness.new_gate()
+    queued = draining.entry.connect()
+    queued.sendall(harness.head_and_body())
+    eventlet.sleep(0.02)
+    stopped = draining.start()
+    received = harness.read_all(streaming)
+    assert b'"code": "entry_draining"' in received
+    assert b'"ran": "unknown"' in received
+    status, headers, document = harness.parse(harness.read_all(queued))
+    assert (status, headers['Retry-After']) == (503, '1')
+    assert document['error']['ran'] == 'no'
+    with eventlet.Timeout(2):
+        stopped.wait()
+    assert draining.entry.pool.held == 0
+    queued_gate.send()
+
+
+def test_second_signal_moves_the_deadline_to_now():
+    """Guards against a stop that cannot be hurried."""
+    draining = Draining(deadline_s=60)
+    streaming = draining.open_stream()
+    stopped = draining.start()
+    eventlet.sleep(0.1)
+    draining.signals._advance()
+    draining.signals._advance()
+    assert b'entry_draining' in harness.read_all(streaming)
+    with eventlet.Timeout(2):
+        stopped.wait()
+
+
+def test_pipelined_request_behind_a_stream_gets_a_clean_close():
+    """Guards against a reset that discards the end of a stream."""
+    draining = Draining()
+    streaming = draining.open_stream()
+    streaming.sendall(harness.head_and_body() * 3)
+    draining.start()
+    eventlet.sleep(0.1)
+    draining.gate.send()
+    received = harness.read_all(streaming)
+    assert b'[DONE]' in received
+    streaming.shutdown(socket.SHUT_RDWR)
