Measure the data path of one entry

Cause: there was no figure for the processor time of a request and of a relayed event, nor for the delay that the entry adds to the first token.

The stand-ins send each piece of a stream at once, as engines do; with the default of 4 KiB the direct call measured the buffer.

--- a/standins/web.py
+++ b/standins/web.py
@@ -89,6 +89,12 @@
     """
     listener = eventlet.listen(address)
     eventlet.spawn(
-        wsgi.server, listener, app(handle), log_output=False, debug=False
+        wsgi.server,
+        listener,
+        app(handle),
+        log_output=False,
+        debug=False,
+        # Sends each piece of a stream at once, as engines do.
+        minimum_chunk_size=1,
     )
     return listener
