Send frames without delay on accepted connections too

Cause: the first event through the entry took 41 ms longer than directly. Only opened connections had TCP_NODELAY, so the second small frame of a sidecar (the head after the acceptance) waited for a delayed acknowledgement.

Ruled out: the caller connection (it had TCP_NODELAY already) and the stand-in engine (the direct call uses the same one).

--- a/ivystep/wire/channel.py
+++ b/ivystep/wire/channel.py
@@ -4,6 +4,7 @@
 never used again, so a late answer cannot reach another request.
 """
 
+import contextlib
 import select
 import socket
 import struct
@@ -75,6 +76,10 @@
     def __init__(self, connection: socket.socket, peer: str) -> None:
         self.peer = peer
         self.is_closed = False
+        # Several small frames follow one another without an answer. Without
+        # this, the second waits 40 ms for the acknowledgement of the first.
+        with contextlib.suppress(OSError):
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._connection = connection
         self._reader = connection.makefile('rb')
 
@@ -103,7 +108,6 @@
         try:
             with eventlet.Timeout(CONNECT_TIMEOUT_S, TimeoutError):
                 raw = socket.create_connection(address)
-                raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 secured = contexts.client.wrap_socket(
                     raw, server_hostname=peer_name
                 )
