Own the engine by a lease and drain the sidecar in order

Cause: any sidecar process could order its engine, with a constant fencing token; the drain notice ignored a second SIGTERM and attempts that were left at the deadline just lost their connection.

Now orders need the lease engine/<upstream>, checked just before each is sent. With checks_fencing the last owner may order through an outage, because the engine refuses old tokens. The evicted adapters of one order leave use together, so that an attempt cannot start on one while another is unloaded.

Ruled out: a lease for serving; answers name their adapter and are checked.

--- a/ivystep/settings/models.py
+++ b/ivystep/settings/models.py
@@ -106,6 +106,13 @@
     health_interval_s: Seconds = pydantic.Field(
         0.5, description='Time between health checks.'
     )
+    checks_fencing: bool = pydantic.Field(
+        False,
+        description='Whether the engine refuses orders with an old token.',
+    )
+    lease_s: Seconds = pydantic.Field(
+        15.0, description='Duration of the lease on the engine.'
+    )
 
 
 class RequestLimits(Section):
--- a/ivystep/sidecar/crashes.py
+++ b/ivystep/sidecar/crashes.py
@@ -17,9 +17,14 @@
 
 
 class CrashLog:
-    """Fingerprints by failure, bounded in number and age."""
+    """Fingerprints by failure, bounded in number and age.
+
+    Attributes:
+        count: Failures recorded so far.
+    """
 
     def __init__(self) -> None:
+        self.count = 0
         self._crashes: collections.deque[tuple[float, bytes]] = (
             collections.deque(maxlen=MAX_FINGERPRINTS)
         )
@@ -44,6 +49,7 @@
         if self.has(incarnation):
             return False
         self._incarnations.append(incarnation)
+        self.count += 1
         current = clock.now()
         # One request in several attempts is lost once with each failure.
         self._crashes.extend((current, one) for one in set(fingerprints))
--- a/ivystep/sidecar/departure.py
+++ b/ivystep/sidecar/departure.py
@@ -1,4 +1,4 @@
-"""Ends an attempt at once when its entry closes the data connection."""
+"""Ends an attempt from outside: its entry has left, or the host stops."""
 
 import contextlib
 import typing
@@ -12,7 +12,9 @@
 
 
 @contextlib.contextmanager
-def watched(peer: channel.Channel) -> Generator[None, None, None]:
+def watched(
+    peer: channel.Channel, interrupts: 'set[Departure]'
+) -> Generator[None, None, None]:
     """Raise an error in the block when the peer leaves.
 
     The error arises wherever the block waits, for example for an engine that
@@ -20,20 +22,27 @@
 
     Args:
         peer: Connection to the entry, which sends nothing during an attempt.
+        interrupts: Holds, while the block runs, what can interrupt it.
 
     Raises:
         errors.LinkError: The peer has closed the connection, or has sent
             something in the middle of an attempt.
     """
-    departure = _Departure(peer)
+    departure = Departure(peer)
+    interrupts.add(departure)
     try:
         yield
     finally:
+        interrupts.discard(departure)
         departure.cancel()
 
 
-class _Departure:
-    """Waits for the peer and interrupts the current task."""
+class Departure:
+    """Waits for the peer and interrupts the task that created it.
+
+    Args:
+        peer: Connection to the entry.
+    """
 
     def __init__(self, peer: channel.Channel) -> None:
         self._peer = peer
@@ -47,17 +56,27 @@
             self._timer.cancel()
         self._watcher.kill()
 
+    def interrupt(self, error: Exception) -> None:
+        """Raise an error in the task, unless its block ends first.
+
+        Args:
+            error: What to raise; the first one counts.
+        """
+        # Raised through the hub and not from here, so that ending the block
+        # first cancels it.
+        if self._timer is None:
+            self._timer = hubs.get_hub().schedule_call_global(
+                0, self._task.throw, error
+            )
+
     def _watch(self) -> None:
         try:
             self._peer.wait_readable()
         except OSError:
             # The connection was closed on this side, with the same meaning.
             self._peer.close()
-        error = errors.LinkError(
-            'the entry has left', step='run', peer=self._peer.peer
-        )
-        # Raised through the hub and not from here, so that ending the block
-        # first cancels it.
-        self._timer = hubs.get_hub().schedule_call_global(
-            0, self._task.throw, error
+        self.interrupt(
+            errors.LinkError(
+                'the entry has left', step='run', peer=self._peer.peer
+            )
         )
--- a/ivystep/sidecar/host.py
+++ b/ivystep/sidecar/host.py
@@ -3,14 +3,16 @@
 import itertools
 
 import eventlet
-from eventlet import event
+from eventlet import event, greenthread
 
 from ivystep.core import errors, ids, types
+from ivystep.metrics import registry
 from ivystep.runtime import clock, logs
 from ivystep.settings import models
 from ivystep.sidecar import (
     attempts,
     crashes,
+    departure,
     handover,
     orders,
     ownership,
@@ -29,14 +31,14 @@
     Args:
         upstream_id: Name of the upstream.
         settings: The [upstream] section.
-        owner: Permission to give orders to the engine.
+        metrics: Where orders and violations are counted.
     """
 
     def __init__(
         self,
         upstream_id: str,
         settings: models.Upstream,
-        owner: ownership.Owner | None = None,
+        metrics: registry.Metrics | None = None,
     ) -> None:
         self.upstream_id = upstream_id
         self.incarnation = ids.new_id('inc')
@@ -51,15 +53,15 @@
         self.attempts = attempts.AttemptLog()
         self.residency = residency.Residency(settings.slots)
         self.http = upstream.UpstreamHttp.from_settings(settings)
-        self.orders = orders.EngineOrders(
-            self, owner or ownership.UncheckedOwner()
-        )
+        self.metrics = metrics or registry.Metrics()
+        self.orders = orders.EngineOrders(self, ownership.UncheckedOwner())
+        self.interrupts: set[departure.Departure] = set()
         self._health_interval_s = settings.health_interval_s
         self._sequence = itertools.count(1)
-        self._crashes = crashes.CrashLog()
+        self.crashes = crashes.CrashLog()
         self._handover = handover.Handover()
         self._unnamed = itertools.count(1)
-        self._probe_by_incarnation: dict[str, eventlet.GreenThread] = {}
+        self._probe_by_incarnation: dict[str, greenthread.GreenThread] = {}
         self._changed = event.Event()
 
     def status(self) -> types.UpstreamStatus:
@@ -77,9 +79,28 @@
             resident_by_ref=self.residency.snapshot(),
             loading=self.residency.loading,
             setup_version=self.setup_version,
-            crash_fingerprints=self._crashes.fingerprints(),
+            crash_fingerprints=self.crashes.fingerprints(),
         )
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether no attempt and no order is in progress."""
+        return not self.attempts.running and not self.orders.is_active
+
+    def cut_off(self) -> None:
+        """End the running attempts with an error that states the outcome."""
+        for interrupt in tuple(self.interrupts):
+            interrupt.interrupt(
+                errors.RequestError(
+                    'upstream_stopped',
+                    'The upstream host stopped before the answer was complete.',
+                    status=502,
+                    ran=types.Ran.UNKNOWN,
+                    step='drain',
+                    peer=self.upstream_id,
+                )
+            )
+
     def wait_for_change(self, revision: int, timeout_s: float) -> None:
         """Wait until the status differs from the one reported last.
 
@@ -142,10 +163,6 @@
         """Return whether nothing can be running on an adapter."""
         return not (self.residency.is_in_use(ref) or self._handover.covers(ref))
 
-    def is_quarantined(self, fingerprint: bytes) -> bool:
-        """Return whether a request has failed this upstream too often."""
-        return self._crashes.is_quarantined(fingerprint)
-
     def confirm_loss(self, incarnation: str) -> bool:
         """Find out whether a lost connection means that the upstream failed.
 
@@ -159,7 +176,7 @@
         Returns:
             Whether that incarnation has ended.
         """
-        if self._crashes.has(incarnation):
+        if self.crashes.has(incarnation):
             return True
         probe = self._probe_by_incarnation.get(incarnation)
         if probe is None:
@@ -176,6 +193,7 @@
             error: What was found.
         """
         self.violations += 1
+        self.metrics.record_invariant_violation()
         log.error('Invariant violated: %s.', error)
 
     def _is_read(self) -> bool:
@@ -203,7 +221,7 @@
     def _record_crash(
         self, incarnation: str, running: tuple[bytes, ...]
     ) -> None:
-        if not self._crashes.record(incarnation, running):
+        if not self.crashes.record(incarnation, running):
             return
         log.warning(
             'Upstream %s failed with %s requests.',
--- a/ivystep/sidecar/orders.py
+++ b/ivystep/sidecar/orders.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import functools
 import typing
 from collections.abc import Generator
 
@@ -26,14 +27,14 @@
 
     Args:
         beside: The upstream host.
-        owner: Permission to give orders.
+        owner: Permission to give orders, asked just before each of them.
     """
 
     def __init__(self, beside: typing.Any, owner: ownership.Owner) -> None:
+        self.owner = owner
         self.count = 0
         self.is_active = False
         self._beside = beside
-        self._owner = owner
         self._turn = semaphore.Semaphore(1)
 
     def load(self, order: types.LoadOrder) -> types.LoadResult:
@@ -45,6 +46,11 @@
         Returns:
             The outcome; adapters in use are never evicted.
         """
+        outcome = self._in_turn(order)
+        self._beside.metrics.record_load(outcome.code)
+        return outcome
+
+    def _in_turn(self, order: types.LoadOrder) -> types.LoadResult:
         if not self._turn.acquire(timeout=MAX_WAIT_S):
             return types.LoadResult(False, 'busy', 'Another load is running.')
         try:
@@ -86,7 +92,7 @@
             outcome = types.LoadResult(False, 'adapter_in_use', str(error))
         except errors.PlatformError as error:
             log.warning('Load of %s failed: %s.', order.ref, error)
-            outcome = types.LoadResult(False, 'load_failed', str(error))
+            outcome = types.LoadResult(False, _code(error), str(error))
         finally:
             self._finish()
         is_same = beside.engine_incarnation == incarnation
@@ -103,15 +109,14 @@
 
     def _send(self, order: types.LoadOrder) -> None:
         beside = self._beside
-        for ref in order.evict:
-            with (
-                beside.residency.evicting(ref),
-                self._settling(ref, becomes_resident=False),
-            ):
-                beside.notify()
-                beside.http.unload(ref, self._owner.token())
+        with beside.residency.evicting(order.evict):
+            beside.notify()
+            for ref in order.evict:
+                with self._settling(ref, becomes_resident=False):
+                    beside.http.unload(ref, self.owner.token())
+                beside.metrics.record_eviction()
         with self._settling(order.ref, becomes_resident=True):
-            beside.http.load(order.ref, order.source, self._owner.token())
+            beside.http.load(order.ref, order.source, self.owner.token())
 
     @contextlib.contextmanager
     def _active(self) -> Generator[None, None, None]:
@@ -139,3 +144,19 @@
                 ref, becomes_resident=becomes_resident
             )
             raise
+
+
+@functools.singledispatch
+def _code(error: errors.PlatformError) -> str:
+    """Return the code of a failed order for the planner."""
+    return 'load_failed'
+
+
+@_code.register
+def _fenced(error: errors.ConflictError) -> str:
+    return 'fenced'
+
+
+@_code.register
+def _not_owner(error: ownership.NotOwnerError) -> str:
+    return 'not_owner'
--- a/ivystep/sidecar/ownership.py
+++ b/ivystep/sidecar/ownership.py
@@ -4,15 +4,15 @@
 fencing token grows with each holder and goes out with every order.
 
 What remains open: an order that was sent while the lease was held can reach
-the engine after it has lapsed, for example when the network stack delays it
-or when this process is paused between the check and the send. An engine that
-checks fencing refuses such an order once it has seen the next owner's token.
-An engine that ignores fencing carries it out: the next owner then finds an
-adapter that it did not load, or misses one until its next reading, and an
-attempt that starts in that window is answered ``ran: no`` by the engine.
-The sidecar reads the engine again after each order, and the answer check
-withholds whatever another adapter produces, so that the window costs time and
-never gives a wrong answer.
+the engine after it has lapsed, when it is delayed on its way or when this
+process is paused between the check and the send. An engine that checks fencing
+refuses such an order once it has seen the next owner's token; before that
+owner's first order it still carries it out. An engine that ignores fencing
+carries it out at any time: it may unload an adapter on which the next owner's
+attempts are running, or load one that takes a slot. The next owner's sidecar
+reads the engine at each health check and after each of its own orders, and
+withholds what another adapter produces, so no wrong answer results, but an
+adapter can be unloaded under a running attempt in this window.
 
 Serving resident adapters needs no lease.
 """
@@ -20,29 +20,20 @@
 import typing
 
 import eventlet
+from eventlet import greenthread
 
+from ivystep.coordination import lease
 from ivystep.core import errors
-from ivystep.runtime import clock, logs
+from ivystep.platform import table
+from ivystep.runtime import logs
 
-RETRY_S = 1.0
 KEY_PREFIX = 'engine/'
 
 log = logs.get('sidecar')
 
 
-class Lease(typing.Protocol):
-    """What the owner needs of ``ivystep.coordination.lease.Lease``."""
-
-    token: int
-
-    def acquire(self) -> int:
-        """Wait for the lease and return its fencing token."""
-
-    def keep(self) -> None:
-        """Renew the lease until it is lost."""
-
-    def is_held(self) -> bool:
-        """Return whether the lease is held, on the monotonic clock."""
+class NotOwnerError(errors.UnavailableError):
+    """This sidecar may not order its engine now; nothing was sent."""
 
 
 class Owner(typing.Protocol):
@@ -52,12 +43,12 @@
         """Return the fencing token for an order that is sent at once.
 
         Raises:
-            errors.UnavailableError: Orders are not allowed now.
+            NotOwnerError: Orders are not allowed now.
         """
 
 
 class UncheckedOwner:
-    """Permission without a lease, for tests and embedding."""
+    """Permission without a lease, for embedding and for plain services."""
 
     def token(self) -> int:
         """Return a constant token; see ``Owner.token``."""
@@ -68,36 +59,60 @@
     """Permission from a lease.
 
     Args:
-        lease: The lease on the engine.
+        held: The lease on the engine.
         checks_fencing: Whether the engine refuses old tokens. Such an engine
             may be ordered while the platform is out, by the last owner.
     """
 
-    def __init__(self, lease: Lease, *, checks_fencing: bool) -> None:
-        self._lease = lease
+    def __init__(self, held: lease.Lease, *, checks_fencing: bool) -> None:
+        self._lease = held
         self._checks_fencing = checks_fencing
-        self._token = 0
+
+    @classmethod
+    def from_table(
+        cls,
+        rows: table.Table,
+        upstream_id: str,
+        holder_id: str,
+        lease_s: float,
+        *,
+        checks_fencing: bool,
+    ) -> typing.Self:
+        """Return the owner of an upstream's engine.
+
+        Args:
+            rows: The table service.
+            upstream_id: The upstream.
+            holder_id: Incarnation of this sidecar.
+            lease_s: Duration of the lease in seconds.
+            checks_fencing: Whether the engine refuses old tokens.
+        """
+        held = lease.Lease(rows, KEY_PREFIX + upstream_id, holder_id, lease_s)
+        return cls(held, checks_fencing=checks_fencing)
 
     def hold(self) -> None:
-        """Acquire the lease, and again whenever it is lost, until killed."""
+        """Acquire the lease, and again whenever it is lost; run it as a task.
+
+        The task ends when it is killed.
+        """
         while True:
-            try:
-                self._token = self._lease.acquire()
-                log.info('Engine lease held with token %s.', self._token)
-                self._lease.keep()
-                log.warning('Engine lease %s lost.', self._token)
-            except errors.PlatformError as error:
-                log.warning('Engine lease: %s.', error)
-            clock.sleep(RETRY_S)
-
-    def start(self) -> None:
-        """Hold the lease in a task of its own."""
-        eventlet.spawn(self.hold)
+            token = self._lease.acquire()
+            log.info('The engine lease is held with token %s.', token)
+            self._lease.keep()
+            log.warning('The engine lease with token %s was lost.', token)
+
+    def start(self) -> greenthread.GreenThread:
+        """Hold the lease in a task, which is returned."""
+        return eventlet.spawn(self.hold)
+
+    def release(self) -> None:
+        """Give the lease up, so that the next owner need not wait."""
+        self._lease.release()
 
     def token(self) -> int:
         """Return the token of the lease; see ``Owner.token``."""
-        if not self._token:
-            raise errors.UnavailableError('no lease yet', step='order')
+        if not self._lease.token:
+            raise NotOwnerError('no lease so far', step='order')
         if not self._checks_fencing and not self._lease.is_held():
-            raise errors.UnavailableError('the lease has lapsed', step='order')
-        return self._token
+            raise NotOwnerError('the lease has lapsed', step='order')
+        return self._lease.token
--- a/ivystep/sidecar/residency.py
+++ b/ivystep/sidecar/residency.py
@@ -8,7 +8,7 @@
 import collections
 import contextlib
 import dataclasses
-from collections.abc import Generator, Iterable
+from collections.abc import Collection, Generator, Iterable
 
 from ivystep.core import errors, types
 from ivystep.runtime import clock
@@ -107,26 +107,29 @@
         )
 
     @contextlib.contextmanager
-    def evicting(self, ref: types.AdapterRef) -> Generator[None, None, None]:
-        """Take an adapter out of use while the engine unloads it.
+    def evicting(
+        self, refs: Collection[types.AdapterRef]
+    ) -> Generator[None, None, None]:
+        """Take adapters out of use while the engine unloads them.
 
         Args:
-            ref: The adapter. It counts as absent afterwards, unless the
-                engine reports it again.
+            refs: The adapters. They count as absent afterwards, unless the
+                engine reports them again.
 
         Raises:
-            errors.InvariantError: The adapter is serving a request.
+            errors.InvariantError: One of them is serving a request.
         """
-        if self.is_in_use(ref):
-            raise errors.InvariantError(
-                f'{ref.lora_name} is serving a request', step='evict'
-            )
-        self._leaving.add(ref)
+        for ref in refs:
+            if self.is_in_use(ref):
+                raise errors.InvariantError(
+                    f'{ref.lora_name} is serving a request', step='evict'
+                )
+        self._leaving.update(refs)
         try:
             yield
         finally:
-            self._leaving.discard(ref)
-            self._resident.discard(ref)
+            self._leaving.difference_update(refs)
+            self._resident.difference_update(refs)
 
     @contextlib.contextmanager
     def pinned(
--- a/ivystep/sidecar/run.py
+++ b/ivystep/sidecar/run.py
@@ -81,7 +81,7 @@
         try:
             with (
                 self._beside.residency.pinned(self._ref),
-                departure.watched(self._peer),
+                departure.watched(self._peer, self._beside.interrupts),
             ):
                 self._send(ttypes.AttemptAccepted(self._message.attempt_id))
                 self._answer()
@@ -251,7 +251,7 @@
         raise _refusal('upstream_unavailable', 'The upstream is unhealthy.')
     if beside.attempts.running >= beside.max_running * QUEUE_FACTOR:
         raise _refusal('overloaded', 'The upstream has too many requests.')
-    if beside.is_quarantined(message.fingerprint):
+    if beside.crashes.is_quarantined(message.fingerprint):
         raise _refusal('request_quarantined', 'The request crashes upstreams.')
 
 
--- a/ivystep/sidecar/server.py
+++ b/ivystep/sidecar/server.py
@@ -1,7 +1,6 @@
 """Serves entries: one task for each connection."""
 
 import functools
-import ssl
 import typing
 
 import eventlet
@@ -9,68 +8,38 @@
 from ivystep.core import errors
 from ivystep.runtime import clock, logs
 from ivystep.sidecar import host, run
-from ivystep.wire import channel, convert, tls
+from ivystep.wire import channel, convert
 from ivystep.wire.gen import ttypes
 
-HANDSHAKE_TIMEOUT_S = 5.0
+HELLO_TIMEOUT_S = 5.0
 STATUS_INTERVAL_S = 1.0
 STATUS_COALESCE_S = 0.05
+# An entry that has not read a report for so long connects again.
+STATUS_SEND_TIMEOUT_S = 5.0
 
 log = logs.get('sidecar')
 
 
 class SidecarServer:
-    """Accepts connections of entries."""
+    """Answers the messages of entries.
 
-    def __init__(
-        self, beside: host.UpstreamHost, contexts: tls.TlsContexts
-    ) -> None:
+    Args:
+        beside: The upstream host.
+    """
+
+    def __init__(self, beside: host.UpstreamHost) -> None:
         self.beside = beside
-        self._contexts = contexts
 
-    def serve(self, listener: typing.Any) -> None:
-        """Accept connections until the listener is closed.
+    def serve(self, link: channel.Channel) -> None:
+        """Serve one connection until it ends.
 
         Args:
-            listener: A listening socket.
+            link: Connection to an entry.
+
+        Raises:
+            errors.LinkError: The connection ended.
         """
-        while True:
-            try:
-                connection, address = listener.accept()
-            except OSError:
-                return
-            eventlet.spawn(self._serve_connection, connection, address)
-
-    def _serve_connection(
-        self, connection: typing.Any, address: tuple[str, int]
-    ) -> None:
-        peer = f'{address[0]}:{address[1]}'
-        try:
-            secured = self._secure(connection)
-        except (OSError, errors.LinkError) as error:
-            connection.close()
-            log.warning('Connection from %s refused: %s.', peer, error)
-            return
-        link = channel.Channel(secured, peer)
-        try:
-            self._serve_messages(link)
-        except errors.LinkError as error:
-            log.debug('Connection from %s ended: %s.', peer, error)
-        finally:
-            link.close()
-
-    def _secure(self, connection: typing.Any) -> ssl.SSLSocket:
-        with eventlet.Timeout(HANDSHAKE_TIMEOUT_S, TimeoutError):
-            secured = self._contexts.server.wrap_socket(
-                connection, server_side=True
-            )
-        if tls.ENTRY_NAME not in tls.peer_names(secured):
-            secured.close()
-            raise errors.LinkError("the certificate is not an entry's")
-        return secured
-
-    def _serve_messages(self, link: channel.Channel) -> None:
-        hello = link.receive(HANDSHAKE_TIMEOUT_S)
+        hello = link.receive(HELLO_TIMEOUT_S)
         if not isinstance(hello, ttypes.Hello):
             raise errors.LinkError('expected a hello', peer=link.peer)
         link.send(
@@ -129,7 +98,11 @@
     message: ttypes.Watch, beside: host.UpstreamHost, link: channel.Channel
 ) -> None:
     while True:
-        revision = beside.revision
-        link.send(convert.status_message(beside.status()))
+        revision, crashes = beside.revision, beside.crashes.count
+        with eventlet.Timeout(STATUS_SEND_TIMEOUT_S, TimeoutError):
+            link.send(convert.status_message(beside.status()))
         beside.wait_for_change(revision, STATUS_INTERVAL_S)
-        clock.sleep(STATUS_COALESCE_S)
+        if beside.crashes.count == crashes:
+            # Crash evidence goes out at once: the caller may send the same
+            # request again through another entry.
+            clock.sleep(STATUS_COALESCE_S)
