Judge crash-causing requests by a set of evidence

Cause: nothing kept a request that crashes upstreams from being sent again. A list of bare fingerprints does not tell whether an own failure and a reported one are the same crash.

Each piece of evidence now names fingerprint, upstream and engine incarnation and carries its age, so that an entry can unite reports and own failures as sets, late, repeated or out of order. A status lists all evidence of the last hour, so an entry that was not watching gets it with its first report. The sidecar refuses a request that failed two of its engine's incarnations, and runs one isolated attempt at a time; suspects of a pool go to one upstream that all entries choose alike, so that suspects sent through several entries at once meet there.

Ruled out: counting fingerprints per report; an own failure before or after the report was counted twice or not at all. Storing evidence in the table service; it would cost a read for each request.

Conclusion: two upstreams are lost at most, plus one for each send through an entry that has not yet heard of every failure.

--- a/ivystep/core/errors.py
+++ b/ivystep/core/errors.py
@@ -69,6 +69,7 @@
         ran: Whether the request was run.
         retry_after_s: When a repeat can help, in seconds; None if it cannot.
         engine_lost: Whether the upstream failed while running the request.
+        engine_incarnation: The incarnation that failed, if one did.
     """
 
     def __init__(
@@ -89,6 +90,7 @@
         self.ran = ran
         self.retry_after_s = retry_after_s
         self.engine_lost = engine_lost
+        self.engine_incarnation = ''
 
 
 class RefusedError(RequestError):
--- a/ivystep/core/types.py
+++ b/ivystep/core/types.py
@@ -140,6 +140,21 @@
     running: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashFingerprint:
+    """A request that was running when an engine incarnation failed.
+
+    Attributes:
+        engine_incarnation: The incarnation; with the upstream's id and the
+            fingerprint it identifies this piece of evidence.
+        recorded: Time of the failure.
+    """
+
+    fingerprint: bytes
+    engine_incarnation: str
+    recorded: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamStatus:
     """What a sidecar reports about its upstream.
@@ -164,7 +179,7 @@
     resident_by_ref: dict[AdapterRef, ResidentAdapter]
     loading: AdapterRef | None
     setup_version: int
-    crash_fingerprints: tuple[bytes, ...]
+    crash_fingerprints: tuple[CrashFingerprint, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/ivystep/policy/quarantine.py
@@ -0,0 +1,190 @@
+"""Which requests may run, given the crashes that they were running in.
+
+A piece of crash evidence says that one request was running when one
+incarnation of one upstream failed. A request with one piece is a suspect: it
+runs alone, at most one suspect at a time in a pool. A request with two pieces
+is refused. A suspect that completes is cleared of the evidence known so far.
+
+Evidence is a set that only grows until it is an hour old, so reports may be
+repeated, delayed or out of order. Its size is bounded by ``MAX_REQUESTS`` and
+by what sidecars report, at most 256 pieces each.
+"""
+
+import collections
+import dataclasses
+import enum
+import hashlib
+from collections.abc import Iterable
+
+from ivystep.core import types
+from ivystep.runtime import clock
+
+RETENTION_S = 3600.0
+MAX_REQUESTS = 4096
+LOSSES_TO_REFUSE = 2
+
+
+class Verdict(enum.Enum):
+    """What an entry may do with a request."""
+
+    RUN = 'run'
+    ISOLATE = 'isolate'
+    REFUSE = 'refuse'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure:
+    """One failure of one upstream."""
+
+    upstream_id: str
+    engine_incarnation: str
+
+
+class _Evidence:
+    """The failures that one request was running in.
+
+    Attributes:
+        time_by_failure: Time of each failure.
+        cleared: Failures before which the request is known to be innocent.
+    """
+
+    def __init__(self) -> None:
+        self.time_by_failure: dict[Failure, float] = {}
+        self.cleared: set[Failure] = set()
+
+    def expire(self, horizon: float) -> None:
+        """Forget the failures up to a time."""
+        for failure, recorded in tuple(self.time_by_failure.items()):
+            if recorded <= horizon:
+                self.time_by_failure.pop(failure)
+                self.cleared.discard(failure)
+
+    @property
+    def losses(self) -> int:
+        """Number of failures that still count."""
+        return len(self.time_by_failure) - len(self.cleared)
+
+
+class Quarantine:
+    """Judges the requests of one pool at one entry.
+
+    Args:
+        pool: Name of the pool.
+    """
+
+    def __init__(self, pool: str) -> None:
+        self._pool = pool
+        self._evidence_by_request: collections.OrderedDict[bytes, _Evidence] = (
+            collections.OrderedDict()
+        )
+        self._isolated: bytes | None = None
+
+    def on_status(self, status: types.UpstreamStatus) -> None:
+        """Take over the crash evidence of a sidecar's report.
+
+        Args:
+            status: The report; all of its evidence may be known already.
+        """
+        for crash in status.crash_fingerprints:
+            failure = Failure(status.upstream_id, crash.engine_incarnation)
+            self._add(crash.fingerprint, failure, crash.recorded)
+
+    def on_engine_lost(
+        self, fingerprint: bytes, upstream_id: str, engine_incarnation: str
+    ) -> None:
+        """Take over the failure of an own attempt.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+            upstream_id: Upstream that failed.
+            engine_incarnation: Incarnation that failed. If it is empty, the
+                failure is left to the sidecar's report, because it could not
+                be told from the same failure reported there.
+        """
+        if engine_incarnation:
+            failure = Failure(upstream_id, engine_incarnation)
+            self._add(fingerprint, failure, clock.now())
+
+    def on_completed(self, fingerprint: bytes) -> None:
+        """Clear a suspect that has completed.
+
+        Args:
+            fingerprint: Fingerprint of the request.
+        """
+        evidence = self._current(fingerprint)
+        if evidence is not None and evidence.losses < LOSSES_TO_REFUSE:
+            # Kept as cleared, because sidecars go on reporting it.
+            evidence.cleared.update(evidence.time_by_failure)
+
+    def judge(self, fingerprint: bytes) -> Verdict:
+        """Return what may be done with a request now.
+
+        Args:
+            fingerprint: Fingerprint of the request. It must be judged again
+                after a wait, since evidence may have arrived.
+        """
+        evidence = self._current(fingerprint)
+        if evidence is None or not evidence.losses:
+            return Verdict.RUN
+        if evidence.losses < LOSSES_TO_REFUSE:
+            return Verdict.ISOLATE
+        return Verdict.REFUSE
+
+    def start_isolated(self, fingerprint: bytes) -> bool:
+        """Take the pool's only place for a suspect.
+
+        Args:
+            fingerprint: Fingerprint of the suspect.
+
+        Returns:
+            False if another suspect is running; the request must wait.
+        """
+        if self._isolated is not None:
+            return False
+        self._isolated = fingerprint
+        return True
+
+    def end_isolated(self) -> None:
+        """Give the place for a suspect back, whatever became of it."""
+        self._isolated = None
+
+    def choose_upstream(self, upstream_ids: Iterable[str]) -> str | None:
+        """Return where suspects of this pool run.
+
+        Entries with the same view choose the same upstream, whose sidecar
+        runs one suspect at a time. So suspects that are sent through several
+        entries at once meet there and can take down only that one.
+
+        Args:
+            upstream_ids: Upstreams of the pool that take work.
+        """
+        return max(upstream_ids, key=self._rank, default=None)
+
+    def _rank(self, upstream_id: str) -> bytes:
+        name = f'{self._pool}\0{upstream_id}'
+        return hashlib.sha256(name.encode()).digest()
+
+    def _add(
+        self, fingerprint: bytes, failure: Failure, recorded: float
+    ) -> None:
+        if recorded <= clock.now() - RETENTION_S:
+            return
+        evidence = self._evidence_by_request.setdefault(
+            fingerprint, _Evidence()
+        )
+        if failure in evidence.time_by_failure:
+            return
+        evidence.time_by_failure[failure] = recorded
+        self._evidence_by_request.move_to_end(fingerprint)
+        while len(self._evidence_by_request) > MAX_REQUESTS:
+            self._evidence_by_request.popitem(last=False)
+
+    def _current(self, fingerprint: bytes) -> _Evidence | None:
+        evidence = self._evidence_by_request.get(fingerprint)
+        if evidence is None:
+            return None
+        evidence.expire(clock.now() - RETENTION_S)
+        if not evidence.time_by_failure:
+            self._evidence_by_request.pop(fingerprint)
+            return None
+        return evidence
--- a/ivystep/sidecar/crashes.py
+++ b/ivystep/sidecar/crashes.py
@@ -7,6 +7,7 @@
 import collections
 from collections.abc import Iterable
 
+from ivystep.core import types
 from ivystep.runtime import clock
 
 MAX_FINGERPRINTS = 256
@@ -25,7 +26,7 @@
 
     def __init__(self) -> None:
         self.count = 0
-        self._crashes: collections.deque[tuple[float, bytes]] = (
+        self._crashes: collections.deque[types.CrashFingerprint] = (
             collections.deque(maxlen=MAX_FINGERPRINTS)
         )
         self._incarnations: collections.deque[str] = collections.deque(
@@ -52,17 +53,24 @@
         self.count += 1
         current = clock.now()
         # One request in several attempts is lost once with each failure.
-        self._crashes.extend((current, one) for one in set(fingerprints))
+        self._crashes.extend(
+            types.CrashFingerprint(fingerprint, incarnation, current)
+            for fingerprint in set(fingerprints)
+        )
         return True
 
-    def fingerprints(self) -> tuple[bytes, ...]:
-        """Return one fingerprint for each failure and request."""
+    def fingerprints(self) -> tuple[types.CrashFingerprint, ...]:
+        """Return one entry for each failure and request."""
         horizon = clock.now() - RETENTION_S
-        while self._crashes and self._crashes[0][0] <= horizon:
+        while self._crashes and self._crashes[0].recorded <= horizon:
             self._crashes.popleft()
-        return tuple(fingerprint for _, fingerprint in self._crashes)
+        return tuple(self._crashes)
 
     def is_quarantined(self, fingerprint: bytes) -> bool:
         """Return whether a request may not run here any more."""
-        losses = self.fingerprints().count(fingerprint)
-        return losses >= MAX_LOSSES_PER_REQUEST
+        losses = [
+            crash
+            for crash in self.fingerprints()
+            if crash.fingerprint == fingerprint
+        ]
+        return len(losses) >= MAX_LOSSES_PER_REQUEST
--- a/ivystep/sidecar/run.py
+++ b/ivystep/sidecar/run.py
@@ -69,7 +69,11 @@
         self._deadline = clock.now() + message.budget_ms / units.MS_PER_S
         beside.attempts.start(
             message.attempt_id,
-            attempts.Running(message.fingerprint, self._incarnation),
+            attempts.Running(
+                message.fingerprint,
+                self._incarnation,
+                is_isolated=bool(message.isolated),
+            ),
         )
 
     def run(self) -> None:
@@ -204,6 +208,8 @@
         self.ran = error.ran
         if error.engine_lost:
             error.engine_lost = self._beside.confirm_loss(self._incarnation)
+        if error.engine_lost:
+            error.engine_incarnation = self._incarnation
         log.warning('Attempt %s failed: %s.', self._message.attempt_id, error)
         self._send(_failure(self._message, error))
 
@@ -252,7 +258,14 @@
     if beside.attempts.running >= beside.max_running * QUEUE_FACTOR:
         raise _refusal('overloaded', 'The upstream has too many requests.')
     if beside.crashes.is_quarantined(message.fingerprint):
-        raise _refusal('request_quarantined', 'The request crashes upstreams.')
+        # Not a 5xx status, so that the entry does not try another upstream.
+        raise _refusal(
+            'request_quarantined',
+            'The request was running in two crashes of the upstream.',
+            status=422,
+        )
+    if message.isolated and beside.attempts.has_isolated:
+        raise _refusal('suspect_running', 'Another suspect is running.')
 
 
 def _check_request(
@@ -296,9 +309,9 @@
     response.release_conn()
 
 
-def _refusal(code: str, reason: str) -> errors.RefusedError:
+def _refusal(code: str, reason: str, status: int = 503) -> errors.RefusedError:
     return errors.RefusedError(
-        code, reason, status=503, retry_after_s=1.0, step='run'
+        code, reason, status=status, retry_after_s=1.0, step='run'
     )
 
 
@@ -316,4 +329,5 @@
         status=error.status,
         retry_after_ms=retry_after_ms,
         engine_lost=error.engine_lost,
+        engine_incarnation=error.engine_incarnation or None,
     )
--- a/ivystep/wire/convert.py
+++ b/ivystep/wire/convert.py
@@ -1,6 +1,7 @@
 """Conversions between wire messages and core records."""
 
-from ivystep.core import types
+from ivystep.core import types, units
+from ivystep.runtime import clock
 from ivystep.wire.gen import ttypes
 
 
@@ -94,7 +95,9 @@
         ],
         loading=optional_adapter_id(status.loading),
         setup_version=status.setup_version,
-        crash_fingerprints=list(status.crash_fingerprints),
+        crash_fingerprints=[
+            _crash_message(crash) for crash in status.crash_fingerprints
+        ],
     )
 
 
@@ -117,5 +120,29 @@
         resident_by_ref={resident.ref: resident for resident in residents},
         loading=optional_adapter_ref(message.loading),
         setup_version=message.setup_version,
-        crash_fingerprints=tuple(message.crash_fingerprints),
+        crash_fingerprints=tuple(
+            _crash_fingerprint(crash) for crash in message.crash_fingerprints
+        ),
+    )
+
+
+def _crash_message(
+    crash: types.CrashFingerprint,
+) -> ttypes.CrashFingerprint:
+    # Clocks of two processes are never compared, so the age is sent.
+    age_s = clock.now() - crash.recorded
+    return ttypes.CrashFingerprint(
+        crash.fingerprint,
+        crash.engine_incarnation,
+        int(age_s * units.MS_PER_S),
+    )
+
+
+def _crash_fingerprint(
+    message: ttypes.CrashFingerprint,
+) -> types.CrashFingerprint:
+    return types.CrashFingerprint(
+        message.fingerprint,
+        message.engine_incarnation,
+        clock.now() - message.age_ms / units.MS_PER_S,
     )
--- a/ivystep/wire/gen/ttypes.py
+++ b/ivystep/wire/gen/ttypes.py
@@ -228,6 +228,7 @@
      - budget_ms
      - fingerprint
      - setup_version
+     - isolated
 
     """
 
@@ -245,10 +246,11 @@
         'budget_ms',
         'fingerprint',
         'setup_version',
+        'isolated',
     )
 
 
-    def __init__(self, attempt_id=None, request_id=None, account=None, application=None, adapter=None, sidecar_incarnation=None, path=None, body=None, stream=None, idempotent=None, budget_ms=None, fingerprint=None, setup_version=None,):
+    def __init__(self, attempt_id=None, request_id=None, account=None, application=None, adapter=None, sidecar_incarnation=None, path=None, body=None, stream=None, idempotent=None, budget_ms=None, fingerprint=None, setup_version=None, isolated=None,):
         self.attempt_id = attempt_id
         self.request_id = request_id
         self.account = account
@@ -262,6 +264,7 @@
         self.budget_ms = budget_ms
         self.fingerprint = fingerprint
         self.setup_version = setup_version
+        self.isolated = isolated
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -338,6 +341,11 @@
                     self.setup_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.isolated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -400,6 +408,10 @@
             oprot.writeFieldBegin('setup_version', TType.I64, 13)
             oprot.writeI64(self.setup_version)
             oprot.writeFieldEnd()
+        if self.isolated is not None:
+            oprot.writeFieldBegin('isolated', TType.BOOL, 14)
+            oprot.writeBool(self.isolated)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -756,6 +768,7 @@
      - status
      - retry_after_ms
      - engine_lost
+     - engine_incarnation
 
     """
 
@@ -767,10 +780,11 @@
         'status',
         'retry_after_ms',
         'engine_lost',
+        'engine_incarnation',
     )
 
 
-    def __init__(self, attempt_id=None, code=None, reason=None, ran=None, status=None, retry_after_ms=None, engine_lost=None,):
+    def __init__(self, attempt_id=None, code=None, reason=None, ran=None, status=None, retry_after_ms=None, engine_lost=None, engine_incarnation=None,):
         self.attempt_id = attempt_id
         self.code = code
         self.reason = reason
@@ -778,6 +792,7 @@
         self.status = status
         self.retry_after_ms = retry_after_ms
         self.engine_lost = engine_lost
+        self.engine_incarnation = engine_incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -823,6 +838,11 @@
                     self.engine_lost = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.engine_incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -861,6 +881,10 @@
             oprot.writeFieldBegin('engine_lost', TType.BOOL, 7)
             oprot.writeBool(self.engine_lost)
             oprot.writeFieldEnd()
+        if self.engine_incarnation is not None:
+            oprot.writeFieldBegin('engine_incarnation', TType.STRING, 8)
+            oprot.writeString(self.engine_incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.engine_incarnation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1395,6 +1419,98 @@
         return not (self == other)
 
 
+class CrashFingerprint(object):
+    """
+    Attributes:
+     - fingerprint
+     - engine_incarnation
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'engine_incarnation',
+        'age_ms',
+    )
+
+
+    def __init__(self, fingerprint=None, engine_incarnation=None, age_ms=None,):
+        self.fingerprint = fingerprint
+        self.engine_incarnation = engine_incarnation
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.engine_incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashFingerprint')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeBinary(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.engine_incarnation is not None:
+            oprot.writeFieldBegin('engine_incarnation', TType.STRING, 2)
+            oprot.writeString(self.engine_incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.engine_incarnation)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 3)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class UpstreamStatus(object):
     """
     Attributes:
@@ -1527,7 +1643,8 @@
                     self.crash_fingerprints = []
                     (_etype16, _size13) = iprot.readListBegin()
                     for _i17 in range(_size13):
-                        _elem18 = iprot.readBinary()
+                        _elem18 = CrashFingerprint()
+                        _elem18.read(iprot)
                         self.crash_fingerprints.append(_elem18)
                     iprot.readListEnd()
                 else:
@@ -1595,9 +1712,9 @@
             oprot.writeFieldEnd()
         if self.crash_fingerprints is not None:
             oprot.writeFieldBegin('crash_fingerprints', TType.LIST, 13)
-            oprot.writeListBegin(TType.STRING, len(self.crash_fingerprints))
+            oprot.writeListBegin(TType.STRUCT, len(self.crash_fingerprints))
             for iter20 in self.crash_fingerprints:
-                oprot.writeBinary(iter20)
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2738,6 +2855,7 @@
     (11, TType.I64, 'budget_ms', None, None, ),  # 11
     (12, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 12
     (13, TType.I64, 'setup_version', None, None, ),  # 13
+    (14, TType.BOOL, 'isolated', None, None, ),  # 14
 )
 all_structs.append(AttemptAccepted)
 AttemptAccepted.thrift_spec = (
@@ -2773,6 +2891,7 @@
     (5, TType.I32, 'status', None, None, ),  # 5
     (6, TType.I64, 'retry_after_ms', None, None, ),  # 6
     (7, TType.BOOL, 'engine_lost', None, None, ),  # 7
+    (8, TType.STRING, 'engine_incarnation', 'UTF8', None, ),  # 8
 )
 all_structs.append(RevokeAttempt)
 RevokeAttempt.thrift_spec = (
@@ -2811,6 +2930,13 @@
     (1, TType.STRUCT, 'adapter', [AdapterId, None], None, ),  # 1
     (2, TType.I32, 'running', None, None, ),  # 2
 )
+all_structs.append(CrashFingerprint)
+CrashFingerprint.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'engine_incarnation', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(UpstreamStatus)
 UpstreamStatus.thrift_spec = (
     None,  # 0
@@ -2826,7 +2952,7 @@
     (10, TType.LIST, 'resident', (TType.STRUCT, [Resident, None], False), None, ),  # 10
     (11, TType.STRUCT, 'loading', [AdapterId, None], None, ),  # 11
     (12, TType.I64, 'setup_version', None, None, ),  # 12
-    (13, TType.LIST, 'crash_fingerprints', (TType.STRING, 'BINARY', False), None, ),  # 13
+    (13, TType.LIST, 'crash_fingerprints', (TType.STRUCT, [CrashFingerprint, None], False), None, ),  # 13
 )
 all_structs.append(AdapterDemand)
 AdapterDemand.thrift_spec = (
--- a/ivystep/wire/ivystep.thrift
+++ b/ivystep/wire/ivystep.thrift
@@ -28,6 +28,7 @@
   11: i64 budget_ms
   12: binary fingerprint
   13: i64 setup_version
+  14: optional bool isolated
 }
 
 struct AttemptAccepted {
@@ -58,6 +59,7 @@
   5: i32 status
   6: optional i64 retry_after_ms
   7: bool engine_lost
+  8: optional string engine_incarnation
 }
 
 struct RevokeAttempt {
@@ -92,6 +94,12 @@
   2: i32 running
 }
 
+struct CrashFingerprint {
+  1: binary fingerprint
+  2: string engine_incarnation
+  3: i64 age_ms
+}
+
 struct UpstreamStatus {
   1: string upstream
   2: string sidecar_incarnation
@@ -105,7 +113,7 @@
   10: list<Resident> resident
   11: optional AdapterId loading
   12: i64 setup_version
-  13: list<binary> crash_fingerprints
+  13: list<CrashFingerprint> crash_fingerprints
 }
 
 struct AdapterDemand {
--- /dev/null
+++ b/tests/policy/test_quarantine.py
@@ -0,0 +1,216 @@
+"""Judgement of crash-causing requests, against a simple oracle."""
+
+import eventlet
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ivystep.core import types
+from ivystep.policy import quarantine
+from ivystep.runtime import clock, virtual_hub
+
+HOUR_S = 3600
+GUILTY = b'guilty'
+UPSTREAMS = ('up-1', 'up-2', 'up-3', 'up-4')
+upstreams = st.sampled_from(UPSTREAMS)
+entries = st.integers(0, 2)
+innocents = st.sampled_from([b'a', b'b', b'c'])
+requests = st.one_of(st.just(GUILTY), innocents)
+
+
+class World:
+    """Upstreams that fail, and entries that hear of it late or twice."""
+
+    def __init__(self):
+        self.pool = [quarantine.Quarantine('pool') for _ in range(3)]
+        self.known = [[], [], []]
+        self.crashes = {name: [] for name in UPSTREAMS}
+
+    def crash(self, name, batch, entry):
+        """Fail an upstream under a batch; one entry sent all of it."""
+        incarnation = f'{name}-{len(self.crashes[name])}'
+        self.crashes[name].append((incarnation, frozenset(batch), clock.now()))
+        for fingerprint in batch:
+            self.pool[entry].on_engine_lost(fingerprint, name, incarnation)
+        self._learn(entry, name, self.crashes[name][-1:])
+
+    def deliver(self, name, entry):
+        """Report an upstream's failures of the last hour to an entry."""
+        recent = [
+            crash
+            for crash in self.crashes[name]
+            if crash[2] > clock.now() - HOUR_S
+        ]
+        reported = tuple(
+            types.CrashFingerprint(fingerprint, incarnation, recorded)
+            for incarnation, batch, recorded in recent
+            for fingerprint in batch
+        )
+        self.pool[entry].on_status(status(name, reported))
+        self._learn(entry, name, recent)
+
+    def complete(self, fingerprint, entry):
+        self.pool[entry].on_completed(fingerprint)
+        self.known[entry].append(('complete', clock.now(), fingerprint))
+
+    def losses(self, fingerprint, entry):
+        """The oracle: replay what the entry has heard, without shortcuts."""
+        found, cleared = {}, set()
+
+        def counted(at):
+            live = {one for one, time in found.items() if time > at - HOUR_S}
+            return live, len(live - cleared)
+
+        for kind, at, what in self.known[entry]:
+            if kind == 'complete':
+                live, count = counted(at)
+                if what == fingerprint and count < 2:
+                    cleared |= live
+            elif fingerprint in what[2]:
+                found.setdefault(what[:2], what[3])
+        return counted(clock.now())[1]
+
+    def _learn(self, entry, name, crashes):
+        for incarnation, batch, recorded in crashes:
+            what = (name, incarnation, batch, recorded)
+            self.known[entry].append(('crash', clock.now(), what))
+
+
+def status(name, crash_fingerprints=()):
+    return types.UpstreamStatus(
+        upstream_id=name,
+        sidecar_incarnation='inc',
+        engine_incarnation='now',
+        sequence=1,
+        healthy=True,
+        draining=False,
+        running=0,
+        slots=4,
+        max_running=4,
+        resident_by_ref={},
+        loading=None,
+        setup_version=1,
+        crash_fingerprints=crash_fingerprints,
+    )
+
+
+steps = st.one_of(
+    st.tuples(
+        st.just('crash'),
+        upstreams,
+        st.sets(requests, min_size=1),
+        entries,
+    ),
+    st.tuples(st.just('deliver'), upstreams, entries),
+    st.tuples(st.just('complete'), requests, entries),
+    st.tuples(st.just('wait'), st.integers(1, 2500)),
+)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.lists(steps, max_size=25))
+def test_verdicts_follow_what_the_entry_has_heard(script):
+    """Guards against evidence counted twice, lost, or kept too long."""
+
+    def main():
+        world = World()
+        for kind, *arguments in script:
+            if kind == 'wait':
+                clock.sleep(arguments[0])
+            else:
+                getattr(world, kind)(*arguments)
+            for entry, judge in enumerate(world.pool):
+                for fingerprint in (GUILTY, b'a', b'b', b'c'):
+                    losses = world.losses(fingerprint, entry)
+                    expected = list(quarantine.Verdict)[min(losses, 2)]
+                    assert judge.judge(fingerprint) is expected
+
+    virtual_hub.run(main)
+
+
+sends = st.tuples(
+    entries, upstreams, st.sets(innocents), st.sets(entries), st.booleans()
+)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.lists(sends, max_size=10))
+def test_at_most_two_upstreams_are_lost_to_a_request_sent_again(script):
+    """Guards against a third loss through entries that knew of two.
+
+    Each send goes through some entry; reports reach some entries before the
+    next send. A send through an entry that has not heard of every failure
+    can lose one upstream more, and only such a send can.
+    """
+
+    def main():
+        world = World()
+        lost = late = 0
+        for entry, target, batch, informed, restarts in script:
+            judge = world.pool[entry]
+            late += world.losses(GUILTY, entry) < lost
+            verdict = judge.judge(GUILTY)
+            if verdict is not quarantine.Verdict.REFUSE:
+                lost += 1
+                isolated = verdict is quarantine.Verdict.ISOLATE
+                name = judge.choose_upstream(UPSTREAMS) if isolated else target
+                world.crash(name, {GUILTY, *batch}, entry)
+            clock.sleep(1)
+            for receiver in informed:
+                for name in UPSTREAMS:
+                    world.deliver(name, receiver)
+            if restarts:
+                # A new entry hears everything with its first reports.
+                world.pool[entry] = quarantine.Quarantine('pool')
+                world.known[entry] = []
+                for name in UPSTREAMS:
+                    world.deliver(name, entry)
+        assert lost <= 2 + late
+        return lost
+
+    virtual_hub.run(main)
+
+
+def test_innocent_of_a_failed_batch_is_cleared_by_completing():
+    """Guards against refusing requests that only shared a batch."""
+
+    def main():
+        world = World()
+        world.crash('up-1', {GUILTY, b'a'}, 0)
+        judge = world.pool[0]
+        suspect = judge.judge(b'a')
+        assert judge.start_isolated(b'a')
+        assert not judge.start_isolated(GUILTY)
+        judge.on_completed(b'a')
+        judge.end_isolated()
+        world.deliver('up-1', 0)
+        assert judge.start_isolated(GUILTY)
+        return suspect, judge.judge(b'a'), judge.judge(GUILTY)
+
+    assert virtual_hub.run(main) == (
+        quarantine.Verdict.ISOLATE,
+        quarantine.Verdict.RUN,
+        quarantine.Verdict.ISOLATE,
+    )
+
+
+@pytest.mark.parametrize('lost', [1, 2])
+def test_memory_is_bounded(lost):
+    """Guards against evidence that grows with every crash."""
+
+    def main():
+        judge = quarantine.Quarantine('pool')
+        for number in range(3 * quarantine.MAX_REQUESTS):
+            fingerprint = number.to_bytes(4)
+            for incarnation in range(lost):
+                judge.on_engine_lost(fingerprint, 'up-1', str(incarnation))
+        eventlet.sleep(1)
+        kept = sum(
+            judge.judge(number.to_bytes(4)) is not quarantine.Verdict.RUN
+            for number in range(3 * quarantine.MAX_REQUESTS)
+        )
+        return kept, judge.judge(fingerprint)
+
+    kept, latest = virtual_hub.run(main)
+    assert kept == quarantine.MAX_REQUESTS
+    assert latest is list(quarantine.Verdict)[lost]
--- a/tests/sidecar/test_run.py
+++ b/tests/sidecar/test_run.py
@@ -177,7 +177,33 @@
     assert all(failure.engine_lost for failure in failures)
     assert {failure.ran for failure in failures} == {'unknown'}
     recorded = engine_bench.beside.status().crash_fingerprints
-    assert sorted(recorded) == [b'CRASH', b'one', b'two']
+    assert {crash.fingerprint for crash in recorded} == {
+        b'CRASH',
+        b'one',
+        b'two',
+    }
+    lost = {crash.engine_incarnation for crash in recorded}
+    assert lost == {failure.engine_incarnation for failure in failures}
+
+
+def test_request_that_failed_two_incarnations_is_refused(engine_bench):
+    """Guards against a third crash where no entry knows of the first two."""
+    for attempt_id in ('att-1', 'att-2'):
+        last = engine_bench.run(attempt_id=attempt_id, prompt='CRASH')[-1]
+        assert last.engine_lost
+        engine_bench.start(bench.REF)
+    last = engine_bench.run(attempt_id='att-3', prompt='CRASH')[-1]
+    assert (last.code, last.ran) == ('request_quarantined', 'no')
+    assert last.status < 500
+
+
+def test_one_suspect_runs_at_a_time(engine_bench):
+    """Guards against suspects of two entries that meet on one upstream."""
+    engine_bench.fault(is_silent=True)
+    engine_bench.spawn(isolated=True, stream=True)
+    bench.until(lambda: engine_bench.engine.running == 1)
+    last = engine_bench.run(attempt_id='att-2', isolated=True)[-1]
+    assert (last.code, last.ran) == ('suspect_running', 'no')
 
 
 def test_health_check_that_sees_the_restart_first_keeps_the_evidence():
@@ -189,7 +215,8 @@
     bench.until(lambda: made.engine.running == 1)
     made.engine.started += 1
     assert made.beside.refresh()
-    assert made.beside.status().crash_fingerprints == (b'guilty',)
+    recorded = made.beside.status().crash_fingerprints
+    assert [crash.fingerprint for crash in recorded] == [b'guilty']
     entry.channel.close()
     made.stop()
 
