--- a/ivystep/entry/planner.py
+++ b/ivystep/entry/planner.py
@@ -6,9 +6,31 @@
 weight store.
 """
 
+import dataclasses
+import functools
+import math
 import typing
+from collections.abc import Iterable
 
-from ivystep.core import types
+import eventlet
+from eventlet import event
+
+from ivystep.core import errors, types
+from ivystep.policy import batching, eviction, load_order, routing
+from ivystep.runtime import clock, logs
+
+# A report is due every 100 ms while requests wait.
+REPORT_MAX_AGE_S = 1.0
+CHECK_INTERVAL_S = 0.5
+# A loaded adapter is kept until the entries have seen it and sent requests.
+SETTLE_S = 0.5
+# A load that takes this many times longer than usual is not waited for.
+OVERDUE_FACTOR = 4.0
+DURATION_GAIN = 0.3
+CANDIDATES = 16
+EXPECTED_HORIZON_LOADS = 2.0
+
+log = logs.get('planner')
 
 
 class DemandSink(typing.Protocol):
@@ -37,3 +59,401 @@
             errors.LinkError: The planner cannot be reached; the report is
                 repeated with the next one.
         """
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Target:
+    view: routing.UpstreamView
+    victim: types.AdapterRef | None
+
+
+class Planner:
+    """Plans the loads of one pool.
+
+    Args:
+        process_id: Id of this entry.
+        index: The pool's upstreams.
+
+    Attributes:
+        batching_weight: 0 favours short load stalls, 1 full engine steps.
+        service_s: Expected time that a request runs.
+        load_s: Expected duration of a load.
+    """
+
+    def __init__(self, process_id: str, index: routing.UpstreamIndex) -> None:
+        self.batching_weight = 0.2
+        self.service_s = 1.0
+        self.popularity = eviction.Popularity()
+        self._process_id = process_id
+        self._index = index
+        self._shares = load_order.AccountShares(2.0)
+        self._back_off = load_order.BackOff()
+        self._victims = batching.VictimIndex()
+        self.load_s = 0.5
+        self._parts_by_ref: dict[
+            types.AdapterRef, dict[str, load_order.WantedLoad]
+        ] = {}
+        self._refs_by_entry: dict[str, set[types.AdapterRef]] = {}
+        self._reported_at: dict[str, float] = {}
+        self._admitted: dict[types.AdapterRef, load_order.WantedLoad] = {}
+        self._started_by_ref: dict[types.AdapterRef, float] = {}
+        self._loaded_at: dict[types.AdapterRef, float] = {}
+        self._changed = event.Event()
+        self._is_running = False
+
+    def configure(self, loads_per_s: float, batching_weight: float) -> None:
+        """Take over the setup's values.
+
+        Args:
+            loads_per_s: Loads that the weight store allows.
+            batching_weight: From 0 to 1.
+        """
+        self.batching_weight = batching_weight
+        if loads_per_s != self._shares.loads_per_s:
+            self._shares.loads_per_s = loads_per_s
+            self.load_s = 1 / loads_per_s
+
+    def report(
+        self, entry_id: str, demands: tuple[types.AdapterDemand, ...]
+    ) -> tuple[types.LoadForecast, ...]:
+        """Take over an entry's demand; see ``DemandSink.report``."""
+        now = clock.now()
+        self._start()
+        self.observe(demands)
+        waiting = {demand.ref for demand in demands if demand.waiting}
+        self._forget(entry_id, waiting)
+        self._reported_at[entry_id] = now
+        self._refs_by_entry[entry_id] = waiting
+        for demand in demands:
+            if demand.waiting:
+                parts = self._parts_by_ref.setdefault(demand.ref, {})
+                parts[entry_id] = load_order.WantedLoad.from_demand(demand, now)
+        forecasts = self._admit(waiting, now)
+        self.wake()
+        return forecasts
+
+    def observe(self, demands: Iterable[types.AdapterDemand]) -> None:
+        """Count arrivals, so that a new planner knows the popular adapters.
+
+        Args:
+            demands: Demand of this entry or, for the planner, of any entry.
+        """
+        now = clock.now()
+        for demand in demands:
+            if demand.arrivals:
+                self.popularity.add(demand.ref, demand.arrivals, now)
+                self._shares.touch(demand.ref.account, demand.weight, now)
+
+    def on_status(self, view: routing.UpstreamView) -> None:
+        """Take over that an upstream has reported.
+
+        Args:
+            view: The upstream.
+        """
+        self._rank(view)
+        self.wake()
+
+    def on_lost(self, upstream_id: str) -> None:
+        """Take over that an upstream's connection has ended."""
+        self._victims.discard(upstream_id)
+
+    def wake(self) -> None:
+        """Let the planner look for work."""
+        if not self._changed.ready():
+            self._changed.send()
+
+    def _start(self) -> None:
+        if not self._is_running:
+            self._is_running = True
+            eventlet.spawn(self._run)
+
+    def _run(self) -> None:
+        while True:
+            self._changed = event.Event()
+            self._drop_silent_entries()
+            self._order_loads()
+            timeout_s = CHECK_INTERVAL_S if self._parts_by_ref else None
+            with eventlet.Timeout(timeout_s, exception=False):
+                self._changed.wait()
+
+    def _drop_silent_entries(self) -> None:
+        horizon = clock.now() - REPORT_MAX_AGE_S
+        for entry_id, reported_at in list(self._reported_at.items()):
+            if reported_at < horizon:
+                self._forget(entry_id, set())
+                del self._reported_at[entry_id]
+                del self._refs_by_entry[entry_id]
+
+    def _forget(self, entry_id: str, kept: set[types.AdapterRef]) -> None:
+        """Forget what an entry no longer waits for."""
+        for ref in self._refs_by_entry.get(entry_id, set()) - kept:
+            parts = self._parts_by_ref[ref]
+            del parts[entry_id]
+            if not parts:
+                del self._parts_by_ref[ref]
+                self._admitted.pop(ref, None)
+
+    def _admit(
+        self, refs: Iterable[types.AdapterRef], now: float
+    ) -> tuple[types.LoadForecast, ...]:
+        """Add demand to the backlog, or tell that it comes too late."""
+        backlog = self._backlog(now)
+        ready_by_ref = {
+            load.ref: backlog.ready_in_s(position)
+            for position, load in enumerate(backlog.loads)
+        }
+        forecasts = []
+        for ref in sorted(refs):
+            wanted = load_order.WantedLoad.merged(
+                self._parts_by_ref[ref].values()
+            )
+            ready_in_s = ready_by_ref.get(ref)
+            if ready_in_s is None:
+                ready_in_s = self._admission(wanted, backlog)
+            if wanted.start_by >= now + ready_in_s:
+                self._admitted[ref] = wanted
+                continue
+            self._admitted.pop(ref, None)
+            forecasts.append(self._forecast(wanted, backlog, ready_in_s))
+        return tuple(forecasts)
+
+    def _admission(
+        self, wanted: load_order.WantedLoad, backlog: load_order.Backlog
+    ) -> float:
+        """Return when new demand can be met, and add it if that is in time."""
+        now = backlog.now
+        if not self._needs_load(wanted, now):
+            return 0
+        pause_s = self._back_off.remaining_s(wanted.ref, now)
+        rank = self._shares.rank(wanted.ref.account)
+        ready_in_s = max(
+            backlog.admission(wanted, rank), pause_s + backlog.load_s
+        )
+        if wanted.start_by >= now + ready_in_s and not pause_s:
+            backlog.add(wanted, rank)
+        return ready_in_s
+
+    def _forecast(
+        self,
+        wanted: load_order.WantedLoad,
+        backlog: load_order.Backlog,
+        ready_in_s: float,
+    ) -> types.LoadForecast:
+        last = backlog.ready_in_s(len(backlog.loads))
+        ready_in_s = ready_in_s if math.isfinite(ready_in_s) else last
+        # The refused request must not be held, also if others are in its way.
+        ready_in_s = max(ready_in_s, wanted.start_by - backlog.now + 0.001)
+        usual_s = max(wanted.start_by - wanted.oldest_at, 0)
+        return types.LoadForecast(
+            wanted.ref, ready_in_s, max(last - usual_s, self.load_s)
+        )
+
+    def _backlog(self, now: float) -> load_order.Backlog:
+        started = [
+            at
+            for at in self._started_by_ref.values()
+            if now - at < OVERDUE_FACTOR * self.load_s
+        ]
+        busy_s = max((at + self.load_s - now for at in started), default=0)
+        return load_order.Backlog.from_loads(
+            (
+                load
+                for load in self._admitted.values()
+                if self._needs_load(load, now)
+                and not self._back_off.remaining_s(load.ref, now)
+            ),
+            self._shares,
+            now,
+            load_s=self.load_s,
+            busy_s=max(busy_s, 0),
+        )
+
+    def _needs_load(self, wanted: load_order.WantedLoad, now: float) -> bool:
+        """Return whether a load would help the waiting requests."""
+        ref = wanted.ref
+        if self._started_by_ref and ref in self._started_by_ref:
+            return False
+        if self._loaded_at and self._is_settling(ref, now):
+            return False
+        if not self._index.is_held(ref):
+            return True
+        holders = [
+            view for view in self._index.holders(ref) if view.is_usable(now)
+        ]
+        if not holders:
+            return True
+        if any(view.has_room(now) for view in holders):
+            return False
+        # A batch that is full for a moment is no reason for another copy.
+        return now - wanted.oldest_at > self.load_s
+
+    def _is_settling(self, ref: types.AdapterRef, now: float) -> bool:
+        return now - self._loaded_at.get(ref, -math.inf) < SETTLE_S
+
+    def _order_loads(self) -> None:
+        now = clock.now()
+        active = sum(
+            now - at < OVERDUE_FACTOR * self.load_s
+            for at in self._started_by_ref.values()
+        )
+        if active:
+            return
+        backlog = self._backlog(now)
+        wanted = backlog.first(lambda load: self._score(load, now))
+        if wanted is None:
+            return
+        target = self._target(wanted, now)
+        if target is not None:
+            self._order(wanted, target, now)
+
+    def _score(self, load: load_order.WantedLoad, now: float) -> float:
+        horizon_s = EXPECTED_HORIZON_LOADS * self.load_s
+        expected = self.popularity.rate(load.ref, now) * horizon_s
+        return load_order.urgency(load, now, expected)
+
+    def _target(
+        self, wanted: load_order.WantedLoad, now: float
+    ) -> _Target | None:
+        """Choose where an adapter is loaded and what is evicted for it."""
+        while True:
+            few = self._victims.smallest(CANDIDATES)
+            if not few:
+                return None
+            targets = self._candidates(few, wanted, now)
+            if targets:
+                return min(
+                    targets, key=functools.partial(self._cost, wanted, now)
+                )
+
+    def _candidates(
+        self, upstream_ids: list[str], wanted: load_order.WantedLoad, now: float
+    ) -> list[_Target]:
+        targets = []
+        for upstream_id in upstream_ids:
+            view = self._index.view_by_id.get(upstream_id)
+            target = view and self._candidate(view, wanted, now)
+            if target:
+                targets.append(target)
+            else:
+                # It is ranked again with its next report.
+                self._victims.discard(upstream_id)
+        return targets
+
+    def _candidate(
+        self,
+        view: routing.UpstreamView,
+        wanted: load_order.WantedLoad,
+        now: float,
+    ) -> _Target | None:
+        status = view.status
+        if not view.is_usable(now) or wanted.ref in status.resident_by_ref:
+            return None
+        if status.loading is not None:
+            return None
+        if len(status.resident_by_ref) < status.slots:
+            return _Target(view, None)
+        victim = self._victim(view)
+        return victim and _Target(view, victim)
+
+    def _victim(self, view: routing.UpstreamView) -> types.AdapterRef | None:
+        now = clock.now()
+        idle = [
+            resident.ref
+            for resident in view.status.resident_by_ref.values()
+            if not resident.running
+            and resident.ref not in self._parts_by_ref
+            and not self._is_settling(resident.ref, now)
+        ]
+        return min(
+            idle, key=lambda ref: self._keep_score(ref, view), default=None
+        )
+
+    def _keep_score(
+        self, ref: types.AdapterRef, view: routing.UpstreamView
+    ) -> float:
+        """Return the popularity that one copy of an adapter serves."""
+        now = clock.now()
+        others = [one for one in self._index.holders(ref) if one is not view]
+        if any(one.has_room(now) for one in others):
+            return eviction.NEVER
+        return self.popularity.score(ref) - math.log(len(others) + 1)
+
+    def _cost(
+        self, wanted: load_order.WantedLoad, now: float, target: _Target
+    ) -> float:
+        total = max(self.popularity.total_rate(now), eviction.TINY)
+        victim_rate = 0.0
+        if target.victim is not None:
+            score = self._keep_score(target.victim, target.view)
+            victim_rate = self.popularity.rate_of(score, now)
+        added = self.popularity.rate(wanted.ref, now) * self.service_s
+        status = target.view.status
+        expected = target.view.running + max(added, wanted.waiting)
+        return batching.cost(
+            victim_rate / total,
+            expected / max(status.max_running, 1),
+            self.batching_weight,
+        )
+
+    def _rank(self, view: routing.UpstreamView) -> None:
+        """Index an upstream by what it would evict."""
+        status = view.status
+        if not view.is_usable(clock.now()):
+            self._victims.discard(status.upstream_id)
+        elif len(status.resident_by_ref) < status.slots:
+            self._victims.set(status.upstream_id, eviction.NEVER)
+        else:
+            victim = self._victim(view)
+            if victim is None:
+                self._victims.discard(status.upstream_id)
+            else:
+                self._victims.set(
+                    status.upstream_id, self._keep_score(victim, view)
+                )
+
+    def _order(
+        self, wanted: load_order.WantedLoad, target: _Target, now: float
+    ) -> None:
+        evict = () if target.victim is None else (target.victim,)
+        order = types.LoadOrder(
+            wanted.ref, wanted.source, evict, self._process_id
+        )
+        self._shares.charge(wanted.ref.account, now)
+        self._started_by_ref[wanted.ref] = now
+        self._victims.discard(target.view.status.upstream_id)
+        eventlet.spawn(self._load, order, wanted.setup_version, target.view)
+
+    def _load(
+        self,
+        order: types.LoadOrder,
+        setup_version: int,
+        view: routing.UpstreamView,
+    ) -> None:
+        started = clock.now()
+        try:
+            outcome = view.link.load(order, setup_version)
+        except errors.IvystepError as error:
+            outcome = types.LoadResult(False, 'link_failed', str(error))
+        now = clock.now()
+        del self._started_by_ref[order.ref]
+        if outcome.ok:
+            self._note_loaded(order.ref, now)
+            self._back_off.succeed(order.ref)
+            self.load_s += DURATION_GAIN * (now - started - self.load_s)
+        elif outcome.code != 'adapter_in_use':
+            pause_s = self._back_off.fail(order.ref, now)
+            log.warning(
+                'Load of %s on %s failed, next in %.0f s: %s.',
+                order.ref.lora_name,
+                view.status.upstream_id,
+                pause_s,
+                outcome.reason,
+            )
+        self._rank(view)
+        self.wake()
+
+    def _note_loaded(self, ref: types.AdapterRef, now: float) -> None:
+        for earlier, loaded_at in list(self._loaded_at.items()):
+            if loaded_at < now - SETTLE_S:
+                del self._loaded_at[earlier]
+        self._loaded_at[ref] = now
--- a/ivystep/entry/pool.py
+++ b/ivystep/entry/pool.py
@@ -1,43 +1,34 @@
 """A pool: the upstreams of one base model, seen from one entry.
 
-Requests wait here until an upstream holds their adapter and has room.
+Requests wait here until an upstream holds their adapter and has room. The
+pool's planner, at this or another entry, decides which adapters are loaded.
 """
 
 import collections
-from collections.abc import Collection
+import functools
+from collections.abc import Callable, Collection, Mapping
 
 import eventlet
 from eventlet import event
 
 from ivystep.core import errors, types
-from ivystep.entry import links
+from ivystep.entry import links, planner, service_time, waiting
+from ivystep.policy import routing
 from ivystep.runtime import clock, logs
+from ivystep.setup import document
 
-STATUS_MAX_AGE_S = 3.0
+REPORT_INTERVAL_S = 0.1
+IDLE_REPORT_INTERVAL_S = 1.0
+MIN_RETRY_AFTER_S = 1.0
+
+ChooseSink = Callable[[str, planner.DemandSink], planner.DemandSink]
 
 log = logs.get('pool')
 
 
-class UpstreamView:
-    """What this entry knows about one upstream.
-
-    Attributes:
-        sent: Attempts that this entry has in progress there.
-    """
-
-    def __init__(
-        self, status: types.UpstreamStatus, link: links.UpstreamLink
-    ) -> None:
-        self.status = status
-        self.link = link
-        self.reported = clock.now()
-        self.sent = 0
-
-    @property
-    def is_usable(self) -> bool:
-        """Whether new work may be sent there."""
-        is_fresh = clock.now() - self.reported < STATUS_MAX_AGE_S
-        return is_fresh and self.status.healthy and not self.status.draining
+def use_local(pool: str, local: planner.DemandSink) -> planner.DemandSink:
+    """Choose this entry's planner, for an entry without peers."""
+    return local
 
 
 class Pool:
@@ -46,37 +37,72 @@
     Args:
         name: Name of the pool.
         process_id: Id of this entry.
+        choose_sink: Returns the pool's planner, given the local one.
+        data_centre: Data centre of this entry; empty if it has none.
+
+    Attributes:
+        planner: The planner at this entry, used if it has the role.
     """
 
-    def __init__(self, name: str, process_id: str) -> None:
+    def __init__(
+        self,
+        name: str,
+        process_id: str,
+        choose_sink: ChooseSink = use_local,
+        data_centre: str = '',
+    ) -> None:
         self.name = name
+        self._index = routing.UpstreamIndex(data_centre)
+        self.planner = planner.Planner(process_id, self._index)
         self._process_id = process_id
-        self._view_by_id: dict[str, UpstreamView] = {}
-        self._waiting: collections.deque[_Waiting] = collections.deque()
-        self._loading: set[types.AdapterRef] = set()
-        self._used_at: dict[types.AdapterRef, float] = {}
+        self._choose_sink = choose_sink
+        self._waiting = waiting.WaitingRequests()
+        self._service = service_time.ServiceTime()
+        self._arrivals: collections.Counter[types.AdapterRef] = (
+            collections.Counter()
+        )
+        self._latest_by_ref: dict[types.AdapterRef, types.Request] = {}
+        self._weight_by_account: Mapping[str, float] = {}
+        self._is_reporting = False
+        self._report_due = event.Event()
+
+    def configure(
+        self,
+        settings: document.Pool,
+        weight_by_account: Mapping[str, float] | None = None,
+    ) -> None:
+        """Take over the pool's part of a setup.
+
+        Args:
+            settings: The pool in the setup document.
+            weight_by_account: Weights in the load order; 1 if not named.
+        """
+        self.planner.configure(settings.loads_per_s, settings.batching_weight)
+        self._weight_by_account = weight_by_account or {}
+
+    def locate(self, upstream_id: str, data_centre: str) -> None:
+        """Record the data centre of an upstream."""
+        self._index.locate(upstream_id, data_centre)
 
     def on_status(
         self, status: types.UpstreamStatus, link: links.UpstreamLink
     ) -> None:
-        """Take over a sidecar's report.
+        """Take over a sidecar's report; outdated ones are ignored.
 
         Args:
             status: The report.
             link: Link to the sidecar.
         """
-        view = self._view_by_id.get(status.upstream_id)
-        if view is None:
-            view = UpstreamView(status, link)
-            self._view_by_id[status.upstream_id] = view
-        view.status = status
-        view.link = link
-        view.reported = clock.now()
-        self._place_waiting()
+        view = self._index.apply(status, link, clock.now())
+        if view is not None:
+            self._place_waiting(view)
+            self.planner.on_status(view)
 
     def on_lost(self, upstream_id: str) -> None:
-        """Forget an upstream whose sidecar cannot be reached."""
-        self._view_by_id.pop(upstream_id, None)
+        """Give no new work to an upstream until it reports again."""
+        self._index.remove(upstream_id)
+        self.planner.on_lost(upstream_id)
+        self._report_soon()
 
     def link(self, upstream_id: str) -> links.UpstreamLink:
         """Return the link to an upstream.
@@ -84,13 +110,13 @@
         Raises:
             errors.RefusedError: The upstream has gone.
         """
-        view = self._view_by_id.get(upstream_id)
+        view = self._index.view_by_id.get(upstream_id)
         if view is None:
             raise errors.RefusedError(
                 'upstream_unavailable',
                 'The upstream has gone.',
                 status=503,
-                retry_after_s=1.0,
+                retry_after_s=MIN_RETRY_AFTER_S,
                 step='route',
                 peer=upstream_id,
             )
@@ -111,114 +137,179 @@
         Raises:
             errors.RefusedError: The request cannot meet its deadline.
         """
-        waiting = _Waiting(request, avoid)
-        self._waiting.append(waiting)
-        self._place_waiting()
+        now = clock.now()
+        self._count_arrival(request)
+        start_by = request.deadline - self._service.expected_s
+        entry = waiting.WaitingRequest(request, avoid, now, start_by)
+        if not self._waiting.waiting_for(request.adapter):
+            view = self._route(entry)
+            if view is not None:
+                return self._take(entry, view)
+        if self._waiting.add(entry):
+            self._report_soon()
         try:
-            with eventlet.Timeout(
-                max(request.deadline - clock.now(), 0), TimeoutError
-            ):
-                return waiting.placed.wait()
-        except TimeoutError as error:
-            raise errors.RefusedError(
-                'deadline_exceeded',
-                'No upstream could take the request before its deadline.',
-                status=503,
-                retry_after_s=1.0,
-                step='route',
-                peer=self.name,
-            ) from error
+            return self._wait(entry)
         finally:
-            if waiting in self._waiting:
-                self._waiting.remove(waiting)
+            self._waiting.discard(entry)
 
     def finish(self, placement: types.Placement) -> None:
         """Give back the room that a placement took."""
-        view = self._view_by_id.get(placement.upstream_id)
+        request = placement.request
+        self._service.finish(request.request_id, clock.now())
+        self.planner.service_s = self._service.mean_s
+        view = self._index.view(placement.upstream_id)
         if view is not None:
-            view.sent -= 1
-        self._place_waiting()
+            view.release(request.account)
+            self._place_waiting(view)
+            self.planner.wake()
 
-    def _place_waiting(self) -> None:
-        for waiting in list(self._waiting):
-            request = waiting.request
-            view = self._route(request, waiting.avoid)
-            if view is not None:
-                self._waiting.remove(waiting)
-                view.sent += 1
-                self._used_at[request.adapter] = clock.now()
-                waiting.placed.send(
-                    types.Placement(
-                        request,
-                        view.status.upstream_id,
-                        view.status.sidecar_incarnation,
-                    ),
-                )
-            elif request.adapter is not None:
-                self._start_load(request)
+    def _wait(self, entry: waiting.WaitingRequest) -> types.Placement:
+        timeout_s = max(entry.start_by - clock.now(), 0)
+        try:
+            with eventlet.Timeout(timeout_s, TimeoutError):
+                return entry.placed.wait()
+        except TimeoutError as error:
+            if entry.placed.ready():
+                # It was placed in the same instant in which it gave up.
+                return entry.placed.wait()
+            raise self._refusal(
+                'deadline_exceeded', self.planner.load_s
+            ) from error
+
+    def _refusal(self, code: str, retry_after_s: float) -> errors.RefusedError:
+        return errors.RefusedError(
+            code,
+            'No upstream can take the request in time for its deadline.',
+            status=503,
+            retry_after_s=max(retry_after_s, MIN_RETRY_AFTER_S),
+            step='route',
+            peer=self.name,
+        )
 
     def _route(
-        self, request: types.Request, avoid: Collection[str]
-    ) -> UpstreamView | None:
-        ref = request.adapter
-        candidates = [
-            view
-            for view in self._view_by_id.values()
-            if view.is_usable
-            and view.sent < view.status.max_running
-            and (ref is None or ref in view.status.resident_by_ref)
-        ]
-        return min(
-            candidates,
-            key=lambda view: (view.status.upstream_id in avoid, view.sent),
-            default=None,
+        self, entry: waiting.WaitingRequest
+    ) -> routing.UpstreamView | None:
+        now = clock.now()
+        ref = entry.request.adapter
+        view = self._index.route(ref, now, entry.avoid)
+        if view is None and entry.avoid:
+            view = self._index.route(ref, now)
+        return view
+
+    def _take(
+        self, entry: waiting.WaitingRequest, view: routing.UpstreamView
+    ) -> types.Placement:
+        request = entry.request
+        now = clock.now()
+        view.take(request.account, now)
+        self._service.start(request.request_id, now)
+        return types.Placement(
+            request, view.status.upstream_id, view.status.sidecar_incarnation
         )
 
-    def _start_load(self, request: types.Request) -> None:
-        if request.adapter in self._loading or self._is_resident(
-            request.adapter
-        ):
+    def _place_waiting(self, view: routing.UpstreamView) -> None:
+        """Place waiting requests on an upstream that may have room."""
+        if not self._waiting:
             return
-        usable = [view for view in self._view_by_id.values() if view.is_usable]
-        if not usable:
+        now = clock.now()
+        refs = (None, *view.status.resident_by_ref)
+        while view.has_room(now):
+            # The account with the least there comes first, so that a flood
+            # by one account does not fill every batch.
+            entry = min(
+                self._waiting.heads(refs),
+                key=functools.partial(self._turn, view),
+                default=None,
+            )
+            if entry is None:
+                return
+            self._waiting.discard(entry)
+            entry.placed.send(self._take(entry, self._route(entry) or view))
+
+    def _turn(
+        self, view: routing.UpstreamView, entry: waiting.WaitingRequest
+    ) -> tuple[float, float]:
+        account = entry.request.account
+        used = view.sent_by_account[account] / self._weight(account)
+        return used, entry.since
+
+    def _weight(self, account: str) -> float:
+        return self._weight_by_account.get(account, 1.0)
+
+    def _count_arrival(self, request: types.Request) -> None:
+        if request.adapter is not None:
+            self._arrivals[request.adapter] += 1
+            self._latest_by_ref[request.adapter] = request
+            if not self._is_reporting:
+                self._is_reporting = True
+                eventlet.spawn(self._report_demand)
+
+    def _report_soon(self) -> None:
+        if not self._report_due.ready():
+            self._report_due.send()
+
+    def _report_demand(self) -> None:
+        """Report demand again and again, at once for a first waiter."""
+        while True:
+            self._report_due = event.Event()
+            if self._arrivals or self._waiting:
+                self._report()
+            interval_s = (
+                REPORT_INTERVAL_S if self._waiting else IDLE_REPORT_INTERVAL_S
+            )
+            with eventlet.Timeout(interval_s, exception=False):
+                self._report_due.wait()
+
+    def _report(self) -> None:
+        sink = self._choose_sink(self.name, self.planner)
+        demands = self._demands()
+        if sink is not self.planner:
+            self.planner.observe(demands)
+        try:
+            forecasts = sink.report(self._process_id, demands)
+        except errors.IvystepError as error:
+            log.info('Demand of %s not reported: %s.', self.name, error)
             return
-        view = min(usable, key=lambda one: len(one.status.resident_by_ref))
-        self._loading.add(request.adapter)
-        eventlet.spawn(self._load, request, view)
-
-    def _is_resident(self, ref: types.AdapterRef | None) -> bool:
-        return any(
-            view.is_usable and ref in view.status.resident_by_ref
-            for view in self._view_by_id.values()
+        for forecast in forecasts:
+            self._refuse_late(forecast)
+
+    def _demands(self) -> tuple[types.AdapterDemand, ...]:
+        arrivals = self._arrivals
+        latest = self._latest_by_ref
+        self._arrivals = collections.Counter()
+        self._latest_by_ref = {}
+        refs = dict.fromkeys((*self._waiting.refs(), *arrivals))
+        return tuple(
+            self._demand(ref, arrivals[ref], latest.get(ref)) for ref in refs
         )
 
-    def _load(self, request: types.Request, view: UpstreamView) -> None:
-        status = view.status
-        evict: tuple[types.AdapterRef, ...] = ()
-        if len(status.resident_by_ref) >= status.slots:
-            idle = [
-                resident.ref
-                for resident in status.resident_by_ref.values()
-                if resident.running == 0
-            ]
-            evict = tuple(
-                sorted(idle, key=lambda ref: self._used_at.get(ref, 0))[:1]
-            )
-        order = types.LoadOrder(
-            request.adapter, request.adapter_source, evict, self._process_id
+    def _demand(
+        self,
+        ref: types.AdapterRef,
+        arrivals: int,
+        latest: types.Request | None,
+    ) -> types.AdapterDemand:
+        now = clock.now()
+        entries = self._waiting.waiting_for(ref)
+        request = entries[-1].request if entries else latest
+        since = min((entry.since for entry in entries), default=now)
+        start_by = min((entry.start_by for entry in entries), default=now)
+        return types.AdapterDemand(
+            ref=ref,
+            source=request.adapter_source if request else '',
+            setup_version=request.setup_version if request else 0,
+            weight=self._weight(ref.account),
+            waiting=len(entries),
+            oldest_wait_s=now - since,
+            start_within_s=max(start_by - now, 0),
+            arrivals=arrivals,
         )
-        outcome = view.link.load(order, request.setup_version)
-        self._loading.discard(request.adapter)
-        if not outcome.ok:
-            log.warning('Load failed: %s.', outcome.reason)
-            clock.sleep(1.0)
-            self._place_waiting()
-
 
-class _Waiting:
-    """A request that waits for an upstream."""
-
-    def __init__(self, request: types.Request, avoid: Collection[str]) -> None:
-        self.request = request
-        self.avoid = avoid
-        self.placed = event.Event()
+    def _refuse_late(self, forecast: types.LoadForecast) -> None:
+        ready_at = clock.now() + forecast.ready_in_s
+        for entry in self._waiting.waiting_for(forecast.ref):
+            if entry.start_by < ready_at:
+                self._waiting.discard(entry)
+                entry.placed.send_exception(
+                    self._refusal('overloaded', forecast.retry_after_s)
+                )
--- /dev/null
+++ b/ivystep/entry/service_time.py
@@ -0,0 +1,46 @@
+"""How long requests run once they are placed."""
+
+MEAN_GAIN = 1 / 16
+DEVIATION_GAIN = 1 / 8
+DEVIATIONS = 2.0
+
+
+class ServiceTime:
+    """Running mean and deviation of the time from placement to finish.
+
+    Attributes:
+        mean_s: Mean in seconds; 0 until the first request has finished.
+    """
+
+    def __init__(self) -> None:
+        self.mean_s = 0.0
+        self._deviation_s = 0.0
+        self._started_by_id: dict[str, float] = {}
+
+    @property
+    def expected_s(self) -> float:
+        """Time within which most requests finish, in seconds."""
+        return self.mean_s + DEVIATIONS * self._deviation_s
+
+    def start(self, request_id: str, now: float) -> None:
+        """Record that a request was placed.
+
+        Args:
+            request_id: Id of the request.
+            now: Current time in seconds.
+        """
+        self._started_by_id[request_id] = now
+
+    def finish(self, request_id: str, now: float) -> None:
+        """Record that a request has finished; unknown ones are ignored.
+
+        Args:
+            request_id: Id of the request.
+            now: Current time in seconds.
+        """
+        started = self._started_by_id.pop(request_id, None)
+        if started is None:
+            return
+        error = now - started - self.mean_s
+        self.mean_s += MEAN_GAIN * error
+        self._deviation_s += DEVIATION_GAIN * (abs(error) - self._deviation_s)
--- /dev/null
+++ b/ivystep/entry/waiting.py
@@ -0,0 +1,94 @@
+"""The requests of one entry that wait for an upstream."""
+
+import collections
+from collections.abc import Collection, Iterable, Iterator
+
+from eventlet import event
+
+from ivystep.core import types
+
+
+class WaitingRequest:
+    """A request that waits for an upstream.
+
+    Args:
+        request: The request.
+        avoid: Upstreams tried before.
+        since: When it began to wait.
+        start_by: When it must be placed to meet its deadline.
+
+    Attributes:
+        placed: Carries the placement, or the error that ends the wait.
+    """
+
+    def __init__(
+        self,
+        request: types.Request,
+        avoid: Collection[str],
+        since: float,
+        start_by: float,
+    ) -> None:
+        self.request = request
+        self.avoid = frozenset(avoid)
+        self.since = since
+        self.start_by = start_by
+        self.placed = event.Event()
+
+
+_Queue = collections.OrderedDict[int, WaitingRequest]
+
+
+class WaitingRequests:
+    """Waiting requests by adapter and account, in order of arrival."""
+
+    def __init__(self) -> None:
+        self._queue_by_account_by_ref: dict[
+            types.AdapterRef | None, dict[str, _Queue]
+        ] = {}
+
+    def __bool__(self) -> bool:
+        """Return whether anything waits."""
+        return bool(self._queue_by_account_by_ref)
+
+    def add(self, waiting: WaitingRequest) -> bool:
+        """Add a request; return whether it is the first for its adapter."""
+        ref = waiting.request.adapter
+        is_first = ref not in self._queue_by_account_by_ref
+        queues = self._queue_by_account_by_ref.setdefault(ref, {})
+        queue = queues.setdefault(
+            waiting.request.account, collections.OrderedDict()
+        )
+        queue[id(waiting)] = waiting
+        return is_first
+
+    def discard(self, waiting: WaitingRequest) -> None:
+        """Remove a request; one that is absent is ignored."""
+        request = waiting.request
+        queues = self._queue_by_account_by_ref.get(request.adapter, {})
+        queue = queues.get(request.account)
+        if queue is None or queue.pop(id(waiting), None) is None:
+            return
+        if not queue:
+            del queues[request.account]
+        if not queues:
+            del self._queue_by_account_by_ref[request.adapter]
+
+    def heads(
+        self, refs: Iterable[types.AdapterRef | None]
+    ) -> Iterator[WaitingRequest]:
+        """Return the oldest request of each account for some adapters."""
+        for ref in refs:
+            for queue in self._queue_by_account_by_ref.get(ref, {}).values():
+                yield next(iter(queue.values()))
+
+    def waiting_for(self, ref: types.AdapterRef | None) -> list[WaitingRequest]:
+        """Return the requests that wait for an adapter."""
+        return [
+            waiting
+            for queue in self._queue_by_account_by_ref.get(ref, {}).values()
+            for waiting in queue.values()
+        ]
+
+    def refs(self) -> list[types.AdapterRef]:
+        """Return the adapters that requests wait for."""
+        return [ref for ref in self._queue_by_account_by_ref if ref is not None]
--- /dev/null
+++ b/ivystep/policy/batching.py
@@ -0,0 +1,76 @@
+"""On which upstream an adapter is loaded.
+
+An upstream is cheap if the adapter that it would evict is unpopular. Among
+similar ones, ``batching_weight`` decides: 0 spreads requests over all
+upstreams, 1 packs them onto few, so that engine steps are fuller and engines
+without requests take no steps.
+"""
+
+import heapq
+
+# Cost of a full batch, in shares of all requests that the evicted adapter has.
+FILL_SCALE = 0.01
+# Beyond this share of the batch, requests would soon wait for room.
+FULL = 0.8
+OVERFULL_COST = 10.0
+
+
+def cost(victim_share: float, fill: float, batching_weight: float) -> float:
+    """Return the cost of loading an adapter on an upstream.
+
+    Args:
+        victim_share: Share of all requests that are for the evicted adapter;
+            0 if a slot is free.
+        fill: Expected requests there over the size of the engine's batch.
+        batching_weight: The setup's trade-off, from 0 to 1.
+    """
+    preference = (1 - 2 * batching_weight) * min(fill, FULL)
+    overfull = max(fill - FULL, 0) * OVERFULL_COST
+    return victim_share + FILL_SCALE * (preference + overfull)
+
+
+class VictimIndex:
+    """Upstreams ordered by the popularity of what they would evict.
+
+    Outdated items stay in the heap until they reach its top.
+    """
+
+    def __init__(self) -> None:
+        self._score_by_id: dict[str, float] = {}
+        self._heap: list[tuple[float, str]] = []
+
+    def set(self, upstream_id: str, score: float) -> None:
+        """Record an upstream.
+
+        Args:
+            upstream_id: The upstream.
+            score: Popularity score of the adapter that it would evict.
+        """
+        if self._score_by_id.get(upstream_id) == score:
+            return
+        self._score_by_id[upstream_id] = score
+        heapq.heappush(self._heap, (score, upstream_id))
+        if len(self._heap) > 64 + 4 * len(self._score_by_id):
+            self._heap = [
+                (score, key) for key, score in self._score_by_id.items()
+            ]
+            heapq.heapify(self._heap)
+
+    def discard(self, upstream_id: str) -> None:
+        """Remove an upstream; an unknown one is ignored."""
+        self._score_by_id.pop(upstream_id, None)
+
+    def smallest(self, count: int) -> list[str]:
+        """Return the upstreams with the lowest scores.
+
+        Args:
+            count: How many at most.
+        """
+        found: dict[str, float] = {}
+        while self._heap and len(found) < count:
+            score, upstream_id = heapq.heappop(self._heap)
+            if self._score_by_id.get(upstream_id) == score:
+                found[upstream_id] = score
+        for upstream_id, score in found.items():
+            heapq.heappush(self._heap, (score, upstream_id))
+        return list(found)
--- /dev/null
+++ b/ivystep/policy/eviction.py
@@ -0,0 +1,83 @@
+"""Which adapter is evicted: the least popular one that nobody needs.
+
+Popularity is a request count with exponential ageing. It is stored as the
+logarithm of the count that all requests would have if they were weighted by
+``exp(time / AGEING_S)``. Ageing multiplies all counts by the same factor, so
+this order does not change as time passes, and nothing is ever recomputed.
+"""
+
+import collections
+import math
+
+from ivystep.core import types
+
+AGEING_S = 600.0
+MAX_TRACKED = 65536
+NEVER = -math.inf
+TINY = 1e-9
+
+
+class Popularity:
+    """Aged request counts by adapter.
+
+    Args:
+        ageing_s: Time in which a count shrinks by the factor e.
+    """
+
+    def __init__(self, ageing_s: float = AGEING_S) -> None:
+        self._ageing_s = ageing_s
+        self._score_by_ref: collections.OrderedDict[types.AdapterRef, float] = (
+            collections.OrderedDict()
+        )
+        self._total = NEVER
+
+    def add(self, ref: types.AdapterRef, count: int, now: float) -> None:
+        """Count requests.
+
+        Args:
+            ref: Their adapter.
+            count: How many arrived; at least one.
+            now: Time of arrival in seconds.
+        """
+        added = now / self._ageing_s + math.log(count)
+        self._score_by_ref[ref] = _log_sum(self.score(ref), added)
+        self._total = _log_sum(self._total, added)
+        self._score_by_ref.move_to_end(ref)
+        if len(self._score_by_ref) > MAX_TRACKED:
+            self._score_by_ref.popitem(last=False)
+
+    def score(self, ref: types.AdapterRef) -> float:
+        """Return a number that orders adapters by popularity at any time."""
+        return self._score_by_ref.get(ref, NEVER)
+
+    def rate(self, ref: types.AdapterRef, now: float) -> float:
+        """Return the expected requests per second.
+
+        Args:
+            ref: The adapter.
+            now: Current time in seconds.
+        """
+        return self.rate_of(self.score(ref), now)
+
+    def rate_of(self, score: float, now: float) -> float:
+        """Convert a score to expected requests per second.
+
+        Args:
+            score: What ``score`` returns.
+            now: Current time in seconds.
+        """
+        return math.exp(score - now / self._ageing_s) / self._ageing_s
+
+    def total_rate(self, now: float) -> float:
+        """Return the expected requests per second of all adapters.
+
+        Args:
+            now: Current time in seconds.
+        """
+        return self.rate_of(self._total, now)
+
+
+def _log_sum(first: float, second: float) -> float:
+    """Return the logarithm of the sum of two numbers given as logarithms."""
+    larger, smaller = max(first, second), min(first, second)
+    return larger + math.log1p(math.exp(smaller - larger))
--- /dev/null
+++ b/ivystep/policy/load_order.py
@@ -0,0 +1,330 @@
+"""Which adapter is loaded next, and which requests come too late for theirs.
+
+A load serves every request that waits for its adapter, so this is on-demand
+broadcast scheduling. Loads are ranked by waiting requests and age, as long as
+the deadlines of the others allow it; earliest deadline first otherwise.
+"""
+
+import bisect
+import collections
+import dataclasses
+import math
+import typing
+from collections.abc import Callable, Iterable
+
+from ivystep.core import types
+
+BACK_OFF_MIN_S = 1.0
+BACK_OFF_MAX_S = 60.0
+ACTIVE_S = 60.0
+# Loads that an account may use beyond its share before it is ranked lower.
+BURST_LOADS = 4.0
+MAX_DEBT_LOADS = 20.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WantedLoad:
+    """An adapter that waiting requests need, over all entries.
+
+    Attributes:
+        oldest_at: When the oldest of the requests began to wait.
+        start_by: When the adapter must be resident for the most urgent one.
+        weight: Weight of the account.
+    """
+
+    ref: types.AdapterRef
+    source: str
+    setup_version: int
+    weight: float
+    waiting: int
+    oldest_at: float
+    start_by: float
+
+    @classmethod
+    def from_demand(
+        cls, demand: types.AdapterDemand, now: float
+    ) -> typing.Self:
+        """Convert a demand that was reported now.
+
+        Args:
+            demand: The demand.
+            now: Current time in seconds.
+        """
+        return cls(
+            ref=demand.ref,
+            source=demand.source,
+            setup_version=demand.setup_version,
+            weight=demand.weight,
+            waiting=demand.waiting,
+            oldest_at=now - demand.oldest_wait_s,
+            start_by=now + demand.start_within_s,
+        )
+
+    @classmethod
+    def merged(cls, parts: Iterable[typing.Self]) -> typing.Self:
+        """Combine what several entries want of the same adapter.
+
+        Args:
+            parts: One item for each entry; at least one.
+        """
+        known = tuple(parts)
+        if len(known) == 1:
+            return known[0]
+        latest = max(known, key=lambda part: part.setup_version)
+        return dataclasses.replace(
+            latest,
+            waiting=sum(part.waiting for part in known),
+            oldest_at=min(part.oldest_at for part in known),
+            start_by=min(part.start_by for part in known),
+        )
+
+
+class AccountShares:
+    """How far each account is beyond its fair share of the loads.
+
+    Every account that is active has an equal share, by weight, of the loads
+    that the weight store allows. A load adds one to its account's debt; time
+    reduces the debt at the rate of the share. Loads of accounts in debt wait
+    for those of others, so a flood or scan takes only what others leave.
+    """
+
+    def __init__(self, loads_per_s: float) -> None:
+        self.loads_per_s = loads_per_s
+        self._virtual_s = 0.0
+        self._advanced_at = 0.0
+        self._total_weight = 0.0
+        # Account to weight and time of its last request, oldest first.
+        self._active: collections.OrderedDict[str, tuple[float, float]] = (
+            collections.OrderedDict()
+        )
+        # Account to debt and the virtual time at which it was computed.
+        self._debt_by_account: dict[str, tuple[float, float]] = {}
+
+    def touch(self, account: str, weight: float, now: float) -> None:
+        """Record that an account has requests.
+
+        Args:
+            account: The account.
+            weight: Its weight.
+            now: Current time in seconds.
+        """
+        self._advance(now)
+        known = self._active.pop(account, None)
+        if known is not None:
+            self._total_weight -= known[0]
+        self._active[account] = (weight, now)
+        self._total_weight += weight
+        while self._active:
+            oldest, (its_weight, seen) = next(iter(self._active.items()))
+            if seen > now - ACTIVE_S:
+                break
+            del self._active[oldest]
+            self._debt_by_account.pop(oldest, None)
+            self._total_weight -= its_weight
+
+    def charge(self, account: str, now: float) -> None:
+        """Count one load of an account.
+
+        Args:
+            account: The account.
+            now: Current time in seconds.
+        """
+        self._advance(now)
+        debt = min(self._debt(account) + 1, MAX_DEBT_LOADS)
+        self._debt_by_account[account] = (debt, self._virtual_s)
+
+    def rank(self, account: str) -> int:
+        """Return 0 for an account within its share, more for one beyond."""
+        return int(self._debt(account) / BURST_LOADS)
+
+    def _debt(self, account: str) -> float:
+        if account not in self._debt_by_account:
+            return 0.0
+        debt, since = self._debt_by_account[account]
+        weight, _ = self._active.get(account, (1.0, 0.0))
+        return max(debt - weight * (self._virtual_s - since), 0.0)
+
+    def _advance(self, now: float) -> None:
+        """Advance the virtual time, in loads for each unit of weight."""
+        if self._total_weight > 0:
+            passed = now - self._advanced_at
+            self._virtual_s += passed * self.loads_per_s / self._total_weight
+        self._advanced_at = now
+
+
+class BackOff:
+    """Exponential back-off of adapters whose loads fail."""
+
+    def __init__(self) -> None:
+        # Adapter to number of failures in a row and time of the next try.
+        self._failed: dict[types.AdapterRef, tuple[int, float]] = {}
+
+    def fail(self, ref: types.AdapterRef, now: float) -> float:
+        """Record a failed load.
+
+        Args:
+            ref: The adapter.
+            now: Current time in seconds.
+
+        Returns:
+            Time in seconds until the next try.
+        """
+        count = self._failed.get(ref, (0, 0.0))[0] + 1
+        pause_s = min(BACK_OFF_MIN_S * 2 ** (count - 1), BACK_OFF_MAX_S)
+        self._failed[ref] = (min(count, 16), now + pause_s)
+        return pause_s
+
+    def succeed(self, ref: types.AdapterRef) -> None:
+        """Forget the failures of an adapter."""
+        self._failed.pop(ref, None)
+
+    def remaining_s(self, ref: types.AdapterRef, now: float) -> float:
+        """Return the time until an adapter may be tried; 0 if at once.
+
+        Args:
+            ref: The adapter.
+            now: Current time in seconds.
+        """
+        failed = self._failed.get(ref)
+        if failed is None:
+            return 0.0
+        if now > failed[1] + BACK_OFF_MAX_S:
+            del self._failed[ref]
+        return max(failed[1] - now, 0.0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Backlog:
+    """The loads that are to be done, in order of urgency.
+
+    Attributes:
+        loads: By account rank and then by deadline.
+        ranks: Account rank of each load.
+        now: Time of the snapshot.
+        load_s: Duration of one load.
+        busy_s: Time until the load in progress ends.
+    """
+
+    loads: list[WantedLoad]
+    ranks: list[int]
+    now: float
+    load_s: float
+    busy_s: float
+
+    @classmethod
+    def from_loads(
+        cls,
+        loads: Iterable[WantedLoad],
+        shares: AccountShares,
+        now: float,
+        *,
+        load_s: float,
+        busy_s: float,
+    ) -> typing.Self:
+        """Order loads by urgency.
+
+        Args:
+            loads: The loads.
+            shares: Debts of the accounts.
+            now: Current time in seconds.
+            load_s: Duration of one load in seconds.
+            busy_s: Time until the load in progress ends, in seconds.
+        """
+        ranked = sorted(
+            ((shares.rank(load.ref.account), load) for load in loads),
+            key=lambda pair: (pair[0], pair[1].start_by),
+        )
+        return cls(
+            loads=[load for _, load in ranked],
+            ranks=[rank for rank, _ in ranked],
+            now=now,
+            load_s=load_s,
+            busy_s=busy_s,
+        )
+
+    def add(self, wanted: WantedLoad, rank: int) -> None:
+        """Insert a load that was admitted.
+
+        Args:
+            wanted: The load; not part of the backlog.
+            rank: Rank of its account.
+        """
+        position = self._position(wanted, rank)
+        self.loads.insert(position, wanted)
+        self.ranks.insert(position, rank)
+
+    def ready_in_s(self, position: int) -> float:
+        """Return when the load at a position ends, in seconds from now."""
+        return self.busy_s + (position + 1) * self.load_s
+
+    def slack_s(self, position: int) -> float:
+        """Return by how much the load at a position may be delayed."""
+        until = self.loads[position].start_by - self.now
+        return until - self.ready_in_s(position)
+
+    def admission(self, wanted: WantedLoad, rank: int) -> float:
+        """Return when a new load can end.
+
+        Loads that were admitted before are not made late by a new one of the
+        same or a higher rank.
+
+        Args:
+            wanted: The new load; not part of the backlog.
+            rank: Rank of its account.
+
+        Returns:
+            Seconds from now; infinite if it would make others late.
+        """
+        position = self._position(wanted, rank)
+        after = bisect.bisect_right(self.ranks, rank)
+        if any(map(self._is_critical, range(position, after))):
+            return math.inf
+        return self.ready_in_s(position)
+
+    def first(self, score: Callable[[WantedLoad], float]) -> WantedLoad | None:
+        """Choose the next load.
+
+        Args:
+            score: Value of doing a load now rather than another.
+
+        Returns:
+            The load of the lowest account rank with the highest score whose
+            choice makes no other load late; None if there is no load.
+        """
+        best = None
+        best_score = -math.inf
+        for position, load in enumerate(self.loads):
+            if self.ranks[position] > self.ranks[0]:
+                break
+            value = score(load)
+            if value > best_score:
+                best, best_score = load, value
+            if self._is_critical(position):
+                # Any later choice would make this load late.
+                break
+        return best
+
+    def _position(self, wanted: WantedLoad, rank: int) -> int:
+        return bisect.bisect_right(
+            range(len(self.loads)),
+            (rank, wanted.start_by),
+            key=lambda index: (self.ranks[index], self.loads[index].start_by),
+        )
+
+    def _is_critical(self, position: int) -> bool:
+        """Return whether one more load before this one makes it late."""
+        return 0 <= self.slack_s(position) < self.load_s
+
+
+def urgency(load: WantedLoad, now: float, expected: float) -> float:
+    """Score a load by the waiting that it ends.
+
+    Args:
+        load: The load.
+        now: Current time in seconds.
+        expected: Requests expected soon, counted like waiting ones.
+
+    Returns:
+        The product of waiting requests and age of the oldest.
+    """
+    return (load.waiting + expected) * (now - load.oldest_at)
--- a/ivystep/policy/routing.py
+++ b/ivystep/policy/routing.py
@@ -1,8 +1,21 @@
-"""Which upstream serves a request."""
+"""Which upstream serves a request, and what an entry knows of upstreams."""
 
+import collections
 import hashlib
+import random
+import typing
 from collections.abc import Iterable
 
+from ivystep.core import types
+
+STATUS_MAX_AGE_S = 3.0
+# Reports are coalesced over 50 ms and then cross the network, so a request
+# that was sent shortly before a report arrived may not be counted in it.
+REPORT_LAG_S = 0.1
+MAX_FORMER_UPSTREAMS = 4096
+SAMPLED_UPSTREAMS = 4
+NOWHERE: frozenset[str] = frozenset()
+
 
 def rendezvous(key: str, names: Iterable[str]) -> str:
     """Choose one name for a key by rendezvous hashing.
@@ -21,3 +34,254 @@
         names,
         key=lambda name: hashlib.sha256(f'{key}\0{name}'.encode()).digest(),
     )
+
+
+class UpstreamView:
+    """What this entry knows about one upstream.
+
+    Attributes:
+        link: Link to the sidecar.
+        sent: Attempts that this entry has in progress there.
+        sent_by_account: The same for each account.
+        is_lost: Whether the connection to the sidecar has ended.
+    """
+
+    def __init__(self, status: types.UpstreamStatus, link: typing.Any) -> None:
+        self.status = status
+        self.link = link
+        self.reported = 0.0
+        self.sent = 0
+        self.sent_by_account: collections.Counter[str] = collections.Counter()
+        self.is_lost = False
+        self.data_centre = ''
+        self._recent: collections.deque[float] = collections.deque()
+        self._retired: collections.deque[str] = collections.deque(maxlen=8)
+
+    def accepts(self, status: types.UpstreamStatus) -> bool:
+        """Return whether a report is newer than the last one.
+
+        Args:
+            status: A report, possibly repeated or out of order.
+        """
+        incarnation = status.sidecar_incarnation
+        if incarnation == self.status.sidecar_incarnation:
+            return status.sequence > self.status.sequence
+        return incarnation not in self._retired
+
+    def apply(
+        self, status: types.UpstreamStatus, link: typing.Any, now: float
+    ) -> None:
+        """Take over a report that was accepted.
+
+        Args:
+            status: The report.
+            link: Link to the sidecar that sent it.
+            now: Time of receipt in seconds.
+        """
+        if status.sidecar_incarnation != self.status.sidecar_incarnation:
+            self._retired.append(self.status.sidecar_incarnation)
+        self.status = status
+        self.link = link
+        self.reported = now
+        self.is_lost = False
+        while self._recent and self._recent[0] < now - REPORT_LAG_S:
+            self._recent.popleft()
+
+    def is_usable(self, now: float) -> bool:
+        """Return whether new work may be sent there.
+
+        Args:
+            now: Current time in seconds.
+        """
+        is_fresh = now - self.reported < STATUS_MAX_AGE_S
+        is_open = self.status.healthy and not self.status.draining
+        return is_fresh and is_open and not self.is_lost
+
+    @property
+    def running(self) -> int:
+        """Requests there: those reported and this entry's own since then."""
+        return max(self.status.running + len(self._recent), self.sent)
+
+    def has_room(self, now: float) -> bool:
+        """Return whether one more request fits into the engine's batch.
+
+        Args:
+            now: Current time in seconds.
+        """
+        return self.is_usable(now) and self.running < self.status.max_running
+
+    def take(self, account: str, now: float) -> None:
+        """Count a request that is sent there.
+
+        Args:
+            account: Account of the request.
+            now: Current time in seconds.
+        """
+        self.sent += 1
+        self.sent_by_account[account] += 1
+        self._recent.append(now)
+
+    def release(self, account: str) -> None:
+        """Count the end of a request that was sent there.
+
+        Args:
+            account: Account of the request.
+        """
+        self.sent -= 1
+        self.sent_by_account[account] -= 1
+        if not self.sent_by_account[account]:
+            del self.sent_by_account[account]
+
+
+class UpstreamIndex:
+    """The upstreams of a pool, indexed by the adapters that they hold.
+
+    Args:
+        data_centre: Data centre of this entry; empty if it has none.
+    """
+
+    def __init__(self, data_centre: str = '') -> None:
+        self.view_by_id: dict[str, UpstreamView] = {}
+        self._former_by_id: collections.OrderedDict[str, UpstreamView] = (
+            collections.OrderedDict()
+        )
+        self._ids_by_ref: dict[types.AdapterRef, set[str]] = {}
+        self._data_centre = data_centre
+        self._data_centre_by_id: dict[str, str] = {}
+        self._ids: list[str] = []
+
+    def apply(
+        self, status: types.UpstreamStatus, link: typing.Any, now: float
+    ) -> UpstreamView | None:
+        """Take over a report.
+
+        Args:
+            status: The report.
+            link: Link to the sidecar that sent it.
+            now: Time of receipt in seconds.
+
+        Returns:
+            The upstream's view, or None if the report is outdated.
+        """
+        upstream_id = status.upstream_id
+        view = self.view_by_id.get(upstream_id)
+        if view is None:
+            view = self._former_by_id.get(upstream_id)
+        if view is None:
+            view = UpstreamView(status, link)
+            view.data_centre = self._data_centre_by_id.get(upstream_id, '')
+        elif not view.accepts(status):
+            return None
+        self._unindex(view)
+        view.apply(status, link, now)
+        self._add(view)
+        return view
+
+    def remove(self, upstream_id: str) -> None:
+        """Give no new work to an upstream until it reports again.
+
+        Args:
+            upstream_id: The upstream; an unknown one is ignored.
+        """
+        view = self.view_by_id.pop(upstream_id, None)
+        if view is None:
+            return
+        self._unindex(view)
+        self._ids.remove(upstream_id)
+        view.is_lost = True
+        # The view is kept to tell old reports from new ones, and to count the
+        # end of requests that are still in progress there.
+        self._former_by_id[upstream_id] = view
+        if len(self._former_by_id) > MAX_FORMER_UPSTREAMS:
+            self._former_by_id.popitem(last=False)
+
+    def view(self, upstream_id: str) -> UpstreamView | None:
+        """Return the view of an upstream, also if its connection is lost."""
+        return self.view_by_id.get(upstream_id) or self._former_by_id.get(
+            upstream_id
+        )
+
+    def locate(self, upstream_id: str, data_centre: str) -> None:
+        """Record the data centre of an upstream."""
+        self._data_centre_by_id[upstream_id] = data_centre
+        view = self.view(upstream_id)
+        if view is not None:
+            view.data_centre = data_centre
+
+    def is_held(self, ref: types.AdapterRef) -> bool:
+        """Return whether any upstream reports an adapter as resident."""
+        return ref in self._ids_by_ref
+
+    def holders(self, ref: types.AdapterRef) -> list[UpstreamView]:
+        """Return the upstreams that report an adapter as resident."""
+        return [
+            self.view_by_id[upstream_id]
+            for upstream_id in self._ids_by_ref.get(ref, ())
+        ]
+
+    def route(
+        self,
+        ref: types.AdapterRef | None,
+        now: float,
+        avoid: frozenset[str] = NOWHERE,
+    ) -> UpstreamView | None:
+        """Choose the upstream for one request.
+
+        Among the upstreams with room, one in this entry's data centre comes
+        first, then the emptier batch. Ties are broken at random, so that
+        entries with the same report do not all choose the same upstream.
+
+        Args:
+            ref: The adapter that must be resident, or None.
+            now: Current time in seconds.
+            avoid: Upstreams that must not be chosen.
+
+        Returns:
+            The upstream, or None if none has room.
+        """
+        if ref is None:
+            candidates = self._sample(now, avoid)
+        else:
+            candidates = self.holders(ref)
+        return min(
+            (
+                view
+                for view in candidates
+                if view.status.upstream_id not in avoid and view.has_room(now)
+            ),
+            key=self._preference,
+            default=None,
+        )
+
+    def _sample(self, now: float, avoid: frozenset[str]) -> list[UpstreamView]:
+        """Return a few upstreams, or all if none of the few has room."""
+        few = random.sample(self._ids, min(SAMPLED_UPSTREAMS, len(self._ids)))
+        views = [self.view_by_id[upstream_id] for upstream_id in few]
+        if any(
+            view.has_room(now) and view.status.upstream_id not in avoid
+            for view in views
+        ):
+            return views
+        return list(self.view_by_id.values())
+
+    def _preference(self, view: UpstreamView) -> tuple[bool, float, float]:
+        is_remote = view.data_centre != self._data_centre
+        fill = view.running / max(view.status.max_running, 1)
+        return is_remote, fill, random.random()
+
+    def _add(self, view: UpstreamView) -> None:
+        upstream_id = view.status.upstream_id
+        self._former_by_id.pop(upstream_id, None)
+        if upstream_id not in self.view_by_id:
+            self._ids.append(upstream_id)
+        self.view_by_id[upstream_id] = view
+        for ref in view.status.resident_by_ref:
+            self._ids_by_ref.setdefault(ref, set()).add(upstream_id)
+
+    def _unindex(self, view: UpstreamView) -> None:
+        for ref in view.status.resident_by_ref:
+            holders = self._ids_by_ref.get(ref)
+            if holders is not None:
+                holders.discard(view.status.upstream_id)
+                if not holders:
+                    del self._ids_by_ref[ref]
--- a/measure/bench.py
+++ b/measure/bench.py
@@ -5,13 +5,16 @@
 """
 
 import dataclasses
+import functools
 import random
 import typing
 
 import eventlet
 
 from ivystep.core import errors, types
+from ivystep.entry import planner, pool
 from ivystep.runtime import clock, virtual_hub
+from ivystep.setup import document
 from measure import baselines, fakes, profiles
 
 ENTRIES = 3
@@ -90,11 +93,41 @@
 
 def make_pools(scenario: profiles.Scenario, pool_name: str) -> list[typing.Any]:
     """Return one pool for each entry."""
+    if pool_name == 'policy':
+        return _policy_pools(scenario)
     shared = baselines.SharedLoads(scenario.seed)
     factory = dict(baselines.POOL_TYPES)[pool_name]
     return [factory(shared) for _ in range(ENTRIES)]
 
 
+def _choose(
+    chosen: planner.DemandSink, pool_name: str, local: planner.DemandSink
+) -> planner.DemandSink:
+    return chosen
+
+
+def _policy_pools(scenario: profiles.Scenario) -> list[pool.Pool]:
+    """Return the product's pools; the first entry has the planner's role."""
+    profile = scenario.profile
+    settings = document.Pool(
+        name='bench',
+        batching_weight=profile.batching_weight,
+        loads_per_s=profile.loads_per_s,
+    )
+    first = pool.Pool('bench', 'entry-0')
+    choose = functools.partial(_choose, first.planner)
+    pools = [
+        first,
+        *(
+            pool.Pool('bench', f'entry-{number}', choose)
+            for number in range(1, ENTRIES)
+        ),
+    ]
+    for one in pools:
+        one.configure(settings)
+    return pools
+
+
 def run(scenario: profiles.Scenario, pool_name: str) -> Run:
     """Run a scenario on a fresh virtual clock.
 
@@ -122,9 +155,10 @@
         outcome = Outcome(arrival)
         if arrival.at >= scenario.warm_up_s:
             outcomes.append(outcome)
-        pool = cluster.pools[number % ENTRIES]
         request = _request(scenario, arrival, number)
-        eventlet.spawn(_serve, pool, request, outcome)
+        eventlet.spawn(
+            _serve, cluster.pools[number % ENTRIES], request, outcome
+        )
     after = cluster.counters()
     clock.sleep(DRAIN_S)
     difference = [
@@ -162,9 +196,11 @@
     )
 
 
-def _serve(pool: typing.Any, request: types.Request, outcome: Outcome) -> None:
+def _serve(
+    target: typing.Any, request: types.Request, outcome: Outcome
+) -> None:
     try:
-        _attempt(pool, request, outcome)
+        _attempt(target, request, outcome)
     except errors.RequestError as error:
         outcome.code = error.code
     else:
@@ -173,24 +209,24 @@
 
 
 def _attempt(
-    pool: typing.Any, request: types.Request, outcome: Outcome
+    target: typing.Any, request: types.Request, outcome: Outcome
 ) -> None:
     for left in reversed(range(MAX_ATTEMPTS)):
         started = clock.now()
         try:
-            placement = pool.place(request)
+            placement = target.place(request)
         finally:
             outcome.waited_s += clock.now() - started
         attempt = types.Attempt(request.request_id, placement)
         try:
-            tuple(pool.link(placement.upstream_id).run(attempt).chunks)
+            tuple(target.link(placement.upstream_id).run(attempt).chunks)
         except errors.RequestError:
             if not left:
                 raise
         else:
             return
         finally:
-            pool.finish(placement)
+            target.finish(placement)
 
 
 def _restart(cluster: Cluster) -> None:
@@ -217,8 +253,8 @@
     upstream = cluster.upstreams[0]
     upstream.is_silent = True
     clock.sleep(DETECTION_LAG_S)
-    for pool in cluster.pools:
-        pool.on_lost(upstream.upstream_id)
+    for one in cluster.pools:
+        one.on_lost(upstream.upstream_id)
     clock.sleep(OUTAGE_S)
     upstream.restart()
     upstream.is_silent = False
