Rank accounts by the max-min fair share of the loads

Cause: at the saturation rate 1% of the requests waited 4 to 22 s. Their accounts needed somewhat more than an equal share of the loads, so their loads went after all others although the store could do every load.

Change: only an account that asks for more than the max-min fair level is ranked by its debt.

--- a/ivystep/entry/planner.py
+++ b/ivystep/entry/planner.py
@@ -225,8 +225,9 @@
         now = backlog.now
         if not self._needs_load(wanted, now):
             return 0
+        self._shares.want(wanted.ref.account, now)
         pause_s = self._back_off.remaining_s(wanted.ref, now)
-        rank = self._shares.rank(wanted.ref.account)
+        rank = self._shares.rank(wanted.ref.account, now)
         share_above = self._shares.share_above(rank, now)
         ready_in_s = max(
             backlog.admission(wanted, rank, share_above),
@@ -244,7 +245,7 @@
         """
         rank = self._rank_by_ref.get(ref)
         if rank is None:
-            rank = self._shares.rank(ref.account)
+            rank = self._shares.rank(ref.account, now)
             self._rank_by_ref[ref] = rank
             self._shares.charge(ref.account, now)
         return rank
--- a/ivystep/policy/load_order.py
+++ b/ivystep/policy/load_order.py
@@ -21,6 +21,7 @@
 BURST_LOADS = 4.0
 MAX_DEBT_LOADS = 20.0
 USE_WINDOW_S = 30.0
+LEVEL_INTERVAL_S = 1.0
 MAX_SHARE_ABOVE = 0.9
 
 
@@ -84,10 +85,12 @@
 class AccountShares:
     """How far each account is beyond its fair share of the loads.
 
-    Every account that is active has an equal share, by weight, of the loads
-    that the weight store allows. A load adds one to its account's debt; time
-    reduces the debt at the rate of the share. Loads of accounts in debt wait
-    for those of others, so a flood or scan takes only what others leave.
+    The fair level is the max-min fair one: what an account may use for each
+    unit of weight so that all loads are used and no account could get more
+    without taking from one that gets less. Accounts that want no more than
+    that have rank 0. For the others, a load adds one to the debt, and time
+    reduces the debt at the rate of an equal share; loads of accounts in debt
+    wait for those of others. A flood or scan thus takes what others leave.
     """
 
     def __init__(self, loads_per_s: float) -> None:
@@ -101,6 +104,10 @@
         )
         # Account to debt and the virtual time at which it was computed.
         self._debt_by_account: dict[str, tuple[float, float]] = {}
+        # Account to loads asked for and the time at which they were counted.
+        self._wanted_by_account: dict[str, tuple[float, float]] = {}
+        self._level = math.inf
+        self._level_at = -math.inf
         self._used_by_rank: collections.Counter[int] = collections.Counter()
         self._used_at = 0.0
 
@@ -124,10 +131,31 @@
                 break
             del self._active[oldest]
             self._debt_by_account.pop(oldest, None)
+            self._wanted_by_account.pop(oldest, None)
             self._total_weight -= its_weight
 
-    def rank(self, account: str) -> int:
-        """Return 0 for an account within its share, more for one beyond."""
+    def want(self, account: str, now: float) -> None:
+        """Count one load that an account asks for.
+
+        Args:
+            account: The account.
+            now: Current time in seconds.
+        """
+        wanted = self._wanted(account, now) + 1
+        self._wanted_by_account[account] = (wanted, now)
+
+    def rank(self, account: str, now: float) -> int:
+        """Return 0 for an account within its share, more for one beyond.
+
+        Args:
+            account: The account.
+            now: Current time in seconds.
+        """
+        if now >= self._level_at + LEVEL_INTERVAL_S:
+            self._level = self._fair_level(now)
+            self._level_at = now
+        if self._wanted(account, now) <= self._level * self._weight(account):
+            return 0
         return int(self._debt(account) / BURST_LOADS)
 
     def charge(self, account: str, now: float) -> None:
@@ -173,8 +201,31 @@
         if account not in self._debt_by_account:
             return 0.0
         debt, since = self._debt_by_account[account]
-        weight, _ = self._active.get(account, (1.0, 0.0))
-        return max(debt - weight * (self._virtual_s - since), 0.0)
+        refilled = self._weight(account) * (self._virtual_s - since)
+        return max(debt - refilled, 0.0)
+
+    def _weight(self, account: str) -> float:
+        return self._active.get(account, (1.0, 0.0))[0]
+
+    def _wanted(self, account: str, now: float) -> float:
+        """Return the loads asked for within the window, with ageing."""
+        count, since = self._wanted_by_account.get(account, (0.0, now))
+        return count * math.exp((since - now) / ACTIVE_S)
+
+    def _fair_level(self, now: float) -> float:
+        """Return the max-min fair loads within the window for each weight."""
+        wanted = sorted(
+            (self._wanted(account, now) / weight, weight)
+            for account, (weight, _) in self._active.items()
+        )
+        left = self.loads_per_s * ACTIVE_S
+        weights = self._total_weight
+        for level, weight in wanted:
+            if level * weights > left:
+                return left / weights
+            left -= level * weight
+            weights -= weight
+        return math.inf
 
     def _decay(self, now: float) -> None:
         factor = math.exp((self._used_at - now) / USE_WINDOW_S)
