Retry on the same upstream only after a newer report

Change: an upstream that was tried is chosen again only after a report that is newer than the failure; the measurement passes the tried upstreams as dispatch does.

Ruled out: evicting later, since other entries' reports lag in any case.

--- a/ivystep/entry/pool.py
+++ b/ivystep/entry/pool.py
@@ -129,7 +129,9 @@
 
         Args:
             request: The request.
-            avoid: Upstreams tried before, used only if there is no other.
+            avoid: Upstreams tried before, used only if there is no other
+                and after a new report: the last one may still name an adapter
+                that has been evicted since.
 
         Returns:
             The placement; ``finish`` must be called with it.
@@ -189,12 +191,12 @@
     def _route(
         self, entry: waiting.WaitingRequest
     ) -> routing.UpstreamView | None:
-        now = clock.now()
-        ref = entry.request.adapter
-        view = self._index.route(ref, now, entry.avoid)
-        if view is None and entry.avoid:
-            view = self._index.route(ref, now)
-        return view
+        return self._index.route(
+            entry.request.adapter,
+            clock.now(),
+            avoid=entry.avoid,
+            avoid_until=entry.since,
+        )
 
     def _take(
         self, entry: waiting.WaitingRequest, view: routing.UpstreamView
@@ -217,7 +219,11 @@
             # The account with the least there comes first, so that a flood
             # by one account does not fill every batch.
             entry = min(
-                self._waiting.heads(refs),
+                (
+                    head
+                    for head in self._waiting.heads(refs)
+                    if view.accepts_retry(head.avoid, head.since)
+                ),
                 key=functools.partial(self._turn, view),
                 default=None,
             )
--- a/ivystep/policy/routing.py
+++ b/ivystep/policy/routing.py
@@ -110,6 +110,15 @@
         """
         return self.is_usable(now) and self.running < self.status.max_running
 
+    def accepts_retry(self, avoid: frozenset[str], since: float) -> bool:
+        """Return whether a request may be sent here, perhaps once more.
+
+        Args:
+            avoid: Upstreams that the request was sent to before.
+            since: When the request came back, in seconds.
+        """
+        return self.status.upstream_id not in avoid or self.reported > since
+
     def take(self, account: str, now: float) -> None:
         """Count a request that is sent there.
 
@@ -224,17 +233,20 @@
         ref: types.AdapterRef | None,
         now: float,
         avoid: frozenset[str] = NOWHERE,
+        avoid_until: float = 0.0,
     ) -> UpstreamView | None:
         """Choose the upstream for one request.
 
-        Among the upstreams with room, one in this entry's data centre comes
-        first, then the emptier batch. Ties are broken at random, so that
-        entries with the same report do not all choose the same upstream.
+        Among the upstreams with room, one that was not tried before comes
+        first, then one in this entry's data centre, then the emptier batch.
+        Ties are broken at random, so that entries with the same report do not
+        all choose the same upstream.
 
         Args:
             ref: The adapter that must be resident, or None.
             now: Current time in seconds.
-            avoid: Upstreams that must not be chosen.
+            avoid: Upstreams that were tried before.
+            avoid_until: Those are not chosen without a report after this time.
 
         Returns:
             The upstream, or None if none has room.
@@ -247,9 +259,9 @@
             (
                 view
                 for view in candidates
-                if view.status.upstream_id not in avoid and view.has_room(now)
+                if view.accepts_retry(avoid, avoid_until) and view.has_room(now)
             ),
-            key=self._preference,
+            key=lambda view: self._preference(view, avoid),
             default=None,
         )
 
@@ -264,10 +276,13 @@
             return views
         return list(self.view_by_id.values())
 
-    def _preference(self, view: UpstreamView) -> tuple[bool, float, float]:
+    def _preference(
+        self, view: UpstreamView, avoid: frozenset[str]
+    ) -> tuple[bool, bool, float, float]:
+        was_tried = view.status.upstream_id in avoid
         is_remote = view.data_centre != self._data_centre
         fill = view.running / max(view.status.max_running, 1)
-        return is_remote, fill, random.random()
+        return was_tried, is_remote, fill, random.random()
 
     def _add(self, view: UpstreamView) -> None:
         upstream_id = view.status.upstream_id
--- a/measure/bench.py
+++ b/measure/bench.py
@@ -211,12 +211,14 @@
 def _attempt(
     target: typing.Any, request: types.Request, outcome: Outcome
 ) -> None:
+    tried: frozenset[str] = frozenset()
     for left in reversed(range(MAX_ATTEMPTS)):
         started = clock.now()
         try:
-            placement = target.place(request)
+            placement = target.place(request, tried)
         finally:
             outcome.waited_s += clock.now() - started
+        tried = tried.union((placement.upstream_id,))
         attempt = types.Attempt(request.request_id, placement)
         try:
             tuple(target.link(placement.upstream_id).run(attempt).chunks)
