Store the setup in sections, resolve lost answers, refuse stale bases

Cause: the store kept all digests in the manifest row, gave up when the answer of a write and its read-back were lost, recorded no refusals, and an entry went on serving an old version after it had learned of a newer one.

The manifest names a root object; 256 shard objects under it list the sections of the accounts, so that one change stores three objects. The outcome of a submission is written under its id in the transaction of the manifest. A lost write is settled by a 'not_applied' row, which the late write conflicts with. SetupStore adopts higher versions only, takes offers of versions, refuses requests while it is behind, and exports its objects to peers.

Ruled out: a flat list of digests in the manifest row, about 7 MB with 80,000 accounts; reading back without a 'not_applied' row, which cannot tell a lost write from a late one. Conclusion: the entry has to use current_for_request, offer, export, adopt.

--- a/ivystep/cli/commands.py
+++ b/ivystep/cli/commands.py
@@ -13,7 +13,7 @@
 from ivystep.platform import objects, table
 from ivystep.runtime import logs
 from ivystep.settings import ini, models
-from ivystep.setup import document, store
+from ivystep.setup import document, submission
 from ivystep.sidecar import daemon as sidecar_daemon
 
 PLATFORM_TIMEOUT_S = 5.0
@@ -77,7 +77,7 @@
 
     def __call__(self) -> None:
         """Submit and print the new version."""
-        setup = store.SetupStore(
+        setup = submission.Submitter(
             table.TableClient(self.table_url, PLATFORM_TIMEOUT_S),
             objects.ObjectsClient(self.objects_url, PLATFORM_TIMEOUT_S),
         )
--- a/ivystep/platform/table.py
+++ b/ivystep/platform/table.py
@@ -53,9 +53,13 @@
             errors.UncertainWriteError: All were applied, or none.
         """
 
-    def scan(self, prefix: str) -> Iterator[Row]:
+    def scan(self, prefix: str, after: str = '') -> Iterator[Row]:
         """Read all rows whose key starts with a prefix, in key order.
 
+        Args:
+            prefix: Start of the keys.
+            after: Only keys that sort after this one are read.
+
         Raises:
             errors.UnavailableError: A page could not be read.
         """
@@ -89,9 +93,8 @@
                 f'status {status}', step='transact', peer=self._http.name
             )
 
-    def scan(self, prefix: str) -> Iterator[Row]:
+    def scan(self, prefix: str, after: str = '') -> Iterator[Row]:
         """Read all rows with a prefix; see ``Table.scan``."""
-        after = ''
         while True:
             query = urllib.parse.urlencode(
                 {
--- a/ivystep/setup/document.py
+++ b/ivystep/setup/document.py
@@ -4,6 +4,7 @@
 reads. It is stored as one section per client account and one for the rest.
 """
 
+import dataclasses
 import typing
 
 import pydantic
@@ -13,6 +14,16 @@
 ]
 KeyDigest = typing.Annotated[str, pydantic.Field(pattern=r'^[0-9a-f]{64}$')]
 MAX_ADAPTERS_PER_ACCOUNT = 50000
+MAX_ACCOUNTS = 200000
+MAX_VERSIONS_PER_ADAPTER = 1000
+MAX_KEYS_PER_APPLICATION = 8
+MAX_NON_IDEMPOTENT_PATHS = 1000
+# Validation of a long list ends at its first bad element, so that a hostile
+# document cannot produce one error record for each of a million elements.
+FIRST_ERROR_ONLY = pydantic.FailFast()
+
+PathText = typing.Annotated[str, pydantic.Field(min_length=1, max_length=1024)]
+Names = typing.Annotated[tuple[Name, ...], FIRST_ERROR_ONLY]
 
 
 class Part(pydantic.BaseModel):
@@ -55,7 +66,9 @@
     name: Name
     pool: Name
     active_version: int
-    versions: tuple[AdapterVersion, ...] = pydantic.Field(min_length=1)
+    versions: typing.Annotated[tuple[AdapterVersion, ...], FIRST_ERROR_ONLY] = (
+        pydantic.Field(min_length=1, max_length=MAX_VERSIONS_PER_ADAPTER)
+    )
 
     @pydantic.model_validator(mode='after')
     def _check_versions(self) -> typing.Self:
@@ -80,9 +93,11 @@
     """
 
     name: Name
-    key_digests: tuple[KeyDigest, ...] = pydantic.Field(min_length=1)
-    grants: tuple[Name, ...] = ()
-    services: tuple[Name, ...] = ()
+    key_digests: tuple[KeyDigest, ...] = pydantic.Field(
+        min_length=1, max_length=MAX_KEYS_PER_APPLICATION
+    )
+    grants: Names = ()
+    services: Names = ()
     idempotent: bool = True
     limits: Limits = Limits()
 
@@ -93,9 +108,11 @@
     name: Name
     weight: float = pydantic.Field(1.0, gt=0, allow_inf_nan=False)
     limits: Limits = Limits()
-    applications: tuple[Application, ...] = ()
-    adapters: tuple[Adapter, ...] = pydantic.Field(
-        (), max_length=MAX_ADAPTERS_PER_ACCOUNT
+    applications: typing.Annotated[
+        tuple[Application, ...], FIRST_ERROR_ONLY
+    ] = ()
+    adapters: typing.Annotated[tuple[Adapter, ...], FIRST_ERROR_ONLY] = (
+        pydantic.Field((), max_length=MAX_ADAPTERS_PER_ACCOUNT)
     )
 
     @pydantic.model_validator(mode='after')
@@ -106,8 +123,8 @@
             unknown = set(application.grants) - adapters
             if unknown:
                 raise ValueError(
-                    f'application {application.name} is granted unknown '
-                    f'adapters: {", ".join(sorted(unknown))}'
+                    f'application {application.name} is granted the unknown '
+                    f'adapter {min(unknown)}'
                 )
         return self
 
@@ -122,7 +139,9 @@
 
     name: Name
     pool: Name
-    non_idempotent_paths: tuple[str, ...] = ()
+    non_idempotent_paths: typing.Annotated[
+        tuple[PathText, ...], FIRST_ERROR_ONLY
+    ] = pydantic.Field((), max_length=MAX_NON_IDEMPOTENT_PATHS)
 
 
 class Pool(Part):
@@ -142,29 +161,53 @@
     checks_fencing: bool = True
 
 
-class Document(Part):
+class Common(Part):
+    """The part of the setup that belongs to no account."""
+
+    pools: tuple[Pool, ...] = pydantic.Field((), max_length=1000)
+    services: tuple[Service, ...] = pydantic.Field((), max_length=1000)
+
+    @property
+    def kind_by_pool(self) -> dict[str, str]:
+        """Kinds of upstreams by name of their pool."""
+        return {pool.name: pool.kind for pool in self.pools}
+
+    @pydantic.model_validator(mode='after')
+    def _check_services(self) -> typing.Self:
+        kind_by_pool = self.kind_by_pool
+        _unique(self.pools, 'pool', 'the document')
+        _unique(self.services, 'service', 'the document')
+        for service in self.services:
+            _check_pool(
+                f'service {service.name}',
+                service.pool,
+                'service',
+                kind_by_pool,
+            )
+        return self
+
+
+class Document(Common):
     """The whole setup."""
 
-    pools: tuple[Pool, ...] = ()
-    services: tuple[Service, ...] = ()
-    accounts: tuple[Account, ...] = ()
+    accounts: typing.Annotated[tuple[Account, ...], FIRST_ERROR_ONLY] = (
+        pydantic.Field((), max_length=MAX_ACCOUNTS)
+    )
+
+    @property
+    def common(self) -> Common:
+        """The part that belongs to no account."""
+        return Common(pools=self.pools, services=self.services)
 
     @pydantic.model_validator(mode='after')
-    def _check_references(self) -> typing.Self:
-        pools = _unique(self.pools, 'pool', 'the document')
-        services = _unique(self.services, 'service', 'the document')
+    def _check_accounts(self) -> typing.Self:
         _unique(self.accounts, 'account', 'the document')
         digests: set[str] = set()
-        for service in self.services:
-            _require(service.pool, pools, f'service {service.name}: pool')
+        references = References.from_common(self)
         for account in self.accounts:
-            for adapter in account.adapters:
-                _require(adapter.pool, pools, f'adapter {adapter.name}: pool')
+            references.check(account)
             for application in account.applications:
-                for name in application.services:
-                    _require(name, services, f'application {application.name}')
-                repeated = digests.intersection(application.key_digests)
-                if repeated:
+                if not digests.isdisjoint(application.key_digests):
                     raise ValueError(
                         f'application {application.name} of account '
                         f'{account.name} uses a key of another application'
@@ -173,6 +216,54 @@
         return self
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class References:
+    """What an account may refer to outside itself."""
+
+    kind_by_pool: dict[str, str]
+    services: frozenset[str]
+
+    @classmethod
+    def from_common(cls, common: Common) -> typing.Self:
+        """Collect the names that the common part defines."""
+        return cls(
+            common.kind_by_pool,
+            frozenset(service.name for service in common.services),
+        )
+
+    def check(self, account: Account) -> None:
+        """Check all references of an account.
+
+        Args:
+            account: The account, valid in itself.
+
+        Raises:
+            ValueError: A pool or service is unknown or of the wrong kind.
+        """
+        for adapter in account.adapters:
+            place = f'account {account.name}: adapter {adapter.name}'
+            _check_pool(place, adapter.pool, 'engine', self.kind_by_pool)
+        for application in account.applications:
+            unknown = set(application.services) - self.services
+            if unknown:
+                raise ValueError(
+                    f'account {account.name}: application {application.name}: '
+                    f'there is no service {min(unknown)}'
+                )
+
+
+def _check_pool(
+    place: str, pool: str, kind: str, kind_by_pool: dict[str, str]
+) -> None:
+    found = kind_by_pool.get(pool)
+    if found is None:
+        raise ValueError(f'{place}: there is no pool {pool}')
+    if found != kind:
+        raise ValueError(
+            f'{place}: pool {pool} has the kind {found}, not {kind}'
+        )
+
+
 def _unique(
     parts: typing.Iterable[typing.Any], kind: str, owner: str
 ) -> set[str]:
@@ -182,8 +273,3 @@
             raise ValueError(f'{owner} repeats the {kind} {part.name}')
         names.add(part.name)
     return names
-
-
-def _require(name: str, known: set[str], place: str) -> None:
-    if name not in known:
-        raise ValueError(f'{place} {name} is unknown')
--- /dev/null
+++ b/ivystep/setup/snapshot.py
@@ -0,0 +1,266 @@
+"""A version of the setup as stored: sections by digest, packed.
+
+The packed bytes are kept so that an entry can pass the exact objects to a
+peer that cannot reach the object store. Compressed, they take about a tenth
+of their length.
+"""
+
+import dataclasses
+import typing
+import zlib
+from collections.abc import Callable, Iterable, Iterator, Mapping
+
+import eventlet
+import pydantic
+
+from ivystep.core import errors
+from ivystep.platform import objects
+from ivystep.setup import document, index
+
+PARALLEL_READS = 8
+COMPRESSION_LEVEL = 1
+
+Fetch = Callable[[str], bytes]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stored:
+    """An object of the object store, compressed in memory."""
+
+    digest: str
+    packed: bytes
+
+    @classmethod
+    def from_body(cls, body: bytes, digest: str = '') -> typing.Self:
+        """Pack the bytes of an object.
+
+        Args:
+            body: The bytes.
+            digest: Their digest if known, otherwise it is computed.
+        """
+        packed = zlib.compress(body, COMPRESSION_LEVEL)
+        return cls(digest or objects.digest_of(body), packed)
+
+    @classmethod
+    def from_part(cls, part: pydantic.BaseModel) -> typing.Self:
+        """Pack the canonical bytes of a part."""
+        return cls.from_body(index.canonical(part))
+
+    @property
+    def body(self) -> bytes:
+        """The bytes of the object."""
+        return zlib.decompress(self.packed)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shard:
+    """Sections of the accounts of one shard."""
+
+    stored: Stored
+    section_by_account: Mapping[str, Stored]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """All objects of one version, sharing those that did not change."""
+
+    root: Stored
+    common: Stored
+    shard_by_id: Mapping[str, Shard]
+
+    def section(self, account: str) -> Stored | None:
+        """Return the section of an account, or None."""
+        shard = self.shard_by_id.get(index.shard_id(account))
+        return shard.section_by_account.get(account) if shard else None
+
+    def objects(self) -> Iterator[Stored]:
+        """Iterate over all objects."""
+        yield self.root
+        yield self.common
+        for shard in self.shard_by_id.values():
+            yield shard.stored
+            yield from shard.section_by_account.values()
+
+    def read_common(self) -> document.Common:
+        """Parse pools and services.
+
+        Raises:
+            errors.SetupError: The section is not valid.
+        """
+        return index.parse(document.Common, self.common.body, 'common section')
+
+    def read_account(self, name: str) -> document.Account:
+        """Parse the section of an account.
+
+        Args:
+            name: An account of this snapshot.
+
+        Raises:
+            errors.SetupError: The section is not valid or is absent.
+        """
+        stored = self.section(name)
+        if stored is None:
+            raise errors.SetupError(f'there is no account {name}')
+        account = index.parse(
+            document.Account, stored.body, f'section of account {name}'
+        )
+        if account.name != name:
+            raise errors.SetupError(
+                f'the section of account {name} names {account.name}'
+            )
+        return account
+
+    def account_names(self) -> list[str]:
+        """Return the names of all accounts, sorted."""
+        return sorted(
+            name
+            for shard in self.shard_by_id.values()
+            for name in shard.section_by_account
+        )
+
+    def read_document(self) -> document.Document:
+        """Parse and validate the whole document.
+
+        Raises:
+            errors.SetupError: A section is not valid.
+        """
+        common = self.read_common()
+        accounts = [self.read_account(name) for name in self.account_names()]
+        try:
+            return document.Document(
+                pools=common.pools,
+                services=common.services,
+                accounts=tuple(accounts),
+            )
+        except pydantic.ValidationError as error:
+            raise errors.SetupError(str(error), step='read setup') from error
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Delta:
+    """What differs between two snapshots.
+
+    Attributes:
+        is_common_changed: Whether pools or services differ.
+        changed: Accounts that are new or have another section, sorted.
+        removed: Accounts that no longer exist, sorted.
+    """
+
+    is_common_changed: bool
+    changed: tuple[str, ...]
+    removed: tuple[str, ...]
+
+
+def compare(old: Snapshot, new: Snapshot) -> Delta:
+    """Compare two snapshots by digest.
+
+    Args:
+        old: The earlier snapshot.
+        new: The later snapshot.
+    """
+    changed: list[str] = []
+    removed: list[str] = []
+    for key in old.shard_by_id.keys() | new.shard_by_id.keys():
+        before, after = old.shard_by_id.get(key), new.shard_by_id.get(key)
+        if before and after and before.stored.digest == after.stored.digest:
+            continue
+        earlier = before.section_by_account if before else {}
+        later = after.section_by_account if after else {}
+        removed.extend(name for name in earlier if name not in later)
+        changed.extend(
+            name
+            for name, stored in later.items()
+            if name not in earlier or earlier[name].digest != stored.digest
+        )
+    return Delta(
+        old.common.digest != new.common.digest,
+        tuple(sorted(changed)),
+        tuple(sorted(removed)),
+    )
+
+
+def read(root_digest: str, fetch: Fetch, previous: Snapshot | None) -> Snapshot:
+    """Read a snapshot, fetching only objects that the previous one lacks.
+
+    Args:
+        root_digest: Digest of the root object.
+        fetch: Returns the bytes of a digest.
+        previous: A snapshot to share objects with.
+
+    Raises:
+        errors.PlatformError: An object could not be read.
+        errors.SetupError: An object of the index is not valid.
+    """
+    if previous is not None and previous.root.digest == root_digest:
+        return previous
+    root = Stored.from_body(fetch(root_digest), root_digest)
+    names = index.parse(index.Root, root.body, 'index')
+    common = previous.common if previous else None
+    if common is None or common.digest != names.common:
+        common = Stored.from_body(fetch(names.common), names.common)
+    earlier = previous.shard_by_id if previous else {}
+    workers = eventlet.GreenPool(PARALLEL_READS)
+    parts = workers.imap(
+        lambda key: _read_shard(names.shards[key], fetch, earlier.get(key)),
+        names.shards,
+    )
+    return Snapshot(root, common, dict(zip(names.shards, parts, strict=True)))
+
+
+def build(
+    common: document.Common,
+    accounts: Iterable[document.Account],
+    previous: Snapshot | None = None,
+) -> Snapshot:
+    """Build the snapshot of a validated document.
+
+    Args:
+        common: Pools and services.
+        accounts: All accounts.
+        previous: A snapshot to share equal objects with.
+    """
+    sections: dict[str, dict[str, Stored]] = {}
+    for account in accounts:
+        shard = sections.setdefault(index.shard_id(account.name), {})
+        shard[account.name] = Stored.from_part(account)
+    earlier = previous.shard_by_id if previous else {}
+    shard_by_id = {
+        shard_id: _build_shard(listed, earlier.get(shard_id))
+        for shard_id, listed in sections.items()
+    }
+    stored_common = Stored.from_part(common)
+    root = index.Root(
+        common=stored_common.digest,
+        shards={key: shard.stored.digest for key, shard in shard_by_id.items()},
+    )
+    return Snapshot(Stored.from_part(root), stored_common, shard_by_id)
+
+
+def _build_shard(
+    section_by_account: dict[str, Stored], previous: Shard | None
+) -> Shard:
+    listing = index.Shard(
+        accounts={
+            name: stored.digest for name, stored in section_by_account.items()
+        }
+    )
+    stored = Stored.from_part(listing)
+    if previous is not None and previous.stored.digest == stored.digest:
+        return previous
+    return Shard(stored, section_by_account)
+
+
+def _read_shard(digest: str, fetch: Fetch, previous: Shard | None) -> Shard:
+    if previous is not None and previous.stored.digest == digest:
+        return previous
+    earlier = previous.section_by_account if previous else {}
+    stored_by_digest = {part.digest: part for part in earlier.values()}
+    stored = Stored.from_body(fetch(digest), digest)
+    listing = index.parse(index.Shard, stored.body, 'index shard').accounts
+    section_by_account = {}
+    for account, section_digest in listing.items():
+        section = stored_by_digest.get(section_digest)
+        if section is None:
+            section = Stored.from_body(fetch(section_digest), section_digest)
+        section_by_account[account] = section
+    return Shard(stored, section_by_account)
--- a/ivystep/setup/store.py
+++ b/ivystep/setup/store.py
@@ -1,213 +1,257 @@
-"""Reads and submits the setup.
+"""The setup that an entry serves with, and how it learns of newer versions.
 
-The manifest row ``setup/current`` names the digest of each section; sections
-lie in the object store. A submission stores changed sections first and then
-writes manifest and audit record in one transaction, so an accepted change
-without its audit record is impossible.
+An entry polls the manifest and is told of versions by sidecars and other
+entries. It adopts higher versions only. While a higher version is known but
+not loaded, it refuses new requests, so no request is served under an old
+setup after the entry has learned of a newer one.
 """
 
-import dataclasses
 import json
 import typing
-from collections.abc import Iterator
+from collections.abc import Mapping
 
-import pydantic
+import eventlet
+from eventlet import event, semaphore
 
-from ivystep.core import errors, ids
+from ivystep.core import errors
 from ivystep.platform import objects, table
 from ivystep.runtime import clock, logs
-from ivystep.setup import compiled, document
+from ivystep.setup import adoption, compiled, index, records, snapshot
 
-MANIFEST_KEY = 'setup/current'
-AUDIT_PREFIX = 'audit/'
-COMMON_SECTION = 'common'
-AUDIT_DIGITS = 12
+# A new version is usually loaded within a few milliseconds; requests that
+# arrive in that time wait instead of being refused.
+BEHIND_WAIT_S = 1.0
+BEHIND_RETRY_AFTER_S = 2.0
+MANIFEST_NAME = 'manifest'
 
 log = logs.get('setup')
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SubmitResult:
-    """An accepted submission.
+class SetupStore:
+    """The setup in force at this process.
 
-    Attributes:
-        version: Version that is now in force.
-        resolved: Whether the write's answer was lost and the outcome was
-            established by reading back.
+    Args:
+        rows: The table service.
+        store: The object store.
     """
 
-    version: int
-    resolved: bool
-
-
-class SetupStore:
-    """The setup as kept by the platform, with a local cache of sections."""
-
     def __init__(self, rows: table.Table, store: objects.Objects) -> None:
         self._rows = rows
         self._objects = store
-        self._current: compiled.CompiledSetup | None = None
-        self._section_by_digest: dict[str, typing.Any] = {}
+        self._loaded: adoption.Loaded | None = None
+        self._known_version = 0
+        self._stored_version = 0
+        self._confirmed_at = clock.now()
+        self._changed = event.Event()
+        self._offered = event.Event()
+        self._refresh_lock = semaphore.Semaphore(1)
+
+    @property
+    def latest(self) -> compiled.CompiledSetup | None:
+        """The highest version loaded so far; None before the first."""
+        return self._loaded.setup if self._loaded else None
 
     @property
     def current(self) -> compiled.CompiledSetup | None:
-        """The highest version read so far; None before the first read."""
-        return self._current
+        """The setup for a new request; None before the first was loaded.
 
-    def refresh(self) -> compiled.CompiledSetup | None:
-        """Read the manifest and adopt it if it is newer.
+        Raises:
+            errors.RefusedError: ``configuration_behind``: a higher version is
+                known but not loaded.
+        """
+        if self.is_behind and self._loaded:
+            raise errors.RefusedError(
+                'configuration_behind',
+                f'This entry knows of setup version {self._known_version} '
+                f'but has not read it yet.',
+                status=503,
+                retry_after_s=BEHIND_RETRY_AFTER_S,
+            )
+        return self.latest
 
-        Returns:
-            The setup in force; None if none was ever submitted.
+    @property
+    def is_behind(self) -> bool:
+        """Whether a higher version is known than the one loaded."""
+        return self._known_version > self._version
+
+    @property
+    def known_version(self) -> int:
+        """The highest version of which there is evidence."""
+        return max(self._known_version, self._version)
+
+    @property
+    def age_s(self) -> float:
+        """Seconds since the loaded version was confirmed as the newest."""
+        return clock.now() - self._confirmed_at
+
+    def current_for_request(self) -> compiled.CompiledSetup:
+        """Return the setup for a new request, after a short wait if behind.
 
         Raises:
-            errors.PlatformError: A platform service failed; the current
-                setup stays in force.
-            errors.SetupError: The stored document is invalid.
+            errors.RefusedError: ``no_setup`` or ``configuration_behind``; the
+                request was not run.
         """
-        row = self._rows.get(MANIFEST_KEY)
-        if row is None:
-            return self._current
-        if self._current and row.version <= self._current.version:
-            return self._current
-        candidate = compiled.CompiledSetup.from_document(
-            self._read_document(row.value), row.version
-        )
-        if self._current is None or candidate.version > self._current.version:
-            self._current = candidate
-            log.info('Setup version %d is in force.', candidate.version)
-        return self._current
-
-    def submit(
-        self, source: document.Document, base_version: int, operator: str
-    ) -> SubmitResult:
-        """Make a document the setup, if the base version is still current.
+        deadline = clock.now() + BEHIND_WAIT_S
+        while self.is_behind and clock.now() < deadline:
+            changed = self._changed
+            with eventlet.Timeout(deadline - clock.now(), exception=False):
+                changed.wait()
+        setup = self.current
+        if setup is None:
+            raise errors.RefusedError(
+                'no_setup',
+                'This entry has not read the setup yet.',
+                status=503,
+                retry_after_s=BEHIND_RETRY_AFTER_S,
+            )
+        return setup
+
+    def problems(self, poll_interval_s: float) -> list[str]:
+        """Return a sentence for each thing that is wrong, for operators.
 
         Args:
-            source: The validated document.
-            base_version: Version that the operator started from; 0 if none.
-            operator: Who submits, for the audit trail.
+            poll_interval_s: Time between reads of the manifest.
+        """
+        found = []
+        if self._loaded is None:
+            found.append('The setup has not been read yet.')
+        elif self.is_behind:
+            found.append(
+                f'Setup version {self._known_version} is known but only '
+                f'version {self._version} is loaded; requests are refused.'
+            )
+        if self.age_s > 5 * poll_interval_s:
+            found.append(
+                f'The setup has not been confirmed for {self.age_s:.0f} s; '
+                f'the table service or the object store does not answer.'
+            )
+        if self._stored_version < self._version:
+            found.append(
+                f'The table service holds version {self._stored_version}, '
+                f'which is older than version {self._version} in force.'
+            )
+        return found
 
-        Returns:
-            The new version.
+    def offer(self, version: int) -> bool:
+        """Take evidence that a version exists.
 
-        Raises:
-            errors.ConflictError: Another change was accepted first.
-            errors.PlatformError: The platform failed. With
-                ``UncertainWriteError`` the outcome is not known yet.
-        """
-        digest_by_section = {
-            name: self._objects.put(_canonical(section))
-            for name, section in _sections(source).items()
-        }
-        submission_id = ids.new_id('sub')
-        version = base_version + 1
-        record = {
-            'submission_id': submission_id,
-            'operator': operator,
-            'wall_time': clock.wall_time(),
-            'base_version': base_version,
-            'sections': digest_by_section,
-        }
-        puts = (
-            table.Put(
-                MANIFEST_KEY,
-                {
-                    'sections': digest_by_section,
-                    'submission_id': submission_id,
-                },
-                base_version,
-            ),
-            table.Put(_audit_key(version), record, 0),
-        )
-        try:
-            self._rows.transact(puts)
-        except errors.UncertainWriteError:
-            self._resolve(submission_id, version)
-            return SubmitResult(version, resolved=True)
-        return SubmitResult(version, resolved=False)
-
-    def history(self) -> Iterator[table.Row]:
-        """Return the audit records, oldest first.
+        Args:
+            version: A version that a sidecar or a peer entry has seen.
 
-        Raises:
-            errors.UnavailableError: The table service failed.
+        Returns:
+            Whether it is news; the setup is then refreshed immediately.
         """
-        return self._rows.scan(AUDIT_PREFIX)
+        if version <= self.known_version:
+            return False
+        self._known_version = version
+        self._offered.send()
+        self._offered = event.Event()
+        return True
 
-    def version_document(self, version: int) -> document.Document:
-        """Read the document of an earlier version.
+    def wait_for_offer(self, timeout_s: float) -> bool:
+        """Wait for evidence of a higher version.
 
         Args:
-            version: A version in the audit trail.
+            timeout_s: Longest wait in seconds.
 
-        Raises:
-            errors.SetupError: There is no such version.
-            errors.PlatformError: A platform service failed.
+        Returns:
+            Whether there was any.
         """
-        row = self._rows.get(_audit_key(version))
-        if row is None:
-            raise errors.SetupError(f'there is no version {version}')
-        return self._read_document(row.value)
-
-    def _resolve(self, submission_id: str, version: int) -> None:
-        """Find out whether a write with a lost answer was applied."""
-        try:
-            row = self._rows.get(_audit_key(version))
-        except errors.UnavailableError as error:
-            raise errors.UncertainWriteError(
-                'the outcome is not known; read the history before '
-                'submitting again',
-                step='submit',
-                peer=error.peer,
-            ) from error
-        if row is None:
-            raise errors.UncertainWriteError(
-                'the change has not appeared yet; read the history before '
-                'submitting again',
-                step='submit',
-            )
-        if row.value['submission_id'] != submission_id:
-            raise errors.ConflictError(
-                f'version {version} was submitted by {row.value["operator"]}',
-                step='submit',
-            )
+        offered = self._offered
+        with eventlet.Timeout(timeout_s, exception=False):
+            offered.wait()
+        return offered.ready()
 
-    def _read_document(self, manifest: typing.Any) -> document.Document:
-        common: dict[str, typing.Any] = {}
-        accounts = []
-        section_by_digest = {}
-        for name, digest in manifest['sections'].items():
-            section = self._section_by_digest.get(digest)
-            if section is None:
-                section = json.loads(self._objects.get(digest))
-            section_by_digest[digest] = section
-            if name == COMMON_SECTION:
-                common = section
-            else:
-                accounts.append(section)
-        self._section_by_digest = section_by_digest
-        try:
-            return document.Document.model_validate(
-                {
-                    **common,
-                    'accounts': accounts,
-                }
-            )
-        except pydantic.ValidationError as error:
-            raise errors.SetupError(str(error), step='read') from error
+    def refresh(self) -> compiled.CompiledSetup | None:
+        """Read the manifest and adopt it if it is newer.
 
+        Returns:
+            The highest version loaded; None if none was ever submitted.
 
-def _sections(source: document.Document) -> dict[str, typing.Any]:
-    whole = source.model_dump(mode='json')
-    accounts = whole.pop('accounts')
-    sections = {f'account/{part["name"]}': part for part in accounts}
-    return {COMMON_SECTION: whole, **sections}
+        Raises:
+            errors.PlatformError: A platform service failed; the loaded
+                setup stays.
+            errors.SetupError: The stored setup is invalid.
+        """
+        with self._refresh_lock:
+            row = self._rows.get(records.MANIFEST_KEY)
+            self._note_stored(row.version if row else 0)
+            if row is not None and row.version > self._version:
+                manifest = index.manifest(row.value)
+                self._adopt(row.version, manifest, self._objects.get)
+            if not self.is_behind:
+                self._confirmed_at = clock.now()
+        return self.latest
+
+    def export(self) -> tuple[int, dict[str, bytes]]:
+        """Return the loaded version for a peer.
 
+        Returns:
+            Version and objects by digest; the object ``manifest`` names the
+            root. Version 0 means that nothing is loaded.
+        """
+        if self._loaded is None:
+            return 0, {}
+        manifest = self._loaded.manifest.model_dump_json().encode()
+        sections = {
+            stored.digest: stored.body
+            for stored in self._loaded.snapshot.objects()
+        }
+        return self._loaded.setup.version, {MANIFEST_NAME: manifest, **sections}
 
-def _canonical(section: typing.Any) -> bytes:
-    return json.dumps(section, sort_keys=True, separators=(',', ':')).encode()
+    def adopt(self, version: int, sections: Mapping[str, bytes]) -> bool:
+        """Adopt a version that a peer has exported, if it is higher.
 
+        Args:
+            version: The version.
+            sections: What ``export`` of the peer returned.
 
-def _audit_key(version: int) -> str:
-    return f'{AUDIT_PREFIX}{version:0{AUDIT_DIGITS}d}'
+        Returns:
+            Whether it was adopted.
+
+        Raises:
+            errors.SetupError: The objects are incomplete, damaged or invalid.
+        """
+        with self._refresh_lock:
+            if version <= self._version:
+                return False
+            self._known_version = max(self._known_version, version)
+            manifest = index.manifest(_json(sections.get(MANIFEST_NAME, b'')))
+            self._adopt(version, manifest, adoption.Received(sections).get)
+        return True
+
+    @property
+    def _version(self) -> int:
+        return self._loaded.setup.version if self._loaded else 0
+
+    def _note_stored(self, version: int) -> None:
+        if version < self._version <= self._stored_version:
+            log.error(
+                'The table service went back to version %d; version %d '
+                'stays in force.',
+                version,
+                self._version,
+            )
+        self._stored_version = version
+        self._known_version = max(self._known_version, version)
+
+    def _adopt(
+        self,
+        version: int,
+        manifest: index.Manifest,
+        fetch: snapshot.Fetch,
+    ) -> None:
+        loaded = adoption.load(version, manifest, fetch, self._loaded)
+        self._loaded = loaded
+        self._stored_version = max(self._stored_version, version)
+        changed = self._changed
+        self._changed = event.Event()
+        changed.send()
+        log.info('Setup version %d is in force.', version)
+
+
+def _json(body: bytes) -> typing.Any:
+    try:
+        return json.loads(body)
+    except (ValueError, RecursionError):
+        return None
