--- a/ivystep/setup/snapshot.py
+++ b/ivystep/setup/snapshot.py
@@ -199,12 +199,19 @@
     if common is None or common.digest != names.common:
         common = Stored.from_body(fetch(names.common), names.common)
     earlier = previous.shard_by_id if previous else {}
+    shard_by_id = {
+        key: earlier[key]
+        for key, digest in names.shards.items()
+        if key in earlier and earlier[key].stored.digest == digest
+    }
+    missing = [key for key in names.shards if key not in shard_by_id]
     workers = eventlet.GreenPool(PARALLEL_READS)
     parts = workers.imap(
         lambda key: _read_shard(names.shards[key], fetch, earlier.get(key)),
-        names.shards,
+        missing,
     )
-    return Snapshot(root, common, dict(zip(names.shards, parts, strict=True)))
+    shard_by_id.update(zip(missing, parts, strict=True))
+    return Snapshot(root, common, shard_by_id)
 
 
 def build(
@@ -251,8 +258,6 @@
 
 
 def _read_shard(digest: str, fetch: Fetch, previous: Shard | None) -> Shard:
-    if previous is not None and previous.stored.digest == digest:
-        return previous
     earlier = previous.section_by_account if previous else {}
     stored_by_digest = {part.digest: part for part in earlier.values()}
     stored = Stored.from_body(fetch(digest), digest)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools for developers."""
