Test leases with a stateful machine on the virtual clock

Cause: two holders of one lease could both command one engine.

Ruled out: counting the duration from the answer (CountFromAnswer), taking over without watching (NoWatch), assuming a lost write applied (AssumeApplied) and counting tokens in memory (TokenFromMemory); the machine finds a violation in each.

Conclusion: one holder at a time and growing tokens in every schedule searched.

--- /dev/null
+++ b/tests/coordination/test_lease.py
@@ -0,0 +1,231 @@
+"""Leases under lost answers, outages and paused holders."""
+
+import eventlet
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from ivystep.coordination import lease
+from ivystep.core import errors
+from ivystep.platform import table
+from ivystep.runtime import clock
+from tests.coordination import fakes
+
+KEY = 'engine/up-1'
+DURATION_S = 10.0
+PROCESSES = st.integers(0, 2)
+
+
+class Receiver:
+    """What the lease protects: it accepts commands that carry a token.
+
+    Unlike an engine that checks tokens, it refuses nothing; it reports what a
+    correct holder never sends.
+    """
+
+    def __init__(self) -> None:
+        self.highest = 0
+        self.violations: list[str] = []
+
+    def command(self, token: int) -> None:
+        if token < self.highest:
+            self.violations.append(f'{token} after {self.highest}')
+        self.highest = max(self.highest, token)
+
+
+class LeaseMachine(stateful.RuleBasedStateMachine):
+    """Three processes compete for one lease."""
+
+    lease_type = lease.Lease
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.time = fakes.VirtualTime()
+        self.receiver = Receiver()
+        self.tokens: list[int] = []
+        self.shared = fakes.FakeTable()
+        self.views = [fakes.TableView(self.shared) for _ in range(3)]
+        self.leases = [
+            self.lease_type(view, KEY, f'side-{number}', DURATION_S)
+            for number, view in enumerate(self.views)
+        ]
+        self.tasks = [eventlet.spawn(self._hold, number) for number in range(3)]
+
+    @stateful.rule(process=PROCESSES, fault=fakes.FAULTS)
+    def plan_fault(self, process, fault):
+        self.views[process].planned.append(fault)
+
+    @stateful.rule(seconds=fakes.PAUSES)
+    def advance(self, seconds):
+        clock.sleep(seconds)
+
+    @stateful.rule(process=PROCESSES)
+    def release(self, process):
+        if self.leases[process].is_held():
+            self.leases[process].release()
+
+    @stateful.invariant()
+    def one_holder_with_growing_tokens(self):
+        self._check()
+
+    def teardown(self):
+        try:
+            clock.sleep(100)
+            self._check()
+        finally:
+            for task in self.tasks:
+                task.kill()
+            self.time.stop()
+
+    def _hold(self, number: int) -> None:
+        """Acquire again and again, and act while the lease is held."""
+        held = self.leases[number]
+        while True:
+            self.tokens.append(held.acquire())
+            keeper = eventlet.spawn(held.keep)
+            while held.is_held():
+                self._check()
+                self.receiver.command(held.token)
+                clock.sleep(0.5)
+            keeper.kill()
+
+    def _check(self) -> None:
+        holders = [one.token for one in self.leases if one.is_held()]
+        if len(holders) > 1:
+            self.receiver.violations.append(f'holders {holders} at one time')
+        if sorted(set(self.tokens)) != self.tokens:
+            self.receiver.violations.append(f'tokens {self.tokens}')
+        if self.receiver.violations:
+            raise fakes.ViolationError(self.receiver.violations[0])
+
+
+class CountFromAnswer(lease.Lease):
+    """Counts its duration from the answer instead of from the request."""
+
+    def _adopt(self, record, version):
+        self._sent_at_by_write_id[record.write_id] = clock.now()
+        super()._adopt(record, version)
+
+
+class NoWatch(lease.Lease):
+    """Takes over without waiting for the end of the earlier lease."""
+
+    def _watch(self, row):
+        return
+
+
+class AssumeApplied(lease.Lease):
+    """Takes a lost answer for success, without reading back."""
+
+    def _read_back(self):
+        write_id = list(self._sent_at_by_write_id)[-1]
+        record = lease._Record(
+            self._holder_id, self._row_token + 1, DURATION_S, write_id, False
+        )
+        self._adopt(record, self._version + 1)
+        return write_id
+
+
+class TokenFromMemory(lease.Lease):
+    """Counts tokens itself instead of reading the row's token."""
+
+    def _write(self, token, *, is_released=False):
+        return super()._write(self.token + 1, is_released=is_released)
+
+
+def _machine(kind: type[lease.Lease]):
+    name = f'{kind.__name__}Machine'
+    return type(name, (LeaseMachine,), {'lease_type': kind})
+
+
+def test_one_holder_with_growing_tokens():
+    """Guards against two holders of one lease, and against reused tokens."""
+    stateful.run_state_machine_as_test(
+        _machine(lease.Lease), settings=fakes.SEARCH
+    )
+
+
+@pytest.mark.parametrize(
+    'broken', [CountFromAnswer, NoWatch, AssumeApplied, TokenFromMemory]
+)
+def test_oracle_sees_each_missing_mechanism(broken):
+    """Guards against a check that passes without the mechanism."""
+    with pytest.raises(fakes.ViolationError):
+        stateful.run_state_machine_as_test(
+            _machine(broken), settings=fakes.HUNT
+        )
+
+
+def _lease(shared: fakes.FakeTable, holder_id: str):
+    view = fakes.TableView(shared)
+    return view, lease.Lease(view, KEY, holder_id, DURATION_S)
+
+
+@fakes.on_virtual_clock
+def test_release_passes_the_lease_on_at_once():
+    """Guards against a planned restart that waits for the lease to expire."""
+    shared = fakes.FakeTable()
+    _, first = _lease(shared, 'side-1')
+    view, second = _lease(shared, 'side-1 again')
+    assert first.acquire() == 1
+    view.planned.append(fakes.Fault(fakes.Kind.LOST_AFTER))
+    first.release()
+    assert not first.is_held()
+    started = clock.now()
+    assert second.acquire() == 2
+    assert clock.now() - started < DURATION_S / 2
+
+
+@fakes.on_virtual_clock
+def test_paused_holder_knows_that_it_lost():
+    """Guards against commands from a holder that was stopped too long."""
+    shared = fakes.FakeTable()
+    _, holder = _lease(shared, 'side-1')
+    holder.acquire()
+    # No renewal runs during the pause, as in a stopped process.
+    clock.sleep(DURATION_S)
+    assert not holder.is_held()
+
+
+@fakes.on_virtual_clock
+def test_release_never_lowers_the_token():
+    """Guards against a released row that starts again at token 1."""
+    shared = fakes.FakeTable()
+    _, first = _lease(shared, 'side-1')
+    assert first.acquire() == 1
+    first.release()
+    view, second = _lease(shared, 'side-2')
+    view.planned.extend(
+        (fakes.NO_FAULT, fakes.Fault(fakes.Kind.LOST_BEFORE, before_s=60))
+    )
+    with eventlet.Timeout(30, exception=False):
+        second.acquire()
+    second.release()
+    _, third = _lease(shared, 'side-3')
+    assert third.acquire() == 2
+
+
+@fakes.on_virtual_clock
+def test_lease_survives_an_outage_shorter_than_its_duration():
+    """Guards against an engine without owner in each short outage."""
+    shared = fakes.FakeTable()
+    view, holder = _lease(shared, 'side-1')
+    holder.acquire()
+    eventlet.spawn(holder.keep)
+    view.planned.extend([fakes.Fault(fakes.Kind.DOWN)] * 3)
+    clock.sleep(30)
+    assert holder.is_held()
+    assert holder.token == 1
+
+
+@fakes.on_virtual_clock
+def test_row_of_another_holder_ends_the_lease():
+    """Guards against a holder that renews over another one's row."""
+    shared = fakes.FakeTable()
+    _, holder = _lease(shared, 'side-1')
+    holder.acquire()
+    value = {**shared.row_by_key[KEY].value, 'write_id': 'foreign'}
+    shared.apply((table.Put(KEY, value, 1),))
+    with pytest.raises(errors.ConflictError):
+        holder._renew()
+    assert not holder.is_held()
