--- a/ivystep/runtime/virtual_hub.py
+++ b/ivystep/runtime/virtual_hub.py
@@ -32,6 +32,9 @@
     def __call__(self) -> None:
         self._timer()
 
+    def __lt__(self, other: typing.Self) -> bool:
+        return self._number < other._number
+
     @property
     def called(self) -> bool:
         """Whether the timer has run or was cancelled."""
