Keep one comparison of virtual timers

Cause: merging two orders of the same methods left __lt__ twice.

Ruled out: nothing; the copies were equal.

--- a/ivystep/runtime/virtual_hub.py
+++ b/ivystep/runtime/virtual_hub.py
@@ -40,9 +40,6 @@
         """Whether the timer has run or was cancelled."""
         return self._timer.called
 
-    def __lt__(self, other: typing.Self) -> bool:
-        return self._number < other._number
-
 
 class VirtualHub(hub.BaseHub):
     """Hub with a virtual clock that starts at zero seconds."""
