Add a scene of processes for tests under failure

Cause: the invariants need proofs over real processes that are killed, stopped and cut off, with a check of what every caller was told.

Conclusion: the scene serves the tests and the soak runs.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,10 @@
 test: $(STAMP)
 	$(BIN)/python -m pytest $(ARGS)
 
+# Randomised faults on real processes; prints the seed and every violation.
+soak: $(STAMP)
+	$(BIN)/python -m soak --seed $(or $(SEED),1) --minutes $(or $(MINUTES),5)
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -52,12 +52,14 @@
     Attributes:
         url: Base URL for HTTP.
         operators_url: Base URL for operators, empty for stand-ins.
+        arguments: The command line, for a restart.
     """
 
     name: str
     process: subprocess.Popen[bytes]
     url: str
     operators_url: str = ''
+    arguments: tuple[str, ...] = ()
 
     def stop(self, number: int = signal.SIGTERM) -> int:
         """Signal the process and return its exit code."""
@@ -284,6 +286,12 @@
             headers={'Authorization': f'Bearer {key}', **headers},
         )
 
+    def restart(self, name: str) -> Node:
+        """Kill a process, if it runs, and start it again as it was."""
+        node = self.node_by_name[name]
+        node.stop(signal.SIGKILL)
+        return self._start(name, node.arguments, node.url, node.operators_url)
+
     def stop(self) -> None:
         """Stop all processes, entries first."""
         for node in reversed(self.node_by_name.values()):
@@ -301,7 +309,7 @@
     ) -> Node:
         with (self.folder / f'{name}.log').open('ab') as log:
             process = subprocess.Popen(arguments, stdout=log, stderr=log)
-        node = Node(name, process, url, operators_url)
+        node = Node(name, process, url, operators_url, arguments)
         self.node_by_name[name] = node
         return node
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Faults on real processes, and the check of what callers were told."""
--- /dev/null
+++ b/soak/relay.py
@@ -0,0 +1,102 @@
+"""A TCP relay on loopback that cuts, stalls or delays what it carries."""
+
+import contextlib
+import enum
+import socket
+import typing
+
+import eventlet
+
+BUFFER_BYTES = 65536
+POLL_S = 0.02
+
+
+class Mode(enum.Enum):
+    """What the relay does with bytes."""
+
+    PASS = 'pass'
+    DROP_REQUESTS = 'drop requests'
+    DROP_ANSWERS = 'drop answers'
+    DROP_ALL = 'drop all'
+
+
+class Relay:
+    """Relays connections to one address.
+
+    A dropped direction loses its bytes while the connection stays open, as a
+    half-open connection does; such a connection carries nothing more.
+
+    Args:
+        address: IP address to listen on; the port is chosen.
+        target: Where connections lead.
+    """
+
+    def __init__(self, address: str, target: tuple[str, int]) -> None:
+        self.mode = Mode.PASS
+        self._target = target
+        self._open: set[socket.socket] = set()
+        self._listener = eventlet.listen((address, 0))
+        self.port: int = self._listener.getsockname()[1]
+        eventlet.spawn(self._accept)
+
+    def cut(self) -> None:
+        """Break all open connections."""
+        for connection in tuple(self._open):
+            _shut(connection)
+
+    def heal(self) -> None:
+        """Pass new connections, and break those that have lost bytes."""
+        self.mode = Mode.PASS
+        self.cut()
+
+    def close(self) -> None:
+        """Stop relaying."""
+        self._listener.close()
+        self.cut()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                accepted, _ = self._listener.accept()
+            except OSError:
+                return
+            eventlet.spawn(self._connect, accepted)
+
+    def _connect(self, accepted: typing.Any) -> None:
+        try:
+            onward = socket.create_connection(self._target, 2)
+        except OSError:
+            accepted.close()
+            return
+        onward.settimeout(None)
+        both = (accepted, onward)
+        self._open.update(both)
+        pumps = (
+            eventlet.spawn(self._pump, *both, Mode.DROP_REQUESTS),
+            eventlet.spawn(self._pump, *reversed(both), Mode.DROP_ANSWERS),
+        )
+        for pump in pumps:
+            pump.wait()
+        self._open.difference_update(both)
+        # Closing under a task that reads would raise an error in it.
+        for connection in both:
+            connection.close()
+
+    def _pump(
+        self, source: typing.Any, sink: typing.Any, dropping: Mode
+    ) -> None:
+        is_dropping = False
+        with contextlib.suppress(OSError):
+            while received := source.recv(BUFFER_BYTES):
+                if self.mode in {dropping, Mode.DROP_ALL}:
+                    is_dropping = True
+                if not is_dropping:
+                    sink.sendall(received)
+        if not is_dropping:
+            _shut(source)
+            _shut(sink)
+
+
+def _shut(connection: typing.Any) -> None:
+    with contextlib.suppress(OSError):
+        connection.shutdown(socket.SHUT_RDWR)
--- /dev/null
+++ b/soak/scene.py
@@ -0,0 +1,231 @@
+"""A deployment under faults: two entries, two upstreams, the platform."""
+
+import itertools
+import pathlib
+import random
+import signal
+import time
+import typing
+from collections.abc import Callable
+
+import eventlet
+import urllib3
+
+from demo import cluster
+from soak import callers, oracle, relay
+
+ACCOUNTS = ('authority', 'vanhoutte')
+ADAPTERS = ('letters', 'sheets')
+VERSIONS = (1, 2)
+ENTRIES = ('entry-1', 'entry-2')
+UPSTREAMS = ('up-1', 'up-2')
+POLL_S = 0.05
+WAIT_S = 30.0
+
+
+def setup_document() -> dict[str, typing.Any]:
+    """Return two accounts with two adapters of two versions each."""
+    return {
+        'pools': [{'name': 'base', 'loads_per_s': 10}],
+        'accounts': [_account(name) for name in ACCOUNTS],
+    }
+
+
+def _account(name: str) -> dict[str, typing.Any]:
+    adapters = [
+        {
+            'name': adapter,
+            'pool': 'base',
+            'active_version': 1,
+            'versions': [
+                {'version': number, 'source': f'{name}-{adapter}-{number}'}
+                for number in VERSIONS
+            ],
+        }
+        for adapter in ADAPTERS
+    ]
+    applications = [
+        {
+            'name': application,
+            'key_digests': [
+                cluster.key_digest(callers.bearer_key(name, application))
+            ],
+            'grants': list(ADAPTERS),
+            'idempotent': application != 'once',
+        }
+        for application in ('app', 'once')
+    ]
+    return {'name': name, 'applications': applications, 'adapters': adapters}
+
+
+class Scene:
+    """The deployment, its callers and its faults.
+
+    Args:
+        folder: Folder for settings, logs and journals.
+        seed: Seed of the random choices.
+    """
+
+    def __init__(self, folder: pathlib.Path, seed: int) -> None:
+        self.folder = folder
+        self.random = random.Random(seed)
+        self.system = cluster.Cluster(folder)
+        self.relay_by_host: dict[str, relay.Relay] = {}
+        self.outcomes: list[callers.Outcome] = []
+        self.disturbed_entries: set[str] = set()
+        self.http = urllib3.PoolManager(
+            retries=False, maxsize=64, timeout=callers.SILENCE_S
+        )
+        self._numbers = itertools.count(1)
+        self._tasks: list[typing.Any] = []
+
+    def start(self) -> None:
+        """Start all processes and wait until both entries are ready."""
+        self.system.start_platform()
+        with self.system.parallel():
+            for host in UPSTREAMS:
+                self._start_upstream(host)
+            for host in ENTRIES:
+                self.system.start_entry(host, 'lier-a')
+            self.system.submit(setup_document(), 0)
+        for host in ENTRIES:
+            self.system.await_ready(host)
+        self.await_service()
+
+    def stop(self) -> None:
+        """Stop everything."""
+        for one in self.relay_by_host.values():
+            one.close()
+        self.system.stop()
+
+    def order(self, **fields: typing.Any) -> callers.Order:
+        """Return a new order; what is not given is chosen at random."""
+        number = next(self._numbers)
+        chosen = {
+            'prompt': f'prompt {number}',
+            'account': self.random.choice(ACCOUNTS),
+            'application': self.random.choice(('app', 'once')),
+            'adapter': self.random.choice(ADAPTERS),
+            'version': self.random.choice(VERSIONS),
+            'stream': self.random.random() < 0.5,
+            **fields,
+        }
+        if chosen['application'] == 'once':
+            chosen.setdefault('idempotency_key', f'key {number}')
+        return callers.Order(**chosen)
+
+    def send(self, order: callers.Order, entry: str = '') -> typing.Any:
+        """Send an order from a task of its own.
+
+        Returns:
+            The task; its result is the ``Outcome``.
+        """
+        entry = entry or self.random.choice(ENTRIES)
+        task = eventlet.spawn(self._call, order, entry)
+        self._tasks.append(task)
+        return task
+
+    def send_many(self, count: int, **fields: typing.Any) -> list[typing.Any]:
+        """Send new orders to both entries in turn."""
+        entries = itertools.cycle(ENTRIES)
+        return [
+            self.send(self.order(**fields), next(entries))
+            for _ in range(count)
+        ]
+
+    def running(self) -> int:
+        """Return the number of completions that the engines run."""
+        total = 0
+        for host in UPSTREAMS:
+            try:
+                response = self.http.request('GET', self.engine_url(host))
+            except urllib3.exceptions.HTTPError:
+                continue
+            total += _running(response.data.decode())
+        return total
+
+    def engine_url(self, host: str, path: str = '/metrics') -> str:
+        """Return a URL of a host's engine."""
+        return self.system.node_by_name[f'{host}-engine'].url + path
+
+    def engine_faults(self, host: str, **faults: typing.Any) -> None:
+        """Set the faults of an engine; none given heals it."""
+        self.http.request('POST', self.engine_url(host, '/faults'), json=faults)
+
+    def table_mode(self, mode: str, **more: typing.Any) -> None:
+        """Set the fault mode of the table service."""
+        url = f'{self.system.node_by_name["table"].url}/faults'
+        self.http.request('POST', url, json={'mode': mode, **more})
+
+    def signal(self, name: str, number: int) -> None:
+        """Send a signal to a process by its id."""
+        if name in ENTRIES and number != signal.SIGTERM:
+            self.disturbed_entries.add(name)
+        self.system.node_by_name[name].process.send_signal(number)
+
+    def kill(self, name: str) -> None:
+        """Kill a process and start it again."""
+        self.signal(name, signal.SIGKILL)
+        self.system.restart(name)
+
+    def finish(self) -> list[str]:
+        """Wait for all callers and return all violations so far."""
+        while self._tasks:
+            self._tasks.pop().wait()
+        names = oracle.read_journals(self.folder.glob('*.journal'))
+        return [
+            *oracle.violations(self.outcomes, names, self.disturbed_entries),
+            *oracle.fault_lines(self.folder),
+        ]
+
+    def await_service(self) -> None:
+        """Wait until both entries answer for every account again."""
+        for entry in ENTRIES:
+            for account in ACCOUNTS:
+                wait_until(lambda: self._is_served(entry, account))
+
+    def _is_served(self, entry: str, account: str) -> bool:
+        order = self.order(account=account, application='app')
+        return self._call(order, entry).told is callers.Told.COMPLETE
+
+    def _call(self, order: callers.Order, entry: str) -> callers.Outcome:
+        url = self.system.node_by_name[entry].url
+        outcome = callers.call(self.http, entry, url, order)
+        self.outcomes.append(outcome)
+        return outcome
+
+    def _start_upstream(self, host: str) -> None:
+        system = self.system
+        journal = self.folder / f'{host}.journal'
+        journal.touch()
+        system.start_upstream(
+            host, 'base', 'lier-a', '--journal-path', str(journal)
+        )
+        entry = system.host_entries[-1]
+        target = (system.address, entry['port'])
+        through = relay.Relay(system.address, target)
+        self.relay_by_host[host] = through
+        system.list_host(host, 'sidecar', through.port, 'lier-a', 'base')
+
+
+def wait_until(
+    condition: Callable[[], bool], timeout_s: float = WAIT_S
+) -> None:
+    """Wait until a condition holds.
+
+    Raises:
+        TimeoutError: It did not within the time.
+    """
+    deadline = time.monotonic() + timeout_s
+    while not condition():
+        if time.monotonic() > deadline:
+            raise TimeoutError('the awaited condition did not arise')
+        eventlet.sleep(POLL_S)
+
+
+def _running(metrics: str) -> int:
+    for line in metrics.splitlines():
+        name, _, number = line.rpartition(' ')
+        if name == 'num_requests_running':
+            return int(number)
+    return 0
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -27,6 +27,7 @@
     step_s: typing.Annotated[float, cappa.Arg(long=True)] = 0.01
     loads_per_s: typing.Annotated[float, cappa.Arg(long=True)] = 10.0
     weights_url: typing.Annotated[str, cappa.Arg(long=True)] = ''
+    journal_path: typing.Annotated[str, cappa.Arg(long=True)] = ''
     delay_s: typing.Annotated[float, cappa.Arg(long=True)] = 0.0
 
 
@@ -34,7 +35,10 @@
     """Return the handler of the stand-in that the options name."""
     if options.kind == 'engine':
         standin = engine.EngineStandin(
-            options.slots, options.step_s, options.weights_url
+            options.slots,
+            options.step_s,
+            options.weights_url,
+            journal_path=options.journal_path,
         )
         return standin.handle
     if options.kind == 'service':
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -33,6 +33,8 @@
         step_s: Time of one engine step in seconds.
         weights_url: Weight store, empty for loads without a transfer.
         crash: What happens on a prompt that crashes the engine.
+        journal_path: File that gets one JSON line with adapter and prompt for
+            each completion, and outlives the process; empty for none.
     """
 
     def __init__(
@@ -41,6 +43,7 @@
         step_s: float,
         weights_url: str,
         crash: Callable[[], None] = _exit_process,
+        journal_path: str = '',
     ) -> None:
         self.slots = slots
         self.step_s = step_s
@@ -53,6 +56,7 @@
         self.highest_token = 0
         self.faults = faults.EngineFaults()
         self.completions_by_prompt: dict[str, int] = {}
+        self._journal_path = journal_path
         self._weights_url = weights_url
         self._crash = crash
         self._http = urllib3.PoolManager(retries=False)
@@ -151,6 +155,7 @@
         if name not in self.source_by_name:
             return 404, {'error': {'message': f'no model {name}'}}
         prompt = str(document.get('prompt') or document.get('messages'))
+        self._note(name, prompt)
         if self.faults.crash_prompt and self.faults.crash_prompt in prompt:
             self._crash()
         count = self.completions_by_prompt.get(prompt, 0)
@@ -163,6 +168,11 @@
             body = self._whole(tokens, named)
         return 200, faults.truncated(body, self.faults.truncate_bytes)
 
+    def _note(self, name: str, prompt: str) -> None:
+        if self._journal_path:
+            with open(self._journal_path, 'a', encoding='utf-8') as journal:
+                journal.write(f'{json.dumps([name, prompt])}\n')
+
     def _generate(
         self, document: dict[str, typing.Any], name: str, environ: web.Environ
     ) -> Iterator[str]:
