--- a/soak/callers.py
+++ b/soak/callers.py
@@ -7,7 +7,7 @@
 
 import urllib3
 
-TIMEOUT_MS = 3000
+TIMEOUT_MS = 2000
 # A caller that has no answer so long after its deadline was left alone.
 SILENCE_S = 12.0
 MAX_TOKENS = 30
@@ -32,7 +32,6 @@
     Attributes:
         prompt: Unique to the order, so that the engines' journals show it.
         idempotency_key: Empty for none.
-        once: Whether the order must run at most once.
     """
 
     prompt: str
@@ -45,10 +44,12 @@
 
     @property
     def once(self) -> bool:
+        """Whether the order must run at most once."""
         return bool(self.idempotency_key) or self.application == 'once'
 
     @property
     def lora_name(self) -> str:
+        """The name under which engines hold the adapter version."""
         return f'{self.account}/{self.adapter}@{self.version}'
 
     @property
@@ -86,8 +87,9 @@
         url: Its base URL.
         order: What is sent.
     """
+    key = bearer_key(order.account, order.application)
     headers = {
-        'Authorization': f'Bearer {bearer_key(order.account, order.application)}',
+        'Authorization': f'Bearer {key}',
         'X-Request-Timeout-Ms': str(TIMEOUT_MS),
     }
     if order.idempotency_key:
@@ -128,9 +130,7 @@
     return [None if item == '[DONE]' else json.loads(item) for item in raw]
 
 
-def _answered(
-    order: Order, entry: str, documents: list[typing.Any]
-) -> Outcome:
+def _answered(order: Order, entry: str, documents: list[typing.Any]) -> Outcome:
     last = documents[-1] if documents else {}
     if last is not None and 'error' in last:
         return _failed(order, entry, 200, last)
--- a/soak/oracle.py
+++ b/soak/oracle.py
@@ -43,9 +43,9 @@
         is_left = outcome.told in ENDS_WITHOUT_ANSWER
         if is_left and outcome.entry not in disturbed_entries:
             found.append(f'left without an answer: {outcome}')
-        if outcome.told is callers.Told.COMPLETE:
-            if outcome.text != outcome.order.text:
-                found.append(f'wrong answer: {outcome}')
+        is_complete = outcome.told is callers.Told.COMPLETE
+        if is_complete and outcome.text != outcome.order.text:
+            found.append(f'wrong answer: {outcome}')
     for prompt, group in group_by_prompt.items():
         found.extend(_judge(group, names_by_prompt.get(prompt, [])))
     return found
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -14,7 +14,7 @@
 class Mode(enum.Enum):
     """What the relay does with bytes."""
 
-    PASS = 'pass'
+    RELAY = 'relay'
     DROP_REQUESTS = 'drop requests'
     DROP_ANSWERS = 'drop answers'
     DROP_ALL = 'drop all'
@@ -32,7 +32,7 @@
     """
 
     def __init__(self, address: str, target: tuple[str, int]) -> None:
-        self.mode = Mode.PASS
+        self.mode = Mode.RELAY
         self._target = target
         self._open: set[socket.socket] = set()
         self._listener = eventlet.listen((address, 0))
@@ -46,7 +46,7 @@
 
     def heal(self) -> None:
         """Pass new connections, and break those that have lost bytes."""
-        self.mode = Mode.PASS
+        self.mode = Mode.RELAY
         self.cut()
 
     def close(self) -> None:
--- a/soak/scene.py
+++ b/soak/scene.py
@@ -10,6 +10,7 @@
 
 import eventlet
 import urllib3
+from eventlet import semaphore
 
 from demo import cluster
 from soak import callers, oracle, relay
@@ -20,6 +21,7 @@
 ENTRIES = ('entry-1', 'entry-2')
 UPSTREAMS = ('up-1', 'up-2')
 POLL_S = 0.05
+WRONG_ADAPTER_LINE = 'was asked for and'
 WAIT_S = 30.0
 
 
@@ -77,6 +79,10 @@
             retries=False, maxsize=64, timeout=callers.SILENCE_S
         )
         self._numbers = itertools.count(1)
+        self._seen_lines: set[str] = set()
+        self._expected_lines: tuple[str, ...] = ()
+        # Two restarts of one process at once would compete for its port.
+        self._restart_lock = semaphore.Semaphore(1)
         self._tasks: list[typing.Any] = []
 
     def start(self) -> None:
@@ -107,11 +113,11 @@
             'application': self.random.choice(('app', 'once')),
             'adapter': self.random.choice(ADAPTERS),
             'version': self.random.choice(VERSIONS),
-            'stream': self.random.random() < 0.5,
+            'stream': self.random.choice((False, True)),
             **fields,
         }
         if chosen['application'] == 'once':
-            chosen.setdefault('idempotency_key', f'key {number}')
+            chosen.setdefault('idempotency_key', f'key-{number}')
         return callers.Order(**chosen)
 
     def send(self, order: callers.Order, entry: str = '') -> typing.Any:
@@ -129,8 +135,7 @@
         """Send new orders to both entries in turn."""
         entries = itertools.cycle(ENTRIES)
         return [
-            self.send(self.order(**fields), next(entries))
-            for _ in range(count)
+            self.send(self.order(**fields), next(entries)) for _ in range(count)
         ]
 
     def running(self) -> int:
@@ -150,6 +155,9 @@
 
     def engine_faults(self, host: str, **faults: typing.Any) -> None:
         """Set the faults of an engine; none given heals it."""
+        if 'answer_model' in faults:
+            # The sidecar withholds such an answer and reports it.
+            self._expected_lines = (WRONG_ADAPTER_LINE,)
         self.http.request('POST', self.engine_url(host, '/faults'), json=faults)
 
     def table_mode(self, mode: str, **more: typing.Any) -> None:
@@ -165,24 +173,66 @@
 
     def kill(self, name: str) -> None:
         """Kill a process and start it again."""
-        self.signal(name, signal.SIGKILL)
-        self.system.restart(name)
+        with self._restart_lock:
+            self.signal(name, signal.SIGKILL)
+            self.system.restart(name)
+
+    def drain(self, name: str) -> int:
+        """End a process with SIGTERM and start it again.
+
+        Returns:
+            Its exit code.
+        """
+        with self._restart_lock:
+            node = self.system.node_by_name[name]
+            self.signal(name, signal.SIGTERM)
+            code = node.process.wait(cluster.STOP_TIMEOUT_S)
+            self.system.restart(name)
+        return code
 
     def finish(self) -> list[str]:
-        """Wait for all callers and return all violations so far."""
+        """Wait for all callers and return the violations since last time."""
+        self.wait_for_callers()
+        names = oracle.read_journals(self.folder.glob('*.journal'))
+        found = oracle.violations(self.outcomes, names, self.disturbed_entries)
+        lines = oracle.fault_lines(self.folder)
+        expected = self._expected_lines
+        found.extend(
+            line
+            for line in lines
+            if line not in self._seen_lines
+            and not any(part in line for part in expected)
+        )
+        self._seen_lines.update(lines)
+        self._expected_lines = ()
+        self.outcomes.clear()
+        self.disturbed_entries.clear()
+        return found
+
+    def wait_for_callers(self) -> None:
+        """Wait until all calls have ended."""
         while self._tasks:
             self._tasks.pop().wait()
-        names = oracle.read_journals(self.folder.glob('*.journal'))
-        return [
-            *oracle.violations(self.outcomes, names, self.disturbed_entries),
-            *oracle.fault_lines(self.folder),
-        ]
+
+    def heal(self) -> None:
+        """End all faults of the table service, the engines and the links."""
+        self.table_mode('none')
+        for host in UPSTREAMS:
+            self.engine_faults(host)
+            self.relay_by_host[host].heal()
 
     def await_service(self) -> None:
         """Wait until both entries answer for every account again."""
-        for entry in ENTRIES:
-            for account in ACCOUNTS:
-                wait_until(lambda: self._is_served(entry, account))
+        probes = [
+            eventlet.spawn(self._await_served, entry, account)
+            for entry in ENTRIES
+            for account in ACCOUNTS
+        ]
+        for probe in probes:
+            probe.wait()
+
+    def _await_served(self, entry: str, account: str) -> None:
+        wait_until(lambda: self._is_served(entry, account))
 
     def _is_served(self, entry: str, account: str) -> bool:
         order = self.order(account=account, application='app')
--- /dev/null
+++ b/tests/processes/test_faults.py
@@ -0,0 +1,186 @@
+"""Faults on real processes; every caller must be told the truth.
+
+One deployment serves all tests of this module. Each test leaves it healthy.
+"""
+
+import functools
+import signal
+
+import eventlet
+import pytest
+import urllib3
+
+from ivystep.core import errors
+from ivystep.platform import objects, table
+from ivystep.setup import document, store
+from soak import callers, relay, scene
+
+SEED = 7
+PAUSE_S = (callers.TIMEOUT_MS + 1000) / 1000
+
+
+@pytest.fixture(scope='module')
+def deployed(tmp_path_factory):
+    """Two entries, two upstreams and the platform."""
+    one = scene.Scene(tmp_path_factory.mktemp('scene'), SEED)
+    try:
+        one.start()
+        yield one
+    finally:
+        one.stop()
+
+
+@pytest.fixture
+def stage(deployed):
+    """The deployment while it serves; violations fail the test."""
+    deployed.heal()
+    deployed.await_service()
+    yield deployed
+    assert deployed.finish() == []
+
+
+def _in_the_middle(stage, count=12, **fields):
+    """Send orders and wait until engines run several of them."""
+    tasks = stage.send_many(count, **fields)
+    scene.wait_until(lambda: stage.running() >= count // 4)
+    return tasks
+
+
+def _told(tasks):
+    return [task.wait().told for task in tasks]
+
+
+def test_engine_killed_in_the_middle(stage):
+    """Guards against answers cut short, and attempts run twice."""
+    tasks = _in_the_middle(stage, application='once')
+    stage.kill('up-1-engine')
+    assert len(_told(tasks)) == len(tasks)
+
+
+def test_sidecar_killed_twice_in_a_row(stage):
+    """Guards against a new sidecar that answers for the earlier one."""
+    tasks = _in_the_middle(stage)
+    stage.kill('up-1')
+    stage.kill('up-1')
+    assert len(_told(tasks)) == len(tasks)
+
+
+def test_entry_killed_and_keys_repeated_elsewhere(stage):
+    """Guards against a second run after the first entry has died."""
+    orders = [stage.order(application='once') for _ in range(10)]
+    first = [stage.send(order, 'entry-1') for order in orders]
+    scene.wait_until(lambda: stage.running() >= 3)
+    stage.signal('entry-1', signal.SIGKILL)
+    again = [stage.send(order, 'entry-2') for order in orders]
+    _told(first + again)
+    stage.system.restart('entry-1')
+    stage.system.await_ready('entry-1')
+
+
+def test_engine_and_table_fail_together(stage):
+    """Guards against runs without a claim while two faults meet."""
+    stage.table_mode('lose_answers')
+    tasks = stage.send_many(8, application='once')
+    stage.kill('up-2-engine')
+    _told(tasks)
+    stage.table_mode('down')
+    refused = stage.send_many(4, application='once')
+    served = stage.send_many(4, application='app')
+    assert set(_told(refused)) == {callers.Told.NOT_RUN}
+    assert callers.Told.COMPLETE in _told(served)
+    stage.heal()
+
+
+def test_sidecar_stopped_past_deadline(stage):
+    """Guards against a sidecar that starts old attempts when it wakes."""
+    stage.signal('up-1', signal.SIGSTOP)
+    tasks = stage.send_many(12)
+    eventlet.sleep(PAUSE_S)
+    stage.signal('up-1', signal.SIGCONT)
+    _told(tasks)
+
+
+def test_entry_stopped_past_deadline(stage):
+    """Guards against an entry that sends on what is overdue."""
+    tasks = [stage.send(stage.order(), 'entry-2') for _ in range(6)]
+    stage.signal('entry-2', signal.SIGSTOP)
+    eventlet.sleep(PAUSE_S)
+    stage.signal('entry-2', signal.SIGCONT)
+    _told(tasks)
+
+
+@pytest.mark.parametrize(
+    'mode', [relay.Mode.DROP_ANSWERS, relay.Mode.DROP_REQUESTS]
+)
+def test_half_open_link(stage, mode):
+    """Guards against "not run" from an entry that heard nothing."""
+    tasks = _in_the_middle(stage)
+    stage.relay_by_host['up-1'].mode = mode
+    more = stage.send_many(8)
+    _told(tasks + more)
+    stage.relay_by_host['up-1'].heal()
+
+
+def test_link_cut_in_the_middle(stage):
+    """Guards against a lost connection that is taken for a failed run."""
+    tasks = _in_the_middle(stage)
+    stage.relay_by_host['up-1'].cut()
+    stage.relay_by_host['up-2'].cut()
+    _told(tasks)
+
+
+def test_loads_fail_and_recover(stage):
+    """Guards against requests lost to a load that failed."""
+    for host in scene.UPSTREAMS:
+        stage.system.restart(f'{host}-engine')
+        scene.wait_until(functools.partial(_fail_loads, stage, host))
+    tasks = stage.send_many(8)
+    eventlet.sleep(1)
+    for host in scene.UPSTREAMS:
+        stage.engine_faults(host)
+    _told(tasks)
+
+
+def _fail_loads(stage, host):
+    """Make loads fail; return whether the engine accepts connections."""
+    try:
+        stage.engine_faults(host, load_status=500)
+    except urllib3.exceptions.HTTPError:
+        return False
+    return True
+
+
+def test_operators_race(stage):
+    """Guards against two changes that are both told to be in effect."""
+    nodes = stage.system.node_by_name
+    setups = store.SetupStore(
+        table.TableClient(nodes['table'].url, 2.0),
+        objects.ObjectsClient(nodes['objects'].url, 2.0),
+    )
+    setups.refresh()
+    wanted = document.Document.model_validate(scene.setup_document())
+    base = setups.current.version
+    outcomes = [
+        eventlet.spawn(_submit, setups, wanted, base, f'operator-{number}')
+        for number in range(4)
+    ]
+    assert sorted(task.wait() for task in outcomes) == [0, 0, 0, 1]
+    setups.refresh()
+    assert setups.current.version == base + 1
+
+
+def _submit(setups, wanted, base, operator):
+    try:
+        setups.submit(wanted, base, operator)
+    except errors.ConflictError:
+        return 0
+    return 1
+
+
+@pytest.mark.parametrize('name', ['up-1', 'entry-1'])
+def test_sigterm_interrupts_no_stream(stage, name):
+    """Guards against a planned stop that cuts answers off."""
+    tasks = _in_the_middle(stage, stream=True, application='app')
+    code = stage.drain(name)
+    assert code == 0
+    assert set(_told(tasks)) == {callers.Told.COMPLETE}
