Read frames through an own buffer without waiting for each

Cause: a channel read through a buffered file, which cannot say whether another frame has arrived, so chunks that had queued up could not be forwarded in bulk; stray bytes in that buffer were not seen by the check for stale connections.

Change: the channel keeps its own buffer, reads without waiting, and waits only when nothing has arrived; receive_ready returns a frame that is there already. An interrupted wait loses no bytes.

--- a/ivystep/wire/channel.py
+++ b/ivystep/wire/channel.py
@@ -5,10 +5,11 @@
 """
 
 import contextlib
-import select
 import socket
+import ssl
 import struct
 import typing
+from collections.abc import Generator
 from types import MappingProxyType
 
 import eventlet
@@ -18,12 +19,19 @@
 from thrift.transport import TTransport
 
 from ivystep.core import errors, units
+from ivystep.runtime import clock
 from ivystep.wire import tls
 from ivystep.wire.gen import ttypes
 
 MAX_FRAME_BYTES = 4 * units.MIB
 CONNECT_TIMEOUT_S = 2.0
+READ_BYTES = 64 * units.KIB
 HEADER = struct.Struct('!I')
+NOTHING_ARRIVED = (
+    BlockingIOError,
+    ssl.SSLWantReadError,
+    ssl.SSLWantWriteError,
+)
 # The codec raises these on bytes that are not a frame.
 MALFORMED = (Thrift.TException, EOFError, ValueError, TypeError)
 
@@ -81,7 +89,9 @@
         with contextlib.suppress(OSError):
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._connection = connection
-        self._reader = connection.makefile('rb')
+        self._buffer = bytearray()
+        # Whether the last read found nothing, so that the next one would too.
+        self._is_drained = False
 
     @classmethod
     def connect(
@@ -150,19 +160,29 @@
             errors.LinkError: The connection ended, timed out, or the frame is
                 malformed or too long.
         """
-        try:
-            with eventlet.Timeout(timeout_s, TimeoutError):
-                return decode(self._read_payload())
-        except OSError as error:
-            self.close()
-            raise errors.LinkError(
-                str(error) or 'timed out', step='receive', peer=self.peer
-            ) from error
-        except errors.LinkError as error:
-            self.close()
-            raise errors.LinkError(
-                error.reason, step='receive', peer=self.peer
-            ) from error
+        with self._closed_on_error():
+            deadline = None if timeout_s is None else clock.now() + timeout_s
+            payload = self._buffered_payload()
+            while payload is None:
+                if self._is_drained or not self._fill():
+                    self._wait(deadline)
+                payload = self._buffered_payload()
+            return decode(payload)
+
+    def receive_ready(self) -> typing.Any:
+        """Return a message that has arrived already, without waiting.
+
+        Returns:
+            The message, or None if none has arrived in full.
+
+        Raises:
+            errors.LinkError: As for ``receive``.
+        """
+        with self._closed_on_error():
+            payload = self._buffered_payload()
+            while payload is None and self._fill():
+                payload = self._buffered_payload()
+            return None if payload is None else decode(payload)
 
     def request(
         self, message: typing.Any, timeout_s: float | None = None
@@ -177,10 +197,12 @@
 
     def is_stale(self) -> bool:
         """Return whether an idle connection has ended or has stray bytes."""
-        if self.is_closed:
+        if self.is_closed or self._buffer:
+            return True
+        try:
+            return self._fill()
+        except (OSError, errors.LinkError):
             return True
-        readable, _, _ = select.select([self._connection], [], [], 0)
-        return bool(readable)
 
     def wait_readable(self) -> None:
         """Wait until the peer sends something or closes its end.
@@ -197,22 +219,68 @@
         if self.is_closed:
             return
         self.is_closed = True
-        try:
+        # If the peer has closed first, there is nothing left to shut down.
+        with contextlib.suppress(OSError):
             self._connection.shutdown(socket.SHUT_RDWR)
-        except OSError:
-            # The peer has closed first; there is nothing left to shut down.
-            self._reader = None
         self._connection.close()
 
-    def _read_payload(self) -> bytes:
-        length = HEADER.unpack(self._read_exactly(HEADER.size))[0]
+    @contextlib.contextmanager
+    def _closed_on_error(self) -> Generator[None, None, None]:
+        """Close the channel on an error and name step and peer in it."""
+        try:
+            yield
+        except (OSError, errors.LinkError) as error:
+            self.close()
+            raise errors.LinkError(
+                str(error) or 'timed out', step='receive', peer=self.peer
+            ) from error
+
+    def _buffered_payload(self) -> bytes | None:
+        """Remove and return the first frame's payload if it is complete."""
+        buffer = self._buffer
+        if len(buffer) < HEADER.size:
+            return None
+        length = HEADER.unpack_from(buffer)[0]
         if length > MAX_FRAME_BYTES:
             raise errors.LinkError(f'frame of {length} bytes is too long')
-        return self._read_exactly(length)
+        end = HEADER.size + length
+        if len(buffer) < end:
+            return None
+        payload = bytes(buffer[HEADER.size : end])
+        del buffer[:end]
+        return payload
+
+    def _fill(self) -> bool:
+        """Read what has arrived, without waiting.
 
-    def _read_exactly(self, count: int) -> bytes:
-        reader = self._reader
-        received = b'' if reader is None else reader.read(count)
-        if len(received) < count:
+        Returns:
+            Whether there was anything.
+        """
+        # Only during this call, which no other task can interrupt.
+        self._connection.act_non_blocking = True
+        try:
+            received = self._connection.recv(READ_BYTES)
+        except NOTHING_ARRIVED:
+            self._is_drained = True
+            return False
+        finally:
+            self._connection.act_non_blocking = False
+        if not received:
             raise errors.LinkError('connection closed')
-        return received
+        self._buffer += received
+        return True
+
+    def _wait(self, deadline: float | None) -> None:
+        """Wait until something arrives.
+
+        Raises:
+            TimeoutError: Nothing has arrived by the deadline.
+        """
+        left_s = None if deadline is None else max(deadline - clock.now(), 0)
+        hubs.trampoline(
+            self._connection,
+            read=True,
+            timeout=left_s,
+            timeout_exc=TimeoutError,
+        )
+        self._is_drained = False
