--- a/ivystep/entry/peers.py
+++ b/ivystep/entry/peers.py
@@ -110,7 +110,7 @@
         """Send the demand to the peer; see ``planner.DemandSink.report``."""
         reply = self._link.ask(
             ttypes.Demand(
-                self._pool, entry_id, [_demand_message(one) for one in demands]
+                self._pool, entry_id, [demand_message(one) for one in demands]
             ),
         )
         if not isinstance(reply, ttypes.DemandAccepted):
@@ -207,7 +207,8 @@
     return ids.digest(pool.encode(), host.encode())
 
 
-def _demand_message(demand: types.AdapterDemand) -> ttypes.AdapterDemand:
+def demand_message(demand: types.AdapterDemand) -> ttypes.AdapterDemand:
+    """Convert an adapter's demand to its message."""
     return ttypes.AdapterDemand(
         adapter=convert.adapter_id(demand.ref),
         source=demand.source,
--- /dev/null
+++ b/measure/capacity.py
@@ -0,0 +1,202 @@
+"""Slopes for docs/CAPACITY.md: ``python -m measure.capacity``.
+
+Each line states what was measured, its size and its cost. Costs are processor
+time of this process, and memory is its resident set, on one machine.
+"""
+
+import dataclasses
+import gc
+import pathlib
+import tempfile
+import time
+import typing
+from collections.abc import Callable
+
+import eventlet
+import trustme
+
+from ivystep.core import types
+from ivystep.entry import peers
+from ivystep.wire import channel, convert, tls
+from ivystep.wire.gen import ttypes
+
+REPEATS = 2000
+CONNECTIONS = 200
+RESIDENT = 8
+US_PER_S = 1_000_000
+KIB = 1024
+TLS_RECORD_BYTES = 22
+PAGE_BYTES = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Slope:
+    """One measured cost.
+
+    Attributes:
+        size_bytes: Bytes on the wire, with the overhead of one TLS record.
+        cost_us: Processor time in microseconds.
+        memory_kib: Resident memory in KiB.
+    """
+
+    name: str
+    size_bytes: int = 0
+    cost_us: float = 0.0
+    memory_kib: float = 0.0
+
+
+def resident_kib() -> float:
+    """Return the resident memory of this process in KiB."""
+    gc.collect()
+    pages = int(pathlib.Path('/proc/self/statm').read_text().split()[1])
+    return pages * PAGE_BYTES / KIB
+
+
+def time_us(action: Callable[[], typing.Any]) -> float:
+    """Return the mean processor time of an action in microseconds."""
+    action()
+    started = time.process_time()
+    for _ in range(REPEATS):
+        action()
+    return (time.process_time() - started) / REPEATS * US_PER_S
+
+
+def references(count: int) -> list[types.AdapterRef]:
+    """Return adapter references with names of usual length."""
+    return [
+        types.AdapterRef('authority', f'plan-district-{number:05d}', 3)
+        for number in range(count)
+    ]
+
+
+def status() -> types.UpstreamStatus:
+    """Return the status of an upstream with all slots in use."""
+    return types.UpstreamStatus(
+        upstream_id='accra-a-agro-llm-0001',
+        sidecar_incarnation='inc-0123456789abcdef01234567',
+        engine_incarnation='1796330465.5547986',
+        sequence=123456,
+        healthy=True,
+        draining=False,
+        running=12,
+        slots=RESIDENT,
+        max_running=16,
+        resident_by_ref={
+            ref: types.ResidentAdapter(ref, 2) for ref in references(RESIDENT)
+        },
+        loading=None,
+        setup_version=17,
+        crash_fingerprints=(),
+    )
+
+
+def demand_message(count: int) -> ttypes.Demand:
+    """Return a report of an entry with waiting requests."""
+    return ttypes.Demand(
+        'agro-llm',
+        'accra-a-entry-01',
+        [
+            peers.demand_message(
+                types.AdapterDemand(ref, 'weights', 17, 1.0, 2, 0.5, 9.0, 3)
+            )
+            for ref in references(count)
+        ],
+    )
+
+
+def messages() -> typing.Iterator[Slope]:
+    """Yield the cost of encoding and of decoding each control message."""
+    full = status()
+    yield from _message(
+        'status, 8 resident',
+        lambda: convert.status_message(full),
+        convert.upstream_status,
+    )
+    yield from _message('setup notice', lambda: ttypes.SetupNotice(18000))
+    for count in (1, 51):
+        demand = demand_message(count)
+        yield from _message(f'demand, {count} adapters', lambda: demand)
+
+
+def _message(
+    name: str,
+    build: Callable[[], typing.Any],
+    convert_back: Callable[[typing.Any], typing.Any] = lambda message: message,
+) -> typing.Iterator[Slope]:
+    frame = channel.encode(build())
+    size = len(frame) + TLS_RECORD_BYTES
+    payload = frame[channel.HEADER.size :]
+    yield Slope(
+        f'{name}: build and encode',
+        size,
+        time_us(lambda: channel.encode(build())),
+    )
+    yield Slope(
+        f'{name}: decode',
+        size,
+        time_us(lambda: convert_back(channel.decode(payload))),
+    )
+
+
+def connections() -> typing.Iterator[Slope]:
+    """Yield memory and processor time of idle and of used connections."""
+    with tempfile.TemporaryDirectory() as folder:
+        contexts = _contexts(pathlib.Path(folder))
+        accepted: list[channel.Channel] = []
+        listener = eventlet.listen(('127.0.0.1', 0))
+        eventlet.spawn(_accept, listener, contexts, accepted)
+        address = listener.getsockname()
+        before, started = resident_kib(), time.process_time()
+        opened = [
+            channel.Channel.connect(address, contexts, tls.ENTRY_NAME)
+            for _ in range(CONNECTIONS)
+        ]
+        spent_s = time.process_time() - started
+        yield Slope(
+            'connection: both ends',
+            cost_us=spent_s / CONNECTIONS * US_PER_S,
+            memory_kib=(resident_kib() - before) / CONNECTIONS,
+        )
+        message = convert.status_message(status())
+        sender, receiver = accepted[-1], opened[-1]
+
+        def exchange() -> None:
+            sender.send(message)
+            receiver.receive()
+
+        yield Slope('status: send and receive', cost_us=time_us(exchange))
+
+
+def _contexts(folder: pathlib.Path) -> tls.TlsContexts:
+    authority = trustme.CA()
+    certificate = authority.issue_cert(tls.ENTRY_NAME)
+    ca_path, path = str(folder / 'ca.pem'), str(folder / 'entry.pem')
+    authority.cert_pem.write_to_path(ca_path)
+    certificate.private_key_and_cert_chain_pem.write_to_path(path)
+    return tls.TlsContexts(tls.TlsFiles(ca_path, path, path))
+
+
+def _accept(
+    listener: typing.Any,
+    contexts: tls.TlsContexts,
+    accepted: list[channel.Channel],
+) -> None:
+    while True:
+        connection, _ = listener.accept()
+        secured = contexts.server.wrap_socket(connection, server_side=True)
+        accepted.append(channel.Channel(secured, 'client'))
+
+
+def main() -> None:
+    """Print all slopes."""
+    print(f'{"what":36} {"bytes":>7} {"us":>9} {"KiB":>8}')
+    for slope in (*messages(), *connections()):
+        print(
+            f'{slope.name:36} {slope.size_bytes:7d} '
+            f'{slope.cost_us:9.1f} {slope.memory_kib:8.1f}'
+        )
+
+
+if __name__ == '__main__':
+    eventlet.monkey_patch()
+    main()
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -42,7 +42,10 @@
     return compiled.CompiledSetup.from_document(
         document.Document.model_validate(
             {
-                'pools': [{'name': 'base'}, {'name': 'desk'}],
+                'pools': [
+                    {'name': 'base'},
+                    {'name': 'desk', 'kind': 'service'},
+                ],
                 'services': [
                     {
                         'name': 'stock',
