Load the adapter of the oldest request first unless a crowd waits

Cause: ranking by waiting requests times age lets an adapter with two requests overtake older ones, which lengthens the tail.

Change: the count matters from four waiting requests on.

--- a/ivystep/policy/load_order.py
+++ b/ivystep/policy/load_order.py
@@ -23,6 +23,8 @@
 USE_WINDOW_S = 30.0
 LEVEL_INTERVAL_S = 1.0
 MAX_SHARE_ABOVE = 0.9
+# From this many waiting requests, an adapter goes ahead of older loads.
+CROWD = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -413,6 +415,7 @@
         expected: Requests expected soon, counted like waiting ones.
 
     Returns:
-        The product of waiting requests and age of the oldest.
+        The age of the oldest request, multiplied for a crowd of requests.
     """
-    return (load.waiting + expected) * (now - load.oldest_at)
+    crowds = (load.waiting + expected) / CROWD
+    return max(crowds, 1) * (now - load.oldest_at)
