Pack requests onto few upstreams while loads do not queue up

Change: batching_weight lowers the cost of upstreams by their expected batch and no longer raises it below 0.5, since emptier batches shorten no load stall. Packing fades out at a backlog of 16 loads. The profile's weight is 0.6.

--- a/ivystep/entry/planner.py
+++ b/ivystep/entry/planner.py
@@ -414,7 +414,7 @@
         return batching.cost(
             victim_rate / total,
             expected / max(status.max_running, 1),
-            self.batching_weight,
+            batching.packing(self.batching_weight, len(self._admitted)),
         )
 
     def _rank(self, view: routing.UpstreamView) -> None:
--- a/ivystep/policy/batching.py
+++ b/ivystep/policy/batching.py
@@ -1,32 +1,47 @@
 """On which upstream an adapter is loaded.
 
 An upstream is cheap if the adapter that it would evict is unpopular. Among
-similar ones, ``batching_weight`` decides: 0 spreads requests over all
-upstreams, 1 packs them onto few, so that engine steps are fuller and engines
+similar ones, ``batching_weight`` decides: 0 looks at room only, 1 packs
+requests onto few upstreams, so that engine steps are fuller and engines
 without requests take no steps.
 """
 
 import heapq
 
 # Cost of a full batch, in shares of all requests that the evicted adapter has.
-FILL_SCALE = 0.01
+FILL_SCALE = 0.04
 # Beyond this share of the batch, requests would soon wait for room.
 FULL = 0.8
 OVERFULL_COST = 10.0
+# Loads that wait at which packing ends.
+PACKING_BACKLOG = 16
 
 
-def cost(victim_share: float, fill: float, batching_weight: float) -> float:
+def packing(batching_weight: float, backlog: int) -> float:
+    """Return how much a fuller batch is preferred.
+
+    Packing costs loads, because popular adapters are evicted from the fuller
+    upstreams, so it fades as loads queue up.
+
+    Args:
+        batching_weight: The setup's trade-off, from 0 to 1.
+        backlog: Loads that wait.
+    """
+    return batching_weight * max(1 - backlog / PACKING_BACKLOG, 0)
+
+
+def cost(victim_share: float, fill: float, packing_weight: float) -> float:
     """Return the cost of loading an adapter on an upstream.
 
     Args:
         victim_share: Share of all requests that are for the evicted adapter;
             0 if a slot is free.
         fill: Expected requests there over the size of the engine's batch.
-        batching_weight: The setup's trade-off, from 0 to 1.
+        packing_weight: What ``packing`` returns.
     """
-    preference = (1 - 2 * batching_weight) * min(fill, FULL)
+    packed = packing_weight * min(fill, FULL)
     overfull = max(fill - FULL, 0) * OVERFULL_COST
-    return victim_share + FILL_SCALE * (preference + overfull)
+    return victim_share + FILL_SCALE * (overfull - packed)
 
 
 class VictimIndex:
--- a/measure/profiles.py
+++ b/measure/profiles.py
@@ -50,7 +50,7 @@
     'Authority', 5, 8, 16, 2.0, 3.15, 40, batching_weight=0.2, delay_s=0.0005
 )
 VAN_HOUTTE = Profile(
-    'Van Houtte', 9, 8, 16, 4.0, 7.35, 100, batching_weight=0.8, delay_s=0.001
+    'Van Houtte', 9, 8, 16, 4.0, 7.35, 100, batching_weight=0.6, delay_s=0.001
 )
 
 
