--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,9 @@
 binary: $(STAMP)
 	$(BIN)/python tools/build_binary.py
 
+measure: $(STAMP)
+	$(BIN)/python -m measure.report
+
 # Needs the Thrift compiler; its output is committed, so builds do not.
 thrift:
 	mkdir -p build/thrift
--- a/ivystep/entry/planner.py
+++ b/ivystep/entry/planner.py
@@ -62,7 +62,16 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Target:
+class PlannedLoad:
+    """A load that the planner chose.
+
+    Attributes:
+        wanted: What is loaded.
+        view: Where it is loaded.
+        victim: What is evicted; None if a slot is free.
+    """
+
+    wanted: load_order.WantedLoad
     view: routing.UpstreamView
     victim: types.AdapterRef | None
 
@@ -163,6 +172,18 @@
         if not self._changed.ready():
             self._changed.send()
 
+    def choose(self, now: float) -> PlannedLoad | None:
+        """Choose the next load, its upstream and what is evicted.
+
+        Args:
+            now: Current time in seconds.
+
+        Returns:
+            The choice, or None if nothing can be loaded now.
+        """
+        wanted = self._backlog(now).first(lambda load: self._score(load, now))
+        return wanted and self._target(wanted, now)
+
     def _start(self) -> None:
         if not self._is_running:
             self._is_running = True
@@ -320,13 +341,9 @@
         )
         if active:
             return
-        backlog = self._backlog(now)
-        wanted = backlog.first(lambda load: self._score(load, now))
-        if wanted is None:
-            return
-        target = self._target(wanted, now)
-        if target is not None:
-            self._order(wanted, target, now)
+        chosen = self.choose(now)
+        if chosen is not None:
+            self._order(chosen, now)
 
     def _score(self, load: load_order.WantedLoad, now: float) -> float:
         horizon_s = EXPECTED_HORIZON_LOADS * self.load_s
@@ -335,7 +352,7 @@
 
     def _target(
         self, wanted: load_order.WantedLoad, now: float
-    ) -> _Target | None:
+    ) -> PlannedLoad | None:
         """Choose where an adapter is loaded and what is evicted for it."""
         while True:
             few = self._victims.smallest(CANDIDATES)
@@ -343,13 +360,11 @@
                 return None
             targets = self._candidates(few, wanted, now)
             if targets:
-                return min(
-                    targets, key=functools.partial(self._cost, wanted, now)
-                )
+                return min(targets, key=functools.partial(self._cost, now))
 
     def _candidates(
         self, upstream_ids: list[str], wanted: load_order.WantedLoad, now: float
-    ) -> list[_Target]:
+    ) -> list[PlannedLoad]:
         targets = []
         for upstream_id in upstream_ids:
             view = self._index.view_by_id.get(upstream_id)
@@ -366,16 +381,16 @@
         view: routing.UpstreamView,
         wanted: load_order.WantedLoad,
         now: float,
-    ) -> _Target | None:
+    ) -> PlannedLoad | None:
         status = view.status
         if not view.is_usable(now) or wanted.ref in status.resident_by_ref:
             return None
         if status.loading is not None:
             return None
         if len(status.resident_by_ref) < status.slots:
-            return _Target(view, None)
+            return PlannedLoad(wanted, view, None)
         victim = self._victim(view)
-        return victim and _Target(view, victim)
+        return victim and PlannedLoad(wanted, view, victim)
 
     def _victim(self, view: routing.UpstreamView) -> types.AdapterRef | None:
         now = clock.now()
@@ -400,17 +415,15 @@
             return eviction.NEVER
         return self.popularity.score(ref) - math.log(len(others) + 1)
 
-    def _cost(
-        self, wanted: load_order.WantedLoad, now: float, target: _Target
-    ) -> float:
+    def _cost(self, now: float, target: PlannedLoad) -> float:
         total = max(self.popularity.total_rate(now), eviction.TINY)
         victim_rate = 0.0
         if target.victim is not None:
             score = self._keep_score(target.victim, target.view)
             victim_rate = self.popularity.rate_of(score, now)
-        added = self.popularity.rate(wanted.ref, now) * self.service_s
+        added = self.popularity.rate(target.wanted.ref, now) * self.service_s
         status = target.view.status
-        expected = target.view.running + max(added, wanted.waiting)
+        expected = target.view.running + max(added, target.wanted.waiting)
         return batching.cost(
             victim_rate / total,
             expected / max(status.max_running, 1),
@@ -433,17 +446,18 @@
                     status.upstream_id, self._keep_score(victim, view)
                 )
 
-    def _order(
-        self, wanted: load_order.WantedLoad, target: _Target, now: float
-    ) -> None:
-        evict = () if target.victim is None else (target.victim,)
+    def _order(self, chosen: PlannedLoad, now: float) -> None:
+        wanted = chosen.wanted
         order = types.LoadOrder(
-            wanted.ref, wanted.source, evict, self._process_id
+            ref=wanted.ref,
+            source=wanted.source,
+            evict=() if chosen.victim is None else (chosen.victim,),
+            planner=self._process_id,
         )
         self._shares.use(self._rank_by_ref.pop(wanted.ref, 0), now)
         self._started_by_ref[wanted.ref] = now
-        self._victims.discard(target.view.status.upstream_id)
-        eventlet.spawn(self._load, order, wanted.setup_version, target.view)
+        self._victims.discard(chosen.view.status.upstream_id)
+        eventlet.spawn(self._load, order, wanted.setup_version, chosen.view)
 
     def _load(
         self,
--- a/measure/summary.py
+++ b/measure/summary.py
@@ -46,14 +46,27 @@
     worst_decile: float
 
 
-def summarize(scenario: profiles.Scenario, run: bench.Run) -> Summary:
+def summarize(
+    scenario: profiles.Scenario,
+    run: bench.Run,
+    *,
+    others_only: bool = False,
+    since_s: float = 0.0,
+) -> Summary:
     """Compute the figures of a run.
 
     Args:
         scenario: What was run.
-        run: Its outcomes; extra requests of a scan or flood are left out.
+        run: Its outcomes.
+        others_only: Whether to leave out the account that scans or floods.
+        since_s: Time of the first arrival that counts.
     """
-    outcomes = [one for one in run.outcomes if not one.arrival.is_extra]
+    outcomes = [
+        one
+        for one in run.outcomes
+        if one.arrival.at >= since_s
+        and not (others_only and _is_of_scanner(one))
+    ]
     kinds = [classify(scenario, outcome) for outcome in outcomes]
     stalls = sorted(
         outcome.waited_s
@@ -81,6 +94,11 @@
     )
 
 
+def _is_of_scanner(outcome: bench.Outcome) -> bool:
+    ref = profiles.adapter_ref(outcome.arrival.rank)
+    return ref.account == profiles.SCANNING_ACCOUNT
+
+
 def classify(scenario: profiles.Scenario, outcome: bench.Outcome) -> str:
     """Return what became of a request."""
     if outcome.code == 'lost':
