Add random fault schedules in one process

Cause: crossed, repeated, late and lost messages between entry and sidecar are rare on real connections and need many schedules.

Ruled out: a simulator of its own; the entry's dispatch, pool, links and claims and the sidecar's server, host and run code are the real ones.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -117,11 +117,13 @@
     body = response.data.decode()
     if response.status != 200:
         return _failed(order, entry, response.status, json.loads(body))
-    documents = _events(body) if order.stream else [json.loads(body)]
-    return _answered(order, entry, documents)
+    return answered(order, entry, parse_answer(order, body))
 
 
-def _events(body: str) -> list[typing.Any]:
+def parse_answer(order: Order, body: str) -> list[typing.Any]:
+    """Return the JSON documents of an answer; None is the end marker."""
+    if not order.stream:
+        return [json.loads(body)]
     raw = [
         line.removeprefix(PREFIX)
         for line in body.splitlines()
@@ -130,7 +132,16 @@
     return [None if item == '[DONE]' else json.loads(item) for item in raw]
 
 
-def _answered(order: Order, entry: str, documents: list[typing.Any]) -> Outcome:
+def answered(
+    order: Order, entry: str, documents: list[typing.Any]
+) -> Outcome:
+    """Judge an answer with status 200.
+
+    Args:
+        order: What was sent.
+        entry: Name of the entry.
+        documents: See ``parse_answer``.
+    """
     last = documents[-1] if documents else {}
     if last is not None and 'error' in last:
         return _failed(order, entry, 200, last)
--- /dev/null
+++ b/soak/schedules/engine.py
@@ -0,0 +1,211 @@
+"""An engine in memory, in place of the sidecar's HTTP client."""
+
+import collections
+import json
+import random
+import typing
+from collections.abc import Iterator
+
+import eventlet
+import urllib3
+
+from ivystep.core import errors, types
+from ivystep.runtime import clock
+from ivystep.sidecar import upstream
+from soak import callers
+
+STEP_S = 0.02
+TOKENS_IN_STEP = 5
+CALL_S = 0.002
+LOAD_S = 0.1
+LATE_S = 1.0
+
+
+class Journal:
+    """What really happened, over all engines.
+
+    Attributes:
+        names_by_prompt: Adapters that ran each prompt, with repetitions.
+    """
+
+    def __init__(self) -> None:
+        self.names_by_prompt: dict[str, list[str]] = (
+            collections.defaultdict(list)
+        )
+        self.violations: list[str] = []
+
+
+class Engine:
+    """One engine; the process behind it can be restarted.
+
+    Args:
+        host: Name of its host.
+        slots: Adapters that fit at once.
+        choices: Source of random choices.
+        journal: Where runs are noted.
+
+    Attributes:
+        fault_share: Share of calls that fail in some way.
+        load_fault_share: Share of load orders that fail in some way.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        slots: int,
+        choices: random.Random,
+        journal: Journal,
+    ) -> None:
+        self.fault_share = 0.0
+        self.load_fault_share = 0.0
+        self._host = host
+        self._slots = slots
+        self._choices = choices
+        self._journal = journal
+        self._started = 1
+        self._source_by_name: dict[str, str] = {}
+        self._running: collections.Counter[str] = collections.Counter()
+        self._highest_token = 0
+
+    def restart(self) -> None:
+        """Fail and come back empty."""
+        self._started += 1
+        self._source_by_name.clear()
+        self._running.clear()
+
+    def run(self, path: str, body: bytes, *, idempotent: bool) -> typing.Any:
+        """Start a completion; see ``upstream.UpstreamHttp.run``."""
+        clock.sleep(CALL_S)
+        is_faulty = self._choices.random() < self.fault_share
+        if is_faulty and self._choices.random() < 0.5:
+            raise upstream.call_error(_lost(), self._host)
+        document = json.loads(body)
+        name = document['model']
+        if name not in self._source_by_name:
+            return Response(404, iter((b'{}',)))
+        self._journal.names_by_prompt[document['prompt']].append(name)
+        if is_faulty and self._choices.random() < 0.5:
+            return Response(500, iter((b'{}',)))
+        chunks = self._generate(name, is_cut=is_faulty)
+        if document['stream']:
+            return Response(200, _events(chunks, name))
+        try:
+            text = ''.join(chunks)
+        except urllib3.exceptions.HTTPError as error:
+            raise upstream.call_error(error, self._host) from error
+        whole = {'model': name, 'choices': [{'text': text}]}
+        return Response(200, iter((json.dumps(whole).encode(),)))
+
+    def read(self) -> upstream.Reading:
+        """Return incarnation, adapters and load."""
+        reading = self.process()
+        refs = frozenset(
+            types.AdapterRef.from_lora_name(name)
+            for name in self._source_by_name
+        )
+        return upstream.Reading(reading.incarnation, refs, reading.running)
+
+    def process(self) -> upstream.Reading:
+        """Return incarnation and load."""
+        clock.sleep(CALL_S)
+        running = self._running.total()
+        return upstream.Reading(str(self._started), running=running)
+
+    def load(self, ref: types.AdapterRef, source: str, token: int) -> None:
+        """Load an adapter; see ``upstream.EngineHttp.load``."""
+        self._order(token, self._load, ref.lora_name, source)
+
+    def unload(self, ref: types.AdapterRef, token: int) -> None:
+        """Unload an adapter; see ``upstream.EngineHttp.unload``."""
+        self._order(token, self._unload, ref.lora_name)
+
+    def _order(self, token: int, effect: typing.Any, *names: str) -> None:
+        started = self._started
+        clock.sleep(LOAD_S)
+        if started != self._started:
+            raise errors.UncertainWriteError('restarted', step='order')
+        if token < self._highest_token:
+            raise errors.ConflictError('old token', step='order')
+        self._highest_token = token
+        if self._choices.random() >= self.load_fault_share:
+            effect(*names)
+            return
+        fate = self._choices.choice(('rejected', 'lost', 'unanswered', 'late'))
+        if fate == 'rejected':
+            raise errors.UnavailableError('rejected', step='order')
+        if fate == 'unanswered':
+            effect(*names)
+        if fate == 'late':
+            eventlet.spawn_after(LATE_S, self._late, started, effect, names)
+        raise errors.UncertainWriteError('no answer', step='order')
+
+    def _late(
+        self, started: int, effect: typing.Any, names: tuple[str, ...]
+    ) -> None:
+        if started == self._started:
+            try:
+                effect(*names)
+            except errors.UnavailableError:
+                # The engine refuses it, and nobody is left to be told.
+                return
+
+    def _load(self, name: str, source: str) -> None:
+        if len(self._source_by_name) >= self._slots:
+            raise errors.UnavailableError('no slot', step='load')
+        self._source_by_name[name] = source
+
+    def _unload(self, name: str) -> None:
+        if self._running[name]:
+            self._journal.violations.append(f'{name} evicted while serving')
+        self._source_by_name.pop(name, None)
+
+    def _generate(self, name: str, *, is_cut: bool) -> Iterator[str]:
+        started, source = self._started, self._source_by_name[name]
+        self._running[name] += 1
+        try:
+            for first in range(0, callers.MAX_TOKENS, TOKENS_IN_STEP):
+                clock.sleep(STEP_S)
+                if started != self._started or (is_cut and first):
+                    raise _lost()
+                yield ''.join(
+                    f'{source}#{index} '
+                    for index in range(first, first + TOKENS_IN_STEP)
+                )
+        finally:
+            if started == self._started:
+                self._running[name] -= 1
+
+
+class Response:
+    """An answer, with the part of urllib3's interface that is used."""
+
+    def __init__(self, status: int, chunks: Iterator[bytes]) -> None:
+        self.status = status
+        self.headers = {'Transfer-Encoding': 'chunked'}
+        self._chunks = chunks
+
+    def stream(self, size: int) -> Iterator[bytes]:
+        """Return the chunks of the body."""
+        return self._chunks
+
+    def close(self) -> None:
+        """Abandon the rest; the engine cancels the completion."""
+        close = getattr(self._chunks, 'close', None)
+        if close is not None:
+            close()
+
+    def release_conn(self) -> None:
+        """Keep the connection for another call."""
+        self.close()
+
+
+def _events(chunks: Iterator[str], name: str) -> Iterator[bytes]:
+    # Closing this generator closes the inner one with it.
+    for text in chunks:
+        document = json.dumps({'model': name, 'choices': [{'text': text}]})
+        yield f'data: {document}\n\n'.encode()
+    yield b'data: [DONE]\n\n'
+
+
+def _lost() -> urllib3.exceptions.ProtocolError:
+    return urllib3.exceptions.ProtocolError('connection lost')
--- /dev/null
+++ b/soak/schedules/network.py
@@ -0,0 +1,225 @@
+"""Connections in memory that delay, lose, repeat and cross messages."""
+
+import collections
+import enum
+import random
+import typing
+from collections.abc import Callable
+
+import eventlet
+from eventlet import event, hubs
+
+from ivystep.core import errors
+from ivystep.entry import links
+from ivystep.runtime import clock
+from ivystep.wire import channel
+
+LATENCY_S = 0.002
+LONG_DELAY_S = 3.0
+CONNECT_TIMEOUT_S = 2.0
+
+
+class Fate(enum.Enum):
+    """What happens to one message."""
+
+    PASS = 'pass'
+    DELAY = 'delay'
+    LOSE = 'lose it and all that follow'
+    CUT = 'cut the connection'
+    REPEAT = 'repeat'
+    CROSS = 'deliver on another connection'
+
+
+DISTURBED = tuple(fate for fate in Fate if fate is not Fate.PASS)
+
+
+class Network:
+    """All connections of one schedule.
+
+    Args:
+        choices: Source of random choices.
+
+    Attributes:
+        fault_share: Share of messages that do not simply pass.
+    """
+
+    def __init__(self, choices: random.Random) -> None:
+        self.fault_share = 0.0
+        self._choices = choices
+        self._ends: list[Channel] = []
+
+    def connect(
+        self, serve: Callable[['Channel'], None], host: str
+    ) -> 'Channel':
+        """Open a connection.
+
+        Args:
+            serve: Run in a task with the other end.
+            host: The host behind the other end.
+        """
+        near, far = Channel(self, host, 'near'), Channel(self, host, 'far')
+        near.other, far.other = far, near
+        self._ends.extend((near, far))
+        eventlet.spawn(_serve, serve, far)
+        return near
+
+    def break_all(self, host: str) -> None:
+        """Break the connections to a host whose process ends."""
+        for end in tuple(self._ends):
+            if end.host == host:
+                end.close()
+
+    def forget(self, end: 'Channel') -> None:
+        """Remove a closed end."""
+        if end in self._ends:
+            self._ends.remove(end)
+
+    def carry(self, sender: 'Channel', frame: bytes) -> None:
+        """Bring a frame to the other end, as its fate is."""
+        if self._choices.random() >= self.fault_share:
+            sender.other.arrive(frame, LATENCY_S)
+            return
+        fate = self._choices.choice(DISTURBED)
+        if fate is Fate.LOSE:
+            sender.is_losing = True
+        elif fate is Fate.CUT:
+            sender.close()
+        elif fate is Fate.CROSS:
+            same = [end for end in self._ends if end.side == sender.other.side]
+            self._choices.choice(same or [sender.other]).arrive(frame, 0)
+        elif fate is Fate.REPEAT:
+            sender.other.arrive(frame, LATENCY_S)
+            sender.other.arrive(frame, LATENCY_S)
+        else:
+            delay_s = self._choices.random() * LONG_DELAY_S
+            sender.other.arrive(frame, delay_s)
+
+
+class Channel:
+    """One end of a connection, with the interface of ``channel.Channel``.
+
+    Args:
+        network: Carries what is sent.
+        host: The host that is connected to.
+        side: ``near`` at the entry, ``far`` at the host.
+    """
+
+    def __init__(self, network: Network, host: str, side: str) -> None:
+        self.peer = f'{host} {side}'
+        self.host = host
+        self.side = side
+        self.other: Channel = self
+        self.is_closed = False
+        self.is_losing = False
+        self._network = network
+        self._frames: collections.deque[bytes] = collections.deque()
+        self._is_ended = False
+        self._last_arrival = 0.0
+        self._readable = event.Event()
+
+    def send(self, message: typing.Any) -> None:
+        """Send one message; see ``channel.Channel.send``."""
+        if self.is_closed:
+            raise errors.LinkError('closed', step='send', peer=self.peer)
+        if not self.is_losing:
+            self._network.carry(self, channel.encode(message))
+
+    def receive(self, timeout_s: float | None = None) -> typing.Any:
+        """Wait for one message; see ``channel.Channel.receive``."""
+        try:
+            with eventlet.Timeout(timeout_s, TimeoutError):
+                self.wait_readable()
+        except (OSError, TimeoutError) as error:
+            self.close()
+            raise errors.LinkError(
+                str(error) or 'timed out', step='receive', peer=self.peer
+            ) from error
+        if not self._frames:
+            self.close()
+            raise errors.LinkError('ended', step='receive', peer=self.peer)
+        return channel.decode(self._frames.popleft()[channel.HEADER.size :])
+
+    def request(
+        self, message: typing.Any, timeout_s: float | None = None
+    ) -> typing.Any:
+        """Send a message and wait for the next one."""
+        self.send(message)
+        return self.receive(timeout_s)
+
+    def is_stale(self) -> bool:
+        """Return whether the connection has ended or has stray messages."""
+        return self.is_closed or self._is_ended or bool(self._frames)
+
+    def wait_readable(self) -> None:
+        """Wait for a message or the end.
+
+        Raises:
+            OSError: The connection was closed on this side.
+        """
+        while not self._frames and not self._is_ended:
+            if self.is_closed:
+                raise OSError('closed')
+            self._readable.wait()
+
+    def close(self) -> None:
+        """Close this end; the other one learns it later."""
+        if self.is_closed:
+            return
+        self.is_closed = True
+        self._network.forget(self)
+        self._wake()
+        if not self.is_losing:
+            self.other.arrive(b'', LATENCY_S)
+
+    def arrive(self, frame: bytes, delay_s: float) -> None:
+        """Deliver a frame, or with empty bytes the end, in order."""
+        due = max(clock.now() + delay_s, self._last_arrival)
+        self._last_arrival = due
+        hubs.get_hub().schedule_call_global(
+            due - clock.now(), self._deliver, frame
+        )
+
+    def _deliver(self, frame: bytes) -> None:
+        if self.is_closed or self._is_ended:
+            return
+        if frame:
+            self._frames.append(frame)
+        else:
+            self._is_ended = True
+        self._wake()
+
+    def _wake(self) -> None:
+        readable = self._readable
+        self._readable = event.Event()
+        readable.send()
+
+
+class MemoryLink(links.ThriftLink):
+    """The entry's link over connections in memory.
+
+    Args:
+        process_id: Id of the entry.
+        connect: Opens a connection to the sidecar that runs now.
+    """
+
+    def __init__(
+        self, process_id: str, connect: Callable[[], Channel]
+    ) -> None:
+        super().__init__(process_id, ('', 0), None)
+        self._connect = connect
+
+    def _open(self) -> Channel:
+        link = self._connect()
+        hello = links.ttypes.Hello(self._process_id, '', 'entry', 0)
+        link.request(hello, CONNECT_TIMEOUT_S)
+        return link
+
+
+def _serve(serve: Callable[[Channel], None], end: Channel) -> None:
+    try:
+        serve(end)
+    except errors.LinkError:
+        # The other end has gone, or has sent what makes no sense here.
+        end.close()
+    finally:
+        end.close()
