--- a/ivystep/entry/relay.py
+++ b/ivystep/entry/relay.py
@@ -1,6 +1,7 @@
 """Relays answers: what is released and recorded at their end."""
 
 import collections
+import functools
 from collections.abc import Callable, Iterator
 
 from ivystep.core import errors, types
@@ -79,7 +80,7 @@
         try:
             collections.deque(self, maxlen=0)
         except errors.RequestError as error:
-            log.info('The rest of an answer failed: %s.', error)
+            log.info('The rest of an answer failed: %s', error)
 
     def close(self) -> None:
         """Abandon the rest; safe to call at any time and twice."""
@@ -112,10 +113,12 @@
     request_id = request.request_id
     try:
         with task.in_phase(progress.running_phase(request)):
-            yield from relay
+            # Unlike ``yield from relay``, this leaves the relay open when the
+            # generator is dropped; whoever holds the relay ends it.
+            yield from iter(functools.partial(next, relay, None), None)
     except progress.AbortedError as aborted:
         error = aborted.with_outcome(types.Ran.UNKNOWN)
         yield answers.error_event(error, request_id)
     except errors.RequestError as error:
-        log.warning('Request %s was cut off: %s.', request_id, error)
+        log.warning('Request %s was cut off: %s', request_id, error)
         yield answers.error_event(error, request_id)
