Name attempt and position in each chunk of an answer

Cause: a chunk named neither its attempt nor its place, so a crossed, repeated or missing chunk changed an answer unnoticed; a reply of another type ended the watch of a sidecar with an attribute error, and with it all work for that host.

Ruled out: relying on the ordering of TLS; invariant 3 covers answers that arrive crossed, whatever crossed them.

Entries and sidecars before and after this change do not understand each other.

Conclusion: out of place messages cut the answer with ran: unknown.

--- a/ivystep/entry/links.py
+++ b/ivystep/entry/links.py
@@ -113,6 +113,10 @@
             reply = self._ask(message, LOAD_TIMEOUT_S)
         except errors.LinkError as error:
             return types.LoadResult(False, 'link_failed', str(error))
+        if not isinstance(reply, ttypes.LoadResult):
+            return types.LoadResult(
+                False, 'link_failed', f'unexpected {type(reply).__name__}'
+            )
         return types.LoadResult(reply.ok, reply.code, reply.reason)
 
     def watch(
@@ -131,8 +135,7 @@
                 link = self._open()
                 link.send(ttypes.Watch())
                 while not self.is_closed:
-                    message = link.receive(WATCH_TIMEOUT_S)
-                    on_status(convert.upstream_status(message))
+                    on_status(_status(link))
                 link.close()
             except errors.LinkError as error:
                 log.debug('Watch of %s ended: %s.', self.address, error)
@@ -197,3 +200,13 @@
             step=error.step,
             peer=attempt.placement.upstream_id,
         )
+
+
+def _status(link: channel.Channel) -> types.UpstreamStatus:
+    message = link.receive(WATCH_TIMEOUT_S)
+    if isinstance(message, ttypes.UpstreamStatus):
+        return convert.upstream_status(message)
+    link.close()
+    raise errors.LinkError(
+        f'unexpected {type(message).__name__}', step='watch', peer=link.peer
+    )
--- a/ivystep/entry/reception.py
+++ b/ivystep/entry/reception.py
@@ -1,7 +1,8 @@
 """Receives one answer on a data connection.
 
-Every message names its attempt or follows one that does; a message of another
-attempt is never passed on, and its connection is never used again.
+Every message names its attempt, and every chunk its position. A message of
+another attempt, or out of place, is never passed on, and its connection is
+never used again.
 """
 
 import functools
@@ -38,6 +39,7 @@
         self._attempt = attempt
         self._release = release
         self._is_ended = False
+        self._received_bytes = 0
 
     def head(self, accept_timeout_s: float) -> types.AnswerHead:
         """Wait for the head of the answer.
@@ -76,9 +78,9 @@
         if self._is_ended:
             raise StopIteration
         try:
-            message = self._link.receive(self._time_left())
+            message = self._checked(self._link.receive(self._time_left()))
             if not isinstance(message, ttypes.AnswerEnd):
-                return _chunk_data(message, self._link.peer)
+                return self._chunk(message)
             self._end(message)
         except errors.LinkError as error:
             self.close()
@@ -96,9 +98,24 @@
             self._is_ended = True
             self._link.close()
 
+    def _chunk(self, message: typing.Any) -> bytes:
+        chunk = _chunk_data(message, self._link.peer)
+        self._check_position(message.offset)
+        self._received_bytes += len(chunk)
+        return chunk
+
+    def _check_position(self, position: int) -> None:
+        """Check that no bytes of the answer are missing or repeated."""
+        if position != self._received_bytes:
+            raise errors.LinkError(
+                'bytes are missing or repeated',
+                step='run',
+                peer=self._link.peer,
+            )
+
     def _end(self, message: ttypes.AnswerEnd) -> None:
         ref = convert.optional_adapter_ref(message.adapter)
-        self._checked(message)
+        self._check_position(message.length)
         if ref != self._attempt.request.adapter:
             raise self._cut('invalid_answer', 'Another adapter answered.')
         self._is_ended = True
--- a/ivystep/sidecar/run.py
+++ b/ivystep/sidecar/run.py
@@ -61,6 +61,7 @@
         peer: channel.Channel,
     ) -> None:
         self.ran = types.Ran.NO
+        self._sent_bytes = 0
         self._beside = beside
         self._message = message
         self._peer = peer
@@ -115,6 +116,7 @@
                 self._message.attempt_id,
                 self._message.adapter,
                 self._incarnation,
+                self._sent_bytes,
             ),
         )
 
@@ -150,7 +152,12 @@
             ),
         )
         for chunk in itertools.chain((first,), chunks):
-            self._send(ttypes.AnswerChunk(chunk))
+            self._send(
+                ttypes.AnswerChunk(
+                    chunk, self._message.attempt_id, self._sent_bytes
+                ),
+            )
+            self._sent_bytes += len(chunk)
 
     def _check_status(self, response: upstream.Response) -> None:
         if response.status == 404 and self._ref is not None:
--- a/ivystep/wire/gen/ttypes.py
+++ b/ivystep/wire/gen/ttypes.py
@@ -601,16 +601,22 @@
     """
     Attributes:
      - data
+     - attempt_id
+     - offset
 
     """
 
     __slots__ = (
         'data',
+        'attempt_id',
+        'offset',
     )
 
 
-    def __init__(self, data=None,):
+    def __init__(self, data=None, attempt_id=None, offset=None,):
         self.data = data
+        self.attempt_id = attempt_id
+        self.offset = offset
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -626,6 +632,16 @@
                     self.data = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.attempt_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.offset = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -640,6 +656,14 @@
             oprot.writeFieldBegin('data', TType.STRING, 1)
             oprot.writeBinary(self.data)
             oprot.writeFieldEnd()
+        if self.attempt_id is not None:
+            oprot.writeFieldBegin('attempt_id', TType.STRING, 2)
+            oprot.writeString(self.attempt_id.encode('utf-8') if sys.version_info[0] == 2 else self.attempt_id)
+            oprot.writeFieldEnd()
+        if self.offset is not None:
+            oprot.writeFieldBegin('offset', TType.I64, 3)
+            oprot.writeI64(self.offset)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -671,6 +695,7 @@
      - attempt_id
      - adapter
      - engine_incarnation
+     - length
 
     """
 
@@ -678,13 +703,15 @@
         'attempt_id',
         'adapter',
         'engine_incarnation',
+        'length',
     )
 
 
-    def __init__(self, attempt_id=None, adapter=None, engine_incarnation=None,):
+    def __init__(self, attempt_id=None, adapter=None, engine_incarnation=None, length=None,):
         self.attempt_id = attempt_id
         self.adapter = adapter
         self.engine_incarnation = engine_incarnation
+        self.length = length
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -711,6 +738,11 @@
                     self.engine_incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.length = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -733,6 +765,10 @@
             oprot.writeFieldBegin('engine_incarnation', TType.STRING, 3)
             oprot.writeString(self.engine_incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.engine_incarnation)
             oprot.writeFieldEnd()
+        if self.length is not None:
+            oprot.writeFieldBegin('length', TType.I64, 4)
+            oprot.writeI64(self.length)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2873,6 +2909,8 @@
 AnswerChunk.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'data', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'attempt_id', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'offset', None, None, ),  # 3
 )
 all_structs.append(AnswerEnd)
 AnswerEnd.thrift_spec = (
@@ -2880,6 +2918,7 @@
     (1, TType.STRING, 'attempt_id', 'UTF8', None, ),  # 1
     (2, TType.STRUCT, 'adapter', [AdapterId, None], None, ),  # 2
     (3, TType.STRING, 'engine_incarnation', 'UTF8', None, ),  # 3
+    (4, TType.I64, 'length', None, None, ),  # 4
 )
 all_structs.append(AttemptFailed)
 AttemptFailed.thrift_spec = (
--- a/ivystep/wire/ivystep.thrift
+++ b/ivystep/wire/ivystep.thrift
@@ -41,14 +41,18 @@
   3: string content_type
 }
 
+// The offset counts the bytes of the answer before this chunk.
 struct AnswerChunk {
   1: binary data
+  2: string attempt_id
+  3: i64 offset
 }
 
 struct AnswerEnd {
   1: string attempt_id
   2: optional AdapterId adapter
   3: string engine_incarnation
+  4: i64 length
 }
 
 struct AttemptFailed {
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -132,9 +132,7 @@
     return [None if item == '[DONE]' else json.loads(item) for item in raw]
 
 
-def answered(
-    order: Order, entry: str, documents: list[typing.Any]
-) -> Outcome:
+def answered(order: Order, entry: str, documents: list[typing.Any]) -> Outcome:
     """Judge an answer with status 200.
 
     Args:
--- a/soak/schedules/engine.py
+++ b/soak/schedules/engine.py
@@ -29,8 +29,8 @@
     """
 
     def __init__(self) -> None:
-        self.names_by_prompt: dict[str, list[str]] = (
-            collections.defaultdict(list)
+        self.names_by_prompt: dict[str, list[str]] = collections.defaultdict(
+            list
         )
         self.violations: list[str] = []
 
@@ -77,14 +77,14 @@
         """Start a completion; see ``upstream.UpstreamHttp.run``."""
         clock.sleep(CALL_S)
         is_faulty = self._choices.random() < self.fault_share
-        if is_faulty and self._choices.random() < 0.5:
+        if is_faulty and self._choices.choice((False, True)):
             raise upstream.call_error(_lost(), self._host)
         document = json.loads(body)
         name = document['model']
         if name not in self._source_by_name:
             return Response(404, iter((b'{}',)))
         self._journal.names_by_prompt[document['prompt']].append(name)
-        if is_faulty and self._choices.random() < 0.5:
+        if is_faulty and self._choices.choice((False, True)):
             return Response(500, iter((b'{}',)))
         chunks = self._generate(name, is_cut=is_faulty)
         if document['stream']:
--- a/soak/schedules/network.py
+++ b/soak/schedules/network.py
@@ -22,7 +22,7 @@
 class Fate(enum.Enum):
     """What happens to one message."""
 
-    PASS = 'pass'
+    DELIVER = 'deliver'
     DELAY = 'delay'
     LOSE = 'lose it and all that follow'
     CUT = 'cut the connection'
@@ -30,7 +30,7 @@
     CROSS = 'deliver on another connection'
 
 
-DISTURBED = tuple(fate for fate in Fate if fate is not Fate.PASS)
+DISTURBED = tuple(fate for fate in Fate if fate is not Fate.DELIVER)
 
 
 class Network:
@@ -57,8 +57,10 @@
             serve: Run in a task with the other end.
             host: The host behind the other end.
         """
-        near, far = Channel(self, host, 'near'), Channel(self, host, 'far')
-        near.other, far.other = far, near
+        near = Channel(self, host, 'near')
+        far = Channel(self, host, 'far')
+        near.other = far
+        far.other = near
         self._ends.extend((near, far))
         eventlet.spawn(_serve, serve, far)
         return near
@@ -202,9 +204,7 @@
         connect: Opens a connection to the sidecar that runs now.
     """
 
-    def __init__(
-        self, process_id: str, connect: Callable[[], Channel]
-    ) -> None:
+    def __init__(self, process_id: str, connect: Callable[[], Channel]) -> None:
         super().__init__(process_id, ('', 0), None)
         self._connect = connect
 
--- a/soak/schedules/run.py
+++ b/soak/schedules/run.py
@@ -46,10 +46,9 @@
     choices = random.Random(seed)
     random.seed(seed)
 
-    def token_hex(count: int) -> str:
-        return choices.randbytes(count).hex()
-
-    with mock.patch.object(secrets, 'token_hex', token_hex):
+    with mock.patch.object(
+        secrets, 'token_hex', lambda count: choices.randbytes(count).hex()
+    ):
         return virtual_hub.run(Schedule(seed).run)
 
 
@@ -95,14 +94,14 @@
     def _plan_order(self) -> None:
         choices = self._random
         number = next(self._world.numbers)
-        is_once = choices.random() < 0.5
+        is_once = choices.choice((False, True))
         order = callers.Order(
             prompt=f'prompt {number}',
             account=choices.choice(('authority', 'vanhoutte')),
             application='once' if is_once else 'app',
             adapter=choices.choice(('letters', 'sheets')),
             version=choices.choice((1, 2)),
-            stream=choices.random() < 0.5,
+            stream=choices.choice((False, True)),
             idempotency_key=f'key-{number}' if is_once else '',
         )
         self._send_at(choices.random() * ARRIVALS_S, order)
--- a/soak/schedules/world.py
+++ b/soak/schedules/world.py
@@ -31,9 +31,7 @@
         fault_share: Share of calls that fail in some way.
     """
 
-    def __init__(
-        self, shared: fakes.FakeTable, choices: random.Random
-    ) -> None:
+    def __init__(self, shared: fakes.FakeTable, choices: random.Random) -> None:
         self.fault_share = 0.0
         self._choices = choices
         self._view = fakes.TableView(shared)
@@ -66,9 +64,7 @@
     def __init__(self, name: str, world: 'World') -> None:
         self.name = name
         self.drained_at: float | None = None
-        self.engine = engine.Engine(
-            name, SLOTS, world.random, world.journal
-        )
+        self.engine = engine.Engine(name, SLOTS, world.random, world.journal)
         self.rows = Table(world.shared, world.random)
         self._world = world
         self._tasks: list[typing.Any] = []
@@ -160,9 +156,7 @@
             self._progress.end(task)
         return _answered(order, self.name, body.decode())
 
-    def _run(
-        self, request: types.Request, task: progress.RequestTask
-    ) -> bytes:
+    def _run(self, request: types.Request, task: progress.RequestTask) -> bytes:
         if request.claim is None:
             answer = self._dispatcher.run(request, task)
         else:
@@ -228,8 +222,6 @@
     )
 
 
-def _answered(
-    order: callers.Order, entry: str, body: str
-) -> callers.Outcome:
+def _answered(order: callers.Order, entry: str, body: str) -> callers.Outcome:
     documents = callers.parse_answer(order, body)
     return callers.answered(order, entry, documents)
--- a/tests/entry/test_reception.py
+++ b/tests/entry/test_reception.py
@@ -26,7 +26,7 @@
     return types.Attempt('att', types.Placement(request, 'a', 'a-1'))
 
 
-def message(kind, owner):
+def message(kind, owner, offset):
     failed = {'refused': 'no', 'failed': 'unknown'}
     if kind in failed:
         return ttypes.AttemptFailed(
@@ -35,16 +35,18 @@
     return {
         'accepted': lambda: ttypes.AttemptAccepted(owner),
         'head': lambda: ttypes.AnswerHead(owner, 200, 'text/plain'),
-        'chunk': lambda: ttypes.AnswerChunk(b'x'),
-        'end': lambda: ttypes.AnswerEnd(owner, RIGHT, 'e'),
-        'wrong end': lambda: ttypes.AnswerEnd(owner, WRONG, 'e'),
+        'chunk': lambda: ttypes.AnswerChunk(b'x', owner, offset),
+        'misplaced': lambda: ttypes.AnswerChunk(b'x', owner, offset + 1),
+        'end': lambda: ttypes.AnswerEnd(owner, RIGHT, 'e', offset),
+        'early end': lambda: ttypes.AnswerEnd(owner, RIGHT, 'e', offset + 1),
+        'wrong end': lambda: ttypes.AnswerEnd(owner, WRONG, 'e', offset),
         'status': lambda: ttypes.Hello('p', 'i', 'sidecar', 1),
     }[kind]()
 
 
 KINDS = [
     'accepted', 'head', 'chunk', 'chunk', 'end', 'wrong end', 'refused',
-    'failed', 'status',
+    'failed', 'status', 'misplaced', 'early end',
 ]  # fmt: skip
 
 
@@ -65,8 +67,10 @@
     received = reception.Reception(
         channel.Channel(near, 'near'), attempt(), released.append
     )
+    offset = 0
     for kind, owner in sent:
-        peer.send(message(kind, owner))
+        peer.send(message(kind, owner, offset))
+        offset += kind == 'chunk'
     peer.close()
     got = []
     outcome = 'complete'
@@ -85,8 +89,8 @@
         ending = body.index('end')
         assert set(body[:ending]) <= {'chunk'}
         assert len(got) == ending
-        own = [owner for kind, owner in sent if kind != 'chunk']
-        assert set(own[: start + 2]) == {'att'}
+        owners = [owner for _, owner in sent]
+        assert set(owners[: start + ending + 2]) == {'att'}
     if outcome == 'no':
         assert head is None
         assert sent[start] == ('refused', 'att')
