Wire the planner, the peers and the quarantine into the entry

Cause: planner, peer links, quarantine, setup exchange and operators' page had landed as parts, but the entry daemon used none of them.

Change: pools kept in step with setup and host list; a host that the list calls leaving gets no new work; statuses feed quarantine and setup evidence; dispatch asks for a permit before each attempt; the setup comes from peers if the platform's cannot be read.

Ruled out: one object for pools and membership (the pools are also filled by the setup). A permit is judged again after the wait for a placement, since evidence may have arrived meanwhile.

Before: each entry planned its own loads.

--- a/ivystep/core/types.py
+++ b/ivystep/core/types.py
@@ -112,11 +112,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
-    """The upstream chosen for one attempt of a request."""
+    """The upstream chosen for one attempt of a request.
+
+    Attributes:
+        is_isolated: Whether the request is suspected of causing crashes; the
+            upstream then runs no other suspect beside it.
+    """
 
     request: Request
     upstream_id: str
     sidecar_incarnation: str
+    is_isolated: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ivystep/entry/daemon.py
+++ b/ivystep/entry/daemon.py
@@ -1,24 +1,38 @@
 """The entry daemon."""
 
 import typing
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import eventlet
 from eventlet import wsgi
 
 from ivystep.coordination import claims, retry_budget
-from ivystep.core import errors
-from ivystep.entry import api, connections, dispatch, membership, progress
+from ivystep.core import types
+from ivystep.entry import (
+    api,
+    connections,
+    dispatch,
+    isolation,
+    membership,
+    peer_server,
+    peers,
+    pools,
+    progress,
+    setup_exchange,
+)
+from ivystep.metrics import operators_app, registry
 from ivystep.platform import hosts, objects, table
 from ivystep.runtime import clock, drain, logs
 from ivystep.settings import models
-from ivystep.setup import store
+from ivystep.setup import follow, store
+from ivystep.wire import listener as wire_listener
 from ivystep.wire import tls
 
 MAX_CONNECTIONS = 2048
 # Time in which requests that were told to give up send their last answer:
 # a revocation takes up to 1 s, the close of a connection up to 2 s.
 ABORT_GRACE_S = 4.0
+CONFIGURE_INTERVAL_S = 0.2
 
 log = logs.get('entry')
 
@@ -46,19 +60,36 @@
             rows,
             objects.ObjectsClient(platform.objects_url, platform.timeout_s),
         )
-        self._pool_by_name: dict[str, typing.Any] = {}
+        self.metrics = registry.Metrics()
+        self.exchange = setup_exchange.SetupExchange(self.setup)
+        self.contexts = tls.TlsContexts(settings.tls.files)
+        self.peers = peers.Peers(
+            settings.process.id,
+            self.contexts,
+            self.exchange.version,
+            self.exchange.offer,
+        )
+        suspects = isolation.Isolation()
+        self.pools = pools.Pools(
+            settings.process.id,
+            settings.process.data_centre,
+            self.peers.sink,
+            suspects,
+            self._on_status,
+        )
         self.membership = membership.Membership(
             settings.process.id,
             hosts.HostsClient(platform.hosts_url, platform.timeout_s),
-            tls.TlsContexts(settings.tls.files),
-            self._pool_by_name,
+            self.contexts,
+            self.pools,
+            self.peers,
         )
         self.door = connections.Door(settings.requests.read_timeout_s)
         self.in_progress = progress.Progress()
         self.api = api.CallerApi(
-            lambda: self.setup.current,
+            self.setup.current_for_request,
             dispatch.Dispatcher(
-                self._pool_by_name, retry_budget.RetryBudgets()
+                self.pools, retry_budget.RetryBudgets(), suspects
             ),
             claims.ClaimLog(rows, settings.process.id),
             self.in_progress,
@@ -74,13 +105,7 @@
         """Serve until drained after SIGTERM."""
         signals = drain.DrainSignal()
         signals.install()
-        interval_s = self.settings.platform.poll_interval_s
-        eventlet.spawn(self._follow_setup, interval_s)
-        eventlet.spawn(self.membership.follow, interval_s)
-        operators = eventlet.listen(self.settings.operators.socket_address)
-        eventlet.spawn(
-            wsgi.server, operators, self._operators_app, log_output=False
-        )
+        self._start_background()
         listener = eventlet.listen(self.settings.listen.socket_address)
         server = eventlet.spawn(
             connections.serve,
@@ -133,27 +158,55 @@
         listener.close()
         server.kill()
 
+    def status(self) -> operators_app.ProcessStatus:
+        """Return the status for operators."""
+        interval_s = self.settings.platform.poll_interval_s
+        return operators_app.ProcessStatus(
+            process_id=self.settings.process.id,
+            role='entry',
+            is_ready=self.is_ready and self.setup.latest is not None,
+            is_draining=not self.is_ready,
+            setup_version=self.exchange.version(),
+            setup_age_s=self.setup.age_s,
+            problems=tuple(self.setup.problems(interval_s)),
+            details={'pools': len(self.pools)},
+        )
+
     def _is_idle(self) -> bool:
         return self.in_progress.is_idle and self.door.is_empty
 
-    def _follow_setup(self, interval_s: float) -> None:
+    def _start_background(self) -> None:
+        settings = self.settings
+        interval_s = settings.platform.poll_interval_s
+        eventlet.spawn(follow.SetupFollower(self.setup, interval_s).run)
+        eventlet.spawn(self._configure_pools)
+        eventlet.spawn(self.membership.follow, interval_s)
+        eventlet.spawn(self.peers.spread_version)
+        eventlet.spawn(self.exchange.follow_peers, self.peers.reachable)
+        eventlet.spawn(
+            wire_listener.serve,
+            eventlet.listen(settings.peers.socket_address),
+            self.contexts,
+            tls.ENTRY_NAME,
+            peer_server.PeerServer(
+                settings.process.id, self.pools.planner, self.exchange
+            ).handle,
+        )
+        eventlet.spawn(
+            wsgi.server,
+            eventlet.listen(settings.operators.socket_address),
+            operators_app.OperatorsApp(self.metrics, self.status),
+            log_output=False,
+        )
+
+    def _on_status(self, status: types.UpstreamStatus) -> None:
+        self.exchange.offer(status.setup_version)
+
+    def _configure_pools(self) -> None:
+        configured = 0
         while True:
-            try:
-                self.setup.refresh()
-            except errors.IvystepError as error:
-                log.warning('Setup not read: %s.', error)
-            clock.sleep(interval_s)
-
-    def _operators_app(
-        self,
-        environ: dict[str, typing.Any],
-        start_response: Callable[..., typing.Any],
-    ) -> Iterable[bytes]:
-        current = self.setup.current
-        is_ready = self.is_ready and current is not None
-        if environ['PATH_INFO'] == '/readyz' and not is_ready:
-            start_response('503 Service Unavailable', [])
-            return [b'not ready\n']
-        start_response('200 OK', [('Content-Type', 'text/plain')])
-        version = 0 if current is None else current.version
-        return [f'setup_version {version}\n'.encode()]
+            latest = self.setup.latest
+            if latest is not None and latest.version > configured:
+                self.pools.configure(latest)
+                configured = latest.version
+            clock.sleep(CONFIGURE_INTERVAL_S)
--- a/ivystep/entry/dispatch.py
+++ b/ivystep/entry/dispatch.py
@@ -1,11 +1,12 @@
 """Runs a request: placement, attempts and retries."""
 
+import dataclasses
 import typing
 from collections.abc import Collection, Mapping
 
 from ivystep.coordination import retry_budget
 from ivystep.core import errors, ids, types
-from ivystep.entry import answers, links, progress, relay
+from ivystep.entry import answers, isolation, links, progress, relay
 from ivystep.runtime import clock, logs
 
 MAX_ATTEMPTS = 3
@@ -67,15 +68,18 @@
     Args:
         pool_by_name: The pools; more may be added later.
         budgets: Retry budgets by account and pool.
+        suspects: Quarantines of the pools.
     """
 
     def __init__(
         self,
         pool_by_name: Mapping[str, Target],
         budgets: retry_budget.RetryBudgets,
+        suspects: isolation.Isolation,
     ) -> None:
         self._pool_by_name = pool_by_name
         self._budgets = budgets
+        self._suspects = suspects
 
     def run(
         self, request: types.Request, task: progress.RequestTask
@@ -106,37 +110,61 @@
         budget.on_request()
         course = _Course()
         while True:
-            placement = _place(request, target, task, course)
+            permit = self._enter(request, course)
+            placement = _place(request, target, task, course, permit)
+            if not permit.is_current:
+                # Evidence against the request arrived while it waited.
+                target.finish(placement)
+                permit.close()
+                continue
             try:
-                return _run_once(placement, target, task)
+                return _run_once(placement, target, task, permit)
             except errors.RequestError as error:
+                permit.on_failure(placement.upstream_id, error)
                 course.on_failure(placement, error)
-                if (
-                    task.is_aborted
-                    or not _may_retry(request, error, course)
-                    or not budget.try_spend()
-                ):
+                if task.is_aborted or not _may_retry(request, error, course):
                     raise _final(request, error, course.ran) from error
+                _spend(budget, request, error, course)
                 log.info('Request %s is retried: %s', request.request_id, error)
 
+    def _enter(
+        self, request: types.Request, course: _Course
+    ) -> isolation.Permit:
+        try:
+            return self._suspects.enter(request)
+        except errors.RequestError as error:
+            raise _final(request, error, course.ran) from error
+
 
 def _place(
     request: types.Request,
     target: Target,
     task: progress.RequestTask,
     course: _Course,
+    permit: isolation.Permit,
 ) -> types.Placement:
+    """Wait for a placement; the permit is given back if there is none."""
+    placement = None
     try:
         with task.in_phase(progress.Phase.WAITING):
-            return target.place(request, course.tried)
+            placement = target.place(request, course.tried | permit.avoid)
+            return dataclasses.replace(
+                placement, is_isolated=permit.is_isolated
+            )
     except progress.AbortedError as aborted:
         raise aborted.with_outcome(course.ran) from aborted
     except errors.RequestError as error:
         raise _final(request, error, course.outcome(error.ran)) from error
+    finally:
+        if placement is None:
+            permit.close()
 
 
 def _run_once(
-    placement: types.Placement, target: Target, task: progress.RequestTask
+    placement: types.Placement,
+    target: Target,
+    task: progress.RequestTask,
+    permit: isolation.Permit,
 ) -> types.Answer:
     attempt = types.Attempt(ids.new_id('att'), placement)
     request = placement.request
@@ -144,9 +172,13 @@
     try:
         answer = _start(attempt, target.link(placement.upstream_id), task)
     except BaseException:
+        # A permit that was given back already takes no further effect but
+        # still records a failed engine.
         target.finish(placement)
+        permit.close()
         raise
     chunks = relay.Relay(answer.chunks, lambda _: target.finish(placement))
+    chunks.on_end(lambda _: permit.close(is_completed=chunks.is_complete))
     try:
         with task.in_phase(progress.running_phase(request)):
             chunks.prime(whole=not request.stream)
@@ -168,6 +200,17 @@
         raise aborted.with_outcome(link.revoke(attempt)) from aborted
 
 
+def _spend(
+    budget: retry_budget.RetryBudget,
+    request: types.Request,
+    error: errors.RequestError,
+    course: _Course,
+) -> None:
+    """Take a retry from the budget, or fail for good."""
+    if not budget.try_spend():
+        raise _final(request, error, course.ran) from error
+
+
 def _may_retry(
     request: types.Request, error: errors.RequestError, course: _Course
 ) -> bool:
--- a/ivystep/entry/membership.py
+++ b/ivystep/entry/membership.py
@@ -1,26 +1,35 @@
-"""Follows the platform's host list and keeps one link to each sidecar."""
+"""Follows the platform's host list and keeps one link to each live host.
+
+The list lags. A sidecar that reports a drain gets no new work at once, and a
+silent one is not trusted, whatever the list says; a host that the list calls
+leaving gets no new work even if its sidecar has not noticed.
+"""
+
+import functools
 
 import eventlet
 
 from ivystep.core import errors, types
-from ivystep.entry import links, pool
+from ivystep.entry import links, peers, pools
 from ivystep.platform import hosts
 from ivystep.runtime import clock, logs
 from ivystep.wire import tls
 
 SIDECAR_ROLE = 'sidecar'
+ENTRY_ROLE = 'entry'
 
 log = logs.get('membership')
 
 
 class Membership:
-    """Links to the sidecars in the host list.
+    """Links to the live hosts.
 
     Args:
         process_id: Id of this entry.
         source: The host list.
         contexts: TLS contexts of this entry.
-        pool_by_name: Pools to fill; new ones are added.
+        known_pools: Pools to fill.
+        other_entries: Peers to keep in step.
     """
 
     def __init__(
@@ -28,12 +37,15 @@
         process_id: str,
         source: hosts.Hosts,
         contexts: tls.TlsContexts,
-        pool_by_name: dict[str, pool.Pool],
+        known_pools: pools.Pools,
+        other_entries: peers.Peers,
     ) -> None:
         self._process_id = process_id
         self._source = source
         self._contexts = contexts
-        self._pool_by_name = pool_by_name
+        self._pools = known_pools
+        self._peers = other_entries
+        self._entry_by_host: dict[str, types.HostEntry] = {}
         self._link_by_host: dict[str, links.ThriftLink] = {}
 
     def follow(self, interval_s: float) -> None:
@@ -44,30 +56,68 @@
         """
         while True:
             try:
-                self._apply(self._source.read())
+                self.apply(self._source.read())
             except errors.PlatformError as error:
                 log.warning('Host list not read: %s.', error)
             clock.sleep(interval_s)
 
-    def _apply(self, entry_by_host: dict[str, types.HostEntry]) -> None:
-        for host, entry in entry_by_host.items():
-            if entry.role == SIDECAR_ROLE and host not in self._link_by_host:
+    def apply(self, entry_by_host: dict[str, types.HostEntry]) -> None:
+        """Take over the host list.
+
+        Args:
+            entry_by_host: All hosts by name.
+        """
+        live = {
+            host: entry
+            for host, entry in entry_by_host.items()
+            if entry.state is types.HostState.LIVE
+        }
+        self._peers.update(_with_role(live, ENTRY_ROLE))
+        sidecars = _with_role(live, SIDECAR_ROLE)
+        for host, known in tuple(self._entry_by_host.items()):
+            if sidecars.get(host) != known:
+                self._remove(known)
+        for host, entry in sidecars.items():
+            if host not in self._entry_by_host:
                 self._add(entry)
-        for host in set(self._link_by_host) - set(entry_by_host):
-            log.info('Host %s is gone.', host)
-            self._link_by_host.pop(host).close()
 
     def _add(self, entry: types.HostEntry) -> None:
-        log.info('Host %s is new.', entry.host)
-        target = self._pool_by_name.setdefault(
-            entry.pool, pool.Pool(entry.pool, self._process_id)
-        )
+        log.info('Host %s of pool %s is live.', entry.host, entry.pool)
+        self._pools.add(entry)
         link = links.ThriftLink(
             self._process_id, (entry.address, entry.port), self._contexts
         )
+        self._entry_by_host[entry.host] = entry
         self._link_by_host[entry.host] = link
         eventlet.spawn(
             link.watch,
-            lambda status: target.on_status(status, link),
-            lambda: target.on_lost(entry.host),
+            functools.partial(self._on_status, entry.pool, link),
+            functools.partial(self._on_lost, entry, link),
         )
+
+    def _remove(self, entry: types.HostEntry) -> None:
+        log.info('Host %s is leaving or gone.', entry.host)
+        self._entry_by_host.pop(entry.host)
+        self._link_by_host.pop(entry.host).close()
+        self._pools.on_lost(entry.pool, entry.host)
+
+    def _on_status(
+        self, pool: str, link: links.ThriftLink, status: types.UpstreamStatus
+    ) -> None:
+        # A report may still arrive while the watch of a removed host ends.
+        if not link.is_closed:
+            self._pools.on_status(pool, status, link)
+
+    def _on_lost(self, entry: types.HostEntry, link: links.ThriftLink) -> None:
+        if not link.is_closed:
+            self._pools.on_lost(entry.pool, entry.host)
+
+
+def _with_role(
+    entry_by_host: dict[str, types.HostEntry], role: str
+) -> dict[str, types.HostEntry]:
+    return {
+        host: entry
+        for host, entry in entry_by_host.items()
+        if entry.role == role
+    }
--- a/ivystep/entry/reception.py
+++ b/ivystep/entry/reception.py
@@ -159,7 +159,7 @@
     retry_after_s = None
     if message.retry_after_ms is not None:
         retry_after_s = message.retry_after_ms / units.MS_PER_S
-    return errors.RequestError(
+    error = errors.RequestError(
         message.code,
         message.reason,
         status=message.status,
@@ -169,6 +169,8 @@
         step='run',
         peer=peer,
     )
+    error.engine_incarnation = message.engine_incarnation or ''
+    return error
 
 
 @functools.singledispatch
--- a/ivystep/entry/relay.py
+++ b/ivystep/entry/relay.py
@@ -23,6 +23,7 @@
 
     Attributes:
         is_ended: Whether the end was reached or the rest abandoned.
+        is_complete: Whether the whole answer has arrived.
         ran: Whether the request was run, as known at the end.
     """
 
@@ -32,6 +33,7 @@
         on_end: Callable[[types.Ran], None],
     ) -> None:
         self.is_ended = False
+        self.is_complete = False
         self.ran = types.Ran.UNKNOWN
         self._chunks = chunks
         self._on_end = [on_end]
@@ -48,6 +50,7 @@
         try:
             return next(self._chunks)
         except StopIteration:
+            self.is_complete = True
             self._end(types.Ran.YES)
             raise
         except errors.RequestError as error:
--- /dev/null
+++ b/ivystep/entry/setup_exchange.py
@@ -0,0 +1,93 @@
+"""Exchanges the setup with other entries.
+
+An entry that starts while the platform is out reads the setup from a peer, and
+one that learns of a higher version which it cannot read asks its peers for it.
+"""
+
+from collections.abc import Callable
+
+from ivystep.core import errors
+from ivystep.entry import peers
+from ivystep.runtime import clock, logs
+from ivystep.setup import store
+from ivystep.wire.gen import ttypes
+
+CHECK_INTERVAL_S = 0.5
+
+log = logs.get('setup')
+
+
+class SetupExchange:
+    """The setup of this entry as its peers see it.
+
+    Args:
+        setup: The setup store of this entry.
+    """
+
+    def __init__(self, setup: store.SetupStore) -> None:
+        self._setup = setup
+        self._exported: tuple[int, dict[str, bytes]] = (0, {})
+
+    def version(self) -> int:
+        """Return the version in force here; see ``SetupSource.version``."""
+        latest = self._setup.latest
+        return latest.version if latest else 0
+
+    def offer(self, version: int) -> None:
+        """Take note that a version exists; see ``SetupSource.offer``."""
+        if self._setup.offer(version):
+            log.info('Setup version %d is known from another process.', version)
+
+    def manifest(self) -> tuple[int, dict[str, str]]:
+        """Return the version and its sections; see ``SetupSource.manifest``."""
+        self._exported = self._setup.export()
+        version, body_by_name = self._exported
+        return version, {name: name for name in body_by_name}
+
+    def section(self, digest: str) -> bytes | None:
+        """Return a section; see ``SetupSource.section``."""
+        return self._exported[1].get(digest)
+
+    def follow_peers(
+        self, reachable: Callable[[], list[peers.PeerLink]]
+    ) -> None:
+        """Read the setup from peers while the platform's is not enough.
+
+        Runs until killed.
+
+        Args:
+            reachable: Returns the peers that answer.
+        """
+        while True:
+            if self._setup.is_behind or self._setup.latest is None:
+                self.read_from(reachable())
+            clock.sleep(CHECK_INTERVAL_S)
+
+    def read_from(self, links: list[peers.PeerLink]) -> bool:
+        """Adopt the setup of the first peer that has a higher version.
+
+        Args:
+            links: The peers.
+
+        Returns:
+            Whether one had.
+        """
+        for link in links:
+            try:
+                if self._read(link):
+                    return True
+            except errors.IvystepError as error:
+                log.info('Setup not read from %s: %s.', link.address, error)
+        return False
+
+    def _read(self, link: peers.PeerLink) -> bool:
+        manifest = link.ask(ttypes.GetManifest())
+        if manifest.version <= self.version():
+            return False
+        body_by_name = {}
+        for name, digest in manifest.digest_by_section.items():
+            section = link.ask(ttypes.GetSection(digest))
+            if section.body is None:
+                raise errors.LinkError('the peer has changed its setup')
+            body_by_name[name] = section.body
+        return self._setup.adopt(manifest.version, body_by_name)
--- a/ivystep/wire/convert.py
+++ b/ivystep/wire/convert.py
@@ -51,6 +51,7 @@
         budget_ms=budget_ms,
         fingerprint=request.fingerprint,
         setup_version=request.setup_version,
+        isolated=attempt.placement.is_isolated,
     )
 
 
--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -4,7 +4,9 @@
 time of this process, and memory is its resident set, on one machine.
 """
 
+import copy
 import dataclasses
+import functools
 import gc
 import pathlib
 import tempfile
@@ -115,13 +117,19 @@
     yield from _message('setup notice', lambda: ttypes.SetupNotice(18000))
     for count in (1, 51):
         demand = demand_message(count)
-        yield from _message(f'demand, {count} adapters', lambda: demand)
+        yield from _message(
+            f'demand, {count} adapters', functools.partial(_same, demand)
+        )
+
+
+def _same(message: ttypes.Demand) -> ttypes.Demand:
+    return message
 
 
 def _message(
     name: str,
     build: Callable[[], typing.Any],
-    convert_back: Callable[[typing.Any], typing.Any] = lambda message: message,
+    convert_back: Callable[[typing.Any], typing.Any] = copy.copy,
 ) -> typing.Iterator[Slope]:
     frame = channel.encode(build())
     size = len(frame) + TLS_RECORD_BYTES
@@ -160,11 +168,19 @@
         message = convert.status_message(status())
         sender, receiver = accepted[-1], opened[-1]
 
-        def exchange() -> None:
-            sender.send(message)
-            receiver.receive()
+        yield Slope(
+            'status: send and receive',
+            cost_us=time_us(
+                functools.partial(_exchange, sender, receiver, message)
+            ),
+        )
+
 
-        yield Slope('status: send and receive', cost_us=time_us(exchange))
+def _exchange(
+    sender: channel.Channel, receiver: channel.Channel, message: typing.Any
+) -> None:
+    sender.send(message)
+    receiver.receive()
 
 
 def _contexts(folder: pathlib.Path) -> tls.TlsContexts:
--- a/soak/schedules/world.py
+++ b/soak/schedules/world.py
@@ -10,7 +10,7 @@
 
 from ivystep.coordination import claims, lease, retry_budget
 from ivystep.core import errors, ids, types
-from ivystep.entry import claiming, dispatch, pool, progress
+from ivystep.entry import claiming, dispatch, isolation, pool, progress
 from ivystep.runtime import clock
 from ivystep.settings import models
 from ivystep.sidecar import host, ownership, server
@@ -118,7 +118,9 @@
         self._progress = progress.Progress()
         self._pool = pool.Pool(POOL, name)
         self._dispatcher = dispatch.Dispatcher(
-            {POOL: self._pool}, retry_budget.RetryBudgets()
+            {POOL: self._pool},
+            retry_budget.RetryBudgets(),
+            isolation.Isolation(),
         )
         self._claims = claiming.Claims(
             claims.ClaimLog(self.rows, name), self._progress
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -10,7 +10,7 @@
 
 from ivystep.coordination import claims, retry_budget
 from ivystep.core import errors, types
-from ivystep.entry import api, connections, dispatch, progress
+from ivystep.entry import api, connections, dispatch, isolation, progress
 from ivystep.platform import table
 from ivystep.settings import models
 from ivystep.setup import compiled, document
@@ -186,6 +186,7 @@
             dispatch.Dispatcher(
                 {'base': self.pool, 'desk': self.pool},
                 retry_budget.RetryBudgets(),
+                isolation.Isolation(),
             ),
             claims.ClaimLog(parts.pop('table', None) or MemoryTable(), 'e'),
             self.progress,
