Add the operators' commands, settings errors with places, platform bounds

Cause: submit took platform URLs as flags, and nothing showed the setup, its history or the state of the hosts. Settings under [DEFAULT] belonged silently to all sections, 'inf' passed as a duration, and JSON documents with duplicate fields or NaN were accepted. The platform clients read answers of any length and failed with KeyError or RecursionError on malformed ones.

The commands are check, submit, show, diff, history, restore, status and loadgen; platform URLs come from [platform] of an INI file. Exit codes: 2 for invalid input, 3 for an outcome that is not known, 1 otherwise.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -204,16 +204,20 @@
         return self.command(
             'submit',
             str(path),
-            '--table-url',
-            self.node_by_name['table'].url,
-            '--objects-url',
-            self.node_by_name['objects'].url,
+            '--config',
+            str(self.write_operator_settings()),
             '--base-version',
             str(base_version),
             '--operator',
             'demo',
         )
 
+    def write_operator_settings(self) -> pathlib.Path:
+        """Write the settings of the operators' commands."""
+        path = self.folder / 'operators.ini'
+        self._write_ini(path, {'platform': self._platform_section()})
+        return path
+
     def command(self, *arguments: str) -> str:
         """Run an ``ivystep`` subcommand and return what it prints."""
         done = subprocess.run(
@@ -290,8 +294,9 @@
         sections: dict[str, dict[str, typing.Any]],
     ) -> pathlib.Path:
         pem = str(self.folder / f'{certificate}.pem')
-        parser = configparser.ConfigParser()
-        parser.read_dict(
+        path = self.folder / f'{host}.ini'
+        self._write_ini(
+            path,
             {
                 **sections,
                 'tls': {
@@ -299,15 +304,23 @@
                     'certificate': pem,
                     'key': pem,
                 },
-                'platform': {
-                    'table_url': self.node_by_name['table'].url,
-                    'objects_url': self.node_by_name['objects'].url,
-                    'hosts_url': self.node_by_name['hosts'].url,
-                    'poll_interval_s': 0.5,
-                },
-            }
+                'platform': self._platform_section(),
+            },
         )
-        path = self.folder / f'{host}.ini'
+        return path
+
+    def _platform_section(self) -> dict[str, typing.Any]:
+        return {
+            'table_url': self.node_by_name['table'].url,
+            'objects_url': self.node_by_name['objects'].url,
+            'hosts_url': self.node_by_name['hosts'].url,
+            'poll_interval_s': 0.5,
+        }
+
+    def _write_ini(
+        self, path: pathlib.Path, sections: dict[str, dict[str, typing.Any]]
+    ) -> None:
+        parser = configparser.ConfigParser(interpolation=None)
+        parser.read_dict(sections)
         with path.open('w', encoding='utf-8') as stream:
             parser.write(stream)
-        return path
--- /dev/null
+++ b/ivystep/cli/load_generator.py
@@ -0,0 +1,181 @@
+"""A bounded load generator and its summary."""
+
+import collections
+import dataclasses
+import itertools
+import json
+import math
+import re
+from collections.abc import Iterable
+
+import eventlet
+import urllib3
+
+from ivystep.core import units
+from ivystep.runtime import clock
+
+MAX_REQUESTS = 100000
+MAX_CONCURRENCY = 256
+MAX_ANSWER_BYTES = 1048576
+MAX_METRICS_BYTES = 8388608
+PERCENTILES = (50, 95, 99)
+METRIC_LINE = re.compile(r'^(ivystep_\w+)(?:\{[^}]*\})? (\S+)$', re.MULTILINE)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load:
+    """What to send.
+
+    Attributes:
+        url: Base URL of an entry.
+        key: Bearer key.
+        models: Adapters to call in turn.
+        requests: Number of requests.
+        concurrency: Requests at once.
+        max_tokens: Tokens to ask for.
+        timeout_s: Longest wait for one answer in seconds.
+    """
+
+    url: str
+    key: str
+    models: tuple[str, ...]
+    requests: int
+    concurrency: int
+    max_tokens: int
+    timeout_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sample:
+    """One answer.
+
+    Attributes:
+        outcome: ``ok`` or the code of the error.
+        duration_s: Time until the answer was complete.
+    """
+
+    outcome: str
+    duration_s: float
+
+
+def run(load: Load) -> list[Sample]:
+    """Send all requests and return their outcomes."""
+    pool = urllib3.PoolManager(
+        maxsize=load.concurrency, retries=False, timeout=load.timeout_s
+    )
+    workers = eventlet.GreenPool(load.concurrency)
+    models = itertools.islice(itertools.cycle(load.models), load.requests)
+    return list(workers.imap(lambda model: _call(pool, load, model), models))
+
+
+def read_totals(operators_url: str, timeout_s: float) -> dict[str, float]:
+    """Return the sum of each metric of an entry over its labels.
+
+    Args:
+        operators_url: Base URL of the operators' address.
+        timeout_s: Longest wait in seconds.
+
+    Returns:
+        Totals by name; empty if the metrics cannot be read.
+    """
+    pool = urllib3.PoolManager(retries=False, timeout=timeout_s)
+    try:
+        answer = pool.request(
+            'GET', f'{operators_url}/metrics', preload_content=False
+        )
+        text = answer.read(MAX_METRICS_BYTES).decode(errors='replace')
+    except urllib3.exceptions.HTTPError:
+        return {}
+    total_by_name: dict[str, float] = collections.defaultdict(float)
+    for name, number in METRIC_LINE.findall(text):
+        total_by_name[name] += float(number)
+    return dict(total_by_name)
+
+
+def summarise(
+    samples: Iterable[Sample],
+    duration_s: float,
+    before: dict[str, float],
+    after: dict[str, float],
+) -> str:
+    """Return the text of a report.
+
+    Args:
+        samples: All outcomes.
+        duration_s: Time that the run took, in seconds.
+        before: Totals of the metrics before the run.
+        after: Totals of the metrics after the run.
+    """
+    samples = list(samples)
+    counts = collections.Counter(sample.outcome for sample in samples)
+    good = sorted(
+        sample.duration_s for sample in samples if sample.outcome == 'ok'
+    )
+    lines = [f'requests: {len(samples)} in {duration_s:.1f} s']
+    lines.extend(f'  {name}: {count}' for name, count in counts.most_common())
+    if good:
+        shown = ', '.join(
+            f'p{percent} {percentile(good, percent) * units.MS_PER_S:.0f} ms'
+            for percent in PERCENTILES
+        )
+        lines.append(f'latency: {shown}')
+    for title, name in (
+        ('mean load stall (s)', 'ivystep_load_stall_seconds'),
+        ('mean batch efficiency', 'ivystep_batch_fill_ratio'),
+    ):
+        lines.append(f'{title}: {_mean(name, before, after)}')
+    return '\n'.join((*lines, ''))
+
+
+def percentile(ordered: list[float], percent: float) -> float:
+    """Return a percentile by the nearest-rank method.
+
+    Args:
+        ordered: Sorted values, at least one.
+        percent: From 0 to 100.
+    """
+    rank = math.ceil(len(ordered) * percent / 100)
+    return ordered[max(rank, 1) - 1]
+
+
+def _call(pool: urllib3.PoolManager, load: Load, model: str) -> Sample:
+    started = clock.now()
+    document = {
+        'model': model,
+        'prompt': 'load',
+        'max_tokens': load.max_tokens,
+    }
+    try:
+        answer = pool.request(
+            'POST',
+            f'{load.url}/v1/completions',
+            json=document,
+            headers={'Authorization': f'Bearer {load.key}'},
+            preload_content=False,
+        )
+        body = answer.read(MAX_ANSWER_BYTES)
+        answer.release_conn()
+    except urllib3.exceptions.HTTPError as error:
+        return Sample(type(error).__name__, clock.now() - started)
+    outcome = 'ok' if answer.status == 200 else _code(answer.status, body)
+    return Sample(outcome, clock.now() - started)
+
+
+def _code(status: int, body: bytes) -> str:
+    try:
+        return str(json.loads(body)['error']['code'])
+    except (ValueError, KeyError, TypeError):
+        return f'status {status}'
+
+
+def _mean(name: str, before: dict[str, float], after: dict[str, float]) -> str:
+    count = _growth(f'{name}_count', before, after)
+    if not count:
+        return 'not reported'
+    return f'{_growth(f"{name}_sum", before, after) / count:.3f}'
+
+
+def _growth(
+    name: str, before: dict[str, float], after: dict[str, float]
+) -> float:
+    return after.get(name, 0) - before.get(name, 0)
--- a/ivystep/cli/main.py
+++ b/ivystep/cli/main.py
@@ -5,22 +5,32 @@
 import typing
 
 import cappa
-import eventlet
 
-from ivystep import cli
-from ivystep.cli import commands
+from ivystep.cli import check, commands, loadgen, setup_commands, status
 from ivystep.core import errors
+from ivystep.setup import submission
 
+EXIT_FAILED = 1
 EXIT_USAGE = 2
+EXIT_UNCERTAIN = 3
 
 
-@cappa.command(name='ivystep', description=cli.DESCRIPTION)
+@cappa.command(name='ivystep')
 @dataclasses.dataclass
 class Ivystep:
-    """Arguments of the program."""
+    """Shared serving layer for very many LoRA adapters."""
 
     command: cappa.Subcommands[
-        commands.Entry | commands.Sidecar | commands.Submit | commands.Check
+        commands.Entry
+        | commands.Sidecar
+        | check.Check
+        | setup_commands.Submit
+        | setup_commands.Show
+        | setup_commands.Diff
+        | setup_commands.History
+        | setup_commands.Restore
+        | status.Status
+        | loadgen.Loadgen
     ]
 
 
@@ -30,13 +40,31 @@
     Args:
         argv: Arguments without the program's name; None takes the process's.
     """
-    eventlet.monkey_patch()
     try:
         cappa.invoke(Ivystep, argv=None if argv is None else list(argv))
     except errors.IvystepError as error:
         sys.stderr.write(f'{error}\n')
-        is_usage = isinstance(error, errors.SettingsError | errors.SetupError)
-        sys.exit(EXIT_USAGE if is_usage else 1)
+        if isinstance(error, submission.StaleBaseError):
+            changes = setup_commands.format_changes(error.changes)
+            sys.stderr.write(f'Changed since then:\n{changes}')
+        sys.exit(exit_code(error))
+
+
+def exit_code(error: errors.IvystepError) -> int:
+    """Return the exit code for an error.
+
+    Args:
+        error: What ended the command.
+
+    Returns:
+        2 for invalid settings or documents, 3 if the outcome of a change is
+        not known, 1 otherwise.
+    """
+    if isinstance(error, errors.SettingsError | errors.SetupError):
+        return EXIT_USAGE
+    if isinstance(error, errors.UncertainWriteError):
+        return EXIT_UNCERTAIN
+    return EXIT_FAILED
 
 
 if __name__ == '__main__':
--- a/ivystep/platform/http.py
+++ b/ivystep/platform/http.py
@@ -41,7 +41,10 @@
             errors.UnavailableError: The service gave no usable answer.
         """
         try:
-            response = self._pool.request('GET', self._base_url + path)
+            response = self._pool.request(
+                'GET', self._base_url + path, preload_content=False
+            )
+            body = _read(response)
         except urllib3.exceptions.HTTPError as error:
             raise errors.UnavailableError(
                 str(error), step='get', peer=self.name
@@ -52,7 +55,7 @@
             raise errors.UnavailableError(
                 f'status {response.status}', step='get', peer=self.name
             )
-        return response.data
+        return body
 
     def send(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
         """Send a body.
@@ -76,7 +79,9 @@
                 self._base_url + path,
                 body=body,
                 headers={'Content-Type': 'application/json'},
+                preload_content=False,
             )
+            content = _read(response)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -96,7 +101,7 @@
             raise errors.UncertainWriteError(
                 f'status {response.status}', step='send', peer=self.name
             )
-        return response.status, response.data
+        return response.status, content
 
     def parse(self, body: bytes) -> typing.Any:
         """Parse a JSON answer.
@@ -106,7 +111,18 @@
         """
         try:
             return json.loads(body)
-        except ValueError as error:
+        except (ValueError, RecursionError) as error:
             raise errors.UnavailableError(
                 'answer is not JSON', step='parse', peer=self.name
             ) from error
+
+
+def _read(response: urllib3.BaseHTTPResponse) -> bytes:
+    body = response.read(MAX_RESPONSE_BYTES + 1)
+    if len(body) > MAX_RESPONSE_BYTES:
+        response.close()
+        raise urllib3.exceptions.HTTPError(
+            f'answer is longer than {MAX_RESPONSE_BYTES} bytes'
+        )
+    response.release_conn()
+    return body
--- a/ivystep/platform/table.py
+++ b/ivystep/platform/table.py
@@ -74,7 +74,7 @@
     def get(self, key: str) -> Row | None:
         """Read one row; see ``Table.get``."""
         body = self._http.get(f'/rows/{urllib.parse.quote(key, safe="")}')
-        return None if body is None else _row(self._http.parse(body))
+        return None if body is None else self._row(self._http.parse(body))
 
     def transact(self, puts: Sequence[Put]) -> None:
         """Apply all puts or none; see ``Table.transact``."""
@@ -104,12 +104,27 @@
                 }
             )
             page = self._http.parse(self._http.get(f'/rows?{query}') or b'')
-            rows = [_row(raw) for raw in page['rows']]
+            rows = [self._row(raw) for raw in self._rows_of(page)]
             yield from rows
             if len(rows) < SCAN_PAGE_ROWS:
                 return
             after = rows[-1].key
 
-
-def _row(raw: dict[str, typing.Any]) -> Row:
-    return Row(raw['key'], raw['value'], raw['version'])
+    def _rows_of(self, page: typing.Any) -> list[typing.Any]:
+        if not isinstance(page, dict) or not isinstance(page.get('rows'), list):
+            raise self._malformed()
+        return page['rows']
+
+    def _row(self, raw: typing.Any) -> Row:
+        try:
+            row = Row(raw['key'], raw['value'], raw['version'])
+        except (KeyError, TypeError) as error:
+            raise self._malformed() from error
+        if not isinstance(row.version, int) or not isinstance(row.key, str):
+            raise self._malformed()
+        return row
+
+    def _malformed(self) -> errors.UnavailableError:
+        return errors.UnavailableError(
+            'malformed answer', step='read', peer=self._http.name
+        )
--- a/ivystep/settings/ini.py
+++ b/ivystep/settings/ini.py
@@ -1,6 +1,7 @@
 """Reads an INI file into a settings model."""
 
 import configparser
+import difflib
 import pathlib
 import typing
 
@@ -9,6 +10,8 @@
 from ivystep.core import errors
 
 MAX_FILE_BYTES = 1048576
+MAX_SHOWN_CHARACTERS = 200
+MAX_REPORTED_PROBLEMS = 20
 
 _Model = typing.TypeVar('_Model', bound=pydantic.BaseModel)
 
@@ -27,21 +30,38 @@
         errors.SettingsError: The message names file, section and key of each
             problem, one line each.
     """
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        text = _read(path)
-        parser.read_string(text, source=path)
-    except (OSError, UnicodeError, configparser.Error) as error:
-        raise errors.SettingsError(
-            f'{path}: cannot be read: {error}', step='settings'
-        ) from error
-    sections = {name: dict(parser[name]) for name in parser.sections()}
+    sections = read_sections(path)
     try:
         return model.model_validate(sections)
     except pydantic.ValidationError as error:
+        raise errors.SettingsError(_explain(path, error, model)) from error
+
+
+def read_sections(path: str) -> dict[str, dict[str, str]]:
+    """Read the sections of a settings file without validating them.
+
+    Args:
+        path: Path of the INI file.
+
+    Returns:
+        Keys and their content by section.
+
+    Raises:
+        errors.SettingsError: The file cannot be read or is not INI.
+    """
+    # Without a default section, keys under [DEFAULT] are an unknown section
+    # instead of silently belonging to every section.
+    parser = configparser.ConfigParser(
+        interpolation=None, default_section='', empty_lines_in_values=False
+    )
+    try:
+        parser.read_string(_read(path), source=path)
+    except (OSError, UnicodeError, configparser.Error) as error:
+        reason = str(error).splitlines()[0][:MAX_SHOWN_CHARACTERS]
         raise errors.SettingsError(
-            _explain(path, error), step='settings'
+            f'{path}: cannot be read: {reason}'
         ) from error
+    return {name: dict(parser[name]) for name in parser.sections()}
 
 
 def _read(path: str) -> str:
@@ -52,12 +72,41 @@
     return raw.decode('utf-8')
 
 
-def _explain(path: str, error: pydantic.ValidationError) -> str:
-    lines = []
-    for problem in error.errors(include_input=False, include_url=False):
-        section, *keys = (str(part) for part in problem['loc'])
-        place = f'section [{section}]'
-        if keys:
-            place = f'{place}, key {".".join(keys)}'
-        lines.append(f'{path}: {place}: {problem["msg"]}')
+def _explain(
+    path: str, error: pydantic.ValidationError, model: type[pydantic.BaseModel]
+) -> str:
+    problems = error.errors(include_input=False, include_url=False)
+    lines = [
+        f'{path}: {_problem(problem, model)}'
+        for problem in problems[:MAX_REPORTED_PROBLEMS]
+    ]
+    if len(problems) > len(lines):
+        lines.append(f'{path}: {len(problems) - len(lines)} further problems')
     return '\n'.join(lines)
+
+
+def _problem(problem: typing.Any, model: type[pydantic.BaseModel]) -> str:
+    section, *keys = (
+        str(part)[:MAX_SHOWN_CHARACTERS] for part in problem['loc']
+    )
+    place = f'section [{section}]'
+    if keys:
+        place = f'{place}, key {keys[0]}'
+    message = problem['msg']
+    if problem['type'] == 'extra_forbidden':
+        message = f'is unknown{_suggestion(model, section, keys)}'
+    elif problem['type'] == 'missing':
+        message = 'is missing'
+    return f'{place}: {message}'
+
+
+def _suggestion(
+    model: type[pydantic.BaseModel], section: str, keys: list[str]
+) -> str:
+    known = model.model_fields
+    wanted = section
+    if keys:
+        wanted = keys[0]
+        known = getattr(known[section].annotation, 'model_fields', {})
+    close = difflib.get_close_matches(wanted, known, n=1)
+    return f'; did you mean {close[0]}?' if close else ''
--- a/ivystep/settings/models.py
+++ b/ivystep/settings/models.py
@@ -1,6 +1,7 @@
 """Models of the INI settings of each process.
 
-Each model is one section; each field is one key.
+Each model is one section; each field is one key. The models at the end list the
+sections of a file.
 """
 
 import typing
@@ -17,6 +18,10 @@
 
 
 Port = typing.Annotated[int, pydantic.Field(ge=0, le=65535)]
+OperatorName = typing.Annotated[
+    str, pydantic.Field(pattern=r'^[a-z][a-z0-9._-]{0,62}$')
+]
+KeyDigest = typing.Annotated[str, pydantic.Field(pattern=r'^[0-9a-f]{64}$')]
 Seconds = typing.Annotated[float, pydantic.Field(gt=0, allow_inf_nan=False)]
 
 
@@ -83,6 +88,7 @@
     notice_s: float = pydantic.Field(
         2.0,
         ge=0,
+        allow_inf_nan=False,
         description='Time between failing readiness and closing the listener.',
     )
     deadline_s: Seconds = pydantic.Field(
@@ -125,6 +131,30 @@
     )
 
 
+class Console(Section):
+    """The console for operators."""
+
+    session_s: Seconds = pydantic.Field(
+        28800.0, description='Longest time that an operator stays signed in.'
+    )
+    secure_cookie: bool = pydantic.Field(
+        True,
+        description='Send the session cookie over HTTPS only. Set it to no '
+        'only if operators reach the console over loopback.',
+    )
+
+
+class Status(Section):
+    """How ``ivystep status`` reaches the processes of the host list."""
+
+    operators_port: Port = pydantic.Field(
+        9100, description="Port of the operators' address on every host."
+    )
+    timeout_s: Seconds = pydantic.Field(
+        2.0, description='Longest wait for one process.'
+    )
+
+
 class EntrySettings(Section):
     """All sections of an entry."""
 
@@ -148,3 +178,21 @@
     platform: Platform
     upstream: Upstream
     drain: Drain = Drain()
+
+
+class OperatorSettings(Section):
+    """All sections for the operators' commands and the console.
+
+    The section ``operators`` has one key for each operator: the name, with
+    the SHA-256 digest of the operator's key as its content.
+    """
+
+    platform: Platform
+    status: Status = Status()
+    listen: Listen | None = pydantic.Field(
+        None, description='Address of the console.'
+    )
+    console: Console = Console()
+    operators: dict[OperatorName, KeyDigest] = pydantic.Field(
+        {}, description="Digests of the operators' keys by name."
+    )
--- /dev/null
+++ b/tests/cli/test_commands.py
@@ -0,0 +1,232 @@
+"""Tests of the operators' commands against stand-ins on loopback."""
+
+import json
+import pathlib
+
+import pytest
+
+from ivystep.cli import main
+from standins import hosts, objects, table, web
+from tests.setup import fakes
+
+ENTRY_INI = """
+[process]
+id = entry-1
+data_centre = lier-a
+log_levle = INFO
+[listen]
+address = 127.0.0.1
+port = 80800
+[operators]
+address = 127.0.0.1
+port = nan
+[drain]
+notice_s = inf
+[tracing]
+on = yes
+"""
+
+
+@pytest.fixture
+def platform(tmp_path):
+    """Serve the platform and return its stand-ins and a settings file."""
+    standin_by_name = {
+        'table': table.TableStandin(),
+        'objects': objects.ObjectsStandin(),
+        'hosts': hosts.HostsStandin(),
+    }
+    lines = ['[platform]']
+    listeners = []
+    for name, standin in standin_by_name.items():
+        listener = web.serve(standin.handle, ('127.0.0.1', 0))
+        listeners.append(listener)
+        port = listener.getsockname()[1]
+        lines.append(f'{name}_url = http://127.0.0.1:{port}')
+    config = tmp_path / 'operators.ini'
+    config.write_text('\n'.join(lines), encoding='utf-8')
+    yield standin_by_name, str(config)
+    for listener in listeners:
+        listener.close()
+
+
+@pytest.fixture
+def run(capsys, tmp_path, monkeypatch):
+    """Return a function that runs a command: exit code, output, errors."""
+    monkeypatch.chdir(tmp_path)
+    monkeypatch.setenv('COLUMNS', '80')
+
+    def call(*arguments):
+        code = 0
+        try:
+            main.main(arguments)
+        except SystemExit as error:
+            code = error.code
+        captured = capsys.readouterr()
+        return code, captured.out, captured.err
+
+    return call
+
+
+def write(name, content):
+    path = pathlib.Path(name)
+    text = content if isinstance(content, str) else json.dumps(content)
+    path.write_text(text, encoding='utf-8')
+    return name
+
+
+@pytest.mark.parametrize(
+    'command',
+    ['', 'check', 'submit', 'diff', 'history', 'restore', 'status', 'loadgen'],
+)
+def test_help(run, snapshot, command):
+    """Guards against help that changes or breaks unnoticed."""
+    assert run(*command.split(), '--help')[1] == snapshot
+
+
+def test_settings_errors_name_file_section_and_key(run, snapshot):
+    """Guards against errors that do not say what to correct."""
+    write('entry.ini', ENTRY_INI)
+    code, _, text = run('check', 'entry.ini', '--kind', 'entry')
+    assert code == 2
+    assert text == snapshot
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        '[process]\nid = a\nid = b\n',
+        '[DEFAULT]\nid = a\n',
+        'id = a\n',
+        '[a]\n' + 'x' * 2000000,
+        '[process\n',
+        '\x00\x01',
+    ],
+)
+def test_hostile_settings_give_one_short_error(run, content):
+    """Guards against long errors, or none, for hostile settings."""
+    write('entry.ini', content)
+    code, _, text = run('check', 'entry.ini', '--kind', 'entry')
+    assert code == 2
+    assert text.startswith('entry.ini: ')
+    assert len(text) < 1000
+
+
+@pytest.mark.parametrize(
+    ('content', 'expected'),
+    [
+        ('{', 'document: Expecting'),
+        ('[' * 100000, 'nested too deeply'),
+        ('[' * 1000001, 'more than 1000000 parts'),
+        ('{"pools": NaN}', 'NaN is not a JSON number'),
+        ('{"pools": [], "pools": []}', "field 'pools' is repeated"),
+        ('[]', 'document: Input should be'),
+        ('{"pools": 9' + '9' * 5000 + '}', 'document: '),
+        ('{"pools": [], "pool": 1}', 'pool: Extra inputs'),
+        (json.dumps({f'k{n}': 1 for n in range(99)}), 'more than 64 fields'),
+    ],
+)
+def test_hostile_documents_give_clear_errors(run, content, expected):
+    """Guards against crashes and unbounded memory for hostile documents."""
+    write('setup.json', content)
+    code, _, text = run('check', 'setup.json')
+    assert code == 2
+    assert text.startswith('setup.json: ')
+    assert expected in text
+    assert len(text) < 3000
+
+
+def test_document_errors_name_the_part(run, snapshot):
+    """Guards against errors that give only an index into a long list."""
+    broken = fakes.account('vanhoutte')
+    broken['adapters'][0]['pool'] = 'Base!'
+    broken['weight'] = -1
+    write('a.json', fakes.raw_document(fakes.account('authority'), broken))
+    unknown = fakes.account('vanhoutte')
+    unknown['adapters'][0]['pool'] = 'other'
+    write('b.json', fakes.raw_document(unknown))
+    assert run('check', 'a.json') == snapshot
+    assert run('check', 'b.json') == snapshot
+
+
+def test_two_operators(run, platform):
+    """Guards against a lost change, and against a refusal without reason."""
+    standins, config = platform
+    write('a.json', fakes.raw_document(fakes.account('authority')))
+    write('b.json', fakes.raw_document(fakes.account('authority', active=2)))
+    write('c.json', fakes.raw_document(fakes.account('authority', weight=2)))
+
+    def submit(path, base, operator):
+        options = ('--config', config, '--operator', operator)
+        return run('submit', path, '--base-version', str(base), *options)
+
+    assert submit('a.json', 0, 'ama')[:2] == (0, 'Version 1 is accepted.\n')
+    standins['table'].faults = {'mode': 'lose_answers'}
+    code, text, _ = submit('b.json', 1, 'ama')
+    assert (code, 'reading back confirmed' in text) == (0, True)
+    standins['table'].faults = {'mode': 'none'}
+    code, _, text = submit('c.json', 1, 'kofi')
+    assert code == 1
+    assert 'Changed since then' in text
+    assert 'active_version changed from 1 to 2' in text
+    write('bad.json', '{')
+    assert submit('bad.json', 2, 'kofi')[0] == 2
+    assert run('restore', '1', '--config', config, '--operator', 'ama')[0] == 0
+    assert (
+        json.loads(run('show', '--config', config)[1])['accounts'][0][
+            'adapters'
+        ][0]['active_version']
+        == 1
+    )
+    text = run('history', '--config', config)[1]
+    assert [text.count(word) for word in ('version 3 ', 'refused')] == [1, 2]
+    assert 'nothing differs' in run('diff', 'a.json', '--config', config)[1]
+    standins['table'].faults = {'mode': 'down'}
+    code, _, text = run('history', '--config', config)
+    assert (code, 'table service' in text) == (1, True)
+
+
+def test_status_names_what_is_wrong(run, platform, tmp_path):
+    """Guards against a status that hides a silent or outdated host."""
+    standins, config = platform
+    answer = {
+        'process_id': 'entry-1',
+        'role': 'entry',
+        'is_ready': True,
+        'is_draining': False,
+        'setup_version': 4,
+        'setup_age_s': 1.0,
+        'problems': ['The setup has not been confirmed for 60 s.'],
+    }
+    listener = web.serve(lambda _: (200, answer), ('127.0.0.1', 0))
+    port = listener.getsockname()[1]
+    with pathlib.Path(config).open('a', encoding='utf-8') as stream:
+        stream.write(f'\n[status]\noperators_port = {port}\n')
+    standins['hosts'].document = {
+        'hosts': [
+            {
+                'host': name,
+                'role': role,
+                'address': address,
+                'port': 1,
+                'data_centre': 'lier-a',
+                'pool': pool,
+                'state': 'live',
+            }
+            for name, role, address, pool in (
+                ('entry-1', 'entry', '127.0.0.1', ''),
+                ('up-1', 'sidecar', '127.0.0.9', 'base'),
+            )
+        ]
+    }
+    code, text, _ = run('status', '--config', config)
+    listener.close()
+    assert code == 1
+    assert text.splitlines() == [
+        'entry: 1 of 1 ready',
+        'sidecar: 0 of 1 ready',
+        'setup versions: 4',
+        'problems: 3',
+        '  pool base has no upstream that serves',
+        '  sidecar up-1 does not answer',
+        '  entry entry-1: The setup has not been confirmed for 60 s.',
+    ]
--- /dev/null
+++ b/tests/platform/test_clients.py
@@ -0,0 +1,67 @@
+"""Tests of the platform clients against misbehaving services."""
+
+import pytest
+
+from ivystep.core import errors
+from ivystep.platform import hosts, http, objects, table
+from standins import web
+
+
+@pytest.fixture
+def serve():
+    """Return a function that serves one fixed answer and gives its URL."""
+    listeners = []
+
+    def start(status, body):
+        listener = web.serve(lambda _: (status, body), ('127.0.0.1', 0))
+        listeners.append(listener)
+        return f'http://127.0.0.1:{listener.getsockname()[1]}'
+
+    yield start
+    for listener in listeners:
+        listener.close()
+
+
+@pytest.mark.parametrize(
+    'body',
+    [b'', b'nonsense', b'[' * 100000, b'[]', b'{"rows": [1]}', b'{"key": 1}'],
+)
+def test_malformed_answers_are_unavailability(serve, body):
+    """Guards against tasks that die of an answer nobody expected."""
+    url = serve(200, body)
+    client = table.TableClient(url, 2)
+    with pytest.raises(errors.UnavailableError):
+        client.get('setup/current')
+    with pytest.raises(errors.UnavailableError):
+        list(client.scan('audit/'))
+    with pytest.raises(errors.UnavailableError):
+        hosts.HostsClient(url, 2).read()
+    with pytest.raises(errors.UnavailableError):
+        objects.ObjectsClient(url, 2).get('0' * 64)
+
+
+def test_long_answers_are_cut_off(serve, monkeypatch):
+    """Guards against a service whose answer fills the memory."""
+    monkeypatch.setattr(http, 'MAX_RESPONSE_BYTES', 1000)
+    url = serve(200, b'x' * 1001)
+    with pytest.raises(errors.UnavailableError, match='longer than 1000'):
+        table.TableClient(url, 2).get('setup/current')
+
+
+@pytest.mark.parametrize(
+    ('status', 'expected'),
+    [
+        (409, errors.ConflictError),
+        (503, errors.UnavailableError),
+        (500, errors.UncertainWriteError),
+        (400, errors.UnavailableError),
+    ],
+)
+def test_write_outcomes(serve, status, expected):
+    """Guards against calling an uncertain write certain, or the reverse."""
+    client = table.TableClient(serve(status, b'{}'), 2)
+    with pytest.raises(errors.PlatformError) as caught:
+        client.transact((table.Put('a', 1, 0),))
+    assert type(caught.value) is expected
+    with pytest.raises(errors.UnavailableError):
+        table.TableClient('http://127.0.0.1:1', 2).transact(())
