Add the console with forms for operators

Cause: operators had to write the setup document by hand. Forms for accounts, applications, adapters, pools and services work without scripts. A draft belongs to one session and is a list of edits on a base version; it is shown whole and as a difference, submitted as one change, and can be carried over to a newer version unless somebody changed the same part. Bearer keys are generated, shown once and stored as digests. The submission id of a draft is kept until the next edit, so pressing the button again after a lost answer applies it once. New parts first lacked the defaults of the models and the page of a new account failed; the test of a new account covers it. Ruled out: drafts in the platform's store; a restart of the console loses them, and a file can be saved from the draft page.

--- a/ivystep/cli/commands.py
+++ b/ivystep/cli/commands.py
@@ -5,6 +5,7 @@
 
 import cappa
 
+from ivystep.console import daemon as console_daemon
 from ivystep.entry import daemon as entry_daemon
 from ivystep.runtime import logs
 from ivystep.settings import ini, models
@@ -41,3 +42,17 @@
         settings = ini.load(self.config, models.SidecarSettings)
         logs.configure(settings.process.log_level)
         sidecar_daemon.run(settings)
+
+
+@cappa.command(help='Serve the forms for operators.')
+@dataclasses.dataclass
+class Console:
+    """Run the console."""
+
+    config: ConfigPath
+
+    def __call__(self) -> None:
+        """Run until SIGTERM."""
+        settings = ini.load(self.config, models.OperatorSettings)
+        logs.configure('INFO')
+        console_daemon.run(settings)
--- a/ivystep/cli/main.py
+++ b/ivystep/cli/main.py
@@ -23,6 +23,7 @@
     command: cappa.Subcommands[
         commands.Entry
         | commands.Sidecar
+        | commands.Console
         | check.Check
         | setup_commands.Submit
         | setup_commands.Show
--- /dev/null
+++ b/ivystep/console/setups.py
@@ -0,0 +1,88 @@
+"""What the console reads of the platform and submits to it."""
+
+from ivystep.console import drafts
+from ivystep.core import errors
+from ivystep.platform import objects, table
+from ivystep.setup import (
+    difference,
+    document,
+    history,
+    records,
+    snapshot,
+    submission,
+)
+
+HISTORY_LIMIT = 100
+
+
+class Setups:
+    """Reads versions with a cache, and submits drafts.
+
+    Args:
+        rows: The table service.
+        store: The object store.
+    """
+
+    def __init__(self, rows: table.Table, store: objects.Objects) -> None:
+        self._history = history.History(rows, store)
+        self._submitter = submission.Submitter(rows, store)
+        self._version = 0
+        self._snapshot: snapshot.Snapshot | None = None
+
+    def newest_version(self) -> int:
+        """Return the version in force.
+
+        Raises:
+            errors.PlatformError: The platform failed, or went back to an
+                older version than this console has seen.
+        """
+        version = self._history.newest_version()
+        if version < self._version:
+            raise errors.UnavailableError(
+                f'the table service holds version {version}, but version '
+                f'{self._version} was accepted before'
+            )
+        return version
+
+    def new_draft(self) -> drafts.Draft:
+        """Return a draft of the version in force."""
+        version = self.newest_version()
+        return drafts.Draft(version, self.read(version))
+
+    def read(self, version: int) -> document.Document:
+        """Read a version.
+
+        Raises:
+            errors.SetupError: There is no such version.
+            errors.PlatformError: The platform failed.
+        """
+        found = self._history.read_version(version, self._snapshot)
+        if version >= self._version:
+            self._version = version
+            self._snapshot = found
+        return found.read_document()
+
+    def changes_since(self, version: int) -> list[difference.Change]:
+        """Return what others changed since a version."""
+        newest = self.newest_version()
+        if newest == version:
+            return []
+        return difference.compare_documents(
+            self.read(version), self.read(newest)
+        )
+
+    def submit(
+        self, draft: drafts.Draft, operator: str
+    ) -> submission.SubmitResult:
+        """Submit a draft; see ``submission.Submitter.submit``.
+
+        The draft keeps its submission id until it is edited, so pressing the
+        button again after a lost answer applies it once at most.
+        """
+        return self._submitter.submit(
+            draft.document, draft.base_version, operator, draft.submission_id
+        )
+
+    def recent(self) -> list[records.ChangeRecord]:
+        """Return the audit trail, newest first."""
+        return self._history.recent(HISTORY_LIMIT)
