Count the outcome of each call in the metrics

Cause: the registry had counters of requests and refusals that nothing incremented.

Change: a call is counted once when it ends: as a refusal if the caller was told "ran: no", else as a request with its error code or "ok"; a cut stream counts under the code of its error event. Calls without a valid key have an empty account.

Conclusion: outcomes are visible; retries and load stalls are not counted yet.

--- a/ivystep/entry/api.py
+++ b/ivystep/entry/api.py
@@ -16,6 +16,7 @@
     relay,
     services,
 )
+from ivystep.metrics import registry
 from ivystep.policy import limits
 from ivystep.runtime import clock, logs
 from ivystep.settings import models
@@ -36,6 +37,7 @@
         claim_log: Claims of non-idempotent requests.
         in_progress: Where requests are registered while they last.
         bounds: Bounds on requests.
+        metrics: Where the outcome of each call is counted.
     """
 
     def __init__(
@@ -45,12 +47,14 @@
         claim_log: claims.ClaimLog,
         in_progress: progress.Progress,
         bounds: models.RequestLimits,
+        metrics: registry.Metrics,
     ) -> None:
         self._current_setup = current_setup
         self._dispatcher = dispatcher
         self._in_progress = in_progress
         self._claims = claiming.Claims(claim_log, in_progress)
         self._bounds = bounds
+        self._metrics = metrics
         self._account_limits = limits.AccountLimits()
 
     def __call__(
@@ -58,6 +62,7 @@
     ) -> Iterable[bytes]:
         """Answer one HTTP request; see PEP 3333."""
         call = Call(environ, start_response, self._in_progress)
+        call.on_close(self._count, call)
         try:
             return _Response(self._route(call), call)
         except errors.RequestError as error:
@@ -70,6 +75,14 @@
             call.close()
             raise
 
+    def _count(self, call: 'Call') -> None:
+        if call.error is None:
+            self._metrics.record_request(call.account, 'ok')
+        elif call.error.ran is types.Ran.NO:
+            self._metrics.record_refusal(call.account, call.error.code)
+        else:
+            self._metrics.record_request(call.account, call.error.code)
+
     def _route(self, call: 'Call') -> Iterator[bytes]:
         setup = self._current_setup()
         if setup is None:
@@ -107,6 +120,7 @@
         return self._run(call, request, ticket)
 
     def _admit(self, call: 'Call', grant: compiled.Grant) -> limits.Ticket:
+        call.account = grant.account.name
         ticket = self._account_limits.admit(
             limits.LimitedParty((grant.account.name, ''), grant.account.limits),
             limits.LimitedParty(
@@ -160,6 +174,10 @@
         environ: WSGI environment.
         start_response: See PEP 3333.
         in_progress: Where the call is registered while it lasts.
+
+    Attributes:
+        account: Account of the caller, empty until its key is known.
+        error: The error that the caller is told, None if there is none.
     """
 
     def __init__(
@@ -172,6 +190,8 @@
         self.request_id = ids.new_id('req')
         self.path: str = environ['PATH_INFO']
         self.task = in_progress.start()
+        self.account = ''
+        self.error: errors.RequestError | None = None
         self._start_response = start_response
         self._stack = contextlib.ExitStack()
         self._connection: connections.CallerConnection | None = environ.get(
@@ -211,6 +231,7 @@
 
     def fail(self, error: errors.RequestError) -> Iterator[bytes]:
         """Answer with an error."""
+        self.error = error
         self._before_answer()
         return self._body(
             answers.send_error(self._start_response, error, self.request_id)
@@ -223,7 +244,7 @@
         self._before_answer()
         if request.stream:
             answers.start(self._start_response, answer.head, self.request_id)
-            return relay.stream(answer.chunks, request, self.task)
+            return relay.stream(answer.chunks, request, self.task, self._on_cut)
         body = b''.join(answer.chunks)
         answers.start(
             self._start_response, answer.head, self.request_id, len(body)
@@ -234,6 +255,11 @@
         """Release everything that the call holds."""
         self._stack.close()
 
+    def _on_cut(self, error: errors.RequestError) -> bytes:
+        """Note that a stream was cut and return its last event."""
+        self.error = error
+        return answers.error_event(error, self.request_id)
+
     def _body(self, body: bytes) -> Iterator[bytes]:
         is_bodyless = self.environ['REQUEST_METHOD'] == 'HEAD'
         return iter(() if is_bodyless else (body,))
--- a/ivystep/entry/daemon.py
+++ b/ivystep/entry/daemon.py
@@ -94,6 +94,7 @@
             claims.ClaimLog(rows, settings.process.id),
             self.in_progress,
             settings.requests,
+            self.metrics,
         )
 
     @classmethod
--- a/ivystep/entry/relay.py
+++ b/ivystep/entry/relay.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterator
 
 from ivystep.core import errors, types
-from ivystep.entry import answers, progress
+from ivystep.entry import progress
 from ivystep.runtime import logs
 
 log = logs.get('entry')
@@ -105,6 +105,7 @@
     relay: Relay,
     request: types.Request,
     task: progress.RequestTask,
+    on_cut: Callable[[errors.RequestError], bytes],
 ) -> Iterator[bytes]:
     """Yield a streamed answer; a cut one ends with an error event.
 
@@ -112,16 +113,15 @@
         relay: The answer.
         request: The request.
         task: The task that the request runs on.
+        on_cut: Returns the last event of a stream that was cut.
     """
-    request_id = request.request_id
     try:
         with task.in_phase(progress.running_phase(request)):
             # Unlike ``yield from relay``, this leaves the relay open when the
             # generator is dropped; whoever holds the relay ends it.
             yield from iter(functools.partial(next, relay, None), None)
     except progress.AbortedError as aborted:
-        error = aborted.with_outcome(types.Ran.UNKNOWN)
-        yield answers.error_event(error, request_id)
+        yield on_cut(aborted.with_outcome(types.Ran.UNKNOWN))
     except errors.RequestError as error:
-        log.warning('Request %s was cut off: %s', request_id, error)
-        yield answers.error_event(error, request_id)
+        log.warning('Request %s was cut off: %s', request.request_id, error)
+        yield on_cut(error)
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -11,6 +11,7 @@
 from ivystep.coordination import claims, retry_budget
 from ivystep.core import errors, types
 from ivystep.entry import api, connections, dispatch, isolation, progress
+from ivystep.metrics import registry
 from ivystep.platform import table
 from ivystep.settings import models
 from ivystep.setup import compiled, document
@@ -179,6 +180,7 @@
     def __init__(self, run=None, limits=LIMITS, *, virtual=False, **parts):
         self.pool = FakePool(run or (lambda _: answer(b'{}')))
         self.progress = progress.Progress()
+        self.metrics = registry.Metrics()
         self.door = connections.Door(limits.read_timeout_s)
         self.setup = parts.pop('setup', None) or setup()
         self.api = api.CallerApi(
@@ -191,6 +193,7 @@
             claims.ClaimLog(parts.pop('table', None) or MemoryTable(), 'e'),
             self.progress,
             limits,
+            self.metrics,
         )
         if virtual:
             return
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -100,9 +100,10 @@
 
     def main():
         entry = harness.Entry(script('cut'), virtual=True)
-        return call(entry, stream=True)
+        return call(entry, stream=True), entry.metrics.render()[0].decode()
 
-    _, received = virtual_hub.run(main)
+    (_, received), metrics = virtual_hub.run(main)
+    assert 'account="fields",outcome="upstream_lost"} 1' in metrics
     head, event = received.rstrip().rsplit(b'\n\n', 1)
     assert head.endswith(b'{"ha')
     error = json.loads(event.removeprefix(b'data: '))['error']
