Skip adapters that have no place, and overtake hanging loads

Cause: the first adapter in the load order could have no target, for example because it waits for room on the only upstream; it then stopped all loads. A load order without an answer held its adapter for 90 s. A task that was ended in the instant of its placement kept its room.

Change: up to eight adapters without a target are skipped, a copy is only made where there is room, a load that takes four times the usual duration no longer counts, and the room is given back. Choosing the target is a module of its own.

Ruled out: ending the hanging call, since its outcome is then unknown.

--- a/ivystep/entry/planner.py
+++ b/ivystep/entry/planner.py
@@ -6,7 +6,6 @@
 weight store.
 """
 
-import dataclasses
 import functools
 import math
 import typing
@@ -16,7 +15,13 @@
 from eventlet import event
 
 from ivystep.core import errors, types
-from ivystep.policy import batching, eviction, load_order, routing
+from ivystep.policy import (
+    batching,
+    eviction,
+    load_order,
+    load_target,
+    routing,
+)
 from ivystep.runtime import clock, logs
 
 # A report is due every 100 ms while requests wait.
@@ -27,7 +32,7 @@
 # A load that takes this many times longer than usual is not waited for.
 OVERDUE_FACTOR = 4.0
 DURATION_GAIN = 0.3
-CANDIDATES = 16
+MAX_SKIPPED = 8
 EXPECTED_HORIZON_LOADS = 2.0
 
 log = logs.get('planner')
@@ -61,21 +66,6 @@
         """
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PlannedLoad:
-    """A load that the planner chose.
-
-    Attributes:
-        wanted: What is loaded.
-        view: Where it is loaded.
-        victim: What is evicted; None if a slot is free.
-    """
-
-    wanted: load_order.WantedLoad
-    view: routing.UpstreamView
-    victim: types.AdapterRef | None
-
-
 class Planner:
     """Plans the loads of one pool.
 
@@ -97,7 +87,9 @@
         self._index = index
         self._shares = load_order.AccountShares(2.0)
         self._back_off = load_order.BackOff()
-        self._victims = batching.VictimIndex()
+        self._targets = load_target.LoadTargets(
+            index, self.popularity, self._is_needed
+        )
         self.load_s = 0.5
         self._parts_by_ref: dict[
             types.AdapterRef, dict[str, load_order.WantedLoad]
@@ -160,19 +152,19 @@
         Args:
             view: The upstream.
         """
-        self._rank(view)
+        self._targets.update(view, clock.now())
         self.wake()
 
     def on_lost(self, upstream_id: str) -> None:
         """Take over that an upstream's connection has ended."""
-        self._victims.discard(upstream_id)
+        self._targets.discard(upstream_id)
 
     def wake(self) -> None:
         """Let the planner look for work."""
         if not self._changed.ready():
             self._changed.send()
 
-    def choose(self, now: float) -> PlannedLoad | None:
+    def choose(self, now: float) -> load_target.PlannedLoad | None:
         """Choose the next load, its upstream and what is evicted.
 
         Args:
@@ -181,8 +173,18 @@
         Returns:
             The choice, or None if nothing can be loaded now.
         """
-        wanted = self._backlog(now).first(lambda load: self._score(load, now))
-        return wanted and self._target(wanted, now)
+        backlog = self._backlog(now)
+        skipped: set[types.AdapterRef] = set()
+        while len(skipped) < MAX_SKIPPED:
+            wanted = backlog.first(functools.partial(self._score, now), skipped)
+            if wanted is None:
+                return None
+            chosen = self._target(wanted, now)
+            if chosen is not None:
+                return chosen
+            # An adapter with no place now must not stop the others.
+            skipped.add(wanted.ref)
+        return None
 
     def _start(self) -> None:
         if not self._is_running:
@@ -314,7 +316,7 @@
     def _needs_load(self, wanted: load_order.WantedLoad, now: float) -> bool:
         """Return whether a load would help the waiting requests."""
         ref = wanted.ref
-        if self._started_by_ref and ref in self._started_by_ref:
+        if self._started_by_ref and self._is_loading(ref, now):
             return False
         if self._loaded_at and self._is_settling(ref, now):
             return False
@@ -330,123 +332,40 @@
         # A batch that is full for a moment is no reason for another copy.
         return now - wanted.oldest_at > self.load_s
 
+    def _is_needed(self, ref: types.AdapterRef, now: float) -> bool:
+        return ref in self._parts_by_ref or self._is_settling(ref, now)
+
+    def _is_loading(self, ref: types.AdapterRef, now: float) -> bool:
+        started = self._started_by_ref.get(ref, -math.inf)
+        return now - started < OVERDUE_FACTOR * self.load_s
+
     def _is_settling(self, ref: types.AdapterRef, now: float) -> bool:
         return now - self._loaded_at.get(ref, -math.inf) < SETTLE_S
 
     def _order_loads(self) -> None:
         now = clock.now()
-        active = sum(
-            now - at < OVERDUE_FACTOR * self.load_s
-            for at in self._started_by_ref.values()
-        )
-        if active:
+        if any(self._is_loading(ref, now) for ref in self._started_by_ref):
             return
         chosen = self.choose(now)
         if chosen is not None:
             self._order(chosen, now)
 
-    def _score(self, load: load_order.WantedLoad, now: float) -> float:
-        horizon_s = EXPECTED_HORIZON_LOADS * self.load_s
-        expected = self.popularity.rate(load.ref, now) * horizon_s
-        return load_order.urgency(load, now, expected)
-
     def _target(
         self, wanted: load_order.WantedLoad, now: float
-    ) -> PlannedLoad | None:
-        """Choose where an adapter is loaded and what is evicted for it."""
-        while True:
-            few = self._victims.smallest(CANDIDATES)
-            if not few:
-                return None
-            targets = self._candidates(few, wanted, now)
-            if targets:
-                return min(targets, key=functools.partial(self._cost, now))
-
-    def _candidates(
-        self, upstream_ids: list[str], wanted: load_order.WantedLoad, now: float
-    ) -> list[PlannedLoad]:
-        targets = []
-        for upstream_id in upstream_ids:
-            view = self._index.view_by_id.get(upstream_id)
-            target = view and self._candidate(view, wanted, now)
-            if target:
-                targets.append(target)
-            else:
-                # It is ranked again with its next report.
-                self._victims.discard(upstream_id)
-        return targets
-
-    def _candidate(
-        self,
-        view: routing.UpstreamView,
-        wanted: load_order.WantedLoad,
-        now: float,
-    ) -> PlannedLoad | None:
-        status = view.status
-        if not view.is_usable(now) or wanted.ref in status.resident_by_ref:
-            return None
-        if status.loading is not None:
-            return None
-        if len(status.resident_by_ref) < status.slots:
-            return PlannedLoad(wanted, view, None)
-        victim = self._victim(view)
-        return victim and PlannedLoad(wanted, view, victim)
-
-    def _victim(self, view: routing.UpstreamView) -> types.AdapterRef | None:
-        now = clock.now()
-        idle = [
-            resident.ref
-            for resident in view.status.resident_by_ref.values()
-            if not resident.running
-            and resident.ref not in self._parts_by_ref
-            and not self._is_settling(resident.ref, now)
-        ]
-        return min(
-            idle, key=lambda ref: self._keep_score(ref, view), default=None
+    ) -> load_target.PlannedLoad | None:
+        return self._targets.choose(
+            wanted,
+            now,
+            packing=batching.packing(self.batching_weight, len(self._admitted)),
+            service_s=self.service_s,
         )
 
-    def _keep_score(
-        self, ref: types.AdapterRef, view: routing.UpstreamView
-    ) -> float:
-        """Return the popularity that one copy of an adapter serves."""
-        now = clock.now()
-        others = [one for one in self._index.holders(ref) if one is not view]
-        if any(one.has_room(now) for one in others):
-            return eviction.NEVER
-        return self.popularity.score(ref) - math.log(len(others) + 1)
-
-    def _cost(self, now: float, target: PlannedLoad) -> float:
-        total = max(self.popularity.total_rate(now), eviction.TINY)
-        victim_rate = 0.0
-        if target.victim is not None:
-            score = self._keep_score(target.victim, target.view)
-            victim_rate = self.popularity.rate_of(score, now)
-        added = self.popularity.rate(target.wanted.ref, now) * self.service_s
-        status = target.view.status
-        expected = target.view.running + max(added, target.wanted.waiting)
-        return batching.cost(
-            victim_rate / total,
-            expected / max(status.max_running, 1),
-            batching.packing(self.batching_weight, len(self._admitted)),
-        )
+    def _score(self, now: float, load: load_order.WantedLoad) -> float:
+        horizon_s = EXPECTED_HORIZON_LOADS * self.load_s
+        expected = self.popularity.rate(load.ref, now) * horizon_s
+        return load_order.urgency(load, now, expected)
 
-    def _rank(self, view: routing.UpstreamView) -> None:
-        """Index an upstream by what it would evict."""
-        status = view.status
-        if not view.is_usable(clock.now()):
-            self._victims.discard(status.upstream_id)
-        elif len(status.resident_by_ref) < status.slots:
-            self._victims.set(status.upstream_id, eviction.NEVER)
-        else:
-            victim = self._victim(view)
-            if victim is None:
-                self._victims.discard(status.upstream_id)
-            else:
-                self._victims.set(
-                    status.upstream_id, self._keep_score(victim, view)
-                )
-
-    def _order(self, chosen: PlannedLoad, now: float) -> None:
+    def _order(self, chosen: load_target.PlannedLoad, now: float) -> None:
         wanted = chosen.wanted
         order = types.LoadOrder(
             ref=wanted.ref,
@@ -454,24 +373,28 @@
             evict=() if chosen.victim is None else (chosen.victim,),
             planner=self._process_id,
         )
-        self._shares.use(self._rank_by_ref.pop(wanted.ref, 0), now)
+        rank = self._rank_by_ref.pop(wanted.ref)
+        self._shares.use(wanted.ref.account, rank, now)
         self._started_by_ref[wanted.ref] = now
-        self._victims.discard(chosen.view.status.upstream_id)
-        eventlet.spawn(self._load, order, wanted.setup_version, chosen.view)
+        self._targets.discard(chosen.view.status.upstream_id)
+        eventlet.spawn(
+            self._load, order, wanted.setup_version, chosen.view, now
+        )
 
     def _load(
         self,
         order: types.LoadOrder,
         setup_version: int,
         view: routing.UpstreamView,
+        started: float,
     ) -> None:
-        started = clock.now()
         try:
             outcome = view.link.load(order, setup_version)
         except errors.IvystepError as error:
             outcome = types.LoadResult(False, 'link_failed', str(error))
         now = clock.now()
-        del self._started_by_ref[order.ref]
+        if self._started_by_ref.get(order.ref) == started:
+            del self._started_by_ref[order.ref]
         if outcome.ok:
             self._note_loaded(order.ref, now)
             self._back_off.succeed(order.ref)
@@ -485,7 +408,8 @@
                 pause_s,
                 outcome.reason,
             )
-        self._rank(view)
+        # The upstream is a target again after its next report, because the
+        # last one still names what was evicted.
         self.wake()
 
     def _note_loaded(self, ref: types.AdapterRef, now: float) -> None:
--- a/ivystep/entry/pool.py
+++ b/ivystep/entry/pool.py
@@ -66,6 +66,11 @@
         self._is_reporting = False
         self._report_due = event.Event()
 
+    @property
+    def in_progress(self) -> int:
+        """Placements that have not been finished."""
+        return self._index.sent
+
     def configure(
         self,
         settings: document.Pool,
@@ -149,10 +154,15 @@
                 return self._take(entry, view)
         if self._waiting.add(entry):
             self._report_soon()
+        placement = None
         try:
-            return self._wait(entry)
+            placement = self._wait(entry)
         finally:
             self._waiting.discard(entry)
+            if placement is None and entry.placement is not None:
+                # The task was ended in the instant in which it was placed.
+                self.finish(entry.placement)
+        return placement
 
     def finish(self, placement: types.Placement) -> None:
         """Give back the room that a placement took."""
@@ -230,7 +240,8 @@
             if entry is None:
                 return
             self._waiting.discard(entry)
-            entry.placed.send(self._take(entry, self._route(entry) or view))
+            entry.placement = self._take(entry, self._route(entry) or view)
+            entry.placed.send(entry.placement)
 
     def _turn(
         self, view: routing.UpstreamView, entry: waiting.WaitingRequest
--- a/ivystep/entry/waiting.py
+++ b/ivystep/entry/waiting.py
@@ -18,6 +18,7 @@
         start_by: When it must be placed to meet its deadline.
 
     Attributes:
+        placement: Where it was placed; None while it waits.
         placed: Carries the placement, or the error that ends the wait.
     """
 
@@ -32,6 +33,7 @@
         self.avoid = frozenset(avoid)
         self.since = since
         self.start_by = start_by
+        self.placement: types.Placement | None = None
         self.placed = event.Event()
 
 
--- /dev/null
+++ b/ivystep/policy/load_target.py
@@ -0,0 +1,170 @@
+"""Where an adapter is loaded, and what is evicted for it.
+
+An adapter is never evicted while it serves a request, while requests wait for
+it, or shortly after its load. A second copy goes first, unless the upstreams
+of the other copies have no room.
+"""
+
+import dataclasses
+import functools
+import math
+from collections.abc import Callable, Iterator
+
+from ivystep.core import types
+from ivystep.policy import batching, eviction, load_order, routing
+
+# Upstreams that are compared for one load; those with the least popular
+# victims. Comparing all would make the cost grow with the pool.
+CANDIDATES = 16
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlannedLoad:
+    """A load that was chosen.
+
+    Attributes:
+        wanted: What is loaded.
+        view: Where it is loaded.
+        victim: What is evicted; None if a slot is free.
+    """
+
+    wanted: load_order.WantedLoad
+    view: routing.UpstreamView
+    victim: types.AdapterRef | None
+
+
+class LoadTargets:
+    """Chooses targets among the upstreams of a pool.
+
+    Args:
+        index: The upstreams.
+        popularity: Request counts of the adapters.
+        is_needed: Whether an adapter must not be evicted now.
+    """
+
+    def __init__(
+        self,
+        index: routing.UpstreamIndex,
+        popularity: eviction.Popularity,
+        is_needed: Callable[[types.AdapterRef, float], bool],
+    ) -> None:
+        self._index = index
+        self._popularity = popularity
+        self._is_needed = is_needed
+        self._victims = batching.VictimIndex()
+
+    def update(self, view: routing.UpstreamView, now: float) -> None:
+        """Rank an upstream by what it would evict, after its report.
+
+        Args:
+            view: The upstream.
+            now: Current time in seconds.
+        """
+        status = view.status
+        victim = self._victim(view, now)
+        if not view.is_usable(now) or status.loading is not None:
+            self._victims.discard(status.upstream_id)
+        elif len(status.resident_by_ref) < status.slots:
+            self._victims.set(status.upstream_id, eviction.NEVER)
+        elif victim is None:
+            self._victims.discard(status.upstream_id)
+        else:
+            score = self._keep_score(view, now, victim)
+            self._victims.set(status.upstream_id, score)
+
+    def discard(self, upstream_id: str) -> None:
+        """Load nothing on an upstream until its next report."""
+        self._victims.discard(upstream_id)
+
+    def choose(
+        self,
+        wanted: load_order.WantedLoad,
+        now: float,
+        *,
+        packing: float,
+        service_s: float,
+    ) -> PlannedLoad | None:
+        """Choose where an adapter is loaded and what is evicted for it.
+
+        Args:
+            wanted: What is loaded.
+            now: Current time in seconds.
+            packing: How much fuller batches are preferred, from 0 to 1.
+            service_s: Time that a request runs, in seconds.
+
+        Returns:
+            The choice, or None if no upstream can take a load now.
+        """
+        added = self._popularity.rate(wanted.ref, now) * service_s
+        cost = functools.partial(
+            self._cost, now, packing, max(added, wanted.waiting)
+        )
+        few = self._victims.smallest(CANDIDATES)
+        return min(self._candidates(few, wanted, now), key=cost, default=None)
+
+    def _candidates(
+        self, upstream_ids: list[str], wanted: load_order.WantedLoad, now: float
+    ) -> list[PlannedLoad]:
+        is_copy = self._index.is_held(wanted.ref)
+        return [
+            PlannedLoad(wanted, view, self._victim_if_full(view, now))
+            for view in self._loadable(upstream_ids, now)
+            if wanted.ref not in view.status.resident_by_ref
+            # Another copy helps only where requests do not wait for room.
+            and (not is_copy or view.has_room(now))
+        ]
+
+    def _loadable(
+        self, upstream_ids: list[str], now: float
+    ) -> Iterator[routing.UpstreamView]:
+        for upstream_id in upstream_ids:
+            view = self._index.view_by_id.get(upstream_id)
+            if view is None or not self._can_load(view, now):
+                self.discard(upstream_id)
+            else:
+                yield view
+
+    def _can_load(self, view: routing.UpstreamView, now: float) -> bool:
+        if not view.is_usable(now):
+            return False
+        has_slot = len(view.status.resident_by_ref) < view.status.slots
+        return has_slot or self._victim(view, now) is not None
+
+    def _victim_if_full(
+        self, view: routing.UpstreamView, now: float
+    ) -> types.AdapterRef | None:
+        if len(view.status.resident_by_ref) < view.status.slots:
+            return None
+        return self._victim(view, now)
+
+    def _victim(
+        self, view: routing.UpstreamView, now: float
+    ) -> types.AdapterRef | None:
+        idle = [
+            resident.ref
+            for resident in view.status.resident_by_ref.values()
+            if not resident.running and not self._is_needed(resident.ref, now)
+        ]
+        keep_score = functools.partial(self._keep_score, view, now)
+        return min(idle, key=keep_score, default=None)
+
+    def _keep_score(
+        self, view: routing.UpstreamView, now: float, ref: types.AdapterRef
+    ) -> float:
+        """Return the popularity that the copy on an upstream serves."""
+        others = [one for one in self._index.holders(ref) if one is not view]
+        if any(one.has_room(now) for one in others):
+            return eviction.NEVER
+        return self._popularity.score(ref) - math.log(len(others) + 1)
+
+    def _cost(
+        self, now: float, packing: float, added: float, target: PlannedLoad
+    ) -> float:
+        total = max(self._popularity.total_rate(now), eviction.TINY)
+        victim_rate = 0.0
+        if target.victim is not None:
+            score = self._keep_score(target.view, now, target.victim)
+            victim_rate = self._popularity.rate_of(score, now)
+        room = max(target.view.status.max_running, 1)
+        fill = (target.view.running + added) / room
+        return batching.cost(victim_rate / total, fill, packing)
--- a/measure/bench.py
+++ b/measure/bench.py
@@ -251,7 +251,7 @@
 
 
 def _hang(cluster: Cluster) -> None:
-    """Hang a host that the host list and its connection still show."""
+    """Lose the reports of a host that the host list still shows."""
     upstream = cluster.upstreams[0]
     upstream.is_silent = True
     clock.sleep(DETECTION_LAG_S)
--- a/measure/fakes.py
+++ b/measure/fakes.py
@@ -155,7 +155,7 @@
     """An engine with its sidecar; it is also the link to it.
 
     Attributes:
-        is_silent: Whether the host hangs: it neither reports nor answers.
+        is_silent: Whether its reports are lost.
         completed: Completed runs by request id.
     """
 
--- a/tests/entry/test_pool.py
+++ b/tests/entry/test_pool.py
@@ -1,7 +1,14 @@
 """Tests of the pool with its planner on the virtual clock."""
 
+import dataclasses
+import itertools
+import random
+
 import eventlet
+import hypothesis
 import pytest
+from eventlet import semaphore
+from hypothesis import strategies
 
 from ivystep.core import errors, types
 from ivystep.entry import pool
@@ -74,6 +81,67 @@
         return types.LoadResult(True, 'loaded', '')
 
 
+class ChaoticLink(FakeLink):
+    """An upstream whose reports are lost, repeated, late or out of order."""
+
+    def __init__(self, targets, upstream_id, chosen):
+        self.targets = targets
+        self.chosen = chosen
+        self.turn = semaphore.Semaphore(1)
+        self.failing = set()
+        super().__init__(targets[0], upstream_id, slots=2, room=3)
+
+    def report(self):
+        status = self.status()
+        for target in self.targets:
+            if self.chosen.random() < 0.1:
+                target.on_lost(self.upstream_id)
+            for _ in range(self.chosen.choice((0, 1, 1, 1, 2))):
+                delay_s = self.chosen.random() * 0.3
+                eventlet.spawn_after(delay_s, target.on_status, status, self)
+
+    def load(self, order, setup_version):
+        # As in a sidecar, one load runs at a time and use is checked first.
+        with self.turn:
+            if order.ref in self.running:
+                return types.LoadResult(True, 'resident', '')
+            if any(self.running.get(victim) for victim in order.evict):
+                return types.LoadResult(False, 'adapter_in_use', '')
+            for victim in order.evict:
+                self.running.pop(victim, None)
+            is_full = len(self.running) >= self.slots
+            if is_full or self.chosen.random() < 0.1:
+                return types.LoadResult(False, 'load_failed', '')
+            return super().load(
+                dataclasses.replace(order, evict=()), setup_version
+            )
+
+    def run(self, placement):
+        adapter = placement.request.adapter
+        if adapter in self.running:
+            self.running[adapter] += 1
+            clock.sleep(self.chosen.random() * 2)
+            self.running[adapter] -= 1
+            self.report()
+
+
+def run(target, wanted):
+    """Place and run a request; return the time spent waiting."""
+    started = clock.now()
+    try:
+        placement = target.place(wanted)
+    except errors.RefusedError:
+        return clock.now() - started
+    wait = clock.now() - started
+    try:
+        target.link(placement.upstream_id).run(placement)
+    except errors.RefusedError:
+        pass
+    finally:
+        target.finish(placement)
+    return wait
+
+
 def make_pool():
     made = pool.Pool('base', 'entry-1')
     made.configure(document.Pool(name='base', loads_per_s=1 / LOAD_S))
@@ -138,3 +206,262 @@
         return clock.now()
 
     assert virtual_hub.run(main) == 0
+
+
+def spawn_outcomes(target, requests):
+    tasks = [eventlet.spawn(outcome, target, one) for one in requests]
+    return [task.wait() for task in tasks]
+
+
+def test_requests_beyond_the_backlog_are_refused_at_once():
+    """Guards against holding requests that cannot meet their deadline."""
+
+    def main():
+        target = make_pool()
+        link = FakeLink(target, slots=40, room=40)
+        eventlet.spawn(link.heartbeat)
+        return spawn_outcomes(
+            target,
+            [request(f'a{number}', deadline_s=3.2) for number in range(12)],
+        )
+
+    results = virtual_hub.run(main)
+    refused = [wait for result, wait in results if result == 'overloaded']
+    placed = [wait for result, wait in results if result == 'up-1']
+    assert len(refused) + len(placed) == 12
+    assert max(refused) <= 0.1
+    assert 5 <= len(placed) <= 6
+    assert max(placed) <= 3.2
+
+
+def test_refusal_names_the_time_until_the_backlog_allows_a_repeat():
+    """Guards against a Retry-After that is not computed from the backlog."""
+
+    def main():
+        target = make_pool()
+        FakeLink(target, slots=80, room=80)
+        for number in range(40):
+            wanted = request(f'a{number}', deadline_s=20.4)
+            eventlet.spawn(outcome, target, wanted)
+        clock.sleep(0.01)
+        with pytest.raises(errors.RefusedError) as raised:
+            target.place(request('late', deadline_s=5))
+        return raised.value.retry_after_s
+
+    # 40 loads of 0.5 s are ahead; its own takes 0.5 s; it can wait for 5 s.
+    assert virtual_hub.run(main) == pytest.approx(15.5, abs=1)
+
+
+def test_waiting_request_is_placed_after_the_last_upstream_returns():
+    """Guards against a lost wake-up while a pool has no upstream."""
+
+    def main():
+        target = make_pool()
+        link = FakeLink(target)
+        target.on_lost('up-1')
+        task = eventlet.spawn(outcome, target, request('a'))
+        clock.sleep(5)
+        link.report()
+        return task.wait()
+
+    assert virtual_hub.run(main) == ('up-1', 5.5)
+
+
+@pytest.mark.parametrize('change', ['draining', 'silent', 'lost'])
+def test_upstream_without_new_work_gets_none(change):
+    """Guards against work for a draining, silent or lost upstream."""
+
+    def main():
+        target = make_pool()
+        link = FakeLink(target, 'up-1', ref('a'))
+        if change == 'draining':
+            link.is_draining = True
+            link.report()
+        elif change == 'lost':
+            target.on_lost('up-1')
+        else:
+            clock.sleep(4)
+        return outcome(target, request('a', deadline_s=5))[0], link.orders
+
+    assert virtual_hub.run(main) == ('overloaded', [])
+
+
+def test_reports_out_of_order_are_ignored():
+    """Guards against a late report that undoes a newer one."""
+
+    def main():
+        target = make_pool()
+        link = FakeLink(target, 'up-1', ref('a'))
+        early = link.status()
+        link.is_draining = True
+        link.report()
+        target.on_status(early, link)
+        first = outcome(target, request('a', deadline_s=1))[0]
+        former = link.status()
+        link.is_draining = False
+        link.incarnation = 'inc-2'
+        link.sequence = 0
+        link.report()
+        link.sequence = 0
+        target.on_status(former, link)
+        return first, outcome(target, request('a', deadline_s=1))[0]
+
+    assert virtual_hub.run(main) == ('overloaded', 'up-1')
+
+
+def test_failed_load_backs_off_and_passes_the_turn_on():
+    """Guards against a broken adapter that blocks the weight store."""
+
+    def main():
+        target = make_pool()
+        link = FakeLink(target)
+        link.failing = {ref('bad')}
+        eventlet.spawn(link.heartbeat)
+        bad = eventlet.spawn(outcome, target, request('bad', deadline_s=20))
+        clock.sleep(0.1)
+        good = outcome(target, request('good'))
+        bad.wait()
+        return good, [at for at, one in link.orders if one.ref == ref('bad')]
+
+    good, tried_at = virtual_hub.run(main)
+    assert good == ('up-1', 0.9)
+    pauses = [
+        late - early - LOAD_S for early, late in itertools.pairwise(tried_at)
+    ]
+    assert pauses[:4] == pytest.approx([1, 2, 4, 8], abs=0.6)
+
+
+def test_hanging_load_is_overtaken():
+    """Guards against a load that never ends and stops all others."""
+
+    def main():
+        target = make_pool()
+        link = FakeLink(target, 'up-1')
+        link.load = lambda *_: (
+            clock.sleep(90)
+            or types.LoadResult(False, 'link_failed', 'No answer.')
+        )
+        stuck = eventlet.spawn(outcome, target, request('a', deadline_s=20))
+        clock.sleep(0.1)
+        healthy = FakeLink(target, 'up-2')
+        eventlet.spawn(healthy.heartbeat)
+        return stuck.wait()
+
+    result, wait = virtual_hub.run(main)
+    assert result == 'up-2'
+    assert wait < 6
+
+
+def test_scan_by_one_account_leaves_the_others_alone():
+    """Guards against an account that takes the loads of the others."""
+
+    def main():
+        target = make_pool()
+        link = FakeLink(target, slots=200, room=1000)
+        eventlet.spawn(link.heartbeat)
+
+        def scan():
+            for number in range(400):
+                wanted = request(f's{number}', account='scan')
+                eventlet.spawn(outcome, target, wanted)
+                clock.sleep(0.1)
+
+        eventlet.spawn(scan)
+        waits = []
+        for number in range(12):
+            clock.sleep(3)
+            wanted = request(f'a{number}', account=f'other-{number % 4}')
+            waits.append(outcome(target, wanted))
+        return waits
+
+    results = virtual_hub.run(main)
+    # The load in progress, its own, and those ranked before the scan is seen.
+    assert all(result == 'up-1' for result, _ in results)
+    assert max(wait for _, wait in results[4:]) <= 3 * LOAD_S
+
+
+def test_planner_that_cannot_be_reached_is_asked_again():
+    """Guards against demand that is lost with the planner."""
+
+    def main():
+        failures = iter(range(3))
+
+        class Unreliable:
+            def report(self, entry_id, demands):
+                if next(failures, None) is not None:
+                    raise errors.LinkError('no answer', step='demand')
+                return target.planner.report(entry_id, demands)
+
+        target = pool.Pool('base', 'entry-1', lambda *_: Unreliable())
+        target.configure(document.Pool(name='base', loads_per_s=1 / LOAD_S))
+        FakeLink(target)
+        return outcome(target, request('a'))
+
+    assert virtual_hub.run(main) == ('up-1', 0.8)
+
+
+def test_saturated_adapter_gets_a_second_copy():
+    """Guards against a busy adapter that waits while others are idle."""
+
+    def main():
+        target = make_pool()
+        links = [
+            FakeLink(target, f'up-{number}', room=2) for number in range(2)
+        ]
+        links[0].running = {ref('a'): 2}
+        for link in links:
+            eventlet.spawn(link.heartbeat)
+            link.report()
+        return outcome(target, request('a'))
+
+    result, wait = virtual_hub.run(main)
+    assert result == 'up-1'
+    assert wait <= 2.5
+
+
+def test_adapter_that_waits_for_room_does_not_block_the_loads():
+    """Guards against one full batch that stops the load order."""
+
+    def main():
+        target = make_pool()
+        link = FakeLink(target, 'up-1', ref('a'), room=1)
+        eventlet.spawn(link.heartbeat)
+        target.place(request('a'))
+        eventlet.spawn(outcome, target, request('a'))
+        clock.sleep(2)
+        eventlet.spawn(outcome, target, request('b'))
+        clock.sleep(1)
+        return [order.ref for _, order in link.orders]
+
+    assert virtual_hub.run(main) == [ref('b')]
+
+
+@hypothesis.settings(max_examples=25, derandomize=True, deadline=None)
+@hypothesis.given(strategies.integers(0, 2**32))
+def test_every_request_ends_whatever_happens(seed):
+    """Guards against lost wake-ups, lost room and unsafe evictions.
+
+    Two planners act at once; reports are lost, repeated and late, upstreams
+    vanish and return, and loads fail. ``FakeLink.load`` checks that nothing
+    in use is evicted.
+    """
+
+    def main():
+        chosen = random.Random(seed)
+        targets = [make_pool(), make_pool()]
+        links = [
+            ChaoticLink(targets, f'up-{number}', chosen) for number in range(3)
+        ]
+        for link in links:
+            eventlet.spawn(link.heartbeat)
+        tasks = []
+        for _ in range(60):
+            clock.sleep(chosen.random() * 0.4)
+            wanted = request(f'a{chosen.randrange(12)}', deadline_s=8)
+            tasks.append(eventlet.spawn(run, chosen.choice(targets), wanted))
+        waits = [task.wait() for task in tasks]
+        return waits, [target.in_progress for target in targets]
+
+    waits, sent = virtual_hub.run(main)
+    assert max(waits) <= 8.1
+    assert sent == [0, 0]
