Test random fault schedules with each mechanism removed

Cause: a search that finds nothing proves little unless it finds each missing mechanism.

Ruled out: an engine that names the wrong adapter only in cut answers, which no check could let through; the engine now completes such an answer.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: demo test lint format measure soak binary thrift clean
+.PHONY: demo test lint format measure soak schedules binary thrift clean
 
 $(STAMP): requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -21,6 +21,11 @@
 soak: $(STAMP)
 	$(BIN)/python -m soak --seed $(or $(SEED),1) --minutes $(or $(MINUTES),5)
 
+# Random fault schedules in one process on the virtual clock.
+schedules: $(STAMP)
+	$(BIN)/python -m soak.schedules --first $(or $(FIRST),0) \
+		--count $(or $(COUNT),1000)
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/soak/schedules/engine.py
+++ b/soak/schedules/engine.py
@@ -86,7 +86,10 @@
         self._journal.names_by_prompt[document['prompt']].append(name)
         if is_faulty and self._choices.choice((False, True)):
             return Response(500, iter((b'{}',)))
-        chunks = self._generate(name, is_cut=is_faulty)
+        is_wrong = is_faulty and self._choices.choice((False, True))
+        if is_wrong:
+            name = self._choices.choice(sorted(self._source_by_name))
+        chunks = self._generate(name, is_cut=is_faulty and not is_wrong)
         if document['stream']:
             return Response(200, _events(chunks, name))
         try:
