Test that bearer keys stay out of logs, errors and metrics

Cause: the rule was followed but nothing checked it; faults log a traceback and unparsable heads repeat what was sent in the standard library.

Measured: with faults, malformed heads, bodies and paths and a valid and an unknown key, neither key appears at log level DEBUG, in answers or in metrics.

Conclusion: the rule is checked from now on.

--- /dev/null
+++ b/tests/entry/test_secrets.py
@@ -0,0 +1,25 @@
+"""Bearer keys stay out of logs, errors and metrics."""
+
+import logging
+
+from tests.entry import harness
+
+
+def test_keys_never_reach_logs_errors_or_metrics(caplog):
+    """Guards against credentials in places that operators share."""
+    caplog.set_level(logging.DEBUG)
+    entry = harness.Entry(lambda _: 1 / 0)
+    secret = 'key-that-must-stay-secret'
+    told = b''
+    for key in (harness.KEY, secret):
+        told += entry.raw(harness.head_and_body(key=key))
+        told += entry.raw(harness.head_and_body(key=key, path='/no\x00'))
+        told += entry.raw(harness.head_and_body(b'{', key=key))
+        told += entry.raw(
+            b'GET / HTTP/1.1\r\nAuthorization Bearer ' + key.encode() + b'\r\n'
+        )
+        told += entry.raw(f'Bearer {key}\r\n\r\n'.encode())
+    seen = caplog.text + told.decode() + entry.metrics.render()[0].decode()
+    assert 'internal_error' in seen
+    assert harness.KEY not in seen
+    assert secret not in seen
