Keep one hanging load from ending all loads of a pool

Cause: the planner's expected load duration took over a load that had hung on a half-open link. Every later request then looked late and was refused, no load ran, and no shorter duration ever corrected the estimate. Seen in the process tests: 30 s of refusals after the link had healed.

Change: a duration counts only up to the time after which loads are overtaken, and each refusal while no load runs returns the estimate towards the usual one.

Ruled out: the setup not being in force (it was, on both entries), the lease (held), the back-off (no failed load in the log of either sidecar).

--- a/ivystep/entry/planner.py
+++ b/ivystep/entry/planner.py
@@ -32,6 +32,10 @@
 # A load that takes this many times longer than usual is not waited for.
 OVERDUE_FACTOR = 4.0
 DURATION_GAIN = 0.3
+# Share by which the expected duration returns to the usual one with each
+# refusal while no load runs. Without it, one slow load made every request
+# look late, and no further load corrected the estimate.
+RELAX_SHARE = 0.1
 MAX_SKIPPED = 8
 EXPECTED_HORIZON_LOADS = 2.0
 
@@ -238,6 +242,7 @@
                 self._admitted[ref] = wanted
                 continue
             self._drop(ref)
+            self._relax()
             forecasts.append(self._forecast(wanted, backlog, ready_in_s))
         return tuple(forecasts)
 
@@ -398,7 +403,7 @@
         if outcome.ok:
             self._note_loaded(order.ref, now)
             self._back_off.succeed(order.ref)
-            self.load_s += DURATION_GAIN * (now - started - self.load_s)
+            self._note_duration(now - started)
         elif outcome.code != 'adapter_in_use':
             pause_s = self._back_off.fail(order.ref, now)
             log.warning(
@@ -412,6 +417,23 @@
         # last one still names what was evicted.
         self.wake()
 
+    def _note_duration(self, duration_s: float) -> None:
+        """Take over how long a load took.
+
+        A load that hung says little about the next one, so its duration
+        counts only up to the time after which loads are overtaken.
+        """
+        longest_s = OVERDUE_FACTOR / self._shares.loads_per_s
+        self.load_s += DURATION_GAIN * (
+            min(duration_s, longest_s) - self.load_s
+        )
+
+    def _relax(self) -> None:
+        """Return the expected duration towards the usual one."""
+        if not self._started_by_ref:
+            usual_s = 1 / self._shares.loads_per_s
+            self.load_s += RELAX_SHARE * (usual_s - self.load_s)
+
     def _note_loaded(self, ref: types.AdapterRef, now: float) -> None:
         for earlier, loaded_at in list(self._loaded_at.items()):
             if loaded_at < now - SETTLE_S:
--- a/tests/entry/test_pool.py
+++ b/tests/entry/test_pool.py
@@ -34,6 +34,7 @@
         self.sequence = 0
         self.orders = []
         self.failing = set()
+        self.load_s = LOAD_S
         self.is_draining = False
         self.incarnation = 'inc-1'
         self.report()
@@ -73,7 +74,7 @@
         for victim in order.evict:
             del self.running[victim]
         self.report()
-        clock.sleep(LOAD_S)
+        clock.sleep(self.load_s)
         if order.ref in self.failing:
             return types.LoadResult(False, 'load_failed', 'No weights.')
         self.running[order.ref] = 0
@@ -352,6 +353,26 @@
     assert wait < 6
 
 
+def test_loads_go_on_after_a_hanging_one():
+    """Guards against one slow load after which every request looks late."""
+
+    def main():
+        target = make_pool()
+        link = FakeLink(target)
+        eventlet.spawn(link.heartbeat)
+        link.load_s = 60
+        slow, _ = outcome(target, request('slow', deadline_s=90))
+        link.load_s = LOAD_S
+        for _ in range(50):
+            placed, _ = outcome(target, request('next', deadline_s=2))
+            if placed == 'up-1':
+                break
+            clock.sleep(0.2)
+        return slow, placed
+
+    assert virtual_hub.run(main) == ('up-1', 'up-1')
+
+
 def test_scan_by_one_account_leaves_the_others_alone():
     """Guards against an account that takes the loads of the others."""
 
