Rank an account with many waiting loads behind the others

A load in back-off counted as wanted with each report.

Change: an account within the fair level is ranked by its loads that wait, one beyond it by its debt; a wanted load counts once.

--- a/ivystep/entry/planner.py
+++ b/ivystep/entry/planner.py
@@ -128,6 +128,7 @@
         self._refs_by_entry[entry_id] = waiting
         for demand in demands:
             if demand.waiting:
+                self._count_wanted(demand.ref, now)
                 parts = self._parts_by_ref.setdefault(demand.ref, {})
                 parts[entry_id] = load_order.WantedLoad.from_demand(demand, now)
         forecasts = self._admit(waiting, now)
@@ -217,6 +218,11 @@
                 del self._parts_by_ref[ref]
                 self._drop(ref)
 
+    def _count_wanted(self, ref: types.AdapterRef, now: float) -> None:
+        """Count a load that an account asks for, once until it is met."""
+        if ref not in self._parts_by_ref and not self._index.is_held(ref):
+            self._shares.want(ref.account, now)
+
     def _admit(
         self, refs: Iterable[types.AdapterRef], now: float
     ) -> tuple[types.LoadForecast, ...]:
@@ -248,7 +254,6 @@
         now = backlog.now
         if not self._needs_load(wanted, now):
             return 0
-        self._shares.want(wanted.ref.account, now)
         pause_s = self._back_off.remaining_s(wanted.ref, now)
         rank = self._shares.rank(wanted.ref.account, now)
         share_above = self._shares.share_above(rank, now)
--- a/ivystep/policy/load_order.py
+++ b/ivystep/policy/load_order.py
@@ -10,7 +10,7 @@
 import dataclasses
 import math
 import typing
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 
 from ivystep.core import types
 
@@ -90,9 +90,10 @@
     The fair level is the max-min fair one: what an account may use for each
     unit of weight so that all loads are used and no account could get more
     without taking from one that gets less. Accounts that want no more than
-    that have rank 0. For the others, a load adds one to the debt, and time
-    reduces the debt at the rate of an equal share; loads of accounts in debt
-    wait for those of others. A flood or scan thus takes what others leave.
+    that have rank 0, unless many of their loads wait at once. For the others,
+    a load adds one to the debt, and time reduces the debt at the rate of an
+    equal share; loads of accounts in debt wait for those of others. A flood
+    or scan thus takes what others leave.
     """
 
     def __init__(self, loads_per_s: float) -> None:
@@ -108,6 +109,8 @@
         self._debt_by_account: dict[str, tuple[float, float]] = {}
         # Account to loads asked for and the time at which they were counted.
         self._wanted_by_account: dict[str, tuple[float, float]] = {}
+        # Loads that were charged and neither ordered nor refunded.
+        self._pending: collections.Counter[str] = collections.Counter()
         self._level = math.inf
         self._level_at = -math.inf
         self._used_by_rank: collections.Counter[int] = collections.Counter()
@@ -153,12 +156,9 @@
             account: The account.
             now: Current time in seconds.
         """
-        if now >= self._level_at + LEVEL_INTERVAL_S:
-            self._level = self._fair_level(now)
-            self._level_at = now
-        if self._wanted(account, now) <= self._level * self._weight(account):
-            return 0
-        return int(self._debt(account) / BURST_LOADS)
+        is_fair = self._is_fair(account, now)
+        beyond = self._pending[account] if is_fair else self._debt(account)
+        return int(min(beyond, MAX_DEBT_LOADS) / BURST_LOADS)
 
     def charge(self, account: str, now: float) -> None:
         """Count one load that an account is to get.
@@ -170,19 +170,23 @@
         self._advance(now)
         debt = min(self._debt(account) + 1, MAX_DEBT_LOADS)
         self._debt_by_account[account] = (debt, self._virtual_s)
+        self._pending[account] += 1
 
     def refund(self, account: str) -> None:
         """Take back the count of a load that is no longer wanted."""
+        self._end_pending(account)
         debt = max(self._debt(account) - 1, 0)
         self._debt_by_account[account] = (debt, self._virtual_s)
 
-    def use(self, rank: int, now: float) -> None:
+    def use(self, account: str, rank: int, now: float) -> None:
         """Count one load that was ordered.
 
         Args:
+            account: Its account.
             rank: Its rank.
             now: Current time in seconds.
         """
+        self._end_pending(account)
         self._decay(now)
         self._used_by_rank[rank] += 1
 
@@ -214,6 +218,13 @@
         count, since = self._wanted_by_account.get(account, (0.0, now))
         return count * math.exp((since - now) / ACTIVE_S)
 
+    def _is_fair(self, account: str, now: float) -> bool:
+        if now >= self._level_at + LEVEL_INTERVAL_S:
+            self._level = self._fair_level(now)
+            self._level_at = now
+        allowed = self._level * self._weight(account)
+        return self._wanted(account, now) <= allowed
+
     def _fair_level(self, now: float) -> float:
         """Return the max-min fair loads within the window for each weight."""
         wanted = sorted(
@@ -229,6 +240,11 @@
             weights -= weight
         return math.inf
 
+    def _end_pending(self, account: str) -> None:
+        self._pending[account] -= 1
+        if not self._pending[account]:
+            del self._pending[account]
+
     def _decay(self, now: float) -> None:
         factor = math.exp((self._used_at - now) / USE_WINDOW_S)
         self._used_at = now
@@ -371,11 +387,16 @@
             return math.inf
         return self.busy_s + (position + 1) * self.load_s / (1 - share_above)
 
-    def first(self, score: Callable[[WantedLoad], float]) -> WantedLoad | None:
+    def first(
+        self,
+        score: Callable[[WantedLoad], float],
+        skipped: Collection[types.AdapterRef] = (),
+    ) -> WantedLoad | None:
         """Choose the next load.
 
         Args:
             score: Value of doing a load now rather than another.
+            skipped: Adapters that cannot be loaded now.
 
         Returns:
             The load of the lowest account rank with the highest score whose
@@ -383,12 +404,16 @@
         """
         best = None
         best_score = -math.inf
+        best_rank = math.inf
         for position, load in enumerate(self.loads):
-            if self.ranks[position] > self.ranks[0]:
+            if self.ranks[position] > best_rank:
                 break
+            if load.ref in skipped:
+                continue
             value = score(load)
             if value > best_score:
                 best, best_score = load, value
+                best_rank = self.ranks[position]
             if self._is_critical(position):
                 # Any later choice would make this load late.
                 break
--- a/ivystep/policy/routing.py
+++ b/ivystep/policy/routing.py
@@ -162,6 +162,12 @@
         self._data_centre_by_id: dict[str, str] = {}
         self._ids: list[str] = []
 
+    @property
+    def sent(self) -> int:
+        """Requests of this entry that are in progress anywhere."""
+        views = (*self.view_by_id.values(), *self._former_by_id.values())
+        return sum(view.sent for view in views)
+
     def apply(
         self, status: types.UpstreamStatus, link: typing.Any, now: float
     ) -> UpstreamView | None:
