--- a/ivystep/policy/load_order.py
+++ b/ivystep/policy/load_order.py
@@ -168,9 +168,8 @@
             now: Current time in seconds.
         """
         self._advance(now)
-        if not self._is_fair(account, now):
-            debt = min(self._debt(account) + 1, MAX_DEBT_LOADS)
-            self._debt_by_account[account] = (debt, self._virtual_s)
+        debt = min(self._debt(account) + 1, MAX_DEBT_LOADS)
+        self._debt_by_account[account] = (debt, self._virtual_s)
         self._pending[account] += 1
 
     def refund(self, account: str) -> None:
