--- /dev/null
+++ b/tests/policy/test_load_order.py
@@ -0,0 +1,125 @@
+"""Tests of the load order."""
+
+import random
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from ivystep.core import types
+from ivystep.policy import load_order
+
+
+def wanted(name, *, start_by, account='soil', waiting=1, oldest_at=0.0):
+    return load_order.WantedLoad(
+        ref=types.AdapterRef(account, name, 1),
+        source='weights',
+        setup_version=1,
+        weight=1.0,
+        waiting=waiting,
+        oldest_at=oldest_at,
+        start_by=start_by,
+    )
+
+
+def backlog(loads, now=0.0, load_s=1.0):
+    return load_order.Backlog.from_loads(
+        [(0, load) for load in loads], now, load_s=load_s, busy_s=0.0
+    )
+
+
+@hypothesis.settings(max_examples=200, derandomize=True, deadline=None)
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.floats(1, 20),
+            strategies.integers(1, 50),
+            strategies.floats(-30, 0),
+        ),
+        max_size=15,
+    )
+)
+def test_admitted_loads_are_all_done_in_time(items):
+    """Guards against a score that makes an admitted load late."""
+    admitted = backlog([])
+    for number, (start_by, waiting, oldest_at) in enumerate(items):
+        load = wanted(
+            f'a{number}',
+            start_by=start_by,
+            waiting=waiting,
+            oldest_at=oldest_at,
+        )
+        if admitted.admission(load, 0, share_above=0.0) <= start_by:
+            admitted.add(load, 0)
+    left = list(admitted.loads)
+    now = 0.0
+    while left:
+        chosen = backlog(left, now).first(
+            lambda load: load_order.urgency(load, now, 0.0)  # ruff: ignore[function-uses-loop-variable]
+        )
+        now += 1.0
+        assert now <= chosen.start_by + 1e-6
+        left.remove(chosen)
+
+
+def test_older_request_goes_first_unless_a_crowd_waits():
+    """Guards against rare adapters that are starved by busier ones."""
+    old = wanted('rare', start_by=99, oldest_at=0)
+    pair = wanted('pair', start_by=99, waiting=2, oldest_at=2)
+    crowd = wanted('crowd', start_by=99, waiting=20, oldest_at=2)
+
+    def first(*loads):
+        return backlog(loads, now=4.0).first(
+            lambda load: load_order.urgency(load, 4.0, 0.0)
+        )
+
+    assert first(pair, old) == old
+    assert first(crowd, old) == crowd
+
+
+def test_only_the_account_beyond_its_share_is_ranked_lower():
+    """Guards against a flood that is not seen, and against false alarms."""
+    shares = load_order.AccountShares(2.0)
+    chosen = random.Random(7)
+    for step in range(600):
+        now = step * 0.1
+        for account in ('scan', f'a{chosen.randrange(10)}'):
+            shares.touch(account, 1.0, now)
+        shares.want('scan', now)
+        shares.charge('scan', now)
+        shares.use('scan', shares.rank('scan', now), now)
+        if step % 10 == 0:
+            account = f'a{chosen.randrange(10)}'
+            shares.touch(account, 1.0, now)
+            shares.want(account, now)
+            assert shares.rank(account, now) == 0
+            shares.charge(account, now)
+            shares.use(account, 0, now)
+    assert shares.rank('scan', 60.0) >= 1
+
+
+def test_account_with_a_larger_weight_gets_more_loads():
+    """Guards against weights that have no effect."""
+    shares = load_order.AccountShares(1.0)
+    loads = {'light': 0, 'heavy': 0}
+    for step in range(600):
+        now = step * 1.0
+        for account, weight in (('light', 1.0), ('heavy', 4.0)):
+            shares.touch(account, weight, now)
+            shares.want(account, now)
+        account = min(('light', 'heavy'), key=lambda one: shares.rank(one, now))
+        shares.charge(account, now)
+        shares.use(account, 0, now)
+        loads[account] += 1
+    assert loads['heavy'] > 3 * loads['light']
+
+
+def test_back_off_doubles_up_to_a_minute_and_ends_with_a_success():
+    """Guards against retries that hold the store, or that never come."""
+    back_off = load_order.BackOff()
+    ref = types.AdapterRef('soil', 'a', 1)
+    pauses = [back_off.fail(ref, 0.0) for _ in range(8)]
+    assert pauses == [1, 2, 4, 8, 16, 32, 60, 60]
+    assert back_off.remaining_s(ref, 50.0) == pytest.approx(10.0)
+    back_off.succeed(ref)
+    assert back_off.remaining_s(ref, 50.0) == 0
