--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -52,12 +52,14 @@
     Attributes:
         url: Base URL for HTTP.
         operators_url: Base URL for operators, empty for stand-ins.
+        arguments: The command line, for a restart.
     """
 
     name: str
     process: subprocess.Popen[bytes]
     url: str
     operators_url: str = ''
+    arguments: tuple[str, ...] = ()
 
     def stop(self, number: int = signal.SIGTERM) -> int:
         """Signal the process and return its exit code."""
@@ -240,16 +242,20 @@
         return self.command(
             'submit',
             str(path),
-            '--table-url',
-            self.node_by_name['table'].url,
-            '--objects-url',
-            self.node_by_name['objects'].url,
+            '--config',
+            str(self.write_operator_settings()),
             '--base-version',
             str(base_version),
             '--operator',
             'demo',
         )
 
+    def write_operator_settings(self) -> pathlib.Path:
+        """Write the settings of the operators' commands."""
+        path = self.folder / 'operators.ini'
+        self._write_ini(path, {'platform': self._platform_section()})
+        return path
+
     def command(self, *arguments: str) -> str:
         """Run an ``ivystep`` subcommand and return what it prints."""
         done = subprocess.run(
@@ -284,6 +290,12 @@
             headers={'Authorization': f'Bearer {key}', **headers},
         )
 
+    def restart(self, name: str) -> Node:
+        """Kill a process, if it runs, and start it again as it was."""
+        node = self.node_by_name[name]
+        node.stop(signal.SIGKILL)
+        return self._start(name, node.arguments, node.url, node.operators_url)
+
     def stop(self) -> None:
         """Stop all processes, entries first."""
         for node in reversed(self.node_by_name.values()):
@@ -301,7 +313,7 @@
     ) -> Node:
         with (self.folder / f'{name}.log').open('ab') as log:
             process = subprocess.Popen(arguments, stdout=log, stderr=log)
-        node = Node(name, process, url, operators_url)
+        node = Node(name, process, url, operators_url, arguments)
         self.node_by_name[name] = node
         return node
 
@@ -330,8 +342,9 @@
         sections: dict[str, dict[str, typing.Any]],
     ) -> pathlib.Path:
         pem = str(self.folder / f'{certificate}.pem')
-        parser = configparser.ConfigParser()
-        parser.read_dict(
+        path = self.folder / f'{host}.ini'
+        self._write_ini(
+            path,
             {
                 **sections,
                 'tls': {
@@ -339,15 +352,23 @@
                     'certificate': pem,
                     'key': pem,
                 },
-                'platform': {
-                    'table_url': self.node_by_name['table'].url,
-                    'objects_url': self.node_by_name['objects'].url,
-                    'hosts_url': self.node_by_name['hosts'].url,
-                    'poll_interval_s': 0.5,
-                },
-            }
+                'platform': self._platform_section(),
+            },
         )
-        path = self.folder / f'{host}.ini'
+        return path
+
+    def _platform_section(self) -> dict[str, typing.Any]:
+        return {
+            'table_url': self.node_by_name['table'].url,
+            'objects_url': self.node_by_name['objects'].url,
+            'hosts_url': self.node_by_name['hosts'].url,
+            'poll_interval_s': 0.5,
+        }
+
+    def _write_ini(
+        self, path: pathlib.Path, sections: dict[str, dict[str, typing.Any]]
+    ) -> None:
+        parser = configparser.ConfigParser(interpolation=None)
+        parser.read_dict(sections)
         with path.open('w', encoding='utf-8') as stream:
             parser.write(stream)
-        return path
--- a/ivystep/core/types.py
+++ b/ivystep/core/types.py
@@ -112,11 +112,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
-    """The upstream chosen for one attempt of a request."""
+    """The upstream chosen for one attempt of a request.
+
+    Attributes:
+        is_isolated: Whether the request is suspected of causing crashes; the
+            upstream then runs no other suspect beside it.
+    """
 
     request: Request
     upstream_id: str
     sidecar_incarnation: str
+    is_isolated: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,6 +146,21 @@
     running: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashFingerprint:
+    """A request that was running when an engine incarnation failed.
+
+    Attributes:
+        engine_incarnation: The incarnation; with the upstream's id and the
+            fingerprint it identifies this piece of evidence.
+        recorded: Time of the failure.
+    """
+
+    fingerprint: bytes
+    engine_incarnation: str
+    recorded: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamStatus:
     """What a sidecar reports about its upstream.
@@ -164,7 +185,7 @@
     resident_by_ref: dict[AdapterRef, ResidentAdapter]
     loading: AdapterRef | None
     setup_version: int
-    crash_fingerprints: tuple[bytes, ...]
+    crash_fingerprints: tuple[CrashFingerprint, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ivystep/entry/relay.py
+++ b/ivystep/entry/relay.py
@@ -1,6 +1,7 @@
 """Relays answers: what is released and recorded at their end."""
 
 import collections
+import functools
 from collections.abc import Callable, Iterator
 
 from ivystep.core import errors, types
@@ -22,6 +23,7 @@
 
     Attributes:
         is_ended: Whether the end was reached or the rest abandoned.
+        is_complete: Whether the whole answer has arrived.
         ran: Whether the request was run, as known at the end.
     """
 
@@ -31,6 +33,7 @@
         on_end: Callable[[types.Ran], None],
     ) -> None:
         self.is_ended = False
+        self.is_complete = False
         self.ran = types.Ran.UNKNOWN
         self._chunks = chunks
         self._on_end = [on_end]
@@ -47,6 +50,7 @@
         try:
             return next(self._chunks)
         except StopIteration:
+            self.is_complete = True
             self._end(types.Ran.YES)
             raise
         except errors.RequestError as error:
@@ -79,7 +83,7 @@
         try:
             collections.deque(self, maxlen=0)
         except errors.RequestError as error:
-            log.info('The rest of an answer failed: %s.', error)
+            log.info('The rest of an answer failed: %s', error)
 
     def close(self) -> None:
         """Abandon the rest; safe to call at any time and twice."""
@@ -112,10 +116,12 @@
     request_id = request.request_id
     try:
         with task.in_phase(progress.running_phase(request)):
-            yield from relay
+            # Unlike ``yield from relay``, this leaves the relay open when the
+            # generator is dropped; whoever holds the relay ends it.
+            yield from iter(functools.partial(next, relay, None), None)
     except progress.AbortedError as aborted:
         error = aborted.with_outcome(types.Ran.UNKNOWN)
         yield answers.error_event(error, request_id)
     except errors.RequestError as error:
-        log.warning('Request %s was cut off: %s.', request_id, error)
+        log.warning('Request %s was cut off: %s', request_id, error)
         yield answers.error_event(error, request_id)
--- a/ivystep/wire/ivystep.thrift
+++ b/ivystep/wire/ivystep.thrift
@@ -28,6 +28,7 @@
   11: i64 budget_ms
   12: binary fingerprint
   13: i64 setup_version
+  14: optional bool isolated
 }
 
 struct AttemptAccepted {
@@ -40,14 +41,18 @@
   3: string content_type
 }
 
+// The offset counts the bytes of the answer before this chunk.
 struct AnswerChunk {
   1: binary data
+  2: string attempt_id
+  3: i64 offset
 }
 
 struct AnswerEnd {
   1: string attempt_id
   2: optional AdapterId adapter
   3: string engine_incarnation
+  4: i64 length
 }
 
 struct AttemptFailed {
@@ -58,6 +63,7 @@
   5: i32 status
   6: optional i64 retry_after_ms
   7: bool engine_lost
+  8: optional string engine_incarnation
 }
 
 struct RevokeAttempt {
@@ -92,6 +98,12 @@
   2: i32 running
 }
 
+struct CrashFingerprint {
+  1: binary fingerprint
+  2: string engine_incarnation
+  3: i64 age_ms
+}
+
 struct UpstreamStatus {
   1: string upstream
   2: string sidecar_incarnation
@@ -105,7 +117,7 @@
   10: list<Resident> resident
   11: optional AdapterId loading
   12: i64 setup_version
-  13: list<binary> crash_fingerprints
+  13: list<CrashFingerprint> crash_fingerprints
 }
 
 struct AdapterDemand {
--- a/tests/sidecar/test_run.py
+++ b/tests/sidecar/test_run.py
@@ -5,6 +5,7 @@
 import eventlet
 import pytest
 
+from ivystep.core import errors
 from ivystep.wire.gen import ttypes
 from tests.sidecar import bench
 
@@ -97,23 +98,76 @@
     assert bench.REF not in engine_bench.beside.status().resident_by_ref
 
 
-def test_refused_request_body_is_passed_on():
-    """Guards against reporting the caller's own mistake as a bad answer."""
+def answer_with(status, body):
+    """Run one attempt on an engine that gives a fixed answer."""
 
     def handle(environ):
         if environ['PATH_INFO'] != '/v1/completions':
             return made.engine.handle(environ)
-        return 400, {'error': {'message': 'prompt too long'}}
+        return status, body
 
     made = bench.Bench(handle)
     made.start(bench.REF)
     frames = made.run()
     made.stop()
+    return frames
+
+
+def test_refused_request_body_is_passed_on():
+    """Guards against reporting the caller's own mistake as a bad answer."""
+    frames = answer_with(400, {'error': {'message': 'prompt too long'}})
     heads = [one for one in frames if isinstance(one, ttypes.AnswerHead)]
     assert heads[0].status == 400
     assert b'prompt too long' in answer(frames)
 
 
+@pytest.mark.parametrize(
+    ('status', 'code', 'ran'),
+    [
+        (201, 'invalid_answer', 'yes'),
+        (302, 'invalid_answer', 'yes'),
+        (429, 'overloaded', 'no'),
+        (500, 'upstream_error', 'unknown'),
+    ],
+)
+def test_other_statuses_are_no_answers(status, code, ran):
+    """Guards against answers that skip the check of their adapter."""
+    last = answer_with(status, {'model': 'rival/plans@3'})[-1]
+    assert (last.code, last.ran) == (code, ran)
+
+
+def test_attempts_cannot_give_orders(engine_bench):
+    """Guards against an attempt that loads or unloads adapters."""
+    last = engine_bench.run(path='/v1/unload_lora_adapter')[-1]
+    assert (last.code, last.ran) == ('invalid_request', 'no')
+
+
+def test_attempt_of_an_entry_that_has_left_is_not_sent(engine_bench):
+    """Guards against running what was sent to a frozen sidecar."""
+    entry = bench.Entry()
+    entry.channel.close()
+    engine_bench.serve(bench.message(engine_bench.beside), entry)
+    assert engine_bench.engine.completions_by_prompt == {}
+    assert engine_bench.beside.attempts.revoke('att-1').value == 'no'
+
+
+def test_interrupted_frame_is_never_completed_by_another(engine_bench):
+    """Guards against an error message that ends up inside an answer."""
+    engine_bench.engine.step_s = 0
+    name = bench.REF.lora_name
+    engine_bench.engine.source_by_name[name] = 'w' * 1_000_000
+    entry = engine_bench.spawn(max_tokens=14)
+    entry.channel.receive(10)
+    # The entry stops reading, so that a frame is stuck half-way.
+    bench.until(lambda: engine_bench.engine.running == 0)
+    for _ in range(50):
+        eventlet.sleep(0.002)
+    engine_bench.beside.cut_off()
+    with pytest.raises(errors.LinkError, match='connection closed'):
+        entry.frames()
+    bench.until(lambda: engine_bench.beside.attempts.running == 0)
+
+
 def test_entry_that_leaves_cancels_the_silent_engine_call(engine_bench):
     """Guards against an engine that keeps working for a caller who left."""
     engine_bench.fault(is_silent=True)
@@ -177,7 +231,33 @@
     assert all(failure.engine_lost for failure in failures)
     assert {failure.ran for failure in failures} == {'unknown'}
     recorded = engine_bench.beside.status().crash_fingerprints
-    assert sorted(recorded) == [b'CRASH', b'one', b'two']
+    assert {crash.fingerprint for crash in recorded} == {
+        b'CRASH',
+        b'one',
+        b'two',
+    }
+    lost = {crash.engine_incarnation for crash in recorded}
+    assert lost == {failure.engine_incarnation for failure in failures}
+
+
+def test_request_that_failed_two_incarnations_is_refused(engine_bench):
+    """Guards against a third crash where no entry knows of the first two."""
+    for attempt_id in ('att-1', 'att-2'):
+        last = engine_bench.run(attempt_id=attempt_id, prompt='CRASH')[-1]
+        assert last.engine_lost
+        engine_bench.start(bench.REF)
+    last = engine_bench.run(attempt_id='att-3', prompt='CRASH')[-1]
+    assert (last.code, last.ran) == ('request_quarantined', 'no')
+    assert last.status < 500
+
+
+def test_one_suspect_runs_at_a_time(engine_bench):
+    """Guards against suspects of two entries that meet on one upstream."""
+    engine_bench.fault(is_silent=True)
+    engine_bench.spawn(isolated=True, stream=True)
+    bench.until(lambda: engine_bench.engine.running == 1)
+    last = engine_bench.run(attempt_id='att-2', isolated=True)[-1]
+    assert (last.code, last.ran) == ('suspect_running', 'no')
 
 
 def test_health_check_that_sees_the_restart_first_keeps_the_evidence():
@@ -189,7 +269,8 @@
     bench.until(lambda: made.engine.running == 1)
     made.engine.started += 1
     assert made.beside.refresh()
-    assert made.beside.status().crash_fingerprints == (b'guilty',)
+    recorded = made.beside.status().crash_fingerprints
+    assert [crash.fingerprint for crash in recorded] == [b'guilty']
     entry.channel.close()
     made.stop()
 
