--- a/ivystep/entry/planner.py
+++ b/ivystep/entry/planner.py
@@ -32,6 +32,10 @@
 # A load that takes this many times longer than usual is not waited for.
 OVERDUE_FACTOR = 4.0
 DURATION_GAIN = 0.3
+# Share by which the expected duration returns to the usual one with each
+# refusal while no load runs. Without it, one slow load made every request
+# look late, and no further load corrected the estimate.
+RELAX_SHARE = 0.1
 MAX_SKIPPED = 8
 EXPECTED_HORIZON_LOADS = 2.0
 
@@ -128,6 +132,7 @@
         self._refs_by_entry[entry_id] = waiting
         for demand in demands:
             if demand.waiting:
+                self._count_wanted(demand.ref, now)
                 parts = self._parts_by_ref.setdefault(demand.ref, {})
                 parts[entry_id] = load_order.WantedLoad.from_demand(demand, now)
         forecasts = self._admit(waiting, now)
@@ -217,6 +222,11 @@
                 del self._parts_by_ref[ref]
                 self._drop(ref)
 
+    def _count_wanted(self, ref: types.AdapterRef, now: float) -> None:
+        """Count a load that an account asks for, once until it is met."""
+        if ref not in self._parts_by_ref and not self._index.is_held(ref):
+            self._shares.want(ref.account, now)
+
     def _admit(
         self, refs: Iterable[types.AdapterRef], now: float
     ) -> tuple[types.LoadForecast, ...]:
@@ -238,6 +248,7 @@
                 self._admitted[ref] = wanted
                 continue
             self._drop(ref)
+            self._relax()
             forecasts.append(self._forecast(wanted, backlog, ready_in_s))
         return tuple(forecasts)
 
@@ -248,7 +259,6 @@
         now = backlog.now
         if not self._needs_load(wanted, now):
             return 0
-        self._shares.want(wanted.ref.account, now)
         pause_s = self._back_off.remaining_s(wanted.ref, now)
         rank = self._shares.rank(wanted.ref.account, now)
         share_above = self._shares.share_above(rank, now)
@@ -398,7 +408,7 @@
         if outcome.ok:
             self._note_loaded(order.ref, now)
             self._back_off.succeed(order.ref)
-            self.load_s += DURATION_GAIN * (now - started - self.load_s)
+            self._note_duration(now - started)
         elif outcome.code != 'adapter_in_use':
             pause_s = self._back_off.fail(order.ref, now)
             log.warning(
@@ -412,6 +422,23 @@
         # last one still names what was evicted.
         self.wake()
 
+    def _note_duration(self, duration_s: float) -> None:
+        """Take over how long a load took.
+
+        A load that hung says little about the next one, so its duration
+        counts only up to the time after which loads are overtaken.
+        """
+        longest_s = OVERDUE_FACTOR / self._shares.loads_per_s
+        self.load_s += DURATION_GAIN * (
+            min(duration_s, longest_s) - self.load_s
+        )
+
+    def _relax(self) -> None:
+        """Return the expected duration towards the usual one."""
+        if not self._started_by_ref:
+            usual_s = 1 / self._shares.loads_per_s
+            self.load_s += RELAX_SHARE * (usual_s - self.load_s)
+
     def _note_loaded(self, ref: types.AdapterRef, now: float) -> None:
         for earlier, loaded_at in list(self._loaded_at.items()):
             if loaded_at < now - SETTLE_S:
