Write the body of a completion as JSON twice instead of three times

Cause: claim, fingerprint and upstream body were each made from a JSON text of their own.

Change: claim and fingerprint share the text of the fields that the caller sets; the model name is digested beside it.

Ruled out: passing the body on as received (the model name and the salt have to be replaced).

--- a/ivystep/entry/admission.py
+++ b/ivystep/entry/admission.py
@@ -21,6 +21,8 @@
 SALT_PURPOSE = b'ivystep prefix cache'
 # ASCII digits only: str.isdigit also accepts characters that int refuses.
 POSITIVE_NUMBER = re.compile(r'0*[1-9][0-9]{0,11}')
+# Fields that the upstream gets from the entry and not from the caller.
+SET_BY_ENTRY = frozenset(('model', 'cache_salt'))
 IDEMPOTENCY_KEY = re.compile(r'[!-~]{1,255}')
 
 
@@ -164,13 +166,13 @@
         )
     ref, adapter, source = resolved
     path = environ['PATH_INFO']
-    content = document.model_dump()
-    # The version is left out: a repeat stays a repeat after a new version
-    # has become the active one.
-    claim = claim_key(key, path.encode(), _json(content, sort_keys=True))
+    content = document.model_dump(exclude=SET_BY_ENTRY)
+    canonical = _json(content, sort_keys=True)
+    # The model as it was named and not as resolved: a repeat stays a repeat
+    # after a new version has become the active one.
+    claim = claim_key(key, path.encode(), document.model.encode(), canonical)
     content['model'] = ref.lora_name
     content['cache_salt'] = _cache_salt(grant.account.name)
-    canonical = _json(content, sort_keys=True)
     return types.Request(
         request_id=request_id,
         account=grant.account.name,
