Repeat a schedule from its seed; let the scene wait for engines

Cause: tasks left over from one schedule ended in the next and changed it; a faulty engine counted its work on an adapter that nobody had asked for, and the oracle took an allowed eviction for a violation (seeds 10301 and 10422); the scene failed while a killed engine was still starting; the drain test counted requests that had not started, which a sidecar may refuse.

Ruled out: a fault in pins: the trace of seed 10301 shows the eviction of an adapter that only the faulty engine ran, for a request of another one.

--- a/soak/scene.py
+++ b/soak/scene.py
@@ -1,5 +1,6 @@
 """A deployment under faults: two entries, two upstreams, the platform."""
 
+import functools
 import itertools
 import pathlib
 import random
@@ -145,14 +146,15 @@
 
     def running(self) -> int:
         """Return the number of completions that the engines run."""
-        total = 0
-        for host in UPSTREAMS:
-            try:
-                response = self.http.request('GET', self.engine_url(host))
-            except urllib3.exceptions.HTTPError:
-                continue
-            total += _running(response.data.decode())
-        return total
+        return sum(self.running_on(host) for host in UPSTREAMS)
+
+    def running_on(self, host: str) -> int:
+        """Return the number of completions that an engine runs."""
+        try:
+            response = self.http.request('GET', self.engine_url(host))
+        except urllib3.exceptions.HTTPError:
+            return 0
+        return _running(response.data.decode())
 
     def engine_url(self, host: str, path: str = '/metrics') -> str:
         """Return a URL of a host's engine."""
@@ -223,7 +225,7 @@
         """End all faults of the table service, the engines and the links."""
         self.table_mode('none')
         for host in UPSTREAMS:
-            self.engine_faults(host)
+            wait_until(functools.partial(self._has_healed, host))
             self.relay_by_host[host].heal()
 
     def await_service(self) -> None:
@@ -239,6 +241,14 @@
     def _await_served(self, entry: str, account: str) -> None:
         wait_until(lambda: self._is_served(entry, account))
 
+    def _has_healed(self, host: str) -> bool:
+        try:
+            self.engine_faults(host)
+        except urllib3.exceptions.HTTPError:
+            # The engine is still starting.
+            return False
+        return True
+
     def _is_served(self, entry: str, account: str) -> bool:
         order = self.order(account=account, application='app')
         return self._call(order, entry).told is callers.Told.COMPLETE
--- a/soak/schedules/engine.py
+++ b/soak/schedules/engine.py
@@ -86,17 +86,21 @@
         self._journal.names_by_prompt[document['prompt']].append(name)
         if is_faulty and self._choices.choice((False, True)):
             return Response(500, iter((b'{}',)))
+        # A faulty engine runs another adapter and names it in the answer.
+        producer = name
         is_wrong = is_faulty and self._choices.choice((False, True))
         if is_wrong:
-            name = self._choices.choice(sorted(self._source_by_name))
-        chunks = self._generate(name, is_cut=is_faulty and not is_wrong)
+            producer = self._choices.choice(sorted(self._source_by_name))
+        chunks = self._generate(
+            name, producer, is_cut=is_faulty and not is_wrong
+        )
         if document['stream']:
-            return Response(200, _events(chunks, name))
+            return Response(200, _events(chunks, producer))
         try:
             text = ''.join(chunks)
         except urllib3.exceptions.HTTPError as error:
             raise upstream.call_error(error, self._host) from error
-        whole = {'model': name, 'choices': [{'text': text}]}
+        whole = {'model': producer, 'choices': [{'text': text}]}
         return Response(200, iter((json.dumps(whole).encode(),)))
 
     def read(self) -> upstream.Reading:
@@ -162,8 +166,10 @@
             self._journal.violations.append(f'{name} evicted while serving')
         self._source_by_name.pop(name, None)
 
-    def _generate(self, name: str, *, is_cut: bool) -> Iterator[str]:
-        started, source = self._started, self._source_by_name[name]
+    def _generate(
+        self, name: str, producer: str, *, is_cut: bool
+    ) -> Iterator[str]:
+        started, source = self._started, self._source_by_name[producer]
         self._running[name] += 1
         try:
             for first in range(0, callers.MAX_TOKENS, TOKENS_IN_STEP):
--- a/soak/schedules/run.py
+++ b/soak/schedules/run.py
@@ -1,6 +1,7 @@
 """Runs one random schedule and judges it."""
 
 import dataclasses
+import gc
 import logging
 import random
 import secrets
@@ -49,7 +50,10 @@
     with mock.patch.object(
         secrets, 'token_hex', lambda count: choices.randbytes(count).hex()
     ):
-        return virtual_hub.run(Schedule(seed).run)
+        verdict = virtual_hub.run(Schedule(seed).run)
+        # Ends the tasks that are left over, which would disturb the next run.
+        gc.collect()
+    return verdict
 
 
 class Schedule:
--- a/tests/processes/test_faults.py
+++ b/tests/processes/test_faults.py
@@ -195,16 +195,22 @@
     return stage.send(make_order(), entry).wait().told is callers.Told.COMPLETE
 
 
-@pytest.mark.parametrize('name', ['up-1', 'entry-1'])
-def test_sigterm_interrupts_no_stream(stage, name):
+@pytest.mark.parametrize('role', ['sidecar', 'entry'])
+def test_sigterm_interrupts_no_stream(stage, role):
     """Guards against a planned stop that cuts answers off."""
-    tasks = _in_the_middle(stage, stream=True, application='app')
+    # Orders of one adapter that is resident start at the same time.
+    same = {
+        'account': scene.ACCOUNTS[0],
+        'application': 'app',
+        'adapter': 'letters',
+        'version': 1,
+    }
+    assert set(_told(stage.send_many(2, **same))) == {callers.Told.COMPLETE}
+    tasks = stage.send_many(6, **same, stream=True)
+    scene.wait_until(lambda: stage.running() == len(tasks))
+    name = 'entry-1'
+    if role == 'sidecar':
+        name = max(scene.UPSTREAMS, key=stage.running_on)
     code = stage.drain(name)
     assert code == 0
-    outcomes = [task.wait() for task in tasks]
-    incomplete = [
-        outcome
-        for outcome in outcomes
-        if outcome.told is not callers.Told.COMPLETE
-    ]
-    assert incomplete == []
+    assert set(_told(tasks)) == {callers.Told.COMPLETE}
--- a/tests/processes/test_schedules.py
+++ b/tests/processes/test_schedules.py
@@ -83,4 +83,6 @@
 
 def test_a_seed_repeats_its_schedule():
     """Guards against violations that their seed does not show again."""
-    assert run.run(5) == run.run(5)
+    earlier = {seed: run.run(seed) for seed in range(5, 10)}
+    for seed in reversed(earlier):
+        assert run.run(seed) == earlier[seed]
