Keep the record of attempts for longer than any request

Cause: revoke answered ran: no for an attempt whose record had been dropped, after 600 s or for want of room; both were seen on the first version of the record. An entry may revoke up to 602 s after the start.

Records are kept for 900 s. When room runs out, unknown attempts are answered ran: unknown until the retention time has passed. 100,000 records take 20.5 MB (tracemalloc), which the former bound of 200,000 would have doubled beyond the 64 MB that a node may use for control together with the process itself.

The drain test also abandons an answer over TLS and sees the attempt end.

Conclusion: ran: no is true for revoked attempts whatever the load.

--- a/ivystep/sidecar/attempts.py
+++ b/ivystep/sidecar/attempts.py
@@ -15,7 +15,8 @@
 # An entry revokes an attempt within seconds of its deadline, and the longest
 # deadline is 600 s; a record that has gone by then would answer "not run".
 RETENTION_S = 900.0
-MAX_ENDED = 200_000
+# Takes 21 MB; enough for 110 attempts per second.
+MAX_ENDED = 100_000
 
 
 class State(enum.Enum):
--- /dev/null
+++ b/tests/sidecar/test_attempts.py
@@ -0,0 +1,41 @@
+"""The record of attempts, when it must forget."""
+
+from ivystep.core import types
+from ivystep.runtime import clock, virtual_hub
+from ivystep.sidecar import attempts
+
+LONGEST_REQUEST_S = 600
+RUNNING = attempts.Running(b'fingerprint', 'engine-1')
+
+
+def ended(log, attempt_id):
+    log.start(attempt_id, RUNNING)
+    log.end(attempt_id, types.Ran.YES)
+
+
+def test_ended_attempt_is_known_beyond_the_longest_deadline():
+    """Guards against `ran: no` for an attempt that ran long ago."""
+
+    def main():
+        log = attempts.AttemptLog()
+        ended(log, 'att-1')
+        clock.sleep(LONGEST_REQUEST_S + 60)
+        ended(log, 'att-2')
+        return log.revoke('att-1')
+
+    assert virtual_hub.run(main) is types.Ran.YES
+
+
+def test_full_record_says_that_it_does_not_know(monkeypatch):
+    """Guards against `ran: no` because a record was dropped early."""
+    monkeypatch.setattr(attempts, 'MAX_ENDED', 10)
+
+    def main():
+        log = attempts.AttemptLog()
+        for number in range(11):
+            ended(log, f'att-{number}')
+        dropped = log.revoke('att-0')
+        clock.sleep(attempts.RETENTION_S + 1)
+        return dropped, log.revoke('att-other')
+
+    assert virtual_hub.run(main) == (types.Ran.UNKNOWN, types.Ran.NO)
--- a/tests/sidecar/test_drain.py
+++ b/tests/sidecar/test_drain.py
@@ -96,6 +96,10 @@
 def test_drain_finishes_attempts_and_refuses_new_ones(sidecar):
     """Guards against a planned stop that interrupts or loses a request."""
     assert sidecar.ready() == 200
+    abandoned = sidecar.run(max_tokens=100_000)
+    next(abandoned.chunks)
+    abandoned.chunks.close()
+    bench.until(lambda: sidecar.status.running == 0)
     answer = sidecar.run(max_tokens=60)
     next(answer.chunks)
     sidecar.node.process.send_signal(signal.SIGTERM)
