Take readings of the upstream one at a time

Cause: the monitor, orders and attempts read the upstream concurrently.

Readings now wait for one another, and one that a recorded crash overlaps is dropped.

Conclusion: the engine incarnation of the status only moves forward.

--- a/ivystep/sidecar/host.py
+++ b/ivystep/sidecar/host.py
@@ -3,7 +3,7 @@
 import itertools
 
 import eventlet
-from eventlet import event, greenthread
+from eventlet import event, greenthread, semaphore
 
 from ivystep.core import errors, ids, types
 from ivystep.metrics import registry
@@ -63,6 +63,7 @@
         self._unnamed = itertools.count(1)
         self._probe_by_incarnation: dict[str, greenthread.GreenThread] = {}
         self._changed = event.Event()
+        self._reading = semaphore.Semaphore(1)
 
     def status(self) -> types.UpstreamStatus:
         """Return the status to report to entries."""
@@ -141,23 +142,9 @@
         Returns:
             Whether the upstream answered.
         """
-        orders_before = self.orders.count
-        try:
-            reading = self.http.read()
-        except errors.PlatformError as error:
-            log.debug('Upstream %s: %s.', self.upstream_id, error)
-            return False
-        incarnation = reading.incarnation or self._unnamed_incarnation()
-        if incarnation != self.engine_incarnation:
-            self._adopt(incarnation, reading)
-        elif orders_before == self.orders.count and not self.orders.is_active:
-            # A reading that an order overlaps shows neither before nor after.
-            self._reconcile(reading)
-        self._handover.observe(reading.refs, reading.running)
-        if not self.is_healthy and not self._handover.holds_off():
-            self.is_healthy = True
-            self.notify()
-        return True
+        # One reading at a time, so that none overtakes another.
+        with self._reading:
+            return self._read_and_adopt()
 
     def may_evict(self, ref: types.AdapterRef) -> bool:
         """Return whether nothing can be running on an adapter."""
@@ -196,6 +183,28 @@
         self.metrics.record_invariant_violation()
         log.error('Invariant violated: %s.', error)
 
+    def _read_and_adopt(self) -> bool:
+        orders_before, failures_before = self.orders.count, self.crashes.count
+        try:
+            reading = self.http.read()
+        except errors.PlatformError as error:
+            log.debug('Upstream %s: %s.', self.upstream_id, error)
+            return False
+        if self.crashes.count != failures_before:
+            # It may show the process that has failed in the meantime.
+            return False
+        incarnation = reading.incarnation or self._unnamed_incarnation()
+        if incarnation != self.engine_incarnation:
+            self._adopt(incarnation, reading)
+        elif orders_before == self.orders.count and not self.orders.is_active:
+            # A reading that an order overlaps shows neither before nor after.
+            self._reconcile(reading)
+        self._handover.observe(reading.refs, reading.running)
+        if not self.is_healthy and not self._handover.holds_off():
+            self.is_healthy = True
+            self.notify()
+        return True
+
     def _is_read(self) -> bool:
         try:
             return self.refresh()
--- a/tests/sidecar/test_invariants.py
+++ b/tests/sidecar/test_invariants.py
@@ -27,6 +27,9 @@
             'up-1', models.Upstream(url='http://127.0.0.1:1', slots=SLOTS)
         )
         self.beside.http = self.engine
+        self.record = self.beside.crashes.record
+        self.beside.crashes.record = self.check_record
+        self.false_evidence = []
         self.peer_by_id = {}
         self.ref_by_id = {}
         self.revoked = {}
@@ -42,6 +45,11 @@
         clock.sleep(100)
         tasks[0].kill()
 
+    def check_record(self, incarnation, fingerprints):
+        if int(incarnation) >= self.engine.incarnation:
+            self.false_evidence.append(incarnation)
+        return self.record(incarnation, fingerprints)
+
     def plan(self):
         """Order loads from a view that is up to a second old."""
         while True:
@@ -104,6 +112,7 @@
     assert made.engine.evicted_in_use == []
     assert len(executed) == len(set(executed))
     assert made.beside.violations == 0
+    assert made.false_evidence == []
     assert made.beside.attempts.running == 0
     for attempt_id, peer in made.peer_by_id.items():
         if peer.is_answered:
--- a/tests/sidecar/test_run.py
+++ b/tests/sidecar/test_run.py
@@ -330,6 +330,22 @@
     assert not load.ok
 
 
+def test_plain_service_that_dies_is_crash_evidence():
+    """Guards against losing evidence where there is no start time."""
+
+    def handle(environ):
+        if environ['PATH_INFO'] == '/tags/9':
+            made.stop()
+        return PlainService((200, {})).handle(environ)
+
+    made = bench.Bench(handle, kind='service')
+    made.start()
+    last = made.run(ref=None, path='/tags/9', prompt='guilty')[-1]
+    assert (last.ran, last.engine_lost) == ('unknown', True)
+    recorded = made.beside.status().crash_fingerprints
+    assert [crash.fingerprint for crash in recorded] == [b'guilty']
+
+
 def test_answer_without_framing_is_not_complete():
     """Guards against a cut answer that nothing marks as cut."""
 
