Count only requests that were sent as crash evidence

Cause: an attempt that was accepted but not yet sent when the engine failed became a suspect; the extended test of an accepted attempt failed before.

The record of an attempt names the upstream incarnation only from just before the call. Load orders also tell the sidecar the setup version.

Conclusion: evidence names requests that the engine can have read.

--- a/ivystep/sidecar/attempts.py
+++ b/ivystep/sidecar/attempts.py
@@ -53,13 +53,13 @@
 
     Attributes:
         fingerprint: Fingerprint of its request.
-        incarnation: Upstream incarnation that runs it.
         is_isolated: Whether the request is suspected of causing crashes.
+        incarnation: Upstream incarnation that it was sent to; empty before.
     """
 
     fingerprint: bytes
-    incarnation: str
     is_isolated: bool = False
+    incarnation: str = ''
 
 
 class AttemptLog:
@@ -104,6 +104,17 @@
         self._state_by_id[attempt_id] = State.RUNNING
         self._running_by_id[attempt_id] = running
 
+    def sent(self, attempt_id: str, incarnation: str) -> None:
+        """Record that a running attempt goes to the upstream now.
+
+        Args:
+            attempt_id: Id of the attempt.
+            incarnation: Upstream incarnation that gets it.
+        """
+        self._running_by_id[attempt_id] = dataclasses.replace(
+            self._running_by_id[attempt_id], incarnation=incarnation
+        )
+
     def end(self, attempt_id: str, ran: types.Ran) -> None:
         """Record the end of an attempt, or that it was refused.
 
--- a/ivystep/sidecar/run.py
+++ b/ivystep/sidecar/run.py
@@ -78,7 +78,6 @@
             message.attempt_id,
             attempts.Running(
                 message.fingerprint,
-                self._incarnation,
                 is_isolated=bool(message.isolated),
             ),
         )
@@ -107,6 +106,7 @@
 
     def _answer(self) -> None:
         self._check_before_call()
+        self._beside.attempts.sent(self._message.attempt_id, self._incarnation)
         self.ran = types.Ran.UNKNOWN
         with self._before_deadline():
             response = self._beside.http.run(
--- a/ivystep/sidecar/server.py
+++ b/ivystep/sidecar/server.py
@@ -89,6 +89,7 @@
     beside: host.UpstreamHost,
     link: channel.Channel,
 ) -> None:
+    beside.setup_version = max(beside.setup_version, message.setup_version)
     outcome = beside.load(convert.load_order(message))
     link.send(ttypes.LoadResult(outcome.ok, outcome.code, outcome.reason))
 
--- a/tests/sidecar/test_orders.py
+++ b/tests/sidecar/test_orders.py
@@ -152,6 +152,7 @@
     last = entry.frames()[-1]
     assert (last.code, last.ran) == ('adapter_not_resident', 'no')
     assert engine_bench.engine.completions_by_prompt == {}
+    assert engine_bench.beside.status().crash_fingerprints == ()
 
 
 def test_foreign_model_names_do_not_stop_the_health_check(engine_bench):
