--- a/ivystep/sidecar/run.py
+++ b/ivystep/sidecar/run.py
@@ -222,6 +222,9 @@
             self._peer.send(message)
 
     def _fail(self, error: errors.RequestError) -> None:
+        if self.ran is types.Ran.NO:
+            # Nothing was sent, whatever the error takes to be possible.
+            error.ran = types.Ran.NO
         self.ran = error.ran
         if error.engine_lost:
             error.engine_lost = self._beside.confirm_loss(self._incarnation)
--- a/tests/sidecar/test_orders.py
+++ b/tests/sidecar/test_orders.py
@@ -99,6 +99,23 @@
     assert engine_bench.beside.load(bench.order(bench.OTHER)).ok
 
 
+def test_attempt_cut_off_before_the_call_was_not_run(engine_bench):
+    """Guards against `unknown` where nothing was sent to the engine."""
+    entry = bench.Entry()
+    send = entry.sidecar_end.send
+
+    def send_and_stop(one):
+        send(one)
+        engine_bench.beside.cut_off()
+        eventlet.sleep(0.01)
+
+    entry.sidecar_end.send = send_and_stop
+    engine_bench.serve(bench.message(engine_bench.beside), entry)
+    last = entry.frames()[-1]
+    assert (last.code, last.ran) == ('upstream_stopped', 'no')
+    assert engine_bench.engine.completions_by_prompt == {}
+
+
 def test_adapter_that_the_engine_drops_is_no_violation(engine_bench):
     """Guards against counting the engine's own eviction as the sidecar's."""
     entry = bench.Entry()
