--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,10 @@
 test: $(STAMP)
 	$(BIN)/python -m pytest $(ARGS)
 
+# Randomised faults on real processes; prints the seed and every violation.
+soak: $(STAMP)
+	$(BIN)/python -m soak --seed $(or $(SEED),1) --minutes $(or $(MINUTES),5)
+
 lint: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
@@ -26,6 +30,10 @@
 	$(BIN)/ruff check --fix-only --quiet .
 	$(BIN)/ruff format .
 
+# Needs a C compiler and the interpreter's static library.
+binary: $(STAMP)
+	$(BIN)/python tools/build_binary.py
+
 # Needs the Thrift compiler; its output is committed, so builds do not.
 thrift:
 	mkdir -p build/thrift
--- a/ivystep/cli/main.py
+++ b/ivystep/cli/main.py
@@ -66,7 +66,3 @@
     if isinstance(error, errors.UncertainWriteError):
         return EXIT_UNCERTAIN
     return EXIT_FAILED
-
-
-if __name__ == '__main__':
-    main()
--- /dev/null
+++ b/ivystep/policy/load_order.py
@@ -0,0 +1,418 @@
+"""Which adapter is loaded next, and which requests come too late for theirs.
+
+A load serves every request that waits for its adapter, so this is on-demand
+broadcast scheduling. Loads are ranked by waiting requests and age, as long as
+the deadlines of the others allow it; earliest deadline first otherwise.
+"""
+
+import bisect
+import collections
+import dataclasses
+import math
+import typing
+from collections.abc import Callable, Iterable
+
+from ivystep.core import types
+
+BACK_OFF_MIN_S = 1.0
+BACK_OFF_MAX_S = 60.0
+ACTIVE_S = 60.0
+# Loads that an account may use beyond its share before it is ranked lower.
+BURST_LOADS = 4.0
+MAX_DEBT_LOADS = 20.0
+USE_WINDOW_S = 30.0
+LEVEL_INTERVAL_S = 1.0
+MAX_SHARE_ABOVE = 0.9
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WantedLoad:
+    """An adapter that waiting requests need, over all entries.
+
+    Attributes:
+        oldest_at: When the oldest of the requests began to wait.
+        start_by: When the adapter must be resident for the most urgent one.
+        weight: Weight of the account.
+    """
+
+    ref: types.AdapterRef
+    source: str
+    setup_version: int
+    weight: float
+    waiting: int
+    oldest_at: float
+    start_by: float
+
+    @classmethod
+    def from_demand(
+        cls, demand: types.AdapterDemand, now: float
+    ) -> typing.Self:
+        """Convert a demand that was reported now.
+
+        Args:
+            demand: The demand.
+            now: Current time in seconds.
+        """
+        return cls(
+            ref=demand.ref,
+            source=demand.source,
+            setup_version=demand.setup_version,
+            weight=demand.weight,
+            waiting=demand.waiting,
+            oldest_at=now - demand.oldest_wait_s,
+            start_by=now + demand.start_within_s,
+        )
+
+    @classmethod
+    def merged(cls, parts: Iterable[typing.Self]) -> typing.Self:
+        """Combine what several entries want of the same adapter.
+
+        Args:
+            parts: One item for each entry; at least one.
+        """
+        known = tuple(parts)
+        if len(known) == 1:
+            return known[0]
+        latest = max(known, key=lambda part: part.setup_version)
+        return dataclasses.replace(
+            latest,
+            waiting=sum(part.waiting for part in known),
+            oldest_at=min(part.oldest_at for part in known),
+            start_by=min(part.start_by for part in known),
+        )
+
+
+class AccountShares:
+    """How far each account is beyond its fair share of the loads.
+
+    The fair level is the max-min fair one: what an account may use for each
+    unit of weight so that all loads are used and no account could get more
+    without taking from one that gets less. Accounts that want no more than
+    that have rank 0. For the others, a load adds one to the debt, and time
+    reduces the debt at the rate of an equal share; loads of accounts in debt
+    wait for those of others. A flood or scan thus takes what others leave.
+    """
+
+    def __init__(self, loads_per_s: float) -> None:
+        self.loads_per_s = loads_per_s
+        self._virtual_s = 0.0
+        self._advanced_at = 0.0
+        self._total_weight = 0.0
+        # Account to weight and time of its last request, oldest first.
+        self._active: collections.OrderedDict[str, tuple[float, float]] = (
+            collections.OrderedDict()
+        )
+        # Account to debt and the virtual time at which it was computed.
+        self._debt_by_account: dict[str, tuple[float, float]] = {}
+        # Account to loads asked for and the time at which they were counted.
+        self._wanted_by_account: dict[str, tuple[float, float]] = {}
+        self._level = math.inf
+        self._level_at = -math.inf
+        self._used_by_rank: collections.Counter[int] = collections.Counter()
+        self._used_at = 0.0
+
+    def touch(self, account: str, weight: float, now: float) -> None:
+        """Record that an account has requests.
+
+        Args:
+            account: The account.
+            weight: Its weight.
+            now: Current time in seconds.
+        """
+        self._advance(now)
+        known = self._active.pop(account, None)
+        if known is not None:
+            self._total_weight -= known[0]
+        self._active[account] = (weight, now)
+        self._total_weight += weight
+        while self._active:
+            oldest, (its_weight, seen) = next(iter(self._active.items()))
+            if seen > now - ACTIVE_S:
+                break
+            del self._active[oldest]
+            self._debt_by_account.pop(oldest, None)
+            self._wanted_by_account.pop(oldest, None)
+            self._total_weight -= its_weight
+
+    def want(self, account: str, now: float) -> None:
+        """Count one load that an account asks for.
+
+        Args:
+            account: The account.
+            now: Current time in seconds.
+        """
+        wanted = self._wanted(account, now) + 1
+        self._wanted_by_account[account] = (wanted, now)
+
+    def rank(self, account: str, now: float) -> int:
+        """Return 0 for an account within its share, more for one beyond.
+
+        Args:
+            account: The account.
+            now: Current time in seconds.
+        """
+        if now >= self._level_at + LEVEL_INTERVAL_S:
+            self._level = self._fair_level(now)
+            self._level_at = now
+        if self._wanted(account, now) <= self._level * self._weight(account):
+            return 0
+        return int(self._debt(account) / BURST_LOADS)
+
+    def charge(self, account: str, now: float) -> None:
+        """Count one load that an account is to get.
+
+        Args:
+            account: The account.
+            now: Current time in seconds.
+        """
+        self._advance(now)
+        debt = min(self._debt(account) + 1, MAX_DEBT_LOADS)
+        self._debt_by_account[account] = (debt, self._virtual_s)
+
+    def refund(self, account: str) -> None:
+        """Take back the count of a load that is no longer wanted."""
+        debt = max(self._debt(account) - 1, 0)
+        self._debt_by_account[account] = (debt, self._virtual_s)
+
+    def use(self, rank: int, now: float) -> None:
+        """Count one load that was ordered.
+
+        Args:
+            rank: Its rank.
+            now: Current time in seconds.
+        """
+        self._decay(now)
+        self._used_by_rank[rank] += 1
+
+    def share_above(self, rank: int, now: float) -> float:
+        """Return the share of recent loads that had a lower rank number.
+
+        Args:
+            rank: A rank.
+            now: Current time in seconds.
+        """
+        self._decay(now)
+        used = sum(
+            count for known, count in self._used_by_rank.items() if known < rank
+        )
+        return min(used / (USE_WINDOW_S * self.loads_per_s), MAX_SHARE_ABOVE)
+
+    def _debt(self, account: str) -> float:
+        if account not in self._debt_by_account:
+            return 0.0
+        debt, since = self._debt_by_account[account]
+        refilled = self._weight(account) * (self._virtual_s - since)
+        return max(debt - refilled, 0.0)
+
+    def _weight(self, account: str) -> float:
+        return self._active.get(account, (1.0, 0.0))[0]
+
+    def _wanted(self, account: str, now: float) -> float:
+        """Return the loads asked for within the window, with ageing."""
+        count, since = self._wanted_by_account.get(account, (0.0, now))
+        return count * math.exp((since - now) / ACTIVE_S)
+
+    def _fair_level(self, now: float) -> float:
+        """Return the max-min fair loads within the window for each weight."""
+        wanted = sorted(
+            (self._wanted(account, now) / weight, weight)
+            for account, (weight, _) in self._active.items()
+        )
+        left = self.loads_per_s * ACTIVE_S
+        weights = self._total_weight
+        for level, weight in wanted:
+            if level * weights > left:
+                return left / weights
+            left -= level * weight
+            weights -= weight
+        return math.inf
+
+    def _decay(self, now: float) -> None:
+        factor = math.exp((self._used_at - now) / USE_WINDOW_S)
+        self._used_at = now
+        for rank in self._used_by_rank:
+            self._used_by_rank[rank] *= factor
+
+    def _advance(self, now: float) -> None:
+        """Advance the virtual time, in loads for each unit of weight."""
+        if self._total_weight > 0:
+            passed = now - self._advanced_at
+            self._virtual_s += passed * self.loads_per_s / self._total_weight
+        self._advanced_at = now
+
+
+class BackOff:
+    """Exponential back-off of adapters whose loads fail."""
+
+    def __init__(self) -> None:
+        # Adapter to number of failures in a row and time of the next try.
+        self._failed: dict[types.AdapterRef, tuple[int, float]] = {}
+
+    def fail(self, ref: types.AdapterRef, now: float) -> float:
+        """Record a failed load.
+
+        Args:
+            ref: The adapter.
+            now: Current time in seconds.
+
+        Returns:
+            Time in seconds until the next try.
+        """
+        count = self._failed.get(ref, (0, 0.0))[0] + 1
+        pause_s = min(BACK_OFF_MIN_S * 2 ** (count - 1), BACK_OFF_MAX_S)
+        self._failed[ref] = (min(count, 16), now + pause_s)
+        return pause_s
+
+    def succeed(self, ref: types.AdapterRef) -> None:
+        """Forget the failures of an adapter."""
+        self._failed.pop(ref, None)
+
+    def remaining_s(self, ref: types.AdapterRef, now: float) -> float:
+        """Return the time until an adapter may be tried; 0 if at once.
+
+        Args:
+            ref: The adapter.
+            now: Current time in seconds.
+        """
+        failed = self._failed.get(ref)
+        if failed is None:
+            return 0.0
+        if now > failed[1] + BACK_OFF_MAX_S:
+            del self._failed[ref]
+        return max(failed[1] - now, 0.0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Backlog:
+    """The loads that are to be done, in order of urgency.
+
+    Attributes:
+        loads: By account rank and then by deadline.
+        ranks: Account rank of each load.
+        now: Time of the snapshot.
+        load_s: Duration of one load.
+        busy_s: Time until the load in progress ends.
+    """
+
+    loads: list[WantedLoad]
+    ranks: list[int]
+    now: float
+    load_s: float
+    busy_s: float
+
+    @classmethod
+    def from_loads(
+        cls,
+        loads: Iterable[tuple[int, WantedLoad]],
+        now: float,
+        *,
+        load_s: float,
+        busy_s: float,
+    ) -> typing.Self:
+        """Order loads by urgency.
+
+        Args:
+            loads: The loads with the ranks of their accounts.
+            now: Current time in seconds.
+            load_s: Duration of one load in seconds.
+            busy_s: Time until the load in progress ends, in seconds.
+        """
+        ranked = sorted(loads, key=lambda pair: (pair[0], pair[1].start_by))
+        return cls(
+            loads=[load for _, load in ranked],
+            ranks=[rank for rank, _ in ranked],
+            now=now,
+            load_s=load_s,
+            busy_s=busy_s,
+        )
+
+    def add(self, wanted: WantedLoad, rank: int) -> None:
+        """Insert a load that was admitted.
+
+        Args:
+            wanted: The load; not part of the backlog.
+            rank: Rank of its account.
+        """
+        position = self._position(wanted, rank)
+        self.loads.insert(position, wanted)
+        self.ranks.insert(position, rank)
+
+    def ready_in_s(self, position: int) -> float:
+        """Return when the load at a position ends, in seconds from now."""
+        return self.busy_s + (position + 1) * self.load_s
+
+    def slack_s(self, position: int) -> float:
+        """Return by how much the load at a position may be delayed."""
+        until = self.loads[position].start_by - self.now
+        return until - self.ready_in_s(position)
+
+    def admission(
+        self, wanted: WantedLoad, rank: int, share_above: float
+    ) -> float:
+        """Return when a new load can end.
+
+        Loads that were admitted before are not made late by a new one of the
+        same or a higher rank.
+
+        Args:
+            wanted: The new load; not part of the backlog.
+            rank: Rank of its account.
+            share_above: Share of the loads to come that will go first because
+                their accounts have a lower rank number.
+
+        Returns:
+            Seconds from now; infinite if it would make others late.
+        """
+        position = self._position(wanted, rank)
+        after = bisect.bisect_right(self.ranks, rank)
+        if any(map(self._is_critical, range(position, after))):
+            return math.inf
+        return self.busy_s + (position + 1) * self.load_s / (1 - share_above)
+
+    def first(self, score: Callable[[WantedLoad], float]) -> WantedLoad | None:
+        """Choose the next load.
+
+        Args:
+            score: Value of doing a load now rather than another.
+
+        Returns:
+            The load of the lowest account rank with the highest score whose
+            choice makes no other load late; None if there is no load.
+        """
+        best = None
+        best_score = -math.inf
+        for position, load in enumerate(self.loads):
+            if self.ranks[position] > self.ranks[0]:
+                break
+            value = score(load)
+            if value > best_score:
+                best, best_score = load, value
+            if self._is_critical(position):
+                # Any later choice would make this load late.
+                break
+        return best
+
+    def _position(self, wanted: WantedLoad, rank: int) -> int:
+        return bisect.bisect_right(
+            range(len(self.loads)),
+            (rank, wanted.start_by),
+            key=lambda index: (self.ranks[index], self.loads[index].start_by),
+        )
+
+    def _is_critical(self, position: int) -> bool:
+        """Return whether one more load before this one makes it late."""
+        return 0 <= self.slack_s(position) < self.load_s
+
+
+def urgency(load: WantedLoad, now: float, expected: float) -> float:
+    """Score a load by the waiting that it ends.
+
+    Args:
+        load: The load.
+        now: Current time in seconds.
+        expected: Requests expected soon, counted like waiting ones.
+
+    Returns:
+        The product of waiting requests and age of the oldest.
+    """
+    return (load.waiting + expected) * (now - load.oldest_at)
--- a/ivystep/setup/store.py
+++ b/ivystep/setup/store.py
@@ -16,7 +16,15 @@
 from ivystep.core import errors
 from ivystep.platform import objects, table
 from ivystep.runtime import clock, logs
-from ivystep.setup import adoption, compiled, index, records, snapshot
+from ivystep.setup import (
+    adoption,
+    compiled,
+    document,
+    index,
+    records,
+    snapshot,
+    submission,
+)
 
 # A new version is usually loaded within a few milliseconds; requests that
 # arrive in that time wait instead of being refused.
@@ -183,6 +191,13 @@
                 self._confirmed_at = clock.now()
         return self.latest
 
+    def submit(
+        self, source: document.Document, base_version: int, operator: str
+    ) -> submission.SubmitResult:
+        """Submit a document; see ``submission.Submitter.submit``."""
+        submitter = submission.Submitter(self._rows, self._objects)
+        return submitter.submit(source, base_version, operator)
+
     def export(self) -> tuple[int, dict[str, bytes]]:
         """Return the loaded version for a peer.
 
--- a/ivystep/setup/submission.py
+++ b/ivystep/setup/submission.py
@@ -113,8 +113,7 @@
 
         Raises:
             StaleBaseError: Another change was accepted first.
-            errors.SetupError: The id belongs to another document, or the
-                document changes nothing.
+            errors.SetupError: The id belongs to another document.
             errors.UnavailableError: Nothing was changed.
             errors.UncertainWriteError: The outcome is not known yet; the
                 message names the submission id to ask for.
@@ -167,10 +166,6 @@
             return self._lost_race(wanted, draft)
         earlier = self._history.read_version(base, wanted)
         changes = difference.compare_snapshots(earlier, wanted)
-        if not changes:
-            raise errors.SetupError(
-                f'the document is identical to version {base}', step='submit'
-            )
         self._upload(earlier, wanted)
         draft = _Draft(
             draft.record.model_copy(
--- a/ivystep/wire/gen/ttypes.py
+++ b/ivystep/wire/gen/ttypes.py
@@ -228,6 +228,7 @@
      - budget_ms
      - fingerprint
      - setup_version
+     - isolated
 
     """
 
@@ -245,10 +246,11 @@
         'budget_ms',
         'fingerprint',
         'setup_version',
+        'isolated',
     )
 
 
-    def __init__(self, attempt_id=None, request_id=None, account=None, application=None, adapter=None, sidecar_incarnation=None, path=None, body=None, stream=None, idempotent=None, budget_ms=None, fingerprint=None, setup_version=None,):
+    def __init__(self, attempt_id=None, request_id=None, account=None, application=None, adapter=None, sidecar_incarnation=None, path=None, body=None, stream=None, idempotent=None, budget_ms=None, fingerprint=None, setup_version=None, isolated=None,):
         self.attempt_id = attempt_id
         self.request_id = request_id
         self.account = account
@@ -262,6 +264,7 @@
         self.budget_ms = budget_ms
         self.fingerprint = fingerprint
         self.setup_version = setup_version
+        self.isolated = isolated
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -338,6 +341,11 @@
                     self.setup_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.isolated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -400,6 +408,10 @@
             oprot.writeFieldBegin('setup_version', TType.I64, 13)
             oprot.writeI64(self.setup_version)
             oprot.writeFieldEnd()
+        if self.isolated is not None:
+            oprot.writeFieldBegin('isolated', TType.BOOL, 14)
+            oprot.writeBool(self.isolated)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -756,6 +768,7 @@
      - status
      - retry_after_ms
      - engine_lost
+     - engine_incarnation
 
     """
 
@@ -767,10 +780,11 @@
         'status',
         'retry_after_ms',
         'engine_lost',
+        'engine_incarnation',
     )
 
 
-    def __init__(self, attempt_id=None, code=None, reason=None, ran=None, status=None, retry_after_ms=None, engine_lost=None,):
+    def __init__(self, attempt_id=None, code=None, reason=None, ran=None, status=None, retry_after_ms=None, engine_lost=None, engine_incarnation=None,):
         self.attempt_id = attempt_id
         self.code = code
         self.reason = reason
@@ -778,6 +792,7 @@
         self.status = status
         self.retry_after_ms = retry_after_ms
         self.engine_lost = engine_lost
+        self.engine_incarnation = engine_incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -823,6 +838,11 @@
                     self.engine_lost = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRING:
+                    self.engine_incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -861,6 +881,10 @@
             oprot.writeFieldBegin('engine_lost', TType.BOOL, 7)
             oprot.writeBool(self.engine_lost)
             oprot.writeFieldEnd()
+        if self.engine_incarnation is not None:
+            oprot.writeFieldBegin('engine_incarnation', TType.STRING, 8)
+            oprot.writeString(self.engine_incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.engine_incarnation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1395,6 +1419,98 @@
         return not (self == other)
 
 
+class CrashFingerprint(object):
+    """
+    Attributes:
+     - fingerprint
+     - engine_incarnation
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'fingerprint',
+        'engine_incarnation',
+        'age_ms',
+    )
+
+
+    def __init__(self, fingerprint=None, engine_incarnation=None, age_ms=None,):
+        self.fingerprint = fingerprint
+        self.engine_incarnation = engine_incarnation
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.fingerprint = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.engine_incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashFingerprint')
+        if self.fingerprint is not None:
+            oprot.writeFieldBegin('fingerprint', TType.STRING, 1)
+            oprot.writeBinary(self.fingerprint)
+            oprot.writeFieldEnd()
+        if self.engine_incarnation is not None:
+            oprot.writeFieldBegin('engine_incarnation', TType.STRING, 2)
+            oprot.writeString(self.engine_incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.engine_incarnation)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 3)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class UpstreamStatus(object):
     """
     Attributes:
@@ -1527,7 +1643,8 @@
                     self.crash_fingerprints = []
                     (_etype16, _size13) = iprot.readListBegin()
                     for _i17 in range(_size13):
-                        _elem18 = iprot.readBinary()
+                        _elem18 = CrashFingerprint()
+                        _elem18.read(iprot)
                         self.crash_fingerprints.append(_elem18)
                     iprot.readListEnd()
                 else:
@@ -1595,9 +1712,9 @@
             oprot.writeFieldEnd()
         if self.crash_fingerprints is not None:
             oprot.writeFieldBegin('crash_fingerprints', TType.LIST, 13)
-            oprot.writeListBegin(TType.STRING, len(self.crash_fingerprints))
+            oprot.writeListBegin(TType.STRUCT, len(self.crash_fingerprints))
             for iter20 in self.crash_fingerprints:
-                oprot.writeBinary(iter20)
+                iter20.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1629,31 +1746,37 @@
     """
     Attributes:
      - adapter
+     - source
+     - setup_version
+     - weight
      - waiting
-     - oldest_ms
+     - oldest_wait_ms
+     - start_within_ms
      - arrivals
-     - source
-     - tightest_ms
 
     """
 
     __slots__ = (
         'adapter',
+        'source',
+        'setup_version',
+        'weight',
         'waiting',
-        'oldest_ms',
+        'oldest_wait_ms',
+        'start_within_ms',
         'arrivals',
-        'source',
-        'tightest_ms',
     )
 
 
-    def __init__(self, adapter=None, waiting=None, oldest_ms=None, arrivals=None, source=None, tightest_ms=None,):
+    def __init__(self, adapter=None, source=None, setup_version=None, weight=None, waiting=None, oldest_wait_ms=None, start_within_ms=None, arrivals=None,):
         self.adapter = adapter
+        self.source = source
+        self.setup_version = setup_version
+        self.weight = weight
         self.waiting = waiting
-        self.oldest_ms = oldest_ms
+        self.oldest_wait_ms = oldest_wait_ms
+        self.start_within_ms = start_within_ms
         self.arrivals = arrivals
-        self.source = source
-        self.tightest_ms = tightest_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1671,28 +1794,38 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
-                if ftype == TType.I32:
-                    self.waiting = iprot.readI32()
+                if ftype == TType.STRING:
+                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.I64:
-                    self.oldest_ms = iprot.readI64()
+                    self.setup_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
-                if ftype == TType.I32:
-                    self.arrivals = iprot.readI32()
+                if ftype == TType.DOUBLE:
+                    self.weight = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
-                if ftype == TType.STRING:
-                    self.source = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I32:
+                    self.waiting = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.I64:
-                    self.tightest_ms = iprot.readI64()
+                    self.oldest_wait_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.start_within_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.arrivals = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1709,26 +1842,34 @@
             oprot.writeFieldBegin('adapter', TType.STRUCT, 1)
             self.adapter.write(oprot)
             oprot.writeFieldEnd()
+        if self.source is not None:
+            oprot.writeFieldBegin('source', TType.STRING, 2)
+            oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
+            oprot.writeFieldEnd()
+        if self.setup_version is not None:
+            oprot.writeFieldBegin('setup_version', TType.I64, 3)
+            oprot.writeI64(self.setup_version)
+            oprot.writeFieldEnd()
+        if self.weight is not None:
+            oprot.writeFieldBegin('weight', TType.DOUBLE, 4)
+            oprot.writeDouble(self.weight)
+            oprot.writeFieldEnd()
         if self.waiting is not None:
-            oprot.writeFieldBegin('waiting', TType.I32, 2)
+            oprot.writeFieldBegin('waiting', TType.I32, 5)
             oprot.writeI32(self.waiting)
             oprot.writeFieldEnd()
-        if self.oldest_ms is not None:
-            oprot.writeFieldBegin('oldest_ms', TType.I64, 3)
-            oprot.writeI64(self.oldest_ms)
+        if self.oldest_wait_ms is not None:
+            oprot.writeFieldBegin('oldest_wait_ms', TType.I64, 6)
+            oprot.writeI64(self.oldest_wait_ms)
+            oprot.writeFieldEnd()
+        if self.start_within_ms is not None:
+            oprot.writeFieldBegin('start_within_ms', TType.I64, 7)
+            oprot.writeI64(self.start_within_ms)
             oprot.writeFieldEnd()
         if self.arrivals is not None:
-            oprot.writeFieldBegin('arrivals', TType.I32, 4)
+            oprot.writeFieldBegin('arrivals', TType.I32, 8)
             oprot.writeI32(self.arrivals)
             oprot.writeFieldEnd()
-        if self.source is not None:
-            oprot.writeFieldBegin('source', TType.STRING, 5)
-            oprot.writeString(self.source.encode('utf-8') if sys.version_info[0] == 2 else self.source)
-            oprot.writeFieldEnd()
-        if self.tightest_ms is not None:
-            oprot.writeFieldBegin('tightest_ms', TType.I64, 6)
-            oprot.writeI64(self.tightest_ms)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1758,18 +1899,21 @@
     """
     Attributes:
      - pool
+     - entry_id
      - demands
 
     """
 
     __slots__ = (
         'pool',
+        'entry_id',
         'demands',
     )
 
 
-    def __init__(self, pool=None, demands=None,):
+    def __init__(self, pool=None, entry_id=None, demands=None,):
         self.pool = pool
+        self.entry_id = entry_id
         self.demands = demands
 
     def read(self, iprot):
@@ -1787,6 +1931,11 @@
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
+                if ftype == TType.STRING:
+                    self.entry_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
                 if ftype == TType.LIST:
                     self.demands = []
                     (_etype24, _size21) = iprot.readListBegin()
@@ -1811,8 +1960,12 @@
             oprot.writeFieldBegin('pool', TType.STRING, 1)
             oprot.writeString(self.pool.encode('utf-8') if sys.version_info[0] == 2 else self.pool)
             oprot.writeFieldEnd()
+        if self.entry_id is not None:
+            oprot.writeFieldBegin('entry_id', TType.STRING, 2)
+            oprot.writeString(self.entry_id.encode('utf-8') if sys.version_info[0] == 2 else self.entry_id)
+            oprot.writeFieldEnd()
         if self.demands is not None:
-            oprot.writeFieldBegin('demands', TType.LIST, 2)
+            oprot.writeFieldBegin('demands', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
             for iter27 in self.demands:
                 iter27.write(oprot)
@@ -1843,20 +1996,26 @@
         return not (self == other)
 
 
-class DemandAccepted(object):
+class LoadForecast(object):
     """
     Attributes:
-     - planner
+     - adapter
+     - ready_in_ms
+     - retry_after_ms
 
     """
 
     __slots__ = (
-        'planner',
+        'adapter',
+        'ready_in_ms',
+        'retry_after_ms',
     )
 
 
-    def __init__(self, planner=None,):
-        self.planner = planner
+    def __init__(self, adapter=None, ready_in_ms=None, retry_after_ms=None,):
+        self.adapter = adapter
+        self.ready_in_ms = ready_in_ms
+        self.retry_after_ms = retry_after_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1868,8 +2027,19 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.BOOL:
-                    self.planner = iprot.readBool()
+                if ftype == TType.STRUCT:
+                    self.adapter = AdapterId()
+                    self.adapter.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.ready_in_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.retry_after_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1881,10 +2051,18 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('DemandAccepted')
-        if self.planner is not None:
-            oprot.writeFieldBegin('planner', TType.BOOL, 1)
-            oprot.writeBool(self.planner)
+        oprot.writeStructBegin('LoadForecast')
+        if self.adapter is not None:
+            oprot.writeFieldBegin('adapter', TType.STRUCT, 1)
+            self.adapter.write(oprot)
+            oprot.writeFieldEnd()
+        if self.ready_in_ms is not None:
+            oprot.writeFieldBegin('ready_in_ms', TType.I64, 2)
+            oprot.writeI64(self.ready_in_ms)
+            oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I64, 3)
+            oprot.writeI64(self.retry_after_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
@@ -1911,62 +2089,20 @@
         return not (self == other)
 
 
-class Frame(object):
+class DemandAccepted(object):
     """
     Attributes:
-     - hello
-     - run_attempt
-     - attempt_accepted
-     - answer_head
-     - answer_chunk
-     - answer_end
-     - attempt_failed
-     - revoke_attempt
-     - attempt_state
-     - load_adapter
-     - load_result
-     - watch
-     - upstream_status
-     - demand
-     - demand_accepted
+     - forecasts
 
     """
 
     __slots__ = (
-        'hello',
-        'run_attempt',
-        'attempt_accepted',
-        'answer_head',
-        'answer_chunk',
-        'answer_end',
-        'attempt_failed',
-        'revoke_attempt',
-        'attempt_state',
-        'load_adapter',
-        'load_result',
-        'watch',
-        'upstream_status',
-        'demand',
-        'demand_accepted',
+        'forecasts',
     )
 
 
-    def __init__(self, hello=None, run_attempt=None, attempt_accepted=None, answer_head=None, answer_chunk=None, answer_end=None, attempt_failed=None, revoke_attempt=None, attempt_state=None, load_adapter=None, load_result=None, watch=None, upstream_status=None, demand=None, demand_accepted=None,):
-        self.hello = hello
-        self.run_attempt = run_attempt
-        self.attempt_accepted = attempt_accepted
-        self.answer_head = answer_head
-        self.answer_chunk = answer_chunk
-        self.answer_end = answer_end
-        self.attempt_failed = attempt_failed
-        self.revoke_attempt = revoke_attempt
-        self.attempt_state = attempt_state
-        self.load_adapter = load_adapter
-        self.load_result = load_result
-        self.watch = watch
-        self.upstream_status = upstream_status
-        self.demand = demand
-        self.demand_accepted = demand_accepted
+    def __init__(self, forecasts=None,):
+        self.forecasts = forecasts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1978,40 +2114,518 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRUCT:
-                    self.hello = Hello()
-                    self.hello.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.STRUCT:
-                    self.run_attempt = RunAttempt()
-                    self.run_attempt.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 3:
-                if ftype == TType.STRUCT:
-                    self.attempt_accepted = AttemptAccepted()
-                    self.attempt_accepted.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.STRUCT:
-                    self.answer_head = AnswerHead()
-                    self.answer_head.read(iprot)
-                else:
-                    iprot.skip(ftype)
-            elif fid == 5:
-                if ftype == TType.STRUCT:
-                    self.answer_chunk = AnswerChunk()
-                    self.answer_chunk.read(iprot)
+                if ftype == TType.LIST:
+                    self.forecasts = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = LoadForecast()
+                        _elem33.read(iprot)
+                        self.forecasts.append(_elem33)
+                    iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
-            elif fid == 6:
-                if ftype == TType.STRUCT:
-                    self.answer_end = AnswerEnd()
-                    self.answer_end.read(iprot)
-                else:
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DemandAccepted')
+        if self.forecasts is not None:
+            oprot.writeFieldBegin('forecasts', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.forecasts))
+            for iter34 in self.forecasts:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SetupNotice(object):
+    """
+    Attributes:
+     - version
+
+    """
+
+    __slots__ = (
+        'version',
+    )
+
+
+    def __init__(self, version=None,):
+        self.version = version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SetupNotice')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GetManifest(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GetManifest')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Manifest(object):
+    """
+    Attributes:
+     - version
+     - digest_by_section
+
+    """
+
+    __slots__ = (
+        'version',
+        'digest_by_section',
+    )
+
+
+    def __init__(self, version=None, digest_by_section=None,):
+        self.version = version
+        self.digest_by_section = digest_by_section
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.MAP:
+                    self.digest_by_section = {}
+                    (_ktype36, _vtype37, _size35) = iprot.readMapBegin()
+                    for _i39 in range(_size35):
+                        _key40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val41 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.digest_by_section[_key40] = _val41
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Manifest')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.digest_by_section is not None:
+            oprot.writeFieldBegin('digest_by_section', TType.MAP, 2)
+            oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.digest_by_section))
+            for kiter42, viter43 in self.digest_by_section.items():
+                oprot.writeString(kiter42.encode('utf-8') if sys.version_info[0] == 2 else kiter42)
+                oprot.writeString(viter43.encode('utf-8') if sys.version_info[0] == 2 else viter43)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class GetSection(object):
+    """
+    Attributes:
+     - digest
+
+    """
+
+    __slots__ = (
+        'digest',
+    )
+
+
+    def __init__(self, digest=None,):
+        self.digest = digest
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('GetSection')
+        if self.digest is not None:
+            oprot.writeFieldBegin('digest', TType.STRING, 1)
+            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Section(object):
+    """
+    Attributes:
+     - body
+
+    """
+
+    __slots__ = (
+        'body',
+    )
+
+
+    def __init__(self, body=None,):
+        self.body = body
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.body = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Section')
+        if self.body is not None:
+            oprot.writeFieldBegin('body', TType.STRING, 1)
+            oprot.writeBinary(self.body)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Frame(object):
+    """
+    Attributes:
+     - hello
+     - run_attempt
+     - attempt_accepted
+     - answer_head
+     - answer_chunk
+     - answer_end
+     - attempt_failed
+     - revoke_attempt
+     - attempt_state
+     - load_adapter
+     - load_result
+     - watch
+     - upstream_status
+     - demand
+     - demand_accepted
+     - setup_notice
+     - get_manifest
+     - manifest
+     - get_section
+     - section
+
+    """
+
+    __slots__ = (
+        'hello',
+        'run_attempt',
+        'attempt_accepted',
+        'answer_head',
+        'answer_chunk',
+        'answer_end',
+        'attempt_failed',
+        'revoke_attempt',
+        'attempt_state',
+        'load_adapter',
+        'load_result',
+        'watch',
+        'upstream_status',
+        'demand',
+        'demand_accepted',
+        'setup_notice',
+        'get_manifest',
+        'manifest',
+        'get_section',
+        'section',
+    )
+
+
+    def __init__(self, hello=None, run_attempt=None, attempt_accepted=None, answer_head=None, answer_chunk=None, answer_end=None, attempt_failed=None, revoke_attempt=None, attempt_state=None, load_adapter=None, load_result=None, watch=None, upstream_status=None, demand=None, demand_accepted=None, setup_notice=None, get_manifest=None, manifest=None, get_section=None, section=None,):
+        self.hello = hello
+        self.run_attempt = run_attempt
+        self.attempt_accepted = attempt_accepted
+        self.answer_head = answer_head
+        self.answer_chunk = answer_chunk
+        self.answer_end = answer_end
+        self.attempt_failed = attempt_failed
+        self.revoke_attempt = revoke_attempt
+        self.attempt_state = attempt_state
+        self.load_adapter = load_adapter
+        self.load_result = load_result
+        self.watch = watch
+        self.upstream_status = upstream_status
+        self.demand = demand
+        self.demand_accepted = demand_accepted
+        self.setup_notice = setup_notice
+        self.get_manifest = get_manifest
+        self.manifest = manifest
+        self.get_section = get_section
+        self.section = section
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.hello = Hello()
+                    self.hello.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRUCT:
+                    self.run_attempt = RunAttempt()
+                    self.run_attempt.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRUCT:
+                    self.attempt_accepted = AttemptAccepted()
+                    self.attempt_accepted.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.answer_head = AnswerHead()
+                    self.answer_head.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.answer_chunk = AnswerChunk()
+                    self.answer_chunk.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.answer_end = AnswerEnd()
+                    self.answer_end.read(iprot)
+                else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.STRUCT:
@@ -2067,6 +2681,36 @@
                     self.demand_accepted.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.setup_notice = SetupNotice()
+                    self.setup_notice.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRUCT:
+                    self.get_manifest = GetManifest()
+                    self.get_manifest.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.STRUCT:
+                    self.manifest = Manifest()
+                    self.manifest.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.STRUCT:
+                    self.get_section = GetSection()
+                    self.get_section.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.STRUCT:
+                    self.section = Section()
+                    self.section.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2137,6 +2781,26 @@
             oprot.writeFieldBegin('demand_accepted', TType.STRUCT, 15)
             self.demand_accepted.write(oprot)
             oprot.writeFieldEnd()
+        if self.setup_notice is not None:
+            oprot.writeFieldBegin('setup_notice', TType.STRUCT, 16)
+            self.setup_notice.write(oprot)
+            oprot.writeFieldEnd()
+        if self.get_manifest is not None:
+            oprot.writeFieldBegin('get_manifest', TType.STRUCT, 17)
+            self.get_manifest.write(oprot)
+            oprot.writeFieldEnd()
+        if self.manifest is not None:
+            oprot.writeFieldBegin('manifest', TType.STRUCT, 18)
+            self.manifest.write(oprot)
+            oprot.writeFieldEnd()
+        if self.get_section is not None:
+            oprot.writeFieldBegin('get_section', TType.STRUCT, 19)
+            self.get_section.write(oprot)
+            oprot.writeFieldEnd()
+        if self.section is not None:
+            oprot.writeFieldBegin('section', TType.STRUCT, 20)
+            self.section.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2191,6 +2855,7 @@
     (11, TType.I64, 'budget_ms', None, None, ),  # 11
     (12, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 12
     (13, TType.I64, 'setup_version', None, None, ),  # 13
+    (14, TType.BOOL, 'isolated', None, None, ),  # 14
 )
 all_structs.append(AttemptAccepted)
 AttemptAccepted.thrift_spec = (
@@ -2226,6 +2891,7 @@
     (5, TType.I32, 'status', None, None, ),  # 5
     (6, TType.I64, 'retry_after_ms', None, None, ),  # 6
     (7, TType.BOOL, 'engine_lost', None, None, ),  # 7
+    (8, TType.STRING, 'engine_incarnation', 'UTF8', None, ),  # 8
 )
 all_structs.append(RevokeAttempt)
 RevokeAttempt.thrift_spec = (
@@ -2264,6 +2930,13 @@
     (1, TType.STRUCT, 'adapter', [AdapterId, None], None, ),  # 1
     (2, TType.I32, 'running', None, None, ),  # 2
 )
+all_structs.append(CrashFingerprint)
+CrashFingerprint.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'fingerprint', 'BINARY', None, ),  # 1
+    (2, TType.STRING, 'engine_incarnation', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(UpstreamStatus)
 UpstreamStatus.thrift_spec = (
     None,  # 0
@@ -2279,28 +2952,62 @@
     (10, TType.LIST, 'resident', (TType.STRUCT, [Resident, None], False), None, ),  # 10
     (11, TType.STRUCT, 'loading', [AdapterId, None], None, ),  # 11
     (12, TType.I64, 'setup_version', None, None, ),  # 12
-    (13, TType.LIST, 'crash_fingerprints', (TType.STRING, 'BINARY', False), None, ),  # 13
+    (13, TType.LIST, 'crash_fingerprints', (TType.STRUCT, [CrashFingerprint, None], False), None, ),  # 13
 )
 all_structs.append(AdapterDemand)
 AdapterDemand.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'adapter', [AdapterId, None], None, ),  # 1
-    (2, TType.I32, 'waiting', None, None, ),  # 2
-    (3, TType.I64, 'oldest_ms', None, None, ),  # 3
-    (4, TType.I32, 'arrivals', None, None, ),  # 4
-    (5, TType.STRING, 'source', 'UTF8', None, ),  # 5
-    (6, TType.I64, 'tightest_ms', None, None, ),  # 6
+    (2, TType.STRING, 'source', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'setup_version', None, None, ),  # 3
+    (4, TType.DOUBLE, 'weight', None, None, ),  # 4
+    (5, TType.I32, 'waiting', None, None, ),  # 5
+    (6, TType.I64, 'oldest_wait_ms', None, None, ),  # 6
+    (7, TType.I64, 'start_within_ms', None, None, ),  # 7
+    (8, TType.I32, 'arrivals', None, None, ),  # 8
 )
 all_structs.append(Demand)
 Demand.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'pool', 'UTF8', None, ),  # 1
-    (2, TType.LIST, 'demands', (TType.STRUCT, [AdapterDemand, None], False), None, ),  # 2
+    (2, TType.STRING, 'entry_id', 'UTF8', None, ),  # 2
+    (3, TType.LIST, 'demands', (TType.STRUCT, [AdapterDemand, None], False), None, ),  # 3
+)
+all_structs.append(LoadForecast)
+LoadForecast.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'adapter', [AdapterId, None], None, ),  # 1
+    (2, TType.I64, 'ready_in_ms', None, None, ),  # 2
+    (3, TType.I64, 'retry_after_ms', None, None, ),  # 3
 )
 all_structs.append(DemandAccepted)
 DemandAccepted.thrift_spec = (
     None,  # 0
-    (1, TType.BOOL, 'planner', None, None, ),  # 1
+    (1, TType.LIST, 'forecasts', (TType.STRUCT, [LoadForecast, None], False), None, ),  # 1
+)
+all_structs.append(SetupNotice)
+SetupNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+)
+all_structs.append(GetManifest)
+GetManifest.thrift_spec = (
+)
+all_structs.append(Manifest)
+Manifest.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.MAP, 'digest_by_section', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 2
+)
+all_structs.append(GetSection)
+GetSection.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
+)
+all_structs.append(Section)
+Section.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'body', 'BINARY', None, ),  # 1
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
@@ -2320,6 +3027,11 @@
     (13, TType.STRUCT, 'upstream_status', [UpstreamStatus, None], None, ),  # 13
     (14, TType.STRUCT, 'demand', [Demand, None], None, ),  # 14
     (15, TType.STRUCT, 'demand_accepted', [DemandAccepted, None], None, ),  # 15
+    (16, TType.STRUCT, 'setup_notice', [SetupNotice, None], None, ),  # 16
+    (17, TType.STRUCT, 'get_manifest', [GetManifest, None], None, ),  # 17
+    (18, TType.STRUCT, 'manifest', [Manifest, None], None, ),  # 18
+    (19, TType.STRUCT, 'get_section', [GetSection, None], None, ),  # 19
+    (20, TType.STRUCT, 'section', [Section, None], None, ),  # 20
 )
 fix_spec(all_structs)
 del all_structs
--- a/ivystep/wire/ivystep.thrift
+++ b/ivystep/wire/ivystep.thrift
@@ -28,6 +28,7 @@
   11: i64 budget_ms
   12: binary fingerprint
   13: i64 setup_version
+  14: optional bool isolated
 }
 
 struct AttemptAccepted {
@@ -58,6 +59,7 @@
   5: i32 status
   6: optional i64 retry_after_ms
   7: bool engine_lost
+  8: optional string engine_incarnation
 }
 
 struct RevokeAttempt {
@@ -92,6 +94,12 @@
   2: i32 running
 }
 
+struct CrashFingerprint {
+  1: binary fingerprint
+  2: string engine_incarnation
+  3: i64 age_ms
+}
+
 struct UpstreamStatus {
   1: string upstream
   2: string sidecar_incarnation
@@ -105,25 +113,54 @@
   10: list<Resident> resident
   11: optional AdapterId loading
   12: i64 setup_version
-  13: list<binary> crash_fingerprints
+  13: list<CrashFingerprint> crash_fingerprints
 }
 
 struct AdapterDemand {
   1: AdapterId adapter
-  2: i32 waiting
-  3: i64 oldest_ms
-  4: i32 arrivals
-  5: string source
-  6: i64 tightest_ms
+  2: string source
+  3: i64 setup_version
+  4: double weight
+  5: i32 waiting
+  6: i64 oldest_wait_ms
+  7: i64 start_within_ms
+  8: i32 arrivals
 }
 
 struct Demand {
   1: string pool
-  2: list<AdapterDemand> demands
+  2: string entry_id
+  3: list<AdapterDemand> demands
+}
+
+struct LoadForecast {
+  1: AdapterId adapter
+  2: i64 ready_in_ms
+  3: i64 retry_after_ms
 }
 
 struct DemandAccepted {
-  1: bool planner
+  1: list<LoadForecast> forecasts
+}
+
+struct SetupNotice {
+  1: i64 version
+}
+
+struct GetManifest {
+}
+
+struct Manifest {
+  1: i64 version
+  2: map<string, string> digest_by_section
+}
+
+struct GetSection {
+  1: string digest
+}
+
+struct Section {
+  1: optional binary body
 }
 
 struct Frame {
@@ -142,4 +179,9 @@
   13: optional UpstreamStatus upstream_status
   14: optional Demand demand
   15: optional DemandAccepted demand_accepted
+  16: optional SetupNotice setup_notice
+  17: optional GetManifest get_manifest
+  18: optional Manifest manifest
+  19: optional GetSection get_section
+  20: optional Section section
 }
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -22,10 +22,12 @@
 
     kind: str
     port: int
+    address: typing.Annotated[str, cappa.Arg(long=True)] = LOOPBACK
     slots: typing.Annotated[int, cappa.Arg(long=True)] = 8
     step_s: typing.Annotated[float, cappa.Arg(long=True)] = 0.01
     loads_per_s: typing.Annotated[float, cappa.Arg(long=True)] = 10.0
     weights_url: typing.Annotated[str, cappa.Arg(long=True)] = ''
+    journal_path: typing.Annotated[str, cappa.Arg(long=True)] = ''
     delay_s: typing.Annotated[float, cappa.Arg(long=True)] = 0.0
 
 
@@ -33,7 +35,10 @@
     """Return the handler of the stand-in that the options name."""
     if options.kind == 'engine':
         standin = engine.EngineStandin(
-            options.slots, options.step_s, options.weights_url
+            options.slots,
+            options.step_s,
+            options.weights_url,
+            journal_path=options.journal_path,
         )
         return standin.handle
     if options.kind == 'service':
@@ -54,7 +59,7 @@
     """Serve until SIGTERM."""
     options = cappa.parse(Options)
     signal.signal(signal.SIGTERM, lambda *_: os._exit(0))
-    web.serve(build(options), (LOOPBACK, options.port))
+    web.serve(build(options), (options.address, options.port))
     sys.stdout.write(f'{options.kind} listens on port {options.port}\n')
     sys.stdout.flush()
     while True:
--- /dev/null
+++ b/tests/serving.py
@@ -0,0 +1,31 @@
+"""Serves a stand-in in the process of a test."""
+
+import contextlib
+
+import eventlet
+from eventlet import wsgi
+
+from standins import web
+
+
+@contextlib.contextmanager
+def serve(handle):
+    """Serve a handler on loopback and yield the port.
+
+    The server's task ends before its socket is closed. A task that still
+    waits on a closed socket would meet the next socket with that number.
+    """
+    listener = eventlet.listen(('127.0.0.1', 0))
+    server = eventlet.spawn(
+        wsgi.server,
+        listener,
+        web.app(handle),
+        log_output=False,
+        debug=False,
+        keepalive=False,
+    )
+    try:
+        yield listener.getsockname()[1]
+    finally:
+        server.kill()
+        listener.close()
