Share equal limits in the compiled setup

Cause: each account and application held a limits record of its own, although most have the defaults.

--- a/ivystep/setup/compiled.py
+++ b/ivystep/setup/compiled.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import functools
 import hashlib
 import sys
 import typing
@@ -13,6 +14,8 @@
 from ivystep.core import errors, types
 from ivystep.setup import document, shards
 
+MAX_SHARED_LIMITS = 1024
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdapterVersion:
@@ -62,7 +65,7 @@
         return cls(
             name=source.name,
             weight=source.weight,
-            limits=source.limits,
+            limits=_shared(source.limits),
             applications=tuple(
                 _application(part, adapter_by_name)
                 for part in source.applications
@@ -239,10 +242,16 @@
         grants=frozenset(adapter_by_name[name].name for name in source.grants),
         services=frozenset(source.services),
         idempotent=source.idempotent,
-        limits=source.limits,
+        limits=_shared(source.limits),
     )
 
 
+@functools.lru_cache(maxsize=MAX_SHARED_LIMITS)
+def _shared(limits: document.Limits) -> document.Limits:
+    """Return one record for equal limits; most accounts have the defaults."""
+    return limits
+
+
 def _grants(accounts: Iterable[Account]) -> dict[str, Grant]:
     return {
         digest: Grant(account, application)
