Validate only the edited part of a draft

Cause: each edit in the console validated and dumped the whole document. Conclusion: references between parts are still checked on every edit.

--- a/ivystep/console/drafts.py
+++ b/ivystep/console/drafts.py
@@ -2,6 +2,7 @@
 
 import copy
 import dataclasses
+import types
 import typing
 
 from ivystep.core import errors, ids
@@ -9,6 +10,13 @@
 
 Raw = dict[str, typing.Any]
 Path = tuple[str, ...]
+MODEL_BY_LIST = types.MappingProxyType(
+    {
+        'pools': document.Pool,
+        'services': document.Service,
+        'accounts': document.Account,
+    }
+)
 PART_LISTS = frozenset({'applications', 'adapters'})
 
 
@@ -75,13 +83,15 @@
             errors.SetupError: The document would not be valid; nothing was
                 changed.
         """
-        changed = copy.deepcopy(self._raw)
+        key, name = edit.path[:2]
+        changed = {listed: list(parts) for listed, parts in self._raw.items()}
+        changed[key] = [
+            copy.deepcopy(part) if part['name'] == name else part
+            for part in changed[key]
+        ]
         put(changed, edit)
-        self.document = strict_json.validate(
-            document.Document, changed, 'draft'
-        )
-        # Dumped again, so that new parts have the defaults of the models.
-        self._raw = self.document.model_dump(mode='json')
+        self.document = self._validate(key, name, changed)
+        self._raw = changed
         self._edits.append(edit)
         self.submission_id = ids.new_id('sub')
 
@@ -123,6 +133,26 @@
                 left_out.append(f'{_name(edit.path)}: {error.reason}')
         return fresh, list(dict.fromkeys(left_out))
 
+    def _validate(self, key: str, name: str, changed: Raw) -> document.Document:
+        """Validate the edited part, then the references of all parts.
+
+        The models of the other parts are used again: validating 120,000
+        adapters for each edit took 5 s.
+        """
+        models = {part.name: part for part in getattr(self.document, key)}
+        models.pop(name, None)
+        for index, part in enumerate(changed[key]):
+            if part['name'] == name:
+                model = MODEL_BY_LIST[key]
+                models[name] = strict_json.validate(model, part, 'draft')
+                # Dumped again, so that new parts have all defaults.
+                changed[key][index] = models[name].model_dump(mode='json')
+        fields = {
+            listed: getattr(self.document, listed) for listed in MODEL_BY_LIST
+        }
+        fields[key] = tuple(models[one['name']] for one in changed[key])
+        return strict_json.validate(document.Document, fields, 'draft')
+
 
 def find(raw: Raw, path: Path) -> Raw | None:
     """Return the part at a path, or None."""
