Measure the slopes of control messages and connections

Cause: docs/CAPACITY.md must be worked out from measured slopes. Change: make capacity prints size and processor time of each control message and memory and processor time of a connection. Ruled out: importing before the standard library is patched, and taking the last accepted connection before all were accepted; both made the command hang. Before: no figures.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 STAMP := $(VENV)/.installed
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: demo test lint format measure soak schedules binary thrift clean
+.PHONY: capacity demo test lint format measure soak schedules binary thrift clean
 
 $(STAMP): requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -35,6 +35,10 @@
 	$(BIN)/ruff check --fix-only --quiet .
 	$(BIN)/ruff format .
 
+# The standard library is patched before anything that holds locks is imported.
+capacity: $(STAMP)
+	$(BIN)/python -c 'import ivystep, eventlet; eventlet.monkey_patch(); from measure import capacity; capacity.main()'
+
 # Needs a C compiler and the interpreter's static library.
 binary: $(STAMP)
 	$(BIN)/python tools/build_binary.py
--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -1,4 +1,4 @@
-"""Slopes for docs/CAPACITY.md: ``python -m measure.capacity``.
+"""Slopes for docs/CAPACITY.md: ``make capacity``.
 
 Each line states what was measured, its size and its cost. Costs are processor
 time of this process, and memory is its resident set, on one machine.
@@ -159,6 +159,8 @@
             channel.Channel.connect(address, contexts, tls.ENTRY_NAME)
             for _ in range(CONNECTIONS)
         ]
+        while len(accepted) < CONNECTIONS:
+            eventlet.sleep(0)
         spent_s = time.process_time() - started
         yield Slope(
             'connection: both ends',
@@ -212,7 +214,3 @@
             f'{slope.cost_us:9.1f} {slope.memory_kib:8.1f}'
         )
 
-
-if __name__ == '__main__':
-    eventlet.monkey_patch()
-    main()
