Check which process answers for a host in 'ivystep status'

Cause: a host was counted as ready whatever process answered at its address. In a trial on the demo, where all processes share one address, status read the entry's status three times and printed '2 of 2 sidecars ready'.

--- a/ivystep/cli/status.py
+++ b/ivystep/cli/status.py
@@ -20,6 +20,7 @@
 PARALLEL_READS = 32
 MAX_STATUS_BYTES = 262144
 MAX_LINES = 40
+MAX_SHOWN_CHARACTERS = 80
 
 _STATUS = pydantic.TypeAdapter(operators_app.ProcessStatus)
 
@@ -80,11 +81,15 @@
             answer = self._http.request('GET', url, preload_content=False)
             body = answer.read(MAX_STATUS_BYTES)
             answer.release_conn()
-            return Finding(host, _STATUS.validate_json(body))
+            status = _STATUS.validate_json(body)
         except urllib3.exceptions.HTTPError:
             return Finding(host, None, 'does not answer')
         except pydantic.ValidationError:
             return Finding(host, None, 'gives a malformed status')
+        if (status.role, status.process_id) != (host.role, host.host):
+            found = f'{status.role} {status.process_id}'[:MAX_SHOWN_CHARACTERS]
+            return Finding(host, None, f'is answered for by {found}')
+        return Finding(host, status)
 
 
 def find_problems(findings: Iterable[Finding]) -> list[str]:
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -184,7 +184,7 @@
 
 
 def test_status_names_what_is_wrong(run, platform, tmp_path):
-    """Guards against a status that hides a silent or outdated host."""
+    """Guards against a status that hides a silent, old or mistaken host."""
     standins, config = platform
     answer = {
         'process_id': 'entry-1',
@@ -209,6 +209,7 @@
             for name, role, address, pool in (
                 ('entry-1', 'entry', '127.0.0.1', ''),
                 ('up-1', 'sidecar', '127.0.0.9', 'base'),
+                ('up-2', 'sidecar', '127.0.0.1', 'extra'),
             )
         ]
     }
@@ -222,10 +223,12 @@
     assert code == 1
     assert text.splitlines() == [
         'entry: 1 of 1 ready',
-        'sidecar: 0 of 1 ready',
+        'sidecar: 0 of 2 ready',
         'setup versions: 4',
-        'problems: 3',
+        'problems: 5',
         '  pool base has no upstream that serves',
+        '  pool extra has no upstream that serves',
         '  sidecar up-1 does not answer',
+        '  sidecar up-2 is answered for by entry entry-1',
         '  entry entry-1: The setup has not been confirmed for 60 s.',
     ]
