Do not take a late unload in a new engine process for done

One cause: an uncertain unload that a restarted engine had read was taken for done because the new process did not report the adapter; the adapter was loaded again and the late unload removed it. The new test failed before.

An unsettled order now survives one change of the engine's incarnation, and absence settles an unload only if the process is known to be the same.

--- a/ivystep/sidecar/orders.py
+++ b/ivystep/sidecar/orders.py
@@ -132,21 +132,28 @@
     def _settling(
         self, ref: types.AdapterRef, *, becomes_resident: bool
     ) -> Generator[None, None, None]:
+        incarnation = self._beside.engine_incarnation
         try:
             yield
         except errors.UncertainWriteError:
-            self._unsettle(ref, becomes_resident)
+            self._unsettle(ref, incarnation, becomes_resident=becomes_resident)
             raise
         except errors.PlatformError:
             # The engine has answered, or was not reached: the order is over.
             raise
         except BaseException:
             # The task was ended while the order was on its way.
-            self._unsettle(ref, becomes_resident)
+            self._unsettle(ref, incarnation, becomes_resident=becomes_resident)
             raise
 
-    def _unsettle(self, ref: types.AdapterRef, becomes_resident: bool) -> None:
-        self._beside.residency.unsettle(ref, becomes_resident=becomes_resident)
+    def _unsettle(
+        self, ref: types.AdapterRef, incarnation: str, *, becomes_resident: bool
+    ) -> None:
+        self._beside.residency.unsettle(
+            ref,
+            becomes_resident=becomes_resident,
+            is_same_process=incarnation == self._beside.engine_incarnation,
+        )
 
 
 @functools.singledispatch
--- a/ivystep/sidecar/residency.py
+++ b/ivystep/sidecar/residency.py
@@ -25,10 +25,21 @@
     Attributes:
         becomes_resident: Whether the order was a load.
         until: Time from which the engine's report is trusted again.
+        is_same_process: Whether the engine is known to have been the same
+            process since before the order. A new process may have read the
+            order as its first, so that a missing adapter does not show that
+            an unload is over.
     """
 
     becomes_resident: bool
     until: float
+    is_same_process: bool
+
+    def is_shown_by(self, *, is_reported: bool) -> bool:
+        """Return whether a report shows that the order has taken effect."""
+        if self.becomes_resident:
+            return is_reported
+        return self.is_same_process and not is_reported
 
 
 class Residency:
@@ -60,8 +71,13 @@
             refs: Adapters that it reports.
         """
         self._resident = set(refs)
-        # Orders to the earlier process can no longer take effect.
-        self._unsettled_by_ref.clear()
+        # An order just before the change may have reached either process; one
+        # from before an earlier change can no longer take effect.
+        self._unsettled_by_ref = {
+            ref: dataclasses.replace(order, is_same_process=False)
+            for ref, order in self._unsettled_by_ref.items()
+            if order.is_same_process
+        }
 
     def reconcile(self, refs: Iterable[types.AdapterRef]) -> None:
         """Take over what the same engine incarnation reports.
@@ -72,8 +88,8 @@
         reported = set(refs)
         current = clock.now()
         for ref, order in list(self._unsettled_by_ref.items()):
-            has_taken_effect = (ref in reported) == order.becomes_resident
-            if has_taken_effect or current >= order.until:
+            is_over = order.is_shown_by(is_reported=ref in reported)
+            if is_over or current >= order.until:
                 self._unsettled_by_ref.pop(ref)
         self._resident = reported
 
@@ -94,16 +110,22 @@
         return self._running_by_ref[ref] > 0
 
     def unsettle(
-        self, ref: types.AdapterRef, *, becomes_resident: bool
+        self,
+        ref: types.AdapterRef,
+        *,
+        becomes_resident: bool,
+        is_same_process: bool,
     ) -> None:
         """Record that the outcome of an order is unknown.
 
         Args:
             ref: The adapter; it takes no attempts until it is settled.
             becomes_resident: Whether the order was a load.
+            is_same_process: Whether no restart of the engine has been seen
+                since before the order.
         """
         self._unsettled_by_ref[ref] = Unsettled(
-            becomes_resident, clock.now() + SETTLE_S
+            becomes_resident, clock.now() + SETTLE_S, is_same_process
         )
 
     @contextlib.contextmanager
--- a/tests/sidecar/test_orders.py
+++ b/tests/sidecar/test_orders.py
@@ -151,6 +151,19 @@
     assert engine_bench.beside.load(bench.order(bench.REF)).ok
 
 
+def test_late_unload_in_a_new_process_is_not_taken_for_done(
+    engine_bench, monkeypatch
+):
+    """Guards against an adapter that is loaded before the unload arrives."""
+    monkeypatch.setattr(upstream, 'LOAD_TIMEOUT_S', 0.02)
+    engine_bench.engine.restart()
+    engine_bench.fault(unload_delay_s=0.1)
+    engine_bench.beside.load(bench.order(bench.OTHER, bench.REF))
+    # The new process does not hold the adapter and has yet to unload it.
+    engine_bench.beside.refresh()
+    assert engine_bench.beside.load(bench.order(bench.REF)).code == 'unsettled'
+
+
 def test_accepted_attempt_is_checked_again_before_the_call(engine_bench):
     """Guards against a restart while the acceptance is being sent."""
     entry = bench.Entry()
