Unload only what the engine reports

Cause: an order could name an adapter that the engine had lost. An uncertain unload of it was taken for done at the next reading, because the adapter was absent from the start; loaded again, it was removed by the late unload under running calls.

After: the 6 seeds pass and run in the suite besides the first 12.

Conclusion: absence settles an unload only if the same process reported the adapter before.

--- a/ivystep/sidecar/orders.py
+++ b/ivystep/sidecar/orders.py
@@ -109,9 +109,12 @@
 
     def _send(self, order: types.LoadOrder) -> None:
         beside = self._beside
-        with beside.residency.evicting(order.evict):
+        # Only what the engine reports is unloaded: the absence of any other
+        # adapter would not show later that an uncertain unload is over.
+        evicted = [ref for ref in order.evict if beside.residency.holds(ref)]
+        with beside.residency.evicting(evicted):
             beside.notify()
-            for ref in order.evict:
+            for ref in evicted:
                 with self._settling(ref, becomes_resident=False):
                     beside.http.unload(ref, self.owner.token())
                 beside.metrics.record_eviction()
--- a/tests/sidecar/test_invariants.py
+++ b/tests/sidecar/test_invariants.py
@@ -15,6 +15,8 @@
 REFS = [types.AdapterRef('acme', f'adapter-{one}', 1) for one in range(5)]
 RUN_S = 400
 SLOTS = 2
+# These found unloads that took effect after they were taken for done.
+SEEDS_WITH_LATE_UNLOADS = (108, 126, 136, 149, 174, 215)
 
 
 class Simulation:
@@ -98,7 +100,7 @@
         self.revoked[attempt_id] = self.beside.attempts.revoke(attempt_id)
 
 
-@pytest.mark.parametrize('seed', range(12))
+@pytest.mark.parametrize('seed', [*range(12), *SEEDS_WITH_LATE_UNLOADS])
 def test_invariants_hold_under_failures(seed):
     """Guards against wrong, repeated or misreported runs, and evictions."""
 
--- a/tests/sidecar/test_orders.py
+++ b/tests/sidecar/test_orders.py
@@ -164,6 +164,14 @@
     assert engine_bench.beside.load(bench.order(bench.REF)).code == 'unsettled'
 
 
+def test_absent_adapter_is_not_unloaded(engine_bench, monkeypatch):
+    """Guards against a late unload that its absence seems to settle."""
+    monkeypatch.setattr(upstream, 'LOAD_TIMEOUT_S', 0.02)
+    engine_bench.fault(unload_delay_s=0.1)
+    order = bench.order(bench.OTHER, types.AdapterRef('acme', 'absent', 1))
+    assert engine_bench.beside.load(order).ok
+
+
 def test_accepted_attempt_is_checked_again_before_the_call(engine_bench):
     """Guards against a restart while the acceptance is being sent."""
     entry = bench.Entry()
