Measure memory and processor time of idle processes

Cause: the limits per node are 64 MB and 1.9% of a core, and no figure showed how far an idle process is from them. Change: make capacity also starts two entries and four sidecars for ten seconds. Ruled out: measuring imports alone, which leaves out connections and settings.

--- a/measure/capacity.py
+++ b/measure/capacity.py
@@ -8,6 +8,7 @@
 import dataclasses
 import functools
 import gc
+import os
 import pathlib
 import tempfile
 import time
@@ -17,12 +18,15 @@
 import eventlet
 import trustme
 
+from demo import cluster, run
 from ivystep.core import types
 from ivystep.entry import peers
 from ivystep.wire import channel, convert, tls
 from ivystep.wire.gen import ttypes
 
 REPEATS = 2000
+IDLE_S = 10.0
+IDLE_UPSTREAMS = 4
 CONNECTIONS = 200
 RESIDENT = 8
 US_PER_S = 1_000_000
@@ -205,12 +209,55 @@
         accepted.append(channel.Channel(secured, 'client'))
 
 
+def processes() -> typing.Iterator[Slope]:
+    """Yield memory and processor time of idle processes, for one second."""
+    with tempfile.TemporaryDirectory() as folder:
+        system = cluster.Cluster(pathlib.Path(folder))
+        try:
+            _start_processes(system)
+            names = ('entry-1', 'up-1')
+            pids = [system.node_by_name[name].process.pid for name in names]
+            before = [_process_s(pid) for pid in pids]
+            eventlet.sleep(IDLE_S)
+            for name, pid, earlier in zip(names, pids, before, strict=True):
+                spent_s = (_process_s(pid) - earlier) / IDLE_S
+                yield Slope(
+                    f'idle process {name}, per second',
+                    cost_us=spent_s * US_PER_S,
+                    memory_kib=_process_kib(pid),
+                )
+        finally:
+            system.stop()
+
+
+def _start_processes(system: cluster.Cluster) -> None:
+    system.start_platform()
+    system.submit(run.setup_document(), 0)
+    with system.parallel():
+        for number in range(1, IDLE_UPSTREAMS + 1):
+            system.start_upstream(f'up-{number}', 'base', 'lier-a')
+        for name in ('entry-1', 'entry-2'):
+            system.start_entry(name, 'lier-a')
+    system.await_ready('entry-1')
+
+
+def _process_s(pid: int) -> float:
+    """Return the processor time of a process in seconds."""
+    fields = pathlib.Path(f'/proc/{pid}/stat').read_text().rpartition(')')[2]
+    ticks = sum(int(value) for value in fields.split()[11:13])
+    return ticks / os.sysconf('SC_CLK_TCK')
+
+
+def _process_kib(pid: int) -> float:
+    pages = int(pathlib.Path(f'/proc/{pid}/statm').read_text().split()[1])
+    return pages * PAGE_BYTES / KIB
+
+
 def main() -> None:
     """Print all slopes."""
     print(f'{"what":36} {"bytes":>7} {"us":>9} {"KiB":>8}')
-    for slope in (*messages(), *connections()):
+    for slope in (*messages(), *connections(), *processes()):
         print(
             f'{slope.name:36} {slope.size_bytes:7d} '
             f'{slope.cost_us:9.1f} {slope.memory_kib:8.1f}'
         )
-
