--- a/ivystep/sidecar/orders.py
+++ b/ivystep/sidecar/orders.py
@@ -109,9 +109,12 @@
 
     def _send(self, order: types.LoadOrder) -> None:
         beside = self._beside
-        with beside.residency.evicting(order.evict):
+        # Only what the engine reports is unloaded: the absence of any other
+        # adapter would not show later that an uncertain unload is over.
+        evicted = [ref for ref in order.evict if beside.residency.holds(ref)]
+        with beside.residency.evicting(evicted):
             beside.notify()
-            for ref in order.evict:
+            for ref in evicted:
                 with self._settling(ref, becomes_resident=False):
                     beside.http.unload(ref, self.owner.token())
                 beside.metrics.record_eviction()
@@ -132,21 +135,28 @@
     def _settling(
         self, ref: types.AdapterRef, *, becomes_resident: bool
     ) -> Generator[None, None, None]:
+        incarnation = self._beside.engine_incarnation
         try:
             yield
         except errors.UncertainWriteError:
-            self._unsettle(ref, becomes_resident)
+            self._unsettle(ref, incarnation, becomes_resident=becomes_resident)
             raise
         except errors.PlatformError:
             # The engine has answered, or was not reached: the order is over.
             raise
         except BaseException:
             # The task was ended while the order was on its way.
-            self._unsettle(ref, becomes_resident)
+            self._unsettle(ref, incarnation, becomes_resident=becomes_resident)
             raise
 
-    def _unsettle(self, ref: types.AdapterRef, becomes_resident: bool) -> None:
-        self._beside.residency.unsettle(ref, becomes_resident=becomes_resident)
+    def _unsettle(
+        self, ref: types.AdapterRef, incarnation: str, *, becomes_resident: bool
+    ) -> None:
+        self._beside.residency.unsettle(
+            ref,
+            becomes_resident=becomes_resident,
+            is_same_process=incarnation == self._beside.engine_incarnation,
+        )
 
 
 @functools.singledispatch
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -1,12 +1,14 @@
 """Tests of the operators' commands against stand-ins on loopback."""
 
+import contextlib
 import json
 import pathlib
 
 import pytest
 
 from ivystep.cli import main
-from standins import hosts, objects, table, web
+from standins import hosts, objects, table
+from tests import serving
 from tests.setup import fakes
 
 ENTRY_INI = """
@@ -36,17 +38,13 @@
         'hosts': hosts.HostsStandin(),
     }
     lines = ['[platform]']
-    listeners = []
-    for name, standin in standin_by_name.items():
-        listener = web.serve(standin.handle, ('127.0.0.1', 0))
-        listeners.append(listener)
-        port = listener.getsockname()[1]
-        lines.append(f'{name}_url = http://127.0.0.1:{port}')
     config = tmp_path / 'operators.ini'
-    config.write_text('\n'.join(lines), encoding='utf-8')
-    yield standin_by_name, str(config)
-    for listener in listeners:
-        listener.close()
+    with contextlib.ExitStack() as servers:
+        for name, standin in standin_by_name.items():
+            port = servers.enter_context(serving.serve(standin.handle))
+            lines.append(f'{name}_url = http://127.0.0.1:{port}')
+        config.write_text('\n'.join(lines), encoding='utf-8')
+        yield standin_by_name, str(config)
 
 
 @pytest.fixture
@@ -186,7 +184,7 @@
 
 
 def test_status_names_what_is_wrong(run, platform, tmp_path):
-    """Guards against a status that hides a silent or outdated host."""
+    """Guards against a status that hides a silent, old or mistaken host."""
     standins, config = platform
     answer = {
         'process_id': 'entry-1',
@@ -197,10 +195,6 @@
         'setup_age_s': 1.0,
         'problems': ['The setup has not been confirmed for 60 s.'],
     }
-    listener = web.serve(lambda _: (200, answer), ('127.0.0.1', 0))
-    port = listener.getsockname()[1]
-    with pathlib.Path(config).open('a', encoding='utf-8') as stream:
-        stream.write(f'\n[status]\noperators_port = {port}\n')
     standins['hosts'].document = {
         'hosts': [
             {
@@ -215,18 +209,26 @@
             for name, role, address, pool in (
                 ('entry-1', 'entry', '127.0.0.1', ''),
                 ('up-1', 'sidecar', '127.0.0.9', 'base'),
+                ('up-2', 'sidecar', '127.0.0.1', 'extra'),
             )
         ]
     }
-    code, text, _ = run('status', '--config', config)
-    listener.close()
+    with (
+        serving.serve(lambda _: (200, answer)) as port,
+        pathlib.Path(config).open('a', encoding='utf-8') as stream,
+    ):
+        stream.write(f'\n[status]\noperators_port = {port}\n')
+        stream.flush()
+        code, text, _ = run('status', '--config', config)
     assert code == 1
     assert text.splitlines() == [
         'entry: 1 of 1 ready',
-        'sidecar: 0 of 1 ready',
+        'sidecar: 0 of 2 ready',
         'setup versions: 4',
-        'problems: 3',
+        'problems: 5',
         '  pool base has no upstream that serves',
+        '  pool extra has no upstream that serves',
         '  sidecar up-1 does not answer',
+        '  sidecar up-2 is answered for by entry entry-1',
         '  entry entry-1: The setup has not been confirmed for 60 s.',
     ]
