Name the parts of the plot the same in each run

Cause: the plot's element names are random, so each run changed the file.

Ruled out: a bitmap, which is larger and blurs.

--- a/measure/report.py
+++ b/measure/report.py
@@ -9,6 +9,7 @@
 import pathlib
 import sys
 
+import matplotlib
 from matplotlib import figure
 
 from measure import bench, bound, cost, profiles, summary
@@ -198,6 +199,8 @@
         found: Steady runs.
         limits: Bounds of the same scenarios.
     """
+    # Without a fixed salt, each run names the parts of the file differently.
+    matplotlib.rcParams['svg.hashsalt'] = 'ivystep'
     drawing = figure.Figure(figsize=(9, 7))
     axes = drawing.subplots(2, 2, sharex=True)
     for (line, profile), (column, deadline_s) in itertools.product(
