Use the shared suspicion of silent sidecars in routing

Cause: routing had its own timeout of 3 s beside ivystep.coordination.suspicion, which chose the same value by measurement.

Change: each view has a Suspicion.

Ruled out: importing the constant alone, which leaves the comparison twice.

--- a/ivystep/policy/routing.py
+++ b/ivystep/policy/routing.py
@@ -6,9 +6,9 @@
 import typing
 from collections.abc import Iterable
 
+from ivystep.coordination import suspicion
 from ivystep.core import types
 
-STATUS_MAX_AGE_S = 3.0
 # Reports are coalesced over 50 ms and then cross the network, so a request
 # that was sent shortly before a report arrived may not be counted in it.
 REPORT_LAG_S = 0.1
@@ -54,6 +54,7 @@
         self.sent_by_account: collections.Counter[str] = collections.Counter()
         self.is_lost = False
         self.data_centre = ''
+        self._suspicion = suspicion.Suspicion()
         self._recent: collections.deque[float] = collections.deque()
         self._retired: collections.deque[str] = collections.deque(maxlen=8)
 
@@ -83,6 +84,7 @@
         self.status = status
         self.link = link
         self.reported = now
+        self._suspicion.heartbeat(now)
         self.is_lost = False
         while self._recent and self._recent[0] < now - REPORT_LAG_S:
             self._recent.popleft()
@@ -93,9 +95,9 @@
         Args:
             now: Current time in seconds.
         """
-        is_fresh = now - self.reported < STATUS_MAX_AGE_S
         is_open = self.status.healthy and not self.status.draining
-        return is_fresh and is_open and not self.is_lost
+        is_heard = not self._suspicion.is_suspected(now)
+        return is_heard and is_open and not self.is_lost
 
     @property
     def running(self) -> int:
