Keep reporting and planning after an unexpected error

Cause: an error that is not an IvystepError ended the task that reports demand, so no request of the pool got a load any more.

Change: both tasks log the error and go on.

Ruled out: ending the process; requests for resident adapters still work.

--- a/ivystep/entry/planner.py
+++ b/ivystep/entry/planner.py
@@ -195,8 +195,11 @@
     def _run(self) -> None:
         while True:
             self._changed = event.Event()
-            self._drop_silent_entries()
-            self._order_loads()
+            try:
+                self._order_loads()
+            except Exception:
+                # Without this task, the pool would load nothing any more.
+                log.exception('Planning failed.')
             timeout_s = CHECK_INTERVAL_S if self._parts_by_ref else None
             with eventlet.Timeout(timeout_s, exception=False):
                 self._changed.wait()
@@ -348,6 +351,7 @@
         return now - self._loaded_at.get(ref, -math.inf) < SETTLE_S
 
     def _order_loads(self) -> None:
+        self._drop_silent_entries()
         now = clock.now()
         if any(self._is_loading(ref, now) for ref in self._started_by_ref):
             return
--- a/ivystep/entry/pool.py
+++ b/ivystep/entry/pool.py
@@ -269,8 +269,11 @@
         """Report demand again and again, at once for a first waiter."""
         while True:
             self._report_due = event.Event()
-            if self._arrivals or self._waiting:
+            try:
                 self._report()
+            except Exception:
+                # Without this task, no waiting request would get a load.
+                log.exception('Report of %s failed.', self.name)
             interval_s = (
                 REPORT_INTERVAL_S if self._waiting else IDLE_REPORT_INTERVAL_S
             )
@@ -278,6 +281,8 @@
                 self._report_due.wait()
 
     def _report(self) -> None:
+        if not self._arrivals and not self._waiting:
+            return
         sink = self._choose_sink(self.name, self.planner)
         demands = self._demands()
         if sink is not self.planner:
--- a/tests/entry/test_pool.py
+++ b/tests/entry/test_pool.py
@@ -380,7 +380,10 @@
     assert max(wait for _, wait in results[4:]) <= 3 * LOAD_S
 
 
-def test_planner_that_cannot_be_reached_is_asked_again():
+@pytest.mark.parametrize(
+    'error', [errors.LinkError('no answer'), RuntimeError('a fault')]
+)
+def test_planner_that_fails_is_asked_again(error):
     """Guards against demand that is lost with the planner."""
 
     def main():
@@ -389,7 +392,7 @@
         class Unreliable:
             def report(self, entry_id, demands):
                 if next(failures, None) is not None:
-                    raise errors.LinkError('no answer', step='demand')
+                    raise error
                 return target.planner.report(entry_id, demands)
 
         target = pool.Pool('base', 'entry-1', lambda *_: Unreliable())
