Give back the room of an ended placement only once

Change: one handler, in `place`.

Ruled out: a count that never goes below zero, which would hide the fault.

--- a/ivystep/entry/pool.py
+++ b/ivystep/entry/pool.py
@@ -187,11 +187,6 @@
             raise self._refusal(
                 'deadline_exceeded', self.planner.load_s
             ) from error
-        except BaseException:
-            # The caller left, perhaps in the instant of the placement.
-            if entry.placed.has_result():
-                self.finish(entry.placed.wait())
-            raise
 
     def _refusal(self, code: str, retry_after_s: float) -> errors.RefusedError:
         return errors.RefusedError(
--- a/tests/entry/test_pool.py
+++ b/tests/entry/test_pool.py
@@ -373,6 +373,23 @@
     assert virtual_hub.run(main) == ('up-1', 'up-1')
 
 
+def test_room_is_given_back_once_if_the_task_ends_as_it_is_placed():
+    """Guards against room that is lost, or given back twice."""
+
+    def main():
+        target = make_pool()
+        link = FakeLink(target)
+        task = eventlet.spawn(target.place, request('a'))
+        clock.sleep(0.1)
+        link.running = {ref('a'): 0}
+        link.report()
+        assert target.in_progress == 1
+        task.kill()
+        return target.in_progress
+
+    assert virtual_hub.run(main) == 0
+
+
 def test_scan_by_one_account_leaves_the_others_alone():
     """Guards against an account that takes the loads of the others."""
 
