--- a/tests/entry/test_pool.py
+++ b/tests/entry/test_pool.py
@@ -373,6 +373,23 @@
     assert virtual_hub.run(main) == ('up-1', 'up-1')
 
 
+def test_room_is_given_back_once_if_the_task_ends_as_it_is_placed():
+    """Guards against room that is lost, or given back twice."""
+
+    def main():
+        target = make_pool()
+        link = FakeLink(target)
+        task = eventlet.spawn(target.place, request('a'))
+        clock.sleep(0.1)
+        link.running = {ref('a'): 0}
+        link.report()
+        assert target.in_progress == 1
+        task.kill()
+        return target.in_progress
+
+    assert virtual_hub.run(main) == 0
+
+
 def test_scan_by_one_account_leaves_the_others_alone():
     """Guards against an account that takes the loads of the others."""
 
@@ -401,7 +418,10 @@
     assert max(wait for _, wait in results[4:]) <= 3 * LOAD_S
 
 
-def test_planner_that_cannot_be_reached_is_asked_again():
+@pytest.mark.parametrize(
+    'error', [errors.LinkError('no answer'), RuntimeError('a fault')]
+)
+def test_planner_that_fails_is_asked_again(error):
     """Guards against demand that is lost with the planner."""
 
     def main():
@@ -410,7 +430,7 @@
         class Unreliable:
             def report(self, entry_id, demands):
                 if next(failures, None) is not None:
-                    raise errors.LinkError('no answer', step='demand')
+                    raise error
                 return target.planner.report(entry_id, demands)
 
         target = pool.Pool('base', 'entry-1', lambda *_: Unreliable())
