Check that a leaving upstream gets no new work

Cause: the schedules drained sidecars but did not check invariant 6.

Ruled out: the sidecar's refusal alone as the proof; the check is at the engine, 5 s after the drain began.

Figures: without the announcement of a drain the oracle reports new work; with it 40 schedules have none.

Conclusion: invariant 6 is part of every schedule.

--- a/soak/schedules/engine.py
+++ b/soak/schedules/engine.py
@@ -19,6 +19,8 @@
 CALL_S = 0.002
 LOAD_S = 0.1
 LATE_S = 1.0
+# Work that is already on its way may still arrive at a leaving upstream.
+LEAVING_S = 5.0
 
 
 class Journal:
@@ -47,6 +49,7 @@
     Attributes:
         fault_share: Share of calls that fail in some way.
         load_fault_share: Share of load orders that fail in some way.
+        leaving_at: Since when its host leaves; None if it stays.
     """
 
     def __init__(
@@ -58,6 +61,7 @@
     ) -> None:
         self.fault_share = 0.0
         self.load_fault_share = 0.0
+        self.leaving_at: float | None = None
         self._host = host
         self._slots = slots
         self._choices = choices
@@ -75,6 +79,7 @@
 
     def run(self, path: str, body: bytes, *, idempotent: bool) -> typing.Any:
         """Start a completion; see ``upstream.UpstreamHttp.run``."""
+        self._check_stays()
         clock.sleep(CALL_S)
         is_faulty = self._choices.random() < self.fault_share
         if is_faulty and self._choices.choice((False, True)):
@@ -126,6 +131,13 @@
         """Unload an adapter; see ``upstream.EngineHttp.unload``."""
         self._order(token, self._unload, ref.lora_name)
 
+    def _check_stays(self) -> None:
+        leaving_at = self.leaving_at
+        if leaving_at is not None and clock.now() > leaving_at + LEAVING_S:
+            self._journal.violations.append(
+                f'{self._host} got new work while leaving'
+            )
+
     def _order(self, token: int, effect: typing.Any, *names: str) -> None:
         started = self._started
         clock.sleep(LOAD_S)
--- a/soak/schedules/run.py
+++ b/soak/schedules/run.py
@@ -23,8 +23,6 @@
 NEVER_S = 1000.0
 # Everything has ended long after the last deadline and all retries.
 SETTLING_S = 60.0
-# Work that was on its way when an upstream announced that it leaves.
-LEAVING_GRACE_S = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -136,7 +134,7 @@
         for one in here.upstreams:
             one.engine.fault_share = 0
             one.engine.load_fault_share = 0
-            if one.drained_at is not None:
+            if one.engine.leaving_at is not None:
                 one.restart()
         for one in (*here.upstreams, *here.entries):
             one.rows.fault_share = 0
--- a/soak/schedules/world.py
+++ b/soak/schedules/world.py
@@ -55,15 +55,10 @@
 
 
 class Upstream:
-    """An engine and the sidecar beside it.
-
-    Attributes:
-        drained_at: Since when the sidecar drains; None if it does not.
-    """
+    """An engine and the sidecar beside it."""
 
     def __init__(self, name: str, world: 'World') -> None:
         self.name = name
-        self.drained_at: float | None = None
         self.engine = engine.Engine(name, SLOTS, world.random, world.journal)
         self.rows = Table(world.shared, world.random)
         self._world = world
@@ -94,13 +89,17 @@
         for task in self._tasks:
             task.kill()
         self._world.network.break_all(self.name)
-        self.drained_at = None
+        self.engine.leaving_at = None
         self.start()
 
     def drain(self) -> None:
-        """Announce that the sidecar leaves."""
+        """Begin to leave."""
+        self.engine.leaving_at = clock.now()
+        self.announce()
+
+    def announce(self) -> None:
+        """Report that the sidecar drains."""
         self.beside.is_draining = True
-        self.drained_at = clock.now()
         self.beside.notify()
 
     def connect(self) -> network.Channel:
--- a/tests/processes/test_schedules.py
+++ b/tests/processes/test_schedules.py
@@ -8,7 +8,7 @@
 from ivystep.core import types
 from ivystep.entry import links, reception
 from ivystep.sidecar import answers, host, residency
-from soak.schedules import run
+from soak.schedules import run, world
 
 SEEDS = range(40)
 # Enough for each missing mechanism to show, by a trial run.
@@ -48,6 +48,10 @@
             (reception.Reception, '_check_position', lambda *_: None),
         ],
     ),
+    'announcement of a drain': (
+        'new work while leaving',
+        [(world.Upstream, 'announce', lambda _: None)],
+    ),
     'check of the adapter that answers': (
         'wrong answer',
         [(answers, '_check_model', lambda *_: None)],
@@ -55,6 +59,14 @@
 }
 
 
+# Where one fault leads to the violation, the search need not draw others.
+FAULTS_BY_MECHANISM = {
+    'names and positions of messages': (run._disturb_network,),
+    'check of the adapter that answers': (run._disturb_engine,),
+    'announcement of a drain': (run._drain_sidecar,),
+}
+
+
 def test_no_caller_is_told_a_falsehood():
     """Guards against faults that only several failures together show."""
     verdicts = [run.run(seed) for seed in SEEDS]
@@ -68,6 +80,8 @@
     """Guards against schedules that would pass without the mechanism."""
     expected, changes = MISSING[mechanism]
     patches = [mock.patch.object(*change) for change in changes]
+    faults = FAULTS_BY_MECHANISM.get(mechanism, run.FAULTS)
+    patches.append(mock.patch.object(run, 'FAULTS', faults))
     for patch in patches:
         patch.start()
     try:
