--- a/ivystep/entry/links.py
+++ b/ivystep/entry/links.py
@@ -6,6 +6,7 @@
 answer.
 """
 
+import random
 import typing
 from collections.abc import Callable
 
@@ -23,7 +24,10 @@
 # A caller waits for the answer meanwhile, perhaps past its deadline.
 REVOKE_TIMEOUT_S = 1.0
 WATCH_TIMEOUT_S = 3.0
-RECONNECT_S = 0.5
+# Spread at random, so that the entries of a data centre that returns do not
+# all connect at once.
+MIN_RECONNECT_S = 0.25
+MAX_RECONNECT_S = 1.5
 MAX_IDLE_CHANNELS = 32
 
 log = logs.get('entry')
@@ -140,7 +144,7 @@
             except errors.LinkError as error:
                 log.debug('Watch of %s ended: %s.', self.address, error)
                 on_lost()
-                clock.sleep(RECONNECT_S)
+                clock.sleep(random.uniform(MIN_RECONNECT_S, MAX_RECONNECT_S))
 
     def close(self) -> None:
         """Stop watching and close idle connections."""
