--- a/demo/run.py
+++ b/demo/run.py
@@ -5,6 +5,8 @@
 import tempfile
 import types
 
+import urllib3
+
 from demo import cluster
 
 ZONES = ('lier-a', 'lier-b', 'mechelen')
@@ -30,6 +32,12 @@
                         'key_digests': [cluster.key_digest(key)],
                         'grants': ['letters'],
                     },
+                    {
+                        'name': 'dosages',
+                        'key_digests': [cluster.key_digest(f'{key}-once')],
+                        'grants': ['letters'],
+                        'idempotent': False,
+                    },
                 ],
                 'adapters': [
                     {
@@ -60,26 +68,66 @@
                 system.start_entry(name, ZONES[0])
         for name in ENTRIES:
             system.await_ready(name)
-        for account, key in KEY_BY_ACCOUNT.items():
-            for entry in ENTRIES:
-                answer = system.call(
-                    entry,
-                    key,
-                    {'model': 'letters', 'prompt': 'hello', 'max_tokens': 4},
-                )
-                print(account, entry, answer.status, answer.data.decode())
-                if answer.status != 200:
-                    raise RuntimeError('the demo request failed')
-        streamed = system.call(
-            'entry-1',
-            KEY_BY_ACCOUNT['authority'],
-            {'model': 'letters@1', 'prompt': 'x', 'stream': True},
-        )
-        print('streamed', streamed.status, streamed.data[-14:])
+        show_adapters(system)
+        show_stream(system)
+        show_once(system)
     finally:
         system.stop()
 
 
+def show_adapters(system: cluster.Cluster) -> None:
+    """Call one adapter of each account through each entry."""
+    body = {'model': 'letters', 'prompt': 'hello', 'max_tokens': 4}
+    for account, key in KEY_BY_ACCOUNT.items():
+        for entry in ENTRIES:
+            answer = system.call(entry, key, body)
+            expect(answer, 200)
+            text = answer.json()['choices'][0]['text']
+            print(f'{account} through {entry}: {text}')
+
+
+def show_stream(system: cluster.Cluster) -> None:
+    """Stream an answer of an adapter version that is named."""
+    key = KEY_BY_ACCOUNT['authority']
+    body = {'model': 'letters@1', 'prompt': 'x', 'stream': True}
+    answer = system.call(ENTRIES[0], key, body)
+    expect(answer, 200)
+    events = answer.data.count(b'data: ')
+    print(f'streamed: {events} events, the last {answer.data.split()[-1]!r}')
+
+
+def show_once(system: cluster.Cluster) -> None:
+    """Send a request that must not repeat twice, through two entries."""
+    key = f'{KEY_BY_ACCOUNT["authority"]}-once'
+    body = {'model': 'letters', 'prompt': 'dosage 1', 'max_tokens': 4}
+    headers = {'Idempotency-Key': 'dosage-1'}
+    first, second = (
+        system.call(entry, key, body, **headers) for entry in ENTRIES
+    )
+    expect(first, 200)
+    expect(second, 409)
+    runs = sum(
+        system.http.request('GET', f'{node.url}/counts')
+        .json()
+        .get('dosage 1', 0)
+        for name, node in system.node_by_name.items()
+        if name.endswith('-engine')
+    )
+    print(f'sent twice, run {runs} time: {second.data.decode()}')
+    if runs != 1:
+        raise RuntimeError('the request was not run exactly once')
+
+
+def expect(answer: urllib3.BaseHTTPResponse, status: int) -> None:
+    """Check the status of an answer.
+
+    Raises:
+        RuntimeError: It is another one.
+    """
+    if answer.status != status:
+        raise RuntimeError(f'{answer.status}: {answer.data.decode()}')
+
+
 def main() -> None:
     """Run the demo in a temporary folder."""
     with tempfile.TemporaryDirectory(prefix='ivystep-demo-') as folder:
