Record load stalls, waiting requests, batches and retries

Cause: the metrics had methods that no daemon called, and the setup document had a fencing switch that nothing read beside the sidecar's own setting. A relay of the process tests closed its listener under a waiting task, whose entry in the hub collided with the next file of the same number ("Second simultaneous read").

Change: the pool records stalls and waits, dispatch retries, the sidecar the fill of its batch; the switch in the document is gone; the relay ends its task before it closes the listener.

Ruled out: switching eventlet's check for several readers off, which hides the collision. Before: test_whole_path failed whenever test_faults ran before it.

--- a/ivystep/console/subjects.py
+++ b/ivystep/console/subjects.py
@@ -134,13 +134,6 @@
             'Adapter loads per second that the weight store allows.',
             '2',
         ),
-        Field(
-            'checks_fencing',
-            Kind.FLAG,
-            'Engines refuse old fencing tokens',
-            'Ask the supplier of the engines if you are not sure.',
-            'yes',
-        ),
     ),
 )
 SERVICES = Subject(
--- a/ivystep/entry/daemon.py
+++ b/ivystep/entry/daemon.py
@@ -76,6 +76,7 @@
             self.peers.sink,
             suspects,
             self._on_status,
+            self.metrics,
         )
         self.membership = membership.Membership(
             settings.process.id,
@@ -89,7 +90,10 @@
         self.api = api.CallerApi(
             self.setup.current_for_request,
             dispatch.Dispatcher(
-                self.pools, retry_budget.RetryBudgets(), suspects
+                self.pools,
+                retry_budget.RetryBudgets(),
+                suspects,
+                self.metrics,
             ),
             claims.ClaimLog(rows, settings.process.id),
             self.in_progress,
--- a/ivystep/entry/dispatch.py
+++ b/ivystep/entry/dispatch.py
@@ -7,6 +7,7 @@
 from ivystep.coordination import retry_budget
 from ivystep.core import errors, ids, types
 from ivystep.entry import answers, isolation, links, progress, relay
+from ivystep.metrics import registry
 from ivystep.runtime import clock, logs
 
 MAX_ATTEMPTS = 3
@@ -69,6 +70,7 @@
         pool_by_name: The pools; more may be added later.
         budgets: Retry budgets by account and pool.
         suspects: Quarantines of the pools.
+        metrics: Where retries are counted.
     """
 
     def __init__(
@@ -76,10 +78,12 @@
         pool_by_name: Mapping[str, Target],
         budgets: retry_budget.RetryBudgets,
         suspects: isolation.Isolation,
+        metrics: registry.Metrics,
     ) -> None:
         self._pool_by_name = pool_by_name
         self._budgets = budgets
         self._suspects = suspects
+        self._metrics = metrics
 
     def run(
         self, request: types.Request, task: progress.RequestTask
@@ -125,6 +129,7 @@
                 if task.is_aborted or not _may_retry(request, error, course):
                     raise _final(request, error, course.ran) from error
                 _spend(budget, request, error, course)
+                self._metrics.record_retry(request.account)
                 log.info('Request %s is retried: %s', request.request_id, error)
 
     def _enter(
--- a/ivystep/entry/pool.py
+++ b/ivystep/entry/pool.py
@@ -13,6 +13,7 @@
 
 from ivystep.core import errors, types
 from ivystep.entry import links, planner, service_time, waiting
+from ivystep.metrics import registry
 from ivystep.policy import routing
 from ivystep.runtime import clock, logs
 from ivystep.setup import document
@@ -39,6 +40,7 @@
         process_id: Id of this entry.
         choose_sink: Returns the pool's planner, given the local one.
         data_centre: Data centre of this entry; empty if it has none.
+        metrics: Where load stalls and waiting requests are recorded.
 
     Attributes:
         planner: The planner at this entry, used if it has the role.
@@ -50,8 +52,10 @@
         process_id: str,
         choose_sink: ChooseSink = use_local,
         data_centre: str = '',
+        metrics: registry.Metrics | None = None,
     ) -> None:
         self.name = name
+        self._metrics = metrics or registry.Metrics()
         self._index = routing.UpstreamIndex(data_centre)
         self.planner = planner.Planner(process_id, self._index)
         self._process_id = process_id
@@ -151,17 +155,20 @@
         if not self._waiting.waiting_for(request.adapter):
             view = self._route(entry)
             if view is not None:
+                self._metrics.record_load_stall(request.account, 0)
                 return self._take(entry, view)
+        is_stalled = not self._index.is_held(request.adapter)
         if self._waiting.add(entry):
             self._report_soon()
         placement = None
+        self._metrics.change_waiting(request.account, 1)
         try:
             placement = self._wait(entry)
         finally:
-            self._waiting.discard(entry)
-            if placement is None and entry.placement is not None:
-                # The task was ended in the instant in which it was placed.
-                self.finish(entry.placement)
+            self._metrics.change_waiting(request.account, -1)
+            self._end_wait(entry, placement)
+        stall_s = clock.now() - now if is_stalled else 0
+        self._metrics.record_load_stall(request.account, stall_s)
         return placement
 
     def finish(self, placement: types.Placement) -> None:
@@ -175,6 +182,14 @@
             self._place_waiting(view)
             self.planner.wake()
 
+    def _end_wait(
+        self, entry: waiting.WaitingRequest, placement: types.Placement | None
+    ) -> None:
+        self._waiting.discard(entry)
+        if placement is None and entry.placement is not None:
+            # The task was ended in the instant in which it was placed.
+            self.finish(entry.placement)
+
     def _wait(self, entry: waiting.WaitingRequest) -> types.Placement:
         timeout_s = max(entry.start_by - clock.now(), 0)
         try:
--- a/ivystep/entry/pools.py
+++ b/ivystep/entry/pools.py
@@ -4,6 +4,7 @@
 
 from ivystep.core import types
 from ivystep.entry import isolation, links, planner, pool
+from ivystep.metrics import registry
 from ivystep.setup import compiled
 
 
@@ -38,6 +39,7 @@
         choose_sink: Returns the planner of a pool, given the local one.
         suspects: Quarantines of the pools.
         on_status: Called with each report of an upstream.
+        metrics: Where the pools record load stalls.
     """
 
     def __init__(
@@ -47,12 +49,14 @@
         choose_sink: pool.ChooseSink,
         suspects: isolation.Isolation,
         on_status: Callable[[types.UpstreamStatus], None],
+        metrics: registry.Metrics,
     ) -> None:
         self._process_id = process_id
         self._data_centre = data_centre
         self._choose_sink = choose_sink
         self._suspects = suspects
         self._report = on_status
+        self._metrics = metrics
         self._pool_by_name: dict[str, pool.Pool] = {}
         self._setup: compiled.CompiledSetup | None = None
 
@@ -90,6 +94,7 @@
                 self._process_id,
                 self._choose_sink,
                 self._data_centre,
+                self._metrics,
             )
             self._configure(entry.pool)
         self[entry.pool].locate(entry.host, entry.data_centre)
--- a/ivystep/setup/document.py
+++ b/ivystep/setup/document.py
@@ -150,7 +150,6 @@
     Attributes:
         batching_weight: 0 favours short load stalls, 1 full engine steps.
         loads_per_s: Loads a second that the weight store allows.
-        checks_fencing: Whether engines refuse old fencing tokens.
     """
 
     name: Name
@@ -158,7 +157,6 @@
     region: Name = 'local'
     batching_weight: float = pydantic.Field(0.2, ge=0, le=1)
     loads_per_s: float = pydantic.Field(2.0, gt=0, allow_inf_nan=False)
-    checks_fencing: bool = True
 
 
 class Common(Part):
--- a/ivystep/sidecar/host.py
+++ b/ivystep/sidecar/host.py
@@ -134,6 +134,10 @@
                 log.warning('Upstream %s is unhealthy.', self.upstream_id)
                 self.is_healthy = False
                 self.notify()
+            if self.attempts.running:
+                self.metrics.record_batch(
+                    self.attempts.running, self.max_running
+                )
             clock.sleep(self._health_interval_s)
 
     def refresh(self) -> bool:
--- a/soak/relay.py
+++ b/soak/relay.py
@@ -37,7 +37,7 @@
         self._open: set[socket.socket] = set()
         self._listener = eventlet.listen((address, 0))
         self.port: int = self._listener.getsockname()[1]
-        eventlet.spawn(self._accept)
+        self._accepting = eventlet.spawn(self._accept)
 
     def cut(self) -> None:
         """Break all open connections."""
@@ -51,6 +51,9 @@
 
     def close(self) -> None:
         """Stop relaying."""
+        # A task that still waits on a closed socket would collide with the
+        # next file that gets its number.
+        self._accepting.kill()
         self._listener.close()
         self.cut()
 
--- a/soak/schedules/world.py
+++ b/soak/schedules/world.py
@@ -11,6 +11,7 @@
 from ivystep.coordination import claims, lease, retry_budget
 from ivystep.core import errors, ids, types
 from ivystep.entry import claiming, dispatch, isolation, pool, progress
+from ivystep.metrics import registry
 from ivystep.runtime import clock
 from ivystep.settings import models
 from ivystep.sidecar import host, ownership, server
@@ -120,6 +121,7 @@
             {POOL: self._pool},
             retry_budget.RetryBudgets(),
             isolation.Isolation(),
+            registry.Metrics(),
         )
         self._claims = claiming.Claims(
             claims.ClaimLog(self.rows, name), self._progress
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -189,6 +189,7 @@
                 {'base': self.pool, 'desk': self.pool},
                 retry_budget.RetryBudgets(),
                 isolation.Isolation(),
+                self.metrics,
             ),
             claims.ClaimLog(parts.pop('table', None) or MemoryTable(), 'e'),
             self.progress,
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -71,8 +71,8 @@
         )
 
     def stop(self):
-        self.socket.close()
         self.task.kill()
+        self.socket.close()
 
 
 @pytest.fixture(name='authority')
