--- a/ivystep/console/app.py
+++ b/ivystep/console/app.py
@@ -168,6 +168,9 @@
 
     def _submit(self, session: sessions.Session) -> web.Response:
         draft = session.draft or self._setups.new_draft()
+        if not draft.changes:
+            session.notice = 'Your draft changes nothing.'
+            return web.redirect('/draft')
         try:
             outcome = self._setups.submit(draft, session.operator)
         except submission.StaleBaseError:
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -1,25 +1,24 @@
 """Tests of the platform clients against misbehaving services."""
 
+import contextlib
+
 import pytest
 
 from ivystep.core import errors
 from ivystep.platform import hosts, http, objects, table
-from standins import web
+from tests import serving
 
 
 @pytest.fixture
 def serve():
     """Return a function that serves one fixed answer and gives its URL."""
-    listeners = []
+    with contextlib.ExitStack() as servers:
 
-    def start(status, body):
-        listener = web.serve(lambda _: (status, body), ('127.0.0.1', 0))
-        listeners.append(listener)
-        return f'http://127.0.0.1:{listener.getsockname()[1]}'
+        def start(status, body):
+            server = serving.serve(lambda _: (status, body))
+            return f'http://127.0.0.1:{servers.enter_context(server)}'
 
-    yield start
-    for listener in listeners:
-        listener.close()
+        yield start
 
 
 @pytest.mark.parametrize(
--- a/tests/sidecar/test_orders.py
+++ b/tests/sidecar/test_orders.py
@@ -99,6 +99,23 @@
     assert engine_bench.beside.load(bench.order(bench.OTHER)).ok
 
 
+def test_attempt_cut_off_before_the_call_was_not_run(engine_bench):
+    """Guards against `unknown` where nothing was sent to the engine."""
+    entry = bench.Entry()
+    send = entry.sidecar_end.send
+
+    def send_and_stop(one):
+        send(one)
+        engine_bench.beside.cut_off()
+        eventlet.sleep(0.01)
+
+    entry.sidecar_end.send = send_and_stop
+    engine_bench.serve(bench.message(engine_bench.beside), entry)
+    last = entry.frames()[-1]
+    assert (last.code, last.ran) == ('upstream_stopped', 'no')
+    assert engine_bench.engine.completions_by_prompt == {}
+
+
 def test_adapter_that_the_engine_drops_is_no_violation(engine_bench):
     """Guards against counting the engine's own eviction as the sidecar's."""
     entry = bench.Entry()
@@ -134,6 +151,27 @@
     assert engine_bench.beside.load(bench.order(bench.REF)).ok
 
 
+def test_late_unload_in_a_new_process_is_not_taken_for_done(
+    engine_bench, monkeypatch
+):
+    """Guards against an adapter that is loaded before the unload arrives."""
+    monkeypatch.setattr(upstream, 'LOAD_TIMEOUT_S', 0.02)
+    engine_bench.engine.restart()
+    engine_bench.fault(unload_delay_s=0.1)
+    engine_bench.beside.load(bench.order(bench.OTHER, bench.REF))
+    # The new process does not hold the adapter and has yet to unload it.
+    engine_bench.beside.refresh()
+    assert engine_bench.beside.load(bench.order(bench.REF)).code == 'unsettled'
+
+
+def test_absent_adapter_is_not_unloaded(engine_bench, monkeypatch):
+    """Guards against a late unload that its absence seems to settle."""
+    monkeypatch.setattr(upstream, 'LOAD_TIMEOUT_S', 0.02)
+    engine_bench.fault(unload_delay_s=0.1)
+    order = bench.order(bench.OTHER, types.AdapterRef('acme', 'absent', 1))
+    assert engine_bench.beside.load(order).ok
+
+
 def test_accepted_attempt_is_checked_again_before_the_call(engine_bench):
     """Guards against a restart while the acceptance is being sent."""
     entry = bench.Entry()
@@ -152,6 +190,7 @@
     last = entry.frames()[-1]
     assert (last.code, last.ran) == ('adapter_not_resident', 'no')
     assert engine_bench.engine.completions_by_prompt == {}
+    assert engine_bench.beside.status().crash_fingerprints == ()
 
 
 def test_foreign_model_names_do_not_stop_the_health_check(engine_bench):
