Test membership, isolation and the setup exchange of an entry

Cause: three parts that were wired into the entry had no test of their own: hosts that the list calls leaving, suspects of crashes, and the setup read from a peer during an outage.

Ruled out: tests over real processes for each (the outage alone would take half a minute); the real code runs on the virtual clock.

--- /dev/null
+++ b/tests/entry/test_isolation.py
@@ -0,0 +1,130 @@
+"""Tests of the quarantine as dispatch uses it, on the virtual clock."""
+
+import dataclasses
+
+import pytest
+
+from ivystep.core import errors, types
+from ivystep.entry import isolation
+from ivystep.runtime import clock, virtual_hub
+
+FINGERPRINT = b'request'
+
+
+def request(fingerprint=FINGERPRINT):
+    ref = types.AdapterRef('authority', 'plans', 1)
+    return types.Request(
+        request_id='req-1',
+        account='authority',
+        application='app',
+        pool='base',
+        adapter=ref,
+        adapter_source='weights',
+        path='/v1/completions',
+        body=b'{}',
+        stream=False,
+        idempotent=True,
+        arrived=0,
+        deadline=30,
+        fingerprint=fingerprint,
+        setup_version=1,
+    )
+
+
+def status(upstream_id, *crashed_incarnations):
+    return types.UpstreamStatus(
+        upstream_id=upstream_id,
+        sidecar_incarnation='inc',
+        engine_incarnation='now',
+        sequence=1,
+        healthy=True,
+        draining=False,
+        running=0,
+        slots=2,
+        max_running=4,
+        resident_by_ref={},
+        loading=None,
+        setup_version=1,
+        crash_fingerprints=tuple(
+            types.CrashFingerprint(FINGERPRINT, incarnation, clock.now())
+            for incarnation in crashed_incarnations
+        ),
+    )
+
+
+def engine_lost():
+    error = errors.RequestError(
+        'upstream_lost', 'Lost.', status=502, engine_lost=True
+    )
+    error.engine_incarnation = 'one'
+    return error
+
+
+def refusal(group, wanted):
+    with pytest.raises(errors.RefusedError) as refused:
+        group.enter(wanted)
+    return refused.value.code, refused.value.ran
+
+
+def test_request_is_isolated_after_one_crash_and_refused_after_two():
+    """Guards against a request that takes down one upstream after another."""
+
+    def main():
+        group = isolation.Isolation()
+        for name in ('up-1', 'up-2', 'up-3'):
+            group.on_status('base', status(name))
+        first = group.enter(request())
+        first.on_failure('up-1', engine_lost())
+        # The sidecar reports the same failure; it must count once.
+        group.on_status('base', status('up-1', 'one'))
+        second = group.enter(request())
+        assert (first.is_isolated, second.is_isolated) == (False, True)
+        assert len(second.avoid) == 2
+        assert refusal(group, request())[0] == 'suspect_running'
+        assert not group.enter(request(b'innocent')).is_isolated
+        second.on_failure('up-2', engine_lost())
+        return refusal(group, request())
+
+    expected = 'request_quarantined', types.Ran.NO
+    assert virtual_hub.run(main) == expected
+
+
+def test_innocent_request_is_cleared_by_completing():
+    """Guards against a request condemned for the batch that it was in."""
+
+    def main():
+        group = isolation.Isolation()
+        group.on_status('base', status('up-1', 'one'))
+        permit = group.enter(request())
+        permit.close(is_completed=True)
+        permit.close()
+        group.on_status('base', status('up-1', 'one'))
+        return group.enter(request()).is_isolated
+
+    assert virtual_hub.run(main) is False
+
+
+def test_evidence_that_arrives_during_the_wait_is_seen():
+    """Guards against a run that was permitted before the second crash."""
+
+    def main():
+        group = isolation.Isolation()
+        permit = group.enter(request())
+        before = permit.is_current
+        group.on_status('base', status('up-1', 'one', 'two'))
+        return before, permit.is_current
+
+    assert virtual_hub.run(main) == (True, False)
+
+
+def test_upstream_that_drains_takes_no_suspect():
+    """Guards against a suspect that waits for an upstream that leaves."""
+
+    def main():
+        group = isolation.Isolation()
+        group.on_status('base', status('up-1', 'one'))
+        leaving = dataclasses.replace(status('up-2'), draining=True)
+        group.on_status('base', leaving)
+        return group.enter(request()).avoid
+
+    assert virtual_hub.run(main) == frozenset()
--- /dev/null
+++ b/tests/entry/test_membership.py
@@ -0,0 +1,99 @@
+"""Tests of the host list's effect on an entry."""
+
+import pytest
+
+from ivystep.core import types
+from ivystep.entry import links, membership
+
+LIVE, LEAVING = types.HostState.LIVE, types.HostState.LEAVING
+
+
+def host(state=LIVE, port=7000, role='sidecar'):
+    return types.HostEntry('up-1', role, '127.0.0.1', port, 'dc', 'base', state)
+
+
+class FakeLink:
+    """A link whose reports the test delivers."""
+
+    made = ()
+
+    def __init__(self, process_id, address, contexts):
+        self.address = address
+        self.is_closed = False
+        self.report = self.lose = None
+        FakeLink.made = (*FakeLink.made, self)
+
+    def watch(self, on_status, on_lost):
+        self.report, self.lose = on_status, on_lost
+
+    def close(self):
+        self.is_closed = True
+
+
+class FakePools:
+    """Records what the pools are told."""
+
+    def __init__(self):
+        self.events = []
+
+    def add(self, entry):
+        self.events.append(('add', entry.port))
+
+    def on_status(self, name, status, link):
+        self.events.append(('status', link.address[1]))
+
+    def on_lost(self, name, upstream_id):
+        self.events.append(('lost', upstream_id))
+
+
+class FakePeers:
+    """Records the live entries."""
+
+    def update(self, entry_by_host):
+        self.known = set(entry_by_host)
+
+
+@pytest.fixture(name='parts')
+def parts_fixture(monkeypatch):
+    monkeypatch.setattr(links, 'ThriftLink', FakeLink)
+    monkeypatch.setattr(
+        membership.eventlet, 'spawn', lambda watch, *told: watch(*told)
+    )
+    FakeLink.made = ()
+    target = FakePools()
+    peers = FakePeers()
+    made = membership.Membership('self', None, None, target, peers)
+    return made, target, peers
+
+
+def test_host_that_the_list_calls_leaving_gets_no_new_work(parts):
+    """Guards against work for a host whose sidecar has not noticed."""
+    group, target, _ = parts
+    group.apply({'up-1': host()})
+    (link,) = FakeLink.made
+    link.report('healthy')
+    group.apply({'up-1': host(LEAVING)})
+    link.report('healthy')
+    link.lose()
+    assert target.events == [('add', 7000), ('status', 7000), ('lost', 'up-1')]
+    assert link.is_closed
+
+
+def test_replaced_host_gets_a_new_link(parts):
+    """Guards against reports of an earlier host under the same name."""
+    group, target, _ = parts
+    group.apply({'up-1': host()})
+    group.apply({'up-1': host(port=7001)})
+    earlier, current = FakeLink.made
+    earlier.report('old')
+    current.report('new')
+    assert target.events[-2:] == [('add', 7001), ('status', 7001)]
+
+
+def test_leaving_entry_is_no_peer(parts):
+    """Guards against demand that is reported to an entry that stops."""
+    group, _, peers = parts
+    group.apply({'up-1': host(role='entry')})
+    assert peers.known == {'up-1'}
+    group.apply({'up-1': host(LEAVING, role='entry')})
+    assert peers.known == set()
--- /dev/null
+++ b/tests/entry/test_setup_exchange.py
@@ -0,0 +1,97 @@
+"""Tests of entries that read the setup from one another."""
+
+import pytest
+
+from ivystep.core import errors
+from ivystep.entry import peer_server, setup_exchange
+from ivystep.runtime import virtual_hub
+from ivystep.setup import store, submission
+from tests.setup import fakes
+
+
+class Site:
+    """One entry's store on a platform of its own view."""
+
+    def __init__(self, platform):
+        self.store = store.SetupStore(platform.rows, platform.store)
+        self.exchange = setup_exchange.SetupExchange(self.store)
+        self.server = peer_server.PeerServer(
+            'peer', lambda _: None, self.exchange
+        )
+        self.address = 'peer'
+        self.lost_sections = 0
+
+    def ask(self, message):
+        """Answer as a peer does over a connection."""
+        if isinstance(message, peer_server.ttypes.GetSection):
+            if self.lost_sections:
+                self.lost_sections -= 1
+                raise errors.LinkError('cut')
+        return peer_server._answer(message, self.server)
+
+
+def submit(platform, version):
+    submission.Submitter(platform.rows, platform.store).submit(
+        fakes.make_document(fakes.account('authority', active=version)),
+        version - 1,
+        'ama',
+    )
+
+
+def sites():
+    """Return a peer in step with the platform and a new, cut-off entry."""
+    platform = fakes.Platform()
+    submit(platform, 1)
+    peer = Site(platform)
+    peer.store.refresh()
+    cut_off = fakes.Platform()
+    cut_off.rows.is_down = cut_off.store.is_down = True
+    return platform, peer, Site(cut_off)
+
+
+def test_entry_that_starts_in_an_outage_reads_the_setup_from_a_peer():
+    """Guards against an entry that serves nothing until the outage ends."""
+
+    def main():
+        _, peer, started = sites()
+        with pytest.raises(errors.UnavailableError):
+            started.store.refresh()
+        assert started.exchange.read_from([peer])
+        return started.store.current.version
+
+    assert virtual_hub.run(main) == 1
+
+
+def test_known_newer_version_is_read_from_a_peer_and_never_reverts():
+    """Guards against an old version in force after a newer one is known."""
+
+    def main():
+        platform, peer, behind = sites()
+        behind.exchange.read_from([peer])
+        submit(platform, 2)
+        behind.exchange.offer(2)
+        with pytest.raises(errors.RefusedError) as refused:
+            behind.store.current  # ruff: ignore[useless-expression]
+        assert refused.value.code == 'configuration_behind'
+        assert not behind.exchange.read_from([peer])
+        peer.store.refresh()
+        assert behind.exchange.read_from([peer])
+        old = Site(fakes.Platform())
+        assert not behind.exchange.read_from([old])
+        return behind.store.current.version
+
+    assert virtual_hub.run(main) == 2
+
+
+def test_cut_exchange_changes_nothing_and_is_repeated():
+    """Guards against a setup adopted in part."""
+
+    def main():
+        _, peer, started = sites()
+        peer.lost_sections = 1
+        assert not started.exchange.read_from([peer])
+        assert started.store.latest is None
+        assert started.exchange.read_from([peer])
+        return started.store.current.version
+
+    assert virtual_hub.run(main) == 1
