--- a/tests/entry/test_setup_exchange.py
+++ b/tests/entry/test_setup_exchange.py
@@ -23,10 +23,10 @@
 
     def ask(self, message):
         """Answer as a peer does over a connection."""
-        if isinstance(message, peer_server.ttypes.GetSection):
-            if self.lost_sections:
-                self.lost_sections -= 1
-                raise errors.LinkError('cut')
+        is_section = isinstance(message, peer_server.ttypes.GetSection)
+        if is_section and self.lost_sections:
+            self.lost_sections -= 1
+            raise errors.LinkError('cut')
         return peer_server._answer(message, self.server)
 
 
