Say "unknown" where a refused call may repeat a request that has run

Cause: a call with an idempotency key that was refused before its claim (table service out, rate limit, drain, no setup) was told "ran: no", although an earlier call with the same key may have run. A caller that then sends a new key would double the request.

Change: such a refusal says "unknown"; refusals for form keep "no"; a call that holds its claim answers as before. The outage test asked for "no" and now asks for "unknown", which is as strict; a new test covers a repeat after a run.

Ruled out: a memory of keys at the entry, which a restart or another entry lacks; reading the claim before each refusal, which costs a read for each rejected call of a flood.

Before: the new check failed with "no". After: 19 passed in test_at_most_once and test_callers_page.

--- a/ivystep/entry/api.py
+++ b/ivystep/entry/api.py
@@ -1,6 +1,7 @@
 """The callers' HTTP interface as a WSGI application."""
 
 import contextlib
+import functools
 import typing
 from collections.abc import Callable, Iterable, Iterator
 
@@ -25,6 +26,10 @@
 Environ = dict[str, typing.Any]
 OUTCOME_PREFIX = '/v1/requests/'
 
+# A request that is refused for its form, its key or its length cannot have
+# been run; 422 is said of other content under a used key.
+FORM_STATUSES = frozenset((400, 401, 405, 413, 422))
+
 log = logs.get('entry')
 
 
@@ -147,11 +152,17 @@
         else:
             answer = self._claims.run(
                 request,
-                lambda claimed: self._dispatcher.run(claimed, call.task),
+                functools.partial(self._run_claimed, call),
             )
             call.on_close(self._drain, answer.chunks)
         return call.relay(answer, request)
 
+    def _run_claimed(
+        self, call: 'Call', request: types.Request
+    ) -> types.Answer:
+        call.has_claim = True
+        return self._dispatcher.run(request, call.task)
+
     def _drain(self, chunks: relay.Relay) -> None:
         """Learn the outcome of a non-idempotent request whose caller left."""
         if not chunks.is_ended:
@@ -178,6 +189,7 @@
     Attributes:
         account: Account of the caller, empty until its key is known.
         error: The error that the caller is told, None if there is none.
+        has_claim: Whether this call holds the claim of its idempotency key.
     """
 
     def __init__(
@@ -192,6 +204,7 @@
         self.task = in_progress.start()
         self.account = ''
         self.error: errors.RequestError | None = None
+        self.has_claim = False
         self._start_response = start_response
         self._stack = contextlib.ExitStack()
         self._connection: connections.CallerConnection | None = environ.get(
@@ -231,6 +244,7 @@
 
     def fail(self, error: errors.RequestError) -> Iterator[bytes]:
         """Answer with an error."""
+        error = self._in_view_of_repeats(error)
         self.error = error
         self._before_answer()
         return self._body(
@@ -255,6 +269,32 @@
         """Release everything that the call holds."""
         self._stack.close()
 
+    def _in_view_of_repeats(
+        self, error: errors.RequestError
+    ) -> errors.RequestError:
+        """Return the error that is true for the key, not only for this call.
+
+        A call that did not get its claim may repeat a request that has been
+        run, so its refusal must not say that the request was not run. What
+        is refused for its form can never have been run.
+        """
+        if (
+            self.has_claim
+            or error.ran is not types.Ran.NO
+            or error.status in FORM_STATUSES
+            or 'HTTP_IDEMPOTENCY_KEY' not in self.environ
+        ):
+            return error
+        return errors.RequestError(
+            error.code,
+            error.reason,
+            status=error.status,
+            ran=types.Ran.UNKNOWN,
+            retry_after_s=error.retry_after_s,
+            step=error.step,
+            peer=error.peer,
+        )
+
     def _on_cut(self, error: errors.RequestError) -> bytes:
         """Note that a stream was cut and return its last event."""
         self.error = error
