Keep slow requests from ending all loads of a pool

Cause: requests that hung on half-open links raised the expected service time above the callers' deadline of 2 s. A request had to start before a time that had passed already, so it was refused at once; after the engines had restarted empty, nothing ran that could lower the estimate again. Seen in the process tests as 90 s of refusals on healthy upstreams. The in-memory channel of the schedules lacked the calls that forward chunks in bulk, so no schedule ran.

Change: a request keeps at least half of its time for the wait; the in-memory channel has the calls.

Ruled out: the leases (held), the back-off of loads (no load was ordered), the expected load duration (bounded since the last fix). Dropping the deviation from the estimate lowers it, but does not bound it.

--- a/ivystep/entry/pool.py
+++ b/ivystep/entry/pool.py
@@ -21,6 +21,10 @@
 REPORT_INTERVAL_S = 0.1
 IDLE_REPORT_INTERVAL_S = 1.0
 MIN_RETRY_AFTER_S = 1.0
+# A request keeps at least this share of its time for the wait. After some slow
+# requests the expected service time exceeded short deadlines; with nothing
+# resident, every request was then refused and none corrected the estimate.
+LEAST_WAIT_SHARE = 0.5
 
 ChooseSink = Callable[[str, planner.DemandSink], planner.DemandSink]
 
@@ -150,7 +154,7 @@
         """
         now = clock.now()
         self._count_arrival(request)
-        start_by = request.deadline - self._service.expected_s
+        start_by = self._start_by(request, now)
         entry = waiting.WaitingRequest(request, avoid, now, start_by)
         if not self._waiting.waiting_for(request.adapter):
             view = self._route(entry)
@@ -182,6 +186,14 @@
             self._place_waiting(view)
             self.planner.wake()
 
+    def _start_by(self, request: types.Request, now: float) -> float:
+        """Return the time by which a request must be placed."""
+        left_s = request.deadline - now
+        service_s = min(
+            self._service.expected_s, left_s * (1 - LEAST_WAIT_SHARE)
+        )
+        return request.deadline - service_s
+
     def _end_wait(
         self, entry: waiting.WaitingRequest, placement: types.Placement | None
     ) -> None:
--- a/soak/schedules/network.py
+++ b/soak/schedules/network.py
@@ -113,6 +113,7 @@
         self.other: Channel = self
         self.is_closed = False
         self.is_losing = False
+        self.has_waited = False
         self._network = network
         self._frames: collections.deque[bytes] = collections.deque()
         self._is_ended = False
@@ -128,6 +129,7 @@
 
     def receive(self, timeout_s: float | None = None) -> typing.Any:
         """Wait for one message; see ``channel.Channel.receive``."""
+        self.has_waited = not self._frames
         try:
             with eventlet.Timeout(timeout_s, TimeoutError):
                 self.wait_readable()
@@ -139,7 +141,11 @@
         if not self._frames:
             self.close()
             raise errors.LinkError('ended', step='receive', peer=self.peer)
-        return channel.decode(self._frames.popleft()[channel.HEADER.size :])
+        return self._decode_first()
+
+    def receive_ready(self) -> typing.Any:
+        """Return a message that has arrived; see ``channel.Channel``."""
+        return self._decode_first() if self._frames else None
 
     def request(
         self, message: typing.Any, timeout_s: float | None = None
@@ -195,6 +201,9 @@
         self._readable = event.Event()
         readable.send()
 
+    def _decode_first(self) -> typing.Any:
+        return channel.decode(self._frames.popleft()[channel.HEADER.size :])
+
 
 class MemoryLink(links.ThriftLink):
     """The entry's link over connections in memory.
--- a/tests/entry/test_pool.py
+++ b/tests/entry/test_pool.py
@@ -390,6 +390,24 @@
     assert virtual_hub.run(main) == 0
 
 
+def test_slow_requests_do_not_end_all_loads():
+    """Guards against an estimate that refuses all that could correct it."""
+
+    def main():
+        target = make_pool()
+        link = FakeLink(target, 'up-1', ref('slow'))
+        eventlet.spawn(link.heartbeat)
+        for _ in range(8):
+            placement = target.place(request('slow', deadline_s=60))
+            clock.sleep(20)
+            target.finish(placement)
+        link.running.clear()
+        link.report()
+        return outcome(target, request('next', deadline_s=2))[0]
+
+    assert virtual_hub.run(main) == 'up-1'
+
+
 def test_scan_by_one_account_leaves_the_others_alone():
     """Guards against an account that takes the loads of the others."""
 
