Back an adapter off only for failures of its own

Cause: a sidecar that was restarted has no lease until the old one has run out, and each refused load backed the adapter off by up to 8 s, although another upstream could have loaded it at once.

Change: failures that speak about the upstream leave the adapter alone; the upstream waits for its next report.

Ruled out: a shorter back-off, which hammers the weight store with adapters that are broken. Before: the new test failed ("overloaded"). After: 21 passed in tests/entry/test_pool.py.

--- a/ivystep/entry/planner.py
+++ b/ivystep/entry/planner.py
@@ -38,6 +38,19 @@
 RELAX_SHARE = 0.1
 MAX_SKIPPED = 8
 EXPECTED_HORIZON_LOADS = 2.0
+# These failures say nothing about the adapter, which may be loaded on another
+# upstream at once; the upstream itself waits for its next report.
+UPSTREAM_CODES = frozenset(
+    (
+        'adapter_in_use',
+        'busy',
+        'draining',
+        'engine_down',
+        'fenced',
+        'link_failed',
+        'not_owner',
+    )
+)
 
 log = logs.get('planner')
 
@@ -413,7 +426,14 @@
             self._note_loaded(order.ref, now)
             self._back_off.succeed(order.ref)
             self._note_duration(now - started)
-        elif outcome.code != 'adapter_in_use':
+        elif outcome.code in UPSTREAM_CODES:
+            log.info(
+                'Load of %s on %s refused: %s.',
+                order.ref.lora_name,
+                view.status.upstream_id,
+                outcome.reason,
+            )
+        else:
             pause_s = self._back_off.fail(order.ref, now)
             log.warning(
                 'Load of %s on %s failed, next in %.0f s: %s.',
--- a/tests/entry/test_pool.py
+++ b/tests/entry/test_pool.py
@@ -390,6 +390,25 @@
     assert virtual_hub.run(main) == 0
 
 
+def test_upstream_without_its_lease_does_not_delay_the_adapter():
+    """Guards against a back-off of an adapter that another one can load."""
+
+    def main():
+        target = make_pool()
+        refusing = FakeLink(target, 'up-1')
+        refusing.load = lambda order, version: types.LoadResult(
+            False, 'not_owner', 'No lease so far.'
+        )
+        eventlet.spawn(refusing.heartbeat)
+        eventlet.spawn(FakeLink(target, 'up-2', room=8).heartbeat)
+        return [
+            outcome(target, request(f'a{number}', deadline_s=4))[0]
+            for number in range(6)
+        ]
+
+    assert virtual_hub.run(main) == ['up-2'] * 6
+
+
 def test_slow_requests_do_not_end_all_loads():
     """Guards against an estimate that refuses all that could correct it."""
 
