Take no attempts once the upstream refuses connections

Cause: after a refused connection the upstream stayed healthy until two health checks had failed, so an entry spent all three attempts there in 0.1 s.

Change: a refused connection marks the upstream unhealthy and is reported at once; the next health check that is answered ends this.

Ruled out: fewer health checks, which also condemns an engine that is slow once. Before: the new test failed. After: 38 passed in tests/sidecar/test_run.py.

--- a/ivystep/sidecar/host.py
+++ b/ivystep/sidecar/host.py
@@ -177,6 +177,17 @@
             self._probe_by_incarnation[incarnation] = probe
         return probe.wait()
 
+    def on_unreachable(self) -> None:
+        """Take no more attempts until the upstream answers a health check.
+
+        Without this, an entry spends all its attempts here before two health
+        checks have failed.
+        """
+        if self.is_healthy:
+            log.warning('Upstream %s refuses connections.', self.upstream_id)
+            self.is_healthy = False
+            self.notify()
+
     def count_violation(self, error: errors.InvariantError) -> None:
         """Log and count an invariant that did not hold.
 
--- a/ivystep/sidecar/run.py
+++ b/ivystep/sidecar/run.py
@@ -230,6 +230,8 @@
             error.engine_lost = self._beside.confirm_loss(self._incarnation)
         if error.engine_lost:
             error.engine_incarnation = self._incarnation
+        if error.code == 'upstream_unavailable':
+            self._beside.on_unreachable()
         log.warning('Attempt %s failed: %s.', self._message.attempt_id, error)
         self._send(_failure(self._message, error))
 
--- a/tests/sidecar/test_run.py
+++ b/tests/sidecar/test_run.py
@@ -300,6 +300,18 @@
     assert last.ran == 'no'
 
 
+def test_unreachable_engine_takes_no_second_attempt(engine_bench):
+    """Guards against all attempts of an entry spent on a dead upstream."""
+    engine_bench.stop()
+    engine_bench.run()
+    assert not engine_bench.beside.status().healthy
+    last = engine_bench.run(attempt_id='att-2')[-1]
+    assert (last.code, last.reason) == (
+        'upstream_unavailable',
+        'The upstream is unhealthy.',
+    )
+
+
 class PlainService:
     """A service without a start-time metric and without models."""
 
