Write log lines again after a random schedule

Cause: a schedule switched all logging off for the rest of the process, so two later tests that look for "Invariant violated" failed in the whole suite (2 failed, 386 passed) and passed alone.

Change: the switch is set back after each schedule.

Ruled out: the sidecar's check itself (the line is written when the file runs alone).

--- a/soak/schedules/run.py
+++ b/soak/schedules/run.py
@@ -1,11 +1,13 @@
 """Runs one random schedule and judges it."""
 
+import contextlib
 import dataclasses
 import gc
 import logging
 import random
 import secrets
 import typing
+from collections.abc import Generator
 from unittest import mock
 
 import eventlet
@@ -41,12 +43,13 @@
     Args:
         seed: Determines every choice.
     """
-    logging.disable(logging.CRITICAL)
     choices = random.Random(seed)
     random.seed(seed)
-
-    with mock.patch.object(
-        secrets, 'token_hex', lambda count: choices.randbytes(count).hex()
+    with (
+        _without_logs(),
+        mock.patch.object(
+            secrets, 'token_hex', lambda count: choices.randbytes(count).hex()
+        ),
     ):
         verdict = virtual_hub.run(Schedule(seed).run)
         # Ends the tasks that are left over, which would disturb the next run.
@@ -54,6 +57,20 @@
     return verdict
 
 
+@contextlib.contextmanager
+def _without_logs() -> Generator[None, None, None]:
+    """Write no log lines, and write them again afterwards.
+
+    A run that left them off made later tests of log lines fail.
+    """
+    earlier = logging.root.manager.disable
+    logging.disable(logging.CRITICAL)
+    try:
+        yield
+    finally:
+        logging.disable(earlier)
+
+
 class Schedule:
     """Callers and faults of one seed."""
 
