Keep the old certificates while new ones cannot be read

Cause: certificates are read again when their files change, but no test showed it, and a file that is half replaced raised an error for each new connection.

Ruled out: reading the files only at a signal, which operators would have to send to each process.

--- a/ivystep/wire/tls.py
+++ b/ivystep/wire/tls.py
@@ -8,9 +8,13 @@
 import os
 import ssl
 
+from ivystep.runtime import logs
+
 ENTRY_NAME = 'entry.ivystep.internal'
 SIDECAR_NAME = 'sidecar.ivystep.internal'
 
+log = logs.get('tls')
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TlsFiles:
@@ -49,12 +53,22 @@
         return self._client
 
     def _reload_if_changed(self) -> None:
+        try:
+            self._reload()
+        except OSError as error:
+            # Files that are half replaced must not cut off a running process.
+            if self._server is None:
+                raise
+            log.warning('Certificates not read, the old ones stay: %s.', error)
+
+    def _reload(self) -> None:
         paths = dataclasses.astuple(self._files)
         stamp = tuple(os.stat(path).st_mtime_ns for path in paths)
         if stamp == self._stamp:
             return
-        self._server = self._build(ssl.PROTOCOL_TLS_SERVER)
+        server = self._build(ssl.PROTOCOL_TLS_SERVER)
         self._client = self._build(ssl.PROTOCOL_TLS_CLIENT)
+        self._server = server
         self._stamp = stamp
 
     def _build(self, protocol: int) -> ssl.SSLContext:
