--- a/ivystep/cli/commands.py
+++ b/ivystep/cli/commands.py
@@ -7,7 +7,9 @@
 
 from ivystep.console import daemon as console_daemon
 from ivystep.entry import daemon as entry_daemon
-from ivystep.runtime import logs
+from ivystep.gateway import daemon as gateway_daemon
+from ivystep.runtime import event_log, logs
+from ivystep.settings import gateway as gateway_settings
 from ivystep.settings import ini, models
 from ivystep.sidecar import daemon as sidecar_daemon
 
@@ -30,6 +32,20 @@
         entry_daemon.EntryDaemon.from_config(settings).run()
 
 
+@cappa.command(help='Serve the routes of the platform on a host.')
+@dataclasses.dataclass
+class Gateway:
+    """Run a gateway."""
+
+    config: ConfigPath
+
+    def __call__(self) -> None:
+        """Run until drained."""
+        settings = ini.load(self.config, gateway_settings.GatewaySettings)
+        event_log.configure(settings.process.log_level)
+        gateway_daemon.GatewayDaemon.from_config(settings).run()
+
+
 @cappa.command(help='Serve one upstream on its host.')
 @dataclasses.dataclass
 class Sidecar:
--- a/ivystep/cli/main.py
+++ b/ivystep/cli/main.py
@@ -22,6 +22,7 @@
 
     command: cappa.Subcommands[
         commands.Entry
+        | commands.Gateway
         | commands.Sidecar
         | commands.Console
         | check.Check
--- a/ivystep/coordination/lease.py
+++ b/ivystep/coordination/lease.py
@@ -7,9 +7,8 @@
 
 A process can still be paused between a check of ``is_held`` and the action
 that follows. Only the receiver of the action can exclude that, by rejecting
-fencing tokens lower than the highest that it has seen. The monotonic clock
-must run while the process is stopped; on Linux it does so for stopped
-processes, but not while the whole machine is suspended.
+fencing tokens lower than the highest that it has seen. The clock runs on while
+the process is stopped and while the whole machine is suspended.
 """
 
 import dataclasses
@@ -61,6 +60,8 @@
 
     Attributes:
         token: The fencing token of the last acquisition, 0 before the first.
+        seen_holder_id: Holder named by the row when it was last read; empty
+            if the row was not read or its lease was released.
 
     Args:
         rows: The table service.
@@ -68,12 +69,22 @@
         holder_id: Id of this process, recorded for operators.
         duration_s: Time in seconds after which others may take over from a
             silent holder; several times the time-out of the table service.
+        is_sole: Whether at most one process with this holder id exists, so
+            that a row which names it belongs to a process that has ended.
     """
 
     def __init__(
-        self, rows: table.Table, key: str, holder_id: str, duration_s: float
+        self,
+        rows: table.Table,
+        key: str,
+        holder_id: str,
+        duration_s: float,
+        *,
+        is_sole: bool = False,
     ) -> None:
         self.token = 0
+        self.seen_holder_id = ''
+        self._is_sole = is_sole
         self._rows = rows
         self._key = key
         self._holder_id = holder_id
@@ -88,7 +99,7 @@
 
     def is_held(self) -> bool:
         """Return whether the lease is certainly still held."""
-        return clock.now() < self._valid_until
+        return clock.uptime() < self._valid_until
 
     def acquire(self) -> int:
         """Wait until the lease is acquired.
@@ -144,7 +155,7 @@
                     return
 
     def _try_acquire(self) -> None:
-        row = self._rows.get(self._key)
+        row = self._read()
         if row is not None and not self._is_free(row):
             self._watch(row)
         with self._write_lock:
@@ -163,6 +174,14 @@
                 self._valid_until = 0.0
                 raise
 
+    def _read(self) -> table.Row | None:
+        row = self._rows.get(self._key)
+        if row is not None:
+            record = _Record.from_row(row)
+            is_open = not record.is_released
+            self.seen_holder_id = record.holder_id if is_open else ''
+        return row
+
     def _is_free(self, row: table.Row) -> bool:
         """Return whether nobody else can hold the lease.
 
@@ -170,9 +189,11 @@
         acquisition any more.
         """
         record = _Record.from_row(row)
-        return (
-            record.is_released or record.write_id in self._sent_at_by_write_id
-        )
+        if record.is_released:
+            return True
+        if self._is_sole and record.holder_id == self._holder_id:
+            return True
+        return record.write_id in self._sent_at_by_write_id
 
     def _watch(self, row: table.Row) -> None:
         """Wait until a row has been unchanged for its duration.
@@ -187,13 +208,13 @@
         Raises:
             errors.ConflictError: The row has changed.
         """
-        deadline = clock.now() + _Record.from_row(row).duration_s
-        while clock.now() < deadline:
+        deadline = clock.uptime() + _Record.from_row(row).duration_s
+        while clock.uptime() < deadline:
             clock.sleep(
-                min(deadline - clock.now(), POLL_SHARE * self._duration_s)
+                min(deadline - clock.uptime(), POLL_SHARE * self._duration_s)
             )
             try:
-                current = self._rows.get(self._key)
+                current = self._read()
             except errors.UnavailableError:
                 continue
             if current is None or current.version != row.version:
@@ -239,7 +260,7 @@
             errors.UnavailableError: The row could not be read.
             errors.UncertainWriteError: The write may still take effect.
         """
-        row = self._rows.get(self._key)
+        row = self._read()
         if row is None or row.version == self._version:
             raise errors.UncertainWriteError('no answer', step='write lease')
         record = _Record.from_row(row)
@@ -261,12 +282,13 @@
         self._version = version
         self._row_token = record.token
         self.token = record.token
+        self.seen_holder_id = '' if record.is_released else record.holder_id
         if not self._is_giving_up and not record.is_released:
             valid_s = self._duration_s * (1 - SAFETY_MARGIN_SHARE)
             self._valid_until = sent_at + valid_s
 
     def _remember(self, write_id: str) -> None:
-        sent = {**self._sent_at_by_write_id, write_id: clock.now()}
+        sent = {**self._sent_at_by_write_id, write_id: clock.uptime()}
         newest = list(sent.items())[-MAX_REMEMBERED_WRITES:]
         self._sent_at_by_write_id = dict(newest)
 
--- a/ivystep/coordination/retry_budget.py
+++ b/ivystep/coordination/retry_budget.py
@@ -29,6 +29,11 @@
         self._reserve = reserve
         self._balance = reserve
 
+    @property
+    def balance(self) -> float:
+        """Retries that may be used now."""
+        return self._balance
+
     def on_request(self) -> None:
         """Earn the fraction of one new request."""
         self._balance = min(self._reserve, self._balance + self._ratio)
--- a/ivystep/entry/peers.py
+++ b/ivystep/entry/peers.py
@@ -34,14 +34,14 @@
     Args:
         process_id: Id of this entry.
         address: IP address and port of the peer.
-        contexts: TLS contexts of this entry.
+        contexts: TLS contexts of this entry; None for plain connections.
     """
 
     def __init__(
         self,
         process_id: str,
         address: tuple[str, int],
-        contexts: tls.TlsContexts,
+        contexts: tls.TlsContexts | None,
     ) -> None:
         self.address = address
         self._process_id = process_id
@@ -97,12 +97,29 @@
         return link
 
 
+OnHeld = Callable[[types.AdapterRef, str], None]
+
+
+def ignore_held(ref: types.AdapterRef, upstream_id: str) -> None:
+    """Ignore who holds an adapter, where upstreams report it themselves."""
+
+
 class RemotePlanner:
-    """``DemandSink`` of a planner at another entry."""
+    """``DemandSink`` of a planner at another entry.
 
-    def __init__(self, pool: str, link: PeerLink) -> None:
+    Args:
+        pool: Name of the pool.
+        link: Connection to the entry.
+        on_held: Called with each adapter that the planner knows to be held
+            and the upstream that holds it.
+    """
+
+    def __init__(
+        self, pool: str, link: PeerLink, on_held: OnHeld = ignore_held
+    ) -> None:
         self._pool = pool
         self._link = link
+        self._on_held = on_held
 
     def report(
         self, entry_id: str, demands: tuple[types.AdapterDemand, ...]
@@ -115,6 +132,8 @@
         )
         if not isinstance(reply, ttypes.DemandAccepted):
             raise errors.LinkError('unexpected answer', step='demand')
+        for held in reply.held or ():
+            self._on_held(convert.adapter_ref(held.adapter), held.upstream)
         return tuple(_forecast(one) for one in reply.forecasts)
 
 
--- a/ivystep/entry/planner.py
+++ b/ivystep/entry/planner.py
@@ -108,6 +108,7 @@
             index, self.popularity, self._is_needed
         )
         self.load_s = 0.5
+        self._parallel_loads = 1
         self._parts_by_ref: dict[
             types.AdapterRef, dict[str, load_order.WantedLoad]
         ] = {}
@@ -120,17 +121,25 @@
         self._changed = event.Event()
         self._is_running = False
 
-    def configure(self, loads_per_s: float, batching_weight: float) -> None:
+    def configure(
+        self,
+        loads_per_s: float,
+        batching_weight: float,
+        parallel_loads: int = 1,
+    ) -> None:
         """Take over the setup's values.
 
         Args:
             loads_per_s: Loads that the weight store allows.
             batching_weight: From 0 to 1.
+            parallel_loads: Loads that the weight store carries out at once
+                without slowing any of them down.
         """
         self.batching_weight = batching_weight
+        self._parallel_loads = parallel_loads
         if loads_per_s != self._shares.loads_per_s:
             self._shares.loads_per_s = loads_per_s
-            self.load_s = 1 / loads_per_s
+            self.load_s = self._usual_s
 
     def report(
         self, entry_id: str, demands: tuple[types.AdapterDemand, ...]
@@ -204,6 +213,11 @@
             skipped.add(wanted.ref)
         return None
 
+    @property
+    def _usual_s(self) -> float:
+        """Duration of a load while the weight store is not overloaded."""
+        return self._parallel_loads / self._shares.loads_per_s
+
     def _start(self) -> None:
         if not self._is_running:
             self._is_running = True
@@ -326,7 +340,10 @@
             for at in self._started_by_ref.values()
             if now - at < OVERDUE_FACTOR * self.load_s
         ]
-        busy_s = max((at + self.load_s - now for at in started), default=0)
+        busy_s = 0.0
+        if len(started) >= self._parallel_loads:
+            first_end = sorted(started)[-self._parallel_loads] + self.load_s
+            busy_s = first_end - now
         return load_order.Backlog.from_loads(
             (
                 (self._rank_load(load.ref, now), load)
@@ -337,6 +354,7 @@
             now,
             load_s=self.load_s,
             busy_s=max(busy_s, 0),
+            parallel=self._parallel_loads,
         )
 
     def _needs_load(self, wanted: load_order.WantedLoad, now: float) -> bool:
@@ -371,12 +389,15 @@
     def _order_loads(self) -> None:
         self._drop_silent_entries()
         now = clock.now()
-        if any(self._is_loading(ref, now) for ref in self._started_by_ref):
-            return
-        chosen = self.choose(now)
-        if chosen is not None:
+        while self._loads_in_progress(now) < self._parallel_loads:
+            chosen = self.choose(now)
+            if chosen is None:
+                return
             self._order(chosen, now)
 
+    def _loads_in_progress(self, now: float) -> int:
+        return sum(self._is_loading(ref, now) for ref in self._started_by_ref)
+
     def _target(
         self, wanted: load_order.WantedLoad, now: float
     ) -> load_target.PlannedLoad | None:
@@ -452,7 +473,7 @@
         A load that hung says little about the next one, so its duration
         counts only up to the time after which loads are overtaken.
         """
-        longest_s = OVERDUE_FACTOR / self._shares.loads_per_s
+        longest_s = OVERDUE_FACTOR * self._usual_s
         self.load_s += DURATION_GAIN * (
             min(duration_s, longest_s) - self.load_s
         )
@@ -460,8 +481,7 @@
     def _relax(self) -> None:
         """Return the expected duration towards the usual one."""
         if not self._started_by_ref:
-            usual_s = 1 / self._shares.loads_per_s
-            self.load_s += RELAX_SHARE * (usual_s - self.load_s)
+            self.load_s += RELAX_SHARE * (self._usual_s - self.load_s)
 
     def _note_loaded(self, ref: types.AdapterRef, now: float) -> None:
         for earlier, loaded_at in list(self._loaded_at.items()):
--- a/ivystep/entry/pool.py
+++ b/ivystep/entry/pool.py
@@ -45,6 +45,7 @@
         choose_sink: Returns the pool's planner, given the local one.
         data_centre: Data centre of this entry; empty if it has none.
         metrics: Where load stalls and waiting requests are recorded.
+        index: The pool's upstreams; made with the usual rules if None.
 
     Attributes:
         planner: The planner at this entry, used if it has the role.
@@ -57,10 +58,11 @@
         choose_sink: ChooseSink = use_local,
         data_centre: str = '',
         metrics: registry.Metrics | None = None,
+        index: routing.UpstreamIndex | None = None,
     ) -> None:
         self.name = name
         self._metrics = metrics or registry.Metrics()
-        self._index = routing.UpstreamIndex(data_centre)
+        self._index = index or routing.UpstreamIndex(data_centre)
         self.planner = planner.Planner(process_id, self._index)
         self._process_id = process_id
         self._choose_sink = choose_sink
@@ -79,6 +81,16 @@
         """Placements that have not been finished."""
         return self._index.sent
 
+    def is_held(self, ref: types.AdapterRef) -> bool:
+        """Return whether an upstream reports an adapter as resident."""
+        return self._index.is_held(ref)
+
+    def holders(self, ref: types.AdapterRef) -> list[str]:
+        """Return the ids of the upstreams that hold an adapter."""
+        return [
+            view.status.upstream_id for view in self._index.holders(ref)
+        ]
+
     def configure(
         self,
         settings: document.Pool,
--- /dev/null
+++ b/ivystep/gateway/believed.py
@@ -0,0 +1,170 @@
+"""What this host believes of one upstream.
+
+The entry in the store is late by up to a heartbeat, so what was learnt since
+from orders and answers counts for a while, until a newer entry can show it.
+"""
+
+import dataclasses
+import itertools
+from collections.abc import Iterator, Mapping
+
+from ivystep.core import types
+from ivystep.gateway import connections, contracts, upstreams
+
+# Two heartbeats, by default of 1.2 s, and the delay of the store's feed.
+LEARNT_FOR_S = 3.0
+# Time without new work after failures in a row: the first, and the longest.
+# An upstream that restarts is back after some seconds.
+SUSPEND_MIN_S = 0.25
+SUSPEND_MAX_S = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Learnt:
+    """That an adapter is or is not held, learnt at a time."""
+
+    is_held: bool
+    at: float
+
+
+class Upstream:
+    """One start of one upstream, as this host sees it.
+
+    Args:
+        entry: Its entry in the store.
+
+    Attributes:
+        coming: Adapters that were ordered and may take a place already, by
+            the time until which the order may be carried out.
+        suspended_until: Time before which no new work is sent, after
+            failures to reach the upstream.
+    """
+
+    def __init__(self, entry: upstreams.UpstreamEntry) -> None:
+        self.entry = entry
+        self.connections = connections.UpstreamConnections(
+            entry.address, entry.upstream_id
+        )
+        self.coming: dict[types.AdapterRef, float] = {}
+        self.suspended_until = 0.0
+        self._failures = 0
+        self.running_elsewhere = 0
+        self._learnt_by_ref: dict[types.AdapterRef, _Learnt] = {}
+        self._sequence = itertools.count(1)
+
+    @property
+    def upstream_id(self) -> str:
+        """Id of the upstream."""
+        return self.entry.upstream_id
+
+    def learn(self, ref: types.AdapterRef, now: float, *, is_held: bool) -> None:
+        """Take over that an adapter is or is not held.
+
+        Args:
+            ref: The adapter.
+            now: Current time in seconds.
+            is_held: Whether it is held.
+        """
+        self._learnt_by_ref[ref] = _Learnt(is_held, now)
+        if is_held:
+            self.coming.pop(ref, None)
+
+    def suspend(self, now: float) -> float:
+        """Send no new work for a while, longer after each failure in a row.
+
+        Args:
+            now: Current time in seconds.
+
+        Returns:
+            Time in seconds until work may be sent again.
+        """
+        pause_s = min(SUSPEND_MIN_S * 2**self._failures, SUSPEND_MAX_S)
+        self._failures = min(self._failures + 1, 16)
+        self.suspended_until = now + pause_s
+        return pause_s
+
+    def trust(self) -> None:
+        """Forget the failures after an answer."""
+        self._failures = 0
+
+    def held(self, now: float) -> set[types.AdapterRef]:
+        """Return the adapters that the upstream holds.
+
+        Args:
+            now: Current time in seconds.
+        """
+        refs = set(_refs(self.entry.held_model_by_name))
+        for ref, learnt in list(self._learnt_by_ref.items()):
+            if learnt.at < now - LEARNT_FOR_S:
+                del self._learnt_by_ref[ref]
+            elif learnt.is_held:
+                refs.add(ref)
+            else:
+                refs.discard(ref)
+        return refs
+
+    def holds_model(self, model: str) -> bool:
+        """Return whether the upstream holds a base model."""
+        return model in self.entry.held_model_by_name
+
+    def status(
+        self, service: contracts.Service, model: str, now: float
+    ) -> types.UpstreamStatus:
+        """Return the status for the pool of one model.
+
+        Args:
+            service: The upstream's service.
+            model: Base model of the pool; empty for a plain service.
+            now: Current time in seconds.
+        """
+        entry = self.entry
+        held = self.held(now)
+        own = {
+            ref: types.ResidentAdapter(ref, 0)
+            for ref in held
+            if ref.account == model
+        }
+        return types.UpstreamStatus(
+            upstream_id=entry.upstream_id,
+            sidecar_incarnation=entry.incarnation,
+            engine_incarnation=entry.incarnation,
+            sequence=next(self._sequence),
+            healthy=(
+                now >= self.suspended_until
+                and (not model or self.holds_model(model))
+            ),
+            draining=entry.state is upstreams.UpstreamState.DRAINING,
+            running=self.running_elsewhere,
+            slots=self._places(service, len(held) - len(own), now),
+            max_running=max(entry.batch_size, 1),
+            resident_by_ref=own,
+            loading=None,
+            setup_version=0,
+            crash_fingerprints=(),
+        )
+
+    def replace_entry(self, entry: upstreams.UpstreamEntry) -> None:
+        """Take over a newer entry of the same start."""
+        self.entry = entry
+
+    def _places(
+        self, service: contracts.Service, foreign: int, now: float
+    ) -> int:
+        """Return the places for a model's adapters that are not spoken for."""
+        if service.engine is None:
+            return 0
+        for ref, until in list(self.coming.items()):
+            if until < now:
+                del self.coming[ref]
+        taken = foreign + len(self.coming)
+        return max(service.engine.max_adapters - taken, 0)
+
+
+def _refs(
+    held_model_by_name: Mapping[str, upstreams.HeldModel],
+) -> Iterator[types.AdapterRef]:
+    for model in held_model_by_name.values():
+        for name, version in model.adapter_versions.items():
+            yield types.AdapterRef(model.name, name, version)
+
+
--- /dev/null
+++ b/ivystep/gateway/contracts.py
@@ -0,0 +1,187 @@
+"""What the operator has agreed with callers: routes, services and limits.
+
+A ``RouteConfig`` is one version of the whole configuration. It is immutable
+and is replaced as a whole.
+"""
+
+import dataclasses
+import enum
+import random
+import typing
+from collections.abc import Iterable, Mapping
+
+
+class Repeatability(enum.Enum):
+    """How often requests of a route may run."""
+
+    IDEMPOTENT = 'idempotent'
+    AT_MOST_ONCE = 'at_most_once'
+    STREAM = 'stream'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceShare:
+    """A service that gets a share of a route's requests.
+
+    Attributes:
+        weight: Share in relation to the route's other weights.
+    """
+
+    service: str
+    weight: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Requests of one host whose path starts with a prefix.
+
+    Attributes:
+        prefix: Begins and ends with a slash.
+        timeout_s: Longest time in which a request must get its final answer.
+        aim_s: Time within which an answer, or the first event of a stream,
+            has its full value.
+        priority: 0 is the most urgent.
+        max_attempts: Upstreams on which one request may run.
+        is_resumable: Whether a stream may go on at another upstream after the
+            last event that was delivered.
+        max_gap_s: Longest pause between events of a stream that has its full
+            value; 0 if the route has no streams.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: Repeatability
+    timeout_s: float
+    aim_s: float
+    priority: int
+    shares: tuple[ServiceShare, ...]
+    max_attempts: int
+    is_resumable: bool = False
+    max_gap_s: float = 0.0
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind is Repeatability.IDEMPOTENT or self.is_resumable
+
+    def choose_service(self) -> str:
+        """Choose the service for one request by the weights."""
+        if len(self.shares) == 1:
+            return self.shares[0].service
+        weights = [share.weight for share in self.shares]
+        return random.choices(self.shares, weights)[0].service
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Model:
+    """A base model that engines load.
+
+    Attributes:
+        weights_mb: Memory of the weights.
+        load_s: Duration of a load from the weight store.
+        adapter_mb: Memory of one adapter.
+    """
+
+    name: str
+    weights_mb: float
+    load_s: float
+    adapter_mb: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EngineClass:
+    """What all engines of a service have in common.
+
+    Attributes:
+        batch_size: Requests that one engine runs at once.
+        kv_tokens: Tokens that fit into the memory of running requests.
+        weights_mb: Memory for models and adapters together.
+        max_adapters: Adapters that an engine holds at once.
+        loads_per_s: Loads of models that the weight store allows.
+    """
+
+    batch_size: int
+    kv_tokens: int
+    weights_mb: float
+    max_adapters: int
+    loads_per_s: float
+    model_by_name: Mapping[str, Model]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Service:
+    """A group of upstreams that can take the same requests.
+
+    Attributes:
+        health_path: Path at which an upstream tells whether it is healthy.
+        max_connections: Connections that one upstream accepts from all.
+        engine: None for a plain service.
+    """
+
+    name: str
+    health_path: str
+    max_connections: int
+    engine: EngineClass | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientLimits:
+    """What a caller's connection may send, and how slowly."""
+
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteConfig:
+    """One version of the operator's configuration."""
+
+    version: int
+    service_by_name: Mapping[str, Service]
+    limits: ClientLimits
+    route_by_prefix_by_host: Mapping[str, Mapping[str, Route]]
+
+    @classmethod
+    def from_routes(
+        cls,
+        version: int,
+        routes: Iterable[Route],
+        services: Iterable[Service],
+        limits: ClientLimits,
+    ) -> typing.Self:
+        """Index the parts of a configuration."""
+        indexed: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            by_prefix = indexed.setdefault(route.host.lower(), {})
+            by_prefix[route.prefix] = route
+        services_by_name = {service.name: service for service in services}
+        return cls(version, services_by_name, limits, indexed)
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path.
+
+        The time does not depend on the number of routes.
+
+        Args:
+            host: Value of the ``Host`` header.
+            path: Path without a query.
+        """
+        by_prefix = self.route_by_prefix_by_host.get(_host_name(host))
+        if by_prefix is None:
+            return None
+        end = path.rfind('/')
+        while end >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind('/', 0, end)
+        return None
+
+
+def _host_name(host: str) -> str:
+    """Return a host without its port, in lower case."""
+    name, _, port = host.strip().rpartition(':')
+    return (name if port.isdigit() and name else host.strip()).lower()
--- /dev/null
+++ b/ivystep/gateway/daemon.py
@@ -0,0 +1,326 @@
+"""The gateway daemon."""
+
+import signal
+import typing
+
+import eventlet
+from eventlet import wsgi
+
+from ivystep.coordination import retry_budget
+from ivystep.core import types
+from ivystep.entry import peer_server
+from ivystep.gateway import (
+    believed,
+    callers,
+    configuration,
+    contracts,
+    dispatch,
+    duty,
+    engine_link,
+    events,
+    feeds,
+    membership,
+    model_keeper,
+    model_pools,
+    reception,
+)
+from ivystep.metrics import operators_app, registry
+from ivystep.platform import (
+    engine_api,
+    operator_config,
+    readiness,
+    rows,
+    table,
+    upstream_entries,
+)
+from ivystep.runtime import clock, drain, event_log
+from ivystep.settings import gateway as settings_models
+from ivystep.wire import listener as wire_listener
+from ivystep.wire import tls
+
+BACKLOG = 1024
+# Time for which new connections are still accepted after the signal to stop:
+# the platform asks for readiness once a second and needs two refusals.
+NOTICE_S = 2.6
+# Time before the platform ends the process in which answers are broken off.
+ABORT_S = 0.4
+IDLE_SWEEP_S = 0.5
+# Share of the retries that this host may use by itself; the others have
+# theirs. With more hosts than this the reserve is not used up either.
+EXPECTED_HOSTS = 8
+
+
+
+class _Versions:
+    """``SetupSource`` for peers: a gateway hands no setup on."""
+
+    def __init__(self, config: configuration.Configuration) -> None:
+        self._config = config
+
+    def version(self) -> int:
+        """Return the version in force here, 0 if none."""
+        return self._config.version
+
+    def offer(self, version: int) -> None:
+        """Take note of a version; the store's feed brings it."""
+
+    def manifest(self) -> tuple[int, dict[str, str]]:
+        """Return no sections."""
+        return self._config.version, {}
+
+    def section(self, digest: str) -> bytes | None:
+        """Return no section."""
+        return None
+
+
+class GatewayDaemon:
+    """All parts of one gateway.
+
+    Args:
+        settings: The validated settings.
+    """
+
+    def __init__(self, settings: settings_models.GatewaySettings) -> None:
+        self.settings = settings
+        self.is_ready = True
+        self._signals = drain.DrainSignal()
+        host = settings.process.id
+        self._log = event_log.EventLog('gateway', host)
+        self._metrics = registry.Metrics()
+        self._door = callers.Door()
+        self._api = engine_api.EngineClient()
+        self._link_by_upstream: dict[
+            believed.Upstream, engine_link.EngineLink
+        ] = {}
+        self._rows = rows.RowsClient.connect(
+            settings.store.url, settings.store.timeout_s
+        )
+        self._config = configuration.Configuration(
+            self._log, self._on_config, self._on_version
+        )
+        self._membership = membership.Membership(
+            self._log, self._on_change, self._on_removed
+        )
+        self._duty = duty.Duty(
+            table.TableClient(settings.store.url, settings.store.timeout_s),
+            host,
+            settings.addresses.peers,
+            lease_s=settings.bounds.lease_ms / 1000,
+            turn_s=settings.bounds.turn_s,
+            on_held=self._on_held,
+            on_active=self._refresh,
+            log=self._log,
+        )
+        self._pools = model_pools.ModelPools(
+            host,
+            settings.process.data_centre,
+            self._duty.sink,
+            self._link,
+            self._metrics,
+        )
+        self._keeper = model_keeper.ModelKeeper(
+            self._membership, self._config, self._duty, self._link, self._log
+        )
+        self._reception = reception.Reception(
+            self._config,
+            dispatch.Dispatcher(
+                self._pools,
+                self._membership,
+                self._config,
+                retry_budget.RetryBudgets(
+                    ratio=settings.bounds.retry_ratio / 2,
+                    reserve=settings.bounds.retry_extra / EXPECTED_HOSTS,
+                ),
+                self._on_change,
+                self._log,
+                settings.bounds.version_s,
+            ),
+            self._metrics,
+            self._log,
+        )
+
+    @classmethod
+    def from_config(
+        cls, settings: settings_models.GatewaySettings
+    ) -> typing.Self:
+        """Build the gateway that the settings describe."""
+        return cls(settings)
+
+    def run(self) -> None:
+        """Serve until drained after SIGTERM."""
+        self._signals.install()
+        signal.signal(signal.SIGHUP, self._on_hangup)
+        self._start_background()
+        listener = eventlet.listen(
+            self.settings.addresses.callers, backlog=BACKLOG
+        )
+        eventlet.spawn(
+            callers.serve, listener, self._door, self._reception.answer
+        )
+        self._log.write(
+            events.Started(
+                _text(self.settings.addresses.callers),
+                self.settings.process.data_centre,
+            )
+        )
+        self._signals.wait()
+        self._drain(listener)
+        self._log.write(events.Stopped(self._door.requests))
+
+    def status(self) -> operators_app.ProcessStatus:
+        """Return the status for operators."""
+        return operators_app.ProcessStatus(
+            process_id=self.settings.process.id,
+            role='gateway',
+            is_ready=self._takes_connections(),
+            is_draining=not self.is_ready,
+            setup_version=self._config.version,
+            setup_age_s=0.0,
+            details={
+                'upstreams': len(self._membership.upstream_by_id),
+                'requests': self._door.requests,
+                'holder': self._duty.holder,
+            },
+        )
+
+    def _takes_connections(self) -> bool:
+        return self.is_ready and self._config.current is not None
+
+    def _start_background(self) -> None:
+        addresses = self.settings.addresses
+        store = self.settings.store
+        eventlet.spawn(
+            wsgi.server,
+            eventlet.listen(addresses.readiness),
+            readiness.ReadinessApp(self._takes_connections),
+            log_output=False,
+        )
+        eventlet.spawn(
+            wsgi.server,
+            eventlet.listen(addresses.operators),
+            operators_app.OperatorsApp(self._metrics, self.status),
+            log_output=False,
+        )
+        eventlet.spawn(
+            wire_listener.serve,
+            eventlet.listen(addresses.peers),
+            None,
+            tls.ENTRY_NAME,
+            peer_server.PeerServer(
+                self.settings.process.id,
+                self._planner,
+                _Versions(self._config),
+                self._holders,
+            ).handle,
+        )
+        eventlet.spawn(
+            feeds.TableFeed(
+                self._rows,
+                operator_config.TABLE,
+                self._config,
+                self._log,
+                wait_s=store.config_wait_s,
+                pause_s=0.0,
+            ).run
+        )
+        eventlet.spawn(
+            feeds.TableFeed(
+                self._rows,
+                upstream_entries.TABLE,
+                self._membership,
+                self._log,
+                wait_s=store.config_wait_s,
+                pause_s=store.upstream_pause_s,
+            ).run
+        )
+        eventlet.spawn(self._duty.run)
+        eventlet.spawn(self._keeper.run)
+        eventlet.spawn(self._sweep)
+
+    def _drain(self, listener: typing.Any) -> None:
+        """Stop without cutting off a request before the platform does."""
+        started = clock.now()
+        self.is_ready = False
+        self._door.is_closing = True
+        self._log.write(
+            events.Draining(
+                self._door.requests, len(self._door.open_connections)
+            )
+        )
+        self._duty.release()
+        clock.sleep(NOTICE_S)
+        listener.close()
+        end = started + self.settings.bounds.grace_s - ABORT_S
+        while self._door.open_connections and clock.now() < end:
+            self._door.close_idle()
+            clock.sleep(drain.POLL_S)
+
+    def _planner(self, name: str) -> typing.Any:
+        target = self._pools.named(name)
+        return None if target is None else target.planner
+
+    def _holders(self, name: str, ref: types.AdapterRef) -> list[str]:
+        target = self._pools.named(name)
+        return [] if target is None else target.holders(ref)
+
+    def _link(self, upstream: believed.Upstream) -> engine_link.EngineLink:
+        link = self._link_by_upstream.get(upstream)
+        if link is None:
+            link = engine_link.EngineLink(
+                upstream,
+                self._api,
+                self._duty.authority,
+                self._on_change,
+                self._log,
+            )
+            self._link_by_upstream[upstream] = link
+        return link
+
+    def _on_config(self, config: contracts.RouteConfig) -> None:
+        self._door.limits = config.limits
+        self._pools.configure(config)
+        self._refresh()
+
+    def _on_version(self, ref: types.AdapterRef) -> None:
+        previous = self._config.previous(ref, self.settings.bounds.version_s)
+        if previous is not None:
+            self._pools.rename(previous, ref)
+
+    def _on_change(self, upstream: believed.Upstream) -> None:
+        known = self._membership.upstream_by_id.get(upstream.upstream_id)
+        if known is upstream:
+            self._pools.update(upstream)
+
+    def _on_removed(self, upstream: believed.Upstream) -> None:
+        self._link_by_upstream.pop(upstream, None)
+        self._pools.remove(upstream)
+
+    def _on_held(self, ref: types.AdapterRef, upstream_id: str) -> None:
+        upstream = self._membership.upstream_by_id.get(upstream_id)
+        if upstream is None or ref in upstream.held(clock.now()):
+            return
+        upstream.learn(ref, clock.now(), is_held=True)
+        self._on_change(upstream)
+
+    def _refresh(self) -> None:
+        for upstream in list(self._membership.upstream_by_id.values()):
+            self._on_change(upstream)
+
+    def _sweep(self) -> None:
+        """Close idle connections to upstreams before the upstreams do."""
+        while True:
+            clock.sleep(IDLE_SWEEP_S)
+            for upstream in list(self._membership.upstream_by_id.values()):
+                upstream.connections.drop_expired()
+
+    def _on_hangup(self, number: int, frame: typing.Any) -> None:
+        # The handler runs inside an arbitrary task.
+        eventlet.spawn_after(
+            0,
+            self._log.write,
+            events.Reloaded(self.settings.process.log_level),
+        )
+
+
+def _text(address: tuple[str, int]) -> str:
+    return f'{address[0]}:{address[1]}'
--- /dev/null
+++ b/ivystep/gateway/engine_link.py
@@ -0,0 +1,222 @@
+"""Gives load orders to one engine and waits until they are carried out.
+
+Each order names the number of orders that the engine must have accepted
+before. An order without an answer therefore cannot be carried out after a
+later one; until then its adapter counts as possibly held.
+"""
+
+import dataclasses
+from collections.abc import Callable
+
+from eventlet import semaphore
+
+from ivystep.core import errors, types, units
+from ivystep.gateway import believed, events, orders, upstreams
+from ivystep.runtime import clock, event_log
+
+# An order without an answer may be carried out up to this much later.
+UNCERTAIN_S = 12.0
+# Adapters on their way to one engine at once; the platform's limit.
+MAX_COMING = 4
+POLL_S = 0.05
+LOAD_TIMEOUT_S = 6.0
+UNLOAD_TIMEOUT_S = 2.0
+# Reports are some hundred milliseconds old, so an order number that they
+# name is trusted once it has not changed for that long.
+REPORT_AGE_S = 0.3
+SEQUENCE_TRIES = 3
+
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Authority:
+    """Leave to give orders.
+
+    Attributes:
+        holder: Host that gives them.
+        token: Fencing token of its lease.
+    """
+
+    holder: str
+    token: int
+
+
+class EngineLink:
+    """``UpstreamLink`` of a pool to an engine of the platform.
+
+    Args:
+        upstream: The engine.
+        api: Calls to engines.
+        authority: Returns the leave to give orders, or None.
+        on_change: Called when the belief about the engine has changed.
+        log: Where orders are written.
+    """
+
+    def __init__(
+        self,
+        upstream: believed.Upstream,
+        api: orders.EngineApi,
+        authority: Callable[[], Authority | None],
+        on_change: Callable[[believed.Upstream], None],
+        log: event_log.EventLog,
+    ) -> None:
+        self._upstream = upstream
+        self._api = api
+        self._authority = authority
+        self._on_change = on_change
+        self._log = log
+        self._lock = semaphore.Semaphore(1)
+        self._expected: int | None = None
+        self._expected_token = 0
+
+    def load(
+        self, order: types.LoadOrder, setup_version: int
+    ) -> types.LoadResult:
+        """Load an adapter; see ``links.UpstreamLink.load``."""
+        upstream = self._upstream
+        upstream.coming[order.ref] = clock.now() + UNCERTAIN_S
+        self._on_change(upstream)
+        result = types.LoadResult(False, 'link_failed', 'The load was ended.')
+        try:
+            result = self._load(order)
+        except errors.LinkError as error:
+            result = types.LoadResult(False, 'link_failed', str(error))
+        finally:
+            self._settle(order.ref, result)
+        return result
+
+    def load_model(self, model: str) -> orders.Outcome:
+        """Order a base model.
+
+        Raises:
+            errors.LinkError: The engine may carry the order out later.
+        """
+        with self._lock:
+            return self._give(model, '', None, is_load=True)
+
+    def _load(self, order: types.LoadOrder) -> types.LoadResult:
+        ref = order.ref
+        with self._lock:
+            for victim in order.evict:
+                refusal = self._unload(victim)
+                if refusal is not None:
+                    return refusal
+            outcome = self._give(
+                ref.account, ref.name, ref.version, is_load=True
+            )
+        if outcome is orders.Outcome.ALREADY_HELD:
+            return types.LoadResult(True, 'loaded', '')
+        if outcome is not orders.Outcome.ACCEPTED:
+            return _refusal(outcome)
+        return self._wait_loaded(ref)
+
+    def _settle(self, ref: types.AdapterRef, result: types.LoadResult) -> None:
+        """Take over what became of a load."""
+        now = clock.now()
+        if result.ok:
+            self._upstream.learn(ref, now, is_held=True)
+            for held in self._upstream.held(now):
+                if held.account == ref.account and held.name == ref.name:
+                    is_newest = held.version == ref.version
+                    self._upstream.learn(held, now, is_held=is_newest)
+        elif result.code != 'link_failed':
+            self._upstream.coming.pop(ref, None)
+        self._on_change(self._upstream)
+
+    def _unload(self, ref: types.AdapterRef) -> types.LoadResult | None:
+        """Unload an adapter; return why it failed, or None."""
+        # From now on no new request goes there.
+        self._upstream.learn(ref, clock.now(), is_held=False)
+        self._on_change(self._upstream)
+        outcome = self._give(ref.account, ref.name, None, is_load=False)
+        if outcome is orders.Outcome.ALREADY_HELD:
+            return None
+        if outcome is not orders.Outcome.ACCEPTED:
+            return _refusal(outcome)
+        deadline = clock.now() + UNLOAD_TIMEOUT_S
+        while clock.now() < deadline:
+            clock.sleep(POLL_S)
+            held = self._report().held_model_by_name.get(ref.account)
+            if held is None or ref.name not in held.adapter_versions:
+                return None
+        return types.LoadResult(
+            False, 'adapter_in_use', f'{ref.lora_name} is still in use.'
+        )
+
+    def _wait_loaded(self, ref: types.AdapterRef) -> types.LoadResult:
+        deadline = clock.now() + LOAD_TIMEOUT_S
+        while clock.now() < deadline:
+            clock.sleep(POLL_S)
+            held = self._report().held_model_by_name.get(ref.account)
+            if held and held.adapter_versions.get(ref.name, 0) >= ref.version:
+                return types.LoadResult(True, 'loaded', '')
+        return types.LoadResult(
+            False, 'load_failed', f'{ref.lora_name} did not come in time.'
+        )
+
+    def _give(
+        self, model: str, adapter: str, version: int | None, *, is_load: bool
+    ) -> orders.Outcome:
+        """Give one order, with the right number of earlier orders."""
+        for _ in range(SEQUENCE_TRIES):
+            authority = self._authority()
+            if authority is None:
+                return orders.Outcome.FENCED
+            order = orders.Order(
+                is_load=is_load,
+                model=model,
+                adapter=adapter,
+                version=version,
+                expected_orders=self._expected_orders(authority),
+                holder=authority.holder,
+                token=authority.token,
+            )
+            outcome = self._send(order)
+            if outcome is not orders.Outcome.OUT_OF_SEQUENCE:
+                return outcome
+            self._expected = None
+            clock.sleep(REPORT_AGE_S)
+        return orders.Outcome.OUT_OF_SEQUENCE
+
+    def _send(self, order: orders.Order) -> orders.Outcome:
+        entry = self._upstream.entry
+        sent_at = clock.now()
+        outcome = None
+        try:
+            outcome = self._api.order(entry.address, entry.upstream_id, order)
+        except errors.LinkError:
+            # It may be carried out later, so its number may be taken.
+            self._expected = None
+            raise
+        finally:
+            self._log.write(
+                events.OrderGiven(
+                    entry.upstream_id,
+                    'load' if order.is_load else 'unload',
+                    order.target,
+                    order.expected_orders,
+                    order.token,
+                    outcome.value if outcome else 'no answer',
+                    int((clock.now() - sent_at) * units.MS_PER_S),
+                )
+            )
+        if outcome is orders.Outcome.ACCEPTED or (
+            outcome is orders.Outcome.ALREADY_HELD and not order.is_load
+        ):
+            self._expected = order.expected_orders + 1
+        return outcome
+
+    def _expected_orders(self, authority: Authority) -> int:
+        """Return the orders that the engine has accepted so far."""
+        if self._expected is None or self._expected_token != authority.token:
+            self._expected = self._report().order_count
+            self._expected_token = authority.token
+        return self._expected
+
+    def _report(self) -> upstreams.EngineReport:
+        return self._api.report(self._upstream.entry.address)
+
+
+def _refusal(outcome: orders.Outcome) -> types.LoadResult:
+    code = 'not_owner' if outcome is orders.Outcome.FENCED else 'busy'
+    return types.LoadResult(False, code, f'The engine says {outcome.value}.')
--- /dev/null
+++ b/ivystep/gateway/feeds.py
@@ -0,0 +1,143 @@
+"""Follows one table of the platform's store.
+
+A table is read once and then followed by its feed. When the store has dropped
+the history, or answers with an older state than was seen before, the table is
+read again; an older state is never taken over.
+"""
+
+import random
+import typing
+from collections.abc import Sequence
+
+from ivystep.core import errors
+from ivystep.gateway import events
+from ivystep.platform import rows
+from ivystep.runtime import clock, event_log
+
+FIRST_RETRY_S = 0.1
+MAX_RETRY_S = 0.8
+JITTER_SHARE = 0.3
+
+
+class TableSink(typing.Protocol):
+    """What takes the rows of a table."""
+
+    def replace(self, found: Sequence[rows.StoredRow]) -> None:
+        """Take over all rows of the table."""
+
+    def apply(self, row: rows.StoredRow) -> None:
+        """Take over one changed or deleted row."""
+
+    def on_store_lost(self) -> None:
+        """Take over that the store does not answer."""
+
+    def on_store_regained(self) -> None:
+        """Take over that the store answers again."""
+
+
+class TableFeed:
+    """Keeps a sink up to date with a table.
+
+    Args:
+        client: The store.
+        table: Name of the table.
+        sink: Takes the rows.
+        wait_s: Longest wait of the store for a change, in seconds.
+        pause_s: Time between two calls, in seconds.
+        log: Where lost and regained connections are written.
+
+    Attributes:
+        version: Version of the store up to which the sink is complete.
+        confirmed_at: When the store last confirmed that; None before.
+    """
+
+    def __init__(
+        self,
+        client: rows.RowsClient,
+        table: str,
+        sink: TableSink,
+        log: event_log.EventLog,
+        *,
+        wait_s: float,
+        pause_s: float,
+    ) -> None:
+        self.version = 0
+        self.confirmed_at: float | None = None
+        self._client = client
+        self._table = table
+        self._sink = sink
+        self._log = log
+        self._wait_s = wait_s
+        self._pause_s = pause_s
+        self._has_rows = False
+        self._lost_at: float | None = None
+
+    def run(self) -> None:
+        """Follow the table until killed."""
+        retry_s = FIRST_RETRY_S
+        while True:
+            try:
+                self.step()
+            except errors.PlatformError as error:
+                self._on_lost(error)
+                clock.sleep(retry_s * random.uniform(1, 1 + JITTER_SHARE))
+                retry_s = min(2 * retry_s, MAX_RETRY_S)
+            else:
+                retry_s = FIRST_RETRY_S
+                clock.sleep(self._pause_s)
+
+    def step(self) -> None:
+        """Read the table, or wait once for changes.
+
+        Raises:
+            errors.UnavailableError: The store gave no usable answer.
+        """
+        if not self._has_rows:
+            self._read()
+            return
+        try:
+            changes = self._client.changes(
+                self._table, self.version, self._wait_s
+            )
+        except rows.HistoryGoneError:
+            self._has_rows = False
+            self._on_answer()
+            self._read()
+            return
+        self._on_answer()
+        for row in changes.rows:
+            self._sink.apply(row)
+        self.version = max(self.version, changes.version)
+
+    def _read(self) -> None:
+        found = self._client.read_all(self._table)
+        if found.version < self.version:
+            raise errors.UnavailableError(
+                f'version {found.version} is older than {self.version}',
+                step=f'read {self._table}',
+                peer='store',
+            )
+        self._on_answer()
+        self._sink.replace(found.rows)
+        self.version = found.version
+        self._has_rows = True
+
+    def _on_answer(self) -> None:
+        self.confirmed_at = clock.now()
+        if self._lost_at is None:
+            return
+        lost_s = clock.now() - self._lost_at
+        self._lost_at = None
+        self._log.write(
+            events.DependencyRegained(f'store/{self._table}', int(lost_s * 1000))
+        )
+        self._sink.on_store_regained()
+
+    def _on_lost(self, error: errors.PlatformError) -> None:
+        if self._lost_at is not None:
+            return
+        self._lost_at = clock.now()
+        self._log.write(
+            events.DependencyLost(f'store/{self._table}', str(error))
+        )
+        self._sink.on_store_lost()
--- /dev/null
+++ b/ivystep/gateway/http1.py
@@ -0,0 +1,310 @@
+"""Reading of HTTP/1.1 messages from sockets, on ``httptools``.
+
+``RequestReader`` reads a caller's requests with bounds on size.
+``AnswerReader`` reads the answers of an upstream piece by piece and tells a
+complete answer from one that was cut off.
+"""
+
+import collections
+import dataclasses
+import enum
+import typing
+
+import httptools
+
+from ivystep.core import errors, units
+from ivystep.gateway import calls
+
+READ_BYTES = 64 * units.KIB
+# Line ends and the separators that are not part of a header's name and value.
+HEADER_OVERHEAD_BYTES = 4
+
+
+class BadRequestError(errors.IvystepError):
+    """A caller's bytes are refused; the connection cannot be used further.
+
+    Attributes:
+        status: HTTP status of the answer.
+    """
+
+    def __init__(self, status: int, reason: str) -> None:
+        super().__init__(reason, step='read request')
+        self.status = status
+
+
+@dataclasses.dataclass(slots=True)
+class RawRequest:
+    """A request as read, before its headers are decoded."""
+
+    method: str = ''
+    target: str = ''
+    version: str = '1.1'
+    is_kept_alive: bool = True
+    headers: list[calls.Header] = dataclasses.field(default_factory=list)
+    body: bytearray = dataclasses.field(default_factory=bytearray)
+
+
+class RequestReader:
+    """Parses the bytes of one caller's connection.
+
+    Attributes:
+        is_between: Whether no byte of a further request has arrived.
+    """
+
+    def __init__(self, max_header_bytes: int, max_body_bytes: int) -> None:
+        self.is_between = True
+        self._max_header_bytes = max_header_bytes
+        self._max_body_bytes = max_body_bytes
+        self._parser = httptools.HttpRequestParser(self)
+        self._current = RawRequest()
+        self._target = bytearray()
+        self._head_bytes = 0
+        self._is_head_complete = False
+        self._ready: collections.deque[RawRequest] = collections.deque()
+        self._problem: BadRequestError | None = None
+
+    @property
+    def is_in_head(self) -> bool:
+        """Whether the head of a request has begun and is not complete."""
+        return not self.is_between and not self._is_head_complete
+
+    def feed(self, received: bytes) -> None:
+        """Take bytes; problems are raised by ``next_request``."""
+        if self._problem is not None:
+            return
+        if self.is_between and received.strip(b'\r\n'):
+            self.is_between = False
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserUpgrade:
+            self._fail(400, 'The protocol cannot be changed.')
+        except httptools.HttpParserError:
+            self._fail(400, 'The request is malformed.')
+        # Bytes of a head that is not parsed yet must stay bounded as well.
+        if self.is_in_head and len(received) > self._max_header_bytes:
+            self._fail(431, 'The headers are too long.')
+
+    def next_request(self) -> RawRequest | None:
+        """Return the next complete request, or None if more is needed.
+
+        Raises:
+            BadRequestError: The bytes after the last request are refused.
+        """
+        if self._ready:
+            return self._ready.popleft()
+        if self._problem is not None:
+            raise self._problem
+        return None
+
+    @property
+    def expects_continue(self) -> bool:
+        """Whether the caller waits for leave to send its body."""
+        return self._is_head_complete and any(
+            name.lower() == b'expect' for name, _ in self._current.headers
+        )
+
+    def on_message_begin(self) -> None:
+        """Start a request; called by the parser."""
+        self._current = RawRequest()
+        self._target = bytearray()
+        self._head_bytes = 0
+        self._is_head_complete = False
+        self.is_between = False
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the target; called by the parser."""
+        self._target += url
+        self._count_head(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header; called by the parser."""
+        self._current.headers.append((name, value))
+        self._count_head(len(name) + len(value) + HEADER_OVERHEAD_BYTES)
+
+    def on_headers_complete(self) -> None:
+        """End the head; called by the parser."""
+        self._is_head_complete = True
+        current = self._current
+        current.method = self._parser.get_method().decode('latin-1')
+        current.target = self._target.decode('latin-1')
+        current.version = self._parser.get_http_version()
+
+    def on_body(self, piece: bytes) -> None:
+        """Take a piece of the body; called by the parser."""
+        if len(self._current.body) + len(piece) > self._max_body_bytes:
+            self._fail(413, 'The body is too long.')
+            return
+        self._current.body += piece
+
+    def on_message_complete(self) -> None:
+        """End a request; called by the parser."""
+        if self._problem is None:
+            self._current.is_kept_alive = self._parser.should_keep_alive()
+            self._ready.append(self._current)
+        self.is_between = True
+        self._is_head_complete = False
+
+    def _count_head(self, added: int) -> None:
+        self._head_bytes += added
+        if self._head_bytes > self._max_header_bytes:
+            self._fail(431, 'The headers are too long.')
+
+    def _fail(self, status: int, reason: str) -> None:
+        if self._problem is None:
+            self._problem = BadRequestError(status, reason)
+
+
+class Framing(enum.Enum):
+    """How the end of an answer's body is found."""
+
+    NONE = 'none'
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    UNTIL_CLOSE = 'until_close'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RawHead:
+    """Head of an answer as read."""
+
+    status: int
+    reason: str
+    headers: tuple[calls.Header, ...]
+    framing: Framing
+    length: int | None
+    is_kept_alive: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Piece:
+    """Bytes of an answer's body."""
+
+    content: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class End:
+    """An answer is complete."""
+
+
+AnswerEvent = RawHead | Piece | End
+
+
+class AnswerReader:
+    """Parses the answers on one connection to an upstream.
+
+    Attributes:
+        is_clean: Whether the connection is between two answers and nothing
+            unexpected has arrived.
+    """
+
+    def __init__(self) -> None:
+        self.is_clean = True
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: list[calls.Header] = []
+        self._reason = b''
+        self._framing = Framing.NONE
+        self._is_ended = True
+        self._events: collections.deque[AnswerEvent] = collections.deque()
+
+    def feed(self, received: bytes) -> None:
+        """Take bytes that have arrived.
+
+        Raises:
+            errors.LinkError: They are no answer.
+        """
+        try:
+            self._parser.feed_data(received)
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            self.is_clean = False
+            if not self._is_ended or not self._events:
+                raise errors.LinkError(
+                    f'malformed answer: {error}', step='read answer'
+                ) from error
+
+    def end_of_input(self) -> None:
+        """Take that the upstream has closed the connection in order.
+
+        Raises:
+            errors.LinkError: An answer is incomplete.
+        """
+        self.is_clean = False
+        if not self._is_ended and self._framing is Framing.UNTIL_CLOSE:
+            self._is_ended = True
+            self._events.append(End())
+        elif not self._events:
+            raise errors.LinkError('connection closed', step='read answer')
+
+    def next_event(self) -> AnswerEvent | None:
+        """Return the next event, or None if more bytes are needed."""
+        return self._events.popleft() if self._events else None
+
+    def on_message_begin(self) -> None:
+        """Start an answer; called by the parser."""
+        self._headers = []
+        self._reason = b''
+        self._is_ended = False
+        self.is_clean = False
+
+    def on_status(self, reason: bytes) -> None:
+        """Take the reason phrase; called by the parser."""
+        self._reason += reason
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header; called by the parser."""
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """End the head; called by the parser."""
+        status = self._parser.get_status_code()
+        length = _content_length(self._headers)
+        self._framing = self._find_framing(status, length)
+        if status >= 200:
+            self._events.append(
+                RawHead(
+                    status=status,
+                    reason=self._reason.decode('latin-1'),
+                    headers=tuple(self._headers),
+                    framing=self._framing,
+                    length=length,
+                    is_kept_alive=self._parser.should_keep_alive(),
+                )
+            )
+
+    def on_body(self, piece: bytes) -> None:
+        """Take a piece of the body; called by the parser."""
+        self._events.append(Piece(piece))
+
+    def on_message_complete(self) -> None:
+        """End an answer; called by the parser."""
+        self._is_ended = True
+        self.is_clean = True
+        if self._parser.get_status_code() >= 200:
+            self._events.append(End())
+
+    def _find_framing(self, status: int, length: int | None) -> Framing:
+        if status < 200 or status in {204, 304}:
+            return Framing.NONE
+        for name, value in self._headers:
+            if name.lower() == b'transfer-encoding':
+                is_chunked = value.lower().endswith(b'chunked')
+                return Framing.CHUNKED if is_chunked else Framing.UNTIL_CLOSE
+        return Framing.UNTIL_CLOSE if length is None else Framing.LENGTH
+
+
+def _content_length(headers: list[calls.Header]) -> int | None:
+    for name, value in headers:
+        if name.lower() == b'content-length' and value.strip().isdigit():
+            return int(value)
+    return None
+
+
+def chunk(content: bytes) -> bytes:
+    """Return bytes as one chunk of a chunked body."""
+    return b'%x\r\n%b\r\n' % (len(content), content)
+
+
+LAST_CHUNK: typing.Final = b'0\r\n\r\n'
--- /dev/null
+++ b/ivystep/gateway/model_pools.py
@@ -0,0 +1,128 @@
+"""The pools of this host: one for each base model, and each plain service.
+
+A pool places requests on upstreams. It is the same ``Pool`` that an entry
+uses with sidecars; here the upstreams' states come from the platform's store
+and from what this host has learnt since.
+"""
+
+import math
+from collections.abc import Callable
+
+from ivystep.core import types
+from ivystep.entry import pool
+from ivystep.gateway import believed, contracts
+from ivystep.metrics import registry
+from ivystep.policy import routing
+from ivystep.runtime import clock
+
+PoolKey = tuple[str, str]
+# Adapters are fetched beside one another; the platform slows down beyond
+# this many over all engines.
+PARALLEL_LOADS = 8
+# Time that one adapter takes from the store to an engine, until measured.
+ADAPTER_LOAD_S = 0.25
+BATCHING_WEIGHT = 0.2
+# An upstream's entry does not change while all is well, so its silence says
+# nothing. A batch may be this much fuller before another data centre helps.
+RULES = routing.RoutingRules(silence_s=math.inf, remote_cost=0.05)
+
+
+class ModelPools:
+    """Pools by service and model.
+
+    Args:
+        host: Name of this host.
+        data_centre: Its data centre.
+        choose_sink: Returns the planner of a pool, given the local one.
+        link_to: Returns the link through which an engine gets orders.
+        metrics: Where load stalls and waiting requests are recorded.
+    """
+
+    def __init__(
+        self,
+        host: str,
+        data_centre: str,
+        choose_sink: pool.ChooseSink,
+        link_to: Callable[[believed.Upstream], object],
+        metrics: registry.Metrics,
+    ) -> None:
+        self.pool_by_key: dict[PoolKey, pool.Pool] = {}
+        self._host = host
+        self._data_centre = data_centre
+        self._choose_sink = choose_sink
+        self._link_to = link_to
+        self._metrics = metrics
+        self._config: contracts.RouteConfig | None = None
+
+    def configure(self, config: contracts.RouteConfig) -> None:
+        """Take over a configuration; pools of dropped services stay idle."""
+        self._config = config
+        for service in config.service_by_name.values():
+            for model in _models(service):
+                key = (service.name, model)
+                if key not in self.pool_by_key:
+                    self.pool_by_key[key] = self._build(service, model)
+
+    def find(self, service: str, model: str) -> pool.Pool | None:
+        """Return the pool for a request, or None if there is none.
+
+        Args:
+            service: Service of the route.
+            model: Base model; empty for a plain service.
+        """
+        return self.pool_by_key.get((service, model))
+
+    def named(self, name: str) -> pool.Pool | None:
+        """Return the pool with a name, as other hosts call it."""
+        service, _, model = name.partition('/')
+        return self.pool_by_key.get((service, model))
+
+    def update(self, upstream: believed.Upstream) -> None:
+        """Take over that an upstream has changed."""
+        service = self._service(upstream)
+        if service is None:
+            return
+        now = clock.now()
+        for model in _models(service):
+            target = self.pool_by_key[service.name, model]
+            target.locate(upstream.upstream_id, upstream.entry.data_centre)
+            target.on_status(
+                upstream.status(service, model, now), self._link_to(upstream)
+            )
+
+    def remove(self, upstream: believed.Upstream) -> None:
+        """Give no new work to an upstream."""
+        for (service, _), target in self.pool_by_key.items():
+            if service == upstream.entry.service:
+                target.on_lost(upstream.upstream_id)
+
+    def rename(self, old: types.AdapterRef, new: types.AdapterRef) -> None:
+        """Take over that one version of an adapter follows another."""
+        for (_, model), target in self.pool_by_key.items():
+            if model == old.account:
+                target.planner.popularity.rename(old, new)
+
+    def _service(self, upstream: believed.Upstream) -> contracts.Service | None:
+        if self._config is None:
+            return None
+        return self._config.service_by_name.get(upstream.entry.service)
+
+    def _build(self, service: contracts.Service, model: str) -> pool.Pool:
+        built = pool.Pool(
+            f'{service.name}/{model}',
+            self._host,
+            self._choose_sink,
+            self._data_centre,
+            self._metrics,
+            index=routing.UpstreamIndex(self._data_centre, RULES),
+        )
+        built.planner.configure(
+            PARALLEL_LOADS / ADAPTER_LOAD_S, BATCHING_WEIGHT, PARALLEL_LOADS
+        )
+        return built
+
+
+def _models(service: contracts.Service) -> tuple[str, ...]:
+    if service.engine is None:
+        return ('',)
+    return tuple(service.engine.model_by_name)
--- /dev/null
+++ b/ivystep/gateway/relay.py
@@ -0,0 +1,289 @@
+"""Relays one answer from an upstream to a caller.
+
+Short answers are read whole before they are passed on, so that one that
+breaks off can be asked for again. Streams are passed on as they arrive. A
+stream that may be resumed is passed on by whole events, and its head is sent
+once, whichever upstream goes on with it.
+"""
+
+import typing
+
+from ivystep.core import errors, types, units
+from ivystep.gateway import believed, calls, connections, contracts, http1
+from ivystep.platform import messages
+
+# Answers up to this size are read whole before they are passed on.
+WHOLE_BYTES = 64 * units.KIB
+NO_LENGTH = -1
+
+
+class CallerAnswer(typing.Protocol):
+    """What an exchange needs of the caller's connection.
+
+    Attributes:
+        has_started: Whether the head has been sent.
+        is_complete: Whether the whole answer has been sent.
+        first_at: When the head was sent; None before.
+        status: Status that was sent; 0 before.
+        last_event_id: Id of the last event that was sent, or that the caller
+            had before; empty if there is none.
+        can_resume: Whether only whole events have been sent so far.
+    """
+
+    has_started: bool
+    is_complete: bool
+    first_at: float | None
+    status: int
+    last_event_id: str
+    can_resume: bool
+
+    def send_whole(self, head: calls.AnswerHead, body: bytes) -> None:
+        """Send a complete answer."""
+
+    def start(self, head: calls.AnswerHead, length: int) -> None:
+        """Send the head; the length is ``NO_LENGTH`` if it is not known."""
+
+    def write(self, content: bytes) -> None:
+        """Send a part of the body."""
+
+    def finish(self) -> None:
+        """End the answer in order."""
+
+
+class Exchange:
+    """One attempt at one upstream.
+
+    Args:
+        call: The request.
+        route: Its route.
+        upstream: The upstream.
+        answer: Where the answer goes.
+    """
+
+    def __init__(
+        self,
+        call: calls.Call,
+        route: contracts.Route,
+        upstream: believed.Upstream,
+        answer: CallerAnswer,
+    ) -> None:
+        self._call = call
+        self._route = route
+        self._upstream = upstream
+        self._answer = answer
+        self._peer = upstream.upstream_id
+
+    def run(self, encoded: bytes) -> None:
+        """Send the request and relay its answer.
+
+        Args:
+            encoded: The request as bytes.
+
+        Raises:
+            errors.RequestError: There is no complete answer; ``ran`` says
+                whether the request may have run.
+        """
+        try:
+            connection = self._upstream.connections.acquire()
+        except errors.LinkError as error:
+            raise connections.lost(error, has_sent=False) from error
+        is_done = False
+        try:
+            connection.send(encoded)
+            keep_alive_s = self._relay(connection)
+            is_done = True
+        except errors.LinkError as error:
+            raise connections.lost(error, has_sent=True) from error
+        finally:
+            if is_done and keep_alive_s is not None and connection.is_clean:
+                self._upstream.connections.release(connection, keep_alive_s)
+            else:
+                connection.close()
+
+    def _relay(
+        self, connection: connections.UpstreamConnection
+    ) -> float | None:
+        """Relay the answer; return how long the connection may be idle."""
+        raw = self._own_head(connection)
+        head = messages.decode_answer(raw)
+        if head.is_not_run:
+            self._read_rest(connection)
+            raise self._refused(head)
+        is_stream = self._route.kind is contracts.Repeatability.STREAM
+        if self._answer.has_started:
+            self._check_resumed(head)
+        if is_stream and head.status == 200 and self._route.is_resumable:
+            self._relay_events(connection, head)
+        elif raw.length is not None and raw.length <= WHOLE_BYTES:
+            self._answer.send_whole(head, self._read_rest(connection))
+        elif raw.framing is http1.Framing.NONE:
+            self._read_rest(connection)
+            self._answer.send_whole(head, b'')
+        elif not is_stream:
+            self._relay_collected(connection, head, raw)
+        else:
+            length = NO_LENGTH if raw.length is None else raw.length
+            self._relay_pieces(connection, head, length)
+        if not raw.is_kept_alive:
+            return None
+        if head.keep_alive_s is None:
+            return connections.DEFAULT_IDLE_S
+        return head.keep_alive_s
+
+    def _own_head(
+        self, connection: connections.UpstreamConnection
+    ) -> http1.RawHead:
+        """Read until the head of this request's own answer.
+
+        An answer to an earlier request may arrive late, or twice; the request
+        id tells it apart and it is dropped.
+        """
+        while True:
+            event = connection.next_event()
+            if not isinstance(event, http1.RawHead):
+                continue
+            answered = messages.decode_answer(event).request_id
+            if answered in {'', self._call.request_id}:
+                return event
+
+    def _read_rest(self, connection: connections.UpstreamConnection) -> bytes:
+        body = bytearray()
+        while True:
+            event = connection.next_event()
+            if isinstance(event, http1.End):
+                return bytes(body)
+            if isinstance(event, http1.Piece):
+                body += event.content
+                if len(body) > WHOLE_BYTES:
+                    raise errors.LinkError(
+                        'answer is too long', step='read answer', peer=self._peer
+                    )
+
+    def _relay_collected(
+        self,
+        connection: connections.UpstreamConnection,
+        head: calls.AnswerHead,
+        raw: http1.RawHead,
+    ) -> None:
+        """Send a short answer of unknown length whole, a long one in pieces."""
+        body = bytearray()
+        while len(body) <= WHOLE_BYTES:
+            event = connection.next_event()
+            if isinstance(event, http1.End):
+                self._answer.send_whole(head, bytes(body))
+                return
+            if isinstance(event, http1.Piece):
+                body += event.content
+        length = NO_LENGTH if raw.length is None else raw.length
+        self._relay_pieces(connection, head, length, bytes(body))
+
+    def _relay_pieces(
+        self,
+        connection: connections.UpstreamConnection,
+        head: calls.AnswerHead,
+        length: int,
+        begun: bytes = b'',
+    ) -> None:
+        self._answer.start(head, length)
+        self._answer.can_resume = False
+        if begun:
+            self._answer.write(begun)
+        while True:
+            event = connection.next_event()
+            parts = []
+            while event is not None:
+                if isinstance(event, http1.End):
+                    if parts:
+                        self._answer.write(b''.join(parts))
+                    self._answer.finish()
+                    return
+                if isinstance(event, http1.Piece):
+                    parts.append(event.content)
+                event = connection.ready_event()
+            if parts:
+                self._answer.write(b''.join(parts))
+
+    def _relay_events(
+        self,
+        connection: connections.UpstreamConnection,
+        head: calls.AnswerHead,
+    ) -> None:
+        """Relay a stream by whole events."""
+        if not self._answer.has_started:
+            self._answer.start(head, NO_LENGTH)
+        events = EventBuffer()
+        while True:
+            event = connection.next_event()
+            is_ended = False
+            while event is not None:
+                if isinstance(event, http1.Piece):
+                    events.feed(event.content)
+                is_ended = is_ended or isinstance(event, http1.End)
+                event = connection.ready_event()
+            whole = events.take_whole()
+            if whole:
+                self._answer.last_event_id = (
+                    events.last_id or self._answer.last_event_id
+                )
+                self._answer.write(whole)
+            if is_ended:
+                if events.rest:
+                    self._answer.write(events.rest)
+                self._answer.finish()
+                return
+
+    def _check_resumed(self, head: calls.AnswerHead) -> None:
+        if head.status != 200:
+            raise errors.RequestError(
+                'upstream_failed',
+                f'Status {head.status} instead of the rest of a stream.',
+                status=502,
+                ran=types.Ran.UNKNOWN,
+                step='resume',
+                peer=self._peer,
+            )
+
+    def _refused(self, head: calls.AnswerHead) -> errors.RequestError:
+        """Return the error of a request that the upstream has not run."""
+        is_other = head.instance_id not in {'', self._peer}
+        code = 'upstream_full'
+        if head.status == 421:
+            code = 'other_upstream' if is_other else 'not_held'
+        return errors.RequestError(
+            code,
+            f'Status {head.status}: the request has not run.',
+            status=503,
+            ran=types.Ran.NO,
+            step='run',
+            peer=self._peer,
+        )
+
+
+class EventBuffer:
+    """Splits a stream into whole events.
+
+    Attributes:
+        last_id: Id of the last whole event that named one.
+        rest: Bytes after the last whole event.
+    """
+
+    def __init__(self) -> None:
+        self.last_id = ''
+        self.rest = b''
+
+    def feed(self, content: bytes) -> None:
+        """Take a piece of the stream."""
+        self.rest += content
+
+    def take_whole(self) -> bytes:
+        """Remove and return the whole events."""
+        end = self.rest.rfind(b'\n\n')
+        if end < 0:
+            return b''
+        whole, self.rest = self.rest[: end + 2], self.rest[end + 2 :]
+        for line in whole.split(b'\n'):
+            name, _, value = line.partition(b':')
+            if name == b'id':
+                self.last_id = value.strip().decode('latin-1')
+        return whole
+
--- /dev/null
+++ b/ivystep/platform/engine_api.py
@@ -0,0 +1,107 @@
+"""Calls to model engines: their state, and orders to load and unload."""
+
+import json
+import types
+
+import urllib3
+
+from ivystep.core import errors
+from ivystep.gateway import orders, upstreams
+from ivystep.platform import upstream_entries
+
+REPORT_PATH = '/ivystep/report'
+ORDER_PATH = '/ivystep/order'
+# An engine answers within milliseconds; a link between data centres and a
+# full accept queue add to that.
+TIMEOUT = urllib3.Timeout(connect=0.5, read=1.0)
+MAX_POOLS = 64
+OUTCOME_BY_STATUS = types.MappingProxyType(
+    {
+        200: orders.Outcome.ALREADY_HELD,
+        202: orders.Outcome.ACCEPTED,
+        400: orders.Outcome.MALFORMED,
+        409: orders.Outcome.OUT_OF_SEQUENCE,
+        412: orders.Outcome.FENCED,
+        421: orders.Outcome.OTHER_UPSTREAM,
+    }
+)
+
+
+class EngineClient:
+    """Calls to engines over kept connections."""
+
+    def __init__(self) -> None:
+        self._pool = urllib3.PoolManager(
+            num_pools=MAX_POOLS, maxsize=4, timeout=TIMEOUT, retries=False
+        )
+
+    def report(self, address: tuple[str, int]) -> upstreams.EngineReport:
+        """Ask an engine for its state.
+
+        Raises:
+            errors.LinkError: It gave no report.
+        """
+        try:
+            response = self._pool.request('GET', _url(address, REPORT_PATH))
+        except urllib3.exceptions.HTTPError as error:
+            raise errors.LinkError(
+                str(error), step='report', peer=_peer(address)
+            ) from error
+        if response.status != 200:
+            raise errors.LinkError(
+                f'status {response.status}', step='report', peer=_peer(address)
+            )
+        return upstream_entries.decode_report(response.data)
+
+    def order(
+        self, address: tuple[str, int], upstream_id: str, order: orders.Order
+    ) -> orders.Outcome:
+        """Give an order.
+
+        Args:
+            address: IP address and port of the engine.
+            upstream_id: Engine that must take it; another one refuses.
+            order: The order.
+
+        Raises:
+            errors.LinkError: The engine may carry the order out later.
+        """
+        document = {
+            'operation': 'load' if order.is_load else 'unload',
+            'model': order.model,
+            'expected': order.expected_orders,
+            'holder': order.holder,
+            'fencing_token': order.token,
+        }
+        if order.adapter:
+            document['adapter'] = order.adapter
+        if order.version is not None:
+            document['version'] = order.version
+        try:
+            response = self._pool.request(
+                'POST',
+                _url(address, ORDER_PATH),
+                body=json.dumps(document).encode(),
+                headers={
+                    'Content-Type': 'application/json',
+                    'Expect-Instance': upstream_id,
+                },
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise errors.LinkError(
+                str(error), step='order', peer=_peer(address)
+            ) from error
+        outcome = OUTCOME_BY_STATUS.get(response.status)
+        if outcome is None:
+            raise errors.LinkError(
+                f'status {response.status}', step='order', peer=_peer(address)
+            )
+        return outcome
+
+
+def _url(address: tuple[str, int], path: str) -> str:
+    return f'http://{_peer(address)}{path}'
+
+
+def _peer(address: tuple[str, int]) -> str:
+    return f'{address[0]}:{address[1]}'
--- a/ivystep/platform/http.py
+++ b/ivystep/platform/http.py
@@ -22,6 +22,7 @@
     def __init__(self, name: str, base_url: str, timeout_s: float) -> None:
         self.name = name
         self._base_url = base_url.rstrip('/')
+        self._timeout_s = timeout_s
         self._pool = urllib3.PoolManager(
             maxsize=8,
             timeout=urllib3.Timeout(total=timeout_s),
@@ -40,30 +41,55 @@
         Raises:
             errors.UnavailableError: The service gave no usable answer.
         """
+        status, body = self.read(path)
+        if status == 404:
+            return None
+        if status != 200:
+            raise errors.UnavailableError(
+                f'status {status}', step='get', peer=self.name
+            )
+        return body
+
+    def read(self, path: str, wait_s: float = 0.0) -> tuple[int, bytes]:
+        """Read a resource and leave the judgement of its status to the caller.
+
+        Args:
+            path: Path with query, starting with a slash.
+            wait_s: Time for which the service may hold the call, in seconds.
+
+        Returns:
+            HTTP status and body.
+
+        Raises:
+            errors.UnavailableError: The service gave no answer.
+        """
         try:
             response = self._pool.request(
-                'GET', self._base_url + path, preload_content=False
+                'GET',
+                self._base_url + path,
+                preload_content=False,
+                timeout=urllib3.Timeout(total=self._timeout_s + wait_s),
             )
-            body = _read(response)
+            return response.status, _read(response)
         except urllib3.exceptions.HTTPError as error:
             raise errors.UnavailableError(
                 str(error), step='get', peer=self.name
             ) from error
-        if response.status == 404:
-            return None
-        if response.status != 200:
-            raise errors.UnavailableError(
-                f'status {response.status}', step='get', peer=self.name
-            )
-        return body
 
-    def send(self, method: str, path: str, body: bytes) -> tuple[int, bytes]:
+    def send(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        content_type: str = 'application/json',
+    ) -> tuple[int, bytes]:
         """Send a body.
 
         Args:
             method: HTTP method.
             path: Path starting with a slash.
             body: Bytes to send.
+            content_type: Media type of the body.
 
         Returns:
             HTTP status and body of an answer with a status below 500.
@@ -78,7 +104,7 @@
                 method,
                 self._base_url + path,
                 body=body,
-                headers={'Content-Type': 'application/json'},
+                headers={'Content-Type': content_type},
                 preload_content=False,
             )
             content = _read(response)
--- /dev/null
+++ b/ivystep/platform/names.py
@@ -0,0 +1,67 @@
+"""Header names of the platform's protocol, in lower case."""
+
+REQUEST_ID = b'request-id'
+TIME_BUDGET = b'deadline-ms'
+MODEL = b'model'
+TOKEN_COUNT = b'token-count'
+PROMPT_PARTS = b'prompt-prefix'
+OUTPUT_ESTIMATE = b'length-hint'
+RESUME_AFTER = b'last-event-id'
+
+EXPECTED_UPSTREAM = b'expect-instance'
+EXPECTED_VERSION = b'expect-version'
+URGENCY = b'request-urgency'
+
+UPSTREAM_ID = b'instance-id'
+NOT_RUN = b'not-executed'
+SEAL = b'response-seal'
+
+# Set by ivystep alone; a caller's own are not forwarded.
+SYSTEM_ONLY = frozenset(
+    (
+        EXPECTED_UPSTREAM,
+        EXPECTED_VERSION,
+        URGENCY,
+        b'hold',
+        b'pin-ms',
+        b'kv-backup',
+        b'kv-fetch',
+        b'kv-from',
+        b'wait-ms',
+        UPSTREAM_ID,
+        NOT_RUN,
+        SEAL,
+    )
+)
+
+# Concern one connection only.
+CONNECTION_ONLY = frozenset(
+    (
+        b'connection',
+        b'content-length',
+        b'expect',
+        b'keep-alive',
+        b'proxy-authenticate',
+        b'proxy-authorization',
+        b'proxy-connection',
+        b'te',
+        b'trailer',
+        b'transfer-encoding',
+        b'upgrade',
+    )
+)
+
+# Belong to the request as a whole, so a caller cannot have them dropped by
+# naming them in its ``Connection`` header.
+END_TO_END = frozenset(
+    (
+        b'host',
+        REQUEST_ID,
+        TIME_BUDGET,
+        MODEL,
+        TOKEN_COUNT,
+        PROMPT_PARTS,
+        OUTPUT_ESTIMATE,
+        RESUME_AFTER,
+    )
+)
--- a/ivystep/platform/objects.py
+++ b/ivystep/platform/objects.py
@@ -7,6 +7,11 @@
 from ivystep.platform import http
 
 
+READ_PATH = '/ivystep/blob-get/'
+WRITE_PATH = '/ivystep/blob-put/'
+CONTENT_TYPE = 'application/octet-stream'
+
+
 class Objects(typing.Protocol):
     """What the rest of ivystep needs of the object store."""
 
@@ -34,7 +39,7 @@
 
     def get(self, digest: str) -> bytes:
         """Read an object; see ``Objects.get``."""
-        body = self._http.get(f'/objects/{digest}')
+        body = self._http.get(f'{READ_PATH}{digest}')
         if body is None or digest_of(body) != digest:
             raise errors.UnavailableError(
                 f'object {digest} is missing or damaged',
@@ -46,7 +51,9 @@
     def put(self, body: bytes) -> str:
         """Store an object; see ``Objects.put``."""
         digest = digest_of(body)
-        status, _ = self._http.send('PUT', f'/objects/{digest}', body)
+        status, _ = self._http.send(
+            'PUT', f'{WRITE_PATH}{digest}', body, CONTENT_TYPE
+        )
         if status not in {200, 201}:
             raise errors.UnavailableError(
                 f'status {status}', step='put', peer=self._http.name
--- /dev/null
+++ b/ivystep/platform/operator_config.py
@@ -0,0 +1,202 @@
+"""Decodes the operator's configuration and versions of adapters.
+
+Both are rows of the table ``op``, written by the operator only.
+"""
+
+import dataclasses
+import typing
+
+import pydantic
+
+from ivystep.core import errors, units
+from ivystep.gateway import contracts
+from ivystep.platform import rows
+
+TABLE = 'op'
+CONFIG_KEY = 'config'
+VERSION_PREFIX = 'version/'
+
+
+class _Part(pydantic.BaseModel):
+    """Base of the wire models; fields that are not known are ignored."""
+
+    model_config = pydantic.ConfigDict(extra='ignore', frozen=True)
+
+
+class _Split(_Part):
+    service: str
+    weight: float = pydantic.Field(ge=0)
+
+
+class _Route(_Part):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    target_latency_ms: float = 0.0
+    priority: int = 0
+    service: str = ''
+    split: tuple[_Split, ...] = ()
+    attempts: int = 1
+    resumable: bool = False
+    gap_target_ms: float | None = None
+
+
+class _Model(_Part):
+    name: str
+    weights_mb: float
+    load_s: float = 0.0
+    adapter_mb: float = 0.0
+
+
+class _Engine(_Part):
+    # The requests that an engine runs at once.
+    slots: int
+    kv_capacity: int = 0
+    weights_mb: float = 0.0
+    max_adapters: int = 0
+    loads_per_s: float = 1.0
+    models: tuple[_Model, ...] = ()
+
+
+class _Service(_Part):
+    name: str
+    health_path: str = '/health'
+    max_connections: int = 0
+    engine: _Engine | None = None
+
+
+class _Limits(_Part):
+    max_header_bytes: int = 16384
+    max_body_bytes: int = 4194304
+    header_timeout_ms: float = 3000
+    idle_timeout_ms: float = 15000
+
+
+class _Config(_Part):
+    version: int
+    routes: tuple[_Route, ...]
+    services: tuple[_Service, ...]
+    limits: _Limits = _Limits()
+
+
+class _AdapterVersion(_Part):
+    model: str
+    adapter: str = ''
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NamedVersion:
+    """A version that the operator has named for an adapter or a model.
+
+    Attributes:
+        adapter: Empty for a version of the base model.
+    """
+
+    model: str
+    adapter: str
+    version: int
+
+
+KIND_BY_NAME: typing.Final = {
+    'idempotent': contracts.Repeatability.IDEMPOTENT,
+    'non_idempotent': contracts.Repeatability.AT_MOST_ONCE,
+    'stream': contracts.Repeatability.STREAM,
+}
+
+
+def decode_config(row: rows.StoredRow) -> contracts.RouteConfig:
+    """Decode the whole configuration.
+
+    Args:
+        row: The row at ``CONFIG_KEY``.
+
+    Raises:
+        errors.SetupError: The row is not a configuration.
+    """
+    try:
+        config = _Config.model_validate_json(row.content)
+    except pydantic.ValidationError as error:
+        raise errors.SetupError(
+            f'the configuration is malformed: {error}', step='decode config'
+        ) from error
+    return contracts.RouteConfig.from_routes(
+        config.version,
+        [_route(route) for route in config.routes],
+        [_service(service) for service in config.services],
+        contracts.ClientLimits(
+            config.limits.max_header_bytes,
+            config.limits.max_body_bytes,
+            config.limits.header_timeout_ms / units.MS_PER_S,
+            config.limits.idle_timeout_ms / units.MS_PER_S,
+        ),
+    )
+
+
+def decode_version(row: rows.StoredRow) -> NamedVersion:
+    """Decode a version that the operator has named.
+
+    Args:
+        row: A row whose key starts with ``VERSION_PREFIX``.
+
+    Raises:
+        errors.SetupError: The row names no version.
+    """
+    try:
+        named = _AdapterVersion.model_validate_json(row.content)
+    except pydantic.ValidationError as error:
+        raise errors.SetupError(
+            f'row {row.key} names no version: {error}', step='decode version'
+        ) from error
+    return NamedVersion(named.model, named.adapter, named.version)
+
+
+def _route(route: _Route) -> contracts.Route:
+    # A kind that is not known is served with the strictest promise.
+    kind = KIND_BY_NAME.get(route.kind, contracts.Repeatability.AT_MOST_ONCE)
+    shares = tuple(
+        contracts.ServiceShare(part.service, part.weight)
+        for part in route.split
+        if part.weight > 0
+    )
+    return contracts.Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.prefix,
+        kind=kind,
+        timeout_s=route.timeout_ms / units.MS_PER_S,
+        aim_s=route.target_latency_ms / units.MS_PER_S,
+        priority=route.priority,
+        shares=shares or (contracts.ServiceShare(route.service, 1.0),),
+        max_attempts=max(route.attempts, 1),
+        is_resumable=route.resumable,
+        max_gap_s=(route.gap_target_ms or 0.0) / units.MS_PER_S,
+    )
+
+
+def _service(service: _Service) -> contracts.Service:
+    engine = service.engine
+    return contracts.Service(
+        name=service.name,
+        health_path=service.health_path,
+        max_connections=service.max_connections,
+        engine=None if engine is None else _engine(engine),
+    )
+
+
+def _engine(engine: _Engine) -> contracts.EngineClass:
+    return contracts.EngineClass(
+        batch_size=engine.slots,
+        kv_tokens=engine.kv_capacity,
+        weights_mb=engine.weights_mb,
+        max_adapters=engine.max_adapters,
+        loads_per_s=engine.loads_per_s,
+        model_by_name={
+            model.name: contracts.Model(
+                model.name, model.weights_mb, model.load_s, model.adapter_mb
+            )
+            for model in engine.models
+        },
+    )
--- /dev/null
+++ b/ivystep/platform/upstream_entries.py
@@ -0,0 +1,145 @@
+"""Decodes what upstreams write of themselves into the table ``servers``.
+
+Other writers may leave entries there that are malformed or unknown; such an
+entry names no upstream and does not affect the others.
+"""
+
+import ipaddress
+import json
+import typing
+
+import pydantic
+
+from ivystep.core import errors, types, units
+from ivystep.gateway import upstreams
+from ivystep.platform import rows
+
+TABLE = 'servers'
+STATE_BY_NAME: typing.Final = {
+    'ready': upstreams.UpstreamState.READY,
+    'draining': upstreams.UpstreamState.DRAINING,
+}
+
+
+class _Held(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='ignore', strict=True)
+
+    name: str
+    version: int = 1
+    # Each as NAME@VERSION.
+    adapters: list[str] = []
+
+
+class _Entry(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='ignore', strict=True)
+
+    service: str
+    address: str
+    zone: str = ''
+    slots: int = pydantic.Field(ge=0)
+    state: str
+    born: int = 0
+    # Counts orders, although the name could be that of any counter.
+    sequence: int = 0
+    models: list[_Held] = []
+    remaining_ms: float | None = None
+
+
+class _Report(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra='ignore', strict=True)
+
+    models: list[_Held] = []
+    busy: bool = False
+    sequence: int = 0
+    # Each as MODEL/NAME@VERSION.
+    coming: list[str] = []
+    queued: int = 0
+    active: int = 0
+    kv_used: int = 0
+    born: int = 0
+
+
+def decode_entry(row: rows.StoredRow) -> upstreams.UpstreamEntry:
+    """Decode an upstream's entry.
+
+    Raises:
+        errors.SetupError: The entry names no upstream that can be used.
+    """
+    try:
+        entry = _Entry.model_validate(json.loads(row.content))
+        return upstreams.UpstreamEntry(
+            upstream_id=row.key,
+            service=entry.service,
+            address=_address(entry.address),
+            data_centre=entry.zone,
+            born_ms=entry.born,
+            state=STATE_BY_NAME[entry.state],
+            batch_size=entry.slots,
+            held_model_by_name=_held(entry.models),
+            order_count=entry.sequence,
+            leaves_in_s=(
+                None
+                if entry.remaining_ms is None
+                else entry.remaining_ms / units.MS_PER_S
+            ),
+            version=row.version,
+        )
+    except (
+        pydantic.ValidationError,
+        KeyError,
+        ValueError,
+        RecursionError,
+    ) as error:
+        raise errors.SetupError(
+            f'entry {row.key!r} names no upstream: {error}',
+            step='decode entry',
+        ) from error
+
+
+def decode_report(body: bytes) -> upstreams.EngineReport:
+    """Decode an engine's report.
+
+    Raises:
+        errors.LinkError: The body is not a report.
+    """
+    try:
+        report = _Report.model_validate(json.loads(body))
+        return upstreams.EngineReport(
+            born_ms=report.born,
+            held_model_by_name=_held(report.models),
+            is_busy=report.busy,
+            order_count=report.sequence,
+            coming=tuple(
+                types.AdapterRef.from_lora_name(name) for name in report.coming
+            ),
+            queued=report.queued,
+            running=report.active,
+            kv_used=report.kv_used,
+        )
+    except (pydantic.ValidationError, ValueError, RecursionError) as error:
+        raise errors.LinkError(
+            f'malformed report: {error}', step='report'
+        ) from error
+
+
+def _held(models: list[_Held]) -> dict[str, upstreams.HeldModel]:
+    return {
+        model.name: upstreams.HeldModel(
+            model.name, model.version, _adapter_versions(model.adapters)
+        )
+        for model in models
+    }
+
+
+def _adapter_versions(names: list[str]) -> dict[str, int]:
+    """Return the version of each adapter by its name."""
+    version_by_name = {}
+    for text in names:
+        name, _, version = text.rpartition('@')
+        version_by_name[name or version] = int(version) if name else 1
+    return version_by_name
+
+
+def _address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(':')
+    return str(ipaddress.IPv4Address(host)), int(port)
--- a/ivystep/policy/eviction.py
+++ b/ivystep/policy/eviction.py
@@ -46,6 +46,17 @@
         if len(self._score_by_ref) > MAX_TRACKED:
             self._score_by_ref.popitem(last=False)
 
+    def rename(self, old: types.AdapterRef, new: types.AdapterRef) -> None:
+        """Give the count of one adapter version to the next one.
+
+        Args:
+            old: The version that is no longer asked for.
+            new: The version that follows it.
+        """
+        moved = self._score_by_ref.pop(old, None)
+        if moved is not None:
+            self._score_by_ref[new] = _log_sum(self.score(new), moved)
+
     def score(self, ref: types.AdapterRef) -> float:
         """Return a number that orders adapters by popularity at any time."""
         return self._score_by_ref.get(ref, NEVER)
--- a/ivystep/policy/load_order.py
+++ b/ivystep/policy/load_order.py
@@ -309,7 +309,8 @@
         ranks: Account rank of each load.
         now: Time of the snapshot.
         load_s: Duration of one load.
-        busy_s: Time until the load in progress ends.
+        busy_s: Time until a load can start.
+        parallel: Loads that can be in progress at once.
     """
 
     loads: list[WantedLoad]
@@ -317,6 +318,7 @@
     now: float
     load_s: float
     busy_s: float
+    parallel: int = 1
 
     @classmethod
     def from_loads(
@@ -326,6 +328,7 @@
         *,
         load_s: float,
         busy_s: float,
+        parallel: int = 1,
     ) -> typing.Self:
         """Order loads by urgency.
 
@@ -333,7 +336,8 @@
             loads: The loads with the ranks of their accounts.
             now: Current time in seconds.
             load_s: Duration of one load in seconds.
-            busy_s: Time until the load in progress ends, in seconds.
+            busy_s: Time until a load can start, in seconds.
+            parallel: Loads that can be in progress at once.
         """
         ranked = sorted(loads, key=lambda pair: (pair[0], pair[1].start_by))
         return cls(
@@ -342,6 +346,7 @@
             now=now,
             load_s=load_s,
             busy_s=busy_s,
+            parallel=parallel,
         )
 
     def add(self, wanted: WantedLoad, rank: int) -> None:
@@ -357,7 +362,8 @@
 
     def ready_in_s(self, position: int) -> float:
         """Return when the load at a position ends, in seconds from now."""
-        return self.busy_s + (position + 1) * self.load_s
+        rounds = position // self.parallel + 1
+        return self.busy_s + rounds * self.load_s
 
     def slack_s(self, position: int) -> float:
         """Return by how much the load at a position may be delayed."""
@@ -385,7 +391,8 @@
         after = bisect.bisect_right(self.ranks, rank)
         if any(map(self._is_critical, range(position, after))):
             return math.inf
-        return self.busy_s + (position + 1) * self.load_s / (1 - share_above)
+        rounds = position // self.parallel + 1
+        return self.busy_s + rounds * self.load_s / (1 - share_above)
 
     def first(
         self,
--- a/ivystep/policy/routing.py
+++ b/ivystep/policy/routing.py
@@ -1,7 +1,9 @@
 """Which upstream serves a request, and what an entry knows of upstreams."""
 
 import collections
+import dataclasses
 import hashlib
+import math
 import random
 import typing
 from collections.abc import Iterable
@@ -36,9 +38,29 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoutingRules:
+    """How an index chooses among its upstreams.
+
+    Attributes:
+        silence_s: Silence after which an upstream gets no new work, in
+            seconds; infinite where the upstream does not report by itself.
+        remote_cost: Share of a batch by which an upstream in this data
+            centre may be fuller than one elsewhere and still come first.
+    """
+
+    silence_s: float = suspicion.TIMEOUT_S
+    remote_cost: float = math.inf
+
+
 class UpstreamView:
     """What this entry knows about one upstream.
 
+    Args:
+        status: Its first report.
+        link: Link to the sidecar.
+        silence_s: See ``RoutingRules``.
+
     Attributes:
         link: Link to the sidecar.
         sent: Attempts that this entry has in progress there.
@@ -46,7 +68,12 @@
         is_lost: Whether the connection to the sidecar has ended.
     """
 
-    def __init__(self, status: types.UpstreamStatus, link: typing.Any) -> None:
+    def __init__(
+        self,
+        status: types.UpstreamStatus,
+        link: typing.Any,
+        silence_s: float = suspicion.TIMEOUT_S,
+    ) -> None:
         self.status = status
         self.link = link
         self.reported = 0.0
@@ -54,7 +81,7 @@
         self.sent_by_account: collections.Counter[str] = collections.Counter()
         self.is_lost = False
         self.data_centre = ''
-        self._suspicion = suspicion.Suspicion()
+        self._suspicion = suspicion.Suspicion(silence_s)
         self._recent: collections.deque[float] = collections.deque()
         self._retired: collections.deque[str] = collections.deque(maxlen=8)
 
@@ -152,9 +179,13 @@
 
     Args:
         data_centre: Data centre of this entry; empty if it has none.
+        rules: How upstreams are chosen.
     """
 
-    def __init__(self, data_centre: str = '') -> None:
+    def __init__(
+        self, data_centre: str = '', rules: RoutingRules | None = None
+    ) -> None:
+        self.rules = rules or RoutingRules()
         self.view_by_id: dict[str, UpstreamView] = {}
         self._former_by_id: collections.OrderedDict[str, UpstreamView] = (
             collections.OrderedDict()
@@ -188,7 +219,7 @@
         if view is None:
             view = self._former_by_id.get(upstream_id)
         if view is None:
-            view = UpstreamView(status, link)
+            view = UpstreamView(status, link, self.rules.silence_s)
             view.data_centre = self._data_centre_by_id.get(upstream_id, '')
         elif not view.accepts(status):
             return None
@@ -293,7 +324,10 @@
         was_tried = view.status.upstream_id in avoid
         is_remote = view.data_centre != self._data_centre
         fill = view.running / max(view.status.max_running, 1)
-        return was_tried, is_remote, fill, random.random()
+        if math.isinf(self.rules.remote_cost):
+            return was_tried, is_remote, fill, random.random()
+        cost = fill + self.rules.remote_cost * is_remote
+        return was_tried, False, cost, random.random()
 
     def _add(self, view: UpstreamView) -> None:
         upstream_id = view.status.upstream_id
--- a/ivystep/runtime/clock.py
+++ b/ivystep/runtime/clock.py
@@ -15,6 +15,18 @@
     return hubs.get_hub().clock()
 
 
+def uptime() -> float:
+    """Return the time in seconds that also runs while the host is suspended.
+
+    Leases are counted on it, because other hosts go on while this one stands
+    still. On a virtual hub it is the hub's time.
+    """
+    hub = hubs.get_hub()
+    if hasattr(hub, 'virtual_now'):
+        return hub.clock()
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def sleep(seconds: float) -> None:
     """Suspend the current task.
 
--- a/ivystep/wire/channel.py
+++ b/ivystep/wire/channel.py
@@ -102,14 +102,15 @@
     def connect(
         cls,
         address: tuple[str, int],
-        contexts: tls.TlsContexts,
+        contexts: tls.TlsContexts | None,
         peer_name: str,
     ) -> typing.Self:
         """Open a connection and check the peer's role.
 
         Args:
             address: IP address and port.
-            contexts: TLS contexts of this process.
+            contexts: TLS contexts of this process; None where the network
+                belongs to the system alone and no certificates exist.
             peer_name: DNS name that the peer's certificate must carry.
 
         Returns:
@@ -123,8 +124,12 @@
         try:
             with eventlet.Timeout(CONNECT_TIMEOUT_S, TimeoutError):
                 raw = socket.create_connection(address)
-                secured = contexts.client.wrap_socket(
-                    raw, server_hostname=peer_name
+                secured = (
+                    raw
+                    if contexts is None
+                    else contexts.client.wrap_socket(
+                        raw, server_hostname=peer_name
+                    )
                 )
         except OSError as error:
             if raw is not None:
--- a/ivystep/wire/gen/ttypes.py
+++ b/ivystep/wire/gen/ttypes.py
@@ -2125,20 +2125,104 @@
         return not (self == other)
 
 
+class HeldAdapter(object):
+    """
+    Attributes:
+     - adapter
+     - upstream
+
+    """
+
+    __slots__ = (
+        'adapter',
+        'upstream',
+    )
+
+
+    def __init__(self, adapter=None, upstream=None,):
+        self.adapter = adapter
+        self.upstream = upstream
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.adapter = AdapterId()
+                    self.adapter.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HeldAdapter')
+        if self.adapter is not None:
+            oprot.writeFieldBegin('adapter', TType.STRUCT, 1)
+            self.adapter.write(oprot)
+            oprot.writeFieldEnd()
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 2)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class DemandAccepted(object):
     """
     Attributes:
      - forecasts
+     - held
 
     """
 
     __slots__ = (
         'forecasts',
+        'held',
     )
 
 
-    def __init__(self, forecasts=None,):
+    def __init__(self, forecasts=None, held=None,):
         self.forecasts = forecasts
+        self.held = held
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2160,6 +2244,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.held = []
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = HeldAdapter()
+                        _elem39.read(iprot)
+                        self.held.append(_elem39)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2173,8 +2268,15 @@
         if self.forecasts is not None:
             oprot.writeFieldBegin('forecasts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.forecasts))
-            for iter34 in self.forecasts:
-                iter34.write(oprot)
+            for iter40 in self.forecasts:
+                iter40.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.held))
+            for iter41 in self.held:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2355,11 +2457,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.digest_by_section = {}
-                    (_ktype36, _vtype37, _size35) = iprot.readMapBegin()
-                    for _i39 in range(_size35):
-                        _key40 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val41 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.digest_by_section[_key40] = _val41
+                    (_ktype43, _vtype44, _size42) = iprot.readMapBegin()
+                    for _i46 in range(_size42):
+                        _key47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val48 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.digest_by_section[_key47] = _val48
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2380,9 +2482,9 @@
         if self.digest_by_section is not None:
             oprot.writeFieldBegin('digest_by_section', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.digest_by_section))
-            for kiter42, viter43 in self.digest_by_section.items():
-                oprot.writeString(kiter42.encode('utf-8') if sys.version_info[0] == 2 else kiter42)
-                oprot.writeString(viter43.encode('utf-8') if sys.version_info[0] == 2 else viter43)
+            for kiter49, viter50 in self.digest_by_section.items():
+                oprot.writeString(kiter49.encode('utf-8') if sys.version_info[0] == 2 else kiter49)
+                oprot.writeString(viter50.encode('utf-8') if sys.version_info[0] == 2 else viter50)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3019,10 +3121,17 @@
     (2, TType.I64, 'ready_in_ms', None, None, ),  # 2
     (3, TType.I64, 'retry_after_ms', None, None, ),  # 3
 )
+all_structs.append(HeldAdapter)
+HeldAdapter.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'adapter', [AdapterId, None], None, ),  # 1
+    (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
+)
 all_structs.append(DemandAccepted)
 DemandAccepted.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'forecasts', (TType.STRUCT, [LoadForecast, None], False), None, ),  # 1
+    (2, TType.LIST, 'held', (TType.STRUCT, [HeldAdapter, None], False), None, ),  # 2
 )
 all_structs.append(SetupNotice)
 SetupNotice.thrift_spec = (
--- a/ivystep/wire/ivystep.thrift
+++ b/ivystep/wire/ivystep.thrift
@@ -143,8 +143,15 @@
   3: i64 retry_after_ms
 }
 
+// An adapter that an upstream holds, as the planner knows it.
+struct HeldAdapter {
+  1: AdapterId adapter
+  2: string upstream
+}
+
 struct DemandAccepted {
   1: list<LoadForecast> forecasts
+  2: optional list<HeldAdapter> held
 }
 
 struct SetupNotice {
--- a/ivystep/wire/listener.py
+++ b/ivystep/wire/listener.py
@@ -30,7 +30,7 @@
 
 def serve(
     listener: typing.Any,
-    contexts: tls.TlsContexts,
+    contexts: tls.TlsContexts | None,
     peer_name: str,
     handle: Callable[[channel.Channel], None],
 ) -> None:
@@ -38,7 +38,7 @@
 
     Args:
         listener: A listening socket.
-        contexts: TLS contexts of this process.
+        contexts: TLS contexts of this process; None for plain connections.
         peer_name: DNS name that a peer's certificate must carry.
         handle: Runs in a task of its own for each connection; a LinkError
             ends the connection.
@@ -61,7 +61,7 @@
 def _serve_connection(
     connection: typing.Any,
     peer: str,
-    contexts: tls.TlsContexts,
+    contexts: tls.TlsContexts | None,
     peer_name: str,
     handle: Callable[[channel.Channel], None],
 ) -> None:
@@ -81,8 +81,10 @@
 
 
 def _secure(
-    connection: typing.Any, contexts: tls.TlsContexts, peer_name: str
-) -> ssl.SSLSocket:
+    connection: typing.Any, contexts: tls.TlsContexts | None, peer_name: str
+) -> typing.Any:
+    if contexts is None:
+        return connection
     with eventlet.Timeout(HANDSHAKE_TIMEOUT_S, TimeoutError):
         secured = contexts.server.wrap_socket(connection, server_side=True)
     if peer_name not in tls.peer_names(secured):
