Count adapter places by reports and own orders before each load

Cause: engines fell over because orders that reports did not show yet were not counted, the heartbeat number of an entry was taken for the number of orders, and a fifth adapter on its way to one engine was refused. Change: places are taken by reports, adapters on their way and unanswered orders; at most four on their way to one engine; loads spread over engines; failures of repeatable requests are tried once more.

--- a/ivystep/entry/planner.py
+++ b/ivystep/entry/planner.py
@@ -126,6 +126,7 @@
         loads_per_s: float,
         batching_weight: float,
         parallel_loads: int = 1,
+        spread: float = 0.0,
     ) -> None:
         """Take over the setup's values.
 
@@ -134,8 +135,10 @@
             batching_weight: From 0 to 1.
             parallel_loads: Loads that the weight store carries out at once
                 without slowing any of them down.
+            spread: See ``load_target.LoadTargets``.
         """
         self.batching_weight = batching_weight
+        self._targets.spread = spread
         self._parallel_loads = parallel_loads
         if loads_per_s != self._shares.loads_per_s:
             self._shares.loads_per_s = loads_per_s
--- a/ivystep/gateway/believed.py
+++ b/ivystep/gateway/believed.py
@@ -1,7 +1,8 @@
 """What this host believes of one upstream.
 
-The entry in the store is late by up to a heartbeat, so what was learnt since
-from orders and answers counts for a while, until a newer entry can show it.
+The upstream's entry in the store and an engine's reports are late, so what
+was learnt since from orders and answers counts until one that is newer shows
+the adapters.
 """
 
 import dataclasses
@@ -11,8 +12,12 @@
 from ivystep.core import types
 from ivystep.gateway import connections, contracts, upstreams
 
-# Two heartbeats, by default of 1.2 s, and the delay of the store's feed.
-LEARNT_FOR_S = 3.0
+# Age of an entry when it arrives: the store's feed is read in intervals.
+ENTRY_AGE_S = 1.0
+# Age of an engine's report when it arrives.
+REPORT_AGE_S = 0.4
+# Adapters on their way to one engine at once; the platform's limit.
+MAX_COMING = 4
 # Time without new work after failures in a row: the first, and the longest.
 # An upstream that restarts is back after some seconds.
 SUSPEND_MIN_S = 0.25
@@ -49,6 +54,8 @@
         self.suspended_until = 0.0
         self._failures = 0
         self.running_elsewhere = 0
+        self._held = set(_refs(entry.held_model_by_name))
+        self._held_at = float('-inf')
         self._learnt_by_ref: dict[types.AdapterRef, _Learnt] = {}
         self._sequence = itertools.count(1)
 
@@ -87,17 +94,11 @@
         """Forget the failures after an answer."""
         self._failures = 0
 
-    def held(self, now: float) -> set[types.AdapterRef]:
-        """Return the adapters that the upstream holds.
-
-        Args:
-            now: Current time in seconds.
-        """
-        refs = set(_refs(self.entry.held_model_by_name))
-        for ref, learnt in list(self._learnt_by_ref.items()):
-            if learnt.at < now - LEARNT_FOR_S:
-                del self._learnt_by_ref[ref]
-            elif learnt.is_held:
+    def held(self) -> set[types.AdapterRef]:
+        """Return the adapters that the upstream holds."""
+        refs = set(self._held)
+        for ref, learnt in self._learnt_by_ref.items():
+            if learnt.is_held:
                 refs.add(ref)
             else:
                 refs.discard(ref)
@@ -118,7 +119,7 @@
             now: Current time in seconds.
         """
         entry = self.entry
-        held = self.held(now)
+        held = self.held()
         own = {
             ref: types.ResidentAdapter(ref, 0)
             for ref in held
@@ -138,14 +139,54 @@
             slots=self._places(service, len(held) - len(own), now),
             max_running=max(entry.batch_size, 1),
             resident_by_ref=own,
-            loading=None,
+            loading=self._loading(),
             setup_version=0,
             crash_fingerprints=(),
         )
 
-    def replace_entry(self, entry: upstreams.UpstreamEntry) -> None:
-        """Take over a newer entry of the same start."""
+    def replace_entry(
+        self, entry: upstreams.UpstreamEntry, now: float
+    ) -> None:
+        """Take over a newer entry of the same start.
+
+        Args:
+            entry: The entry.
+            now: Current time in seconds.
+        """
         self.entry = entry
+        self._take_held(entry.held_model_by_name, now - ENTRY_AGE_S)
+
+    def on_report(self, report: upstreams.EngineReport, now: float) -> None:
+        """Take over a report of the engine.
+
+        Args:
+            report: The report.
+            now: Current time in seconds.
+        """
+        self.entry = dataclasses.replace(
+            self.entry, held_model_by_name=report.held_model_by_name
+        )
+        self._take_held(report.held_model_by_name, now - REPORT_AGE_S)
+
+    def _take_held(
+        self, held: Mapping[str, upstreams.HeldModel], at: float
+    ) -> None:
+        """Take over what was held at a time, unless more recent is known."""
+        if at < self._held_at:
+            return
+        self._held = set(_refs(held))
+        self._held_at = at
+        for ref, learnt in list(self._learnt_by_ref.items()):
+            if learnt.at <= at:
+                del self._learnt_by_ref[ref]
+        for ref in self._held:
+            self.coming.pop(ref, None)
+
+    def _loading(self) -> types.AdapterRef | None:
+        """Return an adapter on its way if no further one may be ordered."""
+        if len(self.coming) < MAX_COMING:
+            return None
+        return next(iter(self.coming))
 
     def _places(
         self, service: contracts.Service, foreign: int, now: float
@@ -157,7 +198,8 @@
             if until < now:
                 del self.coming[ref]
         taken = foreign + len(self.coming)
-        return max(service.engine.max_adapters - taken, 0)
+        models = tuple(self.entry.held_model_by_name)
+        return max(service.engine.adapter_places(models) - taken, 0)
 
 
 def _refs(
--- a/ivystep/gateway/contracts.py
+++ b/ivystep/gateway/contracts.py
@@ -108,6 +108,24 @@
     loads_per_s: float
     model_by_name: Mapping[str, Model]
 
+    def adapter_places(self, models: Iterable[str]) -> int:
+        """Return how many adapters fit beside some models.
+
+        Args:
+            models: Names of the models that are held; unknown ones count as
+                nothing.
+        """
+        held = [
+            self.model_by_name[name]
+            for name in models
+            if name in self.model_by_name
+        ]
+        adapter_mb = max((model.adapter_mb for model in held), default=0.0)
+        if not adapter_mb:
+            return self.max_adapters
+        left_mb = self.weights_mb - sum(model.weights_mb for model in held)
+        return max(min(self.max_adapters, int(left_mb / adapter_mb)), 0)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -271,11 +271,20 @@
                 self._api,
                 self._duty.authority,
                 self._on_change,
+                self._places,
                 self._log,
             )
             self._link_by_upstream[upstream] = link
         return link
 
+    def _places(self, upstream: believed.Upstream) -> int:
+        config = self._config.current
+        service = config and config.service_by_name.get(upstream.entry.service)
+        if not service or service.engine is None:
+            return 0
+        models = tuple(upstream.entry.held_model_by_name)
+        return service.engine.adapter_places(models)
+
     def _on_config(self, config: contracts.RouteConfig) -> None:
         self._door.limits = config.limits
         self._pools.configure(config)
@@ -297,7 +306,7 @@
 
     def _on_held(self, ref: types.AdapterRef, upstream_id: str) -> None:
         upstream = self._membership.upstream_by_id.get(upstream_id)
-        if upstream is None or ref in upstream.held(clock.now()):
+        if upstream is None or ref in upstream.held():
             return
         upstream.learn(ref, clock.now(), is_held=True)
         self._on_change(upstream)
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -197,7 +197,9 @@
                 )
             progress.upstream_id = upstream.upstream_id
             self._note_placed(call, route, upstream, ref, progress)
-            self._send(call, route, upstream, ref, deadline, answer, progress)
+            self._send(
+                call, route, service, upstream, ref, deadline, answer, progress
+            )
         finally:
             target.finish(placement)
 
@@ -205,6 +207,7 @@
         self,
         call: calls.Call,
         route: contracts.Route,
+        service: str,
         upstream: believed.Upstream,
         ref: types.AdapterRef | None,
         deadline: float,
@@ -220,7 +223,17 @@
         )
         progress.attempts += 1
         progress.may_have_run.add(upstream.upstream_id)
-        exchange = relay.Exchange(call, route, upstream, answer)
+        exchange = relay.Exchange(
+            call,
+            route,
+            upstream,
+            answer,
+            may_repeat=(
+                route.is_repeatable
+                and len(progress.may_have_run) < route.max_attempts
+                and self._budgets.budget(service).balance >= 1
+            ),
+        )
         try:
             exchange.run(messages.encode_call(call, attempt))
             upstream.trust()
--- a/ivystep/gateway/engine_link.py
+++ b/ivystep/gateway/engine_link.py
@@ -16,14 +16,12 @@
 
 # An order without an answer may be carried out up to this much later.
 UNCERTAIN_S = 12.0
-# Adapters on their way to one engine at once; the platform's limit.
-MAX_COMING = 4
-POLL_S = 0.05
+# A report shows a load no sooner than this after its order: the fastest load
+# of an adapter and the age of the report.
+FIRST_POLL_S = 0.25
+POLL_S = 0.08
 LOAD_TIMEOUT_S = 6.0
 UNLOAD_TIMEOUT_S = 2.0
-# Reports are some hundred milliseconds old, so an order number that they
-# name is trusted once it has not changed for that long.
-REPORT_AGE_S = 0.3
 SEQUENCE_TRIES = 3
 
 
@@ -41,6 +39,19 @@
     token: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Given:
+    """The last order for an adapter.
+
+    Attributes:
+        takes_place: Whether the adapter may be held after it.
+        until: Time until which reports may not show the order.
+    """
+
+    takes_place: bool
+    until: float
+
+
 class EngineLink:
     """``UpstreamLink`` of a pool to an engine of the platform.
 
@@ -49,6 +60,7 @@
         api: Calls to engines.
         authority: Returns the leave to give orders, or None.
         on_change: Called when the belief about the engine has changed.
+        places: Returns how many adapters the engine can hold now.
         log: Where orders are written.
     """
 
@@ -58,13 +70,16 @@
         api: orders.EngineApi,
         authority: Callable[[], Authority | None],
         on_change: Callable[[believed.Upstream], None],
+        places: Callable[[believed.Upstream], int],
         log: event_log.EventLog,
     ) -> None:
         self._upstream = upstream
         self._api = api
         self._authority = authority
         self._on_change = on_change
+        self._places = places
         self._log = log
+        self._given_by_name: dict[tuple[str, str], _Given] = {}
         self._lock = semaphore.Semaphore(1)
         self._expected: int | None = None
         self._expected_token = 0
@@ -101,6 +116,8 @@
                 refusal = self._unload(victim)
                 if refusal is not None:
                     return refusal
+            if not self._has_place(ref):
+                return types.LoadResult(False, 'busy', 'No place is free.')
             outcome = self._give(
                 ref.account, ref.name, ref.version, is_load=True
             )
@@ -115,7 +132,7 @@
         now = clock.now()
         if result.ok:
             self._upstream.learn(ref, now, is_held=True)
-            for held in self._upstream.held(now):
+            for held in self._upstream.held():
                 if held.account == ref.account and held.name == ref.name:
                     is_newest = held.version == ref.version
                     self._upstream.learn(held, now, is_held=is_newest)
@@ -143,13 +160,39 @@
             False, 'adapter_in_use', f'{ref.lora_name} is still in use.'
         )
 
+    def _has_place(self, ref: types.AdapterRef) -> bool:
+        """Return whether one more adapter fits, whatever reports leave out.
+
+        An engine that is ordered to hold more than fits fails. Orders that
+        reports may not show yet, and orders without an answer, count as
+        carried out if that takes a place.
+        """
+        report = self._report()
+        taken = {
+            (model.name, adapter)
+            for model in report.held_model_by_name.values()
+            for adapter in model.adapter_versions
+        }
+        taken.update((coming.account, coming.name) for coming in report.coming)
+        now = clock.now()
+        for name, given in list(self._given_by_name.items()):
+            if given.until < now:
+                del self._given_by_name[name]
+            elif given.takes_place:
+                taken.add(name)
+            else:
+                taken.discard(name)
+        taken.add((ref.account, ref.name))
+        return len(taken) <= self._places(self._upstream)
+
     def _wait_loaded(self, ref: types.AdapterRef) -> types.LoadResult:
         deadline = clock.now() + LOAD_TIMEOUT_S
+        clock.sleep(FIRST_POLL_S)
         while clock.now() < deadline:
-            clock.sleep(POLL_S)
             held = self._report().held_model_by_name.get(ref.account)
             if held and held.adapter_versions.get(ref.name, 0) >= ref.version:
                 return types.LoadResult(True, 'loaded', '')
+            clock.sleep(POLL_S)
         return types.LoadResult(
             False, 'load_failed', f'{ref.lora_name} did not come in time.'
         )
@@ -175,7 +218,7 @@
             if outcome is not orders.Outcome.OUT_OF_SEQUENCE:
                 return outcome
             self._expected = None
-            clock.sleep(REPORT_AGE_S)
+            clock.sleep(believed.REPORT_AGE_S)
         return orders.Outcome.OUT_OF_SEQUENCE
 
     def _send(self, order: orders.Order) -> orders.Outcome:
@@ -187,6 +230,7 @@
         except errors.LinkError:
             # It may be carried out later, so its number may be taken.
             self._expected = None
+            self._note_given(order, UNCERTAIN_S)
             raise
         finally:
             self._log.write(
@@ -204,8 +248,18 @@
             outcome is orders.Outcome.ALREADY_HELD and not order.is_load
         ):
             self._expected = order.expected_orders + 1
+            self._note_given(order, believed.REPORT_AGE_S)
         return outcome
 
+    def _note_given(self, order: orders.Order, hidden_s: float) -> None:
+        if not order.adapter:
+            return
+        is_sure = hidden_s < UNCERTAIN_S
+        if order.is_load or is_sure:
+            self._given_by_name[order.model, order.adapter] = _Given(
+                order.is_load, clock.now() + hidden_s
+            )
+
     def _expected_orders(self, authority: Authority) -> int:
         """Return the orders that the engine has accepted so far."""
         if self._expected is None or self._expected_token != authority.token:
@@ -214,7 +268,9 @@
         return self._expected
 
     def _report(self) -> upstreams.EngineReport:
-        return self._api.report(self._upstream.entry.address)
+        report = self._api.report(self._upstream.entry.address)
+        self._upstream.on_report(report, clock.now())
+        return report
 
 
 def _refusal(outcome: orders.Outcome) -> types.LoadResult:
--- a/ivystep/gateway/membership.py
+++ b/ivystep/gateway/membership.py
@@ -99,9 +99,9 @@
             self.upstream_by_id[entry.upstream_id] = known
             self._note(known, 'added', '')
         elif known.entry.state is not entry.state:
-            known.replace_entry(entry)
+            known.replace_entry(entry, clock.now())
             self._note(known, entry.state.value, 'by its entry')
-        known.replace_entry(entry)
+        known.replace_entry(entry, clock.now())
         self._on_change(known)
 
     def _miss(self, upstream_id: str) -> None:
--- a/ivystep/gateway/model_pools.py
+++ b/ivystep/gateway/model_pools.py
@@ -21,7 +21,10 @@
 PARALLEL_LOADS = 8
 # Time that one adapter takes from the store to an engine, until measured.
 ADAPTER_LOAD_S = 0.25
-BATCHING_WEIGHT = 0.2
+BATCHING_WEIGHT = 0.0
+# Cost of a full upstream against that of evicting an adapter, in shares of
+# all requests.
+SPREAD = 0.02
 # An upstream's entry does not change while all is well, so its silence says
 # nothing. A batch may be this much fuller before another data centre helps.
 RULES = routing.RoutingRules(silence_s=math.inf, remote_cost=0.05)
@@ -117,7 +120,10 @@
             index=routing.UpstreamIndex(self._data_centre, RULES),
         )
         built.planner.configure(
-            PARALLEL_LOADS / ADAPTER_LOAD_S, BATCHING_WEIGHT, PARALLEL_LOADS
+            PARALLEL_LOADS / ADAPTER_LOAD_S,
+            BATCHING_WEIGHT,
+            PARALLEL_LOADS,
+            SPREAD,
         )
         return built
 
--- a/ivystep/gateway/relay.py
+++ b/ivystep/gateway/relay.py
@@ -15,6 +15,9 @@
 # Answers up to this size are read whole before they are passed on.
 WHOLE_BYTES = 64 * units.KIB
 NO_LENGTH = -1
+# Failures of an upstream that another one may not have. A 504 means that the
+# time is over.
+FAILURES = frozenset((500, 502, 503))
 
 
 class CallerAnswer(typing.Protocol):
@@ -58,6 +61,8 @@
         route: Its route.
         upstream: The upstream.
         answer: Where the answer goes.
+        may_repeat: Whether a failure of the upstream is not passed on,
+            because the request can be sent to another one.
     """
 
     def __init__(
@@ -66,7 +71,10 @@
         route: contracts.Route,
         upstream: believed.Upstream,
         answer: CallerAnswer,
+        *,
+        may_repeat: bool,
     ) -> None:
+        self._may_repeat = may_repeat
         self._call = call
         self._route = route
         self._upstream = upstream
@@ -109,6 +117,9 @@
         if head.is_not_run:
             self._read_rest(connection)
             raise self._refused(head)
+        if head.status in FAILURES and self._may_repeat:
+            self._read_rest(connection)
+            raise self._failed(head)
         is_stream = self._route.kind is contracts.Repeatability.STREAM
         if self._answer.has_started:
             self._check_resumed(head)
@@ -243,6 +254,17 @@
                 peer=self._peer,
             )
 
+    def _failed(self, head: calls.AnswerHead) -> errors.RequestError:
+        """Return the error of a request that ran and failed."""
+        return errors.RequestError(
+            'upstream_failed',
+            f'Status {head.status}: the request has failed.',
+            status=502,
+            ran=types.Ran.UNKNOWN,
+            step='run',
+            peer=self._peer,
+        )
+
     def _refused(self, head: calls.AnswerHead) -> errors.RequestError:
         """Return the error of a request that the upstream has not run."""
         is_other = head.instance_id not in {'', self._peer}
--- a/ivystep/gateway/upstreams.py
+++ b/ivystep/gateway/upstreams.py
@@ -37,7 +37,6 @@
             same id apart; 0 if it is not named.
         batch_size: Requests that it runs at once.
         held_model_by_name: Models that it holds; empty for plain services.
-        order_count: Orders that it has accepted since its start.
         leaves_in_s: Time after which it is gone; None if not known.
         version: Version of the store at which the entry was written.
     """
@@ -50,7 +49,6 @@
     state: UpstreamState
     batch_size: int
     held_model_by_name: dict[str, HeldModel]
-    order_count: int
     leaves_in_s: float | None
     version: int
 
--- a/ivystep/platform/upstream_entries.py
+++ b/ivystep/platform/upstream_entries.py
@@ -39,8 +39,6 @@
     slots: int = pydantic.Field(ge=0)
     state: str
     born: int = 0
-    # Counts orders, although the name could be that of any counter.
-    sequence: int = 0
     models: list[_Held] = []
     remaining_ms: float | None = None
 
@@ -50,6 +48,7 @@
 
     models: list[_Held] = []
     busy: bool = False
+    # Counts accepted orders here; in an entry the same name counts heartbeats.
     sequence: int = 0
     # Each as MODEL/NAME@VERSION.
     coming: list[str] = []
@@ -76,7 +75,6 @@
             state=STATE_BY_NAME[entry.state],
             batch_size=entry.slots,
             held_model_by_name=_held(entry.models),
-            order_count=entry.sequence,
             leaves_in_s=(
                 None
                 if entry.remaining_ms is None
--- a/ivystep/policy/load_target.py
+++ b/ivystep/policy/load_target.py
@@ -40,6 +40,11 @@
         index: The upstreams.
         popularity: Request counts of the adapters.
         is_needed: Whether an adapter must not be evicted now.
+
+    Attributes:
+        spread: Cost of an upstream whose batch and places are full, in shares
+            of all requests. Above 0, adapters go where there is most room,
+            for weight stores that load to several upstreams at once.
     """
 
     def __init__(
@@ -48,6 +53,7 @@
         popularity: eviction.Popularity,
         is_needed: Callable[[types.AdapterRef, float], bool],
     ) -> None:
+        self.spread = 0.0
         self._index = index
         self._popularity = popularity
         self._is_needed = is_needed
@@ -167,4 +173,9 @@
             victim_rate = self._popularity.rate_of(score, now)
         room = max(target.view.status.max_running, 1)
         fill = (target.view.running + added) / room
-        return batching.cost(victim_rate / total, fill, packing)
+        cost = batching.cost(victim_rate / total, fill, packing)
+        if not self.spread:
+            return cost
+        status = target.view.status
+        places = len(status.resident_by_ref) / max(status.slots, 1)
+        return cost + self.spread * (min(fill, 1.0) + min(places, 1.0)) / 2
