--- a/ivystep/entry/pool.py
+++ b/ivystep/entry/pool.py
@@ -87,9 +87,7 @@
 
     def holders(self, ref: types.AdapterRef) -> list[str]:
         """Return the ids of the upstreams that hold an adapter."""
-        return [
-            view.status.upstream_id for view in self._index.holders(ref)
-        ]
+        return [view.status.upstream_id for view in self._index.holders(ref)]
 
     def configure(
         self,
--- a/ivystep/gateway/believed.py
+++ b/ivystep/gateway/believed.py
@@ -64,7 +64,9 @@
         """Id of the upstream."""
         return self.entry.upstream_id
 
-    def learn(self, ref: types.AdapterRef, now: float, *, is_held: bool) -> None:
+    def learn(
+        self, ref: types.AdapterRef, now: float, *, is_held: bool
+    ) -> None:
         """Take over that an adapter is or is not held.
 
         Args:
@@ -144,9 +146,7 @@
             crash_fingerprints=(),
         )
 
-    def replace_entry(
-        self, entry: upstreams.UpstreamEntry, now: float
-    ) -> None:
+    def replace_entry(self, entry: upstreams.UpstreamEntry, now: float) -> None:
         """Take over a newer entry of the same start.
 
         Args:
@@ -208,5 +208,3 @@
     for model in held_model_by_name.values():
         for name, version in model.adapter_versions.items():
             yield types.AdapterRef(model.name, name, version)
-
-
--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -9,7 +9,7 @@
 import socket
 import struct
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Generator
 
 import eventlet
 import greenlet
@@ -176,10 +176,14 @@
 
     def start(self, head: calls.AnswerHead, length: int) -> None:
         """Send the head; see ``relay.CallerAnswer``."""
-        self._is_chunked = length == relay.NO_LENGTH and not self._is_old_version
+        self._is_chunked = (
+            length == relay.NO_LENGTH and not self._is_old_version
+        )
         if length == relay.NO_LENGTH and self._is_old_version:
             self._is_kept_alive = False
-        encoded = self._head(head, None if length == relay.NO_LENGTH else length)
+        encoded = self._head(
+            head, None if length == relay.NO_LENGTH else length
+        )
         self._begin(head.status)
         self._socket.sendall(encoded)
 
@@ -196,7 +200,7 @@
         self.is_complete = True
 
     @contextlib.contextmanager
-    def watched(self) -> typing.Iterator[None]:
+    def watched(self) -> Generator[None, None, None]:
         """End the task with ``CallerGoneError`` when the caller has gone."""
         self._watch()
         try:
--- a/ivystep/gateway/configuration.py
+++ b/ivystep/gateway/configuration.py
@@ -4,6 +4,7 @@
 decoded is ignored with a log line, and the one before stays in force.
 """
 
+import dataclasses
 from collections.abc import Callable, Sequence
 
 from ivystep.core import errors, types
@@ -94,9 +95,7 @@
     def on_store_regained(self) -> None:
         """Nothing to do: the feed goes on where it was."""
 
-    def _adopt(
-        self, config: contracts.RouteConfig, store_version: int
-    ) -> None:
+    def _adopt(self, config: contracts.RouteConfig, store_version: int) -> None:
         if config.version <= self.version:
             return
         self.current = config
@@ -132,10 +131,10 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
 class _Named:
     """A version that the operator has named, and the one before it."""
 
-    def __init__(self, version: int, previous: int, learnt_at: float) -> None:
-        self.version = version
-        self.previous = previous
-        self.learnt_at = learnt_at
+    version: int
+    previous: int
+    learnt_at: float
--- a/ivystep/gateway/connections.py
+++ b/ivystep/gateway/connections.py
@@ -37,9 +37,7 @@
     """
     connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    connection.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S
-    )
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, PROBE_IDLE_S)
     connection.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, PROBE_INTERVAL_S
     )
@@ -213,9 +211,7 @@
         return UpstreamConnection(connection, self._name)
 
 
-def lost(
-    error: errors.LinkError, *, has_sent: bool
-) -> errors.RequestError:
+def lost(error: errors.LinkError, *, has_sent: bool) -> errors.RequestError:
     """Return the failure of an attempt whose connection failed.
 
     Args:
@@ -231,5 +227,3 @@
         step=error.step,
         peer=error.peer,
     )
-
-
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -50,7 +50,6 @@
 EXPECTED_HOSTS = 8
 
 
-
 class _Versions:
     """``SetupSource`` for peers: a gateway hands no setup on."""
 
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -123,7 +123,9 @@
             errors.RequestError: The request ends without an answer, or the
                 answer broke off after it was started.
         """
-        budget_s = math.inf if call.time_budget_s is None else call.time_budget_s
+        budget_s = (
+            math.inf if call.time_budget_s is None else call.time_budget_s
+        )
         deadline = call.arrived + min(route.timeout_s, budget_s)
         progress = Progress()
         service = route.choose_service()
--- a/ivystep/gateway/engine_link.py
+++ b/ivystep/gateway/engine_link.py
@@ -25,7 +25,6 @@
 SEQUENCE_TRIES = 3
 
 
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Authority:
     """Leave to give orders.
--- a/ivystep/gateway/feeds.py
+++ b/ivystep/gateway/feeds.py
@@ -129,7 +129,9 @@
         lost_s = clock.now() - self._lost_at
         self._lost_at = None
         self._log.write(
-            events.DependencyRegained(f'store/{self._table}', int(lost_s * 1000))
+            events.DependencyRegained(
+                f'store/{self._table}', int(lost_s * 1000)
+            )
         )
         self._sink.on_store_regained()
 
--- a/ivystep/gateway/reception.py
+++ b/ivystep/gateway/reception.py
@@ -116,4 +116,3 @@
 
 def _name(route: contracts.Route | None) -> str:
     return route.name if route else ''
-
--- a/ivystep/gateway/relay.py
+++ b/ivystep/gateway/relay.py
@@ -167,7 +167,9 @@
                 body += event.content
                 if len(body) > WHOLE_BYTES:
                     raise errors.LinkError(
-                        'answer is too long', step='read answer', peer=self._peer
+                        'answer is too long',
+                        step='read answer',
+                        peer=self._peer,
                     )
 
     def _relay_collected(
@@ -308,4 +310,3 @@
             if name == b'id':
                 self.last_id = value.strip().decode('latin-1')
         return whole
-
--- a/ivystep/platform/messages.py
+++ b/ivystep/platform/messages.py
@@ -74,10 +74,12 @@
         if name.lower() not in replaced
     )
     left_ms = max(int(attempt.time_left_s * units.MS_PER_S), 1)
-    lines.extend((
-        b'Deadline-Ms: %d' % left_ms,
-        b'Expect-Instance: %b' % attempt.upstream_id.encode('latin-1'),
-    ))
+    lines.extend(
+        (
+            b'Deadline-Ms: %d' % left_ms,
+            b'Expect-Instance: %b' % attempt.upstream_id.encode('latin-1'),
+        )
+    )
     if attempt.version is not None:
         lines.append(b'Expect-Version: %d' % attempt.version)
     if attempt.urgency is not None:
--- a/ivystep/platform/objects.py
+++ b/ivystep/platform/objects.py
@@ -6,7 +6,6 @@
 from ivystep.core import errors
 from ivystep.platform import http
 
-
 READ_PATH = '/ivystep/blob-get/'
 WRITE_PATH = '/ivystep/blob-put/'
 CONTENT_TYPE = 'application/octet-stream'
--- a/ivystep/wire/listener.py
+++ b/ivystep/wire/listener.py
@@ -1,7 +1,6 @@
 """Accepts connections of other ivystep processes and checks their role."""
 
 import errno
-import ssl
 import typing
 from collections.abc import Callable
 
