--- a/ivystep/core/types.py
+++ b/ivystep/core/types.py
@@ -91,6 +91,8 @@
         fingerprint: Digest that is equal for a repeated request, whatever its
             identifiers are.
         claim: What a non-idempotent request is claimed under, else None.
+        start_by: Time by which an upstream must take it; None leaves that to
+            the pool, which knows how long requests run.
     """
 
     request_id: str
@@ -108,6 +110,7 @@
     fingerprint: bytes
     setup_version: int
     claim: ClaimKey | None = None
+    start_by: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -225,6 +228,7 @@
             the most urgent waiting request can meet its deadline.
         arrivals: Requests that arrived since the entry's last report,
             including those that were placed at once.
+        running: Requests of the entry that were placed and have not ended.
     """
 
     ref: AdapterRef
@@ -235,6 +239,7 @@
     oldest_wait_s: float
     start_within_s: float
     arrivals: int
+    running: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ivystep/entry/peer_server.py
+++ b/ivystep/entry/peer_server.py
@@ -4,9 +4,9 @@
 import typing
 from collections.abc import Callable
 
-from ivystep.core import errors, types
+from ivystep.core import errors
 from ivystep.entry import peers, planner
-from ivystep.wire import channel, convert
+from ivystep.wire import channel
 from ivystep.wire.gen import ttypes
 
 HELLO_TIMEOUT_S = 5.0
@@ -36,8 +36,7 @@
         planner_of: Returns the planner of a pool at this entry, or None if
             the pool is unknown here.
         setup: The setup of this entry.
-        holders_of: Returns the ids of the upstreams that hold an adapter of
-            a pool, for peers that do not hear it from the upstreams.
+        watch: Serves a peer that watches for news; None if there are none.
     """
 
     def __init__(
@@ -45,12 +44,12 @@
         process_id: str,
         planner_of: Callable[[str], planner.DemandSink | None],
         setup: SetupSource,
-        holders_of: Callable[[str, types.AdapterRef], list[str]] | None = None,
+        watch: Callable[[channel.Channel], None] | None = None,
     ) -> None:
         self.process_id = process_id
         self.planner_of = planner_of
         self.setup = setup
-        self.holders_of = holders_of
+        self.watch = watch
 
     def handle(self, link: channel.Channel) -> None:
         """Answer the messages of one connection until it ends.
@@ -68,7 +67,11 @@
             ttypes.Hello(self.process_id, '', 'entry', self.setup.version())
         )
         while True:
-            link.send(_answer(link.receive(), self))
+            message = link.receive()
+            if isinstance(message, ttypes.Watch) and self.watch is not None:
+                self.watch(link)
+            else:
+                link.send(_answer(message, self))
 
 
 @functools.singledispatch
@@ -88,22 +91,9 @@
     forecasts = target.report(message.entry_id, demands)
     return ttypes.DemandAccepted(
         [peers.forecast_message(forecast) for forecast in forecasts],
-        _held(server, message.pool, demands),
     )
 
 
-def _held(
-    server: PeerServer, pool: str, demands: tuple[types.AdapterDemand, ...]
-) -> list[ttypes.HeldAdapter] | None:
-    if server.holders_of is None:
-        return None
-    return [
-        ttypes.HeldAdapter(convert.adapter_id(demand.ref), upstream_id)
-        for demand in demands
-        for upstream_id in server.holders_of(pool, demand.ref)
-    ]
-
-
 @_answer.register
 def _answer_notice(
     message: ttypes.SetupNotice, server: PeerServer
--- a/ivystep/entry/peers.py
+++ b/ivystep/entry/peers.py
@@ -68,7 +68,7 @@
         """
         link = None
         try:
-            link = self._idle.pop() if self._idle else self._open()
+            link = self._idle.pop() if self._idle else self.open()
             reply = link.request(message, CALL_TIMEOUT_S)
         except errors.LinkError:
             self._unreachable_until = clock.now() + UNREACHABLE_S
@@ -87,7 +87,12 @@
         while self._idle:
             self._idle.pop().close()
 
-    def _open(self) -> channel.Channel:
+    def open(self) -> channel.Channel:
+        """Open a connection of its own, for a task that keeps it.
+
+        Raises:
+            errors.LinkError: The peer cannot be reached.
+        """
         link = channel.Channel.connect(
             self.address, self._contexts, tls.ENTRY_NAME
         )
@@ -97,29 +102,12 @@
         return link
 
 
-OnHeld = Callable[[types.AdapterRef, str], None]
-
-
-def ignore_held(ref: types.AdapterRef, upstream_id: str) -> None:
-    """Ignore who holds an adapter, where upstreams report it themselves."""
-
-
 class RemotePlanner:
-    """``DemandSink`` of a planner at another entry.
-
-    Args:
-        pool: Name of the pool.
-        link: Connection to the entry.
-        on_held: Called with each adapter that the planner knows to be held
-            and the upstream that holds it.
-    """
+    """``DemandSink`` of a planner at another entry."""
 
-    def __init__(
-        self, pool: str, link: PeerLink, on_held: OnHeld = ignore_held
-    ) -> None:
+    def __init__(self, pool: str, link: PeerLink) -> None:
         self._pool = pool
         self._link = link
-        self._on_held = on_held
 
     def report(
         self, entry_id: str, demands: tuple[types.AdapterDemand, ...]
@@ -132,8 +120,6 @@
         )
         if not isinstance(reply, ttypes.DemandAccepted):
             raise errors.LinkError('unexpected answer', step='demand')
-        for held in reply.held or ():
-            self._on_held(convert.adapter_ref(held.adapter), held.upstream)
         return tuple(_forecast(one) for one in reply.forecasts)
 
 
@@ -237,6 +223,7 @@
         oldest_wait_ms=int(demand.oldest_wait_s * units.MS_PER_S),
         start_within_ms=int(demand.start_within_s * units.MS_PER_S),
         arrivals=demand.arrivals,
+        running=demand.running,
     )
 
 
@@ -251,6 +238,7 @@
         oldest_wait_s=message.oldest_wait_ms / units.MS_PER_S,
         start_within_s=message.start_within_ms / units.MS_PER_S,
         arrivals=message.arrivals,
+        running=message.running or 0,
     )
 
 
--- a/ivystep/entry/planner.py
+++ b/ivystep/entry/planner.py
@@ -89,6 +89,7 @@
     Args:
         process_id: Id of this entry.
         index: The pool's upstreams.
+        ageing_s: See ``eviction.Popularity``.
 
     Attributes:
         batching_weight: 0 favours short load stalls, 1 full engine steps.
@@ -96,10 +97,15 @@
         load_s: Expected duration of a load.
     """
 
-    def __init__(self, process_id: str, index: routing.UpstreamIndex) -> None:
+    def __init__(
+        self,
+        process_id: str,
+        index: routing.UpstreamIndex,
+        ageing_s: float = eviction.AGEING_S,
+    ) -> None:
         self.batching_weight = 0.2
         self.service_s = 1.0
-        self.popularity = eviction.Popularity()
+        self.popularity = eviction.Popularity(ageing_s)
         self._process_id = process_id
         self._index = index
         self._shares = load_order.AccountShares(2.0)
@@ -113,6 +119,7 @@
             types.AdapterRef, dict[str, load_order.WantedLoad]
         ] = {}
         self._refs_by_entry: dict[str, set[types.AdapterRef]] = {}
+        self._running_by_entry: dict[str, set[types.AdapterRef]] = {}
         self._reported_at: dict[str, float] = {}
         self._admitted: dict[types.AdapterRef, load_order.WantedLoad] = {}
         self._rank_by_ref: dict[types.AdapterRef, int] = {}
@@ -127,6 +134,7 @@
         batching_weight: float,
         parallel_loads: int = 1,
         spread: float = 0.0,
+        fetch_cost: float = 0.0,
     ) -> None:
         """Take over the setup's values.
 
@@ -136,9 +144,11 @@
             parallel_loads: Loads that the weight store carries out at once
                 without slowing any of them down.
             spread: See ``load_target.LoadTargets``.
+            fetch_cost: See ``load_target.LoadTargets``.
         """
         self.batching_weight = batching_weight
         self._targets.spread = spread
+        self._targets.fetch_cost = fetch_cost
         self._parallel_loads = parallel_loads
         if loads_per_s != self._shares.loads_per_s:
             self._shares.loads_per_s = loads_per_s
@@ -155,6 +165,9 @@
         self._forget(entry_id, waiting)
         self._reported_at[entry_id] = now
         self._refs_by_entry[entry_id] = waiting
+        self._running_by_entry[entry_id] = {
+            demand.ref for demand in demands if demand.running
+        }
         for demand in demands:
             if demand.waiting:
                 self._count_wanted(demand.ref, now)
@@ -185,6 +198,10 @@
         self._targets.update(view, clock.now())
         self.wake()
 
+    def is_at_hand(self, upstream_id: str, ref: types.AdapterRef) -> bool:
+        """Return whether an upstream has held an adapter lately."""
+        return self._targets.at_hand.has(upstream_id, ref)
+
     def on_lost(self, upstream_id: str) -> None:
         """Take over that an upstream's connection has ended."""
         self._targets.discard(upstream_id)
@@ -245,6 +262,7 @@
                 self._forget(entry_id, set())
                 del self._reported_at[entry_id]
                 del self._refs_by_entry[entry_id]
+                self._running_by_entry.pop(entry_id, None)
 
     def _forget(self, entry_id: str, kept: set[types.AdapterRef]) -> None:
         """Forget what an entry no longer waits for."""
@@ -380,7 +398,13 @@
         return now - wanted.oldest_at > self.load_s
 
     def _is_needed(self, ref: types.AdapterRef, now: float) -> bool:
-        return ref in self._parts_by_ref or self._is_settling(ref, now)
+        return (
+            ref in self._parts_by_ref
+            or self._is_settling(ref, now)
+            or any(
+                ref in running for running in self._running_by_entry.values()
+            )
+        )
 
     def _is_loading(self, ref: types.AdapterRef, now: float) -> bool:
         started = self._started_by_ref.get(ref, -math.inf)
--- a/ivystep/entry/pool.py
+++ b/ivystep/entry/pool.py
@@ -14,7 +14,7 @@
 from ivystep.core import errors, types
 from ivystep.entry import links, planner, service_time, waiting
 from ivystep.metrics import registry
-from ivystep.policy import routing
+from ivystep.policy import eviction, routing
 from ivystep.runtime import clock, logs
 from ivystep.setup import document
 
@@ -46,6 +46,8 @@
         data_centre: Data centre of this entry; empty if it has none.
         metrics: Where load stalls and waiting requests are recorded.
         index: The pool's upstreams; made with the usual rules if None.
+        ageing_s: See ``eviction.Popularity``.
+        idle_report_s: Time between reports of demand while nothing waits.
 
     Attributes:
         planner: The planner at this entry, used if it has the role.
@@ -59,11 +61,14 @@
         data_centre: str = '',
         metrics: registry.Metrics | None = None,
         index: routing.UpstreamIndex | None = None,
+        ageing_s: float = eviction.AGEING_S,
+        idle_report_s: float = IDLE_REPORT_INTERVAL_S,
     ) -> None:
         self.name = name
+        self._idle_report_s = idle_report_s
         self._metrics = metrics or registry.Metrics()
         self._index = index or routing.UpstreamIndex(data_centre)
-        self.planner = planner.Planner(process_id, self._index)
+        self.planner = planner.Planner(process_id, self._index, ageing_s)
         self._process_id = process_id
         self._choose_sink = choose_sink
         self._waiting = waiting.WaitingRequests()
@@ -73,6 +78,9 @@
         )
         self._latest_by_ref: dict[types.AdapterRef, types.Request] = {}
         self._weight_by_account: Mapping[str, float] = {}
+        self._running_by_ref: collections.Counter[types.AdapterRef] = (
+            collections.Counter()
+        )
         self._is_reporting = False
         self._report_due = event.Event()
 
@@ -188,6 +196,7 @@
     def finish(self, placement: types.Placement) -> None:
         """Give back the room that a placement took."""
         request = placement.request
+        self._end_running(request.adapter)
         self._service.finish(request.request_id, clock.now())
         self.planner.service_s = self._service.mean_s
         view = self._index.view(placement.upstream_id)
@@ -196,8 +205,17 @@
             self._place_waiting(view)
             self.planner.wake()
 
+    def _end_running(self, ref: types.AdapterRef | None) -> None:
+        if ref is None:
+            return
+        self._running_by_ref[ref] -= 1
+        if not self._running_by_ref[ref]:
+            del self._running_by_ref[ref]
+
     def _start_by(self, request: types.Request, now: float) -> float:
         """Return the time by which a request must be placed."""
+        if request.start_by is not None:
+            return request.start_by
         left_s = request.deadline - now
         service_s = min(
             self._service.expected_s, left_s * (1 - LEAST_WAIT_SHARE)
@@ -251,6 +269,8 @@
         request = entry.request
         now = clock.now()
         view.take(request.account, now)
+        if request.adapter is not None:
+            self._running_by_ref[request.adapter] += 1
         self._service.start(request.request_id, now)
         return types.Placement(
             request, view.status.upstream_id, view.status.sidecar_incarnation
@@ -312,13 +332,14 @@
                 # Without this task, no waiting request would get a load.
                 log.exception('Report of %s failed.', self.name)
             interval_s = (
-                REPORT_INTERVAL_S if self._waiting else IDLE_REPORT_INTERVAL_S
+                REPORT_INTERVAL_S if self._waiting else self._idle_report_s
             )
             with eventlet.Timeout(interval_s, exception=False):
                 self._report_due.wait()
 
     def _report(self) -> None:
-        if not self._arrivals and not self._waiting:
+        is_idle = not self._arrivals and not self._waiting
+        if is_idle and not self._running_by_ref:
             return
         sink = self._choose_sink(self.name, self.planner)
         demands = self._demands()
@@ -337,7 +358,9 @@
         latest = self._latest_by_ref
         self._arrivals = collections.Counter()
         self._latest_by_ref = {}
-        refs = dict.fromkeys((*self._waiting.refs(), *arrivals))
+        refs = dict.fromkeys(
+            (*self._waiting.refs(), *arrivals, *self._running_by_ref)
+        )
         return tuple(
             self._demand(ref, arrivals[ref], latest.get(ref)) for ref in refs
         )
@@ -362,6 +385,7 @@
             oldest_wait_s=now - since,
             start_within_s=max(start_by - now, 0),
             arrivals=arrivals,
+            running=self._running_by_ref[ref],
         )
 
     def _refuse_late(self, forecast: types.LoadForecast) -> None:
--- a/ivystep/gateway/believed.py
+++ b/ivystep/gateway/believed.py
@@ -18,6 +18,8 @@
 REPORT_AGE_S = 0.4
 # Adapters on their way to one engine at once; the platform's limit.
 MAX_COMING = 4
+# Time after which an adapter that was expected is there, if it comes at all.
+SETTLED_S = 1.0
 # Time without new work after failures in a row: the first, and the longest.
 # An upstream that restarts is back after some seconds.
 SUSPEND_MIN_S = 0.25
@@ -75,8 +77,33 @@
             is_held: Whether it is held.
         """
         self._learnt_by_ref[ref] = _Learnt(is_held, now)
-        if is_held:
-            self.coming.pop(ref, None)
+
+    def replace_version(self, ref: types.AdapterRef, now: float) -> None:
+        """Take over that a version of an adapter is held instead of others.
+
+        Args:
+            ref: The version.
+            now: Current time in seconds.
+        """
+        for held in self.held():
+            is_other = held.version != ref.version
+            if is_other and (held.account, held.name) == (
+                ref.account,
+                ref.name,
+            ):
+                self.learn(held, now, is_held=False)
+        self.learn(ref, now, is_held=True)
+
+    def learnt_lately(self, ref: types.AdapterRef, now: float) -> bool:
+        """Return whether an adapter was learnt to be held a moment ago.
+
+        Args:
+            ref: The adapter.
+            now: Current time in seconds.
+        """
+        learnt = self._learnt_by_ref.get(ref)
+        is_held = learnt is not None and learnt.is_held
+        return is_held and now - learnt.at < SETTLED_S
 
     def suspend(self, now: float) -> float:
         """Send no new work for a while, longer after each failure in a row.
--- a/ivystep/gateway/contracts.py
+++ b/ivystep/gateway/contracts.py
@@ -10,6 +10,12 @@
 import typing
 from collections.abc import Iterable, Mapping
 
+# When callers abandon a stream, as the platform's protocol states it: the
+# longest of a time, of several aims and of several longest pauses.
+LEAST_PATIENCE_S = 2.0
+PATIENCE_AIMS = 4.0
+PATIENCE_GAPS = 8.0
+
 
 class Repeatability(enum.Enum):
     """How often requests of a route may run."""
@@ -60,6 +66,15 @@
     is_resumable: bool = False
     max_gap_s: float = 0.0
 
+    @property
+    def patience_s(self) -> float:
+        """Pause between events after which callers abandon a stream."""
+        return max(
+            LEAST_PATIENCE_S,
+            PATIENCE_AIMS * self.aim_s,
+            PATIENCE_GAPS * self.max_gap_s,
+        )
+
     @property
     def is_repeatable(self) -> bool:
         """Whether a request may run more than once."""
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -22,6 +22,7 @@
     membership,
     model_keeper,
     model_pools,
+    news,
     reception,
 )
 from ivystep.metrics import operators_app, registry
@@ -33,6 +34,7 @@
     table,
     upstream_entries,
 )
+from ivystep.policy import load_times
 from ivystep.runtime import clock, drain, event_log
 from ivystep.settings import gateway as settings_models
 from ivystep.wire import listener as wire_listener
@@ -55,6 +57,7 @@
 
     def __init__(self, config: configuration.Configuration) -> None:
         self._config = config
+        self._sections: dict[str, bytes] = {}
 
     def version(self) -> int:
         """Return the version in force here, 0 if none."""
@@ -69,7 +72,7 @@
 
     def section(self, digest: str) -> bytes | None:
         """Return no section."""
-        return None
+        return self._sections.get(digest)
 
 
 class GatewayDaemon:
@@ -87,6 +90,7 @@
         self._log = event_log.EventLog('gateway', host)
         self._metrics = registry.Metrics()
         self._door = callers.Door()
+        self._times = load_times.LoadTimes()
         self._api = engine_api.EngineClient()
         self._link_by_upstream: dict[
             believed.Upstream, engine_link.EngineLink
@@ -100,13 +104,14 @@
         self._membership = membership.Membership(
             self._log, self._on_change, self._on_removed
         )
+        self._board = news.NewsBoard(self._on_news)
         self._duty = duty.Duty(
             table.TableClient(settings.store.url, settings.store.timeout_s),
             host,
             settings.addresses.peers,
             lease_s=settings.bounds.lease_ms / 1000,
             turn_s=settings.bounds.turn_s,
-            on_held=self._on_held,
+            board=self._board,
             on_active=self._refresh,
             log=self._log,
         )
@@ -209,7 +214,7 @@
                 self.settings.process.id,
                 self._planner,
                 _Versions(self._config),
-                self._holders,
+                self._board.serve,
             ).handle,
         )
         eventlet.spawn(
@@ -233,6 +238,7 @@
             ).run
         )
         eventlet.spawn(self._duty.run)
+        eventlet.spawn(self._duty.follow)
         eventlet.spawn(self._keeper.run)
         eventlet.spawn(self._sweep)
 
@@ -258,10 +264,6 @@
         target = self._pools.named(name)
         return None if target is None else target.planner
 
-    def _holders(self, name: str, ref: types.AdapterRef) -> list[str]:
-        target = self._pools.named(name)
-        return [] if target is None else target.holders(ref)
-
     def _link(self, upstream: believed.Upstream) -> engine_link.EngineLink:
         link = self._link_by_upstream.get(upstream)
         if link is None:
@@ -271,6 +273,9 @@
                 self._duty.authority,
                 self._on_change,
                 self._places,
+                self._pools.is_at_hand,
+                self._board,
+                self._times,
                 self._log,
             )
             self._link_by_upstream[upstream] = link
@@ -303,11 +308,21 @@
         self._link_by_upstream.pop(upstream, None)
         self._pools.remove(upstream)
 
-    def _on_held(self, ref: types.AdapterRef, upstream_id: str) -> None:
-        upstream = self._membership.upstream_by_id.get(upstream_id)
-        if upstream is None or ref in upstream.held():
+    def _on_news(self, told: news.AdapterNews) -> None:
+        if told.is_held and told.ready_in_s > 0:
+            eventlet.spawn_after(told.ready_in_s, self._learn, told)
+        else:
+            self._learn(told)
+
+    def _learn(self, told: news.AdapterNews) -> None:
+        upstream = self._membership.upstream_by_id.get(told.upstream_id)
+        if upstream is None:
             return
-        upstream.learn(ref, clock.now(), is_held=True)
+        now = clock.now()
+        if told.is_held:
+            upstream.replace_version(told.ref, now)
+        else:
+            upstream.learn(told.ref, now, is_held=False)
         self._on_change(upstream)
 
     def _refresh(self) -> None:
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import enum
 import math
 import typing
 from collections.abc import Callable
@@ -15,6 +14,7 @@
 
 from ivystep.coordination import retry_budget
 from ivystep.core import errors, types, units
+from ivystep.entry import pool
 from ivystep.gateway import (
     believed,
     calls,
@@ -27,14 +27,15 @@
 from ivystep.platform import messages
 from ivystep.runtime import clock, event_log
 
-# Pause before an upstream is asked again that has refused a request, so that
-# a short queue there can move.
-REFUSED_PAUSE_S = 0.05
+# Pause before another attempt, so that a short queue at an upstream can move.
+RETRY_PAUSE_S = 0.03
 MIN_RETRY_AFTER_S = 0.2
-# The most urgent and the least urgent request, as engines rank them.
+# The least urgent request, as engines rank them.
 MAX_URGENCY = 9
 # An upstream must have some time to answer.
 LEAST_TIME_S = 0.01
+# Time that an engine needs from a request to the first event.
+FIRST_EVENT_S = 0.2
 # Share of the time in which all hosts must have a new version in which the
 # version before is still used while the new one is being loaded.
 OLD_VERSION_SHARE = 0.6
@@ -45,28 +46,91 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Progress:
-    """How far a request has come.
+class Run:
+    """One request, with how far it has come.
 
     Attributes:
+        deadline: Time by which the answer must be complete.
         attempts: Upstreams that it was sent to.
         may_have_run: Upstreams at which it may have run.
         avoid: Upstreams that have failed or refused it.
-        first_at: When the first byte of the answer was sent; None before.
+        upstream_id: The last upstream; empty before the first.
     """
 
+    call: calls.Call
+    route: contracts.Route
+    service: str
+    deadline: float
+    answer: relay.CallerAnswer
     attempts: int = 0
     may_have_run: set[str] = dataclasses.field(default_factory=set)
     avoid: set[str] = dataclasses.field(default_factory=set)
     upstream_id: str = ''
-    first_at: float | None = None
 
+    @classmethod
+    def from_call(
+        cls,
+        call: calls.Call,
+        route: contracts.Route,
+        answer: relay.CallerAnswer,
+    ) -> typing.Self:
+        """Start a request on one of its route's services."""
+        budget_s = math.inf
+        if call.time_budget_s is not None:
+            budget_s = call.time_budget_s
+        deadline = call.arrived + min(route.timeout_s, budget_s)
+        return cls(call, route, route.choose_service(), deadline, answer)
+
+    @property
+    def model(self) -> str:
+        """Base model that must answer; empty for a plain service."""
+        generation = self.call.generation
+        return generation.model if generation else ''
+
+    @property
+    def has_attempt_left(self) -> bool:
+        """Whether the request may run on one more upstream."""
+        return len(self.may_have_run) < self.route.max_attempts
+
+    @property
+    def left_s(self) -> float:
+        """Time until the deadline."""
+        return max(self.deadline - clock.now(), 0.0)
+
+    def to_request(
+        self, pool_name: str, ref: types.AdapterRef | None
+    ) -> types.Request:
+        """Return the request as pools know it.
 
-class Verdict(enum.Enum):
-    """What follows a failed attempt."""
+        Pools share an upstream fairly among accounts. The platform names no
+        account in a request, so the route stands for it.
 
-    RETRY = 'retry'
-    GIVE_UP = 'give_up'
+        Args:
+            pool_name: Name of the pool.
+            ref: Adapter version that must answer, or None.
+        """
+        route = self.route
+        start_by = self.deadline
+        if route.kind is contracts.Repeatability.STREAM:
+            begin_by = self.call.arrived + route.patience_s
+            start_by = min(self.deadline, begin_by) - FIRST_EVENT_S
+        return types.Request(
+            request_id=self.call.request_id,
+            account=route.name,
+            application='',
+            pool=pool_name,
+            adapter=ref,
+            adapter_source='',
+            path=self.call.path,
+            body=b'',
+            stream=route.kind is contracts.Repeatability.STREAM,
+            idempotent=route.is_repeatable,
+            arrived=self.call.arrived,
+            deadline=self.deadline,
+            fingerprint=b'',
+            setup_version=0,
+            start_by=start_by,
+        )
 
 
 class Upstreams(typing.Protocol):
@@ -80,7 +144,7 @@
 
     Args:
         pools: The pools of this host.
-        membership: The upstreams.
+        members: The upstreams.
         config: The configuration and the named versions.
         budgets: Retries of each service.
         on_change: Called when the belief about an upstream has changed.
@@ -91,7 +155,7 @@
     def __init__(
         self,
         pools: model_pools.ModelPools,
-        membership: Upstreams,
+        members: Upstreams,
         config: configuration.Configuration,
         budgets: retry_budget.RetryBudgets,
         on_change: Callable[[believed.Upstream], None],
@@ -99,7 +163,7 @@
         version_s: float,
     ) -> None:
         self._pools = pools
-        self._membership = membership
+        self._members = members
         self._config = config
         self._budgets = budgets
         self._on_change = on_change
@@ -123,146 +187,126 @@
             errors.RequestError: The request ends without an answer, or the
                 answer broke off after it was started.
         """
-        budget_s = (
-            math.inf if call.time_budget_s is None else call.time_budget_s
-        )
-        deadline = call.arrived + min(route.timeout_s, budget_s)
-        progress = Progress()
-        service = route.choose_service()
-        self._budgets.budget(service).on_request()
-        left_s = max(deadline - clock.now(), 0)
+        run = Run.from_call(call, route, answer)
+        self._budget(run).on_request()
         try:
-            with eventlet.Timeout(left_s, DeadlineError):
-                self._try_all(call, route, service, deadline, answer, progress)
+            with eventlet.Timeout(run.left_s, DeadlineError):
+                self._try_all(run)
         except DeadlineError as error:
-            raise self._timed_out(progress) from error
-        finally:
-            self._note_end(call, route, answer, progress)
+            raise _timed_out(run) from error
+        self._note_end(run)
 
-    def _try_all(
-        self,
-        call: calls.Call,
-        route: contracts.Route,
-        service: str,
-        deadline: float,
-        answer: relay.CallerAnswer,
-        progress: Progress,
-    ) -> None:
+    def _try_all(self, run: Run) -> None:
         while True:
             try:
-                self._attempt(call, route, service, deadline, answer, progress)
+                self._attempt(run)
+            except errors.RefusedError as refusal:
+                raise _final(refusal, run) from refusal
             except errors.RequestError as error:
-                if isinstance(error, errors.RefusedError):
-                    raise
-                verdict = self._judge(route, service, error, answer, progress)
-                self._note_failure(call, route, service, error, verdict)
-                if verdict is Verdict.GIVE_UP:
-                    raise self._final(error, progress) from error
-                clock.sleep(REFUSED_PAUSE_S)
+                may_retry = self._may_retry(run, error)
+                self._note_failure(run, error, may_retry=may_retry)
+                if not may_retry:
+                    raise _final(error, run) from error
+                clock.sleep(RETRY_PAUSE_S)
             else:
                 return
 
-    def _attempt(
-        self,
-        call: calls.Call,
-        route: contracts.Route,
-        service: str,
-        deadline: float,
-        answer: relay.CallerAnswer,
-        progress: Progress,
-    ) -> None:
-        model = call.generation.model if call.generation else ''
-        target = self._pools.find(service, model)
+    def _attempt(self, run: Run) -> None:
+        target = self._pools.find(run.service, run.model)
         if target is None:
             raise errors.RefusedError(
                 'upstream_unavailable',
-                f'No upstream of {service} serves {model or "it"}.',
+                f'No upstream of {run.service} serves {run.model or "it"}.',
                 status=503,
                 retry_after_s=MIN_RETRY_AFTER_S,
                 step='route',
-                peer=service,
+                peer=run.service,
             )
-        ref = self._adapter(call, target)
-        request = _request(call, route, target.name, ref, deadline)
-        placement = target.place(request, progress.avoid)
+        ref = self._adapter(run.call, target)
+        placement = target.place(run.to_request(target.name, ref), run.avoid)
         try:
-            upstream = self._membership.upstream_by_id.get(
-                placement.upstream_id
-            )
-            if upstream is None:
-                raise errors.RequestError(
-                    'upstream_unavailable',
-                    'The upstream has gone.',
-                    status=503,
-                    step='route',
-                    peer=placement.upstream_id,
-                )
-            progress.upstream_id = upstream.upstream_id
-            self._note_placed(call, route, upstream, ref, progress)
-            self._send(
-                call, route, service, upstream, ref, deadline, answer, progress
-            )
+            self._send(run, self._upstream(placement), ref)
         finally:
             target.finish(placement)
 
+    def _upstream(self, placement: types.Placement) -> believed.Upstream:
+        upstream = self._members.upstream_by_id.get(placement.upstream_id)
+        if upstream is None:
+            raise errors.RequestError(
+                'upstream_unavailable',
+                'The upstream has gone.',
+                status=503,
+                step='route',
+                peer=placement.upstream_id,
+            )
+        return upstream
+
     def _send(
         self,
-        call: calls.Call,
-        route: contracts.Route,
-        service: str,
+        run: Run,
         upstream: believed.Upstream,
         ref: types.AdapterRef | None,
-        deadline: float,
-        answer: relay.CallerAnswer,
-        progress: Progress,
     ) -> None:
+        run.upstream_id = upstream.upstream_id
+        run.attempts += 1
+        self._note_placed(run, upstream, ref)
+        was_tried = upstream.upstream_id in run.may_have_run
+        run.may_have_run.add(upstream.upstream_id)
         attempt = messages.Attempt(
             upstream_id=upstream.upstream_id,
-            time_left_s=max(deadline - clock.now(), LEAST_TIME_S),
+            time_left_s=max(run.left_s, LEAST_TIME_S),
             version=ref.version if ref else None,
-            urgency=min(route.priority, MAX_URGENCY) if ref else None,
-            resumes_after=answer.last_event_id,
+            urgency=min(run.route.priority, MAX_URGENCY) if ref else None,
+            resumes_after=run.answer.last_event_id,
         )
-        progress.attempts += 1
-        progress.may_have_run.add(upstream.upstream_id)
         exchange = relay.Exchange(
-            call,
-            route,
+            run.call,
+            run.route,
             upstream,
-            answer,
-            may_repeat=(
-                route.is_repeatable
-                and len(progress.may_have_run) < route.max_attempts
-                and self._budgets.budget(service).balance >= 1
-            ),
+            run.answer,
+            may_repeat=run.route.is_repeatable
+            and run.has_attempt_left
+            and self._budget(run).balance >= 1,
         )
         try:
-            exchange.run(messages.encode_call(call, attempt))
-            upstream.trust()
+            exchange.run(messages.encode_call(run.call, attempt))
         except errors.RequestError as error:
-            progress.avoid.add(upstream.upstream_id)
-            if error.ran is types.Ran.NO:
-                progress.may_have_run.discard(upstream.upstream_id)
-                self._learn_refusal(upstream, ref, error)
+            if error.ran is types.Ran.NO and not was_tried:
+                run.may_have_run.discard(upstream.upstream_id)
+            if not self._is_still_loading(upstream, ref, error):
+                run.avoid.add(upstream.upstream_id)
+                self._learn_failure(upstream, ref, error)
             raise
+        upstream.trust()
+
+    def _is_still_loading(
+        self,
+        upstream: believed.Upstream,
+        ref: types.AdapterRef | None,
+        error: errors.RequestError,
+    ) -> bool:
+        """Return whether an engine refused because a load is not complete."""
+        is_early = ref is not None and upstream.learnt_lately(ref, clock.now())
+        return is_early and error.code in {'upstream_full', 'not_held'}
 
-    def _learn_refusal(
+    def _learn_failure(
         self,
         upstream: believed.Upstream,
         ref: types.AdapterRef | None,
         error: errors.RequestError,
     ) -> None:
-        """Correct the belief about an upstream that refused a request."""
+        """Correct the belief about an upstream that failed a request."""
+        now = clock.now()
         if error.code == 'not_held' and ref is not None:
-            upstream.learn(ref, clock.now(), is_held=False)
+            upstream.learn(ref, now, is_held=False)
             self._on_change(upstream)
         elif error.code in {'other_upstream', 'upstream_unavailable'}:
-            pause_s = upstream.suspend(clock.now())
+            pause_s = upstream.suspend(now)
             self._on_change(upstream)
             eventlet.spawn_after(pause_s, self._on_change, upstream)
 
     def _adapter(
-        self, call: calls.Call, target: typing.Any
+        self, call: calls.Call, target: pool.Pool
     ) -> types.AdapterRef | None:
         """Return the adapter version that must answer, or None for any."""
         generation = call.generation
@@ -275,155 +319,102 @@
                 return previous
         return newest
 
-    def _judge(
-        self,
-        route: contracts.Route,
-        service: str,
-        error: errors.RequestError,
-        answer: relay.CallerAnswer,
-        progress: Progress,
-    ) -> Verdict:
-        """Decide whether a request is tried again."""
-        if answer.has_started and not (
-            route.is_resumable and answer.can_resume
+    def _may_retry(self, run: Run, error: errors.RequestError) -> bool:
+        """Decide whether a request is tried again, and take the budget."""
+        if run.answer.has_started and not (
+            run.route.is_resumable and run.answer.can_resume
         ):
-            return Verdict.GIVE_UP
-        if error.ran is not types.Ran.NO and not route.is_repeatable:
-            return Verdict.GIVE_UP
-        if len(progress.may_have_run) >= route.max_attempts:
-            return Verdict.GIVE_UP
-        if not self._budgets.budget(service).try_spend():
-            return Verdict.GIVE_UP
-        return Verdict.RETRY
-
-    def _final(
-        self, error: errors.RequestError, progress: Progress
-    ) -> errors.RequestError:
-        """Return the error that ends a request after its last attempt."""
-        if not progress.may_have_run and error.retry_after_s is None:
-            error.retry_after_s = MIN_RETRY_AFTER_S
-        if progress.may_have_run and error.ran is types.Ran.NO:
-            # The last attempt did not run, but an earlier one may have.
-            return errors.RequestError(
-                error.code,
-                error.reason,
-                status=502,
-                ran=types.Ran.UNKNOWN,
-                step=error.step,
-                peer=error.peer,
-            )
-        return error
+            return False
+        if error.ran is not types.Ran.NO and not run.route.is_repeatable:
+            return False
+        return run.has_attempt_left and self._budget(run).try_spend()
 
-    def _timed_out(self, progress: Progress) -> errors.RequestError:
-        has_run = bool(progress.may_have_run)
-        return errors.RequestError(
-            'deadline_exceeded',
-            'The time of the request is over.',
-            status=504 if has_run else 503,
-            ran=types.Ran.UNKNOWN if has_run else types.Ran.NO,
-            retry_after_s=None if has_run else MIN_RETRY_AFTER_S,
-            step='wait',
-            peer=progress.upstream_id,
-        )
+    def _budget(self, run: Run) -> retry_budget.RetryBudget:
+        return self._budgets.budget(run.service)
 
     def _note_placed(
         self,
-        call: calls.Call,
-        route: contracts.Route,
+        run: Run,
         upstream: believed.Upstream,
         ref: types.AdapterRef | None,
-        progress: Progress,
     ) -> None:
         self._log.write(
             events.RequestPlaced(
-                call.request_id,
-                route.name,
+                run.call.request_id,
+                run.route.name,
                 upstream.upstream_id,
                 ref.lora_name if ref else '',
-                progress.attempts + 1,
-                _ms(clock.now() - call.arrived),
+                run.attempts,
+                _elapsed_ms(run),
                 upstream.entry.version,
                 self._config.version,
             )
         )
 
     def _note_failure(
-        self,
-        call: calls.Call,
-        route: contracts.Route,
-        service: str,
-        error: errors.RequestError,
-        verdict: Verdict,
+        self, run: Run, error: errors.RequestError, *, may_retry: bool
     ) -> None:
         self._log.write(
             events.AttemptFailed(
-                call.request_id,
-                route.name,
+                run.call.request_id,
+                run.route.name,
                 error.peer,
                 error.step,
                 error.reason,
                 error.ran.value,
                 error.status,
-                _ms(clock.now() - call.arrived),
-                verdict is Verdict.RETRY,
-                round(self._budgets.budget(service).balance, 1),
+                _elapsed_ms(run),
+                may_retry,
+                round(self._budget(run).balance, 1),
             )
         )
 
-    def _note_end(
-        self,
-        call: calls.Call,
-        route: contracts.Route,
-        answer: relay.CallerAnswer,
-        progress: Progress,
-    ) -> None:
-        if not answer.is_complete:
-            return
-        first_s = (answer.first_at or clock.now()) - call.arrived
+    def _note_end(self, run: Run) -> None:
+        first_at = run.answer.first_at or clock.now()
         self._log.write(
             events.RequestEnded(
-                call.request_id,
-                route.name,
+                run.call.request_id,
+                run.route.name,
                 'answered',
-                answer.status,
-                _ms(clock.now() - call.arrived),
-                _ms(first_s),
-                progress.attempts,
-                progress.upstream_id,
+                run.answer.status,
+                _elapsed_ms(run),
+                int((first_at - run.call.arrived) * units.MS_PER_S),
+                run.attempts,
+                run.upstream_id,
                 self._config.version,
             )
         )
 
 
-def _ms(seconds: float) -> int:
-    return int(seconds * units.MS_PER_S)
-
+def _elapsed_ms(run: Run) -> int:
+    return int((clock.now() - run.call.arrived) * units.MS_PER_S)
 
-def _request(
-    call: calls.Call,
-    route: contracts.Route,
-    pool_name: str,
-    ref: types.AdapterRef | None,
-    deadline: float,
-) -> types.Request:
-    """Return the request as pools know it.
 
-    Pools share an upstream fairly among accounts. The platform names no
-    account in a request, so the route stands for it.
-    """
-    return types.Request(
-        request_id=call.request_id,
-        account=route.name,
-        application='',
-        pool=pool_name,
-        adapter=ref,
-        adapter_source='',
-        path=call.path,
-        body=b'',
-        stream=route.kind is contracts.Repeatability.STREAM,
-        idempotent=route.is_repeatable,
-        arrived=call.arrived,
-        deadline=deadline,
-        fingerprint=b'',
-        setup_version=0,
+def _final(error: errors.RequestError, run: Run) -> errors.RequestError:
+    """Return the error that ends a request after its last attempt."""
+    if run.may_have_run and error.ran is types.Ran.NO:
+        # The last attempt did not run, but an earlier one may have.
+        return errors.RequestError(
+            error.code,
+            error.reason,
+            status=502,
+            ran=types.Ran.UNKNOWN,
+            step=error.step,
+            peer=error.peer,
+        )
+    if error.ran is types.Ran.NO and error.retry_after_s is None:
+        error.retry_after_s = MIN_RETRY_AFTER_S
+    return error
+
+
+def _timed_out(run: Run) -> errors.RequestError:
+    has_run = bool(run.may_have_run)
+    return errors.RequestError(
+        'deadline_exceeded',
+        'The time of the request is over.',
+        status=504 if has_run else 503,
+        ran=types.Ran.UNKNOWN if has_run else types.Ran.NO,
+        retry_after_s=None if has_run else MIN_RETRY_AFTER_S,
+        step='wait',
+        peer=run.upstream_id,
     )
--- a/ivystep/gateway/duty.py
+++ b/ivystep/gateway/duty.py
@@ -12,11 +12,12 @@
 from ivystep.coordination import lease
 from ivystep.core import errors, types
 from ivystep.entry import peers, planner
-from ivystep.gateway import engine_link, events
+from ivystep.gateway import engine_link, events, news
 from ivystep.platform import table
 from ivystep.runtime import clock, event_log
 
 LEASE_KEY = 'lease/orders'
+FOLLOW_RETRY_S = 0.2
 
 
 class _NoPlanner:
@@ -39,7 +40,7 @@
         lease_s: Duration of the lease, in seconds.
         turn_s: Time for which the orders of an earlier holder count, in
             seconds.
-        on_held: Called with adapters that the holder knows to be held.
+        board: Takes the news of the holder.
         on_active: Called when this host may give orders.
         log: Where changes are written.
     """
@@ -52,13 +53,13 @@
         *,
         lease_s: float,
         turn_s: float,
-        on_held: peers.OnHeld,
+        board: news.NewsBoard,
         on_active: Callable[[], None],
         log: event_log.EventLog,
     ) -> None:
         self._host = host
         self._turn_s = turn_s
-        self._on_held = on_held
+        self._board = board
         self._on_active = on_active
         self._log = log
         self._active_from = float('inf')
@@ -89,7 +90,7 @@
         _, _, text = self._lease.seen_holder_id.partition('@')
         if not text or self.holder == self._host:
             return _NoPlanner()
-        return peers.RemotePlanner(pool, self._link(text), self._on_held)
+        return peers.RemotePlanner(pool, self._link(text))
 
     def run(self) -> None:
         """Hold the lease whenever it can be had, until killed."""
@@ -110,6 +111,25 @@
                 events.DutyChanged(self.holder, self._lease.token, 'ended')
             )
 
+    def follow(self) -> None:
+        """Take the news of the holder until killed."""
+        while True:
+            _, _, text = self._lease.seen_holder_id.partition('@')
+            if text and not self._lease.is_held():
+                self._follow(text)
+            clock.sleep(FOLLOW_RETRY_S)
+
+    def _follow(self, text: str) -> None:
+        link = None
+        try:
+            link = self._link(text).open()
+            self._board.follow(link)
+        except errors.LinkError as error:
+            self._log.write(events.DependencyLost(f'holder/{text}', str(error)))
+        finally:
+            if link is not None:
+                link.close()
+
     def release(self) -> None:
         """Give the lease up before this host stops."""
         if self._lease.is_held():
--- a/ivystep/gateway/engine_link.py
+++ b/ivystep/gateway/engine_link.py
@@ -8,21 +8,21 @@
 import dataclasses
 from collections.abc import Callable
 
+import eventlet
 from eventlet import semaphore
 
 from ivystep.core import errors, types, units
-from ivystep.gateway import believed, events, orders, upstreams
+from ivystep.gateway import believed, events, news, orders, upstreams
+from ivystep.policy import load_times
 from ivystep.runtime import clock, event_log
 
 # An order without an answer may be carried out up to this much later.
 UNCERTAIN_S = 12.0
-# A report shows a load no sooner than this after its order: the fastest load
-# of an adapter and the age of the report.
-FIRST_POLL_S = 0.25
-POLL_S = 0.08
+POLL_S = 0.06
 LOAD_TIMEOUT_S = 6.0
 UNLOAD_TIMEOUT_S = 2.0
 SEQUENCE_TRIES = 3
+ANSWER_TRIES = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,6 +60,9 @@
         authority: Returns the leave to give orders, or None.
         on_change: Called when the belief about the engine has changed.
         places: Returns how many adapters the engine can hold now.
+        is_at_hand: Returns whether the engine has held an adapter lately.
+        board: Takes news of loads.
+        times: How long loads take.
         log: Where orders are written.
     """
 
@@ -70,6 +73,9 @@
         authority: Callable[[], Authority | None],
         on_change: Callable[[believed.Upstream], None],
         places: Callable[[believed.Upstream], int],
+        is_at_hand: Callable[[believed.Upstream, types.AdapterRef], bool],
+        board: news.NewsBoard,
+        times: load_times.LoadTimes,
         log: event_log.EventLog,
     ) -> None:
         self._upstream = upstream
@@ -77,6 +83,9 @@
         self._authority = authority
         self._on_change = on_change
         self._places = places
+        self._is_at_hand = is_at_hand
+        self._board = board
+        self._times = times
         self._log = log
         self._given_by_name: dict[tuple[str, str], _Given] = {}
         self._lock = semaphore.Semaphore(1)
@@ -89,6 +98,10 @@
         """Load an adapter; see ``links.UpstreamLink.load``."""
         upstream = self._upstream
         upstream.coming[order.ref] = clock.now() + UNCERTAIN_S
+        # From now on no new request goes to what is evicted, and no other
+        # load evicts it too.
+        for victim in order.evict:
+            self._tell(victim, is_held=False)
         self._on_change(upstream)
         result = types.LoadResult(False, 'link_failed', 'The load was ended.')
         try:
@@ -124,26 +137,18 @@
             return types.LoadResult(True, 'loaded', '')
         if outcome is not orders.Outcome.ACCEPTED:
             return _refusal(outcome)
-        return self._wait_loaded(ref)
+        return self._expect_loaded(ref)
 
     def _settle(self, ref: types.AdapterRef, result: types.LoadResult) -> None:
         """Take over what became of a load."""
-        now = clock.now()
-        if result.ok:
-            self._upstream.learn(ref, now, is_held=True)
-            for held in self._upstream.held():
-                if held.account == ref.account and held.name == ref.name:
-                    is_newest = held.version == ref.version
-                    self._upstream.learn(held, now, is_held=is_newest)
-        elif result.code != 'link_failed':
-            self._upstream.coming.pop(ref, None)
+        if not result.ok:
+            self._tell(ref, is_held=False)
+            if result.code != 'link_failed':
+                self._upstream.coming.pop(ref, None)
         self._on_change(self._upstream)
 
     def _unload(self, ref: types.AdapterRef) -> types.LoadResult | None:
         """Unload an adapter; return why it failed, or None."""
-        # From now on no new request goes there.
-        self._upstream.learn(ref, clock.now(), is_held=False)
-        self._on_change(self._upstream)
         outcome = self._give(ref.account, ref.name, None, is_load=False)
         if outcome is orders.Outcome.ALREADY_HELD:
             return None
@@ -184,17 +189,59 @@
         taken.add((ref.account, ref.name))
         return len(taken) <= self._places(self._upstream)
 
-    def _wait_loaded(self, ref: types.AdapterRef) -> types.LoadResult:
-        deadline = clock.now() + LOAD_TIMEOUT_S
-        clock.sleep(FIRST_POLL_S)
-        while clock.now() < deadline:
-            held = self._report().held_model_by_name.get(ref.account)
+    def _tell(
+        self, ref: types.AdapterRef, *, is_held: bool, ready_in_s: float = 0.0
+    ) -> None:
+        self._board.publish(
+            news.AdapterNews(
+                ref, self._upstream.upstream_id, is_held, ready_in_s
+            )
+        )
+
+    def _expect_loaded(self, ref: types.AdapterRef) -> types.LoadResult:
+        """Let requests go to an adapter when it is expected to be there.
+
+        Whether it has come is checked beside, because reports are late.
+        """
+        is_at_hand = self._is_at_hand(self._upstream, ref)
+        ordered_at = clock.now()
+        ready_in_s = self._times.expected_s(is_at_hand=is_at_hand)
+        self._tell(ref, is_held=True, ready_in_s=ready_in_s)
+        eventlet.spawn(
+            self._confirm, ref, ordered_at, ready_in_s, is_at_hand=is_at_hand
+        )
+        clock.sleep(ready_in_s)
+        return types.LoadResult(True, 'loaded', '')
+
+    def _confirm(
+        self,
+        ref: types.AdapterRef,
+        ordered_at: float,
+        ready_in_s: float,
+        *,
+        is_at_hand: bool,
+    ) -> None:
+        """Check by reports that an adapter has come."""
+        clock.sleep(ready_in_s + load_times.REPORT_LAG_S)
+        while clock.now() < ordered_at + LOAD_TIMEOUT_S:
+            try:
+                held = self._report().held_model_by_name.get(ref.account)
+            except errors.LinkError as error:
+                self._log.write(
+                    events.DependencyLost(
+                        f'engine/{self._upstream.upstream_id}', str(error)
+                    )
+                )
+                break
             if held and held.adapter_versions.get(ref.name, 0) >= ref.version:
-                return types.LoadResult(True, 'loaded', '')
+                self._upstream.coming.pop(ref, None)
+                self._times.observe(
+                    clock.now() - ordered_at, is_at_hand=is_at_hand
+                )
+                self._on_change(self._upstream)
+                return
             clock.sleep(POLL_S)
-        return types.LoadResult(
-            False, 'load_failed', f'{ref.lora_name} did not come in time.'
-        )
+        self._tell(ref, is_held=False)
 
     def _give(
         self, model: str, adapter: str, version: int | None, *, is_load: bool
@@ -221,16 +268,48 @@
         return orders.Outcome.OUT_OF_SEQUENCE
 
     def _send(self, order: orders.Order) -> orders.Outcome:
+        """Give an order until it is answered.
+
+        The order that was given before it without an answer expects the same
+        number of earlier orders, so at most one of them is carried out.
+        """
+        for attempt in range(ANSWER_TRIES):
+            try:
+                outcome = self._send_once(order)
+            except errors.LinkError:
+                if attempt + 1 < ANSWER_TRIES:
+                    continue
+                # It may be carried out later, so its number may be taken.
+                self._expected = None
+                self._note_given(order, UNCERTAIN_S)
+                raise
+            break
+        # An idle adapter is unloaded at once, which is answered like an
+        # unload of one that is not held; only the first is counted.
+        is_unloaded = (
+            outcome is orders.Outcome.ALREADY_HELD
+            and not order.is_load
+            and self._may_hold(order)
+        )
+        if outcome is orders.Outcome.ACCEPTED or is_unloaded:
+            self._expected = order.expected_orders + 1
+            self._note_given(order, believed.REPORT_AGE_S)
+        return outcome
+
+    def _may_hold(self, order: orders.Order) -> bool:
+        name = (order.model, order.adapter)
+        given = self._given_by_name.get(name)
+        if given is not None and given.until >= clock.now():
+            return given.takes_place
+        held = self._upstream.entry.held_model_by_name.get(order.model)
+        return held is not None and order.adapter in held.adapter_versions
+
+    def _send_once(self, order: orders.Order) -> orders.Outcome:
         entry = self._upstream.entry
         sent_at = clock.now()
         outcome = None
         try:
             outcome = self._api.order(entry.address, entry.upstream_id, order)
-        except errors.LinkError:
-            # It may be carried out later, so its number may be taken.
-            self._expected = None
-            self._note_given(order, UNCERTAIN_S)
-            raise
         finally:
             self._log.write(
                 events.OrderGiven(
@@ -243,11 +322,6 @@
                     int((clock.now() - sent_at) * units.MS_PER_S),
                 )
             )
-        if outcome is orders.Outcome.ACCEPTED or (
-            outcome is orders.Outcome.ALREADY_HELD and not order.is_load
-        ):
-            self._expected = order.expected_orders + 1
-            self._note_given(order, believed.REPORT_AGE_S)
         return outcome
 
     def _note_given(self, order: orders.Order, hidden_s: float) -> None:
--- a/ivystep/gateway/model_pools.py
+++ b/ivystep/gateway/model_pools.py
@@ -25,6 +25,12 @@
 # Cost of a full upstream against that of evicting an adapter, in shares of
 # all requests.
 SPREAD = 0.02
+# Cost of bringing an adapter from the store, in the same shares.
+FETCH_COST = 0.04
+# Demand moves to other adapters within some seconds.
+AGEING_S = 30.0
+# What is in use must be known before an adapter is evicted.
+IDLE_REPORT_S = 0.25
 # An upstream's entry does not change while all is well, so its silence says
 # nothing. A batch may be this much fuller before another data centre helps.
 RULES = routing.RoutingRules(silence_s=math.inf, remote_cost=0.05)
@@ -99,6 +105,15 @@
             if service == upstream.entry.service:
                 target.on_lost(upstream.upstream_id)
 
+    def is_at_hand(
+        self, upstream: believed.Upstream, ref: types.AdapterRef
+    ) -> bool:
+        """Return whether an engine has held an adapter lately."""
+        target = self.pool_by_key.get((upstream.entry.service, ref.account))
+        return target is not None and target.planner.is_at_hand(
+            upstream.upstream_id, ref
+        )
+
     def rename(self, old: types.AdapterRef, new: types.AdapterRef) -> None:
         """Take over that one version of an adapter follows another."""
         for (_, model), target in self.pool_by_key.items():
@@ -118,12 +133,15 @@
             self._data_centre,
             self._metrics,
             index=routing.UpstreamIndex(self._data_centre, RULES),
+            ageing_s=AGEING_S,
+            idle_report_s=IDLE_REPORT_S,
         )
         built.planner.configure(
             PARALLEL_LOADS / ADAPTER_LOAD_S,
             BATCHING_WEIGHT,
             PARALLEL_LOADS,
             SPREAD,
+            FETCH_COST,
         )
         return built
 
--- a/ivystep/platform/engine_api.py
+++ b/ivystep/platform/engine_api.py
@@ -11,9 +11,9 @@
 
 REPORT_PATH = '/ivystep/report'
 ORDER_PATH = '/ivystep/order'
-# An engine answers within milliseconds; a link between data centres and a
-# full accept queue add to that.
-TIMEOUT = urllib3.Timeout(connect=0.5, read=1.0)
+# An engine answers within some milliseconds. An order that is not answered
+# then is given again, which is harmless.
+TIMEOUT = urllib3.Timeout(connect=0.4, read=0.3)
 MAX_POOLS = 64
 OUTCOME_BY_STATUS = types.MappingProxyType(
     {
--- a/ivystep/policy/load_target.py
+++ b/ivystep/policy/load_target.py
@@ -5,6 +5,7 @@
 of the other copies have no room.
 """
 
+import collections
 import dataclasses
 import functools
 import math
@@ -18,6 +19,47 @@
 CANDIDATES = 16
 
 
+# Adapters of which an engine keeps copies in its host's memory are loaded
+# again from there; this many of the last ones are counted on.
+MAX_AT_HAND = 100
+
+
+class AtHand:
+    """Adapters that each upstream has held lately, the last ones last.
+
+    Answers the load of many rarely used adapters: one that returns to where
+    it was needs nothing from the weight store.
+    """
+
+    def __init__(self) -> None:
+        self._refs_by_upstream: dict[
+            str, collections.OrderedDict[types.AdapterRef, None]
+        ] = {}
+
+    def note(self, status: types.UpstreamStatus) -> None:
+        """Take over what an upstream holds.
+
+        Args:
+            status: The upstream's report.
+        """
+        refs = self._refs_by_upstream.setdefault(
+            status.upstream_id, collections.OrderedDict()
+        )
+        for ref in status.resident_by_ref:
+            refs[ref] = None
+            refs.move_to_end(ref)
+        while len(refs) > MAX_AT_HAND:
+            refs.popitem(last=False)
+
+    def forget(self, upstream_id: str) -> None:
+        """Take over that an upstream has gone."""
+        self._refs_by_upstream.pop(upstream_id, None)
+
+    def has(self, upstream_id: str, ref: types.AdapterRef) -> bool:
+        """Return whether an upstream has held an adapter lately."""
+        return ref in self._refs_by_upstream.get(upstream_id, ())
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlannedLoad:
     """A load that was chosen.
@@ -45,6 +87,9 @@
         spread: Cost of an upstream whose batch and places are full, in shares
             of all requests. Above 0, adapters go where there is most room,
             for weight stores that load to several upstreams at once.
+        fetch_cost: Cost of a load from the weight store against one from an
+            upstream's own copy, in the same shares.
+        at_hand: Where adapters were held lately.
     """
 
     def __init__(
@@ -54,6 +99,8 @@
         is_needed: Callable[[types.AdapterRef, float], bool],
     ) -> None:
         self.spread = 0.0
+        self.fetch_cost = 0.0
+        self.at_hand = AtHand()
         self._index = index
         self._popularity = popularity
         self._is_needed = is_needed
@@ -67,6 +114,7 @@
             now: Current time in seconds.
         """
         status = view.status
+        self.at_hand.note(status)
         victim = self._victim(view, now)
         if not view.is_usable(now) or status.loading is not None:
             self._victims.discard(status.upstream_id)
@@ -118,8 +166,22 @@
             if wanted.ref not in view.status.resident_by_ref
             # Another copy helps only where requests do not wait for room.
             and (not is_copy or view.has_room(now))
+            and not self._has_busy_version(view, wanted.ref, now)
         ]
 
+    def _has_busy_version(
+        self, view: routing.UpstreamView, ref: types.AdapterRef, now: float
+    ) -> bool:
+        """Return whether another version of an adapter is in use there.
+
+        Its replacement would wait for the requests that use it.
+        """
+        return any(
+            (other.account, other.name) == (ref.account, ref.name)
+            and self._is_needed(other, now)
+            for other in view.status.resident_by_ref
+        )
+
     def _loadable(
         self, upstream_ids: list[str], now: float
     ) -> Iterator[routing.UpstreamView]:
@@ -174,6 +236,9 @@
         room = max(target.view.status.max_running, 1)
         fill = (target.view.running + added) / room
         cost = batching.cost(victim_rate / total, fill, packing)
+        upstream_id = target.view.status.upstream_id
+        if not self.at_hand.has(upstream_id, target.wanted.ref):
+            cost += self.fetch_cost
         if not self.spread:
             return cost
         status = target.view.status
--- a/ivystep/wire/gen/ttypes.py
+++ b/ivystep/wire/gen/ttypes.py
@@ -1789,6 +1789,7 @@
      - oldest_wait_ms
      - start_within_ms
      - arrivals
+     - running
 
     """
 
@@ -1801,10 +1802,11 @@
         'oldest_wait_ms',
         'start_within_ms',
         'arrivals',
+        'running',
     )
 
 
-    def __init__(self, adapter=None, source=None, setup_version=None, weight=None, waiting=None, oldest_wait_ms=None, start_within_ms=None, arrivals=None,):
+    def __init__(self, adapter=None, source=None, setup_version=None, weight=None, waiting=None, oldest_wait_ms=None, start_within_ms=None, arrivals=None, running=None,):
         self.adapter = adapter
         self.source = source
         self.setup_version = setup_version
@@ -1813,6 +1815,7 @@
         self.oldest_wait_ms = oldest_wait_ms
         self.start_within_ms = start_within_ms
         self.arrivals = arrivals
+        self.running = running
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1864,6 +1867,11 @@
                     self.arrivals = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.running = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1906,6 +1914,10 @@
             oprot.writeFieldBegin('arrivals', TType.I32, 8)
             oprot.writeI32(self.arrivals)
             oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.I32, 9)
+            oprot.writeI32(self.running)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2125,23 +2137,106 @@
         return not (self == other)
 
 
-class HeldAdapter(object):
+class DemandAccepted(object):
+    """
+    Attributes:
+     - forecasts
+
+    """
+
+    __slots__ = (
+        'forecasts',
+    )
+
+
+    def __init__(self, forecasts=None,):
+        self.forecasts = forecasts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.forecasts = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = LoadForecast()
+                        _elem33.read(iprot)
+                        self.forecasts.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('DemandAccepted')
+        if self.forecasts is not None:
+            oprot.writeFieldBegin('forecasts', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.forecasts))
+            for iter34 in self.forecasts:
+                iter34.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AdapterNews(object):
     """
     Attributes:
      - adapter
      - upstream
+     - held
+     - ready_in_ms
 
     """
 
     __slots__ = (
         'adapter',
         'upstream',
+        'held',
+        'ready_in_ms',
     )
 
 
-    def __init__(self, adapter=None, upstream=None,):
+    def __init__(self, adapter=None, upstream=None, held=None, ready_in_ms=None,):
         self.adapter = adapter
         self.upstream = upstream
+        self.held = held
+        self.ready_in_ms = ready_in_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2163,6 +2258,16 @@
                     self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.held = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.ready_in_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2172,7 +2277,7 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('HeldAdapter')
+        oprot.writeStructBegin('AdapterNews')
         if self.adapter is not None:
             oprot.writeFieldBegin('adapter', TType.STRUCT, 1)
             self.adapter.write(oprot)
@@ -2181,6 +2286,14 @@
             oprot.writeFieldBegin('upstream', TType.STRING, 2)
             oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
             oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.BOOL, 3)
+            oprot.writeBool(self.held)
+            oprot.writeFieldEnd()
+        if self.ready_in_ms is not None:
+            oprot.writeFieldBegin('ready_in_ms', TType.I32, 4)
+            oprot.writeI32(self.ready_in_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2206,23 +2319,20 @@
         return not (self == other)
 
 
-class DemandAccepted(object):
+class News(object):
     """
     Attributes:
-     - forecasts
-     - held
+     - items
 
     """
 
     __slots__ = (
-        'forecasts',
-        'held',
+        'items',
     )
 
 
-    def __init__(self, forecasts=None, held=None,):
-        self.forecasts = forecasts
-        self.held = held
+    def __init__(self, items=None,):
+        self.items = items
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2235,23 +2345,12 @@
                 break
             if fid == 1:
                 if ftype == TType.LIST:
-                    self.forecasts = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = LoadForecast()
-                        _elem33.read(iprot)
-                        self.forecasts.append(_elem33)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 2:
-                if ftype == TType.LIST:
-                    self.held = []
-                    (_etype37, _size34) = iprot.readListBegin()
-                    for _i38 in range(_size34):
-                        _elem39 = HeldAdapter()
-                        _elem39.read(iprot)
-                        self.held.append(_elem39)
+                    self.items = []
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = AdapterNews()
+                        _elem40.read(iprot)
+                        self.items.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2264,18 +2363,11 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('DemandAccepted')
-        if self.forecasts is not None:
-            oprot.writeFieldBegin('forecasts', TType.LIST, 1)
-            oprot.writeListBegin(TType.STRUCT, len(self.forecasts))
-            for iter40 in self.forecasts:
-                iter40.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.held is not None:
-            oprot.writeFieldBegin('held', TType.LIST, 2)
-            oprot.writeListBegin(TType.STRUCT, len(self.held))
-            for iter41 in self.held:
+        oprot.writeStructBegin('News')
+        if self.items is not None:
+            oprot.writeFieldBegin('items', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.items))
+            for iter41 in self.items:
                 iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -2671,6 +2763,7 @@
      - manifest
      - get_section
      - section
+     - news
 
     """
 
@@ -2695,10 +2788,11 @@
         'manifest',
         'get_section',
         'section',
+        'news',
     )
 
 
-    def __init__(self, hello=None, run_attempt=None, attempt_accepted=None, answer_head=None, answer_chunk=None, answer_end=None, attempt_failed=None, revoke_attempt=None, attempt_state=None, load_adapter=None, load_result=None, watch=None, upstream_status=None, demand=None, demand_accepted=None, setup_notice=None, get_manifest=None, manifest=None, get_section=None, section=None,):
+    def __init__(self, hello=None, run_attempt=None, attempt_accepted=None, answer_head=None, answer_chunk=None, answer_end=None, attempt_failed=None, revoke_attempt=None, attempt_state=None, load_adapter=None, load_result=None, watch=None, upstream_status=None, demand=None, demand_accepted=None, setup_notice=None, get_manifest=None, manifest=None, get_section=None, section=None, news=None,):
         self.hello = hello
         self.run_attempt = run_attempt
         self.attempt_accepted = attempt_accepted
@@ -2719,6 +2813,7 @@
         self.manifest = manifest
         self.get_section = get_section
         self.section = section
+        self.news = news
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2849,6 +2944,12 @@
                     self.section.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 21:
+                if ftype == TType.STRUCT:
+                    self.news = News()
+                    self.news.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2939,6 +3040,10 @@
             oprot.writeFieldBegin('section', TType.STRUCT, 20)
             self.section.write(oprot)
             oprot.writeFieldEnd()
+        if self.news is not None:
+            oprot.writeFieldBegin('news', TType.STRUCT, 21)
+            self.news.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3106,6 +3211,7 @@
     (6, TType.I64, 'oldest_wait_ms', None, None, ),  # 6
     (7, TType.I64, 'start_within_ms', None, None, ),  # 7
     (8, TType.I32, 'arrivals', None, None, ),  # 8
+    (9, TType.I32, 'running', None, None, ),  # 9
 )
 all_structs.append(Demand)
 Demand.thrift_spec = (
@@ -3121,17 +3227,23 @@
     (2, TType.I64, 'ready_in_ms', None, None, ),  # 2
     (3, TType.I64, 'retry_after_ms', None, None, ),  # 3
 )
-all_structs.append(HeldAdapter)
-HeldAdapter.thrift_spec = (
+all_structs.append(DemandAccepted)
+DemandAccepted.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'forecasts', (TType.STRUCT, [LoadForecast, None], False), None, ),  # 1
+)
+all_structs.append(AdapterNews)
+AdapterNews.thrift_spec = (
     None,  # 0
     (1, TType.STRUCT, 'adapter', [AdapterId, None], None, ),  # 1
     (2, TType.STRING, 'upstream', 'UTF8', None, ),  # 2
+    (3, TType.BOOL, 'held', None, None, ),  # 3
+    (4, TType.I32, 'ready_in_ms', None, None, ),  # 4
 )
-all_structs.append(DemandAccepted)
-DemandAccepted.thrift_spec = (
+all_structs.append(News)
+News.thrift_spec = (
     None,  # 0
-    (1, TType.LIST, 'forecasts', (TType.STRUCT, [LoadForecast, None], False), None, ),  # 1
-    (2, TType.LIST, 'held', (TType.STRUCT, [HeldAdapter, None], False), None, ),  # 2
+    (1, TType.LIST, 'items', (TType.STRUCT, [AdapterNews, None], False), None, ),  # 1
 )
 all_structs.append(SetupNotice)
 SetupNotice.thrift_spec = (
@@ -3180,6 +3292,7 @@
     (18, TType.STRUCT, 'manifest', [Manifest, None], None, ),  # 18
     (19, TType.STRUCT, 'get_section', [GetSection, None], None, ),  # 19
     (20, TType.STRUCT, 'section', [Section, None], None, ),  # 20
+    (21, TType.STRUCT, 'news', [News, None], None, ),  # 21
 )
 fix_spec(all_structs)
 del all_structs
--- a/ivystep/wire/ivystep.thrift
+++ b/ivystep/wire/ivystep.thrift
@@ -129,6 +129,7 @@
   6: i64 oldest_wait_ms
   7: i64 start_within_ms
   8: i32 arrivals
+  9: optional i32 running
 }
 
 struct Demand {
@@ -143,15 +144,21 @@
   3: i64 retry_after_ms
 }
 
-// An adapter that an upstream holds, as the planner knows it.
-struct HeldAdapter {
+struct DemandAccepted {
+  1: list<LoadForecast> forecasts
+}
+
+// An adapter that an upstream holds, will hold soon, or holds no longer.
+struct AdapterNews {
   1: AdapterId adapter
   2: string upstream
+  3: bool held
+  4: i32 ready_in_ms
 }
 
-struct DemandAccepted {
-  1: list<LoadForecast> forecasts
-  2: optional list<HeldAdapter> held
+// Sent to every entry that watches the holder of the duty; empty as heartbeat.
+struct News {
+  1: list<AdapterNews> items
 }
 
 struct SetupNotice {
@@ -195,4 +202,5 @@
   18: optional Manifest manifest
   19: optional GetSection get_section
   20: optional Section section
+  21: optional News news
 }
