Plan loads by the value of timely requests and pace prompts

Ruled out: batch size and processor time of the hosts. Change: a planner for stores that load to several engines at once, which takes timely requests first, by value for each second; the holder of the duty gives permits that pace the prompts of each engine.

--- a/ivystep/core/types.py
+++ b/ivystep/core/types.py
@@ -6,6 +6,7 @@
 
 import dataclasses
 import enum
+import math
 import typing
 
 
@@ -93,6 +94,8 @@
         claim: What a non-idempotent request is claimed under, else None.
         start_by: Time by which an upstream must take it; None leaves that to
             the pool, which knows how long requests run.
+        aim_by: Time by which an upstream must take it to answer in time.
+        value_rate: Value of a timely answer for each second that it runs.
     """
 
     request_id: str
@@ -111,6 +114,8 @@
     setup_version: int
     claim: ClaimKey | None = None
     start_by: float | None = None
+    aim_by: float = math.inf
+    value_rate: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -229,6 +234,12 @@
         arrivals: Requests that arrived since the entry's last report,
             including those that were placed at once.
         running: Requests of the entry that were placed and have not ended.
+        aim_within_s: Time within which the adapter must be resident so that
+            the most urgent waiting request is answered in time; infinite if
+            none can be.
+        timely_value: Value of the waiting requests that can be answered in
+            time, for each second that they run.
+        late_value: The same of the waiting requests that are late.
     """
 
     ref: AdapterRef
@@ -240,6 +251,9 @@
     start_within_s: float
     arrivals: int
     running: int = 0
+    aim_within_s: float = math.inf
+    timely_value: float = 0.0
+    late_value: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ivystep/entry/peer_server.py
+++ b/ivystep/entry/peer_server.py
@@ -37,6 +37,7 @@
             the pool is unknown here.
         setup: The setup of this entry.
         watch: Serves a peer that watches for news; None if there are none.
+        permit: Answers a request for a permit; None if none are given.
     """
 
     def __init__(
@@ -45,11 +46,13 @@
         planner_of: Callable[[str], planner.DemandSink | None],
         setup: SetupSource,
         watch: Callable[[channel.Channel], None] | None = None,
+        permit: Callable[[ttypes.PermitRequest], ttypes.Permit] | None = None,
     ) -> None:
         self.process_id = process_id
         self.planner_of = planner_of
         self.setup = setup
         self.watch = watch
+        self.permit = permit
 
     def handle(self, link: channel.Channel) -> None:
         """Answer the messages of one connection until it ends.
@@ -94,6 +97,15 @@
     )
 
 
+@_answer.register
+def _answer_permit(
+    message: ttypes.PermitRequest, server: PeerServer
+) -> ttypes.Permit:
+    if server.permit is None:
+        raise errors.LinkError('no permits are given here', step='permit')
+    return server.permit(message)
+
+
 @_answer.register
 def _answer_notice(
     message: ttypes.SetupNotice, server: PeerServer
--- a/ivystep/entry/peers.py
+++ b/ivystep/entry/peers.py
@@ -10,6 +10,7 @@
 """
 
 import functools
+import math
 import random
 import typing
 from collections.abc import Callable
@@ -54,11 +55,14 @@
         """Whether the peer has not failed recently."""
         return clock.now() >= self._unreachable_until
 
-    def ask(self, message: typing.Any) -> typing.Any:
+    def ask(
+        self, message: typing.Any, timeout_s: float = CALL_TIMEOUT_S
+    ) -> typing.Any:
         """Send a message and wait for its answer.
 
         Args:
             message: A message that a peer answers.
+            timeout_s: Longest wait for the answer, in seconds.
 
         Returns:
             The answer.
@@ -69,7 +73,7 @@
         link = None
         try:
             link = self._idle.pop() if self._idle else self.open()
-            reply = link.request(message, CALL_TIMEOUT_S)
+            reply = link.request(message, timeout_s)
         except errors.LinkError:
             self._unreachable_until = clock.now() + UNREACHABLE_S
             self.close()
@@ -224,6 +228,13 @@
         start_within_ms=int(demand.start_within_s * units.MS_PER_S),
         arrivals=demand.arrivals,
         running=demand.running,
+        aim_within_ms=(
+            None
+            if math.isinf(demand.aim_within_s)
+            else int(demand.aim_within_s * units.MS_PER_S)
+        ),
+        timely_value=demand.timely_value,
+        late_value=demand.late_value,
     )
 
 
@@ -239,6 +250,13 @@
         start_within_s=message.start_within_ms / units.MS_PER_S,
         arrivals=message.arrivals,
         running=message.running or 0,
+        aim_within_s=(
+            math.inf
+            if message.aim_within_ms is None
+            else message.aim_within_ms / units.MS_PER_S
+        ),
+        timely_value=message.timely_value or 0.0,
+        late_value=message.late_value or 0.0,
     )
 
 
--- a/ivystep/entry/planner.py
+++ b/ivystep/entry/planner.py
@@ -89,7 +89,6 @@
     Args:
         process_id: Id of this entry.
         index: The pool's upstreams.
-        ageing_s: See ``eviction.Popularity``.
 
     Attributes:
         batching_weight: 0 favours short load stalls, 1 full engine steps.
@@ -97,15 +96,10 @@
         load_s: Expected duration of a load.
     """
 
-    def __init__(
-        self,
-        process_id: str,
-        index: routing.UpstreamIndex,
-        ageing_s: float = eviction.AGEING_S,
-    ) -> None:
+    def __init__(self, process_id: str, index: routing.UpstreamIndex) -> None:
         self.batching_weight = 0.2
         self.service_s = 1.0
-        self.popularity = eviction.Popularity(ageing_s)
+        self.popularity = eviction.Popularity()
         self._process_id = process_id
         self._index = index
         self._shares = load_order.AccountShares(2.0)
@@ -114,12 +108,10 @@
             index, self.popularity, self._is_needed
         )
         self.load_s = 0.5
-        self._parallel_loads = 1
         self._parts_by_ref: dict[
             types.AdapterRef, dict[str, load_order.WantedLoad]
         ] = {}
         self._refs_by_entry: dict[str, set[types.AdapterRef]] = {}
-        self._running_by_entry: dict[str, set[types.AdapterRef]] = {}
         self._reported_at: dict[str, float] = {}
         self._admitted: dict[types.AdapterRef, load_order.WantedLoad] = {}
         self._rank_by_ref: dict[types.AdapterRef, int] = {}
@@ -128,31 +120,17 @@
         self._changed = event.Event()
         self._is_running = False
 
-    def configure(
-        self,
-        loads_per_s: float,
-        batching_weight: float,
-        parallel_loads: int = 1,
-        spread: float = 0.0,
-        fetch_cost: float = 0.0,
-    ) -> None:
+    def configure(self, loads_per_s: float, batching_weight: float) -> None:
         """Take over the setup's values.
 
         Args:
             loads_per_s: Loads that the weight store allows.
             batching_weight: From 0 to 1.
-            parallel_loads: Loads that the weight store carries out at once
-                without slowing any of them down.
-            spread: See ``load_target.LoadTargets``.
-            fetch_cost: See ``load_target.LoadTargets``.
         """
         self.batching_weight = batching_weight
-        self._targets.spread = spread
-        self._targets.fetch_cost = fetch_cost
-        self._parallel_loads = parallel_loads
         if loads_per_s != self._shares.loads_per_s:
             self._shares.loads_per_s = loads_per_s
-            self.load_s = self._usual_s
+            self.load_s = 1 / loads_per_s
 
     def report(
         self, entry_id: str, demands: tuple[types.AdapterDemand, ...]
@@ -165,9 +143,6 @@
         self._forget(entry_id, waiting)
         self._reported_at[entry_id] = now
         self._refs_by_entry[entry_id] = waiting
-        self._running_by_entry[entry_id] = {
-            demand.ref for demand in demands if demand.running
-        }
         for demand in demands:
             if demand.waiting:
                 self._count_wanted(demand.ref, now)
@@ -198,10 +173,6 @@
         self._targets.update(view, clock.now())
         self.wake()
 
-    def is_at_hand(self, upstream_id: str, ref: types.AdapterRef) -> bool:
-        """Return whether an upstream has held an adapter lately."""
-        return self._targets.at_hand.has(upstream_id, ref)
-
     def on_lost(self, upstream_id: str) -> None:
         """Take over that an upstream's connection has ended."""
         self._targets.discard(upstream_id)
@@ -233,11 +204,6 @@
             skipped.add(wanted.ref)
         return None
 
-    @property
-    def _usual_s(self) -> float:
-        """Duration of a load while the weight store is not overloaded."""
-        return self._parallel_loads / self._shares.loads_per_s
-
     def _start(self) -> None:
         if not self._is_running:
             self._is_running = True
@@ -262,7 +228,6 @@
                 self._forget(entry_id, set())
                 del self._reported_at[entry_id]
                 del self._refs_by_entry[entry_id]
-                self._running_by_entry.pop(entry_id, None)
 
     def _forget(self, entry_id: str, kept: set[types.AdapterRef]) -> None:
         """Forget what an entry no longer waits for."""
@@ -361,10 +326,7 @@
             for at in self._started_by_ref.values()
             if now - at < OVERDUE_FACTOR * self.load_s
         ]
-        busy_s = 0.0
-        if len(started) >= self._parallel_loads:
-            first_end = sorted(started)[-self._parallel_loads] + self.load_s
-            busy_s = first_end - now
+        busy_s = max((at + self.load_s - now for at in started), default=0)
         return load_order.Backlog.from_loads(
             (
                 (self._rank_load(load.ref, now), load)
@@ -375,7 +337,6 @@
             now,
             load_s=self.load_s,
             busy_s=max(busy_s, 0),
-            parallel=self._parallel_loads,
         )
 
     def _needs_load(self, wanted: load_order.WantedLoad, now: float) -> bool:
@@ -398,13 +359,7 @@
         return now - wanted.oldest_at > self.load_s
 
     def _is_needed(self, ref: types.AdapterRef, now: float) -> bool:
-        return (
-            ref in self._parts_by_ref
-            or self._is_settling(ref, now)
-            or any(
-                ref in running for running in self._running_by_entry.values()
-            )
-        )
+        return ref in self._parts_by_ref or self._is_settling(ref, now)
 
     def _is_loading(self, ref: types.AdapterRef, now: float) -> bool:
         started = self._started_by_ref.get(ref, -math.inf)
@@ -416,15 +371,12 @@
     def _order_loads(self) -> None:
         self._drop_silent_entries()
         now = clock.now()
-        while self._loads_in_progress(now) < self._parallel_loads:
-            chosen = self.choose(now)
-            if chosen is None:
-                return
+        if any(self._is_loading(ref, now) for ref in self._started_by_ref):
+            return
+        chosen = self.choose(now)
+        if chosen is not None:
             self._order(chosen, now)
 
-    def _loads_in_progress(self, now: float) -> int:
-        return sum(self._is_loading(ref, now) for ref in self._started_by_ref)
-
     def _target(
         self, wanted: load_order.WantedLoad, now: float
     ) -> load_target.PlannedLoad | None:
@@ -500,7 +452,7 @@
         A load that hung says little about the next one, so its duration
         counts only up to the time after which loads are overtaken.
         """
-        longest_s = OVERDUE_FACTOR * self._usual_s
+        longest_s = OVERDUE_FACTOR / self._shares.loads_per_s
         self.load_s += DURATION_GAIN * (
             min(duration_s, longest_s) - self.load_s
         )
@@ -508,7 +460,8 @@
     def _relax(self) -> None:
         """Return the expected duration towards the usual one."""
         if not self._started_by_ref:
-            self.load_s += RELAX_SHARE * (self._usual_s - self.load_s)
+            usual_s = 1 / self._shares.loads_per_s
+            self.load_s += RELAX_SHARE * (usual_s - self.load_s)
 
     def _note_loaded(self, ref: types.AdapterRef, now: float) -> None:
         for earlier, loaded_at in list(self._loaded_at.items()):
--- a/ivystep/entry/pool.py
+++ b/ivystep/entry/pool.py
@@ -6,6 +6,8 @@
 
 import collections
 import functools
+import math
+import typing
 from collections.abc import Callable, Collection, Mapping
 
 import eventlet
@@ -14,7 +16,7 @@
 from ivystep.core import errors, types
 from ivystep.entry import links, planner, service_time, waiting
 from ivystep.metrics import registry
-from ivystep.policy import eviction, routing
+from ivystep.policy import routing
 from ivystep.runtime import clock, logs
 from ivystep.setup import document
 
@@ -26,6 +28,7 @@
 # resident, every request was then refused and none corrected the estimate.
 LEAST_WAIT_SHARE = 0.5
 
+MakePlanner = Callable[[str, routing.UpstreamIndex], typing.Any]
 ChooseSink = Callable[[str, planner.DemandSink], planner.DemandSink]
 
 log = logs.get('pool')
@@ -46,7 +49,7 @@
         data_centre: Data centre of this entry; empty if it has none.
         metrics: Where load stalls and waiting requests are recorded.
         index: The pool's upstreams; made with the usual rules if None.
-        ageing_s: See ``eviction.Popularity``.
+        make_planner: Makes the planner at this entry; the usual one if None.
         idle_report_s: Time between reports of demand while nothing waits.
 
     Attributes:
@@ -61,14 +64,18 @@
         data_centre: str = '',
         metrics: registry.Metrics | None = None,
         index: routing.UpstreamIndex | None = None,
-        ageing_s: float = eviction.AGEING_S,
+        make_planner: MakePlanner | None = None,
         idle_report_s: float = IDLE_REPORT_INTERVAL_S,
     ) -> None:
         self.name = name
         self._idle_report_s = idle_report_s
         self._metrics = metrics or registry.Metrics()
         self._index = index or routing.UpstreamIndex(data_centre)
-        self.planner = planner.Planner(process_id, self._index, ageing_s)
+        self.planner = (
+            planner.Planner(process_id, self._index)
+            if make_planner is None
+            else make_planner(process_id, self._index)
+        )
         self._process_id = process_id
         self._choose_sink = choose_sink
         self._waiting = waiting.WaitingRequests()
@@ -375,6 +382,9 @@
         entries = self._waiting.waiting_for(ref)
         request = entries[-1].request if entries else latest
         since = min((entry.since for entry in entries), default=now)
+        late = [entry for entry in entries if entry.request.aim_by <= now]
+        timely = [entry for entry in entries if entry.request.aim_by > now]
+        aim_by = min((one.request.aim_by for one in timely), default=math.inf)
         start_by = min((entry.start_by for entry in entries), default=now)
         return types.AdapterDemand(
             ref=ref,
@@ -386,6 +396,9 @@
             start_within_s=max(start_by - now, 0),
             arrivals=arrivals,
             running=self._running_by_ref[ref],
+            aim_within_s=aim_by - now,
+            timely_value=sum(one.request.value_rate for one in timely),
+            late_value=sum(one.request.value_rate for one in late),
         )
 
     def _refuse_late(self, forecast: types.LoadForecast) -> None:
--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -100,6 +100,8 @@
         self.status = 0
         self.last_event_id = ''
         self.can_resume = True
+        self.longest_gap_s = 0.0
+        self._written_at = 0.0
         self._socket = connection
         self._door = door
         self._answer = answer
@@ -189,6 +191,11 @@
 
     def write(self, content: bytes) -> None:
         """Send a part of the body; see ``relay.CallerAnswer``."""
+        now = clock.now()
+        if self._written_at:
+            gap_s = now - self._written_at
+            self.longest_gap_s = max(self.longest_gap_s, gap_s)
+        self._written_at = now
         self._socket.sendall(
             http1.chunk(content) if self._is_chunked else content
         )
@@ -232,6 +239,8 @@
         self.status = 0
         self.last_event_id = ''
         self.can_resume = True
+        self.longest_gap_s = 0.0
+        self._written_at = 0.0
         self._is_chunked = False
         self._is_old_version = raw.version == '1.0'
         self._is_kept_alive = raw.is_kept_alive
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -23,6 +23,7 @@
     model_keeper,
     model_pools,
     news,
+    prefill_gates,
     reception,
 )
 from ivystep.metrics import operators_app, registry
@@ -91,6 +92,7 @@
         self._metrics = registry.Metrics()
         self._door = callers.Door()
         self._times = load_times.LoadTimes()
+        self._gates = prefill_gates.PrefillGates()
         self._api = engine_api.EngineClient()
         self._link_by_upstream: dict[
             believed.Upstream, engine_link.EngineLink
@@ -113,6 +115,7 @@
             turn_s=settings.bounds.turn_s,
             board=self._board,
             on_active=self._refresh,
+            gates=self._gates,
             log=self._log,
         )
         self._pools = model_pools.ModelPools(
@@ -136,6 +139,8 @@
                     reserve=settings.bounds.retry_extra / EXPECTED_HOSTS,
                 ),
                 self._on_change,
+                self._duty.wait_for_permit,
+                self._gates.pace,
                 self._log,
                 settings.bounds.version_s,
             ),
@@ -215,6 +220,7 @@
                 self._planner,
                 _Versions(self._config),
                 self._board.serve,
+                self._gates.answer,
             ).handle,
         )
         eventlet.spawn(
@@ -306,6 +312,7 @@
 
     def _on_removed(self, upstream: believed.Upstream) -> None:
         self._link_by_upstream.pop(upstream, None)
+        self._gates.forget(upstream.entry.incarnation)
         self._pools.remove(upstream)
 
     def _on_news(self, told: news.AdapterNews) -> None:
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -25,6 +25,7 @@
     relay,
 )
 from ivystep.platform import messages
+from ivystep.policy import prefill
 from ivystep.runtime import clock, event_log
 
 # Pause before another attempt, so that a short queue at an upstream can move.
@@ -36,6 +37,10 @@
 LEAST_TIME_S = 0.01
 # Time that an engine needs from a request to the first event.
 FIRST_EVENT_S = 0.2
+# Time between two tokens of one request in a usual batch.
+TOKEN_S = 0.012
+# Share of the tokens that a caller allows that are used, if it gives no hint.
+USED_SHARE = 0.5
 # Share of the time in which all hosts must have a new version in which the
 # version before is still used while the new one is being loaded.
 OLD_VERSION_SHARE = 0.6
@@ -97,6 +102,42 @@
         """Time until the deadline."""
         return max(self.deadline - clock.now(), 0.0)
 
+    @property
+    def expected_run_s(self) -> float:
+        """Time that an engine needs for the request, in seconds."""
+        generation = self.call.generation
+        if generation is None:
+            return FIRST_EVENT_S
+        output = generation.expected_output_tokens
+        if not output:
+            output = generation.max_output_tokens * USED_SHARE
+        return FIRST_EVENT_S + output * TOKEN_S
+
+    @property
+    def start_by(self) -> float:
+        """Time by which an upstream must take it to be of any use."""
+        if self.route.kind is not contracts.Repeatability.STREAM:
+            return self.deadline
+        begin_by = self.call.arrived + self.route.patience_s
+        return min(self.deadline, begin_by) - FIRST_EVENT_S
+
+    @property
+    def aim_by(self) -> float:
+        """Time by which an upstream must take it to answer in time."""
+        return self.call.arrived + self.route.aim_s - FIRST_EVENT_S
+
+    @property
+    def ticket(self) -> prefill.Ticket:
+        """What the gate of an engine must know of the request."""
+        generation = self.call.generation
+        return prefill.Ticket(
+            tokens=generation.prompt_tokens if generation else 0,
+            aim_at=self.aim_by,
+            start_by=self.start_by,
+            value_rate=1.0 / self.expected_run_s,
+            max_gap_s=self.route.max_gap_s,
+        )
+
     def to_request(
         self, pool_name: str, ref: types.AdapterRef | None
     ) -> types.Request:
@@ -110,10 +151,6 @@
             ref: Adapter version that must answer, or None.
         """
         route = self.route
-        start_by = self.deadline
-        if route.kind is contracts.Repeatability.STREAM:
-            begin_by = self.call.arrived + route.patience_s
-            start_by = min(self.deadline, begin_by) - FIRST_EVENT_S
         return types.Request(
             request_id=self.call.request_id,
             account=route.name,
@@ -129,7 +166,9 @@
             deadline=self.deadline,
             fingerprint=b'',
             setup_version=0,
-            start_by=start_by,
+            start_by=self.start_by,
+            aim_by=self.aim_by,
+            value_rate=1.0 / self.expected_run_s,
         )
 
 
@@ -148,6 +187,8 @@
         config: The configuration and the named versions.
         budgets: Retries of each service.
         on_change: Called when the belief about an upstream has changed.
+        wait_for_permit: Waits until a prompt may be sent to an engine.
+        pace: The pace at which engines read prompts.
         log: Where decisions are written.
         version_s: Time within which a named version must be in force.
     """
@@ -159,6 +200,8 @@
         config: configuration.Configuration,
         budgets: retry_budget.RetryBudgets,
         on_change: Callable[[believed.Upstream], None],
+        wait_for_permit: Callable[[str, prefill.Ticket], str],
+        pace: prefill.Pace,
         log: event_log.EventLog,
         version_s: float,
     ) -> None:
@@ -167,6 +210,8 @@
         self._config = config
         self._budgets = budgets
         self._on_change = on_change
+        self._wait_for_permit = wait_for_permit
+        self._pace = pace
         self._log = log
         self._old_version_s = OLD_VERSION_SHARE * version_s
 
@@ -225,7 +270,11 @@
         ref = self._adapter(run.call, target)
         placement = target.place(run.to_request(target.name, ref), run.avoid)
         try:
-            self._send(run, self._upstream(placement), ref)
+            upstream = self._upstream(placement)
+            if run.call.generation is not None:
+                self._wait_for_permit(upstream.entry.incarnation, run.ticket)
+                upstream = self._upstream(placement)
+            self._send(run, upstream, ref)
         finally:
             target.finish(placement)
 
@@ -268,6 +317,7 @@
             and run.has_attempt_left
             and self._budget(run).balance >= 1,
         )
+        sent_at = clock.now()
         try:
             exchange.run(messages.encode_call(run.call, attempt))
         except errors.RequestError as error:
@@ -278,6 +328,11 @@
                 self._learn_failure(upstream, ref, error)
             raise
         upstream.trust()
+        if run.call.generation is not None and run.answer.first_at is not None:
+            self._pace.observe(
+                run.call.generation.prompt_tokens,
+                run.answer.first_at - sent_at,
+            )
 
     def _is_still_loading(
         self,
@@ -379,6 +434,7 @@
                 run.answer.status,
                 _elapsed_ms(run),
                 int((first_at - run.call.arrived) * units.MS_PER_S),
+                int(run.answer.longest_gap_s * units.MS_PER_S),
                 run.attempts,
                 run.upstream_id,
                 self._config.version,
--- a/ivystep/gateway/duty.py
+++ b/ivystep/gateway/duty.py
@@ -12,8 +12,9 @@
 from ivystep.coordination import lease
 from ivystep.core import errors, types
 from ivystep.entry import peers, planner
-from ivystep.gateway import engine_link, events, news
+from ivystep.gateway import engine_link, events, news, prefill_gates
 from ivystep.platform import table
+from ivystep.policy import prefill
 from ivystep.runtime import clock, event_log
 
 LEASE_KEY = 'lease/orders'
@@ -42,6 +43,7 @@
             seconds.
         board: Takes the news of the holder.
         on_active: Called when this host may give orders.
+        gates: The gates of the engines at this host.
         log: Where changes are written.
     """
 
@@ -55,12 +57,14 @@
         turn_s: float,
         board: news.NewsBoard,
         on_active: Callable[[], None],
+        gates: prefill_gates.PrefillGates,
         log: event_log.EventLog,
     ) -> None:
         self._host = host
         self._turn_s = turn_s
         self._board = board
         self._on_active = on_active
+        self._gates = gates
         self._log = log
         self._active_from = float('inf')
         self._link_by_address: dict[tuple[str, int], peers.PeerLink] = {}
@@ -92,6 +96,27 @@
             return _NoPlanner()
         return peers.RemotePlanner(pool, self._link(text))
 
+    def wait_for_permit(self, engine: str, ticket: prefill.Ticket) -> str:
+        """Wait until a prompt may be sent to an engine.
+
+        Args:
+            engine: Incarnation of the engine.
+            ticket: The request.
+
+        Returns:
+            Empty, or why the request is sent without a permit.
+        """
+        if self._lease.is_held():
+            self._gates.wait(engine, ticket)
+            return ''
+        _, _, text = self._lease.seen_holder_id.partition('@')
+        if not text or self.holder == self._host:
+            return 'no host gives permits'
+        link = self._link(text)
+        if not link.is_reachable:
+            return f'{text} is not reached'
+        return prefill_gates.ask(link, engine, ticket)
+
     def run(self) -> None:
         """Hold the lease whenever it can be had, until killed."""
         while True:
--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -119,6 +119,7 @@
         outcome: ``answered``, or the code of the error.
         status: Status that the caller got; 0 if the connection was closed.
         first_ms: Time until the first byte of the answer; -1 if none.
+        gap_ms: Longest time between two parts of the body.
         attempts: Upstreams that it was sent to.
     """
 
@@ -130,6 +131,7 @@
     status: int
     elapsed_ms: int
     first_ms: int
+    gap_ms: int
     attempts: int
     upstream: str
     config_version: int
--- a/ivystep/gateway/model_pools.py
+++ b/ivystep/gateway/model_pools.py
@@ -10,23 +10,15 @@
 
 from ivystep.core import types
 from ivystep.entry import pool
-from ivystep.gateway import believed, contracts
+from ivystep.gateway import believed, contracts, load_planner
 from ivystep.metrics import registry
-from ivystep.policy import routing
+from ivystep.policy import load_target, routing
 from ivystep.runtime import clock
 
 PoolKey = tuple[str, str]
-# Adapters are fetched beside one another; the platform slows down beyond
-# this many over all engines.
-PARALLEL_LOADS = 8
-# Time that one adapter takes from the store to an engine, until measured.
-ADAPTER_LOAD_S = 0.25
-BATCHING_WEIGHT = 0.0
-# Cost of a full upstream against that of evicting an adapter, in shares of
-# all requests.
-SPREAD = 0.02
-# Cost of bringing an adapter from the store, in the same shares.
-FETCH_COST = 0.04
+# Cost of a full upstream, and of an adapter from the weight store, against
+# that of evicting an adapter.
+COSTS = load_target.Costs(spread=0.02, fetch=0.04)
 # Demand moves to other adapters within some seconds.
 AGEING_S = 30.0
 # What is in use must be known before an adapter is evicted.
@@ -126,24 +118,22 @@
         return self._config.service_by_name.get(upstream.entry.service)
 
     def _build(self, service: contracts.Service, model: str) -> pool.Pool:
-        built = pool.Pool(
+        return pool.Pool(
             f'{service.name}/{model}',
             self._host,
             self._choose_sink,
             self._data_centre,
             self._metrics,
             index=routing.UpstreamIndex(self._data_centre, RULES),
-            ageing_s=AGEING_S,
+            make_planner=_planner,
             idle_report_s=IDLE_REPORT_S,
         )
-        built.planner.configure(
-            PARALLEL_LOADS / ADAPTER_LOAD_S,
-            BATCHING_WEIGHT,
-            PARALLEL_LOADS,
-            SPREAD,
-            FETCH_COST,
-        )
-        return built
+
+
+def _planner(
+    host: str, index: routing.UpstreamIndex
+) -> load_planner.LoadPlanner:
+    return load_planner.LoadPlanner(host, index, COSTS, AGEING_S)
 
 
 def _models(service: contracts.Service) -> tuple[str, ...]:
--- a/ivystep/gateway/relay.py
+++ b/ivystep/gateway/relay.py
@@ -31,6 +31,7 @@
         last_event_id: Id of the last event that was sent, or that the caller
             had before; empty if there is none.
         can_resume: Whether only whole events have been sent so far.
+        longest_gap_s: Longest time between two parts of the body.
     """
 
     has_started: bool
@@ -39,6 +40,7 @@
     status: int
     last_event_id: str
     can_resume: bool
+    longest_gap_s: float
 
     def send_whole(self, head: calls.AnswerHead, body: bytes) -> None:
         """Send a complete answer."""
--- a/ivystep/policy/load_order.py
+++ b/ivystep/policy/load_order.py
@@ -309,8 +309,7 @@
         ranks: Account rank of each load.
         now: Time of the snapshot.
         load_s: Duration of one load.
-        busy_s: Time until a load can start.
-        parallel: Loads that can be in progress at once.
+        busy_s: Time until the load in progress ends.
     """
 
     loads: list[WantedLoad]
@@ -318,7 +317,6 @@
     now: float
     load_s: float
     busy_s: float
-    parallel: int = 1
 
     @classmethod
     def from_loads(
@@ -328,7 +326,6 @@
         *,
         load_s: float,
         busy_s: float,
-        parallel: int = 1,
     ) -> typing.Self:
         """Order loads by urgency.
 
@@ -336,8 +333,7 @@
             loads: The loads with the ranks of their accounts.
             now: Current time in seconds.
             load_s: Duration of one load in seconds.
-            busy_s: Time until a load can start, in seconds.
-            parallel: Loads that can be in progress at once.
+            busy_s: Time until the load in progress ends, in seconds.
         """
         ranked = sorted(loads, key=lambda pair: (pair[0], pair[1].start_by))
         return cls(
@@ -346,7 +342,6 @@
             now=now,
             load_s=load_s,
             busy_s=busy_s,
-            parallel=parallel,
         )
 
     def add(self, wanted: WantedLoad, rank: int) -> None:
@@ -362,8 +357,7 @@
 
     def ready_in_s(self, position: int) -> float:
         """Return when the load at a position ends, in seconds from now."""
-        rounds = position // self.parallel + 1
-        return self.busy_s + rounds * self.load_s
+        return self.busy_s + (position + 1) * self.load_s
 
     def slack_s(self, position: int) -> float:
         """Return by how much the load at a position may be delayed."""
@@ -391,8 +385,7 @@
         after = bisect.bisect_right(self.ranks, rank)
         if any(map(self._is_critical, range(position, after))):
             return math.inf
-        rounds = position // self.parallel + 1
-        return self.busy_s + rounds * self.load_s / (1 - share_above)
+        return self.busy_s + (position + 1) * self.load_s / (1 - share_above)
 
     def first(
         self,
--- a/ivystep/policy/load_target.py
+++ b/ivystep/policy/load_target.py
@@ -9,10 +9,11 @@
 import dataclasses
 import functools
 import math
+import typing
 from collections.abc import Callable, Iterator
 
 from ivystep.core import types
-from ivystep.policy import batching, eviction, load_order, routing
+from ivystep.policy import batching, eviction, routing
 
 # Upstreams that are compared for one load; those with the least popular
 # victims. Comparing all would make the cost grow with the pool.
@@ -70,11 +71,46 @@
         victim: What is evicted; None if a slot is free.
     """
 
-    wanted: load_order.WantedLoad
+    wanted: 'Wanted'
     view: routing.UpstreamView
     victim: types.AdapterRef | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Costs:
+    """Costs of a target, in shares of all requests.
+
+    Attributes:
+        spread: Cost of an upstream whose batch and places are full. Above 0,
+            adapters go where there is most room, for weight stores that load
+            to several upstreams at once.
+        fetch: Cost of a load from the weight store against one from an
+            upstream's own copy.
+    """
+
+    spread: float = 0.0
+    fetch: float = 0.0
+
+
+NO_COSTS = Costs()
+
+
+class Wanted(typing.Protocol):
+    """What is known of an adapter that is to be loaded.
+
+    Attributes:
+        waiting: Requests that wait for it.
+    """
+
+    @property
+    def ref(self) -> types.AdapterRef:
+        """The adapter."""
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait for it."""
+
+
 class LoadTargets:
     """Chooses targets among the upstreams of a pool.
 
@@ -82,13 +118,9 @@
         index: The upstreams.
         popularity: Request counts of the adapters.
         is_needed: Whether an adapter must not be evicted now.
+        costs: What counts beside the adapter that is evicted.
 
     Attributes:
-        spread: Cost of an upstream whose batch and places are full, in shares
-            of all requests. Above 0, adapters go where there is most room,
-            for weight stores that load to several upstreams at once.
-        fetch_cost: Cost of a load from the weight store against one from an
-            upstream's own copy, in the same shares.
         at_hand: Where adapters were held lately.
     """
 
@@ -97,10 +129,10 @@
         index: routing.UpstreamIndex,
         popularity: eviction.Popularity,
         is_needed: Callable[[types.AdapterRef, float], bool],
+        costs: Costs = NO_COSTS,
     ) -> None:
-        self.spread = 0.0
-        self.fetch_cost = 0.0
         self.at_hand = AtHand()
+        self._costs = costs
         self._index = index
         self._popularity = popularity
         self._is_needed = is_needed
@@ -132,7 +164,7 @@
 
     def choose(
         self,
-        wanted: load_order.WantedLoad,
+        wanted: Wanted,
         now: float,
         *,
         packing: float,
@@ -157,7 +189,7 @@
         return min(self._candidates(few, wanted, now), key=cost, default=None)
 
     def _candidates(
-        self, upstream_ids: list[str], wanted: load_order.WantedLoad, now: float
+        self, upstream_ids: list[str], wanted: Wanted, now: float
     ) -> list[PlannedLoad]:
         is_copy = self._index.is_held(wanted.ref)
         return [
@@ -238,9 +270,9 @@
         cost = batching.cost(victim_rate / total, fill, packing)
         upstream_id = target.view.status.upstream_id
         if not self.at_hand.has(upstream_id, target.wanted.ref):
-            cost += self.fetch_cost
-        if not self.spread:
-            return cost
+            cost += self._costs.fetch
         status = target.view.status
         places = len(status.resident_by_ref) / max(status.slots, 1)
-        return cost + self.spread * (min(fill, 1.0) + min(places, 1.0)) / 2
+        return (
+            cost + self._costs.spread * (min(fill, 1.0) + min(places, 1.0)) / 2
+        )
--- /dev/null
+++ b/ivystep/policy/load_value.py
@@ -0,0 +1,99 @@
+"""Which adapters are loaded next, by the value of the requests that wait.
+
+Answers the load of a day on which engines are lost and more adapters are
+asked for than can be held: adapters whose requests can still be answered in
+time come first, those with the most value for each second that they take a
+place before the others. Requests that are late already wait for what is left.
+"""
+
+import dataclasses
+import typing
+from collections.abc import Iterable
+
+from ivystep.core import types
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadWish:
+    """What waiting requests want of one adapter, over all hosts.
+
+    Attributes:
+        timely_value: Value for each second of the requests that can still be
+            answered in time.
+        late_value: The same of the requests that are late already.
+        aim_at: When the adapter must be held so that the most urgent request
+            is in time; infinite if none can be.
+        start_by: When it must be held to be of any use.
+    """
+
+    ref: types.AdapterRef
+    waiting: int
+    timely_value: float
+    late_value: float
+    aim_at: float
+    start_by: float
+
+    @classmethod
+    def from_demand(
+        cls, demand: types.AdapterDemand, now: float
+    ) -> typing.Self:
+        """Convert a demand that was reported now."""
+        return cls(
+            ref=demand.ref,
+            waiting=demand.waiting,
+            timely_value=demand.timely_value,
+            late_value=demand.late_value,
+            aim_at=now + demand.aim_within_s,
+            start_by=now + demand.start_within_s,
+        )
+
+    @classmethod
+    def merged(cls, wishes: Iterable[typing.Self]) -> typing.Self:
+        """Combine what several hosts want of the same adapter.
+
+        Args:
+            wishes: One item for each host; at least one.
+        """
+        known = tuple(wishes)
+        return cls(
+            ref=known[0].ref,
+            waiting=sum(wish.waiting for wish in known),
+            timely_value=sum(wish.timely_value for wish in known),
+            late_value=sum(wish.late_value for wish in known),
+            aim_at=min(wish.aim_at for wish in known),
+            start_by=max(wish.start_by for wish in known),
+        )
+
+
+def urgency(
+    wish: LoadWish, now: float, load_s: float
+) -> tuple[bool, float, float]:
+    """Return the place of an adapter in the order of loads, highest first.
+
+    Args:
+        wish: What is wanted.
+        now: Current time in seconds.
+        load_s: Duration of a load in seconds.
+
+    Returns:
+        Whether a load now answers requests in time, the value that it brings,
+        and the earlier aim among equal ones.
+    """
+    is_timely = wish.timely_value > 0 and now + load_s <= wish.aim_at
+    value = wish.timely_value if is_timely else wish.late_value
+    return is_timely, value, -wish.start_by
+
+
+def in_order(
+    wishes: Iterable[LoadWish], now: float, load_s: float
+) -> list[LoadWish]:
+    """Return adapters in the order in which they are to be loaded.
+
+    Args:
+        wishes: What is wanted.
+        now: Current time in seconds.
+        load_s: Duration of a load in seconds.
+    """
+    return sorted(
+        wishes, key=lambda wish: urgency(wish, now, load_s), reverse=True
+    )
--- /dev/null
+++ b/ivystep/policy/prefill.py
@@ -0,0 +1,125 @@
+"""When a request may be sent to an engine, so that streams there keep flowing.
+
+An engine reads prompts between the tokens of the requests that it runs. When
+several prompts arrive together, all streams on it pause. A gate for each
+engine lets prompts through at the pace at which the engine reads them, with a
+burst that is shorter than the longest pause that callers accept. Answers the
+load of many short streams on few engines.
+"""
+
+import dataclasses
+import math
+from collections.abc import Collection
+
+# Tokens that an engine reads in a second, until it has been measured.
+FIRST_TOKENS_PER_S = 16000.0
+# Time from a request to its first event that is not spent on its prompt.
+FIXED_S = 0.04
+# Prompts shorter than this say little about the pace.
+LEAST_MEASURED_TOKENS = 600
+GAIN = 0.05
+# The pace is kept within these bounds, whatever was measured.
+SLOWEST_TOKENS_PER_S = 4000.0
+FASTEST_TOKENS_PER_S = 100000.0
+# Share of the longest accepted pause that prompts may take at once.
+BURST_SHARE = 0.5
+# Prompts take this share of an engine's time at most; the rest is for the
+# tokens of the requests that run.
+DUTY_SHARE = 0.85
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ticket:
+    """A request that waits to be sent to an engine.
+
+    Attributes:
+        tokens: Tokens of its prompt.
+        aim_at: When it must be sent to be answered in time.
+        start_by: When it must be sent to be of any use.
+        value_rate: Value of a timely answer for each second that it runs.
+        max_gap_s: Longest pause that callers of the engine accept.
+    """
+
+    tokens: int
+    aim_at: float
+    start_by: float
+    value_rate: float
+    max_gap_s: float
+
+
+class Pace:
+    """The pace at which the engines of a service read prompts."""
+
+    def __init__(self) -> None:
+        self.tokens_per_s = FIRST_TOKENS_PER_S
+
+    def observe(self, tokens: int, first_event_s: float) -> None:
+        """Take over how long a prompt took that was read alone.
+
+        Args:
+            tokens: Tokens of the prompt.
+            first_event_s: Time from the request to the first event.
+        """
+        if tokens < LEAST_MEASURED_TOKENS:
+            return
+        pace = tokens / max(first_event_s - FIXED_S, 0.001)
+        pace = min(max(pace, SLOWEST_TOKENS_PER_S), FASTEST_TOKENS_PER_S)
+        self.tokens_per_s += GAIN * (pace - self.tokens_per_s)
+
+
+class Gate:
+    """The gate of one engine.
+
+    Args:
+        pace: The pace at which it reads prompts.
+    """
+
+    def __init__(self, pace: Pace) -> None:
+        self._pace = pace
+        self._busy_until = -math.inf
+
+    def opens_in_s(self, ticket: Ticket, now: float) -> float:
+        """Return the time in seconds until a request may be sent.
+
+        Args:
+            ticket: The request.
+            now: Current time in seconds.
+        """
+        burst_s = ticket.max_gap_s * BURST_SHARE
+        allowed_s = max(burst_s - self._reading_s(ticket), 0.0)
+        return max(self._busy_until - now - allowed_s, 0.0)
+
+    def is_idle(self, now: float) -> bool:
+        """Return whether no prompt is being read."""
+        return self._busy_until <= now
+
+    def pass_through(self, ticket: Ticket, now: float) -> None:
+        """Take over that a request is sent.
+
+        Args:
+            ticket: The request.
+            now: Current time in seconds.
+        """
+        busy_s = self._reading_s(ticket) / DUTY_SHARE
+        self._busy_until = max(self._busy_until, now) + busy_s
+
+    def _reading_s(self, ticket: Ticket) -> float:
+        return ticket.tokens / self._pace.tokens_per_s
+
+
+def choose(tickets: Collection[Ticket], now: float) -> Ticket:
+    """Choose which waiting request is sent next.
+
+    Those that can still be answered in time come first, the most valuable
+    ones before the others; the late ones by their end.
+
+    Args:
+        tickets: The requests that wait; at least one.
+        now: Current time in seconds.
+    """
+    timely = [ticket for ticket in tickets if ticket.aim_at >= now]
+    if timely:
+        return max(
+            timely, key=lambda ticket: (ticket.value_rate, -ticket.aim_at)
+        )
+    return min(tickets, key=lambda ticket: ticket.start_by)
--- a/ivystep/wire/gen/ttypes.py
+++ b/ivystep/wire/gen/ttypes.py
@@ -1790,6 +1790,9 @@
      - start_within_ms
      - arrivals
      - running
+     - aim_within_ms
+     - timely_value
+     - late_value
 
     """
 
@@ -1803,10 +1806,13 @@
         'start_within_ms',
         'arrivals',
         'running',
+        'aim_within_ms',
+        'timely_value',
+        'late_value',
     )
 
 
-    def __init__(self, adapter=None, source=None, setup_version=None, weight=None, waiting=None, oldest_wait_ms=None, start_within_ms=None, arrivals=None, running=None,):
+    def __init__(self, adapter=None, source=None, setup_version=None, weight=None, waiting=None, oldest_wait_ms=None, start_within_ms=None, arrivals=None, running=None, aim_within_ms=None, timely_value=None, late_value=None,):
         self.adapter = adapter
         self.source = source
         self.setup_version = setup_version
@@ -1816,6 +1822,9 @@
         self.start_within_ms = start_within_ms
         self.arrivals = arrivals
         self.running = running
+        self.aim_within_ms = aim_within_ms
+        self.timely_value = timely_value
+        self.late_value = late_value
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1872,6 +1881,21 @@
                     self.running = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.aim_within_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.DOUBLE:
+                    self.timely_value = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.DOUBLE:
+                    self.late_value = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1918,6 +1942,18 @@
             oprot.writeFieldBegin('running', TType.I32, 9)
             oprot.writeI32(self.running)
             oprot.writeFieldEnd()
+        if self.aim_within_ms is not None:
+            oprot.writeFieldBegin('aim_within_ms', TType.I64, 10)
+            oprot.writeI64(self.aim_within_ms)
+            oprot.writeFieldEnd()
+        if self.timely_value is not None:
+            oprot.writeFieldBegin('timely_value', TType.DOUBLE, 11)
+            oprot.writeDouble(self.timely_value)
+            oprot.writeFieldEnd()
+        if self.late_value is not None:
+            oprot.writeFieldBegin('late_value', TType.DOUBLE, 12)
+            oprot.writeDouble(self.late_value)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2740,6 +2776,202 @@
         return not (self == other)
 
 
+class PermitRequest(object):
+    """
+    Attributes:
+     - engine
+     - tokens
+     - aim_within_ms
+     - start_within_ms
+     - value_rate
+     - max_gap_ms
+
+    """
+
+    __slots__ = (
+        'engine',
+        'tokens',
+        'aim_within_ms',
+        'start_within_ms',
+        'value_rate',
+        'max_gap_ms',
+    )
+
+
+    def __init__(self, engine=None, tokens=None, aim_within_ms=None, start_within_ms=None, value_rate=None, max_gap_ms=None,):
+        self.engine = engine
+        self.tokens = tokens
+        self.aim_within_ms = aim_within_ms
+        self.start_within_ms = start_within_ms
+        self.value_rate = value_rate
+        self.max_gap_ms = max_gap_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.engine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.aim_within_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.start_within_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.DOUBLE:
+                    self.value_rate = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.max_gap_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PermitRequest')
+        if self.engine is not None:
+            oprot.writeFieldBegin('engine', TType.STRING, 1)
+            oprot.writeString(self.engine.encode('utf-8') if sys.version_info[0] == 2 else self.engine)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 2)
+            oprot.writeI32(self.tokens)
+            oprot.writeFieldEnd()
+        if self.aim_within_ms is not None:
+            oprot.writeFieldBegin('aim_within_ms', TType.I32, 3)
+            oprot.writeI32(self.aim_within_ms)
+            oprot.writeFieldEnd()
+        if self.start_within_ms is not None:
+            oprot.writeFieldBegin('start_within_ms', TType.I32, 4)
+            oprot.writeI32(self.start_within_ms)
+            oprot.writeFieldEnd()
+        if self.value_rate is not None:
+            oprot.writeFieldBegin('value_rate', TType.DOUBLE, 5)
+            oprot.writeDouble(self.value_rate)
+            oprot.writeFieldEnd()
+        if self.max_gap_ms is not None:
+            oprot.writeFieldBegin('max_gap_ms', TType.I32, 6)
+            oprot.writeI32(self.max_gap_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Permit(object):
+    """
+    Attributes:
+     - engine
+
+    """
+
+    __slots__ = (
+        'engine',
+    )
+
+
+    def __init__(self, engine=None,):
+        self.engine = engine
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.engine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Permit')
+        if self.engine is not None:
+            oprot.writeFieldBegin('engine', TType.STRING, 1)
+            oprot.writeString(self.engine.encode('utf-8') if sys.version_info[0] == 2 else self.engine)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -2764,6 +2996,8 @@
      - get_section
      - section
      - news
+     - permit_request
+     - permit
 
     """
 
@@ -2789,10 +3023,12 @@
         'get_section',
         'section',
         'news',
+        'permit_request',
+        'permit',
     )
 
 
-    def __init__(self, hello=None, run_attempt=None, attempt_accepted=None, answer_head=None, answer_chunk=None, answer_end=None, attempt_failed=None, revoke_attempt=None, attempt_state=None, load_adapter=None, load_result=None, watch=None, upstream_status=None, demand=None, demand_accepted=None, setup_notice=None, get_manifest=None, manifest=None, get_section=None, section=None, news=None,):
+    def __init__(self, hello=None, run_attempt=None, attempt_accepted=None, answer_head=None, answer_chunk=None, answer_end=None, attempt_failed=None, revoke_attempt=None, attempt_state=None, load_adapter=None, load_result=None, watch=None, upstream_status=None, demand=None, demand_accepted=None, setup_notice=None, get_manifest=None, manifest=None, get_section=None, section=None, news=None, permit_request=None, permit=None,):
         self.hello = hello
         self.run_attempt = run_attempt
         self.attempt_accepted = attempt_accepted
@@ -2814,6 +3050,8 @@
         self.get_section = get_section
         self.section = section
         self.news = news
+        self.permit_request = permit_request
+        self.permit = permit
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2950,6 +3188,18 @@
                     self.news.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 22:
+                if ftype == TType.STRUCT:
+                    self.permit_request = PermitRequest()
+                    self.permit_request.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 23:
+                if ftype == TType.STRUCT:
+                    self.permit = Permit()
+                    self.permit.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3044,6 +3294,14 @@
             oprot.writeFieldBegin('news', TType.STRUCT, 21)
             self.news.write(oprot)
             oprot.writeFieldEnd()
+        if self.permit_request is not None:
+            oprot.writeFieldBegin('permit_request', TType.STRUCT, 22)
+            self.permit_request.write(oprot)
+            oprot.writeFieldEnd()
+        if self.permit is not None:
+            oprot.writeFieldBegin('permit', TType.STRUCT, 23)
+            self.permit.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3212,6 +3470,9 @@
     (7, TType.I64, 'start_within_ms', None, None, ),  # 7
     (8, TType.I32, 'arrivals', None, None, ),  # 8
     (9, TType.I32, 'running', None, None, ),  # 9
+    (10, TType.I64, 'aim_within_ms', None, None, ),  # 10
+    (11, TType.DOUBLE, 'timely_value', None, None, ),  # 11
+    (12, TType.DOUBLE, 'late_value', None, None, ),  # 12
 )
 all_structs.append(Demand)
 Demand.thrift_spec = (
@@ -3269,6 +3530,21 @@
     None,  # 0
     (1, TType.STRING, 'body', 'BINARY', None, ),  # 1
 )
+all_structs.append(PermitRequest)
+PermitRequest.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'engine', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'tokens', None, None, ),  # 2
+    (3, TType.I32, 'aim_within_ms', None, None, ),  # 3
+    (4, TType.I32, 'start_within_ms', None, None, ),  # 4
+    (5, TType.DOUBLE, 'value_rate', None, None, ),  # 5
+    (6, TType.I32, 'max_gap_ms', None, None, ),  # 6
+)
+all_structs.append(Permit)
+Permit.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'engine', 'UTF8', None, ),  # 1
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -3293,6 +3569,8 @@
     (19, TType.STRUCT, 'get_section', [GetSection, None], None, ),  # 19
     (20, TType.STRUCT, 'section', [Section, None], None, ),  # 20
     (21, TType.STRUCT, 'news', [News, None], None, ),  # 21
+    (22, TType.STRUCT, 'permit_request', [PermitRequest, None], None, ),  # 22
+    (23, TType.STRUCT, 'permit', [Permit, None], None, ),  # 23
 )
 fix_spec(all_structs)
 del all_structs
--- a/ivystep/wire/ivystep.thrift
+++ b/ivystep/wire/ivystep.thrift
@@ -130,6 +130,9 @@
   7: i64 start_within_ms
   8: i32 arrivals
   9: optional i32 running
+  10: optional i64 aim_within_ms
+  11: optional double timely_value
+  12: optional double late_value
 }
 
 struct Demand {
@@ -181,6 +184,21 @@
   1: optional binary body
 }
 
+// Asks the holder of the duty for leave to send a prompt to an engine. The
+// permit comes when the engine can read the prompt, or the time is over.
+struct PermitRequest {
+  1: string engine
+  2: i32 tokens
+  3: i32 aim_within_ms
+  4: i32 start_within_ms
+  5: double value_rate
+  6: i32 max_gap_ms
+}
+
+struct Permit {
+  1: string engine
+}
+
 struct Frame {
   1: optional Hello hello
   2: optional RunAttempt run_attempt
@@ -203,4 +221,6 @@
   19: optional GetSection get_section
   20: optional Section section
   21: optional News news
+  22: optional PermitRequest permit_request
+  23: optional Permit permit
 }
