Pace prompts by the speed of each engine

Cause: 70% of the streams with a pause over their route's longest ran on the engines that are slower than the others; one pace was kept for all. Change: each host measures each engine's pace and names it when it asks for a permit; bursts are shorter.

--- a/ivystep/gateway/believed.py
+++ b/ivystep/gateway/believed.py
@@ -11,6 +11,7 @@
 
 from ivystep.core import types
 from ivystep.gateway import connections, contracts, upstreams
+from ivystep.policy import prefill
 
 # Age of an entry when it arrives: the store's feed is read in intervals.
 ENTRY_AGE_S = 1.0
@@ -41,6 +42,7 @@
         entry: Its entry in the store.
 
     Attributes:
+        pace: Pace at which it reads prompts, as this host sees it.
         coming: Adapters that were ordered and may take a place already, by
             the time until which the order may be carried out.
         suspended_until: Time before which no new work is sent, after
@@ -52,6 +54,7 @@
         self.connections = connections.UpstreamConnections(
             entry.address, entry.upstream_id
         )
+        self.pace = prefill.Pace()
         self.coming: dict[types.AdapterRef, float] = {}
         self.suspended_until = 0.0
         self._failures = 0
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -140,7 +140,6 @@
                 ),
                 self._on_change,
                 self._duty.wait_for_permit,
-                self._gates.pace,
                 self._log,
                 settings.bounds.version_s,
             ),
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -126,9 +126,12 @@
         """Time by which an upstream must take it to answer in time."""
         return self.call.arrived + self.route.aim_s - FIRST_EVENT_S
 
-    @property
-    def ticket(self) -> prefill.Ticket:
-        """What the gate of an engine must know of the request."""
+    def ticket(self, pace: prefill.Pace) -> prefill.Ticket:
+        """Return what the gate of an engine must know of the request.
+
+        Args:
+            pace: Pace of the engine.
+        """
         generation = self.call.generation
         return prefill.Ticket(
             tokens=generation.prompt_tokens if generation else 0,
@@ -136,6 +139,7 @@
             start_by=self.start_by,
             value_rate=1.0 / self.expected_run_s,
             max_gap_s=self.route.max_gap_s,
+            tokens_per_s=pace.tokens_per_s,
         )
 
     def to_request(
@@ -188,7 +192,6 @@
         budgets: Retries of each service.
         on_change: Called when the belief about an upstream has changed.
         wait_for_permit: Waits until a prompt may be sent to an engine.
-        pace: The pace at which engines read prompts.
         log: Where decisions are written.
         version_s: Time within which a named version must be in force.
     """
@@ -201,7 +204,6 @@
         budgets: retry_budget.RetryBudgets,
         on_change: Callable[[believed.Upstream], None],
         wait_for_permit: Callable[[str, prefill.Ticket], str],
-        pace: prefill.Pace,
         log: event_log.EventLog,
         version_s: float,
     ) -> None:
@@ -211,7 +213,6 @@
         self._budgets = budgets
         self._on_change = on_change
         self._wait_for_permit = wait_for_permit
-        self._pace = pace
         self._log = log
         self._old_version_s = OLD_VERSION_SHARE * version_s
 
@@ -272,7 +273,8 @@
         try:
             upstream = self._upstream(placement)
             if run.call.generation is not None:
-                self._wait_for_permit(upstream.entry.incarnation, run.ticket)
+                ticket = run.ticket(upstream.pace)
+                self._wait_for_permit(upstream.entry.incarnation, ticket)
                 upstream = self._upstream(placement)
             self._send(run, upstream, ref)
         finally:
@@ -329,7 +331,7 @@
             raise
         upstream.trust()
         if run.call.generation is not None and run.answer.first_at is not None:
-            self._pace.observe(
+            upstream.pace.observe(
                 run.call.generation.prompt_tokens,
                 run.answer.first_at - sent_at,
             )
--- a/ivystep/gateway/prefill_gates.py
+++ b/ivystep/gateway/prefill_gates.py
@@ -35,8 +35,8 @@
 class _EngineQueue:
     """The requests that wait for one engine, and the task that sends them."""
 
-    def __init__(self, pace: prefill.Pace) -> None:
-        self.gate = prefill.Gate(pace)
+    def __init__(self) -> None:
+        self.gate = prefill.Gate()
         self._waiting: list[_Waiting] = []
         self._is_running = False
 
@@ -79,7 +79,6 @@
     """The gates of the engines at this host."""
 
     def __init__(self) -> None:
-        self.pace = prefill.Pace()
         self._queue_by_engine: dict[str, _EngineQueue] = {}
 
     def wait(self, engine: str, ticket: prefill.Ticket) -> None:
@@ -91,7 +90,7 @@
         """
         queue = self._queue_by_engine.get(engine)
         if queue is None:
-            queue = _EngineQueue(self.pace)
+            queue = _EngineQueue()
             self._queue_by_engine[engine] = queue
         queue.wait(ticket)
 
@@ -110,6 +109,7 @@
                 now + message.start_within_ms / units.MS_PER_S,
                 message.value_rate,
                 message.max_gap_ms / units.MS_PER_S,
+                message.tokens_per_s,
             ),
         )
         return ttypes.Permit(message.engine)
@@ -135,6 +135,7 @@
         start_within_ms=int(wait_s * units.MS_PER_S),
         value_rate=ticket.value_rate,
         max_gap_ms=int(ticket.max_gap_s * units.MS_PER_S),
+        tokens_per_s=ticket.tokens_per_s,
     )
     try:
         link.ask(message, wait_s + ANSWER_MARGIN_S)
--- a/ivystep/policy/prefill.py
+++ b/ivystep/policy/prefill.py
@@ -12,20 +12,20 @@
 from collections.abc import Collection
 
 # Tokens that an engine reads in a second, until it has been measured.
-FIRST_TOKENS_PER_S = 16000.0
+FIRST_TOKENS_PER_S = 15000.0
 # Time from a request to its first event that is not spent on its prompt.
 FIXED_S = 0.04
 # Prompts shorter than this say little about the pace.
 LEAST_MEASURED_TOKENS = 600
-GAIN = 0.05
+GAIN = 0.15
 # The pace is kept within these bounds, whatever was measured.
 SLOWEST_TOKENS_PER_S = 4000.0
 FASTEST_TOKENS_PER_S = 100000.0
 # Share of the longest accepted pause that prompts may take at once.
-BURST_SHARE = 0.5
+BURST_SHARE = 0.1
 # Prompts take this share of an engine's time at most; the rest is for the
 # tokens of the requests that run.
-DUTY_SHARE = 0.85
+DUTY_SHARE = 0.8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,6 +38,7 @@
         start_by: When it must be sent to be of any use.
         value_rate: Value of a timely answer for each second that it runs.
         max_gap_s: Longest pause that callers of the engine accept.
+        tokens_per_s: Pace of the engine, as the host of the request saw it.
     """
 
     tokens: int
@@ -45,10 +46,14 @@
     start_by: float
     value_rate: float
     max_gap_s: float
+    tokens_per_s: float = FIRST_TOKENS_PER_S
 
 
 class Pace:
-    """The pace at which the engines of a service read prompts."""
+    """The pace at which one engine reads prompts, as this host sees it.
+
+    Engines of one service differ in speed.
+    """
 
     def __init__(self) -> None:
         self.tokens_per_s = FIRST_TOKENS_PER_S
@@ -68,14 +73,9 @@
 
 
 class Gate:
-    """The gate of one engine.
+    """The gate of one engine."""
 
-    Args:
-        pace: The pace at which it reads prompts.
-    """
-
-    def __init__(self, pace: Pace) -> None:
-        self._pace = pace
+    def __init__(self) -> None:
         self._busy_until = -math.inf
 
     def opens_in_s(self, ticket: Ticket, now: float) -> float:
@@ -86,7 +86,7 @@
             now: Current time in seconds.
         """
         burst_s = ticket.max_gap_s * BURST_SHARE
-        allowed_s = max(burst_s - self._reading_s(ticket), 0.0)
+        allowed_s = max(burst_s - _reading_s(ticket), 0.0)
         return max(self._busy_until - now - allowed_s, 0.0)
 
     def is_idle(self, now: float) -> bool:
@@ -100,11 +100,12 @@
             ticket: The request.
             now: Current time in seconds.
         """
-        busy_s = self._reading_s(ticket) / DUTY_SHARE
+        busy_s = _reading_s(ticket) / DUTY_SHARE
         self._busy_until = max(self._busy_until, now) + busy_s
 
-    def _reading_s(self, ticket: Ticket) -> float:
-        return ticket.tokens / self._pace.tokens_per_s
+
+def _reading_s(ticket: Ticket) -> float:
+    return ticket.tokens / ticket.tokens_per_s
 
 
 def choose(tickets: Collection[Ticket], now: float) -> Ticket:
--- a/ivystep/wire/gen/ttypes.py
+++ b/ivystep/wire/gen/ttypes.py
@@ -2785,6 +2785,7 @@
      - start_within_ms
      - value_rate
      - max_gap_ms
+     - tokens_per_s
 
     """
 
@@ -2795,16 +2796,18 @@
         'start_within_ms',
         'value_rate',
         'max_gap_ms',
+        'tokens_per_s',
     )
 
 
-    def __init__(self, engine=None, tokens=None, aim_within_ms=None, start_within_ms=None, value_rate=None, max_gap_ms=None,):
+    def __init__(self, engine=None, tokens=None, aim_within_ms=None, start_within_ms=None, value_rate=None, max_gap_ms=None, tokens_per_s=None,):
         self.engine = engine
         self.tokens = tokens
         self.aim_within_ms = aim_within_ms
         self.start_within_ms = start_within_ms
         self.value_rate = value_rate
         self.max_gap_ms = max_gap_ms
+        self.tokens_per_s = tokens_per_s
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2845,6 +2848,11 @@
                     self.max_gap_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.DOUBLE:
+                    self.tokens_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2879,6 +2887,10 @@
             oprot.writeFieldBegin('max_gap_ms', TType.I32, 6)
             oprot.writeI32(self.max_gap_ms)
             oprot.writeFieldEnd()
+        if self.tokens_per_s is not None:
+            oprot.writeFieldBegin('tokens_per_s', TType.DOUBLE, 7)
+            oprot.writeDouble(self.tokens_per_s)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3539,6 +3551,7 @@
     (4, TType.I32, 'start_within_ms', None, None, ),  # 4
     (5, TType.DOUBLE, 'value_rate', None, None, ),  # 5
     (6, TType.I32, 'max_gap_ms', None, None, ),  # 6
+    (7, TType.DOUBLE, 'tokens_per_s', None, None, ),  # 7
 )
 all_structs.append(Permit)
 Permit.thrift_spec = (
--- a/ivystep/wire/ivystep.thrift
+++ b/ivystep/wire/ivystep.thrift
@@ -193,6 +193,7 @@
   4: i32 start_within_ms
   5: double value_rate
   6: i32 max_gap_ms
+  7: double tokens_per_s
 }
 
 struct Permit {
