Share the load of all hosts and copy popular adapters

Change: hosts tell the holder their requests in progress, and the news carry the sums; slower engines count as smaller; adapters are held on as many engines as their share of requests needs.

--- a/ivystep/gateway/believed.py
+++ b/ivystep/gateway/believed.py
@@ -42,6 +42,8 @@
         entry: Its entry in the store.
 
     Attributes:
+        in_progress: Requests of this host that it runs.
+        running_elsewhere: Requests of other hosts that it runs.
         pace: Pace at which it reads prompts, as this host sees it.
         coming: Adapters that were ordered and may take a place already, by
             the time until which the order may be carried out.
@@ -59,6 +61,7 @@
         self.suspended_until = 0.0
         self._failures = 0
         self.running_elsewhere = 0
+        self.in_progress = 0
         self._held = set(_refs(entry.held_model_by_name))
         self._held_at = float('-inf')
         self._learnt_by_ref: dict[types.AdapterRef, _Learnt] = {}
@@ -141,7 +144,11 @@
         return model in self.entry.held_model_by_name
 
     def status(
-        self, service: contracts.Service, model: str, now: float
+        self,
+        service: contracts.Service,
+        model: str,
+        now: float,
+        speed: float = 1.0,
     ) -> types.UpstreamStatus:
         """Return the status for the pool of one model.
 
@@ -149,6 +156,7 @@
             service: The upstream's service.
             model: Base model of the pool; empty for a plain service.
             now: Current time in seconds.
+            speed: Pace in relation to the fastest upstream of the service.
         """
         entry = self.entry
         held = self.held()
@@ -167,9 +175,9 @@
                 and (not model or self.holds_model(model))
             ),
             draining=entry.state is upstreams.UpstreamState.DRAINING,
-            running=self.running_elsewhere,
+            running=self.running_elsewhere + self.in_progress,
             slots=self._places(service, len(held) - len(own), now),
-            max_running=max(entry.batch_size, 1),
+            max_running=max(int(entry.batch_size * speed), 1),
             resident_by_ref=own,
             loading=self._loading(),
             setup_version=0,
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -2,6 +2,7 @@
 
 import signal
 import typing
+from collections.abc import Mapping
 
 import eventlet
 from eventlet import wsgi
@@ -106,7 +107,9 @@
         self._membership = membership.Membership(
             self._log, self._on_change, self._on_removed
         )
-        self._board = news.NewsBoard(self._on_news)
+        self._board = news.NewsBoard(
+            host, self._on_news, self._own_load, self._on_loads
+        )
         self._duty = duty.Duty(
             table.TableClient(settings.store.url, settings.store.timeout_s),
             host,
@@ -246,6 +249,7 @@
         eventlet.spawn(self._duty.follow)
         eventlet.spawn(self._keeper.run)
         eventlet.spawn(self._sweep)
+        eventlet.spawn(self._lead)
 
     def _drain(self, listener: typing.Any) -> None:
         """Stop without cutting off a request before the platform does."""
@@ -320,6 +324,19 @@
         else:
             self._learn(told)
 
+    def _own_load(self) -> dict[str, int]:
+        return {
+            upstream.upstream_id: upstream.in_progress
+            for upstream in self._membership.upstream_by_id.values()
+            if upstream.in_progress
+        }
+
+    def _on_loads(self, running: Mapping[str, int]) -> None:
+        for upstream in list(self._membership.upstream_by_id.values()):
+            total = running.get(upstream.upstream_id, 0)
+            upstream.running_elsewhere = max(total - upstream.in_progress, 0)
+            self._on_change(upstream)
+
     def _learn(self, told: news.AdapterNews) -> None:
         upstream = self._membership.upstream_by_id.get(told.upstream_id)
         if upstream is None:
@@ -335,6 +352,13 @@
         for upstream in list(self._membership.upstream_by_id.values()):
             self._on_change(upstream)
 
+    def _lead(self) -> None:
+        """Take over all hosts' loads while this host has the duty."""
+        while True:
+            clock.sleep(news.HEARTBEAT_S)
+            if self._duty.is_holder:
+                self._board.lead()
+
     def _sweep(self) -> None:
         """Close idle connections to upstreams before the upstreams do."""
         while True:
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -300,7 +300,6 @@
     ) -> None:
         run.upstream_id = upstream.upstream_id
         run.attempts += 1
-        self._note_placed(run, upstream, ref)
         was_tried = upstream.upstream_id in run.may_have_run
         run.may_have_run.add(upstream.upstream_id)
         attempt = messages.Attempt(
@@ -320,6 +319,8 @@
             and self._budget(run).balance >= 1,
         )
         sent_at = clock.now()
+        upstream.in_progress += 1
+        self._note_placed(run, upstream, ref)
         try:
             exchange.run(messages.encode_call(run.call, attempt))
         except errors.RequestError as error:
@@ -329,6 +330,8 @@
                 run.avoid.add(upstream.upstream_id)
                 self._learn_failure(upstream, ref, error)
             raise
+        finally:
+            upstream.in_progress -= 1
         upstream.trust()
         if run.call.generation is not None and run.answer.first_at is not None:
             upstream.pace.observe(
@@ -403,6 +406,8 @@
                 ref.lora_name if ref else '',
                 run.attempts,
                 _elapsed_ms(run),
+                upstream.in_progress,
+                int(upstream.pace.tokens_per_s),
                 upstream.entry.version,
                 self._config.version,
             )
--- a/ivystep/gateway/duty.py
+++ b/ivystep/gateway/duty.py
@@ -81,6 +81,11 @@
         """Host that was last seen to hold the lease; empty if none was."""
         return self._lease.seen_holder_id.partition('@')[0]
 
+    @property
+    def is_holder(self) -> bool:
+        """Whether this host holds the lease."""
+        return self._lease.is_held()
+
     def authority(self) -> engine_link.Authority | None:
         """Return the leave to give orders now, or None."""
         if not self._lease.is_held() or clock.now() < self._active_from:
--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -69,6 +69,8 @@
     Attributes:
         adapter: Adapter with its version; empty if none is needed.
         waited_ms: Time since the request had been read.
+        sent: Requests of this host in progress there, with this one.
+        tokens_per_s: Pace of the engine at which its prompt was let through.
         entry_version: Store version of the upstream's entry.
         config_version: Version of the configuration that routed it.
     """
@@ -81,6 +83,8 @@
     adapter: str
     attempt: int
     waited_ms: int
+    sent: int
+    tokens_per_s: int
     entry_version: int
     config_version: int
 
--- a/ivystep/gateway/load_planner.py
+++ b/ivystep/gateway/load_planner.py
@@ -28,6 +28,13 @@
 OVERDUE_S = 2.0
 # An adapter is kept until hosts have seen it and sent their requests.
 SETTLE_S = 0.5
+# Adapters that may have further copies, and how often they are ranked.
+MAX_POPULAR = 12
+RANK_INTERVAL_S = 0.5
+# Copies are loaded only while few other loads are in progress.
+MAX_COPY_LOADS = 3
+# Share of a batch by which an engine must be emptier to get a copy.
+COPY_GAIN = 0.05
 
 log = logs.get('planner')
 
@@ -68,6 +75,8 @@
         self._reported_at: dict[str, float] = {}
         self._started_by_ref: dict[types.AdapterRef, float] = {}
         self._loaded_at: dict[types.AdapterRef, float] = {}
+        self._popular: list[types.AdapterRef] = []
+        self._ranked_at = float('-inf')
         self._changed = event.Event()
         self._is_running = False
 
@@ -134,6 +143,33 @@
             )
             if chosen is not None:
                 return chosen
+        return self._choose_copy(now)
+
+    def _choose_copy(self, now: float) -> load_target.PlannedLoad | None:
+        """Choose a further copy of an adapter that is asked for often."""
+        if now >= self._ranked_at + RANK_INTERVAL_S:
+            self._ranked_at = now
+            self._popular = self.popularity.most(MAX_POPULAR)
+        if self._loads_in_progress(now) >= MAX_COPY_LOADS:
+            return None
+        for ref in self._popular:
+            holders = self._index.holders(ref)
+            wanted = load_value.copies(
+                self.popularity.rate(ref, now),
+                self.popularity.total_rate(now),
+                len(self._index.view_by_id),
+            )
+            if not 0 < len(holders) < wanted or self._is_loading(ref, now):
+                continue
+            fullest = min(view.fill for view in holders)
+            chosen = self._targets.choose(
+                load_value.LoadWish.for_copy(ref, now),
+                now,
+                packing=0.0,
+                service_s=self.service_s,
+            )
+            if chosen and chosen.view.fill + COPY_GAIN <= fullest:
+                return chosen
         return None
 
     def _start(self) -> None:
--- a/ivystep/gateway/model_pools.py
+++ b/ivystep/gateway/model_pools.py
@@ -23,6 +23,10 @@
 AGEING_S = 30.0
 # What is in use must be known before an adapter is evicted.
 IDLE_REPORT_S = 0.25
+# An upstream counts at least as this share of the fastest one.
+LEAST_SPEED = 0.4
+# The fastest pace is forgotten slowly, by this factor with each status.
+FORGET_FASTEST = 0.9999
 # An upstream's entry does not change while all is well, so its silence says
 # nothing. A batch may be this much fuller before another data centre helps.
 RULES = routing.RoutingRules(silence_s=math.inf, remote_cost=0.05)
@@ -54,6 +58,7 @@
         self._link_to = link_to
         self._metrics = metrics
         self._config: contracts.RouteConfig | None = None
+        self._fastest = 0.0
 
     def configure(self, config: contracts.RouteConfig) -> None:
         """Take over a configuration; pools of dropped services stay idle."""
@@ -84,11 +89,13 @@
         if service is None:
             return
         now = clock.now()
+        speed = self._speed(upstream)
         for model in _models(service):
             target = self.pool_by_key[service.name, model]
             target.locate(upstream.upstream_id, upstream.entry.data_centre)
             target.on_status(
-                upstream.status(service, model, now), self._link_to(upstream)
+                upstream.status(service, model, now, speed),
+                self._link_to(upstream),
             )
 
     def remove(self, upstream: believed.Upstream) -> None:
@@ -112,6 +119,12 @@
             if model == old.account:
                 target.planner.popularity.rename(old, new)
 
+    def _speed(self, upstream: believed.Upstream) -> float:
+        """Return an upstream's pace in relation to the fastest."""
+        pace = upstream.pace.tokens_per_s
+        self._fastest = max(self._fastest * FORGET_FASTEST, pace)
+        return max(pace / self._fastest, LEAST_SPEED)
+
     def _service(self, upstream: believed.Upstream) -> contracts.Service | None:
         if self._config is None:
             return None
--- a/ivystep/gateway/news.py
+++ b/ivystep/gateway/news.py
@@ -5,8 +5,9 @@
 news it would learn that from the engines' entries, more than a second later.
 """
 
+import collections
 import dataclasses
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import eventlet
 from eventlet import queue
@@ -15,12 +16,15 @@
 from ivystep.wire import channel, convert
 from ivystep.wire.gen import ttypes
 
-HEARTBEAT_S = 0.5
+# Loads are exchanged this often, and the news that wait meanwhile with them.
+HEARTBEAT_S = 0.15
 # Silence after which the holder counts as gone.
 SILENCE_S = 1.8
 # News that wait for a slow host; beyond that its connection is closed.
 MAX_WAITING = 1000
 
+Loads = Mapping[str, int]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdapterNews:
@@ -40,12 +44,25 @@
     """Hands news to this host and to the hosts that watch it.
 
     Args:
+        host: Name of this host.
         on_news: Takes each piece of news at this host.
+        own_load: Returns this host's requests in progress by upstream.
+        on_loads: Takes the requests of all hosts in progress by upstream.
     """
 
-    def __init__(self, on_news: Callable[[AdapterNews], None]) -> None:
+    def __init__(
+        self,
+        host: str,
+        on_news: Callable[[AdapterNews], None],
+        own_load: Callable[[], Loads],
+        on_loads: Callable[[Loads], None],
+    ) -> None:
+        self._host = host
         self._on_news = on_news
+        self._own_load = own_load
+        self._on_loads = on_loads
         self._watchers: set[queue.LightQueue] = set()
+        self._load_by_host: dict[str, Loads] = {}
 
     def publish(self, news: AdapterNews) -> None:
         """Tell everyone; never blocks."""
@@ -68,11 +85,14 @@
         """
         waiting = queue.LightQueue(MAX_WAITING)
         self._watchers.add(waiting)
+        receiver = eventlet.spawn(self._receive_loads, link)
         try:
-            while waiting in self._watchers:
-                link.send(_message(_next_news(waiting)))
+            while waiting in self._watchers and not receiver.dead:
+                found = _next_news(waiting)
+                link.send(_message(found, self._total()))
         finally:
             self._watchers.discard(waiting)
+            receiver.kill()
 
     def follow(self, link: channel.Channel) -> None:
         """Take the news of the holder until its connection ends.
@@ -97,6 +117,35 @@
                         one.ready_in_ms / units.MS_PER_S,
                     )
                 )
+            self._on_loads(message.running)
+            link.send(ttypes.HostLoad(self._host, dict(self._own_load())))
+
+    def lead(self) -> None:
+        """Take over the loads of all hosts, at the holder itself."""
+        self._on_loads(self._total())
+
+    def _receive_loads(self, link: channel.Channel) -> None:
+        """Take the loads of one host until its connection ends."""
+        host = ''
+        try:
+            while True:
+                message = link.receive(SILENCE_S)
+                if not isinstance(message, ttypes.HostLoad):
+                    return
+                host = message.host
+                self._load_by_host[host] = message.running
+        except errors.LinkError:
+            # The task that sends ends the connection and says why.
+            return
+        finally:
+            self._load_by_host.pop(host, None)
+
+    def _total(self) -> Loads:
+        """Return the requests of all hosts in progress by upstream."""
+        total = collections.Counter(self._own_load())
+        for load in self._load_by_host.values():
+            total.update(load)
+        return total
 
 
 def _next_news(waiting: queue.LightQueue) -> list[AdapterNews]:
@@ -109,7 +158,7 @@
     return found
 
 
-def _message(found: Sequence[AdapterNews]) -> ttypes.News:
+def _message(found: Sequence[AdapterNews], total: Loads) -> ttypes.News:
     return ttypes.News(
         [
             ttypes.AdapterNews(
@@ -119,5 +168,6 @@
                 int(one.ready_in_s * units.MS_PER_S),
             )
             for one in found
-        ]
+        ],
+        dict(total),
     )
--- a/ivystep/policy/eviction.py
+++ b/ivystep/policy/eviction.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import heapq
 import math
 
 from ivystep.core import types
@@ -57,6 +58,15 @@
         if moved is not None:
             self._score_by_ref[new] = _log_sum(self.score(new), moved)
 
+    def most(self, count: int) -> list[types.AdapterRef]:
+        """Return the most popular adapters, the first one first.
+
+        Args:
+            count: How many at most.
+        """
+        scores = self._score_by_ref
+        return heapq.nlargest(count, scores, key=scores.__getitem__)
+
     def score(self, ref: types.AdapterRef) -> float:
         """Return a number that orders adapters by popularity at any time."""
         return self._score_by_ref.get(ref, NEVER)
--- a/ivystep/policy/load_value.py
+++ b/ivystep/policy/load_value.py
@@ -7,11 +7,15 @@
 """
 
 import dataclasses
+import math
 import typing
 from collections.abc import Iterable
 
 from ivystep.core import types
 
+# Share of an engine's fair part of all requests that one copy answers.
+COPY_SHARE = 0.3
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoadWish:
@@ -47,6 +51,11 @@
             start_by=now + demand.start_within_s,
         )
 
+    @classmethod
+    def for_copy(cls, ref: types.AdapterRef, now: float) -> typing.Self:
+        """Return the wish for a copy that no request waits for."""
+        return cls(ref, 0, 0.0, 0.0, now, now)
+
     @classmethod
     def merged(cls, wishes: Iterable[typing.Self]) -> typing.Self:
         """Combine what several hosts want of the same adapter.
@@ -97,3 +106,20 @@
     return sorted(
         wishes, key=lambda wish: urgency(wish, now, load_s), reverse=True
     )
+
+
+def copies(rate: float, total_rate: float, engines: int) -> int:
+    """Return on how many engines an adapter is to be held.
+
+    Answers the load of a few adapters that get most requests: no engine is to
+    be filled by the requests for one adapter.
+
+    Args:
+        rate: Requests for the adapter in a second.
+        total_rate: Requests for all adapters in a second.
+        engines: Engines of the pool.
+    """
+    if total_rate <= 0:
+        return 1
+    fair_share = COPY_SHARE / max(engines, 1)
+    return min(max(math.ceil(rate / total_rate / fair_share), 1), engines)
--- a/ivystep/policy/routing.py
+++ b/ivystep/policy/routing.py
@@ -131,6 +131,11 @@
         """Requests there: those reported and this entry's own since then."""
         return max(self.status.running + len(self._recent), self.sent)
 
+    @property
+    def fill(self) -> float:
+        """Requests there in relation to the size of the batch."""
+        return self.running / max(self.status.max_running, 1)
+
     def has_room(self, now: float) -> bool:
         """Return whether one more request fits into the engine's batch.
 
@@ -323,7 +328,7 @@
     ) -> tuple[bool, bool, float, float]:
         was_tried = view.status.upstream_id in avoid
         is_remote = view.data_centre != self._data_centre
-        fill = view.running / max(view.status.max_running, 1)
+        fill = view.fill
         if math.isinf(self.rules.remote_cost):
             return was_tried, is_remote, fill, random.random()
         cost = fill + self.rules.remote_cost * is_remote
--- a/ivystep/wire/gen/ttypes.py
+++ b/ivystep/wire/gen/ttypes.py
@@ -2359,16 +2359,19 @@
     """
     Attributes:
      - items
+     - running
 
     """
 
     __slots__ = (
         'items',
+        'running',
     )
 
 
-    def __init__(self, items=None,):
+    def __init__(self, items=None, running=None,):
         self.items = items
+        self.running = running
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2390,6 +2393,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.MAP:
+                    self.running = {}
+                    (_ktype42, _vtype43, _size41) = iprot.readMapBegin()
+                    for _i45 in range(_size41):
+                        _key46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val47 = iprot.readI32()
+                        self.running[_key46] = _val47
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2403,10 +2417,108 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter41 in self.items:
-                iter41.write(oprot)
+            for iter48 in self.items:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.MAP, 2)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running))
+            for kiter49, viter50 in self.running.items():
+                oprot.writeString(kiter49.encode('utf-8') if sys.version_info[0] == 2 else kiter49)
+                oprot.writeI32(viter50)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class HostLoad(object):
+    """
+    Attributes:
+     - host
+     - running
+
+    """
+
+    __slots__ = (
+        'host',
+        'running',
+    )
+
+
+    def __init__(self, host=None, running=None,):
+        self.host = host
+        self.running = running
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.MAP:
+                    self.running = {}
+                    (_ktype52, _vtype53, _size51) = iprot.readMapBegin()
+                    for _i55 in range(_size51):
+                        _key56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val57 = iprot.readI32()
+                        self.running[_key56] = _val57
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HostLoad')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.running is not None:
+            oprot.writeFieldBegin('running', TType.MAP, 2)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running))
+            for kiter58, viter59 in self.running.items():
+                oprot.writeString(kiter58.encode('utf-8') if sys.version_info[0] == 2 else kiter58)
+                oprot.writeI32(viter59)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2585,11 +2697,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.digest_by_section = {}
-                    (_ktype43, _vtype44, _size42) = iprot.readMapBegin()
-                    for _i46 in range(_size42):
-                        _key47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val48 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.digest_by_section[_key47] = _val48
+                    (_ktype61, _vtype62, _size60) = iprot.readMapBegin()
+                    for _i64 in range(_size60):
+                        _key65 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val66 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.digest_by_section[_key65] = _val66
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2610,9 +2722,9 @@
         if self.digest_by_section is not None:
             oprot.writeFieldBegin('digest_by_section', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.digest_by_section))
-            for kiter49, viter50 in self.digest_by_section.items():
-                oprot.writeString(kiter49.encode('utf-8') if sys.version_info[0] == 2 else kiter49)
-                oprot.writeString(viter50.encode('utf-8') if sys.version_info[0] == 2 else viter50)
+            for kiter67, viter68 in self.digest_by_section.items():
+                oprot.writeString(kiter67.encode('utf-8') if sys.version_info[0] == 2 else kiter67)
+                oprot.writeString(viter68.encode('utf-8') if sys.version_info[0] == 2 else viter68)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3010,6 +3122,7 @@
      - news
      - permit_request
      - permit
+     - host_load
 
     """
 
@@ -3037,10 +3150,11 @@
         'news',
         'permit_request',
         'permit',
+        'host_load',
     )
 
 
-    def __init__(self, hello=None, run_attempt=None, attempt_accepted=None, answer_head=None, answer_chunk=None, answer_end=None, attempt_failed=None, revoke_attempt=None, attempt_state=None, load_adapter=None, load_result=None, watch=None, upstream_status=None, demand=None, demand_accepted=None, setup_notice=None, get_manifest=None, manifest=None, get_section=None, section=None, news=None, permit_request=None, permit=None,):
+    def __init__(self, hello=None, run_attempt=None, attempt_accepted=None, answer_head=None, answer_chunk=None, answer_end=None, attempt_failed=None, revoke_attempt=None, attempt_state=None, load_adapter=None, load_result=None, watch=None, upstream_status=None, demand=None, demand_accepted=None, setup_notice=None, get_manifest=None, manifest=None, get_section=None, section=None, news=None, permit_request=None, permit=None, host_load=None,):
         self.hello = hello
         self.run_attempt = run_attempt
         self.attempt_accepted = attempt_accepted
@@ -3064,6 +3178,7 @@
         self.news = news
         self.permit_request = permit_request
         self.permit = permit
+        self.host_load = host_load
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3212,6 +3327,12 @@
                     self.permit.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.STRUCT:
+                    self.host_load = HostLoad()
+                    self.host_load.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3314,6 +3435,10 @@
             oprot.writeFieldBegin('permit', TType.STRUCT, 23)
             self.permit.write(oprot)
             oprot.writeFieldEnd()
+        if self.host_load is not None:
+            oprot.writeFieldBegin('host_load', TType.STRUCT, 24)
+            self.host_load.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3517,6 +3642,13 @@
 News.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'items', (TType.STRUCT, [AdapterNews, None], False), None, ),  # 1
+    (2, TType.MAP, 'running', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 2
+)
+all_structs.append(HostLoad)
+HostLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.MAP, 'running', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 2
 )
 all_structs.append(SetupNotice)
 SetupNotice.thrift_spec = (
@@ -3584,6 +3716,7 @@
     (21, TType.STRUCT, 'news', [News, None], None, ),  # 21
     (22, TType.STRUCT, 'permit_request', [PermitRequest, None], None, ),  # 22
     (23, TType.STRUCT, 'permit', [Permit, None], None, ),  # 23
+    (24, TType.STRUCT, 'host_load', [HostLoad, None], None, ),  # 24
 )
 fix_spec(all_structs)
 del all_structs
--- a/ivystep/wire/ivystep.thrift
+++ b/ivystep/wire/ivystep.thrift
@@ -159,9 +159,17 @@
   4: i32 ready_in_ms
 }
 
-// Sent to every entry that watches the holder of the duty; empty as heartbeat.
+// Sent to every entry that watches the holder of the duty, at least as a
+// heartbeat. Running counts the requests of all entries by upstream.
 struct News {
   1: list<AdapterNews> items
+  2: map<string, i32> running
+}
+
+// What an entry has in progress, by upstream; sent to the holder of the duty.
+struct HostLoad {
+  1: string host
+  2: map<string, i32> running
 }
 
 struct SetupNotice {
@@ -224,4 +232,5 @@
   21: optional News news
   22: optional PermitRequest permit_request
   23: optional Permit permit
+  24: optional HostLoad host_load
 }
