--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import math
 import socket
 import struct
 import typing
@@ -247,42 +248,43 @@
 
     def _next_request(self) -> http1.RawRequest | None:
         """Read until a request is complete; None if the connection ends."""
-        limits = self._door.limits
-        started = None
-        has_continued = False
-        while True:
-            raw = self._reader.next_request()
-            if raw is not None:
-                self._is_idle = False
-                return raw
+        raw = self._reader.next_request()
+        if raw is None:
+            raw = self._read_request()
+        self._is_idle = False
+        return raw
+
+    def _read_request(self) -> http1.RawRequest | None:
+        began = math.inf
+        raw = None
+        while raw is None:
             self._is_idle = self._reader.is_between
-            if self._is_idle:
-                if self._door.is_closing:
-                    return None
-                timeout_s = limits.idle_timeout_s
-            else:
-                started = started or clock.now()
-                timeout_s = self._read_timeout_s(started)
-            if self._reader.expects_continue and not has_continued:
-                has_continued = True
+            if self._is_idle and self._door.is_closing:
+                return None
+            if not self._is_idle:
+                began = min(began, clock.now())
+            if self._reader.take_expectation():
                 self._socket.sendall(CONTINUE)
-            received = self._receive(timeout_s)
-            if received is None:
-                if self._is_idle:
-                    return None
+            received = self._receive(self._read_timeout_s(began))
+            if received is None and not self._is_idle:
                 raise http1.BadRequestError(408, 'The request is too slow.')
             if not received:
                 return None
             self._reader.feed(received)
+            raw = self._reader.next_request()
+        return raw
 
-    def _read_timeout_s(self, started: float) -> float:
+    def _read_timeout_s(self, began: float) -> float:
+        """Return how long to wait for bytes, while idle or in a request."""
         limits = self._door.limits
+        if self._is_idle:
+            return limits.idle_timeout_s
         allowed_s = (
             limits.header_timeout_s
             if self._reader.is_in_head
             else limits.idle_timeout_s
         )
-        return max(started + allowed_s - clock.now(), 0)
+        return max(began + allowed_s - clock.now(), 0)
 
     def _receive(self, timeout_s: float) -> bytes | None:
         """Return bytes, empty at the end; None if none arrive in time."""
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -114,8 +114,7 @@
             table.TableClient(settings.store.url, settings.store.timeout_s),
             host,
             settings.addresses.peers,
-            lease_s=settings.bounds.lease_ms / 1000,
-            turn_s=settings.bounds.turn_s,
+            duty.Turns(settings.bounds.lease_s, settings.bounds.turn_s),
             board=self._board,
             on_active=self._refresh,
             gates=self._gates,
@@ -128,6 +127,16 @@
             self._link,
             self._metrics,
         )
+        self._ordering = engine_link.Ordering(
+            self._api,
+            self._duty.authority,
+            self._on_change,
+            self._places,
+            self._pools.is_at_hand,
+            self._board,
+            self._times,
+            self._log,
+        )
         self._keeper = model_keeper.ModelKeeper(
             self._membership, self._config, self._duty, self._link, self._log
         )
@@ -276,17 +285,7 @@
     def _link(self, upstream: believed.Upstream) -> engine_link.EngineLink:
         link = self._link_by_upstream.get(upstream)
         if link is None:
-            link = engine_link.EngineLink(
-                upstream,
-                self._api,
-                self._duty.authority,
-                self._on_change,
-                self._places,
-                self._pools.is_at_hand,
-                self._board,
-                self._times,
-                self._log,
-            )
+            link = engine_link.EngineLink(upstream, self._ordering)
             self._link_by_upstream[upstream] = link
         return link
 
--- a/ivystep/gateway/duty.py
+++ b/ivystep/gateway/duty.py
@@ -5,6 +5,7 @@
 orders of the one before as past. All other hosts send it their demand.
 """
 
+import dataclasses
 from collections.abc import Callable
 
 import eventlet
@@ -21,6 +22,20 @@
 FOLLOW_RETRY_S = 0.2
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Turns:
+    """How the duty passes from one host to the next.
+
+    Attributes:
+        lease_s: Duration of the lease, in seconds.
+        turn_s: Time for which the orders of an earlier holder count, in
+            seconds.
+    """
+
+    lease_s: float
+    turn_s: float
+
+
 class _NoPlanner:
     """``DemandSink`` while the holder is not known."""
 
@@ -38,9 +53,7 @@
         rows: The table that holds the lease.
         host: Name of this host.
         address: Address at which other hosts reach this one.
-        lease_s: Duration of the lease, in seconds.
-        turn_s: Time for which the orders of an earlier holder count, in
-            seconds.
+        turns: How the duty passes from one host to the next.
         board: Takes the news of the holder.
         on_active: Called when this host may give orders.
         gates: The gates of the engines at this host.
@@ -52,16 +65,15 @@
         rows: table.Table,
         host: str,
         address: tuple[str, int],
+        turns: Turns,
         *,
-        lease_s: float,
-        turn_s: float,
         board: news.NewsBoard,
         on_active: Callable[[], None],
         gates: prefill_gates.PrefillGates,
         log: event_log.EventLog,
     ) -> None:
         self._host = host
-        self._turn_s = turn_s
+        self._turn_s = turns.turn_s
         self._board = board
         self._on_active = on_active
         self._gates = gates
@@ -72,7 +84,7 @@
             rows,
             LEASE_KEY,
             _holder_id(host, address),
-            lease_s,
+            turns.lease_s,
             is_sole=True,
         )
 
@@ -149,6 +161,15 @@
                 self._follow(text)
             clock.sleep(FOLLOW_RETRY_S)
 
+    def release(self) -> None:
+        """Give the lease up before this host stops."""
+        if self._lease.is_held():
+            self._active_from = float('inf')
+            self._lease.release()
+            self._log.write(
+                events.DutyChanged(self._host, self._lease.token, 'released')
+            )
+
     def _follow(self, text: str) -> None:
         link = None
         try:
@@ -160,15 +181,6 @@
             if link is not None:
                 link.close()
 
-    def release(self) -> None:
-        """Give the lease up before this host stops."""
-        if self._lease.is_held():
-            self._active_from = float('inf')
-            self._lease.release()
-            self._log.write(
-                events.DutyChanged(self._host, self._lease.token, 'released')
-            )
-
     def _link(self, text: str) -> peers.PeerLink:
         ip, _, port = text.rpartition(':')
         address = (ip, int(port))
--- a/ivystep/gateway/engine_link.py
+++ b/ivystep/gateway/engine_link.py
@@ -51,42 +51,42 @@
     until: float
 
 
-class EngineLink:
-    """``UpstreamLink`` of a pool to an engine of the platform.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ordering:
+    """What the links to all engines share.
 
-    Args:
-        upstream: The engine.
+    Attributes:
         api: Calls to engines.
         authority: Returns the leave to give orders, or None.
-        on_change: Called when the belief about the engine has changed.
-        places: Returns how many adapters the engine can hold now.
-        is_at_hand: Returns whether the engine has held an adapter lately.
+        on_change: Called when the belief about an engine has changed.
+        places: Returns how many adapters an engine can hold now.
+        is_at_hand: Returns whether an engine has held an adapter lately.
         board: Takes news of loads.
         times: How long loads take.
         log: Where orders are written.
     """
 
-    def __init__(
-        self,
-        upstream: believed.Upstream,
-        api: orders.EngineApi,
-        authority: Callable[[], Authority | None],
-        on_change: Callable[[believed.Upstream], None],
-        places: Callable[[believed.Upstream], int],
-        is_at_hand: Callable[[believed.Upstream, types.AdapterRef], bool],
-        board: news.NewsBoard,
-        times: load_times.LoadTimes,
-        log: event_log.EventLog,
-    ) -> None:
+    api: orders.EngineApi
+    authority: Callable[[], Authority | None]
+    on_change: Callable[[believed.Upstream], None]
+    places: Callable[[believed.Upstream], int]
+    is_at_hand: Callable[[believed.Upstream, types.AdapterRef], bool]
+    board: news.NewsBoard
+    times: load_times.LoadTimes
+    log: event_log.EventLog
+
+
+class EngineLink:
+    """``UpstreamLink`` of a pool to an engine of the platform.
+
+    Args:
+        upstream: The engine.
+        ordering: What all links share.
+    """
+
+    def __init__(self, upstream: believed.Upstream, ordering: Ordering) -> None:
         self._upstream = upstream
-        self._api = api
-        self._authority = authority
-        self._on_change = on_change
-        self._places = places
-        self._is_at_hand = is_at_hand
-        self._board = board
-        self._times = times
-        self._log = log
+        self._shared = ordering
         self._given_by_name: dict[tuple[str, str], _Given] = {}
         self._lock = semaphore.Semaphore(1)
         self._expected: int | None = None
@@ -102,7 +102,7 @@
         # load evicts it too.
         for victim in order.evict:
             self._tell(victim, is_held=False)
-        self._on_change(upstream)
+        self._shared.on_change(upstream)
         result = types.LoadResult(False, 'link_failed', 'The load was ended.')
         try:
             result = self._load(order)
@@ -145,7 +145,7 @@
             self._tell(ref, is_held=False)
             if result.code != 'link_failed':
                 self._upstream.coming.pop(ref, None)
-        self._on_change(self._upstream)
+        self._shared.on_change(self._upstream)
 
     def _unload(self, ref: types.AdapterRef) -> types.LoadResult | None:
         """Unload an adapter; return why it failed, or None."""
@@ -187,12 +187,12 @@
             else:
                 taken.discard(name)
         taken.add((ref.account, ref.name))
-        return len(taken) <= self._places(self._upstream)
+        return len(taken) <= self._shared.places(self._upstream)
 
     def _tell(
         self, ref: types.AdapterRef, *, is_held: bool, ready_in_s: float = 0.0
     ) -> None:
-        self._board.publish(
+        self._shared.board.publish(
             news.AdapterNews(
                 ref, self._upstream.upstream_id, is_held, ready_in_s
             )
@@ -203,9 +203,9 @@
 
         Whether it has come is checked beside, because reports are late.
         """
-        is_at_hand = self._is_at_hand(self._upstream, ref)
+        is_at_hand = self._shared.is_at_hand(self._upstream, ref)
         ordered_at = clock.now()
-        ready_in_s = self._times.expected_s(is_at_hand=is_at_hand)
+        ready_in_s = self._shared.times.expected_s(is_at_hand=is_at_hand)
         self._tell(ref, is_held=True, ready_in_s=ready_in_s)
         eventlet.spawn(
             self._confirm, ref, ordered_at, ready_in_s, is_at_hand=is_at_hand
@@ -227,7 +227,7 @@
             try:
                 held = self._report().held_model_by_name.get(ref.account)
             except errors.LinkError as error:
-                self._log.write(
+                self._shared.log.write(
                     events.DependencyLost(
                         f'engine/{self._upstream.upstream_id}', str(error)
                     )
@@ -235,10 +235,10 @@
                 break
             if held and held.adapter_versions.get(ref.name, 0) >= ref.version:
                 self._upstream.coming.pop(ref, None)
-                self._times.observe(
+                self._shared.times.observe(
                     clock.now() - ordered_at, is_at_hand=is_at_hand
                 )
-                self._on_change(self._upstream)
+                self._shared.on_change(self._upstream)
                 return
             clock.sleep(POLL_S)
         self._tell(ref, is_held=False)
@@ -248,7 +248,7 @@
     ) -> orders.Outcome:
         """Give one order, with the right number of earlier orders."""
         for _ in range(SEQUENCE_TRIES):
-            authority = self._authority()
+            authority = self._shared.authority()
             if authority is None:
                 return orders.Outcome.FENCED
             order = orders.Order(
@@ -309,9 +309,11 @@
         sent_at = clock.now()
         outcome = None
         try:
-            outcome = self._api.order(entry.address, entry.upstream_id, order)
+            outcome = self._shared.api.order(
+                entry.address, entry.upstream_id, order
+            )
         finally:
-            self._log.write(
+            self._shared.log.write(
                 events.OrderGiven(
                     entry.upstream_id,
                     'load' if order.is_load else 'unload',
@@ -341,7 +343,7 @@
         return self._expected
 
     def _report(self) -> upstreams.EngineReport:
-        report = self._api.report(self._upstream.entry.address)
+        report = self._shared.api.report(self._upstream.entry.address)
         self._upstream.on_report(report, clock.now())
         return report
 
--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -19,7 +19,7 @@
         callers: Address for callers.
     """
 
-    NAME: typing.ClassVar[str] = 'started'
+    name: typing.ClassVar[str] = 'started'
 
     callers: str
     data_centre: str
@@ -29,7 +29,7 @@
 class Reloaded(event_log.Event):
     """The settings were read again; the addresses stay as they are."""
 
-    NAME: typing.ClassVar[str] = 'reloaded'
+    name: typing.ClassVar[str] = 'reloaded'
 
     log_level: str
 
@@ -43,7 +43,7 @@
         connections: Open connections of callers.
     """
 
-    NAME: typing.ClassVar[str] = 'draining'
+    name: typing.ClassVar[str] = 'draining'
 
     requests: int
     connections: int
@@ -57,7 +57,7 @@
         requests: Requests that were cut off.
     """
 
-    NAME: typing.ClassVar[str] = 'stopped'
+    name: typing.ClassVar[str] = 'stopped'
 
     requests: int
 
@@ -75,7 +75,7 @@
         config_version: Version of the configuration that routed it.
     """
 
-    NAME: typing.ClassVar[str] = 'request_placed'
+    name: typing.ClassVar[str] = 'request_placed'
 
     request_id: str
     route: str
@@ -101,7 +101,7 @@
         budget: Retries of the service left at this host.
     """
 
-    NAME: typing.ClassVar[str] = 'attempt_failed'
+    name: typing.ClassVar[str] = 'attempt_failed'
 
     request_id: str
     route: str
@@ -127,7 +127,7 @@
         attempts: Upstreams that it was sent to.
     """
 
-    NAME: typing.ClassVar[str] = 'request_ended'
+    name: typing.ClassVar[str] = 'request_ended'
 
     request_id: str
     route: str
@@ -151,9 +151,9 @@
         ran: Whether the request ran: ``no`` or ``unknown``.
     """
 
-    NAME: typing.ClassVar[str] = 'request_failed'
-    IS_CAPPED: typing.ClassVar[bool] = False
-    LEVEL: typing.ClassVar[int] = logging.WARNING
+    name: typing.ClassVar[str] = 'request_failed'
+    is_capped: typing.ClassVar[bool] = False
+    level: typing.ClassVar[int] = logging.WARNING
 
     request_id: str
     route: str
@@ -176,7 +176,7 @@
         store_version: Store version of its row.
     """
 
-    NAME: typing.ClassVar[str] = 'config_adopted'
+    name: typing.ClassVar[str] = 'config_adopted'
 
     version: int
     store_version: int
@@ -188,7 +188,7 @@
 class VersionNamed(event_log.Event):
     """The operator has named a version of an adapter or a model."""
 
-    NAME: typing.ClassVar[str] = 'version_named'
+    name: typing.ClassVar[str] = 'version_named'
 
     adapter: str
     version: int
@@ -205,7 +205,7 @@
         entry_version: Store version of the entry that was used.
     """
 
-    NAME: typing.ClassVar[str] = 'upstream_changed'
+    name: typing.ClassVar[str] = 'upstream_changed'
 
     upstream: str
     service: str
@@ -219,8 +219,8 @@
 class EntryIgnored(event_log.Event):
     """A row that cannot be used was ignored."""
 
-    NAME: typing.ClassVar[str] = 'entry_ignored'
-    LEVEL: typing.ClassVar[int] = logging.WARNING
+    name: typing.ClassVar[str] = 'entry_ignored'
+    level: typing.ClassVar[int] = logging.WARNING
 
     key: str
     reason: str
@@ -231,8 +231,8 @@
 class DependencyLost(event_log.Event):
     """The store or a peer does not answer."""
 
-    NAME: typing.ClassVar[str] = 'dependency_lost'
-    LEVEL: typing.ClassVar[int] = logging.WARNING
+    name: typing.ClassVar[str] = 'dependency_lost'
+    level: typing.ClassVar[int] = logging.WARNING
 
     dependency: str
     reason: str
@@ -242,7 +242,7 @@
 class DependencyRegained(event_log.Event):
     """The store or a peer answers again."""
 
-    NAME: typing.ClassVar[str] = 'dependency_regained'
+    name: typing.ClassVar[str] = 'dependency_regained'
 
     dependency: str
     lost_ms: int
@@ -257,7 +257,7 @@
         token: Fencing token.
     """
 
-    NAME: typing.ClassVar[str] = 'duty_changed'
+    name: typing.ClassVar[str] = 'duty_changed'
 
     holder: str
     token: int
@@ -273,7 +273,7 @@
         outcome: Its answer, or ``no answer``.
     """
 
-    NAME: typing.ClassVar[str] = 'order_given'
+    name: typing.ClassVar[str] = 'order_given'
 
     upstream: str
     operation: str
--- a/ivystep/gateway/http1.py
+++ b/ivystep/gateway/http1.py
@@ -60,6 +60,7 @@
         self._target = bytearray()
         self._head_bytes = 0
         self._is_head_complete = False
+        self._is_expecting = False
         self._ready: collections.deque[RawRequest] = collections.deque()
         self._problem: BadRequestError | None = None
 
@@ -96,12 +97,11 @@
             raise self._problem
         return None
 
-    @property
-    def expects_continue(self) -> bool:
-        """Whether the caller waits for leave to send its body."""
-        return self._is_head_complete and any(
-            name.lower() == b'expect' for name, _ in self._current.headers
-        )
+    def take_expectation(self) -> bool:
+        """Return once whether the caller waits for leave to send its body."""
+        expects = self._is_expecting
+        self._is_expecting = False
+        return expects
 
     def on_message_begin(self) -> None:
         """Start a request; called by the parser."""
@@ -128,6 +128,10 @@
         current.method = self._parser.get_method().decode('latin-1')
         current.target = self._target.decode('latin-1')
         current.version = self._parser.get_http_version()
+        names = {name.lower() for name, _ in current.headers}
+        self._is_expecting = b'expect' in names
+        if current.version == '1.0' and b'transfer-encoding' in names:
+            self._fail(400, 'The length of the body is ambiguous.')
 
     def on_body(self, piece: bytes) -> None:
         """Take a piece of the body; called by the parser."""
@@ -143,6 +147,7 @@
             self._ready.append(self._current)
         self.is_between = True
         self._is_head_complete = False
+        self._is_expecting = False
 
     def _count_head(self, added: int) -> None:
         self._head_bytes += added
--- a/ivystep/gateway/relay.py
+++ b/ivystep/gateway/relay.py
@@ -116,33 +116,36 @@
         """Relay the answer; return how long the connection may be idle."""
         raw = self._own_head(connection)
         head = messages.decode_answer(raw)
-        if head.is_not_run:
-            self._read_rest(connection)
-            raise self._refused(head)
-        if head.status in FAILURES and self._may_repeat:
-            self._read_rest(connection)
-            raise self._failed(head)
+        self._check(connection, head)
         is_stream = self._route.kind is contracts.Repeatability.STREAM
-        if self._answer.has_started:
-            self._check_resumed(head)
         if is_stream and head.status == 200 and self._route.is_resumable:
             self._relay_events(connection, head)
-        elif raw.length is not None and raw.length <= WHOLE_BYTES:
+        elif raw.framing is http1.Framing.NONE or _is_short(raw):
             self._answer.send_whole(head, self._read_rest(connection))
-        elif raw.framing is http1.Framing.NONE:
-            self._read_rest(connection)
-            self._answer.send_whole(head, b'')
-        elif not is_stream:
-            self._relay_collected(connection, head, raw)
-        else:
+        elif is_stream:
             length = NO_LENGTH if raw.length is None else raw.length
             self._relay_pieces(connection, head, length)
+        else:
+            self._relay_collected(connection, head, raw)
         if not raw.is_kept_alive:
             return None
         if head.keep_alive_s is None:
             return connections.DEFAULT_IDLE_S
         return head.keep_alive_s
 
+    def _check(
+        self, connection: connections.UpstreamConnection, head: calls.AnswerHead
+    ) -> None:
+        """Raise the failure that an upstream tells, if it is not passed on."""
+        if head.is_not_run:
+            self._read_rest(connection)
+            raise self._refused(head)
+        if head.status in FAILURES and self._may_repeat:
+            self._read_rest(connection)
+            raise self._failed(head)
+        if self._answer.has_started:
+            self._check_resumed(head)
+
     def _own_head(
         self, connection: connections.UpstreamConnection
     ) -> http1.RawHead:
@@ -203,20 +206,12 @@
         self._answer.can_resume = False
         if begun:
             self._answer.write(begun)
-        while True:
-            event = connection.next_event()
-            parts = []
-            while event is not None:
-                if isinstance(event, http1.End):
-                    if parts:
-                        self._answer.write(b''.join(parts))
-                    self._answer.finish()
-                    return
-                if isinstance(event, http1.Piece):
-                    parts.append(event.content)
-                event = connection.ready_event()
-            if parts:
-                self._answer.write(b''.join(parts))
+        is_ended = False
+        while not is_ended:
+            content, is_ended = _arrived(connection)
+            if content:
+                self._answer.write(content)
+        self._answer.finish()
 
     def _relay_events(
         self,
@@ -227,25 +222,19 @@
         if not self._answer.has_started:
             self._answer.start(head, NO_LENGTH)
         events = EventBuffer()
-        while True:
-            event = connection.next_event()
-            is_ended = False
-            while event is not None:
-                if isinstance(event, http1.Piece):
-                    events.feed(event.content)
-                is_ended = is_ended or isinstance(event, http1.End)
-                event = connection.ready_event()
+        is_ended = False
+        while not is_ended:
+            content, is_ended = _arrived(connection)
+            events.feed(content)
             whole = events.take_whole()
             if whole:
                 self._answer.last_event_id = (
                     events.last_id or self._answer.last_event_id
                 )
                 self._answer.write(whole)
-            if is_ended:
-                if events.rest:
-                    self._answer.write(events.rest)
-                self._answer.finish()
-                return
+        if events.rest:
+            self._answer.write(events.rest)
+        self._answer.finish()
 
     def _check_resumed(self, head: calls.AnswerHead) -> None:
         if head.status != 200:
@@ -285,6 +274,28 @@
         )
 
 
+def _is_short(raw: http1.RawHead) -> bool:
+    return raw.length is not None and raw.length <= WHOLE_BYTES
+
+
+def _arrived(
+    connection: connections.UpstreamConnection,
+) -> tuple[bytes, bool]:
+    """Wait for a part of the body; return it and whether the answer ended.
+
+    All that has arrived is taken together, which saves a write for each piece.
+    """
+    parts = []
+    event: http1.AnswerEvent | None = connection.next_event()
+    while event is not None:
+        if isinstance(event, http1.End):
+            return b''.join(parts), True
+        if isinstance(event, http1.Piece):
+            parts.append(event.content)
+        event = connection.ready_event()
+    return b''.join(parts), False
+
+
 class EventBuffer:
     """Splits a stream into whole events.
 
@@ -306,7 +317,8 @@
         end = self.rest.rfind(b'\n\n')
         if end < 0:
             return b''
-        whole, self.rest = self.rest[: end + 2], self.rest[end + 2 :]
+        whole = self.rest[: end + 2]
+        self.rest = self.rest[end + 2 :]
         for line in whole.split(b'\n'):
             name, _, value = line.partition(b':')
             if name == b'id':
--- a/ivystep/platform/messages.py
+++ b/ivystep/platform/messages.py
@@ -5,12 +5,13 @@
 """
 
 import dataclasses
+import string
 
 from ivystep.core import units
 from ivystep.gateway import calls, http1
 from ivystep.platform import names
 
-DIGITS = frozenset(b'0123456789')
+DIGITS = frozenset(string.digits.encode())
 MAX_NUMBER_DIGITS = 12
 
 
--- a/ivystep/platform/operator_config.py
+++ b/ivystep/platform/operator_config.py
@@ -4,7 +4,7 @@
 """
 
 import dataclasses
-import typing
+import types
 
 import pydantic
 
@@ -100,11 +100,13 @@
     version: int
 
 
-KIND_BY_NAME: typing.Final = {
-    'idempotent': contracts.Repeatability.IDEMPOTENT,
-    'non_idempotent': contracts.Repeatability.AT_MOST_ONCE,
-    'stream': contracts.Repeatability.STREAM,
-}
+KIND_BY_NAME = types.MappingProxyType(
+    {
+        'idempotent': contracts.Repeatability.IDEMPOTENT,
+        'non_idempotent': contracts.Repeatability.AT_MOST_ONCE,
+        'stream': contracts.Repeatability.STREAM,
+    }
+)
 
 
 def decode_config(row: rows.StoredRow) -> contracts.RouteConfig:
--- a/ivystep/platform/rows.py
+++ b/ivystep/platform/rows.py
@@ -19,6 +19,8 @@
 READ_PATH = '/ivystep/rows-get'
 FEED_PATH = '/ivystep/rows-feed'
 TRANSACT_PATH = '/ivystep/rows-tx'
+# What decoding raises for an answer that holds no row.
+MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
 # The most rows that one answer holds.
 PAGE_ROWS = 500
 
@@ -224,7 +226,7 @@
         for raw in rows:
             try:
                 yield _stored_row(raw)
-            except (KeyError, TypeError, ValueError, AttributeError) as error:
+            except MALFORMED as error:
                 raise self._malformed(f'a row is malformed: {error}') from error
 
     def _malformed(self, reason: str) -> errors.UnavailableError:
--- a/ivystep/platform/table.py
+++ b/ivystep/platform/table.py
@@ -18,6 +18,8 @@
 TABLE = 'ivystep'
 # Rows whose store versions are remembered; others are read before a write.
 MAX_REMEMBERED = 4096
+# What decoding raises for a row of another writer.
+MALFORMED = (KeyError, TypeError, ValueError, RecursionError)
 LAST_CHARACTER = '\U0010ffff'
 
 
@@ -177,7 +179,7 @@
         try:
             document = json.loads(stored.content)
             row = Row(stored.key, document['value'], document['version'])
-        except (KeyError, TypeError, ValueError, RecursionError) as error:
+        except MALFORMED as error:
             raise self._malformed() from error
         if not isinstance(row.version, int):
             raise self._malformed()
--- a/ivystep/platform/upstream_entries.py
+++ b/ivystep/platform/upstream_entries.py
@@ -6,7 +6,7 @@
 
 import ipaddress
 import json
-import typing
+from types import MappingProxyType
 
 import pydantic
 
@@ -15,10 +15,14 @@
 from ivystep.platform import rows
 
 TABLE = 'servers'
-STATE_BY_NAME: typing.Final = {
-    'ready': upstreams.UpstreamState.READY,
-    'draining': upstreams.UpstreamState.DRAINING,
-}
+STATE_BY_NAME = MappingProxyType(
+    {
+        'ready': upstreams.UpstreamState.READY,
+        'draining': upstreams.UpstreamState.DRAINING,
+    }
+)
+# What decoding raises for bytes that are no entry or report.
+MALFORMED = (pydantic.ValidationError, KeyError, ValueError, RecursionError)
 
 
 class _Held(pydantic.BaseModel):
@@ -82,12 +86,7 @@
             ),
             version=row.version,
         )
-    except (
-        pydantic.ValidationError,
-        KeyError,
-        ValueError,
-        RecursionError,
-    ) as error:
+    except MALFORMED as error:
         raise errors.SetupError(
             f'entry {row.key!r} names no upstream: {error}',
             step='decode entry',
@@ -114,7 +113,7 @@
             running=report.active,
             kv_used=report.kv_used,
         )
-    except (pydantic.ValidationError, ValueError, RecursionError) as error:
+    except MALFORMED as error:
         raise errors.LinkError(
             f'malformed report: {error}', step='report'
         ) from error
--- a/ivystep/runtime/event_log.py
+++ b/ivystep/runtime/event_log.py
@@ -26,14 +26,14 @@
     """Base of all events.
 
     Attributes:
-        NAME: Name of the event in the log.
-        IS_CAPPED: Whether lines are left out when there are too many.
-        LEVEL: Level of the line.
+        name: Name of the event in the log.
+        is_capped: Whether lines are left out when there are too many.
+        level: Level of the line.
     """
 
-    NAME: typing.ClassVar[str] = ''
-    IS_CAPPED: typing.ClassVar[bool] = True
-    LEVEL: typing.ClassVar[int] = logging.INFO
+    name: typing.ClassVar[str] = ''
+    is_capped: typing.ClassVar[bool] = True
+    level: typing.ClassVar[int] = logging.INFO
 
 
 class NonBlockingHandler(logging.Handler):
@@ -121,8 +121,8 @@
             event: The event.
         """
         fields = dataclasses.asdict(event)
-        if event.IS_CAPPED:
-            cap = self._cap_by_name.setdefault(event.NAME, _Cap())
+        if event.is_capped:
+            cap = self._cap_by_name.setdefault(event.name, _Cap())
             if not cap.allows():
                 return
             if cap.left_out:
@@ -130,4 +130,4 @@
                 cap.left_out = 0
         if self._host:
             fields['host'] = self._host
-        self._log.log(event.LEVEL, event.NAME, extra=fields)
+        self._log.log(event.level, event.name, extra=fields)
--- a/ivystep/settings/gateway.py
+++ b/ivystep/settings/gateway.py
@@ -124,6 +124,11 @@
         10.0, description='Time over which repeats are counted.'
     )
 
+    @property
+    def lease_s(self) -> float:
+        """Duration of the lease of the host that gives orders."""
+        return self.lease_ms / units.MS_PER_S
+
     @property
     def turn_s(self) -> float:
         """Time for which the orders of an earlier holder count."""
--- a/standins/table.py
+++ b/standins/table.py
@@ -106,10 +106,7 @@
     def _transact(self, document: dict[str, typing.Any]) -> web.Reply:
         expected = {_key(one): one['ver'] for one in document['expected']}
         found = {key: self.row_by_key.get(key) for key in expected}
-        if any(
-            (row['ver'] if row else 0) != expected[key]
-            for key, row in found.items()
-        ):
+        if any(_version(row) != expected[key] for key, row in found.items()):
             rows = [row for row in found.values() if row]
             return 412, {'rows': rows, **self._moment()}
         self.version += 1
@@ -138,7 +135,8 @@
         self._history.append(row)
 
     def _notify(self) -> None:
-        changed, self._changed = self._changed, event.Event()
+        changed = self._changed
+        self._changed = event.Event()
         changed.send()
 
     def _page(self, query: dict[str, str]) -> dict[str, typing.Any]:
@@ -178,5 +176,9 @@
         return {'ver': self.version, 'now_ms': int(time.monotonic() * 1000)}
 
 
+def _version(row: StoredRow | None) -> int:
+    return row['ver'] if row else 0
+
+
 def _key(row: dict[str, typing.Any]) -> RowKey:
     return row['table'], row['part'], row['key']
