Tell a reset from the end of an answer without a length

Ruled out: the parser; the seal, which does not tell the length. Change: connections to upstreams read with a call of their own.

--- a/ivystep/gateway/connections.py
+++ b/ivystep/gateway/connections.py
@@ -10,6 +10,7 @@
 import typing
 
 import eventlet
+from eventlet import hubs
 
 from ivystep.core import errors, types
 from ivystep.gateway import http1
@@ -47,6 +48,26 @@
     )
 
 
+def receive(connection: typing.Any, size: int) -> bytes:
+    """Wait for bytes; empty at an orderly end of the connection.
+
+    The runtime's own ``recv`` reports a reset like an orderly end, which would
+    make a broken answer without a length look complete.
+
+    Args:
+        connection: A socket of the runtime.
+        size: The most bytes to return.
+
+    Raises:
+        OSError: The connection was reset or is broken.
+    """
+    while True:
+        try:
+            return connection.fd.recv(size)
+        except BlockingIOError:
+            hubs.trampoline(connection, read=True)
+
+
 class UpstreamConnection:
     """One connection to an upstream.
 
@@ -84,7 +105,7 @@
         event = self._reader.next_event()
         while event is None:
             try:
-                received = self._socket.recv(http1.READ_BYTES)
+                received = receive(self._socket, http1.READ_BYTES)
             except OSError as error:
                 raise errors.LinkError(
                     str(error), step='read answer', peer=self.peer
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -2,7 +2,7 @@
 
 import signal
 import typing
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import eventlet
 from eventlet import wsgi
@@ -88,6 +88,7 @@
         self.settings = settings
         self.is_ready = True
         self._signals = drain.DrainSignal()
+        self._tasks: list[typing.Any] = []
         host = settings.process.id
         self._log = event_log.EventLog('gateway', host)
         self._metrics = registry.Metrics()
@@ -181,9 +182,7 @@
         listener = eventlet.listen(
             self.settings.addresses.callers, backlog=BACKLOG
         )
-        eventlet.spawn(
-            callers.serve, listener, self._door, self._reception.answer
-        )
+        self._spawn(callers.serve, listener, self._door, self._reception.answer)
         self._log.write(
             events.Started(
                 _text(self.settings.addresses.callers),
@@ -214,6 +213,11 @@
             self._door.close_idle()
             clock.sleep(drain.POLL_S)
 
+    def stop(self) -> None:
+        """End all tasks at once, for programs that embed a gateway."""
+        while self._tasks:
+            self._tasks.pop().kill()
+
     def status(self) -> operators_app.ProcessStatus:
         """Return the status for operators."""
         return operators_app.ProcessStatus(
@@ -233,22 +237,30 @@
     def _takes_connections(self) -> bool:
         return self.is_ready and self._config.current is not None
 
+    def _spawn(
+        self,
+        task: Callable[..., typing.Any],
+        *arguments: typing.Any,
+        **named: typing.Any,
+    ) -> None:
+        self._tasks.append(eventlet.spawn(task, *arguments, **named))
+
     def _start_background(self) -> None:
         addresses = self.settings.addresses
         store = self.settings.store
-        eventlet.spawn(
+        self._spawn(
             wsgi.server,
             eventlet.listen(addresses.readiness),
             readiness.ReadinessApp(self._takes_connections),
             log_output=False,
         )
-        eventlet.spawn(
+        self._spawn(
             wsgi.server,
             eventlet.listen(addresses.operators),
             operators_app.OperatorsApp(self._metrics, self.status),
             log_output=False,
         )
-        eventlet.spawn(
+        self._spawn(
             wire_listener.serve,
             eventlet.listen(addresses.peers),
             None,
@@ -261,7 +273,7 @@
                 self._gates.answer,
             ).handle,
         )
-        eventlet.spawn(
+        self._spawn(
             feeds.TableFeed(
                 self._rows,
                 operator_config.TABLE,
@@ -271,7 +283,7 @@
                 pause_s=0.0,
             ).run
         )
-        eventlet.spawn(
+        self._spawn(
             feeds.TableFeed(
                 self._rows,
                 upstream_entries.TABLE,
@@ -281,11 +293,11 @@
                 pause_s=store.upstream_pause_s,
             ).run
         )
-        eventlet.spawn(self._duty.run)
-        eventlet.spawn(self._duty.follow)
-        eventlet.spawn(self._keeper.run)
-        eventlet.spawn(self._sweep)
-        eventlet.spawn(self._lead)
+        self._spawn(self._duty.run)
+        self._spawn(self._duty.follow)
+        self._spawn(self._keeper.run)
+        self._spawn(self._sweep)
+        self._spawn(self._lead)
 
     def _planner(self, name: str) -> typing.Any:
         target = self._pools.named(name)
--- /dev/null
+++ b/tests/gateway/harness.py
@@ -0,0 +1,286 @@
+"""A real gateway on loopback in front of a store and scripted upstreams."""
+
+import contextlib
+import json
+import socket
+import struct
+
+import eventlet
+
+from ivystep.gateway import daemon
+from ivystep.settings import gateway as settings_models
+from standins import table as table_standin
+from tests import serving
+from tests.gateway import fakes
+
+HOST = 'ficu.example'
+LIMITS = {
+    'max_header_bytes': 4096,
+    'max_body_bytes': 65536,
+    'header_timeout_ms': 300,
+    'idle_timeout_ms': 2000,
+}
+
+
+def unused_port():
+    with contextlib.closing(socket.socket()) as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+class ScriptedUpstream:
+    """Answers each request as its script says.
+
+    Attributes:
+        requests: Head and body of each request that arrived.
+        script: Called with the connection and a request's headers; returns
+            the bytes of the answer, or None if it has written them itself.
+        ended: Number of connections that the gateway has closed.
+    """
+
+    def __init__(self, script, upstream_id='i-1'):
+        self.upstream_id = upstream_id
+        self.script = script
+        self.requests = []
+        self.ended = 0
+        self.opened = 0
+        self._listener = eventlet.listen(('127.0.0.1', 0))
+        self.port = self._listener.getsockname()[1]
+        self._tasks = [eventlet.spawn(self._accept)]
+
+    def close(self):
+        for task in self._tasks:
+            task.kill()
+        self._listener.close()
+
+    def _accept(self):
+        while True:
+            connection, _ = self._listener.accept()
+            self.opened += 1
+            self._tasks.append(eventlet.spawn(self._serve, connection))
+
+    def _serve(self, connection):
+        received = b''
+        try:
+            while True:
+                while b'\r\n\r\n' not in received:
+                    part = connection.recv(65536)
+                    if not part:
+                        return
+                    received += part
+                head, _, received = received.partition(b'\r\n\r\n')
+                headers = parse_head(head)
+                length = int(headers.get('content-length', 0))
+                while len(received) < length:
+                    received += connection.recv(65536)
+                body, received = received[:length], received[length:]
+                self.requests.append((head, body))
+                answer = self.script(connection, headers)
+                if answer is not None:
+                    connection.sendall(answer)
+        except OSError:
+            return
+        finally:
+            self.ended += 1
+            connection.close()
+
+
+def parse_head(head):
+    lines = head.decode().split('\r\n')[1:]
+    return {
+        name.lower(): value.strip()
+        for name, _, value in (line.partition(':') for line in lines)
+    }
+
+
+def ok(headers, body=b'whole answer', **more):
+    """Return a complete answer to a request."""
+    extra = ''.join(f'{name}: {value}\r\n' for name, value in more.items())
+    return (
+        f'HTTP/1.1 200 OK\r\nRequest-Id: {headers["request-id"]}\r\n'
+        f'Response-Seal: seal-{headers["request-id"]}\r\n{extra}'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    ).encode() + body
+
+
+def not_run(status=503):
+    return (
+        f'HTTP/1.1 {status} Busy\r\nNot-Executed: 1\r\n'
+        'Content-Length: 0\r\n\r\n'
+    ).encode()
+
+
+def reset(connection):
+    """End a connection with a reset."""
+    connection.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+    )
+    connection.close()
+
+
+def route(name, kind, **more):
+    return {
+        'name': name,
+        'host': HOST,
+        'prefix': f'/{name}/',
+        'kind': kind,
+        'timeout_ms': 2000,
+        'target_latency_ms': 300,
+        'priority': 1,
+        'service': 'app',
+        'attempts': 1,
+        **more,
+    }
+
+
+ROUTES = (
+    route('read', 'idempotent', attempts=2),
+    route('once', 'non_idempotent', attempts=2),
+    route('stream', 'stream', attempts=1, gap_target_ms=300),
+    route('resume', 'stream', attempts=2, gap_target_ms=300, resumable=True),
+    route('short', 'non_idempotent', timeout_ms=200),
+)
+
+
+class Bench:
+    """A gateway with its store and upstreams."""
+
+    def __init__(self, stack, *upstreams, config=None):
+        self.store = table_standin.TableStandin()
+        store_port = stack.enter_context(serving.serve(self.store.handle))
+        ports = unused_port()
+        self.port = unused_port()
+        self.readiness_port = unused_port()
+        settings = settings_models.GatewaySettings.model_validate(
+            {
+                'process': {'id': 'host-1', 'data_centre': 'accra-a'},
+                'addresses': {
+                    'callers': f'127.0.0.1:{self.port}',
+                    'readiness': f'127.0.0.1:{self.readiness_port}',
+                    'host': '127.0.0.1',
+                    'ports': f'{ports},{unused_port()}',
+                },
+                'store': {
+                    'address': f'127.0.0.1:{store_port}',
+                    'upstream_pause_s': 0.01,
+                },
+                'bounds': {'grace_s': 4.0},
+            }
+        )
+        if config is not False:
+            self.configure(config or {})
+        for upstream in upstreams:
+            self.add(upstream)
+        self.daemon = daemon.GatewayDaemon.from_config(settings)
+        self.listener = self.daemon.start()
+        stack.callback(self.listener.close)
+        stack.callback(self.daemon.stop)
+        self.wait_for(len(upstreams))
+
+    def configure(self, changes):
+        document = {
+            'version': 1,
+            'routes': ROUTES,
+            'services': [{'name': 'app', 'max_connections': 9}],
+            'limits': LIMITS,
+            **changes,
+        }
+        self.store.write('op', 'config', fakes.encoded(document))
+
+    def add(self, upstream, **more):
+        document = {
+            'service': 'app',
+            'address': f'127.0.0.1:{upstream.port}',
+            'zone': 'accra-a',
+            'slots': 4,
+            'state': 'ready',
+            **more,
+        }
+        self.store.write(
+            'servers', upstream.upstream_id, fakes.encoded(document)
+        )
+
+    def wait_for(self, upstreams):
+        with eventlet.Timeout(5):
+            while self.daemon.status().details['upstreams'] != upstreams:
+                eventlet.sleep(0.01)
+
+    def connect(self):
+        return socket.create_connection(('127.0.0.1', self.port))
+
+    def send(self, path, request_id='r-1', **more):
+        return exchange(self.connect(), path, request_id, **more)
+
+
+class Answer:
+    """What a caller got on its connection.
+
+    Attributes:
+        is_complete: Whether the framing says that the answer is complete.
+    """
+
+    def __init__(self, received, was_reset):
+        head, _, rest = received.partition(b'\r\n\r\n')
+        self.received = received
+        self.was_reset = was_reset
+        self.status = int(head.split(b' ')[1]) if head else 0
+        self.headers = parse_head(head) if head else {}
+        self.is_complete, self.body = self._body(rest)
+
+    def _body(self, rest):
+        if 'content-length' in self.headers:
+            length = int(self.headers['content-length'])
+            return len(rest) == length, rest
+        if self.headers.get('transfer-encoding') != 'chunked':
+            return False, rest
+        body = b''
+        while rest:
+            size, _, rest = rest.partition(b'\r\n')
+            length = int(size, 16)
+            if not length:
+                return rest == b'\r\n', body
+            if len(rest) < length + 2:
+                return False, body + rest
+            body += rest[:length]
+            rest = rest[length + 2 :]
+        return False, body
+
+    @property
+    def document(self):
+        return json.loads(self.body)['error']
+
+
+def request(path, request_id='r-1', method='POST', body=b'{}', headers=()):
+    lines = [
+        f'{method} {path} HTTP/1.1',
+        f'Host: {HOST}',
+        f'Request-Id: {request_id}',
+        'Deadline-Ms: 1500',
+        *headers,
+    ]
+    if body:
+        lines.append(f'Content-Length: {len(body)}')
+    return '\r\n'.join((*lines, '', '')).encode() + body
+
+
+def exchange(connection, path, request_id='r-1', **more):
+    """Send one request that closes its connection; return the answer."""
+    headers = (*more.pop('headers', ()), 'Connection: close')
+    with contextlib.closing(connection):
+        connection.sendall(request(path, request_id, headers=headers, **more))
+        return read_to_end(connection)
+
+
+def read_to_end(connection, received=b''):
+    """Read until the end of a connection and tell a reset from a close."""
+    while True:
+        eventlet.hubs.trampoline(
+            connection, read=True, timeout=5, timeout_exc=TimeoutError
+        )
+        try:
+            part = connection.fd.recv(65536)
+        except ConnectionError:
+            return Answer(received, was_reset=True)
+        if not part:
+            return Answer(received, was_reset=False)
+        received += part
--- a/tests/gateway/test_engine_link.py
+++ b/tests/gateway/test_engine_link.py
@@ -28,9 +28,7 @@
         self.told = []
         self.token = 7
         self.log = fakes.FakeLog()
-        board = news.NewsBoard(
-            'host', self.on_news, dict, lambda running: None
-        )
+        board = news.NewsBoard('host', self.on_news, dict, lambda running: None)
         self.link = engine_link.EngineLink(
             self.upstream,
             engine_link.Ordering(
--- a/tests/gateway/test_http1.py
+++ b/tests/gateway/test_http1.py
@@ -166,8 +166,7 @@
 def test_interim_answers_are_skipped():
     """Guards against a 100 taken for the final answer."""
     _, found = events_of(
-        b'HTTP/1.1 100 Continue\r\n\r\n'
-        b'HTTP/1.1 204 No Content\r\n\r\n'
+        b'HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n'
     )
     assert [type(event) for event in found] == [http1.RawHead, http1.End]
     assert found[0].status == 204
--- a/tests/gateway/test_load_planner.py
+++ b/tests/gateway/test_load_planner.py
@@ -82,9 +82,7 @@
         self.engines = []
 
     def engine(self, *held, places=4, running=0):
-        made = Engine(
-            self, f'i-{len(self.engines)}', held, places, running
-        )
+        made = Engine(self, f'i-{len(self.engines)}', held, places, running)
         self.engines.append(made)
         self.report(made)
         return made
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -95,9 +95,7 @@
 
 def answer(status, *headers):
     return messages.decode_answer(
-        http1.RawHead(
-            status, 'Reason', headers, http1.Framing.LENGTH, 0, True
-        )
+        http1.RawHead(status, 'Reason', headers, http1.Framing.LENGTH, 0, True)
     )
 
 
