Check an adapter's version again after the wait for a permit

Ruled out: a late feed; the version was known 4 s before. Change: the version is checked after the waits and the request is placed again if it was replaced; the older version is sent to for a shorter time.

--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -42,8 +42,8 @@
 # Share of the tokens that a caller allows that are used, if it gives no hint.
 USED_SHARE = 0.5
 # Share of the time in which all hosts must have a new version in which the
-# version before is still used while the new one is being loaded.
-OLD_VERSION_SHARE = 0.6
+# version before is still sent to; the rest is for its queue at an engine.
+OLD_VERSION_SHARE = 0.4
 
 
 class DeadlineError(Exception):
@@ -268,6 +268,17 @@
                 step='route',
                 peer=run.service,
             )
+        is_sent = False
+        while not is_sent:
+            is_sent = self._place_and_send(run, target)
+
+    def _place_and_send(self, run: Run, target: pool.Pool) -> bool:
+        """Send a request once it has an upstream and a permit.
+
+        Returns:
+            False if the version that was chosen is not allowed any more; it
+            may have been replaced during a wait.
+        """
         ref = self._adapter(run.call, target)
         placement = target.place(run.to_request(target.name, ref), run.avoid)
         try:
@@ -276,9 +287,12 @@
                 ticket = run.ticket(upstream.pace)
                 self._wait_for_permit(upstream.entry.incarnation, ticket)
                 upstream = self._upstream(placement)
+            if ref is not None and not self._is_allowed(ref):
+                return False
             self._send(run, upstream, ref)
         finally:
             target.finish(placement)
+        return True
 
     def _upstream(self, placement: types.Placement) -> believed.Upstream:
         upstream = self._members.upstream_by_id.get(placement.upstream_id)
@@ -379,6 +393,12 @@
                 return previous
         return newest
 
+    def _is_allowed(self, ref: types.AdapterRef) -> bool:
+        """Return whether a version may still answer."""
+        newest = self._config.newest(ref.account, ref.name)
+        allowed = self._config.previous(newest, self._old_version_s)
+        return ref in {newest, allowed}
+
     def _may_retry(self, run: Run, error: errors.RequestError) -> bool:
         """Decide whether a request is tried again, and take the budget."""
         if run.answer.has_started and not (
