Wait for the turn after any other host held the duty; never wait for a full log pipe

Cause: the holder before was read before the acquisition, when a host that had just started had not read the row yet, so it gave orders 0.85 s after another host; the runtime's os.write waits for a full pipe. Change: the lease names the holder that an acquisition replaced; log lines are written with the unpatched call.

--- a/ivystep/coordination/lease.py
+++ b/ivystep/coordination/lease.py
@@ -62,6 +62,8 @@
         token: The fencing token of the last acquisition, 0 before the first.
         seen_holder_id: Holder named by the row when it was last read; empty
             if the row was not read or its lease was released.
+        previous_holder_id: Holder before the last acquisition; empty if
+            there was none.
 
     Args:
         rows: The table service.
@@ -84,6 +86,7 @@
     ) -> None:
         self.token = 0
         self.seen_holder_id = ''
+        self.previous_holder_id = ''
         self._is_sole = is_sole
         self._rows = rows
         self._key = key
@@ -162,6 +165,10 @@
             self._is_giving_up = False
             self._version = row.version if row else 0
             self._row_token = _Record.from_row(row).token if row else 0
+            replaced_id = _Record.from_row(row).holder_id if row else ''
+            if replaced_id != self._holder_id:
+                # A repeat of an unanswered write replaces a row of our own.
+                self.previous_holder_id = replaced_id
             self._write(self._row_token + 1)
 
     def _renew(self) -> None:
--- a/ivystep/gateway/duty.py
+++ b/ivystep/gateway/duty.py
@@ -137,8 +137,8 @@
     def run(self) -> None:
         """Hold the lease whenever it can be had, until killed."""
         while True:
-            before = self.holder
             token = self._lease.acquire()
+            before = self._lease.previous_holder_id.partition('@')[0]
             is_turn = before not in {'', self._host}
             wait_s = self._turn_s if is_turn else 0.0
             self._active_from = clock.now() + wait_s
--- a/ivystep/runtime/event_log.py
+++ b/ivystep/runtime/event_log.py
@@ -12,10 +12,13 @@
 import sys
 import typing
 
+from eventlet import patcher
 from pythonjsonlogger import orjson
 
 from ivystep.runtime import clock
 
+# The runtime's own ``os.write`` waits until a full pipe takes the bytes.
+UNPATCHED_OS = patcher.original('os')
 # Lines of one kind that are written at most: about 10 KB/s for each kind.
 DEFAULT_RATE_PER_S = 40.0
 DEFAULT_BURST = 200.0
@@ -56,7 +59,7 @@
         """Write one line."""
         line = f'{self.format(record)}\n'.encode(errors='replace')
         try:
-            os.write(self._descriptor, line)
+            UNPATCHED_OS.write(self._descriptor, line)
         except OSError:
             # There is no other place to tell it; the metrics have the count.
             self.dropped += 1
--- a/ivystep/settings/gateway.py
+++ b/ivystep/settings/gateway.py
@@ -59,6 +59,9 @@
     host: str = pydantic.Field(
         description='IP address at which other gateways reach this one.'
     )
+    metrics_port: models.Port = pydantic.Field(
+        9464, description='Port of the metrics on that address.'
+    )
     ports: PortRange = pydantic.Field(
         description='First and last port between gateways, as FIRST,LAST.'
     )
@@ -71,7 +74,7 @@
     @property
     def operators(self) -> tuple[str, int]:
         """Address of the metrics."""
-        return self.host, self.ports[1]
+        return self.host, self.metrics_port
 
 
 class Store(GatewaySection):
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -147,10 +147,7 @@
         if order.expected_orders != self.sequence:
             return orders.Outcome.OUT_OF_SEQUENCE
         self._remember()
-        if order.is_load:
-            outcome = self._load(order)
-        else:
-            outcome = self._unload(order)
+        outcome = self._load(order) if order.is_load else self._unload(order)
         self._remember()
         return outcome
 
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -158,7 +158,8 @@
                     'callers': f'127.0.0.1:{self.port}',
                     'readiness': f'127.0.0.1:{self.readiness_port}',
                     'host': '127.0.0.1',
-                    'ports': f'{ports},{unused_port()}',
+                    'ports': f'{ports},{ports}',
+                    'metrics_port': unused_port(),
                 },
                 'store': {
                     'address': f'127.0.0.1:{store_port}',
--- /dev/null
+++ b/tests/gateway/test_duty.py
@@ -0,0 +1,124 @@
+"""Tests of who gives orders, on the virtual clock."""
+
+import eventlet
+import pytest
+
+from ivystep.core import errors
+from ivystep.gateway import duty, news, prefill_gates
+from ivystep.runtime import clock
+from tests.coordination import fakes as clocks
+from tests.gateway import fakes
+
+TURNS = duty.Turns(lease_s=3.0, turn_s=3.3)
+
+
+class Host:
+    """One host's part in the duty."""
+
+    def __init__(self, shared, name):
+        self.rows = clocks.TableView(shared)
+        self.log = fakes.FakeLog()
+        self.activated = []
+        self.duty = duty.Duty(
+            self.rows,
+            name,
+            ('127.0.0.1', 1),
+            TURNS,
+            board=news.NewsBoard(
+                name, lambda told: None, dict, lambda running: None
+            ),
+            on_active=lambda: self.activated.append(clock.now()),
+            gates=prefill_gates.PrefillGates(),
+            log=self.log,
+        )
+        self.task = eventlet.spawn(self.duty.run)
+
+    @property
+    def gives_orders(self):
+        return self.duty.authority() is not None
+
+
+def wait_until(condition, timeout_s=30):
+    deadline = clock.now() + timeout_s
+    while not condition():
+        assert clock.now() < deadline
+        clock.sleep(0.05)
+
+
+@clocks.on_virtual_clock
+def test_first_holder_gives_orders_at_once():
+    """Guards against a start without loads."""
+    host = Host(clocks.FakeTable(), 'host-1')
+    clock.sleep(0.1)
+    assert host.gives_orders
+    assert host.duty.authority().token == 1
+
+
+@clocks.on_virtual_clock
+def test_next_holder_waits_until_earlier_orders_are_past():
+    """Guards against orders of two hosts by turns."""
+    shared = clocks.FakeTable()
+    first = Host(shared, 'host-1')
+    clock.sleep(1)
+    second = Host(shared, 'host-2')
+    clock.sleep(5)
+    assert first.gives_orders
+    assert not second.gives_orders
+    first.task.kill()
+    first.duty.release()
+    released = clock.now()
+    assert not first.gives_orders
+    wait_until(lambda: second.gives_orders)
+    assert clock.now() - released >= TURNS.turn_s
+    assert second.duty.authority().token > 1
+
+
+@clocks.on_virtual_clock
+def test_two_hosts_never_give_orders_at_once_when_the_store_is_cut_off():
+    """Guards against a holder that goes on without its lease."""
+    shared = clocks.FakeTable()
+    first = Host(shared, 'host-1')
+    clock.sleep(0.5)
+    second = Host(shared, 'host-2')
+    clock.sleep(0.5)
+    first.rows.planned.extend([clocks.Fault(clocks.Kind.DOWN)] * 200)
+    ended = None
+    for _ in range(600):
+        assert not (first.gives_orders and second.gives_orders)
+        if ended is None and not first.gives_orders:
+            ended = clock.now()
+        if second.gives_orders:
+            break
+        clock.sleep(0.05)
+    assert second.gives_orders
+    assert clock.now() - ended >= TURNS.turn_s
+
+
+@clocks.on_virtual_clock
+def test_host_that_starts_again_takes_its_own_lease_at_once():
+    """Guards against seconds without loads after a restart."""
+    shared = clocks.FakeTable()
+    first = Host(shared, 'host-1')
+    clock.sleep(0.5)
+    first.task.kill()
+    again = Host(shared, 'host-1')
+    clock.sleep(0.1)
+    assert again.gives_orders
+    assert again.duty.authority().token == 2
+
+
+def test_demand_waits_while_no_holder_is_known():
+    """Guards against demand that is lost between two holders."""
+
+    @clocks.on_virtual_clock
+    def play():
+        shared = clocks.FakeTable()
+        Host(shared, 'host-1')
+        clock.sleep(0.5)
+        other = Host(shared, 'host-2')
+        other.rows.planned.extend([clocks.Fault(clocks.Kind.DOWN)] * 50)
+        sink = other.duty.sink('llm/m', None)
+        with pytest.raises(errors.LinkError):
+            sink.report('host-2', ())
+
+    play()
--- a/tests/gateway/test_prefill_gates.py
+++ b/tests/gateway/test_prefill_gates.py
@@ -1,5 +1,7 @@
 """Tests of permits, on the virtual clock."""
 
+import itertools
+
 import eventlet
 import pytest
 
@@ -40,7 +42,7 @@
     clock.sleep(3)
     times = [at for at, engine in passed if engine == 'i-1']
     assert len(times) == 3
-    gaps = [after - before for before, after in zip(times, times[1:])]
+    gaps = [after - before for before, after in itertools.pairwise(times)]
     assert min(gaps) >= 0.15
     assert times == [at for at, engine in passed if engine == 'i-2']
 
--- a/tests/gateway/test_relaying.py
+++ b/tests/gateway/test_relaying.py
@@ -83,7 +83,7 @@
 
 def test_request_that_was_not_run_goes_to_another_upstream(build):
     """Guards against a refusal while another upstream has room."""
-    bench, (full, free) = build(
+    bench, (_full, free) = build(
         lambda *_: harness.not_run(), lambda _, headers: harness.ok(headers)
     )
     answers = [bench.send('/once/2f', f'r-{n}').status for n in range(6)]
@@ -168,7 +168,7 @@
         other = {'request-id': 'r-0'}
         return harness.ok(other, b'other') + harness.ok(headers)
 
-    bench, (upstream,) = build(late)
+    bench, (_upstream,) = build(late)
     answer = bench.send('/once/2f')
     assert answer.body == b'whole answer'
     assert answer.headers['request-id'] == 'r-1'
--- /dev/null
+++ b/tests/runtime/test_event_log.py
@@ -0,0 +1,93 @@
+"""Tests of structured log lines."""
+
+import dataclasses
+import json
+import logging
+import os
+import typing
+
+import pytest
+from pythonjsonlogger import orjson
+
+from ivystep.runtime import clock, event_log
+from tests.coordination import fakes as clocks
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tick(event_log.Event):
+    """An event of this test."""
+
+    name: typing.ClassVar[str] = 'tick'
+
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Failure(event_log.Event):
+    """An event that is never left out."""
+
+    name: typing.ClassVar[str] = 'failure'
+    is_capped: typing.ClassVar[bool] = False
+
+    number: int
+
+
+@pytest.fixture
+def pipe():
+    """Return a log that writes to a pipe, with the pipe's reading end."""
+    reading, writing = os.pipe()
+    handler = event_log.NonBlockingHandler(writing)
+    handler.setFormatter(orjson.OrjsonFormatter('%(levelname)s %(message)s'))
+    logger = logging.getLogger('test-events')
+    logger.setLevel(logging.INFO)
+    logger.addHandler(handler)
+    yield event_log.EventLog('test-events', 'host-1'), reading, handler
+    logger.removeHandler(handler)
+    os.close(reading)
+    os.close(writing)
+
+
+def lines(reading):
+    return [
+        json.loads(line)
+        for line in event_log.UNPATCHED_OS.read(reading, 1 << 20).splitlines()
+    ]
+
+
+def test_line_has_the_events_fields(pipe):
+    """Guards against lines that a program cannot read."""
+    log, reading, _ = pipe
+    log.write(Tick(7))
+    (line,) = lines(reading)
+    assert (line['message'], line['number']) == ('tick', 7)
+    assert line['host'] == 'host-1'
+
+
+@clocks.on_virtual_clock
+def test_kind_that_comes_too_often_is_left_out_and_counted(pipe):
+    """Guards against logs that grow with the load."""
+    log, reading, _ = pipe
+    for number in range(300):
+        log.write(Tick(number))
+    clock.sleep(1)
+    log.write(Tick(301))
+    written = lines(reading)
+    assert len(written) == event_log.DEFAULT_BURST + 1
+    assert written[-1]['left_out'] == 300 - event_log.DEFAULT_BURST
+
+
+@clocks.on_virtual_clock
+def test_failed_requests_are_never_left_out(pipe):
+    """Guards against a failed request without a line."""
+    log, reading, _ = pipe
+    for number in range(300):
+        log.write(Failure(number))
+    assert len(lines(reading)) == 300
+
+
+def test_full_pipe_blocks_nothing(pipe):
+    """Guards against a process that stands still with its log's reader."""
+    log, _, handler = pipe
+    for number in range(5000):
+        log.write(Failure(number))
+    assert handler.dropped > 0
--- /dev/null
+++ b/tests/settings/test_gateway.py
@@ -0,0 +1,92 @@
+"""Tests of the settings of a gateway and of the file that renders them."""
+
+import pathlib
+import re
+import tomllib
+
+import pytest
+
+from ivystep.core import errors
+from ivystep.settings import gateway, ini
+
+ROOT = pathlib.Path(__file__).parents[2]
+TEMPLATE = (ROOT / 'deploy' / 'gateway.ini').read_text()
+PLACEHOLDER = re.compile(r'\{\{([a-z_.]+)\}\}')
+# What the platform knows of a host, as its page on deployment lists it.
+KNOWN = {
+    'node_name': 'front-accra-a-1',
+    'zone': 'accra-a',
+    'ip': '10.1.0.38',
+    'port_range': '7380,7395',
+    'listen.front': '10.1.0.38:8149',
+    'listen.ready_addr': '10.1.0.38:8141',
+    'platform.address': '10.200.1.7:8142',
+    'bounds.lease_ms': '3000',
+    'bounds.thaw_ms': '300',
+    'bounds.version_ms': '5000',
+    'bounds.grace_s': '8',
+    'bounds.budget_ratio': '0.2',
+    'bounds.budget_extra': '54',
+    'bounds.budget_window_s': '10',
+}
+
+
+def render(**changes):
+    known = {**KNOWN, **changes}
+    return PLACEHOLDER.sub(lambda found: known[found[1]], TEMPLATE)
+
+
+def load(folder, text):
+    path = folder / 'gateway.ini'
+    path.write_text(text)
+    return ini.load(str(path), gateway.GatewaySettings)
+
+
+def test_rendered_template_is_valid(tmp_path):
+    """Guards against a deployment whose processes do not start."""
+    settings = load(tmp_path, render())
+    assert settings.addresses.callers == ('10.1.0.38', 8149)
+    assert settings.addresses.peers == ('10.1.0.38', 7380)
+    assert settings.store.url == 'http://10.200.1.7:8142'
+    assert settings.bounds.turn_s == pytest.approx(3.3)
+
+
+@pytest.mark.parametrize(
+    'name', sorted(name for name in KNOWN if name.startswith('bounds.'))
+)
+def test_bound_that_the_platform_does_not_name_takes_its_default(
+    tmp_path, name
+):
+    """Guards against a host that fails on a platform with fewer bounds."""
+    load(tmp_path, render(**{name: ''}))
+
+
+@pytest.mark.parametrize(
+    ('name', 'key'),
+    [
+        ('listen.front', 'callers'),
+        ('platform.address', 'address'),
+        ('ip', 'host'),
+    ],
+)
+def test_missing_address_is_named(tmp_path, name, key):
+    """Guards against an error that does not say what is missing."""
+    with pytest.raises(errors.SettingsError, match=key):
+        load(tmp_path, render(**{name: ''}))
+
+
+@pytest.mark.parametrize('address', ['10.1.0.38', 'host:1', '10.1.0.38:99999'])
+def test_malformed_address_is_refused(tmp_path, address):
+    """Guards against a host that listens where nobody looks."""
+    with pytest.raises(errors.SettingsError, match='callers'):
+        load(tmp_path, render(**{'listen.front': address}))
+
+
+def test_deploy_file_runs_the_gateway_with_the_template():
+    """Guards against a deploy file that names what does not exist."""
+    deploy = tomllib.loads((ROOT / 'deploy' / 'system.toml').read_text())
+    role = deploy['roles']['gateway']
+    assert (ROOT / role['template']).is_file()
+    assert role['run'].split()[:4] == ['python3', '-m', 'ivystep', 'gateway']
+    port = gateway.Addresses.model_fields['metrics_port'].default
+    assert role['metrics'] == f'{port}/metrics'
