--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,8 @@
 STAMP := $(VENV)/.installed
 export PYTHONPATH := $(CURDIR)
 
-.PHONY: capacity demo test lint format measure soak schedules binary thrift clean
+
+.PHONY: capacity demo log-events test lint format measure soak schedules binary thrift clean
 
 $(STAMP): requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv $(VENV)
@@ -39,6 +40,10 @@
 capacity: $(STAMP)
 	$(BIN)/python -c 'import ivystep, eventlet; eventlet.monkey_patch(); from measure import capacity; capacity.main()'
 
+# Renders the page on the gateway's log lines.
+log-events: $(STAMP)
+	$(BIN)/python -m ivystep log-events > docs/log-events.md
+
 # Needs a C compiler and the interpreter's static library.
 binary: $(STAMP)
 	$(BIN)/python tools/build_binary.py
--- a/ivystep/cli/check.py
+++ b/ivystep/cli/check.py
@@ -10,16 +10,19 @@
 
 from ivystep.cli import files
 from ivystep.core import errors
-from ivystep.settings import describe, ini, models
+from ivystep.settings import describe, gateway, ini, models
 
 MODEL_BY_KIND = types.MappingProxyType(
     {
         'entry': models.EntrySettings,
+        'gateway': gateway.GatewaySettings,
         'sidecar': models.SidecarSettings,
         'operators': models.OperatorSettings,
     }
 )
-Kind = typing.Literal['auto', 'setup', 'entry', 'sidecar', 'operators']
+Kind = typing.Literal[
+    'auto', 'setup', 'entry', 'gateway', 'sidecar', 'operators'
+]
 
 
 @cappa.command(help='Check settings files and setup documents.')
@@ -86,4 +89,6 @@
     sections = ini.read_sections(path)
     if 'upstream' in sections:
         return 'sidecar'
+    if 'addresses' in sections:
+        return 'gateway'
     return 'entry' if 'peers' in sections else 'operators'
--- a/ivystep/cli/main.py
+++ b/ivystep/cli/main.py
@@ -6,7 +6,15 @@
 
 import cappa
 
-from ivystep.cli import check, commands, loadgen, setup_commands, status
+from ivystep.cli import (
+    check,
+    commands,
+    explain,
+    loadgen,
+    log_events,
+    setup_commands,
+    status,
+)
 from ivystep.core import errors
 from ivystep.setup import submission
 
@@ -33,6 +41,8 @@
         | setup_commands.Restore
         | status.Status
         | loadgen.Loadgen
+        | explain.Explain
+        | log_events.LogEvents
     ]
 
 
--- a/ivystep/settings/describe.py
+++ b/ivystep/settings/describe.py
@@ -7,7 +7,7 @@
 import pydantic
 from pydantic import fields
 
-from ivystep.settings import models
+from ivystep.settings import gateway, models
 
 TITLE = """# Settings
 
@@ -19,6 +19,7 @@
 """
 FILES = (
     ('Entry: `ivystep entry --config F`', models.EntrySettings),
+    ('Gateway: `ivystep gateway --config F`', gateway.GatewaySettings),
     ('Sidecar: `ivystep sidecar --config F`', models.SidecarSettings),
     (
         'Operators: the console and the other commands',
--- /dev/null
+++ b/tests/cli/test_explain.py
@@ -0,0 +1,61 @@
+"""Tests of explaining a request from logs, and of the page on log lines."""
+
+import json
+import pathlib
+
+import pytest
+
+from ivystep.cli import explain, log_events
+from ivystep.core import errors
+
+
+def line(message, host='host-1', **fields):
+    return json.dumps({'message': message, 'host': host, **fields})
+
+
+LINES = [
+    line('upstream_changed', upstream='i-1', change='added'),
+    line('upstream_changed', upstream='i-9', change='added'),
+    line('upstream_changed', 'host-2', upstream='i-1', change='removed'),
+    '12.5 host-1 ' + line('request_placed', request_id='r-1', upstream='i-1'),
+    'not a log line {',
+    line('request_placed', request_id='r-2', upstream='i-1'),
+    line('order_given', upstream='i-1', operation='load'),
+    line('attempt_failed', request_id='r-1', upstream='i-1', ran='unknown'),
+    line('request_failed', request_id='r-1', code='upstream_lost'),
+    line('upstream_changed', upstream='i-1', change='removed'),
+]
+
+
+def test_story_has_the_request_and_what_its_host_believed():
+    """Guards against a failure whose cause is hidden among other lines."""
+    found = explain.story('r-1', explain.read(LINES))
+    assert [(one.fields['message'], one.order) for one in found] == [
+        ('upstream_changed', 0),
+        ('request_placed', 3),
+        ('order_given', 6),
+        ('attempt_failed', 7),
+        ('request_failed', 8),
+    ]
+
+
+def test_unknown_request_is_told():
+    """Guards against an empty answer that looks like a quiet request."""
+    with pytest.raises(errors.SettingsError, match='r-9'):
+        explain.story('r-9', explain.read(LINES))
+
+
+def test_command_reads_files(tmp_path, capsys):
+    """Guards against logs of several hosts that are not read together."""
+    first, second = tmp_path / 'a', tmp_path / 'b'
+    first.write_text('\n'.join(LINES[:4]))
+    second.write_text('\n'.join(LINES[4:]))
+    explain.Explain('r-1', [first, second])()
+    assert 'code=upstream_lost' in capsys.readouterr().out
+
+
+def test_page_on_log_lines_is_the_rendered_one():
+    """Guards against a page that no longer tells what is logged."""
+    root = pathlib.Path(__file__).parents[2]
+    page = (root / 'docs' / 'log-events.md').read_text()
+    assert page == log_events.render()
--- a/tests/settings/test_gateway.py
+++ b/tests/settings/test_gateway.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from ivystep.cli import check
 from ivystep.core import errors
 from ivystep.settings import gateway, ini
 
@@ -90,3 +91,10 @@
     assert role['run'].split()[:4] == ['python3', '-m', 'ivystep', 'gateway']
     port = gateway.Addresses.model_fields['metrics_port'].default
     assert role['metrics'] == f'{port}/metrics'
+
+
+def test_check_recognises_the_file(tmp_path):
+    """Guards against operators who cannot check a rendered file."""
+    path = tmp_path / 'local.ini'
+    path.write_text(render())
+    assert check.check(str(path), 'auto') == 'gateway'
