Demonstrate and test the platform's path as processes

Change: a stand-in of the platform's engine and of writes by the operator and upstreams; make demo runs the platform's path first; tests kill the holder of the duty and stop a gateway while a stream runs.

--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 	touch $(STAMP)
 
 demo: $(STAMP)
+	$(BIN)/python -m demo.platform
 	$(BIN)/python -m demo.run
 
 test: $(STAMP)
--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -183,6 +183,47 @@
         self.list_host(host, 'sidecar', port, data_centre, pool)
         return node
 
+    def start_platform_engine(self, name: str, store_url: str) -> Node:
+        """Start an engine stand-in that enters itself in the store."""
+        return self.start_standin(
+            name,
+            'platform-engine',
+            *('--upstream-id', name),
+            *('--store-url', store_url),
+        )
+
+    def start_gateway(
+        self, host: str, data_centre: str, store_url: str
+    ) -> Node:
+        """Start a gateway on the platform's store."""
+        port, readiness, peers, metrics = (next(self._ports) for _ in range(4))
+        path = self.folder / f'{host}.ini'
+        parser = configparser.ConfigParser(interpolation=None)
+        parser.read_dict(
+            {
+                'process': {'id': host, 'data_centre': data_centre},
+                'addresses': {
+                    'callers': f'{self.address}:{port}',
+                    'readiness': f'{self.address}:{readiness}',
+                    'host': self.address,
+                    'ports': f'{peers},{peers}',
+                    'metrics_port': metrics,
+                },
+                'store': {'address': store_url.removeprefix('http://')},
+                'bounds': {'lease_ms': 1000, 'thaw_ms': 100, 'grace_s': 5},
+            }
+        )
+        with path.open('w') as stream:
+            parser.write(stream)
+        node = self._start(
+            host,
+            (*self.program, 'gateway', '--config', str(path)),
+            f'http://{self.address}:{port}',
+            f'http://{self.address}:{metrics}',
+        )
+        self._await_unless_parallel(port, node)
+        return node
+
     def start_entry(self, host: str, data_centre: str) -> Node:
         """Start an entry and wait until it is ready."""
         port, operators, peers = (
--- /dev/null
+++ b/demo/platform.py
@@ -0,0 +1,189 @@
+"""The platform's path as processes: store, engines, gateways and callers."""
+
+import base64
+import collections
+import json
+import pathlib
+import tempfile
+import time
+import typing
+
+import eventlet
+import urllib3
+
+from demo import cluster
+from standins import platform_engine
+
+HOST = 'plans.example'
+ADAPTERS = 6
+REQUESTS = 60
+READY_TIMEOUT_S = 10.0
+POLL_S = 0.05
+CONFIG: dict[str, typing.Any] = {
+    'version': 1,
+    'routes': [
+        {
+            'name': 'plans',
+            'host': HOST,
+            'prefix': '/plans/',
+            'kind': 'stream',
+            'timeout_ms': 10000,
+            'target_latency_ms': 1000,
+            'priority': 1,
+            'service': platform_engine.SERVICE,
+            'attempts': 1,
+            'gap_target_ms': 300,
+        },
+    ],
+    'services': [
+        {
+            'name': platform_engine.SERVICE,
+            'max_connections': 100,
+            'engine': {
+                'slots': 8,
+                'weights_mb': 10000.0,
+                'max_adapters': 4,
+                'loads_per_s': 2.0,
+                'models': [
+                    {
+                        'name': platform_engine.MODEL,
+                        'weights_mb': 1000.0,
+                        'adapter_mb': 1.0,
+                    }
+                ],
+            },
+        }
+    ],
+}
+
+
+class Platform:
+    """A store, some engines and gateways as processes.
+
+    Args:
+        folder: Folder for settings and logs.
+    """
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.system = cluster.Cluster(folder)
+        self.engines: list[cluster.Node] = []
+        self.gateways: list[cluster.Node] = []
+        self._http = urllib3.PoolManager(
+            retries=False, timeout=10.0, maxsize=16
+        )
+
+    def start(self, engines: int = 3, gateways: int = 2) -> None:
+        """Start all processes and wait until the gateways are ready."""
+        store = self.system.start_standin('store', 'table').url
+        self.write(store, 'op', 'config', CONFIG)
+        with self.system.parallel():
+            self.engines = [
+                self.system.start_platform_engine(f'engine-{n}', store)
+                for n in range(engines)
+            ]
+            self.gateways = [
+                self.system.start_gateway(f'gateway-{n}', 'accra-a', store)
+                for n in range(gateways)
+            ]
+        deadline = time.monotonic() + READY_TIMEOUT_S
+        while not all(
+            self._sees(gateway, engines) for gateway in self.gateways
+        ):
+            if time.monotonic() > deadline:
+                raise RuntimeError('the gateways do not see the engines')
+            time.sleep(POLL_S)
+
+    def write(
+        self, store: str, table: str, key: str, document: typing.Any
+    ) -> None:
+        """Write a row as the operator does."""
+        value = base64.b64encode(json.dumps(document).encode()).decode()
+        body = json.dumps({'table': table, 'key': key, 'value': value})
+        self._http.request('POST', f'{store}/write', body=body)
+
+    def call(
+        self, number: int, gateway: cluster.Node, events: int = 5
+    ) -> urllib3.BaseHTTPResponse:
+        """Ask for a plan with one of the adapters."""
+        adapter = f'{platform_engine.MODEL}/a{number % ADAPTERS}'
+        return self._http.request(
+            'POST',
+            f'{gateway.url}/plans/field-{number}',
+            body=b'{}',
+            headers={
+                'Host': HOST,
+                'Request-Id': f'request-{number}',
+                'Model': adapter,
+                'Token-Count': '400,80',
+                'Deadline-Ms': '9000',
+                'X-Events': str(events),
+            },
+        )
+
+    def seen(self) -> list[dict[str, typing.Any]]:
+        """Return what each engine that runs has seen."""
+        return [
+            self._http.request('GET', f'{engine.url}/seen').json()
+            for engine in self.engines
+            if engine.process.poll() is None
+        ]
+
+    def stop(self) -> None:
+        """Stop all processes."""
+        self.system.stop()
+
+    def _sees(self, gateway: cluster.Node, engines: int) -> bool:
+        try:
+            status = self._http.request(
+                'GET', f'{gateway.operators_url}/status.json'
+            ).json()
+        except urllib3.exceptions.HTTPError:
+            return False
+        return status['details']['upstreams'] == engines
+
+
+def run(folder: pathlib.Path) -> None:
+    """Send requests through two gateways and print what callers got.
+
+    Args:
+        folder: Folder for settings and logs.
+
+    Raises:
+        RuntimeError: An answer was wrong, or an engine was overfilled.
+    """
+    platform = Platform(folder)
+    try:
+        platform.start()
+        pool = eventlet.GreenPool(8)
+        answers = pool.starmap(
+            platform.call,
+            [
+                (number, platform.gateways[number % 2])
+                for number in range(REQUESTS)
+            ],
+        )
+        statuses = collections.Counter(answer.status for answer in answers)
+        print(f'{REQUESTS} requests through 2 gateways: {dict(statuses)}')
+        seen = platform.seen()
+        for number, engine in enumerate(seen):
+            runs = sum(engine['runs'].values())
+            print(
+                f'engine-{number}: {runs} runs, {len(engine["holders"])} orders'
+            )
+        if statuses != {200: REQUESTS}:
+            raise RuntimeError('not every request was answered')
+        if any(engine['overfilled'] for engine in seen):
+            raise RuntimeError('an engine was overfilled')
+    finally:
+        platform.stop()
+
+
+def main() -> None:
+    """Run the demo in a temporary folder."""
+    with tempfile.TemporaryDirectory(prefix='ivystep-demo-') as folder:
+        run(pathlib.Path(folder))
+
+
+if __name__ == '__main__':
+    eventlet.monkey_patch()
+    main()
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -10,7 +10,16 @@
 import cappa
 import eventlet
 
-from standins import engine, hosts, objects, service, table, web, weights
+from standins import (
+    engine,
+    hosts,
+    objects,
+    platform_engine,
+    service,
+    table,
+    web,
+    weights,
+)
 
 LOOPBACK = '127.0.0.1'
 
@@ -29,6 +38,8 @@
     weights_url: typing.Annotated[str, cappa.Arg(long=True)] = ''
     journal_path: typing.Annotated[str, cappa.Arg(long=True)] = ''
     delay_s: typing.Annotated[float, cappa.Arg(long=True)] = 0.0
+    upstream_id: typing.Annotated[str, cappa.Arg(long=True)] = ''
+    store_url: typing.Annotated[str, cappa.Arg(long=True)] = ''
 
 
 def build(options: Options) -> web.Handler:
@@ -45,6 +56,15 @@
         plain = service.ServiceStandin(options.delay_s)
         plain.started = time.time()
         return plain.handle
+    if options.kind == 'platform-engine':
+        platform = platform_engine.PlatformEngine(
+            options.upstream_id,
+            f'{options.address}:{options.port}',
+            options.store_url,
+            step_s=options.step_s,
+        )
+        eventlet.spawn(platform.run)
+        return platform.handle
     if options.kind == 'weights':
         return weights.WeightsStandin(options.loads_per_s).handle
     plain_kinds = {
--- a/standins/table.py
+++ b/standins/table.py
@@ -6,7 +6,8 @@
 Faults are set over HTTP: ``POST /faults`` with ``{"mode": ...}``, where the
 mode is ``none``, ``down`` (503), ``lose_answers`` (writes take effect, then
 the answer is 500) or ``slow`` (each call takes ``delay_s``). ``POST
-/compact`` drops the history.
+/compact`` drops the history. ``POST /write`` writes a row as the operator or
+an upstream does.
 """
 
 import json
@@ -55,6 +56,10 @@
         if path == '/compact':
             self.compact()
             return 200, {}
+        if path == '/write':
+            written = json.loads(web.read_body(environ))
+            self.write(written['table'], written['key'], written['value'])
+            return 200, {}
         if path == '/counts':
             return 200, {'writes': self.writes, 'reads': self.reads}
         mode = self.faults['mode']
--- a/standins/web.py
+++ b/standins/web.py
@@ -1,5 +1,6 @@
 """A small WSGI base for the stand-ins."""
 
+import dataclasses
 import json
 import socket
 import types
@@ -12,7 +13,7 @@
 from standins import faults
 
 Environ = dict[str, typing.Any]
-Reply = tuple[int, typing.Any]
+Reply = typing.Any
 Handler = Callable[[dict[str, typing.Any]], tuple[int, typing.Any]]
 REASONS = types.MappingProxyType(
     {
@@ -25,6 +26,15 @@
 )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WithHeaders:
+    """A reply with headers of its own; bytes have a length, pieces none."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes | Iterable[bytes]
+
+
 def read_body(environ: Environ) -> bytes:
     """Return the request body."""
     return environ['wsgi.input'].read()
@@ -52,7 +62,10 @@
     def application(
         environ: Environ, start_response: Callable[..., typing.Any]
     ) -> Iterable[bytes]:
-        status, body = handle(environ)
+        reply = handle(environ)
+        if isinstance(reply, WithHeaders):
+            return _send(reply, start_response)
+        status, body = reply
         reason = REASONS.get(status, 'Status')
         content_type = 'application/json'
         headers = []
@@ -75,6 +88,18 @@
     return application
 
 
+def _send(
+    reply: WithHeaders, start_response: Callable[..., typing.Any]
+) -> Iterable[bytes]:
+    headers = list(reply.headers)
+    body = reply.body
+    if isinstance(body, bytes):
+        headers.append(('Content-Length', str(len(body))))
+        body = [body]
+    start_response(f'{reply.status} Status', headers)
+    return body
+
+
 def serve(
     handle: Callable[[Environ], Reply], address: tuple[str, int]
 ) -> typing.Any:
--- /dev/null
+++ b/tests/processes/test_platform.py
@@ -0,0 +1,73 @@
+"""The platform's path as processes: gateways, a store and engines."""
+
+import signal
+import time
+
+import eventlet
+import pytest
+
+from demo import platform
+
+
+@pytest.fixture
+def system(tmp_path):
+    """Start a store, three engines and two gateways."""
+    made = platform.Platform(tmp_path)
+    try:
+        made.start()
+        yield made
+    finally:
+        made.stop()
+
+
+def statuses(system, numbers, gateway):
+    pool = eventlet.GreenPool(6)
+    answers = pool.imap(lambda number: system.call(number, gateway), numbers)
+    return [answer.status for answer in answers]
+
+
+def test_demo_runs(tmp_path):
+    """Guards against a path that works only in parts."""
+    platform.run(tmp_path)
+
+
+def test_another_gateway_gives_orders_after_the_holder_was_killed(system):
+    """Guards against adapters that are never loaded again, and two holders."""
+    first, second = system.gateways
+    assert statuses(system, range(4), first) == [200] * 4
+    holders = {order[1] for one in system.seen() for order in one['holders']}
+    (holder,) = holders
+    killed = {'gateway-0': first, 'gateway-1': second}[holder]
+    other = second if killed is first else first
+    killed.stop(signal.SIGKILL)
+    deadline = time.monotonic() + 15
+    while statuses(system, (4, 5), other) != [200, 200]:
+        assert time.monotonic() < deadline
+    for one in system.seen():
+        assert not one['overfilled']
+        tokens = [order[2] for order in one['holders']]
+        assert tokens == sorted(tokens)
+        times = {}
+        for at, name, _ in one['holders']:
+            times.setdefault(name, []).append(at)
+        if len(times) == 2:
+            after = min(times[other_name(times, holder)])
+            assert after - max(times[holder]) >= 1.0
+
+
+def other_name(times, holder):
+    (name,) = set(times) - {holder}
+    return name
+
+
+def test_stopped_gateway_cuts_off_no_stream(system):
+    """Guards against answers that are lost by a planned stop."""
+    gateway = system.gateways[0]
+    assert system.call(0, gateway).status == 200
+    running = eventlet.spawn(system.call, 0, gateway, 100)
+    eventlet.sleep(0.3)
+    gateway.process.send_signal(signal.SIGTERM)
+    answer = running.wait()
+    assert answer.status == 200
+    assert answer.data.count(b'id: ') == 100
+    assert gateway.process.wait(10) == 0
