--- a/demo/platform.py
+++ b/demo/platform.py
@@ -78,12 +78,12 @@
         self.write(store, 'op', 'config', CONFIG)
         with self.system.parallel():
             self.engines = [
-                self.system.start_platform_engine(f'engine-{n}', store)
-                for n in range(engines)
+                self.system.start_platform_engine(f'engine-{number}', store)
+                for number in range(engines)
             ]
             self.gateways = [
-                self.system.start_gateway(f'gateway-{n}', 'accra-a', store)
-                for n in range(gateways)
+                self.system.start_gateway(f'gateway-{number}', 'accra-a', store)
+                for number in range(gateways)
             ]
         deadline = time.monotonic() + READY_TIMEOUT_S
         while not all(
@@ -165,14 +165,12 @@
         statuses = collections.Counter(answer.status for answer in answers)
         print(f'{REQUESTS} requests through 2 gateways: {dict(statuses)}')
         seen = platform.seen()
-        for number, engine in enumerate(seen):
-            runs = sum(engine['runs'].values())
-            print(
-                f'engine-{number}: {runs} runs, {len(engine["holders"])} orders'
-            )
+        for number, one in enumerate(seen):
+            runs = sum(one['runs'].values())
+            print(f'engine-{number}: {runs} runs, {len(one["holders"])} orders')
         if statuses != {200: REQUESTS}:
             raise RuntimeError('not every request was answered')
-        if any(engine['overfilled'] for engine in seen):
+        if any(one['overfilled'] for one in seen):
             raise RuntimeError('an engine was overfilled')
     finally:
         platform.stop()
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -22,6 +22,7 @@
 HEARTBEAT_S = 0.5
 REPORT_LAG_S = 0.2
 MAX_COMING = 4
+State = dict[str, typing.Any]
 NOT_RUN = (('Not-Executed', '1'),)
 
 
@@ -62,7 +63,7 @@
         self._load_s = load_s
         self._step_s = step_s
         self._born_ms = int(time.time() * 1000)
-        self._past: list[tuple[float, dict[str, typing.Any]]] = []
+        self._past: list[tuple[float, State]] = []
         self._http = urllib3.PoolManager(retries=False, timeout=2.0)
 
     def run(self) -> None:
--- a/standins/table.py
+++ b/standins/table.py
@@ -50,18 +50,8 @@
     def handle(self, environ: web.Environ) -> web.Reply:
         """Answer one request."""
         path = environ['PATH_INFO']
-        if path == '/faults':
-            self.faults = json.loads(web.read_body(environ))
-            return 200, {}
-        if path == '/compact':
-            self.compact()
-            return 200, {}
-        if path == '/write':
-            written = json.loads(web.read_body(environ))
-            self.write(written['table'], written['key'], written['value'])
-            return 200, {}
-        if path == '/counts':
-            return 200, {'writes': self.writes, 'reads': self.reads}
+        if not path.startswith('/ivystep/'):
+            return self._control(path, environ)
         mode = self.faults['mode']
         if mode == 'down':
             return 503, {'error': 'down'}
@@ -99,6 +89,19 @@
         self._history.clear()
         self._history_starts = self.version
 
+    def _control(self, path: str, environ: web.Environ) -> web.Reply:
+        """Answer a call of a test, which the platform does not have."""
+        if path == '/faults':
+            self.faults = json.loads(web.read_body(environ))
+        elif path == '/compact':
+            self.compact()
+        elif path == '/write':
+            written = json.loads(web.read_body(environ))
+            self.write(written['table'], written['key'], written['value'])
+        elif path != '/counts':
+            return 404, {'error': 'unknown call'}
+        return 200, {'writes': self.writes, 'reads': self.reads}
+
     def _answer_write(self, environ: web.Environ, mode: str) -> web.Reply:
         document = json.loads(web.read_body(environ))
         if any(put['table'] in FOREIGN_TABLES for put in document['puts']):
