--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -188,8 +188,10 @@
         return self.start_standin(
             name,
             'platform-engine',
-            *('--upstream-id', name),
-            *('--store-url', store_url),
+            '--upstream-id',
+            name,
+            '--store-url',
+            store_url,
         )
 
     def start_gateway(
--- a/demo/platform.py
+++ b/demo/platform.py
@@ -6,6 +6,7 @@
 import pathlib
 import tempfile
 import time
+import types
 import typing
 
 import eventlet
@@ -19,42 +20,44 @@
 REQUESTS = 60
 READY_TIMEOUT_S = 10.0
 POLL_S = 0.05
-CONFIG: dict[str, typing.Any] = {
-    'version': 1,
-    'routes': [
-        {
-            'name': 'plans',
-            'host': HOST,
-            'prefix': '/plans/',
-            'kind': 'stream',
-            'timeout_ms': 10000,
-            'target_latency_ms': 1000,
-            'priority': 1,
-            'service': platform_engine.SERVICE,
-            'attempts': 1,
-            'gap_target_ms': 300,
-        },
-    ],
-    'services': [
-        {
-            'name': platform_engine.SERVICE,
-            'max_connections': 100,
-            'engine': {
-                'slots': 8,
-                'weights_mb': 10000.0,
-                'max_adapters': 4,
-                'loads_per_s': 2.0,
-                'models': [
-                    {
-                        'name': platform_engine.MODEL,
-                        'weights_mb': 1000.0,
-                        'adapter_mb': 1.0,
-                    }
-                ],
+CONFIG = types.MappingProxyType(
+    {
+        'version': 1,
+        'routes': [
+            {
+                'name': 'plans',
+                'host': HOST,
+                'prefix': '/plans/',
+                'kind': 'stream',
+                'timeout_ms': 10000,
+                'target_latency_ms': 1000,
+                'priority': 1,
+                'service': platform_engine.SERVICE,
+                'attempts': 1,
+                'gap_target_ms': 300,
             },
-        }
-    ],
-}
+        ],
+        'services': [
+            {
+                'name': platform_engine.SERVICE,
+                'max_connections': 100,
+                'engine': {
+                    'slots': 8,
+                    'weights_mb': 10000.0,
+                    'max_adapters': 4,
+                    'loads_per_s': 2.0,
+                    'models': [
+                        {
+                            'name': platform_engine.MODEL,
+                            'weights_mb': 1000.0,
+                            'adapter_mb': 1.0,
+                        }
+                    ],
+                },
+            }
+        ],
+    }
+)
 
 
 class Platform:
@@ -75,7 +78,7 @@
     def start(self, engines: int = 3, gateways: int = 2) -> None:
         """Start all processes and wait until the gateways are ready."""
         store = self.system.start_standin('store', 'table').url
-        self.write(store, 'op', 'config', CONFIG)
+        self.write(store, 'op', 'config', dict(CONFIG))
         with self.system.parallel():
             self.engines = [
                 self.system.start_platform_engine(f'engine-{number}', store)
@@ -170,7 +173,7 @@
             print(f'engine-{number}: {runs} runs, {len(one["holders"])} orders')
         if statuses != {200: REQUESTS}:
             raise RuntimeError('not every request was answered')
-        if any(one['overfilled'] for one in seen):
+        if any(engine['overfilled'] for engine in seen):
             raise RuntimeError('an engine was overfilled')
     finally:
         platform.stop()
