Move the types of requests, routes and orders below the platform's folder

Cause: policy and platform imported from the gateway, which imports from both. Change: ivystep/traffic holds what callers, the operator and upstreams exchange; no logic changed.

--- a/ivystep/gateway/believed.py
+++ b/ivystep/gateway/believed.py
@@ -10,8 +10,9 @@
 from collections.abc import Iterator, Mapping
 
 from ivystep.core import types
-from ivystep.gateway import connections, contracts, upstreams
+from ivystep.gateway import connections
 from ivystep.policy import prefill
+from ivystep.traffic import contracts, upstreams
 
 # Age of an entry when it arrives: the store's feed is read in intervals.
 ENTRY_AGE_S = 1.0
--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -18,8 +18,9 @@
 
 from ivystep.core import errors, units
 from ivystep.entry import answers
-from ivystep.gateway import calls, connections, contracts, http1, relay
+from ivystep.gateway import connections, relay
 from ivystep.runtime import clock
+from ivystep.traffic import calls, contracts, http1
 
 # Bytes of later requests that are read while an answer is under way.
 MAX_AHEAD_BYTES = 256 * units.KIB
--- a/ivystep/gateway/configuration.py
+++ b/ivystep/gateway/configuration.py
@@ -8,9 +8,10 @@
 from collections.abc import Callable, Sequence
 
 from ivystep.core import errors, types
-from ivystep.gateway import contracts, events
+from ivystep.gateway import events
 from ivystep.platform import operator_config, rows
 from ivystep.runtime import clock, event_log
+from ivystep.traffic import contracts
 
 
 class Configuration:
--- a/ivystep/gateway/connections.py
+++ b/ivystep/gateway/connections.py
@@ -13,8 +13,8 @@
 from eventlet import hubs
 
 from ivystep.core import errors, types
-from ivystep.gateway import http1
 from ivystep.runtime import clock
+from ivystep.traffic import http1
 
 CONNECT_TIMEOUT_S = 0.6
 # An upstream that names no idle time-out may use a short one.
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -14,7 +14,6 @@
     believed,
     callers,
     configuration,
-    contracts,
     dispatch,
     duty,
     engine_link,
@@ -39,6 +38,7 @@
 from ivystep.policy import load_times
 from ivystep.runtime import clock, drain, event_log
 from ivystep.settings import gateway as settings_models
+from ivystep.traffic import contracts
 from ivystep.wire import listener as wire_listener
 from ivystep.wire import tls
 
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -15,18 +15,11 @@
 from ivystep.coordination import retry_budget
 from ivystep.core import errors, types, units
 from ivystep.entry import pool
-from ivystep.gateway import (
-    believed,
-    calls,
-    configuration,
-    contracts,
-    events,
-    model_pools,
-    relay,
-)
+from ivystep.gateway import believed, configuration, events, model_pools, relay
 from ivystep.platform import messages
 from ivystep.policy import prefill
 from ivystep.runtime import clock, event_log
+from ivystep.traffic import calls, contracts
 
 # Pause before another attempt, so that a short queue at an upstream can move.
 RETRY_PAUSE_S = 0.03
--- a/ivystep/gateway/engine_link.py
+++ b/ivystep/gateway/engine_link.py
@@ -12,9 +12,10 @@
 from eventlet import semaphore
 
 from ivystep.core import errors, types, units
-from ivystep.gateway import believed, events, news, orders, upstreams
+from ivystep.gateway import believed, events, news
 from ivystep.policy import load_times
 from ivystep.runtime import clock, event_log
+from ivystep.traffic import orders, upstreams
 
 # An order without an answer may be carried out up to this much later.
 UNCERTAIN_S = 12.0
--- a/ivystep/gateway/membership.py
+++ b/ivystep/gateway/membership.py
@@ -10,9 +10,10 @@
 import eventlet
 
 from ivystep.core import errors
-from ivystep.gateway import believed, events, upstreams
+from ivystep.gateway import believed, events
 from ivystep.platform import rows, upstream_entries
 from ivystep.runtime import clock, event_log
+from ivystep.traffic import upstreams
 
 # The platform's time for entries to return after an outage, with the time
 # that the feed takes to bring them.
--- a/ivystep/gateway/model_keeper.py
+++ b/ivystep/gateway/model_keeper.py
@@ -13,16 +13,14 @@
 from ivystep.gateway import (
     believed,
     configuration,
-    contracts,
     duty,
     engine_link,
     events,
     membership,
-    orders,
-    upstreams,
 )
 from ivystep.policy import base_models
 from ivystep.runtime import clock, event_log
+from ivystep.traffic import contracts, orders, upstreams
 
 CHECK_S = 0.25
 # Time after an order before another one is given to the same engine, beside
--- a/ivystep/gateway/model_pools.py
+++ b/ivystep/gateway/model_pools.py
@@ -10,10 +10,11 @@
 
 from ivystep.core import types
 from ivystep.entry import pool
-from ivystep.gateway import believed, contracts, load_planner
+from ivystep.gateway import believed, load_planner
 from ivystep.metrics import registry
 from ivystep.policy import load_target, routing
 from ivystep.runtime import clock
+from ivystep.traffic import contracts
 
 PoolKey = tuple[str, str]
 # Cost of a full upstream, and of an adapter from the weight store, against
--- a/ivystep/gateway/reception.py
+++ b/ivystep/gateway/reception.py
@@ -1,18 +1,11 @@
 """Takes requests from callers' connections and has them answered."""
 
 from ivystep.core import errors, units
-from ivystep.gateway import (
-    callers,
-    calls,
-    configuration,
-    contracts,
-    dispatch,
-    events,
-    http1,
-)
+from ivystep.gateway import callers, configuration, dispatch, events
 from ivystep.metrics import registry
 from ivystep.platform import messages
 from ivystep.runtime import clock, event_log
+from ivystep.traffic import calls, contracts, http1
 
 NO_CONFIG_RETRY_S = 0.3
 
--- a/ivystep/gateway/relay.py
+++ b/ivystep/gateway/relay.py
@@ -9,8 +9,9 @@
 import typing
 
 from ivystep.core import errors, types, units
-from ivystep.gateway import believed, calls, connections, contracts, http1
+from ivystep.gateway import believed, connections
 from ivystep.platform import messages
+from ivystep.traffic import calls, contracts, http1
 
 # Answers up to this size are read whole before they are passed on.
 WHOLE_BYTES = 64 * units.KIB
--- a/ivystep/platform/engine_api.py
+++ b/ivystep/platform/engine_api.py
@@ -6,8 +6,8 @@
 import urllib3
 
 from ivystep.core import errors
-from ivystep.gateway import orders, upstreams
 from ivystep.platform import upstream_entries
+from ivystep.traffic import orders, upstreams
 
 REPORT_PATH = '/ivystep/report'
 ORDER_PATH = '/ivystep/order'
--- a/ivystep/platform/messages.py
+++ b/ivystep/platform/messages.py
@@ -8,8 +8,8 @@
 import string
 
 from ivystep.core import units
-from ivystep.gateway import calls, http1
 from ivystep.platform import names
+from ivystep.traffic import calls, http1
 
 DIGITS = frozenset(string.digits.encode())
 MAX_NUMBER_DIGITS = 12
--- a/ivystep/platform/operator_config.py
+++ b/ivystep/platform/operator_config.py
@@ -9,8 +9,8 @@
 import pydantic
 
 from ivystep.core import errors, units
-from ivystep.gateway import contracts
 from ivystep.platform import rows
+from ivystep.traffic import contracts
 
 TABLE = 'op'
 CONFIG_KEY = 'config'
--- a/ivystep/platform/upstream_entries.py
+++ b/ivystep/platform/upstream_entries.py
@@ -11,8 +11,8 @@
 import pydantic
 
 from ivystep.core import errors, types, units
-from ivystep.gateway import upstreams
 from ivystep.platform import rows
+from ivystep.traffic import upstreams
 
 TABLE = 'servers'
 STATE_BY_NAME = MappingProxyType(
--- a/ivystep/policy/base_models.py
+++ b/ivystep/policy/base_models.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping, Sequence
 
-from ivystep.gateway import contracts, upstreams
+from ivystep.traffic import contracts, upstreams
 
 # Loads of base models are counted over this time, in seconds; it is longer
 # than the platform's own window, so that no window of that has more.
--- a/ivystep/gateway/http1.py
+++ b/ivystep/traffic/http1.py
@@ -13,7 +13,7 @@
 import httptools
 
 from ivystep.core import errors, units
-from ivystep.gateway import calls
+from ivystep.traffic import calls
 
 READ_BYTES = 64 * units.KIB
 # Line ends and the separators that are not part of a header's name and value.
--- a/ivystep/gateway/orders.py
+++ b/ivystep/traffic/orders.py
@@ -4,7 +4,7 @@
 import enum
 import typing
 
-from ivystep.gateway import upstreams
+from ivystep.traffic import upstreams
 
 
 class Outcome(enum.Enum):
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -7,9 +7,9 @@
 import eventlet
 
 from ivystep.core import errors
-from ivystep.gateway import contracts, orders, upstreams
 from ivystep.platform import rows
 from ivystep.runtime import clock
+from ivystep.traffic import contracts, orders, upstreams
 
 MODEL = 'daka'
 
--- a/tests/gateway/test_believed.py
+++ b/tests/gateway/test_believed.py
@@ -5,7 +5,8 @@
 import pytest
 
 from ivystep.core import types
-from ivystep.gateway import believed, upstreams
+from ivystep.gateway import believed
+from ivystep.traffic import upstreams
 from tests.gateway import fakes
 
 
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -6,10 +6,12 @@
 
 from ivystep.coordination import retry_budget
 from ivystep.core import errors, types
-from ivystep.gateway import believed, calls, contracts, dispatch, relay
+from ivystep.gateway import believed, dispatch, relay
 from ivystep.runtime import clock
+from ivystep.traffic import calls, contracts
 from tests.coordination import fakes as clocks
-from tests.gateway import fakes, test_configuration, test_contracts
+from tests.gateway import fakes, test_configuration
+from tests.traffic import test_contracts
 
 VERSION_S = 5.0
 
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from ivystep.gateway import membership, upstreams
+from ivystep.gateway import membership
 from ivystep.runtime import clock
+from ivystep.traffic import upstreams
 from tests.coordination import fakes as clocks
 from tests.gateway import fakes
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -7,8 +7,8 @@
 from hypothesis import strategies
 
 from ivystep.core import errors
-from ivystep.gateway import contracts, upstreams
 from ivystep.platform import operator_config, rows, upstream_entries
+from ivystep.traffic import contracts, upstreams
 
 ENTRY = {
     'service': 'huvo11a',
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from ivystep.gateway import http1
 from ivystep.platform import messages, names
+from ivystep.traffic import http1
 
 HEADERS = [
     (b'Host', b'ficu.example'),
--- a/tests/gateway/test_contracts.py
+++ b/tests/traffic/test_contracts.py
@@ -4,7 +4,7 @@
 import pytest
 from hypothesis import strategies
 
-from ivystep.gateway import contracts
+from ivystep.traffic import contracts
 
 
 def route(prefix, host='ficu.example', **more):
--- a/tests/gateway/test_http1.py
+++ b/tests/traffic/test_http1.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies
 
 from ivystep.core import errors
-from ivystep.gateway import http1
+from ivystep.traffic import http1
 
 MAX_HEADER = 1000
 MAX_BODY = 100
