--- a/ivystep/coordination/lease.py
+++ b/ivystep/coordination/lease.py
@@ -120,7 +120,7 @@
             try:
                 self._try_acquire()
             except errors.PlatformError as error:
-                log.info('Lease %s not acquired: %s.', self._key, error)
+                log.debug('Lease %s not acquired: %s.', self._key, error)
                 self._pause(RETRY_SHARE)
         return self.token
 
