--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -33,10 +33,6 @@
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
-class CallerDisconnectedError(Exception):
-    """The caller has closed its connection."""
-
-
 class ServerState:
     """State shared by all callers' connections of this host.
 
@@ -135,7 +131,7 @@
         try:
             connections.set_tcp_options(self._socket)
             self._serve()
-        except (OSError, CallerDisconnectedError):
+        except (OSError, relay.CallerDisconnectedError):
             # The caller has disconnected, so no answer can be delivered.
             self._is_closed = True
         finally:
@@ -220,7 +216,10 @@
 
     @contextlib.contextmanager
     def raise_on_disconnect(self) -> Generator[None, None, None]:
-        """Raise ``CallerDisconnectedError`` in the task on a disconnect."""
+        """Raise an error in the task when the caller disconnects.
+
+        The error is ``relay.CallerDisconnectedError``.
+        """
         self._watch()
         try:
             yield
@@ -393,7 +392,7 @@
     def _cancel_task(self) -> None:
         """Raise the disconnect in the task, unless the answer is complete."""
         if not self.is_complete and not self._task.dead:
-            self._task.throw(CallerDisconnectedError())
+            self._task.throw(relay.CallerDisconnectedError())
 
     def _peek(self) -> bytes:
         """Return a byte without consuming it; empty if none has arrived."""
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -20,6 +20,7 @@
     events,
     feeds,
     leadership,
+    loop_lag,
     membership,
     model_pools,
     prefill_queues,
@@ -332,7 +333,7 @@
         self._spawn(self._base_model_loader.run)
         self._spawn(self._close_expired_connections)
         self._spawn(self._apply_totals_as_leader)
-        self._spawn(self._event_metrics.measure_timer_lag)
+        self._spawn(loop_lag.measure, self._event_metrics, self._log)
 
     def _planner_for(self, name: str) -> typing.Any:
         target = self._pools.find_by_name(name)
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -106,6 +106,9 @@
                 self._run_attempts(state)
         except DeadlineExceededError as error:
             raise request_state.deadline_error(state) from error
+        except (relay.CallerDisconnectedError, OSError):
+            self._log_abandoned(state)
+            raise
         self._log_end(state)
 
     def _run_attempts(self, state: request_state.RequestState) -> None:
@@ -149,6 +152,7 @@
             started draining or the adapter version was replaced during the
             wait.
         """
+        state.step = 'place'
         ref = self._choose_version(state.call, target)
         placement = target.place(
             state.to_request(target.name, ref), state.avoid
@@ -196,6 +200,7 @@
             errors.RefusedError: The engine is busy with the prefill of other
                 prompts until the latest start of the request.
         """
+        state.step = 'permit'
         permit = self._wait_for_permit(
             upstream.entry.incarnation, state.ticket(upstream.prefill_rate)
         )
@@ -231,6 +236,7 @@
         ref: types.AdapterRef | None,
         permit: prefill.Permit | None,
     ) -> None:
+        state.step = 'connect'
         state.upstream_id = upstream.upstream_id
         state.attempts += 1
         was_tried = upstream.upstream_id in state.may_have_run
@@ -262,6 +268,10 @@
                 state.avoid.add(upstream.upstream_id)
                 self._record_failure(upstream, ref, error)
             raise
+        except (relay.CallerDisconnectedError, OSError):
+            if exchange.has_sent:
+                state.step = 'run'
+            raise
         upstream.reset_failures()
         if permit and permit.decision is prefill.PermitDecision.ALONE:
             self._update_prefill_rate(state, upstream, sent_at)
@@ -400,6 +410,19 @@
             )
         )
 
+    def _log_abandoned(self, state: request_state.RequestState) -> None:
+        self._log.write(
+            events.RequestAbandoned(
+                state.call.request_id,
+                state.route.name,
+                state.step,
+                state.upstream_id,
+                state.attempts,
+                state.elapsed_ms,
+                self._config.version,
+            )
+        )
+
     def _log_end(self, state: request_state.RequestState) -> None:
         head_sent_at = state.answer.head_sent_at or clock.now()
         self._log.write(
--- a/ivystep/gateway/event_metrics.py
+++ b/ivystep/gateway/event_metrics.py
@@ -11,12 +11,11 @@
 from ivystep.core import units
 from ivystep.gateway import events
 from ivystep.metrics import registry
-from ivystep.runtime import clock, event_log
+from ivystep.runtime import event_log
 
 MAX_ROUTE_LABELS = 200
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 4.0, 8.0, 16.0)
 LAG_BUCKETS_S = (0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0)
-LAG_INTERVAL_S = 1.0
 
 
 class EventMetrics:
@@ -91,13 +90,6 @@
         """Return the label of a route; the number of labels is limited."""
         return {'route': self._routes.value_for(name)}
 
-    def measure_timer_lag(self) -> None:
-        """Record the lag of the event loop's timers, until killed."""
-        while True:
-            due = clock.now() + LAG_INTERVAL_S
-            clock.sleep(LAG_INTERVAL_S)
-            self.timer_lag_s.observe({}, max(clock.now() - due, 0.0))
-
     def _histogram(
         self,
         name: str,
--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -154,6 +154,44 @@
     config_version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestAbandoned(event_log.Event):
+    """The caller disconnected before its answer was complete.
+
+    Attributes:
+        step: What the request waited for: ``place``, ``permit``, ``connect``
+            or ``run``, in which case an upstream may have received it.
+        upstream: Upstream of the last attempt; empty before the first.
+        attempts: Number of attempts.
+        elapsed_ms: Time from reading the request to noticing the disconnect.
+        config_version: Configuration version in force.
+    """
+
+    name: typing.ClassVar[str] = 'request_abandoned'
+
+    request_id: str
+    route: str
+    step: str
+    upstream: str
+    attempts: int
+    elapsed_ms: int
+    config_version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoopStalled(event_log.Event):
+    """The event loop ran late, so that arrived bytes were read late.
+
+    Attributes:
+        lag_ms: Time by which a timer was late.
+    """
+
+    name: typing.ClassVar[str] = 'loop_stalled'
+    level: typing.ClassVar[int] = logging.WARNING
+
+    lag_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestFailed(event_log.Event):
     """A request ended with an error; the log's rate limit does not apply.
--- a/ivystep/gateway/relay.py
+++ b/ivystep/gateway/relay.py
@@ -21,6 +21,10 @@
 RETRYABLE_STATUSES = frozenset((500, 502, 503))
 
 
+class CallerDisconnectedError(Exception):
+    """The caller has closed its connection."""
+
+
 class CallerAnswer(typing.Protocol):
     """The caller's side of an answer, as an exchange needs it.
 
@@ -66,6 +70,9 @@
         answer: The caller's side of the answer.
         may_repeat: Whether another upstream can be tried, so that a failure
             status is raised as an error instead of forwarded.
+
+    Attributes:
+        has_sent: Whether the request was written to a connection.
     """
 
     def __init__(
@@ -77,6 +84,7 @@
         *,
         may_repeat: bool,
     ) -> None:
+        self.has_sent = False
         self._may_repeat = may_repeat
         self._call = call
         self._route = route
@@ -100,6 +108,7 @@
             raise connections.to_request_error(error, has_sent=False) from error
         is_done = False
         try:
+            self.has_sent = True
             connection.send(encoded)
             keep_alive_s = self._relay(connection)
             is_done = True
--- a/ivystep/gateway/request_handler.py
+++ b/ivystep/gateway/request_handler.py
@@ -1,7 +1,13 @@
 """Routes the requests of callers' connections and answers failed ones."""
 
 from ivystep.core import errors, units
-from ivystep.gateway import callers, configuration, dispatch, events
+from ivystep.gateway import (
+    callers,
+    configuration,
+    dispatch,
+    events,
+    relay,
+)
 from ivystep.metrics import registry
 from ivystep.platform import messages
 from ivystep.runtime import clock, event_log
@@ -42,7 +48,7 @@
             connection: The caller's connection.
 
         Raises:
-            callers.CallerDisconnectedError: The caller has disconnected.
+            relay.CallerDisconnectedError: The caller has disconnected.
         """
         call = messages.decode_call(raw, clock.now())
         connection.last_event_id = call.resumes_after
@@ -54,7 +60,7 @@
         except errors.RequestError as error:
             self._log_failure(call, route, error)
             connection.send_error(error, call.request_id)
-        except (callers.CallerDisconnectedError, OSError):
+        except (relay.CallerDisconnectedError, OSError):
             self._metrics.record_request(_route_name(route), 'caller_gone')
             raise
         else:
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -31,6 +31,8 @@
         may_have_run: Upstreams on which the request may have run.
         avoid: Upstreams that failed or refused the request.
         upstream_id: Upstream of the last attempt; empty before the first.
+        step: What the request waits for: ``place``, ``permit``, ``connect``
+            or ``run``.
     """
 
     call: calls.Call
@@ -42,6 +44,7 @@
     may_have_run: set[str] = dataclasses.field(default_factory=set)
     avoid: set[str] = dataclasses.field(default_factory=set)
     upstream_id: str = ''
+    step: str = 'place'
 
     @classmethod
     def from_call(
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -322,3 +322,25 @@
         'request_ended',
     ]
     assert {event.request_id for event in harness.log.events} == {'r-1'}
+
+
+@clocks.on_virtual_clock
+@pytest.mark.parametrize('step', ['place', 'permit'])
+def test_disconnect_of_a_waiting_caller_is_logged_with_its_step(
+    monkeypatch, step
+):
+    """Guards against abandoned requests that leave no line in the log."""
+    harness = DispatchHarness(monkeypatch, ref(1))
+
+    def disconnect(*_):
+        raise relay.CallerDisconnectedError
+
+    if step == 'place':
+        harness.pool.place = disconnect
+    else:
+        harness.on_permit = disconnect
+    with pytest.raises(relay.CallerDisconnectedError):
+        harness.run()
+    (abandoned,) = harness.log.named('request_abandoned')
+    assert (abandoned.request_id, abandoned.step) == ('r-1', step)
+    assert not harness.sent
