--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -344,3 +344,18 @@
     (abandoned,) = harness.log.named('request_abandoned')
     assert (abandoned.request_id, abandoned.step) == ('r-1', step)
     assert not harness.sent
+
+
+@clocks.on_virtual_clock
+def test_stream_past_its_latest_start_is_refused_instead_of_sent(monkeypatch):
+    """Guards against streams that start when their callers give up."""
+    harness = DispatchHarness(monkeypatch, ref(1))
+    harness.on_permit = lambda: clock.sleep(3.9)
+    with pytest.raises(errors.RefusedError) as caught:
+        harness.run(timeout_s=15.0, target_latency_s=1.0)
+    assert (caught.value.status, caught.value.ran) == (
+        503,
+        types.ExecutionStatus.NO,
+    )
+    assert caught.value.retry_after_s > 0
+    assert not harness.sent
--- a/tests/gateway/test_relaying.py
+++ b/tests/gateway/test_relaying.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import socket
+import types
 
 import eventlet
 import pytest
@@ -288,6 +289,66 @@
             eventlet.sleep(0.01)
 
 
+def test_request_of_a_caller_that_left_unnoticed_is_not_sent(build):
+    """Guards against work for a caller whose disconnect is not yet read."""
+    gateway, (upstream,) = build(lambda _, headers: harness.ok_answer(headers))
+    # The next request finds an open connection, so it is sent without a wait.
+    assert gateway.send('/once/2f', 'r-1').status == 200
+    connection = gateway.connect()
+    pool = gateway.daemon._pools.find('app', '')
+    place = pool.place
+
+    def place_during_stall(*arguments):
+        placement = place(*arguments)
+        connection.close()
+        return placement
+
+    pool.place = place_during_stall
+    connection.sendall(harness.request('/once/2f', 'r-2'))
+    eventlet.sleep(0.2)
+    assert len(upstream.requests) == 1
+    assert not gateway.daemon.status().details['requests']
+
+
+def test_unsent_bytes_of_an_abandoned_request_are_discarded(build):
+    """Guards against requests that upstreams receive after callers left."""
+    body = b'x' * 60_000
+    with contextlib.closing(socket.socket()) as listener:
+        # With a small receive buffer, most bytes wait at the gateway.
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 2048)
+        listener.bind(('127.0.0.1', 0))
+        listener.listen()
+        gateway, _ = build()
+        gateway.add(
+            types.SimpleNamespace(
+                upstream_id='i-1', port=listener.getsockname()[1]
+            )
+        )
+        gateway.wait_for(1)
+        caller = gateway.connect()
+        caller.sendall(harness.request('/once/2f', body=body))
+        upstream, _ = listener.accept()
+        with contextlib.closing(upstream):
+            eventlet.sleep(0.1)
+            caller.close()
+            with eventlet.Timeout(2):
+                while gateway.daemon.status().details['requests']:
+                    eventlet.sleep(0.01)
+            received = read_until_closed(upstream)
+    assert len(received) < len(body)
+
+
+def read_until_closed(connection):
+    """Return what a connection still delivers, also before a reset."""
+    received = b''
+    try:
+        while part := connection.recv(65536):
+            received += part
+    except ConnectionError:
+        return received
+    return received
+
+
 def test_timeout_of_the_route_ends_a_request(build):
     """Guards against requests that outlive the time-out of their route."""
     gateway, _ = build(lambda *_: None)
