Send no request whose caller has already disconnected

Callers that left saw their requests run: a request that had waited for its turn was sent although the end of the caller's connection had arrived. A late event loop resumes the waiting task before it reads the connection, and a disconnect that was read cancels its task only one pass of the loop later.

The gateway now reads the caller's connection after each wait and again just before the bytes are sent; the request is encoded at that point, so the time that it passes on no longer includes the connect. No wait lies between the check and the send.

--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -214,6 +214,20 @@
             self._socket.sendall(http1.LAST_CHUNK)
         self.is_complete = True
 
+    def raise_if_disconnected(self) -> None:
+        """Raise an error if the caller has disconnected.
+
+        Reads what has arrived: a late event loop may run a task before it
+        reads the end of the caller's connection.
+
+        Raises:
+            relay.CallerDisconnectedError: The caller has disconnected.
+        """
+        if self._hub_listener is not None:
+            self._read_available()
+        if self._is_closed:
+            raise relay.CallerDisconnectedError
+
     @contextlib.contextmanager
     def raise_on_disconnect(self) -> Generator[None, None, None]:
         """Raise an error in the task when the caller disconnects.
@@ -370,7 +384,17 @@
         """Ignore the hub's notice that the descriptor was closed."""
 
     def _on_readable(self, _: object) -> None:
-        """Buffer pipelined bytes or detect a disconnect; runs on the hub."""
+        """Cancel the task if the caller has disconnected; runs on the hub."""
+        self._read_available()
+        if self._is_closed:
+            hubs.get_hub().schedule_call_global(0, self._cancel_task)
+
+    def _read_available(self) -> None:
+        """Buffer pipelined bytes, or detect that the caller has disconnected.
+
+        The socket is no longer watched after a disconnect, or when too many
+        bytes are buffered.
+        """
         try:
             received = self._socket.fd.recv(
                 http1.READ_BYTES, socket.MSG_DONTWAIT
@@ -382,7 +406,6 @@
         if not received:
             self._unwatch()
             self._is_closed = True
-            hubs.get_hub().schedule_call_global(0, self._cancel_task)
             return
         self._pipelined_bytes += len(received)
         self._reader.feed(received)
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -5,6 +5,7 @@
 the retry budget of the service.
 """
 
+import functools
 import typing
 from collections.abc import Callable
 
@@ -30,8 +31,6 @@
 RETRY_PAUSE_S = 0.03
 # Value of the least urgent requests on the wire; 0 is the most urgent.
 MAX_URGENCY = 9
-# Least time that an upstream is given to answer.
-MIN_TIME_LEFT_S = 0.01
 # Part of the time limit for adopting a new adapter version in which requests
 # are still sent with the previous version. The rest of the limit covers their
 # wait in the queue of an engine.
@@ -158,6 +157,7 @@
             state.to_request(target.name, ref), state.avoid
         )
         try:
+            state.raise_if_unwanted()
             with self._find_upstream(placement).track_request():
                 return self._send_with_permit(state, placement, ref)
         finally:
@@ -241,13 +241,6 @@
         state.attempts += 1
         was_tried = upstream.upstream_id in state.may_have_run
         state.may_have_run.add(upstream.upstream_id)
-        attempt = messages.AttemptHeaders(
-            upstream_id=upstream.upstream_id,
-            time_left_s=max(state.remaining_s, MIN_TIME_LEFT_S),
-            version=ref.version if ref else None,
-            urgency=min(state.route.priority, MAX_URGENCY) if ref else None,
-            resumes_after=state.answer.last_event_id,
-        )
         exchange = relay.Exchange(
             state.call,
             state.route,
@@ -260,7 +253,7 @@
         sent_at = clock.now()
         self._log_placed(state, upstream, ref, permit)
         try:
-            exchange.run(messages.encode_call(state.call, attempt))
+            exchange.run(functools.partial(_encode, state, upstream, ref))
         except errors.RequestError as error:
             if error.ran is types.ExecutionStatus.NO and not was_tried:
                 state.may_have_run.discard(upstream.upstream_id)
@@ -441,6 +434,23 @@
         )
 
 
+def _encode(
+    state: request_state.RequestState,
+    upstream: upstream_state.Upstream,
+    ref: types.AdapterRef | None,
+) -> bytes:
+    """Encode a request that is about to be sent, if it is still wanted."""
+    state.raise_if_unwanted()
+    attempt = messages.AttemptHeaders(
+        upstream_id=upstream.upstream_id,
+        time_left_s=state.remaining_s,
+        version=ref.version if ref else None,
+        urgency=min(state.route.priority, MAX_URGENCY) if ref else None,
+        resumes_after=state.answer.last_event_id,
+    )
+    return messages.encode_call(state.call, attempt)
+
+
 def _permit_field(permit: prefill.Permit | None) -> str:
     """Return a permit as a log field; empty for a plain service."""
     if permit is None:
--- a/ivystep/gateway/relay.py
+++ b/ivystep/gateway/relay.py
@@ -7,6 +7,7 @@
 """
 
 import typing
+from collections.abc import Callable
 
 from ivystep.core import errors, types, units
 from ivystep.gateway import connections, upstream_state
@@ -47,6 +48,9 @@
     can_resume: bool
     longest_gap_s: float
 
+    def raise_if_disconnected(self) -> None:
+        """Raise ``CallerDisconnectedError`` if the caller has disconnected."""
+
     def send_complete(self, head: calls.AnswerHead, body: bytes) -> None:
         """Send a complete answer."""
 
@@ -92,11 +96,13 @@
         self._answer = answer
         self._peer = upstream.upstream_id
 
-    def run(self, encoded: bytes) -> None:
+    def run(self, encode: Callable[[], bytes]) -> None:
         """Send the request and relay its answer.
 
         Args:
-            encoded: The request as bytes.
+            encode: Returns the request as bytes. Called once a connection is
+                open, without a wait before the bytes are sent, so that it can
+                raise an error if the request is no longer wanted.
 
         Raises:
             errors.RequestError: No complete answer was received; ``ran``
@@ -108,6 +114,7 @@
             raise connections.to_request_error(error, has_sent=False) from error
         is_done = False
         try:
+            encoded = encode()
             self.has_sent = True
             connection.send(encoded)
             keep_alive_s = self._relay(connection)
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -109,6 +109,17 @@
             - FIRST_EVENT_LATENCY_S
         )
 
+    def raise_if_unwanted(self) -> None:
+        """Raise an error if no caller waits for the result of an attempt.
+
+        Called after each wait: a late event loop may end it before it has
+        read the end of the caller's connection.
+
+        Raises:
+            relay.CallerDisconnectedError: The caller has disconnected.
+        """
+        self.answer.raise_if_disconnected()
+
     def ticket(self, prefill_rate: prefill.PrefillRate) -> prefill.Ticket:
         """Return the request as an engine's prefill queue needs it.
 
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -53,6 +53,9 @@
     can_resume = True
     longest_gap_s = 0.0
 
+    def raise_if_disconnected(self):
+        """The caller waits for the answer."""
+
 
 class DispatchHarness:
     """A dispatcher with one engine and scripted outcomes of attempts."""
@@ -77,8 +80,8 @@
             def __init__(self, *arguments, **named):
                 self.may_repeat = named['may_repeat']
 
-            def run(self, encoded):
-                harness.sent.append(encoded)
+            def run(self, encode):
+                harness.sent.append(encode())
                 outcome = harness.outcomes.pop(0) if harness.outcomes else None
                 if outcome is not None:
                     raise outcome
