Refuse a request whose latest start has passed instead of sending it

Callers of streams give up after a known time without a first event. A request that got its place or permit after its latest start was sent all the same (: 13 of 3215 requests were sent 3.95 s to 4.35 s after they were read, callers leave at 4.03 s), so an engine prefilled a prompt for nobody. It is now refused as not run; a stream that is resumed is bound by its deadline only.

--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -100,6 +100,13 @@
         first_event_by = self.call.arrived + self.route.abandon_after_s
         return min(self.deadline, first_event_by) - FIRST_EVENT_LATENCY_S
 
+    @property
+    def send_by(self) -> float:
+        """Latest time at which an attempt may be sent."""
+        if self.answer.has_started:
+            return self.deadline
+        return self.start_by
+
     @property
     def target_start_by(self) -> float:
         """Latest start that still meets the target latency."""
@@ -113,12 +120,22 @@
         """Raise an error if no caller waits for the result of an attempt.
 
         Called after each wait: a late event loop may end it before it has
-        read the end of the caller's connection.
+        handled the deadline or the end of the caller's connection.
 
         Raises:
             relay.CallerDisconnectedError: The caller has disconnected.
+            errors.RefusedError: The latest start has passed.
         """
         self.answer.raise_if_disconnected()
+        if clock.now() >= self.send_by:
+            raise errors.RefusedError(
+                'deadline_exceeded',
+                'The latest start of the request has passed.',
+                status=503,
+                retry_after_s=MIN_RETRY_AFTER_S,
+                step=self.step,
+                peer=self.upstream_id,
+            )
 
     def ticket(self, prefill_rate: prefill.PrefillRate) -> prefill.Ticket:
         """Return the request as an engine's prefill queue needs it.
