--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -8,7 +8,6 @@
 import contextlib
 import math
 import socket
-import struct
 import typing
 from collections.abc import Callable, Generator
 
@@ -27,9 +26,6 @@
 # Time for which input is still read after the last answer. Closing a socket
 # with unread bytes sends a reset, which can discard the answer at the caller.
 LINGER_S = 0.5
-# SO_LINGER value that makes close() send a reset. A truncated answer without
-# a length would otherwise look complete.
-RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 
 
@@ -171,12 +167,13 @@
         )
 
     def abort(self) -> None:
-        """Reset the connection, so that a truncated answer is detected."""
+        """Reset the connection when it closes.
+
+        A truncated answer without a length would otherwise look complete.
+        """
         self._is_kept_alive = False
         with contextlib.suppress(OSError):
-            self._socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE
-            )
+            connections.reset_on_close(self._socket)
 
     def send_complete(self, head: calls.AnswerHead, body: bytes) -> None:
         """Send a complete answer; see ``relay.CallerAnswer``."""
