Reset connections of orders and of calls to engines when they are given up

The same cause as for requests: an order that got no answer in 0.3 s, or a call that a sidecar gave up, was closed in order, so its bytes could still reach an engine seconds later, after another leader had begun to send orders. The option moves to runtime.sockets and serves the gateway's connections, the orders and the sidecar's calls.

Left as they are: calls to the store, whose writes name the version that they expect, and messages between gateways, which wait 0.5 s at most.

--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -18,7 +18,7 @@
 from ivystep.core import errors, units
 from ivystep.entry import answers
 from ivystep.gateway import connections, relay
-from ivystep.runtime import clock
+from ivystep.runtime import clock, sockets
 from ivystep.traffic import calls, contracts, http1
 
 # Limit on the bytes of pipelined requests buffered while a request is handled.
@@ -173,7 +173,7 @@
         """
         self._is_kept_alive = False
         with contextlib.suppress(OSError):
-            connections.reset_on_close(self._socket)
+            sockets.reset_on_close(self._socket)
 
     def send_complete(self, head: calls.AnswerHead, body: bytes) -> None:
         """Send a complete answer; see ``relay.CallerAnswer``."""
--- a/ivystep/gateway/connections.py
+++ b/ivystep/gateway/connections.py
@@ -7,14 +7,13 @@
 import collections
 import contextlib
 import socket
-import struct
 import typing
 
 import eventlet
 from eventlet import hubs
 
 from ivystep.core import errors, types
-from ivystep.runtime import clock
+from ivystep.runtime import clock, sockets
 from ivystep.traffic import http1
 
 CONNECT_TIMEOUT_S = 0.6
@@ -29,8 +28,6 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 3
 USER_TIMEOUT_MS = 3000
-# SO_LINGER value that makes close() send a reset and discard unsent bytes.
-RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
 def set_tcp_options(connection: socket.socket) -> None:
@@ -55,18 +52,6 @@
     )
 
 
-def reset_on_close(connection: socket.socket) -> None:
-    """Have the kernel reset a connection when it is closed.
-
-    After an orderly close, the kernel goes on to deliver bytes that the peer
-    has not received yet.
-
-    Args:
-        connection: A connected TCP socket.
-    """
-    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-
-
 def receive(connection: typing.Any, size: int) -> bytes:
     """Wait for bytes; empty after an orderly shutdown by the peer.
 
@@ -241,7 +226,7 @@
             set_tcp_options(connection)
             # An upstream must not receive a request that was given up, also
             # if this process ends.
-            reset_on_close(connection)
+            sockets.reset_on_close(connection)
         except OSError as error:
             if connection is not None:
                 connection.close()
--- a/ivystep/platform/engine_api.py
+++ b/ivystep/platform/engine_api.py
@@ -7,6 +7,7 @@
 
 from ivystep.core import errors
 from ivystep.platform import upstream_entries
+from ivystep.runtime import sockets
 from ivystep.traffic import orders, upstreams
 
 REPORT_PATH = '/ivystep/report'
@@ -33,7 +34,11 @@
 
     def __init__(self) -> None:
         self._pool = urllib3.PoolManager(
-            num_pools=MAX_POOLS, maxsize=4, timeout=TIMEOUT, retries=False
+            num_pools=MAX_POOLS,
+            maxsize=4,
+            timeout=TIMEOUT,
+            retries=False,
+            socket_options=sockets.RESET_ON_CLOSE_OPTIONS,
         )
 
     def read_report(self, address: tuple[str, int]) -> upstreams.EngineReport:
--- /dev/null
+++ b/ivystep/runtime/sockets.py
@@ -0,0 +1,28 @@
+"""Socket options that decide what happens to bytes of abandoned work.
+
+After an orderly close, the kernel goes on to deliver bytes that the peer has
+not received yet, for as long as it takes to reach the peer. A reset discards
+them, so the peer cannot start work that was given up.
+"""
+
+import socket
+import struct
+
+from urllib3 import connection as urllib3_connection
+
+# SO_LINGER with a time of zero: close() sends a reset.
+_LINGER_ZERO = struct.pack('ii', 1, 0)
+# Options of urllib3 for connections that are reset when they are closed.
+RESET_ON_CLOSE_OPTIONS = (
+    *urllib3_connection.HTTPConnection.default_socket_options,
+    (socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO),
+)
+
+
+def reset_on_close(connection: socket.socket) -> None:
+    """Have the kernel reset a connection when it is closed.
+
+    Args:
+        connection: A connected TCP socket.
+    """
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
--- a/ivystep/sidecar/upstream.py
+++ b/ivystep/sidecar/upstream.py
@@ -13,6 +13,7 @@
 import urllib3
 
 from ivystep.core import errors, types
+from ivystep.runtime import sockets
 from ivystep.settings import models
 
 CONNECT_TIMEOUT_S = 1.0
@@ -50,7 +51,7 @@
 
     def __init__(self, base_url: str, max_connections: int) -> None:
         self.base_url = base_url.rstrip('/')
-        self._pool = urllib3.PoolManager(maxsize=max_connections, retries=False)
+        self._pool = _pool(max_connections)
 
     @classmethod
     def from_settings(cls, settings: models.Upstream) -> 'UpstreamHttp':
@@ -80,7 +81,7 @@
         headers = dict(JSON_HEADERS)
         pool = self._pool
         if not idempotent:
-            pool = urllib3.PoolManager(maxsize=1, retries=False)
+            pool = _pool(max_connections=1)
             headers['Connection'] = 'close'
         try:
             return pool.request(
@@ -220,7 +221,7 @@
         }
         # Each order opens a connection: a reused one that the engine has just
         # closed would leave the outcome unknown.
-        pool = urllib3.PoolManager(maxsize=1, retries=False)
+        pool = _pool(max_connections=1)
         try:
             response = pool.request(
                 'POST',
@@ -237,6 +238,15 @@
             raise _status_error(response.status, path, self.base_url)
 
 
+def _pool(max_connections: int) -> urllib3.PoolManager:
+    """Return a pool whose connections are reset when they are closed."""
+    return urllib3.PoolManager(
+        maxsize=max_connections,
+        retries=False,
+        socket_options=sockets.RESET_ON_CLOSE_OPTIONS,
+    )
+
+
 def _metric_samples(text: str) -> typing.Iterator[tuple[str, str]]:
     """Yield name and value of each metric, without prefix and labels."""
     for line in text.splitlines():
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -3,7 +3,7 @@
 import contextlib
 
 import eventlet
-from eventlet import wsgi
+from eventlet import hubs, wsgi
 
 from standins import web
 
@@ -29,3 +29,22 @@
     finally:
         server.kill()
         listener.close()
+
+
+def read_silently(listener):
+    """Accept one connection and never answer.
+
+    Returns:
+        How the peer ended the connection: ``reset`` or ``closed``.
+    """
+    connection, _ = listener.accept()
+    with contextlib.closing(connection):
+        while True:
+            hubs.trampoline(connection, read=True)
+            try:
+                # Eventlet's own ``recv`` reports a reset as an orderly close.
+                received = connection.fd.recv(65536)
+            except ConnectionResetError:
+                return 'reset'
+            if not received:
+                return 'closed'
