Repeat no unanswered order after the lease was lost

Found while looking for work that outlives what it was started for: an order without an answer was sent up to three times within 2.1 s, and only before the first did the host check that it still was the leader. Its last repeat could reach an engine between two orders of the next leader. The check now stands before each repeat; the order then counts as unanswered.

test_unanswered_order_is_not_repeated_after_the_lease_is_lost failed before (three orders instead of one).

--- a/ivystep/gateway/engine_link.py
+++ b/ivystep/gateway/engine_link.py
@@ -339,7 +339,7 @@
             try:
                 outcome = self._send_once(order)
             except errors.LinkError:
-                if attempt + 1 < ANSWER_TRIES:
+                if attempt + 1 < ANSWER_TRIES and self._may_still_send(order):
                     continue
                 # The engine may yet carry it out and count it.
                 self._order_count = None
@@ -349,6 +349,11 @@
         self._record_outcome(order, outcome)
         return outcome
 
+    def _may_still_send(self, order: orders.Order) -> bool:
+        """Return whether this host still has the authority of an order."""
+        authority = self._context.authority()
+        return authority is not None and authority.token == order.token
+
     def _record_outcome(
         self, order: orders.Order, outcome: orders.Outcome
     ) -> None:
--- a/tests/gateway/test_engine_link.py
+++ b/tests/gateway/test_engine_link.py
@@ -255,3 +255,13 @@
     assert not bench.load('a5', 'a1').ok
     assert bench.published[-2:] == [('a1', True), ('a5', False)]
     assert ref('a1') in bench.upstream.held()
+
+
+@clocks.on_virtual_clock
+def test_unanswered_order_is_not_repeated_after_the_lease_is_lost():
+    """Guards against orders of two hosts by turns at one engine."""
+    bench = Bench()
+    bench.engine.deliveries = [fakes.Delivery(is_answered=False)] * 3
+    eventlet.spawn_after(0.1, setattr, bench, 'token', 0)
+    assert not bench.load('a1').ok
+    assert len(bench.log.named('order_given')) == 1
