Run no request at an entry whose caller has already disconnected

Each phase that a disconnect aborts now begins with a look at the connection.

test_request_of_a_caller_that_left_unnoticed_is_not_run failed before (one attempt instead of none). Requests that must not repeat are claimed by then and still run, so that their outcome is recorded.

--- a/ivystep/entry/api.py
+++ b/ivystep/entry/api.py
@@ -235,6 +235,7 @@
         """Abort the request if its caller disconnects from now on."""
         if self._connection is not None:
             self._connection.watch(self.task.on_caller_gone)
+            self.task.poll_caller = self._connection.poll
             self.on_close(self._connection.unwatch)
 
     def on_close(
--- a/ivystep/entry/connections.py
+++ b/ivystep/entry/connections.py
@@ -5,6 +5,7 @@
 answer, or buffer small chunks of a stream.
 """
 
+import contextlib
 import functools
 import http
 import re
@@ -153,6 +154,7 @@
         self._server_state = server_state
         self._head_deadline = 0.0
         self._hub_listener: typing.Any = None
+        self._on_gone: typing.Any = None
         super().__init__(conn_state, server)
 
     def setup(self) -> None:
@@ -224,14 +226,33 @@
                 must not block.
         """
         hub = hubs.get_hub()
+        self._on_gone = on_gone
         self._hub_listener = hub.add(
             hub.READ,
             self.connection.fileno(),
-            lambda _: self._on_readable(on_gone),
+            lambda _: self.poll(),
             lambda _: None,
             lambda: None,
         )
 
+    def poll(self) -> None:
+        """Report a disconnect that has arrived; has no effect if not watched.
+
+        Received bytes belong to a pipelined request. A disconnect cannot be
+        detected until they are read, so the watch ends too.
+        """
+        if self._hub_listener is None:
+            return
+        try:
+            received = self._peek()
+        except BlockingIOError:
+            return
+        except OSError:
+            received = b''
+        self.unwatch()
+        if not received:
+            self._on_gone()
+
     def unwatch(self) -> None:
         """Stop watching; does nothing if the watch has ended."""
         if self._hub_listener is not None:
@@ -251,8 +272,11 @@
 
     def mark_busy_if_request_arrived(self) -> None:
         """Mark as busy if the first bytes of a request have arrived."""
-        if self.conn_state[2] == wsgi.STATE_IDLE and self._peek():
-            self.conn_state[2] = wsgi.STATE_REQUEST
+        if self.conn_state[2] != wsgi.STATE_IDLE:
+            return
+        with contextlib.suppress(OSError):
+            if self._peek():
+                self.conn_state[2] = wsgi.STATE_REQUEST
 
     def _read_request_line(self) -> bytes:
         """Wait for a request; return its first line, empty if none arrives."""
@@ -334,18 +358,10 @@
                     return
                 total += received
 
-    def _on_readable(self, on_gone: Callable[[], None]) -> None:
-        # Received bytes belong to a pipelined request. A disconnect cannot be
-        # detected until they are read, so the watch ends too.
-        self.unwatch()
-        if not self._peek():
-            on_gone()
-
     def _peek(self) -> bytes:
-        """Return a received byte without consuming it; empty if none."""
-        try:
-            return self.connection.fd.recv(
-                1, socket.MSG_PEEK | socket.MSG_DONTWAIT
-            )
-        except OSError:
-            return b''
+        """Return a received byte without consuming it; empty at the end.
+
+        Raises:
+            OSError: Nothing has arrived, or the connection is broken.
+        """
+        return self.connection.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
--- a/ivystep/entry/progress.py
+++ b/ivystep/entry/progress.py
@@ -85,15 +85,23 @@
         )
 
 
+def _do_nothing() -> None:
+    """Do nothing."""
+
+
 class RequestTask:
     """The task that a request runs on.
 
     Attributes:
         is_aborted: Whether the request was aborted.
+        poll_caller: Called at the start of each phase that a disconnect
+            aborts; calls ``on_caller_gone`` if the caller has disconnected. A
+            late event loop may start a phase before it reads the disconnect.
     """
 
     def __init__(self) -> None:
         self.is_aborted = False
+        self.poll_caller: Callable[[], None] = _do_nothing
         self._phase = Phase.PROTECTED
         self._task = getcurrent()
         self._pending: AbortedError | None = None
@@ -126,6 +134,8 @@
                 could not be interrupted.
         """
         self._phase = phase
+        if phase in ABORT_ON_DISCONNECT_PHASES:
+            self.poll_caller()
         pending = self._pop_pending()
         if pending is not None:
             raise pending
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -169,6 +169,9 @@
     def watch(self, on_gone):
         self.on_gone = on_gone
 
+    def poll(self):
+        pass
+
     def unwatch(self):
         self.on_gone = None
 
--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -236,6 +236,24 @@
     assert len(entry.pool.attempts) == (place != 'queue')
 
 
+def test_request_of_a_caller_that_left_unnoticed_is_not_run():
+    """Guards against work for a caller whose disconnect is not yet read."""
+    entry = harness.Entry()
+    connection = entry.connect()
+    place = entry.pool.place
+    placed = []
+
+    def place_during_stall(*arguments):
+        connection.close()
+        placed.append(place(*arguments))
+        return placed[0]
+
+    entry.pool.place = place_during_stall
+    connection.sendall(harness.head_and_body())
+    harness.wait_until(lambda: placed and entry.progress.is_idle)
+    assert not entry.pool.attempts
+
+
 def test_keep_alive_and_pipelined_requests_are_each_answered(entry):
     """Guards against a watch for disconnects that consumes a request."""
     one = harness.head_and_body(connection='keep-alive')
