Build the status reports of tests in one place

They now share tests/core/statuses.py and name only what differs. No check changes; the five modules pass as before.

--- a/tests/entry/test_isolation.py
+++ b/tests/entry/test_isolation.py
@@ -7,6 +7,7 @@
 from ivystep.core import errors, types
 from ivystep.entry import isolation
 from ivystep.runtime import clock, virtual_hub
+from tests.core import statuses
 
 FINGERPRINT = b'request'
 
@@ -32,19 +33,10 @@
 
 
 def status(upstream_id, *crashed_incarnations):
-    return types.UpstreamStatus(
-        upstream_id=upstream_id,
-        sidecar_incarnation='inc',
+    return statuses.upstream_status(
+        upstream_id,
         engine_incarnation='now',
-        sequence=1,
-        healthy=True,
-        draining=False,
-        running=0,
         slots=2,
-        max_running=4,
-        resident_by_ref={},
-        loading=None,
-        setup_version=1,
         crash_fingerprints=tuple(
             types.CrashFingerprint(FINGERPRINT, incarnation, clock.now())
             for incarnation in crashed_incarnations
--- a/tests/entry/test_pool.py
+++ b/tests/entry/test_pool.py
@@ -14,6 +14,7 @@
 from ivystep.entry import pool
 from ivystep.runtime import clock, virtual_hub
 from ivystep.setup import document
+from tests.core import statuses
 
 LOAD_S = 0.5
 
@@ -46,12 +47,10 @@
 
     def status(self):
         self.sequence += 1
-        return types.UpstreamStatus(
-            upstream_id=self.upstream_id,
+        return statuses.upstream_status(
+            self.upstream_id,
             sidecar_incarnation=self.incarnation,
-            engine_incarnation='1',
             sequence=self.sequence,
-            healthy=True,
             draining=self.is_draining,
             running=sum(self.running.values()),
             slots=self.slots,
@@ -60,9 +59,6 @@
                 held: types.ResidentAdapter(held, count)
                 for held, count in self.running.items()
             },
-            loading=None,
-            setup_version=1,
-            crash_fingerprints=(),
         )
 
     def heartbeat(self):
--- a/tests/gateway/test_load_planner.py
+++ b/tests/gateway/test_load_planner.py
@@ -10,6 +10,7 @@
 from ivystep.policy import load_target, load_times, routing
 from ivystep.runtime import clock
 from tests.coordination import fakes as clocks
+from tests.core import statuses
 from tests.gateway import fakes
 
 COSTS = load_target.TargetCosts(spread=0.02, fetch=0.04)
@@ -35,22 +36,13 @@
 
     def status(self):
         self.sequence += 1
-        return types.UpstreamStatus(
-            upstream_id=self.upstream_id,
-            sidecar_incarnation='1',
-            engine_incarnation='1',
+        return statuses.upstream_status(
+            self.upstream_id,
+            self.held,
             sequence=self.sequence,
-            healthy=True,
-            draining=False,
             running=self.running,
             slots=self.slots - len(self.loading),
             max_running=8,
-            resident_by_ref={
-                one: types.ResidentAdapter(one, 0) for one in self.held
-            },
-            loading=None,
-            setup_version=0,
-            crash_fingerprints=(),
         )
 
     def load(self, order, setup_version):
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -8,6 +8,7 @@
 
 from ivystep.core import types
 from ivystep.policy import batching, eviction, routing
+from tests.core import statuses
 
 NAMES = strategies.sampled_from('abcdef')
 
@@ -17,20 +18,8 @@
 
 
 def status(upstream_id, *, running=0, held=(), room=4):
-    return types.UpstreamStatus(
-        upstream_id=upstream_id,
-        sidecar_incarnation='inc-1',
-        engine_incarnation='1',
-        sequence=1,
-        healthy=True,
-        draining=False,
-        running=running,
-        slots=8,
-        max_running=room,
-        resident_by_ref={one: types.ResidentAdapter(one, 0) for one in held},
-        loading=None,
-        setup_version=1,
-        crash_fingerprints=(),
+    return statuses.upstream_status(
+        upstream_id, held, running=running, slots=8, max_running=room
     )
 
 
--- a/tests/policy/test_quarantine.py
+++ b/tests/policy/test_quarantine.py
@@ -8,6 +8,7 @@
 from ivystep.core import types
 from ivystep.policy import quarantine
 from ivystep.runtime import clock, virtual_hub
+from tests.core import statuses
 
 HOUR_S = 3600
 CRASHING = b'guilty'
@@ -77,19 +78,9 @@
 
 
 def status(name, crash_fingerprints=()):
-    return types.UpstreamStatus(
-        upstream_id=name,
-        sidecar_incarnation='inc',
+    return statuses.upstream_status(
+        name,
         engine_incarnation='now',
-        sequence=1,
-        healthy=True,
-        draining=False,
-        running=0,
-        slots=4,
-        max_running=4,
-        resident_by_ref={},
-        loading=None,
-        setup_version=1,
         crash_fingerprints=crash_fingerprints,
     )
 
