Test that a paused gateway runs nothing for callers that left

Real processes: a gateway is stopped by SIGSTOP, callers send requests and leave, and it goes on. None of their requests may reach an engine.

--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -1,12 +1,15 @@
 """Tests gateways with the platform's store and engines as processes."""
 
 import signal
+import socket
 import time
 
 import eventlet
 import pytest
+import urllib3
 
 from demo import platform
+from standins import platform_engine
 
 
 @pytest.fixture
@@ -77,3 +80,32 @@
     assert answer.status == 200
     assert answer.data.count(b'id: ') == 100
     assert gateway.process.wait(10) == 0
+
+
+def test_paused_gateway_runs_nothing_for_callers_that_left(system):
+    """Guards against work for callers that left while a gateway was paused."""
+    for gateway in system.gateways:
+        assert statuses(system, range(4), gateway) == [200] * 4
+        gateway.process.send_signal(signal.SIGSTOP)
+        for number in range(20):
+            leave_at_once(gateway, f'left-{number}', number % 4)
+        gateway.process.send_signal(signal.SIGCONT)
+        assert statuses(system, range(4), gateway) == [200] * 4
+    runs = {run for one in system.observations() for run in one['runs']}
+    assert not {run for run in runs if run.startswith('left-')}
+
+
+def leave_at_once(gateway, request_id, adapter):
+    """Send a request and close the connection without reading an answer."""
+    address = urllib3.util.parse_url(gateway.url)
+    lines = (
+        'POST /plans/left HTTP/1.1',
+        f'Host: {platform.HOST}',
+        f'Request-Id: {request_id}',
+        f'Model: {platform_engine.MODEL}/a{adapter}',
+        'Token-Count: 400,80',
+        'Deadline-Ms: 9000',
+        'Content-Length: 0',
+    )
+    with socket.create_connection((address.host, address.port)) as connection:
+        connection.sendall('\r\n'.join((*lines, '', '')).encode())
