Move the log lines of requests out of the dispatcher

dispatch.py (458 lines) held decisions and the filling of log lines, as did request_handler.py. The lines are now written by RequestLog in request_log.py; dispatch.py has 381 lines. Names, fields and moments of the lines stay, and the tests of the lines pass unchanged but for the constructor.

--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -25,6 +25,7 @@
     model_pools,
     prefill_queues,
     request_handler,
+    request_log,
     residency_updates,
     upstream_state,
 )
@@ -172,6 +173,7 @@
             self._engine_link,
             self._log,
         )
+        requests_log = request_log.RequestLog(self._log, self._config)
         self._request_handler = request_handler.RequestHandler(
             self._config,
             dispatch.Dispatcher(
@@ -181,11 +183,11 @@
                 self._budgets,
                 self._on_change,
                 self._leadership.wait_for_permit,
-                self._log,
+                requests_log,
                 settings.bounds.version_s,
             ),
             self._metrics,
-            self._log,
+            requests_log,
         )
 
     @classmethod
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -12,19 +12,19 @@
 import eventlet
 
 from ivystep.coordination import retry_budget
-from ivystep.core import errors, types, units
+from ivystep.core import errors, types
 from ivystep.entry import pool
 from ivystep.gateway import (
     configuration,
-    events,
     model_pools,
     relay,
+    request_log,
     request_state,
     upstream_state,
 )
 from ivystep.platform import messages
 from ivystep.policy import prefill
-from ivystep.runtime import clock, event_log
+from ivystep.runtime import clock
 from ivystep.traffic import calls, contracts
 
 # Pause before a retry, so that a full upstream can finish some requests.
@@ -57,7 +57,7 @@
         budgets: Retry budget of each service.
         on_change: Called when this host's view of an upstream has changed.
         wait_for_permit: Waits until a prompt may be sent to an engine.
-        log: Records decisions.
+        log: Logs the decisions.
         version_s: Time limit for adopting a new adapter version.
     """
 
@@ -69,7 +69,7 @@
         budgets: retry_budget.RetryBudgets,
         on_change: Callable[[upstream_state.Upstream], None],
         wait_for_permit: Callable[[str, prefill.Ticket], prefill.Permit],
-        log: event_log.EventLog,
+        log: request_log.RequestLog,
         version_s: float,
     ) -> None:
         self._pools = pools
@@ -106,9 +106,9 @@
         except DeadlineExceededError as error:
             raise request_state.deadline_error(state) from error
         except (relay.CallerDisconnectedError, OSError):
-            self._log_abandoned(state)
+            self._log.abandoned(state)
             raise
-        self._log_end(state)
+        self._log.ended(state)
 
     def _run_attempts(self, state: request_state.RequestState) -> None:
         while True:
@@ -118,7 +118,12 @@
                 raise request_state.final_error(refusal, state) from refusal
             except errors.RequestError as error:
                 may_retry = self._may_retry(state, error)
-                self._log_failed_attempt(state, error, may_retry=may_retry)
+                self._log.attempt_failed(
+                    state,
+                    error,
+                    self._retry_budget(state).balance,
+                    may_retry=may_retry,
+                )
                 if not may_retry:
                     raise request_state.final_error(error, state) from error
                 clock.sleep(RETRY_PAUSE_S)
@@ -251,7 +256,7 @@
             and self._retry_budget(state).balance >= 1,
         )
         sent_at = clock.now()
-        self._log_placed(state, upstream, ref, permit)
+        self._log.placed(state, upstream, ref, permit)
         try:
             exchange.run(functools.partial(_encode, state, upstream, ref))
         except errors.RequestError as error:
@@ -358,81 +363,6 @@
     ) -> retry_budget.RetryBudget:
         return self._budgets.budget(state.service)
 
-    def _log_placed(
-        self,
-        state: request_state.RequestState,
-        upstream: upstream_state.Upstream,
-        ref: types.AdapterRef | None,
-        permit: prefill.Permit | None,
-    ) -> None:
-        self._log.write(
-            events.RequestPlaced(
-                state.call.request_id,
-                state.route.name,
-                upstream.upstream_id,
-                ref.lora_name if ref else '',
-                state.attempts,
-                state.elapsed_ms,
-                upstream.in_progress,
-                int(upstream.prefill_rate.tokens_per_s),
-                _permit_field(permit),
-                upstream.entry.version,
-                self._config.version,
-            )
-        )
-
-    def _log_failed_attempt(
-        self,
-        state: request_state.RequestState,
-        error: errors.RequestError,
-        *,
-        may_retry: bool,
-    ) -> None:
-        self._log.write(
-            events.AttemptFailed(
-                state.call.request_id,
-                state.route.name,
-                error.peer,
-                error.step,
-                error.reason,
-                error.ran.value,
-                error.status,
-                state.elapsed_ms,
-                may_retry,
-                round(self._retry_budget(state).balance, 1),
-            )
-        )
-
-    def _log_abandoned(self, state: request_state.RequestState) -> None:
-        self._log.write(
-            events.RequestAbandoned(
-                state.call.request_id,
-                state.route.name,
-                state.step,
-                state.upstream_id,
-                state.attempts,
-                state.elapsed_ms,
-                self._config.version,
-            )
-        )
-
-    def _log_end(self, state: request_state.RequestState) -> None:
-        head_sent_at = state.answer.head_sent_at or clock.now()
-        self._log.write(
-            events.RequestEnded(
-                state.call.request_id,
-                state.route.name,
-                'answered',
-                state.answer.status,
-                state.elapsed_ms,
-                int((head_sent_at - state.call.arrived) * units.MS_PER_S),
-                int(state.answer.longest_gap_s * units.MS_PER_S),
-                state.attempts,
-                state.upstream_id,
-                self._config.version,
-            )
-        )
-
 
 def _encode(
     state: request_state.RequestState,
@@ -449,10 +379,3 @@
         resumes_after=state.answer.last_event_id,
     )
     return messages.encode_call(state.call, attempt)
-
-
-def _permit_field(permit: prefill.Permit | None) -> str:
-    """Return a permit as a log field; empty for a plain service."""
-    if permit is None:
-        return ''
-    return permit.reason or permit.decision.value
--- a/ivystep/gateway/request_handler.py
+++ b/ivystep/gateway/request_handler.py
@@ -1,16 +1,16 @@
 """Routes the requests of callers' connections and answers failed ones."""
 
-from ivystep.core import errors, units
+from ivystep.core import errors
 from ivystep.gateway import (
     callers,
     configuration,
     dispatch,
-    events,
     relay,
+    request_log,
 )
 from ivystep.metrics import registry
 from ivystep.platform import messages
-from ivystep.runtime import clock, event_log
+from ivystep.runtime import clock
 from ivystep.traffic import calls, contracts, http1
 
 NO_CONFIG_RETRY_S = 0.3
@@ -23,7 +23,7 @@
         config: The configuration in force.
         dispatcher: Runs requests on upstreams.
         metrics: Counts outcomes.
-        log: Records failures.
+        log: Logs the failures.
     """
 
     def __init__(
@@ -31,7 +31,7 @@
         config: configuration.Configuration,
         dispatcher: dispatch.Dispatcher,
         metrics: registry.Metrics,
-        log: event_log.EventLog,
+        log: request_log.RequestLog,
     ) -> None:
         self._config = config
         self._dispatcher = dispatcher
@@ -58,7 +58,8 @@
                 route = self._route(call)
                 self._dispatcher.run(call, route, connection)
         except errors.RequestError as error:
-            self._log_failure(call, route, error)
+            self._metrics.record_request(_route_name(route), error.code)
+            self._log.failed(call, route, error)
             connection.send_error(error, call.request_id)
         except (relay.CallerDisconnectedError, OSError):
             self._metrics.record_request(_route_name(route), 'caller_gone')
@@ -86,40 +87,6 @@
             )
         return route
 
-    def _log_failure(
-        self,
-        call: calls.Call,
-        route: contracts.Route | None,
-        error: errors.RequestError,
-    ) -> None:
-        self._metrics.record_request(_route_name(route), error.code)
-        retry_after_ms = -1
-        if error.retry_after_s is not None:
-            retry_after_ms = int(error.retry_after_s * units.MS_PER_S)
-        self._log.write(
-            events.RequestFailed(
-                call.request_id,
-                _route_name(route),
-                _adapter_name(call),
-                error.code,
-                error.reason,
-                error.step,
-                error.peer,
-                error.status,
-                error.ran.value,
-                retry_after_ms,
-                int((clock.now() - call.arrived) * units.MS_PER_S),
-                self._config.version,
-            )
-        )
-
-
-def _adapter_name(call: calls.Call) -> str:
-    generation = call.generation
-    if generation is None or not generation.adapter:
-        return ''
-    return f'{generation.model}/{generation.adapter}'
-
 
 def _route_name(route: contracts.Route | None) -> str:
     return route.name if route else ''
--- /dev/null
+++ b/ivystep/gateway/request_log.py
@@ -0,0 +1,168 @@
+"""Writes the log lines of the decisions on requests."""
+
+from ivystep.core import errors, types, units
+from ivystep.gateway import (
+    configuration,
+    events,
+    request_state,
+    upstream_state,
+)
+from ivystep.policy import prefill
+from ivystep.runtime import clock, event_log
+from ivystep.traffic import calls, contracts
+
+
+class RequestLog:
+    """The log lines of this host's requests.
+
+    Args:
+        log: Log to which the lines are written.
+        config: The configuration in force, whose version each line has.
+    """
+
+    def __init__(
+        self, log: event_log.EventLog, config: configuration.Configuration
+    ) -> None:
+        self._log = log
+        self._config = config
+
+    def placed(
+        self,
+        state: request_state.RequestState,
+        upstream: upstream_state.Upstream,
+        ref: types.AdapterRef | None,
+        permit: prefill.Permit | None,
+    ) -> None:
+        """Log that an attempt starts at an upstream.
+
+        Args:
+            state: The request.
+            upstream: The upstream that was chosen.
+            ref: Adapter version that is used, or None.
+            permit: Permit to send the prompt; None for a plain service.
+        """
+        self._log.write(
+            events.RequestPlaced(
+                state.call.request_id,
+                state.route.name,
+                upstream.upstream_id,
+                ref.lora_name if ref else '',
+                state.attempts,
+                state.elapsed_ms,
+                upstream.in_progress,
+                int(upstream.prefill_rate.tokens_per_s),
+                _permit_field(permit),
+                upstream.entry.version,
+                self._config.version,
+            )
+        )
+
+    def attempt_failed(
+        self,
+        state: request_state.RequestState,
+        error: errors.RequestError,
+        budget: float,
+        *,
+        may_retry: bool,
+    ) -> None:
+        """Log that an attempt failed.
+
+        Args:
+            state: The request.
+            error: Why it failed.
+            budget: Retry budget of the service that is left.
+            may_retry: Whether another attempt follows.
+        """
+        self._log.write(
+            events.AttemptFailed(
+                state.call.request_id,
+                state.route.name,
+                error.peer,
+                error.step,
+                error.reason,
+                error.ran.value,
+                error.status,
+                state.elapsed_ms,
+                may_retry,
+                round(budget, 1),
+            )
+        )
+
+    def abandoned(self, state: request_state.RequestState) -> None:
+        """Log that the caller disconnected before its answer was complete."""
+        self._log.write(
+            events.RequestAbandoned(
+                state.call.request_id,
+                state.route.name,
+                state.step,
+                state.upstream_id,
+                state.attempts,
+                state.elapsed_ms,
+                self._config.version,
+            )
+        )
+
+    def ended(self, state: request_state.RequestState) -> None:
+        """Log that an upstream has answered a request."""
+        head_sent_at = state.answer.head_sent_at or clock.now()
+        self._log.write(
+            events.RequestEnded(
+                state.call.request_id,
+                state.route.name,
+                'answered',
+                state.answer.status,
+                state.elapsed_ms,
+                int((head_sent_at - state.call.arrived) * units.MS_PER_S),
+                int(state.answer.longest_gap_s * units.MS_PER_S),
+                state.attempts,
+                state.upstream_id,
+                self._config.version,
+            )
+        )
+
+    def failed(
+        self,
+        call: calls.Call,
+        route: contracts.Route | None,
+        error: errors.RequestError,
+    ) -> None:
+        """Log that a request ends with an error.
+
+        Args:
+            call: The request.
+            route: Its route, or None if no route matches.
+            error: The error that is sent to the caller.
+        """
+        retry_after_ms = -1
+        if error.retry_after_s is not None:
+            retry_after_ms = int(error.retry_after_s * units.MS_PER_S)
+        self._log.write(
+            events.RequestFailed(
+                call.request_id,
+                route.name if route else '',
+                _adapter_name(call),
+                error.code,
+                error.reason,
+                error.step,
+                error.peer,
+                error.status,
+                error.ran.value,
+                retry_after_ms,
+                int((clock.now() - call.arrived) * units.MS_PER_S),
+                self._config.version,
+            )
+        )
+
+
+def _adapter_name(call: calls.Call) -> str:
+    generation = call.generation
+    if generation is None or not generation.adapter:
+        return ''
+    return f'{generation.model}/{generation.adapter}'
+
+
+def _permit_field(permit: prefill.Permit | None) -> str:
+    """Return a permit as a log field; empty for a plain service."""
+    if permit is None:
+        return ''
+    return permit.reason or permit.decision.value
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -7,7 +7,7 @@
 
 from ivystep.coordination import retry_budget
 from ivystep.core import errors, types
-from ivystep.gateway import dispatch, relay, upstream_state
+from ivystep.gateway import dispatch, relay, request_log, upstream_state
 from ivystep.policy import prefill
 from ivystep.runtime import clock
 from ivystep.traffic import calls, contracts, upstreams
@@ -95,7 +95,7 @@
             self.budgets,
             lambda upstream: None,
             self.permit,
-            self.log,
+            request_log.RequestLog(self.log, self.recorded.config),
             VERSION_S,
         )
 
