Answer a deadline that passes during a connect as not run

A request whose time ended while its gateway connected to an upstream got 504, which promises nothing, though no byte had been sent; its caller may not retry one that must not repeat. It now gets 503 with Retry-After. An attempt counts as possibly run only once its bytes were written; whether a further attempt is left is still decided with the present one counted.

test_deadline_during_a_connect_is_answered_as_not_run failed before (504, unknown).

--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -266,10 +266,11 @@
                 state.avoid.add(upstream.upstream_id)
                 self._record_failure(upstream, ref, error)
             raise
-        except (relay.CallerDisconnectedError, OSError):
+        finally:
             if exchange.has_sent:
                 state.step = 'run'
-            raise
+            elif not was_tried:
+                state.may_have_run.discard(upstream.upstream_id)
         upstream.reset_failures()
         if permit and permit.decision is prefill.PermitDecision.ALONE:
             self._update_prefill_rate(state, upstream, sent_at)
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -66,6 +66,7 @@
         self.sent = []
         self.outcomes = list(outcomes)
         self.on_permit = lambda: None
+        self.on_connect = lambda: None
         self.granted = prefill.Permit(prefill.PermitDecision.ALONE)
         self.log = fakes.FakeLog()
         upstream = upstream_state.Upstream(fakes.entry('i-1'))
@@ -79,9 +80,12 @@
         class FakeExchange:
             def __init__(self, *arguments, **named):
                 self.may_repeat = named['may_repeat']
+                self.has_sent = False
 
             def run(self, encode):
+                harness.on_connect()
                 harness.sent.append(encode())
+                self.has_sent = True
                 outcome = harness.outcomes.pop(0) if harness.outcomes else None
                 if outcome is not None:
                     raise outcome
@@ -362,3 +366,18 @@
     )
     assert caught.value.retry_after_s > 0
     assert not harness.sent
+
+
+@clocks.on_virtual_clock
+def test_deadline_during_a_connect_is_answered_as_not_run(monkeypatch):
+    """Guards against callers that do not know that they may retry."""
+    harness = DispatchHarness(monkeypatch, ref(1))
+    harness.on_connect = lambda: clock.sleep(2)
+    with pytest.raises(errors.RequestError) as caught:
+        harness.run(kind=contracts.Repeatability.STREAM)
+    assert (caught.value.status, caught.value.ran) == (
+        503,
+        types.ExecutionStatus.NO,
+    )
+    assert caught.value.retry_after_s > 0
+    assert not harness.sent
