--- a/ivystep/gateway/residency_updates.py
+++ b/ivystep/gateway/residency_updates.py
@@ -116,10 +116,8 @@
         link.send(ttypes.Watch())
         while True:
             message = link.receive(SILENCE_TIMEOUT_S)
-            latest = message
             while message is not None:
-                latest = message
-                self._apply_items(message, link.peer)
+                latest = self._apply(message, link.peer)
                 message = link.receive_ready()
             # A host that is behind applies only the latest totals.
             self._on_requests(latest.running)
@@ -134,11 +132,11 @@
         self._on_requests(self._total_requests())
         self._on_host_count(self._host_count)
 
-    def _apply_items(self, message: typing.Any, peer: str) -> None:
-        """Apply the updates in one message of the leader.
+    def _apply(self, message: typing.Any, peer: str) -> ttypes.News:
+        """Apply the updates in one message of the leader, and return it.
 
         Raises:
-            errors.LinkError: The message carries no updates.
+            errors.LinkError: It is a message of another type.
         """
         if not isinstance(message, ttypes.News):
             raise errors.LinkError('expected residency updates', peer=peer)
@@ -151,6 +149,7 @@
                     one.ready_in_ms / units.MS_PER_S,
                 )
             )
+        return message
 
     @property
     def _host_count(self) -> int:
