End the updates of a host that is no longer the leader

Callers waited for adapters that were there: after a planned change of leader the other hosts went on to follow the former one, which drains for up to 7.6 s and publishes nothing.

The stream of updates now ends within a heartbeat (0.15 s) after the lease, and a connection that ends for another reason is closed as well instead of waiting for 1.8 s of silence.

test_host_that_is_no_longer_the_leader_releases_its_followers failed before (still following after 1 s).

--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -130,6 +130,7 @@
             self._own_requests,
             self._on_requests_in_progress,
             self._on_host_count,
+            lambda: self._leadership.is_leader,
         )
         self._leadership = leadership.Leadership(
             table.TableClient(
--- a/ivystep/gateway/residency_updates.py
+++ b/ivystep/gateway/residency_updates.py
@@ -54,6 +54,7 @@
         own_requests: Returns this host's requests in progress by upstream.
         on_requests: Called with all hosts' requests in progress by upstream.
         on_host_count: Called with the number of hosts, including this one.
+        is_leader: Returns whether this host is the leader.
     """
 
     def __init__(
@@ -63,12 +64,14 @@
         own_requests: Callable[[], RequestsByUpstream],
         on_requests: Callable[[RequestsByUpstream], None],
         on_host_count: Callable[[int], None],
+        is_leader: Callable[[], bool],
     ) -> None:
         self._host = host
         self._on_update = on_update
         self._own_requests = own_requests
         self._on_requests = on_requests
         self._on_host_count = on_host_count
+        self._is_leader = is_leader
         self._follower_queues: set[queue.LightQueue] = set()
         self._requests_by_host: dict[str, RequestsByUpstream] = {}
 
@@ -83,19 +86,23 @@
                 self._follower_queues.discard(pending)
 
     def serve(self, link: channel.Channel) -> None:
-        """Send updates to one host until its connection ends.
+        """Send updates to one host while this host is the leader.
+
+        The connection ends afterwards, so that the other host follows the next
+        leader even if this process goes on to run.
 
         Args:
             link: Connection of the host.
 
         Raises:
-            errors.LinkError: The connection ended.
+            errors.LinkError: The connection ended, this host is not the
+                leader any more, or the other host is too slow.
         """
         pending = queue.LightQueue(MAX_QUEUED_UPDATES)
         self._follower_queues.add(pending)
         receiver = eventlet.spawn(self._receive_requests, link)
         try:
-            while pending in self._follower_queues and not receiver.dead:
+            while self._may_send_to(pending) and not receiver.dead:
                 batch = _next_updates(pending)
                 link.send(
                     _message(batch, self._total_requests(), self._host_count)
@@ -103,6 +110,7 @@
         finally:
             self._follower_queues.discard(pending)
             receiver.kill()
+        raise errors.LinkError('no more updates for this host', peer=link.peer)
 
     def follow(self, link: channel.Channel) -> None:
         """Apply the updates of the leader until the connection ends.
@@ -132,6 +140,9 @@
         self._on_requests(self._total_requests())
         self._on_host_count(self._host_count)
 
+    def _may_send_to(self, pending: queue.LightQueue) -> bool:
+        return self._is_leader() and pending in self._follower_queues
+
     def _apply(self, message: typing.Any, peer: str) -> ttypes.News:
         """Apply the updates in one message of the leader, and return it.
 
--- a/tests/gateway/test_engine_link.py
+++ b/tests/gateway/test_engine_link.py
@@ -35,6 +35,7 @@
             dict,
             lambda running: None,
             lambda hosts: None,
+            lambda: True,
         )
         self.link = engine_link.EngineLink(
             self.upstream,
--- a/tests/gateway/test_leadership.py
+++ b/tests/gateway/test_leadership.py
@@ -30,6 +30,7 @@
                 dict,
                 lambda running: None,
                 lambda hosts: None,
+                lambda: True,
             ),
             on_active=lambda: self.activated.append(clock.now()),
             queues=prefill_queues.PrefillQueues(),
--- a/tests/gateway/test_residency_updates.py
+++ b/tests/gateway/test_residency_updates.py
@@ -20,12 +20,14 @@
         self.received = []
         self.requests = []
         self.host_counts = []
+        self.is_leader = True
         self.updates = residency_updates.ResidencyUpdates(
             name,
             self.received.append,
             lambda: self.own_requests,
             self.requests.append,
             self.host_counts.append,
+            lambda: self.is_leader,
         )
 
 
@@ -128,6 +130,15 @@
     assert leader.host_counts == [2]
 
 
+def test_host_that_is_no_longer_the_leader_releases_its_followers(pair):
+    """Guards against hosts that hear nothing from the next leader."""
+    leader, other, follower = pair
+    wait_until(lambda: other.requests)
+    leader.is_leader = False
+    with pytest.raises(errors.LinkError), eventlet.Timeout(1):
+        follower.wait()
+
+
 class BackloggedLink:
     """A connection to the leader on which messages have already arrived."""
 
