Let no host that drains become the leader

A host that drains went on to compete for the lease: the former leader took it back if no other host was quicker, and a waiting one took it when it became free. It exits within 7.6 s without a release, so the others wait out the lease and a turn without loads. A draining host now releases what it acquires and only observes the lease, since its last requests need the next leader.

test_host_that_drains_does_not_become_the_leader and test_leader_that_drains_does_not_acquire_the_lease_again failed before. Found by reading the path of the fault before; no play showed it.

--- a/ivystep/coordination/lease.py
+++ b/ivystep/coordination/lease.py
@@ -142,6 +142,15 @@
                 share = RENEWAL_SHARE
         log.info('Lease %s with token %s has ended.', self._key, self.token)
 
+    def observe(self) -> None:
+        """Keep ``seen_holder_id`` up to date until the task is killed."""
+        while True:
+            try:
+                self._read()
+            except errors.PlatformError as error:
+                log.debug('Lease %s not read: %s.', self._key, error)
+            clock.sleep(POLL_SHARE * self._duration_s)
+
     def release(self) -> None:
         """Release the lease, so that others need not wait for it to expire.
 
--- a/ivystep/gateway/leadership.py
+++ b/ivystep/gateway/leadership.py
@@ -84,6 +84,7 @@
         self._queues = queues
         self._log = log
         self._active_from = float('inf')
+        self._is_stopping = False
         self._link_by_address: dict[tuple[str, int], peers.PeerLink] = {}
         self._lease = lease.Lease(
             rows,
@@ -146,9 +147,14 @@
         return prefill_queues.request_permit(link, engine, ticket)
 
     def run(self) -> None:
-        """Acquire and keep the lease until the task is killed."""
-        while True:
+        """Acquire and keep the lease; only observe it once this host stops."""
+        while not self._is_stopping:
             token = self._lease.acquire()
+            if self._is_stopping:
+                # Acquired while this host drains; the next leader need not
+                # wait for the lease to expire.
+                self._lease.release()
+                break
             previous_host = self._lease.previous_holder_id.partition('@')[0]
             is_handover = previous_host not in {'', self._host}
             wait_s = self._handover_delay_s if is_handover else 0.0
@@ -163,6 +169,7 @@
             self._log.write(
                 events.DutyChanged(self.holder, self._lease.token, 'ended')
             )
+        self._lease.observe()
 
     def follow(self) -> None:
         """Apply the leader's residency updates until the task is killed."""
@@ -173,7 +180,8 @@
             clock.sleep(FOLLOW_RETRY_S)
 
     def release(self) -> None:
-        """Release the lease before this host stops."""
+        """Release the lease before this host stops, and acquire it no more."""
+        self._is_stopping = True
         if self._lease.is_held():
             self._active_from = float('inf')
             self._lease.release()
--- a/tests/gateway/test_leadership.py
+++ b/tests/gateway/test_leadership.py
@@ -146,3 +146,34 @@
             sink.report_demand('host-2', ())
 
     play()
+
+
+@clocks.on_virtual_clock
+def test_host_that_drains_does_not_become_the_leader():
+    """Guards against a leader that exits within seconds."""
+    shared = clocks.FakeTable()
+    leader = Host(shared, 'host-1')
+    clock.sleep(0.1)
+    draining = Host(shared, 'host-2')
+    clock.sleep(0.5)
+    draining.leadership.release()
+    leader.leadership.release()
+    for _ in range(100):
+        clock.sleep(0.1)
+        assert not draining.may_send_orders
+    other = Host(shared, 'host-3')
+    wait_until(lambda: other.leadership.is_leader, timeout_s=1)
+
+
+@clocks.on_virtual_clock
+def test_leader_that_drains_does_not_acquire_the_lease_again():
+    """Guards against a leader that exits within seconds."""
+    shared = clocks.FakeTable()
+    leader = Host(shared, 'host-1')
+    clock.sleep(0.1)
+    leader.leadership.release()
+    clock.sleep(10)
+    assert not leader.leadership.is_leader
+    # The requests that it still has need the next leader.
+    Host(shared, 'host-2')
+    wait_until(lambda: leader.leadership.holder == 'host-2', timeout_s=2)
