--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -65,9 +65,7 @@
         deployed.heal()
         outcomes = deployed.outcomes
         deployed.wait_for_callers()
-        self.result_counts.update(
-            outcome.result_counts.value for outcome in outcomes
-        )
+        self.result_counts.update(outcome.result.value for outcome in outcomes)
         for line in deployed.finish():
             self.violations.append(line)
             print(f'VIOLATION in round {self.rounds}: {line}', flush=True)
