Log how an answer without a length ends

The decision which answer is complete is unchanged: a stream that ends inside an event is still passed on as complete. One path differs: an answer on a stream's route that announces another type than events is relayed as it arrives, also on a resumable route.

answer_ended is written for answers without a length and for streams that end inside an event, and counted in ivystep_unclear_answer_ends_total.

--- /dev/null
+++ b/ivystep/gateway/answer_body.py
@@ -0,0 +1,91 @@
+"""Receives the body of an upstream's answer and finds its end."""
+
+from ivystep.gateway import connections
+from ivystep.traffic import event_stream, http1
+
+CONTENT_TYPE_HEADER = b'content-type'
+EVENT_STREAM_TYPE = b'text/event-stream'
+
+
+class AnswerBody:
+    """The body of one answer.
+
+    Args:
+        connection: Connection whose next event follows the answer's head.
+        raw: Head of the answer.
+        is_stream: Whether the route's answers are streams of events.
+
+    Attributes:
+        framing: How the end of the body is determined.
+        is_ended: Whether the end was received.
+        received_bytes: Length of what was received.
+    """
+
+    def __init__(
+        self,
+        connection: connections.UpstreamConnection,
+        raw: http1.RawHead,
+        *,
+        is_stream: bool,
+    ) -> None:
+        self.framing = raw.framing
+        self.is_ended = False
+        self.received_bytes = 0
+        self._connection = connection
+        self._events: event_stream.EventSplitter | None = None
+        if is_stream and _is_event_stream(raw):
+            self._events = event_stream.EventSplitter()
+
+    @property
+    def has_events(self) -> bool:
+        """Whether the body is a stream of events."""
+        return self._events is not None
+
+    @property
+    def open_event_bytes(self) -> int:
+        """Length of what follows the last complete event; 0 without events."""
+        is_inside = self._events is not None and self._events.is_inside_event
+        return len(self._events.remainder) if is_inside else 0
+
+    def receive(self) -> bytes:
+        """Wait for content and return all that has arrived.
+
+        Raises:
+            errors.LinkError: The body is incomplete or malformed.
+        """
+        content = self._receive()
+        if self._events is not None:
+            self._events.feed(content)
+        return content
+
+    def receive_events(self) -> bytes:
+        """Wait for content and return the complete events.
+
+        Raises:
+            errors.LinkError: As for ``receive``.
+        """
+        complete = self._events.feed(self._receive())
+        return complete + self._events.remainder if self.is_ended else complete
+
+    def _receive(self) -> bytes:
+        # All chunks that have already arrived are joined, to save writes.
+        parts = []
+        event: http1.AnswerEvent | None = self._connection.next_event()
+        while event is not None and not self.is_ended:
+            if isinstance(event, http1.MessageEnd):
+                self.is_ended = True
+            else:
+                if isinstance(event, http1.BodyChunk):
+                    parts.append(event.content)
+                event = self._connection.buffered_event()
+        content = b''.join(parts)
+        self.received_bytes += len(content)
+        return content
+
+
+def _is_event_stream(raw: http1.RawHead) -> bool:
+    """Return whether a head announces events, or no type at all."""
+    for name, content_type in raw.headers:
+        if name.lower() == CONTENT_TYPE_HEADER:
+            return content_type.strip().lower().startswith(EVENT_STREAM_TYPE)
+    return True
--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -112,6 +112,7 @@
                 self._record_failure(state, upstream, ref, error)
             raise
         finally:
+            self._log.answer_ended(state, exchange.body)
             if exchange.has_sent:
                 state.step = 'run'
             elif not was_tried:
--- a/ivystep/gateway/event_metrics.py
+++ b/ivystep/gateway/event_metrics.py
@@ -52,6 +52,10 @@
         self.failed_attempts = self._counter(
             'failed_attempts', 'Attempts without a complete answer, by step.'
         )
+        self.answer_ends = self._counter(
+            'unclear_answer_ends',
+            'Answers without a length and streams cut inside an event.',
+        )
         self.orders = self._counter('orders', 'Orders to engines, by outcome.')
         self.upstream_changes = self._counter(
             'upstream_changes', 'Changes of what is believed of upstreams.'
@@ -150,6 +154,14 @@
     metrics.answer_s.observe(route, event.elapsed_ms / units.MS_PER_S)
 
 
+@_record_event.register
+def _record_answer_end(
+    event: events.AnswerEnded, metrics: EventMetrics
+) -> None:
+    is_cut = str(event.open_event_bytes > 0).lower()
+    metrics.answer_ends.inc({'framing': event.framing, 'is_cut': is_cut})
+
+
 @_record_event.register
 def _record_order(event: events.OrderGiven, metrics: EventMetrics) -> None:
     metrics.orders.inc({'operation': event.operation, 'outcome': event.outcome})
--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -132,6 +132,27 @@
     budget: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerEnded(event_log.Event):
+    """An answer without a length ended, or a stream inside an event.
+
+    Attributes:
+        framing: How its end was found: ``length``, ``chunked`` or, with the
+            end of its connection, ``until_close``.
+        body_bytes: Length of its body.
+        open_event_bytes: Length of the event that was not complete.
+    """
+
+    name: typing.ClassVar[str] = 'answer_ended'
+
+    request_id: str
+    route: str
+    upstream: str
+    framing: str
+    body_bytes: int
+    open_event_bytes: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamCrashed(event_log.Event):
     """An upstream ended while it ran a request.
--- a/ivystep/gateway/relay.py
+++ b/ivystep/gateway/relay.py
@@ -10,13 +10,14 @@
 from collections.abc import Callable
 
 from ivystep.core import errors, types, units
-from ivystep.gateway import connections, upstream_state
+from ivystep.gateway import answer_body, connections, upstream_state
 from ivystep.platform import messages
-from ivystep.traffic import calls, contracts, http1
+from ivystep.traffic import calls, contracts, event_stream, http1
 
 # Answers up to this size are buffered completely before they are forwarded.
 MAX_BUFFERED_BYTES = 64 * units.KIB
 UNKNOWN_LENGTH = -1
+HIGHEST_SUCCESS_STATUS = 299
 # Statuses for which another upstream may succeed. A 504 is not among them,
 # because it means that the deadline has passed.
 RETRYABLE_STATUSES = frozenset((500, 502, 503))
@@ -78,6 +79,7 @@
 
     Attributes:
         has_sent: Whether the request was written to a connection.
+        body: Body of the upstream's answer; None before its head.
     """
 
     def __init__(
@@ -91,6 +93,7 @@
         may_repeat: bool,
     ) -> None:
         self.has_sent = False
+        self.body: answer_body.AnswerBody | None = None
         self._on_head = on_head
         self._may_repeat = may_repeat
         self._call = call
@@ -137,17 +140,23 @@
         raw = self._read_own_head(connection)
         head = messages.decode_answer(raw)
         self._on_head(head)
-        self._raise_for_failure(connection, head)
         is_stream = self._route.kind is contracts.Repeatability.STREAM
-        if is_stream and head.status == 200 and self._route.is_resumable:
-            self._relay_events(connection, head)
+        body = answer_body.AnswerBody(
+            connection,
+            raw,
+            is_stream=is_stream and raw.status <= HIGHEST_SUCCESS_STATUS,
+        )
+        self.body = body
+        self._raise_for_failure(body, head)
+        length = UNKNOWN_LENGTH if raw.length is None else raw.length
+        if self._route.is_resumable and body.has_events and head.status == 200:
+            self._relay_events(body, head)
         elif raw.framing is http1.Framing.NONE or _is_short(raw):
-            self._answer.send_complete(head, self._read_rest(connection))
+            self._answer.send_complete(head, self._read_rest(body))
         elif is_stream:
-            length = UNKNOWN_LENGTH if raw.length is None else raw.length
-            self._relay_unbuffered(connection, head, length)
+            self._relay_unbuffered(body, head, length)
         else:
-            self._relay_buffered(connection, head, raw)
+            self._relay_buffered(body, head, length)
         if not raw.is_kept_alive:
             return None
         if head.keep_alive_s is None:
@@ -155,17 +164,17 @@
         return head.keep_alive_s
 
     def _raise_for_failure(
-        self, connection: connections.UpstreamConnection, head: calls.AnswerHead
+        self, body: answer_body.AnswerBody, head: calls.AnswerHead
     ) -> None:
         """Raise an error unless the upstream's answer is to be forwarded."""
         if head.is_not_run:
-            self._read_rest(connection)
+            self._read_rest(body)
             raise self._not_run_error(head)
         if head.status in RETRYABLE_STATUSES and self._may_repeat:
-            self._read_rest(connection)
+            self._read_rest(body)
             raise self._failure_error(head)
         if self._answer.has_started:
-            self._raise_unless_resumed(head)
+            self._raise_unless_resumed(body, head)
 
     def _read_own_head(
         self, connection: connections.UpstreamConnection
@@ -183,42 +192,36 @@
             if answered in {'', self._call.request_id}:
                 return event
 
-    def _read_rest(self, connection: connections.UpstreamConnection) -> bytes:
-        body = bytearray()
-        while True:
-            event = connection.next_event()
-            if isinstance(event, http1.MessageEnd):
-                return bytes(body)
-            if isinstance(event, http1.BodyChunk):
-                body += event.content
-                if len(body) > MAX_BUFFERED_BYTES:
-                    raise errors.LinkError(
-                        'answer exceeds the buffer limit',
-                        step='read answer',
-                        peer=self._peer,
-                    )
+    def _read_rest(self, body: answer_body.AnswerBody) -> bytes:
+        buffered = bytearray()
+        while not body.is_ended:
+            buffered += body.receive()
+            if len(buffered) > MAX_BUFFERED_BYTES:
+                raise errors.LinkError(
+                    'answer exceeds the buffer limit',
+                    step='read answer',
+                    peer=self._peer,
+                )
+        return bytes(buffered)
 
     def _relay_buffered(
         self,
-        connection: connections.UpstreamConnection,
+        body: answer_body.AnswerBody,
         head: calls.AnswerHead,
-        raw: http1.RawHead,
+        length: int,
     ) -> None:
         """Send a short answer of unknown length at once, stream a long one."""
-        body = bytearray()
-        while len(body) <= MAX_BUFFERED_BYTES:
-            event = connection.next_event()
-            if isinstance(event, http1.MessageEnd):
-                self._answer.send_complete(head, bytes(body))
+        buffered = bytearray()
+        while len(buffered) <= MAX_BUFFERED_BYTES:
+            buffered += body.receive()
+            if body.is_ended:
+                self._answer.send_complete(head, bytes(buffered))
                 return
-            if isinstance(event, http1.BodyChunk):
-                body += event.content
-        length = UNKNOWN_LENGTH if raw.length is None else raw.length
-        self._relay_unbuffered(connection, head, length, bytes(body))
+        self._relay_unbuffered(body, head, length, bytes(buffered))
 
     def _relay_unbuffered(
         self,
-        connection: connections.UpstreamConnection,
+        body: answer_body.AnswerBody,
         head: calls.AnswerHead,
         length: int,
         buffered: bytes = b'',
@@ -227,38 +230,31 @@
         self._answer.can_resume = False
         if buffered:
             self._answer.write(buffered)
-        is_ended = False
-        while not is_ended:
-            content, is_ended = _receive_content(connection)
+        while not body.is_ended:
+            content = body.receive()
             if content:
                 self._answer.write(content)
         self._answer.finish()
 
     def _relay_events(
-        self,
-        connection: connections.UpstreamConnection,
-        head: calls.AnswerHead,
+        self, body: answer_body.AnswerBody, head: calls.AnswerHead
     ) -> None:
         """Relay a stream in complete events."""
         if not self._answer.has_started:
             self._answer.start(head, UNKNOWN_LENGTH)
-        events = EventBuffer()
-        is_ended = False
-        while not is_ended:
-            content, is_ended = _receive_content(connection)
-            events.feed(content)
-            complete = events.pop_complete()
+        while not body.is_ended:
+            complete = body.receive_events()
             if complete:
                 self._answer.last_event_id = (
-                    events.last_id or self._answer.last_event_id
+                    event_stream.last_id(complete) or self._answer.last_event_id
                 )
                 self._answer.write(complete)
-        if events.remainder:
-            self._answer.write(events.remainder)
         self._answer.finish()
 
-    def _raise_unless_resumed(self, head: calls.AnswerHead) -> None:
-        if head.status != 200:
+    def _raise_unless_resumed(
+        self, body: answer_body.AnswerBody, head: calls.AnswerHead
+    ) -> None:
+        if head.status != 200 or not body.has_events:
             raise errors.RequestError(
                 'upstream_failed',
                 f'Status {head.status} on resuming a stream.',
@@ -297,51 +293,3 @@
 
 def _is_short(raw: http1.RawHead) -> bool:
     return raw.length is not None and raw.length <= MAX_BUFFERED_BYTES
-
-
-def _receive_content(
-    connection: connections.UpstreamConnection,
-) -> tuple[bytes, bool]:
-    """Wait for content; return it and whether the answer is complete.
-
-    All chunks that have already arrived are joined, to save writes.
-    """
-    parts = []
-    event: http1.AnswerEvent | None = connection.next_event()
-    while event is not None:
-        if isinstance(event, http1.MessageEnd):
-            return b''.join(parts), True
-        if isinstance(event, http1.BodyChunk):
-            parts.append(event.content)
-        event = connection.buffered_event()
-    return b''.join(parts), False
-
-
-class EventBuffer:
-    """Splits a stream of server-sent events into complete events.
-
-    Attributes:
-        last_id: Id of the last complete event that has one.
-        remainder: Bytes after the last complete event.
-    """
-
-    def __init__(self) -> None:
-        self.last_id = ''
-        self.remainder = b''
-
-    def feed(self, content: bytes) -> None:
-        """Append received bytes of the stream."""
-        self.remainder += content
-
-    def pop_complete(self) -> bytes:
-        """Remove and return the complete events."""
-        end = self.remainder.rfind(b'\n\n')
-        if end < 0:
-            return b''
-        complete = self.remainder[: end + 2]
-        self.remainder = self.remainder[end + 2 :]
-        for line in complete.split(b'\n'):
-            name, _, value = line.partition(b':')
-            if name == b'id':
-                self.last_id = value.strip().decode('latin-1')
-        return complete
--- a/ivystep/gateway/request_log.py
+++ b/ivystep/gateway/request_log.py
@@ -2,6 +2,7 @@
 
 from ivystep.core import errors, types, units
 from ivystep.gateway import (
+    answer_body,
     configuration,
     events,
     request_state,
@@ -9,7 +10,7 @@
 )
 from ivystep.policy import prefill
 from ivystep.runtime import clock, event_log
-from ivystep.traffic import calls, contracts
+from ivystep.traffic import calls, contracts, http1
 
 
 class RequestLog:
@@ -90,6 +91,32 @@
             )
         )
 
+    def answer_ended(
+        self,
+        state: request_state.RequestState,
+        body: answer_body.AnswerBody | None,
+    ) -> None:
+        """Log an answer whose end does not show that it is complete.
+
+        Args:
+            state: The request.
+            body: Body of the answer; None if none was received.
+        """
+        if body is None or not body.is_ended:
+            return
+        is_until_close = body.framing is http1.Framing.UNTIL_CLOSE
+        if is_until_close or body.open_event_bytes:
+            self._log.write(
+                events.AnswerEnded(
+                    state.call.request_id,
+                    state.route.name,
+                    state.upstream_id,
+                    body.framing.value,
+                    body.received_bytes,
+                    body.open_event_bytes,
+                )
+            )
+
     def abandoned(self, state: request_state.RequestState) -> None:
         """Log that the caller disconnected before its answer was complete."""
         self._log.write(
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -94,6 +94,7 @@
             def __init__(self, *arguments, **named):
                 self.may_repeat = named['may_repeat']
                 self.has_sent = False
+                self.body = None
 
             def run(self, encode):
                 harness.on_connect()
--- a/tests/gateway/test_event_metrics.py
+++ b/tests/gateway/test_event_metrics.py
@@ -70,6 +70,21 @@
     )
 
 
+def test_unclear_ends_of_answers_are_counted(metrics_and_recorder):
+    """Guards against broken-off streams that do not show in the metrics."""
+    metrics, recorder = metrics_and_recorder
+    for open_bytes in (0, 7, 9):
+        recorder.record(
+            events.AnswerEnded(
+                'r-1', 'plans', 'i-1', 'until_close', 90, open_bytes
+            )
+        )
+    published = samples(metrics)
+    name = 'ivystep_unclear_answer_ends_total'
+    assert published[name, 'false', 'until_close'] == 1
+    assert published[name, 'true', 'until_close'] == 2
+
+
 def test_permits_without_a_decision_share_one_label(metrics_and_recorder):
     """Guards against one label value for each peer that is unreachable.
 
