Add failing tests of streams that are broken off

Callers saw a stream that ended in the middle of an event in an answer that was framed as complete.

- at the sidecar, a truncated answer whose length or encoding is not valid.

--- a/tests/sidecar/test_run.py
+++ b/tests/sidecar/test_run.py
@@ -375,14 +375,24 @@
     assert [crash.fingerprint for crash in recorded] == [b'guilty']
 
 
-def test_answer_without_framing_is_not_complete():
+@pytest.mark.parametrize(
+    'framing',
+    [
+        b'',
+        b'Content-Length: many\r\n',
+        b'Content-Length: -1\r\n',
+        b'Transfer-Encoding: chunkedness\r\n',
+    ],
+    ids=['none', 'word', 'negative', 'other-coding'],
+)
+def test_answer_without_framing_is_not_complete(framing):
     """Guards against a truncated answer that cannot be detected."""
 
     def serve(connection, _):
         request = connection.recv(65536)
         head = b'HTTP/1.1 200 OK\r\n'
         if request.startswith(b'POST'):
-            connection.sendall(head + b'\r\n{"cut": ')
+            connection.sendall(head + framing + b'\r\n{"cut": ')
         else:
             connection.sendall(head + b'Content-Length: 2\r\n\r\n{}')
         connection.close()
