Take a stream that ends inside an event for broken off

Cause: an answer with neither a length nor chunks ends with its connection, and nothing but the transport's framing was asked whether an answer was complete. An orderly close in the middle of an event therefore ended a stream, which the gateway then completed with a last chunk of its own. Resumable streams even passed the part of the event on.

AnswerBody now raises at the end of a stream that ends inside an event, on each path that can complete an answer: a caller that has the head gets a reset, one that has none an error that says that the request may have run, and a resumable stream goes on at another upstream after its last whole event.

--- a/ivystep/gateway/answer_body.py
+++ b/ivystep/gateway/answer_body.py
@@ -1,5 +1,8 @@
 """Receives the body of an upstream's answer and finds its end."""
 
+from collections.abc import Iterator
+
+from ivystep.core import errors
 from ivystep.gateway import connections
 from ivystep.traffic import event_stream, http1
 
@@ -47,25 +50,43 @@
         is_inside = self._events is not None and self._events.is_inside_event
         return len(self._events.remainder) if is_inside else 0
 
-    def receive(self) -> bytes:
-        """Wait for content and return all that has arrived.
+    def contents(self) -> Iterator[bytes]:
+        """Yield the content as it arrives, until the end of the body.
 
         Raises:
-            errors.LinkError: The body is incomplete or malformed.
+            errors.LinkError: The body is malformed or was broken off, also if
+                its framing says that it is complete.
         """
-        content = self._receive()
-        if self._events is not None:
-            self._events.feed(content)
-        return content
+        while not self.is_ended:
+            content = self._receive()
+            if self._events is not None:
+                self._events.feed(content)
+            if content:
+                yield content
+        self._raise_if_broken_off()
 
-    def receive_events(self) -> bytes:
-        """Wait for content and return the complete events.
+    def complete_events(self) -> Iterator[bytes]:
+        """Yield complete events as they arrive, until the end of the body.
 
         Raises:
-            errors.LinkError: As for ``receive``.
+            errors.LinkError: As for ``contents``.
         """
-        complete = self._events.feed(self._receive())
-        return complete + self._events.remainder if self.is_ended else complete
+        while not self.is_ended:
+            complete = self._events.feed(self._receive())
+            if complete:
+                yield complete
+        self._raise_if_broken_off()
+        if self._events.remainder:
+            yield self._events.remainder
+
+    def _raise_if_broken_off(self) -> None:
+        if self.open_event_bytes:
+            raise errors.LinkError(
+                f'stream broken off after {self.open_event_bytes} bytes of an '
+                'event',
+                step='read answer',
+                peer=self._connection.peer,
+            )
 
     def _receive(self) -> bytes:
         # All chunks that have already arrived are joined, to save writes.
--- a/ivystep/gateway/relay.py
+++ b/ivystep/gateway/relay.py
@@ -194,8 +194,8 @@
 
     def _read_rest(self, body: answer_body.AnswerBody) -> bytes:
         buffered = bytearray()
-        while not body.is_ended:
-            buffered += body.receive()
+        for content in body.contents():
+            buffered += content
             if len(buffered) > MAX_BUFFERED_BYTES:
                 raise errors.LinkError(
                     'answer exceeds the buffer limit',
@@ -212,12 +212,12 @@
     ) -> None:
         """Send a short answer of unknown length at once, stream a long one."""
         buffered = bytearray()
-        while len(buffered) <= MAX_BUFFERED_BYTES:
-            buffered += body.receive()
-            if body.is_ended:
-                self._answer.send_complete(head, bytes(buffered))
+        for content in body.contents():
+            buffered += content
+            if len(buffered) > MAX_BUFFERED_BYTES:
+                self._relay_unbuffered(body, head, length, bytes(buffered))
                 return
-        self._relay_unbuffered(body, head, length, bytes(buffered))
+        self._answer.send_complete(head, bytes(buffered))
 
     def _relay_unbuffered(
         self,
@@ -230,10 +230,8 @@
         self._answer.can_resume = False
         if buffered:
             self._answer.write(buffered)
-        while not body.is_ended:
-            content = body.receive()
-            if content:
-                self._answer.write(content)
+        for content in body.contents():
+            self._answer.write(content)
         self._answer.finish()
 
     def _relay_events(
@@ -242,13 +240,11 @@
         """Relay a stream in complete events."""
         if not self._answer.has_started:
             self._answer.start(head, UNKNOWN_LENGTH)
-        while not body.is_ended:
-            complete = body.receive_events()
-            if complete:
-                self._answer.last_event_id = (
-                    event_stream.last_id(complete) or self._answer.last_event_id
-                )
-                self._answer.write(complete)
+        for complete in body.complete_events():
+            self._answer.last_event_id = (
+                event_stream.last_id(complete) or self._answer.last_event_id
+            )
+            self._answer.write(complete)
         self._answer.finish()
 
     def _raise_unless_resumed(
