Take a stream without a length and without events for broken off

An upstream that ended right after the head of a stream without a length left its caller with status 200 and an empty, complete answer: the same class as the stream that ends inside an event, at its first byte. It is broken off unless it is resumed, when nothing may be left to send.

Ruled out: the same for a stream with a length of 0 or a last chunk, whose upstream states that it is complete.

--- a/ivystep/gateway/answer_body.py
+++ b/ivystep/gateway/answer_body.py
@@ -17,6 +17,8 @@
         connection: Connection whose next event follows the answer's head.
         raw: Head of the answer.
         is_stream: Whether the route's answers are streams of events.
+        may_be_empty: Whether a stream without any event can be complete: one
+            that is resumed after its last event.
 
     Attributes:
         framing: How the end of the body is determined.
@@ -30,11 +32,13 @@
         raw: http1.RawHead,
         *,
         is_stream: bool,
+        may_be_empty: bool = False,
     ) -> None:
         self.framing = raw.framing
         self.is_ended = False
         self.received_bytes = 0
         self._connection = connection
+        self._may_be_empty = may_be_empty
         self._events: event_stream.EventSplitter | None = None
         if is_stream and _is_event_stream(raw):
             self._events = event_stream.EventSplitter()
@@ -80,14 +84,24 @@
             yield self._events.remainder
 
     def _raise_if_broken_off(self) -> None:
+        reason = ''
         if self.open_event_bytes:
+            reason = f'after {self.open_event_bytes} bytes of an event'
+        elif self._lacks_events():
+            reason = 'before its first event'
+        if reason:
             raise errors.LinkError(
-                f'stream broken off after {self.open_event_bytes} bytes of an '
-                'event',
+                f'stream broken off {reason}',
                 step='read answer',
                 peer=self._connection.peer,
             )
 
+    def _lacks_events(self) -> bool:
+        """Return whether a stream without a length ended without an event."""
+        is_empty = self.has_events and not self.received_bytes
+        is_until_close = self.framing is http1.Framing.UNTIL_CLOSE
+        return is_empty and is_until_close and not self._may_be_empty
+
     def _receive(self) -> bytes:
         # All chunks that have already arrived are joined, to save writes.
         parts = []
--- a/ivystep/gateway/relay.py
+++ b/ivystep/gateway/relay.py
@@ -145,6 +145,7 @@
             connection,
             raw,
             is_stream=is_stream and raw.status <= HIGHEST_SUCCESS_STATUS,
+            may_be_empty=bool(self._answer.last_event_id),
         )
         self.body = body
         self._raise_for_failure(body, head)
