Do not take chunks for an answer without a length

An answer whose chunks are announced in a second Transfer-Encoding header, or are not its last encoding, was taken for one that ends with its connection. Cut by an orderly close, it reached the caller as complete, with the syntax of the chunks in its body.

Cause: only the first header and its last encoding were looked at, while the parser reads all of them. All encodings now count; chunks without a defined end are never complete.

--- a/ivystep/traffic/http1.py
+++ b/ivystep/traffic/http1.py
@@ -18,6 +18,7 @@
 READ_BYTES = 64 * units.KIB
 # Bytes of a header line besides its name and value: colon, space, CR and LF.
 HEADER_OVERHEAD_BYTES = 4
+CHUNKED_ENCODING = b'chunked'
 
 
 class BadRequestError(errors.IvystepError):
@@ -294,11 +295,23 @@
     def _find_framing(self, status: int, length: int | None) -> Framing:
         if status < 200 or status in {204, 304}:
             return Framing.NONE
-        for name, value in self._headers:
-            if name.lower() == b'transfer-encoding':
-                is_chunked = value.lower().endswith(b'chunked')
-                return Framing.CHUNKED if is_chunked else Framing.UNTIL_CLOSE
-        return Framing.UNTIL_CLOSE if length is None else Framing.LENGTH
+        encodings = _transfer_encodings(self._headers)
+        if not encodings:
+            return Framing.UNTIL_CLOSE if length is None else Framing.LENGTH
+        # A body in chunks that are not its last encoding has no defined end,
+        # so it is never complete.
+        is_chunked = CHUNKED_ENCODING in encodings
+        return Framing.CHUNKED if is_chunked else Framing.UNTIL_CLOSE
+
+
+def _transfer_encodings(headers: list[calls.Header]) -> list[bytes]:
+    """Return the encodings that all headers name together, in lower case."""
+    return [
+        encoding.strip().lower()
+        for name, value in headers
+        if name.lower() == b'transfer-encoding'
+        for encoding in value.split(b',')
+    ]
 
 
 def _content_length(headers: list[calls.Header]) -> int | None:
--- a/tests/traffic/test_http1.py
+++ b/tests/traffic/test_http1.py
@@ -170,3 +170,23 @@
     )
     assert [type(event) for event in found] == [http1.RawHead, http1.MessageEnd]
     assert found[0].status == 204
+
+
+@pytest.mark.parametrize(
+    'encodings',
+    [
+        b'Transfer-Encoding: chunked\r\n',
+        b'Transfer-Encoding: gzip, Chunked\r\n',
+        b'Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n',
+        b'Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n',
+        b'Transfer-Encoding: chunked, gzip\r\n',
+    ],
+)
+def test_chunks_cut_by_an_orderly_close_are_no_answer(encodings):
+    """Guards against chunks that are taken for a body without a length."""
+    reader = http1.AnswerReader()
+    reader.feed(b'HTTP/1.1 200 OK\r\n' + encodings + b'\r\n8\r\nabcd')
+    while reader.next_event() is not None:
+        continue
+    with pytest.raises(errors.LinkError):
+        reader.feed_eof()
