Refuse answers of services whose length or encoding is not valid

The sidecar passed on a truncated answer as complete if its Content-Length was not a number or its Transfer-Encoding only contained the word chunked.

Such an answer is refused like one without any framing.

--- a/ivystep/sidecar/answers.py
+++ b/ivystep/sidecar/answers.py
@@ -27,12 +27,15 @@
 
     Args:
         status: HTTP status; 204 has no body.
-        headers: Headers of the answer. A body with neither a length nor chunked
-            encoding ends when the connection is closed.
+        headers: Headers of the answer. A body with neither a valid length nor
+            chunked encoding ends when the connection is closed.
     """
-    encoding = headers.get('Transfer-Encoding', '').lower()
-    has_length = status == 204 or 'Content-Length' in headers
-    return has_length or 'chunked' in encoding
+    if status == 204:
+        return True
+    encodings = headers.get('Transfer-Encoding', '').lower().split(',')
+    length = headers.get('Content-Length', '').strip()
+    is_chunked = encodings[-1].strip() == 'chunked'
+    return is_chunked or (length.isascii() and length.isdigit())
 
 
 def retry_after_s(headers: typing.Mapping[str, str]) -> float | None:
