Relay a stream with a length as it arrives

A stream of events with a length of at most 64 KiB was held back until its last byte, so its caller saw no event before the end. Cause: the short answer was looked for before the stream. A stream of events is now relayed as it arrives; its length is not passed on, because a stream that is broken off inside its last event would be complete by it.

--- a/ivystep/gateway/relay.py
+++ b/ivystep/gateway/relay.py
@@ -152,6 +152,10 @@
         length = UNKNOWN_LENGTH if raw.length is None else raw.length
         if self._route.is_resumable and body.has_events and head.status == 200:
             self._relay_events(body, head)
+        elif body.has_events:
+            # With the upstream's length, a stream that is broken off inside
+            # its last event would look complete.
+            self._relay_unbuffered(body, head, UNKNOWN_LENGTH)
         elif raw.framing is http1.Framing.NONE or _is_short(raw):
             self._answer.send_complete(head, self._read_rest(body))
         elif is_stream:
--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -1,8 +1,11 @@
 """Tests of streams that an upstream breaks off."""
 
+import contextlib
 import socket
 
+import eventlet
 import pytest
+from eventlet import event
 
 from tests.gateway import harness
 
@@ -131,3 +134,27 @@
 
     gateway, _ = build(cut)
     assert gateway.send('/once/2f').status == 502
+
+
+@pytest.mark.parametrize('path', ['/stream/2f', '/resume/2f'])
+def test_stream_with_a_length_is_forwarded_as_it_arrives(build, path):
+    """Guards against events that are held back until the last one."""
+    first_received = event.Event()
+
+    def answer(connection, headers):
+        encoded = answer_with(headers, b''.join(EVENTS), 'length')
+        connection.sendall(encoded[: -len(EVENTS[-1])])
+        first_received.wait()
+        connection.sendall(EVENTS[-1])
+
+    gateway, _ = build(answer)
+    with contextlib.closing(gateway.connect()) as connection:
+        connection.sendall(harness.request(path, headers=['Connection: close']))
+        received = b''
+        with eventlet.Timeout(1):
+            while EVENTS[0] not in received:
+                received += connection.recv(65536)
+        first_received.send()
+        rest = harness.read_to_end(connection, received)
+    assert rest.body == b''.join(EVENTS)
+    assert rest.is_complete
