Bound the length of one event of a stream

An upstream that sends an event without an end filled the memory of the gateway on a resumable stream until the deadline, with a cost that grows with the square of its length. Since the end of each stream is looked for, this would hold for every stream.

The splitter now raises past 1 MiB, the bound that the sidecar already had, and searches only new bytes; the sidecar uses the same expression for the end of an event. Two tests of the gateway and one of the splitter failed before.

--- a/ivystep/sidecar/answers.py
+++ b/ivystep/sidecar/answers.py
@@ -11,12 +11,11 @@
 from collections.abc import Iterable, Iterator
 
 from ivystep.core import errors, types, units
+from ivystep.traffic import event_stream
 
 MAX_ANSWER_BYTES = 16 * units.MIB
-MAX_EVENT_BYTES = units.MIB
 # Far below the longest frame, so that every chunk fits into one frame.
 MAX_CHUNK_BYTES = 256 * units.KIB
-EVENT_END = re.compile(rb'\r?\n\r?\n')
 SECONDS = re.compile(r'\d{1,6}(\.\d{1,6})?')
 DATA_FIELD = b'data:'
 END_OF_STREAM = b'[DONE]'
@@ -133,11 +132,11 @@
         """
         buffered = self._pending + chunk
         end = 0
-        for match in EVENT_END.finditer(buffered):
+        for match in event_stream.EVENT_END.finditer(buffered):
             self._check(buffered[end : match.start()])
             end = match.end()
         self._pending = buffered[end:]
-        if len(self._pending) > MAX_EVENT_BYTES:
+        if len(self._pending) > event_stream.MAX_EVENT_BYTES:
             raise invalid_answer('An event of the stream is too long.')
         return buffered[:end]
 
--- a/ivystep/traffic/event_stream.py
+++ b/ivystep/traffic/event_stream.py
@@ -5,21 +5,27 @@
 
 import re
 
+from ivystep.core import errors, units
+
+MAX_EVENT_BYTES = units.MIB
 # Without backtracking, so that a CRLF is never taken for two line ends.
 EVENT_END = re.compile(rb'(?>\r\n|\r|\n)(?>\r\n|\r|\n)')
+# Length of the longest end, CR LF CR LF.
+MAX_END_BYTES = 4
 ID_FIELD = b'id'
 COMMENT_START = b':'
 
 
 class EventSplitter:
-    """Splits received bytes after the last complete event.
-
-    Attributes:
-        remainder: Bytes after the last complete event.
-    """
+    """Splits received bytes after the last complete event."""
 
     def __init__(self) -> None:
-        self.remainder = b''
+        self._open = bytearray()
+
+    @property
+    def remainder(self) -> bytes:
+        """Bytes after the last complete event."""
+        return bytes(self._open)
 
     @property
     def is_inside_event(self) -> bool:
@@ -29,7 +35,7 @@
         """
         return any(
             line and not line.startswith(COMMENT_START)
-            for line in self.remainder.splitlines()
+            for line in self._open.splitlines()
         )
 
     def feed(self, content: bytes) -> bytes:
@@ -40,11 +46,21 @@
 
         Returns:
             All complete events, empty if there is none.
+
+        Raises:
+            errors.LinkError: An event is too long.
         """
-        received = self.remainder + content
-        end = _last_end(received)
-        self.remainder = received[end:]
-        return received[:end]
+        # An end may have begun in the bytes that were searched before.
+        searched = max(len(self._open) - MAX_END_BYTES + 1, 0)
+        self._open += content
+        end = _last_end(self._open, searched)
+        complete = bytes(self._open[:end])
+        del self._open[:end]
+        if len(self._open) > MAX_EVENT_BYTES:
+            raise errors.LinkError(
+                f'event exceeds {MAX_EVENT_BYTES} bytes', step='read answer'
+            )
+        return complete
 
 
 def last_id(events: bytes) -> str:
@@ -60,11 +76,16 @@
     return ''
 
 
-def _last_end(received: bytes) -> int:
-    """Return the position after the last complete event."""
+def _last_end(received: bytearray, searched: int) -> int:
+    """Return the position after the last complete event.
+
+    Args:
+        received: Bytes since the last complete event.
+        searched: Length of the part that contains no end.
+    """
     if received.endswith(b'\n\n'):
         return len(received)
     end = 0
-    for match in EVENT_END.finditer(received):
+    for match in EVENT_END.finditer(received, searched):
         end = match.end()
     return end
--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -11,6 +11,8 @@
 
 EVENTS = [f'id: {n}\ndata: token {n}\n\n'.encode() for n in range(1, 5)]
 CUT_BYTES = 9
+ENDLESS_PIECE = b'x' * 65536
+HALF_OF_DEADLINE_S = 0.75
 FRAMINGS = ('until_close', 'chunked', 'length')
 
 
@@ -158,3 +160,24 @@
         rest = harness.read_to_end(connection, received)
     assert rest.body == b''.join(EVENTS)
     assert rest.is_complete
+
+
+@pytest.mark.parametrize('path', ['/stream/2f', '/resume/2f'])
+def test_event_without_end_is_broken_off(build, path):
+    """Guards against an event that fills the memory of the gateway."""
+
+    def answer(connection, headers):
+        connection.sendall(answer_with(headers, EVENTS[0], 'until_close'))
+        while True:
+            connection.sendall(ENDLESS_PIECE)
+            eventlet.sleep(0)
+
+    routes = (
+        harness.route('stream', 'stream'),
+        harness.route('resume', 'stream', resumable=True),
+    )
+    gateway, (upstream,) = build(answer, config={'routes': routes})
+    with eventlet.Timeout(HALF_OF_DEADLINE_S):
+        assert gateway.send(path).was_reset
+        while upstream.ended < len(upstream.requests):
+            eventlet.sleep(0.01)
--- a/tests/traffic/test_event_stream.py
+++ b/tests/traffic/test_event_stream.py
@@ -4,6 +4,7 @@
 import pytest
 from hypothesis import strategies
 
+from ivystep.core import errors
 from ivystep.traffic import event_stream
 
 STREAMS = (
@@ -45,3 +46,11 @@
     splitter = event_stream.EventSplitter()
     splitter.feed(b'data: a\n\n' + rest)
     assert not splitter.is_inside_event
+
+
+def test_event_without_end_is_refused():
+    """Guards against an event that fills the memory of the process."""
+    splitter = event_stream.EventSplitter()
+    splitter.feed(b'x' * event_stream.MAX_EVENT_BYTES)
+    with pytest.raises(errors.LinkError):
+        splitter.feed(b'x')
