--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -87,6 +87,10 @@
         caller: IP address of the caller.
         content: Start of the digest of method, host, path and body, equal for
             a repeated request.
+        software_version: Version of the upstream's software.
+        resumes_after: Last event that the caller has; empty for a new stream.
+        resumed_request_id: Request that began a stream which the caller takes
+            up; empty if it names none.
     """
 
     name: typing.ClassVar[str] = 'request_placed'
@@ -104,6 +108,9 @@
     config_version: int
     caller: str
     content: str
+    software_version: str = ''
+    resumes_after: str = ''
+    resumed_request_id: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ivystep/gateway/request_log.py
+++ b/ivystep/gateway/request_log.py
@@ -57,6 +57,9 @@
                 self._config.version,
                 state.call.caller,
                 state.content_id,
+                upstream.entry.software_version,
+                state.answer.last_event_id,
+                state.call.resumed_request_id,
             )
         )
 
--- a/ivystep/platform/header_names.py
+++ b/ivystep/platform/header_names.py
@@ -7,6 +7,8 @@
 PROMPT_PARTS = b'prompt-prefix'
 OUTPUT_ESTIMATE = b'length-hint'
 RESUME_AFTER = b'last-event-id'
+# Request of the caller that brought the first event of a resumed stream.
+RESUMED_REQUEST = b'resumes'
 
 EXPECTED_UPSTREAM = b'expect-instance'
 EXPECTED_VERSION = b'expect-version'
@@ -65,5 +67,6 @@
         PROMPT_PARTS,
         OUTPUT_ESTIMATE,
         RESUME_AFTER,
+        RESUMED_REQUEST,
     )
 )
--- a/ivystep/platform/messages.py
+++ b/ivystep/platform/messages.py
@@ -62,6 +62,9 @@
         time_budget_s=None if budget_ms is None else budget_ms / units.MS_PER_S,
         generation=_generation(value_by_name),
         resumes_after=_text(value_by_name.get(header_names.RESUME_AFTER, b'')),
+        resumed_request_id=_text(
+            value_by_name.get(header_names.RESUMED_REQUEST, b'')
+        ),
         caller=caller,
     )
 
--- a/ivystep/platform/upstream_entries.py
+++ b/ivystep/platform/upstream_entries.py
@@ -40,6 +40,8 @@
     service: str
     address: str
     zone: str = ''
+    # Version of its software, not of the weights that it holds.
+    version: str = ''
     slots: int = pydantic.Field(ge=0)
     state: str
     born: int = 0
@@ -85,6 +87,7 @@
                 else entry.remaining_ms / units.MS_PER_S
             ),
             version=row.version,
+            software_version=entry.version,
         )
     except DECODE_ERRORS as error:
         raise errors.SetupError(
--- a/ivystep/traffic/calls.py
+++ b/ivystep/traffic/calls.py
@@ -48,6 +48,8 @@
         time_budget_s: Time for which the caller waits; None if not stated.
         resumes_after: Id of the last event that the caller received; empty if
             it requests the whole stream.
+        resumed_request_id: Request that brought the first event of a stream
+            that the caller takes up; empty if not stated.
         arrived: Time at which the whole request had been received.
         caller: IP address of the caller.
     """
@@ -62,6 +64,7 @@
     time_budget_s: float | None = None
     generation: Generation | None = None
     resumes_after: str = ''
+    resumed_request_id: str = ''
     caller: str = ''
 
     @property
--- a/ivystep/traffic/upstreams.py
+++ b/ivystep/traffic/upstreams.py
@@ -39,6 +39,8 @@
         held_model_by_name: Models that it holds; empty for plain services.
         leaves_in_s: Time until the upstream shuts down; None if not known.
         version: Store version at which the entry was written.
+        software_version: Version of the software that it runs; empty if not
+            stated. Versions have no order.
     """
 
     upstream_id: str
@@ -51,6 +53,7 @@
     held_model_by_name: dict[str, HeldModel]
     leaves_in_s: float | None
     version: int
+    software_version: str = ''
 
     @property
     def identity(self) -> tuple[str, int, tuple[str, int], str]:
