Add failing tests of streams over two software versions

Callers saw streams that began at one software version of a service and went on at another, within one answer and over their own attempts. Two counterparts pass: a service of one version, and new streams at all versions.

--- a/tests/gateway/conftest.py
+++ b/tests/gateway/conftest.py
@@ -18,10 +18,11 @@
 def build(stack):
     """Return a function that builds a gateway with scripted upstreams."""
 
-    def make(*scripts, **more):
+    def make(*scripts, versions=(), **more):
         upstreams = []
         for number, script in enumerate(scripts, 1):
-            made = harness.ScriptedUpstream(script, f'i-{number}')
+            version = versions[number - 1] if versions else 'v1'
+            made = harness.ScriptedUpstream(script, f'i-{number}', version)
             stack.callback(made.close)
             upstreams.append(made)
         return harness.GatewayHarness(stack, *upstreams, **more), upstreams
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -39,8 +39,9 @@
         ended: Number of connections that have ended.
     """
 
-    def __init__(self, script, upstream_id='i-1'):
+    def __init__(self, script, upstream_id='i-1', software_version='v1'):
         self.upstream_id = upstream_id
+        self.software_version = software_version
         self.script = script
         self.requests = []
         self.ended = 0
@@ -217,6 +218,7 @@
             'zone': 'accra-a',
             'slots': 4,
             'state': 'ready',
+            'version': upstream.software_version,
             **more,
         }
         self.store.write(
--- /dev/null
+++ b/tests/gateway/test_software_versions.py
@@ -0,0 +1,200 @@
+"""Tests of streams while upstreams of several software versions serve."""
+
+import collections
+import contextlib
+
+import eventlet
+import pytest
+
+from tests.gateway import harness
+
+EVENTS = [f'id: {n}\ndata: token {n}\n\n'.encode() for n in range(1, 5)]
+BEGUN = 2
+STREAMS = 8
+AT_ONCE_S = 0.6
+
+
+def stream_head(headers):
+    return (
+        f'HTTP/1.1 200 OK\r\nRequest-Id: {headers["request-id"]}\r\n'
+        'Response-Seal: seal\r\nContent-Type: text/event-stream\r\n'
+        'Transfer-Encoding: chunked\r\n\r\n'
+    ).encode()
+
+
+def chunk(content):
+    return b'%x\r\n%b\r\n' % (len(content), content)
+
+
+class Recorder:
+    """Records which upstreams sent events of which stream.
+
+    Attributes:
+        versions_by_stream: Software versions that sent its events, by the
+            request that began the stream.
+    """
+
+    def __init__(self):
+        self.versions_by_stream = collections.defaultdict(list)
+
+    def script(self, version):
+        """Return a script that breaks new streams off and ends resumed ones."""
+
+        def answer(connection, headers):
+            first_id = headers.get('resumes', headers['request-id'])
+            self.versions_by_stream[first_id].append(version)
+            after = int(headers.get('last-event-id', 0))
+            if after:
+                rest = chunk(b''.join(EVENTS[after:]))
+                return stream_head(headers) + rest + b'0\r\n\r\n'
+            connection.sendall(
+                stream_head(headers) + chunk(b''.join(EVENTS[:BEGUN]))
+            )
+            eventlet.sleep(0.05)
+            harness.reset(connection)
+            return None
+
+        return answer
+
+    def assert_one_version_each(self, streams):
+        assert len(self.versions_by_stream) == streams
+        for versions in self.versions_by_stream.values():
+            assert len(versions) > 1
+            assert len(set(versions)) == 1
+
+
+@pytest.fixture
+def recorder():
+    return Recorder()
+
+
+@pytest.fixture
+def build_versions(build, recorder):
+    """Return a function that builds a gateway and upstreams of versions."""
+
+    def make(*versions, **more):
+        scripts = [recorder.script(version) for version in versions]
+        return build(*scripts, versions=versions, **more)
+
+    return make
+
+
+def take_up(gateway, stream, attempt='2', after=BEGUN):
+    """Take a stream up as its caller does, with a new request."""
+    return gateway.send(
+        '/resume/2f',
+        f'{stream}-{attempt}',
+        headers=[f'Last-Event-Id: {after}', f'Resumes: {stream}'],
+    )
+
+
+def begin(gateway, stream):
+    """Begin a stream whose caller disconnects after its first events."""
+    with contextlib.closing(gateway.connect()) as connection:
+        connection.sendall(harness.request('/resume/2f', stream))
+        received = b''
+        with eventlet.Timeout(2):
+            while EVENTS[BEGUN - 1] not in received:
+                received += connection.recv(65536)
+
+
+def test_stream_is_resumed_at_the_version_that_began_it(
+    build_versions, recorder
+):
+    """Guards against one answer with events of two software versions."""
+    gateway, _ = build_versions('v1', 'v1', 'v2', 'v2')
+    for number in range(STREAMS):
+        answer = gateway.send('/resume/2f', f'r-{number}')
+        assert answer.body == b''.join(EVENTS)
+        assert answer.is_complete
+    recorder.assert_one_version_each(STREAMS)
+
+
+@pytest.mark.parametrize('has_ended', [False, True])
+def test_stream_is_taken_up_at_the_version_that_began_it(
+    build_versions, build_peer, recorder, has_ended
+):
+    """Guards against a caller's stream of two versions over two gateways."""
+    first, _ = build_versions('v1', 'v2', 'v1', 'v2')
+    second = build_peer(first, 'host-2')
+    for number in range(STREAMS):
+        begin(first, f'r-{number}')
+    if has_ended:
+        eventlet.sleep(0.1)
+        first.daemon.stop()
+    for number in range(STREAMS):
+        answer = take_up(second, f'r-{number}')
+        assert answer.body == b''.join(EVENTS[BEGUN:])
+    recorder.assert_one_version_each(STREAMS)
+
+
+def test_stream_that_began_before_a_second_version_is_taken_up_at_its_own(
+    build_versions, build_peer, recorder, stack
+):
+    """Guards against streams in progress when an upgrade begins."""
+    first, _ = build_versions('v1', 'v1')
+    second = build_peer(first, 'host-2')
+    for number in range(STREAMS):
+        begin(first, f'r-{number}')
+    for number in (8, 9):
+        newer = harness.ScriptedUpstream(
+            recorder.script('v2'), f'i-{number}', 'v2'
+        )
+        stack.callback(newer.close)
+        first.add(newer)
+    first.wait_for(4)
+    second.wait_for(4)
+    eventlet.sleep(0.1)
+    for number in range(STREAMS):
+        assert take_up(second, f'r-{number}').status == 200
+    recorder.assert_one_version_each(STREAMS)
+
+
+def test_stream_whose_version_has_gone_is_refused_at_once(
+    build_versions, recorder
+):
+    """Guards against another version, and a wait that cannot help."""
+    gateway, (old, _) = build_versions('v1', 'v2')
+    begun = 0
+    while 'v1' not in recorder.versions_by_stream['r-1']:
+        recorder.versions_by_stream.clear()
+        begin(gateway, 'r-1')
+        begun += 1
+        assert begun < 50
+    gateway.store.write('servers', old.upstream_id, None)
+    gateway.wait_for(1)
+    with eventlet.Timeout(AT_ONCE_S):
+        answer = take_up(gateway, 'r-1')
+    assert answer.status == 503
+    assert answer.document['ran'] == 'no'
+    assert answer.document['code'] == 'software_version_gone'
+    assert recorder.versions_by_stream['r-1'] == ['v1']
+
+
+def test_stream_of_an_unknown_version_is_refused_at_once(
+    build_versions, recorder
+):
+    """Guards against a guess among two versions."""
+    gateway, _ = build_versions('v1', 'v2')
+    with eventlet.Timeout(AT_ONCE_S):
+        answer = take_up(gateway, 'r-unknown')
+    assert answer.status == 503
+    assert answer.document['ran'] == 'no'
+    assert not recorder.versions_by_stream
+
+
+def test_stream_of_unknown_origin_goes_on_at_the_only_version(
+    build_versions, recorder
+):
+    """Guards against refusals where there is nothing to mix."""
+    gateway, _ = build_versions('v1', 'v1')
+    assert take_up(gateway, 'r-unknown').status == 200
+
+
+def test_new_streams_use_all_versions(build_versions, recorder):
+    """Guards against a version that gets no new streams."""
+    gateway, _ = build_versions('v1', 'v2')
+    for number in range(3 * STREAMS):
+        begin(gateway, f'r-{number}')
+    began = {found[0] for found in recorder.versions_by_stream.values()}
+    assert began == {'v1', 'v2'}
