Resume a stream only at the software version that began it

Cause: the version in an upstream's entry was not read, so a resumed stream was placed like a new one.

A request now carries the version that began its stream once an event has reached the caller, and pools place it at upstreams of that version only. Such requests wait in queues of their own, so that they hold up no others. A stream whose version has no upstream left is refused at once.

--- a/ivystep/core/types.py
+++ b/ivystep/core/types.py
@@ -98,6 +98,8 @@
         target_start_by: Latest start that still meets the target latency.
         value_rate: Value of an answer that meets the target latency, per
             second of its run time.
+        software_version: Only upstreams whose software has this version may
+            run the request; None if any may.
     """
 
     request_id: str
@@ -118,6 +120,7 @@
     start_by: float | None = None
     target_start_by: float = math.inf
     value_rate: float = 1.0
+    software_version: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -182,6 +185,7 @@
         max_running: Number of requests that the engine can batch.
         crash_fingerprints: Requests that were running when the engine failed,
             one entry per failure and request.
+        software_version: Version of the upstream's software; empty if unknown.
     """
 
     upstream_id: str
@@ -197,6 +201,7 @@
     loading: AdapterRef | None
     setup_version: int
     crash_fingerprints: tuple[CrashFingerprint, ...]
+    software_version: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ivystep/entry/pool.py
+++ b/ivystep/entry/pool.py
@@ -190,7 +190,7 @@
         self._record_arrival(request)
         start_by = self._start_by(request, now)
         waiter = waiting.WaitingRequest(request, avoid, now, start_by)
-        if not self._waiting.waiting_for(request.adapter):
+        if not self._waiting.has_earlier(request):
             view = self._route(waiter)
             if view is not None:
                 self._metrics.record_load_stall(request.account, 0)
@@ -277,6 +277,7 @@
             clock.now(),
             avoid=waiter.avoid,
             avoid_until=waiter.waiting_since,
+            software_version=waiter.request.software_version,
         )
 
     def _reserve(
@@ -307,6 +308,7 @@
                     head
                     for head in self._waiting.heads(refs)
                     if view.accepts_retry(head.avoid, head.waiting_since)
+                    and view.has_version(head.request.software_version)
                 ),
                 key=functools.partial(self._waiting_order, view),
                 default=None,
--- a/ivystep/entry/waiting.py
+++ b/ivystep/entry/waiting.py
@@ -38,27 +38,32 @@
 
 
 _Queue = collections.OrderedDict[int, WaitingRequest]
+# Account and required software version.
+_QueueKey = tuple[str, str | None]
 
 
 class WaitingRequests:
-    """One queue per adapter and account, in order of arrival."""
+    """Queues per adapter, account and software version, by arrival.
+
+    A request that only few upstreams can take must not hold up the others.
+    """
 
     def __init__(self) -> None:
-        self._queue_by_account_by_ref: dict[
-            types.AdapterRef | None, dict[str, _Queue]
+        self._queue_by_key_by_ref: dict[
+            types.AdapterRef | None, dict[_QueueKey, _Queue]
         ] = {}
 
     def __bool__(self) -> bool:
         """Return whether any request waits."""
-        return bool(self._queue_by_account_by_ref)
+        return bool(self._queue_by_key_by_ref)
 
     def add(self, waiting: WaitingRequest) -> bool:
         """Add a request; return whether it is the first for its adapter."""
         ref = waiting.request.adapter
-        is_first = ref not in self._queue_by_account_by_ref
-        queues = self._queue_by_account_by_ref.setdefault(ref, {})
+        is_first = ref not in self._queue_by_key_by_ref
+        queues = self._queue_by_key_by_ref.setdefault(ref, {})
         queue = queues.setdefault(
-            waiting.request.account, collections.OrderedDict()
+            _queue_key(waiting.request), collections.OrderedDict()
         )
         queue[id(waiting)] = waiting
         return is_first
@@ -66,31 +71,46 @@
     def discard(self, waiting: WaitingRequest) -> None:
         """Remove a request, if present."""
         request = waiting.request
-        queues = self._queue_by_account_by_ref.get(request.adapter, {})
-        queue = queues.get(request.account)
+        queues = self._queue_by_key_by_ref.get(request.adapter, {})
+        queue = queues.get(_queue_key(request))
         if queue is None or queue.pop(id(waiting), None) is None:
             return
         if not queue:
-            del queues[request.account]
+            del queues[_queue_key(request)]
         if not queues:
-            del self._queue_by_account_by_ref[request.adapter]
+            del self._queue_by_key_by_ref[request.adapter]
 
     def heads(
         self, refs: Iterable[types.AdapterRef | None]
     ) -> Iterator[WaitingRequest]:
-        """Yield the oldest request of each account for each given adapter."""
+        """Yield the oldest request of each queue for each given adapter."""
         for ref in refs:
-            for queue in self._queue_by_account_by_ref.get(ref, {}).values():
+            for queue in self._queue_by_key_by_ref.get(ref, {}).values():
                 yield next(iter(queue.values()))
 
+    def has_earlier(self, request: types.Request) -> bool:
+        """Return whether others wait for what a request needs.
+
+        Args:
+            request: A request that has just arrived.
+        """
+        queues = self._queue_by_key_by_ref.get(request.adapter, {})
+        return any(
+            version in {None, request.software_version} for _, version in queues
+        )
+
     def waiting_for(self, ref: types.AdapterRef | None) -> list[WaitingRequest]:
         """Return the requests that wait for an adapter."""
         return [
             waiting
-            for queue in self._queue_by_account_by_ref.get(ref, {}).values()
+            for queue in self._queue_by_key_by_ref.get(ref, {}).values()
             for waiting in queue.values()
         ]
 
     def refs(self) -> list[types.AdapterRef]:
         """Return the adapters that requests wait for."""
-        return [ref for ref in self._queue_by_account_by_ref if ref is not None]
+        return [ref for ref in self._queue_by_key_by_ref if ref is not None]
+
+
+def _queue_key(request: types.Request) -> _QueueKey:
+    return request.account, request.software_version
--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -86,6 +86,7 @@
         state.step = 'connect'
         state.upstream_id = upstream.upstream_id
         state.attempts += 1
+        state.record_version(upstream)
         was_tried = upstream.upstream_id in state.may_have_run
         state.may_have_run.add(upstream.upstream_id)
         exchange = relay.Exchange(
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -28,6 +28,8 @@
 
 # Pause before a retry, so that a full upstream can finish some requests.
 RETRY_PAUSE_S = 0.03
+# Crashed upstreams of a software version may be back by then.
+VERSION_RETRY_S = 1.0
 
 
 class DeadlineExceededError(Exception):
@@ -135,6 +137,25 @@
         while not is_sent:
             is_sent = self._place_and_send(state, target)
 
+    def _raise_if_version_gone(self, state: request_state.RequestState) -> None:
+        """Refuse a resumed stream whose software version has no upstream."""
+        version = state.required_version
+        if version is None or any(
+            upstream.entry.service == state.service
+            and upstream.entry.software_version == version
+            and not upstream.is_draining
+            for upstream in self._membership.upstream_by_id.values()
+        ):
+            return
+        raise errors.RefusedError(
+            'software_version_gone',
+            f'No upstream runs version {version!r}, which began the stream.',
+            status=503,
+            retry_after_s=VERSION_RETRY_S,
+            step='route',
+            peer=state.service,
+        )
+
     def _place_and_send(
         self, state: request_state.RequestState, target: pool.Pool
     ) -> bool:
@@ -146,6 +167,7 @@
             for a permit or a connection.
         """
         state.step = 'place'
+        self._raise_if_version_gone(state)
         ref = self._versions.choose(state.call, target)
         with self._limits.wait_in_turn(state):
             placement = target.place(
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -36,6 +36,8 @@
         content_id: Short id of the content, equal for a repeated request.
         fingerprints: Digests of the content; see ``calls.Call``.
         turn_at: Limited upstream at which this attempt has taken a turn.
+        stream_version: Software version of the upstreams that have sent the
+            stream's events; None if unknown.
         step: What the request waits for: ``place``, ``permit``, ``connect``
             or ``run``.
     """
@@ -51,6 +53,7 @@
     upstream_id: str = ''
     turn_at: upstream_state.Upstream | None = None
     step: str = 'place'
+    stream_version: str | None = None
     content_id: str = ''
     fingerprints: tuple[bytes, ...] = ()
 
@@ -88,6 +91,23 @@
         """Whether the request may run on another upstream."""
         return len(self.may_have_run) < self.route.max_attempts
 
+    @property
+    def required_version(self) -> str | None:
+        """Software version at which a resumed stream may go on; None for any.
+
+        What two versions write does not fit together.
+        """
+        return self.stream_version if self.answer.last_event_id else None
+
+    def record_version(self, upstream: upstream_state.Upstream) -> None:
+        """Record the software version of an attempt that is about to be sent.
+
+        Args:
+            upstream: The upstream of the attempt.
+        """
+        if self.required_version is None:
+            self.stream_version = upstream.entry.software_version
+
     @property
     def remaining_s(self) -> float:
         """Time until the deadline."""
@@ -201,6 +221,7 @@
             start_by=self.start_by,
             target_start_by=self.target_start_by,
             value_rate=1.0 / self.expected_run_s,
+            software_version=self.required_version,
         )
 
 
--- a/ivystep/gateway/upstream_state.py
+++ b/ivystep/gateway/upstream_state.py
@@ -220,6 +220,7 @@
             loading=self._loading(),
             setup_version=0,
             crash_fingerprints=(),
+            software_version=entry.software_version,
         )
 
     def is_available(self, now: float) -> bool:
--- a/ivystep/policy/routing.py
+++ b/ivystep/policy/routing.py
@@ -161,6 +161,14 @@
         """
         return self.status.upstream_id not in avoid or self.reported_at > since
 
+    def has_version(self, software_version: str | None) -> bool:
+        """Return whether the upstream runs a version of the software.
+
+        Args:
+            software_version: The version; None for any.
+        """
+        return software_version in {None, self.status.software_version}
+
     def reserve(self, account: str, now: float) -> None:
         """Count a request that is sent to the upstream.
 
@@ -289,6 +297,7 @@
         now: float,
         avoid: frozenset[str] = NO_UPSTREAMS,
         avoid_until: float = 0.0,
+        software_version: str | None = None,
     ) -> UpstreamView | None:
         """Choose the upstream for one request.
 
@@ -304,32 +313,37 @@
             avoid: Upstreams that were tried before.
             avoid_until: Time after which an upstream that was tried before must
                 have reported to be chosen again, in seconds.
+            software_version: Version that the upstream must run; None for any.
 
         Returns:
             The upstream, or None if none has room.
         """
         if ref is None:
-            candidates = self._sampled_views(now, avoid)
+            candidates = self._sampled_views(now, avoid, software_version)
         else:
             candidates = self.holders(ref)
         return min(
             (
                 view
                 for view in candidates
-                if view.accepts_retry(avoid, avoid_until) and view.has_room(now)
+                if view.accepts_retry(avoid, avoid_until)
+                and view.has_version(software_version)
+                and view.has_room(now)
             ),
             key=lambda view: self._preference(view, avoid),
             default=None,
         )
 
     def _sampled_views(
-        self, now: float, avoid: frozenset[str]
+        self, now: float, avoid: frozenset[str], software_version: str | None
     ) -> list[UpstreamView]:
         """Return a random sample of the upstreams, or all if it has no room."""
         few = random.sample(self._ids, min(SAMPLED_UPSTREAMS, len(self._ids)))
         views = [self.view_by_id[upstream_id] for upstream_id in few]
         if any(
-            view.has_room(now) and view.status.upstream_id not in avoid
+            view.has_room(now)
+            and view.has_version(software_version)
+            and view.status.upstream_id not in avoid
             for view in views
         ):
             return views
--- a/tests/gateway/test_connections.py
+++ b/tests/gateway/test_connections.py
@@ -20,7 +20,9 @@
         gateway, _ = build()
         gateway.add(
             types.SimpleNamespace(
-                upstream_id='i-1', port=listener.getsockname()[1]
+                upstream_id='i-1',
+                software_version='v1',
+                port=listener.getsockname()[1],
             )
         )
         gateway.wait_for(1)
