Let the writer of crashes write rows of any table

CrashWriter becomes RowWriter, which is given the table that its log lines name. No behaviour changes; the tests of crashes pass.

--- a/ivystep/gateway/crashes.py
+++ b/ivystep/gateway/crashes.py
@@ -17,9 +17,9 @@
 
 from ivystep.core import errors
 from ivystep.gateway import (
-    crash_writer,
     events,
     request_state,
+    row_writer,
     upstream_state,
 )
 from ivystep.platform import crash_rows, rows
@@ -44,7 +44,7 @@
     """
 
     def __init__(
-        self, writer: crash_writer.CrashWriter, log: event_log.EventLog
+        self, writer: row_writer.RowWriter, log: event_log.EventLog
     ) -> None:
         self._writer = writer
         self._log = log
@@ -53,7 +53,7 @@
         )
         # Keys of the crashes that this host has written.
         self._own_keys: collections.deque[str] = collections.deque(
-            maxlen=crash_writer.MAX_PENDING_ROWS
+            maxlen=row_writer.MAX_PENDING_ROWS
         )
         self._quarantine = quarantine.Quarantine('', CRASHES_TO_REFUSE)
         # Successes since the last crash of requests that have crashes.
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -13,7 +13,6 @@
     base_model_loader,
     callers,
     configuration,
-    crash_writer,
     crashes,
     dispatch,
     engine_link,
@@ -30,6 +29,7 @@
     request_handler,
     request_log,
     residency_updates,
+    row_writer,
     safeguard,
     store_contact,
     upstream_state,
@@ -161,7 +161,8 @@
             self._log,
         )
         self._crashes = crashes.Crashes(
-            crash_writer.CrashWriter(self._rows, self._log), self._log
+            row_writer.RowWriter(self._rows, crash_rows.TABLE, self._log),
+            self._log,
         )
         requests_log = request_log.RequestLog(self._log, self._config)
         self._request_handler = request_handler.RequestHandler(
--- a/ivystep/gateway/crash_writer.py
+++ b/ivystep/gateway/row_writer.py
@@ -1,7 +1,7 @@
-"""Writes the crashes that this host has seen to the store.
+"""Writes rows to the store in the background.
 
 Writes that arrive while a transaction is in progress share the next one, since
-the crash of an engine ends many requests at once.
+the crash of an engine, or an upgrade, causes many at once.
 """
 
 import collections
@@ -11,7 +11,7 @@
 
 from ivystep.core import errors
 from ivystep.gateway import events
-from ivystep.platform import crash_rows, rows
+from ivystep.platform import rows
 from ivystep.runtime import clock, event_log
 
 # The store's limit on the rows of one transaction.
@@ -23,18 +23,20 @@
 JITTER_SHARE = 0.3
 
 
-class CrashWriter:
-    """Writes rows in the background and repeats failed writes.
+class RowWriter:
+    """Writes rows of one table and repeats failed writes.
 
     Args:
         client: Client of the store.
+        table: Name of the table.
         log: Event log of outages.
     """
 
     def __init__(
-        self, client: rows.RowsClient, log: event_log.EventLog
+        self, client: rows.RowsClient, table: str, log: event_log.EventLog
     ) -> None:
         self._client = client
+        self._table = table
         self._log = log
         self._pending: collections.deque[rows.RowWrite] = collections.deque(
             maxlen=MAX_PENDING_ROWS
@@ -63,9 +65,7 @@
                 self._client.transact(batch)
             except errors.PlatformError as error:
                 self._log.write(
-                    events.DependencyLost(
-                        f'store/{crash_rows.TABLE}', str(error)
-                    )
+                    events.DependencyLost(f'store/{self._table}', str(error))
                 )
                 self._pending.extendleft(reversed(batch))
                 clock.sleep(retry_s * random.uniform(1, 1 + JITTER_SHARE))
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ivystep.core import errors
-from ivystep.gateway import crash_writer, crashes
+from ivystep.gateway import crashes, row_writer
 from ivystep.platform import crash_rows, rows
 from ivystep.policy import quarantine
 from ivystep.runtime import clock
@@ -53,7 +53,7 @@
     def __init__(self, store):
         self.log = fakes.FakeLog()
         self.crashes = crashes.Crashes(
-            crash_writer.CrashWriter(store, self.log), self.log
+            row_writer.RowWriter(store, crash_rows.TABLE, self.log), self.log
         )
         store.hosts.append(self)
 
@@ -180,7 +180,7 @@
         first.lose(f'i-{number}')
     assert (first.is_refused, second.is_refused) == (True, False)
     store.is_away = False
-    clock.sleep(2 * crash_writer.MAX_RETRY_S)
+    clock.sleep(2 * row_writer.MAX_RETRY_S)
     assert second.is_refused
 
 
@@ -188,7 +188,7 @@
 def test_requests_of_one_crash_share_transactions():
     """Guards against a write call for each request of a crashed engine."""
     store = SharedRows()
-    writer = crash_writer.CrashWriter(store, fakes.FakeLog())
+    writer = row_writer.RowWriter(store, crash_rows.TABLE, fakes.FakeLog())
     for number in range(60):
         writer.write(rows.RowWrite(crash_rows.TABLE, str(number), b'{}'))
     clock.sleep(0.1)
