Take a caller's stream up at the software version that began it

Cause: nothing knew which version had begun a stream that another gateway, perhaps one that has ended, had relayed.

While several versions serve a route, each gateway writes the service and the software version of each resumable stream to the store as it sends it, and all streams of its own that are in progress when a second version appears. A gateway at which a caller takes a stream up looks in its own streams, then in the store, and refuses at once what it cannot tell. While one version serves, nothing is written or read, except by a gateway that has just started, which cannot know what served before.

Rejected: writing each stream always (a write a stream for nothing), asking the other gateways (one that has ended cannot answer), a version derived from the request's id (the set of versions changes while streams run).

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -16,6 +16,7 @@
     request_log,
     request_state,
     safeguard,
+    stream_origins,
     upstream_state,
     version_choice,
 )
@@ -46,6 +47,7 @@
         safeguards: What keeps requests from harming upstreams.
         on_change: Called when this host's view of an upstream has changed.
         log: Logs the decisions.
+        origins: Knows where streams began.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         safeguards: safeguard.Safeguards,
         on_change: Callable[[upstream_state.Upstream], None],
         log: request_log.RequestLog,
+        origins: stream_origins.StreamOrigins,
     ) -> None:
         self._membership = membership
         self._versions = versions
@@ -63,6 +66,7 @@
         self._limits = safeguards.limits
         self._on_change = on_change
         self._log = log
+        self._origins = origins
 
     def send(
         self,
@@ -87,6 +91,7 @@
         state.upstream_id = upstream.upstream_id
         state.attempts += 1
         state.record_version(upstream)
+        self._origins.record(state, upstream)
         was_tried = upstream.upstream_id in state.may_have_run
         state.may_have_run.add(upstream.upstream_id)
         exchange = relay.Exchange(
--- a/ivystep/gateway/crashes.py
+++ b/ivystep/gateway/crashes.py
@@ -13,6 +13,7 @@
 """
 
 import collections
+import typing
 from collections.abc import Sequence
 
 from ivystep.core import errors
@@ -59,6 +60,14 @@
         # Successes since the last crash of requests that have crashes.
         self._successes: collections.Counter[bytes] = collections.Counter()
 
+    @classmethod
+    def from_store(
+        cls, client: rows.RowsClient, log: event_log.EventLog
+    ) -> typing.Self:
+        """Keep the crashes that all hosts have seen in a store."""
+        writer = row_writer.RowWriter(client, crash_rows.TABLE, log)
+        return cls(writer, log)
+
     def raise_if_refused(self, state: request_state.RequestState) -> None:
         """Raise an error if upstreams have crashed under a request.
 
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -29,9 +29,9 @@
     request_handler,
     request_log,
     residency_updates,
-    row_writer,
     safeguard,
     store_contact,
+    stream_origins,
     upstream_state,
     version_choice,
     version_source,
@@ -160,9 +160,9 @@
             self._engine_link,
             self._log,
         )
-        self._crashes = crashes.Crashes(
-            row_writer.RowWriter(self._rows, crash_rows.TABLE, self._log),
-            self._log,
+        self._crashes = crashes.Crashes.from_store(self._rows, self._log)
+        self._origins = stream_origins.StreamOrigins.from_store(
+            self._rows, self._log
         )
         requests_log = request_log.RequestLog(self._log, self._config)
         self._request_handler = request_handler.RequestHandler(
@@ -186,6 +186,7 @@
                 self._on_change,
                 self._leadership.wait_for_permit,
                 requests_log,
+                self._origins,
             ),
             self._metrics,
             requests_log,
@@ -377,12 +378,14 @@
     def _on_change(self, upstream: upstream_state.Upstream) -> None:
         known = self._membership.upstream_by_id.get(upstream.upstream_id)
         if known is upstream:
+            self._origins.on_upstream(upstream)
             self._pools.update_upstream(upstream)
         if upstream.is_draining:
             self._prefill_queues.close(upstream.entry.incarnation)
 
     def _on_removed(self, upstream: upstream_state.Upstream) -> None:
         self._link_by_upstream.pop(upstream, None)
+        self._origins.on_removed(upstream)
         self._prefill_queues.close(upstream.entry.incarnation)
         self._pools.remove_upstream(upstream)
 
@@ -442,6 +445,7 @@
             clock.sleep(EXPIRY_INTERVAL_S)
             if self._leadership.is_leader:
                 self._crashes.remove_expired()
+                self._origins.remove_abandoned()
 
     def _close_expired_connections(self) -> None:
         """Close idle connections to upstreams before the upstreams do."""
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -19,6 +19,7 @@
     request_log,
     request_state,
     safeguard,
+    stream_origins,
     upstream_state,
     version_choice,
 )
@@ -47,6 +48,7 @@
         on_change: Called when this host's view of an upstream has changed.
         wait_for_permit: Waits until a prompt may be sent to an engine.
         log: Logs the decisions.
+        origins: Knows where streams began.
     """
 
     def __init__(
@@ -58,6 +60,7 @@
         on_change: Callable[[upstream_state.Upstream], None],
         wait_for_permit: Callable[[str, prefill.Ticket], prefill.Permit],
         log: request_log.RequestLog,
+        origins: stream_origins.StreamOrigins,
     ) -> None:
         self._pools = pools
         self._membership = membership
@@ -67,8 +70,9 @@
         self._limits = safeguards.limits
         self._wait_for_permit = wait_for_permit
         self._log = log
+        self._origins = origins
         self._sender = attempt_sender.AttemptSender(
-            membership, versions, safeguards, on_change, log
+            membership, versions, safeguards, on_change, log, origins
         )
 
     def run(
@@ -101,6 +105,7 @@
         self._log.ended(state)
 
     def _run_attempts(self, state: request_state.RequestState) -> None:
+        self._origins.resolve(state)
         while True:
             try:
                 self._make_attempt(state)
--- a/ivystep/traffic/upstreams.py
+++ b/ivystep/traffic/upstreams.py
@@ -56,13 +56,14 @@
     software_version: str = ''
 
     @property
-    def identity(self) -> tuple[str, int, tuple[str, int], str]:
+    def identity(self) -> tuple[str, int, tuple[str, int], str, str]:
         """What two entries of one incarnation have in common."""
         return (
             self.upstream_id,
             self.started_at_ms,
             self.address,
             self.service,
+            self.software_version,
         )
 
     @property
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -14,6 +14,7 @@
     relay,
     request_log,
     safeguard,
+    stream_origins,
     upstream_state,
     version_choice,
 )
@@ -123,6 +124,7 @@
             lambda upstream: None,
             self.permit,
             request_log.RequestLog(self.log, self.recorded.config),
+            stream_origins.StreamOrigins(None, None, self.log),
         )
 
     def permit(self, engine, ticket):
