Load an adapter at the software version that a resumed stream needs

A stream that is resumed or taken up while several software versions serve can use only a part of the engines. If its adapter was resident only at engines of another version, nothing loaded it: the planner saw a holder, and the stream waited for its latest start and was refused late.

The demand that gateways report now names the software versions that waiting requests need, also over the wire (an optional field, so that gateways of both builds understand one another). The planner loads a further copy at an engine of such a version; if it has no engine, other requests still get their load.

--- a/ivystep/core/types.py
+++ b/ivystep/core/types.py
@@ -248,6 +248,8 @@
         timely_value: Value per second of run time of the waiting requests
             that can meet their target latency.
         late_value: The same for the waiting requests that cannot.
+        software_versions: Versions of the upstreams' software that waiting
+            requests need, if they need a certain one.
     """
 
     ref: AdapterRef
@@ -262,6 +264,7 @@
     target_start_within_s: float = math.inf
     timely_value: float = 0.0
     late_value: float = 0.0
+    software_versions: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ivystep/entry/peers.py
+++ b/ivystep/entry/peers.py
@@ -247,6 +247,7 @@
         ),
         timely_value=demand.timely_value,
         late_value=demand.late_value,
+        software_versions=list(demand.software_versions) or None,
     )
 
 
@@ -269,6 +270,7 @@
         ),
         timely_value=message.timely_value or 0.0,
         late_value=message.late_value or 0.0,
+        software_versions=tuple(message.software_versions or ()),
     )
 
 
--- a/ivystep/entry/pool.py
+++ b/ivystep/entry/pool.py
@@ -9,7 +9,7 @@
 import functools
 import math
 import typing
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 
 import eventlet
 from eventlet import event
@@ -427,6 +427,7 @@
             target_start_within_s=target_start_by - now,
             timely_value=sum(one.request.value_rate for one in timely),
             late_value=sum(one.request.value_rate for one in late),
+            software_versions=_software_versions(waiters),
         )
 
     def _refuse_late(self, forecast: types.LoadForecast) -> None:
@@ -437,3 +438,11 @@
                 waiter.placed.send_exception(
                     self._refusal('overloaded', forecast.retry_after_s)
                 )
+
+
+def _software_versions(
+    waiters: Iterable[waiting.WaitingRequest],
+) -> tuple[str, ...]:
+    """Return the software versions that waiting requests need."""
+    versions = {waiter.request.software_version for waiter in waiters}
+    return tuple(sorted(version for version in versions if version is not None))
--- a/ivystep/gateway/load_planner.py
+++ b/ivystep/gateway/load_planner.py
@@ -7,7 +7,8 @@
 """
 
 import collections
-from collections.abc import Callable, Iterable
+import dataclasses
+from collections.abc import Callable, Iterable, Iterator
 
 import eventlet
 from eventlet import event
@@ -168,8 +169,8 @@
         """
         candidates = [
             candidate
-            for candidate in self._aggregate_demands(now)
-            if self._needs_load(candidate, now)
+            for demand in self._aggregate_demands(now)
+            for candidate in self._missing_loads(demand, now)
         ]
         ordered = load_value.in_order(candidates, now, self.load_s)
         for candidate in ordered[:MAX_CANDIDATES]:
@@ -243,14 +244,25 @@
             for demands in demands_by_ref.values()
         ]
 
-    def _needs_load(
-        self, candidate: load_value.AggregateDemand, now: float
-    ) -> bool:
-        """Return whether the waiting requests need a load."""
-        ref = candidate.ref
+    def _missing_loads(
+        self, demand: load_value.AggregateDemand, now: float
+    ) -> Iterator[load_value.AggregateDemand]:
+        """Yield the loads that the waiting requests for an adapter need.
+
+        Requests that need a certain software version cannot use a copy at an
+        upstream of another one.
+        """
+        ref = demand.ref
         if self._is_loading(ref, now) or self._is_recently_loaded(ref, now):
-            return False
-        return not any(view.is_usable(now) for view in self._index.holders(ref))
+            return
+        holders = [
+            view for view in self._index.holders(ref) if view.is_usable(now)
+        ]
+        for version in demand.software_versions:
+            if not any(view.has_version(version) for view in holders):
+                yield dataclasses.replace(demand, software_version=version)
+        if not holders:
+            yield demand
 
     def _is_needed(self, ref: types.AdapterRef, now: float) -> bool:
         return (
--- a/ivystep/policy/load_order.py
+++ b/ivystep/policy/load_order.py
@@ -40,6 +40,8 @@
         oldest_at: Time at which the oldest of them began to wait.
         start_by: Latest time at which the adapter must be resident for the most
             urgent of them to meet its deadline.
+        software_version: Version of the upstream that is to load it; None for
+            any.
     """
 
     ref: types.AdapterRef
@@ -49,6 +51,7 @@
     waiting: int
     oldest_at: float
     start_by: float
+    software_version: str | None = None
 
     @classmethod
     def from_demand(
--- a/ivystep/policy/load_target.py
+++ b/ivystep/policy/load_target.py
@@ -100,6 +100,8 @@
 
     Attributes:
         waiting: Number of requests that wait for it.
+        software_version: Version of the upstream that is to load it; None for
+            any.
     """
 
     @property
@@ -110,6 +112,10 @@
     def waiting(self) -> int:
         """Number of requests that wait for the adapter."""
 
+    @property
+    def software_version(self) -> str | None:
+        """Version of the upstream that is to load it; None for any."""
+
 
 class LoadTargets:
     """Chooses load targets among the upstreams of a pool.
@@ -193,7 +199,13 @@
         cost = functools.partial(
             self._cost, now, packing, max(added, wanted.waiting)
         )
-        few = self._victims.smallest(MAX_CANDIDATES)
+        # Few upstreams may run a certain version of the software.
+        most = (
+            MAX_CANDIDATES
+            if wanted.software_version is None
+            else len(self._index.view_by_id)
+        )
+        few = self._victims.smallest(most)
         return min(self._candidates(few, wanted, now), key=cost, default=None)
 
     def _candidates(
@@ -203,7 +215,8 @@
         return [
             PlannedLoad(wanted, view, self._victim_if_full(view, now))
             for view in self._loadable(upstream_ids, now)
-            if wanted.ref not in view.status.resident_by_ref
+            if view.has_version(wanted.software_version)
+            and wanted.ref not in view.status.resident_by_ref
             # Another copy helps only on an upstream whose batch has room.
             and (not is_copy or view.has_room(now))
             and not self._has_busy_version(view, wanted.ref, now)
--- a/ivystep/policy/load_value.py
+++ b/ivystep/policy/load_value.py
@@ -32,6 +32,10 @@
             none can.
         start_by: Latest time at which it must be resident for any request to
             meet its deadline.
+        software_versions: Versions of the upstreams' software that some of
+            the requests need.
+        software_version: Version of the upstream that is to load the adapter;
+            None for any.
     """
 
     ref: types.AdapterRef
@@ -40,6 +44,8 @@
     late_value: float
     target_start_by: float
     start_by: float
+    software_versions: tuple[str, ...] = ()
+    software_version: str | None = None
 
     @classmethod
     def from_demand(
@@ -53,6 +59,7 @@
             late_value=demand.late_value,
             target_start_by=now + demand.target_start_within_s,
             start_by=now + demand.start_within_s,
+            software_versions=demand.software_versions,
         )
 
     @classmethod
@@ -75,6 +82,15 @@
             late_value=sum(demand.late_value for demand in known),
             target_start_by=min(demand.target_start_by for demand in known),
             start_by=max(demand.start_by for demand in known),
+            software_versions=tuple(
+                sorted(
+                    {
+                        one
+                        for demand in known
+                        for one in demand.software_versions
+                    }
+                )
+            ),
         )
 
 
--- a/ivystep/wire/gen/ttypes.py
+++ b/ivystep/wire/gen/ttypes.py
@@ -1793,6 +1793,7 @@
      - aim_within_ms
      - timely_value
      - late_value
+     - software_versions
 
     """
 
@@ -1809,10 +1810,11 @@
         'aim_within_ms',
         'timely_value',
         'late_value',
+        'software_versions',
     )
 
 
-    def __init__(self, adapter=None, source=None, setup_version=None, weight=None, waiting=None, oldest_wait_ms=None, start_within_ms=None, arrivals=None, running=None, aim_within_ms=None, timely_value=None, late_value=None,):
+    def __init__(self, adapter=None, source=None, setup_version=None, weight=None, waiting=None, oldest_wait_ms=None, start_within_ms=None, arrivals=None, running=None, aim_within_ms=None, timely_value=None, late_value=None, software_versions=None,):
         self.adapter = adapter
         self.source = source
         self.setup_version = setup_version
@@ -1825,6 +1827,7 @@
         self.aim_within_ms = aim_within_ms
         self.timely_value = timely_value
         self.late_value = late_value
+        self.software_versions = software_versions
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1896,6 +1899,16 @@
                     self.late_value = iprot.readDouble()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.LIST:
+                    self.software_versions = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.software_versions.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1954,6 +1967,13 @@
             oprot.writeFieldBegin('late_value', TType.DOUBLE, 12)
             oprot.writeDouble(self.late_value)
             oprot.writeFieldEnd()
+        if self.software_versions is not None:
+            oprot.writeFieldBegin('software_versions', TType.LIST, 13)
+            oprot.writeListBegin(TType.STRING, len(self.software_versions))
+            for iter27 in self.software_versions:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2022,11 +2042,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = AdapterDemand()
-                        _elem26.read(iprot)
-                        self.demands.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = AdapterDemand()
+                        _elem33.read(iprot)
+                        self.demands.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2051,8 +2071,8 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter27 in self.demands:
-                iter27.write(oprot)
+            for iter34 in self.demands:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2200,11 +2220,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.forecasts = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = LoadForecast()
-                        _elem33.read(iprot)
-                        self.forecasts.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = LoadForecast()
+                        _elem40.read(iprot)
+                        self.forecasts.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2221,8 +2241,8 @@
         if self.forecasts is not None:
             oprot.writeFieldBegin('forecasts', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.forecasts))
-            for iter34 in self.forecasts:
-                iter34.write(oprot)
+            for iter41 in self.forecasts:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2388,22 +2408,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = AdapterNews()
-                        _elem40.read(iprot)
-                        self.items.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = AdapterNews()
+                        _elem47.read(iprot)
+                        self.items.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.running = {}
-                    (_ktype42, _vtype43, _size41) = iprot.readMapBegin()
-                    for _i45 in range(_size41):
-                        _key46 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val47 = iprot.readI32()
-                        self.running[_key46] = _val47
+                    (_ktype49, _vtype50, _size48) = iprot.readMapBegin()
+                    for _i52 in range(_size48):
+                        _key53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val54 = iprot.readI32()
+                        self.running[_key53] = _val54
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2425,16 +2445,16 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter48 in self.items:
-                iter48.write(oprot)
+            for iter55 in self.items:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running))
-            for kiter49, viter50 in self.running.items():
-                oprot.writeString(kiter49.encode('utf-8') if sys.version_info[0] == 2 else kiter49)
-                oprot.writeI32(viter50)
+            for kiter56, viter57 in self.running.items():
+                oprot.writeString(kiter56.encode('utf-8') if sys.version_info[0] == 2 else kiter56)
+                oprot.writeI32(viter57)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.hosts is not None:
@@ -2501,11 +2521,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.running = {}
-                    (_ktype52, _vtype53, _size51) = iprot.readMapBegin()
-                    for _i55 in range(_size51):
-                        _key56 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val57 = iprot.readI32()
-                        self.running[_key56] = _val57
+                    (_ktype59, _vtype60, _size58) = iprot.readMapBegin()
+                    for _i62 in range(_size58):
+                        _key63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val64 = iprot.readI32()
+                        self.running[_key63] = _val64
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2526,9 +2546,9 @@
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running))
-            for kiter58, viter59 in self.running.items():
-                oprot.writeString(kiter58.encode('utf-8') if sys.version_info[0] == 2 else kiter58)
-                oprot.writeI32(viter59)
+            for kiter65, viter66 in self.running.items():
+                oprot.writeString(kiter65.encode('utf-8') if sys.version_info[0] == 2 else kiter65)
+                oprot.writeI32(viter66)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2709,11 +2729,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.digest_by_section = {}
-                    (_ktype61, _vtype62, _size60) = iprot.readMapBegin()
-                    for _i64 in range(_size60):
-                        _key65 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val66 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.digest_by_section[_key65] = _val66
+                    (_ktype68, _vtype69, _size67) = iprot.readMapBegin()
+                    for _i71 in range(_size67):
+                        _key72 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val73 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.digest_by_section[_key72] = _val73
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2734,9 +2754,9 @@
         if self.digest_by_section is not None:
             oprot.writeFieldBegin('digest_by_section', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.digest_by_section))
-            for kiter67, viter68 in self.digest_by_section.items():
-                oprot.writeString(kiter67.encode('utf-8') if sys.version_info[0] == 2 else kiter67)
-                oprot.writeString(viter68.encode('utf-8') if sys.version_info[0] == 2 else viter68)
+            for kiter74, viter75 in self.digest_by_section.items():
+                oprot.writeString(kiter74.encode('utf-8') if sys.version_info[0] == 2 else kiter74)
+                oprot.writeString(viter75.encode('utf-8') if sys.version_info[0] == 2 else viter75)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3646,6 +3666,7 @@
     (10, TType.I64, 'aim_within_ms', None, None, ),  # 10
     (11, TType.DOUBLE, 'timely_value', None, None, ),  # 11
     (12, TType.DOUBLE, 'late_value', None, None, ),  # 12
+    (13, TType.LIST, 'software_versions', (TType.STRING, 'UTF8', False), None, ),  # 13
 )
 all_structs.append(Demand)
 Demand.thrift_spec = (
--- a/ivystep/wire/ivystep.thrift
+++ b/ivystep/wire/ivystep.thrift
@@ -133,6 +133,7 @@
   10: optional i64 aim_within_ms
   11: optional double timely_value
   12: optional double late_value
+  13: optional list<string> software_versions
 }
 
 struct Demand {
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -11,7 +11,9 @@
 from tests.wire import certificates
 
 REF = types.AdapterRef('authority', 'plans', 3)
-DEMAND = types.AdapterDemand(REF, 'plans-3', 7, 1.5, 2, 0.25, 9.5, 4)
+DEMAND = types.AdapterDemand(
+    REF, 'plans-3', 7, 1.5, 2, 0.25, 9.5, 4, software_versions=('v1', 'v2')
+)
 FORECAST = types.LoadForecast(REF, 12.5, 30.0)
 
 
--- a/tests/gateway/test_load_planner.py
+++ b/tests/gateway/test_load_planner.py
@@ -1,5 +1,6 @@
 """Tests of the planner of parallel loads, on the virtual clock."""
 
+import dataclasses
 import math
 
 import eventlet
@@ -33,10 +34,11 @@
         self.running = running
         self.sequence = 0
         self.evicted = []
+        self.software_version = 'v1'
 
     def status(self):
         self.sequence += 1
-        return statuses.upstream_status(
+        status = statuses.upstream_status(
             self.upstream_id,
             self.held,
             sequence=self.sequence,
@@ -44,6 +46,9 @@
             slots=self.slots - len(self.loading),
             max_running=8,
         )
+        return dataclasses.replace(
+            status, software_version=self.software_version
+        )
 
     def load(self, order, setup_version):
         self.fixture.ordered_loads.append(order.ref.name)
@@ -79,8 +84,9 @@
         self.ordered_loads = []
         self.engines = []
 
-    def engine(self, *held, slots=4, running=0):
+    def engine(self, *held, slots=4, running=0, version='v1'):
         made = Engine(self, f'i-{len(self.engines)}', held, slots, running)
+        made.software_version = version
         self.engines.append(made)
         self.report_status(made)
         return made
@@ -140,6 +146,29 @@
     assert fixture.ordered_loads == ['high']
 
 
+@clocks.on_virtual_clock
+def test_adapter_is_loaded_at_the_software_version_that_a_stream_needs():
+    """Guards against a resumed stream that waits for a copy elsewhere."""
+    fixture = PlannerFixture()
+    fixture.engine('a1', version='v2')
+    old = fixture.engine(running=6)
+    fixture.engine(version='v2')
+    fixture.report_demand(demand('a1', software_versions=('v1',)))
+    clock.sleep(LOAD_S + 0.05)
+    assert old.held == {ref('a1')}
+    assert fixture.ordered_loads == ['a1']
+
+
+@clocks.on_virtual_clock
+def test_stream_of_a_version_that_has_gone_holds_up_no_load():
+    """Guards against requests that wait because a stream cannot go on."""
+    fixture = PlannerFixture()
+    engine = fixture.engine(version='v2')
+    fixture.report_demand(demand('a1', software_versions=('v1',)))
+    clock.sleep(LOAD_S + 0.05)
+    assert engine.held == {ref('a1')}
+
+
 @clocks.on_virtual_clock
 def test_adapter_in_use_by_another_host_is_not_evicted():
     """Guards against an eviction that waits for another host's requests."""
