Do not start a stream again whose events have no ids

A resumable stream without event ids that broke off was started from its beginning at another upstream, and its caller got the first events twice, in an answer that looked whole. Cause: an answer counted as resumable as long as only complete events had been sent, whether or not there was an id to resume after.

A test of the pool is added for the queues by software version: a stream that waits for one version holds up no others.

--- a/ivystep/gateway/relay.py
+++ b/ivystep/gateway/relay.py
@@ -249,6 +249,8 @@
             self._answer.last_event_id = (
                 event_stream.last_id(complete) or self._answer.last_event_id
             )
+            # Without an id, a further attempt would repeat these events.
+            self._answer.can_resume = bool(self._answer.last_event_id)
             self._answer.write(complete)
         self._answer.finish()
 
--- a/tests/entry/test_pool.py
+++ b/tests/entry/test_pool.py
@@ -208,6 +208,22 @@
     assert virtual_hub.run(scenario) == 0
 
 
+def test_request_for_one_software_version_holds_up_no_others():
+    """Guards against a resumed stream that blocks new requests."""
+
+    def scenario():
+        base_pool = make_pool()
+        FakeLink(base_pool, 'up-1', ref('a'))
+        needy = dataclasses.replace(request('a'), software_version='v1')
+        waiting = eventlet.spawn(outcome, base_pool, needy)
+        clock.sleep(0.1)
+        placed = outcome(base_pool, request('a'))
+        waiting.kill()
+        return placed
+
+    assert virtual_hub.run(scenario) == ('up-1', 0)
+
+
 def spawn_outcomes(base_pool, requests):
     tasks = [eventlet.spawn(outcome, base_pool, one) for one in requests]
     return [task.wait() for task in tasks]
--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -110,6 +110,19 @@
     assert not (answer.status == 200 and answer.is_complete)
 
 
+def test_stream_without_event_ids_is_not_started_again(build):
+    """Guards against events that the caller gets twice."""
+    bodies = [b'data: one\n\ndata: two\n\nda', b'data: one\n\n']
+
+    def answer(connection, headers):
+        script(bodies.pop(0))(connection, headers)
+
+    gateway, _ = build(answer, answer)
+    received = gateway.send('/resume/2f')
+    assert received.body == b'data: one\n\ndata: two\n\n'
+    assert received.was_reset
+
+
 def test_resumed_stream_may_have_no_further_events(build):
     """Guards against a failure of a stream that broke off at its end."""
 
