--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -114,6 +114,35 @@
     ).encode() + body
 
 
+# Events of a stream, as an upstream sends them.
+EVENTS = tuple(
+    f'id: {number}\ndata: token {number}\n\n'.encode() for number in range(1, 5)
+)
+
+
+def stream_head(headers):
+    """Return the head of a stream of events in chunks."""
+    return (
+        f'HTTP/1.1 200 OK\r\nRequest-Id: {headers["request-id"]}\r\n'
+        'Response-Seal: seal\r\nContent-Type: text/event-stream\r\n'
+        'Transfer-Encoding: chunked\r\n\r\n'
+    ).encode()
+
+
+def chunk(content):
+    """Return bytes as one chunk of a body."""
+    return b'%x\r\n%b\r\n' % (len(content), content)
+
+
+def receive_until(connection, part):
+    """Receive from a connection until a part has arrived; return all."""
+    received = b''
+    with eventlet.Timeout(2):
+        while part not in received:
+            received += connection.recv(65536)
+    return received
+
+
 def not_run_answer(status=503):
     return (
         f'HTTP/1.1 {status} Busy\r\nNot-Executed: 1\r\n'
--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -9,7 +9,7 @@
 
 from tests.gateway import harness
 
-EVENTS = [f'id: {n}\ndata: token {n}\n\n'.encode() for n in range(1, 5)]
+EVENTS = harness.EVENTS
 CUT_BYTES = 9
 ENDLESS_PIECE = b'x' * 65536
 HALF_OF_DEADLINE_S = 0.75
@@ -165,10 +165,7 @@
     gateway, _ = build(answer)
     with contextlib.closing(gateway.connect()) as connection:
         connection.sendall(harness.request(path, headers=['Connection: close']))
-        received = b''
-        with eventlet.Timeout(1):
-            while EVENTS[0] not in received:
-                received += connection.recv(65536)
+        received = harness.receive_until(connection, EVENTS[0])
         first_received.send()
         rest = harness.read_to_end(connection, received)
     assert rest.body == b''.join(EVENTS)
--- a/tests/gateway/test_relaying.py
+++ b/tests/gateway/test_relaying.py
@@ -9,19 +9,7 @@
 
 from tests.gateway import harness
 
-EVENTS = [f'id: {n}\ndata: token {n}\n\n'.encode() for n in range(1, 5)]
-
-
-def stream_head(headers):
-    return (
-        f'HTTP/1.1 200 OK\r\nRequest-Id: {headers["request-id"]}\r\n'
-        'Response-Seal: seal\r\nContent-Type: text/event-stream\r\n'
-        'Transfer-Encoding: chunked\r\n\r\n'
-    ).encode()
-
-
-def chunk(content):
-    return b'%x\r\n%b\r\n' % (len(content), content)
+EVENTS = harness.EVENTS
 
 
 def test_answer_is_forwarded_unchanged(build):
@@ -164,19 +152,18 @@
     first_received = event.Event()
 
     def stream(connection, headers):
-        connection.sendall(stream_head(headers) + chunk(EVENTS[0]))
+        connection.sendall(
+            harness.stream_head(headers) + harness.chunk(EVENTS[0])
+        )
         first_received.wait()
-        return chunk(EVENTS[1]) + b'0\r\n\r\n'
+        return harness.chunk(EVENTS[1]) + b'0\r\n\r\n'
 
     gateway, _ = build(stream)
     with contextlib.closing(gateway.connect()) as connection:
         connection.sendall(
             harness.request('/stream/2f', headers=['Connection: close'])
         )
-        first = b''
-        with eventlet.Timeout(2):
-            while EVENTS[0] not in first:
-                first += connection.recv(65536)
+        first = harness.receive_until(connection, EVENTS[0])
         first_received.send()
         rest = harness.read_to_end(connection, first)
     assert rest.body == EVENTS[0] + EVENTS[1]
@@ -186,7 +173,9 @@
     """Guards against a truncated stream with a regular last chunk."""
 
     def stream(connection, headers):
-        connection.sendall(stream_head(headers) + chunk(EVENTS[0]))
+        connection.sendall(
+            harness.stream_head(headers) + harness.chunk(EVENTS[0])
+        )
         eventlet.sleep(0.05)
         harness.reset(connection)
 
@@ -204,11 +193,13 @@
         after = int(headers.get('last-event-id', 0))
         body = b''.join(EVENTS[after:])
         if not after:
-            connection.sendall(stream_head(headers) + chunk(body[:60]))
+            connection.sendall(
+                harness.stream_head(headers) + harness.chunk(body[:60])
+            )
             eventlet.sleep(0.05)
             harness.reset(connection)
             return None
-        return stream_head(headers) + chunk(body) + b'0\r\n\r\n'
+        return harness.stream_head(headers) + harness.chunk(body) + b'0\r\n\r\n'
 
     gateway, upstreams = build(script, script)
     answer = gateway.send('/resume/2f')
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -8,24 +8,12 @@
 
 from tests.gateway import harness
 
-EVENTS = [f'id: {n}\ndata: token {n}\n\n'.encode() for n in range(1, 5)]
+EVENTS = harness.EVENTS
 BEGUN = 2
 STREAMS = 8
 AT_ONCE_S = 0.6
 
 
-def stream_head(headers):
-    return (
-        f'HTTP/1.1 200 OK\r\nRequest-Id: {headers["request-id"]}\r\n'
-        'Response-Seal: seal\r\nContent-Type: text/event-stream\r\n'
-        'Transfer-Encoding: chunked\r\n\r\n'
-    ).encode()
-
-
-def chunk(content):
-    return b'%x\r\n%b\r\n' % (len(content), content)
-
-
 class Recorder:
     """Records which upstreams sent events of which stream.
 
@@ -45,10 +33,11 @@
             self.versions_by_stream[first_id].append(version)
             after = int(headers.get('last-event-id', 0))
             if after:
-                rest = chunk(b''.join(EVENTS[after:]))
-                return stream_head(headers) + rest + b'0\r\n\r\n'
+                rest = harness.chunk(b''.join(EVENTS[after:]))
+                return harness.stream_head(headers) + rest + b'0\r\n\r\n'
             connection.sendall(
-                stream_head(headers) + chunk(b''.join(EVENTS[:BEGUN]))
+                harness.stream_head(headers)
+                + harness.chunk(b''.join(EVENTS[:BEGUN]))
             )
             eventlet.sleep(0.05)
             harness.reset(connection)
@@ -92,10 +81,7 @@
     """Begin a stream whose caller disconnects after its first events."""
     with contextlib.closing(gateway.connect()) as connection:
         connection.sendall(harness.request('/resume/2f', stream))
-        received = b''
-        with eventlet.Timeout(2):
-            while EVENTS[BEGUN - 1] not in received:
-                received += connection.recv(65536)
+        harness.receive_until(connection, EVENTS[BEGUN - 1])
 
 
 def test_stream_is_resumed_at_the_version_that_began_it(
