Keep an answer without a body without one on a stream's route

Since streams with a length are relayed as they arrive, an answer with status 204 on a stream's route counted as a stream of events and got chunks, which a caller would read as the start of the next answer. The new test failed before on both routes.

--- a/ivystep/gateway/relay.py
+++ b/ivystep/gateway/relay.py
@@ -144,7 +144,7 @@
         body = answer_body.AnswerBody(
             connection,
             raw,
-            is_stream=is_stream and raw.status <= HIGHEST_SUCCESS_STATUS,
+            is_stream=is_stream and _is_success_with_body(raw),
             may_be_empty=bool(self._answer.last_event_id),
         )
         self.body = body
@@ -294,5 +294,10 @@
         )
 
 
+def _is_success_with_body(raw: http1.RawHead) -> bool:
+    is_success = raw.status <= HIGHEST_SUCCESS_STATUS
+    return is_success and raw.framing is not http1.Framing.NONE
+
+
 def _is_short(raw: http1.RawHead) -> bool:
     return raw.length is not None and raw.length <= MAX_BUFFERED_BYTES
--- a/tests/gateway/test_broken_streams.py
+++ b/tests/gateway/test_broken_streams.py
@@ -151,6 +151,17 @@
     assert gateway.send('/once/2f').status == 502
 
 
+@pytest.mark.parametrize('path', ['/stream/2f', '/resume/2f'])
+def test_answer_without_a_body_stays_without_one(build, path):
+    """Guards against chunks in an answer that must not have a body."""
+    answer = b'HTTP/1.1 204 No Content\r\nRequest-Id: r-1\r\n\r\n'
+    gateway, _ = build(lambda *_: answer)
+    received = gateway.send(path)
+    assert received.status == 204
+    assert 'transfer-encoding' not in received.headers
+    assert not received.body
+
+
 @pytest.mark.parametrize('path', ['/stream/2f', '/resume/2f'])
 def test_stream_with_a_length_is_forwarded_as_it_arrives(build, path):
     """Guards against events that are held back until the last one."""
