Bound the wait for a stream's origin by a quarter of a second

A caller that took a stream up in the first minute of a gateway waited up to a second for a store that did not answer, also where upstreams of one version serve and nothing can be mixed. The read is given up after 0.25 s; then the stream goes on if there is one version and is refused if there are several. Found by reading. The new test fails without the bound (a wait of 1 s).

--- a/ivystep/gateway/stream_origins.py
+++ b/ivystep/gateway/stream_origins.py
@@ -14,6 +14,8 @@
 import dataclasses
 import typing
 
+import eventlet
+
 from ivystep.core import errors, ids
 from ivystep.gateway import (
     events,
@@ -32,6 +34,8 @@
 # Streams of this host that are remembered.
 MAX_STREAMS = 20_000
 RETRY_S = 0.5
+# A caller waits for the read, and the store may be silent.
+READ_TIMEOUT_S = 0.25
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -210,10 +214,11 @@
 
     def _read(self, key: str) -> stream_rows.StreamOrigin | None:
         try:
-            page = self._client.read(
-                stream_rows.TABLE, key, f'{key}\0', limit=1
-            )
-        except errors.PlatformError as error:
+            with eventlet.Timeout(READ_TIMEOUT_S, TimeoutError):
+                page = self._client.read(
+                    stream_rows.TABLE, key, f'{key}\0', limit=1
+                )
+        except (errors.PlatformError, TimeoutError) as error:
             self._log_store_lost(error)
             return None
         return self._decode(page.rows[0]) if page.rows else None
@@ -227,9 +232,11 @@
             )
             return None
 
-    def _log_store_lost(self, error: errors.PlatformError) -> None:
+    def _log_store_lost(self, error: Exception) -> None:
         self._log.write(
-            events.DependencyLost(f'store/{stream_rows.TABLE}', str(error))
+            events.DependencyLost(
+                f'store/{stream_rows.TABLE}', str(error) or 'timed out'
+            )
         )
 
     def _write_all(self, service: str) -> None:
--- a/tests/gateway/test_stream_origins.py
+++ b/tests/gateway/test_stream_origins.py
@@ -22,6 +22,7 @@
     def __init__(self):
         self.calls = 0
         self.is_away = False
+        self.delay_s = 0.0
         self.row_by_key = {}
 
     def transact(self, writes):
@@ -34,6 +35,7 @@
                 )
 
     def read(self, table, first, end, limit):
+        clock.sleep(self.delay_s)
         self._count()
         found = self.row_by_key.get(first)
         return rows.RowSet((found,) if found else (), 1)
@@ -164,6 +166,18 @@
         host.take_up('r-of-another-host')
 
 
+@clocks.on_virtual_clock
+def test_stream_does_not_wait_long_for_a_silent_store():
+    """Guards against a late stream where nothing can be mixed."""
+    store = FakeStore()
+    store.delay_s = 1.0
+    started = stream_origins.StreamOrigins.from_store(store, fakes.FakeLog())
+    started.on_upstream(OLD)
+    before = clock.now()
+    started.resolve(state('r-2', resumed='r-1'))
+    assert clock.now() - before <= stream_origins.READ_TIMEOUT_S
+
+
 @clocks.on_virtual_clock
 def test_stream_of_a_service_that_its_route_has_left_is_refused():
     """Guards against the version of one service at another service."""
