Log how long an adapter version may have been named, and replaced

The logs could not tell a version that is used in time from one whose replacement a host learned late: version_named had no age, and request_placed did not say that a newer version exists.

A feed now notes, for each row, the latest time at which the store did not have it: the time of the answer before, on the store's steady clock, related to the host's uptime by the quickest answer (policy.store_clock). version_named has previous and at_most_ms, request_placed has replaced_ms. No decision uses them.

Ruled out: the time at which the call before was sent. A long poll lasts 1.2 s, so every change would look up to 2.4 s older than it is.

--- a/ivystep/gateway/configuration.py
+++ b/ivystep/gateway/configuration.py
@@ -5,9 +5,10 @@
 """
 
 import dataclasses
+import math
 from collections.abc import Callable, Sequence
 
-from ivystep.core import errors, types
+from ivystep.core import errors, types, units
 from ivystep.gateway import events
 from ivystep.platform import operator_config, rows
 from ivystep.runtime import clock, event_log
@@ -71,6 +72,22 @@
             return None
         return types.AdapterRef(ref.account, ref.name, named.previous)
 
+    def replaced_after(self, ref: types.AdapterRef) -> float | None:
+        """Return when a version of an adapter was replaced by a newer one.
+
+        Args:
+            ref: The adapter with its version.
+
+        Returns:
+            The latest uptime in seconds at which no newer version had been
+            named, as far as this host knows; minus infinity if it knows
+            nothing of that time, None if the version is the newest one.
+        """
+        named = self._versions_by_adapter.get((ref.account, ref.name))
+        if named is None or ref.version >= named.version:
+            return None
+        return named.named_after if ref.version >= named.previous else -math.inf
+
     def replace_rows(self, found: Sequence[rows.StoredRow]) -> None:
         """Apply all rows; see ``feeds.TableSink``."""
         for row in found:
@@ -86,9 +103,7 @@
                     operator_config.decode_config(row), row.version
                 )
             elif row.key.startswith(operator_config.VERSION_PREFIX):
-                self._record_version(
-                    operator_config.decode_version(row), row.version
-                )
+                self._record_version(operator_config.decode_version(row), row)
         except errors.SetupError as error:
             self._log.write(
                 events.EntryIgnored(row.key, error.reason, row.version)
@@ -121,7 +136,7 @@
         self._on_config(config)
 
     def _record_version(
-        self, named: operator_config.RequiredVersion, store_version: int
+        self, named: operator_config.RequiredVersion, row: rows.StoredRow
     ) -> None:
         key = (named.model, named.adapter)
         known = self._versions_by_adapter.get(key)
@@ -129,11 +144,15 @@
             return
         previous = known.version if known else 1
         self._versions_by_adapter[key] = _AdapterVersions(
-            named.version, previous, clock.now()
+            named.version, previous, clock.now(), row.written_after
         )
         self._log.write(
             events.VersionNamed(
-                f'{named.model}/{named.adapter}', named.version, store_version
+                f'{named.model}/{named.adapter}',
+                named.version,
+                row.version,
+                previous,
+                units.whole_ms(clock.uptime() - row.written_after),
             )
         )
         self._on_version(
@@ -143,8 +162,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _AdapterVersions:
-    """The newest version of an adapter and the one before it."""
+    """The newest version of an adapter and the one before it.
+
+    Attributes:
+        seen_at: Time at which this host learned of the newest version.
+        named_after: Uptime at which the operator had not named it yet.
+    """
 
     version: int
     previous: int
     seen_at: float
+    named_after: float
--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -91,6 +91,8 @@
         resumes_after: Last event that the caller has; empty for a new stream.
         resumed_request_id: Request that began a stream which the caller takes
             up; empty if it names none.
+        replaced_ms: Longest time since the adapter's version was replaced by a
+            newer one; 0 if it is the newest, -1 if the time is unknown.
     """
 
     name: typing.ClassVar[str] = 'request_placed'
@@ -111,6 +113,7 @@
     software_version: str = ''
     resumes_after: str = ''
     resumed_request_id: str = ''
+    replaced_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -295,13 +298,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class VersionNamed(event_log.Event):
-    """The operator named the current version of an adapter or a model."""
+    """The operator named the current version of an adapter or a model.
+
+    Attributes:
+        previous: Version that it replaces, as far as this host knows.
+        at_most_ms: Longest time for which it may have been in the store; -1 if
+            this host has just read the table for the first time.
+    """
 
     name: typing.ClassVar[str] = 'version_named'
 
     adapter: str
     version: int
     store_version: int
+    previous: int
+    at_most_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ivystep/gateway/feeds.py
+++ b/ivystep/gateway/feeds.py
@@ -6,6 +6,8 @@
 era.
 """
 
+import dataclasses
+import math
 import random
 import typing
 from collections.abc import Sequence
@@ -13,6 +15,7 @@
 from ivystep.core import errors
 from ivystep.gateway import events
 from ivystep.platform import rows
+from ivystep.policy import store_clock
 from ivystep.runtime import clock, event_log
 
 FIRST_RETRY_S = 0.1
@@ -81,6 +84,9 @@
         self._pause_s = pause_s
         self._has_rows = False
         self._lost_at: float | None = None
+        self._store_clock = store_clock.StoreClock()
+        # Uptime at which the sink had all changes of the table.
+        self._complete_at = -math.inf
 
     def run(self) -> None:
         """Follow the table until the task is killed."""
@@ -109,6 +115,7 @@
             self._read()
             return
         wait_s = self._wait_s if self._lost_at is None else 0.0
+        sent_at = clock.uptime()
         try:
             changes = self._client.changes(self._table, self.version, wait_s)
         except rows.HistoryGoneError:
@@ -119,12 +126,13 @@
             self._has_rows = False
             self._read()
             return
-        for row in changes.rows:
+        for row in self._dated(changes):
             self._sink.apply_row(row)
         self.version = max(self.version, changes.version)
-        self._on_answer()
+        self._on_answer(changes, sent_at)
 
     def _read(self) -> None:
+        sent_at = clock.uptime()
         found = self._client.read_all(self._table)
         era = self._era_of(found)
         if era > self.era and self.confirmed_at is not None:
@@ -135,11 +143,22 @@
                 step=f'read {self._table}',
                 peer='store',
             )
-        self._sink.replace_rows(found.rows)
+        self._sink.replace_rows(self._dated(found))
         self.version = found.version
         self.era = era
         self._has_rows = True
-        self._on_answer()
+        self._on_answer(found, sent_at)
+
+    def _dated(self, answer: rows.RowSet) -> list[rows.StoredRow]:
+        """Return the rows of an answer with the time after which they changed.
+
+        The sink had all earlier changes at the time of the answer before. Rows
+        that the sink knows get the same time, which does not matter.
+        """
+        return [
+            dataclasses.replace(row, written_after=self._complete_at)
+            for row in answer.rows
+        ]
 
     def _era_of(self, answer: rows.RowSet) -> int:
         """Return the era of an answer; the known one if it names none.
@@ -166,9 +185,15 @@
         if self._lost_at is None:
             self._lost_at = clock.now()
             self._sink.on_store_lost()
+        self._store_clock = store_clock.StoreClock()
         self._sink.on_store_restored()
 
-    def _on_answer(self) -> None:
+    def _on_answer(self, answer: rows.RowSet, sent_at: float) -> None:
+        self._complete_at = sent_at
+        if answer.store_time_s is not None:
+            self._complete_at = self._store_clock.uptime_of(
+                answer.store_time_s, sent_at, clock.uptime()
+            )
         self.confirmed_at = clock.now()
         if self._lost_at is None:
             return
--- a/ivystep/gateway/request_log.py
+++ b/ivystep/gateway/request_log.py
@@ -60,6 +60,7 @@
                 upstream.entry.software_version,
                 state.answer.last_event_id,
                 state.call.resumed_request_id,
+                self._replaced_ms(ref),
             )
         )
 
@@ -185,6 +186,12 @@
             )
         )
 
+    def _replaced_ms(self, ref: types.AdapterRef | None) -> int:
+        replaced_after = self._config.replaced_after(ref) if ref else None
+        if replaced_after is None:
+            return 0
+        return units.whole_ms(clock.uptime() - replaced_after)
+
 
 def _adapter_name(call: calls.Call) -> str:
     generation = call.generation
--- a/ivystep/platform/rows.py
+++ b/ivystep/platform/rows.py
@@ -9,6 +9,7 @@
 import binascii
 import dataclasses
 import json
+import math
 import re
 import typing
 import urllib.parse
@@ -37,6 +38,8 @@
         content: The bytes of the row; empty if the row is deleted.
         version: Version of the transaction that wrote the row.
         is_deleted: Whether a feed reports the row as deleted.
+        written_after: Uptime of this host in seconds at which the store did
+            not contain the row yet; minus infinity if unknown.
     """
 
     table: str
@@ -44,6 +47,7 @@
     content: bytes
     version: int
     is_deleted: bool = False
+    written_after: float = -math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -71,12 +75,15 @@
         is_truncated: Whether more rows follow the last one.
         era: Number of times that the store has been restored from an older
             copy; None if the answer does not say.
+        store_time_s: Time of the read on the store's steady clock; None if
+            the answer does not say.
     """
 
     rows: tuple[StoredRow, ...]
     version: int
     is_truncated: bool = False
     era: int | None = None
+    store_time_s: float | None = None
 
 
 class RowConflictError(errors.ConflictError):
@@ -150,8 +157,8 @@
         """Read a whole table.
 
         Returns:
-            All rows, with the version of the first page, so that a feed that
-            starts there misses no change.
+            All rows, with the version and the time of the first page, so that
+            a feed that starts there misses no change.
 
         Raises:
             errors.UnavailableError: A page could not be read.
@@ -159,6 +166,7 @@
         page = self.read(table)
         rows = list(page.rows)
         version = page.version
+        store_time_s = page.store_time_s
         while page.is_truncated and page.rows:
             era = page.era
             page = self.read(table, first=_next_key(page.rows[-1].key))
@@ -169,7 +177,9 @@
                     peer=self._http.name,
                 )
             rows.extend(page.rows)
-        return RowSet(tuple(rows), version, era=page.era)
+        return RowSet(
+            tuple(rows), version, era=page.era, store_time_s=store_time_s
+        )
 
     def changes(self, table: str, after: int, wait_s: float) -> RowSet:
         """Wait for changes of a table.
@@ -246,7 +256,11 @@
         rows = tuple(self._rows(page))
         is_truncated = bool(page.get('truncated'))
         return RowSet(
-            rows, self._version(page), is_truncated, self._era(answer)
+            rows,
+            self._version(page),
+            is_truncated,
+            self._era(answer),
+            _store_time_s(page),
         )
 
     def _era(self, answer: http.Answer) -> int | None:
@@ -279,6 +293,14 @@
         )
 
 
+def _store_time_s(page: dict[str, typing.Any]) -> float | None:
+    """Return the time of an answer on the store's clock; None without one."""
+    now_ms = page.get('now_ms')
+    if isinstance(now_ms, int | float):
+        return now_ms / units.MS_PER_S
+    return None
+
+
 def _path(path: str, query: dict[str, typing.Any]) -> str:
     return f'{path}?{urllib.parse.urlencode(query)}'
 
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -1,5 +1,7 @@
 """Tests of a feed that follows a table of the store."""
 
+import math
+
 import pytest
 
 from ivystep.core import errors
@@ -16,6 +18,7 @@
     def __init__(self, *answers):
         self.answers = list(answers)
         self.calls = []
+        self.latency_s = 0.0
 
     def read_all(self, table):
         return self._next('read')
@@ -25,6 +28,8 @@
 
     def _next(self, call):
         self.calls.append(call)
+        if self.latency_s:
+            clock.sleep(self.latency_s)
         answer = self.answers.pop(0)
         if isinstance(answer, Exception):
             raise answer
@@ -36,11 +41,15 @@
 
     def __init__(self):
         self.calls = []
+        self.written_after = {}
 
     def replace_rows(self, found):
+        for row in found:
+            self.written_after[row.key] = row.written_after
         self.calls.append(('all', [row.key for row in found]))
 
     def apply_row(self, row):
+        self.written_after[row.key] = row.written_after
         self.calls.append(('one', row.key))
 
     def on_store_lost(self):
@@ -53,9 +62,9 @@
         self.calls.append('regained')
 
 
-def found(version, *keys, era=None):
+def found(version, *keys, era=None, store_time_s=None):
     stored = tuple(rows.StoredRow('t', key, b'', version) for key in keys)
-    return rows.RowSet(stored, version, era=era)
+    return rows.RowSet(stored, version, era=era, store_time_s=store_time_s)
 
 
 def feed_of(*answers):
@@ -170,3 +179,31 @@
     task.kill()
     assert sink.calls == [('all', []), 'lost', ('one', 'a'), 'regained']
     assert not store.answers
+
+
+@clocks.on_virtual_clock
+def test_rows_tell_when_the_store_did_not_contain_them():
+    """Guards against a change whose age the log does not show."""
+    feed, _, sink = feed_of(
+        found(4, 'a'), found(6, 'b'), rows.HistoryGoneError('gone'), found(9)
+    )
+    feed.step()
+    assert sink.written_after == {'a': -math.inf}
+    read_at = clock.uptime()
+    clock.sleep(7)
+    feed.step()
+    assert sink.written_after['b'] == read_at
+
+
+@clocks.on_virtual_clock
+def test_age_of_a_change_follows_the_clock_of_the_store():
+    """Guards against a long poll that makes a change look older than it is."""
+    feed, store, sink = feed_of(
+        found(4, store_time_s=50.0),
+        found(4, store_time_s=51.0),
+        found(6, 'b', store_time_s=52.0),
+    )
+    store.latency_s = 1.0
+    steps(feed, 3)
+    age_s = clock.uptime() - sink.written_after['b']
+    assert age_s == pytest.approx(1.0)
