Add failing tests of adapter versions whose replacement is learned late

On the present code five fail:

new host, version 2 named before its start: version 1 is chosen, expected 2 new host, version 5 named before its start: version 1 is chosen, expected 5 dropped history, silent connection: 4 s after the last answer 1 is chosen host suspended for 4 s: 1 is chosen, its time did not count on

The last test of the file passes before and has to stay so: the version that was just replaced is used while the new one loads.

--- /dev/null
+++ b/tests/gateway/test_version_choice.py
@@ -0,0 +1,129 @@
+"""Tests of the adapter version with which a request is sent."""
+
+import types as builtin_types
+
+import pytest
+
+from ivystep.core import errors, types
+from ivystep.gateway import feeds, version_choice
+from ivystep.platform import rows
+from ivystep.runtime import clock
+from ivystep.traffic import calls
+from tests.coordination import fakes as clocks
+from tests.gateway import test_configuration, test_feeds
+
+VERSION_S = 5.0
+CALL = builtin_types.SimpleNamespace(
+    generation=calls.Generation('m', 'a3', 1000, 100)
+)
+
+
+class FakePool:
+    """Pool in which only one version of the adapter is resident."""
+
+    def __init__(self, version):
+        self.held = types.AdapterRef('m', 'a3', version)
+
+    def is_held(self, ref):
+        return ref == self.held
+
+
+class FollowedConfiguration:
+    """A configuration that follows a scripted store."""
+
+    def __init__(self, *answers):
+        self.store = test_feeds.FakeStore(*answers)
+        self.config = test_configuration.RecordedConfiguration().config
+        self.feed = feeds.TableFeed(
+            self.store,
+            'op',
+            self.config,
+            test_feeds.fakes.FakeLog(),
+            wait_s=1.2,
+            pause_s=0.0,
+        )
+        self.versions = version_choice.VersionChoice(self.config, VERSION_S)
+
+    def follow(self):
+        """Make the next call to the store, which may fail."""
+        try:
+            self.feed.step()
+        except errors.PlatformError:
+            return
+
+    def choose(self, resident):
+        return self.versions.choose(CALL, FakePool(resident)).version
+
+
+def answer(store_version, *versions):
+    """Return the store's answer with versions named for the adapter."""
+    return rows.RowSet(
+        tuple(
+            test_configuration.version_row(version, store_version)
+            for version in versions
+        ),
+        store_version,
+    )
+
+
+@clocks.on_virtual_clock
+def test_new_host_does_not_use_a_version_that_was_replaced_before_its_start():
+    """Guards against answers of a version replaced long ago."""
+    host = FollowedConfiguration(answer(7, 2))
+    host.follow()
+    assert host.choose(resident=1) == 2
+
+
+@clocks.on_virtual_clock
+def test_new_host_does_not_take_the_first_version_for_the_previous_one():
+    """Guards against a version that was replaced several times."""
+    host = FollowedConfiguration(answer(7, 5))
+    host.follow()
+    assert host.choose(resident=1) == 5
+
+
+@clocks.on_virtual_clock
+@pytest.mark.parametrize(
+    'interruption',
+    [
+        rows.HistoryGoneError('the history was dropped'),
+        errors.UnavailableError('the connection fell silent'),
+    ],
+)
+def test_time_of_a_replaced_version_counts_while_the_host_hears_nothing(
+    interruption,
+):
+    """Guards against a host that learns late and starts to count then."""
+    host = FollowedConfiguration(
+        answer(4), interruption, answer(9, 2), answer(9)
+    )
+    host.follow()
+    clock.sleep(4.0)
+    host.follow()
+    host.follow()
+    assert host.choose(resident=1) == 2
+
+
+@clocks.on_virtual_clock
+def test_time_of_a_replaced_version_counts_while_the_host_is_suspended(
+    monkeypatch,
+):
+    """Guards against a clock that stands still with the host."""
+    host = FollowedConfiguration(answer(4), answer(9, 2))
+    host.follow()
+    host.follow()
+    assert host.choose(resident=1) == 1
+    resumed_at = clock.uptime() + 4.0
+    monkeypatch.setattr(clock, 'uptime', lambda: resumed_at)
+    assert host.choose(resident=1) == 2
+
+
+@clocks.on_virtual_clock
+def test_version_that_was_just_replaced_is_used_while_the_new_one_loads():
+    """Guards against requests that wait for a load without need."""
+    host = FollowedConfiguration(answer(4), answer(9, 2))
+    host.follow()
+    clock.sleep(0.5)
+    host.follow()
+    assert host.choose(resident=1) == 1
+    assert host.choose(resident=2) == 2
