Add failing tests of requests that outwait their version at an engine

Nothing looks at the version of a request that was sent and waits in the engine's queue for its first token. Three fail on the present code: with a queue of 9 s a request on version 1 is answered 9 s and 10 s after version 2 was named (5 s are allowed), and one that may be repeated is not sent with version 2 ([b'1'], expected [b'1', b'2']).

Three others pass and have to stay so: a request that has begun goes on, a second replacement does not shorten the time of the first, and without a new version a request waits as before.

--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -69,6 +69,13 @@
         """The caller waits for the answer."""
 
 
+class BegunBody:
+    """The body of an answer whose first part has arrived."""
+
+    is_ended = False
+    received_bytes = 1
+
+
 class DispatchHarness:
     """A dispatcher with one engine and scripted outcomes of attempts."""
 
@@ -79,6 +86,7 @@
         self.outcomes = list(outcomes)
         self.on_permit = lambda: None
         self.on_connect = lambda: None
+        self.body = None
         self.granted = prefill.Permit(prefill.PermitDecision.ALONE)
         self.log = fakes.FakeLog()
         self.upstream_by_id = {
@@ -95,12 +103,13 @@
             def __init__(self, *arguments, **named):
                 self.may_repeat = named['may_repeat']
                 self.has_sent = False
-                self.body = None
+                self.body = harness.body
 
             def run(self, encode):
                 harness.on_connect()
                 harness.sent.append(encode())
                 self.has_sent = True
+                harness.wait_in_queue()
                 outcome = harness.outcomes.pop(0) if harness.outcomes else None
                 if outcome is not None:
                     raise outcome
@@ -127,6 +136,9 @@
             stream_origins.StreamOrigins(None, None, self.log),
         )
 
+    def wait_in_queue(self):
+        """The engine answers at once."""
+
     def permit(self, engine, ticket):
         self.on_permit()
         return self.granted
--- /dev/null
+++ b/tests/gateway/test_queued_attempts.py
@@ -0,0 +1,162 @@
+"""Tests of requests that wait at an engine when their version is replaced."""
+
+import dataclasses
+
+import pytest
+
+from ivystep.core import errors, types
+from ivystep.runtime import clock
+from ivystep.traffic import contracts
+from tests.coordination import fakes as clocks
+from tests.gateway import test_configuration, test_dispatch
+
+ENGINE_QUEUE_S = 9.0
+TARGET_LATENCY_S = 4.0
+
+
+class QueueingHarness(test_dispatch.DispatchHarness):
+    """A dispatcher whose engine answers after a wait in its queue."""
+
+    def __init__(self, monkeypatch, *held, queue_s=ENGINE_QUEUE_S):
+        super().__init__(monkeypatch, *held)
+        self.queues_s = [queue_s]
+        self.on_queued = lambda: None
+
+    def wait_in_queue(self):
+        self.on_queued()
+        if self.queues_s:
+            clock.sleep(self.queues_s.pop())
+
+    def name_version(self, version):
+        row = test_configuration.version_row(version, version)
+        self.recorded.config.apply_row(
+            dataclasses.replace(row, written_after=clock.uptime())
+        )
+
+    def run_stream(self):
+        self.run(
+            kind=contracts.Repeatability.STREAM,
+            timeout_s=15.0,
+            target_latency_s=TARGET_LATENCY_S,
+        )
+
+
+def on_virtual_clock(scenario, monkeypatch):
+    """Run a scenario and return its result with the time that it took."""
+
+    @clocks.on_virtual_clock
+    def run():
+        started = clock.now()
+        outcome = scenario(monkeypatch)
+        return outcome, clock.now() - started
+
+    return run()
+
+
+def test_request_leaves_an_engines_queue_when_its_version_is_too_old(
+    monkeypatch,
+):
+    """Guards against a request that begins on a version after its time."""
+
+    def scenario(monkeypatch):
+        harness = QueueingHarness(monkeypatch, test_dispatch.ref(1))
+        harness.on_queued = lambda: harness.name_version(2)
+        with pytest.raises(errors.RequestError) as caught:
+            harness.run_stream()
+        return caught.value
+
+    error, elapsed_s = on_virtual_clock(scenario, monkeypatch)
+    assert elapsed_s < test_dispatch.VERSION_S
+    assert (error.status, error.ran) == (502, types.ExecutionStatus.UNKNOWN)
+
+
+def test_repeatable_request_is_sent_again_with_the_new_version(monkeypatch):
+    """Guards against a failure although the request may run twice."""
+
+    def scenario(monkeypatch):
+        harness = QueueingHarness(monkeypatch, test_dispatch.ref(1))
+        harness.on_queued = lambda: harness.name_version(2)
+        harness.run(
+            kind=contracts.Repeatability.IDEMPOTENT,
+            timeout_s=15.0,
+            max_attempts=2,
+        )
+        return harness.versions
+
+    versions, elapsed_s = on_virtual_clock(scenario, monkeypatch)
+    assert versions == [b'1', b'2']
+    assert elapsed_s < test_dispatch.VERSION_S
+
+
+def test_request_that_was_sent_with_the_previous_version_leaves_in_time(
+    monkeypatch,
+):
+    """Guards against a time that starts anew when a request is sent."""
+
+    def scenario(monkeypatch):
+        harness = QueueingHarness(monkeypatch, test_dispatch.ref(1))
+        harness.name_version(2)
+        clock.sleep(1.0)
+        with pytest.raises(errors.RequestError):
+            harness.run_stream()
+        return harness.versions
+
+    versions, elapsed_s = on_virtual_clock(scenario, monkeypatch)
+    assert versions == [b'1']
+    assert elapsed_s < test_dispatch.VERSION_S
+
+
+def test_second_replacement_does_not_shorten_the_time_of_the_first(
+    monkeypatch,
+):
+    """Guards against failures when versions are named in quick succession."""
+
+    def scenario(monkeypatch):
+        harness = QueueingHarness(
+            monkeypatch, test_dispatch.ref(1), queue_s=3.5
+        )
+
+        def name_two_versions():
+            harness.name_version(2)
+            clock.sleep(0.5)
+            harness.name_version(3)
+
+        harness.on_queued = name_two_versions
+        harness.run_stream()
+        return harness.versions
+
+    versions, elapsed_s = on_virtual_clock(scenario, monkeypatch)
+    assert versions == [b'1']
+    assert elapsed_s == pytest.approx(4.0)
+
+
+def test_request_that_has_begun_goes_on_when_its_version_is_replaced(
+    monkeypatch,
+):
+    """Guards against answers that are cut off by a new version."""
+
+    def scenario(monkeypatch):
+        harness = QueueingHarness(monkeypatch, test_dispatch.ref(1))
+        harness.body = test_dispatch.BegunBody()
+        harness.on_queued = lambda: harness.name_version(2)
+        harness.run_stream()
+        return harness.versions
+
+    versions, elapsed_s = on_virtual_clock(scenario, monkeypatch)
+    assert versions == [b'1']
+    assert elapsed_s == pytest.approx(ENGINE_QUEUE_S)
+
+
+def test_request_with_the_newest_version_waits_as_long_as_its_caller(
+    monkeypatch,
+):
+    """Guards against failures without a new version."""
+
+    def scenario(monkeypatch):
+        harness = QueueingHarness(monkeypatch, test_dispatch.ref(1))
+        harness.run_stream()
+        return harness.versions
+
+    versions, elapsed_s = on_virtual_clock(scenario, monkeypatch)
+    assert versions == [b'1']
+    assert elapsed_s == pytest.approx(ENGINE_QUEUE_S)
