Count the time of a replaced adapter version from its replacement

Callers got answers of an older version of an adapter more than 5 s after a newer one was named.

Cause: the 2 s in which the previous version may still be sent counted from the moment at which a host learned of the new one, on a clock that stands still while the machine is suspended. A host that started, was cut off, read the table again or had a silent connection learned of it seconds later and used the previous version for 2 s more; a new host took version 1 for the previous one.

The class is a grace period that starts with the arrival of news instead of the event.

Change: the time counts from the latest moment at which the store did not have the version, as the feed knows it since, on the uptime, which counts suspensions. The time is 2.5 s instead of 2 s, since that moment is up to one long poll (1.2 s) before the replacement.

Why it works: that moment is never after the replacement, so what is left for an engine's queue is at least 2.5 s whenever a host learns of it.

Ruled out: the time at which the change arrived minus the latency of a call (says nothing of a silent connection); no previous version at all (requests for popular adapters would wait for their loads at each new version).

--- a/ivystep/gateway/configuration.py
+++ b/ivystep/gateway/configuration.py
@@ -21,7 +21,8 @@
     Args:
         log: Event log of changes.
         on_config: Called with each version that comes into force.
-        on_version: Called with each newer version of an adapter.
+        on_version: Called with each newer version of an adapter and the
+            version that it replaces.
 
     Attributes:
         current: The configuration in force; None before the first.
@@ -31,7 +32,7 @@
         self,
         log: event_log.EventLog,
         on_config: Callable[[contracts.RouteConfig], None],
-        on_version: Callable[[types.AdapterRef], None],
+        on_version: Callable[[types.AdapterRef, types.AdapterRef], None],
     ) -> None:
         self.current: contracts.RouteConfig | None = None
         self._log = log
@@ -62,13 +63,15 @@
         Args:
             ref: The adapter with its newest version.
             allowed_s: Time in seconds for which the previous version may be
-                used after this host first saw the newest one.
+                used after the newest one was named. It counts from the
+                latest time at which the store did not have it, because this
+                host may have learned of it much later.
 
         Returns:
-            None if there is no previous version or its time is over.
+            None if there is no previous version or its time may be over.
         """
         named = self._versions_by_adapter.get((ref.account, ref.name))
-        if named is None or clock.now() >= named.seen_at + allowed_s:
+        if named is None or clock.uptime() >= named.named_after + allowed_s:
             return None
         return types.AdapterRef(ref.account, ref.name, named.previous)
 
@@ -144,7 +147,7 @@
             return
         previous = known.version if known else 1
         self._versions_by_adapter[key] = _AdapterVersions(
-            named.version, previous, clock.now(), row.written_after
+            named.version, previous, row.written_after
         )
         self._log.write(
             events.VersionNamed(
@@ -156,7 +159,8 @@
             )
         )
         self._on_version(
-            types.AdapterRef(named.model, named.adapter, named.version)
+            types.AdapterRef(named.model, named.adapter, named.version),
+            types.AdapterRef(named.model, named.adapter, previous),
         )
 
 
@@ -165,11 +169,9 @@
     """The newest version of an adapter and the one before it.
 
     Attributes:
-        seen_at: Time at which this host learned of the newest version.
         named_after: Uptime at which the operator had not named it yet.
     """
 
     version: int
     previous: int
-    seen_at: float
     named_after: float
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -370,10 +370,10 @@
         self._pools.configure(config)
         self._update_all_upstreams()
 
-    def _on_version(self, ref: types.AdapterRef) -> None:
-        previous = self._config.previous(ref, self.settings.bounds.version_s)
-        if previous is not None:
-            self._pools.transfer_popularity(previous, ref)
+    def _on_version(
+        self, newest: types.AdapterRef, previous: types.AdapterRef
+    ) -> None:
+        self._pools.transfer_popularity(previous, newest)
 
     def _on_change(self, upstream: upstream_state.Upstream) -> None:
         known = self._membership.upstream_by_id.get(upstream.upstream_id)
--- a/ivystep/gateway/version_choice.py
+++ b/ivystep/gateway/version_choice.py
@@ -8,7 +8,7 @@
 # Part of the time limit for adopting a new adapter version in which requests
 # are still sent with the previous version. The rest of the limit covers their
 # wait in the queue of an engine.
-OLD_VERSION_SHARE = 0.4
+OLD_VERSION_SHARE = 0.5
 
 
 class VersionChoice:
--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -21,12 +21,14 @@
 
 
 def version_row(version, store_version, adapter='a3'):
+    """Return the row of a version that was named just now."""
     document = {'model': 'm', 'adapter': adapter, 'version': version}
     return rows.StoredRow(
         'op',
         f'version/m.{adapter}',
         json.dumps(document).encode(),
         store_version,
+        written_after=clock.uptime(),
     )
 
 
@@ -40,7 +42,7 @@
         self.config = configuration.Configuration(
             self.log,
             lambda config: self.configs.append(config.version),
-            self.versions.append,
+            lambda newest, previous: self.versions.append(newest),
         )
 
 
--- a/tests/gateway/test_queued_attempts.py
+++ b/tests/gateway/test_queued_attempts.py
@@ -1,7 +1,5 @@
 """Tests of requests that wait at an engine when their version is replaced."""
 
-import dataclasses
-
 import pytest
 
 from ivystep.core import errors, types
@@ -28,9 +26,8 @@
             clock.sleep(self.queues_s.pop())
 
     def name_version(self, version):
-        row = test_configuration.version_row(version, version)
         self.recorded.config.apply_row(
-            dataclasses.replace(row, written_after=clock.uptime())
+            test_configuration.version_row(version, version)
         )
 
     def run_stream(self):
