Take a request out of an engine's queue when its version is too old

A request begins at an engine with its first token, on the version with which it was sent. Callers wait for up to 4 s for it on the present sites, longer where the target latency is longer.

Cause: nothing looked at the version after the bytes were sent. A request sent just before a newer version was named, or within the time of the previous one, could begin after the 5 s. The class: an input of a decision that is looked at before a wait and not during it.

Change: each attempt with an adapter is registered with its version. When a newer one is named, or if one already is, the attempt ends 0.4 s before the time of its version, unless its answer has begun; its connection is closed, which takes it out of the queue. It is sent again with the newest version where the route allows it and is answered 502 where not, since it may have run.

Ruled out: a shorter deadline in the request (it bounds the whole run); sending only what surely begins in time (a queue's length is not known); an end of attempts that have begun (the platform judges the beginning).

One new test closes a real connection at a scripted engine.

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -109,7 +109,7 @@
         sent_at = clock.now()
         self._log.placed(state, upstream, ref, permit)
         try:
-            exchange.run(functools.partial(self._encode, state, upstream, ref))
+            self._run(state, upstream, ref, exchange)
         except errors.RequestError as error:
             if error.ran is types.ExecutionStatus.NO and not was_tried:
                 state.may_have_run.discard(upstream.upstream_id)
@@ -159,6 +159,23 @@
         if not (is_allowed and has_turn and self._accepts_requests(upstream)):
             raise PlacementOutdatedError
 
+    def _run(
+        self,
+        state: request_state.RequestState,
+        upstream: upstream_state.Upstream,
+        ref: types.AdapterRef | None,
+        exchange: relay.Exchange,
+    ) -> None:
+        """Run an exchange; one with an adapter ends if its version is old."""
+        encode = functools.partial(self._encode, state, upstream, ref)
+        if ref is None:
+            exchange.run(encode)
+            return
+        with self._versions.queued.end_in_time(
+            ref, functools.partial(_is_queued, exchange), upstream.upstream_id
+        ):
+            exchange.run(encode)
+
     def _accepts_requests(self, upstream: upstream_state.Upstream) -> bool:
         """Return whether an upstream still accepts requests after a wait."""
         known = self._membership.upstream_by_id.get(upstream.upstream_id)
@@ -239,3 +256,9 @@
         if error.code == 'upstream_lost':
             return self._crashes.on_answer_lost(state, upstream)
         return error.code in {'other_upstream', 'upstream_unavailable'}
+
+
+def _is_queued(exchange: relay.Exchange) -> bool:
+    """Return whether an upstream has a request and has not begun to answer."""
+    has_begun = exchange.body is not None and exchange.body.received_bytes > 0
+    return exchange.has_sent and not has_begun
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -164,15 +164,16 @@
         self._origins = stream_origins.StreamOrigins.from_store(
             self._rows, self._log
         )
+        self._versions = version_choice.VersionChoice(
+            self._config, settings.bounds.version_s
+        )
         requests_log = request_log.RequestLog(self._log, self._config)
         self._request_handler = request_handler.RequestHandler(
             self._config,
             dispatch.Dispatcher(
                 self._pools,
                 self._membership,
-                version_choice.VersionChoice(
-                    self._config, settings.bounds.version_s
-                ),
+                self._versions,
                 safeguard.Safeguards(
                     self._shares.budgets,
                     self._crashes,
@@ -374,6 +375,7 @@
         self, newest: types.AdapterRef, previous: types.AdapterRef
     ) -> None:
         self._pools.transfer_popularity(previous, newest)
+        self._versions.queued.on_version(newest)
 
     def _on_change(self, upstream: upstream_state.Upstream) -> None:
         known = self._membership.upstream_by_id.get(upstream.upstream_id)
--- a/ivystep/gateway/version_choice.py
+++ b/ivystep/gateway/version_choice.py
@@ -2,7 +2,7 @@
 
 from ivystep.core import types
 from ivystep.entry import pool
-from ivystep.gateway import configuration
+from ivystep.gateway import configuration, queued_attempts
 from ivystep.traffic import calls
 
 # Part of the time limit for adopting a new adapter version in which requests
@@ -17,6 +17,9 @@
     Args:
         config: The adapter versions in force.
         version_s: Time limit for adopting a new adapter version.
+
+    Attributes:
+        queued: Ends attempts whose version becomes too old at an engine.
     """
 
     def __init__(
@@ -24,6 +27,7 @@
     ) -> None:
         self._config = config
         self._old_version_s = OLD_VERSION_SHARE * version_s
+        self.queued = queued_attempts.QueuedAttempts(config, version_s)
 
     def choose(
         self, call: calls.Call, target: pool.Pool
--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -38,13 +38,18 @@
     def __init__(self):
         self.configs = []
         self.versions = []
+        self.on_version = lambda newest: None
         self.log = fakes.FakeLog()
         self.config = configuration.Configuration(
             self.log,
             lambda config: self.configs.append(config.version),
-            lambda newest, previous: self.versions.append(newest),
+            self._record_version,
         )
 
+    def _record_version(self, newest, previous):
+        self.versions.append(newest)
+        self.on_version(newest)
+
 
 @hypothesis.given(strategies.lists(strategies.integers(1, 9), max_size=9))
 def test_configuration_versions_only_rise(versions):
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -115,11 +115,15 @@
                     raise outcome
 
         monkeypatch.setattr(relay, 'Exchange', FakeExchange)
+        self.versions_in_use = version_choice.VersionChoice(
+            self.recorded.config, VERSION_S
+        )
+        self.recorded.on_version = self.versions_in_use.queued.on_version
         self.budgets = retry_budget.RetryBudgets(ratio=0.1, reserve=2.0)
         self.dispatcher = dispatch.Dispatcher(
             builtin_types.SimpleNamespace(find=lambda *_: self.pool),
             members,
-            version_choice.VersionChoice(self.recorded.config, VERSION_S),
+            self.versions_in_use,
             safeguard.Safeguards(
                 self.budgets,
                 crashes.Crashes(None, self.log),
--- a/tests/gateway/test_queued_attempts.py
+++ b/tests/gateway/test_queued_attempts.py
@@ -1,12 +1,17 @@
 """Tests of requests that wait at an engine when their version is replaced."""
 
+import contextlib
+
+import eventlet
 import pytest
 
 from ivystep.core import errors, types
+from ivystep.gateway import connections as upstream_connections
+from ivystep.gateway import queued_attempts
 from ivystep.runtime import clock
 from ivystep.traffic import contracts
 from tests.coordination import fakes as clocks
-from tests.gateway import test_configuration, test_dispatch
+from tests.gateway import harness, test_configuration, test_dispatch
 
 ENGINE_QUEUE_S = 9.0
 TARGET_LATENCY_S = 4.0
@@ -157,3 +162,36 @@
     versions, elapsed_s = on_virtual_clock(scenario, monkeypatch)
     assert versions == [b'1']
     assert elapsed_s == pytest.approx(ENGINE_QUEUE_S)
+
+
+def test_end_of_a_queued_attempt_reaches_the_engine():
+    """Guards against an engine that begins a request nobody waits for."""
+    recorded = test_configuration.RecordedConfiguration()
+    queued = queued_attempts.QueuedAttempts(
+        recorded.config, queued_attempts.CLOSE_MARGIN_S
+    )
+    recorded.on_version = queued.on_version
+    engine = harness.ScriptedUpstream(
+        lambda *_: recorded.config.apply_row(
+            test_configuration.version_row(2, 1)
+        )
+    )
+    with contextlib.closing(engine):
+        with pytest.raises(errors.RequestError):
+            wait_for_answer(queued, engine)
+        with eventlet.Timeout(2):
+            while not engine.ended:
+                eventlet.sleep(0.01)
+
+
+def wait_for_answer(queued, engine):
+    """Send a request with version 1 to an engine that does not answer."""
+    upstream = upstream_connections.UpstreamConnections(
+        ('127.0.0.1', engine.port), 'i-1'
+    )
+    with (
+        queued.end_in_time(test_dispatch.ref(1), lambda: True, 'i-1'),
+        contextlib.closing(upstream.acquire()) as connection,
+    ):
+        connection.send(harness.request('/stream/2f'))
+        connection.next_event()
