Split the sending of orders from the loading of adapters

Cause: engine_link.py had 446 lines and three jobs: loading adapters, sending numbered orders, and counting the adapter slots that orders use.

Moved, with their comments: - order_sender.py: Authority, and the sending of one order in sequence, with its repetitions, its event and the number of accepted orders (OrderSender). - slot_usage.py: the last order for each adapter, and whether a slot is free (SlotUsage). - engine_reports.py: reading an engine's report, which the link and the sender both do. - engine_link.py keeps LinkContext and the loads: eviction, the announcement, the wait and the confirmation.

No behaviour, constant or log text changes. Leadership and the bench of tests/gateway/test_engine_link.py follow the new place of Authority. All tests of orders go through EngineLink.load and stay where they are; their functions are unchanged, so the property test draws the same examples.

Ruled out: handing LinkContext to the new classes. It would tie them to the module that they were taken from.

--- a/ivystep/gateway/engine_link.py
+++ b/ivystep/gateway/engine_link.py
@@ -1,8 +1,7 @@
-"""Sends load and unload orders to one engine and follows their completion.
+"""Loads adapters and base models on one engine by orders.
 
-Each order names the number of orders that the engine must have accepted
-before it. An unanswered order can therefore not be carried out after a later
-one; until then, its adapter counts as possibly resident.
+A load evicts other adapters first if it has to. Its completion is published
+when it is expected, and confirmed by the engine's reports.
 """
 
 import dataclasses
@@ -11,20 +10,22 @@
 import eventlet
 from eventlet import semaphore
 
-from ivystep.core import errors, types, units
-from ivystep.gateway import events, residency_updates, upstream_state
+from ivystep.core import errors, types
+from ivystep.gateway import (
+    engine_reports,
+    events,
+    order_sender,
+    residency_updates,
+    slot_usage,
+    upstream_state,
+)
 from ivystep.policy import load_times
 from ivystep.runtime import clock, event_log
 from ivystep.traffic import orders, upstreams
 
-# An accepted load uses a slot at once. Reports show it within this time, even
-# when many parallel loads slow each other down.
-LOAD_REPORT_DELAY_S = 2.0
 POLL_INTERVAL_S = 0.06
 LOAD_TIMEOUT_S = 6.0
 UNLOAD_TIMEOUT_S = 2.0
-SEQUENCE_TRIES = 3
-ANSWER_TRIES = 3
 # The engine has accepted an unload and carries it out when the requests that
 # use the adapter have ended.
 IN_USE = 'adapter_in_use'
@@ -32,32 +33,6 @@
 POLL_GROWTH = 1.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Authority:
-    """Permission to send orders to engines.
-
-    Attributes:
-        holder: The leader.
-        token: Fencing token of its lease.
-    """
-
-    holder: str
-    token: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _SentOrder:
-    """The last order for an adapter.
-
-    Attributes:
-        uses_slot: Whether the adapter may use a slot after the order.
-        hidden_until: Time until which reports may not show the order.
-    """
-
-    uses_slot: bool
-    hidden_until: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class LinkContext:
     """Dependencies that the links to all engines share.
@@ -74,7 +49,7 @@
     """
 
     api: orders.EngineApi
-    authority: Callable[[], Authority | None]
+    authority: Callable[[], order_sender.Authority | None]
     on_change: Callable[[upstream_state.Upstream], None]
     adapter_slots: Callable[[upstream_state.Upstream], int]
     is_cached: Callable[[upstream_state.Upstream, types.AdapterRef], bool]
@@ -96,10 +71,15 @@
     ) -> None:
         self._upstream = upstream
         self._context = context
-        self._last_order_by_name: dict[tuple[str, str], _SentOrder] = {}
+        self._slot_usage = slot_usage.SlotUsage(upstream)
+        self._sender = order_sender.OrderSender(
+            upstream,
+            context.api,
+            context.authority,
+            self._slot_usage,
+            context.log,
+        )
         self._lock = semaphore.Semaphore(1)
-        self._order_count: int | None = None
-        self._order_count_token = 0
 
     def load(
         self, order: types.LoadOrder, setup_version: int
@@ -139,7 +119,7 @@
             errors.LinkError: The engine may carry the order out later.
         """
         with self._lock:
-            return self._send_in_sequence(model, '', None, is_load=True)
+            return self._sender.send(model, '', None, is_load=True)
 
     def _load(self, order: types.LoadOrder) -> types.LoadResult:
         ref = order.ref
@@ -154,11 +134,15 @@
                 if refusal is not None:
                     self._restore_victim(victim, refusal)
                     return refusal
-            if not self._has_free_slot(ref):
+            if not self._slot_usage.has_free_slot(
+                ref,
+                self._read_report(),
+                self._context.adapter_slots(self._upstream),
+            ):
                 return types.LoadResult(
                     False, 'busy', 'No adapter slot is free.'
                 )
-            outcome = self._send_in_sequence(
+            outcome = self._sender.send(
                 ref.account, ref.name, ref.version, is_load=True
             )
         if outcome is orders.Outcome.ALREADY_HELD:
@@ -207,9 +191,7 @@
         Returns:
             The reason of the failure; None on success.
         """
-        outcome = self._send_in_sequence(
-            ref.account, ref.name, None, is_load=False
-        )
+        outcome = self._sender.send(ref.account, ref.name, None, is_load=False)
         if outcome is orders.Outcome.ALREADY_HELD:
             return None
         if outcome is not orders.Outcome.ACCEPTED:
@@ -224,33 +206,6 @@
             False, IN_USE, f'{ref.lora_name} is still in use.'
         )
 
-    def _has_free_slot(self, ref: types.AdapterRef) -> bool:
-        """Return whether the engine has a slot for one more adapter.
-
-        An engine that is ordered to load more adapters than fit fails.
-        Orders that reports may not show yet, and unanswered orders to load,
-        therefore count as carried out.
-        """
-        report = self._read_report()
-        used = {
-            (model.name, adapter)
-            for model in report.held_model_by_name.values()
-            for adapter in model.adapter_versions
-        }
-        used.update(
-            (loading.account, loading.name) for loading in report.loading
-        )
-        now = clock.now()
-        for name, sent in list(self._last_order_by_name.items()):
-            if sent.hidden_until < now:
-                del self._last_order_by_name[name]
-            elif sent.uses_slot:
-                used.add(name)
-            else:
-                used.discard(name)
-        used.add((ref.account, ref.name))
-        return len(used) <= self._context.adapter_slots(self._upstream)
-
     def _publish(
         self, ref: types.AdapterRef, *, is_held: bool, ready_in_s: float = 0.0
     ) -> None:
@@ -313,130 +268,8 @@
             pause_s *= POLL_GROWTH
         self._publish(ref, is_held=False)
 
-    def _send_in_sequence(
-        self, model: str, adapter: str, version: int | None, *, is_load: bool
-    ) -> orders.Outcome:
-        """Send one order, and repeat it if its sequence number was wrong."""
-        for _ in range(SEQUENCE_TRIES):
-            authority = self._context.authority()
-            if authority is None:
-                return orders.Outcome.FENCED
-            order = orders.Order(
-                is_load=is_load,
-                model=model,
-                adapter=adapter,
-                version=version,
-                expected_orders=self._current_order_count(authority),
-                holder=authority.holder,
-                token=authority.token,
-            )
-            outcome = self._send_until_answered(order)
-            if outcome is not orders.Outcome.OUT_OF_SEQUENCE:
-                return outcome
-            self._order_count = None
-            clock.sleep(upstream_state.REPORT_AGE_S)
-        return orders.Outcome.OUT_OF_SEQUENCE
-
-    def _send_until_answered(self, order: orders.Order) -> orders.Outcome:
-        """Send an order until it is answered.
-
-        All attempts, and an unanswered order before this one, expect the same
-        number of accepted orders, so the engine carries out at most one.
-        """
-        for attempt in range(ANSWER_TRIES):
-            try:
-                outcome = self._send_once(order)
-            except errors.LinkError:
-                if attempt + 1 < ANSWER_TRIES and self._may_still_send(order):
-                    continue
-                # The engine may yet carry it out and count it.
-                self._order_count = None
-                self._remember_order(order, upstream_state.UNANSWERED_ORDER_S)
-                raise
-            break
-        self._record_outcome(order, outcome)
-        return outcome
-
-    def _may_still_send(self, order: orders.Order) -> bool:
-        """Return whether this host still has the authority of an order."""
-        authority = self._context.authority()
-        return authority is not None and authority.token == order.token
-
-    def _record_outcome(
-        self, order: orders.Order, outcome: orders.Outcome
-    ) -> None:
-        """Record the effect of an answered order."""
-        # The engine unloads an idle adapter at once and gives the same answer
-        # as for an adapter that is not resident, but counts only the former.
-        is_unloaded = (
-            outcome is orders.Outcome.ALREADY_HELD
-            and not order.is_load
-            and self._may_hold(order)
-        )
-        if outcome is orders.Outcome.ACCEPTED or is_unloaded:
-            self._order_count = order.expected_orders + 1
-            self._remember_order(
-                order,
-                LOAD_REPORT_DELAY_S
-                if order.is_load
-                else upstream_state.REPORT_AGE_S,
-            )
-        elif outcome is orders.Outcome.ALREADY_HELD and order.is_load:
-            self._remember_order(order, LOAD_REPORT_DELAY_S)
-
-    def _may_hold(self, order: orders.Order) -> bool:
-        name = (order.model, order.adapter)
-        sent = self._last_order_by_name.get(name)
-        if sent is not None and sent.hidden_until >= clock.now():
-            return sent.uses_slot
-        held = self._upstream.entry.held_model_by_name.get(order.model)
-        return held is not None and order.adapter in held.adapter_versions
-
-    def _send_once(self, order: orders.Order) -> orders.Outcome:
-        entry = self._upstream.entry
-        sent_at = clock.now()
-        outcome = None
-        try:
-            outcome = self._context.api.send_order(
-                entry.address, entry.upstream_id, order
-            )
-        finally:
-            self._context.log.write(
-                events.OrderGiven(
-                    entry.upstream_id,
-                    'load' if order.is_load else 'unload',
-                    order.target,
-                    order.expected_orders,
-                    order.token,
-                    outcome.value if outcome else 'no answer',
-                    int((clock.now() - sent_at) * units.MS_PER_S),
-                )
-            )
-        return outcome
-
-    def _remember_order(self, order: orders.Order, hidden_s: float) -> None:
-        if not order.adapter:
-            return
-        is_answered = hidden_s < upstream_state.UNANSWERED_ORDER_S
-        if order.is_load or is_answered:
-            self._last_order_by_name[order.model, order.adapter] = _SentOrder(
-                order.is_load, clock.now() + hidden_s
-            )
-
-    def _current_order_count(self, authority: Authority) -> int:
-        """Return the number of orders that the engine has accepted."""
-        if (
-            self._order_count is None
-            or self._order_count_token != authority.token
-        ):
-            self._order_count = self._read_report().order_count
-            self._order_count_token = authority.token
-        return self._order_count
-
     def _read_report(self) -> upstreams.EngineReport:
-        report = self._context.api.read_report(self._upstream.entry.address)
-        self._upstream.on_report(report, clock.now())
-        return report
+        return engine_reports.read_report(self._context.api, self._upstream)
 
 
 def _refusal(outcome: orders.Outcome) -> types.LoadResult:
--- a/ivystep/gateway/leadership.py
+++ b/ivystep/gateway/leadership.py
@@ -14,8 +14,8 @@
 from ivystep.core import errors, types
 from ivystep.entry import peers, planner
 from ivystep.gateway import (
-    engine_link,
     events,
+    order_sender,
     prefill_queues,
     residency_updates,
 )
@@ -104,11 +104,11 @@
         """Whether this host holds the lease."""
         return self._lease.is_held()
 
-    def authority(self) -> engine_link.Authority | None:
+    def authority(self) -> order_sender.Authority | None:
         """Return the permission to send orders now, or None."""
         if not self._lease.is_held() or clock.now() < self._active_from:
             return None
-        return engine_link.Authority(self._host, self._lease.token)
+        return order_sender.Authority(self._host, self._lease.token)
 
     def sink(self, pool: str, local: planner.DemandSink) -> planner.DemandSink:
         """Return the leader's planner of a pool; see ``pool.ChooseSink``."""
--- /dev/null
+++ b/ivystep/gateway/slot_usage.py
@@ -0,0 +1,98 @@
+"""Tracks which adapters use the adapter slots of one engine.
+
+Reports arrive late. The last order for each adapter therefore overrides them
+for as long as they may not show it.
+"""
+
+import dataclasses
+
+from ivystep.core import types
+from ivystep.gateway import upstream_state
+from ivystep.runtime import clock
+from ivystep.traffic import orders, upstreams
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _SentOrder:
+    """The last order for an adapter.
+
+    Attributes:
+        uses_slot: Whether the adapter may use a slot after the order.
+        hidden_until: Time until which reports may not show the order.
+    """
+
+    uses_slot: bool
+    hidden_until: float
+
+
+class SlotUsage:
+    """The adapter slots of one engine that are in use.
+
+    Args:
+        upstream: The engine.
+    """
+
+    def __init__(self, upstream: upstream_state.Upstream) -> None:
+        self._upstream = upstream
+        self._last_order_by_name: dict[tuple[str, str], _SentOrder] = {}
+
+    def has_free_slot(
+        self,
+        ref: types.AdapterRef,
+        report: upstreams.EngineReport,
+        slots: int,
+    ) -> bool:
+        """Return whether the engine has a slot for one more adapter.
+
+        An engine that is ordered to load more adapters than fit fails.
+        Orders that reports may not show yet, and unanswered orders to load,
+        therefore count as carried out.
+
+        Args:
+            ref: The adapter to load; a slot that it already uses suffices.
+            report: A report that was read just now.
+            slots: Number of adapter slots of the engine.
+        """
+        used = {
+            (model.name, adapter)
+            for model in report.held_model_by_name.values()
+            for adapter in model.adapter_versions
+        }
+        used.update(
+            (loading.account, loading.name) for loading in report.loading
+        )
+        now = clock.now()
+        for name, sent in list(self._last_order_by_name.items()):
+            if sent.hidden_until < now:
+                del self._last_order_by_name[name]
+            elif sent.uses_slot:
+                used.add(name)
+            else:
+                used.discard(name)
+        used.add((ref.account, ref.name))
+        return len(used) <= slots
+
+    def may_hold(self, order: orders.Order) -> bool:
+        """Return whether the adapter of an order may be resident."""
+        name = (order.model, order.adapter)
+        sent = self._last_order_by_name.get(name)
+        if sent is not None and sent.hidden_until >= clock.now():
+            return sent.uses_slot
+        held = self._upstream.entry.held_model_by_name.get(order.model)
+        return held is not None and order.adapter in held.adapter_versions
+
+    def remember_order(self, order: orders.Order, hidden_s: float) -> None:
+        """Remember an order until reports show it.
+
+        Args:
+            order: An order that was carried out, or was not answered.
+            hidden_s: Seconds for which reports may not show it;
+                ``upstream_state.UNANSWERED_ORDER_S`` without an answer.
+        """
+        if not order.adapter:
+            return
+        is_answered = hidden_s < upstream_state.UNANSWERED_ORDER_S
+        if order.is_load or is_answered:
+            self._last_order_by_name[order.model, order.adapter] = _SentOrder(
+                order.is_load, clock.now() + hidden_s
+            )
--- a/tests/gateway/test_engine_link.py
+++ b/tests/gateway/test_engine_link.py
@@ -8,7 +8,12 @@
 from hypothesis import strategies
 
 from ivystep.core import types
-from ivystep.gateway import engine_link, residency_updates, upstream_state
+from ivystep.gateway import (
+    engine_link,
+    order_sender,
+    residency_updates,
+    upstream_state,
+)
 from ivystep.policy import load_times
 from ivystep.runtime import clock
 from ivystep.traffic import orders
@@ -52,7 +57,9 @@
         )
 
     def authority(self):
-        return engine_link.Authority('host', self.token) if self.token else None
+        return (
+            order_sender.Authority('host', self.token) if self.token else None
+        )
 
     def on_update(self, published):
         self.published.append((published.ref.name, published.is_held))
