Split the answer and the disconnect watch from the callers' connections

Moved, with their comments: - answer_writer.py: the answer to one request (AnswerWriter), which now implements relay.CallerAnswer. Each request gets a new one, instead of a reset of the connection's attributes. - disconnect_watch.py: the buffering of pipelined bytes and the cancellation when the caller disconnects (DisconnectWatch). - callers.py keeps ServerState, serve and CallerConnection: the loop over the requests, their reading with its time-outs, and the end of a connection.

RequestHandler passes connection.answer on, where it passed the connection. No behaviour, constant or text on the wire changes. All tests of callers go through a whole gateway and stay where they are, unchanged.

Ruled out: moving the reading of requests as well. It needs ServerState, which the daemon uses as callers.ServerState, so the modules would import each other.

--- a/ivystep/gateway/request_handler.py
+++ b/ivystep/gateway/request_handler.py
@@ -51,16 +51,16 @@
             relay.CallerDisconnectedError: The caller has disconnected.
         """
         call = messages.decode_call(raw, clock.now(), connection.caller)
-        connection.last_event_id = call.resumes_after
+        connection.answer.last_event_id = call.resumes_after
         route = None
         try:
             with connection.raise_on_disconnect():
                 route = self._route(call)
-                self._dispatcher.run(call, route, connection)
+                self._dispatcher.run(call, route, connection.answer)
         except errors.RequestError as error:
             self._metrics.record_request(_route_name(route), error.code)
             self._log.failed(call, route, error)
-            connection.send_error(error, call.request_id)
+            connection.answer.send_error(error, call.request_id)
         except (relay.CallerDisconnectedError, OSError):
             self._metrics.record_request(_route_name(route), 'caller_gone')
             raise
