Take the call's time, not the arrival's, for the earliest time of an answer

The time after which a version may have been named was related to the host's uptime by the arrival of the quickest answer. With one answer only, that is the arrival itself, so a first read that took seconds, or one after a restoration, put the moment after the replacement: with a read of 4 s and version 2 named at 0.2 s, version 1 might be sent until 6.5 s and wait until 8.6 s (5.2 s are allowed).

The relation now uses the time of the call: the store cannot have given an answer before it was sent, so the moment is never after the replacement. The call that was answered soonest gives the closest bound.

--- a/ivystep/gateway/feeds.py
+++ b/ivystep/gateway/feeds.py
@@ -192,7 +192,7 @@
         self._complete_at = sent_at
         if answer.store_time_s is not None:
             self._complete_at = self._store_clock.uptime_of(
-                answer.store_time_s, sent_at, clock.uptime()
+                answer.store_time_s, sent_at
             )
         self.confirmed_at = clock.now()
         if self._lost_at is None:
--- a/tests/gateway/test_version_choice.py
+++ b/tests/gateway/test_version_choice.py
@@ -127,3 +127,40 @@
     host.follow()
     assert host.choose(resident=1) == 1
     assert host.choose(resident=2) == 2
+
+
+@clocks.on_virtual_clock
+@pytest.mark.parametrize('era', [0, 4])
+def test_time_of_a_replaced_version_does_not_start_with_a_late_first_answer(
+    era,
+):
+    """Guards against a first read that is slow, has pages or is received late.
+
+    The store gives its answer as the read begins and names version 2 0.2 s
+    later; the host has the whole answer after 4 s.
+    """
+    slow = rows.RowSet((), 4, era=era, store_time_s=100.0)
+    named = rows.RowSet(
+        (test_configuration.version_row(2, 9),),
+        9,
+        era=era,
+        store_time_s=104.01,
+    )
+    before = rows.RowSet((), 4, era=0, store_time_s=7.0)
+    host = FollowedConfiguration()
+    if era:
+        host.store.answers = [before, rows.HistoryGoneError('restored')]
+        host.follow()
+    host.store.latency_s = 4.0
+    # With a restoration, the answer that tells of it takes 4 s as well.
+    read_at = clock.uptime() + (4.0 if era else 0.0)
+    host.store.answers.append(slow)
+    host.follow()
+    host.store.latency_s = 0.01
+    host.store.answers = [named]
+    host.follow()
+    clock.sleep(1.5)
+    assert clock.uptime() > read_at + 0.2 + VERSION_S
+    ref_1 = types.AdapterRef('m', 'a3', 1)
+    assert host.config.replaced_after(ref_1) <= read_at + 0.2
+    assert host.choose(resident=1) == 2
