Refuse an answer of the change feed from a copy of the store that is behind

A read of the whole table from a copy that is behind was refused, an answer of the feed was not: its time became the time at which the host had all changes, so a version that had been named before seemed newer than it was, and its predecessor was used for too long.

Both are refused now. The new test failed before (3.0 <= 0.0).

--- a/ivystep/gateway/feeds.py
+++ b/ivystep/gateway/feeds.py
@@ -126,9 +126,10 @@
             self._has_rows = False
             self._read()
             return
+        self._raise_if_stale(changes)
         for row in self._dated(changes):
             self._sink.apply_row(row)
-        self.version = max(self.version, changes.version)
+        self.version = changes.version
         self._on_answer(changes, sent_at)
 
     def _read(self) -> None:
@@ -137,12 +138,8 @@
         era = self._era_of(found)
         if era > self.era and self.confirmed_at is not None:
             self._on_restored(era, found.version)
-        elif found.version < self.version:
-            raise errors.UnavailableError(
-                f'store version {found.version} is older than {self.version}',
-                step=f'read {self._table}',
-                peer='store',
-            )
+        else:
+            self._raise_if_stale(found)
         self._sink.replace_rows(self._dated(found))
         self.version = found.version
         self.era = era
@@ -160,6 +157,15 @@
             for row in answer.rows
         ]
 
+    def _raise_if_stale(self, answer: rows.RowSet) -> None:
+        """Raise an error if an answer is from a copy that is behind."""
+        if answer.version < self.version:
+            raise errors.UnavailableError(
+                f'store version {answer.version} is older than {self.version}',
+                step=f'read {self._table}',
+                peer='store',
+            )
+
     def _era_of(self, answer: rows.RowSet) -> int:
         """Return the era of an answer; the known one if it names none.
 
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -1,5 +1,6 @@
 """Tests of a feed that follows a table of the store."""
 
+import contextlib
 import math
 
 import pytest
@@ -208,3 +209,21 @@
     steps(feed, 2)
     age_s = clock.uptime() - sink.written_after['b']
     assert age_s == pytest.approx(1.0)
+
+
+@clocks.on_virtual_clock
+def test_stale_answer_does_not_say_that_the_store_lacked_a_row():
+    """Guards against a version that seems newer than it is.
+
+    The second answer is from a copy of the store that is behind; the row had
+    been written by then.
+    """
+    feed, _, sink = feed_of(found(9, 'a'), found(6), found(10, 'b'))
+    feed.step()
+    read_at = clock.uptime()
+    clock.sleep(3)
+    with contextlib.suppress(errors.UnavailableError):
+        feed.step()
+    clock.sleep(0.1)
+    feed.step()
+    assert sink.written_after['b'] <= read_at
