Ignore a time of the store that is no whole number of milliseconds

NaN, infinity or a huge number in an answer's time raised an error that the feed does not catch, at the next named version, and the host followed the table no more. Such a time counts as missing now, and the time of the call is used instead.

The new cases failed before: nan, inf and -0.001 instead of None, and an OverflowError.

--- a/ivystep/platform/rows.py
+++ b/ivystep/platform/rows.py
@@ -26,6 +26,8 @@
 ERA = re.compile(r'\d{1,18}')
 # Raised when a malformed row is decoded.
 DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+# Latest time on the store's clock that a float represents to the millisecond.
+MAX_TIME_MS = 2**53
 # Largest number of rows in one answer.
 PAGE_ROWS = 500
 
@@ -296,7 +298,7 @@
 def _store_time_s(page: dict[str, typing.Any]) -> float | None:
     """Return the time of an answer on the store's clock; None without one."""
     now_ms = page.get('now_ms')
-    if isinstance(now_ms, int | float):
+    if isinstance(now_ms, int) and 0 <= now_ms <= MAX_TIME_MS:
         return now_ms / units.MS_PER_S
     return None
 
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -174,3 +174,21 @@
     )
     with pytest.raises(errors.UnavailableError):
         client.read_all('t')
+
+
+@pytest.mark.parametrize(
+    ('now_ms', 'expected'),
+    [
+        ('7500', 7.5),
+        ('NaN', None),
+        ('Infinity', None),
+        ('-1', None),
+        ('1' + '0' * 400, None),
+        ('"noon"', None),
+    ],
+)
+def test_time_of_an_answer_is_a_number_or_ignored(now_ms, expected):
+    """Guards against a host that follows the table no more."""
+    page = json.loads(f'{{"rows": [], "ver": 1, "now_ms": {now_ms}}}')
+    found = rows.RowsClient(PagedCalls(page)).read('t')
+    assert found.store_time_s == expected
