Measure the time of a queued attempt on the clock that counts suspensions

The timer that ends an attempt whose version is too old ran on the hub's clock, which stands still while the machine is suspended: the attempt ended at 8.6 s of uptime, expected were 5.5 s at most. It is compared with the uptime every 0.25 s now.

The test of the suspension failed before. Two further tests come with it: a whole gateway with a store and an engine on sockets (it fails if the daemon does not pass versions on), and a version named after an attempt has ended.

--- a/ivystep/gateway/queued_attempts.py
+++ b/ivystep/gateway/queued_attempts.py
@@ -22,6 +22,8 @@
 # Time for the close of a connection to reach the engine, also from a host whose
 # event loop is busy.
 CLOSE_MARGIN_S = 0.4
+# The hub's timers do not count the time for which the machine is suspended.
+CHECK_INTERVAL_S = 0.25
 
 
 class VersionReplacedError(Exception):
@@ -119,9 +121,9 @@
         """
         replaced_after = self._config.replaced_after(attempt.ref)
         if attempt.timer is None and replaced_after is not None:
-            left_s = replaced_after + self._allowed_s - clock.uptime()
+            # An attempt is ended by the hub, whose other tasks go on.
             attempt.timer = hubs.get_hub().schedule_call_global(
-                max(left_s, 0.0), _end, attempt
+                0, _end_at, attempt, replaced_after + self._allowed_s
             )
 
     def _remove(self, name: tuple[str, str], attempt: _Attempt) -> None:
@@ -133,6 +135,12 @@
             del self._attempts_by_name[name]
 
 
-def _end(attempt: _Attempt) -> None:
-    if attempt.is_queued():
+def _end_at(attempt: _Attempt, end_at: float) -> None:
+    """End an attempt at an uptime if the engine has not begun by then."""
+    left_s = end_at - clock.uptime()
+    if left_s > 0:
+        attempt.timer = hubs.get_hub().schedule_call_global(
+            min(left_s, CHECK_INTERVAL_S), _end_at, attempt, end_at
+        )
+    elif attempt.is_queued():
         attempt.task.throw(VersionReplacedError)
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -5,7 +5,9 @@
 
 import eventlet
 
-from tests.gateway import harness
+from ivystep.platform import header_names
+from ivystep.runtime import clock
+from tests.gateway import fakes, harness
 
 
 def test_host_without_a_configuration_answers_503_with_retry_after(build):
@@ -83,3 +85,55 @@
     assert readiness() == 200
     gateway.daemon.is_ready = False
     assert readiness() == 503
+
+
+ENGINE_SERVICE = {
+    'name': 'app',
+    'max_connections': 9,
+    'engine': {
+        'slots': 4,
+        'weights_mb': 1000.0,
+        'max_adapters': 4,
+        'models': [{'name': 'm', 'weights_mb': 100.0, 'adapter_mb': 1.0}],
+    },
+}
+
+
+def test_request_leaves_an_engine_when_its_version_has_been_replaced(stack):
+    """Guards against a version that the operator names without effect."""
+    engine = harness.ScriptedUpstream(lambda *_: None)
+    stack.callback(engine.close)
+    slow = harness.route(
+        'slow', 'stream', timeout_ms=12000, target_latency_ms=2500
+    )
+    gateway = harness.GatewayHarness(
+        stack, config={'routes': [slow], 'services': [ENGINE_SERVICE]}
+    )
+    held = [{'name': 'm', 'version': 1, 'adapters': ['a3@1']}]
+    gateway.add(engine, models=held)
+    gateway.wait_for(1)
+    eventlet.sleep(0.3)
+    caller = gateway.connect()
+    caller.sendall(
+        harness.request(
+            '/slow/2f',
+            headers=[
+                f'{header_names.MODEL.decode()}: m/a3',
+                f'{header_names.TOKEN_COUNT.decode()}: 10,10',
+            ],
+        ).replace(b'Deadline-Ms: 1500', b'Deadline-Ms: 9000')
+    )
+    with eventlet.Timeout(3):
+        while not engine.requests:
+            eventlet.sleep(0.01)
+    gateway.store.write(
+        'op',
+        'version/m.a3',
+        fakes.encoded({'model': 'm', 'adapter': 'a3', 'version': 2}),
+    )
+    started = clock.now()
+    with eventlet.Timeout(6):
+        while not engine.ended:
+            eventlet.sleep(0.01)
+
+    assert 2 < clock.now() - started < 5
--- a/tests/gateway/test_queued_attempts.py
+++ b/tests/gateway/test_queued_attempts.py
@@ -195,3 +195,43 @@
     ):
         connection.send(harness.request('/stream/2f'))
         connection.next_event()
+
+
+def test_time_of_a_queued_attempt_counts_while_the_host_is_suspended(
+    monkeypatch,
+):
+    """Guards against a timer on a clock that stands still with the host."""
+
+    def scenario(monkeypatch):
+        harness = QueueingHarness(monkeypatch, test_dispatch.ref(1))
+        harness.on_queued = lambda: harness.name_version(2)
+        suspended_s = []
+        monkeypatch.setattr(
+            clock, 'uptime', lambda: clock.now() + sum(suspended_s)
+        )
+        eventlet.spawn_after(1.0, suspended_s.append, 4.0)
+        with pytest.raises(errors.RequestError):
+            harness.run_stream()
+        return clock.uptime()
+
+    ended_at, _ = on_virtual_clock(scenario, monkeypatch)
+    # The host goes on at 5 s; it may take a moment to notice.
+    assert ended_at < 1.0 + 4.0 + 0.5
+
+
+def test_version_that_is_named_after_an_attempt_ends_no_other_work(
+    monkeypatch,
+):
+    """Guards against an error in a task that has moved on."""
+
+    def scenario(monkeypatch):
+        harness = QueueingHarness(
+            monkeypatch, test_dispatch.ref(1), queue_s=0.5
+        )
+        eventlet.spawn_after(0.1, harness.name_version, 2)
+        harness.run_stream()
+        harness.name_version(3)
+        clock.sleep(2 * test_dispatch.VERSION_S)
+
+    _, elapsed_s = on_virtual_clock(scenario, monkeypatch)
+    assert elapsed_s > 2 * test_dispatch.VERSION_S
