End queued attempts of streams only

Of an answer that is no stream nothing arrives before its end, so a request that an engine had begun in time looked queued and was cut off 4.6 s after its version was replaced: 502, or a second run.

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -23,6 +23,7 @@
 from ivystep.platform import messages
 from ivystep.policy import prefill
 from ivystep.runtime import clock
+from ivystep.traffic import contracts
 
 # Value of the least urgent requests on the wire; 0 is the most urgent.
 MAX_URGENCY = 9
@@ -166,9 +167,14 @@
         ref: types.AdapterRef | None,
         exchange: relay.Exchange,
     ) -> None:
-        """Run an exchange; one with an adapter ends if its version is old."""
+        """Run an exchange; a stream ends if its adapter version is too old.
+
+        Of other answers nothing arrives before their end, so that one that has
+        begun cannot be told from one that waits.
+        """
         encode = functools.partial(self._encode, state, upstream, ref)
-        if ref is None:
+        is_stream = state.route.kind is contracts.Repeatability.STREAM
+        if ref is None or not is_stream:
             exchange.run(encode)
             return
         with self._versions.queued.end_in_time(
