Choose a waiting request's adapter version again when it is replaced

A request that waited in a pool for its adapter kept the version that was chosen when it came. If a newer one was named and loaded meanwhile, it went on waiting for the older one until it was refused.

The limit of queued attempts becomes one of waits of either kind (module version_waits, before queued_attempts): the wait for a place ends as soon as a newer version is named, or when the time of the previous one is over, and the request is placed again with the version to use now.

Ruled out: several versions for one waiting request (pools, planners and their demand reports know one adapter version a request).

test_request_does_not_wait_for_a_version_that_was_replaced failed before (RefusedError at its latest start).

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -19,6 +19,7 @@
     stream_origins,
     upstream_state,
     version_choice,
+    version_waits,
 )
 from ivystep.platform import messages
 from ivystep.policy import prefill
@@ -177,10 +178,20 @@
         if ref is None or not is_stream:
             exchange.run(encode)
             return
-        with self._versions.queued.end_in_time(
-            ref, functools.partial(_is_queued, exchange), upstream.upstream_id
-        ):
-            exchange.run(encode)
+        try:
+            with self._versions.limit_queueing(
+                ref, functools.partial(_is_queued, exchange)
+            ):
+                exchange.run(encode)
+        except version_waits.VersionReplacedError as error:
+            raise errors.RequestError(
+                'version_replaced',
+                f'{ref.lora_name} was replaced before the engine began.',
+                status=502,
+                ran=types.ExecutionStatus.UNKNOWN,
+                step='run',
+                peer=upstream.upstream_id,
+            ) from error
 
     def _accepts_requests(self, upstream: upstream_state.Upstream) -> bool:
         """Return whether an upstream still accepts requests after a wait."""
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -375,7 +375,7 @@
         self, newest: types.AdapterRef, previous: types.AdapterRef
     ) -> None:
         self._pools.transfer_popularity(previous, newest)
-        self._versions.queued.on_version(newest)
+        self._versions.waits.on_version(newest)
 
     def _on_change(self, upstream: upstream_state.Upstream) -> None:
         known = self._membership.upstream_by_id.get(upstream.upstream_id)
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -22,6 +22,7 @@
     stream_origins,
     upstream_state,
     version_choice,
+    version_waits,
 )
 from ivystep.policy import prefill
 from ivystep.runtime import clock
@@ -168,16 +169,16 @@
 
         Returns:
             False if the request must be placed again, because the upstream
-            started draining or the adapter version was replaced during a wait
-            for a permit or a connection.
+            started draining or the adapter version was replaced during a
+            wait.
         """
         state.step = 'place'
         self._raise_if_version_gone(state)
         ref = self._versions.choose(state.call, target)
-        with self._limits.wait_in_turn(state):
-            placement = target.place(
-                state.to_request(target.name, ref), state.avoid
-            )
+        try:
+            placement = self._place(state, target, ref)
+        except version_waits.VersionReplacedError:
+            return False
         try:
             state.raise_if_unwanted()
             upstream = self._find_upstream(placement)
@@ -192,6 +193,24 @@
             target.finish(placement)
         return True
 
+    def _place(
+        self,
+        state: request_state.RequestState,
+        target: pool.Pool,
+        ref: types.AdapterRef | None,
+    ) -> types.Placement:
+        """Wait for a place.
+
+        Raises:
+            version_waits.VersionReplacedError: The adapter version is to be
+                chosen again.
+        """
+        with (
+            self._limits.wait_in_turn(state),
+            self._versions.limit_placing(ref),
+        ):
+            return target.place(state.to_request(target.name, ref), state.avoid)
+
     def _take_turn(
         self,
         state: request_state.RequestState,
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -118,7 +118,7 @@
         self.versions_in_use = version_choice.VersionChoice(
             self.recorded.config, VERSION_S
         )
-        self.recorded.on_version = self.versions_in_use.queued.on_version
+        self.recorded.on_version = self.versions_in_use.waits.on_version
         self.writer = builtin_types.SimpleNamespace(write=lambda row: None)
         self.budgets = retry_budget.RetryBudgets(ratio=0.1, reserve=2.0)
         self.dispatcher = dispatch.Dispatcher(
--- a/tests/gateway/test_queued_attempts.py
+++ b/tests/gateway/test_version_waits.py
@@ -1,4 +1,4 @@
-"""Tests of requests that wait at an engine when their version is replaced."""
+"""Tests of requests that wait while their adapter version is replaced."""
 
 import contextlib
 
@@ -6,11 +6,13 @@
 import pytest
 
 from ivystep.core import errors, types
+from ivystep.entry import pool
 from ivystep.gateway import connections as upstream_connections
-from ivystep.gateway import queued_attempts
+from ivystep.gateway import version_waits
 from ivystep.runtime import clock
 from ivystep.traffic import contracts
 from tests.coordination import fakes as clocks
+from tests.core import statuses
 from tests.gateway import harness, test_configuration, test_dispatch
 
 ENGINE_QUEUE_S = 9.0
@@ -164,30 +166,28 @@
 def test_end_of_a_queued_attempt_reaches_the_engine():
     """Guards against an engine that begins a request nobody waits for."""
     recorded = test_configuration.RecordedConfiguration()
-    queued = queued_attempts.QueuedAttempts(
-        recorded.config, queued_attempts.CLOSE_MARGIN_S
-    )
-    recorded.on_version = queued.on_version
+    waits = version_waits.VersionWaits(recorded.config)
+    recorded.on_version = waits.on_version
     engine = harness.ScriptedUpstream(
         lambda *_: recorded.config.apply_row(
             test_configuration.version_row(2, 1)
         )
     )
     with contextlib.closing(engine):
-        with pytest.raises(errors.RequestError):
-            wait_for_answer(queued, engine)
+        with pytest.raises(version_waits.VersionReplacedError):
+            wait_for_answer(waits, engine)
         with eventlet.Timeout(2):
             while not engine.ended:
                 eventlet.sleep(0.01)
 
 
-def wait_for_answer(queued, engine):
+def wait_for_answer(waits, engine):
     """Send a request with version 1 to an engine that does not answer."""
     upstream = upstream_connections.UpstreamConnections(
         ('127.0.0.1', engine.port), 'i-1'
     )
     with (
-        queued.end_in_time(test_dispatch.ref(1), lambda: True, 'i-1'),
+        waits.limit(test_dispatch.ref(1), 0.0, lambda: True),
         contextlib.closing(upstream.acquire()) as connection,
     ):
         connection.send(harness.request('/stream/2f'))
@@ -253,3 +253,52 @@
 
     versions, _ = on_virtual_clock(scenario, monkeypatch)
     assert versions == [b'1']
+
+
+def test_request_does_not_wait_for_a_version_that_was_replaced(monkeypatch):
+    """Guards against a wait for a place with a version nobody may use."""
+
+    def scenario(monkeypatch):
+        harness = QueueingHarness(monkeypatch, queue_s=0.0)
+        harness.pool = real = pool.Pool(
+            'llm/m', 'host-1', make_planner=IdlePlanner
+        )
+        engine_status = statuses.upstream_status('i-1', ())
+        real.on_status(engine_status, None)
+
+        def name_and_load():
+            harness.name_version(2)
+            clock.sleep(0.3)
+            real.on_status(
+                statuses.upstream_status(
+                    'i-1', {test_dispatch.ref(2)}, sequence=2
+                ),
+                None,
+            )
+
+        eventlet.spawn_after(0.2, name_and_load)
+        harness.run_stream()
+        return harness.versions
+
+    versions, elapsed_s = on_virtual_clock(scenario, monkeypatch)
+    assert versions == [b'2']
+    assert elapsed_s < 4.0
+
+
+class IdlePlanner:
+    """A planner that orders nothing."""
+
+    load_s = 0.3
+    service_s = 1.0
+
+    def __init__(self, *_):
+        pass
+
+    def report_demand(self, entry_id, demands):
+        return ()
+
+    def on_status(self, view):
+        """Nothing is planned."""
+
+    def wake(self):
+        """Nothing is planned."""
