Load no adapter version that is known to be replaced

A host that has not learned of a new version yet reports demand for the one before. The leader loaded it, also on an engine with the newest version, which holds one version of an adapter and so lost that one; and it made further copies of the replaced version for as long as its requests of the last seconds counted. No request begins on a wrong version by it, since requests name theirs, but they wait for loads.

The planner asks now whether a version is replaced. Requests that wait for it are placed again by their hosts when they learn of the newer one.

--- a/ivystep/gateway/configuration.py
+++ b/ivystep/gateway/configuration.py
@@ -75,6 +75,14 @@
             return None
         return types.AdapterRef(ref.account, ref.name, named.previous)
 
+    def is_replaced(self, ref: types.AdapterRef) -> bool:
+        """Return whether a newer version of an adapter has been named.
+
+        Args:
+            ref: The adapter with its version.
+        """
+        return self.replaced_after(ref) is not None
+
     def replaced_after(self, ref: types.AdapterRef) -> float | None:
         """Return when a version of an adapter was replaced by a newer one.
 
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -140,6 +140,7 @@
             self._leadership.sink,
             self._engine_link,
             self._may_order,
+            self._config.is_replaced,
             self._load_times,
             self._metrics,
         )
--- a/ivystep/gateway/load_planner.py
+++ b/ivystep/gateway/load_planner.py
@@ -63,6 +63,7 @@
         targets: Costs of a full engine and of a load from the weight store.
         ageing_s: See ``eviction.Popularity``.
         may_order: Returns whether this host may send orders now.
+        is_replaced: Returns whether a newer version of an adapter is named.
         times: Limit of parallel loads from the weight store.
 
     Attributes:
@@ -78,6 +79,7 @@
         targets: load_target.TargetCosts,
         ageing_s: float,
         may_order: Callable[[], bool],
+        is_replaced: Callable[[types.AdapterRef], bool],
         times: load_times.LoadTimes,
     ) -> None:
         self.service_s = 1.0
@@ -87,6 +89,7 @@
         self._process_id = process_id
         self._index = index
         self._may_order = may_order
+        self._is_replaced = is_replaced
         self._times = times
         # Loading adapters that were not cached on their engines' hosts.
         self._fetching: set[types.AdapterRef] = set()
@@ -196,7 +199,9 @@
                 self._recent.total_rate(now),
                 len(self._index.view_by_id),
             )
-            if not 0 < len(holders) < max_copies or self._is_loading(ref, now):
+            if not 0 < len(holders) < max_copies:
+                continue
+            if self._is_loading(ref, now) or self._is_replaced(ref):
                 continue
             least_fill = min(view.fill for view in holders)
             chosen = self._targets.choose(
@@ -250,10 +255,15 @@
         """Yield the loads that the waiting requests for an adapter need.
 
         Requests that need a certain software version cannot use a copy at an
-        upstream of another one.
+        upstream of another one. Hosts that have not learned of a new adapter
+        version yet wait for the one that it replaces, which is not loaded.
         """
         ref = demand.ref
-        if self._is_loading(ref, now) or self._is_recently_loaded(ref, now):
+        if (
+            self._is_loading(ref, now)
+            or self._is_recently_loaded(ref, now)
+            or self._is_replaced(ref)
+        ):
             return
         holders = [
             view for view in self._index.holders(ref) if view.is_usable(now)
--- a/ivystep/gateway/model_pools.py
+++ b/ivystep/gateway/model_pools.py
@@ -44,6 +44,7 @@
         choose_sink: Returns the planner of a pool, given the local one.
         link_to: Returns the link that sends orders to an engine.
         may_order: Returns whether this host may send orders now.
+        is_replaced: Returns whether a newer version of an adapter is named.
         times: Duration and limit of parallel loads.
         metrics: Registry for load stalls and waiting requests.
     """
@@ -55,6 +56,7 @@
         choose_sink: pool.ChooseSink,
         link_to: Callable[[upstream_state.Upstream], object],
         may_order: Callable[[], bool],
+        is_replaced: Callable[[types.AdapterRef], bool],
         times: load_times.LoadTimes,
         metrics: registry.Metrics,
     ) -> None:
@@ -64,6 +66,7 @@
         self._choose_sink = choose_sink
         self._link_to = link_to
         self._may_order = may_order
+        self._is_replaced = is_replaced
         self._times = times
         self._metrics = metrics
         self._config: contracts.RouteConfig | None = None
@@ -161,7 +164,13 @@
         self, host: str, index: routing.UpstreamIndex
     ) -> load_planner.LoadPlanner:
         return load_planner.LoadPlanner(
-            host, index, COSTS, AGEING_S, self._may_order, self._times
+            host,
+            index,
+            COSTS,
+            AGEING_S,
+            self._may_order,
+            self._is_replaced,
+            self._times,
         )
 
 
--- a/tests/gateway/test_load_planner.py
+++ b/tests/gateway/test_load_planner.py
@@ -72,12 +72,14 @@
     def __init__(self):
         rules = routing.RoutingRules(silence_s=math.inf, remote_cost=0.05)
         self.index = routing.UpstreamIndex('', rules)
+        self.replaced = set()
         self.planner = load_planner.LoadPlanner(
             'host',
             self.index,
             COSTS,
             30.0,
             lambda: self.is_leader,
+            self.replaced.__contains__,
             load_times.LoadTimes(),
         )
         self.is_leader = True
@@ -323,3 +325,36 @@
         fixture.report_status(engine)
         clock.sleep(0.05)
     assert 1 <= len(fixture.ordered_loads) <= 6
+
+
+@clocks.on_virtual_clock
+def test_version_that_was_replaced_is_not_loaded_for_a_host_that_learns_late():
+    """Guards against a load that removes the newest version from an engine.
+
+    An engine holds one version of an adapter; the leader knows version 2, a
+    host that has not learned of it reports demand for version 1.
+    """
+    fixture = PlannerFixture()
+    engine = fixture.engine()
+    engine.held = {ref('a', 2)}
+    fixture.report_status(engine)
+    fixture.replaced.add(ref('a', 1))
+    fixture.report_demand(demand('a', waiting=3), host='host-2')
+    clock.sleep(0.1)
+    assert fixture.ordered_loads == []
+
+
+@clocks.on_virtual_clock
+def test_replaced_version_gets_no_further_copies():
+    """Guards against copies of a version that requests no longer name."""
+    fixture = PlannerFixture()
+    first = fixture.engine('a')
+    for _ in range(3):
+        fixture.engine()
+    first.running = 8
+    fixture.report_status(first)
+    busy = demand('a', waiting=0, arrivals=200)
+    fixture.planner.count_arrivals([busy])
+    fixture.replaced.add(ref('a', 1))
+    chosen = fixture.planner.choose(clock.now())
+    assert chosen is None or chosen.wanted.ref.version == 2
