Log a prompt's parts and how far the answer of a crashed upstream had come

request_placed and upstream_crashed have prompt_parts: at most 8 ids of at most 16 characters, without the last part. upstream_crashed has the time since the request was sent, the time since the head of its answer, and the length of the body that had arrived. crash_learned is written for the first row of another host on each crash. No decision uses any of it.

Ruled out: a line for each row that arrives. A crash leaves up to 50 of them.

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -24,7 +24,7 @@
 from ivystep.platform import messages
 from ivystep.policy import prefill
 from ivystep.runtime import clock
-from ivystep.traffic import contracts
+from ivystep.traffic import calls, contracts
 
 # Value of the least urgent requests on the wire; 0 is the most urgent.
 MAX_URGENCY = 9
@@ -94,6 +94,7 @@
         state.attempts += 1
         state.record_version(upstream)
         self._origins.record(state, upstream)
+        state.progress = request_state.AttemptProgress()
         was_tried = upstream.upstream_id in state.may_have_run
         state.may_have_run.add(upstream.upstream_id)
         exchange = relay.Exchange(
@@ -102,7 +103,7 @@
             upstream,
             state.answer,
             on_head=functools.partial(
-                self._limits.on_answer, upstream, sent_at=clock.now()
+                self._on_head, state, upstream, sent_at=clock.now()
             ),
             may_repeat=state.route.is_repeatable
             and state.has_attempt_left
@@ -115,6 +116,7 @@
         except errors.RequestError as error:
             if error.ran is types.ExecutionStatus.NO and not was_tried:
                 state.may_have_run.discard(upstream.upstream_id)
+            state.progress.record_body(exchange.body)
             if not self._is_still_loading(upstream, ref, error):
                 state.avoid.add(upstream.upstream_id)
                 self._record_failure(state, upstream, ref, error)
@@ -217,8 +219,21 @@
             urgency=min(state.route.priority, MAX_URGENCY) if ref else None,
             resumes_after=state.answer.last_event_id,
         )
+        state.progress.sent_at = clock.now()
         return messages.encode_call(state.call, attempt)
 
+    def _on_head(
+        self,
+        state: request_state.RequestState,
+        upstream: upstream_state.Upstream,
+        head: calls.AnswerHead,
+        *,
+        sent_at: float,
+    ) -> None:
+        """Record that the head of an answer has arrived."""
+        state.progress.head_at = clock.now()
+        self._limits.on_answer(upstream, head, sent_at=sent_at)
+
     def _update_prefill_rate(
         self,
         state: request_state.RequestState,
--- a/ivystep/gateway/crashes.py
+++ b/ivystep/gateway/crashes.py
@@ -16,7 +16,7 @@
 import typing
 from collections.abc import Sequence
 
-from ivystep.core import errors
+from ivystep.core import errors, units
 from ivystep.gateway import (
     events,
     request_state,
@@ -31,6 +31,8 @@
 # crashes more often than in three.
 CRASHES_TO_REFUSE = 3
 MAX_CRASHES = CRASHES_TO_REFUSE * quarantine.MAX_REQUESTS
+# Crashes whose rows are logged once; a row of an older one is logged again.
+MAX_LEARNED = 64
 HIGHEST_SUCCESS_STATUS = 299
 # A request that crashes only some of its upstreams completes now and then.
 SUCCESSES_TO_CLEAR = 4
@@ -57,6 +59,10 @@
             maxlen=row_writer.MAX_PENDING_ROWS
         )
         self._quarantine = quarantine.Quarantine('', CRASHES_TO_REFUSE)
+        # Crashes that other hosts have reported, for the log.
+        self._learned: collections.deque[quarantine.UpstreamFailure] = (
+            collections.deque(maxlen=MAX_LEARNED)
+        )
         # Successes since the last crash of requests that have crashes.
         self._successes: collections.Counter[bytes] = collections.Counter()
 
@@ -108,6 +114,7 @@
         Returns:
             Whether the upstream refuses connections.
         """
+        lost_at = clock.now()
         if not upstream.connections.is_refused():
             return False
         if not upstream.is_draining:
@@ -129,6 +136,10 @@
                     state.call.caller,
                     state.content_id,
                     len(self._quarantine.failures(state.fingerprints[0])),
+                    state.logged_parts,
+                    _elapsed_ms(state.progress.sent_at, lost_at),
+                    _elapsed_ms(state.progress.head_at, lost_at),
+                    state.progress.body_bytes,
                 )
             )
         return True
@@ -166,11 +177,14 @@
             self._remove(row.key)
             return
         try:
-            self._add(crash_rows.decode(row))
+            crash = crash_rows.decode(row)
         except errors.SetupError as error:
             self._log.write(
                 events.EntryIgnored(row.key, error.reason, row.version)
             )
+            return
+        self._log_learned(crash)
+        self._add(crash)
 
     def on_store_lost(self) -> None:
         """Keep the known crashes."""
@@ -185,6 +199,21 @@
     def on_store_regained(self) -> None:
         """Do nothing; the feed resumes at its last store version."""
 
+    def _log_learned(self, crash: crash_rows.Crash) -> None:
+        """Log the first row of another host on the crash of an upstream."""
+        failure = _failure(crash)
+        if crash.key in self._crash_by_key or failure in self._learned:
+            return
+        self._learned.append(failure)
+        age_s = clock.wall_time() - crash.recorded
+        self._log.write(
+            events.CrashLearned(
+                crash.upstream_id,
+                crash.incarnation,
+                int(age_s * units.MS_PER_S),
+            )
+        )
+
     def _on_success(self, fingerprint: bytes) -> None:
         failures = self._quarantine.failures(fingerprint)
         if not failures:
@@ -225,5 +254,10 @@
             self._quarantine.remove(crash.fingerprint, _failure(crash))
 
 
+def _elapsed_ms(start: float | None, end: float) -> int:
+    """Return the time since a start in ms; -1 if there was none."""
+    return -1 if start is None else int((end - start) * units.MS_PER_S)
+
+
 def _failure(crash: crash_rows.Crash) -> quarantine.UpstreamFailure:
     return quarantine.UpstreamFailure(crash.upstream_id, crash.incarnation)
--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -93,6 +93,9 @@
             up; empty if it names none.
         replaced_ms: Longest time since the adapter's version was replaced by a
             newer one; 0 if it is the newest, -1 if the time is unknown.
+        prompt_parts: Ids of the first parts of the prompt, shortened, without
+            the last part, which belongs to this request or its session; a
+            number after ``+`` counts further ones.
     """
 
     name: typing.ClassVar[str] = 'request_placed'
@@ -114,6 +117,7 @@
     resumes_after: str = ''
     resumed_request_id: str = ''
     replaced_ms: int = 0
+    prompt_parts: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -171,6 +175,10 @@
         caller: IP address of the caller.
         content: As in ``request_placed``.
         crashes: Upstreams that have ended under this request.
+        prompt_parts: As in ``request_placed``.
+        sent_ms: Time since the request was sent to the upstream.
+        head_ms: Time since the head of the answer arrived; -1 if none did.
+        body_bytes: Length of the body that had arrived.
     """
 
     name: typing.ClassVar[str] = 'upstream_crashed'
@@ -182,6 +190,26 @@
     caller: str
     content: str
     crashes: int
+    prompt_parts: str
+    sent_ms: int
+    head_ms: int
+    body_bytes: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashLearned(event_log.Event):
+    """The first row of another host on the crash of an upstream arrived.
+
+    Attributes:
+        incarnation: Incarnation of the upstream that crashed.
+        age_ms: Time since the other host saw the crash, by the hosts' clocks.
+    """
+
+    name: typing.ClassVar[str] = 'crash_learned'
+
+    upstream: str
+    incarnation: str
+    age_ms: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ivystep/gateway/request_log.py
+++ b/ivystep/gateway/request_log.py
@@ -61,6 +61,7 @@
                 state.answer.last_event_id,
                 state.call.resumed_request_id,
                 self._replaced_ms(ref),
+                state.logged_parts,
             )
         )
 
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -5,7 +5,7 @@
 import typing
 
 from ivystep.core import errors, types, units
-from ivystep.gateway import relay, upstream_state
+from ivystep.gateway import answer_body, relay, upstream_state
 from ivystep.policy import prefill
 from ivystep.runtime import clock
 from ivystep.traffic import calls, contracts
@@ -19,6 +19,33 @@
 EXPECTED_OUTPUT_SHARE = 0.5
 # Hexadecimal digits of a digest in a log line.
 CONTENT_ID_DIGITS = 16
+# Bounds of a prompt's parts in a log line.
+MAX_LOGGED_PARTS = 8
+MAX_LOGGED_PART_ID = 16
+
+
+@dataclasses.dataclass(slots=True)
+class AttemptProgress:
+    """How far an attempt has come.
+
+    Attributes:
+        sent_at: When the request was sent; None before.
+        head_at: When the head of the answer arrived; None before.
+        body_bytes: Length of the body that had arrived when the attempt
+            failed.
+    """
+
+    sent_at: float | None = None
+    head_at: float | None = None
+    body_bytes: int = 0
+
+    def record_body(self, body: answer_body.AnswerBody | None) -> None:
+        """Record how much of the answer's body has arrived.
+
+        Args:
+            body: The body; None if no head has arrived.
+        """
+        self.body_bytes = body.received_bytes if body else 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -40,6 +67,7 @@
             stream's events; None if unknown.
         step: What the request waits for: ``place``, ``permit``, ``connect``
             or ``run``.
+        progress: How far the last attempt has come.
     """
 
     call: calls.Call
@@ -56,6 +84,9 @@
     stream_version: str | None = None
     content_id: str = ''
     fingerprints: tuple[bytes, ...] = ()
+    progress: AttemptProgress = dataclasses.field(
+        default_factory=AttemptProgress
+    )
 
     @classmethod
     def from_call(
@@ -86,6 +117,19 @@
         generation = self.call.generation
         return generation.model if generation else ''
 
+    @property
+    def logged_parts(self) -> str:
+        """Ids of the prompt's parts but the last one, as a log field."""
+        generation = self.call.generation
+        parts = generation.prompt_parts[:-1] if generation else ()
+        ids = [
+            part.part_id[:MAX_LOGGED_PART_ID]
+            for part in parts[:MAX_LOGGED_PARTS]
+        ]
+        if len(parts) > MAX_LOGGED_PARTS:
+            ids.append(f'+{len(parts) - MAX_LOGGED_PARTS}')
+        return ','.join(ids)
+
     @property
     def has_attempt_left(self) -> bool:
         """Whether the request may run on another upstream."""
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ivystep.core import errors
-from ivystep.gateway import crashes, row_writer
+from ivystep.gateway import crashes, request_state, row_writer
 from ivystep.platform import crash_rows, rows
 from ivystep.policy import quarantine
 from ivystep.runtime import clock
@@ -91,6 +91,8 @@
         call=builtin_types.SimpleNamespace(request_id='r-1', caller='10.9.0.7'),
         route=builtin_types.SimpleNamespace(name='plans'),
         answer=builtin_types.SimpleNamespace(status=status),
+        logged_parts='p-1',
+        progress=request_state.AttemptProgress(),
     )
 
 
@@ -135,6 +137,19 @@
     scenario()
 
 
+@clocks.on_virtual_clock
+def test_first_row_of_a_crash_is_logged_by_the_other_hosts(hosts):
+    """Guards against rows that come late without a trace in the log."""
+    _, first, second = hosts
+    for _ in range(2):
+        first.lose('i-1')
+    first.lose('i-2')
+    learned = second.log.named('crash_learned')
+    assert [one.upstream for one in learned] == ['i-1', 'i-2']
+    assert all(0 <= one.age_ms < 100 for one in learned)
+    assert not first.log.named('crash_learned')
+
+
 @clocks.on_virtual_clock
 def test_request_that_completes_is_cleared_at_all_hosts(hosts):
     """Guards against a refusal of requests that ran beside a crashing one."""
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -125,6 +125,35 @@
     assert first.send(CRASHING, 'other', body=b'{"field": 2}').status == 502
 
 
+@pytest.mark.parametrize('has_begun', [True, False])
+def test_log_tells_how_far_the_answer_of_a_crashed_upstream_had_come(
+    build, caplog, has_begun
+):
+    """Guards against a request that just began and one that ran alike."""
+    caplog.set_level('WARNING')
+
+    def script(connection, headers):
+        if has_begun:
+            content = harness.chunk(harness.EVENTS[0])
+            connection.sendall(harness.stream_head(headers) + content)
+        eventlet.sleep(0.15)
+        upstream.crash()
+
+    gateway, (upstream,) = build(script)
+    gateway.send('/stream/1')
+    (line,) = [
+        record
+        for record in caplog.records
+        if record.getMessage() == 'upstream_crashed'
+    ]
+    assert 150 <= line.sent_ms <= 500
+    if has_begun:
+        assert 100 <= line.head_ms <= line.sent_ms
+        assert line.body_bytes == len(harness.EVENTS[0])
+    else:
+        assert (line.head_ms, line.body_bytes) == (-1, 0)
+
+
 def test_lost_answers_of_upstreams_that_live_are_not_crashes(build):
     """Guards against requests refused because of broken connections."""
 
--- a/tests/gateway/test_request_log.py
+++ b/tests/gateway/test_request_log.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from ivystep.gateway import request_log
-from ivystep.traffic import http1
+from ivystep.gateway import request_log, request_state
+from ivystep.traffic import calls, http1
 from tests.gateway import fakes
 
 STATE = builtin_types.SimpleNamespace(
@@ -38,3 +38,28 @@
     requests_log = request_log.RequestLog(log, None)
     requests_log.answer_ended(STATE, body)
     assert bool(log.events) is is_logged
+
+
+@pytest.mark.parametrize(
+    ('parts', 'logged'),
+    [
+        ((), ''),
+        (('own',), ''),
+        (('sys', 'doc', 'own'), 'sys,doc'),
+        (('s' * 40, 'own'), 's' * request_state.MAX_LOGGED_PART_ID),
+        (tuple('abcdefghijk'), 'a,b,c,d,e,f,g,h,+2'),
+    ],
+)
+def test_parts_of_a_prompt_are_logged_without_the_last_one(parts, logged):
+    """Guards against a shared part that the log does not show, or long lines.
+
+    The last part belongs to one request and would fill the line.
+    """
+    generation = calls.Generation(
+        'm', prompt_parts=tuple(calls.PromptPart(name, 9) for name in parts)
+    )
+    call = calls.Call(
+        'r-1', 'POST', '/a/', 'ficu.example', (), b'', 0.0, None, generation
+    )
+    state = request_state.RequestState(call, None, 'app', 1.0, None)
+    assert state.logged_parts == logged
