--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -58,10 +58,11 @@
 
     def crash(self):
         """End like a process that crashes: the kernel closes its sockets."""
+        # An accept that waits would raise an error in another task.
+        self._tasks.pop(0).kill()
         self._listener.close()
         for connection in self._connections:
             reset(connection)
-        self._tasks.pop(0).kill()
 
     def _accept(self):
         while True:
@@ -89,7 +90,8 @@
                 answer = self.script(connection, headers)
                 if answer is not None:
                     connection.sendall(answer)
-        except OSError:
+        except (OSError, EOFError):
+            # Eventlet raises the latter if a crash closes an idle connection.
             return
         finally:
             self.ended += 1
