Refuse requests with a prompt part that crashes engines

Callers lost the streams of 20 and 21 engines that ended one after the other: one part of a prompt crashes each engine that begins to answer it, in requests that are not alike otherwise.

Cause: the gateways recognize a request that crashes engines by its whole content. The class: harm is remembered by more than what causes it.

Change: at a crash, each host suspects the shared parts of the requests that the engine had, unless their answer, or another one with the part that began within 2 s, has gone on. Rows in ivystep-crashes tell the other hosts. After three crashes under an answer that had just begun (four in all) a part is refused, but for one trial at a time; an answer that goes on clears it, five crashes end the trials for an hour. The decision is policy.crashing_parts.

Why it works: the part is in every crash and no answer to it goes on, while answers to popular parts go on all the time, and a rare part beside it several times is cleared by its trial.

Ruled out by the record: adapter and caller (in no more than 3 and 4 of 11 ends), engines that end by themselves. Ruled out by the tests: parts of answers that had begun only (an engine may end before its first byte), no trials (a rare part beside the crashing one stayed refused), crashes within 0.5 s as one (20 engines ended where 5 may, since a resumed stream crashes the next one).

--- a/ivystep/gateway/answer_body.py
+++ b/ivystep/gateway/answer_body.py
@@ -4,10 +4,13 @@
 
 from ivystep.core import errors
 from ivystep.gateway import connections
+from ivystep.runtime import clock
 from ivystep.traffic import event_stream, http1
 
 CONTENT_TYPE_HEADER = b'content-type'
 EVENT_STREAM_TYPE = b'text/event-stream'
+# An upstream that crashes on what it answers does so sooner.
+SETTLED_S = 0.5
 
 
 class AnswerBody:
@@ -24,6 +27,10 @@
         framing: How the end of the body is determined.
         is_ended: Whether the end was received.
         received_bytes: Length of what was received.
+        began_at: Time at which the first content arrived; None before.
+        is_settled: Whether content arrived twice after ``SETTLED_S``. Twice,
+            because what arrives together after a pause of this host may have
+            been sent at once.
     """
 
     def __init__(
@@ -37,6 +44,9 @@
         self.framing = raw.framing
         self.is_ended = False
         self.received_bytes = 0
+        self.began_at: float | None = None
+        self.is_settled = False
+        self._is_past_start = False
         self._connection = connection
         self._may_be_empty = may_be_empty
         self._events: event_stream.EventSplitter | None = None
@@ -115,8 +125,17 @@
                 event = self._connection.buffered_event()
         content = b''.join(parts)
         self.received_bytes += len(content)
+        if content and not self.is_settled:
+            self._record_progress(clock.now())
         return content
 
+    def _record_progress(self, now: float) -> None:
+        if self.began_at is None:
+            self.began_at = now
+        if now >= self.began_at + SETTLED_S:
+            self.is_settled = self._is_past_start
+            self._is_past_start = True
+
 
 def _is_event_stream(raw: http1.RawHead) -> bool:
     """Return whether a head announces events, or no type at all."""
--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -112,7 +112,8 @@
         sent_at = clock.now()
         self._log.placed(state, upstream, ref, permit)
         try:
-            self._run(state, upstream, ref, exchange)
+            with self._crashes.parts.watch(state, exchange):
+                self._run(state, upstream, ref, exchange)
         except errors.RequestError as error:
             if error.ran is types.ExecutionStatus.NO and not was_tried:
                 state.may_have_run.discard(upstream.upstream_id)
--- a/ivystep/gateway/crashes.py
+++ b/ivystep/gateway/crashes.py
@@ -9,7 +9,8 @@
 that completes several times in a row is cleared.
 
 A request is recognized by its content. Its caller's address does not count,
-because the request may come from another one when it is sent again.
+because the request may come from another one when it is sent again. For parts
+of prompts that crash upstreams see ``part_crashes``.
 """
 
 import collections
@@ -19,6 +20,7 @@
 from ivystep.core import errors, units
 from ivystep.gateway import (
     events,
+    part_crashes,
     request_state,
     row_writer,
     upstream_state,
@@ -44,11 +46,15 @@
     Args:
         writer: Writes rows to the store.
         log: Event log of crashes.
+
+    Attributes:
+        parts: Crashes by the parts of prompts that may cause them.
     """
 
     def __init__(
         self, writer: row_writer.RowWriter, log: event_log.EventLog
     ) -> None:
+        self.parts = part_crashes.PartCrashes(writer)
         self._writer = writer
         self._log = log
         self._crash_by_key: collections.OrderedDict[str, crash_rows.Crash] = (
@@ -81,8 +87,10 @@
             state: The request.
 
         Raises:
-            errors.RefusedError: Too many upstreams crashed while they ran it.
+            errors.RefusedError: Too many upstreams crashed while they ran it,
+                or as they began to answer a part of its prompt.
         """
+        self._raise_if_part_refused(state)
         if not self._crash_by_key:
             return
         refused_s = max(
@@ -118,6 +126,7 @@
         if not upstream.connections.is_refused():
             return False
         if not upstream.is_draining:
+            self.parts.on_crash(state, upstream)
             for fingerprint in state.fingerprints:
                 crash = crash_rows.Crash(
                     fingerprint,
@@ -150,8 +159,10 @@
         Args:
             state: The request, which an upstream has answered.
         """
-        is_success = state.answer.status <= HIGHEST_SUCCESS_STATUS
-        if not self._crash_by_key or not is_success:
+        if state.answer.status > HIGHEST_SUCCESS_STATUS:
+            return
+        self.parts.on_completed(state)
+        if not self._crash_by_key:
             return
         for fingerprint in state.fingerprints:
             self._on_success(fingerprint)
@@ -162,6 +173,7 @@
         for crash in tuple(self._crash_by_key.values()):
             if crash.recorded < horizon:
                 self._delete(crash)
+        self.parts.remove_expired()
 
     def replace_rows(self, found: Sequence[rows.StoredRow]) -> None:
         """Apply all rows; see ``feeds.TableSink``.
@@ -169,22 +181,11 @@
         A crash without a row still counts: its row may not be written yet.
         """
         for row in found:
-            self.apply_row(row)
+            self._apply(row, is_new=False)
 
     def apply_row(self, row: rows.StoredRow) -> None:
         """Apply one row; see ``feeds.TableSink``."""
-        if row.is_deleted:
-            self._remove(row.key)
-            return
-        try:
-            crash = crash_rows.decode(row)
-        except errors.SetupError as error:
-            self._log.write(
-                events.EntryIgnored(row.key, error.reason, row.version)
-            )
-            return
-        self._log_learned(crash)
-        self._add(crash)
+        self._apply(row, is_new=True)
 
     def on_store_lost(self) -> None:
         """Keep the known crashes."""
@@ -195,11 +196,44 @@
             crash = self._crash_by_key.get(key)
             if crash is not None:
                 self._writer.write(crash_rows.encode(crash))
+        self.parts.write_again()
 
     def on_store_regained(self) -> None:
         """Do nothing; the feed resumes at its last store version."""
 
-    def _log_learned(self, crash: crash_rows.Crash) -> None:
+    def _apply(self, row: rows.StoredRow, *, is_new: bool) -> None:
+        if row.is_deleted:
+            self._remove(row.key)
+            self.parts.remove(row.key)
+            return
+        try:
+            crash = crash_rows.decode(row)
+        except errors.SetupError as error:
+            self._log.write(
+                events.EntryIgnored(row.key, error.reason, row.version)
+            )
+            return
+        self._log_learned(crash)
+        if isinstance(crash, crash_rows.PartCrash):
+            self.parts.add(crash, is_new=is_new)
+        else:
+            self._add(crash)
+
+    def _raise_if_part_refused(self, state: request_state.RequestState) -> None:
+        refused_s = self.parts.refused_for_s(state)
+        if refused_s > 0:
+            raise errors.RefusedError(
+                'prompt_part_quarantined',
+                'Upstreams crashed as they began to answer a part of this '
+                'prompt.',
+                status=503,
+                retry_after_s=refused_s,
+                step=state.step,
+            )
+
+    def _log_learned(
+        self, crash: crash_rows.Crash | crash_rows.PartCrash
+    ) -> None:
         """Log the first row of another host on the crash of an upstream."""
         failure = _failure(crash)
         if crash.key in self._crash_by_key or failure in self._learned:
@@ -259,5 +293,7 @@
     return -1 if start is None else int((end - start) * units.MS_PER_S)
 
 
-def _failure(crash: crash_rows.Crash) -> quarantine.UpstreamFailure:
+def _failure(
+    crash: crash_rows.Crash | crash_rows.PartCrash,
+) -> quarantine.UpstreamFailure:
     return quarantine.UpstreamFailure(crash.upstream_id, crash.incarnation)
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -33,11 +33,13 @@
         head_at: When the head of the answer arrived; None before.
         body_bytes: Length of the body that had arrived when the attempt
             failed.
+        is_settled: Whether the answer had gone on after its beginning by then.
     """
 
     sent_at: float | None = None
     head_at: float | None = None
     body_bytes: int = 0
+    is_settled: bool = False
 
     def record_body(self, body: answer_body.AnswerBody | None) -> None:
         """Record how much of the answer's body has arrived.
@@ -45,7 +47,9 @@
         Args:
             body: The body; None if no head has arrived.
         """
-        self.body_bytes = body.received_bytes if body else 0
+        if body is not None:
+            self.body_bytes = body.received_bytes
+            self.is_settled = body.is_settled
 
 
 @dataclasses.dataclass(slots=True)
@@ -118,13 +122,18 @@
         return generation.model if generation else ''
 
     @property
-    def logged_parts(self) -> str:
-        """Ids of the prompt's parts but the last one, as a log field."""
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the prompt's parts but the last one, which is not shared."""
         generation = self.call.generation
         parts = generation.prompt_parts[:-1] if generation else ()
+        return tuple(part.part_id for part in parts)
+
+    @property
+    def logged_parts(self) -> str:
+        """The ids of ``shared_parts`` as a log field."""
+        parts = self.shared_parts
         ids = [
-            part.part_id[:MAX_LOGGED_PART_ID]
-            for part in parts[:MAX_LOGGED_PARTS]
+            part_id[:MAX_LOGGED_PART_ID] for part_id in parts[:MAX_LOGGED_PARTS]
         ]
         if len(parts) > MAX_LOGGED_PARTS:
             ids.append(f'+{len(parts) - MAX_LOGGED_PARTS}')
--- a/ivystep/platform/crash_rows.py
+++ b/ivystep/platform/crash_rows.py
@@ -1,13 +1,16 @@
-"""Encodes and decodes ivystep's rows on requests that upstreams crashed under.
+"""Encodes and decodes ivystep's rows on what upstreams crashed under.
 
-A row says that one upstream crashed while it ran one request. It is written
-once and deleted if a later run of the request completes, so rows need no
-condition and a write that is carried out late does no harm.
+A row says that one upstream crashed while it ran one request, or as it began to
+answer a prompt with one part. It is written once and deleted if the request, or
+another one with the part, is answered later, so rows need no condition and a
+write that is carried out late does no harm.
 """
 
 import binascii
 import dataclasses
+import functools
 import json
+import typing
 
 from ivystep.core import errors, ids, units
 from ivystep.platform import rows
@@ -18,6 +21,7 @@
     KeyError,
     TypeError,
     ValueError,
+    AttributeError,
     RecursionError,
     binascii.Error,
 )
@@ -49,23 +53,57 @@
         ).hex()
 
 
-def encode(crash: Crash) -> rows.RowWrite:
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartCrash:
+    """The crash of an upstream while it had a prompt with a part.
+
+    Attributes:
+        part_id: Part of the prompt.
+        upstream_id: The upstream.
+        incarnation: Incarnation of the upstream that crashed.
+        recorded: Wall-clock time in seconds since the epoch.
+        has_begun: Whether it had just begun to answer the prompt.
+    """
+
+    part_id: str
+    upstream_id: str
+    incarnation: str
+    recorded: float
+    has_begun: bool
+
+    @property
+    def key(self) -> str:
+        """Key of the row, equal for all hosts that saw the crash."""
+        return ids.digest(
+            b'begun part' if self.has_begun else b'part',
+            self.part_id.encode(),
+            self.upstream_id.encode(),
+            self.incarnation.encode(),
+        ).hex()
+
+
+@functools.singledispatch
+def encode(crash: Crash | PartCrash) -> rows.RowWrite:
     """Return the write of a crash."""
-    document = {
-        'fingerprint': crash.fingerprint.hex(),
-        'upstream': crash.upstream_id,
-        'incarnation': crash.incarnation,
-        'recorded_ms': int(crash.recorded * units.MS_PER_S),
-    }
-    return rows.RowWrite(TABLE, crash.key, json.dumps(document).encode())
+    raise NotImplementedError(type(crash).__name__)
+
+
+@encode.register
+def _encode_crash(crash: Crash) -> rows.RowWrite:
+    return _write(crash, {'fingerprint': crash.fingerprint.hex()})
+
 
+@encode.register
+def _encode_part_crash(crash: PartCrash) -> rows.RowWrite:
+    return _write(crash, {'part': crash.part_id, 'has_begun': crash.has_begun})
 
-def encode_removal(crash: Crash) -> rows.RowWrite:
+
+def encode_removal(crash: Crash | PartCrash) -> rows.RowWrite:
     """Return the write that deletes a crash."""
     return rows.RowWrite(TABLE, crash.key, None)
 
 
-def decode(row: rows.StoredRow) -> Crash:
+def decode(row: rows.StoredRow) -> Crash | PartCrash:
     """Decode a row.
 
     Raises:
@@ -73,13 +111,29 @@
     """
     try:
         document = json.loads(row.content)
-        return Crash(
-            bytes.fromhex(document['fingerprint']),
+        upstream = (
             str(document['upstream']),
             str(document['incarnation']),
             float(document['recorded_ms']) / units.MS_PER_S,
         )
+        part_id = document.get('part')
+        if part_id is not None:
+            has_begun = bool(document['has_begun'])
+            return PartCrash(str(part_id), *upstream, has_begun)
+        return Crash(bytes.fromhex(document['fingerprint']), *upstream)
     except DECODE_ERRORS as error:
         raise errors.SetupError(
             f'row {row.key!r} is malformed: {error}', step='decode crash'
         ) from error
+
+
+def _write(
+    crash: Crash | PartCrash, subject: dict[str, typing.Any]
+) -> rows.RowWrite:
+    document = {
+        **subject,
+        'upstream': crash.upstream_id,
+        'incarnation': crash.incarnation,
+        'recorded_ms': int(crash.recorded * units.MS_PER_S),
+    }
+    return rows.RowWrite(TABLE, crash.key, json.dumps(document).encode())
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -92,6 +92,7 @@
         route=builtin_types.SimpleNamespace(name='plans'),
         answer=builtin_types.SimpleNamespace(status=status),
         logged_parts='p-1',
+        shared_parts=(),
         progress=request_state.AttemptProgress(),
     )
 
