Split the planner of loads along its jobs

entry/planner.py had grown to 485 lines and kept demand reports, admission, loads in progress, the expected duration of a load and the sending of orders in one class, so a change to one of them had to be read against all the others.

Moved out of Planner, with their constants and comments: - entry/demand_reports.py: the latest demand of each entry and its expiry (REPORT_MAX_AGE_S). - entry/load_admission.py: the admitted loads, their ranks, and the forecasts for demand that is refused. - entry/load_estimate.py: the moving average of the load duration (OVERDUE_FACTOR, DURATION_WEIGHT, ESTIMATE_DECAY). - entry/load_progress.py: loads in progress and those that have just succeeded (KEEP_AFTER_LOAD_S). - entry/load_runner.py: the task that has an upstream load an adapter, and its log lines (UPSTREAM_FAILURE_CODES); the logger is still "planner".

planner.py keeps DemandSink and Planner (485 to 285 lines). Planner.load_s is now a read-only property. The rate before the first setup, until now the literals 2.0 and 0.5, has the name DEFAULT_LOADS_PER_S. Ruled out: a move of DemandSink, because the gateway and the measurement name it.

--- a/ivystep/entry/planner.py
+++ b/ivystep/entry/planner.py
@@ -7,14 +7,20 @@
 """
 
 import functools
-import math
 import typing
 from collections.abc import Iterable
 
 import eventlet
 from eventlet import event
 
-from ivystep.core import errors, types
+from ivystep.core import types
+from ivystep.entry import (
+    demand_reports,
+    load_admission,
+    load_estimate,
+    load_progress,
+    load_runner,
+)
 from ivystep.policy import (
     batching,
     eviction,
@@ -24,40 +30,14 @@
 )
 from ivystep.runtime import clock, logs
 
-# Entries with waiting requests report every 100 ms; one that has not reported
-# for this time is assumed to have stopped.
-REPORT_MAX_AGE_S = 1.0
 CHECK_INTERVAL_S = 0.5
-# An adapter is not evicted for this time after its load, so that the entries
-# can learn of it and send the waiting requests.
-KEEP_AFTER_LOAD_S = 0.5
-# A load that has run this many times the expected duration no longer blocks
-# the next one.
-OVERDUE_FACTOR = 4.0
-# Weight of a new sample in the moving average of the load duration.
-DURATION_WEIGHT = 0.3
-# Share by which each refusal, while no load runs, moves the expected duration
-# of a load back to the nominal one. Without it, one slow load made every
-# request look late, and no further load corrected the estimate.
-ESTIMATE_DECAY = 0.1
+# Rate of the weight store until the setup names one.
+DEFAULT_LOADS_PER_S = 2.0
 # Largest number of adapters without a possible target that the choice of one
 # load passes over.
 MAX_SKIPPED = 8
 # Arrivals within this many load durations count as if they were waiting.
 EXPECTED_HORIZON_LOADS = 2.0
-# Failures that concern the upstream, not the adapter: it may be loaded on
-# another upstream at once, and this one gets no load until its next report.
-UPSTREAM_FAILURE_CODES = frozenset(
-    (
-        'adapter_in_use',
-        'busy',
-        'draining',
-        'engine_down',
-        'fenced',
-        'link_failed',
-        'not_owner',
-    )
-)
 
 log = logs.get('planner')
 
@@ -101,7 +81,6 @@
         batching_weight: From 0, which favours short load stalls, to 1, which
             favours full batches.
         service_s: Expected run time of a request, in seconds.
-        load_s: Expected duration of a load, in seconds.
         popularity: Arrival rates of the adapters.
     """
 
@@ -111,24 +90,32 @@
         self.popularity = eviction.Popularity()
         self._process_id = process_id
         self._index = index
-        self._shares = load_order.AccountShares(2.0)
+        self._reports = demand_reports.DemandReports()
+        self._shares = load_order.AccountShares(DEFAULT_LOADS_PER_S)
         self._back_off = load_order.BackOff()
+        self._estimate = load_estimate.LoadEstimate(DEFAULT_LOADS_PER_S)
+        self._progress = load_progress.LoadProgress(self._estimate)
+        self._admission = load_admission.LoadAdmission(
+            self._shares,
+            self._back_off,
+            self._estimate,
+            self._progress,
+            self._needs_load,
+        )
+        self._runner = load_runner.LoadRunner(
+            self._estimate, self._progress, self._back_off, self.wake
+        )
         self._targets = load_target.LoadTargets(
             index, self.popularity, self._is_needed
         )
-        self.load_s = 0.5
-        self._wanted_by_ref: dict[
-            types.AdapterRef, dict[str, load_order.WantedLoad]
-        ] = {}
-        self._refs_by_entry: dict[str, set[types.AdapterRef]] = {}
-        self._reported_at: dict[str, float] = {}
-        self._admitted: dict[types.AdapterRef, load_order.WantedLoad] = {}
-        self._rank_by_ref: dict[types.AdapterRef, int] = {}
-        self._started_by_ref: dict[types.AdapterRef, float] = {}
-        self._loaded_at: dict[types.AdapterRef, float] = {}
         self._changed = event.Event()
         self._is_running = False
 
+    @property
+    def load_s(self) -> float:
+        """Expected duration of a load, in seconds."""
+        return self._estimate.load_s
+
     def configure(self, loads_per_s: float, batching_weight: float) -> None:
         """Set the values that the setup has for the pool.
 
@@ -139,7 +126,7 @@
         self.batching_weight = batching_weight
         if loads_per_s != self._shares.loads_per_s:
             self._shares.loads_per_s = loads_per_s
-            self.load_s = 1 / loads_per_s
+            self._estimate.reset(loads_per_s)
 
     def report_demand(
         self, entry_id: str, demands: tuple[types.AdapterDemand, ...]
@@ -148,18 +135,14 @@
         now = clock.now()
         self._start()
         self.count_arrivals(demands)
-        waiting = {demand.ref for demand in demands if demand.waiting}
-        self._drop_demand(entry_id, waiting)
-        self._reported_at[entry_id] = now
-        self._refs_by_entry[entry_id] = waiting
-        for demand in demands:
-            if demand.waiting:
-                self._count_wanted_load(demand.ref, now)
-                by_entry = self._wanted_by_ref.setdefault(demand.ref, {})
-                by_entry[entry_id] = load_order.WantedLoad.from_demand(
-                    demand, now
-                )
-        forecasts = self._admit(waiting, now)
+        change = self._reports.replace(entry_id, demands, now)
+        for dropped in change.dropped:
+            self._admission.remove(dropped)
+        for added in change.added:
+            self._count_wanted_load(added, now)
+        forecasts = self._admission.admit(
+            self._reports.wanted_by(entry_id), now
+        )
         self.wake()
         return forecasts
 
@@ -204,7 +187,7 @@
         Returns:
             The planned load, or None if nothing can be loaded now.
         """
-        backlog = self._backlog(now)
+        backlog = self._admission.backlog(now)
         skipped: set[types.AdapterRef] = set()
         while len(skipped) < MAX_SKIPPED:
             wanted = backlog.first(functools.partial(self._score, now), skipped)
@@ -230,136 +213,21 @@
             except Exception:
                 # The task must continue, or the pool would load nothing more.
                 log.exception('Planning of loads failed.')
-            timeout_s = CHECK_INTERVAL_S if self._wanted_by_ref else None
+            timeout_s = CHECK_INTERVAL_S if self._reports else None
             with eventlet.Timeout(timeout_s, exception=False):
                 self._changed.wait()
 
-    def _expire_silent_entries(self) -> None:
-        horizon = clock.now() - REPORT_MAX_AGE_S
-        for entry_id, reported_at in list(self._reported_at.items()):
-            if reported_at < horizon:
-                self._drop_demand(entry_id, set())
-                del self._reported_at[entry_id]
-                del self._refs_by_entry[entry_id]
-
-    def _drop_demand(self, entry_id: str, kept: set[types.AdapterRef]) -> None:
-        """Remove an entry's demand, except for the adapters in ``kept``."""
-        for ref in self._refs_by_entry.get(entry_id, set()) - kept:
-            by_entry = self._wanted_by_ref[ref]
-            del by_entry[entry_id]
-            if not by_entry:
-                del self._wanted_by_ref[ref]
-                self._remove_from_backlog(ref)
-
     def _count_wanted_load(self, ref: types.AdapterRef, now: float) -> None:
-        """Count a load for its account, unless it is already wanted or held."""
-        if ref not in self._wanted_by_ref and not self._index.is_held(ref):
+        """Count a load of a newly wanted adapter, unless it is held."""
+        if not self._index.is_held(ref):
             self._shares.count_wanted(ref.account, now)
 
-    def _admit(
-        self, refs: Iterable[types.AdapterRef], now: float
-    ) -> tuple[types.LoadForecast, ...]:
-        """Admit demand to the backlog; return forecasts for late loads."""
-        backlog = self._backlog(now)
-        ready_by_ref = {
-            load.ref: backlog.ready_in_s(position)
-            for position, load in enumerate(backlog.loads)
-        }
-        forecasts = []
-        for ref in sorted(refs):
-            wanted = load_order.WantedLoad.merged(
-                self._wanted_by_ref[ref].values()
-            )
-            ready_in_s = ready_by_ref.get(ref)
-            if ready_in_s is None:
-                ready_in_s = self._admit_new(wanted, backlog)
-            if wanted.start_by >= now + ready_in_s:
-                self._admitted[ref] = wanted
-                continue
-            self._remove_from_backlog(ref)
-            self._decay_load_estimate()
-            forecasts.append(self._forecast(wanted, backlog, ready_in_s))
-        return tuple(forecasts)
-
-    def _admit_new(
-        self, wanted: load_order.WantedLoad, backlog: load_order.Backlog
-    ) -> float:
-        """Return when a new load can end; add it if that is in time."""
-        now = backlog.now
-        if not self._needs_load(wanted, now):
-            return 0
-        pause_s = self._back_off.remaining_s(wanted.ref, now)
-        rank = self._shares.rank(wanted.ref.account, now)
-        share_above = self._shares.share_above(rank, now)
-        ready_in_s = max(
-            backlog.admission(wanted, rank, share_above),
-            pause_s + backlog.load_s,
-        )
-        if wanted.start_by >= now + ready_in_s and not pause_s:
-            backlog.add(wanted, self._load_rank(wanted.ref, now))
-        return ready_in_s
-
-    def _load_rank(self, ref: types.AdapterRef, now: float) -> int:
-        """Return the rank of a load, which is fixed at its admission.
-
-        The load is charged to its account at that time, so that the loads of
-        one account that wait together have different ranks.
-        """
-        rank = self._rank_by_ref.get(ref)
-        if rank is None:
-            rank = self._shares.rank(ref.account, now)
-            self._rank_by_ref[ref] = rank
-            self._shares.charge(ref.account, now)
-        return rank
-
-    def _remove_from_backlog(self, ref: types.AdapterRef) -> None:
-        """Remove a load from the backlog, if present."""
-        self._admitted.pop(ref, None)
-        if self._rank_by_ref.pop(ref, None) is not None:
-            self._shares.refund(ref.account)
-
-    def _forecast(
-        self,
-        wanted: load_order.WantedLoad,
-        backlog: load_order.Backlog,
-        ready_in_s: float,
-    ) -> types.LoadForecast:
-        backlog_end_s = backlog.ready_in_s(len(backlog.loads))
-        ready_in_s = ready_in_s if math.isfinite(ready_in_s) else backlog_end_s
-        # Demand may be refused only because it would make other loads late. The
-        # entry refuses it as well if the forecast is later than its latest
-        # start.
-        ready_in_s = max(ready_in_s, wanted.start_by - backlog.now + 0.001)
-        max_wait_s = max(wanted.start_by - wanted.oldest_at, 0)
-        return types.LoadForecast(
-            wanted.ref, ready_in_s, max(backlog_end_s - max_wait_s, self.load_s)
-        )
-
-    def _backlog(self, now: float) -> load_order.Backlog:
-        started = [
-            at
-            for at in self._started_by_ref.values()
-            if now - at < OVERDUE_FACTOR * self.load_s
-        ]
-        busy_s = max((at + self.load_s - now for at in started), default=0)
-        return load_order.Backlog.from_loads(
-            (
-                (self._load_rank(load.ref, now), load)
-                for load in self._admitted.values()
-                if self._needs_load(load, now)
-                and not self._back_off.remaining_s(load.ref, now)
-            ),
-            now,
-            load_s=self.load_s,
-            busy_s=max(busy_s, 0),
-        )
-
     def _needs_load(self, wanted: load_order.WantedLoad, now: float) -> bool:
         """Return whether the waiting requests need a load."""
         ref = wanted.ref
-        if self._started_by_ref and self._is_loading(ref, now):
+        if self._progress.is_loading(ref, now):
             return False
-        if self._loaded_at and self._is_recently_loaded(ref, now):
+        if self._progress.is_recently_loaded(ref, now):
             return False
         if not self._index.is_held(ref):
             return True
@@ -374,19 +242,14 @@
         return now - wanted.oldest_at > self.load_s
 
     def _is_needed(self, ref: types.AdapterRef, now: float) -> bool:
-        return ref in self._wanted_by_ref or self._is_recently_loaded(ref, now)
-
-    def _is_loading(self, ref: types.AdapterRef, now: float) -> bool:
-        started = self._started_by_ref.get(ref, -math.inf)
-        return now - started < OVERDUE_FACTOR * self.load_s
-
-    def _is_recently_loaded(self, ref: types.AdapterRef, now: float) -> bool:
-        return now - self._loaded_at.get(ref, -math.inf) < KEEP_AFTER_LOAD_S
+        is_wanted = self._reports.is_wanted(ref)
+        return is_wanted or self._progress.is_recently_loaded(ref, now)
 
     def _order_next_load(self) -> None:
-        self._expire_silent_entries()
         now = clock.now()
-        if any(self._is_loading(ref, now) for ref in self._started_by_ref):
+        for dropped in self._reports.expire(now):
+            self._admission.remove(dropped)
+        if self._progress.is_any_loading(now):
             return
         chosen = self.choose(now)
         if chosen is not None:
@@ -398,7 +261,9 @@
         return self._targets.choose(
             wanted,
             now,
-            packing=batching.packing(self.batching_weight, len(self._admitted)),
+            packing=batching.packing(
+                self.batching_weight, self._admission.admitted_count
+            ),
             service_s=self.service_s,
         )
 
@@ -415,71 +280,6 @@
             evict=() if chosen.victim is None else (chosen.victim,),
             planner=self._process_id,
         )
-        rank = self._rank_by_ref.pop(wanted.ref)
-        self._shares.count_ordered(wanted.ref.account, rank, now)
-        self._started_by_ref[wanted.ref] = now
+        self._admission.record_ordered(wanted.ref, now)
         self._targets.discard(chosen.view.status.upstream_id)
-        eventlet.spawn(
-            self._load, order, wanted.setup_version, chosen.view, now
-        )
-
-    def _load(
-        self,
-        order: types.LoadOrder,
-        setup_version: int,
-        view: routing.UpstreamView,
-        started: float,
-    ) -> None:
-        try:
-            outcome = view.link.load(order, setup_version)
-        except errors.IvystepError as error:
-            outcome = types.LoadResult(False, 'link_failed', str(error))
-        now = clock.now()
-        if self._started_by_ref.get(order.ref) == started:
-            del self._started_by_ref[order.ref]
-        if outcome.ok:
-            self._record_loaded(order.ref, now)
-            self._back_off.record_success(order.ref)
-            self._update_load_estimate(now - started)
-        elif outcome.code in UPSTREAM_FAILURE_CODES:
-            log.info(
-                'Load of %s on %s refused: %s.',
-                order.ref.lora_name,
-                view.status.upstream_id,
-                outcome.reason,
-            )
-        else:
-            pause_s = self._back_off.record_failure(order.ref, now)
-            log.warning(
-                'Load of %s on %s failed, next attempt in %.0f s: %s.',
-                order.ref.lora_name,
-                view.status.upstream_id,
-                pause_s,
-                outcome.reason,
-            )
-        # The upstream becomes a target again with its next status report; the
-        # last report still names the evicted adapter.
-        self.wake()
-
-    def _update_load_estimate(self, duration_s: float) -> None:
-        """Add a sample to the moving average of the load duration.
-
-        A load that hung does not predict the next one, so its duration
-        counts only up to that at which a load is overdue.
-        """
-        longest_s = OVERDUE_FACTOR / self._shares.loads_per_s
-        self.load_s += DURATION_WEIGHT * (
-            min(duration_s, longest_s) - self.load_s
-        )
-
-    def _decay_load_estimate(self) -> None:
-        """Move the expected load duration towards the nominal one."""
-        if not self._started_by_ref:
-            nominal_s = 1 / self._shares.loads_per_s
-            self.load_s += ESTIMATE_DECAY * (nominal_s - self.load_s)
-
-    def _record_loaded(self, ref: types.AdapterRef, now: float) -> None:
-        for earlier, loaded_at in list(self._loaded_at.items()):
-            if loaded_at < now - KEEP_AFTER_LOAD_S:
-                del self._loaded_at[earlier]
-        self._loaded_at[ref] = now
+        self._runner.start(order, wanted.setup_version, chosen.view, now)
