Split account shares and back-off from the order of loads

The two tests of the shares moved to tests/policy/test_account_shares.py and that of the back-off to tests/policy/test_load_back_off.py; only the name of the module in the three constructor calls follows. None of them is a property test; the source of the property test in test_load_order.py is the same, so it draws the same examples.

--- a/ivystep/entry/load_admission.py
+++ b/ivystep/entry/load_admission.py
@@ -9,7 +9,7 @@
 
 from ivystep.core import types
 from ivystep.entry import load_estimate, load_progress
-from ivystep.policy import load_order
+from ivystep.policy import account_shares, load_back_off, load_order
 
 
 class LoadAdmission:
@@ -25,8 +25,8 @@
 
     def __init__(
         self,
-        shares: load_order.AccountShares,
-        back_off: load_order.BackOff,
+        shares: account_shares.AccountShares,
+        back_off: load_back_off.BackOff,
         estimate: load_estimate.LoadEstimate,
         progress: load_progress.LoadProgress,
         needs_load: Callable[[load_order.WantedLoad, float], bool],
--- a/ivystep/entry/load_runner.py
+++ b/ivystep/entry/load_runner.py
@@ -6,7 +6,7 @@
 
 from ivystep.core import errors, types
 from ivystep.entry import load_estimate, load_progress
-from ivystep.policy import load_order, routing
+from ivystep.policy import load_back_off, routing
 from ivystep.runtime import clock, logs
 
 # Failures that concern the upstream, not the adapter: it may be loaded on
@@ -40,7 +40,7 @@
         self,
         estimate: load_estimate.LoadEstimate,
         progress: load_progress.LoadProgress,
-        back_off: load_order.BackOff,
+        back_off: load_back_off.BackOff,
         on_end: Callable[[], None],
     ) -> None:
         self._estimate = estimate
--- a/ivystep/entry/planner.py
+++ b/ivystep/entry/planner.py
@@ -22,8 +22,10 @@
     load_runner,
 )
 from ivystep.policy import (
+    account_shares,
     batching,
     eviction,
+    load_back_off,
     load_order,
     load_target,
     routing,
@@ -91,8 +93,8 @@
         self._process_id = process_id
         self._index = index
         self._reports = demand_reports.DemandReports()
-        self._shares = load_order.AccountShares(DEFAULT_LOADS_PER_S)
-        self._back_off = load_order.BackOff()
+        self._shares = account_shares.AccountShares(DEFAULT_LOADS_PER_S)
+        self._back_off = load_back_off.BackOff()
         self._estimate = load_estimate.LoadEstimate(DEFAULT_LOADS_PER_S)
         self._progress = load_progress.LoadProgress(self._estimate)
         self._admission = load_admission.LoadAdmission(
--- a/tests/policy/test_load_order.py
+++ b/tests/policy/test_load_order.py
@@ -1,9 +1,6 @@
-"""Tests of the order of loads and of the fair shares of accounts."""
-
-import random
+"""Tests of the order of loads."""
 
 import hypothesis
-import pytest
 from hypothesis import strategies
 
 from ivystep.core import types
@@ -75,53 +72,3 @@
 
     assert first(pair, old) == old
     assert first(popular, old) == popular
-
-
-def test_only_the_account_beyond_its_share_is_ranked_lower():
-    """Guards against an undetected flood, and against accounts within their
-    share that are mistaken for one.
-    """
-    shares = load_order.AccountShares(2.0)
-    chosen = random.Random(7)
-    for step in range(600):
-        now = step * 0.1
-        for account in ('scan', f'a{chosen.randrange(10)}'):
-            shares.record_activity(account, 1.0, now)
-        shares.count_wanted('scan', now)
-        shares.charge('scan', now)
-        shares.count_ordered('scan', shares.rank('scan', now), now)
-        if step % 10 == 0:
-            account = f'a{chosen.randrange(10)}'
-            shares.record_activity(account, 1.0, now)
-            shares.count_wanted(account, now)
-            assert shares.rank(account, now) == 0
-            shares.charge(account, now)
-            shares.count_ordered(account, 0, now)
-    assert shares.rank('scan', 60.0) >= 1
-
-
-def test_account_with_a_larger_weight_gets_more_loads():
-    """Guards against weights that have no effect."""
-    shares = load_order.AccountShares(1.0)
-    loads = {'light': 0, 'heavy': 0}
-    for step in range(600):
-        now = step * 1.0
-        for account, weight in (('light', 1.0), ('heavy', 4.0)):
-            shares.record_activity(account, weight, now)
-            shares.count_wanted(account, now)
-        account = min(('light', 'heavy'), key=lambda one: shares.rank(one, now))
-        shares.charge(account, now)
-        shares.count_ordered(account, 0, now)
-        loads[account] += 1
-    assert loads['heavy'] > 3 * loads['light']
-
-
-def test_back_off_doubles_up_to_a_minute_and_ends_with_a_success():
-    """Guards against retries that occupy the store, or that never happen."""
-    back_off = load_order.BackOff()
-    ref = types.AdapterRef('soil', 'a', 1)
-    pauses = [back_off.record_failure(ref, 0.0) for _ in range(8)]
-    assert pauses == [1, 2, 4, 8, 16, 32, 60, 60]
-    assert back_off.remaining_s(ref, 50.0) == pytest.approx(10.0)
-    back_off.record_success(ref)
-    assert back_off.remaining_s(ref, 50.0) == 0
