--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -27,19 +27,21 @@
     return {'name': name, 'key_digests': [digest], 'grants': ['plan'], **more}
 
 
-def _account(name, *applications):
+def _account(name, *applications, active=2):
     adapter = {
         'name': 'plan',
         'pool': 'base',
-        'active_version': 2,
+        'active_version': active,
         'versions': [{'version': n, 'source': f's{n}'} for n in (1, 2)],
     }
     return {'name': name, 'applications': applications, 'adapters': [adapter]}
 
 
-def setup(limits=None):
+def setup(limits=None, version=7, active=2, grants=('plan',), key=KEY):
     """Two accounts; the first also has a non-idempotent application."""
     more = {'limits': limits} if limits else {}
+    fields = {'grants': grants, 'services': ['stock'], **more}
+    dosages = {'grants': grants, 'idempotent': False}
     return compiled.CompiledSetup.from_document(
         document.Document.model_validate(
             {
@@ -57,14 +59,15 @@
                 'accounts': [
                     _account(
                         'fields',
-                        _application('app', KEY, services=['stock'], **more),
-                        _application('dosages', ONCE_KEY, idempotent=False),
+                        _application('app', key, **fields),
+                        _application('dosages', ONCE_KEY, **dosages),
+                        active=active,
                     ),
                     _account('depot', _application('app', OTHER_KEY, **more)),
                 ],
             }
         ),
-        7,
+        version,
     )
 
 
--- a/tests/entry/test_dispatch.py
+++ b/tests/entry/test_dispatch.py
@@ -82,6 +82,97 @@
     assert entry.pool.held == 0
 
 
+def change_during_wait(change, **environ):
+    """Call, change the setup while the call waits; return entry and answer."""
+
+    def scenario():
+        entry = harness.Entry(virtual=True)
+        entry.pool.gate = harness.new_gate()
+        task = eventlet.spawn(
+            entry.call_in_memory, {'model': 'plan'}, **environ
+        )
+        clock.sleep(20)
+        entry.setup = harness.setup(version=8, **change)
+        entry.pool.gate.send()
+        status, _, received = task.wait()
+        return entry, status, received
+
+    return virtual_hub.run(scenario)
+
+
+def test_version_replaced_during_the_wait_is_not_sent():
+    """Guards against an old version for as long as a request may wait."""
+    entry, status, _ = change_during_wait({'active': 1})
+    sent = [one.request for one in entry.pool.attempts]
+    assert (status, [one.adapter.version for one in sent]) == (200, [1])
+    assert json.loads(sent[0].body)['model'] == 'fields/plan@1'
+    assert (sent[0].adapter_source, sent[0].setup_version) == ('s1', 8)
+    # The placement of the replaced version was released.
+    assert entry.pool.finished == 2
+
+
+def test_unrelated_change_during_the_wait_keeps_the_place():
+    """Guards against a second wait after each change of the setup."""
+    entry, status, _ = change_during_wait({})
+    assert (status, entry.pool.finished) == (200, 1)
+
+
+def test_retry_uses_the_version_in_force():
+    """Guards against retries with a version replaced since the last attempt."""
+
+    def scenario():
+        run = script('refused')
+
+        def replace_and_run(attempt):
+            entry.setup = harness.setup(version=8, active=1)
+            return run(attempt)
+
+        entry = harness.Entry(replace_and_run, virtual=True)
+        call(entry)
+        return [one.request.adapter.version for one in entry.pool.attempts]
+
+    assert virtual_hub.run(scenario) == [2, 1]
+
+
+@pytest.mark.parametrize(
+    ('change', 'refusal'),
+    [
+        ({'grants': ()}, (404, 'model_not_found')),
+        ({'key': 'another key'}, (401, 'invalid_key')),
+    ],
+    ids=['grant', 'key'],
+)
+def test_permission_that_ended_during_the_wait_is_not_used(change, refusal):
+    """Guards against requests that run long after their key was withdrawn."""
+    entry, status, received = change_during_wait(change)
+    error = json.loads(received)['error']
+    assert (status, error['code'], error['ran']) == (*refusal, 'no')
+    assert (entry.pool.attempts, entry.pool.finished) == ([], 1)
+
+
+def test_claim_is_released_if_the_permission_ended_during_the_wait():
+    """Guards against a claim that blocks a request which was not run."""
+    rows = harness.MemoryTable()
+
+    def scenario():
+        entry = harness.Entry(virtual=True, table=rows)
+        entry.pool.gate = harness.new_gate()
+        task = eventlet.spawn(
+            entry.call_in_memory,
+            {'model': 'plan'},
+            harness.ONCE_KEY,
+            HTTP_IDEMPOTENCY_KEY='k-1',
+        )
+        clock.sleep(20)
+        entry.setup = harness.setup(version=8, grants=())
+        entry.pool.gate.send()
+        return entry.pool.attempts, task.wait()[0]
+
+    assert virtual_hub.run(scenario) == ([], 404)
+    (row,) = rows.row_by_key.values()
+    assert row.value['state'] == 'released'
+
+
 def test_refusal_after_an_uncertain_attempt_is_not_ran_no():
     """Guards against "ran: no" in a refusal after an uncertain attempt."""
 
