Resolve a request again before it is sent under another setup

Cause: the entry resolved a request once, on arrival, and sent what it had then found, however long the request had waited: for its body, a place among its account's requests, its claim, an upstream or a retry. The wait ends at the deadline, up to 600 s after arrival.

The received call is now kept apart from the request that a setup makes of it (admission.CompletionCall, services.ServiceCall). The dispatcher renews the request before each wait for an upstream and after it, as it already judges the crash evidence again. The same request under another setup version keeps its place; another version, pool or source is placed anew; a request that is no longer allowed is refused with the outcome of its earlier attempts. While the entry knows of a setup that it has not read, the request waits or is refused, as a new one is.

This changes what docs/callers.md said: "adapter" without a version is now the version that is active when the request is sent, not when it arrives.

Ruled out: a bound in seconds on the use of the old setup, as the gateway has. It needs the time at which the setup was changed on a clock that all entries share, and still sends the old version.

Not covered: the wait in the engine's own queue, after the request was sent. A request that waits for an adapter keeps its demand for the old version until it is placed, so a replaced version may still be loaded once.

--- a/ivystep/entry/admission.py
+++ b/ivystep/entry/admission.py
@@ -1,5 +1,6 @@
 """Builds a validated ``Request`` from an HTTP request."""
 
+import dataclasses
 import hashlib
 import hmac
 import json
@@ -48,12 +49,17 @@
     if header[: len(BEARER)].lower() == BEARER:
         grant = setup.grant(header[len(BEARER) :].strip())
     if grant is None:
-        raise answers.refusal(
-            'invalid_key', 'The bearer key is not valid.', status=401
-        )
+        raise invalid_key()
     return grant
 
 
+def invalid_key() -> errors.RefusedError:
+    """Return the error of a call whose bearer key is missing or unknown."""
+    return answers.refusal(
+        'invalid_key', 'The bearer key is not valid.', status=401
+    )
+
+
 def declared_bytes(environ: Environ, limits: models.RequestLimits) -> int:
     """Return an upper bound of a body's size in bytes, before it is read.
 
@@ -110,24 +116,14 @@
     return clock.now() + timeout_s
 
 
-def idempotency_key(environ: Environ, *, is_required: bool) -> str:
+def idempotency_key(environ: Environ) -> str:
     """Return the caller's idempotency key, empty if there is none.
 
-    Args:
-        environ: WSGI environment.
-        is_required: Whether the setup marks the request as non-idempotent.
-
     Raises:
-        errors.RefusedError: The key is malformed, or missing though required.
+        errors.RefusedError: The key is malformed.
     """
     key = environ.get('HTTP_IDEMPOTENCY_KEY')
     if key is None:
-        if is_required:
-            raise answers.refusal(
-                'idempotency_key_required',
-                'This request must run at most once: send Idempotency-Key.',
-                status=400,
-            )
         return ''
     if not IDEMPOTENCY_KEY.fullmatch(key):
         raise answers.refusal(
@@ -138,64 +134,123 @@
     return key
 
 
-def completion(
-    environ: Environ,
-    grant: compiled.Grant,
-    setup: compiled.CompiledSetup,
-    limits: models.RequestLimits,
-    request_id: str,
-) -> types.Request:
-    """Build the request of a completion call.
+def require_key(key: str, *, is_required: bool) -> None:
+    """Check that a non-idempotent request has an idempotency key.
 
     Args:
-        environ: WSGI environment.
-        grant: Account and application of the caller.
-        setup: The setup that applies to this request from start to end.
-        limits: Limits on body and deadline.
-        request_id: Id of the request.
+        key: Idempotency key of the caller, or ''.
+        is_required: Whether the setup marks the request as non-idempotent.
 
     Raises:
-        errors.RefusedError: The call is not allowed or malformed.
+        errors.RefusedError: The key is missing though required.
     """
-    arrived = clock.now()
-    expires_at = deadline(environ, limits)
-    key = idempotency_key(environ, is_required=not grant.application.idempotent)
-    document = _parse(read_body(environ, limits))
-    resolved = setup.adapter(grant, document.model)
-    if resolved is None:
+    if is_required and not key:
         raise answers.refusal(
-            'model_not_found',
-            'The model does not exist or may not be called with this key.',
-            status=404,
+            'idempotency_key_required',
+            'This request must run at most once: send Idempotency-Key.',
+            status=400,
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CompletionCall:
+    """A completion call as it was received.
+
+    Attributes:
+        key: The caller's idempotency key, empty if there is none.
+        arrived: Time of arrival.
+        deadline: Time by which the answer must be complete.
+    """
+
+    request_id: str
+    path: str
+    key: str
+    document: CompletionBody
+    arrived: float
+    deadline: float
+
+    @classmethod
+    def read(
+        cls,
+        environ: Environ,
+        grant: compiled.Grant,
+        setup: compiled.CompiledSetup,
+        limits: models.RequestLimits,
+        request_id: str,
+    ) -> typing.Self:
+        """Read a call.
+
+        Args:
+            environ: WSGI environment.
+            grant: Account and application of the caller.
+            setup: The setup in force.
+            limits: Limits on body and deadline.
+            request_id: Id of the request.
+
+        Raises:
+            errors.RefusedError: The call is malformed.
+        """
+        arrived = clock.now()
+        expires_at = deadline(environ, limits)
+        key = idempotency_key(environ)
+        require_key(key, is_required=not grant.application.idempotent)
+        return cls(
+            request_id=request_id,
+            path=environ['PATH_INFO'],
+            key=key,
+            document=_parse(read_body(environ, limits)),
+            arrived=arrived,
+            deadline=expires_at,
+        )
+
+    def request(
+        self, grant: compiled.Grant, setup: compiled.CompiledSetup
+    ) -> types.Request:
+        """Return the request that the call is under a setup.
+
+        Args:
+            grant: Account and application of the caller.
+            setup: The setup.
+
+        Raises:
+            errors.RefusedError: The setup does not allow the call.
+        """
+        require_key(self.key, is_required=not grant.application.idempotent)
+        resolved = setup.adapter(grant, self.document.model)
+        if resolved is None:
+            raise answers.refusal(
+                'model_not_found',
+                'The model does not exist or may not be called with this key.',
+                status=404,
+            )
+        ref, adapter, source = resolved
+        path = self.path.encode()
+        content = self.document.model_dump(exclude=SET_BY_ENTRY)
+        canonical = _json(content, sort_keys=True)
+        # The claim is on the model as the caller named it, not as resolved: a
+        # repeat must match its claim after another version has become active.
+        claim = claim_key(
+            self.key, path, self.document.model.encode(), canonical
+        )
+        content['model'] = ref.lora_name
+        content['cache_salt'] = _cache_salt(grant.account.name)
+        return types.Request(
+            request_id=self.request_id,
+            account=grant.account.name,
+            application=grant.application.name,
+            pool=adapter.pool,
+            adapter=ref,
+            adapter_source=source,
+            path=self.path,
+            body=_json(content),
+            stream=self.document.stream,
+            idempotent=claim is None,
+            arrived=self.arrived,
+            deadline=self.deadline,
+            fingerprint=ids.digest(ref.lora_name.encode(), path, canonical),
+            setup_version=setup.version,
+            claim=claim,
         )
-    ref, adapter, source = resolved
-    path = environ['PATH_INFO']
-    content = document.model_dump(exclude=SET_BY_ENTRY)
-    canonical = _json(content, sort_keys=True)
-    # The claim is on the model as the caller named it, not as resolved: a
-    # repeat must match its claim after another version has become active.
-    claim = claim_key(key, path.encode(), document.model.encode(), canonical)
-    content['model'] = ref.lora_name
-    content['cache_salt'] = _cache_salt(grant.account.name)
-    return types.Request(
-        request_id=request_id,
-        account=grant.account.name,
-        application=grant.application.name,
-        pool=adapter.pool,
-        adapter=ref,
-        adapter_source=source,
-        path=path,
-        body=_json(content),
-        stream=document.stream,
-        idempotent=claim is None,
-        arrived=arrived,
-        deadline=expires_at,
-        fingerprint=ids.digest(
-            ref.lora_name.encode(), path.encode(), canonical
-        ),
-        setup_version=setup.version,
-        claim=claim,
-    )
 
 
 def _parse(body: bytes) -> CompletionBody:
--- a/ivystep/entry/api.py
+++ b/ivystep/entry/api.py
@@ -90,14 +90,7 @@
             self._metrics.record_request(call.account, call.error.code)
 
     def _route(self, call: 'Call') -> Iterator[bytes]:
-        setup = self._current_setup()
-        if setup is None:
-            raise answers.refusal(
-                'no_setup',
-                'This entry has not read the setup yet.',
-                status=503,
-                retry_after_s=1.0,
-            )
+        setup = self._setup_in_force()
         if _is_upstream_path(call.path):
             call.require('POST')
             return self._handle_upstream_call(call, setup)
@@ -112,18 +105,52 @@
             'no_such_path', 'There is no such path.', status=404
         )
 
+    def _setup_in_force(self) -> compiled.CompiledSetup:
+        setup = self._current_setup()
+        if setup is None:
+            raise answers.refusal(
+                'no_setup',
+                'This entry has not read the setup yet.',
+                status=503,
+                retry_after_s=1.0,
+            )
+        return setup
+
     def _handle_upstream_call(
         self, call: 'Call', setup: compiled.CompiledSetup
     ) -> Iterator[bytes]:
         grant = admission.authenticate(call.environ, setup)
         ticket = self._admit(call, grant)
-        build = admission.completion
+        kind: type[admission.CompletionCall | services.ServiceCall] = (
+            admission.CompletionCall
+        )
         if call.path.startswith(services.PREFIX):
-            build = services.service_call
-        request = build(
+            kind = services.ServiceCall
+        received = kind.read(
             call.environ, grant, setup, self._request_limits, call.request_id
         )
-        return self._run(call, request, ticket)
+        call.renew = functools.partial(self._renew, call, received)
+        return self._run(call, received.request(grant, setup), ticket)
+
+    def _renew(
+        self,
+        call: 'Call',
+        received: admission.CompletionCall | services.ServiceCall,
+        request: types.Request,
+    ) -> types.Request:
+        """Return a request as it is under the setup that is now in force.
+
+        Raises:
+            errors.RefusedError: The setup no longer allows the request.
+        """
+        setup = self._setup_in_force()
+        if setup.version == request.setup_version:
+            return request
+        grant = admission.authenticate(call.environ, setup)
+        renewed = received.request(grant, setup)
+        if renewed.account != request.account:
+            raise admission.invalid_key()
+        return renewed
 
     def _admit(self, call: 'Call', grant: compiled.Grant) -> limits.Ticket:
         call.account = grant.account.name
@@ -150,7 +177,7 @@
         except progress.AbortedError as aborted:
             raise aborted.with_outcome(types.ExecutionStatus.NO) from aborted
         if request.claim is None:
-            answer = self._dispatcher.run(request, call.task)
+            answer = self._dispatcher.run(request, call.task, call.renew)
             call.on_close(answer.chunks.close)
         else:
             answer = self._claims.run(
@@ -164,7 +191,7 @@
         self, call: 'Call', request: types.Request
     ) -> types.Answer:
         call.has_claim = True
-        return self._dispatcher.run(request, call.task)
+        return self._dispatcher.run(request, call.task, call.renew)
 
     def _drain_in_background(self, chunks: relay.Relay) -> None:
         """Read the rest of an answer whose caller has disconnected.
@@ -196,6 +223,7 @@
         account: Account of the caller, empty until it is authenticated.
         error: The error that was reported to the caller, or None.
         has_claim: Whether this call holds the claim of its idempotency key.
+        renew: Returns a request as it is under the setup now in force.
     """
 
     def __init__(
@@ -211,6 +239,7 @@
         self.account = ''
         self.error: errors.RequestError | None = None
         self.has_claim = False
+        self.renew: dispatch.Renew = dispatch.keep
         self._start_response = start_response
         self._stack = contextlib.ExitStack()
         self._connection: connections.CallerConnection | None = environ.get(
--- a/ivystep/entry/dispatch.py
+++ b/ivystep/entry/dispatch.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 import typing
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 from ivystep.coordination import retry_budget
 from ivystep.core import errors, ids, types
@@ -16,9 +16,16 @@
 # Retry-After of a failed request that the caller may safely repeat.
 REPEAT_AFTER_S = 1.0
 
+Renew = Callable[[types.Request], types.Request]
+
 log = logs.get('entry')
 
 
+def keep(request: types.Request) -> types.Request:
+    """Return a request unchanged; a ``Renew`` for a constant setup."""
+    return request
+
+
 class RequestPool(typing.Protocol):
     """The methods of ``pool.Pool`` that the dispatcher uses."""
 
@@ -95,13 +102,18 @@
         self._metrics = metrics
 
     def run(
-        self, request: types.Request, task: progress.RequestTask
+        self,
+        request: types.Request,
+        task: progress.RequestTask,
+        renew: Renew = keep,
     ) -> types.Answer:
         """Run a request until it has an answer or its last attempt has failed.
 
         Args:
             request: The request.
             task: The task that the request runs on.
+            renew: Returns the request as it is under the setup now in force;
+                called before each wait for an upstream and after it.
 
         Returns:
             The answer. Its chunks are a ``relay.Relay`` whose first chunk, or
@@ -111,24 +123,15 @@
             errors.RequestError: The request failed. ``ran`` is ``NO`` only if
                 none of its attempts was run.
         """
-        pool = self._pool_by_name.get(request.pool)
-        if pool is None:
-            raise answers.refusal(
-                'upstream_unavailable',
-                'No upstream of the pool is known.',
-                status=503,
-                retry_after_s=REPEAT_AFTER_S,
-            )
         budget = self._budgets.budget((request.account, request.pool))
         budget.on_request()
         history = _AttemptHistory()
         while True:
+            request = _renewed(request, renew, history)
+            pool = self._pool(request, history)
             permit = self._acquire_permit(request, history)
             placement = _place(request, pool, task, history, permit)
-            if not permit.is_current:
-                # Crash evidence against the request arrived while it waited.
-                pool.finish(placement)
-                permit.close()
+            if not self._is_current(placement, pool, permit, renew, history):
                 continue
             try:
                 return _run_attempt(placement, pool, task, permit)
@@ -141,6 +144,45 @@
                 self._metrics.record_retry(request.account)
                 log.info('Retrying request %s: %s', request.request_id, error)
 
+    def _pool(
+        self, request: types.Request, history: _AttemptHistory
+    ) -> RequestPool:
+        pool = self._pool_by_name.get(request.pool)
+        if pool is None:
+            refusal = answers.refusal(
+                'upstream_unavailable',
+                'No upstream of the pool is known.',
+                status=503,
+                retry_after_s=REPEAT_AFTER_S,
+            )
+            raise _final_error(request, refusal, history.ran)
+        return pool
+
+    def _is_current(
+        self,
+        placement: types.Placement,
+        pool: RequestPool,
+        permit: isolation.AttemptPermit,
+        renew: Renew,
+        history: _AttemptHistory,
+    ) -> bool:
+        """Return whether a request may be sent as it was placed.
+
+        While it waited, crash evidence against it may have arrived, or
+        another setup come into force. If it may not be sent, its placement
+        and its permit are released.
+        """
+        request = placement.request
+        is_current = False
+        try:
+            renewed = _renewed(request, renew, history)
+            is_current = permit.is_current and _is_same(request, renewed)
+        finally:
+            if not is_current:
+                pool.finish(placement)
+                permit.close()
+        return is_current
+
     def _acquire_permit(
         self, request: types.Request, history: _AttemptHistory
     ) -> isolation.AttemptPermit:
@@ -150,6 +192,23 @@
             raise _final_error(request, error, history.ran) from error
 
 
+def _renewed(
+    request: types.Request, renew: Renew, history: _AttemptHistory
+) -> types.Request:
+    """Return a request as it is now; raise the final error if refused."""
+    try:
+        return renew(request)
+    except errors.RequestError as error:
+        raise _final_error(request, error, history.ran) from error
+
+
+def _is_same(request: types.Request, renewed: types.Request) -> bool:
+    """Return whether two setups give a request in the same form."""
+    return request == dataclasses.replace(
+        renewed, setup_version=request.setup_version
+    )
+
+
 def _place(
     request: types.Request,
     pool: RequestPool,
--- a/tests/entry/test_services.py
+++ b/tests/entry/test_services.py
@@ -29,7 +29,8 @@
             'sheets': document.Service(name='sheets', pool='sheets')
         },
     )
-    return services.service_call(environ, grant, setup, LIMITS, 'r-1')
+    received = services.ServiceCall.read(environ, grant, setup, LIMITS, 'r-1')
+    return received.request(grant, setup)
 
 
 def test_accounts_do_not_share_what_is_known_of_a_request():
