Show that requests wait, and start, under limits that were replaced

A ticket keeps the limits of the setup under which it was admitted. If the limit is raised, later requests overtake those that wait, which may wait until their deadline; if it is lowered, those that wait still start up to the old limit.

--- a/tests/policy/test_limits.py
+++ b/tests/policy/test_limits.py
@@ -129,6 +129,42 @@
     assert virtual_hub.run(scenario) == 1
 
 
+def test_change_of_the_limits_applies_to_requests_that_wait():
+    """Guards against requests that wait behind a limit which was lifted, or
+    start beyond one which was lowered.
+    """
+
+    def scenario():
+        account_limits = limits.AccountLimits()
+        narrow, wide = parties('a', concurrency=1), parties('a', concurrency=3)
+
+        def start(both):
+            ticket = account_limits.admit(*both)
+            eventlet.spawn(ticket.start, clock.now() + 900)
+            clock.sleep(0)
+            return ticket
+
+        def started(tickets):
+            return [ticket.started.ready() for ticket in tickets]
+
+        first, second = start(narrow), start(narrow)
+        third = start(wide)
+        lifted = started([second])
+        waiting = [start(wide), start(wide)]
+        last = start(narrow)
+        for ticket in (first, second):
+            ticket.close()
+        still_waiting = started([*waiting, last])
+        third.close()
+        return lifted, still_waiting, started([*waiting, last])
+
+    assert virtual_hub.run(scenario) == (
+        [True],
+        [False, False, False],
+        [True, False, False],
+    )
+
+
 def test_bodies_of_one_account_are_bounded():
     """Guards against one account that fills the memory with request bodies."""
 
