Apply the newest limits to the requests that wait

Cause: whether a waiting request may start was decided with the limits that its ticket had on admission, and each look at the usage of a party even put the ticket's limits back in the place of newer ones.

The limits of a party are now those of its last admission, for all its tickets, and a change starts what it allows to start. They become known at an entry with the first request that is admitted under the new setup, so an account that sends nothing more keeps its old ones for those that wait.

Ruled out: giving the setup to the limits.

--- a/ivystep/policy/limits.py
+++ b/ivystep/policy/limits.py
@@ -127,6 +127,7 @@
         parties = (account, application)
         for party in parties:
             self._usage(party).refill(party.limits)
+        self._apply_limits(parties)
         self._check_rate(parties)
         self._check_queue(parties)
         for party in parties:
@@ -143,7 +144,9 @@
             return
         self._check_queue(ticket.parties)
         queue = self.queue(ticket)
-        wait_s = queue.wait_s(len(queue.tickets) + 1, ticket.concurrency)
+        wait_s = queue.wait_s(
+            len(queue.tickets) + 1, self._concurrency(ticket.parties)
+        )
         if wait_s is not None and clock.now() + wait_s > deadline:
             raise _refusal(
                 'deadline_unreachable',
@@ -178,14 +181,30 @@
         """Return the queue of a ticket's account."""
         return self._queue_by_account[ticket.parties[0].name[0]]
 
+    def _apply_limits(self, parties: tuple[LimitedParty, ...]) -> None:
+        """Apply the limits of a new request to those that wait, too.
+
+        Args:
+            parties: Account and application, with the limits now in force.
+        """
+        is_changed = False
+        for party in parties:
+            is_changed |= self._limits(party) != party.limits
+            self._limits_by_name[party.name] = party.limits
+        if is_changed:
+            self._start_waiting(self._queue_by_account[parties[0].name[0]])
+
+    def _limits(self, party: LimitedParty) -> document.Limits:
+        """Return the newest limits of a party, perhaps newer than its own."""
+        return self._limits_by_name.setdefault(party.name, party.limits)
+
     def _usage(self, party: LimitedParty) -> _Usage:
-        self._limits_by_name[party.name] = party.limits
         account = party.name[0]
         if account not in self._queue_by_account:
             self._queue_by_account[account] = _AccountQueue()
         usage = self._usage_by_name.get(party.name)
         if usage is None:
-            usage = _Usage(party.limits)
+            usage = _Usage(self._limits(party))
             self._usage_by_name[party.name] = usage
         return usage
 
@@ -202,8 +221,9 @@
     def _check_queue(self, parties: tuple[LimitedParty, ...]) -> None:
         for party in parties:
             usage = self._usage(party)
-            is_busy = usage.running >= party.limits.concurrency
-            if is_busy and usage.waiting >= party.limits.queue:
+            bounds = self._limits(party)
+            is_busy = usage.running >= bounds.concurrency
+            if is_busy and usage.waiting >= bounds.queue:
                 raise _refusal(
                     'queue_full',
                     'Too many requests are in progress and waiting.',
@@ -213,13 +233,18 @@
     def _backlog_s(self, parties: tuple[LimitedParty, ...]) -> float:
         """Return the estimated time until a retry could start."""
         queue = self._queue_by_account[parties[0].name[0]]
-        concurrency = min(party.limits.concurrency for party in parties)
-        wait_s = queue.wait_s(len(queue.tickets) + 1, concurrency)
+        wait_s = queue.wait_s(
+            len(queue.tickets) + 1, self._concurrency(parties)
+        )
         return DEFAULT_RETRY_AFTER_S if wait_s is None else wait_s
 
+    def _concurrency(self, parties: tuple[LimitedParty, ...]) -> int:
+        """Return the requests of the parties that may be in progress."""
+        return min(self._limits(party).concurrency for party in parties)
+
     def _can_start(self, ticket: 'Ticket') -> bool:
         return all(
-            self._usage(party).running < party.limits.concurrency
+            self._usage(party).running < self._limits(party).concurrency
             for party in ticket.parties
         )
 
@@ -299,11 +324,6 @@
         self._started_at: float | None = None
         self._is_closed = False
 
-    @property
-    def concurrency(self) -> int:
-        """Requests that may be in progress at once, including this one."""
-        return min(party.limits.concurrency for party in self.parties)
-
     def hold(self, size: int) -> None:
         """Count the bytes of the request's body until the ticket is closed.
 
