Show that the age of the setup counts from the end of its read

The age that operators see, and the message that the platform does not answer, count from the time at which the answer of the table service was processed, and on a clock that stands still while the machine is suspended.

Seen: assert [0.0, 0.0] == [30, 3630]

--- a/tests/setup/test_store.py
+++ b/tests/setup/test_store.py
@@ -167,3 +167,28 @@
         assert compiled_anew.account_by_name.get(
             name
         ) == after.account_by_name.get(name)
+
+
+def test_age_counts_from_the_time_at_which_the_version_was_read(
+    platform, submitter, monkeypatch
+):
+    """Guards against an old setup that is reported as just confirmed."""
+    submitter.submit(weighted_document(1), 0, 'ama')
+    read = platform.rows.get
+
+    def read_and_pause(key):
+        row = read(key)
+        clock.sleep(30)
+        return row
+
+    def scenario():
+        entry = make_entry(platform)
+        entry.refresh()
+        platform.rows.get = read_and_pause
+        entry.refresh()
+        ages = [entry.age_s]
+        # The hub's clock stands still while the machine is suspended.
+        monkeypatch.setattr(clock, 'uptime', lambda: clock.now() + 3600)
+        return [*ages, entry.age_s]
+
+    assert virtual_hub.run(scenario) == [30, 3630]
