Count the age of the setup from the time at which it was read

Cause: the age began when the answer of the table service had been processed, with the load of a new version from the object store, and ran on the clock of the hub. A host that was paused in a read, or suspended, reported a setup as fresh that it had not compared for that time.

The age now counts from the time at which the last successful read was sent, on the clock that runs on while the machine is suspended. It is shown to operators only; no decision uses it.

Ruled out: an infinite age before the first read. The status is JSON, and a message already says that the setup was never read; the age counts from the start of the process then.

--- a/ivystep/setup/store.py
+++ b/ivystep/setup/store.py
@@ -49,7 +49,7 @@
         self._loaded: loader.LoadedVersion | None = None
         self._known_version = 0
         self._stored_version = 0
-        self._confirmed_at = clock.now()
+        self._confirmed_at = clock.uptime()
         self._loaded_event = event.Event()
         self._announced = event.Event()
         self._refresh_lock = semaphore.Semaphore(1)
@@ -89,8 +89,12 @@
 
     @property
     def age_s(self) -> float:
-        """Seconds since the loaded version was confirmed to be the newest."""
-        return clock.now() - self._confirmed_at
+        """Seconds since the loaded version was certainly the newest.
+
+        They count from the time at which the last read was sent, because its
+        answer may have been processed late.
+        """
+        return clock.uptime() - self._confirmed_at
 
     def current_for_request(self) -> compiled.CompiledSetup:
         """Return the setup for a new request, waiting briefly if outdated.
@@ -183,13 +187,14 @@
             errors.SetupError: The stored setup is invalid.
         """
         with self._refresh_lock:
+            read_at = clock.uptime()
             row = self._rows.get(records.MANIFEST_KEY)
             self._record_stored_version(row.version if row else 0)
             if row is not None and row.version > self._version:
                 manifest = index.parse_manifest(row.value)
                 self._load(row.version, manifest, self._objects.get)
             if not self.is_behind:
-                self._confirmed_at = clock.now()
+                self._confirmed_at = read_at
         return self.latest
 
     def submit(
