Show that a forgotten holder is waited out for another's duration

If the row of a lease is older than one that was seen, the holder that it no longer names is waited out for the duration of the process that waits. While a shorter duration is rolled out, two processes hold the lease at once.

Seen: assert not True (held.is_held())

--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -259,3 +259,20 @@
         assert first.previous_holder_id == 'second'
 
     scenario()
+
+
+@fakes.on_virtual_clock
+def test_forgotten_holder_keeps_its_lease_for_its_own_duration():
+    """Guards against two holders while a new duration is rolled out."""
+    shared = fakes.FakeTable()
+    _, held = _lease(shared, 'side-1')
+    waiting = lease.Lease(
+        fakes.TableView(shared), KEY, 'side-2', DURATION_S / 10
+    )
+    held.acquire()
+    observer = eventlet.spawn(waiting.observe)
+    clock.sleep(0.1)
+    observer.kill()
+    shared.row_by_key.clear()
+    assert waiting.acquire() == 2
+    assert not held.is_held()
