Wait out a forgotten holder for its own duration

Cause: the wait for a holder that a restored row does not name lasted for the duration of the process that waits, although the holder's own had been read with its row.

The duration is now remembered with the highest token. A holder that the restored row names gets its duration, too: it may have acquired the lease without having seen the higher token.

Not covered: a process that has never read the row of the holder cannot know of it, as the page of the module says.

--- a/ivystep/coordination/lease.py
+++ b/ivystep/coordination/lease.py
@@ -102,9 +102,10 @@
         # Version and token of the row that the next write replaces.
         self._version = 0
         self._row_token = 0
-        # Highest token that was seen, and its holder.
+        # Highest token that was seen, its holder and the holder's duration.
         self._highest_token = 0
         self._highest_holder_id = ''
+        self._highest_duration_s = 0.0
         self._sent_at_by_write_id: dict[str, float] = {}
         self._write_lock = semaphore.Semaphore(1)
         self._is_releasing = False
@@ -260,6 +261,10 @@
     def _wait_for_forgotten_holder(self, row: table.Row | None) -> None:
         """Wait until a holder that the restored row does not name has ended.
 
+        The duration is the holder's own, which may differ from this process's
+        while a new one is rolled out. A holder that the row names has time to
+        end, too.
+
         Args:
             row: The row, which is older than one that was seen; None if the
                 store has none.
@@ -268,7 +273,8 @@
             errors.ConflictError: The row has changed.
             errors.UnavailableError: The row could not be read.
         """
-        clock.sleep(self._duration_s)
+        row_duration_s = _Record.from_row(row).duration_s if row else 0.0
+        clock.sleep(max(self._highest_duration_s, row_duration_s))
         if _version(self._read()) != _version(row):
             raise errors.ConflictError(
                 'another process holds the lease', step='acquire'
@@ -346,6 +352,7 @@
         if record.token >= self._highest_token:
             self._highest_token = record.token
             self._highest_holder_id = record.holder_id
+            self._highest_duration_s = record.duration_s
 
     def _track_write(self, write_id: str) -> None:
         sent = {**self._sent_at_by_write_id, write_id: clock.uptime()}
