Show that a suspended entry serves the setup of before

After a suspension the poller waits on for what was left of its interval, up to 3 s with the default settings, and the entry serves the setup of before the suspension meanwhile, however old it is. After a stop of the process it does so until the first read has ended.

Seen: assert 1 == 2

The test of an outage passes and guards the repair.

--- a/tests/setup/test_store.py
+++ b/tests/setup/test_store.py
@@ -192,3 +192,45 @@
         return [*ages, entry.age_s]
 
     assert virtual_hub.run(scenario) == [30, 3630]
+
+
+def test_entry_that_was_suspended_reads_the_setup_before_it_serves(
+    platform, submitter, monkeypatch
+):
+    """Guards against requests under the setup from before a suspension."""
+    submitter.submit(weighted_document(1), 0, 'ama')
+
+    def scenario():
+        entry = make_entry(platform)
+        eventlet.spawn(poller.SetupPoller(entry, 2.0).run)
+        clock.sleep(10)
+        submitter.submit(weighted_document(2), 1, 'ama')
+        # The hub's clock, and with it the poller, stands still meanwhile.
+        monkeypatch.setattr(clock, 'uptime', lambda: clock.now() + 3600)
+        return entry.current_for_request().version
+
+    assert virtual_hub.run(scenario) == 2
+
+
+def test_requests_do_not_wait_for_reads_during_an_outage(platform, submitter):
+    """Guards against an outage of the platform that delays each request."""
+    submitter.submit(weighted_document(1), 0, 'ama')
+
+    def scenario():
+        entry = make_entry(platform)
+        eventlet.spawn(poller.SetupPoller(entry, 2.0).run)
+        clock.sleep(10)
+        platform.rows.get = time_out
+        waits = []
+        for _ in range(600):
+            started = clock.now()
+            entry.current_for_request()
+            waits.append(clock.now() - started)
+            clock.sleep(0.1)
+        return max(waits)
+
+    def time_out(key):
+        clock.sleep(2)
+        raise errors.UnavailableError('timed out')
+
+    assert virtual_hub.run(scenario) == 0
