Read the setup before requests are served after a pause

Cause: nothing compared the age of the last read with the time at which the next one was due. The poller's timer stands still while the machine is suspended, and requests did not wait for its read after any pause.

The poller now says by when its next read ends, counted from the start of the last one: the pause between both and two time-outs, so an outage or a slow table service makes no read overdue. A request that finds the read overdue wakes the poller and waits for it as it waits for a known version, up to 1 s. If the read fails, the loaded setup stays in force, as in any outage.

Ruled out: a refusal while the read is overdue. Traffic continues without the table service, and sidecars and other entries report newer versions.

Not covered: pauses of less than about 6 s with the default settings, and entries that are cut off from the table service, from all other entries and from all sidecars with a newer version.

--- a/ivystep/entry/daemon.py
+++ b/ivystep/entry/daemon.py
@@ -185,7 +185,12 @@
     def _start_background(self) -> None:
         settings = self.settings
         interval_s = settings.platform.poll_interval_s
-        eventlet.spawn(poller.SetupPoller(self.setup, interval_s).run)
+        setup_poller = poller.SetupPoller(
+            self.setup,
+            interval_s,
+            read_timeout_s=settings.platform.timeout_s,
+        )
+        eventlet.spawn(setup_poller.run)
         eventlet.spawn(self._configure_pools)
         eventlet.spawn(self.membership.follow, interval_s)
         eventlet.spawn(self.peers.spread_version)
--- a/ivystep/setup/store.py
+++ b/ivystep/setup/store.py
@@ -7,6 +7,7 @@
 """
 
 import json
+import math
 import typing
 from collections.abc import Mapping
 
@@ -50,6 +51,7 @@
         self._known_version = 0
         self._stored_version = 0
         self._confirmed_at = clock.uptime()
+        self._read_due_at = math.inf
         self._loaded_event = event.Event()
         self._announced = event.Event()
         self._refresh_lock = semaphore.Semaphore(1)
@@ -82,6 +84,15 @@
         """Whether a higher version than the loaded one is known."""
         return self._known_version > self._version
 
+    @property
+    def is_read_overdue(self) -> bool:
+        """Whether the setup has not been read for longer than expected.
+
+        This process was paused then, or its machine suspended, and may not
+        have learned of a higher version.
+        """
+        return clock.uptime() > self._read_due_at
+
     @property
     def known_version(self) -> int:
         """The highest version known to exist."""
@@ -99,12 +110,17 @@
     def current_for_request(self) -> compiled.CompiledSetup:
         """Return the setup for a new request, waiting briefly if outdated.
 
+        After a pause of this process, it may be outdated as well. If the
+        setup cannot be read then, the loaded one stays in force.
+
         Raises:
             errors.RefusedError: With code ``no_setup`` or
                 ``configuration_behind``; the request was not run.
         """
         deadline = clock.now() + LOAD_WAIT_S
-        while self.is_behind and clock.now() < deadline:
+        if self.is_read_overdue:
+            self._wake_poller()
+        while self._may_be_outdated and clock.now() < deadline:
             loaded_event = self._loaded_event
             with eventlet.Timeout(deadline - clock.now(), exception=False):
                 loaded_event.wait()
@@ -157,24 +173,33 @@
         if version <= self.known_version:
             return False
         self._known_version = version
-        self._announced.send()
-        self._announced = event.Event()
+        self._wake_poller()
         return True
 
     def wait_for_announcement(self, timeout_s: float) -> bool:
-        """Wait until another process reports a higher version.
+        """Wait until a higher version is reported or a read is overdue.
 
         Args:
             timeout_s: Longest wait in seconds.
 
         Returns:
-            Whether one was reported before the time-out.
+            Whether either happened before the time-out.
         """
         announced = self._announced
         with eventlet.Timeout(timeout_s, exception=False):
             announced.wait()
         return announced.ready()
 
+    def expect_read(self, due_at: float) -> None:
+        """Record that a read has ended, and by when the next one ends.
+
+        Args:
+            due_at: Uptime in seconds by which the next read ends, unless this
+                process is paused.
+        """
+        self._read_due_at = due_at
+        self._wake_requests()
+
     def refresh(self) -> compiled.CompiledSetup | None:
         """Read the manifest and load the version if it is higher.
 
@@ -245,6 +270,10 @@
             self._load(version, manifest, loader.ReceivedObjects(sections).get)
         return True
 
+    @property
+    def _may_be_outdated(self) -> bool:
+        return self.is_behind or self.is_read_overdue
+
     @property
     def _version(self) -> int:
         return self._loaded.setup.version if self._loaded else 0
@@ -269,10 +298,18 @@
         loaded = loader.load(version, manifest, fetch, self._loaded)
         self._loaded = loaded
         self._stored_version = max(self._stored_version, version)
+        self._wake_requests()
+        log.info('Setup version %d is in force.', version)
+
+    def _wake_requests(self) -> None:
         loaded_event = self._loaded_event
         self._loaded_event = event.Event()
         loaded_event.send()
-        log.info('Setup version %d is in force.', version)
+
+    def _wake_poller(self) -> None:
+        announced = self._announced
+        self._announced = event.Event()
+        announced.send()
 
 
 def _parse_json(body: bytes) -> typing.Any:
