Show that a sidecar sends an attempt after its deadline

The budget of an attempt is compared on its admission. The acceptance is sent next, and the process may be paused there; the deadline is not compared again before the call of the upstream.

Seen: assert ('deadline_ex...d', 'unknown') == ('deadline_exceeded', 'no')

--- a/tests/sidecar/test_run.py
+++ b/tests/sidecar/test_run.py
@@ -6,6 +6,8 @@
 import pytest
 
 from ivystep.core import errors
+from ivystep.runtime import clock
+from ivystep.wire import channel
 from ivystep.wire.gen import ttypes
 from standins import web
 from tests.sidecar import bench
@@ -409,3 +411,18 @@
     task.kill()
     sidecar_bench.stop()
     assert (last.code, last.ran) == ('invalid_answer', 'yes')
+
+
+def test_attempt_is_not_sent_after_its_deadline(engine_bench, monkeypatch):
+    """Guards against a run whose caller has been told that it was too late."""
+    send, now = channel.Channel.send, clock.now
+
+    def pause_and_send(link, message):
+        if isinstance(message, ttypes.AttemptAccepted):
+            monkeypatch.setattr(clock, 'now', lambda: now() + 60)
+        send(link, message)
+
+    engine_bench.run()
+    monkeypatch.setattr(channel.Channel, 'send', pause_and_send)
+    last = engine_bench.run(attempt_id='att-2', budget_ms=5000)[-1]
+    assert (last.code, last.ran) == ('deadline_exceeded', 'no')
