Compare the deadline again before the upstream is called

Cause: the deadline was compared on admission only. If the process was paused while the acceptance was sent, the attempt was sent on a kept connection before its expired timer fired, and its outcome was unknown.

It is now compared with the other things that may have changed while the acceptance was sent. Such an attempt is refused as not run.

Not covered: the budget counts from the arrival of the attempt at the sidecar, since the clocks of entry and sidecar are not compared. A pause before that is bounded by the entry, which closes the connection 5 s after it sent the attempt without an acceptance.

--- a/ivystep/sidecar/run.py
+++ b/ivystep/sidecar/run.py
@@ -144,6 +144,8 @@
     def _check_before_call(self) -> None:
         """Check again what may have changed while the acceptance was sent."""
         upstream_host = self._upstream_host
+        if clock.now() >= self._deadline:
+            raise _refusal('deadline_exceeded', 'The deadline has passed.')
         if upstream_host.engine_incarnation != self._incarnation:
             raise _refusal('adapter_not_resident', 'The engine was restarted.')
         if self._ref is not None and not upstream_host.residency.holds(
