Show that a withdrawn key still learns an outcome after a wait

A call for the outcome of an idempotency key may wait for the other requests of its account, up to the default time-out of 30 s. Its key is looked up before that wait only.

Seen: assert 404 == 401 (the claim was looked up; none was recorded)

--- a/tests/entry/test_at_most_once.py
+++ b/tests/entry/test_at_most_once.py
@@ -263,3 +263,25 @@
     harness.wait_until(lambda: entry.progress.is_idle)
     _, _, document = entry.call(path='/v1/requests/k', method='GET')
     assert (document['ran'], entry.pool.held) == ('yes', 0)
+
+
+def test_outcome_is_not_told_to_a_key_withdrawn_during_the_wait():
+    """Guards against outcomes told to a key that has no permission now."""
+
+    def scenario():
+        limits = {'concurrency': 1}
+        entry = harness.Entry(virtual=True, setup=harness.setup(limits))
+        entry.pool.gate = harness.new_gate()
+        eventlet.spawn(entry.call_in_memory, {'model': 'plan'})
+        outcome = eventlet.spawn(
+            entry.call_in_memory,
+            {},
+            REQUEST_METHOD='GET',
+            PATH_INFO='/v1/requests/k',
+        )
+        clock.sleep(20)
+        entry.setup = harness.setup(limits, version=8, key='another key')
+        entry.pool.gate.send()
+        return outcome.wait()[0]
+
+    assert virtual_hub.run(scenario) == 401
