Look the key up again before an outcome is told

Cause: the call for an outcome used the permission from before its wait for the other requests of its account.

The key is now looked up after the wait, under the setup that is in force then.

--- a/ivystep/entry/api.py
+++ b/ivystep/entry/api.py
@@ -207,6 +207,8 @@
         grant = admission.authenticate(call.environ, setup)
         ticket = self._admit(call, grant)
         ticket.start(clock.now() + self._request_limits.default_timeout_s)
+        # The key may have been withdrawn during the wait.
+        grant = admission.authenticate(call.environ, self._setup_in_force())
         key = call.path.removeprefix(OUTCOME_PREFIX)
         return call.send(self._claims.outcome(grant.account.name, key))
 
