Show that a late forecast refuses requests that could be served

The planner forecasts how long an adapter takes from its decision on; the entry adds that to the time at which it processes the answer, which comes up to 2 s later, or more if the entry was paused.

Seen: assert ('overloaded', 3.0) == ('deadline_exceeded', 4)

--- a/tests/entry/test_pool.py
+++ b/tests/entry/test_pool.py
@@ -412,3 +412,24 @@
         return [order.ref for _, order in link.orders]
 
     assert virtual_hub.run(scenario) == [pool_fakes.ref('b')]
+
+
+def test_forecast_counts_from_the_report_and_not_from_its_late_answer():
+    """Guards against requests refused because a forecast arrived late."""
+
+    class SlowSink:
+        def report_demand(self, entry_id, demands):
+            clock.sleep(3)
+            return tuple(
+                types.LoadForecast(demand.ref, 2.0, 1.0) for demand in demands
+            )
+
+    def scenario():
+        sink = SlowSink()
+        base_pool = pool.Pool('base', 'entry-1', lambda name, local: sink)
+        pool_fakes.FakeLink(base_pool)
+        wanted = dataclasses.replace(pool_fakes.request('a'), start_by=4.0)
+        return pool_fakes.outcome(base_pool, wanted)
+
+    # The adapter may be ready after 2 s, and the request can wait for 4 s.
+    assert virtual_hub.run(scenario) == ('deadline_exceeded', 4)
