Count a forecast from the report of the demand

Cause: the entry added the forecast time to the time at which it processed the answer.

It is now added to the time at which the demand was reported, the earliest at which the forecast can have been made, so no request is refused that the adapter may still reach. Report and forecast are rounded down to milliseconds on their way; 2 ms are added, so that a planner's refusal of demand still holds at the entry that reported it.

Ruled out: the middle between report and answer. It is right for an even delay only, and a request that waits in vain gets its refusal at its latest start.

--- a/ivystep/entry/demand_reporter.py
+++ b/ivystep/entry/demand_reporter.py
@@ -8,7 +8,7 @@
 
 from ivystep.core import errors, types
 from ivystep.entry import local_demand, planner
-from ivystep.runtime import logs
+from ivystep.runtime import clock, logs
 
 REPORT_INTERVAL_S = 0.1
 
@@ -25,7 +25,8 @@
         local: The planner at this entry; it always counts arrivals.
         choose_sink: Returns the planner of the pool; see ``pool.ChooseSink``.
         on_forecast: Called for each adapter that is loaded too late for some
-            of the waiting requests.
+            of the waiting requests, with the time at which the demand was
+            reported.
         idle_report_s: Time between reports while no request waits, in seconds.
     """
 
@@ -36,7 +37,7 @@
         demand: local_demand.LocalDemand,
         local: typing.Any,
         choose_sink: Callable[[str, planner.DemandSink], planner.DemandSink],
-        on_forecast: Callable[[types.LoadForecast], None],
+        on_forecast: Callable[[types.LoadForecast, float], None],
         idle_report_s: float,
     ) -> None:
         self._pool = pool
@@ -85,10 +86,11 @@
         demands = self._demand.collect()
         if sink is not self._local:
             self._local.count_arrivals(demands)
+        reported_at = clock.now()
         try:
             forecasts = sink.report_demand(self._process_id, demands)
         except errors.IvystepError as error:
             log.info('Demand of pool %s not reported: %s.', self._pool, error)
             return
         for forecast in forecasts:
-            self._on_forecast(forecast)
+            self._on_forecast(forecast, reported_at)
--- a/ivystep/entry/pool.py
+++ b/ivystep/entry/pool.py
@@ -26,6 +26,8 @@
 
 IDLE_REPORT_INTERVAL_S = 1.0
 MIN_RETRY_AFTER_S = 1.0
+# Demand and forecast are rounded down to milliseconds on their way.
+WIRE_ROUNDING_S = 0.002
 
 MakePlanner = Callable[[str, routing.UpstreamIndex], typing.Any]
 ChooseSink = Callable[[str, planner.DemandSink], planner.DemandSink]
@@ -297,8 +299,19 @@
             self._demand.record_arrival(request.adapter, request)
             self._reporter.start()
 
-    def _refuse_late(self, forecast: types.LoadForecast) -> None:
-        ready_at = clock.now() + forecast.ready_in_s
+    def _refuse_late(
+        self, forecast: types.LoadForecast, reported_at: float
+    ) -> None:
+        """Refuse the requests that cannot start in time.
+
+        The forecast may have arrived late, but was not made before the demand
+        was reported.
+
+        Args:
+            forecast: The planner's forecast.
+            reported_at: Time at which the demand was reported.
+        """
+        ready_at = reported_at + forecast.ready_in_s + WIRE_ROUNDING_S
         for waiter in self._waiting.waiting_for(forecast.ref):
             if waiter.start_by < ready_at:
                 self._waiting.discard(waiter)
