Let crashes at one moment leave a trial of their parts

Cause: the evidence against a part counted what a host heard, and when. Five crashes within a second ended all trials, so popular sound parts were refused for an hour; rows that arrived together counted as one crash, the two rows of one crash as two; a request that was refused for another part took the trial of a sound one; rows written late brought back what had been cleared; a part with many crashes was forgotten first; each completed request looked at all answers in progress; each lost request wrote equal rows.

Change: a crash is an upstream and its incarnation, whatever rows tell of it, and crashes are ordered by the clocks of the hosts that saw them. The trials of a part end after five crashes of which one came 0.6 s or more after the refusal, and one more follows 15 minutes after the last. A request becomes a trial only if all its refused parts may be tried, and until its attempt has ended. Cleared crashes are remembered, refused parts outlast others, answers in progress are looked at four times a second and once each, rows are written once.

--- a/ivystep/gateway/crashes.py
+++ b/ivystep/gateway/crashes.py
@@ -181,27 +181,10 @@
         A crash without a row still counts: its row may not be written yet.
         """
         for row in found:
-            self._apply(row, is_new=False)
+            self.apply_row(row)
 
     def apply_row(self, row: rows.StoredRow) -> None:
         """Apply one row; see ``feeds.TableSink``."""
-        self._apply(row, is_new=True)
-
-    def on_store_lost(self) -> None:
-        """Keep the known crashes."""
-
-    def on_store_restored(self) -> None:
-        """Write the crashes that this host has seen again."""
-        for key in self._own_keys:
-            crash = self._crash_by_key.get(key)
-            if crash is not None:
-                self._writer.write(crash_rows.encode(crash))
-        self.parts.write_again()
-
-    def on_store_regained(self) -> None:
-        """Do nothing; the feed resumes at its last store version."""
-
-    def _apply(self, row: rows.StoredRow, *, is_new: bool) -> None:
         if row.is_deleted:
             self._remove(row.key)
             self.parts.remove(row.key)
@@ -215,10 +198,24 @@
             return
         self._log_learned(crash)
         if isinstance(crash, crash_rows.PartCrash):
-            self.parts.add(crash, is_new=is_new)
+            self.parts.add(crash)
         else:
             self._add(crash)
 
+    def on_store_lost(self) -> None:
+        """Keep the known crashes."""
+
+    def on_store_restored(self) -> None:
+        """Write the crashes that this host has seen again."""
+        for key in self._own_keys:
+            crash = self._crash_by_key.get(key)
+            if crash is not None:
+                self._writer.write(crash_rows.encode(crash))
+        self.parts.write_again()
+
+    def on_store_regained(self) -> None:
+        """Do nothing; the feed resumes at its last store version."""
+
     def _raise_if_part_refused(self, state: request_state.RequestState) -> None:
         refused_s = self.parts.refused_for_s(state)
         if refused_s > 0:
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -140,8 +140,11 @@
                 peer=state.service,
             )
         is_sent = False
-        while not is_sent:
-            is_sent = self._place_and_send(state, target)
+        try:
+            while not is_sent:
+                is_sent = self._place_and_send(state, target)
+        finally:
+            self._crashes.parts.end_trials(state)
 
     def _raise_if_version_gone(self, state: request_state.RequestState) -> None:
         """Refuse a resumed stream whose software version has no upstream."""
--- a/ivystep/platform/crash_rows.py
+++ b/ivystep/platform/crash_rows.py
@@ -71,9 +71,14 @@
     recorded: float
     has_begun: bool
 
+    @property
+    def crash_id(self) -> str:
+        """Id of the crash: the upstream and its incarnation."""
+        return f'{self.upstream_id}/{self.incarnation}'
+
     @property
     def key(self) -> str:
-        """Key of the row, equal for all hosts that saw the crash."""
+        """Key of the row, equal for all hosts that saw the same."""
         return ids.digest(
             b'begun part' if self.has_begun else b'part',
             self.part_id.encode(),
