Show that an entry discards a request that arrived in time

The test fails: the entry closes an idle connection although the next request arrived before the idle limit, and the caller gets no answer.

Cause: the hub runs due timers before it looks for received bytes. An entry that wakes late, after a pause or on a busy machine, therefore runs the idle time-out of a connection first, and the closing connection reads and drops the request.

--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -6,6 +6,7 @@
 
 import eventlet
 import pytest
+from eventlet import hubs
 
 from tests.entry import harness
 
@@ -261,6 +262,26 @@
     assert raw.count(b'HTTP/1.1 200 OK') == 3
 
 
+def test_request_that_arrives_before_the_idle_limit_is_answered(
+    entry, monkeypatch
+):
+    """Guards against an entry that wakes late and discards a request.
+
+    The hub runs timers that are due before it looks for received bytes.
+    """
+    with entry.connect() as connection:
+        connection.sendall(harness.head_and_body(connection='keep-alive'))
+        assert b'{}' in connection.recv(4096)
+        # Received bytes resume this task, so the hub runs timers next.
+        entry.call()
+        hub = hubs.get_hub()
+        connection.sendall(harness.head_and_body())
+        late_s = 2 * harness.LIMITS.read_timeout_s
+        real_clock = hub.clock
+        monkeypatch.setattr(hub, 'clock', lambda: real_clock() + late_s)
+        assert harness.parse(harness.read_all(connection))[0] == 200
+
+
 def test_small_chunks_are_sent_at_once():
     """Guards against tokens that are buffered up to 4 KiB."""
     gate = harness.new_gate()
