Answer a request that arrived before the idle limit

When the wait for a request times out, the entry looks once more whether bytes have arrived, without waiting, and reads the request if so.

Ruled out: a longer time-out, which only makes the case rarer.

--- a/ivystep/entry/connections.py
+++ b/ivystep/entry/connections.py
@@ -283,7 +283,7 @@
         try:
             # From the first byte of a request on, the connection is not idle:
             # the request must be answered even if the listener is closed now.
-            is_ended = not self.rfile.peek(1)
+            is_ended = not self._wait_for_bytes()
         except (OSError, ValueError):
             return b''
         if is_ended:
@@ -302,6 +302,24 @@
             return b''
         return line
 
+    def _wait_for_bytes(self) -> bytes:
+        """Return received bytes without consuming them; empty at the end.
+
+        Raises:
+            OSError: Nothing arrived in time, or the connection is broken.
+        """
+        try:
+            return self.rfile.peek(1)
+        except TimeoutError:
+            # The hub runs due timers before it looks for received bytes, so a
+            # request that arrived in time may still be unread if this process
+            # was paused or busy.
+            self._peek()
+        # A file object cannot be read again after a time-out.
+        self.rfile.close()
+        self.rfile = self.connection.makefile('rb', self.rbufsize)
+        return self.rfile.peek(1)
+
     def _head_time_left(self) -> float:
         return max(self._head_deadline - clock.now(), 0)
 
