Reuse callers' connections only well before the idle limit

Cause: an entry closes a connection after 10 s without a request. A request sent while the entry closes the connection gets no answer, and the entry owes none. The test counted it as lost.

Callers now open a new connection 5 s after the start of the last request.

Ruled out: to forgive broken calls on reused connections, or to repeat them; both would hide an answer that the entry owed. A new connection for each call would no longer test kept connections.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -3,13 +3,21 @@
 import dataclasses
 import enum
 import json
+import time
 import typing
 
 import urllib3
+from urllib3 import connection, connectionpool
+
+from ivystep.settings import models
 
 TIMEOUT_MS = 2000
 # Well beyond ``TIMEOUT_MS``; a call that takes longer counts as unanswered.
 ANSWER_TIMEOUT_S = 12.0
+# An entry closes a connection that is idle for its ``read_timeout_s``. A
+# request sent at that moment gets no answer, and the entry owes none, so
+# connections are reused well before it only.
+REUSE_LIMIT_S = models.RequestLimits().read_timeout_s / 2
 MAX_TOKENS = 30
 PREFIX = 'data: '
 
@@ -74,6 +82,49 @@
     text: str = ''
 
 
+class _Connection(connection.HTTPConnection):
+    """Connection that counts as closed ``REUSE_LIMIT_S`` after a request.
+
+    The time runs from the start of the last request, which precedes the start
+    of the entry's idle limit.
+    """
+
+    def __init__(self, *args: typing.Any, **options: typing.Any) -> None:
+        super().__init__(*args, **options)
+        self._sent_at_s = 0.0
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the next request may use the connection."""
+        # The superclass yields to other tasks, so the time is checked last.
+        return (
+            super().is_connected
+            and time.monotonic() < self._sent_at_s + REUSE_LIMIT_S
+        )
+
+    def request(self, *args: typing.Any, **options: typing.Any) -> None:
+        """Send a request."""
+        self._sent_at_s = time.monotonic()
+        super().request(*args, **options)
+
+
+class _ConnectionPool(connectionpool.HTTPConnectionPool):
+    """Pool of connections that are not reused late."""
+
+    def __init__(self, *args: typing.Any, **options: typing.Any) -> None:
+        super().__init__(*args, **options)
+        self.ConnectionCls = _Connection
+
+
+def http_client() -> urllib3.PoolManager:
+    """Return a client without retries for ``call``."""
+    http = urllib3.PoolManager(
+        retries=False, maxsize=64, timeout=ANSWER_TIMEOUT_S
+    )
+    http.pool_classes_by_scheme = {'http': _ConnectionPool}
+    return http
+
+
 def bearer_key(account: str, application: str) -> str:
     """Return the key of an application."""
     return f'key-{account}-{application}'
@@ -85,7 +136,7 @@
     """Send a request to an entry and wait for the end of the answer.
 
     Args:
-        http: Client without retries.
+        http: See ``http_client``.
         entry: Name of the entry.
         url: Its base URL.
         request: The request.
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -85,9 +85,7 @@
         self.relay_by_host: dict[str, relay.Relay] = {}
         self.outcomes: list[callers.Outcome] = []
         self.disturbed_entries: set[str] = set()
-        self.http = urllib3.PoolManager(
-            retries=False, maxsize=64, timeout=callers.ANSWER_TIMEOUT_S
-        )
+        self.http = callers.http_client()
         self._numbers = itertools.count(1)
         self._seen_lines: set[str] = set()
         self._expected_lines: tuple[str, ...] = ()
