Let hosts rely on the leader's progress instead of polling the store

Cause: each gateway polled four tables of the store by itself, whatever had changed: the operator's table every 1.2 s, crashes every 2 s, the lease every 0.75 s, and the upstreams' entries every 0.4 s, since each adapter that an engine loads changes one. That is 5.2 calls a second for each gateway.

Change: the leader polls often, and its heartbeats tell the other hosts the version of the last change of each table and the store's time up to which it has seen all changes. A host that has that change does not poll; it reads a change that it lacks from the store itself. It polls as before once what the leader tells is older than 0.6 of the shorter of config_ms and drain_ms, so a leader that has stopped, was suspended or has lost the store costs no bound. Of the upstreams' entries, changes of held adapters alone are none that all hosts need soon; the leader tells of its orders itself, and each host reads the entries every 4 s. The heartbeats also tell of renewals of the lease, so that the row is read only when they cease; the next leader then waits from the last renewal, not from its own read.

Ruled out: longer fixed waits, which miss the bounds on a silent path.

--- a/ivystep/coordination/lease.py
+++ b/ivystep/coordination/lease.py
@@ -19,6 +19,7 @@
 import dataclasses
 import random
 import typing
+from collections.abc import Callable
 
 from eventlet import semaphore
 
@@ -34,6 +35,9 @@
 RENEWAL_SHARE = 1 / 3
 RETRY_SHARE = 1 / 12
 POLL_SHARE = 1 / 4
+# Age, as a share of the duration, up to which a renewal that the holder has
+# told of is recent. One that comes late once is no reason to read the row.
+RECENT_SHARE = 1 / 2
 JITTER_SHARE = 0.2
 RELEASE_TRIES = 3
 # A process that no longer recognizes its own write waits for its own lease to
@@ -61,6 +65,22 @@
         return cls(**row.value)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Renewal:
+    """A write of the holder, as another process was told of it.
+
+    Attributes:
+        token: Fencing token of the written row.
+        version: Version of the written row.
+        sent_at: Uptime of this process, in seconds, before which the holder
+            sent the write.
+    """
+
+    token: int
+    version: int
+    sent_at: float
+
+
 class Lease:
     """A lease that this process acquires, renews and releases.
 
@@ -79,6 +99,8 @@
             acquire the lease; several times the time-out of the table service.
         is_sole: Whether at most one process with this holder id exists, so
             that a row which names it was written by a process that has ended.
+        told_renewal: Returns the last renewal that the holder has told this
+            process of, or None. While it is recent, the row is not read.
     """
 
     def __init__(
@@ -89,16 +111,19 @@
         duration_s: float,
         *,
         is_sole: bool = False,
+        told_renewal: Callable[[], Renewal | None] | None = None,
     ) -> None:
         self.token = 0
         self.seen_holder_id = ''
         self.previous_holder_id = ''
         self._is_sole = is_sole
+        self._told_renewal = told_renewal
         self._rows = rows
         self._key = key
         self._holder_id = holder_id
         self._duration_s = duration_s
         self._valid_until = 0.0
+        self._renewed_at = 0.0
         # Version and token of the row that the next write replaces.
         self._version = 0
         self._row_token = 0
@@ -114,6 +139,10 @@
         """Return whether the lease is certainly still held."""
         return clock.uptime() < self._valid_until
 
+    def renewal(self) -> Renewal:
+        """Return the last write of this process that took effect."""
+        return Renewal(self.token, self._version, self._renewed_at)
+
     def acquire(self) -> int:
         """Wait until the lease is acquired.
 
@@ -186,7 +215,7 @@
         if is_older:
             self._wait_for_forgotten_holder(row)
         elif row is not None and not self._is_free(row):
-            self._wait_for_expiry(row)
+            row = self._wait_for_expiry(row)
         with self._write_lock:
             self._is_releasing = False
             self._version = _version(row)
@@ -231,32 +260,60 @@
             return True
         return record.write_id in self._sent_at_by_write_id
 
-    def _wait_for_expiry(self, row: table.Row) -> None:
+    def _wait_for_expiry(self, row: table.Row) -> table.Row:
         """Wait until a row has been unchanged for the duration of its lease.
 
         The reads meanwhile only detect a change early. They may fail: the
-        write that follows expects the version of the row given here.
+        write that follows expects the version of the returned row. While the
+        holder tells of recent renewals, the row is not read.
 
         Args:
             row: The row. It was written before the read of it ended, so its
                 holder started to count the duration before this process does.
 
+        Returns:
+            The row whose lease has expired; the holder may have told of
+            renewals since the given one.
+
         Raises:
             errors.ConflictError: The row has changed.
         """
-        deadline = clock.uptime() + _Record.from_row(row).duration_s
+        duration_s = _Record.from_row(row).duration_s
+        deadline = clock.uptime() + duration_s
         while clock.uptime() < deadline:
             clock.sleep(
                 min(deadline - clock.uptime(), POLL_SHARE * self._duration_s)
             )
+            told = self._told_renewal() if self._told_renewal else None
+            if _is_recent(told, duration_s):
+                deadline = clock.uptime() + duration_s
+                continue
             try:
-                current = self._read()
+                current = self._read_unchanged(row, told)
             except errors.UnavailableError:
                 continue
-            if current is None or current.version != row.version:
-                raise errors.ConflictError(
-                    'another process holds the lease', step='acquire'
-                )
+            if _is_written_by(told, current):
+                row = current
+                deadline = told.sent_at + duration_s
+        return row
+
+    def _read_unchanged(
+        self, row: table.Row, told: Renewal | None
+    ) -> table.Row:
+        """Read a row that is unchanged but for a renewal that was told.
+
+        Raises:
+            errors.ConflictError: The row has changed.
+            errors.UnavailableError: The row could not be read.
+        """
+        current = self._read()
+        if current is not None and (
+            current.version == row.version or _is_written_by(told, current)
+        ):
+            return current
+        raise errors.ConflictError(
+            'another process holds the lease', step='acquire'
+        )
 
     def _wait_for_forgotten_holder(self, row: table.Row | None) -> None:
         """Wait until a holder that the restored row does not name has ended.
@@ -346,6 +403,7 @@
         self.seen_holder_id = '' if record.is_released else record.holder_id
         if not self._is_releasing and not record.is_released:
             valid_s = self._duration_s * (1 - SAFETY_MARGIN_SHARE)
+            self._renewed_at = sent_at
             self._valid_until = sent_at + valid_s
 
     def _remember(self, record: _Record) -> None:
@@ -364,6 +422,20 @@
         clock.sleep(share * jitter * self._duration_s)
 
 
+def _is_recent(renewal: Renewal | None, duration_s: float) -> bool:
+    if renewal is None:
+        return False
+    return clock.uptime() < renewal.sent_at + RECENT_SHARE * duration_s
+
+
+def _is_written_by(renewal: Renewal | None, row: table.Row) -> bool:
+    """Return whether a row is the one that a renewal has written."""
+    if renewal is None:
+        return False
+    token = _Record.from_row(row).token
+    return (token, row.version) == (renewal.token, renewal.version)
+
+
 def _version(row: table.Row | None) -> int:
     """Return the version of a row; 0 if it does not exist."""
     return row.version if row else 0
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -18,7 +18,7 @@
     engine_link,
     event_metrics,
     events,
-    feeds,
+    followed_tables,
     host_shares,
     leadership,
     limited_upstreams,
@@ -32,19 +32,17 @@
     safeguard,
     store_contact,
     stream_origins,
+    table_progress,
     upstream_state,
     version_choice,
     version_source,
 )
 from ivystep.metrics import operators_app, registry
 from ivystep.platform import (
-    crash_rows,
     engine_api,
-    operator_config,
     readiness,
     rows,
     table,
-    upstream_entries,
 )
 from ivystep.policy import load_times
 from ivystep.runtime import clock, drain, event_log
@@ -110,6 +108,11 @@
             contact,
             settings.bounds.heartbeat_s,
         )
+        self._progress = table_progress.SharedProgress(
+            settings.bounds.leader_age_s,
+            lambda: self._leadership.is_leader,
+            contact.on_not_needed,
+        )
         self._residency_updates = residency_updates.ResidencyUpdates(
             host,
             self._on_residency_update,
@@ -117,6 +120,8 @@
             self._on_requests_in_progress,
             self._shares.on_host_count,
             lambda: self._leadership.is_leader,
+            self._progress,
+            lambda: self._leadership.renewal(),
         )
         self._leadership = leadership.Leadership(
             table.TableClient(
@@ -288,7 +293,6 @@
 
     def _start_background(self) -> None:
         addresses = self.settings.addresses
-        store = self.settings.store
         self._spawn(
             wsgi.server,
             eventlet.listen(addresses.readiness),
@@ -314,14 +318,7 @@
                 self._prefill_queues.answer,
             ).handle,
         )
-        self._follow(operator_config.TABLE, self._config, store.config_wait_s)
-        self._follow(
-            upstream_entries.TABLE,
-            self._membership,
-            store.config_wait_s,
-            store.upstream_pause_s,
-        )
-        self._follow(crash_rows.TABLE, self._crashes, store.crash_wait_s)
+        self._follow_tables()
         self._spawn(self._remove_expired_crashes)
         self._spawn(self._leadership.run)
         self._spawn(self._leadership.follow)
@@ -330,18 +327,22 @@
         self._spawn(self._apply_totals_as_leader)
         self._spawn(loop_lag.measure, self._event_metrics, self._log)
 
-    def _follow(
-        self,
-        name: str,
-        sink: feeds.TableSink,
-        wait_s: float,
-        pause_s: float = 0.0,
-    ) -> None:
-        """Start a feed of a table of the store."""
-        feed = feeds.TableFeed(
-            self._rows, name, sink, self._log, wait_s=wait_s, pause_s=pause_s
+    def _follow_tables(self) -> None:
+        """Start the feeds of the tables of the store."""
+        followed = followed_tables.FollowedTables(
+            self._rows, self.settings.store, self._progress, self._log
         )
-        self._spawn(feed.run)
+        for feed in (
+            followed.feed_of_configuration(self._config),
+            followed.feed_of_upstreams(
+                self._membership, self._last_needed_version
+            ),
+            followed.feed_of_crashes(self._crashes),
+        ):
+            self._spawn(feed.run)
+
+    def _last_needed_version(self) -> int:
+        return self._membership.needed_version
 
     def _planner_for(self, name: str) -> typing.Any:
         target = self._pools.find_by_name(name)
--- a/ivystep/gateway/feeds.py
+++ b/ivystep/gateway/feeds.py
@@ -10,10 +10,10 @@
 import math
 import random
 import typing
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from ivystep.core import errors
-from ivystep.gateway import events
+from ivystep.gateway import events, table_progress
 from ivystep.platform import rows
 from ivystep.policy import store_clock
 from ivystep.runtime import clock, event_log
@@ -21,6 +21,9 @@
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 0.8
 JITTER_SHARE = 0.3
+# Longest time without a poll of an unchanged table. The store keeps its history
+# for about this long, after which the whole table would be read.
+MAX_SKIP_S = 15.0
 
 
 class TableSink(typing.Protocol):
@@ -46,6 +49,21 @@
         """Handle the end of an outage, after the rows of the first answer."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FeedTimings:
+    """Timings of the polls of a feed.
+
+    Attributes:
+        wait_s: Longest time that the store waits for a change, in seconds.
+        pause_s: Time between two calls, in seconds.
+        max_skip_s: Longest time without a poll, in seconds.
+    """
+
+    wait_s: float
+    pause_s: float = 0.0
+    max_skip_s: float = MAX_SKIP_S
+
+
 class TableFeed:
     """Keeps a sink up to date with a table.
 
@@ -53,9 +71,12 @@
         client: Client of the store.
         table: Name of the table.
         sink: Consumer of the rows.
-        wait_s: Longest time that the store waits for a change, in seconds.
-        pause_s: Time between two calls, in seconds.
         log: Event log of outages.
+        timings: Timings of the polls.
+        shared: The leader's progress, which makes polls needless; None to poll
+            always.
+        needed_version: Returns the version of the last change that all hosts
+            need; all changes are if None.
 
     Attributes:
         version: Store version up to which the sink has all changes.
@@ -69,9 +90,9 @@
         table: str,
         sink: TableSink,
         log: event_log.EventLog,
-        *,
-        wait_s: float,
-        pause_s: float,
+        timings: FeedTimings,
+        shared: table_progress.SharedProgress | None = None,
+        needed_version: Callable[[], int] | None = None,
     ) -> None:
         self.version = 0
         self.era = 0
@@ -80,8 +101,13 @@
         self._table = table
         self._sink = sink
         self._log = log
-        self._wait_s = wait_s
-        self._pause_s = pause_s
+        self._timings = timings
+        self._shared = shared
+        self._needed_version = needed_version
+        # Versions of the last whole read and of the newest changed row.
+        self._read_version = 0
+        self._newest_row_version = 0
+        self._answered_store_time_s: float | None = None
         self._has_rows = False
         self._lost_at: float | None = None
         self._store_clock = store_clock.StoreClock()
@@ -100,7 +126,28 @@
                 retry_s = min(2 * retry_s, MAX_RETRY_S)
             else:
                 retry_s = FIRST_RETRY_S
-                clock.sleep(self._pause_s)
+                clock.sleep(self._timings.pause_s)
+                self._wait_while_unchanged()
+
+    def progress(self) -> table_progress.TableProgress | None:
+        """Return how far the sink has followed the table.
+
+        Returns:
+            None before the first read, during an outage, or if the store does
+            not tell its time.
+        """
+        complete_at_s = self._answered_store_time_s
+        if self._lost_at is not None or complete_at_s is None:
+            return None
+        version = self._newest_row_version
+        if self._needed_version is not None:
+            version = self._needed_version()
+        return table_progress.TableProgress(
+            self._table,
+            self.era,
+            max(version, self._read_version),
+            complete_at_s,
+        )
 
     def step(self) -> None:
         """Read the table, or poll its change feed once.
@@ -114,7 +161,7 @@
         if not self._has_rows:
             self._read()
             return
-        wait_s = self._wait_s if self._lost_at is None else 0.0
+        wait_s = self._poll_wait_s()
         sent_at = clock.uptime()
         try:
             changes = self._client.changes(self._table, self.version, wait_s)
@@ -128,10 +175,44 @@
             return
         self._raise_if_stale(changes)
         for row in self._dated(changes):
+            self._newest_row_version = max(
+                self._newest_row_version, row.version
+            )
             self._sink.apply_row(row)
         self.version = changes.version
         self._on_answer(changes, sent_at)
 
+    def _poll_wait_s(self) -> float:
+        if self._lost_at is not None:
+            return 0.0
+        if self._shared is None:
+            return self._timings.wait_s
+        return self._shared.limit_poll_s(self._timings.wait_s)
+
+    def _wait_while_unchanged(self) -> None:
+        """Wait while the leader knows of no change that this host lacks."""
+        if self._shared is None:
+            return
+        poll_at = clock.uptime() + self._timings.max_skip_s
+        while True:
+            wait_s = min(self._unchanged_s(), poll_at - clock.uptime())
+            if wait_s <= 0:
+                return
+            self._shared.wait(wait_s)
+            self._shared.on_current()
+
+    def _unchanged_s(self) -> float:
+        """Return for how long the leader's progress makes a poll needless."""
+        told = self._shared and self._shared.find(self._table)
+        if not told or self._lost_at is not None:
+            return 0.0
+        if told.era != self.era or told.version > self.version:
+            return 0.0
+        complete_at = self._store_clock.to_uptime(told.complete_at_s)
+        if self._needed_version is None:
+            self._complete_at = max(self._complete_at, complete_at)
+        return complete_at + self._shared.max_age_s - clock.uptime()
+
     def _read(self) -> None:
         sent_at = clock.uptime()
         found = self._client.read_all(self._table)
@@ -142,6 +223,8 @@
             self._raise_if_stale(found)
         self._sink.replace_rows(self._dated(found))
         self.version = found.version
+        self._read_version = found.version
+        self._newest_row_version = found.version
         self.era = era
         self._has_rows = True
         self._on_answer(found, sent_at)
@@ -192,10 +275,12 @@
             self._lost_at = clock.now()
             self._sink.on_store_lost()
         self._store_clock = store_clock.StoreClock()
+        self._newest_row_version = 0
         self._sink.on_store_restored()
 
     def _on_answer(self, answer: rows.RowSet, sent_at: float) -> None:
         self._complete_at = sent_at
+        self._answered_store_time_s = answer.store_time_s
         if answer.store_time_s is not None:
             self._complete_at = self._store_clock.uptime_of(
                 answer.store_time_s, sent_at
--- a/ivystep/gateway/leadership.py
+++ b/ivystep/gateway/leadership.py
@@ -92,6 +92,7 @@
             _holder_id(host, address),
             timings.lease_s,
             is_sole=True,
+            told_renewal=updates.told_renewal,
         )
 
     @property
@@ -104,6 +105,10 @@
         """Whether this host holds the lease."""
         return self._lease.is_held()
 
+    def renewal(self) -> lease.Renewal:
+        """Return this host's last renewal of the lease."""
+        return self._lease.renewal()
+
     def authority(self) -> order_sender.Authority | None:
         """Return the permission to send orders now, or None."""
         if not self._lease.is_held() or clock.now() < self._active_from:
--- a/ivystep/gateway/membership.py
+++ b/ivystep/gateway/membership.py
@@ -11,6 +11,7 @@
 """
 
 import collections
+import dataclasses
 from collections.abc import Callable, Sequence
 
 import eventlet
@@ -40,6 +41,9 @@
 
     Attributes:
         upstream_by_id: Upstreams that have an entry or may regain it.
+        needed_version: Store version of the last change that every host must
+            learn of soon. Adapters that an upstream holds are none: the leader
+            tells of its orders itself.
     """
 
     def __init__(
@@ -51,6 +55,8 @@
         heartbeat_s: float,
     ) -> None:
         self.upstream_by_id: dict[str, upstream_state.Upstream] = {}
+        self.needed_version = 0
+        self._essentials_by_id: dict[str, upstreams.UpstreamEntry] = {}
         self._log = log
         self._on_change = on_change
         self._on_removed = on_removed
@@ -71,6 +77,8 @@
     def replace_rows(self, found: Sequence[rows.StoredRow]) -> None:
         """Apply all rows; see ``feeds.TableSink``."""
         present = {row.key for row in found}
+        for gone in set(self._essentials_by_id) - present:
+            del self._essentials_by_id[gone]
         for row in found:
             self.apply_row(row)
         for upstream_id in set(self.upstream_by_id) - present:
@@ -82,6 +90,7 @@
             return
         self._version_by_id[row.key] = row.version
         if row.is_deleted:
+            self._record_essentials(row, None)
             self._version_by_id.pop(row.key)
             if row.key in self.upstream_by_id:
                 self._on_missing(row.key)
@@ -92,8 +101,10 @@
             self._log.write(
                 events.EntryIgnored(row.key, error.reason, row.version)
             )
+            self._record_essentials(row, None)
             self._remove(row.key, 'the entry is malformed')
             return
+        self._record_essentials(row, entry)
         self._apply_entry(entry)
 
     def on_store_lost(self) -> None:
@@ -107,6 +118,7 @@
         the time that expired entries get.
         """
         self._version_by_id.clear()
+        self.needed_version = 0
         self._is_copy = True
         self._restored_at = clock.now()
 
@@ -141,6 +153,24 @@
         known.replace_entry(entry, clock.now())
         self._on_change(known)
 
+    def _record_essentials(
+        self, row: rows.StoredRow, entry: upstreams.UpstreamEntry | None
+    ) -> None:
+        """Record whether all hosts need a change of an entry.
+
+        Args:
+            row: The changed row.
+            entry: Its content; None if it names no upstream.
+        """
+        essentials = None if entry is None else _essentials(entry)
+        if essentials == self._essentials_by_id.get(row.key):
+            return
+        self.needed_version = max(self.needed_version, row.version)
+        if essentials is None:
+            del self._essentials_by_id[row.key]
+        else:
+            self._essentials_by_id[row.key] = essentials
+
     def _is_late_heartbeat(self, entry: upstreams.UpstreamEntry) -> bool:
         """Return whether an incarnation that has left seems to be ready.
 
@@ -218,6 +248,19 @@
         )
 
 
+def _essentials(entry: upstreams.UpstreamEntry) -> upstreams.UpstreamEntry:
+    """Return an entry without what hosts need not learn of soon."""
+    return dataclasses.replace(
+        entry,
+        held_model_by_name={
+            name: dataclasses.replace(model, adapter_versions={})
+            for name, model in entry.held_model_by_name.items()
+        },
+        leaves_in_s=0.0 if entry.leaves_in_s is not None else None,
+        version=0,
+    )
+
+
 def _drop_oldest(
     remembered: collections.OrderedDict[tuple[object, ...], None],
 ) -> None:
--- a/ivystep/gateway/residency_updates.py
+++ b/ivystep/gateway/residency_updates.py
@@ -14,7 +14,9 @@
 import eventlet
 from eventlet import queue
 
+from ivystep.coordination import lease
 from ivystep.core import errors, types, units
+from ivystep.gateway import table_progress
 from ivystep.runtime import clock
 from ivystep.wire import channel, convert
 from ivystep.wire.gen import ttypes
@@ -55,6 +57,8 @@
         on_requests: Called with all hosts' requests in progress by upstream.
         on_host_count: Called with the number of hosts, including this one.
         is_leader: Returns whether this host is the leader.
+        progress: Progress with the store's tables that the leader tells.
+        own_renewal: Returns this host's last renewal of the leader's lease.
     """
 
     def __init__(
@@ -65,7 +69,12 @@
         on_requests: Callable[[RequestsByUpstream], None],
         on_host_count: Callable[[int], None],
         is_leader: Callable[[], bool],
+        progress: table_progress.SharedProgress,
+        own_renewal: Callable[[], lease.Renewal],
     ) -> None:
+        self._own_renewal = own_renewal
+        self._told_renewal: lease.Renewal | None = None
+        self._progress = progress
         self._host = host
         self._on_update = on_update
         self._own_requests = own_requests
@@ -104,9 +113,12 @@
         try:
             while self._may_send_to(pending) and not receiver.dead:
                 batch = _next_updates(pending)
-                link.send(
-                    _message(batch, self._total_requests(), self._host_count)
+                message = _message(
+                    batch, self._total_requests(), self._host_count
                 )
+                message.tables = _progress_items(self._progress.own())
+                message.renewal = _renewal_item(self._own_renewal())
+                link.send(message)
         finally:
             self._follower_queues.discard(pending)
             receiver.kill()
@@ -121,6 +133,25 @@
         Raises:
             errors.LinkError: The connection ended or fell silent.
         """
+        try:
+            self._follow(link)
+        finally:
+            self._told_renewal = None
+
+    def told_renewal(self) -> lease.Renewal | None:
+        """Return the last renewal of its lease that the leader has told.
+
+        Returns:
+            None while this host does not follow a leader.
+        """
+        return self._told_renewal
+
+    def apply_total_requests(self) -> None:
+        """Apply the total requests and the number of hosts on the leader."""
+        self._on_requests(self._total_requests())
+        self._on_host_count(self._host_count)
+
+    def _follow(self, link: channel.Channel) -> None:
         link.send(ttypes.Watch())
         while True:
             message = link.receive(SILENCE_TIMEOUT_S)
@@ -128,6 +159,8 @@
                 latest = self._apply(message, link.peer)
                 message = link.receive_ready()
             # A host that is behind applies only the latest totals.
+            self._told_renewal = _renewal(latest.renewal)
+            self._progress.record(_told_progress(latest))
             self._on_requests(latest.running)
             self._on_host_count(latest.hosts)
             link.send(ttypes.HostLoad(self._host, dict(self._own_requests())))
@@ -135,11 +168,6 @@
             # from running.
             clock.sleep(0)
 
-    def apply_total_requests(self) -> None:
-        """Apply the total requests and the number of hosts on the leader."""
-        self._on_requests(self._total_requests())
-        self._on_host_count(self._host_count)
-
     def _may_send_to(self, pending: queue.LightQueue) -> bool:
         return self._is_leader() and pending in self._follower_queues
 
@@ -216,3 +244,51 @@
         dict(total),
         hosts,
     )
+
+
+def _progress_items(
+    progress: Sequence[table_progress.TableProgress],
+) -> list[ttypes.TableProgress]:
+    return [
+        ttypes.TableProgress(
+            one.table,
+            one.era,
+            one.version,
+            int(one.complete_at_s * units.MS_PER_S),
+        )
+        for one in progress
+    ]
+
+
+def _renewal_item(renewal: lease.Renewal) -> ttypes.LeaseRenewal:
+    age_s = clock.uptime() - renewal.sent_at
+    return ttypes.LeaseRenewal(
+        renewal.token, renewal.version, int(age_s * units.MS_PER_S)
+    )
+
+
+def _renewal(item: ttypes.LeaseRenewal | None) -> lease.Renewal | None:
+    """Return a renewal that the leader tells of.
+
+    It was sent at least its age before the message arrived. The age is rounded
+    down.
+    """
+    if item is None:
+        return None
+    sent_at = clock.uptime() - item.age_ms / units.MS_PER_S
+    return lease.Renewal(item.token, item.version, sent_at)
+
+
+def _told_progress(
+    message: ttypes.News,
+) -> list[table_progress.TableProgress]:
+    """Return the progress in a message; hosts of an older release tell none."""
+    return [
+        table_progress.TableProgress(
+            one.table,
+            one.era,
+            one.version,
+            one.complete_at_ms / units.MS_PER_S,
+        )
+        for one in message.tables or ()
+    ]
--- a/ivystep/gateway/store_contact.py
+++ b/ivystep/gateway/store_contact.py
@@ -28,6 +28,7 @@
         self._outage_s = outage_s
         self._on_call = on_call
         self._answered_at = clock.now()
+        self._is_failing = False
 
     def on_call(self, method: str, outcome: str) -> None:
         """Record a call; see ``http.OnCall``."""
@@ -36,4 +37,16 @@
             if now - self._answered_at >= self._outage_s:
                 self.returned_at = now
             self._answered_at = now
+            self._is_failing = False
+        else:
+            self._is_failing = True
         self._on_call(method, outcome)
+
+    def on_not_needed(self) -> None:
+        """Record that no call was needed, since the leader reaches the store.
+
+        The silence of a host that has nothing to ask is no outage. Failed calls
+        are, whatever the leader can reach.
+        """
+        if not self._is_failing:
+            self._answered_at = clock.now()
--- a/ivystep/policy/store_clock.py
+++ b/ivystep/policy/store_clock.py
@@ -26,3 +26,15 @@
         """
         self._offset_s = max(self._offset_s, sent_at - store_time_s)
         return store_time_s + self._offset_s
+
+    def to_uptime(self, store_time_s: float) -> float:
+        """Convert a time of the store that another host was told.
+
+        Args:
+            store_time_s: Time on the store's clock, in seconds.
+
+        Returns:
+            An uptime that is not after it; minus infinity if the store has not
+            answered this host yet.
+        """
+        return store_time_s + self._offset_s
--- a/ivystep/settings/gateway.py
+++ b/ivystep/settings/gateway.py
@@ -38,6 +38,11 @@
 ]
 
 
+# Share of the shortest time for a change to be in force in which a host may
+# rely on the leader to learn of it. The rest is for its own read of the store.
+LEADER_AGE_SHARE = 0.6
+
+
 class GatewaySection(models.Section):
     """Base of the sections; an empty value takes its default."""
 
@@ -120,6 +125,16 @@
         description='Time within which a new adapter version must replace the '
         'previous one.',
     )
+    config_ms: Milliseconds = pydantic.Field(
+        2000,
+        description='Time within which a change of the configuration must be '
+        'in force.',
+    )
+    drain_ms: Milliseconds = pydantic.Field(
+        2000,
+        description='Time within which an upstream that leaves must get no '
+        'new requests.',
+    )
     heartbeat_ms: Milliseconds = pydantic.Field(
         1200, description='Interval at which upstreams write their entries.'
     )
@@ -151,6 +166,15 @@
         """Time for which orders of an earlier leader may still arrive."""
         return (self.lease_ms + self.thaw_ms) / units.MS_PER_S
 
+    @property
+    def leader_age_s(self) -> float:
+        """Largest age of what the leader knows of the store, in seconds.
+
+        A host that relies on it must still have time to read a change itself.
+        """
+        shortest_ms = min(self.config_ms, self.drain_ms)
+        return LEADER_AGE_SHARE * shortest_ms / units.MS_PER_S
+
     @property
     def heartbeat_s(self) -> float:
         """Interval at which upstreams write their entries."""
--- a/ivystep/wire/gen/ttypes.py
+++ b/ivystep/wire/gen/ttypes.py
@@ -2375,12 +2375,210 @@
         return not (self == other)
 
 
+class TableProgress(object):
+    """
+    Attributes:
+     - table
+     - era
+     - version
+     - complete_at_ms
+
+    """
+
+    __slots__ = (
+        'table',
+        'era',
+        'version',
+        'complete_at_ms',
+    )
+
+
+    def __init__(self, table=None, era=None, version=None, complete_at_ms=None,):
+        self.table = table
+        self.era = era
+        self.version = version
+        self.complete_at_ms = complete_at_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.table = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.complete_at_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TableProgress')
+        if self.table is not None:
+            oprot.writeFieldBegin('table', TType.STRING, 1)
+            oprot.writeString(self.table.encode('utf-8') if sys.version_info[0] == 2 else self.table)
+            oprot.writeFieldEnd()
+        if self.era is not None:
+            oprot.writeFieldBegin('era', TType.I64, 2)
+            oprot.writeI64(self.era)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 3)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.complete_at_ms is not None:
+            oprot.writeFieldBegin('complete_at_ms', TType.I64, 4)
+            oprot.writeI64(self.complete_at_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LeaseRenewal(object):
+    """
+    Attributes:
+     - token
+     - version
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'token',
+        'version',
+        'age_ms',
+    )
+
+
+    def __init__(self, token=None, version=None, age_ms=None,):
+        self.token = token
+        self.version = version
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.token = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.age_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeaseRenewal')
+        if self.token is not None:
+            oprot.writeFieldBegin('token', TType.I64, 1)
+            oprot.writeI64(self.token)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 2)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I64, 3)
+            oprot.writeI64(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class News(object):
     """
     Attributes:
      - items
      - running
      - hosts
+     - tables
+     - renewal
 
     """
 
@@ -2388,13 +2586,17 @@
         'items',
         'running',
         'hosts',
+        'tables',
+        'renewal',
     )
 
 
-    def __init__(self, items=None, running=None, hosts=None,):
+    def __init__(self, items=None, running=None, hosts=None, tables=None, renewal=None,):
         self.items = items
         self.running = running
         self.hosts = hosts
+        self.tables = tables
+        self.renewal = renewal
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2432,6 +2634,23 @@
                     self.hosts = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.tables = []
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = TableProgress()
+                        _elem60.read(iprot)
+                        self.tables.append(_elem60)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.renewal = LeaseRenewal()
+                    self.renewal.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2445,22 +2664,33 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter55 in self.items:
-                iter55.write(oprot)
+            for iter61 in self.items:
+                iter61.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running))
-            for kiter56, viter57 in self.running.items():
-                oprot.writeString(kiter56.encode('utf-8') if sys.version_info[0] == 2 else kiter56)
-                oprot.writeI32(viter57)
+            for kiter62, viter63 in self.running.items():
+                oprot.writeString(kiter62.encode('utf-8') if sys.version_info[0] == 2 else kiter62)
+                oprot.writeI32(viter63)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.hosts is not None:
             oprot.writeFieldBegin('hosts', TType.I32, 3)
             oprot.writeI32(self.hosts)
             oprot.writeFieldEnd()
+        if self.tables is not None:
+            oprot.writeFieldBegin('tables', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.tables))
+            for iter64 in self.tables:
+                iter64.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.renewal is not None:
+            oprot.writeFieldBegin('renewal', TType.STRUCT, 5)
+            self.renewal.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2521,11 +2751,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.running = {}
-                    (_ktype59, _vtype60, _size58) = iprot.readMapBegin()
-                    for _i62 in range(_size58):
-                        _key63 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val64 = iprot.readI32()
-                        self.running[_key63] = _val64
+                    (_ktype66, _vtype67, _size65) = iprot.readMapBegin()
+                    for _i69 in range(_size65):
+                        _key70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val71 = iprot.readI32()
+                        self.running[_key70] = _val71
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2546,9 +2776,9 @@
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running))
-            for kiter65, viter66 in self.running.items():
-                oprot.writeString(kiter65.encode('utf-8') if sys.version_info[0] == 2 else kiter65)
-                oprot.writeI32(viter66)
+            for kiter72, viter73 in self.running.items():
+                oprot.writeString(kiter72.encode('utf-8') if sys.version_info[0] == 2 else kiter72)
+                oprot.writeI32(viter73)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2729,11 +2959,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.digest_by_section = {}
-                    (_ktype68, _vtype69, _size67) = iprot.readMapBegin()
-                    for _i71 in range(_size67):
-                        _key72 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val73 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.digest_by_section[_key72] = _val73
+                    (_ktype75, _vtype76, _size74) = iprot.readMapBegin()
+                    for _i78 in range(_size74):
+                        _key79 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val80 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.digest_by_section[_key79] = _val80
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2754,9 +2984,9 @@
         if self.digest_by_section is not None:
             oprot.writeFieldBegin('digest_by_section', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.digest_by_section))
-            for kiter74, viter75 in self.digest_by_section.items():
-                oprot.writeString(kiter74.encode('utf-8') if sys.version_info[0] == 2 else kiter74)
-                oprot.writeString(viter75.encode('utf-8') if sys.version_info[0] == 2 else viter75)
+            for kiter81, viter82 in self.digest_by_section.items():
+                oprot.writeString(kiter81.encode('utf-8') if sys.version_info[0] == 2 else kiter81)
+                oprot.writeString(viter82.encode('utf-8') if sys.version_info[0] == 2 else viter82)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3695,12 +3925,29 @@
     (3, TType.BOOL, 'held', None, None, ),  # 3
     (4, TType.I32, 'ready_in_ms', None, None, ),  # 4
 )
+all_structs.append(TableProgress)
+TableProgress.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'table', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'era', None, None, ),  # 2
+    (3, TType.I64, 'version', None, None, ),  # 3
+    (4, TType.I64, 'complete_at_ms', None, None, ),  # 4
+)
+all_structs.append(LeaseRenewal)
+LeaseRenewal.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'token', None, None, ),  # 1
+    (2, TType.I64, 'version', None, None, ),  # 2
+    (3, TType.I64, 'age_ms', None, None, ),  # 3
+)
 all_structs.append(News)
 News.thrift_spec = (
     None,  # 0
     (1, TType.LIST, 'items', (TType.STRUCT, [AdapterNews, None], False), None, ),  # 1
     (2, TType.MAP, 'running', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 2
     (3, TType.I32, 'hosts', None, None, ),  # 3
+    (4, TType.LIST, 'tables', (TType.STRUCT, [TableProgress, None], False), None, ),  # 4
+    (5, TType.STRUCT, 'renewal', [LeaseRenewal, None], None, ),  # 5
 )
 all_structs.append(HostLoad)
 HostLoad.thrift_spec = (
--- a/ivystep/wire/ivystep.thrift
+++ b/ivystep/wire/ivystep.thrift
@@ -160,6 +160,23 @@
   4: i32 ready_in_ms
 }
 
+// How far the leader has followed a table of the store. complete_at_ms is on the
+// store's steady clock.
+struct TableProgress {
+  1: string table
+  2: i64 era
+  3: i64 version
+  4: i64 complete_at_ms
+}
+
+// The leader's last renewal of its lease: token and version of the row, and the
+// time since it was sent.
+struct LeaseRenewal {
+  1: i64 token
+  2: i64 version
+  3: i64 age_ms
+}
+
 // Sent by the leader to every entry that watches it, at least as a heartbeat.
 // running is the number of requests of all entries by upstream; hosts is the
 // number of watching entries, including the leader.
@@ -167,6 +184,8 @@
   1: list<AdapterNews> items
   2: map<string, i32> running
   3: i32 hosts
+  4: optional list<TableProgress> tables
+  5: optional LeaseRenewal renewal
 }
 
 // Running requests of one entry by upstream; sent to the leader.
--- a/tests/coordination/fakes.py
+++ b/tests/coordination/fakes.py
@@ -98,10 +98,12 @@
 
     Attributes:
         planned: Faults of the next calls; ``NO_FAULT`` follows them.
+        calls: Number of calls.
     """
 
     def __init__(self, shared: FakeTable) -> None:
         self.planned: collections.deque[Fault] = collections.deque()
+        self.calls = 0
         self._shared = shared
 
     def get(self, key: str) -> table.Row | None:
@@ -139,6 +141,7 @@
         return iter([rows[key] for key in sorted(rows) if key > prefix])
 
     def _next_fault(self) -> Fault:
+        self.calls += 1
         return self.planned.popleft() if self.planned else NO_FAULT
 
     def _apply_late(self, puts) -> None:
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -111,7 +111,7 @@
     """Acquires the lease without waiting for the earlier one to expire."""
 
     def _wait_for_expiry(self, row):
-        return
+        return row
 
 
 class AssumeApplied(lease.Lease):
@@ -276,3 +276,83 @@
     shared.row_by_key.clear()
     assert waiting.acquire() == 2
     assert not held.is_held()
+
+
+class Told:
+    """A lease that is kept, and a process that is told of its renewals."""
+
+    def __init__(self):
+        shared = fakes.FakeTable()
+        self.holder_view = fakes.TableView(shared)
+        self.holder = lease.Lease(self.holder_view, KEY, 'holder', DURATION_S)
+        self.holder.acquire()
+        self.keeper = eventlet.spawn(self.holder.keep)
+        self.told = None
+        self.is_told = True
+        self.view = fakes.TableView(shared)
+        self.waiting = lease.Lease(
+            self.view, KEY, 'waiting', DURATION_S, told_renewal=self._renewal
+        )
+        self.acquired_at = None
+        eventlet.spawn(self._acquire)
+
+    def _renewal(self):
+        if self.is_told and self.holder.is_held():
+            self.told = self.holder.renewal()
+        return self.told
+
+    def _acquire(self):
+        self.waiting.acquire()
+        self.acquired_at = clock.now()
+
+
+@fakes.on_virtual_clock
+def test_row_of_a_holder_that_tells_of_its_renewals_is_not_read():
+    """Guards against store calls in proportion to the waiting processes."""
+    bench = Told()
+    clock.sleep(DURATION_S)
+    calls = bench.view.calls
+    clock.sleep(5 * DURATION_S)
+    assert bench.view.calls == calls
+    assert bench.acquired_at is None
+
+
+@pytest.mark.parametrize('is_told', [True, False])
+def test_lease_is_taken_over_as_soon_as_it_has_expired(is_told):
+    """Guards against a time without a holder after one that lost the store.
+
+    Such a holder goes on to tell, but of no further renewal.
+    """
+
+    @fakes.on_virtual_clock
+    def scenario():
+        bench = Told()
+        clock.sleep(3 * DURATION_S)
+        bench.told = bench.holder.renewal()
+        bench.is_told = is_told
+        bench.holder_view.planned.extend([fakes.Fault(fakes.Kind.DOWN)] * 500)
+        renewed_at = bench.holder.renewal().sent_at
+        while bench.holder.is_held():
+            clock.sleep(0.01)
+        clock.sleep(DURATION_S)
+        assert bench.waiting.token > bench.holder.token
+        waited_s = bench.acquired_at - renewed_at
+        assert DURATION_S <= waited_s <= DURATION_S + 0.5
+
+    scenario()
+
+
+@fakes.on_virtual_clock
+def test_renewal_that_was_not_told_is_waited_for():
+    """Guards against two holders when the last renewal is not told."""
+    bench = Told()
+    clock.sleep(3 * DURATION_S)
+    bench.is_told = False
+    bench.told = bench.holder.renewal()
+    while bench.holder.renewal().sent_at == bench.told.sent_at:
+        clock.sleep(0.01)
+    renewed_at = bench.holder.renewal().sent_at
+    bench.keeper.kill()
+    while bench.acquired_at is None:
+        clock.sleep(0.01)
+    assert bench.acquired_at >= renewed_at + DURATION_S
--- a/tests/gateway/test_engine_link.py
+++ b/tests/gateway/test_engine_link.py
@@ -7,11 +7,13 @@
 import pytest
 from hypothesis import strategies
 
+from ivystep.coordination import lease
 from ivystep.core import types
 from ivystep.gateway import (
     engine_link,
     order_sender,
     residency_updates,
+    table_progress,
     upstream_state,
 )
 from ivystep.policy import load_times
@@ -41,6 +43,8 @@
             lambda running: None,
             lambda hosts: None,
             lambda: True,
+            table_progress.SharedProgress(1.0, lambda: True, lambda: None),
+            lambda: lease.Renewal(0, 0, 0.0),
         )
         self.link = engine_link.EngineLink(
             self.upstream,
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -73,7 +73,7 @@
     sink = FakeSink()
     return (
         feeds.TableFeed(
-            store, 't', sink, fakes.FakeLog(), wait_s=1.0, pause_s=0.1
+            store, 't', sink, fakes.FakeLog(), feeds.FeedTimings(1.0, 0.1)
         ),
         store,
         sink,
--- a/tests/gateway/test_leadership.py
+++ b/tests/gateway/test_leadership.py
@@ -3,8 +3,14 @@
 import eventlet
 import pytest
 
+from ivystep.coordination import lease
 from ivystep.core import errors
-from ivystep.gateway import leadership, prefill_queues, residency_updates
+from ivystep.gateway import (
+    leadership,
+    prefill_queues,
+    residency_updates,
+    table_progress,
+)
 from ivystep.runtime import clock
 from tests.coordination import fakes as clocks
 from tests.gateway import fakes
@@ -31,6 +37,8 @@
                 lambda running: None,
                 lambda hosts: None,
                 lambda: True,
+                table_progress.SharedProgress(1.0, lambda: True, lambda: None),
+                lambda: lease.Renewal(0, 0, 0.0),
             ),
             on_active=lambda: self.activated.append(clock.now()),
             queues=prefill_queues.PrefillQueues(),
--- a/tests/gateway/test_leaving_upstreams.py
+++ b/tests/gateway/test_leaving_upstreams.py
@@ -85,8 +85,7 @@
             TABLE,
             self.members,
             self.log,
-            wait_s=1.2,
-            pause_s=POLL_PAUSE_S,
+            feeds.FeedTimings(1.2, POLL_PAUSE_S),
         )
 
     def ids_at(self, seconds):
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -271,3 +271,38 @@
     recorded.regain_store()
     clock.sleep(membership.RETURN_GRACE_S + 0.1)
     assert recorded.ids == []
+
+
+def held(*adapters):
+    return [{'name': fakes.MODEL, 'version': 1, 'adapters': list(adapters)}]
+
+
+def test_only_changes_that_all_hosts_need_are_told():
+    """Guards against store calls of every host for each adapter loaded."""
+    members = RecordedMembership().members
+    members.apply_row(fakes.entry_row('i-1', 1, models=held('a1@1')))
+    assert members.needed_version == 1
+    members.apply_row(fakes.entry_row('i-1', 2, models=held('a1@1', 'a2@1')))
+    assert members.needed_version == 1
+    members.apply_row(fakes.entry_row('i-1', 3, state='draining'))
+    assert members.needed_version == 3
+    members.apply_row(fakes.deleted_row('i-1', 4))
+    assert members.needed_version == 4
+
+
+def test_return_of_an_entry_that_a_whole_read_lacked_is_told():
+    """Guards against hosts that do not learn of an upstream's return."""
+    members = RecordedMembership().members
+    members.apply_row(fakes.entry_row('i-1', 1))
+    members.replace_rows([])
+    members.apply_row(fakes.entry_row('i-1', 5))
+    assert members.needed_version == 5
+
+
+def test_needed_version_starts_again_with_a_restored_store():
+    """Guards against versions of two eras that are compared."""
+    members = RecordedMembership().members
+    members.apply_row(fakes.entry_row('i-1', 9))
+    members.on_store_restored()
+    members.apply_row(fakes.entry_row('i-1', 4, state='draining'))
+    assert members.needed_version == 4
--- a/tests/gateway/test_residency_updates.py
+++ b/tests/gateway/test_residency_updates.py
@@ -3,8 +3,10 @@
 import eventlet
 import pytest
 
+from ivystep.coordination import lease
 from ivystep.core import errors, types
-from ivystep.gateway import residency_updates
+from ivystep.gateway import residency_updates, table_progress
+from ivystep.runtime import clock
 from ivystep.wire import channel, convert, tls
 from ivystep.wire import listener as wire_listener
 from ivystep.wire.gen import ttypes
@@ -21,6 +23,9 @@
         self.requests = []
         self.host_counts = []
         self.is_leader = True
+        self.progress = table_progress.SharedProgress(
+            1.0, lambda: self.is_leader, lambda: None
+        )
         self.updates = residency_updates.ResidencyUpdates(
             name,
             self.received.append,
@@ -28,6 +33,8 @@
             self.requests.append,
             self.host_counts.append,
             lambda: self.is_leader,
+            self.progress,
+            lambda: lease.Renewal(7, 12, clock.uptime() - 0.5),
         )
 
 
@@ -195,3 +202,22 @@
     with pytest.raises(errors.LinkError):
         host.updates.follow(link)
     assert totals_seen == [1]
+
+
+def test_renewal_of_the_lease_is_told_with_its_age(pair):
+    """Guards against hosts that read the lease although the leader is heard."""
+    _, other, follower = pair
+    wait_until(lambda: other.updates.told_renewal() is not None)
+    told = other.updates.told_renewal()
+    assert (told.token, told.version) == (7, 12)
+    assert clock.uptime() - told.sent_at == pytest.approx(0.5, abs=0.2)
+    follower.kill()
+    wait_until(lambda: other.updates.told_renewal() is None)
+
+
+def test_progress_with_the_tables_is_told(pair):
+    """Guards against hosts that poll although the leader knows of no change."""
+    leader, other, _ = pair
+    told = table_progress.TableProgress('op', 2, 40, 1234.567)
+    leader.progress.own = lambda: [told]
+    wait_until(lambda: other.progress.find('op') == told)
--- a/tests/gateway/test_store_contact.py
+++ b/tests/gateway/test_store_contact.py
@@ -41,3 +41,21 @@
         assert contact.returned_at == float('-inf')
 
     scenario()
+
+
+@pytest.mark.parametrize(
+    ('is_failing', 'is_outage'), [(False, False), (True, True)]
+)
+def test_host_without_need_to_call_is_in_no_outage(is_failing, is_outage):
+    """Guards against upstreams kept after their removal by idle hosts."""
+
+    @clocks.on_virtual_clock
+    def scenario():
+        contact = contact_after('200', *(('503',) if is_failing else ()))
+        for _ in range(5):
+            clock.sleep(1)
+            contact.on_not_needed()
+        contact.on_call('GET', '200')
+        assert (contact.returned_at == clock.now()) is is_outage
+
+    scenario()
--- a/tests/gateway/test_version_choice.py
+++ b/tests/gateway/test_version_choice.py
@@ -39,8 +39,7 @@
             'op',
             self.config,
             test_feeds.fakes.FakeLog(),
-            wait_s=1.2,
-            pause_s=0.0,
+            feeds.FeedTimings(1.2),
         )
         self.versions = version_choice.VersionChoice(self.config, VERSION_S)
 
--- a/tests/policy/test_store_clock.py
+++ b/tests/policy/test_store_clock.py
@@ -1,5 +1,7 @@
 """Tests of the relation between a store's clock and this host's uptime."""
 
+import math
+
 import pytest
 
 from ivystep.policy import store_clock
@@ -24,3 +26,11 @@
     relation.uptime_of(103.0, 5.0)
     assert relation.uptime_of(104.0, 8.99) == pytest.approx(8.99)
     assert relation.uptime_of(105.0, 9.0) == pytest.approx(9.99)
+
+
+def test_told_time_is_converted_without_a_call():
+    """Guards against a time that seems later than it was."""
+    clock = store_clock.StoreClock()
+    assert clock.to_uptime(100.0) == -math.inf
+    clock.uptime_of(100.0, sent_at=7.0)
+    assert clock.to_uptime(102.5) == pytest.approx(9.5)
--- a/tests/settings/test_gateway.py
+++ b/tests/settings/test_gateway.py
@@ -26,6 +26,8 @@
     'bounds.lease_ms': '3000',
     'bounds.thaw_ms': '300',
     'bounds.version_ms': '5000',
+    'bounds.config_ms': '2000',
+    'bounds.drain_ms': '2000',
     'heartbeat_ms': '1200',
     'bounds.grace_s': '8',
     'bounds.budget_ratio': '0.2',
@@ -54,6 +56,15 @@
     assert settings.bounds.handover_delay_s == pytest.approx(3.3)
 
 
+def test_age_of_the_leaders_progress_follows_the_shortest_bound(tmp_path):
+    """Guards against hosts that rely on the leader beyond a bound."""
+    settings = load(
+        tmp_path,
+        render(**{'bounds.config_ms': '4000', 'bounds.drain_ms': '3000'}),
+    )
+    assert settings.bounds.leader_age_s == pytest.approx(1.8)
+
+
 @pytest.mark.parametrize(
     'name',
     sorted(name for name in PLATFORM_VALUES if name.startswith('bounds.')),
