Learn prefill rates and load times from the requests of all hosts

Cause: two estimates of engines came from one host's own, indirect data, and started with constants of the first deployments.

Change: hosts tell the leader their samples of prompts that were prefilled alone, and whether the first requests after a load were accepted, with the next heartbeat. The rate is a quantile of the samples of a service, and an engine's own where it differs by 1.7; a new engine starts with its service's. The leader paces the prompts of all hosts by it. The expected time of a load grows with a refusal and shrinks with accepted requests, faster the more of them in a row.

--- a/ivystep/core/units.py
+++ b/ivystep/core/units.py
@@ -3,6 +3,7 @@
 import math
 
 MS_PER_S = 1000
+US_PER_S = 1_000_000
 KIB = 1024
 MIB = 1024 * KIB
 
--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -12,6 +12,7 @@
 
 from ivystep.core import errors, types
 from ivystep.gateway import (
+    measurements,
     relay,
     request_log,
     request_state,
@@ -28,6 +29,9 @@
 
 # Value of the least urgent requests on the wire; 0 is the most urgent.
 MAX_URGENCY = 9
+# Requests that are sent later after a load tell nothing about its duration.
+MAX_MEASURED_S = 0.5
+HIGHEST_SUCCESS_STATUS = 299
 
 
 class PlacementOutdatedError(Exception):
@@ -50,6 +54,7 @@
         on_change: Called when this host's view of an upstream has changed.
         log: Logs the decisions.
         origins: Knows where streams began.
+        measured: Measurements of the engines.
     """
 
     def __init__(
@@ -60,6 +65,7 @@
         on_change: Callable[[upstream_state.Upstream], None],
         log: request_log.RequestLog,
         origins: stream_origins.StreamOrigins,
+        measured: measurements.Measurements,
     ) -> None:
         self._membership = membership
         self._versions = versions
@@ -69,6 +75,7 @@
         self._on_change = on_change
         self._log = log
         self._origins = origins
+        self._measured = measured
 
     def send(
         self,
@@ -103,14 +110,16 @@
             upstream,
             state.answer,
             on_head=functools.partial(
-                self._on_head, state, upstream, sent_at=clock.now()
+                self._on_head, state, upstream, ref, sent_at=clock.now()
             ),
             may_repeat=state.route.is_repeatable
             and state.has_attempt_left
             and self._budgets.budget(state.service).balance >= 1,
         )
         sent_at = clock.now()
-        self._log.placed(state, upstream, ref, permit)
+        self._log.placed(
+            state, upstream, ref, permit, self._measured.tokens_per_s(upstream)
+        )
         try:
             with self._crashes.parts.watch(state, exchange):
                 self._run(state, upstream, ref, exchange)
@@ -118,9 +127,7 @@
             if error.ran is types.ExecutionStatus.NO and not was_tried:
                 state.may_have_run.discard(upstream.upstream_id)
             state.progress.record_body(exchange.body)
-            if not self._is_still_loading(upstream, ref, error):
-                state.avoid.add(upstream.upstream_id)
-                self._record_failure(state, upstream, ref, error)
+            self._on_failure(state, upstream, ref, error)
             raise
         finally:
             self._log.answer_ended(state, exchange.body)
@@ -227,12 +234,15 @@
         self,
         state: request_state.RequestState,
         upstream: upstream_state.Upstream,
+        ref: types.AdapterRef | None,
         head: calls.AnswerHead,
         *,
         sent_at: float,
     ) -> None:
         """Record that the head of an answer has arrived."""
         state.progress.head_at = clock.now()
+        if head.status <= HIGHEST_SUCCESS_STATUS:
+            self._measure_load(state, upstream, ref, is_held=True)
         self._limits.on_answer(upstream, head, sent_at=sent_at)
 
     def _update_prefill_rate(
@@ -248,8 +258,26 @@
         )
         # A resumed stream got its first event from another upstream.
         if generation and head_sent_at is not None and head_sent_at >= sent_at:
-            upstream.prefill_rate.record_prefill(
-                generation.prompt_tokens, head_sent_at - sent_at
+            self._measured.record_prefill(
+                upstream, generation.prompt_tokens, head_sent_at - sent_at
+            )
+
+    def _measure_load(
+        self,
+        state: request_state.RequestState,
+        upstream: upstream_state.Upstream,
+        ref: types.AdapterRef | None,
+        *,
+        is_held: bool,
+    ) -> None:
+        """Record whether an adapter was resident when a request was sent."""
+        sent_at = state.progress.sent_at
+        if ref is None or sent_at is None:
+            return
+        since_s = upstream.since_load_s(ref, sent_at)
+        if since_s is not None and 0 <= since_s <= MAX_MEASURED_S:
+            self._measured.record_answer(
+                upstream.upstream_id, ref, since_s, is_held=is_held
             )
 
     def _is_still_loading(
@@ -264,6 +292,20 @@
         )
         return is_early and error.code in {'upstream_full', 'not_held'}
 
+    def _on_failure(
+        self,
+        state: request_state.RequestState,
+        upstream: upstream_state.Upstream,
+        ref: types.AdapterRef | None,
+        error: errors.RequestError,
+    ) -> None:
+        """Learn from a failed attempt."""
+        if error.code == 'not_held':
+            self._measure_load(state, upstream, ref, is_held=False)
+        if not self._is_still_loading(upstream, ref, error):
+            state.avoid.add(upstream.upstream_id)
+            self._record_failure(state, upstream, ref, error)
+
     def _record_failure(
         self,
         state: request_state.RequestState,
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -23,6 +23,7 @@
     leadership,
     limited_upstreams,
     loop_lag,
+    measurements,
     membership,
     model_pools,
     prefill_queues,
@@ -44,7 +45,7 @@
     rows,
     table,
 )
-from ivystep.policy import load_times
+from ivystep.policy import load_times, prefill_rates
 from ivystep.runtime import clock, drain, event_log
 from ivystep.settings import gateway as settings_models
 from ivystep.traffic import contracts
@@ -86,7 +87,12 @@
         )
         self._server_state = callers.ServerState()
         self._load_times = load_times.LoadTimes()
-        self._prefill_queues = prefill_queues.PrefillQueues()
+        self._measured = measurements.Measurements(
+            prefill_rates.PrefillRates(), self._load_times
+        )
+        self._prefill_queues = prefill_queues.PrefillQueues(
+            self._measured.rates
+        )
         self._api = engine_api.EngineClient()
         self._link_by_upstream: dict[
             upstream_state.Upstream, engine_link.EngineLink
@@ -120,8 +126,11 @@
             self._on_requests_in_progress,
             self._shares.on_host_count,
             lambda: self._leadership.is_leader,
-            self._progress,
-            lambda: self._leadership.renewal(),
+            residency_updates.HeartbeatContents(
+                self._progress,
+                lambda: self._leadership.renewal(),
+                self._measured,
+            ),
         )
         self._leadership = leadership.Leadership(
             table.TableClient(
@@ -146,7 +155,7 @@
             self._engine_link,
             self._may_order,
             self._config.is_replaced,
-            self._load_times,
+            self._measured,
             self._metrics,
         )
         self._link_context = engine_link.LinkContext(
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -72,8 +72,15 @@
         self._wait_for_permit = wait_for_permit
         self._log = log
         self._origins = origins
+        self._measured = pools.measured
         self._sender = attempt_sender.AttemptSender(
-            membership, versions, safeguards, on_change, log, origins
+            membership,
+            versions,
+            safeguards,
+            on_change,
+            log,
+            origins,
+            pools.measured,
         )
 
     def run(
@@ -257,7 +264,8 @@
         """
         state.step = 'permit'
         permit = self._wait_for_permit(
-            upstream.entry.incarnation, state.ticket(upstream.prefill_rate)
+            upstream.entry.incarnation,
+            state.ticket(self._measured.tokens_per_s(upstream)),
         )
         if permit.decision is prefill.PermitDecision.NOT_YET:
             raise errors.RefusedError(
--- a/ivystep/gateway/engine_link.py
+++ b/ivystep/gateway/engine_link.py
@@ -223,6 +223,12 @@
         is_cached = self._context.is_cached(self._upstream, ref)
         ordered_at = clock.now()
         ready_in_s = self._context.times.expected_s(is_cached=is_cached)
+        self._context.times.correction.record_load(
+            self._upstream.upstream_id,
+            ref.lora_name,
+            ready_in_s,
+            is_cached=is_cached,
+        )
         self._publish(ref, is_held=True, ready_in_s=ready_in_s)
         eventlet.spawn(
             self._confirm_load, ref, ordered_at, ready_in_s, is_cached=is_cached
--- a/ivystep/gateway/model_pools.py
+++ b/ivystep/gateway/model_pools.py
@@ -10,9 +10,9 @@
 
 from ivystep.core import types
 from ivystep.entry import pool
-from ivystep.gateway import load_planner, upstream_state
+from ivystep.gateway import load_planner, measurements, upstream_state
 from ivystep.metrics import registry
-from ivystep.policy import load_target, load_times, routing
+from ivystep.policy import load_target, routing
 from ivystep.runtime import clock
 from ivystep.traffic import contracts
 
@@ -45,7 +45,7 @@
         link_to: Returns the link that sends orders to an engine.
         may_order: Returns whether this host may send orders now.
         is_replaced: Returns whether a newer version of an adapter is named.
-        times: Duration and limit of parallel loads.
+        measured: Measurements of the engines.
         metrics: Registry for load stalls and waiting requests.
     """
 
@@ -57,9 +57,10 @@
         link_to: Callable[[upstream_state.Upstream], object],
         may_order: Callable[[], bool],
         is_replaced: Callable[[types.AdapterRef], bool],
-        times: load_times.LoadTimes,
+        measured: measurements.Measurements,
         metrics: registry.Metrics,
     ) -> None:
+        self.measured = measured
         self.pool_by_key: dict[PoolKey, pool.Pool] = {}
         self._host = host
         self._data_centre = data_centre
@@ -67,7 +68,6 @@
         self._link_to = link_to
         self._may_order = may_order
         self._is_replaced = is_replaced
-        self._times = times
         self._metrics = metrics
         self._config: contracts.RouteConfig | None = None
         self._fastest_rate = 0.0
@@ -102,6 +102,7 @@
             return
         now = clock.now()
         speed = self._relative_speed(upstream)
+        self.measured.rates.add_engine(upstream.entry.incarnation, service.name)
         for model in _model_names(service):
             target = self.pool_by_key[service.name, model]
             target.record_data_centre(
@@ -137,7 +138,7 @@
 
     def _relative_speed(self, upstream: upstream_state.Upstream) -> float:
         """Return an upstream's prefill rate relative to the fastest one."""
-        rate = upstream.prefill_rate.tokens_per_s
+        rate = self.measured.tokens_per_s(upstream)
         self._fastest_rate = max(self._fastest_rate * FASTEST_RATE_DECAY, rate)
         return max(rate / self._fastest_rate, MIN_RELATIVE_SPEED)
 
@@ -170,7 +171,7 @@
             AGEING_S,
             self._may_order,
             self._is_replaced,
-            self._times,
+            self.measured.times,
         )
 
 
--- a/ivystep/gateway/prefill_queues.py
+++ b/ivystep/gateway/prefill_queues.py
@@ -14,7 +14,7 @@
 
 from ivystep.core import errors, units
 from ivystep.entry import peers
-from ivystep.policy import prefill
+from ivystep.policy import prefill, prefill_rates
 from ivystep.runtime import clock
 from ivystep.wire.gen import ttypes
 
@@ -95,9 +95,14 @@
 
 
 class PrefillQueues:
-    """Prefill queues by engine."""
+    """Prefill queues by engine.
 
-    def __init__(self) -> None:
+    Args:
+        rates: Prefill rates of the engines, as all hosts measure them.
+    """
+
+    def __init__(self, rates: prefill_rates.PrefillRates) -> None:
+        self._rates = rates
         self._queue_by_engine: dict[str, _EngineQueue] = {}
         self._closed_engines: collections.deque[str] = collections.deque(
             maxlen=MAX_CLOSED_ENGINES
@@ -147,7 +152,7 @@
                 now + message.start_within_ms / units.MS_PER_S,
                 message.value_rate,
                 message.max_gap_ms / units.MS_PER_S,
-                message.tokens_per_s,
+                self._rates.tokens_per_s(message.engine),
             ),
             message.wait_ms / units.MS_PER_S,
         )
--- a/ivystep/gateway/request_log.py
+++ b/ivystep/gateway/request_log.py
@@ -33,6 +33,7 @@
         upstream: upstream_state.Upstream,
         ref: types.AdapterRef | None,
         permit: prefill.Permit | None,
+        tokens_per_s: float,
     ) -> None:
         """Log that an attempt starts at an upstream.
 
@@ -41,6 +42,7 @@
             upstream: The upstream that was chosen.
             ref: Adapter version that is used, or None.
             permit: Permit to send the prompt; None for a plain service.
+            tokens_per_s: Expected prefill rate of the upstream.
         """
         self._log.write(
             events.RequestPlaced(
@@ -51,7 +53,7 @@
                 state.attempts,
                 state.elapsed_ms,
                 upstream.in_progress,
-                int(upstream.prefill_rate.tokens_per_s),
+                int(tokens_per_s),
                 _permit_field(permit),
                 upstream.entry.version,
                 self._config.version,
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -227,11 +227,11 @@
                 peer=self.upstream_id,
             )
 
-    def ticket(self, prefill_rate: prefill.PrefillRate) -> prefill.Ticket:
+    def ticket(self, tokens_per_s: float) -> prefill.Ticket:
         """Return the request as an engine's prefill queue needs it.
 
         Args:
-            prefill_rate: Prefill rate of the engine.
+            tokens_per_s: Prefill rate of the engine.
         """
         generation = self.call.generation
         return prefill.Ticket(
@@ -240,7 +240,7 @@
             start_by=self.start_by,
             value_rate=1.0 / self.expected_run_s,
             max_gap_s=self.route.max_gap_s,
-            tokens_per_s=prefill_rate.tokens_per_s,
+            tokens_per_s=tokens_per_s,
         )
 
     def to_request(
--- a/ivystep/gateway/residency_updates.py
+++ b/ivystep/gateway/residency_updates.py
@@ -16,7 +16,8 @@
 
 from ivystep.coordination import lease
 from ivystep.core import errors, types, units
-from ivystep.gateway import table_progress
+from ivystep.gateway import measurements, table_progress
+from ivystep.policy import load_correction, prefill_rates
 from ivystep.runtime import clock
 from ivystep.wire import channel, convert
 from ivystep.wire.gen import ttypes
@@ -47,6 +48,21 @@
     ready_in_s: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeartbeatContents:
+    """What the heartbeats carry beside residency and requests.
+
+    Attributes:
+        progress: Progress with the store's tables that the leader tells.
+        own_renewal: Returns this host's last renewal of the leader's lease.
+        measured: Measurements that a host tells the leader.
+    """
+
+    progress: table_progress.SharedProgress
+    own_renewal: Callable[[], lease.Renewal]
+    measured: measurements.Measurements
+
+
 class ResidencyUpdates:
     """Publishes residency updates to this host and all hosts that follow it.
 
@@ -57,8 +73,7 @@
         on_requests: Called with all hosts' requests in progress by upstream.
         on_host_count: Called with the number of hosts, including this one.
         is_leader: Returns whether this host is the leader.
-        progress: Progress with the store's tables that the leader tells.
-        own_renewal: Returns this host's last renewal of the leader's lease.
+        contents: What the heartbeats carry besides.
     """
 
     def __init__(
@@ -69,12 +84,12 @@
         on_requests: Callable[[RequestsByUpstream], None],
         on_host_count: Callable[[int], None],
         is_leader: Callable[[], bool],
-        progress: table_progress.SharedProgress,
-        own_renewal: Callable[[], lease.Renewal],
+        contents: HeartbeatContents,
     ) -> None:
-        self._own_renewal = own_renewal
+        self._measured = contents.measured
+        self._own_renewal = contents.own_renewal
         self._told_renewal: lease.Renewal | None = None
-        self._progress = progress
+        self._progress = contents.progress
         self._host = host
         self._on_update = on_update
         self._own_requests = own_requests
@@ -163,7 +178,11 @@
             self._progress.record(_told_progress(latest))
             self._on_requests(latest.running)
             self._on_host_count(latest.hosts)
-            link.send(ttypes.HostLoad(self._host, dict(self._own_requests())))
+            link.send(
+                _host_load(
+                    self._host, self._own_requests(), self._measured.take()
+                )
+            )
             # Messages that have arrived meanwhile must not keep other tasks
             # from running.
             clock.sleep(0)
@@ -204,6 +223,9 @@
                     return
                 host = message.host
                 self._requests_by_host[host] = message.running
+                self._measured.apply(
+                    _prefill_samples(message), _load_answers(message)
+                )
         except errors.LinkError:
             # The sending task closes the connection and raises the error.
             return
@@ -292,3 +314,53 @@
         )
         for one in message.tables or ()
     ]
+
+
+def _host_load(
+    host: str, running: RequestsByUpstream, measured: measurements.Taken
+) -> ttypes.HostLoad:
+    return ttypes.HostLoad(
+        host,
+        dict(running),
+        [
+            ttypes.PrefillSample(
+                one.engine,
+                one.tokens,
+                int(one.first_event_s * units.US_PER_S),
+            )
+            for one in measured.samples
+        ],
+        [
+            ttypes.LoadAnswer(
+                one.upstream_id,
+                one.adapter,
+                int(one.since_s * units.US_PER_S),
+                one.is_held,
+            )
+            for one in measured.answers
+        ],
+    )
+
+
+def _prefill_samples(
+    message: ttypes.HostLoad,
+) -> list[prefill_rates.PrefillSample]:
+    """Return the samples of a host; one of an older release sends none."""
+    return [
+        prefill_rates.PrefillSample(
+            one.engine, one.tokens, one.first_event_us / units.US_PER_S
+        )
+        for one in message.prefills or ()
+    ]
+
+
+def _load_answers(
+    message: ttypes.HostLoad,
+) -> list[load_correction.LoadAnswer]:
+    """Return the answers of a host; one of an older release sends none."""
+    return [
+        load_correction.LoadAnswer(
+            one.upstream, one.adapter, one.since_us / units.US_PER_S, one.held
+        )
+        for one in message.load_answers or ()
+    ]
--- a/ivystep/gateway/upstream_state.py
+++ b/ivystep/gateway/upstream_state.py
@@ -12,7 +12,7 @@
 
 from ivystep.core import types
 from ivystep.gateway import connections
-from ivystep.policy import prefill, shared_limit
+from ivystep.policy import shared_limit
 from ivystep.traffic import contracts, upstreams
 
 # Age of an entry on arrival; the store's feed is polled at intervals.
@@ -49,7 +49,6 @@
         in_progress: Requests of this host that the upstream runs or that
             wait for a prefill permit.
         running_elsewhere: The same for all other hosts.
-        prefill_rate: Prefill rate, as measured by this host.
         loading: Time of the order for each adapter that is loading, or may
             yet be loaded by an unanswered order, and so uses a slot.
         suspended_until: Time before which no new work is sent, after
@@ -62,7 +61,6 @@
         self.connections = connections.UpstreamConnections(
             entry.address, entry.upstream_id
         )
-        self.prefill_rate = prefill.PrefillRate()
         self.loading: dict[types.AdapterRef, float] = {}
         self.suspended_until = 0.0
         self.limit = shared_limit.SharedLimit()
@@ -139,9 +137,23 @@
             ref: The adapter.
             now: Current time in seconds.
         """
+        since_s = self.since_load_s(ref, now)
+        return since_s is not None and since_s < LOAD_OVERDUE_S
+
+    def since_load_s(self, ref: types.AdapterRef, now: float) -> float | None:
+        """Return the time since an adapter was expected to be resident.
+
+        Args:
+            ref: The adapter.
+            now: Current time in seconds.
+
+        Returns:
+            None if the last change known was not a load.
+        """
         residency = self._residency_by_ref.get(ref)
-        is_held = residency is not None and residency.is_held
-        return is_held and now - residency.at < LOAD_OVERDUE_S
+        if residency is None or not residency.is_held:
+            return None
+        return now - residency.at
 
     def suspend(self, now: float) -> float:
         """Suspend new work, with exponential back-off.
--- a/ivystep/policy/load_times.py
+++ b/ivystep/policy/load_times.py
@@ -12,6 +12,8 @@
 
 import math
 
+from ivystep.policy import load_correction
+
 # Age of a report: it shows a load this much after its completion.
 REPORT_LAG_S = 0.2
 # Expected load times before any load was measured.
@@ -50,6 +52,7 @@
 
     Attributes:
         is_limiting: Whether more loads are wanted than the limit allows.
+        correction: Corrections by the answers of engines.
     """
 
     def __init__(self) -> None:
@@ -60,6 +63,7 @@
         self._loads = 0
         self._total_s = 0.0
         self.is_limiting = False
+        self.correction = load_correction.LoadCorrection()
 
     @property
     def max_parallel_loads(self) -> int:
@@ -73,7 +77,16 @@
             is_cached: Whether the engine's host has a copy.
         """
         mean_s = self._cached_load_s if is_cached else self._fetch_s
-        return mean_s + MARGIN_S
+        return self.correction.corrected_s(
+            mean_s + MARGIN_S, is_cached=is_cached
+        )
+
+    def record_answer(self, answer: load_correction.LoadAnswer) -> None:
+        """Correct the expected time by the answer to a request after a load."""
+        is_cached = self.correction.is_cached(answer)
+        self.correction.record_answer(
+            answer, self.expected_s(is_cached=is_cached)
+        )
 
     def record_load(
         self, shown_s: float, *, is_cached: bool, is_first_report: bool
@@ -88,12 +101,11 @@
                 was expected to be complete, showed it.
         """
         load_s = min(max(shown_s - REPORT_LAG_S, 0.0), MAX_LOAD_S)
+        self._update_mean(
+            load_s, is_cached=is_cached, is_first_report=is_first_report
+        )
         if is_cached:
-            self._cached_load_s = _updated_mean(
-                self._cached_load_s, load_s, is_first_report
-            )
             return
-        self._fetch_s = _updated_mean(self._fetch_s, load_s, is_first_report)
         if load_s < CACHED_LOAD_SHARE * self._baseline_s:
             return
         self._loads += 1
@@ -103,6 +115,21 @@
             self._loads = 0
             self._total_s = 0.0
 
+    def _update_mean(
+        self, load_s: float, *, is_cached: bool, is_first_report: bool
+    ) -> None:
+        if self.correction.is_known(is_cached=is_cached):
+            # Answers tell better than lagging reports how long a load took.
+            return
+        if is_cached:
+            self._cached_load_s = _updated_mean(
+                self._cached_load_s, load_s, is_first_report
+            )
+        else:
+            self._fetch_s = _updated_mean(
+                self._fetch_s, load_s, is_first_report
+            )
+
     def _change_limit(self, mean_s: float) -> None:
         """Adjust the limit to the mean time of the last loads.
 
--- a/ivystep/policy/prefill.py
+++ b/ivystep/policy/prefill.py
@@ -13,18 +13,6 @@
 import math
 from collections.abc import Collection
 
-# Prefill rate of an engine before the first measurement.
-INITIAL_TOKENS_PER_S = 15000.0
-# Part of the time to first token that is not prefill: two network hops and one
-# step of a usual batch.
-FIXED_LATENCY_S = 0.014
-# Shorter prompts say little about the prefill rate.
-MIN_MEASURED_TOKENS = 600
-# Weight of the newest measurement in the moving average.
-RATE_WEIGHT = 0.25
-# Bounds of a measured prefill rate.
-MIN_TOKENS_PER_S = 4000.0
-MAX_TOKENS_PER_S = 100000.0
 # Time in which an engine that has no prompts to prefill takes the few steps
 # that produce one event of each stream.
 EVENT_INTERVAL_S = 0.04
@@ -47,8 +35,7 @@
         start_by: Latest time to send it that meets its deadline.
         value_rate: Value of a timely answer per second of running time.
         max_gap_s: Longest gap that callers accept in the engine's streams.
-        tokens_per_s: Prefill rate of the engine, as estimated by the host that
-            sends the request.
+        tokens_per_s: Expected prefill rate of the engine.
     """
 
     tokens: int
@@ -56,7 +43,7 @@
     start_by: float
     value_rate: float
     max_gap_s: float
-    tokens_per_s: float = INITIAL_TOKENS_PER_S
+    tokens_per_s: float
 
 
 class PermitDecision(enum.Enum):
@@ -86,29 +73,6 @@
     reason: str = ''
 
 
-class PrefillRate:
-    """This host's estimate of the prefill rate of one engine.
-
-    It is kept for each engine because engines of one service differ in speed.
-    """
-
-    def __init__(self) -> None:
-        self.tokens_per_s = INITIAL_TOKENS_PER_S
-
-    def record_prefill(self, tokens: int, first_event_s: float) -> None:
-        """Add the measurement of a prompt that was prefilled alone.
-
-        Args:
-            tokens: Number of tokens of the prompt.
-            first_event_s: Time to first token, in seconds.
-        """
-        if tokens < MIN_MEASURED_TOKENS:
-            return
-        rate = tokens / max(first_event_s - FIXED_LATENCY_S, 0.001)
-        rate = min(max(rate, MIN_TOKENS_PER_S), MAX_TOKENS_PER_S)
-        self.tokens_per_s += RATE_WEIGHT * (rate - self.tokens_per_s)
-
-
 class PrefillPacer:
     """Paces the prompts sent to one engine."""
 
--- /dev/null
+++ b/ivystep/policy/prefill_rates.py
@@ -0,0 +1,131 @@
+"""Estimates how fast engines prefill prompts, from the times to first token.
+
+Engines of one service are usually alike, so the prompts of all of them tell
+the rate of the service, and a new engine starts with it. An engine whose own
+prompts differ clearly from it is slow or of another kind and gets its own rate.
+
+A prompt is delayed by the steps of the requests that run beside it, and some
+of its parts may be cached. Neither is known here, so the estimate is a quantile
+of the measured rates, which a few delayed or cached prompts do not move.
+"""
+
+import collections
+import dataclasses
+from collections.abc import Collection
+
+# Prefill rate of a service before its first measurement.
+INITIAL_TOKENS_PER_S = 15000.0
+# Shorter prompts say little about the prefill rate.
+MIN_MEASURED_TOKENS = 256
+# Time to first token of a very short prompt: two network hops and a step.
+USUAL_LATENCY_S = 0.012
+# Smallest share of the time to first token that is prefill.
+MIN_PREFILL_SHARE = 0.25
+# Share of the prompts that are prefilled more slowly than the estimate.
+SLOWER_SHARE = 0.6
+# Measurements that are kept of a service and of an engine.
+SERVICE_SAMPLES = 96
+ENGINE_SAMPLES = 7
+# Measurements after which an engine's own rate counts, if it differs from that
+# of its service by at least this ratio.
+MIN_ENGINE_SAMPLES = 3
+DIFFERENT_RATIO = 1.7
+# Bounds of an estimate, so that extreme measurements neither stop all prompts
+# nor send every one at once.
+MIN_TOKENS_PER_S = 1000.0
+MAX_TOKENS_PER_S = 1000000.0
+# Engines that are remembered; each incarnation has its own name.
+MAX_ENGINES = 16384
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrefillSample:
+    """A prompt that was prefilled while no other one was.
+
+    Attributes:
+        engine: Incarnation of the engine.
+        tokens: Number of tokens of the prompt.
+        first_event_s: Time to first token, in seconds.
+    """
+
+    engine: str
+    tokens: int
+    first_event_s: float
+
+
+class _ServiceRate:
+    """Rate of the engines of one service."""
+
+    def __init__(self) -> None:
+        self.tokens_per_s = INITIAL_TOKENS_PER_S
+        self._samples: collections.deque[PrefillSample] = collections.deque(
+            maxlen=SERVICE_SAMPLES
+        )
+
+    def add(self, sample: PrefillSample) -> None:
+        self._samples.append(sample)
+        self.tokens_per_s = _rate(self._samples)
+
+
+class PrefillRates:
+    """Prefill rates of all engines, as far as they are known to this host."""
+
+    def __init__(self) -> None:
+        self._service_by_engine: collections.OrderedDict[str, str] = (
+            collections.OrderedDict()
+        )
+        self._rate_by_service: collections.defaultdict[str, _ServiceRate] = (
+            collections.defaultdict(_ServiceRate)
+        )
+        self._samples_by_engine: dict[
+            str, collections.deque[PrefillSample]
+        ] = {}
+
+    def add_engine(self, engine: str, service: str) -> None:
+        """Record the service of an engine; known engines are ignored."""
+        if engine in self._service_by_engine:
+            return
+        self._service_by_engine[engine] = service
+        self._samples_by_engine[engine] = collections.deque(
+            maxlen=ENGINE_SAMPLES
+        )
+        if len(self._service_by_engine) > MAX_ENGINES:
+            oldest, _ = self._service_by_engine.popitem(last=False)
+            del self._samples_by_engine[oldest]
+
+    def record(self, sample: PrefillSample) -> None:
+        """Add the measurement of a prompt; unknown engines are ignored."""
+        service = self._service_by_engine.get(sample.engine)
+        if service is None or sample.tokens < MIN_MEASURED_TOKENS:
+            return
+        self._rate_by_service[service].add(sample)
+        self._samples_by_engine[sample.engine].append(sample)
+
+    def tokens_per_s(self, engine: str) -> float:
+        """Return the expected prefill rate of an engine."""
+        service = self._service_by_engine.get(engine)
+        if service is None:
+            return INITIAL_TOKENS_PER_S
+        usual = self._rate_by_service[service]
+        samples = self._samples_by_engine[engine]
+        if len(samples) < MIN_ENGINE_SAMPLES:
+            return usual.tokens_per_s
+        own = _rate(samples)
+        is_different = max(own, usual.tokens_per_s) > DIFFERENT_RATIO * min(
+            own, usual.tokens_per_s
+        )
+        return own if is_different else usual.tokens_per_s
+
+
+def _rate(samples: Collection[PrefillSample]) -> float:
+    """Return the quantile of the rates at which prompts were prefilled."""
+    rates = sorted(sample.tokens / _prefill_s(sample) for sample in samples)
+    typical = rates[min(int(SLOWER_SHARE * len(rates)), len(rates) - 1)]
+    return min(max(typical, MIN_TOKENS_PER_S), MAX_TOKENS_PER_S)
+
+
+def _prefill_s(sample: PrefillSample) -> float:
+    return max(
+        sample.first_event_s - USUAL_LATENCY_S,
+        MIN_PREFILL_SHARE * sample.first_event_s,
+    )
--- a/ivystep/wire/gen/ttypes.py
+++ b/ivystep/wire/gen/ttypes.py
@@ -2716,23 +2716,225 @@
         return not (self == other)
 
 
+class PrefillSample(object):
+    """
+    Attributes:
+     - engine
+     - tokens
+     - first_event_us
+
+    """
+
+    __slots__ = (
+        'engine',
+        'tokens',
+        'first_event_us',
+    )
+
+
+    def __init__(self, engine=None, tokens=None, first_event_us=None,):
+        self.engine = engine
+        self.tokens = tokens
+        self.first_event_us = first_event_us
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.engine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.first_event_us = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PrefillSample')
+        if self.engine is not None:
+            oprot.writeFieldBegin('engine', TType.STRING, 1)
+            oprot.writeString(self.engine.encode('utf-8') if sys.version_info[0] == 2 else self.engine)
+            oprot.writeFieldEnd()
+        if self.tokens is not None:
+            oprot.writeFieldBegin('tokens', TType.I32, 2)
+            oprot.writeI32(self.tokens)
+            oprot.writeFieldEnd()
+        if self.first_event_us is not None:
+            oprot.writeFieldBegin('first_event_us', TType.I32, 3)
+            oprot.writeI32(self.first_event_us)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LoadAnswer(object):
+    """
+    Attributes:
+     - upstream
+     - adapter
+     - since_us
+     - held
+
+    """
+
+    __slots__ = (
+        'upstream',
+        'adapter',
+        'since_us',
+        'held',
+    )
+
+
+    def __init__(self, upstream=None, adapter=None, since_us=None, held=None,):
+        self.upstream = upstream
+        self.adapter = adapter
+        self.since_us = since_us
+        self.held = held
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.upstream = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.adapter = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.since_us = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.BOOL:
+                    self.held = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadAnswer')
+        if self.upstream is not None:
+            oprot.writeFieldBegin('upstream', TType.STRING, 1)
+            oprot.writeString(self.upstream.encode('utf-8') if sys.version_info[0] == 2 else self.upstream)
+            oprot.writeFieldEnd()
+        if self.adapter is not None:
+            oprot.writeFieldBegin('adapter', TType.STRING, 2)
+            oprot.writeString(self.adapter.encode('utf-8') if sys.version_info[0] == 2 else self.adapter)
+            oprot.writeFieldEnd()
+        if self.since_us is not None:
+            oprot.writeFieldBegin('since_us', TType.I32, 3)
+            oprot.writeI32(self.since_us)
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.BOOL, 4)
+            oprot.writeBool(self.held)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class HostLoad(object):
     """
     Attributes:
      - host
      - running
+     - prefills
+     - load_answers
 
     """
 
     __slots__ = (
         'host',
         'running',
+        'prefills',
+        'load_answers',
     )
 
 
-    def __init__(self, host=None, running=None,):
+    def __init__(self, host=None, running=None, prefills=None, load_answers=None,):
         self.host = host
         self.running = running
+        self.prefills = prefills
+        self.load_answers = load_answers
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2759,6 +2961,28 @@
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.prefills = []
+                    (_etype75, _size72) = iprot.readListBegin()
+                    for _i76 in range(_size72):
+                        _elem77 = PrefillSample()
+                        _elem77.read(iprot)
+                        self.prefills.append(_elem77)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.load_answers = []
+                    (_etype81, _size78) = iprot.readListBegin()
+                    for _i82 in range(_size78):
+                        _elem83 = LoadAnswer()
+                        _elem83.read(iprot)
+                        self.load_answers.append(_elem83)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2776,11 +3000,25 @@
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running))
-            for kiter72, viter73 in self.running.items():
-                oprot.writeString(kiter72.encode('utf-8') if sys.version_info[0] == 2 else kiter72)
-                oprot.writeI32(viter73)
+            for kiter84, viter85 in self.running.items():
+                oprot.writeString(kiter84.encode('utf-8') if sys.version_info[0] == 2 else kiter84)
+                oprot.writeI32(viter85)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
+        if self.prefills is not None:
+            oprot.writeFieldBegin('prefills', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.prefills))
+            for iter86 in self.prefills:
+                iter86.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.load_answers is not None:
+            oprot.writeFieldBegin('load_answers', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.load_answers))
+            for iter87 in self.load_answers:
+                iter87.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2959,11 +3197,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.digest_by_section = {}
-                    (_ktype75, _vtype76, _size74) = iprot.readMapBegin()
-                    for _i78 in range(_size74):
-                        _key79 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val80 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.digest_by_section[_key79] = _val80
+                    (_ktype89, _vtype90, _size88) = iprot.readMapBegin()
+                    for _i92 in range(_size88):
+                        _key93 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val94 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.digest_by_section[_key93] = _val94
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2984,9 +3222,9 @@
         if self.digest_by_section is not None:
             oprot.writeFieldBegin('digest_by_section', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.digest_by_section))
-            for kiter81, viter82 in self.digest_by_section.items():
-                oprot.writeString(kiter81.encode('utf-8') if sys.version_info[0] == 2 else kiter81)
-                oprot.writeString(viter82.encode('utf-8') if sys.version_info[0] == 2 else viter82)
+            for kiter95, viter96 in self.digest_by_section.items():
+                oprot.writeString(kiter95.encode('utf-8') if sys.version_info[0] == 2 else kiter95)
+                oprot.writeString(viter96.encode('utf-8') if sys.version_info[0] == 2 else viter96)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3949,11 +4187,28 @@
     (4, TType.LIST, 'tables', (TType.STRUCT, [TableProgress, None], False), None, ),  # 4
     (5, TType.STRUCT, 'renewal', [LeaseRenewal, None], None, ),  # 5
 )
+all_structs.append(PrefillSample)
+PrefillSample.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'engine', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'tokens', None, None, ),  # 2
+    (3, TType.I32, 'first_event_us', None, None, ),  # 3
+)
+all_structs.append(LoadAnswer)
+LoadAnswer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'upstream', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'adapter', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'since_us', None, None, ),  # 3
+    (4, TType.BOOL, 'held', None, None, ),  # 4
+)
 all_structs.append(HostLoad)
 HostLoad.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
     (2, TType.MAP, 'running', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 2
+    (3, TType.LIST, 'prefills', (TType.STRUCT, [PrefillSample, None], False), None, ),  # 3
+    (4, TType.LIST, 'load_answers', (TType.STRUCT, [LoadAnswer, None], False), None, ),  # 4
 )
 all_structs.append(SetupNotice)
 SetupNotice.thrift_spec = (
--- a/ivystep/wire/ivystep.thrift
+++ b/ivystep/wire/ivystep.thrift
@@ -188,10 +188,29 @@
   5: optional LeaseRenewal renewal
 }
 
-// Running requests of one entry by upstream; sent to the leader.
+// A prompt that an engine prefilled alone.
+struct PrefillSample {
+  1: string engine
+  2: i32 tokens
+  3: i32 first_event_us
+}
+
+// The answer to a request that was sent since_us after its adapter was expected
+// to be resident.
+struct LoadAnswer {
+  1: string upstream
+  2: string adapter
+  3: i32 since_us
+  4: bool held
+}
+
+// Running requests of one entry by upstream, and what it has measured since its
+// last message; sent to the leader.
 struct HostLoad {
   1: string host
   2: map<string, i32> running
+  3: optional list<PrefillSample> prefills
+  4: optional list<LoadAnswer> load_answers
 }
 
 struct SetupNotice {
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -6,14 +6,33 @@
 
 import eventlet
 
+from ivystep.coordination import lease
 from ivystep.core import errors
+from ivystep.gateway import measurements, residency_updates, table_progress
 from ivystep.platform import rows
+from ivystep.policy import load_times, prefill_rates
 from ivystep.runtime import clock
 from ivystep.traffic import contracts, orders, upstreams
 
 MODEL = 'daka'
 
 
+def measured():
+    """Return measurements of a host that has measured nothing yet."""
+    return measurements.Measurements(
+        prefill_rates.PrefillRates(), load_times.LoadTimes()
+    )
+
+
+def heartbeat_contents():
+    """Return the contents of a host's heartbeats that tell nothing."""
+    return residency_updates.HeartbeatContents(
+        table_progress.SharedProgress(1.0, lambda: True, lambda: None),
+        lambda: lease.Renewal(0, 0, 0.0),
+        measured(),
+    )
+
+
 class FakeLog:
     """Event log that keeps its events in memory."""
 
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -122,7 +122,9 @@
         self.writer = builtin_types.SimpleNamespace(write=lambda row: None)
         self.budgets = retry_budget.RetryBudgets(ratio=0.1, reserve=2.0)
         self.dispatcher = dispatch.Dispatcher(
-            builtin_types.SimpleNamespace(find=lambda *_: self.pool),
+            builtin_types.SimpleNamespace(
+                find=lambda *_: self.pool, measured=fakes.measured()
+            ),
             members,
             self.versions_in_use,
             safeguard.Safeguards(
--- a/tests/gateway/test_engine_link.py
+++ b/tests/gateway/test_engine_link.py
@@ -7,13 +7,11 @@
 import pytest
 from hypothesis import strategies
 
-from ivystep.coordination import lease
 from ivystep.core import types
 from ivystep.gateway import (
     engine_link,
     order_sender,
     residency_updates,
-    table_progress,
     upstream_state,
 )
 from ivystep.policy import load_times
@@ -43,8 +41,7 @@
             lambda running: None,
             lambda hosts: None,
             lambda: True,
-            table_progress.SharedProgress(1.0, lambda: True, lambda: None),
-            lambda: lease.Renewal(0, 0, 0.0),
+            fakes.heartbeat_contents(),
         )
         self.link = engine_link.EngineLink(
             self.upstream,
--- a/tests/gateway/test_leadership.py
+++ b/tests/gateway/test_leadership.py
@@ -3,14 +3,13 @@
 import eventlet
 import pytest
 
-from ivystep.coordination import lease
 from ivystep.core import errors
 from ivystep.gateway import (
     leadership,
     prefill_queues,
     residency_updates,
-    table_progress,
 )
+from ivystep.policy import prefill_rates
 from ivystep.runtime import clock
 from tests.coordination import fakes as clocks
 from tests.gateway import fakes
@@ -37,11 +36,10 @@
                 lambda running: None,
                 lambda hosts: None,
                 lambda: True,
-                table_progress.SharedProgress(1.0, lambda: True, lambda: None),
-                lambda: lease.Renewal(0, 0, 0.0),
+                fakes.heartbeat_contents(),
             ),
             on_active=lambda: self.activated.append(clock.now()),
-            queues=prefill_queues.PrefillQueues(),
+            queues=prefill_queues.PrefillQueues(prefill_rates.PrefillRates()),
             log=self.log,
         )
         self.task = eventlet.spawn(self.leadership.run)
--- a/tests/gateway/test_prefill_queues.py
+++ b/tests/gateway/test_prefill_queues.py
@@ -7,7 +7,7 @@
 
 from ivystep.core import errors
 from ivystep.gateway import prefill_queues
-from ivystep.policy import prefill
+from ivystep.policy import prefill, prefill_rates
 from ivystep.runtime import clock
 from ivystep.wire.gen import ttypes
 from tests.coordination import fakes as clocks
@@ -26,10 +26,14 @@
     return prefill.Ticket(**{**values, **more})
 
 
+def new_queues():
+    return prefill_queues.PrefillQueues(prefill_rates.PrefillRates())
+
+
 @clocks.on_virtual_clock
 def test_permits_are_spread_over_time_for_each_engine():
     """Guards against many simultaneous prompts on one engine."""
-    queues = prefill_queues.PrefillQueues()
+    queues = new_queues()
     passed = []
 
     def send(engine):
@@ -50,7 +54,7 @@
 @clocks.on_virtual_clock
 def test_wait_ends_at_the_latest_start_of_the_request():
     """Guards against a request that is delayed past its deadline."""
-    queues = prefill_queues.PrefillQueues()
+    queues = new_queues()
     queues.wait('i-1', ticket(tokens=100000))
     before = clock.now()
     queues.wait('i-1', ticket(start_by=before + 0.5))
@@ -91,7 +95,7 @@
     """Guards against a prompt sent early because its host gave up waiting,
     and against a host that waits for seconds for a failed leader.
     """
-    queues = prefill_queues.PrefillQueues()
+    queues = new_queues()
     queues.wait('i-1', ticket(tokens=15000))
     link = LocalLink(queues)
     started = clock.now()
@@ -104,7 +108,7 @@
 @clocks.on_virtual_clock
 def test_waits_end_when_the_engine_takes_no_new_work():
     """Guards against requests that wait for a draining engine."""
-    queues = prefill_queues.PrefillQueues()
+    queues = new_queues()
     queues.wait('i-1', ticket(tokens=50000))
     waits = [eventlet.spawn(queues.wait, 'i-1', ticket()) for _ in range(3)]
     clock.sleep(0.1)
@@ -118,7 +122,7 @@
 @clocks.on_virtual_clock
 def test_permit_shows_whether_a_prompt_is_prefilled_alone():
     """Guards against a prefill rate measured with several prompts at once."""
-    queues = prefill_queues.PrefillQueues()
+    queues = new_queues()
     short = ticket(tokens=200)
     assert queues.wait('i-1', short).decision is prefill.PermitDecision.ALONE
     assert queues.wait('i-1', short).decision is prefill.PermitDecision.QUEUED
@@ -129,7 +133,7 @@
 @clocks.on_virtual_clock
 def test_requests_of_other_hosts_use_the_same_queue():
     """Guards against hosts that do not share the queue of an engine."""
-    queues = prefill_queues.PrefillQueues()
+    queues = new_queues()
     queues.wait('i-1', ticket())
     message = ttypes.PermitRequest(
         engine='i-1',
@@ -143,3 +147,23 @@
     )
     queues.answer(message)
     assert clock.now() >= 0.15
+
+
+def known_rates(engine, tokens_per_s):
+    """Return rates after a prompt that an engine prefilled at a rate."""
+    rates = prefill_rates.PrefillRates()
+    rates.add_engine(engine, 'llm')
+    first_event_s = prefill_rates.USUAL_LATENCY_S + 1500 / tokens_per_s
+    rates.record(prefill_rates.PrefillSample(engine, 1500, first_event_s))
+    return rates
+
+
+@clocks.on_virtual_clock
+def test_prompts_of_other_hosts_are_paced_by_the_rate_of_the_fleet():
+    """Guards against prompts held back by a host that has measured nothing."""
+    queues = prefill_queues.PrefillQueues(known_rates('i-1', 60000.0))
+    link = LocalLink(queues)
+    started = clock.now()
+    for _ in range(8):
+        prefill_queues.request_permit(link, 'i-1', ticket())
+    assert clock.now() - started <= 8 * 1500 / 60000
--- a/tests/gateway/test_residency_updates.py
+++ b/tests/gateway/test_residency_updates.py
@@ -5,11 +5,16 @@
 
 from ivystep.coordination import lease
 from ivystep.core import errors, types
-from ivystep.gateway import residency_updates, table_progress
+from ivystep.gateway import (
+    residency_updates,
+    table_progress,
+    upstream_state,
+)
 from ivystep.runtime import clock
 from ivystep.wire import channel, convert, tls
 from ivystep.wire import listener as wire_listener
 from ivystep.wire.gen import ttypes
+from tests.gateway import fakes
 
 REF = types.AdapterRef('m', 'a3', 2)
 
@@ -23,6 +28,7 @@
         self.requests = []
         self.host_counts = []
         self.is_leader = True
+        self.measured = fakes.measured()
         self.progress = table_progress.SharedProgress(
             1.0, lambda: self.is_leader, lambda: None
         )
@@ -33,8 +39,11 @@
             self.requests.append,
             self.host_counts.append,
             lambda: self.is_leader,
-            self.progress,
-            lambda: lease.Renewal(7, 12, clock.uptime() - 0.5),
+            residency_updates.HeartbeatContents(
+                self.progress,
+                lambda: lease.Renewal(7, 12, clock.uptime() - 0.5),
+                self.measured,
+            ),
         )
 
 
@@ -221,3 +230,23 @@
     told = table_progress.TableProgress('op', 2, 40, 1234.567)
     leader.progress.own = lambda: [told]
     wait_until(lambda: other.progress.find('op') == told)
+
+
+def test_measurements_of_all_hosts_reach_the_leader(pair):
+    """Guards against a leader that learns from its own requests only."""
+    leader, other, _ = pair
+    upstream = upstream_state.Upstream(fakes.entry('i-1'))
+    for host in (leader, other):
+        host.measured.rates.add_engine(upstream.entry.incarnation, 'llm')
+    leader.measured.times.correction.record_load(
+        'i-1', REF.lora_name, 0.28, is_cached=False
+    )
+    expected_s = leader.measured.times.expected_s(is_cached=False)
+    other.measured.record_prefill(upstream, 1000, 0.037)
+    other.measured.record_answer('i-1', REF, 0.02, is_held=False)
+    wait_until(
+        lambda: leader.measured.tokens_per_s(upstream) == pytest.approx(40000)
+    )
+    wait_until(
+        lambda: leader.measured.times.expected_s(is_cached=False) > expected_s
+    )
--- a/tests/policy/test_prefill.py
+++ b/tests/policy/test_prefill.py
@@ -108,42 +108,6 @@
     ) > fast.delay_s(ticket(), 0.0)
 
 
-@pytest.mark.parametrize('tokens_per_s', [14200.0, 19100.0])
-def test_rate_matches_the_engine_for_prompts_of_all_sizes(tokens_per_s):
-    """Guards against an overestimated prefill rate, which causes long gaps.
-
-    Short prompts take little longer than the fixed latency, so an error in
-    that latency affects their measurements most.
-    """
-    rate = prefill.PrefillRate()
-    sizes = [650, 4100, 900, 1460, 700, 2200, 646, 1110] * 4
-    for tokens in sizes:
-        rate.record_prefill(tokens, 0.014 + tokens / tokens_per_s)
-        assert rate.tokens_per_s < 1.05 * max(
-            tokens_per_s, prefill.INITIAL_TOKENS_PER_S
-        )
-    assert rate.tokens_per_s == pytest.approx(tokens_per_s, rel=0.05)
-
-
-def test_rate_is_measured_on_long_prompts_and_bounded():
-    """Guards against a pacer that, after extreme measurements, sends every
-    prompt at once or none at all.
-    """
-    rate = prefill.PrefillRate()
-    rate.record_prefill(10, 5.0)
-    assert rate.tokens_per_s == prefill.INITIAL_TOKENS_PER_S
-    for _ in range(200):
-        rate.record_prefill(2000, 100.0)
-    assert rate.tokens_per_s == pytest.approx(
-        prefill.MIN_TOKENS_PER_S, rel=0.01
-    )
-    for _ in range(200):
-        rate.record_prefill(2000, 0.0)
-    assert rate.tokens_per_s == pytest.approx(
-        prefill.MAX_TOKENS_PER_S, rel=0.01
-    )
-
-
 def test_timely_request_goes_before_a_late_one():
     """Guards against late requests that delay others beyond their target."""
     late = ticket(target_start_by=-1.0, value_rate=9.0)
