--- a/ivystep/policy/load_correction.py
+++ b/ivystep/policy/load_correction.py
@@ -15,10 +15,11 @@
 # Added after a refusal, as a share of the expected time, and in any case.
 GROWTH_SHARE = 0.04
 MIN_GROWTH_S = 0.004
-# Growths per accepted request by which the correction shrinks, and the accepted
-# requests in a row after which it shrinks by as much again.
+# Growths per accepted request by which the correction shrinks. The share
+# doubles with every so many accepted requests in a row, so many times at most.
 SHRINK_SHARE = 1 / 40
-ACCEPTED_TO_DOUBLE = 20
+ACCEPTED_TO_DOUBLE = 10
+MAX_DOUBLINGS = 4
 # An adapter that is refused longer after it was expected is not resident for
 # another reason.
 MAX_REFUSAL_S = 0.5
@@ -117,9 +118,11 @@
             self._correct(load, missing_s)
         elif answer.is_held and answer.since_s <= MAX_TIMELY_S:
             self._accepted_in_row[load.is_cached] += 1
-            in_row = self._accepted_in_row[load.is_cached]
-            speed = 1 + in_row / ACCEPTED_TO_DOUBLE
-            self._correct(load, -SHRINK_SHARE * speed * growth_s)
+            share = SHRINK_SHARE * 2 ** min(
+                self._accepted_in_row[load.is_cached] / ACCEPTED_TO_DOUBLE,
+                MAX_DOUBLINGS,
+            )
+            self._correct(load, -share * growth_s)
 
     def is_cached(self, answer: LoadAnswer) -> bool:
         """Return whether an answer is about a load of a cached adapter."""
--- a/tests/policy/test_load_correction.py
+++ b/tests/policy/test_load_correction.py
@@ -63,6 +63,17 @@
     assert max(store.expected[300:]) <= 1.25 * true_s + 0.02
 
 
+def test_expected_time_follows_loads_that_are_fast_again():
+    """Guards against waits for loads that took long during an overload."""
+    store = Store(0.6, 0.1)
+    for number in range(100):
+        store.load(number)
+    store.true_s = 0.25
+    for number in range(100, 180):
+        store.load(number)
+    assert store.expected[-1] <= 1.25 * 0.25 + 0.02
+
+
 def test_refusals_of_one_load_count_once():
     """Guards against an expected time that grows with the waiting requests."""
     times = load_times.LoadTimes()
