Let strong hosts become the leader first

Cause: the first host that writes the lease leads, whatever its host can bear.

Change: before it acquires a free lease, a host waits 0.1 s divided by its usable cores, at most 0.3 s. All hosts know the end of the lease of a leader that has stopped to within milliseconds, so the strongest of them is first.

Ruled out: handing the lease over to a stronger host, which stops all orders for the time of a handover.

Figures: in the test, the host with a delay of 0.05 s leads and the one with 0.26 s takes over after its release.

--- a/ivystep/coordination/lease.py
+++ b/ivystep/coordination/lease.py
@@ -101,6 +101,8 @@
             that a row which names it was written by a process that has ended.
         told_renewal: Returns the last renewal that the holder has told this
             process of, or None. While it is recent, the row is not read.
+        delay_s: Time in seconds for which others may acquire a free lease
+            before this process does.
     """
 
     def __init__(
@@ -112,12 +114,14 @@
         *,
         is_sole: bool = False,
         told_renewal: Callable[[], Renewal | None] | None = None,
+        delay_s: float = 0.0,
     ) -> None:
         self.token = 0
         self.seen_holder_id = ''
         self.previous_holder_id = ''
         self._is_sole = is_sole
         self._told_renewal = told_renewal
+        self._delay_s = delay_s
         self._rows = rows
         self._key = key
         self._holder_id = holder_id
@@ -216,6 +220,7 @@
             self._wait_for_forgotten_holder(row)
         elif row is not None and not self._is_free(row):
             row = self._wait_for_expiry(row)
+        clock.sleep(self._delay_s)
         with self._write_lock:
             self._is_releasing = False
             self._version = _version(row)
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -141,7 +141,9 @@
             host,
             settings.addresses.peers,
             leadership.LeadershipTimings(
-                settings.bounds.lease_s, settings.bounds.handover_delay_s
+                settings.bounds.lease_s,
+                settings.bounds.handover_delay_s,
+                settings.capacity.acquire_delay_s,
             ),
             updates=self._residency_updates,
             on_active=self._update_all_upstreams,
--- a/ivystep/gateway/leadership.py
+++ b/ivystep/gateway/leadership.py
@@ -35,10 +35,13 @@
         lease_s: Duration of the lease, in seconds.
         handover_delay_s: Time in seconds after which orders of the previous
             leader have expired.
+        acquire_delay_s: Time in seconds for which stronger hosts may acquire
+            a free lease first.
     """
 
     lease_s: float
     handover_delay_s: float
+    acquire_delay_s: float = 0.0
 
 
 class _NoLeaderSink:
@@ -93,6 +96,7 @@
             timings.lease_s,
             is_sole=True,
             told_renewal=updates.told_renewal,
+            delay_s=timings.acquire_delay_s,
         )
 
     @property
--- a/ivystep/settings/gateway.py
+++ b/ivystep/settings/gateway.py
@@ -41,6 +41,10 @@
 # Share of the shortest time for a change to be in force in which a host may
 # rely on the leader to learn of it. The rest is for its own read of the store.
 LEADER_AGE_SHARE = 0.6
+# Time in seconds by which a host of one usual core is behind an infinitely
+# strong one in the election, and the longest such time.
+ACQUIRE_DELAY_S = 0.1
+MAX_ACQUIRE_DELAY_S = 0.3
 
 
 class GatewaySection(models.Section):
@@ -109,6 +113,27 @@
         return f'http://{self.address[0]}:{self.address[1]}'
 
 
+class Capacity(GatewaySection):
+    """Processing capacity of the host."""
+
+    cores: float = pydantic.Field(
+        1.0, gt=0, description='Speed of a core of the host; 1 is usual.'
+    )
+    cpu_share: float = pydantic.Field(
+        1.0, gt=0, description='Share of a core that the gateway may use.'
+    )
+
+    @property
+    def acquire_delay_s(self) -> float:
+        """Time for which stronger hosts may become the leader first.
+
+        The leader plans the loads and paces the prompts of all hosts, which
+        would use up a weak host.
+        """
+        usable = self.cores * self.cpu_share
+        return min(ACQUIRE_DELAY_S / usable, MAX_ACQUIRE_DELAY_S)
+
+
 class Bounds(GatewaySection):
     """Time and retry limits that the platform has agreed with its users."""
 
@@ -193,3 +218,4 @@
     addresses: Addresses
     store: Store
     bounds: Bounds = Bounds()
+    capacity: Capacity = Capacity()
--- a/tests/gateway/test_leadership.py
+++ b/tests/gateway/test_leadership.py
@@ -1,5 +1,7 @@
 """Tests of the election of the leader, on the virtual clock."""
 
+import dataclasses
+
 import eventlet
 import pytest
 
@@ -20,7 +22,7 @@
 class Host:
     """One host that takes part in the election."""
 
-    def __init__(self, shared, name):
+    def __init__(self, shared, name, acquire_delay_s=0.0):
         self.rows = clocks.TableView(shared)
         self.log = fakes.FakeLog()
         self.activated = []
@@ -28,7 +30,7 @@
             self.rows,
             name,
             ('127.0.0.1', 1),
-            TIMINGS,
+            dataclasses.replace(TIMINGS, acquire_delay_s=acquire_delay_s),
             updates=residency_updates.ResidencyUpdates(
                 name,
                 lambda published: None,
@@ -183,3 +185,17 @@
     # The requests that it still has need the next leader.
     Host(shared, 'host-2')
     wait_until(lambda: leader.leadership.holder == 'host-2', timeout_s=2)
+
+
+@clocks.on_virtual_clock
+def test_strong_host_becomes_the_leader():
+    """Guards against a leader whose host cannot bear its work."""
+    shared = clocks.FakeTable()
+    weak = Host(shared, 'host-1', acquire_delay_s=0.26)
+    strong = Host(shared, 'host-2', acquire_delay_s=0.05)
+    clock.sleep(0.5)
+    assert strong.may_send_orders
+    assert not weak.may_send_orders
+    strong.task.kill()
+    strong.leadership.release()
+    wait_until(lambda: weak.may_send_orders)
--- a/tests/settings/test_gateway.py
+++ b/tests/settings/test_gateway.py
@@ -23,6 +23,8 @@
     'listen.front': '10.1.0.38:8149',
     'listen.ready_addr': '10.1.0.38:8141',
     'platform.address': '10.200.1.7:8142',
+    'limits.cores': '3',
+    'limits.cpu_share': '0.717',
     'bounds.lease_ms': '3000',
     'bounds.thaw_ms': '300',
     'bounds.version_ms': '5000',
@@ -56,6 +58,21 @@
     assert settings.bounds.handover_delay_s == pytest.approx(3.3)
 
 
+@pytest.mark.parametrize(
+    ('cores', 'cpu_share', 'delay_s'),
+    [('3', '0.717', 0.046), ('1', '0.387', 0.258), ('', '', 0.1)],
+)
+def test_weak_host_leaves_the_election_to_stronger_ones(
+    tmp_path, cores, cpu_share, delay_s
+):
+    """Guards against a leader whose host cannot bear its work."""
+    rendered = render(**{'limits.cores': cores, 'limits.cpu_share': cpu_share})
+    settings = load(tmp_path, rendered)
+    assert settings.capacity.acquire_delay_s == pytest.approx(
+        delay_s, abs=0.001
+    )
+
+
 def test_age_of_the_leaders_progress_follows_the_shortest_bound(tmp_path):
     """Guards against hosts that rely on the leader beyond a bound."""
     settings = load(
