Add up the demand for adapters once for all planned loads

Cause: to plan one load, the leader merged the reports of all hosts and compared every adapter of every engine with every host's report. Loads were ordered late and the leader's callers waited.

Change: the sums are kept by adapter and change with the adapters in a report (host_demands); one round of planning orders all loads that the limit allows. A round is followed by a pause of twice its duration.

Ruled out: fewer reports, which delay the loads of waiting requests.

--- a/ivystep/gateway/load_planner.py
+++ b/ivystep/gateway/load_planner.py
@@ -6,7 +6,6 @@
 a new planner starts from the next reports.
 """
 
-import collections
 import dataclasses
 from collections.abc import Callable, Iterable, Iterator
 
@@ -14,6 +13,7 @@
 from eventlet import event
 
 from ivystep.core import errors, types
+from ivystep.gateway import host_demands
 from ivystep.policy import (
     eviction,
     load_target,
@@ -23,14 +23,15 @@
 )
 from ivystep.runtime import clock, logs
 
-# Hosts with waiting requests report every 100 ms; one that has not reported
-# for this time is taken as gone.
-REPORT_MAX_AGE_S = 1.0
 CHECK_INTERVAL_S = 0.1
+# Pause between two rounds of planning, in durations of the last one. A leader
+# that plans must still answer its callers and the other hosts.
+PAUSE_ROUNDS = 2.0
 # Expected duration of a load.
 LOAD_S = 0.27
-# Adapters that are considered for one load; the others wait.
-MAX_CANDIDATES = 24
+# Largest number of adapters without a possible target that a round of planning
+# passes over.
+MAX_SKIPPED = 24
 # A load that has run for this time no longer counts as in progress.
 OVERDUE_S = 2.0
 # An adapter is not evicted for this time after its load, so that the hosts can
@@ -97,11 +98,7 @@
         self._targets = load_target.LoadTargets(
             index, self.popularity, self._is_needed, targets
         )
-        self._demand_by_host: dict[
-            str, dict[types.AdapterRef, load_value.AggregateDemand]
-        ] = {}
-        self._in_use_by_host: dict[str, set[types.AdapterRef]] = {}
-        self._reported_at: dict[str, float] = {}
+        self._demands = host_demands.HostDemands()
         self._started_by_ref: dict[types.AdapterRef, float] = {}
         self._loaded_at: dict[types.AdapterRef, float] = {}
         self._popular: list[types.AdapterRef] = []
@@ -116,15 +113,7 @@
         now = clock.now()
         self._start()
         self.count_arrivals(demands)
-        self._reported_at[entry_id] = now
-        self._demand_by_host[entry_id] = {
-            demand.ref: load_value.AggregateDemand.from_demand(demand, now)
-            for demand in demands
-            if demand.waiting
-        }
-        self._in_use_by_host[entry_id] = {
-            demand.ref for demand in demands if demand.running
-        }
+        self._demands.replace(entry_id, demands, now)
         self.wake()
         return ()
 
@@ -161,31 +150,15 @@
         if not self._changed.ready():
             self._changed.send()
 
-    def choose(self, now: float) -> load_target.PlannedLoad | None:
-        """Choose the next load, its engine and the adapter to evict.
+    def choose_copy(self, now: float) -> load_target.PlannedLoad | None:
+        """Choose a further copy of a popular adapter.
 
         Args:
             now: Current time in seconds.
 
         Returns:
-            None if nothing can be loaded now.
+            None if no copy is worth a load now.
         """
-        candidates = [
-            candidate
-            for demand in self._aggregate_demands(now)
-            for candidate in self._missing_loads(demand, now)
-        ]
-        ordered = load_value.in_order(candidates, now, self.load_s)
-        for candidate in ordered[:MAX_CANDIDATES]:
-            chosen = self._targets.choose(
-                candidate, now, packing=0.0, service_s=self.service_s
-            )
-            if chosen is not None:
-                return chosen
-        return self._choose_copy(now)
-
-    def _choose_copy(self, now: float) -> load_target.PlannedLoad | None:
-        """Choose a further copy of a popular adapter."""
         if now >= self._ranked_at + RANK_INTERVAL_S:
             self._ranked_at = now
             self._popular = self._recent.top(MAX_POPULAR)
@@ -214,6 +187,16 @@
                 return chosen
         return None
 
+    def _wanted_loads(self, now: float) -> list[load_value.AggregateDemand]:
+        """Return the loads that waiting requests need, the first one first."""
+        self._demands.remove_silent(now)
+        candidates = [
+            candidate
+            for demand in self._demands.totals()
+            for candidate in self._missing_loads(demand, now)
+        ]
+        return load_value.in_order(candidates, now, self.load_s)
+
     def _start(self) -> None:
         if not self._is_running:
             self._is_running = True
@@ -222,33 +205,17 @@
     def _run(self) -> None:
         while True:
             self._changed = event.Event()
+            started = clock.now()
             try:
                 self._order_loads()
             except Exception:
                 # The task must go on, or the pool would load nothing more.
                 log.exception('Planning of loads failed.')
-            timeout_s = CHECK_INTERVAL_S if self._demand_by_host else None
+            clock.sleep(PAUSE_ROUNDS * (clock.now() - started))
+            timeout_s = CHECK_INTERVAL_S if self._demands else None
             with eventlet.Timeout(timeout_s, exception=False):
                 self._changed.wait()
 
-    def _aggregate_demands(
-        self, now: float
-    ) -> list[load_value.AggregateDemand]:
-        """Return the demand for each adapter, without silent hosts."""
-        demands_by_ref = collections.defaultdict(list)
-        for host, reported_at in list(self._reported_at.items()):
-            if reported_at < now - REPORT_MAX_AGE_S:
-                del self._reported_at[host]
-                self._demand_by_host.pop(host, None)
-                self._in_use_by_host.pop(host, None)
-                continue
-            for ref, demand in self._demand_by_host[host].items():
-                demands_by_ref[ref].append(demand)
-        return [
-            load_value.AggregateDemand.merged(demands)
-            for demands in demands_by_ref.values()
-        ]
-
     def _missing_loads(
         self, demand: load_value.AggregateDemand, now: float
     ) -> Iterator[load_value.AggregateDemand]:
@@ -275,13 +242,8 @@
             yield demand
 
     def _is_needed(self, ref: types.AdapterRef, now: float) -> bool:
-        return (
-            self._is_recently_loaded(ref, now)
-            or any(ref in held for held in self._in_use_by_host.values())
-            or any(
-                ref in demanded for demanded in self._demand_by_host.values()
-            )
-        )
+        is_recent = self._is_recently_loaded(ref, now)
+        return is_recent or self._demands.is_needed(ref)
 
     def _is_loading(self, ref: types.AdapterRef, now: float) -> bool:
         started = self._started_by_ref.get(ref)
@@ -295,13 +257,36 @@
         if not self._may_order():
             return
         now = clock.now()
-        while self._loads_in_progress(now) < self._times.max_parallel_loads:
-            chosen = self.choose(now)
+        self._times.is_limiting = False
+        skipped = 0
+        for wanted in self._wanted_loads(now):
+            if self._is_limit_reached(now):
+                return
+            chosen = self._targets.choose(
+                wanted, now, packing=0.0, service_s=self.service_s
+            )
+            if chosen is not None:
+                self._send_order(chosen, now)
+                continue
+            # An adapter without a possible target must not block the others.
+            skipped += 1
+            if skipped >= MAX_SKIPPED:
+                break
+        self._order_copies(now)
+
+    def _order_copies(self, now: float) -> None:
+        while not self._is_limit_reached(now):
+            chosen = self.choose_copy(now)
             if chosen is None:
-                self._times.is_limiting = False
                 return
             self._send_order(chosen, now)
-        self._times.is_limiting = True
+
+    def _is_limit_reached(self, now: float) -> bool:
+        is_reached = (
+            self._loads_in_progress(now) >= self._times.max_parallel_loads
+        )
+        self._times.is_limiting = is_reached
+        return is_reached
 
     def _loads_in_progress(self, now: float) -> int:
         """Return the number of loads in progress from the weight store."""
--- a/tests/gateway/test_load_planner.py
+++ b/tests/gateway/test_load_planner.py
@@ -8,7 +8,7 @@
 
 from ivystep.core import types
 from ivystep.gateway import load_planner
-from ivystep.policy import load_target, load_times, routing
+from ivystep.policy import load_target, load_times, load_value, routing
 from ivystep.runtime import clock
 from tests.coordination import fakes as clocks
 from tests.core import statuses
@@ -356,5 +356,32 @@
     busy = demand('a', waiting=0, arrivals=200)
     fixture.planner.count_arrivals([busy])
     fixture.replaced.add(ref('a', 1))
-    chosen = fixture.planner.choose(clock.now())
+    chosen = fixture.planner.choose_copy(clock.now())
     assert chosen is None or chosen.wanted.ref.version == 2
+
+
+@clocks.on_virtual_clock
+def test_each_adapter_is_added_up_once_for_all_loads(monkeypatch):
+    """Guards against a leader that is busy with planning, so that loads are
+    ordered late, where many hosts wait for many adapters.
+    """
+    merged = []
+    add_up = load_value.AggregateDemand.merged
+    monkeypatch.setattr(
+        load_value.AggregateDemand,
+        'merged',
+        classmethod(lambda cls, parts: merged.append(1) or add_up(parts)),
+    )
+    fixture = PlannerFixture()
+    for _ in range(10):
+        fixture.engine(slots=4)
+    hosts, adapters = 30, 40
+    for host in range(hosts):
+        fixture.report_demand(
+            *(demand(f'a{number}') for number in range(adapters)),
+            host=f'host-{host}',
+        )
+    clock.sleep(0.5)
+    assert len(fixture.ordered_loads) >= 8
+    rounds = 1 + len(fixture.ordered_loads)
+    assert len(merged) <= adapters * 2 < adapters * rounds
