Read an engine's report only where nothing else tells its state

Cause: the leader read an engine's report before each load, to see which slots are in use, and at least one after it, to see whether the load had ended: two reads for each load, which are priced as probes.

Change: the slots in use follow from a report of the last second and the orders since, as only the leader sends any. A load is confirmed by the first accepted request for its adapter, which the hosts tell the leader; a report is polled only without one.

Ruled out: no report before a load at all; an order that was not answered, or another leader's, would be missed and the engine overfilled.

--- a/ivystep/gateway/engine_link.py
+++ b/ivystep/gateway/engine_link.py
@@ -29,6 +29,9 @@
 # The engine has accepted an unload and carries it out when the requests that
 # use the adapter have ended.
 IN_USE = 'adapter_in_use'
+# Only this host sends orders to the engine, so an earlier report and the orders
+# since tell which slots are in use. A restart is noticed by its order count.
+MAX_REPORT_AGE_S = 1.0
 # Growth of the polling interval for a load that takes longer than expected.
 POLL_GROWTH = 1.5
 
@@ -80,6 +83,8 @@
             context.log,
         )
         self._lock = semaphore.Semaphore(1)
+        self._report: upstreams.EngineReport | None = None
+        self._report_read_at = 0.0
 
     def load(
         self, order: types.LoadOrder, setup_version: int
@@ -107,6 +112,7 @@
         try:
             result = self._load(order)
         except errors.LinkError as error:
+            self._report = None
             result = types.LoadResult(False, 'link_failed', str(error))
         finally:
             self._finish_load(order.ref, result, earlier_order_at)
@@ -134,11 +140,14 @@
                 if refusal is not None:
                     self._restore_victim(victim, refusal)
                     return refusal
+            report = self._recent_report()
             if not self._slot_usage.has_free_slot(
                 ref,
-                self._read_report(),
+                report,
+                self._report_read_at,
                 self._context.adapter_slots(self._upstream),
             ):
+                self._report = None
                 return types.LoadResult(
                     False, 'busy', 'No adapter slot is free.'
                 )
@@ -244,8 +253,20 @@
         *,
         is_cached: bool,
     ) -> None:
-        """Poll reports until they show that an adapter is resident."""
+        """Wait until an adapter is known to be resident.
+
+        Usually the answer to a request tells; otherwise reports are polled.
+        """
         clock.sleep(ready_in_s + load_times.REPORT_LAG_S)
+        if self._context.times.is_confirmed(
+            self._upstream.upstream_id, ref.lora_name
+        ):
+            self._upstream.loading.pop(ref, None)
+            self._context.times.record_confirmed(
+                ready_in_s, is_cached=is_cached
+            )
+            self._context.on_change(self._upstream)
+            return
         pause_s = POLL_INTERVAL_S
         while clock.now() < ordered_at + LOAD_TIMEOUT_S:
             if self._upstream.limit.is_limited:
@@ -274,8 +295,21 @@
             pause_s *= POLL_GROWTH
         self._publish(ref, is_held=False)
 
+    def _recent_report(self) -> upstreams.EngineReport:
+        """Return the last report, or a new one if it is too old."""
+        if (
+            self._report is None
+            or clock.now() > self._report_read_at + MAX_REPORT_AGE_S
+        ):
+            return self._read_report()
+        return self._report
+
     def _read_report(self) -> upstreams.EngineReport:
-        return engine_reports.read_report(self._context.api, self._upstream)
+        self._report_read_at = clock.now()
+        self._report = engine_reports.read_report(
+            self._context.api, self._upstream
+        )
+        return self._report
 
 
 def _refusal(outcome: orders.Outcome) -> types.LoadResult:
--- a/ivystep/gateway/slot_usage.py
+++ b/ivystep/gateway/slot_usage.py
@@ -40,6 +40,7 @@
         self,
         ref: types.AdapterRef,
         report: upstreams.EngineReport,
+        read_at: float,
         slots: int,
     ) -> bool:
         """Return whether the engine has a slot for one more adapter.
@@ -50,7 +51,9 @@
 
         Args:
             ref: The adapter to load; a slot that it already uses suffices.
-            report: A report that was read just now.
+            report: A report of the engine.
+            read_at: Time at which it was read; orders since then, and those
+                that it may not show, are taken into account.
             slots: Number of adapter slots of the engine.
         """
         used = {
@@ -61,9 +64,8 @@
         used.update(
             (loading.account, loading.name) for loading in report.loading
         )
-        now = clock.now()
         for name, sent in list(self._last_order_by_name.items()):
-            if sent.hidden_until < now:
+            if sent.hidden_until < read_at:
                 del self._last_order_by_name[name]
             elif sent.uses_slot:
                 used.add(name)
--- a/ivystep/policy/load_correction.py
+++ b/ivystep/policy/load_correction.py
@@ -60,6 +60,7 @@
         self._correction_s = {True: 0.0, False: 0.0}
         self._known = {True: False, False: False}
         self._accepted_in_row = {True: 0, False: 0}
+        self._confirmed: set[tuple[str, str]] = set()
         self._load_by_key: collections.OrderedDict[
             tuple[str, str], _ExpectedLoad
         ] = collections.OrderedDict()
@@ -93,11 +94,13 @@
             expected_s: Corrected duration in seconds.
             is_cached: Whether the engine's host has a copy.
         """
+        self._confirmed.discard((upstream_id, adapter))
         self._load_by_key[upstream_id, adapter] = _ExpectedLoad(
             is_cached, expected_s
         )
         if len(self._load_by_key) > MAX_LOADS:
-            self._load_by_key.popitem(last=False)
+            oldest, _ = self._load_by_key.popitem(last=False)
+            self._confirmed.discard(oldest)
 
     def record_answer(self, answer: LoadAnswer, expected_s: float) -> None:
         """Correct the expected time by an answer.
@@ -109,6 +112,8 @@
         load = self._load_by_key.get((answer.upstream_id, answer.adapter))
         if load is None:
             return
+        if answer.is_held:
+            self._confirmed.add((answer.upstream_id, answer.adapter))
         growth_s = max(GROWTH_SHARE * load.expected_s, MIN_GROWTH_S)
         if not answer.is_held and answer.since_s <= MAX_REFUSAL_S:
             # Several requests may tell of the same load.
@@ -124,6 +129,10 @@
             )
             self._correct(load, -share * growth_s)
 
+    def is_confirmed(self, upstream_id: str, adapter: str) -> bool:
+        """Return whether a request was accepted after the last load."""
+        return (upstream_id, adapter) in self._confirmed
+
     def is_cached(self, answer: LoadAnswer) -> bool:
         """Return whether an answer is about a load of a cached adapter."""
         load = self._load_by_key.get((answer.upstream_id, answer.adapter))
--- a/ivystep/policy/load_times.py
+++ b/ivystep/policy/load_times.py
@@ -104,8 +104,30 @@
         self._update_mean(
             load_s, is_cached=is_cached, is_first_report=is_first_report
         )
-        if is_cached:
-            return
+        if not is_cached:
+            self._count_fetch(load_s)
+
+    def is_confirmed(self, upstream_id: str, adapter: str) -> bool:
+        """Return whether the answer to a request has confirmed a load.
+
+        Args:
+            upstream_id: The engine.
+            adapter: Name of the adapter, with its version.
+        """
+        return self.correction.is_confirmed(upstream_id, adapter)
+
+    def record_confirmed(self, load_s: float, *, is_cached: bool) -> None:
+        """Add a load that was complete when it was expected to be.
+
+        Args:
+            load_s: Expected duration in seconds.
+            is_cached: Whether the engine's host was believed to have a copy.
+        """
+        if not is_cached:
+            self._count_fetch(load_s)
+
+    def _count_fetch(self, load_s: float) -> None:
+        """Count a load from the weight store for the limit."""
         if load_s < CACHED_LOAD_SHARE * self._baseline_s:
             return
         self._loads += 1
--- a/tests/gateway/test_engine_link.py
+++ b/tests/gateway/test_engine_link.py
@@ -14,7 +14,7 @@
     residency_updates,
     upstream_state,
 )
-from ivystep.policy import load_times
+from ivystep.policy import load_correction, load_times
 from ivystep.runtime import clock
 from ivystep.traffic import orders
 from tests.coordination import fakes as clocks
@@ -32,6 +32,7 @@
         for adapter in held:
             self.engine.held[adapter] = 1
         self.published = []
+        self.times = load_times.LoadTimes()
         self.token = 7
         self.log = fakes.FakeLog()
         updates = residency_updates.ResidencyUpdates(
@@ -52,7 +53,7 @@
                 adapter_slots=lambda upstream: SLOTS,
                 is_cached=lambda upstream, ref: False,
                 updates=updates,
-                times=load_times.LoadTimes(),
+                times=self.times,
                 log=self.log,
             ),
         )
@@ -290,3 +291,50 @@
     clock.sleep(2)
     assert len(bench.engine.received_orders) == sent
     assert not read
+
+
+def count_reports(engine):
+    """Return a list that grows with each report that is read."""
+    read = []
+    read_report = engine.read_report
+
+    def counted(address):
+        read.append(clock.now())
+        return read_report(address)
+
+    engine.read_report = counted
+    return read
+
+
+@clocks.on_virtual_clock
+def test_report_is_not_read_for_each_load():
+    """Guards against a read of an engine's state before and after each load,
+    which answers of requests and the orders since the last report tell.
+    """
+    bench = Bench()
+    read = count_reports(bench.engine)
+    for name in ('a1', 'a2', 'a3'):
+        assert bench.load(name).ok
+        bench.times.record_answer(
+            load_correction.LoadAnswer(
+                'i-1', ref(name).lora_name, 0.01, is_held=True
+            )
+        )
+    clock.sleep(3)
+    assert len(read) <= 2
+    assert not bench.upstream.loading
+    assert bench.load('a4').ok
+    assert not bench.load('a5').ok
+    assert not bench.engine.overfilled
+
+
+@clocks.on_virtual_clock
+def test_load_without_an_accepted_request_is_confirmed_by_a_report():
+    """Guards against an adapter that counts as loading forever."""
+    bench = Bench()
+    read = count_reports(bench.engine)
+    assert bench.load('a1').ok
+    before = len(read)
+    clock.sleep(3)
+    assert len(read) > before
+    assert not bench.upstream.loading
