--- a/tests/gateway/test_version_choice.py
+++ b/tests/gateway/test_version_choice.py
@@ -81,6 +81,42 @@
     assert host.choose(resident=1) == 5
 
 
+@clocks.on_virtual_clock
+def test_restarted_host_uses_no_version_that_a_late_load_brought_back():
+    """Guards against an engine with a replaced version after a restart.
+
+    An order to load the version may be carried out seconds after the host that
+    sent it has ended. Its successor finds that version resident.
+    """
+    before = FollowedConfiguration(answer(4), answer(9, 2))
+    before.follow()
+    before.follow()
+    assert before.choose(resident=1) == 1
+    restarted = FollowedConfiguration(answer(9, 2))
+    restarted.follow()
+    replaced = types.AdapterRef('m', 'a3', 1)
+    assert restarted.choose(resident=1) == 2
+    assert not restarted.versions.is_allowed(replaced)
+
+
+@clocks.on_virtual_clock
+def test_adapter_that_is_named_again_uses_only_its_last_two_versions():
+    """Guards against the first version after the second replacement."""
+    host = FollowedConfiguration(answer(4), answer(9, 2), answer(17, 3))
+    host.follow()
+    host.follow()
+    clock.sleep(13.0)
+    assert host.choose(resident=1) == 2
+    host.follow()
+    first, second = (types.AdapterRef('m', 'a3', n) for n in (1, 2))
+    assert host.choose(resident=1) == 3
+    assert not host.versions.is_allowed(first)
+    assert host.versions.is_allowed(second) == (host.choose(resident=2) == 2)
+    clock.sleep(VERSION_S)
+    assert host.choose(resident=2) == 3
+    assert not host.versions.is_allowed(second)
+
+
 @clocks.on_virtual_clock
 @pytest.mark.parametrize(
     'interruption',
