Refuse prompts at once for which an engine has no time

Cause: a request that found its engine busy waited in the prefill queue until its latest start, 2 s or more after its arrival, whatever was before it. With engines that can't prefill what arrives, nearly all requests of the class with the shortest target were late, and refusals came after seconds.

Change: the leader forecasts when a prompt can be sent: timely prompts of the same or higher value go first, late ones get the share of the engine's time that timely ones leave, averaged over 2 s. A request that would miss its latest start is refused as it arrives, or within 50 ms of becoming late without room, with the forecast time as Retry-After, at most 5 s.

Ruled out: refusing all that is late, which serves fewer callers in the quiet seconds after a burst.

--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -32,6 +32,9 @@
 RETRY_PAUSE_S = 0.03
 # Crashed upstreams of a software version may be back by then.
 VERSION_RETRY_S = 1.0
+NO_PERMIT = frozenset(
+    (prefill.PermitDecision.NOT_YET, prefill.PermitDecision.REFUSED)
+)
 
 
 class DeadlineExceededError(Exception):
@@ -267,12 +270,13 @@
             upstream.entry.incarnation,
             state.ticket(self._measured.tokens_per_s(upstream)),
         )
-        if permit.decision is prefill.PermitDecision.NOT_YET:
+        if permit.decision in NO_PERMIT:
             raise errors.RefusedError(
                 'upstream_full',
                 'The engine is busy with the prefill of other prompts.',
                 status=503,
-                retry_after_s=request_state.MIN_RETRY_AFTER_S,
+                retry_after_s=permit.retry_after_s
+                or request_state.MIN_RETRY_AFTER_S,
                 step='permit',
                 peer=upstream.upstream_id,
             )
--- a/ivystep/gateway/prefill_queues.py
+++ b/ivystep/gateway/prefill_queues.py
@@ -14,7 +14,7 @@
 
 from ivystep.core import errors, units
 from ivystep.entry import peers
-from ivystep.policy import prefill, prefill_rates
+from ivystep.policy import prefill, prefill_forecast, prefill_rates
 from ivystep.runtime import clock
 from ivystep.wire.gen import ttypes
 
@@ -28,6 +28,8 @@
 MAX_SLEEP_S = 0.02
 # Closed engines that are remembered; each incarnation has its own name.
 MAX_CLOSED_ENGINES = 256
+# Time between two forecasts for the requests that wait for an engine.
+CHECK_INTERVAL_S = 0.05
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,14 +45,29 @@
 
     def __init__(self) -> None:
         self.pacer = prefill.PrefillPacer()
+        self._timely_share = prefill_forecast.TimelyShare()
         self._waiting: list[_QueuedTicket] = []
         self._is_running = False
+        self._checked_at = -math.inf
 
-    def wait(self, ticket: prefill.Ticket, max_wait_s: float) -> prefill.Permit:
-        """Wait until a request may be sent or the wait times out."""
+    def wait(
+        self, ticket: prefill.Ticket, max_wait_s: float, *, is_new: bool
+    ) -> prefill.Permit:
+        """Wait until a request may be sent, or is refused, or a time-out.
+
+        Args:
+            ticket: The request.
+            max_wait_s: Longest wait in seconds.
+            is_new: Whether the request has not waited here before.
+        """
         now = clock.now()
+        if is_new and prefill.is_timely(ticket, now):
+            self._timely_share.add(prefill_forecast.occupied_s(ticket), now)
         if not self._waiting and not self.pacer.delay_s(ticket, now):
             return self._grant(ticket, now)
+        refusal = self._refusal(ticket, now)
+        if refusal is not None:
+            return refusal
         queued = _QueuedTicket(ticket, event.Event())
         self._waiting.append(queued)
         if not self._is_running:
@@ -71,6 +88,37 @@
             queued = self._waiting.pop()
             queued.permitted.send(prefill.Permit(prefill.PermitDecision.CLOSED))
 
+    def _refusal(
+        self, ticket: prefill.Ticket, now: float
+    ) -> prefill.Permit | None:
+        """Return a refusal if a request cannot be sent in time."""
+        expected = prefill_forecast.forecast(
+            ticket,
+            (one.ticket for one in self._waiting if one.ticket is not ticket),
+            free_in_s=self.pacer.delay_s(ticket, now),
+            timely_share=self._timely_share.share(now),
+            now=now,
+        )
+        if expected.is_possible:
+            return None
+        return prefill.Permit(
+            prefill.PermitDecision.REFUSED,
+            retry_after_s=expected.retry_after_s,
+        )
+
+    def _refuse_hopeless(self, now: float) -> None:
+        """Refuse waiting requests that became late and find no room."""
+        if now < self._checked_at + CHECK_INTERVAL_S:
+            return
+        self._checked_at = now
+        for queued in list(self._waiting):
+            if prefill.is_timely(queued.ticket, now):
+                continue
+            refusal = self._refusal(queued.ticket, now)
+            if refusal is not None:
+                self._waiting.remove(queued)
+                queued.permitted.send(refusal)
+
     def _grant(self, ticket: prefill.Ticket, now: float) -> prefill.Permit:
         is_alone = self.pacer.is_idle(now)
         self.pacer.record_sent(ticket, now)
@@ -83,6 +131,9 @@
     def _run(self) -> None:
         while self._waiting:
             now = clock.now()
+            self._refuse_hopeless(now)
+            if not self._waiting:
+                break
             tickets = [queued.ticket for queued in self._waiting]
             chosen = prefill.choose(tickets, now)
             wait_s = self.pacer.delay_s(chosen, now)
@@ -113,6 +164,8 @@
         engine: str,
         ticket: prefill.Ticket,
         max_wait_s: float = math.inf,
+        *,
+        is_new: bool = True,
     ) -> prefill.Permit:
         """Wait until a request may be sent to an engine.
 
@@ -121,6 +174,7 @@
             ticket: The request.
             max_wait_s: Longest wait in seconds. The wait also ends at the
                 request's latest start.
+            is_new: Whether the request has not waited here before.
 
         Returns:
             The permit; its decision is ``NOT_YET`` after the longest wait.
@@ -131,7 +185,7 @@
         if queue is None:
             queue = _EngineQueue()
             self._queue_by_engine[engine] = queue
-        return queue.wait(ticket, max_wait_s)
+        return queue.wait(ticket, max_wait_s, is_new=is_new)
 
     def close(self, engine: str) -> None:
         """End all waits for an engine that takes no new work."""
@@ -155,8 +209,16 @@
                 self._rates.tokens_per_s(message.engine),
             ),
             message.wait_ms / units.MS_PER_S,
+            is_new=not message.is_repeated,
+        )
+        retry_after_s = permit.retry_after_s
+        return ttypes.Permit(
+            message.engine,
+            permit.decision.value,
+            None
+            if retry_after_s is None
+            else int(retry_after_s * units.MS_PER_S),
         )
-        return ttypes.Permit(message.engine, permit.decision.value)
 
 
 def request_permit(
@@ -173,11 +235,14 @@
         The permit; its decision is ``UNKNOWN`` if the leader does not answer.
     """
     permit = prefill.Permit(prefill.PermitDecision.NOT_YET)
+    is_repeated = False
     while permit.decision is prefill.PermitDecision.NOT_YET:
         remaining_s = ticket.start_by - clock.now()
         if remaining_s <= 0:
             break
         message = _message(engine, ticket, min(remaining_s, MAX_PERMIT_WAIT_S))
+        message.is_repeated = is_repeated
+        is_repeated = True
         try:
             answer = link.ask(
                 message,
@@ -185,10 +250,19 @@
             )
         except errors.LinkError as error:
             return prefill.Permit(prefill.PermitDecision.UNKNOWN, str(error))
-        permit = prefill.Permit(prefill.PermitDecision(answer.leave))
+        permit = _permit(answer)
     return permit
 
 
+def _permit(answer: ttypes.Permit) -> prefill.Permit:
+    retry_after_s = None
+    if answer.retry_after_ms is not None:
+        retry_after_s = answer.retry_after_ms / units.MS_PER_S
+    return prefill.Permit(
+        prefill.PermitDecision(answer.leave), retry_after_s=retry_after_s
+    )
+
+
 def _message(
     engine: str, ticket: prefill.Ticket, wait_s: float
 ) -> ttypes.PermitRequest:
--- a/ivystep/policy/prefill.py
+++ b/ivystep/policy/prefill.py
@@ -20,6 +20,8 @@
 # no event spans both groups: the engine finishes its step before it starts to
 # prefill, and it prefills in several steps.
 GROUP_GAP_S = 0.045
+# Prefill time of a group of prompts where callers accept hardly any gap.
+MIN_GROUP_S = 0.005
 # Share of the longest accepted gap that is reserved for network delays and for
 # an engine that prefills more slowly than measured.
 GAP_MARGIN_SHARE = 0.05
@@ -55,6 +57,8 @@
     QUEUED = 'queued'
     # Not sent: other prompts took all the time that the request could wait.
     NOT_YET = 'not yet'
+    # Refused: other prompts will take all the time that the request can wait.
+    REFUSED = 'refused'
     # The engine accepts no new requests.
     CLOSED = 'closed'
     # No host that paces the engine could be reached.
@@ -67,10 +71,13 @@
 
     Attributes:
         reason: Why no host could be reached; otherwise empty.
+        retry_after_s: Time in seconds after which a refused caller may find
+            room; None if unknown.
     """
 
     decision: PermitDecision
     reason: str = ''
+    retry_after_s: float | None = None
 
 
 class PrefillPacer:
@@ -88,8 +95,7 @@
             ticket: The request.
             now: Current time in seconds.
         """
-        longest_s = ticket.max_gap_s * (1 - GAP_MARGIN_SHARE) - EVENT_INTERVAL_S
-        if self._group_s + _prefill_s(ticket) <= longest_s:
+        if self._group_s + prefill_s(ticket) <= longest_group_s(ticket):
             return 0.0
         return max(self._prefill_until + GROUP_GAP_S - now, 0.0)
 
@@ -104,17 +110,29 @@
             ticket: The request.
             now: Current time in seconds.
         """
-        prefill_s = _prefill_s(ticket)
+        added_s = prefill_s(ticket)
         if now >= self._prefill_until + GROUP_GAP_S:
             self._group_s = 0.0
-        self._group_s += prefill_s
-        self._prefill_until = max(self._prefill_until, now) + prefill_s
+        self._group_s += added_s
+        self._prefill_until = max(self._prefill_until, now) + added_s
 
 
-def _prefill_s(ticket: Ticket) -> float:
+def prefill_s(ticket: Ticket) -> float:
+    """Return the time in seconds in which an engine prefills a prompt."""
     return ticket.tokens / ticket.tokens_per_s
 
 
+def longest_group_s(ticket: Ticket) -> float:
+    """Return the longest prefill time of a group of prompts, in seconds."""
+    longest_s = ticket.max_gap_s * (1 - GAP_MARGIN_SHARE) - EVENT_INTERVAL_S
+    return max(longest_s, MIN_GROUP_S)
+
+
+def is_timely(ticket: Ticket, now: float) -> bool:
+    """Return whether a request that is sent now meets the target latency."""
+    return ticket.target_start_by >= now
+
+
 def choose(tickets: Collection[Ticket], now: float) -> Ticket:
     """Choose which waiting request is sent next.
 
@@ -125,7 +143,7 @@
         tickets: The waiting requests; at least one.
         now: Current time in seconds.
     """
-    timely = [ticket for ticket in tickets if ticket.target_start_by >= now]
+    timely = [ticket for ticket in tickets if is_timely(ticket, now)]
     if timely:
         return max(
             timely,
--- a/ivystep/wire/gen/ttypes.py
+++ b/ivystep/wire/gen/ttypes.py
@@ -3399,6 +3399,7 @@
      - max_gap_ms
      - tokens_per_s
      - wait_ms
+     - is_repeated
 
     """
 
@@ -3411,10 +3412,11 @@
         'max_gap_ms',
         'tokens_per_s',
         'wait_ms',
+        'is_repeated',
     )
 
 
-    def __init__(self, engine=None, tokens=None, aim_within_ms=None, start_within_ms=None, value_rate=None, max_gap_ms=None, tokens_per_s=None, wait_ms=None,):
+    def __init__(self, engine=None, tokens=None, aim_within_ms=None, start_within_ms=None, value_rate=None, max_gap_ms=None, tokens_per_s=None, wait_ms=None, is_repeated=None,):
         self.engine = engine
         self.tokens = tokens
         self.aim_within_ms = aim_within_ms
@@ -3423,6 +3425,7 @@
         self.max_gap_ms = max_gap_ms
         self.tokens_per_s = tokens_per_s
         self.wait_ms = wait_ms
+        self.is_repeated = is_repeated
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3473,6 +3476,11 @@
                     self.wait_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.is_repeated = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3515,6 +3523,10 @@
             oprot.writeFieldBegin('wait_ms', TType.I32, 8)
             oprot.writeI32(self.wait_ms)
             oprot.writeFieldEnd()
+        if self.is_repeated is not None:
+            oprot.writeFieldBegin('is_repeated', TType.BOOL, 9)
+            oprot.writeBool(self.is_repeated)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3545,18 +3557,21 @@
     Attributes:
      - engine
      - leave
+     - retry_after_ms
 
     """
 
     __slots__ = (
         'engine',
         'leave',
+        'retry_after_ms',
     )
 
 
-    def __init__(self, engine=None, leave=None,):
+    def __init__(self, engine=None, leave=None, retry_after_ms=None,):
         self.engine = engine
         self.leave = leave
+        self.retry_after_ms = retry_after_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3577,6 +3592,11 @@
                     self.leave = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.retry_after_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3595,6 +3615,10 @@
             oprot.writeFieldBegin('leave', TType.STRING, 2)
             oprot.writeString(self.leave.encode('utf-8') if sys.version_info[0] == 2 else self.leave)
             oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I32, 3)
+            oprot.writeI32(self.retry_after_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4245,12 +4269,14 @@
     (6, TType.I32, 'max_gap_ms', None, None, ),  # 6
     (7, TType.DOUBLE, 'tokens_per_s', None, None, ),  # 7
     (8, TType.I32, 'wait_ms', None, None, ),  # 8
+    (9, TType.BOOL, 'is_repeated', None, None, ),  # 9
 )
 all_structs.append(Permit)
 Permit.thrift_spec = (
     None,  # 0
     (1, TType.STRING, 'engine', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'leave', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'retry_after_ms', None, None, ),  # 3
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/ivystep/wire/ivystep.thrift
+++ b/ivystep/wire/ivystep.thrift
@@ -245,12 +245,14 @@
   6: i32 max_gap_ms
   7: double tokens_per_s
   8: i32 wait_ms
+  9: optional bool is_repeated
 }
 
 // leave is a value of policy.prefill.PermitDecision.
 struct Permit {
   1: string engine
   2: string leave
+  3: optional i32 retry_after_ms
 }
 
 struct Frame {
