Let an engine's own prompts count for its prefill rate

Cause: engines of one service differ in speed by up to 1.3 on the deployments, but an engine's own samples counted only from a ratio of 1.7 on.

Change: the rate of a service and an engine's own are weighted by the number of the engine's samples.

Ruled out: an engine's own rate alone, which starts anew with each engine.

--- a/ivystep/policy/prefill_rates.py
+++ b/ivystep/policy/prefill_rates.py
@@ -1,8 +1,9 @@
 """Estimates how fast engines prefill prompts, from the times to first token.
 
 Engines of one service are usually alike, so the prompts of all of them tell
-the rate of the service, and a new engine starts with it. An engine whose own
-prompts differ clearly from it is slow or of another kind and gets its own rate.
+the rate of the service, and a new engine starts with it. The more prompts of
+its own an engine has prefilled, the more they count. An engine whose last ones
+differ clearly from the service is slow or of another kind and gets their rate.
 
 A prompt is delayed by the steps of the requests that run beside it, and some
 of its parts may be cached. Neither is known here, so the estimate is a quantile
@@ -25,9 +26,12 @@
 SLOWER_SHARE = 0.6
 # Measurements that are kept of a service and of an engine.
 SERVICE_SAMPLES = 96
-ENGINE_SAMPLES = 7
-# Measurements after which an engine's own rate counts, if it differs from that
-# of its service by at least this ratio.
+ENGINE_SAMPLES = 24
+# Measurements of an engine that count as much as those of its service.
+HALF_ENGINE_SAMPLES = 6
+# Last measurements of an engine that count alone, and the least number of them,
+# if their rate differs from that of the service by at least this ratio.
+LAST_ENGINE_SAMPLES = 7
 MIN_ENGINE_SAMPLES = 3
 DIFFERENT_RATIO = 1.7
 # Bounds of an estimate, so that extreme measurements neither stop all prompts
@@ -110,11 +114,15 @@
         samples = self._samples_by_engine[engine]
         if len(samples) < MIN_ENGINE_SAMPLES:
             return usual.tokens_per_s
+        last = _rate(tuple(samples)[-LAST_ENGINE_SAMPLES:])
+        if _is_different(last, usual.tokens_per_s):
+            return last
         own = _rate(samples)
-        is_different = max(own, usual.tokens_per_s) > DIFFERENT_RATIO * min(
-            own, usual.tokens_per_s
-        )
-        return own if is_different else usual.tokens_per_s
+        if _is_different(own, usual.tokens_per_s):
+            # The engine was slow until lately.
+            return usual.tokens_per_s
+        weight = len(samples) / (len(samples) + HALF_ENGINE_SAMPLES)
+        return usual.tokens_per_s ** (1 - weight) * own**weight
 
 
 def _rate(samples: Collection[PrefillSample]) -> float:
@@ -124,6 +132,10 @@
     return min(max(typical, MIN_TOKENS_PER_S), MAX_TOKENS_PER_S)
 
 
+def _is_different(rate: float, usual: float) -> bool:
+    return max(rate, usual) > DIFFERENT_RATIO * min(rate, usual)
+
+
 def _prefill_s(sample: PrefillSample) -> float:
     return max(
         sample.first_event_s - USUAL_LATENCY_S,
--- a/tests/policy/test_prefill_rates.py
+++ b/tests/policy/test_prefill_rates.py
@@ -104,11 +104,23 @@
         fleet.prefill(slow, 1460, 20400.0 / 6)
     assert fleet.rate(slow) == pytest.approx(20400 / 6, rel=0.1)
     assert fleet.rate(fleet.names[1]) == pytest.approx(20400, rel=0.1)
-    for _ in range(prefill_rates.ENGINE_SAMPLES):
+    for _ in range(prefill_rates.LAST_ENGINE_SAMPLES):
         fleet.prefill(slow, 1460, 20400.0)
     assert fleet.rate(slow) == pytest.approx(20400, rel=0.1)
 
 
+def test_engine_that_is_a_little_slower_gets_its_own_rate():
+    """Guards against long pauses at the slower engines of a service."""
+    fleet = Fleet()
+    slow = fleet.names[0]
+    for _ in range(20):
+        for name in fleet.names:
+            tokens_per_s = 15700.0 if name == slow else 20400.0
+            fleet.prefill(name, 1460, tokens_per_s)
+    assert fleet.rate(slow) == pytest.approx(15700, rel=0.1)
+    assert fleet.rate(fleet.names[1]) == pytest.approx(20400, rel=0.1)
+
+
 def test_rate_is_measured_on_long_prompts_and_bounded():
     """Guards against a pacer that, after extreme measurements, sends every
     prompt at once or none at all.
