Compare an engine's speed with its service's, not with the fastest seen

Cause: the room in an engine's batch is its slots times its speed, which was its prefill rate relative to the highest one ever estimated. One estimate that was too high made all engines seem slow, down to 0.4 of their slots.

Change: the speed is the engine's rate relative to the present rate of its service, at most 1.

Ruled out: the store's loads and the adapter places, which the refused requests did not need; slots in use were 60 to 73 of 128.

--- a/ivystep/gateway/model_pools.py
+++ b/ivystep/gateway/model_pools.py
@@ -25,10 +25,8 @@
 # Also without waiting requests, the planner must know which adapters are in
 # use before it evicts one.
 IDLE_REPORT_S = 0.25
-# Lower bound of an upstream's speed relative to the fastest one.
+# Lower bound of an upstream's speed relative to its service's.
 MIN_RELATIVE_SPEED = 0.4
-# Decay of the fastest prefill rate with each status.
-FASTEST_RATE_DECAY = 0.9999
 # The entry of a healthy upstream does not change, so silence is no sign of a
 # failure. Requests go to another data centre if its batches are emptier by
 # ``remote_cost``.
@@ -70,7 +68,6 @@
         self._is_replaced = is_replaced
         self._metrics = metrics
         self._config: contracts.RouteConfig | None = None
-        self._fastest_rate = 0.0
 
     def configure(self, config: contracts.RouteConfig) -> None:
         """Apply a configuration; pools of removed services stay idle."""
@@ -137,10 +134,9 @@
                 target.planner.popularity.transfer(old, new)
 
     def _relative_speed(self, upstream: upstream_state.Upstream) -> float:
-        """Return an upstream's prefill rate relative to the fastest one."""
-        rate = self.measured.tokens_per_s(upstream)
-        self._fastest_rate = max(self._fastest_rate * FASTEST_RATE_DECAY, rate)
-        return max(rate / self._fastest_rate, MIN_RELATIVE_SPEED)
+        """Return an upstream's prefill rate relative to its service's."""
+        speed = self.measured.rates.relative_speed(upstream.entry.incarnation)
+        return max(speed, MIN_RELATIVE_SPEED)
 
     def _service(
         self, upstream: upstream_state.Upstream
--- a/ivystep/policy/prefill_rates.py
+++ b/ivystep/policy/prefill_rates.py
@@ -124,6 +124,14 @@
         weight = len(samples) / (len(samples) + HALF_ENGINE_SAMPLES)
         return usual.tokens_per_s ** (1 - weight) * own**weight
 
+    def relative_speed(self, engine: str) -> float:
+        """Return an engine's rate relative to its service's, at most 1."""
+        service = self._service_by_engine.get(engine)
+        if service is None:
+            return 1.0
+        usual = self._rate_by_service[service].tokens_per_s
+        return min(self.tokens_per_s(engine) / usual, 1.0)
+
 
 def _rate(samples: Collection[PrefillSample]) -> float:
     """Return the quantile of the rates at which prompts were prefilled."""
--- a/tests/policy/test_prefill_rates.py
+++ b/tests/policy/test_prefill_rates.py
@@ -150,3 +150,39 @@
     assert fleet.rate(fleet.names[0]) == pytest.approx(
         prefill_rates.INITIAL_TOKENS_PER_S
     )
+
+
+def test_noise_makes_no_engine_seem_slow():
+    """Guards against batches left half empty because the rate of one engine
+    was once overestimated.
+    """
+    chance = random.Random(11)
+    fleet = Fleet()
+    lowest = 1.0
+    for step in range(400):
+        delay_s = chance.expovariate(1 / 0.006)
+        cached = 0.6 if chance.random() < 0.1 else 0.0
+        fleet.rates.record(
+            prefill_rates.PrefillSample(
+                chance.choice(fleet.names),
+                1460,
+                0.012 + delay_s + 1460 * (1 - cached) / 38400,
+            )
+        )
+        if step > 50:
+            speeds = map(fleet.rates.relative_speed, fleet.names)
+            lowest = min(lowest, *speeds)
+    assert lowest >= 0.7
+
+
+def test_slow_engine_has_a_low_speed():
+    """Guards against full batches at an engine that runs them slowly."""
+    fleet = Fleet()
+    for _ in range(10):
+        for name in fleet.names:
+            fleet.prefill(name, 1460, 20400.0)
+    for _ in range(5):
+        fleet.prefill(fleet.names[0], 1460, 20400.0 / 6)
+    assert fleet.rates.relative_speed(fleet.names[0]) <= 0.2
+    assert fleet.rates.relative_speed(fleet.names[1]) >= 0.95
+    assert fleet.rates.relative_speed('unknown') == pytest.approx(1)
