Load an adapter elsewhere when all engines with it are full

Cause: the planner loads an adapter that no engine has, and further copies of the twelve most popular.

Change: the demand of requests that have waited for longer than a load while all engines with their adapter are full asks for a load, which goes to an engine with room.

Ruled out: a copy as soon as the engines are full, since a batch is often full for a moment.

--- a/ivystep/gateway/load_planner.py
+++ b/ivystep/gateway/load_planner.py
@@ -238,9 +238,22 @@
         for version in demand.software_versions:
             if not any(view.has_version(version) for view in holders):
                 yield dataclasses.replace(demand, software_version=version)
-        if not holders:
+        if not holders or self._wants_relief(demand, holders, now):
             yield demand
 
+    def _wants_relief(
+        self,
+        demand: load_value.AggregateDemand,
+        holders: list[routing.UpstreamView],
+        now: float,
+    ) -> bool:
+        """Return whether requests wait because all holders are full.
+
+        Holders that are full only for a moment justify no further copy.
+        """
+        has_waited = now - demand.waiting_since > self.load_s
+        return has_waited and not any(view.has_room(now) for view in holders)
+
     def _is_needed(self, ref: types.AdapterRef, now: float) -> bool:
         is_recent = self._is_recently_loaded(ref, now)
         return is_recent or self._demands.is_needed(ref)
--- a/ivystep/policy/load_value.py
+++ b/ivystep/policy/load_value.py
@@ -36,6 +36,7 @@
             the requests need.
         software_version: Version of the upstream that is to load the adapter;
             None for any.
+        waiting_since: Time from which the oldest request has waited.
     """
 
     ref: types.AdapterRef
@@ -46,6 +47,7 @@
     start_by: float
     software_versions: tuple[str, ...] = ()
     software_version: str | None = None
+    waiting_since: float = math.inf
 
     @classmethod
     def from_demand(
@@ -60,6 +62,7 @@
             target_start_by=now + demand.target_start_within_s,
             start_by=now + demand.start_within_s,
             software_versions=demand.software_versions,
+            waiting_since=now - demand.oldest_wait_s,
         )
 
     @classmethod
@@ -91,6 +94,7 @@
                     }
                 )
             ),
+            waiting_since=min(demand.waiting_since for demand in known),
         )
 
 
--- a/tests/gateway/test_load_planner.py
+++ b/tests/gateway/test_load_planner.py
@@ -385,3 +385,24 @@
     assert len(fixture.ordered_loads) >= 8
     rounds = 1 + len(fixture.ordered_loads)
     assert len(merged) <= adapters * 2 < adapters * rounds
+
+
+@pytest.mark.parametrize(('waited_s', 'is_loaded'), [(0.0, False), (0.5, True)])
+@clocks.on_virtual_clock
+def test_adapter_whose_holders_are_full_is_loaded_elsewhere(
+    waited_s, is_loaded
+):
+    """Guards against requests that are refused though other engines have room,
+    because the only engine with their adapter is full.
+    """
+    fixture = PlannerFixture()
+    fixture.engine('a', running=8)
+    fixture.engine('b')
+    # Copies of popular adapters are loaded anyway; this one is not.
+    fixture.planner.count_arrivals(
+        demand(f'p{number}', waiting=0, arrivals=50)
+        for number in range(load_planner.MAX_POPULAR)
+    )
+    fixture.report_demand(demand('a', oldest_wait_s=waited_s))
+    clock.sleep(0.1)
+    assert fixture.ordered_loads == (['a'] if is_loaded else [])
