Expect the first event by the learned rate, not after 0.2 s

Cause: a request counted as late 0.2 s before its target latency, whatever the engine needs.

Change: the time to the first event follows from the prompt's tokens and the learned rate of its service, with a margin of a half.

Ruled out: the target itself as the bound, which leaves no time for the prompt.

--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -104,6 +104,10 @@
                 the answer was sent.
         """
         state = request_state.RequestState.from_call(call, route, answer)
+        if call.generation is not None:
+            state.first_event_s = self._measured.rates.first_event_s(
+                state.service, call.generation.prompt_tokens
+            )
         self._retry_budget(state).on_request()
         try:
             with eventlet.Timeout(state.remaining_s, DeadlineExceededError):
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -11,7 +11,7 @@
 from ivystep.traffic import calls, contracts
 
 MIN_RETRY_AFTER_S = 0.2
-# Expected time to the first event at an engine.
+# Expected time to the first event where nothing tells it.
 FIRST_EVENT_LATENCY_S = 0.2
 # Expected inter-token gap in a batch of usual size.
 INTER_TOKEN_S = 0.012
@@ -72,6 +72,8 @@
         step: What the request waits for: ``place``, ``permit``, ``connect``
             or ``run``.
         progress: How far the last attempt has come.
+        first_event_s: Expected time from sending the request to the first event
+            of its answer, in seconds.
     """
 
     call: calls.Call
@@ -91,6 +93,7 @@
     progress: AttemptProgress = dataclasses.field(
         default_factory=AttemptProgress
     )
+    first_event_s: float = FIRST_EVENT_LATENCY_S
 
     @classmethod
     def from_call(
@@ -176,11 +179,11 @@
         """Expected run time of the request at an engine."""
         generation = self.call.generation
         if generation is None:
-            return FIRST_EVENT_LATENCY_S
+            return self.first_event_s
         output = generation.expected_output_tokens
         if not output:
             output = generation.max_output_tokens * EXPECTED_OUTPUT_SHARE
-        return FIRST_EVENT_LATENCY_S + output * INTER_TOKEN_S
+        return self.first_event_s + output * INTER_TOKEN_S
 
     @property
     def start_by(self) -> float:
@@ -188,7 +191,7 @@
         if self.route.kind is not contracts.Repeatability.STREAM:
             return self.deadline
         first_event_by = self.call.arrived + self.route.abandon_after_s
-        return min(self.deadline, first_event_by) - FIRST_EVENT_LATENCY_S
+        return min(self.deadline, first_event_by) - self.first_event_s
 
     @property
     def send_by(self) -> float:
@@ -201,9 +204,7 @@
     def target_start_by(self) -> float:
         """Latest start that still meets the target latency."""
         return (
-            self.call.arrived
-            + self.route.target_latency_s
-            - FIRST_EVENT_LATENCY_S
+            self.call.arrived + self.route.target_latency_s - self.first_event_s
         )
 
     def raise_if_unwanted(self) -> None:
--- a/ivystep/policy/prefill_rates.py
+++ b/ivystep/policy/prefill_rates.py
@@ -20,6 +20,9 @@
 MIN_MEASURED_TOKENS = 256
 # Time to first token of a very short prompt: two network hops and a step.
 USUAL_LATENCY_S = 0.012
+# Ratio of the time to first token beside other requests to that of a prompt
+# alone.
+FIRST_EVENT_MARGIN = 1.5
 # Smallest share of the time to first token that is prefill.
 MIN_PREFILL_SHARE = 0.25
 # Share of the prompts that are prefilled more slowly than the estimate.
@@ -124,6 +127,21 @@
         weight = len(samples) / (len(samples) + HALF_ENGINE_SAMPLES)
         return usual.tokens_per_s ** (1 - weight) * own**weight
 
+    def first_event_s(self, service: str, tokens: int) -> float:
+        """Return the time in which a prompt usually gets its first event.
+
+        Args:
+            service: The service.
+            tokens: Number of tokens of the prompt.
+
+        Returns:
+            Time in seconds after the prompt was sent, with a margin for other
+            requests in the batch.
+        """
+        rate = self._rate_by_service.get(service)
+        tokens_per_s = rate.tokens_per_s if rate else INITIAL_TOKENS_PER_S
+        return FIRST_EVENT_MARGIN * (USUAL_LATENCY_S + tokens / tokens_per_s)
+
     def relative_speed(self, engine: str) -> float:
         """Return an engine's rate relative to its service's, at most 1."""
         service = self._service_by_engine.get(engine)
--- a/tests/policy/test_prefill_rates.py
+++ b/tests/policy/test_prefill_rates.py
@@ -186,3 +186,19 @@
     assert fleet.rates.relative_speed(fleet.names[0]) <= 0.2
     assert fleet.rates.relative_speed(fleet.names[1]) >= 0.95
     assert fleet.rates.relative_speed('unknown') == pytest.approx(1)
+
+
+@pytest.mark.parametrize(
+    ('tokens_per_s', 'tokens'), [(38400.0, 826), (20400.0, 1460)]
+)
+def test_first_event_is_expected_by_the_learned_rate(tokens_per_s, tokens):
+    """Guards against requests that count as late although a fast engine would
+    still answer in time, and are then served after all others.
+    """
+    fleet = Fleet()
+    for name in fleet.names:
+        fleet.prefill(name, tokens, tokens_per_s)
+    alone_s = 0.012 + tokens / tokens_per_s
+    expected_s = fleet.rates.first_event_s('llm', tokens)
+    assert alone_s <= expected_s <= 2 * alone_s
+    assert fleet.rates.first_event_s('another', tokens) >= 0.08
