Tell a host that begins to follow of the last residency updates

Cause: the leader tells of each order once, and a host that finds it later has missed it. Such a host read the engines' entries within 0.4 s until hosts began to rely on the leader's progress; since then it reads them every 4 s, and its requests waited for adapters that were resident until they were refused.

Change: a host that begins to follow is told of the updates of the last 8 s.

Ruled out: reading the entries more often, which costs the calls that were saved, and one read as a host begins to follow, since entries show a load up to seconds later.

--- a/ivystep/gateway/residency_updates.py
+++ b/ivystep/gateway/residency_updates.py
@@ -29,6 +29,10 @@
 SILENCE_TIMEOUT_S = 1.8
 # Updates queued for a slow host; beyond this, its connection is closed.
 MAX_QUEUED_UPDATES = 1000
+# Updates of this time are told to a host that begins to follow. Older ones are
+# in the engines' entries that each host reads every few seconds.
+REPEATED_S = 8.0
+MAX_REPEATED = 500
 
 RequestsByUpstream = Mapping[str, int]
 
@@ -96,11 +100,15 @@
         self._on_requests = on_requests
         self._on_host_count = on_host_count
         self._is_leader = is_leader
+        self._recent: collections.deque[tuple[float, ResidencyUpdate]] = (
+            collections.deque(maxlen=MAX_REPEATED)
+        )
         self._follower_queues: set[queue.LightQueue] = set()
         self._requests_by_host: dict[str, RequestsByUpstream] = {}
 
     def publish(self, update: ResidencyUpdate) -> None:
         """Publish an update to all hosts without blocking."""
+        self._recent.append((clock.now(), update))
         self._on_update(update)
         for pending in list(self._follower_queues):
             try:
@@ -123,6 +131,8 @@
                 leader any more, or the other host is too slow.
         """
         pending = queue.LightQueue(MAX_QUEUED_UPDATES)
+        for update in self._recent_updates():
+            pending.put_nowait(update)
         self._follower_queues.add(pending)
         receiver = eventlet.spawn(self._receive_requests, link)
         try:
@@ -187,6 +197,17 @@
             # from running.
             clock.sleep(0)
 
+    def _recent_updates(self) -> list[ResidencyUpdate]:
+        """Return the last updates, as they are to be told now."""
+        now = clock.now()
+        return [
+            dataclasses.replace(
+                update, ready_in_s=max(update.ready_in_s - (now - told_at), 0.0)
+            )
+            for told_at, update in self._recent
+            if told_at > now - REPEATED_S
+        ]
+
     def _may_send_to(self, pending: queue.LightQueue) -> bool:
         return self._is_leader() and pending in self._follower_queues
 
--- a/tests/gateway/test_residency_updates.py
+++ b/tests/gateway/test_residency_updates.py
@@ -14,6 +14,7 @@
 from ivystep.wire import channel, convert, tls
 from ivystep.wire import listener as wire_listener
 from ivystep.wire.gen import ttypes
+from tests.coordination import fakes as clocks
 from tests.gateway import fakes
 
 REF = types.AdapterRef('m', 'a3', 2)
@@ -155,6 +156,22 @@
         follower.wait()
 
 
+class RecordingLink:
+    """A connection of a host that sends nothing."""
+
+    peer = 'other'
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+    def receive(self, timeout_s):
+        clock.sleep(timeout_s)
+        raise errors.LinkError('silent')
+
+
 class BackloggedLink:
     """A connection to the leader on which messages have already arrived."""
 
@@ -250,3 +267,41 @@
     wait_until(
         lambda: leader.measured.times.expected_s(is_cached=False) > expected_s
     )
+
+
+def test_host_that_begins_to_follow_is_told_of_the_last_updates():
+    """Guards against requests that wait for seconds for a resident adapter.
+
+    The leader may order loads before the other hosts have found it, and a host
+    that relies on it reads the engines' entries only every few seconds.
+    """
+    leader = Host('leader', {})
+    for number, ready_in_s in ((1, 0.0), (2, 5.0)):
+        leader.updates.publish(
+            residency_updates.ResidencyUpdate(
+                REF, f'i-{number}', is_held=True, ready_in_s=ready_in_s
+            )
+        )
+    link = RecordingLink()
+    task = eventlet.spawn(leader.updates.serve, link)
+    wait_until(lambda: link.sent)
+    told = [item for message in link.sent for item in message.items]
+    assert [item.upstream for item in told] == ['i-1', 'i-2']
+    assert told[0].ready_in_ms == 0
+    assert 4000 < told[1].ready_in_ms <= 5000
+    task.kill()
+
+
+@clocks.on_virtual_clock
+def test_updates_that_entries_show_are_not_repeated():
+    """Guards against an old residency that hides a newer entry."""
+    leader = Host('leader', {})
+    leader.updates.publish(
+        residency_updates.ResidencyUpdate(REF, 'i-1', is_held=True)
+    )
+    clock.sleep(residency_updates.REPEATED_S)
+    link = RecordingLink()
+    task = eventlet.spawn(leader.updates.serve, link)
+    clock.sleep(1)
+    assert not any(message.items for message in link.sent)
+    task.kill()
