Name what the prefill queue refuses

Cause: hopeless is no term of the field.

Change: the method says that late requests without room are refused. No behaviour changes.

--- a/ivystep/gateway/prefill_queues.py
+++ b/ivystep/gateway/prefill_queues.py
@@ -106,7 +106,7 @@
             retry_after_s=expected.retry_after_s,
         )
 
-    def _refuse_hopeless(self, now: float) -> None:
+    def _refuse_late_without_room(self, now: float) -> None:
         """Refuse waiting requests that became late and find no room."""
         if now < self._checked_at + CHECK_INTERVAL_S:
             return
@@ -131,7 +131,7 @@
     def _run(self) -> None:
         while self._waiting:
             now = clock.now()
-            self._refuse_hopeless(now)
+            self._refuse_late_without_room(now)
             if not self._waiting:
                 break
             tickets = [queued.ticket for queued in self._waiting]
