Log attempts that are ended before their upstream answers

An attempt ends early when its caller leaves, its deadline passes or its adapter version is replaced. The upstream may run on and crash; request_abandoned does not tell the content nor when it was sent, and at a deadline no line told it. attempt_given_up has both, with the id that request_placed has. No decision uses it.

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -130,11 +130,7 @@
             self._on_failure(state, upstream, ref, error)
             raise
         finally:
-            self._log.answer_ended(state, exchange.body)
-            if exchange.has_sent:
-                state.step = 'run'
-            elif not was_tried:
-                state.may_have_run.discard(upstream.upstream_id)
+            self._on_end(state, upstream, exchange, was_tried=was_tried)
         upstream.reset_failures()
         self._crashes.on_completed(state)
         if permit and permit.decision is prefill.PermitDecision.ALONE:
@@ -171,6 +167,23 @@
         if not (is_allowed and has_turn and self._accepts_requests(upstream)):
             raise PlacementOutdatedError
 
+    def _on_end(
+        self,
+        state: request_state.RequestState,
+        upstream: upstream_state.Upstream,
+        exchange: relay.Exchange,
+        *,
+        was_tried: bool,
+    ) -> None:
+        """Record how an attempt has ended, whatever its outcome."""
+        self._log.answer_ended(state, exchange.body)
+        if exchange.is_given_up:
+            self._log.given_up(state)
+        if exchange.has_sent:
+            state.step = 'run'
+        elif not was_tried:
+            state.may_have_run.discard(upstream.upstream_id)
+
     def _run(
         self,
         state: request_state.RequestState,
--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -263,6 +263,24 @@
     config_version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AttemptGivenUp(event_log.Event):
+    """An attempt was ended while its upstream might still run the request.
+
+    Attributes:
+        content: As in ``request_placed``.
+        sent_ms: Time since the request was sent to the upstream.
+    """
+
+    name: typing.ClassVar[str] = 'attempt_given_up'
+
+    request_id: str
+    route: str
+    upstream: str
+    content: str
+    sent_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoopStalled(event_log.Event):
     """The event loop ran late, so that arrived bytes were read late.
--- a/ivystep/gateway/relay.py
+++ b/ivystep/gateway/relay.py
@@ -6,8 +6,9 @@
 also if another upstream resumes the stream.
 """
 
+import contextlib
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Generator
 
 from ivystep.core import errors, types, units
 from ivystep.gateway import answer_body, connections, upstream_state
@@ -79,6 +80,8 @@
 
     Attributes:
         has_sent: Whether the request was written to a connection.
+        is_given_up: Whether this host has ended the attempt while the upstream
+            might still run the request.
         body: Body of the upstream's answer; None before its head.
     """
 
@@ -93,6 +96,7 @@
         may_repeat: bool,
     ) -> None:
         self.has_sent = False
+        self.is_given_up = False
         self.body: answer_body.AnswerBody | None = None
         self._on_head = on_head
         self._may_repeat = may_repeat
@@ -120,10 +124,11 @@
             raise connections.to_request_error(error, has_sent=False) from error
         is_done = False
         try:
-            encoded = encode()
-            self.has_sent = True
-            connection.send(encoded)
-            keep_alive_s = self._relay(connection)
+            with self._note_giving_up():
+                encoded = encode()
+                self.has_sent = True
+                connection.send(encoded)
+                keep_alive_s = self._relay(connection)
             is_done = True
         except errors.LinkError as error:
             raise connections.to_request_error(error, has_sent=True) from error
@@ -133,6 +138,21 @@
             else:
                 connection.close()
 
+    @contextlib.contextmanager
+    def _note_giving_up(self) -> Generator[None]:
+        """Set ``is_given_up`` if this host ends the attempt in the context.
+
+        An error of the upstream or of its connection does not end it so.
+        """
+        try:
+            yield
+        except errors.IvystepError:
+            raise
+        except BaseException:
+            is_answered = self.body is not None and self.body.is_ended
+            self.is_given_up = self.has_sent and not is_answered
+            raise
+
     def _relay(
         self, connection: connections.UpstreamConnection
     ) -> float | None:
--- a/ivystep/gateway/request_log.py
+++ b/ivystep/gateway/request_log.py
@@ -124,6 +124,19 @@
                 )
             )
 
+    def given_up(self, state: request_state.RequestState) -> None:
+        """Log that an attempt was ended before its upstream answered."""
+        sent_at = state.progress.sent_at or clock.now()
+        self._log.write(
+            events.AttemptGivenUp(
+                state.call.request_id,
+                state.route.name,
+                state.upstream_id,
+                state.content_id,
+                int((clock.now() - sent_at) * units.MS_PER_S),
+            )
+        )
+
     def abandoned(self, state: request_state.RequestState) -> None:
         """Log that the caller disconnected before its answer was complete."""
         self._log.write(
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -103,6 +103,7 @@
             def __init__(self, *arguments, **named):
                 self.may_repeat = named['may_repeat']
                 self.has_sent = False
+                self.is_given_up = False
                 self.body = harness.body
 
             def run(self, encode):
