--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -2,6 +2,7 @@
 
 import types as builtin_types
 
+import eventlet
 import pytest
 
 from ivystep.core import errors
@@ -57,15 +58,13 @@
         )
         store.hosts.append(self)
 
-    def lose(self, upstream_id, *, is_refused=True, is_draining=False):
+    def lose(self, upstream_id, *, is_refused=lambda: True, is_draining=False):
         """Lose the answer of the request to an upstream."""
         upstream = builtin_types.SimpleNamespace(
             upstream_id=upstream_id,
             entry=fakes.entry(upstream_id),
             is_draining=is_draining,
-            connections=builtin_types.SimpleNamespace(
-                is_refused=lambda: is_refused
-            ),
+            connections=builtin_types.SimpleNamespace(is_refused=is_refused),
         )
         self.crashes.on_answer_lost(request(), upstream)
         clock.sleep(0.1)
@@ -124,7 +123,9 @@
     assert not first.is_refused
 
 
-@pytest.mark.parametrize('more', [{'is_refused': False}, {'is_draining': True}])
+@pytest.mark.parametrize(
+    'more', [{'is_refused': lambda: False}, {'is_draining': True}]
+)
 def test_upstream_that_lives_or_leaves_has_not_crashed(hosts, more):
     """Guards against refusals because of lost answers or planned stops."""
 
@@ -138,6 +139,23 @@
     scenario()
 
 
+@clocks.on_virtual_clock
+def test_crash_counts_if_its_request_ends_while_it_is_confirmed(hosts):
+    """Guards against crashes that are lost as callers leave or time out."""
+    _, first, _ = hosts
+
+    def is_refused():
+        clock.sleep(0.1)
+        return True
+
+    for number in range(crashes.CRASHES_TO_REFUSE):
+        task = eventlet.spawn(first.lose, f'i-{number}', is_refused=is_refused)
+        clock.sleep(0.05)
+        task.kill()
+        clock.sleep(0.1)
+    assert first.is_refused
+
+
 @clocks.on_virtual_clock
 def test_first_row_of_a_crash_is_logged_by_the_other_hosts(hosts):
     """Guards against rows that come late without a trace in the log."""
