Count crashes under requests that the gateway has given up

A crash counted only while its request waited for an answer. If the caller left, or the deadline passed, the gateway closed the connection, forgot the attempt and did not see the upstream end some milliseconds later; the next attempt was a first one again. A crash was lost as well if the request ended while the gateway called the upstream again to confirm the crash.

An attempt that is given up stays a suspect for 2 s, and its upstream is looked at meanwhile: an open idle connection shows that it lives, otherwise one connection is opened. Crashes are confirmed in a task of their own. The upstream is suspended as soon as its end is known.

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -12,6 +12,7 @@
 
 from ivystep.core import errors, types
 from ivystep.gateway import (
+    given_up_attempts,
     measurements,
     relay,
     request_log,
@@ -76,6 +77,9 @@
         self._log = log
         self._origins = origins
         self._measured = measured
+        self._given_up = given_up_attempts.GivenUpAttempts(
+            self._crashes, self.suspend
+        )
 
     def send(
         self,
@@ -178,7 +182,9 @@
         """Record how an attempt has ended, whatever its outcome."""
         self._log.answer_ended(state, exchange.body)
         if exchange.is_given_up:
+            state.progress.record_body(exchange.body)
             self._log.given_up(state)
+            self._given_up.add(state, upstream)
         if exchange.has_sent:
             state.step = 'run'
         elif not was_tried:
@@ -342,7 +348,10 @@
     ) -> bool:
         """Return whether an upstream failed an attempt because it ended."""
         if error.code == 'upstream_lost':
-            return self._crashes.on_answer_lost(state, upstream)
+            has_crashed = self._crashes.on_answer_lost(state, upstream)
+            if has_crashed:
+                self._given_up.on_crash(upstream)
+            return has_crashed
         return error.code in {'other_upstream', 'upstream_unavailable'}
 
 
--- a/ivystep/gateway/connections.py
+++ b/ivystep/gateway/connections.py
@@ -183,6 +183,17 @@
             connection.close()
         return self._open()
 
+    def has_ended(self) -> bool:
+        """Return whether the upstream has ended since its last answer.
+
+        An idle connection that is open shows that it has not. Without one, a
+        connection is opened, unless the upstream has been removed.
+        """
+        is_open = any(connection.is_usable() for connection in self._idle)
+        if is_open or self._is_closed:
+            return False
+        return self.is_refused()
+
     def is_refused(self) -> bool:
         """Return whether the upstream's address refuses a connection.
 
--- a/ivystep/gateway/crashes.py
+++ b/ivystep/gateway/crashes.py
@@ -4,9 +4,9 @@
 the crashes that it sees to the store and follows those of the others. The rows
 also survive the hosts' restarts.
 
-A crash is counted only if the upstream has closed the connection of a request
-and refuses a new one. Every request that it ran at the time is counted; one
-that completes several times in a row is cleared.
+A crash is counted only if the upstream refuses a new connection. Every request
+that it ran at the time is counted, also those that this host gave up shortly
+before; one that completes several times in a row is cleared.
 
 A request is recognized by its content. Its caller's address does not count,
 because the request may come from another one when it is sent again. For parts
@@ -17,6 +17,8 @@
 import typing
 from collections.abc import Sequence
 
+import eventlet
+
 from ivystep.core import errors, units
 from ivystep.gateway import (
     events,
@@ -122,36 +124,54 @@
         Returns:
             Whether the upstream refuses connections.
         """
-        lost_at = clock.now()
-        if not upstream.connections.is_refused():
-            return False
-        if not upstream.is_draining:
-            self.parts.on_crash(state, upstream)
-            for fingerprint in state.fingerprints:
-                crash = crash_rows.Crash(
-                    fingerprint,
-                    upstream.upstream_id,
-                    upstream.entry.incarnation,
-                    clock.wall_time(),
-                )
-                self._add(crash)
-                self._own_keys.append(crash.key)
-                self._writer.write(crash_rows.encode(crash))
-            self._log.write(
-                events.UpstreamCrashed(
-                    state.call.request_id,
-                    state.route.name,
-                    upstream.upstream_id,
-                    state.call.caller,
-                    state.content_id,
-                    len(self._quarantine.failures(state.fingerprints[0])),
-                    state.logged_parts,
-                    _elapsed_ms(state.progress.sent_at, lost_at),
-                    _elapsed_ms(state.progress.head_at, lost_at),
-                    state.progress.body_bytes,
-                )
+        # In a task of its own, because the request may end meanwhile.
+        confirmed = eventlet.spawn(self._confirm, state, upstream, clock.now())
+        return bool(confirmed.wait())
+
+    def record(
+        self,
+        state: request_state.RequestState,
+        upstream: upstream_state.Upstream,
+        ended_at: float,
+        *,
+        is_given_up: bool = True,
+    ) -> None:
+        """Count the crash of an upstream against a request.
+
+        Args:
+            state: The request.
+            upstream: The upstream, which refuses connections.
+            ended_at: Time at which the request's connection ended.
+            is_given_up: Whether this host had ended it.
+        """
+        if upstream.is_draining:
+            return
+        self.parts.on_crash(state, upstream)
+        for fingerprint in state.fingerprints:
+            crash = crash_rows.Crash(
+                fingerprint,
+                upstream.upstream_id,
+                upstream.entry.incarnation,
+                clock.wall_time(),
             )
-        return True
+            self._add(crash)
+            self._own_keys.append(crash.key)
+            self._writer.write(crash_rows.encode(crash))
+        self._log.write(
+            events.UpstreamCrashed(
+                state.call.request_id,
+                state.route.name,
+                upstream.upstream_id,
+                state.call.caller,
+                state.content_id,
+                len(self._quarantine.failures(state.fingerprints[0])),
+                state.logged_parts,
+                _elapsed_ms(state.progress.sent_at, ended_at),
+                _elapsed_ms(state.progress.head_at, ended_at),
+                state.progress.body_bytes,
+                is_given_up,
+            )
+        )
 
     def on_completed(self, state: request_state.RequestState) -> None:
         """Clear a request of earlier crashes after several successes.
@@ -216,6 +236,18 @@
     def on_store_regained(self) -> None:
         """Do nothing; the feed resumes at its last store version."""
 
+    def _confirm(
+        self,
+        state: request_state.RequestState,
+        upstream: upstream_state.Upstream,
+        lost_at: float,
+    ) -> bool:
+        """Record a crash if the upstream refuses a new connection."""
+        if not upstream.connections.is_refused():
+            return False
+        self.record(state, upstream, lost_at, is_given_up=False)
+        return True
+
     def _raise_if_part_refused(self, state: request_state.RequestState) -> None:
         refused_s = self.parts.refused_for_s(state)
         if refused_s > 0:
--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -176,9 +176,10 @@
         content: As in ``request_placed``.
         crashes: Upstreams that have ended under this request.
         prompt_parts: As in ``request_placed``.
-        sent_ms: Time since the request was sent to the upstream.
-        head_ms: Time since the head of the answer arrived; -1 if none did.
+        sent_ms: Time from sending the request to the end of its connection.
+        head_ms: The same from the head of the answer; -1 if none arrived.
         body_bytes: Length of the body that had arrived.
+        is_given_up: Whether the attempt had been given up before.
     """
 
     name: typing.ClassVar[str] = 'upstream_crashed'
@@ -194,6 +195,7 @@
     sent_ms: int
     head_ms: int
     body_bytes: int
+    is_given_up: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
