Log upstreams that ask for rest

A 503 of an upstream may name a Retry-After: it wants no requests of this host for so long. It was decoded nowhere, and no line told of it. It is decoded now and upstream_asks_for_rest logs it; no decision uses it.

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -263,6 +263,8 @@
         if head.status <= HIGHEST_SUCCESS_STATUS:
             self._measure_load(state, upstream, ref, is_held=True)
         self._limits.on_answer(upstream, head, sent_at=sent_at)
+        if head.rest_s is not None:
+            self._log.asked_for_rest(upstream, head.rest_s)
 
     def _update_prefill_rate(
         self,
--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -382,6 +382,22 @@
     entry_version: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamAsksForRest(event_log.Event):
+    """An upstream turned a request away and wants none for some time.
+
+    Attributes:
+        rest_ms: The time that it named.
+        in_progress: Requests of this host that it has.
+    """
+
+    name: typing.ClassVar[str] = 'upstream_asks_for_rest'
+
+    upstream: str
+    rest_ms: int
+    in_progress: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UpstreamLimited(event_log.Event):
     """An upstream named another limit, or none any more.
--- a/ivystep/gateway/request_log.py
+++ b/ivystep/gateway/request_log.py
@@ -124,6 +124,18 @@
                 )
             )
 
+    def asked_for_rest(
+        self, upstream: upstream_state.Upstream, rest_s: float
+    ) -> None:
+        """Log that an upstream wants no requests for some time."""
+        self._log.write(
+            events.UpstreamAsksForRest(
+                upstream.upstream_id,
+                int(rest_s * units.MS_PER_S),
+                upstream.in_progress,
+            )
+        )
+
     def given_up(self, state: request_state.RequestState) -> None:
         """Log that an attempt was ended before its upstream answered."""
         sent_at = state.progress.sent_at or clock.now()
--- a/ivystep/platform/messages.py
+++ b/ivystep/platform/messages.py
@@ -12,6 +12,7 @@
 from ivystep.platform import header_names
 from ivystep.traffic import calls, http1
 
+UNAVAILABLE_STATUS = 503
 DIGITS = frozenset(string.digits.encode())
 MAX_NUMBER_DIGITS = 12
 DECIMAL = re.compile(rb'\d{1,9}(\.\d{1,9})?')
@@ -118,9 +119,18 @@
         is_not_run=header_names.NOT_RUN in value_by_name or raw.status == 421,
         keep_alive_s=_keep_alive_s(value_by_name.get(b'keep-alive', b'')),
         limit_per_s=_decimal(value_by_name.get(header_names.RATE_LIMIT, b'')),
+        rest_s=_rest_s(raw, value_by_name),
     )
 
 
+def _rest_s(
+    raw: http1.RawHead, value_by_name: dict[bytes, bytes]
+) -> float | None:
+    if raw.status != UNAVAILABLE_STATUS:
+        return None
+    return _decimal(value_by_name.get(header_names.RETRY_AFTER, b''))
+
+
 def _forwarded(
     headers: list[calls.Header] | tuple[calls.Header, ...],
     excluded: frozenset[bytes],
--- a/ivystep/traffic/calls.py
+++ b/ivystep/traffic/calls.py
@@ -104,6 +104,8 @@
             open; None if not stated.
         limit_per_s: Requests per second that the upstream takes from all hosts
             together; None if it names no limit.
+        rest_s: Time for which the upstream wants no further requests of this
+            host; None if it does not ask for rest.
     """
 
     status: int
@@ -114,3 +116,4 @@
     is_not_run: bool = False
     keep_alive_s: float | None = None
     limit_per_s: float | None = None
+    rest_s: float | None = None
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -156,3 +156,15 @@
 def test_malformed_limit_is_ignored(value):
     """Guards against an upstream that is never used again."""
     assert answer(200, (b'Server-Limit', value)).limit_per_s is None
+
+
+def test_rest_that_an_upstream_asks_for_is_decoded():
+    """Guards against requests to an upstream that wants none."""
+    assert answer(503, (b'Retry-After', b' 2.5 ')).rest_s == pytest.approx(2.5)
+    assert answer(429, (b'Retry-After', b'3')).rest_s is None
+
+
+@pytest.mark.parametrize('value', [b'', b'-1', b'nan', b'1e9', b'9' * 40])
+def test_malformed_rest_is_ignored(value):
+    """Guards against an upstream that is never used again."""
+    assert answer(503, (b'Retry-After', value)).rest_s is None
