Send nothing to an upstream for as long as it asks for rest

Callers' requests went on to an upstream that had turned one away with 503 and Retry-After: 10 and 7 within 3 s where two are allowed (BUDGET), each refused, and the same request up to four times.

The time counts from the head of the 503 and only grows; another status, a success or a suspension does not shorten it. A resting upstream is unavailable to its pool, requests that were placed on it before are placed again before their bytes go, and an engine gets no orders and no reads of reports. If all upstreams of a service rest beyond the latest start of a request, it is refused at once, with the end of the first rest as Retry-After.

Ruled out: a rest that ends too early or holds for one request only; nothing read it.

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -225,8 +225,9 @@
     def _accepts_requests(self, upstream: upstream_state.Upstream) -> bool:
         """Return whether an upstream still accepts requests after a wait."""
         known = self._membership.upstream_by_id.get(upstream.upstream_id)
-        is_suspended = clock.now() < upstream.suspended_until
-        is_closed = upstream.is_draining or is_suspended
+        now = clock.now()
+        is_paused = now < upstream.suspended_until or upstream.rest_s(now) > 0
+        is_closed = upstream.is_draining or is_paused
         return known is upstream and not is_closed
 
     def _encode(
@@ -262,9 +263,9 @@
         state.progress.head_at = clock.now()
         if head.status <= HIGHEST_SUCCESS_STATUS:
             self._measure_load(state, upstream, ref, is_held=True)
-        self._limits.on_answer(upstream, head, sent_at=sent_at)
         if head.rest_s is not None:
             self._log.asked_for_rest(upstream, head.rest_s)
+        self._limits.on_answer(upstream, head, sent_at=sent_at)
 
     def _update_prefill_rate(
         self,
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -135,7 +135,10 @@
                     may_retry=may_retry,
                 )
                 if not may_retry:
-                    raise request_state.final_error(error, state) from error
+                    wait_s = self._limits.expected_wait_s(state.service)
+                    raise request_state.final_error(
+                        error, state, wait_s
+                    ) from error
                 clock.sleep(RETRY_PAUSE_S)
             else:
                 return
--- a/ivystep/gateway/engine_link.py
+++ b/ivystep/gateway/engine_link.py
@@ -94,7 +94,7 @@
             # Nothing is published, since the engine does not change.
             return _refusal(orders.Outcome.FENCED)
         upstream = self._upstream
-        if upstream.limit.is_limited:
+        if not upstream.takes_orders(clock.now()):
             return types.LoadResult(
                 False, 'busy', 'The engine takes few requests, and no orders.'
             )
@@ -269,8 +269,7 @@
             return
         pause_s = POLL_INTERVAL_S
         while clock.now() < ordered_at + LOAD_TIMEOUT_S:
-            if self._upstream.limit.is_limited:
-                # Reading a report would count against the limit.
+            if not self._upstream.takes_orders(clock.now()):
                 clock.sleep(POLL_INTERVAL_S)
                 continue
             try:
--- a/ivystep/gateway/limited_upstreams.py
+++ b/ivystep/gateway/limited_upstreams.py
@@ -1,8 +1,9 @@
-"""Keeps to the limits that upstreams name in their answers.
+"""Keeps to the limits and the rest that upstreams ask for in their answers.
 
-A limited upstream counts as unavailable between two turns of this host, so that
-its pool sends requests elsewhere. If all upstreams of a service are limited,
-requests whose turn would come too late are refused at once.
+An upstream that rests counts as unavailable, and so does a limited one between
+two turns of this host, so that its pool sends requests elsewhere. If all
+upstreams of a service rest or are limited, requests whose turn would come too
+late are refused at once.
 """
 
 import collections
@@ -22,7 +23,7 @@
 
 
 class LimitedUpstreams:
-    """The upstreams of this host that name a limit.
+    """The upstreams of this host that name a limit or rest.
 
     Args:
         upstream_by_id: The upstreams that this host knows.
@@ -53,13 +54,16 @@
         head: calls.AnswerHead,
         sent_at: float,
     ) -> None:
-        """Apply the limit that an answer names, or that it names none.
+        """Apply the limit and the rest that an answer names, or none.
 
         Args:
             upstream: The upstream that answered.
             head: The head of its answer.
             sent_at: Time at which the request was sent.
         """
+        if head.rest_s is not None:
+            upstream.rest(head.rest_s, clock.now())
+            self.refresh(upstream)
         before = upstream.limit.limit_per_s
         if head.limit_per_s is not None:
             upstream.limit.on_named(
@@ -94,7 +98,7 @@
     def refresh(self, upstream: upstream_state.Upstream) -> None:
         """Update an upstream's availability now and at this host's turn."""
         self._on_change(upstream)
-        wait_s = upstream.limit.wait_s(clock.now())
+        wait_s = upstream.wait_s(clock.now())
         if wait_s > 0 and upstream not in self._waiting_for_turn:
             self._waiting_for_turn.add(upstream)
             eventlet.spawn_after(wait_s, self._on_turn, upstream)
@@ -106,14 +110,15 @@
         """Count a request as waiting for a place within the context.
 
         Raises:
-            errors.RefusedError: All upstreams of its service are limited, and
-                the request's turn would come after its latest start.
+            errors.RefusedError: All upstreams of its service rest or are
+                limited, and the request's turn would come after its latest
+                start.
         """
-        wait_s = self._expected_wait_s(state.service)
+        wait_s = self.expected_wait_s(state.service)
         if wait_s and clock.now() + wait_s > state.send_by:
             raise errors.RefusedError(
                 'upstream_limited',
-                'All upstreams take fewer requests than are waiting.',
+                'All upstreams rest, or take fewer requests than are waiting.',
                 status=503,
                 retry_after_s=wait_s,
                 step='place',
@@ -125,24 +130,38 @@
         finally:
             self._waiting_by_service[state.service] -= 1
 
-    def _on_turn(self, upstream: upstream_state.Upstream) -> None:
-        self._waiting_for_turn.discard(upstream)
-        self.refresh(upstream)
+    def expected_wait_s(self, service: str) -> float:
+        """Return the wait of a service's next request.
 
-    def _expected_wait_s(self, service: str) -> float:
-        """Return the wait of the next request; 0 if an upstream is unlimited.
+        The upstreams are searched only while one of them rests or is limited.
 
-        The upstreams are searched only while one of them is limited.
+        Args:
+            service: Name of the service.
+
+        Returns:
+            Time in seconds; 0 if an upstream neither rests nor is limited.
         """
         if not self._waiting_for_turn:
             return 0.0
-        limits = [
-            upstream.limit
+        now = clock.now()
+        found = [
+            upstream
             for upstream in self._upstream_by_id.values()
             if upstream.entry.service == service and not upstream.is_draining
         ]
-        if not limits or not all(limit.is_limited for limit in limits):
-            return 0.0
-        share_per_s = sum(limit.share_per_s for limit in limits)
-        first_turn_s = min(limit.wait_s(clock.now()) for limit in limits)
-        return first_turn_s + self._waiting_by_service[service] / share_per_s
+        waits_s = [
+            upstream.rest_s(now)
+            for upstream in found
+            if not upstream.limit.is_limited
+        ]
+        limited = [upstream for upstream in found if upstream.limit.is_limited]
+        if limited:
+            share_per_s = sum(one.limit.share_per_s for one in limited)
+            first_turn_s = min(one.wait_s(now) for one in limited)
+            waiting = self._waiting_by_service[service]
+            waits_s.append(first_turn_s + waiting / share_per_s)
+        return min(waits_s, default=0.0)
+
+    def _on_turn(self, upstream: upstream_state.Upstream) -> None:
+        self._waiting_for_turn.discard(upstream)
+        self.refresh(upstream)
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -280,9 +280,15 @@
 
 
 def final_error(
-    error: errors.RequestError, state: RequestState
+    error: errors.RequestError, state: RequestState, wait_s: float = 0.0
 ) -> errors.RequestError:
-    """Return the error that ends a request after its last attempt."""
+    """Return the error that ends a request after its last attempt.
+
+    Args:
+        error: The error of the attempt.
+        state: The request.
+        wait_s: Time until the service takes a request again.
+    """
     if state.may_have_run and error.ran is types.ExecutionStatus.NO:
         # The last attempt did not run, but an earlier one may have.
         return errors.RequestError(
@@ -294,7 +300,7 @@
             peer=error.peer,
         )
     if error.ran is types.ExecutionStatus.NO and error.retry_after_s is None:
-        error.retry_after_s = MIN_RETRY_AFTER_S
+        error.retry_after_s = max(wait_s, MIN_RETRY_AFTER_S)
     return error
 
 
--- a/ivystep/gateway/upstream_state.py
+++ b/ivystep/gateway/upstream_state.py
@@ -29,6 +29,8 @@
 # restarts is back after a few seconds.
 SUSPEND_MIN_S = 0.25
 SUSPEND_MAX_S = 2.0
+# A longer rest is taken for a mistake of the upstream.
+MAX_REST_S = 3600.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,6 +66,7 @@
         self.loading: dict[types.AdapterRef, float] = {}
         self.suspended_until = 0.0
         self.limit = shared_limit.SharedLimit()
+        self._resting_until = 0.0
         self._failures = 0
         self.running_elsewhere = 0
         self.in_progress = 0
@@ -169,6 +172,39 @@
         self.suspended_until = now + pause_s
         return pause_s
 
+    def rest(self, asked_s: float, now: float) -> None:
+        """Send nothing for as long as the upstream asks for.
+
+        Args:
+            asked_s: Duration of the rest in seconds; an earlier, longer one
+                still counts.
+            now: Current time in seconds.
+        """
+        until = now + min(asked_s, MAX_REST_S)
+        self._resting_until = max(self._resting_until, until)
+
+    def rest_s(self, now: float) -> float:
+        """Return how much longer the upstream rests; 0 if it does not."""
+        return max(self._resting_until - now, 0.0)
+
+    def wait_s(self, now: float) -> float:
+        """Return the time until the upstream takes a request of this host.
+
+        Args:
+            now: Current time in seconds.
+
+        Returns:
+            0 if it neither rests nor is another host's turn.
+        """
+        return max(self.rest_s(now), self.limit.wait_s(now))
+
+    def takes_orders(self, now: float) -> bool:
+        """Return whether orders and reads of reports may be sent.
+
+        They count as requests for an upstream that takes few or none.
+        """
+        return not (self.limit.is_limited or self.rest_s(now))
+
     def reset_failures(self) -> None:
         """Reset the back-off after an answer."""
         self._failures = 0
@@ -241,7 +277,7 @@
         Args:
             now: Time in seconds.
         """
-        return now >= self.suspended_until and not self.limit.wait_s(now)
+        return now >= self.suspended_until and not self.wait_s(now)
 
     def replace_entry(self, entry: upstreams.UpstreamEntry, now: float) -> None:
         """Apply a newer entry of the same incarnation.
@@ -296,8 +332,7 @@
         self, service: contracts.Service, other_adapters: int, now: float
     ) -> int:
         """Return the slots for one model that no other adapter may use."""
-        # Orders count against the limit, too.
-        if service.engine is None or self.limit.is_limited:
+        if service.engine is None or not self.takes_orders(now):
             return 0
         for ref, ordered_at in list(self.loading.items()):
             if ordered_at < now - UNANSWERED_ORDER_S:
--- a/tests/gateway/test_engine_link.py
+++ b/tests/gateway/test_engine_link.py
@@ -280,13 +280,26 @@
 @clocks.on_virtual_clock
 def test_engine_that_names_a_limit_gets_no_orders_and_reads():
     """Guards against orders that use up the requests an engine takes."""
+    check_no_orders_and_reads(
+        lambda upstream: upstream.limit.on_named(1.0, 4, clock.now())
+    )
+
+
+@clocks.on_virtual_clock
+def test_engine_that_rests_gets_no_orders_and_reads():
+    """Guards against orders to an engine that wants no requests."""
+    check_no_orders_and_reads(lambda upstream: upstream.rest(9.0, clock.now()))
+
+
+def check_no_orders_and_reads(slow_down):
+    """Load an adapter, slow the engine down meanwhile, load another one."""
     bench = Bench()
     eventlet.spawn(bench.load, 'a1')
     clock.sleep(0.05)
     sent = len(bench.engine.received_orders)
     read = []
     bench.engine.read_report = read.append
-    bench.upstream.limit.on_named(1.0, 4, clock.now())
+    slow_down(bench.upstream)
     assert bench.load('a2').code == 'busy'
     clock.sleep(2)
     assert len(bench.engine.received_orders) == sent
--- a/tests/gateway/test_resting_upstreams.py
+++ b/tests/gateway/test_resting_upstreams.py
@@ -3,7 +3,9 @@
 import eventlet
 import pytest
 
-from tests.gateway import harness
+from ivystep.gateway import limited_upstreams, upstream_state
+from ivystep.traffic import calls
+from tests.gateway import fakes, harness
 
 REST_S = 1
 PAUSE_S = 0.05
@@ -118,3 +120,31 @@
     for number in range(3):
         gateway.send('/once/2f', f'r-{number}')
     assert len(arrivals) >= 3
+
+
+def test_rest_is_not_shortened():
+    """Guards against a rest that ends with a later answer or a failure."""
+    upstream = upstream_state.Upstream(fakes.entry())
+    upstream.rest(5.0, now=10.0)
+    upstream.rest(1.0, now=11.0)
+    upstream.suspend(11.0)
+    upstream.reset_failures()
+    assert upstream.rest_s(11.0) == pytest.approx(4.0)
+    assert not upstream.is_available(14.9)
+    assert upstream.is_available(15.0)
+
+
+def test_rest_of_one_of_two_upstreams_delays_no_request():
+    """Guards against requests that wait although an upstream is free."""
+    known = {
+        name: upstream_state.Upstream(fakes.entry(name))
+        for name in ('i-1', 'i-2')
+    }
+    limits = limited_upstreams.LimitedUpstreams(
+        known, lambda: 1, lambda upstream: None, fakes.FakeLog()
+    )
+    asked = calls.AnswerHead(503, 'Busy', (), is_not_run=True, rest_s=9.0)
+    limits.on_answer(known['i-1'], asked, sent_at=0.0)
+    assert not limits.expected_wait_s('llm')
+    limits.on_answer(known['i-2'], asked, sent_at=0.0)
+    assert limits.expected_wait_s('llm') == pytest.approx(9.0, abs=0.1)
