Suspect attempts that a sidecar ended shortly before its engine crashed

An attempt that ended without an answer, because its entry disconnected or its deadline passed, was forgotten although the engine may run on and crash. It stays a suspect for 5 s now. The test asks for the suspects of an incarnation after such an end; the code before returned the running attempts only.

--- a/ivystep/sidecar/attempts.py
+++ b/ivystep/sidecar/attempts.py
@@ -19,6 +19,9 @@
 RETENTION_S = 900.0
 # Takes 21 MB and covers RETENTION_S at 110 attempts per second.
 MAX_ENDED = 100_000
+# An upstream may run an attempt for this long after its connection was closed.
+SUSPECT_S = 5.0
+MAX_SUSPECTS = 256
 
 
 class State(enum.Enum):
@@ -72,6 +75,10 @@
         self._ended: collections.deque[tuple[float, str]] = collections.deque()
         self._running_by_id: dict[str, RunningAttempt] = {}
         self._records_complete_from = 0.0
+        # Attempts that were ended before their upstream answered.
+        self._given_up: collections.deque[tuple[float, RunningAttempt]] = (
+            collections.deque(maxlen=MAX_SUSPECTS)
+        )
 
     @property
     def running(self) -> int:
@@ -84,10 +91,16 @@
         return any(one.is_isolated for one in self._running_by_id.values())
 
     def fingerprints_on(self, incarnation: str) -> tuple[bytes, ...]:
-        """Return the fingerprints that an upstream incarnation is running."""
+        """Return the fingerprints that an upstream incarnation may be running.
+
+        Among them are those of attempts that were ended within ``SUSPECT_S``
+        before it answered.
+        """
+        horizon = clock.now() - SUSPECT_S
+        given_up = (one for ended, one in self._given_up if ended > horizon)
         return tuple(
             one.fingerprint
-            for one in self._running_by_id.values()
+            for one in (*self._running_by_id.values(), *given_up)
             if one.incarnation == incarnation
         )
 
@@ -124,7 +137,9 @@
             attempt_id: Id of the attempt.
             ran: Whether the upstream ran it.
         """
-        self._running_by_id.pop(attempt_id, None)
+        running = self._running_by_id.pop(attempt_id, None)
+        if running is not None and ran is types.ExecutionStatus.UNKNOWN:
+            self._given_up.append((clock.now(), running))
         self._record_end(attempt_id, STATE_BY_STATUS[ran])
 
     def revoke(self, attempt_id: str) -> types.ExecutionStatus:
--- a/tests/sidecar/test_attempts.py
+++ b/tests/sidecar/test_attempts.py
@@ -42,3 +42,22 @@
         types.ExecutionStatus.UNKNOWN,
         types.ExecutionStatus.NO,
     )
+
+
+def test_attempt_that_was_given_up_is_suspected_for_a_while():
+    """Guards against a request whose callers leave before each crash."""
+
+    def scenario():
+        log = attempts.AttemptLog()
+        for attempt_id in ('answered', 'given-up'):
+            fingerprint = attempt_id.encode()
+            log.start(attempt_id, attempts.RunningAttempt(fingerprint))
+            log.record_sent(attempt_id, 'engine-1')
+        log.end('answered', types.ExecutionStatus.YES)
+        log.end('given-up', types.ExecutionStatus.UNKNOWN)
+        now = log.fingerprints_on('engine-1')
+        other = log.fingerprints_on('engine-2')
+        clock.sleep(attempts.SUSPECT_S)
+        return now, other, log.fingerprints_on('engine-1')
+
+    assert virtual_hub.run(scenario) == ((b'given-up',), (), ())
