Refuse attempts at a sidecar whose engine has asked for rest

It now accepts no attempts for the time of the Retry-After and refuses them at once with what is left of it, so that entries use other hosts. The test failed before (upstream_error at the second attempt, which reached the engine).

--- a/ivystep/sidecar/host.py
+++ b/ivystep/sidecar/host.py
@@ -20,6 +20,8 @@
     upstream,
 )
 
+# A longer rest is taken for a mistake of the upstream.
+MAX_REST_S = 3600.0
 UNHEALTHY_AFTER_FAILURES = 2
 
 log = logs.get('sidecar')
@@ -48,6 +50,7 @@
         self.is_draining = False
         self.setup_version = 0
         self.max_running = settings.max_running
+        self._resting_until = 0.0
         self.revision = 0
         self.violations = 0
         self.attempts = attempts.AttemptLog()
@@ -88,6 +91,20 @@
         """Whether no attempt and no order is in progress."""
         return not self.attempts.running and not self.orders.is_active
 
+    def rest(self, asked_s: float) -> None:
+        """Accept no attempts for as long as the upstream asks for.
+
+        Args:
+            asked_s: Duration in seconds; an earlier, longer one still counts.
+        """
+        until = clock.now() + min(asked_s, MAX_REST_S)
+        self._resting_until = max(self._resting_until, until)
+
+    @property
+    def rest_s(self) -> float:
+        """How much longer the upstream rests, in seconds; 0 if it does not."""
+        return max(self._resting_until - clock.now(), 0.0)
+
     def interrupt_attempts(self) -> None:
         """Interrupt all attempts with an error that states their outcome."""
         for interrupt in tuple(self.interrupts):
--- a/ivystep/sidecar/run.py
+++ b/ivystep/sidecar/run.py
@@ -16,6 +16,7 @@
 
 READ_BYTES = 64 * units.KIB
 QUEUE_FACTOR = 2
+UNAVAILABLE_STATUS = 503
 ENGINE_PATHS = frozenset(('/v1/completions', '/v1/chat/completions'))
 # The connection of an entry that has not read a frame this long after the
 # deadline is closed.
@@ -199,6 +200,10 @@
             )
             raise refusal
         if status >= 500:
+            if status == UNAVAILABLE_STATUS:
+                self._upstream_host.rest(
+                    answers.retry_after_s(response.headers) or 0.0
+                )
             raise self._error(
                 'upstream_error',
                 f'The upstream answered with status {status}.',
@@ -306,6 +311,12 @@
         raise _refusal('draining', 'The upstream is draining.')
     if not upstream_host.is_healthy:
         raise _refusal('upstream_unavailable', 'The upstream is unhealthy.')
+    if upstream_host.rest_s:
+        raise _refusal(
+            'overloaded',
+            'The upstream has asked for rest.',
+            retry_after_s=upstream_host.rest_s,
+        )
     if (
         upstream_host.attempts.running
         >= upstream_host.max_running * QUEUE_FACTOR
@@ -376,9 +387,11 @@
     response.release_conn()
 
 
-def _refusal(code: str, reason: str, status: int = 503) -> errors.RefusedError:
+def _refusal(
+    code: str, reason: str, status: int = 503, retry_after_s: float = 1.0
+) -> errors.RefusedError:
     return errors.RefusedError(
-        code, reason, status=status, retry_after_s=1.0, step='run'
+        code, reason, status=status, retry_after_s=retry_after_s, step='run'
     )
 
 
--- a/tests/sidecar/test_run.py
+++ b/tests/sidecar/test_run.py
@@ -155,6 +155,35 @@
     assert last.retry_after_ms == retry_after_ms
 
 
+@pytest.mark.parametrize(
+    ('status', 'named', 'code'),
+    [
+        (503, '9', 'overloaded'),
+        (503, 'soon', 'upstream_error'),
+        (500, '9', 'upstream_error'),
+    ],
+)
+def test_engine_that_asks_for_rest_gets_no_attempts(status, named, code):
+    """Guards against requests to an engine that wants none."""
+    runs = []
+
+    def handle(environ):
+        if environ['PATH_INFO'] != '/v1/completions':
+            return sidecar_bench.engine.handle(environ)
+        runs.append(environ)
+        return web.ReplyWithHeaders(status, (('Retry-After', named),), b'')
+
+    sidecar_bench = bench.Bench(handle)
+    sidecar_bench.start(bench.REF)
+    sidecar_bench.run()
+    last = sidecar_bench.run(attempt_id='att-2')[-1]
+    sidecar_bench.stop()
+    assert last.code == code
+    is_resting = code == 'overloaded'
+    assert len(runs) == (1 if is_resting else 2)
+    assert not is_resting or 8000 < last.retry_after_ms <= 9000
+
+
 def test_attempts_cannot_give_orders(engine_bench):
     """Guards against an attempt that loads or unloads adapters."""
     last = engine_bench.run(path='/v1/unload_lora_adapter')[-1]
