Use no upstream any more that states in its answers that it leaves

It was passed on to callers and read by nothing, so a gateway that is cut off from the store, or whose upstream writes no draining entry, went on to use the upstream. An upstream that states it now counts as draining for this host, for the rest of its incarnation.

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -263,6 +263,10 @@
         state.progress.head_at = clock.now()
         if head.status <= HIGHEST_SUCCESS_STATUS:
             self._measure_load(state, upstream, ref, is_held=True)
+        if head.is_leaving and not upstream.is_draining:
+            upstream.leave()
+            self._log.leaving(upstream)
+            self._on_change(upstream)
         if head.rest_s is not None:
             self._log.asked_for_rest(upstream, head.rest_s)
         self._limits.on_answer(upstream, head, sent_at=sent_at)
--- a/ivystep/gateway/request_log.py
+++ b/ivystep/gateway/request_log.py
@@ -124,6 +124,20 @@
                 )
             )
 
+    def leaving(self, upstream: upstream_state.Upstream) -> None:
+        """Log that an upstream states in an answer that it drains."""
+        host, port = upstream.entry.address
+        self._log.write(
+            events.UpstreamChanged(
+                upstream.upstream_id,
+                upstream.entry.service,
+                f'{host}:{port}',
+                'draining',
+                'stated in its answer',
+                upstream.entry.version,
+            )
+        )
+
     def asked_for_rest(
         self, upstream: upstream_state.Upstream, rest_s: float
     ) -> None:
--- a/ivystep/gateway/upstream_state.py
+++ b/ivystep/gateway/upstream_state.py
@@ -67,6 +67,7 @@
         self.suspended_until = 0.0
         self.limit = shared_limit.SharedLimit()
         self._resting_until = 0.0
+        self._is_leaving = False
         self._failures = 0
         self.running_elsewhere = 0
         self.in_progress = 0
@@ -172,6 +173,13 @@
         self.suspended_until = now + pause_s
         return pause_s
 
+    def leave(self) -> None:
+        """Send nothing more: the upstream states that it drains.
+
+        An incarnation that drains is not used again.
+        """
+        self._is_leaving = True
+
     def rest(self, asked_s: float, now: float) -> None:
         """Send nothing for as long as the upstream asks for.
 
@@ -221,8 +229,9 @@
 
     @property
     def is_draining(self) -> bool:
-        """Whether the upstream's entry says that it drains."""
-        return self.entry.state is upstreams.UpstreamState.DRAINING
+        """Whether the upstream's entry or an answer of it says so."""
+        is_entry_draining = self.entry.state is upstreams.UpstreamState.DRAINING
+        return is_entry_draining or self._is_leaving
 
     def holds_model(self, model: str) -> bool:
         """Return whether a base model is loaded."""
--- a/ivystep/platform/header_names.py
+++ b/ivystep/platform/header_names.py
@@ -19,6 +19,8 @@
 RESPONSE_SEAL = b'response-seal'
 # Requests per second that an upstream takes from all hosts together.
 RATE_LIMIT = b'server-limit'
+# Stated in all answers of an upstream that leaves.
+LEAVING = b'server-leaving'
 # Seconds for which an upstream that answers 503 wants no requests of this host.
 RETRY_AFTER = b'retry-after'
 
--- a/ivystep/platform/messages.py
+++ b/ivystep/platform/messages.py
@@ -120,6 +120,7 @@
         keep_alive_s=_keep_alive_s(value_by_name.get(b'keep-alive', b'')),
         limit_per_s=_decimal(value_by_name.get(header_names.RATE_LIMIT, b'')),
         rest_s=_rest_s(raw, value_by_name),
+        is_leaving=value_by_name.get(header_names.LEAVING, b'').strip() == b'1',
     )
 
 
--- a/ivystep/traffic/calls.py
+++ b/ivystep/traffic/calls.py
@@ -106,6 +106,7 @@
             together; None if it names no limit.
         rest_s: Time for which the upstream wants no further requests of this
             host; None if it does not ask for rest.
+        is_leaving: Whether the upstream states that it drains.
     """
 
     status: int
@@ -117,3 +118,4 @@
     keep_alive_s: float | None = None
     limit_per_s: float | None = None
     rest_s: float | None = None
+    is_leaving: bool = False
