Count crashes of upstreams whose address answers nothing afterwards

A crash counted only if the address refused a new connection within 0.2 s. In the operators' record the monitoring says of each upstream that it does not answer.

If the upstream has closed the request's connection and two new ones get no answer, it counts as crashed. If a timeout of this host ended the connection, silence still counts for nothing: the host itself may be cut off. The request waits no longer than before for the result.

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -355,13 +355,24 @@
     ) -> bool:
         """Return whether an upstream failed an attempt because it ended."""
         if error.code == 'upstream_lost':
-            has_crashed = self._crashes.on_answer_lost(state, upstream)
+            has_crashed = self._crashes.on_answer_lost(
+                state, upstream, is_closed=_is_closed_by_peer(error)
+            )
             if has_crashed:
                 self._given_up.on_crash(upstream)
             return has_crashed
         return error.code in {'other_upstream', 'upstream_unavailable'}
 
 
+def _is_closed_by_peer(error: errors.RequestError) -> bool:
+    """Return whether the upstream has closed the connection of an attempt.
+
+    A link that is cut ends it by a timeout of this host.
+    """
+    lost = error.__cause__
+    return not (lost and isinstance(lost.__cause__, TimeoutError))
+
+
 def _is_queued(exchange: relay.Exchange) -> bool:
     """Return whether an upstream has a request and has not begun to answer."""
     has_begun = exchange.body is not None and exchange.body.received_bytes > 0
--- a/ivystep/gateway/connections.py
+++ b/ivystep/gateway/connections.py
@@ -6,6 +6,7 @@
 
 import collections
 import contextlib
+import enum
 import socket
 import typing
 
@@ -19,6 +20,7 @@
 CONNECT_TIMEOUT_S = 0.6
 # For a connection that only finds out whether an upstream has ended.
 PROBE_TIMEOUT_S = 0.2
+SILENT_PROBES = 2
 # For upstreams that announce no idle time-out; theirs may be short.
 DEFAULT_IDLE_TIMEOUT_S = 2.0
 # A connection is closed this long before the upstream's idle time-out, which
@@ -32,6 +34,15 @@
 USER_TIMEOUT_MS = 3000
 
 
+class Reachability(enum.Enum):
+    """What a connection to an upstream's address has found."""
+
+    OPEN = 'open'
+    REFUSED = 'refused'
+    SILENT = 'silent'
+    UNKNOWN = 'unknown'
+
+
 def set_tcp_options(connection: socket.socket) -> None:
     """Disable Nagle's algorithm and have the kernel detect dead peers.
 
@@ -195,16 +206,19 @@
         return self.is_refused()
 
     def is_refused(self) -> bool:
-        """Return whether the upstream's address refuses a connection.
+        """Return whether the upstream's address refuses a connection."""
+        return self._probe() is Reachability.REFUSED
+
+    def is_unreachable(self) -> bool:
+        """Return whether the address refuses connections or answers nothing.
 
-        A connection that is accepted is kept for the next request.
+        Silence is believed after several tries, because a packet may be lost.
         """
-        try:
-            connection = self._open(PROBE_TIMEOUT_S)
-        except errors.LinkError as error:
-            return isinstance(error.__cause__, ConnectionRefusedError)
-        self.release(connection, None)
-        return False
+        for _ in range(SILENT_PROBES):
+            found = self._probe()
+            if found is not Reachability.SILENT:
+                return found is Reachability.REFUSED
+        return True
 
     def release(
         self, connection: UpstreamConnection, idle_timeout_s: float | None
@@ -241,6 +255,19 @@
         while self._idle:
             self._idle.pop().close()
 
+    def _probe(self) -> Reachability:
+        """Try to connect; an accepted connection is kept for a request."""
+        try:
+            connection = self._open(PROBE_TIMEOUT_S)
+        except errors.LinkError as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                return Reachability.REFUSED
+            if isinstance(error.__cause__, TimeoutError):
+                return Reachability.SILENT
+            return Reachability.UNKNOWN
+        self.release(connection, None)
+        return Reachability.OPEN
+
     def _open(self, timeout_s: float = CONNECT_TIMEOUT_S) -> UpstreamConnection:
         self.opened += 1
         connection = None
--- a/ivystep/gateway/crashes.py
+++ b/ivystep/gateway/crashes.py
@@ -4,9 +4,10 @@
 the crashes that it sees to the store and follows those of the others. The rows
 also survive the hosts' restarts.
 
-A crash is counted only if the upstream refuses a new connection. Every request
-that it ran at the time is counted, also those that this host gave up shortly
-before; one that completes several times in a row is cleared.
+A crash is counted only if the upstream refuses a new connection, or has closed
+one and answers no new one. Every request that it ran at the time is counted,
+also those that this host gave up shortly before; one that completes several
+times in a row is cleared.
 
 A request is recognized by its content. Its caller's address does not count,
 because the request may come from another one when it is sent again. For parts
@@ -21,6 +22,7 @@
 
 from ivystep.core import errors, units
 from ivystep.gateway import (
+    connections,
     events,
     part_crashes,
     request_state,
@@ -114,19 +116,27 @@
         self,
         state: request_state.RequestState,
         upstream: upstream_state.Upstream,
+        *,
+        is_closed: bool = True,
     ) -> bool:
         """Find out whether an upstream crashed while it ran a request.
 
         Args:
             state: The request.
-            upstream: The upstream, which closed the request's connection.
+            upstream: The upstream whose answer was lost.
+            is_closed: Whether it has closed the request's connection. Otherwise
+                silence does not count, since this host may be cut off.
 
         Returns:
-            Whether the upstream refuses connections.
+            Whether the upstream is known to have ended.
         """
         # In a task of its own, because the request may end meanwhile.
-        confirmed = eventlet.spawn(self._confirm, state, upstream, clock.now())
-        return bool(confirmed.wait())
+        confirmed = eventlet.spawn(
+            self._confirm, state, upstream, clock.now(), is_closed=is_closed
+        )
+        with eventlet.Timeout(connections.PROBE_TIMEOUT_S, exception=False):
+            return bool(confirmed.wait())
+        return False
 
     def record(
         self,
@@ -241,9 +251,15 @@
         state: request_state.RequestState,
         upstream: upstream_state.Upstream,
         lost_at: float,
+        *,
+        is_closed: bool,
     ) -> bool:
-        """Record a crash if the upstream refuses a new connection."""
-        if not upstream.connections.is_refused():
+        """Record a crash if the upstream can't be reached again."""
+        address = upstream.connections
+        has_ended = (
+            address.is_unreachable() if is_closed else address.is_refused()
+        )
+        if not has_ended:
             return False
         self.record(state, upstream, lost_at, is_given_up=False)
         return True
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -64,6 +64,22 @@
         for connection in self._connections:
             reset(connection)
 
+    def crash_silently(self, stack):
+        """End like a host that goes dark: the address answers nothing.
+
+        A listener whose queue is full drops the packets that open connections.
+        """
+        self.crash()
+        silent = stack.enter_context(contextlib.closing(socket.socket()))
+        silent.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        silent.bind(('127.0.0.1', self.port))
+        silent.listen(0)
+        for _ in range(2):
+            waiting = stack.enter_context(contextlib.closing(socket.socket()))
+            waiting.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                waiting.connect(('127.0.0.1', self.port))
+
     def _accept(self):
         while True:
             connection, _ = self._listener.accept()
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -64,7 +64,9 @@
             upstream_id=upstream_id,
             entry=fakes.entry(upstream_id),
             is_draining=is_draining,
-            connections=builtin_types.SimpleNamespace(is_refused=is_refused),
+            connections=builtin_types.SimpleNamespace(
+                is_refused=is_refused, is_unreachable=is_refused
+            ),
         )
         self.crashes.on_answer_lost(request(), upstream)
         clock.sleep(0.1)
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -62,6 +62,23 @@
     assert first.send('/read/other').status == 200
 
 
+def test_request_that_silences_upstreams_is_refused(build, stack):
+    """Guards against crashed hosts that are not known by a refusal."""
+    silent = []
+
+    def script(connection, headers):
+        port = connection.getsockname()[1]
+        upstream = next(one for one in built if one.port == port)
+        silent.append(upstream)
+        upstream.crash_silently(stack)
+
+    gateway, built = build(*([script] * UPSTREAMS))
+    for number in range(UPSTREAMS):
+        gateway.send(CRASHING, f'crash-{number}')
+        eventlet.sleep(0.5)
+    assert len(silent) <= MAX_CRASHED
+
+
 def test_request_that_crashed_upstreams_is_refused_by_other_gateways(
     first, upstreams, build_peer
 ):
