Tell a crash by the attempt under which it happened

While a silent address is called a second time, the request may begin its next attempt; the crash was then counted and logged with the progress of that one, so a part of its prompt could be suspected or cleared wrongly. The check gets the request as it was. Found by reading; the test failed before (sent_ms -200 instead of 2000).

--- a/ivystep/gateway/crashes.py
+++ b/ivystep/gateway/crashes.py
@@ -15,6 +15,7 @@
 """
 
 import collections
+import copy
 import typing
 from collections.abc import Sequence
 
@@ -130,9 +131,14 @@
         Returns:
             Whether the upstream is known to have ended.
         """
-        # In a task of its own, because the request may end meanwhile.
+        # In a task of its own and with a copy, because the request may end or
+        # begin its next attempt meanwhile.
         confirmed = eventlet.spawn(
-            self._confirm, state, upstream, clock.now(), is_closed=is_closed
+            self._confirm,
+            copy.copy(state),
+            upstream,
+            clock.now(),
+            is_closed=is_closed,
         )
         with eventlet.Timeout(connections.PROBE_TIMEOUT_S, exception=False):
             return bool(confirmed.wait())
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -158,6 +158,32 @@
     assert first.is_refused
 
 
+@clocks.on_virtual_clock
+def test_crash_is_told_by_its_own_attempt_if_the_next_one_has_begun(hosts):
+    """Guards against evidence of an attempt at another upstream."""
+    _, first, _ = hosts
+    lost = request()
+    lost.progress.sent_at = clock.now() - 2.0
+
+    def is_unreachable():
+        clock.sleep(0.4)
+        return True
+
+    upstream = builtin_types.SimpleNamespace(
+        upstream_id='i-1',
+        entry=fakes.entry('i-1'),
+        is_draining=False,
+        connections=builtin_types.SimpleNamespace(
+            is_unreachable=is_unreachable
+        ),
+    )
+    assert not first.crashes.on_answer_lost(lost, upstream)
+    lost.progress = request_state.AttemptProgress(sent_at=clock.now())
+    clock.sleep(0.5)
+    (logged,) = first.log.named('upstream_crashed')
+    assert 2000 <= logged.sent_ms < 2100
+
+
 @clocks.on_virtual_clock
 def test_first_row_of_a_crash_is_logged_by_the_other_hosts(hosts):
     """Guards against rows that come late without a trace in the log."""
