Move the prefill modules to a package of their own

Change: policy/prefill.py, prefill_rates.py and prefill_forecast.py and their tests move to ivystep/prefill and tests/prefill. No change of behaviour.

Ruled out: the old names as aliases, which nothing outside this repository uses.

Runs: tests/prefill and tests/gateway once; all passed but test_leaving_answers.py::test_other_values_do_not_state_that_an_upstream_leaves, on a busy machine. That file was then run three times alone and passed.

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -24,7 +24,7 @@
     version_waits,
 )
 from ivystep.platform import messages
-from ivystep.policy import prefill
+from ivystep.prefill import prefill
 from ivystep.runtime import clock
 from ivystep.traffic import calls, contracts
 
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -45,7 +45,8 @@
     rows,
     table,
 )
-from ivystep.policy import load_times, prefill_rates
+from ivystep.policy import load_times
+from ivystep.prefill import prefill_rates
 from ivystep.runtime import clock, drain, event_log
 from ivystep.settings import gateway as settings_models
 from ivystep.traffic import contracts
--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -8,7 +8,7 @@
 import logging
 import typing
 
-from ivystep.policy import prefill
+from ivystep.prefill import prefill
 from ivystep.runtime import event_log
 
 
--- a/ivystep/gateway/leadership.py
+++ b/ivystep/gateway/leadership.py
@@ -20,7 +20,7 @@
     residency_updates,
 )
 from ivystep.platform import table
-from ivystep.policy import prefill
+from ivystep.prefill import prefill
 from ivystep.runtime import clock, event_log
 
 LEASE_KEY = 'lease/orders'
--- a/ivystep/gateway/measurements.py
+++ b/ivystep/gateway/measurements.py
@@ -10,7 +10,8 @@
 
 from ivystep.core import types
 from ivystep.gateway import upstream_state
-from ivystep.policy import load_correction, load_times, prefill_rates
+from ivystep.policy import load_correction, load_times
+from ivystep.prefill import prefill_rates
 
 # Measurements of one kind that wait for the next heartbeat.
 MAX_PENDING = 64
--- a/ivystep/gateway/prefill_queues.py
+++ b/ivystep/gateway/prefill_queues.py
@@ -14,7 +14,7 @@
 
 from ivystep.core import errors, units
 from ivystep.entry import peers
-from ivystep.policy import prefill, prefill_forecast, prefill_rates
+from ivystep.prefill import prefill, prefill_forecast, prefill_rates
 from ivystep.runtime import clock
 from ivystep.wire.gen import ttypes
 
--- a/ivystep/gateway/request_log.py
+++ b/ivystep/gateway/request_log.py
@@ -8,7 +8,7 @@
     request_state,
     upstream_state,
 )
-from ivystep.policy import prefill
+from ivystep.prefill import prefill
 from ivystep.runtime import clock, event_log
 from ivystep.traffic import calls, contracts, http1
 
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -6,7 +6,7 @@
 
 from ivystep.core import errors, types, units
 from ivystep.gateway import answer_body, relay, upstream_state
-from ivystep.policy import prefill
+from ivystep.prefill import prefill
 from ivystep.runtime import clock
 from ivystep.traffic import calls, contracts
 
--- a/ivystep/gateway/residency_updates.py
+++ b/ivystep/gateway/residency_updates.py
@@ -17,7 +17,8 @@
 from ivystep.coordination import lease
 from ivystep.core import errors, types, units
 from ivystep.gateway import measurements, table_progress
-from ivystep.policy import load_correction, prefill_rates
+from ivystep.policy import load_correction
+from ivystep.prefill import prefill_rates
 from ivystep.runtime import clock
 from ivystep.wire import channel, convert
 from ivystep.wire.gen import ttypes
--- a/ivystep/policy/prefill_forecast.py
+++ b/ivystep/prefill/prefill_forecast.py
@@ -12,7 +12,7 @@
 import math
 from collections.abc import Iterable
 
-from ivystep.policy import prefill
+from ivystep.prefill import prefill
 
 # Time over which the share of timely prompts is averaged, in seconds.
 AVERAGE_S = 2.0
--- a/ivystep/wire/ivystep.thrift
+++ b/ivystep/wire/ivystep.thrift
@@ -248,7 +248,7 @@
   9: optional bool is_repeated
 }
 
-// leave is a value of policy.prefill.PermitDecision.
+// leave is a value of prefill.prefill.PermitDecision.
 struct Permit {
   1: string engine
   2: string leave
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -10,7 +10,8 @@
 from ivystep.core import errors
 from ivystep.gateway import measurements, residency_updates, table_progress
 from ivystep.platform import rows
-from ivystep.policy import load_times, prefill_rates
+from ivystep.policy import load_times
+from ivystep.prefill import prefill_rates
 from ivystep.runtime import clock
 from ivystep.traffic import contracts, orders, upstreams
 
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -18,7 +18,7 @@
     upstream_state,
     version_choice,
 )
-from ivystep.policy import prefill
+from ivystep.prefill import prefill
 from ivystep.runtime import clock
 from ivystep.traffic import calls, contracts, upstreams
 from tests.coordination import fakes as clocks
--- a/tests/gateway/test_leadership.py
+++ b/tests/gateway/test_leadership.py
@@ -11,7 +11,7 @@
     prefill_queues,
     residency_updates,
 )
-from ivystep.policy import prefill_rates
+from ivystep.prefill import prefill_rates
 from ivystep.runtime import clock
 from tests.coordination import fakes as clocks
 from tests.gateway import fakes
--- a/tests/gateway/test_prefill_queues.py
+++ b/tests/gateway/test_prefill_queues.py
@@ -7,7 +7,7 @@
 
 from ivystep.core import errors
 from ivystep.gateway import prefill_queues
-from ivystep.policy import prefill, prefill_forecast, prefill_rates
+from ivystep.prefill import prefill, prefill_forecast, prefill_rates
 from ivystep.runtime import clock
 from ivystep.wire.gen import ttypes
 from tests.coordination import fakes as clocks
--- a/tests/policy/test_prefill.py
+++ b/tests/prefill/test_prefill.py
@@ -4,7 +4,7 @@
 import pytest
 from hypothesis import strategies
 
-from ivystep.policy import prefill
+from ivystep.prefill import prefill
 
 TOKENS_PER_S = 10000.0
 
--- a/tests/policy/test_prefill_rates.py
+++ b/tests/prefill/test_prefill_rates.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ivystep.policy import prefill_rates
+from ivystep.prefill import prefill_rates
 
 # Engines as slow and as fast as deployments may have.
 RATES = (4000.0, 14200.0, 15000.0, 19100.0, 20400.0, 38400.0, 100000.0)
