Learn the latency of engines besides their prefill rate

Cause: 12 ms of latency were assumed for each engine, and the rest of the time to first token was taken for prefill. An engine without latency seemed faster.

Change: prefill/estimate.py fits the latency of a service, and of an engine that differs from it, by the median slope over pairs of shorter and longer prompts. The ranks of the slopes bound the latency. It departs from 12 ms (an engine's from its service's) only if the interval of about 99% is 8 ms above or 1 ms below, with 12 pairs or more of prompts whose lengths differ by a tenth; few pairs or a wide interval give a shorter latency, hence a lower rate. Rates are computed as before from what the latency leaves; prompts book tokens / rate. first_event_s adds the learned latency to the expected time without the margin of a half, and target_start_by and start_by follow from it. The last seven prompts of an engine count as faster than its service only if all but one are: with a tenth of the prompts cached, three of seven were at times, and the rate doubled for some seconds.

Lengths that hardly differ tell latency and rate apart in no way: what was assumed before remains.

--- /dev/null
+++ b/ivystep/prefill/estimate.py
@@ -0,0 +1,145 @@
+"""Separates an engine's time to first token into latency and prefill.
+
+Each prompt has a latency that prompts share: network hops, a step in progress
+and the decode steps of the first event. Only the rest of the time occupies the
+engine, in proportion to the prompt's tokens. Where a latency is taken for
+prefill, the engine is booked for time that nobody uses.
+
+The fit is that of Theil: the median slope over pairs of a shorter and a longer
+prompt. It holds although a quarter of the prompts are cached in part, delayed
+or slowed. The ranks of the slopes bound the latency, so that lengths that
+hardly differ, or few prompts, change nothing.
+
+Designed for some hundred prompts a second, of which at most 96 are fitted at a
+time.
+"""
+
+import dataclasses
+import math
+import statistics
+from collections.abc import Collection, Sequence
+
+# Pairs of prompts with which a fit begins.
+MIN_PAIRS = 12
+# Least ratio of the lengths of a pair. Noise exceeds what shorter distances
+# add to the time.
+MIN_LENGTH_RATIO = 1.1
+# Width of the interval of the slope, in square roots of the number of pairs:
+# the true slope is outside it once in a hundred times.
+INTERVAL_WIDTH = 1.3
+# A latency is replaced if the interval excludes it by at least this time.
+# Smaller differences cost less than a changing estimate.
+CLEAR_S = 0.008
+# The same for shorter latencies, which make a fast engine seem faster.
+CLEAR_BELOW_S = 0.001
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrefillSample:
+    """A prompt that was prefilled while no other one was.
+
+    Attributes:
+        engine: Incarnation of the engine.
+        tokens: Number of tokens of the prompt.
+        first_event_s: Time to first token, in seconds.
+    """
+
+    engine: str
+    tokens: int
+    first_event_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LatencyFit:
+    """The latency that samples show, in seconds.
+
+    Attributes:
+        likely_s: The latency of the median slope, or a shorter one if the
+            pairs are few or the interval is wide: a latency that is too long
+            makes the engine seem faster than it is, and more is sent than it
+            can read.
+        lowest_s: Lower end of its interval.
+        highest_s: Upper end of its interval.
+    """
+
+    likely_s: float
+    lowest_s: float
+    highest_s: float
+
+    def is_clear_of(self, latency_s: float) -> bool:
+        """Return whether the samples clearly show another latency."""
+        return (
+            self.lowest_s > latency_s + CLEAR_S
+            or self.highest_s < latency_s - CLEAR_BELOW_S
+        )
+
+
+def fit(samples: Collection[PrefillSample]) -> LatencyFit | None:
+    """Fit the latency of prompts.
+
+    Args:
+        samples: The measurements.
+
+    Returns:
+        The fit; None if the lengths of too few prompts differ.
+    """
+    by_length = sorted(samples, key=lambda sample: sample.tokens)
+    slopes = sorted(_slopes(by_length))
+    if len(slopes) < MIN_PAIRS:
+        return None
+    middle = len(slopes) / 2
+    outside = max(int(middle - INTERVAL_WIDTH * math.sqrt(len(slopes))), 0)
+    middle_s = _intercept(by_length, statistics.median(slopes))
+    lowest_s = _intercept(by_length, slopes[-1 - outside])
+    caution = MIN_PAIRS / len(slopes)
+    return LatencyFit(
+        middle_s - caution * (middle_s - lowest_s),
+        lowest_s,
+        _intercept(by_length, slopes[outside]),
+    )
+
+
+def next_latency_s(
+    found: LatencyFit | None, current_s: float, usual_s: float
+) -> float:
+    """Return the latency to assume after a fit, in seconds.
+
+    A latency that was learned remains while the samples agree with it, also
+    if they would not suffice to learn it again.
+
+    Args:
+        found: The fit.
+        current_s: Latency assumed before, in seconds.
+        usual_s: Latency that is assumed until another one is clear.
+    """
+    if found is None:
+        return current_s
+    if found.is_clear_of(usual_s):
+        return found.likely_s
+    if found.is_clear_of(current_s):
+        return usual_s
+    return current_s
+
+
+def _slopes(by_length: Sequence[PrefillSample]) -> list[float]:
+    """Return the seconds for each token that pairs of prompts show."""
+    distance = (len(by_length) + 1) // 2
+    return [
+        (longer.first_event_s - shorter.first_event_s)
+        / (longer.tokens - shorter.tokens)
+        for shorter, longer in zip(
+            by_length, by_length[distance:], strict=False
+        )
+        if longer.tokens >= MIN_LENGTH_RATIO * shorter.tokens
+    ]
+
+
+def _intercept(samples: Sequence[PrefillSample], slope: float) -> float:
+    """Return the median time that the prompts' tokens leave, at least 0."""
+    slope = max(slope, 0.0)
+    return max(
+        statistics.median(
+            sample.first_event_s - slope * sample.tokens for sample in samples
+        ),
+        0.0,
+    )
--- a/ivystep/prefill/prefill_rates.py
+++ b/ivystep/prefill/prefill_rates.py
@@ -11,9 +11,10 @@
 """
 
 import collections
-import dataclasses
 from collections.abc import Collection
 
+from ivystep.prefill import estimate
+
 # Prefill rate of a service before its first measurement.
 INITIAL_TOKENS_PER_S = 15000.0
 # Shorter prompts say little about the prefill rate.
@@ -27,6 +28,9 @@
 MIN_PREFILL_SHARE = 0.25
 # Share of the prompts that are prefilled more slowly than the estimate.
 SLOWER_SHARE = 0.6
+# The same for the last prompts of an engine that seems fast: cached prompts
+# look fast, and several of them may follow each other.
+UNCACHED_SHARE = 0.2
 # Measurements that are kept of a service and of an engine.
 SERVICE_SAMPLES = 96
 ENGINE_SAMPLES = 24
@@ -41,23 +45,51 @@
 # nor send every one at once.
 MIN_TOKENS_PER_S = 1000.0
 MAX_TOKENS_PER_S = 1000000.0
+# A latency is fitted again after this part of the measurements is new.
+FITS = 8
 # Engines that are remembered; each incarnation has its own name.
 MAX_ENGINES = 16384
 
+PrefillSample = estimate.PrefillSample
+
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PrefillSample:
-    """A prompt that was prefilled while no other one was.
+class _Samples:
+    """Last measurements of a service or of one engine, and their latency.
 
-    Attributes:
-        engine: Incarnation of the engine.
-        tokens: Number of tokens of the prompt.
-        first_event_s: Time to first token, in seconds.
+    Args:
+        size: Measurements that are kept.
     """
 
-    engine: str
-    tokens: int
-    first_event_s: float
+    def __init__(self, size: int) -> None:
+        self.samples: collections.deque[PrefillSample] = collections.deque(
+            maxlen=size
+        )
+        # Latency that these measurements show; None before they do.
+        self._latency_s: float | None = None
+        self._unfitted = 0
+
+    def add(self, sample: PrefillSample, usual_s: float) -> None:
+        """Add a measurement.
+
+        Args:
+            sample: The measurement.
+            usual_s: Latency in seconds that is assumed until another is clear.
+        """
+        self.samples.append(sample)
+        self._unfitted += 1
+        if self._unfitted >= len(self.samples) / FITS:
+            self._unfitted = 0
+            self._latency_s = self._fit(usual_s)
+
+    def latency_s(self, usual_s: float) -> float:
+        """Return the latency in seconds; the usual one before it is clear."""
+        return usual_s if self._latency_s is None else self._latency_s
+
+    def _fit(self, usual_s: float) -> float | None:
+        latency_s = estimate.next_latency_s(
+            estimate.fit(self.samples), self.latency_s(usual_s), usual_s
+        )
+        return None if latency_s == usual_s else latency_s
 
 
 class _ServiceRate:
@@ -65,13 +97,16 @@
 
     def __init__(self) -> None:
         self.tokens_per_s = INITIAL_TOKENS_PER_S
-        self._samples: collections.deque[PrefillSample] = collections.deque(
-            maxlen=SERVICE_SAMPLES
-        )
+        self._samples = _Samples(SERVICE_SAMPLES)
+
+    @property
+    def latency_s(self) -> float:
+        """Latency of a prompt, in seconds."""
+        return self._samples.latency_s(USUAL_LATENCY_S)
 
     def add(self, sample: PrefillSample) -> None:
-        self._samples.append(sample)
-        self.tokens_per_s = _rate(self._samples)
+        self._samples.add(sample, USUAL_LATENCY_S)
+        self.tokens_per_s = _rate(self._samples.samples, self.latency_s)
 
 
 class PrefillRates:
@@ -84,18 +119,14 @@
         self._rate_by_service: collections.defaultdict[str, _ServiceRate] = (
             collections.defaultdict(_ServiceRate)
         )
-        self._samples_by_engine: dict[
-            str, collections.deque[PrefillSample]
-        ] = {}
+        self._samples_by_engine: dict[str, _Samples] = {}
 
     def add_engine(self, engine: str, service: str) -> None:
         """Record the service of an engine; known engines are ignored."""
         if engine in self._service_by_engine:
             return
         self._service_by_engine[engine] = service
-        self._samples_by_engine[engine] = collections.deque(
-            maxlen=ENGINE_SAMPLES
-        )
+        self._samples_by_engine[engine] = _Samples(ENGINE_SAMPLES)
         if len(self._service_by_engine) > MAX_ENGINES:
             oldest, _ = self._service_by_engine.popitem(last=False)
             del self._samples_by_engine[oldest]
@@ -105,8 +136,9 @@
         service = self._service_by_engine.get(sample.engine)
         if service is None or sample.tokens < MIN_MEASURED_TOKENS:
             return
-        self._rate_by_service[service].add(sample)
-        self._samples_by_engine[sample.engine].append(sample)
+        usual = self._rate_by_service[service]
+        usual.add(sample)
+        self._samples_by_engine[sample.engine].add(sample, usual.latency_s)
 
     def tokens_per_s(self, engine: str) -> float:
         """Return the expected prefill rate of an engine."""
@@ -114,19 +146,33 @@
         if service is None:
             return INITIAL_TOKENS_PER_S
         usual = self._rate_by_service[service]
-        samples = self._samples_by_engine[engine]
+        samples = self._samples_by_engine[engine].samples
         if len(samples) < MIN_ENGINE_SAMPLES:
             return usual.tokens_per_s
-        last = _rate(tuple(samples)[-LAST_ENGINE_SAMPLES:])
+        latency_s = self.latency_s(engine)
+        last_samples = tuple(samples)[-LAST_ENGINE_SAMPLES:]
+        last = _rate(last_samples, latency_s)
+        if last > usual.tokens_per_s:
+            # A few cached prompts do not make an engine faster.
+            last = _rate(last_samples, latency_s, UNCACHED_SHARE)
         if _is_different(last, usual.tokens_per_s):
             return last
-        own = _rate(samples)
+        own = _rate(samples, latency_s)
         if _is_different(own, usual.tokens_per_s):
             # The engine was slow until lately.
             return usual.tokens_per_s
         weight = len(samples) / (len(samples) + HALF_ENGINE_SAMPLES)
         return usual.tokens_per_s ** (1 - weight) * own**weight
 
+    def latency_s(self, engine: str) -> float:
+        """Return the latency in seconds that each prompt of an engine has."""
+        service = self._service_by_engine.get(engine)
+        if service is None:
+            return USUAL_LATENCY_S
+        return self._samples_by_engine[engine].latency_s(
+            self._rate_by_service[service].latency_s
+        )
+
     def first_event_s(self, service: str, tokens: int) -> float:
         """Return the time in which a prompt usually gets its first event.
 
@@ -139,8 +185,10 @@
             requests in the batch.
         """
         rate = self._rate_by_service.get(service)
-        tokens_per_s = rate.tokens_per_s if rate else INITIAL_TOKENS_PER_S
-        return FIRST_EVENT_MARGIN * (USUAL_LATENCY_S + tokens / tokens_per_s)
+        if rate is None:
+            rate = _ServiceRate()
+        usual_s = USUAL_LATENCY_S + tokens / rate.tokens_per_s
+        return FIRST_EVENT_MARGIN * usual_s + rate.latency_s - USUAL_LATENCY_S
 
     def relative_speed(self, engine: str) -> float:
         """Return an engine's rate relative to its service's, at most 1."""
@@ -151,10 +199,16 @@
         return min(self.tokens_per_s(engine) / usual, 1.0)
 
 
-def _rate(samples: Collection[PrefillSample]) -> float:
-    """Return the quantile of the rates at which prompts were prefilled."""
-    rates = sorted(sample.tokens / _prefill_s(sample) for sample in samples)
-    typical = rates[min(int(SLOWER_SHARE * len(rates)), len(rates) - 1)]
+def _rate(
+    samples: Collection[PrefillSample],
+    latency_s: float,
+    slower_share: float = SLOWER_SHARE,
+) -> float:
+    """Return a quantile of the rates at which prompts were prefilled."""
+    rates = sorted(
+        sample.tokens / _prefill_s(sample, latency_s) for sample in samples
+    )
+    typical = rates[min(int(slower_share * len(rates)), len(rates) - 1)]
     return min(max(typical, MIN_TOKENS_PER_S), MAX_TOKENS_PER_S)
 
 
@@ -162,8 +216,12 @@
     return max(rate, usual) > DIFFERENT_RATIO * min(rate, usual)
 
 
-def _prefill_s(sample: PrefillSample) -> float:
+def _prefill_s(sample: PrefillSample, latency_s: float) -> float:
+    """Return the time for which a prompt occupied an engine, in seconds."""
+    # As at an engine of the usual latency.
+    first_event_s = sample.first_event_s - latency_s + USUAL_LATENCY_S
     return max(
-        sample.first_event_s - USUAL_LATENCY_S,
-        MIN_PREFILL_SHARE * sample.first_event_s,
+        first_event_s - USUAL_LATENCY_S,
+        MIN_PREFILL_SHARE * first_event_s,
+        sample.tokens / MAX_TOKENS_PER_S,
     )
