Let an engine's latency follow its service's unless its own is clear

Change: an engine has a latency of its own only while its last 24 prompts clearly show one that differs from its service's. Tests of the estimate by itself: 12 ms remain 12, few prompts, similar lengths, cached parts, a neighbour, speeds of 1.0 and 1.3, a distant engine.

Ruled out: no latency of an engine's own; an engine 80 ms away would seem slow.

--- a/ivystep/prefill/prefill_rates.py
+++ b/ivystep/prefill/prefill_rates.py
@@ -58,14 +58,17 @@
 
     Args:
         size: Measurements that are kept.
+        keeps_latency: Whether a learned latency remains while the measurements
+            fit both it and the usual one.
     """
 
-    def __init__(self, size: int) -> None:
+    def __init__(self, size: int, *, keeps_latency: bool) -> None:
         self.samples: collections.deque[PrefillSample] = collections.deque(
             maxlen=size
         )
         # Latency that these measurements show; None before they do.
         self._latency_s: float | None = None
+        self._keeps_latency = keeps_latency
         self._unfitted = 0
 
     def add(self, sample: PrefillSample, usual_s: float) -> None:
@@ -86,8 +89,9 @@
         return usual_s if self._latency_s is None else self._latency_s
 
     def _fit(self, usual_s: float) -> float | None:
+        current_s = self.latency_s(usual_s) if self._keeps_latency else usual_s
         latency_s = estimate.next_latency_s(
-            estimate.fit(self.samples), self.latency_s(usual_s), usual_s
+            estimate.fit(self.samples), current_s, usual_s
         )
         return None if latency_s == usual_s else latency_s
 
@@ -97,7 +101,7 @@
 
     def __init__(self) -> None:
         self.tokens_per_s = INITIAL_TOKENS_PER_S
-        self._samples = _Samples(SERVICE_SAMPLES)
+        self._samples = _Samples(SERVICE_SAMPLES, keeps_latency=True)
 
     @property
     def latency_s(self) -> float:
@@ -126,7 +130,9 @@
         if engine in self._service_by_engine:
             return
         self._service_by_engine[engine] = service
-        self._samples_by_engine[engine] = _Samples(ENGINE_SAMPLES)
+        self._samples_by_engine[engine] = _Samples(
+            ENGINE_SAMPLES, keeps_latency=False
+        )
         if len(self._service_by_engine) > MAX_ENGINES:
             oldest, _ = self._service_by_engine.popitem(last=False)
             del self._samples_by_engine[oldest]
--- /dev/null
+++ b/tests/prefill/test_estimate.py
@@ -0,0 +1,156 @@
+"""Tests of the latency that is learned besides the prefill rate."""
+
+import random
+
+import pytest
+
+from ivystep.prefill import prefill_rates
+
+SIZES = (500, 826, 1110, 1460, 1800, 2368)
+SIMILAR_SIZES = (1400, 1420, 1440, 1460, 1480)
+USUAL_S = prefill_rates.USUAL_LATENCY_S
+
+
+class Fleet:
+    """Engines of one service whose answers are delayed by other requests.
+
+    Args:
+        latency_s: Latency of each prompt.
+        tokens_per_s: Prefill rate.
+        engines: Number of engines.
+        seed: Seed of the noise.
+    """
+
+    def __init__(self, latency_s, tokens_per_s=20000.0, engines=4, seed=7):
+        self.latency_s = latency_s
+        self.rates = prefill_rates.PrefillRates()
+        self.chance = random.Random(seed)
+        self.tokens_per_s = {
+            f'i-{one}/0': tokens_per_s for one in range(engines)
+        }
+        self.slow_share = 0.0
+        self.cached_share = 0.1
+        for name in self.tokens_per_s:
+            self.rates.add_engine(name, 'llm')
+
+    def run(self, count, sizes=SIZES, more_s=0.0, engine=None):
+        """Send prompts one at a time.
+
+        Args:
+            count: Number of prompts.
+            sizes: Numbers of tokens of the prompts.
+            more_s: Latency in addition to that of the fleet.
+            engine: The engine; None for any.
+        """
+        chance = self.chance
+        for _ in range(count):
+            name = engine or chance.choice(tuple(self.tokens_per_s))
+            tokens = chance.choice(sizes)
+            is_cached = chance.random() < self.cached_share
+            seconds = self.latency_s + more_s
+            seconds += (
+                tokens * (0.5 if is_cached else 1) / self.tokens_per_s[name]
+            )
+            if chance.random() < self.slow_share:
+                seconds *= 2.5
+            seconds += chance.expovariate(1 / 0.003)
+            self.rates.record(
+                prefill_rates.PrefillSample(name, tokens, seconds)
+            )
+
+    def latency(self, engine='i-0/0'):
+        return self.rates.latency_s(engine)
+
+    def rate(self, engine='i-0/0'):
+        return self.rates.tokens_per_s(engine)
+
+
+@pytest.mark.parametrize('tokens_per_s', [14000.0, 19200.0, 26000.0])
+@pytest.mark.parametrize('seed', [7, 8, 9])
+def test_usual_latency_remains_at_engines_that_have_it(tokens_per_s, seed):
+    """Guards against an estimate that changes with the noise."""
+    fleet = Fleet(USUAL_S, tokens_per_s, seed=seed)
+    for _ in range(100):
+        fleet.run(10)
+        assert {fleet.latency(one) for one in fleet.tokens_per_s} == {USUAL_S}
+
+
+@pytest.mark.parametrize('tokens_per_s', [8000.0, 19200.0, 40000.0])
+@pytest.mark.parametrize('latency_s', [0.08, 0.2])
+def test_latency_is_learned_from_the_first_prompts_of_the_fleet(
+    latency_s, tokens_per_s
+):
+    """Guards against latency that is taken for prefill."""
+    fleet = Fleet(latency_s, tokens_per_s)
+    fleet.run(60)
+    assert fleet.latency() == pytest.approx(latency_s, abs=0.01)
+    assert fleet.rate() == pytest.approx(tokens_per_s, rel=0.25)
+    fleet.run(200)
+    assert fleet.rate() == pytest.approx(tokens_per_s, rel=0.15)
+
+
+def test_prompts_beside_a_neighbour_do_not_move_the_latency():
+    """Guards against a busy neighbour that is taken for a slow engine."""
+    fleet = Fleet(0.08)
+    fleet.slow_share = 0.15
+    fleet.run(200)
+    assert fleet.latency() == pytest.approx(0.08, abs=0.012)
+    assert fleet.rate() == pytest.approx(20000, rel=0.2)
+
+
+@pytest.mark.parametrize('latency_s', [0.0, USUAL_S, 0.2])
+def test_prompts_of_one_length_do_not_tell_a_latency(latency_s):
+    """Guards against a latency that is guessed where lengths hardly differ."""
+    fleet = Fleet(latency_s)
+    fleet.run(200, SIMILAR_SIZES)
+    assert fleet.latency() == pytest.approx(USUAL_S)
+
+
+def test_few_prompts_do_not_tell_a_latency():
+    """Guards against an engine that seems far too fast because the first
+    prompts were delayed or cached.
+    """
+    fleet = Fleet(0.08)
+    fleet.run(20)
+    assert fleet.latency() == pytest.approx(USUAL_S)
+
+
+def test_learned_latency_remains_until_the_prompts_show_another():
+    """Guards against an engine that seems slow again as soon as its prompts
+    have the same length.
+    """
+    fleet = Fleet(0.08)
+    fleet.run(200)
+    fleet.run(200, SIMILAR_SIZES)
+    assert fleet.latency() == pytest.approx(0.08, abs=0.01)
+    fleet.run(200, more_s=USUAL_S - 0.08)
+    assert fleet.latency() == pytest.approx(USUAL_S)
+
+
+def test_engines_of_different_speeds_have_their_own_rates():
+    """Guards against the slower engine of a service getting too much."""
+    fleet = Fleet(0.08)
+    fleet.tokens_per_s['i-0/0'] /= 1.3
+    fleet.run(400)
+    assert fleet.rate('i-0/0') == pytest.approx(20000 / 1.3, rel=0.15)
+    assert fleet.rate('i-1/0') == pytest.approx(20000, rel=0.15)
+
+
+def test_engine_farther_away_has_its_own_latency():
+    """Guards against a distant engine that seems slow."""
+    fleet = Fleet(USUAL_S)
+    fleet.cached_share = 0.0
+    fleet.run(100)
+    fleet.run(24, more_s=0.08, engine='i-0/0')
+    assert fleet.latency('i-0/0') == pytest.approx(0.092, abs=0.02)
+    assert fleet.latency('i-1/0') == pytest.approx(USUAL_S)
+    assert fleet.rate('i-0/0') >= 0.6 * 20000
+
+
+def test_first_event_is_expected_after_the_latency():
+    """Guards against requests that are sent too late for their target."""
+    fleet = Fleet(0.2)
+    fleet.run(200)
+    alone_s = 0.2 + 1460 / 20000
+    expected_s = fleet.rates.first_event_s('llm', 1460)
+    assert alone_s <= expected_s <= alone_s + 0.06
