Name the time until a repeat finds room as Retry-After

Cause: a refusal named the time until the refused request itself would be sent: behind all late requests, which get at least 0.02 of the engine's time, hence fifty times their prefill, in most cases the bound of 5 s. A repeat has a target of its own and goes before the late requests.

Change: Retry-After is the time until the engine has read what precedes a timely request of the same value, times the share of its time that timely prompts ask for where that is over 1, since a repeat then competes with new arrivals. The bounds of 0.2 and 5 s stay.

Ruled out: the time without that share, with which callers of an overloaded engine would return every half second; the time until the request itself would be sent.

--- a/ivystep/prefill/prefill_forecast.py
+++ b/ivystep/prefill/prefill_forecast.py
@@ -18,7 +18,9 @@
 AVERAGE_S = 2.0
 # Least share of an engine's time that late prompts are expected to get.
 MIN_LEFT_SHARE = 0.02
-# Bounds of the time after which a refused caller may try again, in seconds.
+# Bounds of the time after which a refused caller may try again, in seconds: a
+# shorter wait is mostly the way there and back, and callers whose requests take
+# a few seconds have no use for a longer one.
 MIN_RETRY_AFTER_S = 0.2
 MAX_RETRY_AFTER_S = 5.0
 
@@ -60,16 +62,20 @@
         is_timely: Whether it is sent in time for its target latency.
         is_possible: Whether it is sent before its latest start.
         start_in_s: Expected time until it is sent, in seconds.
+        room_in_s: Expected time in seconds until the engine has time for a
+            repeat, which has a target of its own and so goes before the
+            requests that are late.
     """
 
     is_timely: bool
     is_possible: bool
     start_in_s: float
+    room_in_s: float
 
     @property
     def retry_after_s(self) -> float:
         """Time in seconds after which a refused caller may find room."""
-        return min(max(self.start_in_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
+        return min(max(self.room_in_s, MIN_RETRY_AFTER_S), MAX_RETRY_AFTER_S)
 
 
 def forecast(
@@ -97,11 +103,15 @@
                 timely_s += occupied_s(other)
         elif other.start_by <= ticket.start_by:
             late_s += occupied_s(other)
+    # While twice as many timely prompts arrive as the engine can read, every
+    # second try is in vain.
+    room_in_s = free_in_s + timely_s * max(timely_share, 1.0)
     if prefill.is_timely(ticket, now + free_in_s + timely_s):
-        return Forecast(True, True, free_in_s + timely_s)
+        return Forecast(True, True, free_in_s + timely_s, room_in_s)
     left = max(1 - timely_share, MIN_LEFT_SHARE)
     start_in_s = free_in_s + timely_s + late_s / left
-    return Forecast(False, now + start_in_s <= ticket.start_by, start_in_s)
+    is_possible = now + start_in_s <= ticket.start_by
+    return Forecast(False, is_possible, start_in_s, room_in_s)
 
 
 def occupied_s(ticket: prefill.Ticket) -> float:
--- a/tests/gateway/test_prefill_queues.py
+++ b/tests/gateway/test_prefill_queues.py
@@ -12,6 +12,8 @@
 from ivystep.wire.gen import ttypes
 from tests.coordination import fakes as clocks
 
+SENT = frozenset((prefill.PermitDecision.ALONE, prefill.PermitDecision.QUEUED))
+
 
 def ticket(**more):
     now = clock.now()
@@ -65,6 +67,33 @@
     )
 
 
+@clocks.on_virtual_clock
+def test_refused_caller_finds_room_after_the_named_time():
+    """Guards against callers sent away for seconds because late requests,
+    which a repeat goes before, fill the queue.
+    """
+    queues = new_queues()
+    for _ in range(4):
+        queues.wait('i-1', ticket(tokens=500))
+    now = clock.now()
+    for _ in range(12):
+        late = ticket(target_start_by=now - 0.1, start_by=now + 2.0)
+        eventlet.spawn(queues.wait, 'i-1', late)
+    for _ in range(2):
+        eventlet.spawn(queues.wait, 'i-1', ticket())
+    clock.sleep(0.01)
+    refused = queues.wait(
+        'i-1', ticket(target_start_by=now - 0.1, start_by=now + 2.1)
+    )
+    assert refused.decision is prefill.PermitDecision.REFUSED
+    assert refused.retry_after_s <= 1.0
+    clock.sleep(refused.retry_after_s)
+    repeated_at = clock.now()
+    permit = queues.wait('i-1', ticket(target_start_by=repeated_at + 0.3))
+    assert permit.decision in SENT
+    assert clock.now() <= repeated_at + 0.3
+
+
 @clocks.on_virtual_clock
 def test_wait_ends_at_the_latest_start_of_the_request():
     """Guards against a request that is delayed past its deadline by others
@@ -236,8 +265,7 @@
         arrived = clock.now()
         permit = self.queues.wait('i-1', self._ticket(aim_s, patience_s))
         waited_s = clock.now() - arrived
-        sent = {prefill.PermitDecision.ALONE, prefill.PermitDecision.QUEUED}
-        if permit.decision not in sent:
+        if permit.decision not in SENT:
             self.refused_after_s.append(waited_s)
         elif waited_s <= aim_s:
             self.timely += 1
