Send a prompt to an idle engine rather than refuse it in the gap

Cause: between two groups of prompts an engine has 45 ms without a new one. A request that could not wait for the end of that gap was refused, although the engine had nothing to prefill and nobody waited for it.

Change: it is sent at once. A request whose latest start has passed is still refused.

Ruled out: no gap for any idle engine; its streams would pause for two groups.

--- a/ivystep/gateway/prefill_queues.py
+++ b/ivystep/gateway/prefill_queues.py
@@ -67,6 +67,9 @@
             return self._grant(ticket, now)
         refusal = self._refusal(ticket, now)
         if refusal is not None:
+            if self._is_idle(now) and ticket.start_by >= now:
+                # A pause in some streams is better than a refusal.
+                return self._grant(ticket, now)
             return refusal
         queued = _QueuedTicket(ticket, event.Event())
         self._waiting.append(queued)
@@ -88,6 +91,9 @@
             queued = self._waiting.pop()
             queued.permitted.send(prefill.Permit(prefill.PermitDecision.CLOSED))
 
+    def _is_idle(self, now: float) -> bool:
+        return not self._waiting and self.pacer.is_idle(now)
+
     def _refusal(
         self, ticket: prefill.Ticket, now: float
     ) -> prefill.Permit | None:
--- a/tests/gateway/test_prefill_queues.py
+++ b/tests/gateway/test_prefill_queues.py
@@ -94,6 +94,20 @@
     assert clock.now() <= repeated_at + 0.3
 
 
+@clocks.on_virtual_clock
+def test_idle_engine_takes_a_request_between_two_groups():
+    """Guards against the refusal of a prompt because it cannot wait for the
+    gap after the last group.
+    """
+    queues = new_queues()
+    queues.wait('i-1', ticket(tokens=3000))
+    clock.sleep(0.31)
+    now = clock.now()
+    urgent = ticket(target_start_by=now - 0.1, start_by=now + 0.01)
+    assert queues.wait('i-1', urgent).decision in SENT
+    assert clock.now() == pytest.approx(now)
+
+
 @clocks.on_virtual_clock
 def test_wait_ends_at_the_latest_start_of_the_request():
     """Guards against a request that is delayed past its deadline by others
