Tell which accounts exceed their max-min fair share of an engine

Cause: with one account at several times its usual load, prompts are ordered by value and time only, so its prompts take the engine's time of all others.

Change: a package that keeps use and demand of an engine's time by account, averaged over 2 s, and tells which accounts are beyond the max-min fair level. Nothing uses it yet.

Ruled out: the shares of adapter loads in policy/account_shares.py, which count loads over a minute and rank by debt; an engine's prefill must react within seconds, and idle time must not add up to a debt.

--- /dev/null
+++ b/ivystep/fair_shares/__init__.py
@@ -0,0 +1,1 @@
+"""Divides a scarce resource fairly among client accounts."""
--- /dev/null
+++ b/ivystep/fair_shares/max_min.py
@@ -0,0 +1,115 @@
+"""Tells which accounts use more than their max-min fair share of an engine.
+
+Answers the overload in which one account asks for many times its usual load
+of an engine's prefill. Without shares its prompts take the time of all others;
+with them, they get what the others leave.
+
+The fair level is the largest use that every account may have: accounts that
+ask for less get all of it, and the rest is divided equally among the others.
+While all accounts together ask for less than the engine has, no account is
+beyond its share, so idle shares are used at once.
+"""
+
+import dataclasses
+import math
+from collections.abc import Iterable
+
+# Time over which use and demand are averaged, in seconds. A burst of this
+# length is still served in the order of arrival.
+AVERAGE_S = 2.0
+# Accounts whose averages have decayed below this time are forgotten.
+FORGOTTEN_S = 0.001
+
+
+@dataclasses.dataclass(slots=True)
+class _DecayingSum:
+    """A sum whose summands age exponentially."""
+
+    amount: float = 0.0
+    at: float = 0.0
+
+    def add(self, amount: float, now: float) -> None:
+        self.amount = self.value(now) + amount
+        self.at = now
+
+    def value(self, now: float) -> float:
+        return self.amount * math.exp((self.at - now) / AVERAGE_S)
+
+
+class FairShares:
+    """Use and demand of one engine's time by account.
+
+    Times are in seconds of the engine. An account is in the tables for as long
+    as it has asked lately.
+    """
+
+    def __init__(self) -> None:
+        self._asked_by_account: dict[str, _DecayingSum] = {}
+        self._used_by_account: dict[str, _DecayingSum] = {}
+
+    def record_asked(self, account: str, time_s: float, now: float) -> None:
+        """Record that a request of an account asks for time of the engine.
+
+        Args:
+            account: The account.
+            time_s: Time for which the request occupies the engine, in seconds.
+            now: Current time in seconds.
+        """
+        asked = self._asked_by_account.setdefault(account, _DecayingSum())
+        asked.add(time_s, now)
+
+    def record_used(self, account: str, time_s: float, now: float) -> None:
+        """Record that a request of an account gets time of the engine.
+
+        Args:
+            account: The account.
+            time_s: Time for which the request occupies the engine, in seconds.
+            now: Current time in seconds.
+        """
+        used = self._used_by_account.setdefault(account, _DecayingSum())
+        used.add(time_s, now)
+
+    def beyond(self, now: float) -> frozenset[str]:
+        """Return the accounts that have used more than their fair share.
+
+        Args:
+            now: Current time in seconds.
+        """
+        self._forget(now)
+        level = fair_level(
+            (asked.value(now) for asked in self._asked_by_account.values()),
+            AVERAGE_S,
+        )
+        return frozenset(
+            account
+            for account, used in self._used_by_account.items()
+            if used.value(now) > level
+        )
+
+    def _forget(self, now: float) -> None:
+        """Forget the accounts that have not asked lately."""
+        for sums in (self._asked_by_account, self._used_by_account):
+            for account, amount in tuple(sums.items()):
+                if amount.value(now) < FORGOTTEN_S:
+                    del sums[account]
+
+
+def fair_level(demands: Iterable[float], capacity: float) -> float:
+    """Return the max-min fair level of a resource.
+
+    Args:
+        demands: Demand of each account.
+        capacity: Amount of the resource, in the unit of the demands.
+
+    Returns:
+        The largest amount that an account may get; infinite if the demands do
+        not exceed the capacity.
+    """
+    ordered = sorted(demands)
+    left = capacity
+    for position, demand in enumerate(ordered):
+        equal = left / (len(ordered) - position)
+        if demand > equal:
+            return equal
+        left -= demand
+    return math.inf
--- /dev/null
+++ b/tests/fair_shares/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the fair shares of accounts."""
