Decode client accounts, public routes and API keys

Cause: the operator's configuration may name client accounts with API keys, priorities and quotas, and public routes. The gateway ignored them, forwarded callers' keys to upstreams, and let callers name an account themselves.

Change: `ClientAccount` and `Quota` in the contracts, a directory of accounts by key digest, and decoding of both. A caller's key is hashed as the request is decoded and removed from its headers; `Credential` and `Tenant` of callers are never forwarded. A configuration in which two accounts have the same key or the same name is malformed. Errors of a malformed configuration no longer show their input, which may contain keys, and neither do `repr` of rows and of parsed requests.

Ruled out: keeping the keys and comparing them, whose timing depends on the key; a keyed digest, which hosts could not compare without a shared secret. An empty list of accounts is in force and refuses all keys: taking it as none would open a deployment when its last account is removed.

--- a/ivystep/platform/header_names.py
+++ b/ivystep/platform/header_names.py
@@ -10,6 +10,11 @@
 # Request of the caller that brought the first event of a resumed stream.
 RESUMED_REQUEST = b'resumes'
 
+# API key of the caller; never forwarded.
+API_KEY = b'credential'
+# Name of the account that sent a request; set by ivystep only.
+ACCOUNT = b'tenant'
+
 EXPECTED_UPSTREAM = b'expect-instance'
 EXPECTED_VERSION = b'expect-version'
 URGENCY = b'request-urgency'
@@ -27,6 +32,8 @@
 # Set by ivystep or an upstream only; not forwarded from callers.
 RESERVED = frozenset(
     (
+        API_KEY,
+        ACCOUNT,
         EXPECTED_UPSTREAM,
         EXPECTED_VERSION,
         URGENCY,
--- a/ivystep/platform/messages.py
+++ b/ivystep/platform/messages.py
@@ -8,7 +8,7 @@
 import re
 import string
 
-from ivystep.core import units
+from ivystep.core import ids, units
 from ivystep.platform import header_names
 from ivystep.traffic import calls, http1
 
@@ -31,6 +31,7 @@
         urgency: From 0, the most urgent, to 9; None for the default.
         resumes_after: Id of the event after which the stream is resumed;
             empty to start it.
+        account: Name of the account that sent the request; empty if none did.
     """
 
     upstream_id: str
@@ -38,6 +39,7 @@
     version: int | None = None
     urgency: int | None = None
     resumes_after: str = ''
+    account: str = ''
 
 
 def decode_call(
@@ -46,10 +48,11 @@
     """Decode a caller's request.
 
     Args:
-        raw: The parsed request.
+        raw: The parsed request. Its API key is removed from its headers.
         arrived: Time at which it arrived.
         caller: IP address of the caller.
     """
+    key_digest = _pop_key_digest(raw.headers)
     value_by_name = {name.lower(): value for name, value in raw.headers}
     budget_ms = _number(value_by_name.get(header_names.TIME_BUDGET, b''))
     return calls.Call(
@@ -67,6 +70,10 @@
             value_by_name.get(header_names.RESUMED_REQUEST, b'')
         ),
         caller=caller,
+        key_digest=key_digest,
+        token_count=_token_count(
+            value_by_name.get(header_names.TOKEN_COUNT, b'')
+        ),
     )
 
 
@@ -95,6 +102,8 @@
     )
     if attempt.version is not None:
         lines.append(b'Expect-Version: %d' % attempt.version)
+    if attempt.account:
+        lines.append(b'Tenant: %b' % attempt.account.encode())
     if attempt.urgency is not None:
         lines.append(b'Request-Urgency: %d' % attempt.urgency)
     if attempt.resumes_after:
@@ -176,6 +185,32 @@
     )
 
 
+def _pop_key_digest(headers: list[calls.Header]) -> bytes:
+    """Remove the API key from headers and return its digest.
+
+    Several different keys are joined like the values of any other header, and
+    thereby match no account.
+    """
+    keys = []
+    others = []
+    for name, value in headers:
+        if name.lower() == header_names.API_KEY:
+            keys.append(value.strip())
+        else:
+            others.append((name, value))
+    headers.clear()
+    headers.extend(others)
+    joined = b', '.join(dict.fromkeys(keys))
+    return ids.digest(joined) if joined else b''
+
+
+def _token_count(value: bytes) -> int | None:
+    """Return the sum of both token counts; None if one is missing."""
+    prompt, _, output = value.partition(b',')
+    counts = (_number(prompt), _number(output))
+    return None if None in counts else sum(filter(None, counts))
+
+
 def _prompt_parts(value: bytes) -> tuple[calls.PromptPart, ...]:
     parts = []
     for item in _text(value).split(','):
--- a/ivystep/platform/operator_config.py
+++ b/ivystep/platform/operator_config.py
@@ -5,10 +5,12 @@
 
 import dataclasses
 import types
+import typing
 
 import pydantic
 
-from ivystep.core import errors, units
+from ivystep.accounts import directory
+from ivystep.core import errors, ids, units
 from ivystep.platform import rows
 from ivystep.traffic import contracts
 
@@ -18,9 +20,26 @@
 
 
 class _RowModel(pydantic.BaseModel):
-    """Base of the models of stored rows. Unknown fields are ignored."""
+    """Base of the models of stored rows. Unknown fields are ignored.
 
-    model_config = pydantic.ConfigDict(extra='ignore', frozen=True)
+    Errors do not show the input, which may contain API keys.
+    """
+
+    model_config = pydantic.ConfigDict(
+        extra='ignore', frozen=True, hide_input_in_errors=True
+    )
+
+
+def _key_digest(key: str) -> bytes:
+    """Return the digest of an API key; empty for an empty key."""
+    return ids.digest(key.encode()) if key else b''
+
+
+# Decoded without ever keeping the key.
+_KeyDigest = typing.Annotated[str, pydantic.AfterValidator(_key_digest)]
+_NotNegative = typing.Annotated[
+    float, pydantic.Field(ge=0, allow_inf_nan=False)
+]
 
 
 class _Split(_RowModel):
@@ -41,6 +60,7 @@
     attempts: int = 1
     resumable: bool = False
     gap_target_ms: float | None = None
+    public: bool = False
 
 
 class _Model(_RowModel):
@@ -67,6 +87,17 @@
     engine: _Engine | None = None
 
 
+class _Tenant(_RowModel):
+    # The name is sent to upstreams in a header.
+    name: str = pydantic.Field(pattern=r'^[^\x00-\x1f\x7f]+$')
+    api_keys: tuple[_KeyDigest, ...] = pydantic.Field((), repr=False)
+    priority: int | None = None
+    unit: str | None = None
+    plain_tokens: _NotNegative | None = None
+    rate_per_s: _NotNegative | None = None
+    burst: _NotNegative | None = None
+
+
 class _Limits(_RowModel):
     max_header_bytes: int = 16384
     max_body_bytes: int = 4194304
@@ -79,6 +110,7 @@
     routes: tuple[_Route, ...]
     services: tuple[_Service, ...]
     limits: _Limits = _Limits()
+    tenants: tuple[_Tenant, ...] | None = None
 
 
 class _AdapterVersion(_RowModel):
@@ -123,7 +155,12 @@
     except pydantic.ValidationError as error:
         raise errors.SetupError(
             f'the configuration is malformed: {error}', step='decode config'
-        ) from error
+        ) from None
+    accounts = None
+    if config.tenants is not None:
+        accounts = directory.AccountDirectory.from_accounts(
+            map(_account, config.tenants)
+        )
     return contracts.RouteConfig.from_routes(
         config.version,
         [_route(route) for route in config.routes],
@@ -134,6 +171,7 @@
             config.limits.header_timeout_ms / units.MS_PER_S,
             config.limits.idle_timeout_ms / units.MS_PER_S,
         ),
+        accounts,
     )
 
 
@@ -176,6 +214,24 @@
         max_attempts=max(route.attempts, 1),
         is_resumable=route.resumable,
         max_gap_s=(route.gap_target_ms or 0.0) / units.MS_PER_S,
+        is_public=route.public,
+    )
+
+
+def _account(tenant: _Tenant) -> contracts.ClientAccount:
+    unit = contracts.QuotaUnit.REQUESTS
+    if tenant.unit == contracts.QuotaUnit.TOKENS.value:
+        unit = contracts.QuotaUnit.TOKENS
+    return contracts.ClientAccount(
+        tenant.name,
+        tenant.api_keys,
+        tenant.priority,
+        contracts.Quota(
+            unit,
+            tenant.rate_per_s or 0.0,
+            tenant.burst or 0.0,
+            tenant.plain_tokens or 0.0,
+        ),
     )
 
 
--- a/ivystep/platform/rows.py
+++ b/ivystep/platform/rows.py
@@ -46,7 +46,8 @@
 
     table: str
     key: str
-    content: bytes
+    # The operator's configuration contains API keys.
+    content: bytes = dataclasses.field(repr=False)
     version: int
     is_deleted: bool = False
     written_after: float = -math.inf
--- a/ivystep/traffic/calls.py
+++ b/ivystep/traffic/calls.py
@@ -52,6 +52,9 @@
             that the caller takes up; empty if not stated.
         arrived: Time at which the whole request had been received.
         caller: IP address of the caller.
+        key_digest: Digest of the caller's API key; empty if it sent none.
+        token_count: Tokens of the prompt and of the largest output together;
+            None if not stated.
     """
 
     request_id: str
@@ -66,6 +69,8 @@
     resumes_after: str = ''
     resumed_request_id: str = ''
     caller: str = ''
+    key_digest: bytes = dataclasses.field(default=b'', repr=False)
+    token_count: int | None = None
 
     @property
     def path(self) -> str:
--- a/ivystep/traffic/contracts.py
+++ b/ivystep/traffic/contracts.py
@@ -26,6 +26,51 @@
     STREAM = 'stream'
 
 
+class QuotaUnit(enum.Enum):
+    """What the quota of an account counts."""
+
+    REQUESTS = 'requests'
+    TOKENS = 'tokens'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Quota:
+    """Rate limit of an account across all hosts.
+
+    Attributes:
+        unit: What the limit counts.
+        rate_per_s: Units per second; 0 means no limit.
+        burst: Units that are allowed at once beyond the rate.
+        plain_tokens: Tokens that a request costs if it names none.
+    """
+
+    unit: QuotaUnit = QuotaUnit.REQUESTS
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    plain_tokens: float = 0.0
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether there is a limit."""
+        return self.rate_per_s > 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClientAccount:
+    """A client account of the operator's configuration.
+
+    Attributes:
+        key_digests: Digests of its API keys.
+        priority: Takes precedence over the route's priority, 0 is the most
+            urgent; None if the route's priority applies.
+    """
+
+    name: str
+    key_digests: tuple[bytes, ...] = dataclasses.field(default=(), repr=False)
+    priority: int | None = None
+    quota: Quota = Quota()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServiceShare:
     """A service that gets a share of a route's requests.
@@ -53,6 +98,8 @@
             after the last event that was delivered.
         max_gap_s: Longest pause between events of a stream that has its full
             value; 0 if the route has no streams.
+        is_public: Whether requests need no API key where accounts are in
+            force.
     """
 
     name: str
@@ -66,6 +113,7 @@
     max_attempts: int
     is_resumable: bool = False
     max_gap_s: float = 0.0
+    is_public: bool = False
 
     @property
     def abandon_after_s(self) -> float:
@@ -168,14 +216,32 @@
     idle_timeout_s: float = 15.0
 
 
+class Accounts(typing.Protocol):
+    """The client accounts of one version of the configuration.
+
+    Attributes:
+        account_by_name: All accounts.
+    """
+
+    account_by_name: Mapping[str, ClientAccount]
+
+    def find(self, key_digest: bytes) -> ClientAccount | None:
+        """Return the account of an API key; None if the key is unknown."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RouteConfig:
-    """One version of the operator's configuration."""
+    """One version of the operator's configuration.
+
+    Attributes:
+        accounts: The client accounts; None where none are in force.
+    """
 
     version: int
     service_by_name: Mapping[str, Service]
     limits: ClientLimits
     route_by_prefix_by_host: Mapping[str, Mapping[str, Route]]
+    accounts: Accounts | None = dataclasses.field(default=None, repr=False)
 
     @classmethod
     def from_routes(
@@ -184,6 +250,7 @@
         routes: Iterable[Route],
         services: Iterable[Service],
         limits: ClientLimits,
+        accounts: Accounts | None = None,
     ) -> typing.Self:
         """Create a configuration, with indexes of its routes and services."""
         indexed: dict[str, dict[str, Route]] = {}
@@ -191,7 +258,7 @@
             by_prefix = indexed.setdefault(route.host.lower(), {})
             by_prefix[route.prefix] = route
         services_by_name = {service.name: service for service in services}
-        return cls(version, services_by_name, limits, indexed)
+        return cls(version, services_by_name, limits, indexed, accounts)
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix that matches a path.
--- a/ivystep/traffic/http1.py
+++ b/ivystep/traffic/http1.py
@@ -41,7 +41,10 @@
     target: str = ''
     version: str = '1.1'
     is_kept_alive: bool = True
-    headers: list[calls.Header] = dataclasses.field(default_factory=list)
+    # The headers may contain an API key.
+    headers: list[calls.Header] = dataclasses.field(
+        default_factory=list, repr=False
+    )
     body: bytearray = dataclasses.field(default_factory=bytearray)
 
 
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -6,7 +6,7 @@
 import pytest
 from hypothesis import strategies
 
-from ivystep.core import errors
+from ivystep.core import errors, ids
 from ivystep.platform import operator_config, rows, upstream_entries
 from ivystep.traffic import contracts, upstreams
 
@@ -184,3 +184,88 @@
     assert report.order_count == 9
     assert report.loading[0].name == 'a9'
     assert report.running == 12
+
+
+KEYS = ('sk-0f3a91', 'sk-77b2c4')
+TENANTS = [
+    {
+        'name': 'acme',
+        'api_keys': [KEYS[0]],
+        'priority': 0,
+        'unit': 'tokens',
+        'plain_tokens': 900,
+        'rate_per_s': 74547,
+        'burst': 74547.5,
+    },
+    {'name': 'béta', 'api_keys': [KEYS[1]], 'rate_per_s': None, 'other': 1},
+]
+
+
+def with_tenants(*tenants, **more):
+    return row({**CONFIG, 'tenants': tenants, **more})
+
+
+def test_accounts_are_decoded():
+    """Guards against keys and limits that are not in force."""
+    config = operator_config.decode_config(with_tenants(*TENANTS))
+    acme = config.accounts.find(ids.digest(KEYS[0].encode()))
+    assert (acme.name, acme.priority) == ('acme', 0)
+    assert acme.quota == contracts.Quota(
+        contracts.QuotaUnit.TOKENS, 74547.0, 74547.5, 900.0
+    )
+    beta = config.accounts.find(ids.digest(KEYS[1].encode()))
+    assert (beta.name, beta.priority) == ('béta', None)
+    assert beta.quota.unit is contracts.QuotaUnit.REQUESTS
+    assert not beta.quota.is_limited
+
+
+@pytest.mark.parametrize(
+    ('tenants', 'are_in_force'), [((), True), (TENANTS, True), (None, False)]
+)
+def test_accounts_are_in_force_where_they_are_named(tenants, are_in_force):
+    """Guards against callers without a key once the last account is removed."""
+    config = operator_config.decode_config(row({**CONFIG, 'tenants': tenants}))
+    assert (config.accounts is not None) is are_in_force
+    assert operator_config.decode_config(row(CONFIG)).accounts is None
+
+
+@pytest.mark.parametrize('is_public', [True, False])
+def test_public_routes_are_decoded(is_public):
+    """Guards against a public route that needs a key, or one too many."""
+    routes = [{**CONFIG['routes'][0], 'public': is_public}]
+    config = operator_config.decode_config(row({**CONFIG, 'routes': routes}))
+    assert config.match('ficu.example', '/pufi/').is_public is is_public
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'name': 'a\r\nRequest-Id: 1'},
+        {'name': ''},
+        {'name': 7},
+        {'api_keys': KEYS[1]},
+        {'api_keys': [[KEYS[0]]]},
+        {'api_keys': [KEYS[0], 5]},
+        {'api_keys': [KEYS[1]]},
+        {'priority': 'high'},
+        {'rate_per_s': -1},
+        {'burst': 'x'},
+    ],
+)
+def test_malformed_account_is_refused_without_showing_a_key(change):
+    """Guards against an API key in the log line of a refused row."""
+    broken = with_tenants({**TENANTS[0], **change}, TENANTS[1])
+    with pytest.raises(errors.SetupError) as caught:
+        operator_config.decode_config(broken)
+    text = f'{caught.value} {caught.value!r} {broken!r}'
+    assert not any(key in text for key in KEYS)
+    assert caught.value.__cause__ is None
+
+
+def test_truncated_configuration_is_refused_without_showing_a_key():
+    """Guards against an excerpt of the row in its error."""
+    content = with_tenants(*TENANTS).content
+    for end in range(len(content) - 60, len(content)):
+        with pytest.raises(errors.SetupError) as caught:
+            operator_config.decode_config(row(content[:end]))
+        assert not any(key in str(caught.value) for key in KEYS)
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from ivystep.core import ids
 from ivystep.platform import header_names, messages
 from ivystep.traffic import http1
 
@@ -168,3 +169,64 @@
 def test_malformed_rest_is_ignored(value):
     """Guards against an upstream that is never used again."""
     assert answer(503, (b'Retry-After', value)).rest_s is None
+
+
+KEY = b'sk-0f3a91'
+
+
+def test_key_is_hashed_and_kept_nowhere():
+    """Guards against an API key in a log line, an error or a dump."""
+    raw = http1.RawRequest('POST', '/lohu/2f')
+    raw.headers = [*HEADERS, (b'CREDENTIAL', b' %b ' % KEY)]
+    shown_before = repr(raw)
+    decoded = messages.decode_call(raw, 10.0, '10.9.0.7')
+    assert decoded.key_digest == ids.digest(KEY)
+    encoded = messages.encode_call(decoded, attempt(account='acme'))
+    for shown in (
+        shown_before,
+        repr(raw),
+        repr(decoded),
+        str(raw.headers),
+        str(decoded.headers),
+        repr(encoded),
+    ):
+        assert KEY.decode() not in shown
+        assert 'redential' not in shown
+    assert decoded.key_digest.hex() not in repr(decoded)
+
+
+@pytest.mark.parametrize(
+    'named', [[], [(b'Credential', b' ')], [(b'Tenant', b'acme')]]
+)
+def test_request_without_a_key_has_no_digest(named):
+    """Guards against an empty key that is looked up."""
+    assert not call(*named).key_digest
+
+
+def test_two_different_keys_match_no_account():
+    """Guards against an account that depends on the order of headers."""
+    both = call((b'Credential', KEY), (b'credential', b'sk-2'))
+    assert both.key_digest not in {ids.digest(KEY), ids.digest(b'sk-2'), b''}
+    same = call((b'Credential', KEY), (b'credential', KEY))
+    assert same.key_digest == ids.digest(KEY)
+
+
+@pytest.mark.parametrize('account', ['acme', ''])
+def test_upstream_gets_the_account_that_ivystep_names(account):
+    """Guards against a caller that claims to be another account."""
+    decoded = call((b'Tenant', b'forged'), (b'Connection', b'tenant'))
+    encoded = messages.encode_call(decoded, attempt(account=account))
+    lines, _ = header_lines(encoded)
+    named = [line for line in lines if line.lower().startswith(b'tenant')]
+    assert named == ([b'Tenant: acme'] if account else [])
+
+
+@pytest.mark.parametrize(
+    ('value', 'tokens'),
+    [(b'1460,80', 1540), (b'0,0', 0), (b'1460', None), (b'x,80', None)],
+)
+def test_tokens_are_counted_without_a_model(value, tokens):
+    """Guards against requests to plain services that cost nothing."""
+    raw = http1.RawRequest('POST', '/lohu/2f')
+    raw.headers = [(b'Token-Count', value)]
+    assert messages.decode_call(raw, 10.0, '').token_count == tokens
