Authenticate requests and send the name of their account

Cause: with accounts in force, a request without a valid key has to be answered 401, and upstreams get the account's name from ivystep.

Change: the handler finds the account after the route and before anything else, and charges the request by the hook `admission.admit`; one that is refused and not run is refunded. The key is checked again before each attempt: one that was removed is refused with 401 without `Retry-After` if the request has not run.

Ruled out: authentication before the route is known, since a public route needs no key; keeping the old account of a key that moved to another one before the request ran.

--- /dev/null
+++ b/ivystep/accounts/admission.py
@@ -0,0 +1,58 @@
+"""Admits the requests of accounts before they are placed.
+
+A deployment without quotas admits all requests.
+"""
+
+import typing
+
+from ivystep.traffic import calls, contracts
+
+REQUEST_COST = 1.0
+
+
+class Admission(typing.Protocol):
+    """Admits requests by the quotas of their accounts."""
+
+    def admit(self, account: contracts.ClientAccount, cost: float) -> None:
+        """Charge a request to its account; may wait for a short time.
+
+        Args:
+            account: The account.
+            cost: What the request costs; see ``request_cost``.
+
+        Raises:
+            errors.RefusedError: The account is over its limit. Nothing was
+                charged.
+        """
+
+    def refund(self, account: contracts.ClientAccount, cost: float) -> None:
+        """Return what was charged for a request that was refused and not run.
+
+        Args:
+            account: The account that was charged.
+            cost: What was charged.
+        """
+
+
+class AdmitAll:
+    """Admits all requests."""
+
+    def admit(self, account: contracts.ClientAccount, cost: float) -> None:
+        """See ``Admission``."""
+
+    def refund(self, account: contracts.ClientAccount, cost: float) -> None:
+        """See ``Admission``."""
+
+
+def request_cost(quota: contracts.Quota, call: calls.Call) -> float:
+    """Return what a request costs, in the unit of the quota.
+
+    Args:
+        quota: Quota of the request's account.
+        call: The request.
+    """
+    if quota.unit is contracts.QuotaUnit.REQUESTS:
+        return REQUEST_COST
+    if call.token_count is None:
+        return quota.plain_tokens
+    return float(call.token_count)
--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -73,6 +73,7 @@
         self._budgets = safeguards.budgets
         self._crashes = safeguards.crashes
         self._limits = safeguards.limits
+        self._access = safeguards.access
         self._on_change = on_change
         self._log = log
         self._origins = origins
@@ -239,13 +240,15 @@
         """Encode a request that is about to be sent, if it is still wanted."""
         state.raise_if_unwanted()
         self._crashes.raise_if_refused(state)
+        self._access.renew(state)
         self.raise_if_outdated(state, upstream, ref)
         attempt = messages.AttemptHeaders(
             upstream_id=upstream.upstream_id,
             time_left_s=state.remaining_s,
             version=ref.version if ref else None,
-            urgency=min(state.route.priority, MAX_URGENCY) if ref else None,
+            urgency=min(max(state.priority, 0), MAX_URGENCY) if ref else None,
             resumes_after=state.answer.last_event_id,
+            account=state.account_name,
         )
         state.progress.sent_at = clock.now()
         return messages.encode_call(state.call, attempt)
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -191,7 +191,8 @@
                 self._pools,
                 self._membership,
                 self._versions,
-                safeguard.Safeguards(
+                safeguard.Safeguards.from_config(
+                    self._config,
                     self._shares.budgets,
                     self._crashes,
                     limited_upstreams.LimitedUpstreams(
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -72,6 +72,7 @@
         self._budgets = safeguards.budgets
         self._crashes = safeguards.crashes
         self._limits = safeguards.limits
+        self._access = safeguards.access
         self._wait_for_permit = wait_for_permit
         self._log = log
         self._origins = origins
@@ -91,6 +92,7 @@
         call: calls.Call,
         route: contracts.Route,
         answer: relay.CallerAnswer,
+        account: contracts.ClientAccount | None = None,
     ) -> None:
         """Run a request on an upstream and relay the answer.
 
@@ -98,12 +100,15 @@
             call: The request.
             route: Its route.
             answer: The caller's side of the answer.
+            account: Account that sends the request; None if there is none.
 
         Raises:
             errors.RequestError: The request failed, possibly after a part of
                 the answer was sent.
         """
-        state = request_state.RequestState.from_call(call, route, answer)
+        state = request_state.RequestState.from_call(
+            call, route, answer, account
+        )
         if call.generation is not None:
             state.first_event_s = self._measured.rates.first_event_s(
                 state.service, call.generation.prompt_tokens
@@ -145,6 +150,7 @@
 
     def _make_attempt(self, state: request_state.RequestState) -> None:
         self._crashes.raise_if_refused(state)
+        self._access.renew(state)
         target = self._pools.find(state.service, state.model)
         if target is None:
             raise errors.RefusedError(
--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -96,6 +96,7 @@
         prompt_parts: Ids of the first parts of the prompt, shortened, without
             the last part, which belongs to this request or its session; a
             number after ``+`` counts further ones.
+        account: Name of the account; empty if the request has none.
     """
 
     name: typing.ClassVar[str] = 'request_placed'
@@ -118,6 +119,7 @@
     resumed_request_id: str = ''
     replaced_ms: int = 0
     prompt_parts: str = ''
+    account: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -225,6 +227,7 @@
         gap_ms: Longest time between two parts of the body.
         attempts: Number of attempts.
         config_version: Configuration version in force.
+        account: As in ``request_placed``.
     """
 
     name: typing.ClassVar[str] = 'request_ended'
@@ -239,6 +242,7 @@
     attempts: int
     upstream: str
     config_version: int
+    account: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -252,6 +256,7 @@
         attempts: Number of attempts.
         elapsed_ms: Time from reading the request to noticing the disconnect.
         config_version: Configuration version in force.
+        account: As in ``request_placed``.
     """
 
     name: typing.ClassVar[str] = 'request_abandoned'
@@ -263,6 +268,7 @@
     attempts: int
     elapsed_ms: int
     config_version: int
+    account: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -307,6 +313,7 @@
         retry_after_ms: Time after which the caller may retry; -1 if it was
             given none.
         ran: Whether the request ran: ``no`` or ``unknown``.
+        account: As in ``request_placed``.
     """
 
     name: typing.ClassVar[str] = 'request_failed'
@@ -325,6 +332,7 @@
     retry_after_ms: int
     elapsed_ms: int
     config_version: int
+    account: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ivystep/gateway/request_handler.py
+++ b/ivystep/gateway/request_handler.py
@@ -1,7 +1,10 @@
 """Routes the requests of callers' connections and answers failed ones."""
 
-from ivystep.core import errors
+from ivystep.accounts import admission as account_admission
+from ivystep.accounts import authentication
+from ivystep.core import errors, types
 from ivystep.gateway import (
+    account_metrics,
     callers,
     configuration,
     dispatch,
@@ -24,6 +27,7 @@
         dispatcher: Runs requests on upstreams.
         metrics: Counts outcomes.
         log: Logs the failures.
+        admission: Admits requests by the quotas of their accounts.
     """
 
     def __init__(
@@ -32,11 +36,14 @@
         dispatcher: dispatch.Dispatcher,
         metrics: registry.Metrics,
         log: request_log.RequestLog,
+        admission: account_admission.Admission | None = None,
     ) -> None:
         self._config = config
         self._dispatcher = dispatcher
         self._metrics = metrics
         self._log = log
+        self._account_metrics = account_metrics.AccountMetrics(metrics)
+        self._admission = admission or account_admission.AdmitAll()
 
     def handle(
         self, raw: http1.RawRequest, connection: callers.CallerConnection
@@ -53,19 +60,65 @@
         call = messages.decode_call(raw, clock.now(), connection.caller)
         connection.answer.last_event_id = call.resumes_after
         route = None
+        account = None
         try:
             with connection.raise_on_disconnect():
                 route = self._route(call)
-                self._dispatcher.run(call, route, connection.answer)
+                account = self._authenticate(call, route)
+                self._run(call, route, account, connection)
         except errors.RequestError as error:
-            self._metrics.record_request(_route_name(route), error.code)
-            self._log.failed(call, route, error)
+            self._record(route, account, error.code)
+            self._log.failed(call, route, account, error)
             connection.answer.send_error(error, call.request_id)
         except (relay.CallerDisconnectedError, OSError):
-            self._metrics.record_request(_route_name(route), 'caller_gone')
+            self._record(route, account, 'caller_gone')
             raise
         else:
-            self._metrics.record_request(_route_name(route), 'ok')
+            self._record(route, account, 'ok')
+
+    def _authenticate(
+        self, call: calls.Call, route: contracts.Route
+    ) -> contracts.ClientAccount | None:
+        """Return the account of a request; None if it needs none.
+
+        Raises:
+            errors.RefusedError: The request has no valid key.
+        """
+        config = self._config.current
+        return authentication.authenticate(
+            config.accounts if config else None,
+            authentication.Claim(call.key_digest, route.is_public),
+        )
+
+    def _run(
+        self,
+        call: calls.Call,
+        route: contracts.Route,
+        account: contracts.ClientAccount | None,
+        connection: callers.CallerConnection,
+    ) -> None:
+        """Charge a request to its account and run it."""
+        if account is None:
+            self._dispatcher.run(call, route, connection.answer)
+            return
+        cost = account_admission.request_cost(account.quota, call)
+        self._admission.admit(account, cost)
+        try:
+            self._dispatcher.run(call, route, connection.answer, account)
+        except errors.RequestError as error:
+            if error.ran is types.ExecutionStatus.NO:
+                self._admission.refund(account, cost)
+            raise
+
+    def _record(
+        self,
+        route: contracts.Route | None,
+        account: contracts.ClientAccount | None,
+        outcome: str,
+    ) -> None:
+        self._metrics.record_request(route.name if route else '', outcome)
+        if account is not None:
+            self._account_metrics.record_request(account.name, outcome)
 
     def _route(self, call: calls.Call) -> contracts.Route:
         config = self._config.current
@@ -86,7 +139,3 @@
                 step='route',
             )
         return route
-
-
-def _route_name(route: contracts.Route | None) -> str:
-    return route.name if route else ''
--- a/ivystep/gateway/request_log.py
+++ b/ivystep/gateway/request_log.py
@@ -64,6 +64,7 @@
                 state.call.resumed_request_id,
                 self._replaced_ms(ref),
                 state.logged_parts,
+                state.account_name,
             )
         )
 
@@ -174,6 +175,7 @@
                 state.attempts,
                 state.elapsed_ms,
                 self._config.version,
+                state.account_name,
             )
         )
 
@@ -192,6 +194,7 @@
                 state.attempts,
                 state.upstream_id,
                 self._config.version,
+                state.account_name,
             )
         )
 
@@ -199,6 +202,7 @@
         self,
         call: calls.Call,
         route: contracts.Route | None,
+        account: contracts.ClientAccount | None,
         error: errors.RequestError,
     ) -> None:
         """Log that a request ends with an error.
@@ -206,6 +210,7 @@
         Args:
             call: The request.
             route: Its route, or None if no route matches.
+            account: Its account, or None if it has none.
             error: The error that is sent to the caller.
         """
         retry_after_ms = -1
@@ -225,6 +230,7 @@
                 retry_after_ms,
                 int((clock.now() - call.arrived) * units.MS_PER_S),
                 self._config.version,
+                account.name if account else '',
             )
         )
 
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -4,6 +4,7 @@
 import math
 import typing
 
+from ivystep.accounts import authentication
 from ivystep.core import errors, types, units
 from ivystep.gateway import answer_body, relay, upstream_state
 from ivystep.policy import prefill
@@ -74,6 +75,7 @@
         progress: How far the last attempt has come.
         first_event_s: Expected time from sending the request to the first event
             of its answer, in seconds.
+        account: Account that sends the request; None if there is none.
     """
 
     call: calls.Call
@@ -94,6 +96,7 @@
         default_factory=AttemptProgress
     )
     first_event_s: float = FIRST_EVENT_LATENCY_S
+    account: contracts.ClientAccount | None = None
 
     @classmethod
     def from_call(
@@ -101,6 +104,7 @@
         call: calls.Call,
         route: contracts.Route,
         answer: relay.CallerAnswer,
+        account: contracts.ClientAccount | None = None,
     ) -> typing.Self:
         """Choose a service and compute the deadline for a new request."""
         budget_s = math.inf
@@ -116,8 +120,21 @@
             answer,
             content_id=fingerprints[0].hex()[:CONTENT_ID_DIGITS],
             fingerprints=fingerprints,
+            account=account,
         )
 
+    @property
+    def account_name(self) -> str:
+        """Name of the account; empty if there is none."""
+        return self.account.name if self.account else ''
+
+    @property
+    def priority(self) -> int:
+        """Priority of the account or else of the route; 0 is most urgent."""
+        if self.account is None or self.account.priority is None:
+            return self.route.priority
+        return self.account.priority
+
     @property
     def model(self) -> str:
         """Base model that the request needs; empty for a plain service."""
@@ -249,8 +266,8 @@
     ) -> types.Request:
         """Return the request as a pool needs it.
 
-        Pools share upstreams fairly among accounts. Requests of the platform
-        have no account, so the route's name is used instead.
+        Pools share upstreams fairly among accounts. For a request without an
+        account, the route's name is used instead.
 
         Args:
             pool_name: Name of the pool.
@@ -259,7 +276,7 @@
         route = self.route
         return types.Request(
             request_id=self.call.request_id,
-            account=route.name,
+            account=self.account_name or route.name,
             application='',
             pool=pool_name,
             adapter=ref,
@@ -299,7 +316,12 @@
             step=error.step,
             peer=error.peer,
         )
-    if error.ran is types.ExecutionStatus.NO and error.retry_after_s is None:
+    is_retryable = error.status != authentication.UNAUTHORIZED_STATUS
+    if (
+        error.ran is types.ExecutionStatus.NO
+        and error.retry_after_s is None
+        and is_retryable
+    ):
         error.retry_after_s = max(wait_s, MIN_RETRY_AFTER_S)
     return error
 
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -12,6 +12,7 @@
     dispatch,
     limited_upstreams,
     relay,
+    request_access,
     request_log,
     safeguard,
     stream_origins,
@@ -137,6 +138,7 @@
                     lambda upstream: None,
                     self.log,
                 ),
+                request_access.RequestAccess(self.recorded.config),
             ),
             lambda upstream: None,
             self.permit,
@@ -151,7 +153,14 @@
         self.on_permit()
         return self.granted
 
-    def run(self, kind=contracts.Repeatability.STREAM, **more):
+    def run(
+        self,
+        kind=contracts.Repeatability.STREAM,
+        account=None,
+        key_digest=b'',
+        answer=None,
+        **more,
+    ):
         call = calls.Call(
             request_id='r-1',
             method='POST',
@@ -161,9 +170,10 @@
             body=b'',
             arrived=clock.now(),
             generation=calls.Generation('m', 'a3', 1000, 100),
+            key_digest=key_digest,
         )
         route = test_contracts.route('/a/', kind=kind, **more)
-        self.dispatcher.run(call, route, FakeAnswer())
+        self.dispatcher.run(call, route, answer or FakeAnswer(), account)
 
     @property
     def reached(self):
@@ -473,3 +483,32 @@
     )
     assert caught.value.retry_after_s > 0
     assert not harness.sent
+
+
+@pytest.mark.parametrize(
+    ('priority', 'urgency'), [(None, b'4'), (0, b'0'), (99, b'9')]
+)
+def test_priority_of_the_account_precedes_that_of_the_route(
+    monkeypatch, priority, urgency
+):
+    """Guards against an urgent account that waits behind others."""
+
+    @clocks.on_virtual_clock
+    def scenario():
+        harness = DispatchHarness(monkeypatch, ref(1))
+        account = contracts.ClientAccount('acme', priority=priority)
+        harness.run(priority=4, account=account)
+        assert harness.header('Request-Urgency') == [urgency]
+        assert harness.header('Tenant') == [b'acme']
+        assert harness.pool.placed[0].account == 'acme'
+
+    scenario()
+
+
+@clocks.on_virtual_clock
+def test_request_without_an_account_is_placed_under_its_route(monkeypatch):
+    """Guards against a change for deployments without accounts."""
+    harness = DispatchHarness(monkeypatch, ref(1))
+    harness.run()
+    assert not harness.header('Tenant')
+    assert harness.pool.placed[0].account == test_contracts.route('/a/').name
