Log the learned latency of the engine with each placed request

Cause: request_placed shows the rate at which prompts are paced; without the latency it does not tell which time to first token is expected.

Ruled out: a metric for each engine, whose labels would not be bounded.

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -122,7 +122,12 @@
         )
         sent_at = clock.now()
         self._log.placed(
-            state, upstream, ref, permit, self._measured.tokens_per_s(upstream)
+            state,
+            upstream,
+            ref,
+            permit,
+            self._measured.tokens_per_s(upstream),
+            self._measured.latency_s(upstream),
         )
         try:
             with self._crashes.parts.watch(state, exchange):
--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -96,6 +96,8 @@
         prompt_parts: Ids of the first parts of the prompt, shortened, without
             the last part, which belongs to this request or its session; a
             number after ``+`` counts further ones.
+        latency_ms: Estimated time to first token at the engine besides the
+            prefill.
     """
 
     name: typing.ClassVar[str] = 'request_placed'
@@ -118,6 +120,7 @@
     resumed_request_id: str = ''
     replaced_ms: int = 0
     prompt_parts: str = ''
+    latency_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ivystep/gateway/measurements.py
+++ b/ivystep/gateway/measurements.py
@@ -49,6 +49,10 @@
         """Return the expected prefill rate of an engine."""
         return self.rates.tokens_per_s(upstream.entry.incarnation)
 
+    def latency_s(self, upstream: upstream_state.Upstream) -> float:
+        """Return the expected latency in seconds of an engine's prompts."""
+        return self.rates.latency_s(upstream.entry.incarnation)
+
     def record_prefill(
         self,
         upstream: upstream_state.Upstream,
--- a/ivystep/gateway/request_log.py
+++ b/ivystep/gateway/request_log.py
@@ -34,6 +34,7 @@
         ref: types.AdapterRef | None,
         permit: prefill.Permit | None,
         tokens_per_s: float,
+        latency_s: float,
     ) -> None:
         """Log that an attempt starts at an upstream.
 
@@ -43,6 +44,7 @@
             ref: Adapter version that is used, or None.
             permit: Permit to send the prompt; None for a plain service.
             tokens_per_s: Expected prefill rate of the upstream.
+            latency_s: Expected latency of a prompt there, in seconds.
         """
         self._log.write(
             events.RequestPlaced(
@@ -64,6 +66,7 @@
                 state.call.resumed_request_id,
                 self._replaced_ms(ref),
                 state.logged_parts,
+                int(latency_s * units.MS_PER_S),
             )
         )
 
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -18,7 +18,7 @@
     upstream_state,
     version_choice,
 )
-from ivystep.prefill import prefill
+from ivystep.prefill import prefill, prefill_rates
 from ivystep.runtime import clock
 from ivystep.traffic import calls, contracts, upstreams
 from tests.coordination import fakes as clocks
@@ -388,6 +388,17 @@
     assert {event.request_id for event in harness.log.events} == {'r-1'}
 
 
+@clocks.on_virtual_clock
+def test_learned_latency_of_an_engine_is_logged(monkeypatch):
+    """Guards against late requests whose expected time no line explains."""
+    monkeypatch.setattr(
+        prefill_rates.PrefillRates, 'latency_s', lambda rates, engine: 0.08
+    )
+    harness = DispatchHarness(monkeypatch, ref(1))
+    harness.run()
+    assert harness.log.events[0].latency_ms == 80
+
+
 @clocks.on_virtual_clock
 @pytest.mark.parametrize('step', ['place', 'permit'])
 def test_disconnect_of_a_waiting_caller_is_logged_with_its_step(
