--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -97,6 +97,8 @@
             the last part, which belongs to this request or its session; a
             number after ``+`` counts further ones.
         account: Name of the account; empty if the request has none.
+        latency_ms: Estimated time to first token at the engine besides the
+            prefill.
     """
 
     name: typing.ClassVar[str] = 'request_placed'
@@ -120,6 +122,7 @@
     replaced_ms: int = 0
     prompt_parts: str = ''
     account: str = ''
+    latency_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
