Wait for the store at a host that may lack a newer configuration

Cause: a request that is sent later than `config_ms` after the store has acknowledged a configuration must be handled by it. A host that was frozen, or that alone is cut off from the store, accepted removed keys for longer.

Ruled out: the store version of the table, which rises with each adapter version as well; a call to the store for each request.

What is left: a host that neither reaches the store nor hears from the leader serves by the version that it knows.

--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -12,6 +12,7 @@
     base_model_loader,
     callers,
     configuration,
+    configuration_age,
     crashes,
     dispatch,
     engine_link,
@@ -193,6 +194,13 @@
             ),
             followed.feed_of_crashes(self._crashes),
         )
+        config_age = configuration_age.ConfigurationAge(
+            self._config,
+            config_feed,
+            self._progress,
+            max(settings.bounds.config_age_s, settings.store.longest_read_s),
+        )
+        self._progress.add_source(config_age)
         self._access = request_access.RequestAccess(
             self._config,
             self._log,
@@ -223,6 +231,7 @@
             ),
             self._metrics,
             requests_log,
+            config_age,
         )
 
     @classmethod
--- a/ivystep/gateway/request_handler.py
+++ b/ivystep/gateway/request_handler.py
@@ -7,6 +7,7 @@
     account_metrics,
     callers,
     configuration,
+    configuration_age,
     dispatch,
     relay,
     request_log,
@@ -27,6 +28,7 @@
         dispatcher: Runs requests on upstreams.
         metrics: Counts outcomes.
         log: Logs the failures.
+        age: Tells whether the configuration in force is current.
         admission: Admits requests by the quotas of their accounts.
     """
 
@@ -36,12 +38,14 @@
         dispatcher: dispatch.Dispatcher,
         metrics: registry.Metrics,
         log: request_log.RequestLog,
+        age: configuration_age.ConfigurationAge,
         admission: account_admission.Admission | None = None,
     ) -> None:
         self._config = config
         self._dispatcher = dispatcher
         self._metrics = metrics
         self._log = log
+        self._age = age
         self._account_metrics = account_metrics.AccountMetrics(metrics)
         self._admission = admission or account_admission.AdmitAll()
 
@@ -82,9 +86,13 @@
         """Return the account of a request; None if it needs none.
 
         Raises:
-            errors.RefusedError: The request has no valid key.
+            errors.RefusedError: The request has no valid key, or this host
+                may not know all keys.
         """
         config = self._config.current
+        if config is not None and config.accounts is not None:
+            self._age.wait_until_current()
+            config = self._config.current
         return authentication.authenticate(
             config.accounts if config else None,
             authentication.Claim(call.key_digest, route.is_public),
