--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -204,7 +204,7 @@
     """A running gateway with its store and upstreams."""
 
     def __init__(
-        self, stack, *upstreams, config=None, host='host-1', peer=None
+        self, stack, *upstreams, config=None, host='host-1', peer=None, **bounds
     ):
         if peer is None:
             self.store = table_standin.TableStandin()
@@ -230,7 +230,7 @@
                     'address': f'127.0.0.1:{self.store_port}',
                     'upstream_pause_s': 0.01,
                 },
-                'bounds': {'grace_s': 4.0},
+                'bounds': {'grace_s': 4.0, **bounds},
             }
         )
         if config is not False and peer is None:
