--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -5,14 +5,14 @@
 from collections.abc import Callable, Mapping
 
 import eventlet
-from eventlet import wsgi
 
+from ivystep.accounts import revocation
 from ivystep.core import types
-from ivystep.entry import peer_server
 from ivystep.gateway import (
     base_model_loader,
     callers,
     configuration,
+    configuration_age,
     crashes,
     dispatch,
     engine_link,
@@ -27,10 +27,12 @@
     membership,
     model_pools,
     prefill_queues,
+    request_access,
     request_handler,
     request_log,
     residency_updates,
     safeguard,
+    servers,
     store_contact,
     stream_origins,
     table_progress,
@@ -41,7 +43,6 @@
 from ivystep.metrics import operators_app, registry
 from ivystep.platform import (
     engine_api,
-    readiness,
     rows,
     table,
 )
@@ -50,8 +51,6 @@
 from ivystep.runtime import clock, drain, event_log
 from ivystep.settings import gateway as settings_models
 from ivystep.traffic import contracts
-from ivystep.wire import listener as wire_listener
-from ivystep.wire import tls
 
 BACKLOG = 1024
 # Time for which new connections are still accepted after SIGTERM. The platform
@@ -185,6 +184,29 @@
         self._versions = version_choice.VersionChoice(
             self._config, settings.bounds.version_s
         )
+        followed = followed_tables.FollowedTables(
+            self._rows, settings.store, self._progress, self._log
+        )
+        config_feed = followed.feed_of_configuration(self._config)
+        self._feeds = (
+            config_feed,
+            followed.feed_of_upstreams(
+                self._membership, self._last_needed_version
+            ),
+            followed.feed_of_crashes(self._crashes),
+        )
+        config_age = configuration_age.ConfigurationAge(
+            self._config,
+            config_feed,
+            self._progress,
+            max(settings.bounds.config_age_s, settings.store.longest_read_s),
+        )
+        self._progress.add_source(config_age)
+        self._access = request_access.RequestAccess(
+            self._config,
+            self._log,
+            revocation.RevocationPolicy(settings.bounds.revoke_strict),
+        )
         requests_log = request_log.RequestLog(self._log, self._config)
         self._request_handler = request_handler.RequestHandler(
             self._config,
@@ -192,8 +214,7 @@
                 self._pools,
                 self._membership,
                 self._versions,
-                safeguard.Safeguards.from_config(
-                    self._config,
+                safeguard.Safeguards(
                     self._shares.budgets,
                     self._crashes,
                     limited_upstreams.LimitedUpstreams(
@@ -202,6 +223,7 @@
                         self._on_change,
                         self._log,
                     ),
+                    self._access,
                 ),
                 self._on_change,
                 self._leadership.wait_for_permit,
@@ -210,6 +232,7 @@
             ),
             self._metrics,
             requests_log,
+            config_age,
         )
 
     @classmethod
@@ -305,33 +328,18 @@
         self._tasks.append(eventlet.spawn(task, *arguments, **named))
 
     def _start_background(self) -> None:
-        addresses = self.settings.addresses
-        self._spawn(
-            wsgi.server,
-            eventlet.listen(addresses.readiness),
-            readiness.ReadinessApp(self._accepts_connections),
-            log_output=False,
+        started = servers.Servers(self.settings.addresses, self._spawn)
+        started.start_readiness(self._accepts_connections)
+        started.start_operators(self._metrics, self.status)
+        started.start_peers(
+            self.settings.process.id,
+            self._planner_for,
+            version_source.VersionOnlySource(self._config),
+            self._residency_updates.serve,
+            self._prefill_queues.answer,
         )
-        self._spawn(
-            wsgi.server,
-            eventlet.listen(addresses.operators),
-            operators_app.OperatorsApp(self._metrics, self.status),
-            log_output=False,
-        )
-        self._spawn(
-            wire_listener.serve,
-            eventlet.listen(addresses.peers),
-            None,
-            tls.ENTRY_NAME,
-            peer_server.PeerServer(
-                self.settings.process.id,
-                self._planner_for,
-                version_source.VersionOnlySource(self._config),
-                self._residency_updates.serve,
-                self._prefill_queues.answer,
-            ).handle,
-        )
-        self._follow_tables()
+        for feed in self._feeds:
+            self._spawn(feed.run)
         self._spawn(self._remove_expired_crashes)
         self._spawn(self._leadership.run)
         self._spawn(self._leadership.follow)
@@ -340,20 +348,6 @@
         self._spawn(self._apply_totals_as_leader)
         self._spawn(loop_lag.measure, self._event_metrics, self._log)
 
-    def _follow_tables(self) -> None:
-        """Start the feeds of the tables of the store."""
-        followed = followed_tables.FollowedTables(
-            self._rows, self.settings.store, self._progress, self._log
-        )
-        for feed in (
-            followed.feed_of_configuration(self._config),
-            followed.feed_of_upstreams(
-                self._membership, self._last_needed_version
-            ),
-            followed.feed_of_crashes(self._crashes),
-        ):
-            self._spawn(feed.run)
-
     def _last_needed_version(self) -> int:
         return self._membership.needed_version
 
@@ -383,6 +377,7 @@
 
     def _on_config(self, config: contracts.RouteConfig) -> None:
         self._server_state.limits = config.limits
+        self._access.on_config(config)
         self._pools.configure(config)
         self._update_all_upstreams()
 
--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -345,6 +345,7 @@
     Attributes:
         version: Configuration version.
         store_version: Store version of its row.
+        accounts: Client accounts; -1 if none are in force.
     """
 
     name: typing.ClassVar[str] = 'config_adopted'
@@ -353,6 +354,7 @@
     store_version: int
     routes: int
     services: int
+    accounts: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
