Add failing tests of streams resumed after all hosts have restarted

Cause: a gateway that has just started knows only the software versions that are listed now.

Change: three cases with fakes and one with two gateways, a store and upstreams of two versions, all gateways ended and started. GatewayHarness.end releases the lease, since the task that renews it outlives the other tasks of a gateway.

Ruled out: rows that were written (the end-to-end case with rows passes already).

--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -248,6 +248,12 @@
             while not self.daemon.status().details['hosts']:
                 eventlet.sleep(0.02)
 
+    def end(self):
+        """End at once; its lease ends too, so that others need not wait."""
+        self.daemon._leadership.release()
+        self.daemon.stop()
+        self.listener.close()
+
     def configure(self, changes):
         document = {
             'version': 1,
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -136,6 +136,44 @@
     recorder.assert_one_version_each(STREAMS)
 
 
+@pytest.mark.parametrize('has_rows', [True, False])
+def test_no_stream_joins_two_versions_after_all_gateways_were_killed(
+    build_versions, build_peer, recorder, stack, has_rows
+):
+    """Guards against a guess by gateways that know nothing of the past.
+
+    Rows of streams are missing if they were lost with their writers' queues.
+    """
+    first, (old, _) = build_versions('v1', 'v2')
+    second = build_peer(first, 'host-2')
+    for number in range(STREAMS):
+        begin((first, second)[number % 2], f'r-{number}')
+    eventlet.sleep(0.2)
+    began = {
+        stream: versions[0]
+        for stream, versions in recorder.versions_by_stream.items()
+    }
+    assert set(began.values()) == {'v1', 'v2'}
+    for gateway in (first, second):
+        gateway.end()
+    first.store.write('servers', old.upstream_id, None)
+    for table, _, key in tuple(first.store.row_by_key):
+        if table == 'ivystep-streams' and not has_rows:
+            first.store.write(table, key, None)
+    restarted = [
+        harness.GatewayHarness(stack, host=host, peer=first)
+        for host in ('host-1', 'host-2')
+    ]
+    for gateway in restarted:
+        gateway.wait_for(1)
+    for number in range(STREAMS):
+        stream = f'r-{number}'
+        answer = take_up(restarted[number // 2 % 2], stream)
+        is_known = has_rows and began[stream] == 'v2'
+        assert answer.status == (200 if is_known else 503)
+        assert set(recorder.versions_by_stream[stream]) == {began[stream]}
+
+
 def test_stream_whose_version_has_gone_is_refused_at_once(
     build_versions, recorder
 ):
--- a/tests/gateway/test_stream_origins.py
+++ b/tests/gateway/test_stream_origins.py
@@ -89,6 +89,15 @@
         return taken_up.required_version
 
 
+def restart(store, *upstreams):
+    """Return what a host knows that starts after all others have ended."""
+    started = stream_origins.StreamOrigins.from_store(store, fakes.FakeLog())
+    for known in upstreams:
+        started.on_upstream(known)
+    clock.sleep(0.1)
+    return started
+
+
 def state(request_id, resumed='', services=(SERVICE,)):
     after = '2' if resumed else ''
     call = calls.Call(
@@ -223,3 +232,45 @@
         store.row_by_key[key] = rows.StoredRow(stream_rows.TABLE, key, b'{', 2)
     with pytest.raises(errors.RefusedError):
         Host(store, OLD, NEW).take_up('r-1')
+
+
+@clocks.on_virtual_clock
+def test_stream_of_the_version_before_a_restart_is_refused():
+    """Guards against a stream joined of two versions after a restart.
+
+    While it ran, one version served, so that it has no row. The first host
+    that starts again lists upstreams of the new version only.
+    """
+    store = FakeStore()
+    Host(store, OLD).begin('r-1', OLD)
+    restarted = restart(store, NEW)
+    with pytest.raises(errors.RefusedError):
+        restarted.resolve(state('r-2', resumed='r-1'))
+
+
+@clocks.on_virtual_clock
+@pytest.mark.parametrize('delay_s', [0.0, 1.0])
+def test_new_host_refuses_streams_while_the_store_does_not_tell(delay_s):
+    """Guards against an unreadable row that is taken for no row."""
+    store = FakeStore()
+    Host(store, OLD, NEW).begin('r-1', OLD)
+    restarted = restart(store, NEW)
+    store.is_away = not delay_s
+    store.delay_s = delay_s
+    with pytest.raises(errors.RefusedError):
+        restarted.resolve(state('r-2', resumed='r-1'))
+
+
+@clocks.on_virtual_clock
+def test_stream_whose_row_was_lost_with_its_host_is_refused():
+    """Guards against a row that was never written taken for one version."""
+    store = FakeStore()
+    host = Host(store, OLD, NEW)
+    store.is_away = True
+    host.begin('r-1', OLD)
+    # The queue of the writer ends with its host.
+    host.origins._writer._pending.clear()
+    store.is_away = False
+    restarted = restart(store, NEW)
+    with pytest.raises(errors.RefusedError):
+        restarted.resolve(state('r-2', resumed='r-1'))
