Move the origins of streams into a package of their own

Cause: the knowledge of services' software versions is to be kept in the store beside the origins of streams, which one module of the gateway would not hold.

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -18,7 +18,6 @@
     request_log,
     request_state,
     safeguard,
-    stream_origins,
     upstream_state,
     version_choice,
     version_waits,
@@ -26,6 +25,7 @@
 from ivystep.platform import messages
 from ivystep.policy import prefill
 from ivystep.runtime import clock
+from ivystep.stream_origins import origins as stream_origins
 from ivystep.traffic import calls, contracts
 
 # Value of the least urgent requests on the wire; 0 is the most urgent.
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -32,7 +32,6 @@
     residency_updates,
     safeguard,
     store_contact,
-    stream_origins,
     table_progress,
     upstream_state,
     version_choice,
@@ -48,6 +47,7 @@
 from ivystep.policy import load_times, prefill_rates
 from ivystep.runtime import clock, drain, event_log
 from ivystep.settings import gateway as settings_models
+from ivystep.stream_origins import origins
 from ivystep.traffic import contracts
 from ivystep.wire import listener as wire_listener
 from ivystep.wire import tls
@@ -178,9 +178,7 @@
             self._log,
         )
         self._crashes = crashes.Crashes.from_store(self._rows, self._log)
-        self._origins = stream_origins.StreamOrigins.from_store(
-            self._rows, self._log
-        )
+        self._origins = origins.StreamOrigins.from_store(self._rows, self._log)
         self._versions = version_choice.VersionChoice(
             self._config, settings.bounds.version_s
         )
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -19,13 +19,13 @@
     request_log,
     request_state,
     safeguard,
-    stream_origins,
     upstream_state,
     version_choice,
     version_waits,
 )
 from ivystep.policy import prefill
 from ivystep.runtime import clock
+from ivystep.stream_origins import origins as stream_origins
 from ivystep.traffic import calls, contracts
 
 # Pause before a retry, so that a full upstream can finish some requests.
--- /dev/null
+++ b/ivystep/stream_origins/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps the service and software version at which resumable streams began."""
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -14,12 +14,12 @@
     relay,
     request_log,
     safeguard,
-    stream_origins,
     upstream_state,
     version_choice,
 )
 from ivystep.policy import prefill
 from ivystep.runtime import clock
+from ivystep.stream_origins import origins
 from ivystep.traffic import calls, contracts, upstreams
 from tests.coordination import fakes as clocks
 from tests.gateway import fakes, test_configuration
@@ -141,7 +141,7 @@
             lambda upstream: None,
             self.permit,
             request_log.RequestLog(self.log, self.recorded.config),
-            stream_origins.StreamOrigins(None, self.writer, self.log),
+            origins.StreamOrigins(None, self.writer, self.log),
         )
 
     def wait_in_queue(self):
--- /dev/null
+++ b/tests/stream_origins/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the origins of streams."""
--- a/tests/gateway/test_stream_origins.py
+++ b/tests/stream_origins/test_origins.py
@@ -5,9 +5,10 @@
 import pytest
 
 from ivystep.core import errors
-from ivystep.gateway import request_state, stream_origins, upstream_state
+from ivystep.gateway import request_state, upstream_state
 from ivystep.platform import rows, stream_rows
 from ivystep.runtime import clock
+from ivystep.stream_origins import origins
 from ivystep.traffic import calls, contracts
 from tests.coordination import fakes as clocks
 from tests.gateway import fakes
@@ -73,10 +74,10 @@
 
     def __init__(self, store, *upstreams):
         self.log = fakes.FakeLog()
-        self.origins = stream_origins.StreamOrigins.from_store(store, self.log)
+        self.origins = origins.StreamOrigins.from_store(store, self.log)
         for known in upstreams:
             self.origins.on_upstream(known)
-        clock.sleep(stream_origins.RETENTION_S)
+        clock.sleep(origins.RETENTION_S)
 
     def begin(self, request_id, target):
         self.origins.record(state(request_id), target)
@@ -91,7 +92,7 @@
 
 def restart(store, *upstreams):
     """Return what a host knows that starts after all others have ended."""
-    started = stream_origins.StreamOrigins.from_store(store, fakes.FakeLog())
+    started = origins.StreamOrigins.from_store(store, fakes.FakeLog())
     for known in upstreams:
         started.on_upstream(known)
     clock.sleep(0.1)
@@ -158,7 +159,7 @@
     """Guards against a stream of a version that left before a restart."""
     store = FakeStore()
     Host(store, OLD, NEW).begin('r-1', OLD)
-    restarted = stream_origins.StreamOrigins.from_store(store, fakes.FakeLog())
+    restarted = origins.StreamOrigins.from_store(store, fakes.FakeLog())
     restarted.on_upstream(NEW)
     taken_up = state('r-2', resumed='r-1')
     restarted.resolve(taken_up)
@@ -180,11 +181,11 @@
     """Guards against a late stream where nothing can be mixed."""
     store = FakeStore()
     store.delay_s = 1.0
-    started = stream_origins.StreamOrigins.from_store(store, fakes.FakeLog())
+    started = origins.StreamOrigins.from_store(store, fakes.FakeLog())
     started.on_upstream(OLD)
     before = clock.now()
     started.resolve(state('r-2', resumed='r-1'))
-    assert clock.now() - before <= stream_origins.READ_TIMEOUT_S
+    assert clock.now() - before <= origins.READ_TIMEOUT_S
 
 
 @clocks.on_virtual_clock
@@ -203,7 +204,7 @@
     store = FakeStore()
     host = Host(store, OLD, NEW)
     host.begin('r-1', OLD)
-    clock.sleep(stream_origins.RETENTION_S)
+    clock.sleep(origins.RETENTION_S)
     host.begin('r-2', OLD)
     assert len(store.row_by_key) == 1
 
@@ -213,7 +214,7 @@
     """Guards against rows that nobody deletes."""
     store = FakeStore()
     Host(store, OLD, NEW).begin('r-1', OLD)
-    later = clock.wall_time() + 3 * stream_origins.RETENTION_S
+    later = clock.wall_time() + 3 * origins.RETENTION_S
     monkeypatch.setattr(clock, 'wall_time', lambda: later)
     leader = Host(store, OLD, NEW)
     leader.begin('r-2', OLD)
