--- a/ivystep/cli/log_events.py
+++ b/ivystep/cli/log_events.py
@@ -11,6 +11,10 @@
 
 from ivystep.gateway import events
 from ivystep.runtime import event_log
+from ivystep.stream_origins import events as origin_events
+
+# Modules that define events of the gateway's log.
+EVENT_MODULES = (events, origin_events)
 
 HEADING = """# Log lines of the gateway
 
@@ -27,7 +31,8 @@
     """Return the page in Markdown."""
     event_types = [
         event_type
-        for _, event_type in inspect.getmembers(events, inspect.isclass)
+        for module in EVENT_MODULES
+        for _, event_type in inspect.getmembers(module, inspect.isclass)
         if issubclass(event_type, event_log.Event)
     ]
     sections = [
--- a/ivystep/gateway/event_metrics.py
+++ b/ivystep/gateway/event_metrics.py
@@ -12,6 +12,7 @@
 from ivystep.gateway import events
 from ivystep.metrics import registry
 from ivystep.runtime import event_log
+from ivystep.stream_origins import events as origin_events
 
 MAX_ROUTE_LABELS = 200
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 4.0, 8.0, 16.0)
@@ -63,6 +64,13 @@
         self.dependencies_lost = self._counter(
             'dependencies_lost', 'Dependencies that were lost, by kind.'
         )
+        self.resumed_streams = self._counter(
+            'resumed_streams',
+            'Streams that callers resume, by how their origin is known.',
+        )
+        self.origin_rows_late = self._counter(
+            'origin_rows_late', 'Streams whose first event came before its row.'
+        )
         self.store_calls = self._counter(
             'store_calls', 'Calls to the store, by method and status.'
         )
@@ -199,3 +207,24 @@
     event: events.DutyChanged, metrics: EventMetrics
 ) -> None:
     metrics.is_leader.set({}, int(event.change == 'acquired'))
+
+
+@_record_event.register
+def _record_resolved(
+    event: origin_events.OriginResolved, metrics: EventMetrics
+) -> None:
+    metrics.resumed_streams.inc({'origin': event.source})
+
+
+@_record_event.register
+def _record_unknown(
+    event: origin_events.OriginUnknown, metrics: EventMetrics
+) -> None:
+    metrics.resumed_streams.inc({'origin': f'unknown: {event.reason}'})
+
+
+@_record_event.register
+def _record_late(
+    event: origin_events.OriginLate, metrics: EventMetrics
+) -> None:
+    metrics.origin_rows_late.inc({})
--- a/ivystep/policy/version_history.py
+++ b/ivystep/policy/version_history.py
@@ -18,6 +18,11 @@
         )
         self._left_at_by_version: dict[str, float] = {}
 
+    @property
+    def present(self) -> frozenset[str]:
+        """The versions that have an upstream now."""
+        return frozenset(self._upstreams_by_version)
+
     def add(self, version: str) -> None:
         """Record an upstream that was added.
 
--- a/tests/gateway/test_event_metrics.py
+++ b/tests/gateway/test_event_metrics.py
@@ -5,6 +5,7 @@
 
 from ivystep.gateway import event_metrics, events
 from ivystep.metrics import registry
+from ivystep.stream_origins import events as origin_events
 
 
 def samples(metrics):
@@ -114,3 +115,19 @@
     recorder.on_store_call('GET', 'no answer')
     published = samples(metrics)
     assert published['ivystep_store_calls_total', 'GET', 'no answer'] == 2
+
+
+def test_resumed_streams_are_counted_by_their_origin(metrics_and_recorder):
+    """Guards against refusals after a restart that do not show."""
+    metrics, recorder = metrics_and_recorder
+    recorder.record(
+        origin_events.OriginResolved('r-2', 'r-1', 'llm', 'v1', 'row')
+    )
+    recorder.record(
+        origin_events.OriginUnknown('r-2', 'r-1', 'plans', 'store', '')
+    )
+    recorder.record(origin_events.OriginLate('r-1', 'i-1', 100))
+    published = samples(metrics)
+    assert published['ivystep_resumed_streams_total', 'row'] == 1
+    assert published['ivystep_resumed_streams_total', 'unknown: store'] == 1
+    assert published['ivystep_origin_rows_late_total',] == 1
