Refuse resumed streams unless the store tells their version

Cause: a stream without a known origin went on wherever this host knew one version, and a host that has just started knows only the versions listed now. It took a missing row, a store that does not answer and a row lost with its host's queue for one version.

Change: a caller's stream of another host goes on at what its row says, or at the only version of a complete row of its service; in any other case it is refused, 503, not run, Retry-After 0.5 s. Upstreams of a version get no work of a service with resumable routes before the version is in the row. While several versions are possible, the head of an answer waits up to MAX_HOLD_S (0.1 s) for the origin's row; the time to first token that is measured leaves this wait out. An attempt at another version writes a row of its own and is sent only once the store has acknowledged it. Rows name their era and are written again after a restoration. The key of a stream takes an account, empty until accounts exist (origins._stream_key). The queue of stream rows holds as many as a host remembers streams: 1,000 were fewer.

Tests: test_stream_of_unknown_origin_goes_on_at_the_only_version asserted the guess. Its successors ask for the same 200 where the store says that there was one version only, and for a refusal with its code, wait and no attempt where the store is down or restored. test_one_version_costs_no_calls_to_the_store expected a stream of another host to go on without a call; it is now three tests: no calls for a host's own streams, the only version for another host's, no rows in a new host's first minute. test_stream_does_not_wait_long_for_a_silent_store expected no error; it expects the refusal within the same time.

Ruled out: a refusal only while several versions are listed, which is the fault; rows for all streams, which are calls for nothing while one version serves.

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -33,6 +33,8 @@
 # Requests that are sent later after a load tell nothing about its duration.
 MAX_MEASURED_S = 0.5
 HIGHEST_SUCCESS_STATUS = 299
+# Status of a stream of events.
+SUCCESS_STATUS = 200
 
 
 class PlacementOutdatedError(Exception):
@@ -97,7 +99,8 @@
             permit: Permit to send the prompt; None for a plain service.
 
         Raises:
-            errors.RequestError: The attempt failed.
+            errors.RequestError: The attempt failed, or where its stream begins
+                could not be recorded.
             PlacementOutdatedError: The request must be placed again.
         """
         state.step = 'connect'
@@ -270,6 +273,8 @@
         if head.rest_s is not None:
             self._log.asked_for_rest(upstream, head.rest_s)
         self._limits.on_answer(upstream, head, sent_at=sent_at)
+        if head.status == SUCCESS_STATUS:
+            self._origins.hold(state, upstream)
 
     def _update_prefill_rate(
         self,
@@ -284,8 +289,9 @@
         )
         # A resumed stream got its first event from another upstream.
         if generation and head_sent_at is not None and head_sent_at >= sent_at:
+            first_event_s = head_sent_at - sent_at - state.progress.held_s
             self._measured.record_prefill(
-                upstream, generation.prompt_tokens, head_sent_at - sent_at
+                upstream, generation.prompt_tokens, first_event_s
             )
 
     def _measure_load(
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -179,6 +179,7 @@
         )
         self._crashes = crashes.Crashes.from_store(self._rows, self._log)
         self._origins = origins.StreamOrigins.from_store(self._rows, self._log)
+        self._origins.on_usable = self._on_usable
         self._versions = version_choice.VersionChoice(
             self._config, settings.bounds.version_s
         )
@@ -341,14 +342,20 @@
         followed = followed_tables.FollowedTables(
             self._rows, self.settings.store, self._progress, self._log
         )
+        upstreams_feed = followed.feed_of_upstreams(
+            self._membership, self._last_needed_version
+        )
         for feed in (
             followed.feed_of_configuration(self._config),
-            followed.feed_of_upstreams(
-                self._membership, self._last_needed_version
-            ),
+            upstreams_feed,
             followed.feed_of_crashes(self._crashes),
         ):
             self._spawn(feed.run)
+        self._spawn(
+            self._origins.maintain,
+            upstreams_feed,
+            lambda: self._leadership.is_leader,
+        )
 
     def _last_needed_version(self) -> int:
         return self._membership.needed_version
@@ -380,6 +387,7 @@
     def _on_config(self, config: contracts.RouteConfig) -> None:
         self._server_state.limits = config.limits
         self._pools.configure(config)
+        self._origins.configure(config)
         self._update_all_upstreams()
 
     def _on_version(
@@ -392,10 +400,18 @@
         known = self._membership.upstream_by_id.get(upstream.upstream_id)
         if known is upstream:
             self._origins.on_upstream(upstream)
-            self._pools.update_upstream(upstream)
+            if self._origins.may_use(upstream):
+                self._pools.update_upstream(upstream)
+            else:
+                self._pools.remove_upstream(upstream)
         if upstream.is_draining:
             self._prefill_queues.close(upstream.entry.incarnation)
 
+    def _on_usable(self, service: str) -> None:
+        for upstream in list(self._membership.upstream_by_id.values()):
+            if upstream.entry.service == service:
+                self._on_change(upstream)
+
     def _on_removed(self, upstream: upstream_state.Upstream) -> None:
         self._link_by_upstream.pop(upstream, None)
         self._origins.on_removed(upstream)
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -5,7 +5,7 @@
 import typing
 
 from ivystep.core import errors, types, units
-from ivystep.gateway import answer_body, relay, upstream_state
+from ivystep.gateway import answer_body, relay, row_writer, upstream_state
 from ivystep.policy import prefill
 from ivystep.runtime import clock
 from ivystep.traffic import calls, contracts
@@ -34,12 +34,14 @@
         body_bytes: Length of the body that had arrived when the attempt
             failed.
         is_settled: Whether the answer had gone on after its beginning by then.
+        held_s: Time for which its head waited for the origin's row.
     """
 
     sent_at: float | None = None
     head_at: float | None = None
     body_bytes: int = 0
     is_settled: bool = False
+    held_s: float = 0.0
 
     def record_body(self, body: answer_body.AnswerBody | None) -> None:
         """Record how much of the answer's body has arrived.
@@ -69,6 +71,8 @@
         turn_at: Limited upstream at which this attempt has taken a turn.
         stream_version: Software version of the upstreams that have sent the
             stream's events; None if unknown.
+        origin_write: Write of where the stream began; None without a row.
+        origin_number: Number of the next row on where the stream began.
         step: What the request waits for: ``place``, ``permit``, ``connect``
             or ``run``.
         progress: How far the last attempt has come.
@@ -88,6 +92,8 @@
     turn_at: upstream_state.Upstream | None = None
     step: str = 'place'
     stream_version: str | None = None
+    origin_write: row_writer.PendingWrite | None = None
+    origin_number: int = 0
     content_id: str = ''
     fingerprints: tuple[bytes, ...] = ()
     progress: AttemptProgress = dataclasses.field(
--- a/ivystep/gateway/row_writer.py
+++ b/ivystep/gateway/row_writer.py
@@ -8,6 +8,7 @@
 import random
 
 import eventlet
+from eventlet import event
 
 from ivystep.core import errors
 from ivystep.gateway import events
@@ -16,13 +17,43 @@
 
 # The store's limit on the rows of one transaction.
 MAX_BATCH_ROWS = 100
-# Rows that wait during an outage of the store; beyond it, the oldest are lost.
+# Rows that wait during an outage of the store, unless said otherwise.
 MAX_PENDING_ROWS = 1000
 FIRST_RETRY_S = 0.2
 MAX_RETRY_S = 3.0
 JITTER_SHARE = 0.3
 
 
+class PendingWrite:
+    """A write that the store may not have acknowledged yet."""
+
+    def __init__(self) -> None:
+        self._acknowledged = event.Event()
+
+    @property
+    def is_acknowledged(self) -> bool:
+        """Whether the row is in the store."""
+        return bool(self._acknowledged.ready())
+
+    def acknowledge(self) -> None:
+        """Record that the row is in the store."""
+        if not self.is_acknowledged:
+            self._acknowledged.send()
+
+    def wait(self, timeout_s: float) -> bool:
+        """Wait until the row is in the store.
+
+        Args:
+            timeout_s: Longest wait, in seconds.
+
+        Returns:
+            Whether it is.
+        """
+        with eventlet.Timeout(timeout_s, exception=False):
+            self._acknowledged.wait()
+        return self.is_acknowledged
+
+
 class RowWriter:
     """Writes rows of one table and repeats failed writes.
 
@@ -30,29 +61,36 @@
         client: Client of the store.
         table: Name of the table.
         log: Event log of outages.
+        max_pending: Rows that may wait; beyond it, the oldest are lost.
     """
 
     def __init__(
-        self, client: rows.RowsClient, table: str, log: event_log.EventLog
+        self,
+        client: rows.RowsClient,
+        table: str,
+        log: event_log.EventLog,
+        max_pending: int = MAX_PENDING_ROWS,
     ) -> None:
         self._client = client
         self._table = table
         self._log = log
-        self._pending: collections.deque[rows.RowWrite] = collections.deque(
-            maxlen=MAX_PENDING_ROWS
+        self._pending: collections.deque[tuple[rows.RowWrite, PendingWrite]] = (
+            collections.deque(maxlen=max_pending)
         )
         self._is_running = False
 
-    def write(self, row_write: rows.RowWrite) -> None:
+    def write(self, row_write: rows.RowWrite) -> PendingWrite:
         """Write a row without waiting for the store.
 
         Args:
             row_write: A write without a condition, so that it may be repeated.
         """
-        self._pending.append(row_write)
+        pending = PendingWrite()
+        self._pending.append((row_write, pending))
         if not self._is_running:
             self._is_running = True
             eventlet.spawn_n(self._run)
+        return pending
 
     def _run(self) -> None:
         retry_s = FIRST_RETRY_S
@@ -62,7 +100,7 @@
                 for _ in range(min(len(self._pending), MAX_BATCH_ROWS))
             ]
             try:
-                self._client.transact(batch)
+                self._client.transact([row_write for row_write, _ in batch])
             except errors.PlatformError as error:
                 self._log.write(
                     events.DependencyLost(f'store/{self._table}', str(error))
@@ -72,4 +110,6 @@
                 retry_s = min(2 * retry_s, MAX_RETRY_S)
             else:
                 retry_s = FIRST_RETRY_S
+                for _, pending in batch:
+                    pending.acknowledge()
         self._is_running = False
--- a/ivystep/platform/stream_rows.py
+++ b/ivystep/platform/stream_rows.py
@@ -1,8 +1,9 @@
 """Encodes and decodes ivystep's rows on where streams of callers began.
 
 A row is written by the host that sends a stream to an upstream, and read by
-the host at which the caller takes the stream up. It is written again if the
-request is sent to another upstream before its first event.
+the host at which the caller takes the stream up. A further row with a higher
+number is written if the request moves to another service or version before its
+first event, so that a late write of the first row does not replace it.
 """
 
 import dataclasses
@@ -14,7 +15,18 @@
 
 TABLE = 'ivystep-streams'
 # Raised when a malformed row, written by another program, is decoded.
-DECODE_ERRORS = (KeyError, TypeError, ValueError, RecursionError)
+DECODE_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    RecursionError,
+)
+# Separates a stream's key from the number of its row; END sorts after it.
+SEPARATOR = '/'
+END = '0'
+# Rows of one stream are sorted by their number.
+NUMBER_DIGITS = 6
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,11 +37,19 @@
         service: Service of the upstream that began it.
         software_version: Version of that upstream's software.
         recorded: Wall-clock time in seconds since the epoch.
+        era: Era of the store as its writer knew it. A copy of the store may
+            lack a later row of the stream.
     """
 
     service: str
     software_version: str
     recorded: float
+    era: int = 0
+
+    @property
+    def place(self) -> tuple[str, str]:
+        """The service and the software version."""
+        return self.service, self.software_version
 
     def is_same(self, other: typing.Self) -> bool:
         """Return whether two streams began at the same service and version.
@@ -37,32 +57,46 @@
         Args:
             other: Origin of the other stream.
         """
-        return (self.service, self.software_version) == (
-            other.service,
-            other.software_version,
-        )
+        return self.place == other.place
 
 
-def encode(key: str, origin: StreamOrigin) -> rows.RowWrite:
+def encode(key: str, number: int, origin: StreamOrigin) -> rows.RowWrite:
     """Return the write of a stream's origin.
 
     Args:
         key: Key of the stream.
+        number: Number of the row among those of the stream.
         origin: Where it began.
     """
     document = {
         'service': origin.service,
         'software_version': origin.software_version,
         'recorded_ms': int(origin.recorded * units.MS_PER_S),
+        'era': origin.era,
     }
-    return rows.RowWrite(TABLE, key, json.dumps(document).encode())
+    content = json.dumps(document).encode()
+    return rows.RowWrite(TABLE, row_key(key, number), content)
 
 
 def encode_removal(key: str) -> rows.RowWrite:
-    """Return the write that deletes a stream's row."""
+    """Return the write that deletes a row.
+
+    Args:
+        key: Key of the row.
+    """
     return rows.RowWrite(TABLE, key, None)
 
 
+def row_key(key: str, number: int) -> str:
+    """Return the key of a row of a stream."""
+    return f'{key}{SEPARATOR}{number:0{NUMBER_DIGITS}}'
+
+
+def key_range(key: str) -> tuple[str, str]:
+    """Return the first key of a stream's rows, and the end of their range."""
+    return f'{key}{SEPARATOR}', f'{key}{END}'
+
+
 def decode(row: rows.StoredRow) -> StreamOrigin:
     """Decode a row.
 
@@ -75,8 +109,23 @@
             str(document['service']),
             str(document['software_version']),
             float(document['recorded_ms']) / units.MS_PER_S,
+            int(document.get('era', 0)),
         )
     except DECODE_ERRORS as error:
         raise errors.SetupError(
             f'row {row.key!r} is malformed: {error}', step='decode stream'
         ) from error
+
+
+def decode_number(row: rows.StoredRow) -> int:
+    """Return the number of a row among those of its stream.
+
+    Raises:
+        errors.SetupError: The key has no number.
+    """
+    number = row.key.rpartition(SEPARATOR)[2]
+    if not number.isascii() or not number.isdecimal():
+        raise errors.SetupError(
+            f'row {row.key!r} has no number', step='decode stream'
+        )
+    return int(number)
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -19,7 +19,7 @@
 )
 from ivystep.policy import prefill
 from ivystep.runtime import clock
-from ivystep.stream_origins import origins
+from ivystep.stream_origins import origins, recorder
 from ivystep.traffic import calls, contracts, upstreams
 from tests.coordination import fakes as clocks
 from tests.gateway import fakes, test_configuration
@@ -141,7 +141,12 @@
             lambda upstream: None,
             self.permit,
             request_log.RequestLog(self.log, self.recorded.config),
-            origins.StreamOrigins(None, self.writer, self.log),
+            origins.StreamOrigins(
+                None,
+                self.writer,
+                recorder.VersionRecorder(None, self.log),
+                self.log,
+            ),
         )
 
     def wait_in_queue(self):
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -6,6 +6,8 @@
 import eventlet
 import pytest
 
+from ivystep.core import errors
+from ivystep.platform import version_rows
 from tests.gateway import harness
 
 EVENTS = harness.EVENTS
@@ -207,12 +209,60 @@
     assert not recorder.versions_by_stream
 
 
-def test_stream_of_unknown_origin_goes_on_at_the_only_version(
+def test_stream_of_unknown_origin_goes_on_at_the_only_version_there_was(
     build_versions, recorder
 ):
     """Guards against refusals where there is nothing to mix."""
     gateway, _ = build_versions('v1', 'v1')
     assert take_up(gateway, 'r-unknown').status == 200
+    assert recorder.versions_by_stream == {'r-unknown': ['v1']}
+
+
+@pytest.mark.parametrize('is_restored', [True, False])
+def test_stream_of_unknown_origin_is_refused_if_others_may_have_served(
+    build_versions, recorder, is_restored
+):
+    """Guards against a guess from the versions that are listed now."""
+    gateway, _ = build_versions('v1', 'v1')
+    if is_restored:
+        gateway.store.restore(gateway.store.copy())
+    else:
+        gateway.store.faults = {'mode': 'down'}
+    with eventlet.Timeout(AT_ONCE_S):
+        answer = take_up(gateway, 'r-unknown')
+    assert answer.status == 503
+    assert answer.headers['retry-after'] == '0.500'
+    assert answer.document['ran'] == 'no'
+    assert not recorder.versions_by_stream
+
+
+def test_version_gets_no_requests_before_it_is_in_the_store(
+    build_versions, recorder, stack, monkeypatch
+):
+    """Guards against streams of a version that no row tells of."""
+    gateway, _ = build_versions('v1')
+    refusing = gateway.daemon._rows
+    transact = refusing.transact
+
+    def refuse(writes):
+        if any(write.table == version_rows.TABLE for write in writes):
+            raise errors.UnavailableError('refused', step='transact')
+        return transact(writes)
+
+    monkeypatch.setattr(refusing, 'transact', refuse)
+    newer = harness.ScriptedUpstream(recorder.script('v2'), 'i-9', 'v2')
+    stack.callback(newer.close)
+    gateway.add(newer)
+    gateway.wait_for(2)
+    for number in range(STREAMS):
+        begin(gateway, f'r-{number}')
+    assert not newer.requests
+    monkeypatch.setattr(refusing, 'transact', transact)
+    number = STREAMS
+    with eventlet.Timeout(5):
+        while not newer.requests:
+            begin(gateway, f'r-{number}')
+            number += 1
 
 
 def test_new_streams_use_all_versions(build_versions, recorder):
