Use no upstream before the table of crashes has been read

Cause: a gateway that has just started took a table of crashes that it had not read for an empty one, and sent a request that all others refuse to further upstreams.

Change: the upstreams' table is followed once the table of crashes has been read. Both are in one store, so an outage at start takes nothing more away.

Ruled out: a refusal of each request until then, which needs a second decision at each place that asks.

--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -345,12 +345,11 @@
         upstreams_feed = followed.feed_of_upstreams(
             self._membership, self._last_needed_version
         )
-        for feed in (
-            followed.feed_of_configuration(self._config),
-            upstreams_feed,
-            followed.feed_of_crashes(self._crashes),
-        ):
-            self._spawn(feed.run)
+        crashes_feed = followed.feed_of_crashes(self._crashes)
+        self._spawn(followed.feed_of_configuration(self._config).run)
+        self._spawn(crashes_feed.run)
+        # A request that crashes upstreams must be known before there are any.
+        self._spawn(followed.run_after, crashes_feed, upstreams_feed)
         self._spawn(
             self._origins.maintain,
             upstreams_feed,
--- a/ivystep/gateway/followed_tables.py
+++ b/ivystep/gateway/followed_tables.py
@@ -10,12 +10,13 @@
     rows,
     upstream_entries,
 )
-from ivystep.runtime import event_log
+from ivystep.runtime import clock, event_log
 from ivystep.settings import gateway as settings_models
 
 # Longest time between two reads of the adapters that engines hold. The leader
 # tells of its orders, but a host may have missed one while it was cut off.
 RESIDENCY_REFRESH_S = 4.0
+FIRST_READ_POLL_S = 0.01
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,6 +63,17 @@
         timings = feeds.FeedTimings(self.settings.crash_wait_s)
         return self._build(crash_rows.TABLE, sink, timings)
 
+    def run_after(self, first: feeds.TableFeed, later: feeds.TableFeed) -> None:
+        """Follow a table once another one has been read.
+
+        Args:
+            first: Feed of the table that must be known.
+            later: Feed to run until the task is killed.
+        """
+        while first.confirmed_at is None:
+            clock.sleep(FIRST_READ_POLL_S)
+        later.run()
+
     def _build(
         self,
         table: str,
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/test_crashing_requests.py
@@ -3,7 +3,9 @@
 import eventlet
 import pytest
 
+from ivystep.core import errors
 from ivystep.gateway import crashes
+from ivystep.platform import crash_rows, rows
 from tests.gateway import harness
 
 # Upstreams that may crash before such a request is refused everywhere.
@@ -107,6 +109,26 @@
     assert len(upstreams.crashed) == crashed
 
 
+def test_gateway_uses_no_upstream_before_it_knows_the_crashes(
+    first, stack, monkeypatch
+):
+    """Guards against a host that takes a table it has not read for empty."""
+    read_all = rows.RowsClient.read_all
+
+    def refuse(client, table):
+        if table == crash_rows.TABLE:
+            raise errors.UnavailableError('refused', step='read')
+        return read_all(client, table)
+
+    monkeypatch.setattr(rows.RowsClient, 'read_all', refuse)
+    started = harness.GatewayHarness(stack, host='host-2', peer=first)
+    eventlet.sleep(0.3)
+    assert started.daemon.status().setup_version
+    assert not started.daemon.status().details['upstreams']
+    monkeypatch.setattr(rows.RowsClient, 'read_all', read_all)
+    started.wait_for(UPSTREAMS)
+
+
 def test_request_that_comes_from_another_address_is_refused(first, upstreams):
     """Guards against crashes by a caller that sends from several addresses."""
     for number in range(UPSTREAMS):
