Add failing tests of moved routes and of a lease after a restoration

Cause: two more places where a process that has just started takes what it does not know for not being the case. A route that moved to another service while all hosts were down has streams of the service before, which the row of its present service does not show. A lease whose row a copy of the store lacks, or shows as released, may still be held.

Ruled out for the lease: hosts that ran before the restoration, which wait already (test_restored_store_neither_repeats_a_token_nor_ends_a_lease_early).

--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -261,6 +261,28 @@
     scenario()
 
 
+@pytest.mark.parametrize('has_row', [True, False])
+def test_process_that_starts_after_a_restoration_waits_for_the_holder(has_row):
+    """Guards against a copy that is taken for the newest state."""
+
+    @fakes.on_virtual_clock
+    def scenario():
+        shared = fakes.FakeTable()
+        first, second, started = (
+            lease.Lease(fakes.TableView(shared), KEY, name, DURATION_S)
+            for name in ('first', 'second', 'started')
+        )
+        first.acquire()
+        first.release()
+        copied = dict(shared.row_by_key) if has_row else {}
+        second.acquire()
+        shared.row_by_key = copied
+        started.acquire()
+        assert not second.is_held()
+
+    scenario()
+
+
 @fakes.on_virtual_clock
 def test_forgotten_holder_keeps_its_lease_for_its_own_duration():
     """Guards against two holders while a new duration is rolled out."""
--- a/tests/stream_origins/test_origins.py
+++ b/tests/stream_origins/test_origins.py
@@ -427,3 +427,18 @@
     call = state('r-1').call
     keys = {origins._key(call, account) for account in ('', 'a', 'b')}
     assert len(keys) == 3
+
+
+@clocks.on_virtual_clock
+def test_stream_of_a_route_that_moved_before_a_restart_is_refused():
+    """Guards against the only version of the service that the route has now."""
+    store = stores.FakeStore()
+    Host(store, OLD).begin('r-1', OLD)
+    moved = make_route('other')
+    entry = dataclasses.replace(NEW.entry, service='other')
+    restarted = origins.StreamOrigins.from_store(store, fakes.FakeLog())
+    restarted.configure(test_contracts.config(moved, version=2))
+    restarted.on_upstream(upstream_state.Upstream(entry))
+    clock.sleep(0.1)
+    with pytest.raises(errors.RefusedError):
+        restarted.resolve(state('r-2', resumed='r-1', services=('other',)))
