Add a failing test of retries while the number of hosts is unknown

Cause: a host that has just started takes the share of one of 16 hosts until the leader tells their number. More than 32 that start together may use more than the platform's reserve.

Ruled out: a larger assumed number, which leaves less than one retry for each host and also divides the limits of upstreams.

--- a/tests/gateway/test_host_shares.py
+++ b/tests/gateway/test_host_shares.py
@@ -23,3 +23,10 @@
     shares.on_host_count(4)
     assert shares.hosts == 4
     assert shares.budgets.budget('app').balance > before
+
+
+@pytest.mark.parametrize('hosts', [16, 43])
+def test_hosts_that_start_together_keep_to_the_retry_reserve(hosts):
+    """Guards against the shares of hosts that do not know their number yet."""
+    shares = host_shares.HostShares(0.2, RETRY_EXTRA)
+    assert hosts * shares.budgets.budget('app').balance <= RETRY_EXTRA
