--- a/ivystep/cli/log_events.py
+++ b/ivystep/cli/log_events.py
@@ -12,6 +12,10 @@
 from ivystep.accounts import events as account_events
 from ivystep.gateway import events
 from ivystep.runtime import event_log
+from ivystep.stream_origins import events as origin_events
+
+# Modules that define events of the gateway's log.
+EVENT_MODULES = (events, origin_events)
 
 EVENT_MODULES = (events, account_events)
 HEADING = """# Log lines of the gateway
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -34,7 +34,6 @@
     safeguard,
     servers,
     store_contact,
-    stream_origins,
     table_progress,
     upstream_state,
     version_choice,
@@ -50,6 +49,7 @@
 from ivystep.prefill import prefill_rates
 from ivystep.runtime import clock, drain, event_log
 from ivystep.settings import gateway as settings_models
+from ivystep.stream_origins import origins
 from ivystep.traffic import contracts
 
 BACKLOG = 1024
@@ -178,26 +178,18 @@
             self._log,
         )
         self._crashes = crashes.Crashes.from_store(self._rows, self._log)
-        self._origins = stream_origins.StreamOrigins.from_store(
-            self._rows, self._log
-        )
+        self._origins = origins.StreamOrigins.from_store(self._rows, self._log)
+        self._origins.on_usable = self._on_usable
         self._versions = version_choice.VersionChoice(
             self._config, settings.bounds.version_s
         )
-        followed = followed_tables.FollowedTables(
+        self._followed = followed_tables.FollowedTables(
             self._rows, settings.store, self._progress, self._log
         )
-        config_feed = followed.feed_of_configuration(self._config)
-        self._feeds = (
-            config_feed,
-            followed.feed_of_upstreams(
-                self._membership, self._last_needed_version
-            ),
-            followed.feed_of_crashes(self._crashes),
-        )
+        self._config_feed = self._followed.feed_of_configuration(self._config)
         config_age = configuration_age.ConfigurationAge(
             self._config,
-            config_feed,
+            self._config_feed,
             self._progress,
             max(settings.bounds.config_age_s, settings.store.longest_read_s),
         )
@@ -338,8 +330,7 @@
             self._residency_updates.serve,
             self._prefill_queues.answer,
         )
-        for feed in self._feeds:
-            self._spawn(feed.run)
+        self._follow_tables()
         self._spawn(self._remove_expired_crashes)
         self._spawn(self._leadership.run)
         self._spawn(self._leadership.follow)
@@ -348,6 +339,22 @@
         self._spawn(self._apply_totals_as_leader)
         self._spawn(loop_lag.measure, self._event_metrics, self._log)
 
+    def _follow_tables(self) -> None:
+        """Start the feeds of the tables of the store."""
+        upstreams_feed = self._followed.feed_of_upstreams(
+            self._membership, self._last_needed_version
+        )
+        crashes_feed = self._followed.feed_of_crashes(self._crashes)
+        self._spawn(self._config_feed.run)
+        self._spawn(crashes_feed.run)
+        # A request that crashes upstreams must be known before there are any.
+        self._spawn(self._followed.run_after, crashes_feed, upstreams_feed)
+        self._spawn(
+            self._origins.maintain,
+            upstreams_feed,
+            lambda: self._leadership.is_leader,
+        )
+
     def _last_needed_version(self) -> int:
         return self._membership.needed_version
 
@@ -379,6 +386,7 @@
         self._server_state.limits = config.limits
         self._access.on_config(config)
         self._pools.configure(config)
+        self._origins.configure(config)
         self._update_all_upstreams()
 
     def _on_version(
@@ -391,10 +399,18 @@
         known = self._membership.upstream_by_id.get(upstream.upstream_id)
         if known is upstream:
             self._origins.on_upstream(upstream)
-            self._pools.update_upstream(upstream)
+            if self._origins.may_use(upstream):
+                self._pools.update_upstream(upstream)
+            else:
+                self._pools.remove_upstream(upstream)
         if upstream.is_draining:
             self._prefill_queues.close(upstream.entry.incarnation)
 
+    def _on_usable(self, service: str) -> None:
+        for upstream in list(self._membership.upstream_by_id.values()):
+            if upstream.entry.service == service:
+                self._on_change(upstream)
+
     def _on_removed(self, upstream: upstream_state.Upstream) -> None:
         self._link_by_upstream.pop(upstream, None)
         self._origins.on_removed(upstream)
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -16,12 +16,12 @@
     request_access,
     request_log,
     safeguard,
-    stream_origins,
     upstream_state,
     version_choice,
 )
 from ivystep.prefill import prefill, prefill_rates
 from ivystep.runtime import clock
+from ivystep.stream_origins import origins, recorder
 from ivystep.traffic import calls, contracts, upstreams
 from tests.coordination import fakes as clocks
 from tests.gateway import fakes, test_configuration
@@ -152,7 +152,12 @@
             lambda upstream: None,
             self.permit,
             request_log.RequestLog(self.log, self.recorded.config),
-            stream_origins.StreamOrigins(None, self.writer, self.log),
+            origins.StreamOrigins(
+                None,
+                self.writer,
+                recorder.VersionRecorder(None, self.log),
+                self.log,
+            ),
         )
 
     def wait_in_queue(self):
--- a/tests/gateway/test_software_versions.py
+++ b/tests/gateway/test_software_versions.py
@@ -6,6 +6,8 @@
 import eventlet
 import pytest
 
+from ivystep.core import errors
+from ivystep.platform import version_rows
 from tests.gateway import harness
 
 EVENTS = harness.EVENTS
@@ -136,6 +138,44 @@
     recorder.assert_one_version_each(STREAMS)
 
 
+@pytest.mark.parametrize('has_rows', [True, False])
+def test_no_stream_joins_two_versions_after_all_gateways_were_killed(
+    build_versions, build_peer, recorder, stack, has_rows
+):
+    """Guards against a guess by gateways that know nothing of the past.
+
+    Rows of streams are missing if they were lost with their writers' queues.
+    """
+    first, (old, _) = build_versions('v1', 'v2')
+    second = build_peer(first, 'host-2')
+    for number in range(STREAMS):
+        begin((first, second)[number % 2], f'r-{number}')
+    eventlet.sleep(0.2)
+    began = {
+        stream: versions[0]
+        for stream, versions in recorder.versions_by_stream.items()
+    }
+    assert set(began.values()) == {'v1', 'v2'}
+    for gateway in (first, second):
+        gateway.end()
+    first.store.write('servers', old.upstream_id, None)
+    for table, _, key in tuple(first.store.row_by_key):
+        if table == 'ivystep-streams' and not has_rows:
+            first.store.write(table, key, None)
+    restarted = [
+        harness.GatewayHarness(stack, host=host, peer=first)
+        for host in ('host-1', 'host-2')
+    ]
+    for gateway in restarted:
+        gateway.wait_for(1)
+    for number in range(STREAMS):
+        stream = f'r-{number}'
+        answer = take_up(restarted[number // 2 % 2], stream)
+        is_known = has_rows and began[stream] == 'v2'
+        assert answer.status == (200 if is_known else 503)
+        assert set(recorder.versions_by_stream[stream]) == {began[stream]}
+
+
 def test_stream_whose_version_has_gone_is_refused_at_once(
     build_versions, recorder
 ):
@@ -169,12 +209,60 @@
     assert not recorder.versions_by_stream
 
 
-def test_stream_of_unknown_origin_goes_on_at_the_only_version(
+def test_stream_of_unknown_origin_goes_on_at_the_only_version_there_was(
     build_versions, recorder
 ):
     """Guards against refusals where there is nothing to mix."""
     gateway, _ = build_versions('v1', 'v1')
     assert take_up(gateway, 'r-unknown').status == 200
+    assert recorder.versions_by_stream == {'r-unknown': ['v1']}
+
+
+@pytest.mark.parametrize('is_restored', [True, False])
+def test_stream_of_unknown_origin_is_refused_if_others_may_have_served(
+    build_versions, recorder, is_restored
+):
+    """Guards against a guess from the versions that are listed now."""
+    gateway, _ = build_versions('v1', 'v1')
+    if is_restored:
+        gateway.store.restore(gateway.store.copy())
+    else:
+        gateway.store.faults = {'mode': 'down'}
+    with eventlet.Timeout(AT_ONCE_S):
+        answer = take_up(gateway, 'r-unknown')
+    assert answer.status == 503
+    assert answer.headers['retry-after'] == '0.500'
+    assert answer.document['ran'] == 'no'
+    assert not recorder.versions_by_stream
+
+
+def test_version_gets_no_requests_before_it_is_in_the_store(
+    build_versions, recorder, stack, monkeypatch
+):
+    """Guards against streams of a version that no row tells of."""
+    gateway, _ = build_versions('v1')
+    refusing = gateway.daemon._rows
+    transact = refusing.transact
+
+    def refuse(writes):
+        if any(write.table == version_rows.TABLE for write in writes):
+            raise errors.UnavailableError('refused', step='transact')
+        return transact(writes)
+
+    monkeypatch.setattr(refusing, 'transact', refuse)
+    newer = harness.ScriptedUpstream(recorder.script('v2'), 'i-9', 'v2')
+    stack.callback(newer.close)
+    gateway.add(newer)
+    gateway.wait_for(2)
+    for number in range(STREAMS):
+        begin(gateway, f'r-{number}')
+    assert not newer.requests
+    monkeypatch.setattr(refusing, 'transact', transact)
+    number = STREAMS
+    with eventlet.Timeout(5):
+        while not newer.requests:
+            begin(gateway, f'r-{number}')
+            number += 1
 
 
 def test_new_streams_use_all_versions(build_versions, recorder):
