Trial: learn the latency of engines from prompts beside few others

Cause: under overload, prompts wait at a full engine for the steps of other requests and for prompts in its queue.

Change: a sample tells the share of the batch that other requests used as the prompt was sent; the latency is fitted to samples with at most a fifth, the rate to all.

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -259,6 +259,7 @@
             account=state.account_name,
         )
         state.progress.sent_at = clock.now()
+        state.progress.fill = upstream.fill_by_others
         return messages.encode_call(state.call, attempt)
 
     def _on_head(
@@ -299,7 +300,10 @@
         if generation and head_sent_at is not None and head_sent_at >= sent_at:
             first_event_s = head_sent_at - sent_at - state.progress.held_s
             self._measured.record_prefill(
-                upstream, generation.prompt_tokens, first_event_s
+                upstream,
+                generation.prompt_tokens,
+                first_event_s,
+                state.progress.fill,
             )
 
     def _measure_load(
--- a/ivystep/gateway/measurements.py
+++ b/ivystep/gateway/measurements.py
@@ -58,6 +58,7 @@
         upstream: upstream_state.Upstream,
         tokens: int,
         first_event_s: float,
+        fill: float,
     ) -> None:
         """Record a prompt that was prefilled alone.
 
@@ -65,9 +66,10 @@
             upstream: The engine.
             tokens: Number of tokens of the prompt.
             first_event_s: Time to first token, in seconds.
+            fill: Share of the engine's batch that other requests used.
         """
         sample = prefill_rates.PrefillSample(
-            upstream.entry.incarnation, tokens, first_event_s
+            upstream.entry.incarnation, tokens, first_event_s, fill
         )
         self.rates.record(sample)
         if len(self._samples) < MAX_PENDING:
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -31,6 +31,8 @@
 
     Attributes:
         sent_at: When the request was sent; None before.
+        fill: Share of the upstream's batch that other requests used as the
+            request was sent.
         head_at: When the head of the answer arrived; None before.
         body_bytes: Length of the body that had arrived when the attempt
             failed.
@@ -39,6 +41,7 @@
     """
 
     sent_at: float | None = None
+    fill: float = 0.0
     head_at: float | None = None
     body_bytes: int = 0
     is_settled: bool = False
--- a/ivystep/gateway/residency_updates.py
+++ b/ivystep/gateway/residency_updates.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import math
 import typing
 from collections.abc import Callable, Mapping, Sequence
 
@@ -23,6 +24,7 @@
 from ivystep.wire import channel, convert
 from ivystep.wire.gen import ttypes
 
+PERCENT = 100
 # Longest time between two messages, which carry the numbers of requests in
 # progress and all queued updates.
 HEARTBEAT_S = 0.15
@@ -349,6 +351,7 @@
                 one.engine,
                 one.tokens,
                 int(one.first_event_s * units.US_PER_S),
+                math.ceil(one.fill * PERCENT),
             )
             for one in measured.samples
         ],
@@ -370,7 +373,10 @@
     """Return the samples of a host; one of an older release sends none."""
     return [
         prefill_rates.PrefillSample(
-            one.engine, one.tokens, one.first_event_us / units.US_PER_S
+            one.engine,
+            one.tokens,
+            one.first_event_us / units.US_PER_S,
+            (one.fill_percent or 0) / PERCENT,
         )
         for one in message.prefills or ()
     ]
--- a/ivystep/gateway/upstream_state.py
+++ b/ivystep/gateway/upstream_state.py
@@ -82,6 +82,12 @@
         """Id of the upstream."""
         return self.entry.upstream_id
 
+    @property
+    def fill_by_others(self) -> float:
+        """Share of the batch that requests other than one of this host use."""
+        others = max(self.running_elsewhere + self.in_progress - 1, 0)
+        return others / max(self.entry.batch_size, 1)
+
     def apply_total(self, total: int) -> bool:
         """Apply the requests of all hosts that the upstream has in progress.
 
--- a/ivystep/prefill/estimate.py
+++ b/ivystep/prefill/estimate.py
@@ -19,6 +19,8 @@
 import statistics
 from collections.abc import Collection, Sequence
 
+# Largest share of a batch beside which a prompt shows the engine's latency.
+MAX_UNDISTURBED_FILL = 0.2
 # Pairs of prompts with which a fit begins.
 MIN_PAIRS = 12
 # Least ratio of the lengths of a pair. Noise exceeds what shorter distances
@@ -42,11 +44,23 @@
         engine: Incarnation of the engine.
         tokens: Number of tokens of the prompt.
         first_event_s: Time to first token, in seconds.
+        fill: Share of the engine's batch that other requests used.
     """
 
     engine: str
     tokens: int
     first_event_s: float
+    fill: float = 0.0
+
+    @property
+    def is_undisturbed(self) -> bool:
+        """Whether the time tells of the latency of the engine itself.
+
+        At a full engine, prompts wait for the steps of other requests and for
+        prompts that still lie in its queue. That time looks like latency but
+        occupies the engine.
+        """
+        return self.fill <= MAX_UNDISTURBED_FILL
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ivystep/prefill/prefill_rates.py
+++ b/ivystep/prefill/prefill_rates.py
@@ -66,6 +66,9 @@
         self.samples: collections.deque[PrefillSample] = collections.deque(
             maxlen=size
         )
+        self._undisturbed: collections.deque[PrefillSample] = collections.deque(
+            maxlen=size
+        )
         # Latency that these measurements show; None before they do.
         self._latency_s: float | None = None
         self._keeps_latency = keeps_latency
@@ -79,8 +82,11 @@
             usual_s: Latency in seconds that is assumed until another is clear.
         """
         self.samples.append(sample)
+        if not sample.is_undisturbed:
+            return
+        self._undisturbed.append(sample)
         self._unfitted += 1
-        if self._unfitted >= len(self.samples) / FITS:
+        if self._unfitted >= len(self._undisturbed) / FITS:
             self._unfitted = 0
             self._latency_s = self._fit(usual_s)
 
@@ -91,7 +97,7 @@
     def _fit(self, usual_s: float) -> float | None:
         current_s = self.latency_s(usual_s) if self._keeps_latency else usual_s
         latency_s = estimate.next_latency_s(
-            estimate.fit(self.samples), current_s, usual_s
+            estimate.fit(self._undisturbed), current_s, usual_s
         )
         return None if latency_s == usual_s else latency_s
 
--- a/ivystep/stream_origins/origins.py
+++ b/ivystep/stream_origins/origins.py
@@ -362,7 +362,7 @@
 
 
 def _stream_key(state: request_state.RequestState) -> str:
-    return _key(state.call)
+    return _key(state.call, state.account_name)
 
 
 def _key(call: calls.Call, account: str = '') -> str:
--- a/ivystep/wire/gen/ttypes.py
+++ b/ivystep/wire/gen/ttypes.py
@@ -2722,6 +2722,7 @@
      - engine
      - tokens
      - first_event_us
+     - fill_percent
 
     """
 
@@ -2729,13 +2730,15 @@
         'engine',
         'tokens',
         'first_event_us',
+        'fill_percent',
     )
 
 
-    def __init__(self, engine=None, tokens=None, first_event_us=None,):
+    def __init__(self, engine=None, tokens=None, first_event_us=None, fill_percent=None,):
         self.engine = engine
         self.tokens = tokens
         self.first_event_us = first_event_us
+        self.fill_percent = fill_percent
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2761,6 +2764,11 @@
                     self.first_event_us = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.fill_percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2783,6 +2791,10 @@
             oprot.writeFieldBegin('first_event_us', TType.I32, 3)
             oprot.writeI32(self.first_event_us)
             oprot.writeFieldEnd()
+        if self.fill_percent is not None:
+            oprot.writeFieldBegin('fill_percent', TType.I32, 4)
+            oprot.writeI32(self.fill_percent)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4241,6 +4253,7 @@
     (1, TType.STRING, 'engine', 'UTF8', None, ),  # 1
     (2, TType.I32, 'tokens', None, None, ),  # 2
     (3, TType.I32, 'first_event_us', None, None, ),  # 3
+    (4, TType.I32, 'fill_percent', None, None, ),  # 4
 )
 all_structs.append(LoadAnswer)
 LoadAnswer.thrift_spec = (
--- a/ivystep/wire/ivystep.thrift
+++ b/ivystep/wire/ivystep.thrift
@@ -193,6 +193,7 @@
   1: string engine
   2: i32 tokens
   3: i32 first_event_us
+  4: optional i32 fill_percent
 }
 
 // The answer to a request that was sent since_us after its adapter was expected
--- a/tests/gateway/test_residency_updates.py
+++ b/tests/gateway/test_residency_updates.py
@@ -259,7 +259,7 @@
         'i-1', REF.lora_name, 0.28, is_cached=False
     )
     expected_s = leader.measured.times.expected_s(is_cached=False)
-    other.measured.record_prefill(upstream, 1000, 0.037)
+    other.measured.record_prefill(upstream, 1000, 0.037, 0.0)
     other.measured.record_answer('i-1', REF, 0.02, is_held=False)
     wait_until(
         lambda: leader.measured.tokens_per_s(upstream) == pytest.approx(40000)
--- a/tests/prefill/test_estimate.py
+++ b/tests/prefill/test_estimate.py
@@ -154,3 +154,20 @@
     alone_s = 0.2 + 1460 / 20000
     expected_s = fleet.rates.first_event_s('llm', 1460)
     assert alone_s <= expected_s <= alone_s + 0.06
+
+
+def test_full_engine_does_not_seem_to_have_a_longer_latency():
+    """Guards against more prompts for an engine that is full: those that wait
+    for the steps of others would seem to have a latency that costs nothing.
+    """
+    rates = prefill_rates.PrefillRates()
+    rates.add_engine('i-1', 'llm')
+    chance = random.Random(5)
+    for _ in range(200):
+        tokens = chance.choice((500, 1000, 1500, 2000))
+        first_event_s = 0.1 + tokens / 20000 + chance.uniform(0, 0.01)
+        rates.record(
+            prefill_rates.PrefillSample('i-1', tokens, first_event_s, 0.7)
+        )
+
+    assert rates.latency_s('i-1') == prefill_rates.USUAL_LATENCY_S
