Let other tasks run while many accounts are decoded

Cause: a configuration with 100,000 accounts is decoded in 1.8 s, during which a gateway answers nothing.

Change: accounts are converted in parts of 2,000 with a break between them, and accounts with the same quota share it.

Ruled out: validating each account by itself, which would let other tasks run during validation too, but reports only the first problem of a configuration.

--- a/ivystep/platform/operator_config.py
+++ b/ivystep/platform/operator_config.py
@@ -6,17 +6,21 @@
 import dataclasses
 import types
 import typing
+from collections.abc import Iterator
 
 import pydantic
 
 from ivystep.accounts import directory
 from ivystep.core import errors, ids, units
 from ivystep.platform import rows
+from ivystep.runtime import clock
 from ivystep.traffic import contracts
 
 TABLE = 'op'
 CONFIG_KEY = 'config'
 VERSION_PREFIX = 'version/'
+# Accounts that are converted without a break, in about 10 ms.
+ACCOUNTS_AT_ONCE = 2000
 
 
 class _RowModel(pydantic.BaseModel):
@@ -159,7 +163,7 @@
     accounts = None
     if config.tenants is not None:
         accounts = directory.AccountDirectory.from_accounts(
-            map(_account, config.tenants)
+            _accounts(config.tenants)
         )
     return contracts.RouteConfig.from_routes(
         config.version,
@@ -218,20 +222,33 @@
     )
 
 
-def _account(tenant: _Tenant) -> contracts.ClientAccount:
+def _accounts(
+    tenants: tuple[_Tenant, ...],
+) -> Iterator[contracts.ClientAccount]:
+    """Yield the accounts; other tasks run between parts of a long list."""
+    # Many accounts have the same quota.
+    known_quotas: dict[contracts.Quota, contracts.Quota] = {}
+    for number, tenant in enumerate(tenants, 1):
+        quota = _quota(tenant)
+        yield contracts.ClientAccount(
+            tenant.name,
+            tenant.api_keys,
+            tenant.priority,
+            known_quotas.setdefault(quota, quota),
+        )
+        if number % ACCOUNTS_AT_ONCE == 0:
+            clock.sleep(0)
+
+
+def _quota(tenant: _Tenant) -> contracts.Quota:
     unit = contracts.QuotaUnit.REQUESTS
     if tenant.unit == contracts.QuotaUnit.TOKENS.value:
         unit = contracts.QuotaUnit.TOKENS
-    return contracts.ClientAccount(
-        tenant.name,
-        tenant.api_keys,
-        tenant.priority,
-        contracts.Quota(
-            unit,
-            tenant.rate_per_s or 0.0,
-            tenant.burst or 0.0,
-            tenant.plain_tokens or 0.0,
-        ),
+    return contracts.Quota(
+        unit,
+        tenant.rate_per_s or 0.0,
+        tenant.burst or 0.0,
+        tenant.plain_tokens or 0.0,
     )
 
 
