--- a/ivystep/accounts/authentication.py
+++ b/ivystep/accounts/authentication.py
@@ -11,6 +11,8 @@
 MISSING_KEY = 'missing_key'
 UNKNOWN_KEY = 'unknown_key'
 REVOKED_KEY = 'revoked_key'
+# The host may not know all keys.
+OUTDATED = 'configuration_outdated'
 UNAUTHORIZED_STATUS = 401
 
 
--- a/ivystep/cli/explain.py
+++ b/ivystep/cli/explain.py
@@ -10,7 +10,9 @@
 
 import cappa
 
+from ivystep.accounts import authentication
 from ivystep.core import errors
+from ivystep.platform import operator_config
 
 # Fields that every line has. They are shown before the details, or omitted.
 COMMON_FIELDS = frozenset(('level', 'part', 'message', 'host', 'time'))
@@ -20,6 +22,18 @@
 MAX_EARLIER_LINES = 3
 # Relevant whichever host logs it: the leader gives the orders for all hosts.
 DUTY_CHANGED = 'duty_changed'
+# Tell which API keys a host knows. The store's key of a configuration that is
+# ignored is checked, since other rows are ignored by the same event.
+CONFIG_ADOPTED = 'config_adopted'
+ENTRY_IGNORED = 'entry_ignored'
+KEY_CODES = frozenset(
+    (
+        authentication.MISSING_KEY,
+        authentication.UNKNOWN_KEY,
+        authentication.REVOKED_KEY,
+        authentication.OUTDATED,
+    )
+)
 DEPENDENCY_EVENTS = frozenset(('dependency_lost', 'dependency_regained'))
 
 
@@ -80,11 +94,13 @@
         hosts: Hosts that logged the lines.
         upstreams: Ids of the upstreams.
         adapters: Names of the adapters, without their versions.
+        is_about_key: Whether the request was refused because of its API key.
     """
 
     hosts: frozenset[str]
     upstreams: frozenset[str]
     adapters: frozenset[str]
+    is_about_key: bool = False
 
     @classmethod
     def from_lines(cls, request_lines: Iterable[LogLine]) -> typing.Self:
@@ -100,6 +116,7 @@
             - {''},
             frozenset(_adapter_name(one.get('adapter', '')) for one in fields)
             - {''},
+            any(one.get('code') in KEY_CODES for one in fields),
         )
 
     def is_related(self, fields: dict[str, typing.Any]) -> bool:
@@ -116,10 +133,20 @@
             return is_for_adapter or (is_own_host and is_at_upstream)
         if message == 'upstream_changed':
             return is_own_host and fields.get('upstream') in self.upstreams
+        if _is_about_configuration(fields):
+            return is_own_host and self.is_about_key
         is_dependency = is_own_host and message in DEPENDENCY_EVENTS
         return message == DUTY_CHANGED or is_dependency
 
 
+def _is_about_configuration(fields: dict[str, typing.Any]) -> bool:
+    """Return whether a line tells of the configuration in force."""
+    message = fields['message']
+    is_config_row = fields.get('key') == operator_config.CONFIG_KEY
+    is_ignored_config = message == ENTRY_IGNORED and is_config_row
+    return message == CONFIG_ADOPTED or is_ignored_config
+
+
 def _adapter_name(target: typing.Any) -> str:
     return str(target or '').partition('@')[0]
 
@@ -129,6 +156,8 @@
 
     Related lines are changes of upstreams and dependencies that its hosts
     logged, changes of the leader, and orders for its adapters and upstreams.
+    For a request that was refused because of its API key, they include the
+    configurations of its hosts.
 
     Args:
         request_id: Id of the request.
--- a/ivystep/gateway/configuration_age.py
+++ b/ivystep/gateway/configuration_age.py
@@ -6,7 +6,7 @@
 
 import math
 
-from ivystep.accounts import freshness
+from ivystep.accounts import authentication, freshness
 from ivystep.core import errors
 from ivystep.gateway import configuration, feeds, table_progress
 from ivystep.runtime import clock
@@ -67,7 +67,7 @@
         ):
             if clock.now() >= wait_until:
                 raise errors.RefusedError(
-                    'configuration_outdated',
+                    authentication.OUTDATED,
                     'This host may lack a newer configuration.',
                     status=503,
                     retry_after_s=RETRY_AFTER_S,
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -65,6 +65,24 @@
     assert [one.position for one in found] == [1, 2, 4, 6, 7]
 
 
+@pytest.mark.parametrize(
+    ('code', 'expected'), [('unknown_key', [0, 2, 4]), ('upstream_full', [4])]
+)
+def test_refused_key_is_explained_by_the_configurations_of_its_host(
+    code, expected
+):
+    """Guards against a 401 that does not tell which keys were in force."""
+    lines = [
+        line('config_adopted', version=7, accounts=16),
+        line('config_adopted', 'host-2', version=8, accounts=17),
+        line('entry_ignored', key='config', reason='malformed'),
+        line('entry_ignored', key='i-1', reason='malformed'),
+        line('request_failed', request_id='r-1', code=code, account=''),
+    ]
+    found = explain.explain_request('r-1', explain.parse_lines(lines))
+    assert [one.position for one in found] == expected
+
+
 def test_unknown_request_is_an_error():
     """Guards against empty output for a mistyped request id."""
     with pytest.raises(errors.SettingsError, match='r-9'):
