Give waits of at most 64 accounts a label of their own in a gateway

Cause: pools count waits and stalls by account. With accounts in force, a gateway would have up to 200 labels for them, and 64 are allowed.

Change: the number of labels for waits is an argument; the gateway uses the bound of its account metrics. Requests by route keep their 200 labels.

Runs: tests/gateway/test_accounts.py and tests/metrics pass.

--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -9,6 +9,7 @@
 from ivystep.accounts import revocation
 from ivystep.core import types
 from ivystep.gateway import (
+    account_metrics,
     base_model_loader,
     callers,
     configuration,
@@ -79,7 +80,7 @@
         self._signals = drain.DrainSignal()
         self._tasks: list[typing.Any] = []
         host = settings.process.id
-        self._metrics = registry.Metrics()
+        self._metrics = registry.Metrics(account_metrics.MAX_ACCOUNT_LABELS)
         self._event_metrics = event_metrics.EventMetrics(self._metrics)
         self._log = event_log.EventLog(
             'gateway', host, self._event_metrics.record
--- a/ivystep/metrics/registry.py
+++ b/ivystep/metrics/registry.py
@@ -43,15 +43,20 @@
 class Metrics:
     """Counters, gauges and histograms of one process.
 
+    Args:
+        waiting_accounts: Number of accounts whose waits have a label of their
+            own.
+
     Attributes:
         registry: The registry, to which a kind of process may add metrics of
             its own.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, waiting_accounts: int = MAX_ACCOUNT_LABELS) -> None:
         registry = aioprometheus.Registry()
         self.registry = registry
         self._accounts = BoundedLabel(MAX_ACCOUNT_LABELS)
+        self._waiting_accounts = BoundedLabel(waiting_accounts)
         self._codes = BoundedLabel(MAX_CODE_LABELS)
         self._stalls = aioprometheus.Histogram(
             'ivystep_load_stall_seconds',
@@ -105,7 +110,7 @@
             account: Account of the request.
             stall_s: Wait in seconds; 0 if the adapter was resident.
         """
-        self._stalls.observe(self._account(account), float(stall_s))
+        self._stalls.observe(self._waiting_account(account), float(stall_s))
 
     def record_batch(self, running: int, max_running: int) -> None:
         """Record how full the batch of an engine step is.
@@ -123,7 +128,7 @@
             account: The account.
             change: 1 when a request starts to wait, -1 when it stops.
         """
-        self._waiting.add(self._account(account), change)
+        self._waiting.add(self._waiting_account(account), change)
 
     def record_request(self, account: str, outcome: str) -> None:
         """Count a request that ended.
@@ -186,6 +191,9 @@
     def _account(self, account: str) -> dict[str, str]:
         return {'account': self._accounts.value_for(account)}
 
+    def _waiting_account(self, account: str) -> dict[str, str]:
+        return {'account': self._waiting_accounts.value_for(account)}
+
     def _count(self, name: str, account: str, label: str, code: str) -> None:
         labels = self._account(account)
         labels[label] = self._codes.value_for(code)
--- a/tests/gateway/test_accounts.py
+++ b/tests/gateway/test_accounts.py
@@ -214,11 +214,15 @@
 
 def test_accounts_beyond_the_bound_are_counted_together():
     """Guards against metrics that grow with the number of accounts."""
-    metrics = registry.Metrics()
+    metrics = registry.Metrics(account_metrics.MAX_ACCOUNT_LABELS)
     counts = account_metrics.AccountMetrics(metrics)
     for number in range(100):
         counts.record_request(f'account-{number}', 'ok')
+        metrics.record_load_stall(f'account-{number}', 0.0)
+        metrics.change_waiting(f'account-{number}', 1)
     rendered = metrics.render()[0].decode()
+    assert rendered.count('ivystep_waiting_requests{') == 65
+    assert rendered.count('ivystep_load_stall_seconds_count{') == 65
     assert rendered.count('ivystep_account_requests_total{') == 65
     assert 'account="other",outcome="ok"} 36' in rendered
 
