--- /dev/null
+++ b/ivystep/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Limits what each client account may use across all hosts together."""
--- /dev/null
+++ b/ivystep/quotas/timing.py
@@ -0,0 +1,24 @@
+"""Times on which hosts and the leader agree.
+
+All are measured on ``clock.uptime()``, each process on its own. A host counts
+from a moment that is not later than the leader's for credit, and not earlier
+for its fallback share, so the leader's view is the safe one without equal
+clocks. The differences between the pairs cover hundreds of milliseconds of
+delay in reading the clock.
+"""
+
+# Time after the report whose answer granted or confirmed it for which credit
+# can be spent.
+CREDIT_LIFE_S = 2.0
+# Time after the last report of a host after which its credit is void for sure.
+CREDIT_VOID_S = 2.2
+# Time after its last answer from which a host uses its fallback share.
+FALLBACK_AFTER_S = 2.0
+# Time without a confirmed exchange from which the leader holds back the
+# fallback share of a host.
+HOLD_BACK_AFTER_S = 1.7
+# Interval of the reports of a host while an account is active.
+REPORT_INTERVAL_S = 0.15
+# Interval otherwise. Two of them must pass before ``HOLD_BACK_AFTER_S``,
+# because an exchange is confirmed by the next one.
+IDLE_INTERVAL_S = 0.6
--- /dev/null
+++ b/tests/quotas/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of ivystep.policy."""
