Keep the quotas of accounts across all hosts

Cause: the operator's configuration gives accounts a rate and a burst across all hosts, and requests beyond them were admitted.

Change: each host spends credit that the leader's ledger grants, and answers requests over the limit with 429 and a Retry-After. Frames 25 QuotaReport and 26 QuotaGrants carry reports every 150 ms while an account with a limit is active, every 600 ms otherwise, and at once for requests that find no credit, which wait 50 ms at most. A deployment without limits sends nothing and has no timer for it. Changed limits apply to the ledger and to credit as the configuration comes into force. Log lines, metrics for up to 64 accounts and the status show contact, term, share, credit and levels. The settings quota_window_s, quota_excess and quota_slack come from the platform; the last two are not used up.

Ruled out: the connection for permits, because an unanswered report would keep prompts from it for 5 s; quotas have a connection of their own.

Not measured: the cost on a small host.

--- a/ivystep/cli/log_events.py
+++ b/ivystep/cli/log_events.py
@@ -10,6 +10,7 @@
 import cappa
 
 from ivystep.gateway import events
+from ivystep.quotas import events as quota_events
 from ivystep.runtime import event_log
 
 HEADING = """# Log lines of the gateway
@@ -27,7 +28,8 @@
     """Return the page in Markdown."""
     event_types = [
         event_type
-        for _, event_type in inspect.getmembers(events, inspect.isclass)
+        for module in (events, quota_events)
+        for _, event_type in inspect.getmembers(module, inspect.isclass)
         if issubclass(event_type, event_log.Event)
     ]
     sections = [
--- a/ivystep/entry/peer_server.py
+++ b/ivystep/entry/peer_server.py
@@ -40,6 +40,8 @@
             if this entry publishes none.
         permit: Decides on a request for a permit; None if this entry grants
             no permits.
+        quota: Answers a report of a host on quotas; None if this entry grants
+            no credit.
     """
 
     def __init__(
@@ -49,12 +51,14 @@
         setup: SetupSource,
         watch: Callable[[channel.Channel], None] | None = None,
         permit: Callable[[ttypes.PermitRequest], ttypes.Permit] | None = None,
+        quota: Callable[[ttypes.QuotaReport], ttypes.QuotaGrants] | None = None,
     ) -> None:
         self.process_id = process_id
         self.planner_of = planner_of
         self.setup = setup
         self.watch = watch
         self.permit = permit
+        self.quota = quota
 
     def handle(self, connection: channel.Channel) -> None:
         """Answer the messages on one connection until it ends.
@@ -108,6 +112,15 @@
     return server.permit(message)
 
 
+@_answer.register
+def _answer_quota(
+    message: ttypes.QuotaReport, server: PeerServer
+) -> ttypes.QuotaGrants:
+    if server.quota is None:
+        raise errors.LinkError('this process grants no credit', step='quota')
+    return server.quota(message)
+
+
 @_answer.register
 def _answer_notice(
     message: ttypes.SetupNotice, server: PeerServer
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -44,6 +44,7 @@
     table,
 )
 from ivystep.policy import load_times, prefill_rates
+from ivystep.quotas import admission
 from ivystep.runtime import clock, drain, event_log
 from ivystep.settings import gateway as settings_models
 from ivystep.traffic import contracts
@@ -146,6 +147,13 @@
             queues=self._prefill_queues,
             log=self._log,
         )
+        self._quotas = admission.QuotaAdmission(
+            host,
+            self._leadership,
+            settings.bounds.quota_window_s,
+            self._metrics,
+            self._log,
+        )
         self._pools = model_pools.ModelPools(
             host,
             settings.process.data_centre,
@@ -205,6 +213,7 @@
             ),
             self._metrics,
             requests_log,
+            self._quotas,
         )
 
     @classmethod
@@ -285,6 +294,7 @@
                 'requests': self._server_state.requests,
                 'holder': self._leadership.holder,
                 'hosts': self._shares.known_hosts,
+                **self._quotas.status(),
             },
         )
 
@@ -309,11 +319,13 @@
             version_source.VersionOnlySource(self._config),
             self._residency_updates.serve,
             self._prefill_queues.answer,
+            self._quotas.answer,
         )
         self._follow_tables()
         self._spawn(self._remove_expired_crashes)
         self._spawn(self._leadership.run)
         self._spawn(self._leadership.follow)
+        self._spawn(self._quotas.run)
         self._spawn(self._base_model_loader.run)
         self._spawn(self._close_expired_connections)
         self._spawn(self._apply_totals_as_leader)
@@ -362,6 +374,7 @@
 
     def _on_config(self, config: contracts.RouteConfig) -> None:
         self._server_state.limits = config.limits
+        self._quotas.on_config(config)
         self._pools.configure(config)
         self._update_all_upstreams()
 
--- a/ivystep/gateway/leadership.py
+++ b/ivystep/gateway/leadership.py
@@ -109,6 +109,20 @@
         """Whether this host holds the lease."""
         return self._lease.is_held()
 
+    @property
+    def term(self) -> int:
+        """Fencing token of this host's lease; 0 if it does not hold it."""
+        return self._lease.token if self._lease.is_held() else 0
+
+    @property
+    def leader_address(self) -> tuple[str, int] | None:
+        """Address of another host that is the leader; None if unknown."""
+        _, _, leader_address = self._lease.seen_holder_id.partition('@')
+        if not leader_address or self.holder == self._host:
+            return None
+        ip, _, port = leader_address.rpartition(':')
+        return ip, int(port)
+
     def renewal(self) -> lease.Renewal:
         """Return this host's last renewal of the lease."""
         return self._lease.renewal()
--- a/ivystep/quotas/host_credit.py
+++ b/ivystep/quotas/host_credit.py
@@ -111,15 +111,19 @@
         host: Name of this host.
         incarnation: Larger than in earlier processes of this host.
         window_s: Time for which the fallback share is valid.
+
+    Attributes:
+        contact: Contact with the leader.
+        term: Fencing token of the leader that answered last.
     """
 
     def __init__(self, host: str, incarnation: int, window_s: float) -> None:
         self._host = host
         self._incarnation = incarnation
-        self._contact = Contact(window_s)
+        self.contact = Contact(window_s)
+        self.term = 0
         self._fallback = Fallback()
         self._account_by_name: dict[str, host_accounts.Account] = {}
-        self._term = 0
         self._sequence = 0
         self._answered = 0
         self._sent_at = -math.inf
@@ -140,6 +144,15 @@
             if one.waiting
         )
 
+    @property
+    def account_names(self) -> tuple[str, ...]:
+        """Accounts that have had requests lately."""
+        return tuple(self._account_by_name)
+
+    def has_contact(self, now: float) -> bool:
+        """Return whether credit of the leader can be spent."""
+        return bool(self._answered) and self.contact.is_credit_valid(now)
+
     def held(self, account: str) -> int:
         """Return the credit held for an account."""
         found = self._account_by_name.get(account)
@@ -211,9 +224,9 @@
             self._incarnation,
             self._sequence,
             self._answered,
-            self._term,
-            self._contact.valid_share(now),
-            self._contact.hosts,
+            self.term,
+            self.contact.valid_share(now),
+            self.contact.hosts,
             tuple(
                 one.report(self._sequence, now)
                 for one in self._account_by_name.values()
@@ -237,15 +250,17 @@
             return []
         self._is_answer_due = False
         is_known = (
-            grants.term == self._term
-            and grants.incarnation == self._incarnation
+            grants.term == self.term and grants.incarnation == self._incarnation
         )
         if not is_known:
-            self._term = grants.term
+            self.term = grants.term
             self._start_incarnation(grants.incarnation)
+            self._is_urgent = True
             return []
+        # Only the next report tells the leader that this host has contact.
+        self._is_urgent |= not self._answered
         self._answered = grants.sequence
-        self._contact.on_answer(grants, self._sent_at, now)
+        self.contact.on_answer(grants, self._sent_at, now)
         decided = []
         for one in grants.accounts:
             found = self._account_by_name.get(one.account)
@@ -257,7 +272,7 @@
         return (
             self._is_answer_due
             and grants.sequence == self._sequence
-            and grants.term >= max(self._term, 1)
+            and grants.term >= max(self.term, 1)
             and now < self._sent_at + timing.CREDIT_LIFE_S
         )
 
@@ -299,13 +314,13 @@
         now: float,
     ) -> None:
         wait_s = self._fallback.try_spend(
-            found.name, limit, waiter.cost, self._contact, now
+            found.name, limit, waiter.cost, self.contact, now
         )
         waiter.retry_after_s = max(wait_s, host_accounts.MIN_RETRY_S)
         if not wait_s:
             found.fallback += waiter.cost
             waiter.decision = Decision.ADMITTED
-        elif self._fallback.is_active(self._contact, now):
+        elif self._fallback.is_active(self.contact, now):
             waiter.decision = Decision.REFUSED
 
     def _apply_account(
@@ -378,7 +393,7 @@
         return found
 
     def _void_if_expired(self, now: float) -> None:
-        if self._answered and not self._contact.is_credit_valid(now):
+        if self._answered and not self.contact.is_credit_valid(now):
             self._start_incarnation(self._incarnation + 1)
 
     def _start_incarnation(self, smallest: int) -> None:
--- a/ivystep/quotas/host_records.py
+++ b/ivystep/quotas/host_records.py
@@ -185,7 +185,8 @@
         start = self._counted_at
         middle = min(max(self._handover_end, start), now)
         self.refill_time_s += self._connected_time_s(start, middle)
-        self.refill_time_s += self._time_left_s(middle, now)
+        left_s = now - middle - self._lost_time_s(middle, now)
+        self.refill_time_s += max(left_s, 0.0)
         self._counted_at = now
         self.fraction = self._current_fraction(now)
         return True
@@ -229,21 +230,18 @@
         )
         return min(total_s, end - start)
 
-    def _time_left_s(self, start: float, end: float) -> float:
-        if end <= start:
-            return 0.0
-        lost_s = sum(
+    def _lost_time_s(self, start: float, end: float) -> float:
+        return sum(
             record.share * record.lost_s(start, end, self._window_s)
             for record in self.record_by_host.values()
         )
-        return max(end - start - lost_s, 0.0)
 
     def _current_fraction(self, now: float) -> float:
         """Return the fraction of the limits at this moment."""
         end = now + MAX_AGE_S
         if now < self._handover_end:
             return self._connected_time_s(now, end) / MAX_AGE_S
-        return self._time_left_s(now, end) / MAX_AGE_S
+        return max(1 - self._lost_time_s(now, end) / MAX_AGE_S, 0.0)
 
 
 def _overlap_s(
--- a/ivystep/settings/gateway.py
+++ b/ivystep/settings/gateway.py
@@ -180,6 +180,23 @@
     window_s: models.Seconds = pydantic.Field(
         10.0, description='Period over which retries are counted.'
     )
+    quota_window_s: models.Seconds = pydantic.Field(
+        8.0,
+        description='Period over which the quotas of client accounts are '
+        'counted.',
+    )
+    quota_excess: float = pydantic.Field(
+        0.1,
+        ge=0,
+        description='Part of a quota by which it may be exceeded. Quotas are '
+        'kept without it.',
+    )
+    quota_slack: float = pydantic.Field(
+        11000.0,
+        ge=0,
+        description='Tokens by which a quota may be exceeded besides. Quotas '
+        'are kept without them.',
+    )
 
     @property
     def lease_s(self) -> float:
--- a/ivystep/wire/gen/ttypes.py
+++ b/ivystep/wire/gen/ttypes.py
@@ -3644,6 +3644,592 @@
         return not (self == other)
 
 
+class AccountReport(object):
+    """
+    Attributes:
+     - account
+     - spent
+     - returned
+     - refunded
+     - fallback
+     - waiting
+     - ahead
+     - unit
+     - is_closing
+
+    """
+
+    __slots__ = (
+        'account',
+        'spent',
+        'returned',
+        'refunded',
+        'fallback',
+        'waiting',
+        'ahead',
+        'unit',
+        'is_closing',
+    )
+
+
+    def __init__(self, account=None, spent=None, returned=None, refunded=None, fallback=None, waiting=None, ahead=None, unit=None, is_closing=None,):
+        self.account = account
+        self.spent = spent
+        self.returned = returned
+        self.refunded = refunded
+        self.fallback = fallback
+        self.waiting = waiting
+        self.ahead = ahead
+        self.unit = unit
+        self.is_closing = is_closing
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.spent = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.returned = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.refunded = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.fallback = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.waiting = []
+                    (_etype100, _size97) = iprot.readListBegin()
+                    for _i101 in range(_size97):
+                        _elem102 = iprot.readI64()
+                        self.waiting.append(_elem102)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.ahead = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.unit = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.is_closing = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AccountReport')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.spent is not None:
+            oprot.writeFieldBegin('spent', TType.I64, 2)
+            oprot.writeI64(self.spent)
+            oprot.writeFieldEnd()
+        if self.returned is not None:
+            oprot.writeFieldBegin('returned', TType.I64, 3)
+            oprot.writeI64(self.returned)
+            oprot.writeFieldEnd()
+        if self.refunded is not None:
+            oprot.writeFieldBegin('refunded', TType.I64, 4)
+            oprot.writeI64(self.refunded)
+            oprot.writeFieldEnd()
+        if self.fallback is not None:
+            oprot.writeFieldBegin('fallback', TType.I64, 5)
+            oprot.writeI64(self.fallback)
+            oprot.writeFieldEnd()
+        if self.waiting is not None:
+            oprot.writeFieldBegin('waiting', TType.LIST, 6)
+            oprot.writeListBegin(TType.I64, len(self.waiting))
+            for iter103 in self.waiting:
+                oprot.writeI64(iter103)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.ahead is not None:
+            oprot.writeFieldBegin('ahead', TType.I64, 7)
+            oprot.writeI64(self.ahead)
+            oprot.writeFieldEnd()
+        if self.unit is not None:
+            oprot.writeFieldBegin('unit', TType.I64, 8)
+            oprot.writeI64(self.unit)
+            oprot.writeFieldEnd()
+        if self.is_closing is not None:
+            oprot.writeFieldBegin('is_closing', TType.BOOL, 9)
+            oprot.writeBool(self.is_closing)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaReport(object):
+    """
+    Attributes:
+     - host
+     - incarnation
+     - sequence
+     - answered
+     - term
+     - share
+     - hosts
+     - accounts
+
+    """
+
+    __slots__ = (
+        'host',
+        'incarnation',
+        'sequence',
+        'answered',
+        'term',
+        'share',
+        'hosts',
+        'accounts',
+    )
+
+
+    def __init__(self, host=None, incarnation=None, sequence=None, answered=None, term=None, share=None, hosts=None, accounts=None,):
+        self.host = host
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.answered = answered
+        self.term = term
+        self.share = share
+        self.hosts = hosts
+        self.accounts = accounts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.answered = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.DOUBLE:
+                    self.share = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.hosts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.accounts = []
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = AccountReport()
+                        _elem109.read(iprot)
+                        self.accounts.append(_elem109)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaReport')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.answered is not None:
+            oprot.writeFieldBegin('answered', TType.I64, 4)
+            oprot.writeI64(self.answered)
+            oprot.writeFieldEnd()
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 5)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.share is not None:
+            oprot.writeFieldBegin('share', TType.DOUBLE, 6)
+            oprot.writeDouble(self.share)
+            oprot.writeFieldEnd()
+        if self.hosts is not None:
+            oprot.writeFieldBegin('hosts', TType.I32, 7)
+            oprot.writeI32(self.hosts)
+            oprot.writeFieldEnd()
+        if self.accounts is not None:
+            oprot.writeFieldBegin('accounts', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.accounts))
+            for iter110 in self.accounts:
+                iter110.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class AccountGrant(object):
+    """
+    Attributes:
+     - account
+     - granted
+     - level
+     - rate_per_s
+     - is_limited
+
+    """
+
+    __slots__ = (
+        'account',
+        'granted',
+        'level',
+        'rate_per_s',
+        'is_limited',
+    )
+
+
+    def __init__(self, account=None, granted=None, level=None, rate_per_s=None, is_limited=None,):
+        self.account = account
+        self.granted = granted
+        self.level = level
+        self.rate_per_s = rate_per_s
+        self.is_limited = is_limited
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.granted = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.level = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.rate_per_s = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.is_limited = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('AccountGrant')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.granted is not None:
+            oprot.writeFieldBegin('granted', TType.I64, 2)
+            oprot.writeI64(self.granted)
+            oprot.writeFieldEnd()
+        if self.level is not None:
+            oprot.writeFieldBegin('level', TType.I64, 3)
+            oprot.writeI64(self.level)
+            oprot.writeFieldEnd()
+        if self.rate_per_s is not None:
+            oprot.writeFieldBegin('rate_per_s', TType.DOUBLE, 4)
+            oprot.writeDouble(self.rate_per_s)
+            oprot.writeFieldEnd()
+        if self.is_limited is not None:
+            oprot.writeFieldBegin('is_limited', TType.BOOL, 5)
+            oprot.writeBool(self.is_limited)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class QuotaGrants(object):
+    """
+    Attributes:
+     - term
+     - incarnation
+     - sequence
+     - share
+     - hosts
+     - accounts
+
+    """
+
+    __slots__ = (
+        'term',
+        'incarnation',
+        'sequence',
+        'share',
+        'hosts',
+        'accounts',
+    )
+
+
+    def __init__(self, term=None, incarnation=None, sequence=None, share=None, hosts=None, accounts=None,):
+        self.term = term
+        self.incarnation = incarnation
+        self.sequence = sequence
+        self.share = share
+        self.hosts = hosts
+        self.accounts = accounts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.term = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.DOUBLE:
+                    self.share = iprot.readDouble()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.hosts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.accounts = []
+                    (_etype114, _size111) = iprot.readListBegin()
+                    for _i115 in range(_size111):
+                        _elem116 = AccountGrant()
+                        _elem116.read(iprot)
+                        self.accounts.append(_elem116)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('QuotaGrants')
+        if self.term is not None:
+            oprot.writeFieldBegin('term', TType.I64, 1)
+            oprot.writeI64(self.term)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 2)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 3)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.share is not None:
+            oprot.writeFieldBegin('share', TType.DOUBLE, 4)
+            oprot.writeDouble(self.share)
+            oprot.writeFieldEnd()
+        if self.hosts is not None:
+            oprot.writeFieldBegin('hosts', TType.I32, 5)
+            oprot.writeI32(self.hosts)
+            oprot.writeFieldEnd()
+        if self.accounts is not None:
+            oprot.writeFieldBegin('accounts', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.accounts))
+            for iter117 in self.accounts:
+                iter117.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -3671,6 +4257,8 @@
      - permit_request
      - permit
      - host_load
+     - quota_report
+     - quota_grants
 
     """
 
@@ -3699,10 +4287,12 @@
         'permit_request',
         'permit',
         'host_load',
+        'quota_report',
+        'quota_grants',
     )
 
 
-    def __init__(self, hello=None, run_attempt=None, attempt_accepted=None, answer_head=None, answer_chunk=None, answer_end=None, attempt_failed=None, revoke_attempt=None, attempt_state=None, load_adapter=None, load_result=None, watch=None, upstream_status=None, demand=None, demand_accepted=None, setup_notice=None, get_manifest=None, manifest=None, get_section=None, section=None, news=None, permit_request=None, permit=None, host_load=None,):
+    def __init__(self, hello=None, run_attempt=None, attempt_accepted=None, answer_head=None, answer_chunk=None, answer_end=None, attempt_failed=None, revoke_attempt=None, attempt_state=None, load_adapter=None, load_result=None, watch=None, upstream_status=None, demand=None, demand_accepted=None, setup_notice=None, get_manifest=None, manifest=None, get_section=None, section=None, news=None, permit_request=None, permit=None, host_load=None, quota_report=None, quota_grants=None,):
         self.hello = hello
         self.run_attempt = run_attempt
         self.attempt_accepted = attempt_accepted
@@ -3727,6 +4317,8 @@
         self.permit_request = permit_request
         self.permit = permit
         self.host_load = host_load
+        self.quota_report = quota_report
+        self.quota_grants = quota_grants
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3881,6 +4473,18 @@
                     self.host_load.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.STRUCT:
+                    self.quota_report = QuotaReport()
+                    self.quota_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 26:
+                if ftype == TType.STRUCT:
+                    self.quota_grants = QuotaGrants()
+                    self.quota_grants.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3987,6 +4591,14 @@
             oprot.writeFieldBegin('host_load', TType.STRUCT, 24)
             self.host_load.write(oprot)
             oprot.writeFieldEnd()
+        if self.quota_report is not None:
+            oprot.writeFieldBegin('quota_report', TType.STRUCT, 25)
+            self.quota_report.write(oprot)
+            oprot.writeFieldEnd()
+        if self.quota_grants is not None:
+            oprot.writeFieldBegin('quota_grants', TType.STRUCT, 26)
+            self.quota_grants.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4278,6 +4890,50 @@
     (2, TType.STRING, 'leave', 'UTF8', None, ),  # 2
     (3, TType.I32, 'retry_after_ms', None, None, ),  # 3
 )
+all_structs.append(AccountReport)
+AccountReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'spent', None, None, ),  # 2
+    (3, TType.I64, 'returned', None, None, ),  # 3
+    (4, TType.I64, 'refunded', None, None, ),  # 4
+    (5, TType.I64, 'fallback', None, None, ),  # 5
+    (6, TType.LIST, 'waiting', (TType.I64, None, False), None, ),  # 6
+    (7, TType.I64, 'ahead', None, None, ),  # 7
+    (8, TType.I64, 'unit', None, None, ),  # 8
+    (9, TType.BOOL, 'is_closing', None, None, ),  # 9
+)
+all_structs.append(QuotaReport)
+QuotaReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.I64, 'answered', None, None, ),  # 4
+    (5, TType.I64, 'term', None, None, ),  # 5
+    (6, TType.DOUBLE, 'share', None, None, ),  # 6
+    (7, TType.I32, 'hosts', None, None, ),  # 7
+    (8, TType.LIST, 'accounts', (TType.STRUCT, [AccountReport, None], False), None, ),  # 8
+)
+all_structs.append(AccountGrant)
+AccountGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'granted', None, None, ),  # 2
+    (3, TType.I64, 'level', None, None, ),  # 3
+    (4, TType.DOUBLE, 'rate_per_s', None, None, ),  # 4
+    (5, TType.BOOL, 'is_limited', None, None, ),  # 5
+)
+all_structs.append(QuotaGrants)
+QuotaGrants.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'term', None, None, ),  # 1
+    (2, TType.I64, 'incarnation', None, None, ),  # 2
+    (3, TType.I64, 'sequence', None, None, ),  # 3
+    (4, TType.DOUBLE, 'share', None, None, ),  # 4
+    (5, TType.I32, 'hosts', None, None, ),  # 5
+    (6, TType.LIST, 'accounts', (TType.STRUCT, [AccountGrant, None], False), None, ),  # 6
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -4305,6 +4961,8 @@
     (22, TType.STRUCT, 'permit_request', [PermitRequest, None], None, ),  # 22
     (23, TType.STRUCT, 'permit', [Permit, None], None, ),  # 23
     (24, TType.STRUCT, 'host_load', [HostLoad, None], None, ),  # 24
+    (25, TType.STRUCT, 'quota_report', [QuotaReport, None], None, ),  # 25
+    (26, TType.STRUCT, 'quota_grants', [QuotaGrants, None], None, ),  # 26
 )
 fix_spec(all_structs)
 del all_structs
--- a/ivystep/wire/ivystep.thrift
+++ b/ivystep/wire/ivystep.thrift
@@ -255,6 +255,49 @@
   3: optional i32 retry_after_ms
 }
 
+// What a host tells the leader about an account with a quota. The totals count
+// from the start of the host's incarnation; see quotas/reports.py.
+struct AccountReport {
+  1: string account
+  2: optional i64 spent
+  3: optional i64 returned
+  4: optional i64 refunded
+  5: optional i64 fallback
+  6: optional list<i64> waiting
+  7: optional i64 ahead
+  8: optional i64 unit
+  9: optional bool is_closing
+}
+
+struct QuotaReport {
+  1: string host
+  2: i64 incarnation
+  3: i64 sequence
+  4: i64 answered
+  5: i64 term
+  6: double share
+  7: i32 hosts
+  8: optional list<AccountReport> accounts
+}
+
+struct AccountGrant {
+  1: string account
+  2: i64 granted
+  3: i64 level
+  4: double rate_per_s
+  5: bool is_limited
+}
+
+// The leader's answer to a QuotaReport. term is 0 if it is not the leader.
+struct QuotaGrants {
+  1: i64 term
+  2: i64 incarnation
+  3: i64 sequence
+  4: double share
+  5: i32 hosts
+  6: optional list<AccountGrant> accounts
+}
+
 struct Frame {
   1: optional Hello hello
   2: optional RunAttempt run_attempt
@@ -280,4 +323,6 @@
   22: optional PermitRequest permit_request
   23: optional Permit permit
   24: optional HostLoad host_load
+  25: optional QuotaReport quota_report
+  26: optional QuotaGrants quota_grants
 }
--- /dev/null
+++ b/tests/quotas/test_admission.py
@@ -0,0 +1,233 @@
+"""Tests of the admission of requests on several hosts, on the virtual clock."""
+
+import dataclasses
+
+import eventlet
+import pytest
+
+from ivystep.accounts import directory
+from ivystep.core import errors
+from ivystep.metrics import registry
+from ivystep.quotas import admission, exchange
+from ivystep.runtime import clock
+from ivystep.traffic import contracts
+from ivystep.wire import channel
+from tests.coordination import fakes as clocks
+from tests.gateway import fakes
+
+DELAY_S = 0.001
+
+
+@dataclasses.dataclass
+class FakeLeadership:
+    """Election whose result the test sets."""
+
+    term: int = 0
+    leader_address: tuple[str, int] | None = None
+
+
+class FakeNetwork:
+    """Carries messages between hosts through the codec of the wire."""
+
+    def __init__(self):
+        self.host_by_address = {}
+        self.is_down = False
+        self.messages = 0
+
+    def link(self, name, address, contexts):
+        return FakeLink(self, address)
+
+
+@dataclasses.dataclass
+class FakeLink:
+    """Connection to the leader."""
+
+    network: FakeNetwork
+    address: tuple[str, int]
+
+    def ask(self, message, timeout_s):
+        clock.sleep(DELAY_S)
+        if self.network.is_down:
+            clock.sleep(timeout_s)
+            raise errors.LinkError('timed out')
+        self.network.messages += 1
+        host = self.network.host_by_address[self.address]
+        answer = host.admission.answer(_coded(message))
+        clock.sleep(DELAY_S)
+        return _coded(answer)
+
+    def close(self):
+        """Nothing to close."""
+
+
+def _coded(message):
+    return channel.decode(channel.encode(message)[channel.HEADER.size :])
+
+
+class Host:
+    def __init__(self, name):
+        self.leadership = FakeLeadership()
+        self.log = fakes.FakeLog()
+        self.statuses = set()
+        self.admission = admission.QuotaAdmission(
+            name, self.leadership, 8.0, registry.Metrics(), self.log
+        )
+        self.task = eventlet.spawn(self.admission.run)
+
+    def admit(self, account, cost):
+        try:
+            self.admission.admit(account, cost)
+        except errors.RefusedError as error:
+            self.statuses.add(error.status)
+            return error.retry_after_s
+        return 0.0
+
+
+class Cluster:
+    def __init__(self, monkeypatch, hosts=3, **quota):
+        self.network = FakeNetwork()
+        monkeypatch.setattr(exchange.peers, 'PeerLink', self.network.link)
+        self.hosts = [Host(f'host-{number}') for number in range(hosts)]
+        self.leader = self.hosts[0]
+        self.leader.leadership.term = 1
+        self.network.host_by_address['10.0.0.1', 1] = self.leader
+        for host in self.hosts[1:]:
+            host.leadership.leader_address = ('10.0.0.1', 1)
+        self.configure(1, **quota)
+        # Shares are equal after a few reports of each host.
+        clock.sleep(4)
+
+    def configure(self, version, **quota):
+        self.account = contracts.ClientAccount(
+            'team-a',
+            quota=contracts.Quota(contracts.QuotaUnit.TOKENS, **quota),
+        )
+        config = contracts.RouteConfig.from_routes(
+            version,
+            (),
+            (),
+            contracts.ClientLimits(),
+            directory.AccountDirectory.from_accounts([self.account]),
+        )
+        for host in self.hosts:
+            host.admission.on_config(config)
+
+
+@clocks.on_virtual_clock
+@pytest.mark.parametrize('number', [0, 1])
+def test_burst_is_admitted_at_the_leader_and_elsewhere(monkeypatch, number):
+    """Guards against quotas that only the leader's host can use."""
+    cluster = Cluster(monkeypatch, rate_per_s=1_000, burst=5_000)
+    host = cluster.hosts[number]
+    before = clock.now()
+    assert not any(host.admit(cluster.account, 1_000) for _ in range(5))
+    assert clock.now() - before < 5 * 10 * DELAY_S
+    assert 0.5 < host.admit(cluster.account, 1_000) <= 1.1
+    assert host.statuses == {429}
+
+
+@clocks.on_virtual_clock
+def test_hosts_share_one_limit(monkeypatch):
+    """Guards against a limit for each host."""
+    cluster = Cluster(monkeypatch, rate_per_s=1_000, burst=3_000)
+    admitted = [
+        not host.admit(cluster.account, 1_000)
+        for host in cluster.hosts
+        for _ in range(3)
+    ]
+    assert sum(admitted) == 3
+
+
+@clocks.on_virtual_clock
+def test_refusals_of_a_saturated_account_take_no_time(monkeypatch):
+    """Guards against a wait for each request over the limit."""
+    cluster = Cluster(monkeypatch, rate_per_s=1_000, burst=1_000)
+    host = cluster.hosts[1]
+    host.admit(cluster.account, 1_000)
+    host.admit(cluster.account, 1_000)
+    before, messages = clock.now(), cluster.network.messages
+    assert all(host.admit(cluster.account, 1_000) for _ in range(100))
+    assert clock.now() == before
+    assert cluster.network.messages == messages
+
+
+@clocks.on_virtual_clock
+def test_refund_can_be_used_again(monkeypatch):
+    """Guards against charges for requests that have not run."""
+    cluster = Cluster(monkeypatch, rate_per_s=10, burst=1_000)
+    host = cluster.hosts[1]
+    assert not host.admit(cluster.account, 1_000)
+    assert host.admit(cluster.account, 900)
+    host.admission.refund(cluster.account, 1_000)
+    clock.sleep(0.4)
+    assert not host.admit(cluster.account, 900)
+
+
+@clocks.on_virtual_clock
+def test_silent_leader_delays_a_request_by_a_bounded_time(monkeypatch):
+    """Guards against requests that wait for a leader that has failed."""
+    cluster = Cluster(monkeypatch, rate_per_s=1_000, burst=5_000)
+    host = cluster.hosts[1]
+    cluster.network.is_down = True
+    before = clock.now()
+    assert host.admit(cluster.account, 100) == pytest.approx(0.5)
+    assert clock.now() - before <= 0.06
+    clock.sleep(4)
+    assert not host.admit(cluster.account, 100)
+    assert host.log.named('quota_contact_lost')
+    cluster.network.is_down = False
+    clock.sleep(1)
+    assert not host.admit(cluster.account, 2_000)
+    assert len(host.log.named('quota_contact_gained')) == 2
+
+
+@clocks.on_virtual_clock
+def test_next_leader_takes_over(monkeypatch):
+    """Guards against hosts that keep to the leader before."""
+    cluster = Cluster(monkeypatch, rate_per_s=1_000, burst=5_000)
+    first, second, third = cluster.hosts
+    first.leadership.term = 0
+    first.leadership.leader_address = ('10.0.0.2', 1)
+    cluster.network.host_by_address['10.0.0.2', 1] = second
+    second.leadership.term = 2
+    second.leadership.leader_address = None
+    third.leadership.leader_address = ('10.0.0.2', 1)
+    clock.sleep(4)
+    assert [event.is_first for event in second.log.named('quota_term_began')]
+    for host in cluster.hosts:
+        assert not host.admit(cluster.account, 1_000)
+
+
+@clocks.on_virtual_clock
+def test_limit_changes_with_the_configuration(monkeypatch):
+    """Guards against a limit that applies only after a restart."""
+    cluster = Cluster(monkeypatch, rate_per_s=1_000, burst=5_000)
+    host = cluster.hosts[1]
+    assert not host.admit(cluster.account, 1_000)
+    cluster.configure(2, rate_per_s=100, burst=200)
+    clock.sleep(3)
+    assert not host.admit(cluster.account, 200)
+    assert host.admit(cluster.account, 200)
+    cluster.configure(3)
+    assert not host.admit(cluster.account, 10_000)
+
+
+@clocks.on_virtual_clock
+def test_deployment_without_quotas_sends_nothing(monkeypatch):
+    """Guards against work for accounts without a limit."""
+    cluster = Cluster(monkeypatch)
+    host = cluster.hosts[1]
+    assert not host.admit(cluster.account, 10**9)
+    clock.sleep(60)
+    assert not cluster.network.messages
+
+
+@clocks.on_virtual_clock
+def test_host_that_is_idle_reports_rarely(monkeypatch):
+    """Guards against reports at the full rate without requests."""
+    cluster = Cluster(monkeypatch, hosts=2, rate_per_s=1_000, burst=5_000)
+    cluster.hosts[1].admit(cluster.account, 100)
+    clock.sleep(5)
+    before = cluster.network.messages
+    clock.sleep(30)
+    assert cluster.network.messages - before <= 51
--- a/tests/settings/test_gateway.py
+++ b/tests/settings/test_gateway.py
@@ -35,6 +35,9 @@
     'bounds.budget_ratio': '0.2',
     'bounds.budget_extra': '54',
     'bounds.budget_window_s': '10',
+    'bounds.quota_window_s': '8',
+    'bounds.quota_excess': '0.1',
+    'bounds.quota_slack': '11000',
 }
 
 
