--- a/ivystep/cli/log_events.py
+++ b/ivystep/cli/log_events.py
@@ -9,10 +9,12 @@
 
 import cappa
 
+from ivystep.accounts import events as account_events
 from ivystep.gateway import events
 from ivystep.quotas import events as quota_events
 from ivystep.runtime import event_log
 
+EVENT_MODULES = (events, account_events, quota_events)
 HEADING = """# Log lines of the gateway
 
 Each line on standard output is one JSON object. `message` names the event,
@@ -28,7 +30,7 @@
     """Return the page in Markdown."""
     event_types = [
         event_type
-        for module in (events, quota_events)
+        for module in EVENT_MODULES
         for _, event_type in inspect.getmembers(module, inspect.isclass)
         if issubclass(event_type, event_log.Event)
     ]
--- a/ivystep/quotas/host_accounts.py
+++ b/ivystep/quotas/host_accounts.py
@@ -107,7 +107,8 @@
         told: Totals in the last report.
         is_asked: Whether the leader may have granted credit not seen here.
         level: Level of the leader's bucket as told at ``told_at``.
-        denied_until: Uptime until which the leader is not asked again.
+        denied_until: Uptime until which the leader is asked only for what it
+            has told that it has.
         unlimited_until: Uptime until which the leader's word counts that the
             account has no limit.
         spent_at: Uptime of the last use of credit.
@@ -218,6 +219,13 @@
         level = self.level + self.rate_per_s * elapsed_s
         return cost - max(self.held, 0) - level
 
+    def is_over_limit(self, cost: int, now: float) -> bool:
+        """Return whether a request is to be refused without asking."""
+        if now < self.denied_until:
+            return self.missing(cost, self.told_at) > 0
+        is_recent = now < self.told_at + LEVEL_AGE_S
+        return is_recent and self.missing(cost, now) > 0
+
     def retry_after_s(self, cost: int, now: float) -> float:
         """Return the time after which a request may succeed."""
         if self.rate_per_s <= 0:
--- a/ivystep/quotas/host_credit.py
+++ b/ivystep/quotas/host_credit.py
@@ -286,10 +286,7 @@
             waiter.decision = Decision.ADMITTED
         elif not found.waiting and found.held >= waiter.cost:
             self._spend(found, waiter, now)
-        elif now < found.denied_until or (
-            now < found.told_at + host_accounts.LEVEL_AGE_S
-            and found.missing(waiter.cost, now) > 0
-        ):
+        elif found.is_over_limit(waiter.cost, now):
             waiter.decision = Decision.REFUSED
             waiter.retry_after_s = found.retry_after_s(waiter.cost, now)
 
