Keep the cost of quotas flat over hosts and accounts

Cause: the leader walked over all hosts two or three times with each report: an answer took 277 microseconds with 4 hosts, 1,035 with 300 and 3,390 with 1,200. And hosts reported every 150 ms however many they were.

Change: only hosts without a recent confirmed exchange are looked at closely. Above 68 hosts, the interval of reports grows with their number, up to the 600 ms of idle hosts, which keeps two reports within the time after which the leader holds a fallback share back.

Ruled out: an index of hosts by their last report; the plain walk is enough up to the design size.

--- a/ivystep/quotas/exchange.py
+++ b/ivystep/quotas/exchange.py
@@ -114,10 +114,8 @@
             return
         interval_s = None
         if self.is_needed:
-            interval_s = (
-                timing.REPORT_INTERVAL_S
-                if self._credit.is_active
-                else timing.IDLE_INTERVAL_S
+            interval_s = timing.report_interval_s(
+                self._credit.contact.hosts, is_active=self._credit.is_active
             )
         with eventlet.Timeout(interval_s, exception=False):
             self._wakes.get()
--- a/ivystep/quotas/host_records.py
+++ b/ivystep/quotas/host_records.py
@@ -198,7 +198,7 @@
             The hosts whose credit is to be settled as spent.
         """
         voided = []
-        for host, record in list(self.record_by_host.items()):
+        for host, record in self._late_records(now):
             silent_s = now - record.received_at
             if silent_s > timing.CREDIT_VOID_S and not record.is_void:
                 record.is_void = True
@@ -233,9 +233,18 @@
     def _lost_time_s(self, start: float, end: float) -> float:
         return sum(
             record.share * record.lost_s(start, end, self._window_s)
-            for record in self.record_by_host.values()
+            for _, record in self._late_records(end)
         )
 
+    def _late_records(self, end: float) -> list[tuple[str, HostRecord]]:
+        """Return the hosts without a recent confirmed exchange."""
+        latest = end - timing.HOLD_BACK_AFTER_S
+        return [
+            (host, record)
+            for host, record in self.record_by_host.items()
+            if record.confirmed_at < latest
+        ]
+
     def _current_fraction(self, now: float) -> float:
         """Return the fraction of the limits at this moment."""
         end = now + MAX_AGE_S
--- a/ivystep/quotas/timing.py
+++ b/ivystep/quotas/timing.py
@@ -22,3 +22,19 @@
 # Interval otherwise. Two of them must pass before ``HOLD_BACK_AFTER_S``,
 # because an exchange is confirmed by the next one.
 IDLE_INTERVAL_S = 0.6
+# Number of hosts above which all report less often, so that their reports do
+# not use up the leader's core.
+FULL_RATE_HOSTS = 68
+
+
+def report_interval_s(hosts: int, *, is_active: bool) -> float:
+    """Return the interval of a host's reports.
+
+    Args:
+        hosts: Number of hosts as last told by the leader.
+        is_active: Whether the host has active accounts.
+    """
+    if not is_active:
+        return IDLE_INTERVAL_S
+    slower = REPORT_INTERVAL_S * hosts / FULL_RATE_HOSTS
+    return min(max(slower, REPORT_INTERVAL_S), IDLE_INTERVAL_S)
--- a/tests/quotas/simulation.py
+++ b/tests/quotas/simulation.py
@@ -82,10 +82,8 @@
                 self.simulation.record(waiter, now)
         if self.is_asking and now < self.asked_at + ASK_TIMEOUT_S:
             return
-        interval_s = (
-            timing.REPORT_INTERVAL_S
-            if self.credit.is_active
-            else timing.IDLE_INTERVAL_S
+        interval_s = timing.report_interval_s(
+            self.credit.contact.hosts, is_active=self.credit.is_active
         )
         if self.credit.is_report_due or now >= self.asked_at + interval_s:
             self.ask(now)
