--- a/ivystep/cli/log_events.py
+++ b/ivystep/cli/log_events.py
@@ -11,13 +11,14 @@
 
 from ivystep.accounts import events as account_events
 from ivystep.gateway import events
+from ivystep.quotas import events as quota_events
 from ivystep.runtime import event_log
 from ivystep.stream_origins import events as origin_events
 
 # Modules that define events of the gateway's log.
 EVENT_MODULES = (events, origin_events)
 
-EVENT_MODULES = (events, account_events)
+EVENT_MODULES = (events, account_events, quota_events)
 HEADING = """# Log lines of the gateway
 
 Each line on standard output is one JSON object. `message` names the event,
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -48,6 +48,7 @@
 )
 from ivystep.policy import load_times
 from ivystep.prefill import prefill_rates
+from ivystep.quotas import admission
 from ivystep.runtime import clock, drain, event_log
 from ivystep.settings import gateway as settings_models
 from ivystep.stream_origins import origins
@@ -151,6 +152,13 @@
             queues=self._prefill_queues,
             log=self._log,
         )
+        self._quotas = admission.QuotaAdmission(
+            host,
+            self._leadership,
+            settings.bounds.quota_window_s,
+            self._metrics,
+            self._log,
+        )
         self._pools = model_pools.ModelPools(
             host,
             settings.process.data_centre,
@@ -226,6 +234,7 @@
             self._metrics,
             requests_log,
             config_age,
+            self._quotas,
         )
 
     @classmethod
@@ -306,6 +315,7 @@
                 'requests': self._server_state.requests,
                 'holder': self._leadership.holder,
                 'hosts': self._shares.known_hosts,
+                **self._quotas.status(),
             },
         )
 
@@ -330,11 +340,13 @@
             version_source.VersionOnlySource(self._config),
             self._residency_updates.serve,
             self._prefill_queues.answer,
+            self._quotas.answer,
         )
         self._follow_tables()
         self._spawn(self._remove_expired_crashes)
         self._spawn(self._leadership.run)
         self._spawn(self._leadership.follow)
+        self._spawn(self._quotas.run)
         self._spawn(self._base_model_loader.run)
         self._spawn(self._close_expired_connections)
         self._spawn(self._apply_totals_as_leader)
@@ -386,6 +398,7 @@
     def _on_config(self, config: contracts.RouteConfig) -> None:
         self._server_state.limits = config.limits
         self._access.on_config(config)
+        self._quotas.on_config(config)
         self._pools.configure(config)
         self._origins.configure(config)
         self._update_all_upstreams()
