Let a pool send a request to a data centre that is drawn for it

Cause: an index of upstreams prefers its own data centre by a margin only, so nothing can tell it how many requests are to leave.

Change: an index may be given what draws the data centre of each request. It then chooses there as before, and continues by its rule if no upstream there has room. Nothing is drawn for retries and resumed streams. The rule `is_local_only` lets a request leave only if no usable upstream of the own data centre can serve it, also when waiting requests are placed. Without either, nothing changes.

Ruled out: the draw as a mere preference within the margin of 0.05. Where fills differ by more, that margin alone would decide, at all hosts at once.

--- a/ivystep/entry/pool.py
+++ b/ivystep/entry/pool.py
@@ -5,6 +5,7 @@
 adapters are loaded.
 """
 
+import functools
 import typing
 from collections.abc import Callable, Collection, Mapping
 
@@ -282,7 +283,11 @@
             return
         now = clock.now()
         while view.has_room(now):
-            waiter = self._waiting.next_for(view, self._weight)
+            waiter = self._waiting.next_for(
+                view,
+                self._weight,
+                functools.partial(self._index.is_allowed, view, now=now),
+            )
             if waiter is None:
                 return
             self._waiting.discard(waiter)
--- a/ivystep/entry/waiting.py
+++ b/ivystep/entry/waiting.py
@@ -91,13 +91,18 @@
                 yield next(iter(queue.values()))
 
     def next_for(
-        self, view: routing.UpstreamView, weight: Callable[[str], float]
+        self,
+        view: routing.UpstreamView,
+        weight: Callable[[str], float],
+        is_allowed: Callable[[types.AdapterRef | None], bool],
     ) -> WaitingRequest | None:
         """Return the waiting request that an upstream takes next.
 
         Args:
             view: The upstream.
             weight: Returns the fair-share weight of an account.
+            is_allowed: Returns whether the upstream may have requests for an
+                adapter, or without one.
 
         Returns:
             The request; None if the upstream can take none of them.
@@ -111,6 +116,7 @@
                 for head in self.heads((None, *view.status.resident_by_ref))
                 if view.accepts_retry(head.avoid, head.waiting_since)
                 and view.has_version(head.request.software_version)
+                and is_allowed(head.request.adapter)
             ),
             key=functools.partial(_order_on, view, weight),
             default=None,
--- a/ivystep/policy/routing.py
+++ b/ivystep/policy/routing.py
@@ -48,10 +48,25 @@
             gets no new requests; infinite if it does not report on its own.
         remote_cost: Share of a batch by which an upstream in this data centre
             may be fuller than one elsewhere and still be preferred.
+        is_local_only: Whether a request leaves the data centre only if no
+            usable upstream in it can serve the request.
     """
 
     silence_s: float = failure_detector.TIMEOUT_S
     remote_cost: float = math.inf
+    is_local_only: bool = False
+
+
+class Destinations(typing.Protocol):
+    """Draws the data centre of each request."""
+
+    def choose(self, now: float) -> str:
+        """Return the data centre of the next request; empty if any."""
+
+    def record(
+        self, destination: str, now: float, *, drawn: str, has_drawn: bool
+    ) -> None:
+        """Record the data centre to which a request is sent."""
 
 
 class UpstreamView:
@@ -201,10 +216,15 @@
     Args:
         data_centre: Data centre of this entry; empty if it has none.
         rules: How upstreams are chosen.
+        destinations: Draws the data centre of each request; None if only the
+            rules count.
     """
 
     def __init__(
-        self, data_centre: str = '', rules: RoutingRules | None = None
+        self,
+        data_centre: str = '',
+        rules: RoutingRules | None = None,
+        destinations: Destinations | None = None,
     ) -> None:
         self.rules = rules or RoutingRules()
         self.view_by_id: dict[str, UpstreamView] = {}
@@ -213,8 +233,12 @@
         )
         self._ids_by_ref: dict[types.AdapterRef, set[str]] = {}
         self._data_centre = data_centre
+        self._destinations = destinations
         self._data_centre_by_id: dict[str, str] = {}
         self._ids: list[str] = []
+        self._ids_by_data_centre: collections.defaultdict[str, list[str]] = (
+            collections.defaultdict(list)
+        )
 
     @property
     def in_flight(self) -> int:
@@ -260,6 +284,7 @@
             return
         self._unindex(view)
         self._ids.remove(upstream_id)
+        self._ids_by_data_centre[view.data_centre].remove(upstream_id)
         view.is_lost = True
         # The view is kept to recognize outdated reports, and to count the end
         # of requests that are still in progress there.
@@ -277,8 +302,12 @@
         """Record the data centre of an upstream."""
         self._data_centre_by_id[upstream_id] = data_centre
         view = self.view(upstream_id)
-        if view is not None:
-            view.data_centre = data_centre
+        if view is None or view.data_centre == data_centre:
+            return
+        if upstream_id in self.view_by_id:
+            self._ids_by_data_centre[view.data_centre].remove(upstream_id)
+            self._ids_by_data_centre[data_centre].append(upstream_id)
+        view.data_centre = data_centre
 
     def is_held(self, ref: types.AdapterRef) -> bool:
         """Return whether any upstream reports an adapter as resident."""
@@ -302,11 +331,14 @@
         """Choose the upstream for one request.
 
         Among the upstreams with room, those not tried before come first, then
-        those in this entry's data centre, then those with the emptier batch.
-        If ``remote_cost`` is finite, it is added to the fill of upstreams
+        those in the data centre that is drawn for the request, or in this
+        entry's if none is drawn, then those with the emptier batch. If
+        ``remote_cost`` is finite, it is added to the fill of upstreams
         elsewhere instead. Ties are broken at random, so that entries with the
         same reports do not all choose the same upstream.
 
+        No data centre is drawn for retries and resumed streams.
+
         Args:
             ref: The adapter that must be resident, or None.
             now: Current time in seconds.
@@ -318,53 +350,111 @@
         Returns:
             The upstream, or None if none has room.
         """
+        drawn = ''
+        if self._destinations and not avoid and software_version is None:
+            drawn = self._destinations.choose(now)
         if ref is None:
-            candidates = self._sampled_views(now, avoid, software_version)
+            candidates = self._sampled_views(
+                now, avoid, software_version, drawn
+            )
         else:
             candidates = self.holders(ref)
-        return min(
+        chosen = min(
             (
                 view
                 for view in candidates
                 if view.accepts_retry(avoid, avoid_until)
                 and view.has_version(software_version)
                 and view.has_room(now)
+                and self.is_allowed(view, ref, now, avoid)
             ),
-            key=lambda view: self._preference(view, avoid),
+            key=lambda view: self._preference(view, avoid, drawn),
             default=None,
         )
+        if self._destinations and chosen:
+            self._destinations.record(
+                chosen.data_centre,
+                now,
+                drawn=drawn,
+                has_drawn=any(view.data_centre == drawn for view in candidates),
+            )
+        return chosen
+
+    def is_allowed(
+        self,
+        view: UpstreamView,
+        ref: types.AdapterRef | None,
+        now: float,
+        avoid: frozenset[str] = NO_UPSTREAMS,
+    ) -> bool:
+        """Return whether the rules let an upstream have a request.
+
+        Args:
+            view: The upstream.
+            ref: The adapter that must be resident, or None.
+            now: Current time in seconds.
+            avoid: Upstreams that were tried before.
+        """
+        is_local = view.data_centre == self._data_centre
+        if is_local or not self.rules.is_local_only:
+            return True
+        views = self.view_by_id.values() if ref is None else self.holders(ref)
+        return not any(
+            other.data_centre == self._data_centre
+            and other.is_usable(now)
+            and other.status.upstream_id not in avoid
+            for other in views
+        )
 
     def _sampled_views(
-        self, now: float, avoid: frozenset[str], software_version: str | None
+        self,
+        now: float,
+        avoid: frozenset[str],
+        software_version: str | None,
+        drawn: str,
     ) -> list[UpstreamView]:
-        """Return a random sample of the upstreams, or all if it has no room."""
-        few = random.sample(self._ids, min(SAMPLED_UPSTREAMS, len(self._ids)))
+        """Return a random sample of the upstreams, or all if it has no room.
+
+        Args:
+            now: Current time in seconds.
+            avoid: Upstreams that were tried before.
+            software_version: Version that the upstream must run; None for any.
+            drawn: Data centre to which the sample is limited; empty if to none.
+        """
+        ids = self._ids
+        if drawn:
+            ids = self._ids_by_data_centre.get(drawn, [])
+        few = random.sample(ids, min(SAMPLED_UPSTREAMS, len(ids)))
         views = [self.view_by_id[upstream_id] for upstream_id in few]
         if any(
             view.has_room(now)
             and view.has_version(software_version)
             and view.status.upstream_id not in avoid
+            and self.is_allowed(view, None, now, avoid)
             for view in views
         ):
             return views
         return list(self.view_by_id.values())
 
     def _preference(
-        self, view: UpstreamView, avoid: frozenset[str]
+        self, view: UpstreamView, avoid: frozenset[str], drawn: str
     ) -> tuple[bool, bool, float, float]:
         was_tried = view.status.upstream_id in avoid
         is_remote = view.data_centre != self._data_centre
+        is_elsewhere = bool(drawn) and view.data_centre != drawn
         fill = view.fill
         if math.isinf(self.rules.remote_cost):
-            return was_tried, is_remote, fill, random.random()
+            is_elsewhere = is_elsewhere if drawn else is_remote
+            return was_tried, is_elsewhere, fill, random.random()
         cost = fill + self.rules.remote_cost * is_remote
-        return was_tried, False, cost, random.random()
+        return was_tried, is_elsewhere, cost, random.random()
 
     def _add(self, view: UpstreamView) -> None:
         upstream_id = view.status.upstream_id
         self._former_by_id.pop(upstream_id, None)
         if upstream_id not in self.view_by_id:
             self._ids.append(upstream_id)
+            self._ids_by_data_centre[view.data_centre].append(upstream_id)
         self.view_by_id[upstream_id] = view
         for ref in view.status.resident_by_ref:
             self._ids_by_ref.setdefault(ref, set()).add(upstream_id)
--- a/tests/policy/test_placement.py
+++ b/tests/policy/test_placement.py
@@ -118,3 +118,88 @@
     near = index.view_by_id['up-2']
     near.reserve('soil', 0.0)
     assert index.route(ref('a'), 0.0) is near
+
+
+class Destinations:
+    """Draws one data centre for all requests, and keeps what is recorded."""
+
+    def __init__(self, drawn):
+        self.drawn = drawn
+        self.recorded = []
+
+    def choose(self, now):
+        return self.drawn
+
+    def record(self, destination, now, *, drawn, has_drawn):
+        self.recorded.append((destination, drawn, has_drawn))
+
+
+def index_of_two_data_centres(drawn, **rules):
+    """Return an index with two upstreams in each of two data centres."""
+    destinations = Destinations(drawn)
+    index = routing.UpstreamIndex(
+        'lier-a', routing.RoutingRules(remote_cost=0.05, **rules), destinations
+    )
+    for number, data_centre in enumerate(('lier-a', 'lier-b') * 2):
+        upstream_id = f'up-{number}'
+        index.record_data_centre(upstream_id, data_centre)
+        index.apply_status(status(upstream_id, running=1), None, 0.0)
+    return index, destinations
+
+
+@pytest.mark.parametrize('drawn', ['lier-a', 'lier-b'])
+def test_request_goes_to_the_data_centre_that_is_drawn(drawn):
+    """Guards against an amount of crossings that nobody has decided."""
+    index, destinations = index_of_two_data_centres(drawn)
+    for view in index.view_by_id.values():
+        if view.data_centre != drawn:
+            view.status = status(view.status.upstream_id)
+    for _ in range(20):
+        assert index.route(None, 0.0).data_centre == drawn
+    assert set(destinations.recorded) == {(drawn, drawn, True)}
+
+
+def test_request_goes_elsewhere_if_the_drawn_data_centre_is_full():
+    """Guards against requests that wait although there is capacity."""
+    index, destinations = index_of_two_data_centres('lier-b')
+    for upstream_id in ('up-0', 'up-1', 'up-3'):
+        while index.view_by_id[upstream_id].has_room(0.0):
+            index.view_by_id[upstream_id].reserve('soil', 0.0)
+    assert index.route(None, 0.0).status.upstream_id == 'up-2'
+    assert destinations.recorded == [('lier-a', 'lier-b', True)]
+
+
+def test_no_data_centre_is_drawn_for_retries_and_resumed_streams():
+    """Guards against a retry that must cross to follow the shares."""
+    index, destinations = index_of_two_data_centres('lier-b')
+    tried = frozenset(('up-0',))
+    assert index.route(None, 0.0, tried).status.upstream_id == 'up-2'
+    version = index.view_by_id['up-0'].status.software_version
+    resumed = index.route(None, 0.0, software_version=version)
+    assert resumed.data_centre == 'lier-a'
+    assert {drawn for _, drawn, _ in destinations.recorded} == {''}
+
+
+def test_upstream_that_moves_is_drawn_in_its_new_data_centre():
+    """Guards against a draw from a list that is out of date."""
+    index, _ = index_of_two_data_centres('lier-c')
+    index.record_data_centre('up-1', 'lier-c')
+    assert index.route(None, 0.0).status.upstream_id == 'up-1'
+    index.remove('up-1')
+    assert index.route(None, 0.0).data_centre == 'lier-a'
+
+
+def test_nothing_leaves_while_an_upstream_of_the_data_centre_is_usable():
+    """Guards against crossings where the settings rule them out."""
+    index, _ = index_of_two_data_centres('', is_local_only=True)
+    near = [index.view_by_id['up-0'], index.view_by_id['up-2']]
+    for view in near:
+        while view.has_room(0.0):
+            view.reserve('soil', 0.0)
+    far = index.view_by_id['up-1']
+    assert index.route(None, 0.0) is None
+    assert not index.is_allowed(far, None, 0.0)
+    for view in near:
+        index.remove(view.status.upstream_id)
+    assert index.route(None, 0.0).data_centre == 'lier-b'
+    assert index.is_allowed(far, None, 0.0)
