Share requests among data centres by the leader's decision

Cause: see the package data_centres, which was not in use.

Change: hosts report arrivals by service and the smallest connection times to each data centre (`HostLoad` 5). The leader decides every 150 ms and tells each host the shares of its own data centre (`News` 6), which expire after 1.8 s. Where demand and capacity are even, no shares are told and the rule of today applies, unless a crossing costs more than the 0.05 of a batch that the rule takes it for. `[data_centres] leaving` is adaptive, never or fixed (the rule of today), and `crossing_ms` the price. Arrivals are counted once for each request. Capacity is that of upstreams that neither drain nor rest, by their learned speed; what one host alone has suspended counts, since others may reach it.

Ruled out: the shares of all data centres to all hosts, three to four times the bytes. Fields called `service`, which the Thrift compiler refuses.

--- a/ivystep/cli/log_events.py
+++ b/ivystep/cli/log_events.py
@@ -9,6 +9,7 @@
 
 import cappa
 
+from ivystep.data_centres import events as centre_events
 from ivystep.gateway import events
 from ivystep.runtime import event_log
 
@@ -27,7 +28,8 @@
     """Return the page in Markdown."""
     event_types = [
         event_type
-        for _, event_type in inspect.getmembers(events, inspect.isclass)
+        for module in (events, centre_events)
+        for _, event_type in inspect.getmembers(module, inspect.isclass)
         if issubclass(event_type, event_log.Event)
     ]
     sections = [
--- a/ivystep/gateway/connections.py
+++ b/ivystep/gateway/connections.py
@@ -14,6 +14,7 @@
 from eventlet import hubs
 
 from ivystep.core import errors, types
+from ivystep.data_centres import round_trips
 from ivystep.runtime import clock, sockets
 from ivystep.traffic import http1
 
@@ -172,11 +173,13 @@
 
     Attributes:
         opened: Number of connections that this host has tried to open.
+        connect_time: Smallest time that a connection took lately.
     """
 
     def __init__(self, address: tuple[str, int], name: str) -> None:
         self.address = address
         self.opened = 0
+        self.connect_time = round_trips.SmallestTime()
         self._name = name
         self._idle: collections.deque[UpstreamConnection] = collections.deque()
         self._is_closed = False
@@ -271,10 +274,12 @@
     def _open(self, timeout_s: float = CONNECT_TIMEOUT_S) -> UpstreamConnection:
         self.opened += 1
         connection = None
+        started = clock.now()
         try:
             with eventlet.Timeout(timeout_s, TimeoutError):
                 connection = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
                 connection.connect(self.address)
+            self.connect_time.record(clock.now() - started, clock.now())
             set_tcp_options(connection)
             # An upstream must not receive a request that was given up, also
             # if this process ends.
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -12,6 +12,7 @@
 from ivystep.gateway import (
     base_model_loader,
     callers,
+    centre_choice,
     configuration,
     crashes,
     dispatch,
@@ -45,7 +46,6 @@
     rows,
     table,
 )
-from ivystep.policy import load_times, prefill_rates
 from ivystep.runtime import clock, drain, event_log
 from ivystep.settings import gateway as settings_models
 from ivystep.traffic import contracts
@@ -86,10 +86,7 @@
             'gateway', host, self._event_metrics.record
         )
         self._server_state = callers.ServerState()
-        self._load_times = load_times.LoadTimes()
-        self._measured = measurements.Measurements(
-            prefill_rates.PrefillRates(), self._load_times
-        )
+        self._measured = measurements.Measurements.empty()
         self._prefill_queues = prefill_queues.PrefillQueues(
             self._measured.rates
         )
@@ -114,6 +111,12 @@
             contact,
             settings.bounds.heartbeat_s,
         )
+        self._centres = centre_choice.CentreChoice(
+            settings,
+            self._log,
+            self._metrics,
+            lambda: self._membership.upstream_by_id.values(),
+        )
         self._progress = table_progress.SharedProgress(
             settings.bounds.leader_age_s,
             lambda: self._leadership.is_leader,
@@ -130,6 +133,7 @@
                 self._progress,
                 lambda: self._leadership.renewal(),
                 self._measured,
+                self._centres.exchange,
             ),
         )
         self._leadership = leadership.Leadership(
@@ -152,7 +156,7 @@
         )
         self._pools = model_pools.ModelPools(
             host,
-            settings.process.data_centre,
+            self._centres,
             self._leadership.sink,
             self._engine_link,
             self._may_order,
@@ -167,7 +171,7 @@
             self._adapter_slots,
             self._pools.is_cached,
             self._residency_updates,
-            self._load_times,
+            self._measured.times,
             self._log,
         )
         self._base_model_loader = base_model_loader.BaseModelLoader(
@@ -453,6 +457,7 @@
             clock.sleep(residency_updates.HEARTBEAT_S)
             if self._leadership.is_leader:
                 self._residency_updates.apply_total_requests()
+                self._pools.plan_shares()
 
     def _remove_expired_crashes(self) -> None:
         """Delete old crashes from the store while this host is the leader."""
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -109,6 +109,7 @@
                 state.service, call.generation.prompt_tokens
             )
         self._retry_budget(state).on_request()
+        self._pools.record_arrival(state.service)
         try:
             with eventlet.Timeout(state.remaining_s, DeadlineExceededError):
                 self._run_attempts(state)
--- a/ivystep/gateway/measurements.py
+++ b/ivystep/gateway/measurements.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import typing
 from collections.abc import Iterable
 
 from ivystep.core import types
@@ -44,6 +45,11 @@
         self._samples: list[prefill_rates.PrefillSample] = []
         self._answers: list[load_correction.LoadAnswer] = []
 
+    @classmethod
+    def empty(cls) -> typing.Self:
+        """Return measurements of a host that has measured nothing yet."""
+        return cls(prefill_rates.PrefillRates(), load_times.LoadTimes())
+
     def tokens_per_s(self, upstream: upstream_state.Upstream) -> float:
         """Return the expected prefill rate of an engine."""
         return self.rates.tokens_per_s(upstream.entry.incarnation)
--- a/ivystep/gateway/model_pools.py
+++ b/ivystep/gateway/model_pools.py
@@ -5,12 +5,16 @@
 store and from newer changes that this host knows of.
 """
 
-import math
 from collections.abc import Callable
 
 from ivystep.core import types
 from ivystep.entry import pool
-from ivystep.gateway import load_planner, measurements, upstream_state
+from ivystep.gateway import (
+    centre_choice,
+    load_planner,
+    measurements,
+    upstream_state,
+)
 from ivystep.metrics import registry
 from ivystep.policy import load_target, routing
 from ivystep.runtime import clock
@@ -27,10 +31,6 @@
 IDLE_REPORT_S = 0.25
 # Lower bound of an upstream's speed relative to its service's.
 MIN_RELATIVE_SPEED = 0.4
-# The entry of a healthy upstream does not change, so silence is no sign of a
-# failure. Requests go to another data centre if its batches are emptier by
-# ``remote_cost``.
-ROUTING_RULES = routing.RoutingRules(silence_s=math.inf, remote_cost=0.05)
 
 
 class ModelPools:
@@ -38,7 +38,7 @@
 
     Args:
         host: Name of this host.
-        data_centre: Its data centre.
+        centres: How this host chooses among data centres.
         choose_sink: Returns the planner of a pool, given the local one.
         link_to: Returns the link that sends orders to an engine.
         may_order: Returns whether this host may send orders now.
@@ -50,7 +50,7 @@
     def __init__(
         self,
         host: str,
-        data_centre: str,
+        centres: centre_choice.CentreChoice,
         choose_sink: pool.ChooseSink,
         link_to: Callable[[upstream_state.Upstream], object],
         may_order: Callable[[], bool],
@@ -61,7 +61,7 @@
         self.measured = measured
         self.pool_by_key: dict[PoolKey, pool.Pool] = {}
         self._host = host
-        self._data_centre = data_centre
+        self._centres = centres
         self._choose_sink = choose_sink
         self._link_to = link_to
         self._may_order = may_order
@@ -133,6 +133,24 @@
             if model == old.account:
                 target.planner.popularity.transfer(old, new)
 
+    def record_arrival(self, service: str) -> None:
+        """Count a request for a service as demand of this data centre."""
+        self._centres.exchange.arrivals.record(service)
+
+    def plan_shares(self) -> None:
+        """Decide the shares of the data centres, as the leader."""
+        self._centres.plan(self._config, self._capacity)
+
+    def _capacity(self, upstream: upstream_state.Upstream) -> float:
+        """Return how many requests an upstream takes at once."""
+        service = self._service(upstream)
+        is_serving = service is not None and (
+            service.engine is None or upstream.entry.held_model_by_name
+        )
+        if not is_serving:
+            return 0.0
+        return upstream.capacity(self._relative_speed(upstream))
+
     def _relative_speed(self, upstream: upstream_state.Upstream) -> float:
         """Return an upstream's prefill rate relative to its service's."""
         speed = self.measured.rates.relative_speed(upstream.entry.incarnation)
@@ -150,9 +168,13 @@
             f'{service.name}/{model}',
             self._host,
             self._choose_sink,
-            self._data_centre,
+            self._centres.data_centre,
             self._metrics,
-            index=routing.UpstreamIndex(self._data_centre, ROUTING_RULES),
+            index=routing.UpstreamIndex(
+                self._centres.data_centre,
+                self._centres.rules,
+                self._centres.destinations(service.name),
+            ),
             make_planner=self._build_planner,
             idle_report_s=IDLE_REPORT_S,
         )
--- a/ivystep/gateway/residency_updates.py
+++ b/ivystep/gateway/residency_updates.py
@@ -16,6 +16,7 @@
 
 from ivystep.coordination import lease
 from ivystep.core import errors, types, units
+from ivystep.data_centres import exchange
 from ivystep.gateway import measurements, table_progress
 from ivystep.policy import load_correction, prefill_rates
 from ivystep.runtime import clock
@@ -60,11 +61,13 @@
         progress: Progress with the store's tables that the leader tells.
         own_renewal: Returns this host's last renewal of the leader's lease.
         measured: Measurements that a host tells the leader.
+        centres: Arrivals and shares of the data centres.
     """
 
     progress: table_progress.SharedProgress
     own_renewal: Callable[[], lease.Renewal]
     measured: measurements.Measurements
+    centres: exchange.CentreExchange
 
 
 class ResidencyUpdates:
@@ -91,6 +94,8 @@
         contents: HeartbeatContents,
     ) -> None:
         self._measured = contents.measured
+        self._centres = contents.centres
+        self._data_centre_by_link: dict[channel.Channel, str] = {}
         self._own_renewal = contents.own_renewal
         self._told_renewal: lease.Renewal | None = None
         self._progress = contents.progress
@@ -143,9 +148,12 @@
                 )
                 message.tables = _progress_items(self._progress.own())
                 message.renewal = _renewal_item(self._own_renewal())
+                message.centre_shares = self._centres.shares_for(
+                    self._data_centre_by_link.get(link, '')
+                )
                 link.send(message)
         finally:
-            self._follower_queues.discard(pending)
+            self._drop_follower(link, pending)
             receiver.kill()
         raise errors.LinkError('no more updates for this host', peer=link.peer)
 
@@ -162,6 +170,7 @@
             self._follow(link)
         finally:
             self._told_renewal = None
+            self._centres.clear()
 
     def told_renewal(self) -> lease.Renewal | None:
         """Return the last renewal of its lease that the leader has told.
@@ -176,6 +185,12 @@
         self._on_requests(self._total_requests())
         self._on_host_count(self._host_count)
 
+    def _drop_follower(
+        self, link: channel.Channel, pending: queue.LightQueue
+    ) -> None:
+        self._follower_queues.discard(pending)
+        self._data_centre_by_link.pop(link, None)
+
     def _follow(self, link: channel.Channel) -> None:
         link.send(ttypes.Watch())
         while True:
@@ -188,11 +203,12 @@
             self._progress.record(_told_progress(latest))
             self._on_requests(latest.running)
             self._on_host_count(latest.hosts)
-            link.send(
-                _host_load(
-                    self._host, self._own_requests(), self._measured.take()
-                )
+            self._centres.on_shares(latest.centre_shares)
+            load = _host_load(
+                self._host, self._own_requests(), self._measured.take()
             )
+            load.centre = self._centres.report()
+            link.send(load)
             # Messages that have arrived meanwhile must not keep other tasks
             # from running.
             clock.sleep(0)
@@ -244,6 +260,9 @@
                     return
                 host = message.host
                 self._requests_by_host[host] = message.running
+                self._data_centre_by_link[link] = self._centres.on_report(
+                    host, message.centre
+                )
                 self._measured.apply(
                     _prefill_samples(message), _load_answers(message)
                 )
@@ -252,6 +271,7 @@
             return
         finally:
             self._requests_by_host.pop(host, None)
+            self._centres.on_disconnected(host)
 
     def _total_requests(self) -> RequestsByUpstream:
         """Return all hosts' requests in progress by upstream."""
--- a/ivystep/gateway/upstream_state.py
+++ b/ivystep/gateway/upstream_state.py
@@ -13,6 +13,7 @@
 from ivystep.core import types
 from ivystep.gateway import connections
 from ivystep.policy import shared_limit
+from ivystep.runtime import clock
 from ivystep.traffic import contracts, upstreams
 
 # Age of an entry on arrival; the store's feed is polled at intervals.
@@ -82,6 +83,25 @@
         """Id of the upstream."""
         return self.entry.upstream_id
 
+    @property
+    def running(self) -> int:
+        """Requests of all hosts that the upstream has in progress."""
+        return self.running_elsewhere + self.in_progress
+
+    def capacity(self, speed: float) -> float:
+        """Return how many requests of all hosts the upstream takes at once.
+
+        A suspension does not count: it is what this host alone has found.
+
+        Args:
+            speed: Prefill rate relative to the fastest upstream.
+        """
+        if self.is_draining or self.rest_s(clock.now()):
+            return 0.0
+        if self.limit.is_limited:
+            return self.running + 1.0
+        return max(self.entry.batch_size * speed, 1.0)
+
     def apply_total(self, total: int) -> bool:
         """Apply the requests of all hosts that the upstream has in progress.
 
@@ -253,7 +273,7 @@
             speed: Prefill rate relative to the fastest upstream.
         """
         entry = self.entry
-        running = self.running_elsewhere + self.in_progress
+        running = self.running
         held = self.held()
         own = {
             ref: types.ResidentAdapter(ref, 0)
--- a/ivystep/settings/gateway.py
+++ b/ivystep/settings/gateway.py
@@ -211,6 +211,23 @@
         return self.version_ms / units.MS_PER_S
 
 
+class DataCentres(GatewaySection):
+    """When requests are sent to another data centre."""
+
+    leaving: typing.Literal['adaptive', 'never', 'fixed'] = pydantic.Field(
+        'adaptive',
+        description='`adaptive`: the leader decides how many requests leave, '
+        'from demand, capacity and the delay of a crossing; `never`: a request '
+        'leaves only if no usable upstream of the own data centre can serve '
+        'it; `fixed`: to an upstream whose batch is emptier by 0.05.',
+    )
+    crossing_ms: Milliseconds = pydantic.Field(
+        0.0,
+        description='Price of a crossing, as the delay that it is worth '
+        'avoiding.',
+    )
+
+
 class GatewaySettings(models.Section):
     """All sections of the settings file of a gateway."""
 
@@ -219,3 +236,4 @@
     store: Store
     bounds: Bounds = Bounds()
     capacity: Capacity = Capacity()
+    data_centres: DataCentres = DataCentres()
--- a/ivystep/wire/gen/ttypes.py
+++ b/ivystep/wire/gen/ttypes.py
@@ -2571,6 +2571,299 @@
         return not (self == other)
 
 
+class CentreShares(object):
+    """
+    Attributes:
+     - service_name
+     - share_by_data_centre
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'share_by_data_centre',
+    )
+
+
+    def __init__(self, service_name=None, share_by_data_centre=None,):
+        self.service_name = service_name
+        self.share_by_data_centre = share_by_data_centre
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.MAP:
+                    self.share_by_data_centre = {}
+                    (_ktype43, _vtype44, _size42) = iprot.readMapBegin()
+                    for _i46 in range(_size42):
+                        _key47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val48 = iprot.readDouble()
+                        self.share_by_data_centre[_key47] = _val48
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CentreShares')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.share_by_data_centre is not None:
+            oprot.writeFieldBegin('share_by_data_centre', TType.MAP, 2)
+            oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.share_by_data_centre))
+            for kiter49, viter50 in self.share_by_data_centre.items():
+                oprot.writeString(kiter49.encode('utf-8') if sys.version_info[0] == 2 else kiter49)
+                oprot.writeDouble(viter50)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceArrivals(object):
+    """
+    Attributes:
+     - service_name
+     - arrivals
+     - unmet
+
+    """
+
+    __slots__ = (
+        'service_name',
+        'arrivals',
+        'unmet',
+    )
+
+
+    def __init__(self, service_name=None, arrivals=None, unmet=None,):
+        self.service_name = service_name
+        self.arrivals = arrivals
+        self.unmet = unmet
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.service_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.arrivals = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.unmet = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceArrivals')
+        if self.service_name is not None:
+            oprot.writeFieldBegin('service_name', TType.STRING, 1)
+            oprot.writeString(self.service_name.encode('utf-8') if sys.version_info[0] == 2 else self.service_name)
+            oprot.writeFieldEnd()
+        if self.arrivals is not None:
+            oprot.writeFieldBegin('arrivals', TType.I32, 2)
+            oprot.writeI32(self.arrivals)
+            oprot.writeFieldEnd()
+        if self.unmet is not None:
+            oprot.writeFieldBegin('unmet', TType.I32, 3)
+            oprot.writeI32(self.unmet)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CentreReport(object):
+    """
+    Attributes:
+     - data_centre
+     - arrivals
+     - round_trip_us
+
+    """
+
+    __slots__ = (
+        'data_centre',
+        'arrivals',
+        'round_trip_us',
+    )
+
+
+    def __init__(self, data_centre=None, arrivals=None, round_trip_us=None,):
+        self.data_centre = data_centre
+        self.arrivals = arrivals
+        self.round_trip_us = round_trip_us
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.data_centre = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.arrivals = []
+                    (_etype54, _size51) = iprot.readListBegin()
+                    for _i55 in range(_size51):
+                        _elem56 = ServiceArrivals()
+                        _elem56.read(iprot)
+                        self.arrivals.append(_elem56)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.MAP:
+                    self.round_trip_us = {}
+                    (_ktype58, _vtype59, _size57) = iprot.readMapBegin()
+                    for _i61 in range(_size57):
+                        _key62 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val63 = iprot.readI32()
+                        self.round_trip_us[_key62] = _val63
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CentreReport')
+        if self.data_centre is not None:
+            oprot.writeFieldBegin('data_centre', TType.STRING, 1)
+            oprot.writeString(self.data_centre.encode('utf-8') if sys.version_info[0] == 2 else self.data_centre)
+            oprot.writeFieldEnd()
+        if self.arrivals is not None:
+            oprot.writeFieldBegin('arrivals', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.arrivals))
+            for iter64 in self.arrivals:
+                iter64.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.round_trip_us is not None:
+            oprot.writeFieldBegin('round_trip_us', TType.MAP, 3)
+            oprot.writeMapBegin(TType.STRING, TType.I32, len(self.round_trip_us))
+            for kiter65, viter66 in self.round_trip_us.items():
+                oprot.writeString(kiter65.encode('utf-8') if sys.version_info[0] == 2 else kiter65)
+                oprot.writeI32(viter66)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class News(object):
     """
     Attributes:
@@ -2579,6 +2872,7 @@
      - hosts
      - tables
      - renewal
+     - centre_shares
 
     """
 
@@ -2588,15 +2882,17 @@
         'hosts',
         'tables',
         'renewal',
+        'centre_shares',
     )
 
 
-    def __init__(self, items=None, running=None, hosts=None, tables=None, renewal=None,):
+    def __init__(self, items=None, running=None, hosts=None, tables=None, renewal=None, centre_shares=None,):
         self.items = items
         self.running = running
         self.hosts = hosts
         self.tables = tables
         self.renewal = renewal
+        self.centre_shares = centre_shares
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2610,22 +2906,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.items = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = AdapterNews()
-                        _elem47.read(iprot)
-                        self.items.append(_elem47)
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = AdapterNews()
+                        _elem72.read(iprot)
+                        self.items.append(_elem72)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.running = {}
-                    (_ktype49, _vtype50, _size48) = iprot.readMapBegin()
-                    for _i52 in range(_size48):
-                        _key53 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val54 = iprot.readI32()
-                        self.running[_key53] = _val54
+                    (_ktype74, _vtype75, _size73) = iprot.readMapBegin()
+                    for _i77 in range(_size73):
+                        _key78 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val79 = iprot.readI32()
+                        self.running[_key78] = _val79
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2637,11 +2933,11 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.tables = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = TableProgress()
-                        _elem60.read(iprot)
-                        self.tables.append(_elem60)
+                    (_etype83, _size80) = iprot.readListBegin()
+                    for _i84 in range(_size80):
+                        _elem85 = TableProgress()
+                        _elem85.read(iprot)
+                        self.tables.append(_elem85)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2651,6 +2947,17 @@
                     self.renewal.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.centre_shares = []
+                    (_etype89, _size86) = iprot.readListBegin()
+                    for _i90 in range(_size86):
+                        _elem91 = CentreShares()
+                        _elem91.read(iprot)
+                        self.centre_shares.append(_elem91)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2664,16 +2971,16 @@
         if self.items is not None:
             oprot.writeFieldBegin('items', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.items))
-            for iter61 in self.items:
-                iter61.write(oprot)
+            for iter92 in self.items:
+                iter92.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running))
-            for kiter62, viter63 in self.running.items():
-                oprot.writeString(kiter62.encode('utf-8') if sys.version_info[0] == 2 else kiter62)
-                oprot.writeI32(viter63)
+            for kiter93, viter94 in self.running.items():
+                oprot.writeString(kiter93.encode('utf-8') if sys.version_info[0] == 2 else kiter93)
+                oprot.writeI32(viter94)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.hosts is not None:
@@ -2683,14 +2990,21 @@
         if self.tables is not None:
             oprot.writeFieldBegin('tables', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.tables))
-            for iter64 in self.tables:
-                iter64.write(oprot)
+            for iter95 in self.tables:
+                iter95.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.renewal is not None:
             oprot.writeFieldBegin('renewal', TType.STRUCT, 5)
             self.renewal.write(oprot)
             oprot.writeFieldEnd()
+        if self.centre_shares is not None:
+            oprot.writeFieldBegin('centre_shares', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.centre_shares))
+            for iter96 in self.centre_shares:
+                iter96.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2919,6 +3233,7 @@
      - running
      - prefills
      - load_answers
+     - centre
 
     """
 
@@ -2927,14 +3242,16 @@
         'running',
         'prefills',
         'load_answers',
+        'centre',
     )
 
 
-    def __init__(self, host=None, running=None, prefills=None, load_answers=None,):
+    def __init__(self, host=None, running=None, prefills=None, load_answers=None, centre=None,):
         self.host = host
         self.running = running
         self.prefills = prefills
         self.load_answers = load_answers
+        self.centre = centre
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2953,36 +3270,42 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.running = {}
-                    (_ktype66, _vtype67, _size65) = iprot.readMapBegin()
-                    for _i69 in range(_size65):
-                        _key70 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val71 = iprot.readI32()
-                        self.running[_key70] = _val71
+                    (_ktype98, _vtype99, _size97) = iprot.readMapBegin()
+                    for _i101 in range(_size97):
+                        _key102 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val103 = iprot.readI32()
+                        self.running[_key102] = _val103
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.prefills = []
-                    (_etype75, _size72) = iprot.readListBegin()
-                    for _i76 in range(_size72):
-                        _elem77 = PrefillSample()
-                        _elem77.read(iprot)
-                        self.prefills.append(_elem77)
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = PrefillSample()
+                        _elem109.read(iprot)
+                        self.prefills.append(_elem109)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.load_answers = []
-                    (_etype81, _size78) = iprot.readListBegin()
-                    for _i82 in range(_size78):
-                        _elem83 = LoadAnswer()
-                        _elem83.read(iprot)
-                        self.load_answers.append(_elem83)
+                    (_etype113, _size110) = iprot.readListBegin()
+                    for _i114 in range(_size110):
+                        _elem115 = LoadAnswer()
+                        _elem115.read(iprot)
+                        self.load_answers.append(_elem115)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.centre = CentreReport()
+                    self.centre.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3000,25 +3323,29 @@
         if self.running is not None:
             oprot.writeFieldBegin('running', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I32, len(self.running))
-            for kiter84, viter85 in self.running.items():
-                oprot.writeString(kiter84.encode('utf-8') if sys.version_info[0] == 2 else kiter84)
-                oprot.writeI32(viter85)
+            for kiter116, viter117 in self.running.items():
+                oprot.writeString(kiter116.encode('utf-8') if sys.version_info[0] == 2 else kiter116)
+                oprot.writeI32(viter117)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.prefills is not None:
             oprot.writeFieldBegin('prefills', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.prefills))
-            for iter86 in self.prefills:
-                iter86.write(oprot)
+            for iter118 in self.prefills:
+                iter118.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.load_answers is not None:
             oprot.writeFieldBegin('load_answers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.load_answers))
-            for iter87 in self.load_answers:
-                iter87.write(oprot)
+            for iter119 in self.load_answers:
+                iter119.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.centre is not None:
+            oprot.writeFieldBegin('centre', TType.STRUCT, 5)
+            self.centre.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3197,11 +3524,11 @@
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.digest_by_section = {}
-                    (_ktype89, _vtype90, _size88) = iprot.readMapBegin()
-                    for _i92 in range(_size88):
-                        _key93 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val94 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.digest_by_section[_key93] = _val94
+                    (_ktype121, _vtype122, _size120) = iprot.readMapBegin()
+                    for _i124 in range(_size120):
+                        _key125 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val126 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.digest_by_section[_key125] = _val126
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -3222,9 +3549,9 @@
         if self.digest_by_section is not None:
             oprot.writeFieldBegin('digest_by_section', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.digest_by_section))
-            for kiter95, viter96 in self.digest_by_section.items():
-                oprot.writeString(kiter95.encode('utf-8') if sys.version_info[0] == 2 else kiter95)
-                oprot.writeString(viter96.encode('utf-8') if sys.version_info[0] == 2 else viter96)
+            for kiter127, viter128 in self.digest_by_section.items():
+                oprot.writeString(kiter127.encode('utf-8') if sys.version_info[0] == 2 else kiter127)
+                oprot.writeString(viter128.encode('utf-8') if sys.version_info[0] == 2 else viter128)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -4202,6 +4529,26 @@
     (2, TType.I64, 'version', None, None, ),  # 2
     (3, TType.I64, 'age_ms', None, None, ),  # 3
 )
+all_structs.append(CentreShares)
+CentreShares.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.MAP, 'share_by_data_centre', (TType.STRING, 'UTF8', TType.DOUBLE, None, False), None, ),  # 2
+)
+all_structs.append(ServiceArrivals)
+ServiceArrivals.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'service_name', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'arrivals', None, None, ),  # 2
+    (3, TType.I32, 'unmet', None, None, ),  # 3
+)
+all_structs.append(CentreReport)
+CentreReport.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'data_centre', 'UTF8', None, ),  # 1
+    (2, TType.LIST, 'arrivals', (TType.STRUCT, [ServiceArrivals, None], False), None, ),  # 2
+    (3, TType.MAP, 'round_trip_us', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 3
+)
 all_structs.append(News)
 News.thrift_spec = (
     None,  # 0
@@ -4210,6 +4557,7 @@
     (3, TType.I32, 'hosts', None, None, ),  # 3
     (4, TType.LIST, 'tables', (TType.STRUCT, [TableProgress, None], False), None, ),  # 4
     (5, TType.STRUCT, 'renewal', [LeaseRenewal, None], None, ),  # 5
+    (6, TType.LIST, 'centre_shares', (TType.STRUCT, [CentreShares, None], False), None, ),  # 6
 )
 all_structs.append(PrefillSample)
 PrefillSample.thrift_spec = (
@@ -4233,6 +4581,7 @@
     (2, TType.MAP, 'running', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 2
     (3, TType.LIST, 'prefills', (TType.STRUCT, [PrefillSample, None], False), None, ),  # 3
     (4, TType.LIST, 'load_answers', (TType.STRUCT, [LoadAnswer, None], False), None, ),  # 4
+    (5, TType.STRUCT, 'centre', [CentreReport, None], None, ),  # 5
 )
 all_structs.append(SetupNotice)
 SetupNotice.thrift_spec = (
--- a/ivystep/wire/ivystep.thrift
+++ b/ivystep/wire/ivystep.thrift
@@ -177,6 +177,29 @@
   3: i64 age_ms
 }
 
+// How the requests of a service at the receiving host are shared among data
+// centres. A service without shares keeps to the rule of the hosts.
+struct CentreShares {
+  1: string service_name
+  2: map<string, double> share_by_data_centre
+}
+
+// Requests of a service that arrived at one host since its last message. unmet
+// counts those that found no capacity in the data centre drawn for them.
+struct ServiceArrivals {
+  1: string service_name
+  2: i32 arrivals
+  3: i32 unmet
+}
+
+// What one host tells of its data centre. round_trip_us is its smallest time to
+// connect to upstreams of each data centre.
+struct CentreReport {
+  1: string data_centre
+  2: list<ServiceArrivals> arrivals
+  3: map<string, i32> round_trip_us
+}
+
 // Sent by the leader to every entry that watches it, at least as a heartbeat.
 // running is the number of requests of all entries by upstream; hosts is the
 // number of watching entries, including the leader.
@@ -186,6 +209,7 @@
   3: i32 hosts
   4: optional list<TableProgress> tables
   5: optional LeaseRenewal renewal
+  6: optional list<CentreShares> centre_shares
 }
 
 // A prompt that an engine prefilled alone.
@@ -211,6 +235,7 @@
   2: map<string, i32> running
   3: optional list<PrefillSample> prefills
   4: optional list<LoadAnswer> load_answers
+  5: optional CentreReport centre
 }
 
 struct SetupNotice {
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -8,7 +8,9 @@
 
 from ivystep.coordination import lease
 from ivystep.core import errors
+from ivystep.data_centres import exchange, share_metrics, shares
 from ivystep.gateway import measurements, residency_updates, table_progress
+from ivystep.metrics import registry
 from ivystep.platform import rows
 from ivystep.policy import load_times, prefill_rates
 from ivystep.runtime import clock
@@ -30,6 +32,19 @@
         table_progress.SharedProgress(1.0, lambda: True, lambda: None),
         lambda: lease.Renewal(0, 0, 0.0),
         measured(),
+        centre_exchange(),
+    )
+
+
+def centre_exchange(host='host-1', data_centre='accra-a', made=None, trips=()):
+    """Return the exchange of a host's arrivals and shares."""
+    return exchange.CentreExchange(
+        host,
+        data_centre,
+        shares.DrawnShares(),
+        made,
+        share_metrics.ShareMetrics(registry.Metrics()),
+        lambda: dict(trips),
     )
 
 
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -120,11 +120,14 @@
             self.recorded.config, VERSION_S
         )
         self.recorded.on_version = self.versions_in_use.waits.on_version
+        self.arrivals = []
         self.writer = builtin_types.SimpleNamespace(write=lambda row: None)
         self.budgets = retry_budget.RetryBudgets(ratio=0.1, reserve=2.0)
         self.dispatcher = dispatch.Dispatcher(
             builtin_types.SimpleNamespace(
-                find=lambda *_: self.pool, measured=fakes.measured()
+                find=lambda *_: self.pool,
+                measured=fakes.measured(),
+                record_arrival=self.arrivals.append,
             ),
             members,
             self.versions_in_use,
--- a/tests/gateway/test_residency_updates.py
+++ b/tests/gateway/test_residency_updates.py
@@ -5,6 +5,7 @@
 
 from ivystep.coordination import lease
 from ivystep.core import errors, types
+from ivystep.data_centres import planner
 from ivystep.gateway import (
     residency_updates,
     table_progress,
@@ -30,6 +31,10 @@
         self.host_counts = []
         self.is_leader = True
         self.measured = fakes.measured()
+        self.planner = planner.SharePlanner(0.0, 0.05, lambda event: None)
+        self.centres = fakes.centre_exchange(
+            name, f'dc of {name}', self.planner, {'accra-b': 0.002}
+        )
         self.progress = table_progress.SharedProgress(
             1.0, lambda: self.is_leader, lambda: None
         )
@@ -44,6 +49,7 @@
                 self.progress,
                 lambda: lease.Renewal(7, 12, clock.uptime() - 0.5),
                 self.measured,
+                self.centres,
             ),
         )
 
@@ -305,3 +311,48 @@
     clock.sleep(1)
     assert not any(message.items for message in link.sent)
     task.kill()
+
+
+def test_arrivals_of_all_hosts_reach_the_leader(pair):
+    """Guards against shares that are decided without a data centre's demand."""
+    leader, other, _ = pair
+    for _ in range(3):
+        other.centres.arrivals.record('llm')
+    rates = leader.planner.rates
+    wait_until(lambda: 'dc of other' in rates.data_centres)
+    rates.advance(1.0, clock.now())
+    assert rates.per_s('llm') == {'dc of other': 3.0}
+    assert leader.planner.trips.smallest() == {
+        ('dc of other', 'accra-b'): pytest.approx(0.002)
+    }
+
+
+def test_hosts_are_told_the_shares_of_their_data_centre(pair, monkeypatch):
+    """Guards against hosts that draw from the shares of another one."""
+    leader, other, follower = pair
+    monkeypatch.setattr(
+        leader.planner,
+        'shares_from',
+        lambda source: {'llm': {source: 0.75, 'elsewhere': 0.25}},
+    )
+    destinations = other.centres.destinations('llm')
+    wait_until(lambda: destinations.choose(clock.now()))
+    drawn = []
+    for _ in range(40):
+        drawn.append(destinations.choose(clock.now()))
+        destinations.record(
+            drawn[-1], clock.now(), drawn=drawn[-1], has_drawn=True
+        )
+    assert set(drawn) == {'dc of other', 'elsewhere'}
+    assert 9 <= drawn.count('elsewhere') <= 11
+    follower.kill()
+    wait_until(lambda: not destinations.choose(clock.now()))
+
+
+def test_leader_of_an_older_release_tells_no_shares():
+    """Guards against a host that fails while the gateways are replaced."""
+    host = Host('other', {})
+    link = BackloggedLink(ttypes.News([], {}, 2))
+    with pytest.raises(errors.LinkError):
+        host.updates.follow(link)
+    assert not host.centres.destinations('llm').choose(clock.now())
--- a/tests/settings/test_gateway.py
+++ b/tests/settings/test_gateway.py
@@ -105,6 +105,17 @@
         load(tmp_path, render(**{name: ''}))
 
 
+def test_rule_for_data_centres_is_checked(tmp_path):
+    """Guards against a misspelt rule that would be taken for the default."""
+    assert load(tmp_path, render()).data_centres.leaving == 'adaptive'
+    section = '\n[data_centres]\nleaving = never\ncrossing_ms = 30\n'
+    settings = load(tmp_path, render() + section)
+    assert settings.data_centres.leaving == 'never'
+    assert settings.data_centres.crossing_ms == 30
+    with pytest.raises(errors.SettingsError):
+        load(tmp_path, render() + section.replace('never', 'sometimes'))
+
+
 @pytest.mark.parametrize('address', ['10.1.0.38', 'host:1', '10.1.0.38:99999'])
 def test_malformed_address_is_refused(tmp_path, address):
     """Guards against a gateway that listens on an unintended address."""
