Decide no shares beside hosts that do not tell their arrivals

Cause: while the gateways are replaced, hosts of the former release tell no arrivals. Their data centre would seem idle, and the others would send there.

Change: nothing is decided while such a host is connected. Unmet requests are reported also in an interval without arrivals.

Ruled out: a guess of their arrivals from their requests in progress, which would need the feedback that the decision avoids.

--- a/ivystep/data_centres/demand.py
+++ b/ivystep/data_centres/demand.py
@@ -54,9 +54,14 @@
 
     def take(self) -> list[Arrivals]:
         """Return the arrivals since the last call."""
+        services = self._count_by_service.keys() | self._unmet_by_service.keys()
         taken = [
-            Arrivals(service, count, self._unmet_by_service[service])
-            for service, count in self._count_by_service.items()
+            Arrivals(
+                service,
+                self._count_by_service[service],
+                self._unmet_by_service[service],
+            )
+            for service in services
         ]
         self._count_by_service.clear()
         self._unmet_by_service.clear()
--- a/ivystep/data_centres/exchange.py
+++ b/ivystep/data_centres/exchange.py
@@ -105,6 +105,8 @@
         self._planner = made
         self._metrics = metrics
         self._trips = trips
+        # Hosts of an older release, whose arrivals are not known.
+        self._silent_hosts: set[str] = set()
         self._measured_at = float('-inf')
         self._known_trips: Mapping[str, float] = {}
 
@@ -139,6 +141,7 @@
             The data centre of the host; empty if it tells none.
         """
         if report is None:
+            self._silent_hosts.add(host)
             return ''
         if self._planner is None:
             return report.data_centre
@@ -163,7 +166,8 @@
         return report.data_centre
 
     def on_disconnected(self, host: str) -> None:
-        """Forget the round trips of a host."""
+        """Forget a host."""
+        self._silent_hosts.discard(host)
         if self._planner is not None:
             self._planner.trips.forget(host)
 
@@ -173,7 +177,7 @@
         Args:
             data_centre: The data centre; empty if it is not known.
         """
-        if self._planner is None or not data_centre:
+        if self._planner is None or self._silent_hosts or not data_centre:
             return None
         return [
             ttypes.CentreShares(service, dict(found))
@@ -197,11 +201,17 @@
     def plan(self, observed: Callable[[], planner.Observation]) -> None:
         """Decide as the leader, and apply the shares of this host.
 
+        Nothing is decided while a host does not tell its arrivals: its data
+        centre would seem idle.
+
         Args:
             observed: Returns the state of all upstreams.
         """
         if self._planner is None:
             return
+        if self._silent_hosts:
+            self.clear()
+            return
         self.on_report(self._host, self.report())
         self._planner.plan(observed(), clock.now())
         self._apply(self._planner.shares_from(self._data_centre))
--- a/ivystep/data_centres/share_metrics.py
+++ b/ivystep/data_centres/share_metrics.py
@@ -1,5 +1,7 @@
 """Metrics of the choice among data centres."""
 
+import collections
+
 import aioprometheus
 
 from ivystep.data_centres import shares
@@ -19,6 +21,10 @@
     def __init__(self, metrics: registry.Metrics) -> None:
         self._services = registry.BoundedLabel(MAX_SERVICE_LABELS)
         self._centres = registry.BoundedLabel(MAX_CENTRE_LABELS)
+        # A counter of the library takes longer than the draw of a request.
+        self._pending: collections.Counter[tuple[str, str, str]] = (
+            collections.Counter()
+        )
         self._shown: set[tuple[str, str]] = set()
         self._requests = aioprometheus.Counter(
             'ivystep_data_centre_requests_total',
@@ -42,14 +48,15 @@
             rule: ``share`` if it was drawn, ``unmet`` if it was drawn and sent
                 elsewhere, ``host`` if no shares were in force.
         """
-        self._requests.inc({**self._labels(service, destination), 'rule': rule})
+        self._pending[service, destination, rule] += 1
 
     def show(self, told: shares.SharesByService) -> None:
-        """Publish the shares in force.
+        """Publish the requests since the last call and the shares in force.
 
         Args:
             told: Shares by service and destination.
         """
+        self._publish_requests()
         present = {
             (service, name): share
             for service, found in told.items()
@@ -61,6 +68,12 @@
             self._share.set(self._labels(service, name), share)
         self._shown = set(present)
 
+    def _publish_requests(self) -> None:
+        for (service, destination, rule), count in self._pending.items():
+            labels = {**self._labels(service, destination), 'rule': rule}
+            self._requests.add(labels, count)
+        self._pending.clear()
+
     def _labels(self, service: str, destination: str) -> dict[str, str]:
         return {
             'service': self._services.value_for(service),
--- a/tests/data_centres/test_demand.py
+++ b/tests/data_centres/test_demand.py
@@ -56,6 +56,9 @@
     counts.record_unmet('llm')
     assert counts.take() == [demand.Arrivals('llm', 3, 1)]
     assert not counts.take()
+    # A request may be sent long after it has arrived.
+    counts.record_unmet('llm')
+    assert counts.take() == [demand.Arrivals('llm', 0, 1)]
 
 
 def test_smallest_time_follows_a_link_that_becomes_slower():
--- a/tests/data_centres/test_shares.py
+++ b/tests/data_centres/test_shares.py
@@ -5,7 +5,8 @@
 
 import pytest
 
-from ivystep.data_centres import shares
+from ivystep.data_centres import demand, exchange, share_metrics, shares
+from ivystep.metrics import registry
 
 SHARES = {'llm': {'a': 0.72, 'b': 0.2, 'c': 0.08}}
 
@@ -80,3 +81,33 @@
     made.record('other', 'a', 0.0)
     made.clear()
     assert not made.choose('llm', 0.0)
+
+
+def test_requests_are_counted_by_destination_and_rule():
+    """Guards against crossings that no metric shows."""
+    metrics = registry.Metrics()
+    drawn_shares = drawn()
+    arrivals = demand.ArrivalCounts()
+    shown = share_metrics.ShareMetrics(metrics)
+    destinations = exchange.ServiceDestinations(
+        'llm', drawn_shares, arrivals, shown
+    )
+    for destination, name, has_drawn in (
+        ('b', 'b', True),
+        ('a', 'b', True),
+        ('b', 'a', False),
+        ('a', '', False),
+    ):
+        destinations.record(destination, 0.0, drawn=name, has_drawn=has_drawn)
+    arrivals.record('llm')
+    assert arrivals.take() == [demand.Arrivals('llm', 1, 1)]
+    shown.show(SHARES)
+    shown.show({})
+    page = metrics.render()[0].decode()
+    for line in (
+        'requests_total{destination="b",rule="share",service="llm"} 1',
+        'requests_total{destination="a",rule="unmet",service="llm"} 1',
+        'requests_total{destination="b",rule="host",service="llm"} 1',
+        'share{destination="a",service="llm"} 0',
+    ):
+        assert f'ivystep_data_centre_{line}' in page
--- a/tests/gateway/test_centre_choice.py
+++ b/tests/gateway/test_centre_choice.py
@@ -63,6 +63,23 @@
     assert not destinations.choose(clock.now())
 
 
+@clocks.on_virtual_clock
+def test_nothing_is_decided_while_a_host_tells_no_arrivals():
+    """Guards against a data centre that seems idle during a new release."""
+    made = choice([upstream('i-2', 'accra-b')])
+    made.exchange.on_report('old', None)
+    steps = 0
+    while not made.exchange.shares_for('accra-a'):
+        clock.sleep(0.15)
+        made.exchange.arrivals.record('llm')
+        made.plan(None, lambda one: one.capacity(1.0))
+        steps += 1
+        if steps == 40:
+            made.exchange.on_disconnected('old')
+        assert steps < 80
+    assert steps > 40
+
+
 def test_rules_follow_the_settings():
     """Guards against a setting that changes nothing."""
     assert not choice([], leaving='fixed').destinations('llm')
