--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -12,6 +12,7 @@
     account_metrics,
     base_model_loader,
     callers,
+    centre_choice,
     configuration,
     configuration_age,
     crashes,
@@ -46,8 +47,6 @@
     rows,
     table,
 )
-from ivystep.policy import load_times
-from ivystep.prefill import prefill_rates
 from ivystep.quotas import admission
 from ivystep.runtime import clock, drain, event_log
 from ivystep.settings import gateway as settings_models
@@ -88,10 +87,7 @@
             'gateway', host, self._event_metrics.record
         )
         self._server_state = callers.ServerState()
-        self._load_times = load_times.LoadTimes()
-        self._measured = measurements.Measurements(
-            prefill_rates.PrefillRates(), self._load_times
-        )
+        self._measured = measurements.Measurements.empty()
         self._prefill_queues = prefill_queues.PrefillQueues(
             self._measured.rates
         )
@@ -116,6 +112,12 @@
             contact,
             settings.bounds.heartbeat_s,
         )
+        self._centres = centre_choice.CentreChoice(
+            settings,
+            self._log,
+            self._metrics,
+            lambda: self._membership.upstream_by_id.values(),
+        )
         self._progress = table_progress.SharedProgress(
             settings.bounds.leader_age_s,
             lambda: self._leadership.is_leader,
@@ -132,6 +134,7 @@
                 self._progress,
                 lambda: self._leadership.renewal(),
                 self._measured,
+                self._centres.exchange,
             ),
         )
         self._leadership = leadership.Leadership(
@@ -161,7 +164,7 @@
         )
         self._pools = model_pools.ModelPools(
             host,
-            settings.process.data_centre,
+            self._centres,
             self._leadership.sink,
             self._engine_link,
             self._may_order,
@@ -176,7 +179,7 @@
             self._adapter_slots,
             self._pools.is_cached,
             self._residency_updates,
-            self._load_times,
+            self._measured.times,
             self._log,
         )
         self._base_model_loader = base_model_loader.BaseModelLoader(
@@ -480,6 +483,7 @@
             clock.sleep(residency_updates.HEARTBEAT_S)
             if self._leadership.is_leader:
                 self._residency_updates.apply_total_requests()
+                self._pools.plan_shares()
 
     def _remove_expired_crashes(self) -> None:
         """Delete old crashes from the store while this host is the leader."""
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -130,11 +130,14 @@
             revocation.RevocationPolicy(is_strict),
         )
         self.recorded.on_config = self.access.on_config
+        self.arrivals = []
         self.writer = builtin_types.SimpleNamespace(write=lambda row: None)
         self.budgets = retry_budget.RetryBudgets(ratio=0.1, reserve=2.0)
         self.dispatcher = dispatch.Dispatcher(
             builtin_types.SimpleNamespace(
-                find=lambda *_: self.pool, measured=fakes.measured()
+                find=lambda *_: self.pool,
+                measured=fakes.measured(),
+                record_arrival=self.arrivals.append,
             ),
             members,
             self.versions_in_use,
