Let cached prompts not make an engine seem slow

Cause: since an engine whose last prompts look fast is judged by their lowest fifth. If that was below the service's rate, by a few slowed prompts, the engine got it: 0.36 of the true rate at times, for some prompts.

Change: such an engine never has less than its service's rate.

Ruled out: the former quantile, with which three cached prompts of seven double the rate.

--- a/ivystep/prefill/prefill_rates.py
+++ b/ivystep/prefill/prefill_rates.py
@@ -160,7 +160,10 @@
         last = _rate(last_samples, latency_s)
         if last > usual.tokens_per_s:
             # A few cached prompts do not make an engine faster.
-            last = _rate(last_samples, latency_s, UNCACHED_SHARE)
+            last = max(
+                _rate(last_samples, latency_s, UNCACHED_SHARE),
+                usual.tokens_per_s,
+            )
         if _is_different(last, usual.tokens_per_s):
             return last
         own = _rate(samples, latency_s)
--- a/tests/prefill/test_estimate.py
+++ b/tests/prefill/test_estimate.py
@@ -89,6 +89,21 @@
     assert fleet.rate() == pytest.approx(tokens_per_s, rel=0.15)
 
 
+@pytest.mark.parametrize('seed', [7, 8, 9])
+def test_cached_prompts_do_not_make_an_engine_seem_slow(seed):
+    """Guards against prompts held back for some seconds whenever a few cached
+    and slowed prompts follow each other.
+    """
+    fleet = Fleet(USUAL_S, seed=seed)
+    fleet.cached_share = 0.25
+    fleet.slow_share = 0.1
+    fleet.run(100)
+    for _ in range(1000):
+        fleet.run(1)
+        rates = [fleet.rate(one) for one in fleet.tokens_per_s]
+        assert min(rates) >= 0.75 * 20000
+
+
 def test_prompts_beside_a_neighbour_do_not_move_the_latency():
     """Guards against a busy neighbour that is taken for a slow engine."""
     fleet = Fleet(0.08)
