--- a/ivystep/prefill/estimate.py
+++ b/ivystep/prefill/estimate.py
@@ -30,8 +30,9 @@
 # the true slope is outside it once in a hundred times.
 INTERVAL_WIDTH = 1.3
 # A latency is replaced if the interval excludes it by at least this time.
-# Smaller differences cost less than a changing estimate.
-CLEAR_S = 0.008
+# The steps that make the tokens of a first event are shorter; they occupy the
+# engine, and so count as prefill.
+CLEAR_S = 0.03
 # The same for shorter latencies, which make a fast engine seem faster.
 CLEAR_BELOW_S = 0.001
 
