Test that two gateways share one limit

Cause: quotas over real connections between gateways had no test.

Change: a test with a leader and another gateway; it guards against a limit that each host grants by itself.

--- a/tests/gateway/test_quotas.py
+++ b/tests/gateway/test_quotas.py
@@ -58,3 +58,18 @@
     gateway, _ = build(answer_at_once, config=config())
     assert statuses(gateway, 20) == [200] * 20
     assert not gateway.daemon.status().details['quota_contact']
+
+
+def test_two_hosts_share_one_limit(build, build_peer):
+    """Guards against a limit that each host grants by itself."""
+    gateway, (upstream,) = build(
+        answer_at_once, config=config(rate_per_s=0.1, burst=4)
+    )
+    wait_for_contact(gateway)
+    other = build_peer(gateway, 'host-2')
+    wait_for_contact(other)
+    assert statuses(gateway, 1) == [200]
+    assert statuses(other, 3) == [200] * 3
+    assert statuses(other, 1) + statuses(gateway, 1) == [429, 429]
+    assert len(upstream.requests) == 4
+    assert other.daemon.status().details['quota_hosts'] == 2
