Tell demand ahead, and fill large destinations to the exact level

Cause: shares were behind by the time constant with which they follow and the next heartbeat, so one data centre waited at the front of a wave. A destination of large capacity took too much within the last interval of the bisection: 1.74 instead of 1.46 of 5 requests in an example of the property test.

Change: rates are told half a second ahead; the amounts are interpolated within the last interval, which allows 8 bisections instead of 14; 16 rounds instead of 8.

Ruled out: 8 rounds: of 4,000 examples of the property test one was off by 0.055 of the time in progress, and one of its own 150 failed as well. With 16 rounds 2,000 examples pass.

--- a/ivystep/data_centres/balance.py
+++ b/ivystep/data_centres/balance.py
@@ -25,9 +25,10 @@
 # Age from which reports of a data centre count as unknown.
 MAX_AGE_S = 1.0
 # Times that each data centre is asked in one decision. Two suffice unless
-# several data centres compete for the capacity of a third.
-MAX_ROUNDS = 8
-BISECTIONS = 14
+# several data centres compete for the capacity of a third; 8 left one example
+# in some thousands off by 0.05 of the time in progress.
+MAX_ROUNDS = 16
+BISECTIONS = 8
 # Smaller parts of the demand of a data centre are left out.
 LEAST_AMOUNT = 0.001
 
@@ -205,7 +206,15 @@
             low = middle
         else:
             high = middle
-    return [_room(one, base, high) for one, base in pairs]
+    # A destination of large capacity takes much within the last interval.
+    sure = [_room(one, base, low) for one, base in pairs]
+    most = [_room(one, base, high) for one, base in pairs]
+    span = sum(most) - sum(sure)
+    weight = (demand - sum(sure)) / span if span > 0 else 0.0
+    return [
+        least + weight * (largest - least)
+        for least, largest in zip(sure, most, strict=True)
+    ]
 
 
 def _room(one: _Destination, base: float, cost: float) -> float:
--- a/ivystep/data_centres/demand.py
+++ b/ivystep/data_centres/demand.py
@@ -1,8 +1,9 @@
 """Counts arrivals on each host, and estimates rates of them on the leader.
 
 The estimate is a double exponential average, which follows a steady rise
-without a lag. Demand swings within seconds, and an average alone would be
-behind by its time constant at the front of a wave.
+without a lag, and is told ahead by the time until it takes effect. Demand
+swings within seconds, and an average alone would be behind by its time constant
+at the front of a wave.
 """
 
 import collections
@@ -19,8 +20,11 @@
 DROP_S = 30.0
 # Rates below this, in requests per second, are dropped.
 MIN_RATE = 0.001
-# Variance of the double average relative to arrivals of one ``AVERAGE_S``.
-VARIANCE = 1.25
+# Time in seconds by which a rate is told ahead: hosts draw from shares that
+# follow within 0.3 s and reach them with the next heartbeat.
+LEAD_S = 0.5
+# Variance of the estimate relative to the arrivals of one ``AVERAGE_S``.
+VARIANCE = 1.81
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,10 +94,11 @@
 
     @property
     def per_s(self) -> float:
-        """Estimate of the present rate."""
+        """Estimate of the rate ``LEAD_S`` ahead."""
         if self.mean is None:
             return 0.0
-        return max(2 * self.mean - self._mean_of_mean, 0.0)
+        rise = self.mean - self._mean_of_mean
+        return max(self.mean + rise * (1 + LEAD_S / AVERAGE_S), 0.0)
 
 
 class DemandRates:
