Learn only a clearly longer latency of an engine

Cause: at engines in service, whose latency is about 12 ms, the fit of latency and rate took the steps for a first event's tokens and short delays for a latency that costs nothing, sometimes a shorter one. The engines were given more than they could read beside the tokens of running requests.

Change: a latency is learned only where it is 30 ms longer than the usual one, in which the steps of a first event have room; a shorter one is not learned, and the stricter rule for engines that seem fast applies to learned latencies only.

--- a/ivystep/prefill/estimate.py
+++ b/ivystep/prefill/estimate.py
@@ -81,12 +81,13 @@
     lowest_s: float
     highest_s: float
 
-    def is_clear_of(self, latency_s: float) -> bool:
-        """Return whether the samples clearly show another latency."""
-        return (
-            self.lowest_s > latency_s + CLEAR_S
-            or self.highest_s < latency_s - CLEAR_BELOW_S
-        )
+    def is_longer_than(self, latency_s: float) -> bool:
+        """Return whether the samples clearly show a longer latency."""
+        return self.lowest_s > latency_s + CLEAR_S
+
+    def is_shorter_than(self, latency_s: float) -> bool:
+        """Return whether the samples clearly show a shorter latency."""
+        return self.highest_s < latency_s - CLEAR_BELOW_S
 
 
 def fit(samples: Collection[PrefillSample]) -> LatencyFit | None:
@@ -120,7 +121,9 @@
     """Return the latency to assume after a fit, in seconds.
 
     A latency that was learned remains while the samples agree with it, also
-    if they would not suffice to learn it again.
+    if they would not suffice to learn it again. A latency below the usual one
+    is not learned: an engine that is paced for a shorter one only gets a little
+    less than it could read.
 
     Args:
         found: The fit.
@@ -129,9 +132,9 @@
     """
     if found is None:
         return current_s
-    if found.is_clear_of(usual_s):
+    if found.is_longer_than(usual_s):
         return found.likely_s
-    if found.is_clear_of(current_s):
+    if current_s > usual_s and found.is_shorter_than(current_s):
         return usual_s
     return current_s
 
--- a/ivystep/prefill/prefill_rates.py
+++ b/ivystep/prefill/prefill_rates.py
@@ -164,7 +164,7 @@
         latency_s = self.latency_s(engine)
         last_samples = tuple(samples)[-LAST_ENGINE_SAMPLES:]
         last = _rate(last_samples, latency_s)
-        if last > usual.tokens_per_s:
+        if last > usual.tokens_per_s and latency_s > USUAL_LATENCY_S:
             # A few cached prompts do not make an engine faster.
             last = max(
                 _rate(last_samples, latency_s, UNCACHED_SHARE),
