Let no late write remove a version that serves from its service's row

Cause (found in review): the leader's write that a version is gone may get no answer. If the version returned before the retry, the row looked right and was left as it was; the late write then still met its condition. More than a minute later, streams of that version could be joined to those of another one.

Change: after a write without an answer, the row is written again while it has the version that the write expects, even if its content is equal. The task that records a service ends in the set of running ones also after an error. Rows with numbers that no float holds count as malformed. A row of another era still gives the number of the next one.

Ruled out: reading the row once more instead; the write may come after it.

--- a/ivystep/gateway/row_writer.py
+++ b/ivystep/gateway/row_writer.py
@@ -105,7 +105,10 @@
                 self._log.write(
                     events.DependencyLost(f'store/{self._table}', str(error))
                 )
-                self._pending.extendleft(reversed(batch))
+                room = (self._pending.maxlen or 0) - len(self._pending)
+                self._pending.extendleft(
+                    reversed(batch[-room:] if room else [])
+                )
                 clock.sleep(retry_s * random.uniform(1, 1 + JITTER_SHARE))
                 retry_s = min(2 * retry_s, MAX_RETRY_S)
             else:
--- a/ivystep/platform/stream_rows.py
+++ b/ivystep/platform/stream_rows.py
@@ -21,6 +21,7 @@
     ValueError,
     AttributeError,
     RecursionError,
+    OverflowError,
 )
 # Separates a stream's key from the number of its row; END sorts after it.
 SEPARATOR = '/'
--- a/ivystep/platform/version_rows.py
+++ b/ivystep/platform/version_rows.py
@@ -20,6 +20,7 @@
     ValueError,
     AttributeError,
     RecursionError,
+    OverflowError,
 )
 
 
--- a/ivystep/stream_origins/lookup.py
+++ b/ivystep/stream_origins/lookup.py
@@ -125,11 +125,11 @@
             return None
         last = max(page.rows, key=lambda row: row.key)
         origin = self._decode(last)
-        if origin is None or origin.era != (page.era or 0):
-            # A copy of the store may lack a later row of the stream.
+        if origin is None:
             return None
         state.origin_number = stream_rows.decode_number(last) + 1
-        return origin
+        # A copy of the store may lack a later row of the stream.
+        return origin if origin.era == (page.era or 0) else None
 
     def _decode(self, row: rows.StoredRow) -> stream_rows.StreamOrigin | None:
         try:
--- a/ivystep/stream_origins/recorder.py
+++ b/ivystep/stream_origins/recorder.py
@@ -85,6 +85,8 @@
         )
         self._outdated: set[str] = set()
         self._running: set[str] = set()
+        # Row version that the last write without an answer expects.
+        self._uncertain_version_by_service: dict[str, int] = {}
         self._known_since: dict[str, float] = {}
         self._contact_at = clock.uptime()
         self._may_remove = False
@@ -266,6 +268,12 @@
         return is_puzzling and age_s >= REFRESH_S
 
     def _record(self, service: str) -> None:
+        try:
+            self._record_until_known(service)
+        finally:
+            self._running.discard(service)
+
+    def _record_until_known(self, service: str) -> None:
         retry_s = FIRST_RETRY_S
         while self._needs_recording(service):
             try:
@@ -278,7 +286,6 @@
                 )
                 clock.sleep(retry_s * random.uniform(1, 1 + JITTER_SHARE))
                 retry_s = min(2 * retry_s, MAX_RETRY_S)
-        self._running.discard(service)
 
     def _synchronize(self, service: str) -> None:
         """Read the row of a service, and write it if it lacks something.
@@ -290,7 +297,12 @@
         try:
             view = self.read(service)
             wanted = service_versions.update(view, self._known(service))
-            if wanted is not None and wanted != view.versions:
+            # A write without an answer may be carried out later. Its condition
+            # fails only once the row has a new version.
+            is_uncertain = view.row_version == (
+                self._uncertain_version_by_service.get(service)
+            )
+            if wanted is not None and (is_uncertain or wanted != view.versions):
                 view = self._write(service, view, wanted)
         except errors.PlatformError:
             self._outdated.add(service)
@@ -307,9 +319,14 @@
         write = version_rows.encode(service, wanted, view.row_version)
         try:
             row_version = self._client.transact([write])
+        except errors.UncertainWriteError:
+            self._uncertain_version_by_service[service] = view.row_version
+            raise
         except rows.RowConflictError as conflict:
+            self._uncertain_version_by_service.pop(service, None)
             found = next(iter(conflict.rows), None)
             return self._to_view(found, view.era, view.store_time_s)
+        self._uncertain_version_by_service.pop(service, None)
         self._log.write(
             events.VersionsRecorded(
                 service,
--- a/tests/stream_origins/fakes.py
+++ b/tests/stream_origins/fakes.py
@@ -1,5 +1,7 @@
 """A store of rows that counts its calls and can be away."""
 
+import contextlib
+
 from ivystep.core import errors
 from ivystep.platform import rows
 from ivystep.runtime import clock
@@ -17,6 +19,7 @@
         delay_s: Time until a read is answered.
         write_delay_s: Time until a write is carried out.
         loses_answers: Whether writes are carried out and not answered.
+        holds_writes: Whether writes are not answered and wait in ``held``.
         era: Number of times that it was restored.
     """
 
@@ -26,6 +29,8 @@
         self.delay_s = 0.0
         self.write_delay_s = 0.0
         self.loses_answers = False
+        self.holds_writes = False
+        self.held = []
         self.era = 0
         self.row_by_key = {}
         self._version = 0
@@ -44,6 +49,9 @@
     def transact(self, writes):
         clock.sleep(self.write_delay_s)
         self._count()
+        if self.holds_writes:
+            self.held.append(writes)
+            raise errors.UncertainWriteError('held', step='transact')
         refused = [write for write in writes if not self._is_expected(write)]
         if refused:
             found = (self._find(write) for write in refused)
@@ -63,6 +71,13 @@
             raise errors.UncertainWriteError('lost', step='transact')
         return self._version
 
+    def carry_out_held(self):
+        """Carry out the held writes whose conditions still hold."""
+        self.holds_writes = False
+        while self.held:
+            with contextlib.suppress(errors.ConflictError):
+                self.transact(self.held.pop(0))
+
     def read(self, table, first='', end='', limit=500):
         clock.sleep(self.delay_s)
         self._count()
--- a/tests/stream_origins/test_recorder.py
+++ b/tests/stream_origins/test_recorder.py
@@ -126,6 +126,24 @@
     assert Host(store, 'v1').may_use('v1')
 
 
+@clocks.on_virtual_clock
+def test_late_write_does_not_remove_a_version_that_has_returned():
+    """Guards against a row without a version that serves, which would let its
+    streams be joined to those of another one.
+    """
+    store = stores.FakeStore()
+    host = Host(store, 'v1', is_leader=True)
+    store.holds_writes = True
+    host.recorder.remove(SERVICE, 'v1')
+    clock.sleep(1)
+    assert store.held
+    host.recorder.add(SERVICE, 'v1')
+    store.holds_writes = False
+    clock.sleep(5)
+    store.carry_out_held()
+    assert recorded(store).gone_s_by_version == {'v1': None}
+
+
 @clocks.on_virtual_clock
 def test_leader_removes_a_version_after_the_retention_time():
     """Guards against versions that cause refusals for ever, or too early."""
