Keep limits with a new leader, large requests and small shares

Change: a host without a configuration answers as one that does not lead. Only the leader decides on requests larger than the burst. The room for these is bounded by the slack of the settings. The fallback share may save up for one request, at the same rate.

Ruled out: no room beyond the burst; prompts of 5,000 tokens are usual at accounts with 2,700.

--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -155,12 +155,8 @@
             queues=self._prefill_queues,
             log=self._log,
         )
-        self._quotas = admission.QuotaAdmission(
-            host,
-            self._leadership,
-            settings.bounds.quota_window_s,
-            self._metrics,
-            self._log,
+        self._quotas = admission.QuotaAdmission.from_config(
+            host, self._leadership, settings.bounds, self._metrics, self._log
         )
         self._pools = model_pools.ModelPools(
             host,
--- a/ivystep/quotas/admission.py
+++ b/ivystep/quotas/admission.py
@@ -13,8 +13,10 @@
     leader_quotas,
     quota_metrics,
     reports,
+    timing,
 )
 from ivystep.runtime import clock, event_log
+from ivystep.settings import gateway as settings_models
 from ivystep.traffic import contracts
 
 OVER_LIMIT_STATUS = 429
@@ -27,7 +29,7 @@
     Args:
         host: Name of this host.
         leadership: The election of the leader.
-        window_s: Time after which use no longer counts.
+        window: Over which time and how exactly use counts.
         metrics: Publishes the decisions.
         log: Event log.
     """
@@ -36,24 +38,44 @@
         self,
         host: str,
         leadership: leader_quotas.Leadership,
-        window_s: float,
+        window: timing.Window,
         metrics: registry.Metrics,
         log: event_log.EventLog,
     ) -> None:
         self._limit_by_account: dict[str, reports.Limit] = {}
+        self._is_configured = False
         self._metrics = quota_metrics.QuotaMetrics(metrics)
         self._log = log
         # A process never has an incarnation of one that ran before it.
         incarnation = int(clock.wall_time() * INCARNATIONS_PER_S)
-        self._credit = host_credit.HostCredit(host, incarnation, window_s)
+        self._credit = host_credit.HostCredit(
+            host, incarnation, window.length_s
+        )
         self._leader_quotas = leader_quotas.LeaderQuotas(
-            leadership, self._limit_by_account.get, window_s, log
+            leadership,
+            self._limit_by_account.get,
+            lambda: self._is_configured,
+            window,
+            log,
         )
         self._exchange = exchange.Exchange(
             host, self._credit, leadership, self._leader_quotas, log
         )
         self.answer = self._leader_quotas.answer_message
 
+    @classmethod
+    def from_config(
+        cls,
+        host: str,
+        leadership: leader_quotas.Leadership,
+        bounds: settings_models.Bounds,
+        metrics: registry.Metrics,
+        log: event_log.EventLog,
+    ) -> typing.Self:
+        """Build the quotas of a host from the limits in its settings."""
+        window = timing.Window(bounds.quota_window_s, bounds.quota_slack)
+        return cls(host, leadership, window, metrics, log)
+
     def run(self) -> None:
         """Exchange credit with the leader until the task is killed."""
         self._exchange.run()
@@ -83,6 +105,7 @@
             if limits.get(name) != self._limit_by_account.get(name)
         ]
         is_changed = limits != self._limit_by_account
+        self._is_configured = True
         self._limit_by_account.clear()
         self._limit_by_account.update(limits)
         for name in changed:
--- a/ivystep/quotas/bucket.py
+++ b/ivystep/quotas/bucket.py
@@ -30,7 +30,7 @@
         self.limit = limit
         self.level = level
         self.outstanding = 0
-        self.largest = 0
+        self.largest = 0.0
         self.used_at = 0.0
         self._refill_time_s = refill_time_s
 
--- a/ivystep/quotas/host_credit.py
+++ b/ivystep/quotas/host_credit.py
@@ -94,7 +94,8 @@
         level = min(
             self._level_by_account.get(name, 0.0)
             + rate_per_s * (now - counted_at),
-            limit.burst * share,
+            # A host's part of the burst may be less than one request.
+            max(limit.burst * share, cost),
         )
         is_enough = level >= cost
         self._level_by_account[name] = level - cost * is_enough
@@ -286,7 +287,10 @@
             waiter.decision = Decision.ADMITTED
         elif not found.waiting and found.held >= waiter.cost:
             self._spend(found, waiter, now)
-        elif found.is_over_limit(waiter.cost, now):
+        # Only the leader can make room for a request larger than the burst.
+        elif waiter.cost <= found.burst and found.is_over_limit(
+            waiter.cost, now
+        ):
             waiter.decision = Decision.REFUSED
             waiter.retry_after_s = found.retry_after_s(waiter.cost, now)
 
--- a/ivystep/quotas/leader_quotas.py
+++ b/ivystep/quotas/leader_quotas.py
@@ -6,7 +6,14 @@
 import typing
 from collections.abc import Callable
 
-from ivystep.quotas import events, host_records, ledger, messages, reports
+from ivystep.quotas import (
+    events,
+    host_records,
+    ledger,
+    messages,
+    reports,
+    timing,
+)
 from ivystep.runtime import clock, event_log
 from ivystep.wire.gen import ttypes
 
@@ -32,7 +39,9 @@
     Args:
         leadership: The election of the leader.
         limit_of: Returns the limit of an account; None if it has none.
-        window_s: Time after which use no longer counts.
+        is_configured: Returns whether this host knows the limits. One that does
+            not would lift the limits of all hosts.
+        window: Over which time and how exactly use counts.
         log: Event log.
     """
 
@@ -40,12 +49,14 @@
         self,
         leadership: Leadership,
         limit_of: Callable[[str], reports.Limit | None],
-        window_s: float,
+        is_configured: Callable[[], bool],
+        window: timing.Window,
         log: event_log.EventLog,
     ) -> None:
         self._leadership = leadership
         self._limit_of = limit_of
-        self._window_s = window_s
+        self._is_configured = is_configured
+        self._window = window
         self._log = log
         self._ledger: ledger.Ledger | None = None
 
@@ -72,7 +83,7 @@
     def current(self) -> ledger.Ledger | None:
         """The ledger of this host's term; None if it is not the leader."""
         term = self._leadership.term
-        if not term:
+        if not term or not self._is_configured():
             self._ledger = None
         elif self._ledger is None or self._ledger.term != term:
             self._ledger = self._begin(term)
@@ -82,6 +93,12 @@
         is_first = term == FIRST_TERM
         self._log.write(events.QuotaTermBegan(term, is_first))
         hosts = host_records.HostRecords(
-            clock.uptime(), self._window_s, is_first=is_first
+            clock.uptime(), self._window.length_s, is_first=is_first
+        )
+        return ledger.Ledger(
+            term,
+            self._limit_of,
+            hosts,
+            self._window.length_s,
+            self._window.slack,
         )
-        return ledger.Ledger(term, self._limit_of, hosts, self._window_s)
--- a/ivystep/quotas/ledger.py
+++ b/ivystep/quotas/ledger.py
@@ -5,6 +5,7 @@
 that is full again is forgotten.
 """
 
+import math
 from collections.abc import Callable
 
 from ivystep.quotas import (
@@ -34,6 +35,7 @@
         limit_of: Returns the limit of an account; None if it has none.
         hosts: The hosts of the term.
         window_s: Time after which use no longer counts.
+        slack: Amount by which the largest request may exceed the burst.
     """
 
     def __init__(
@@ -42,8 +44,10 @@
         limit_of: Callable[[str], reports.Limit | None],
         hosts: host_records.HostRecords,
         window_s: float,
+        slack: float = math.inf,
     ) -> None:
         self.term = term
+        self._slack = slack
         self._limit_of = limit_of
         self._hosts = hosts
         self._window_s = window_s
@@ -147,7 +151,7 @@
                 report.account, 0, 0, 0.0, is_limited=False
             )
         found.used_at = now
-        found.largest = max(found.largest, 0, *report.waiting)
+        found.largest = max(found.largest, self._largest(found.limit, report))
         self._refill(found)
         totals = record.account_by_name.get(report.account)
         if totals is None:
@@ -183,7 +187,10 @@
         if self._hosts.is_settled:
             # Nothing was used for a window, except by this host without a
             # leader.
-            full = max(limit.burst * self._hosts.fraction, *report.waiting, 0)
+            full = max(
+                limit.burst * self._hosts.fraction,
+                self._largest(limit, report),
+            )
             found = bucket.Bucket(
                 limit,
                 max(full - report.fallback, 0.0),
@@ -194,6 +201,16 @@
         self._bucket_by_account[report.account] = found
         return found
 
+    def _largest(
+        self, limit: reports.Limit, report: reports.AccountReport
+    ) -> float:
+        """Return the largest waiting request for which a bucket has room.
+
+        Callers choose what a request costs, so the room is bounded.
+        """
+        largest = max(report.waiting, default=0)
+        return min(largest, limit.burst + self._slack)
+
     def _settle(
         self,
         found: bucket.Bucket,
--- a/ivystep/quotas/timing.py
+++ b/ivystep/quotas/timing.py
@@ -7,6 +7,9 @@
 delay in reading the clock.
 """
 
+import dataclasses
+import math
+
 # Time after the report whose answer granted or confirmed it for which credit
 # can be spent.
 CREDIT_LIFE_S = 2.0
@@ -38,3 +41,16 @@
         return IDLE_INTERVAL_S
     slower = REPORT_INTERVAL_S * hosts / FULL_RATE_HOSTS
     return min(max(slower, REPORT_INTERVAL_S), IDLE_INTERVAL_S)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Window:
+    """How the use of quotas is judged.
+
+    Attributes:
+        length_s: Time in seconds after which use no longer counts.
+        slack: Amount by which the use of a window may exceed the limit.
+    """
+
+    length_s: float
+    slack: float = math.inf
--- a/ivystep/settings/gateway.py
+++ b/ivystep/settings/gateway.py
@@ -215,8 +215,8 @@
     quota_slack: float = pydantic.Field(
         11000.0,
         ge=0,
-        description='Tokens by which a quota may be exceeded besides. Quotas '
-        'are kept without them.',
+        description='Tokens by which a quota may be exceeded besides. A '
+        'request may be larger than the burst of its account by as many.',
     )
 
     @property
--- a/tests/quotas/test_admission.py
+++ b/tests/quotas/test_admission.py
@@ -8,7 +8,7 @@
 from ivystep.accounts import directory
 from ivystep.core import errors
 from ivystep.metrics import registry
-from ivystep.quotas import admission, exchange
+from ivystep.quotas import admission, exchange, timing
 from ivystep.runtime import clock
 from ivystep.traffic import contracts
 from ivystep.wire import channel
@@ -70,7 +70,11 @@
         self.log = fakes.FakeLog()
         self.statuses = set()
         self.admission = admission.QuotaAdmission(
-            name, self.leadership, 8.0, registry.Metrics(), self.log
+            name,
+            self.leadership,
+            timing.Window(8.0, 11_000),
+            registry.Metrics(),
+            self.log,
         )
         self.task = eventlet.spawn(self.admission.run)
 
@@ -231,3 +235,53 @@
     before = cluster.network.messages
     clock.sleep(30)
     assert cluster.network.messages - before <= 51
+
+
+@clocks.on_virtual_clock
+def test_leader_without_a_configuration_lifts_no_limit(monkeypatch):
+    """Guards against unlimited accounts while a new leader reads its
+    configuration.
+    """
+    cluster = Cluster(monkeypatch, rate_per_s=1_000, burst=5_000)
+    successor = Host('host-new')
+    successor.leadership.term = 2
+    cluster.network.host_by_address['10.0.0.2', 1] = successor
+    cluster.leader.leadership.term = 0
+    for host in cluster.hosts:
+        host.leadership.leader_address = ('10.0.0.2', 1)
+    clock.sleep(1)
+    host = cluster.hosts[1]
+    admitted = sum(not host.admit(cluster.account, 1_000) for _ in range(50))
+    assert admitted <= 5
+
+
+@clocks.on_virtual_clock
+def test_request_larger_than_the_burst_is_admitted_after_its_retry_after(
+    monkeypatch,
+):
+    """Guards against a large request that is refused for ever while its
+    account sends small ones.
+    """
+    cluster = Cluster(monkeypatch, rate_per_s=2_700, burst=2_700)
+    host = cluster.hosts[1]
+    for _ in range(10):
+        host.admit(cluster.account, 300)
+        clock.sleep(0.3)
+    waits_s = []
+    while not waits_s or waits_s[-1]:
+        waits_s.append(host.admit(cluster.account, 4_000))
+        clock.sleep(waits_s[-1])
+        assert len(waits_s) <= 4
+
+
+@clocks.on_virtual_clock
+def test_one_request_does_not_raise_the_burst_without_bound(monkeypatch):
+    """Guards against a caller that names a huge cost to lift its limit."""
+    cluster = Cluster(monkeypatch, rate_per_s=2_700, burst=2_700)
+    host = cluster.hosts[1]
+    assert host.admit(cluster.account, 1_000_000)
+    clock.sleep(20)
+    admitted = sum(
+        1_000 * (not host.admit(cluster.account, 1_000)) for _ in range(100)
+    )
+    assert admitted <= 2_700 + 11_000
