--- a/ivystep/data_centres/demand.py
+++ b/ivystep/data_centres/demand.py
@@ -141,11 +141,6 @@
             elapsed_s: Time since the last call, in seconds.
             now: Current time in seconds.
         """
-        self._heard_at = {
-            name: heard_at
-            for name, heard_at in self._heard_at.items()
-            if now - heard_at <= DROP_S
-        }
         for key, rate in list(self._rate_by_key.items()):
             age_s = now - self._heard_at.get(key[1], -math.inf)
             if age_s <= HOLD_S:
--- a/ivystep/data_centres/exchange.py
+++ b/ivystep/data_centres/exchange.py
@@ -108,6 +108,7 @@
         # Hosts of an older release, whose arrivals are not known.
         self._silent_hosts: set[str] = set()
         self._measured_at = float('-inf')
+        self._planned_at = float('-inf')
         self._known_trips: Mapping[str, float] = {}
 
     def destinations(self, service: str) -> ServiceDestinations:
@@ -195,7 +196,12 @@
         )
 
     def clear(self) -> None:
-        """Drop all shares, because the leader is lost."""
+        """Drop all shares and arrivals, because the leader changes.
+
+        Arrivals of the time without a leader, told at once, would look like a
+        wave.
+        """
+        self.arrivals.take()
         self._apply({})
 
     def plan(self, observed: Callable[[], planner.Observation]) -> None:
@@ -212,6 +218,10 @@
         if self._silent_hosts:
             self.clear()
             return
+        now = clock.now()
+        if now > self._planned_at + MEASURE_S:
+            self.arrivals.take()
+        self._planned_at = now
         self.on_report(self._host, self.report())
         self._planner.plan(observed(), clock.now())
         self._apply(self._planner.shares_from(self._data_centre))
--- a/ivystep/gateway/prefill_queues.py
+++ b/ivystep/gateway/prefill_queues.py
@@ -46,7 +46,7 @@
 
     def __init__(self) -> None:
         self.pacer = prefill.PrefillPacer()
-        self._timely_share = prefill_forecast.TimelyShare()
+        self._timely_shares = prefill_forecast.TimelyShares()
         self._shares = max_min.FairShares()
         self._waiting: list[_QueuedTicket] = []
         self._is_running = False
@@ -100,13 +100,17 @@
         self, ticket: prefill.Ticket, now: float
     ) -> prefill.Permit | None:
         """Return a refusal if a request cannot be sent in time."""
+        tier_by_account = self._shares.tiers(now)
+        tier = tier_by_account.get(ticket.account, 0)
         expected = prefill_forecast.forecast(
             ticket,
             (one.ticket for one in self._waiting if one.ticket is not ticket),
             free_in_s=self.pacer.delay_s(ticket, now),
-            timely_share=self._timely_share.share(now),
+            timely_share=self._timely_shares.share_before(
+                tier, tier_by_account, now
+            ),
             now=now,
-            tier_by_account=self._shares.tiers(now),
+            tier_by_account=tier_by_account,
         )
         if expected.is_possible:
             return None
@@ -132,7 +136,7 @@
         """Record the time that a request asks for which has just arrived."""
         occupied_s = prefill_forecast.occupied_s(ticket)
         if prefill.is_timely(ticket, now):
-            self._timely_share.add(occupied_s, now)
+            self._timely_shares.add(ticket.account, occupied_s, now)
         if ticket.account:
             self._shares.record_asked(ticket.account, occupied_s, now)
 
--- a/ivystep/gateway/request_handler.py
+++ b/ivystep/gateway/request_handler.py
@@ -68,6 +68,9 @@
         try:
             with connection.raise_on_disconnect():
                 route = self._route(call)
+                # A newer configuration may have come during the wait.
+                if self._wait_until_current():
+                    route = self._route(call)
                 account = self._authenticate(call, route)
                 self._run(call, route, account, connection)
         except errors.RequestError as error:
@@ -80,19 +83,29 @@
         else:
             self._record(route, account, 'ok')
 
+    def _wait_until_current(self) -> bool:
+        """Wait until this host knows all keys, if accounts are in force.
+
+        Returns:
+            Whether the configuration has changed meanwhile.
+
+        Raises:
+            errors.RefusedError: This host may not know all keys.
+        """
+        known = self._config.current
+        if known is not None and known.accounts is not None:
+            self._age.wait_until_current()
+        return self._config.current is not known
+
     def _authenticate(
         self, call: calls.Call, route: contracts.Route
     ) -> contracts.ClientAccount | None:
         """Return the account of a request; None if it needs none.
 
         Raises:
-            errors.RefusedError: The request has no valid key, or this host
-                may not know all keys.
+            errors.RefusedError: The request has no valid key.
         """
         config = self._config.current
-        if config is not None and config.accounts is not None:
-            self._age.wait_until_current()
-            config = self._config.current
         return authentication.authenticate(
             config.accounts if config else None,
             authentication.Claim(call.key_digest, route.is_public),
--- a/ivystep/gateway/residency_updates.py
+++ b/ivystep/gateway/residency_updates.py
@@ -169,6 +169,8 @@
         Raises:
             errors.LinkError: The connection ended or fell silent.
         """
+        # What arrived without a leader is no demand of this moment.
+        self._centres.clear()
         try:
             self._follow(link)
         finally:
--- a/ivystep/prefill/estimate.py
+++ b/ivystep/prefill/estimate.py
@@ -33,7 +33,8 @@
 # The steps that make the tokens of a first event are shorter; they occupy the
 # engine, and so count as prefill.
 CLEAR_S = 0.03
-# The same for shorter latencies, which make a fast engine seem faster.
+# The same for a latency that is shorter than assumed, with which the engine
+# seems faster than it is.
 CLEAR_BELOW_S = 0.001
 
 
@@ -116,24 +117,30 @@
 
 
 def next_latency_s(
-    found: LatencyFit | None, current_s: float, usual_s: float
+    found: LatencyFit | None,
+    current_s: float,
+    usual_s: float,
+    shortest_s: float,
 ) -> float:
     """Return the latency to assume after a fit, in seconds.
 
     A latency that was learned remains while the samples agree with it, also
-    if they would not suffice to learn it again. A latency below the usual one
-    is not learned: an engine that is paced for a shorter one only gets a little
-    less than it could read.
+    if they would not suffice to learn it again. A true latency below the
+    shortest one is not learned: the engine then only seems a little slower than
+    it is, and gets less than it could read.
 
     Args:
         found: The fit.
         current_s: Latency assumed before, in seconds.
         usual_s: Latency that is assumed until another one is clear.
+        shortest_s: Shortest latency that is learned.
     """
     if found is None:
         return current_s
     if found.is_longer_than(usual_s):
         return found.likely_s
+    if usual_s > shortest_s and found.is_shorter_than(usual_s):
+        return max(found.likely_s, shortest_s)
     if current_s > usual_s and found.is_shorter_than(current_s):
         return usual_s
     return current_s
--- a/ivystep/prefill/prefill_forecast.py
+++ b/ivystep/prefill/prefill_forecast.py
@@ -16,6 +16,8 @@
 
 # Time over which the share of timely prompts is averaged, in seconds.
 AVERAGE_S = 2.0
+# Share below which an account is forgotten.
+FORGOTTEN_SHARE = 0.0005
 # Least share of an engine's time that late prompts are expected to get.
 MIN_LEFT_SHARE = 0.02
 # Bounds of the time after which a refused caller may try again, in seconds: a
@@ -25,8 +27,51 @@
 MAX_RETRY_AFTER_S = 5.0
 
 
+class TimelyShares:
+    """Shares of an engine's time that timely prompts of accounts ask for."""
+
+    def __init__(self) -> None:
+        self._share_by_account: dict[str, TimelyShare] = {}
+
+    def add(self, account: str, prefill_s: float, now: float) -> None:
+        """Record a prompt that arrives and can still be timely.
+
+        Args:
+            account: Its account; empty without accounts.
+            prefill_s: Time in seconds for which it occupies the engine.
+            now: Current time in seconds.
+        """
+        known = self._share_by_account.setdefault(account, TimelyShare())
+        known.add(prefill_s, now)
+
+    def share_before(
+        self, tier: int, tier_by_account: Mapping[str, int], now: float
+    ) -> float:
+        """Return the share of the prompts that a tier waits for.
+
+        Args:
+            tier: Tier of the account that waits.
+            tier_by_account: See ``forecast``.
+            now: Current time in seconds.
+        """
+        shares = {
+            account: known.share(now)
+            for account, known in self._share_by_account.items()
+        }
+        self._share_by_account = {
+            account: self._share_by_account[account]
+            for account, share in shares.items()
+            if share >= FORGOTTEN_SHARE
+        }
+        return sum(
+            share
+            for account, share in shares.items()
+            if tier_by_account.get(account, 0) <= tier
+        )
+
+
 class TimelyShare:
-    """Share of an engine's time that prompts ask for which can be timely."""
+    """Share of an engine's time that timely prompts of one account ask for."""
 
     def __init__(self) -> None:
         self._sum_s = 0.0
--- a/ivystep/prefill/prefill_rates.py
+++ b/ivystep/prefill/prefill_rates.py
@@ -46,7 +46,7 @@
 MIN_TOKENS_PER_S = 1000.0
 MAX_TOKENS_PER_S = 1000000.0
 # A latency is fitted again after this part of the measurements is new.
-FITS = 8
+REFIT_SHARE = 1 / 8
 # Engines that are remembered; each incarnation has its own name.
 MAX_ENGINES = 16384
 
@@ -86,7 +86,7 @@
             return
         self._undisturbed.append(sample)
         self._unfitted += 1
-        if self._unfitted >= len(self._undisturbed) / FITS:
+        if self._unfitted >= REFIT_SHARE * len(self._undisturbed):
             self._unfitted = 0
             self._latency_s = self._fit(usual_s)
 
@@ -97,7 +97,10 @@
     def _fit(self, usual_s: float) -> float | None:
         current_s = self.latency_s(usual_s) if self._keeps_latency else usual_s
         latency_s = estimate.next_latency_s(
-            estimate.fit(self._undisturbed), current_s, usual_s
+            estimate.fit(self._undisturbed),
+            current_s,
+            usual_s,
+            USUAL_LATENCY_S,
         )
         return None if latency_s == usual_s else latency_s
 
--- a/tests/data_centres/test_demand.py
+++ b/tests/data_centres/test_demand.py
@@ -87,3 +87,13 @@
     assert added_s('a', 'c') == pytest.approx(0.005)
     trips.forget('h-2')
     assert added_s('a', 'b') == pytest.approx(0.029)
+
+
+def test_data_centre_that_is_cut_off_for_long_stays_unknown():
+    """Guards against requests for a data centre that seems idle, because its
+    reports are so old that they were dropped.
+    """
+    rates = demand.DemandRates()
+    rates.add('a', [demand.Arrivals('llm', 10)], 0.0)
+    rates.advance(STEP_S, demand.DROP_S + 1)
+    assert rates.age_s('a', demand.DROP_S + 1) > demand.DROP_S
--- a/tests/fair_shares/test_prefill_shares.py
+++ b/tests/fair_shares/test_prefill_shares.py
@@ -130,3 +130,22 @@
     high = new_ticket('', priority=0, value_rate=1.0)
 
     assert prefill.choose([high, low], clock.now()) is low
+
+
+@clocks.on_virtual_clock
+def test_late_request_within_its_share_is_not_refused_for_a_flood():
+    """Guards against refusals because of prompts that would be sent later."""
+    queues = prefill_queues.PrefillQueues(prefill_rates.PrefillRates())
+    for _ in range(100):
+        eventlet.spawn(queues.wait, 'i-1', new_ticket('flood'))
+        clock.sleep(0.02)
+    late = prefill.Ticket(
+        tokens=TOKENS,
+        target_start_by=clock.now() - 0.1,
+        start_by=clock.now() + PATIENCE_S,
+        value_rate=1.0,
+        max_gap_s=0.3,
+        tokens_per_s=TOKENS_PER_S,
+        account='calm',
+    )
+    assert queues.wait('i-1', late).decision in SENT
--- a/tests/gateway/test_residency_updates.py
+++ b/tests/gateway/test_residency_updates.py
@@ -316,10 +316,12 @@
 def test_arrivals_of_all_hosts_reach_the_leader(pair):
     """Guards against shares that are decided without a data centre's demand."""
     leader, other, _ = pair
-    for _ in range(3):
-        other.centres.arrivals.record('llm')
     rates = leader.planner.rates
+    # What arrived before this host followed the leader is not told.
     wait_until(lambda: 'dc of other' in rates.data_centres)
+    for _ in range(3):
+        other.centres.arrivals.record('llm')
+    wait_until(lambda: ('llm', 'dc of other') in rates._rate_by_key)
     rates.advance(1.0, clock.now())
     assert rates.per_s('llm') == {'dc of other': 3.0}
     assert leader.planner.trips.smallest() == {
--- a/tests/prefill/test_estimate.py
+++ b/tests/prefill/test_estimate.py
@@ -186,3 +186,22 @@
         )
 
     assert rates.latency_s('i-1') == prefill_rates.USUAL_LATENCY_S
+
+
+def test_engine_with_a_shorter_latency_than_its_service_is_not_paced_faster():
+    """Guards against more prompts than an engine can read, because the latency
+    of the others is taken off its times.
+    """
+    rates = prefill_rates.PrefillRates()
+    chance = random.Random(5)
+    names = [f'i-{number}' for number in range(7)]
+    for name in names:
+        rates.add_engine(name, 'llm')
+    for turn in range(700):
+        name = names[turn % len(names)]
+        latency_s = 0.012 if name == 'i-0' else 0.08
+        tokens = chance.choice(SIZES)
+        first_event_s = latency_s + tokens / 20000 + chance.uniform(0, 0.002)
+        rates.record(prefill_rates.PrefillSample(name, tokens, first_event_s))
+
+    assert rates.tokens_per_s('i-0') == pytest.approx(20000, rel=0.2)
