Start the buckets of a new leader with half of the tolerance

Cause: a new leader does not know what was used before, so its buckets start empty.

Change: they start with half of what a limit may be exceeded by in a window (a tenth and the slack of the settings), at most the burst. Two leaders may follow each other within a window.

Ruled out: full buckets, which exceed the limit if the last leader had granted a burst; levels in the store, a call for each change of leader and account.

--- a/ivystep/quotas/admission.py
+++ b/ivystep/quotas/admission.py
@@ -73,7 +73,9 @@
         log: event_log.EventLog,
     ) -> typing.Self:
         """Build the quotas of a host from the limits in its settings."""
-        window = timing.Window(bounds.quota_window_s, bounds.quota_slack)
+        window = timing.Window(
+            bounds.quota_window_s, bounds.quota_slack, bounds.quota_excess
+        )
         return cls(host, leadership, window, metrics, log)
 
     def run(self) -> None:
--- a/ivystep/quotas/leader_quotas.py
+++ b/ivystep/quotas/leader_quotas.py
@@ -100,5 +100,5 @@
             self._limit_of,
             hosts,
             self._window.length_s,
-            self._window.slack,
+            self._window,
         )
--- a/ivystep/quotas/ledger.py
+++ b/ivystep/quotas/ledger.py
@@ -5,7 +5,6 @@
 that is full again is forgotten.
 """
 
-import math
 from collections.abc import Callable
 
 from ivystep.quotas import (
@@ -35,7 +34,7 @@
         limit_of: Returns the limit of an account; None if it has none.
         hosts: The hosts of the term.
         window_s: Time after which use no longer counts.
-        slack: Amount by which the largest request may exceed the burst.
+        window: How use is judged; without a tolerance if None.
     """
 
     def __init__(
@@ -44,10 +43,10 @@
         limit_of: Callable[[str], reports.Limit | None],
         hosts: host_records.HostRecords,
         window_s: float,
-        slack: float = math.inf,
+        window: timing.Window | None = None,
     ) -> None:
         self.term = term
-        self._slack = slack
+        self._window = window or timing.Window(window_s)
         self._limit_of = limit_of
         self._hosts = hosts
         self._window_s = window_s
@@ -197,7 +196,10 @@
                 self._hosts.refill_time_s,
             )
         else:
-            found = bucket.Bucket(limit, 0.0, 0.0)
+            level = self._window.start_level(limit.rate_per_s, limit.burst)
+            found = bucket.Bucket(limit, level, 0.0)
+            # Room for this level also while other hosts may use their shares.
+            found.largest = level
         self._bucket_by_account[report.account] = found
         return found
 
@@ -209,7 +211,7 @@
         Callers choose what a request costs, so the room is bounded.
         """
         largest = max(report.waiting, default=0)
-        return min(largest, limit.burst + self._slack)
+        return min(largest, limit.burst + self._window.slack)
 
     def _settle(
         self,
--- a/ivystep/quotas/timing.py
+++ b/ivystep/quotas/timing.py
@@ -43,6 +43,11 @@
     return min(max(slower, REPORT_INTERVAL_S), IDLE_INTERVAL_S)
 
 
+# Part of what a limit may be exceeded by that the buckets of a new leader start
+# with. Two leaders may follow each other within a window.
+START_SHARE = 0.5
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Window:
     """How the use of quotas is judged.
@@ -50,7 +55,24 @@
     Attributes:
         length_s: Time in seconds after which use no longer counts.
         slack: Amount by which the use of a window may exceed the limit.
+        excess: Part of the limit by which it may exceed it besides.
     """
 
     length_s: float
     slack: float = math.inf
+    excess: float = 0.0
+
+    def start_level(self, rate_per_s: float, burst: float) -> float:
+        """Return the level with which the bucket of a new leader starts.
+
+        A new leader does not know what was used under the one before. Without
+        a level, it would refuse accounts that were far below their limits.
+
+        Args:
+            rate_per_s: Rate of the account.
+            burst: Its burst.
+        """
+        allowed = self.excess * (rate_per_s * self.length_s + burst)
+        if math.isfinite(self.slack):
+            allowed += self.slack
+        return min(burst, START_SHARE * allowed)
--- a/ivystep/settings/gateway.py
+++ b/ivystep/settings/gateway.py
@@ -209,8 +209,8 @@
     quota_excess: float = pydantic.Field(
         0.1,
         ge=0,
-        description='Part of a quota by which it may be exceeded. Quotas are '
-        'kept without it.',
+        description='Part of a quota by which it may be exceeded. Only a new '
+        'leader makes use of it.',
     )
     quota_slack: float = pydantic.Field(
         11000.0,
--- a/tests/quotas/test_admission.py
+++ b/tests/quotas/test_admission.py
@@ -64,15 +64,18 @@
     return channel.decode(channel.encode(message)[channel.HEADER.size :])
 
 
+WINDOW = timing.Window(8.0, 11_000)
+
+
 class Host:
-    def __init__(self, name):
+    def __init__(self, name, window=WINDOW):
         self.leadership = FakeLeadership()
         self.log = fakes.FakeLog()
         self.statuses = set()
         self.admission = admission.QuotaAdmission(
             name,
             self.leadership,
-            timing.Window(8.0, 11_000),
+            window,
             registry.Metrics(),
             self.log,
         )
@@ -285,3 +288,24 @@
         1_000 * (not host.admit(cluster.account, 1_000)) for _ in range(100)
     )
     assert admitted <= 2_700 + 11_000
+
+
+@clocks.on_virtual_clock
+def test_account_below_its_limit_is_served_by_a_new_leader_at_once(monkeypatch):
+    """Guards against refusals of all accounts after each change of leader."""
+    cluster = Cluster(monkeypatch, rate_per_s=70_000, burst=70_000)
+    window = timing.Window(8.0, 11_000, 0.1)
+    successor = Host('host-new', window)
+    successor.leadership.term = 2
+    cluster.network.host_by_address['10.0.0.2', 1] = successor
+    cluster.leader.leadership.term = 0
+    cluster.hosts = [successor]
+    cluster.configure(2, rate_per_s=70_000, burst=70_000)
+    clock.sleep(0.3)
+    admitted = sum(
+        not successor.admit(cluster.account, 1_500) for _ in range(20)
+    )
+    assert admitted == 20
+    allowed = 0.1 * (70_000 * 8 + 70_000) + 11_000
+    start = window.start_level(70_000, 70_000)
+    assert 2 * start <= allowed
