--- a/ivystep/fair_shares/max_min.py
+++ b/ivystep/fair_shares/max_min.py
@@ -18,7 +18,8 @@
 # Time over which use and demand are averaged, in seconds. A burst of this
 # length is still served in the order of arrival.
 AVERAGE_S = 2.0
-# Tiers of an account: it asks for more than its share, and has got more.
+# Tiers, served in this order: accounts that ask for no more than their fair
+# share, those that ask for more, and of these those that have also got more.
 WITHIN_SHARE = 0
 ASKS_MORE = 1
 USED_MORE = 2
@@ -82,8 +83,9 @@
     def tiers(self, now: float) -> Mapping[str, int]:
         """Return the tiers of the accounts that ask for more than their share.
 
-        A tier follows from what an account asks for and not from what it gets,
-        or an account at its share would change its tier with each request.
+        Whether an account is within its share follows from what it asks for. If
+        it followed from what it gets, an account at its share would change its
+        tier with each request.
 
         Args:
             now: Current time in seconds.
--- a/ivystep/stream_origins/lookup.py
+++ b/ivystep/stream_origins/lookup.py
@@ -1,4 +1,4 @@
-"""Looks up where a stream began that a caller takes up.
+"""Looks up where a stream began that a caller resumes.
 
 The row of the stream decides. A stream without a row began at the only version
 of its route's services if their rows are complete; otherwise nobody knows.
--- a/ivystep/stream_origins/origins.py
+++ b/ivystep/stream_origins/origins.py
@@ -1,9 +1,9 @@
 """Keeps the software version that began each resumable stream.
 
 What two versions of an upstream's software write does not fit together, and a
-caller may take a stream up at any host. While upstreams of one version serve a
-route, nothing needs to be written for its streams. Once a second version
-appears, each host writes where its streams began to the store: those in
+caller may resume a stream at any host. While upstreams of one version serve a
+route and the store says so, nothing is written for its streams. Once a second
+version appears, each host writes where its streams began to the store: those in
 progress at once, new ones as they are sent, so that the row is in the store
 before the first event reaches the caller.
 
