Serve resumed streams before new ones where an engine's prefill is scarce

Cause: a resumed stream had the value of a new one and, its target for the first event past or short, was refused by the prefill queue. Only the few upstreams of its version can go on with it; new requests filled these as well as the others.

Change: a resumed stream counts as ten times as valuable as a new one and as timely until its latest start.

--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -18,6 +18,10 @@
 INTER_TOKEN_S = 0.012
 # Expected share of the maximum output tokens, if the caller gives no hint.
 EXPECTED_OUTPUT_SHARE = 0.5
+# Value of a stream that its caller has in part, relative to a new one. Without
+# the rest, what was delivered is lost too, and only upstreams of the version
+# that began it can go on; new requests go anywhere.
+RESUMED_STREAM_VALUE = 10.0
 # Hexadecimal digits of a digest in a log line.
 CONTENT_ID_DIGITS = 16
 # Bounds of a prompt's parts in a log line.
@@ -213,6 +217,17 @@
             output = generation.max_output_tokens * EXPECTED_OUTPUT_SHARE
         return self.first_event_s + output * INTER_TOKEN_S
 
+    @property
+    def is_resumed(self) -> bool:
+        """Whether the caller has received a part of the stream."""
+        return self.route.is_resumable and bool(self.answer.last_event_id)
+
+    @property
+    def value_rate(self) -> float:
+        """Value of a timely answer per second of running time."""
+        value = RESUMED_STREAM_VALUE if self.is_resumed else 1.0
+        return value / self.expected_run_s
+
     @property
     def start_by(self) -> float:
         """Latest start that meets the deadline and avoids abandonment."""
@@ -230,7 +245,13 @@
 
     @property
     def target_start_by(self) -> float:
-        """Latest start that still meets the target latency."""
+        """Latest start that still meets the target latency.
+
+        A resumed stream has no first event to be late with, but its caller
+        has a part of it already and waits for the next event.
+        """
+        if self.is_resumed:
+            return self.start_by
         return (
             self.call.arrived + self.route.target_latency_s - self.first_event_s
         )
@@ -267,7 +288,7 @@
             tokens=generation.prompt_tokens if generation else 0,
             target_start_by=self.target_start_by,
             start_by=self.start_by,
-            value_rate=1.0 / self.expected_run_s,
+            value_rate=self.value_rate,
             max_gap_s=self.route.max_gap_s,
             tokens_per_s=tokens_per_s,
             account=self.account_name,
@@ -304,7 +325,7 @@
             setup_version=0,
             start_by=self.start_by,
             target_start_by=self.target_start_by,
-            value_rate=1.0 / self.expected_run_s,
+            value_rate=self.value_rate,
             software_version=self.required_version,
         )
 
