Review case 4: two crashed engines make the leader overfill engines

Cause: the leader takes a load of a base model for failed 2 s after its expected end, chooses a model anew and repeats the order after a 409 without looking at what the engine holds.

--- a/review/standins/clients.py
+++ b/review/standins/clients.py
@@ -16,23 +16,43 @@
 
 def encode_sheet(request_id: str) -> bytes:
     """Encode a request for a plan sheet, which runs once at most."""
-    return _encode(
+    return encode(
         deployment.SHEETS, {'Request-Id': request_id, 'Deadline-Ms': '1500'}
     )
 
 
 def encode_draft(request_id: str, adapter: str, events: int) -> bytes:
-    """Encode a request for a long stream from an adapter."""
-    return _encode_stream(
-        deployment.DRAFTS, request_id, adapter, '30000', events
+    """Encode a request for a stream from an adapter."""
+    last_part = request_id.encode().hex()
+    return encode(
+        deployment.DRAFTS,
+        {
+            'Request-Id': request_id,
+            'Deadline-Ms': '30000',
+            'Model': f'{servers.MODEL}/{adapter}',
+            'Token-Count': '400,80',
+            'Prompt-Prefix': f'5c1e07a2:300,{last_part}:100',
+            'X-Events': str(events),
+        },
     )
 
 
-def encode_question(request_id: str, adapter: str) -> bytes:
-    """Encode a request for a short answer from an adapter."""
-    return _encode_stream(
-        deployment.QUESTIONS, request_id, adapter, '8022', servers.EVENTS
-    )
+def encode(prefix: str, headers: dict[str, typing.Any]) -> bytes:
+    """Encode a request with a small body.
+
+    Args:
+        prefix: Prefix of the route.
+        headers: Headers, among them the request's id.
+    """
+    body = b'{"field": "a soil test"}'
+    request_id = headers['Request-Id']
+    named = {
+        'Host': deployment.HOST,
+        **headers,
+        'Content-Length': len(body),
+    }
+    line = f'POST {prefix}{request_id} HTTP/1.1'
+    return http.encode_head(line, named) + body
 
 
 async def call(
@@ -62,32 +82,3 @@
         return await asyncio.wait_for(channel.read_answer(), timeout_s)
     except (OSError, EOFError):
         return None
-
-
-def _encode_stream(
-    prefix: str, request_id: str, adapter: str, budget_ms: str, events: int
-) -> bytes:
-    last_part = request_id.encode().hex()
-    return _encode(
-        prefix,
-        {
-            'Request-Id': request_id,
-            'Deadline-Ms': budget_ms,
-            'Model': f'{servers.MODEL}/{adapter}',
-            'Token-Count': '400,80',
-            'Prompt-Prefix': f'5c1e07a2:300,{last_part}:100',
-            'X-Events': str(events),
-        },
-    )
-
-
-def _encode(prefix: str, headers: dict[str, typing.Any]) -> bytes:
-    body = b'{"field": "a soil test"}'
-    request_id = headers['Request-Id']
-    named = {
-        'Host': deployment.HOST,
-        **headers,
-        'Content-Length': len(body),
-    }
-    line = f'POST {prefix}{request_id} HTTP/1.1'
-    return http.encode_head(line, named) + body
--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -23,7 +23,6 @@
 ENGINES = 'agro-llm'
 SHEETS = '/sheets/'
 DRAFTS = '/drafts/'
-QUESTIONS = '/questions/'
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 SETTLE_S = 2.0
 # Memory of an engine for weights and adapters, and the weights of its model.
@@ -31,6 +30,7 @@
 MODEL_MB = 72700.0
 
 Models = Mapping[str, float]
+Config = dict[str, typing.Any]
 
 
 class CannotRunError(Exception):
@@ -108,7 +108,11 @@
                 the only model of the users' sites if None.
         """
         known = models or {servers.MODEL: MODEL_MB}
-        self.rows.put('op', 'config', _config(known))
+        self.put_config(_config(known))
+
+    def put_config(self, config: Config) -> None:
+        """Write a configuration."""
+        self.rows.put('op', 'config', config)
 
     def leader(self) -> gateways.Gateway:
         """Return the gateway whose lease the store has.
@@ -129,7 +133,7 @@
             self.record.add(
                 f'{engine.server_id} gets an order of {order.holder} with '
                 f'fence number {order.token}: {order.operation} '
-                f'{order.adapter}, {order.status}',
+                f'{order.target}, {order.status}',
                 order.at,
             )
 
@@ -194,7 +198,7 @@
             await deployed.stop()
 
 
-def _config(models: Models) -> dict[str, typing.Any]:
+def _config(models: Models) -> Config:
     common = {'host': HOST, 'attempts': 2}
     stream = {
         **common,
@@ -225,13 +229,6 @@
                 'timeout_ms': 30000,
                 'target_latency_ms': 1000,
             },
-            {
-                **stream,
-                'name': 'questions',
-                'prefix': QUESTIONS,
-                'timeout_ms': 8022,
-                'target_latency_ms': 2006,
-            },
         ],
         'services': [
             {
--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -80,12 +80,32 @@
         """
         first, headers = await self._read_head()
         status = int(first.split(' ', 2)[1])
+        body = bytearray()
         if headers.get('transfer-encoding') == 'chunked':
-            body = await self._read_chunks()
+            await self._read_chunks(body)
         else:
             length = int(headers.get('content-length', '0'))
-            body = await self._reader.readexactly(length)
-        return Answer(status, headers, body)
+            body += await self._reader.readexactly(length)
+        return Answer(status, headers, bytes(body))
+
+    async def read_stream(self, timeout_s: float) -> tuple[int, bytes]:
+        """Read a chunked answer as far as it comes.
+
+        Args:
+            timeout_s: Longest time to read.
+
+        Returns:
+            Status, 0 without a head, and the body.
+        """
+        status = 0
+        body = bytearray()
+        with contextlib.suppress(OSError, EOFError):
+            async with asyncio.timeout(timeout_s):
+                first, headers = await self._read_head()
+                status = int(first.split(' ', 2)[1])
+                if headers.get('transfer-encoding') == 'chunked':
+                    await self._read_chunks(body)
+        return status, bytes(body)
 
     @property
     def has_ended(self) -> bool:
@@ -105,14 +125,13 @@
             name.lower(): text.strip() for name, _, text in pairs if name
         }
 
-    async def _read_chunks(self) -> bytes:
-        body = bytearray()
-        while True:
+    async def _read_chunks(self, body: bytearray) -> None:
+        """Append the chunks of a body as they come."""
+        size = 1
+        while size:
             size = int(await self._reader.readuntil(b'\r\n'), 16)
-            chunk = await self._reader.readexactly(size + 2)
-            if not size:
-                return bytes(body)
-            body += chunk[:size]
+            content = await self._reader.readexactly(size + 2)
+            body += content[:size]
 
 
 Handle = Callable[[Request, Channel], Awaitable[None]]
--- a/review/standins/servers.py
+++ b/review/standins/servers.py
@@ -38,7 +38,7 @@
     holder: str
     token: int
     operation: str
-    adapter: str
+    target: str
     status: int
 
 
@@ -121,6 +121,7 @@
 
     Attributes:
         orders: The orders that it received.
+        accepted: Number of orders that it accepted.
     """
 
     slots = 64
@@ -139,7 +140,7 @@
         self._load_s = load_s
         self._held: dict[str, int] = {}
         self._ready_at_by_adapter: dict[str, tuple[float, int]] = {}
-        self._accepted = 0
+        self.accepted = 0
         self._past: list[tuple[float, State]] = []
 
     def entry(self) -> dict[str, typing.Any]:
@@ -167,17 +168,17 @@
 
     def carry_out(self, order: dict[str, typing.Any]) -> int:
         """Carry an order out and return the status of its answer."""
-        if order.get('expected', self._accepted) != self._accepted:
+        if order.get('expected', self.accepted) != self.accepted:
             return 409
         adapter = order.get('adapter', '')
         if order['operation'] == 'unload':
-            self._accepted += self._held.pop(adapter, None) is not None
+            self.accepted += self._held.pop(adapter, None) is not None
             return 200
         if adapter in self._held:
             return 200
         if len(self._ready_at_by_adapter) >= MAX_LOADING:
             return 409
-        self._accepted += 1
+        self.accepted += 1
         ready_at = time.monotonic() + self.next_load_s()
         version = order.get('version', 1)
         self._ready_at_by_adapter[adapter] = (ready_at, version)
@@ -238,18 +239,26 @@
         await channel.send(http.LAST_CHUNK)
 
     def _take_order(self, order: dict[str, typing.Any]) -> int:
-        status = self.carry_out(order)
+        status = 0
+        try:
+            status = self.carry_out(order)
+        finally:
+            self._record_order(order, status)
+        return status
+
+    def _record_order(self, order: State, status: int) -> None:
+        """Record an order; the status is 0 if it was not answered."""
+        target = (order['model'], order.get('adapter', ''))
         self.orders.append(
             Order(
                 time.monotonic(),
                 order.get('holder', ''),
                 order.get('fencing_token', 0),
                 order['operation'],
-                order.get('adapter', ''),
+                '/'.join(filter(None, target)),
                 status,
             )
         )
-        return status
 
     def _complete_loads(self) -> None:
         now = time.monotonic()
@@ -267,7 +276,7 @@
             'stage': 'unified',
             'models': self.models(),
             'busy': False,
-            'sequence': self._accepted,
+            'sequence': self.accepted,
             'queued': 0,
             'active': 0,
             'kv_used': 0,
--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -57,6 +57,12 @@
         self._store((table, '', key), content)
         self._notify()
 
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row on behalf of the platform."""
+        self.version += 1
+        self._store((table, '', key), None)
+        self._notify()
+
     def copy(self) -> Copy:
         """Return a copy of the rows."""
         return self.version, dict(self._row_by_key)
