Review: shared stand-ins beside the cases, and where records are written

Cause: the stand-ins had a folder of their own among those of the cases, and the scripts did not show where record.txt is written.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -9,7 +9,7 @@
 import time
 import types
 
-from review.standins import clients, deployment, gateways, http, servers, store
+from review import clients, deployment, gateways, http, servers, store
 
 # Bounds of the site vhw-lier-grown that differ from those of gsnpa-plans.
 SITE_BOUNDS = types.MappingProxyType(
@@ -116,4 +116,4 @@
 
 
 if __name__ == '__main__':
-    deployment.run(__file__, play)
+    deployment.run(play)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,7 +8,7 @@
 import asyncio
 import itertools
 
-from review.standins import (
+from review import (
     clients,
     deployment,
     gateways,
@@ -144,4 +144,4 @@
 
 
 if __name__ == '__main__':
-    deployment.run(__file__, play)
+    deployment.run(play)
--- a/review/standins/clients.py
+++ b/review/clients.py
@@ -4,7 +4,7 @@
 import itertools
 import typing
 
-from review.standins import deployment, http, servers
+from review import deployment, http, servers
 
 _numbers = itertools.count(1)
 
--- a/review/standins/deployment.py
+++ b/review/deployment.py
@@ -16,7 +16,7 @@
     Mapping,
 )
 
-from review.standins import gateways, http, servers, store
+from review import gateways, http, servers, store
 
 HOST = 'plans.example'
 PLAIN = 'coop-app'
@@ -164,14 +164,15 @@
 Play = Callable[[Deployment], Awaitable[int]]
 
 
-def run(folder: str, play: Play) -> typing.NoReturn:
+def run(play: Play) -> typing.NoReturn:
     """Play a case and end with its exit status.
 
+    The only argument of the command is the path of the record.
+
     Args:
-        folder: The case's file, beside which the record is written.
         play: Returns ``BROKEN`` if the rule was broken and ``HELD`` if not.
     """
-    record = Record(pathlib.Path(folder).parent / 'record.txt')
+    record = Record(pathlib.Path(sys.argv[1]))
     sys.exit(asyncio.run(_run(record, play)))
 
 
--- a/review/standins/gateways.py
+++ b/review/gateways.py
@@ -15,9 +15,9 @@
 import typing
 from collections.abc import Mapping
 
-from review.standins import http
+from review import http
 
-ROOT = pathlib.Path(__file__).resolve().parents[2]
+ROOT = pathlib.Path(__file__).resolve().parents[1]
 PLACEHOLDER = re.compile(r'\{\{([\w.]+)\}\}')
 READY_TIMEOUT_S = 30.0
 READY_INTERVAL_S = 0.1
--- a/review/standins/servers.py
+++ b/review/servers.py
@@ -8,7 +8,7 @@
 import types
 import typing
 
-from review.standins import http, store
+from review import http, store
 
 HEARTBEAT_S = 1.2
 MODEL = 'm0'
--- a/review/standins/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins of clients, servers and the platform, with the standard library."""
--- a/review/standins/store.py
+++ b/review/store.py
@@ -14,7 +14,7 @@
 import typing
 import urllib.parse
 
-from review.standins import http
+from review import http
 
 HISTORY_S = 20.0
 ANSWER_S = 0.004
