--- a/ivystep/cli/log_events.py
+++ b/ivystep/cli/log_events.py
@@ -11,7 +11,7 @@
 
 from ivystep.accounts import events as account_events
 from ivystep.data_centres import events as centre_events
-from ivystep.gateway import events
+from ivystep.gateway import events, leader_events, process_events
 from ivystep.quotas import events as quota_events
 from ivystep.runtime import event_log
 from ivystep.stream_origins import events as origin_events
@@ -19,6 +19,8 @@
 # Modules that define events of the gateway's log.
 EVENT_MODULES = (
     events,
+    leader_events,
+    process_events,
     account_events,
     centre_events,
     origin_events,
--- a/ivystep/coordination/lease.py
+++ b/ivystep/coordination/lease.py
@@ -193,10 +193,13 @@
                 log.debug('Lease %s not read: %s.', self._key, error)
             clock.sleep(POLL_SHARE * self._duration_s)
 
-    def release(self) -> None:
+    def release(self) -> bool:
         """Release the lease, so that others need not wait for it to expire.
 
         If the table service is unavailable, the lease expires instead.
+
+        Returns:
+            Whether the row shows that this process does not hold the lease.
         """
         self._is_releasing = True
         self._valid_until = 0.0
@@ -205,12 +208,13 @@
                 try:
                     is_done = self._write(self._row_token, is_released=True)
                 except errors.ConflictError:
-                    return
+                    return True
                 except errors.PlatformError as error:
                     log.info('Lease %s not released: %s.', self._key, error)
                     continue
                 if is_done:
-                    return
+                    return True
+        return False
 
     def _try_acquire(self) -> None:
         row = self._read()
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -17,9 +17,9 @@
     configuration_age,
     crashes,
     dispatch,
+    draining,
     engine_link,
     event_metrics,
-    events,
     followed_tables,
     host_shares,
     leadership,
@@ -29,6 +29,7 @@
     membership,
     model_pools,
     prefill_queues,
+    process_events,
     request_access,
     request_handler,
     request_log,
@@ -42,11 +43,7 @@
     version_source,
 )
 from ivystep.metrics import operators_app, registry
-from ivystep.platform import (
-    engine_api,
-    rows,
-    table,
-)
+from ivystep.platform import engine_api, rows
 from ivystep.quotas import admission
 from ivystep.runtime import clock, drain, event_log
 from ivystep.settings import gateway as settings_models
@@ -54,12 +51,6 @@
 from ivystep.traffic import contracts
 
 BACKLOG = 1024
-# Time for which new connections are still accepted after SIGTERM. The platform
-# probes readiness once a second and stops routing after two failed probes.
-ACCEPT_AFTER_SIGTERM_S = 2.6
-# Answers still in progress are aborted this long before the platform kills
-# the process.
-ABORT_MARGIN_S = 0.4
 IDLE_CHECK_INTERVAL_S = 0.5
 EXPIRY_INTERVAL_S = 60.0
 # Heartbeat intervals of an outage in which entries of upstreams may expire.
@@ -137,19 +128,9 @@
                 self._centres.exchange,
             ),
         )
-        self._leadership = leadership.Leadership(
-            table.TableClient(
-                settings.store.url,
-                settings.store.timeout_s,
-                on_call=contact.on_call,
-            ),
-            host,
-            settings.addresses.peers,
-            leadership.LeadershipTimings(
-                settings.bounds.lease_s,
-                settings.bounds.handover_delay_s,
-                settings.capacity.acquire_delay_s,
-            ),
+        self._leadership = leadership.Leadership.from_config(
+            settings,
+            contact.on_call,
             updates=self._residency_updates,
             on_active=self._update_all_upstreams,
             queues=self._prefill_queues,
@@ -250,7 +231,7 @@
         listener = self.start()
         self._signals.wait()
         self.drain(listener)
-        self._log.write(events.Stopped(self._server_state.requests))
+        self._log.write(process_events.Stopped(self._server_state.requests))
 
     def start(self) -> typing.Any:
         """Start all tasks and return the listener for callers."""
@@ -265,7 +246,7 @@
             self._request_handler.handle,
         )
         self._log.write(
-            events.Started(
+            process_events.Started(
                 _format_address(self.settings.addresses.callers),
                 self.settings.process.data_centre,
             )
@@ -278,22 +259,13 @@
         Args:
             listener: The listener for callers.
         """
-        started = clock.now()
         self.is_ready = False
-        self._server_state.is_closing = True
-        self._log.write(
-            events.Draining(
-                self._server_state.requests,
-                len(self._server_state.open_connections),
-            )
-        )
-        self._leadership.release()
-        clock.sleep(ACCEPT_AFTER_SIGTERM_S)
-        listener.close()
-        end = started + self.settings.bounds.grace_s - ABORT_MARGIN_S
-        while self._server_state.open_connections and clock.now() < end:
-            self._server_state.close_idle()
-            clock.sleep(drain.POLL_S)
+        draining.Drain(
+            self._server_state,
+            self._leadership.release,
+            self.settings.bounds.grace_s,
+            self._log,
+        ).run(listener)
 
     def stop(self) -> None:
         """Kill all tasks; for programs that embed a gateway."""
@@ -501,7 +473,7 @@
         eventlet.spawn_after(
             0,
             self._log.write,
-            events.Reloaded(self.settings.process.log_level),
+            process_events.Reloaded(self.settings.process.log_level),
         )
 
 
--- /dev/null
+++ b/ivystep/gateway/draining.py
@@ -0,0 +1,67 @@
+"""Drains a gateway: lets requests in progress end before the process exits."""
+
+import typing
+from collections.abc import Callable
+
+from ivystep.core import units
+from ivystep.gateway import callers, process_events
+from ivystep.runtime import clock, drain, event_log
+
+# Time for which new connections are still accepted after SIGTERM. The platform
+# probes readiness once a second and stops routing after two failed probes.
+ACCEPT_AFTER_SIGTERM_S = 2.6
+# Answers still in progress are aborted this long before the platform kills
+# the process.
+ABORT_MARGIN_S = 0.4
+
+
+class Drain:
+    """The drain of one gateway.
+
+    Args:
+        server_state: The connections of callers.
+        release: Gives up what other hosts wait for.
+        grace_s: Time in seconds after which the platform kills the process.
+        log: Event log of the drain.
+    """
+
+    def __init__(
+        self,
+        server_state: callers.ServerState,
+        release: Callable[[], None],
+        grace_s: float,
+        log: event_log.EventLog,
+    ) -> None:
+        self._server_state = server_state
+        self._release = release
+        self._grace_s = grace_s
+        self._log = log
+
+    def run(self, listener: typing.Any) -> None:
+        """Let requests in progress end within the grace period.
+
+        Args:
+            listener: The listener for callers.
+        """
+        started = clock.now()
+        self._server_state.is_closing = True
+        self._log.write(
+            process_events.Draining(
+                self._server_state.requests,
+                len(self._server_state.open_connections),
+            )
+        )
+        self._release()
+        clock.sleep(ACCEPT_AFTER_SIGTERM_S)
+        listener.close()
+        self._log.write(
+            process_events.ListenerClosed(
+                int((clock.now() - started) * units.MS_PER_S),
+                self._server_state.requests,
+                len(self._server_state.open_connections),
+            )
+        )
+        end = started + self._grace_s - ABORT_MARGIN_S
+        while self._server_state.open_connections and clock.now() < end:
+            self._server_state.close_idle()
+            clock.sleep(drain.POLL_S)
--- a/ivystep/gateway/event_metrics.py
+++ b/ivystep/gateway/event_metrics.py
@@ -9,7 +9,7 @@
 import aioprometheus
 
 from ivystep.core import units
-from ivystep.gateway import events
+from ivystep.gateway import events, leader_events
 from ivystep.metrics import registry
 from ivystep.runtime import event_log
 from ivystep.stream_origins import events as origin_events
@@ -171,7 +171,9 @@
 
 
 @_record_event.register
-def _record_order(event: events.OrderGiven, metrics: EventMetrics) -> None:
+def _record_order(
+    event: leader_events.OrderGiven, metrics: EventMetrics
+) -> None:
     metrics.orders.inc({'operation': event.operation, 'outcome': event.outcome})
     metrics.order_s.observe({}, event.elapsed_ms / units.MS_PER_S)
 
@@ -204,7 +206,7 @@
 
 @_record_event.register
 def _record_leadership(
-    event: events.DutyChanged, metrics: EventMetrics
+    event: leader_events.DutyChanged, metrics: EventMetrics
 ) -> None:
     metrics.is_leader.set({}, int(event.change == 'acquired'))
 
--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -11,58 +11,6 @@
 from ivystep.prefill import prefill
 from ivystep.runtime import event_log
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Started(event_log.Event):
-    """The process has started.
-
-    Attributes:
-        callers: Address at which the gateway accepts callers.
-    """
-
-    name: typing.ClassVar[str] = 'started'
-
-    callers: str
-    data_centre: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reloaded(event_log.Event):
-    """SIGHUP was received; the addresses stay as they are."""
-
-    name: typing.ClassVar[str] = 'reloaded'
-
-    log_level: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Draining(event_log.Event):
-    """The process received SIGTERM and stops accepting new work.
-
-    Attributes:
-        requests: Requests in progress.
-        connections: Open connections of callers.
-    """
-
-    name: typing.ClassVar[str] = 'draining'
-
-    requests: int
-    connections: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Stopped(event_log.Event):
-    """The process exits.
-
-    Attributes:
-        requests: Requests that were aborted.
-    """
-
-    name: typing.ClassVar[str] = 'stopped'
-
-    requests: int
-
-
 # Values of ``permit`` if the leader granted one; any other text is the reason
 # why there is none.
 GRANTED_PERMITS = frozenset(
@@ -480,39 +428,3 @@
     new_era: int
     version_before: int
     version_after: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class DutyChanged(event_log.Event):
-    """The leader, which alone sends orders to engines, has changed.
-
-    Attributes:
-        holder: Host that holds the lease.
-        token: Fencing token of the lease.
-    """
-
-    name: typing.ClassVar[str] = 'duty_changed'
-
-    holder: str
-    token: int
-    change: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class OrderGiven(event_log.Event):
-    """An order was sent to an engine.
-
-    Attributes:
-        expected: Number of orders that the engine must have accepted before.
-        outcome: Answer of the engine, or ``no answer``.
-    """
-
-    name: typing.ClassVar[str] = 'order_given'
-
-    upstream: str
-    operation: str
-    target: str
-    expected: int
-    token: int
-    outcome: str
-    elapsed_ms: int
--- /dev/null
+++ b/ivystep/gateway/leader_events.py
@@ -0,0 +1,59 @@
+"""Log events of the lease of the leader and of its orders."""
+
+import dataclasses
+import typing
+
+from ivystep.runtime import event_log
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DutyChanged(event_log.Event):
+    """The leader, which alone sends orders to engines, has changed.
+
+    Attributes:
+        holder: Host that holds the lease.
+        token: Fencing token of the lease.
+    """
+
+    name: typing.ClassVar[str] = 'duty_changed'
+
+    holder: str
+    token: int
+    change: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseReleased(event_log.Event):
+    """The store was asked to let others acquire the lease at once.
+
+    Attributes:
+        token: Fencing token of the lease.
+        is_acknowledged: Whether the store did. Otherwise the lease expires.
+        elapsed_ms: Time that this took.
+    """
+
+    name: typing.ClassVar[str] = 'lease_released'
+
+    token: int
+    is_acknowledged: bool
+    elapsed_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderGiven(event_log.Event):
+    """An order was sent to an engine.
+
+    Attributes:
+        expected: Number of orders that the engine must have accepted before.
+        outcome: Answer of the engine, or ``no answer``.
+    """
+
+    name: typing.ClassVar[str] = 'order_given'
+
+    upstream: str
+    operation: str
+    target: str
+    expected: int
+    token: int
+    outcome: str
+    elapsed_ms: int
--- a/ivystep/gateway/leadership.py
+++ b/ivystep/gateway/leadership.py
@@ -6,22 +6,25 @@
 """
 
 import dataclasses
+import typing
 from collections.abc import Callable
 
 import eventlet
 
 from ivystep.coordination import lease
-from ivystep.core import errors, types
+from ivystep.core import errors, types, units
 from ivystep.entry import peers, planner
 from ivystep.gateway import (
     events,
+    leader_events,
     order_sender,
     prefill_queues,
     residency_updates,
 )
-from ivystep.platform import table
+from ivystep.platform import http, table
 from ivystep.prefill import prefill
 from ivystep.runtime import clock, event_log
+from ivystep.settings import gateway as settings_models
 
 LEASE_KEY = 'lease/orders'
 FOLLOW_RETRY_S = 0.2
@@ -99,6 +102,44 @@
             delay_s=timings.acquire_delay_s,
         )
 
+    @classmethod
+    def from_config(
+        cls,
+        settings: settings_models.GatewaySettings,
+        on_call: http.OnCall,
+        *,
+        updates: residency_updates.ResidencyUpdates,
+        on_active: Callable[[], None],
+        queues: prefill_queues.PrefillQueues,
+        log: event_log.EventLog,
+    ) -> typing.Self:
+        """Take part with a host's settings.
+
+        Args:
+            settings: The settings.
+            on_call: See ``http.PlatformHttp``.
+            updates: See the class, also for what follows.
+            on_active: Called when this host may send orders.
+            queues: Prefill queues.
+            log: Event log of changes of leader.
+        """
+        return cls(
+            table.TableClient(
+                settings.store.url, settings.store.timeout_s, on_call=on_call
+            ),
+            settings.process.id,
+            settings.addresses.peers,
+            LeadershipTimings(
+                settings.bounds.lease_s,
+                settings.bounds.handover_delay_s,
+                settings.capacity.acquire_delay_s,
+            ),
+            updates=updates,
+            on_active=on_active,
+            queues=queues,
+            log=log,
+        )
+
     @property
     def holder(self) -> str:
         """Host that was last seen to hold the lease; empty if none was."""
@@ -176,13 +217,15 @@
             if self._is_stopping:
                 # Acquired while this host drains; the next leader need not
                 # wait for the lease to expire.
-                self._lease.release()
+                self._release()
                 break
             previous_host = self._lease.previous_holder_id.partition('@')[0]
             is_handover = previous_host not in {'', self._host}
             wait_s = self._handover_delay_s if is_handover else 0.0
             self._active_from = clock.now() + wait_s
-            self._log.write(events.DutyChanged(self._host, token, 'acquired'))
+            self._log.write(
+                leader_events.DutyChanged(self._host, token, 'acquired')
+            )
             renewal = eventlet.spawn(self._lease.keep)
             clock.sleep(wait_s)
             if self._lease.is_held():
@@ -190,7 +233,9 @@
             renewal.wait()
             self._active_from = float('inf')
             self._log.write(
-                events.DutyChanged(self.holder, self._lease.token, 'ended')
+                leader_events.DutyChanged(
+                    self.holder, self._lease.token, 'ended'
+                )
             )
         self._lease.observe()
 
@@ -207,11 +252,24 @@
         self._is_stopping = True
         if self._lease.is_held():
             self._active_from = float('inf')
-            self._lease.release()
+            self._release()
             self._log.write(
-                events.DutyChanged(self._host, self._lease.token, 'released')
+                leader_events.DutyChanged(
+                    self._host, self._lease.token, 'released'
+                )
             )
 
+    def _release(self) -> None:
+        started = clock.now()
+        is_acknowledged = self._lease.release()
+        self._log.write(
+            leader_events.LeaseReleased(
+                self._lease.token,
+                is_acknowledged,
+                int((clock.now() - started) * units.MS_PER_S),
+            )
+        )
+
     def _follow(self, leader_address: str) -> None:
         link = None
         try:
--- a/ivystep/gateway/order_sender.py
+++ b/ivystep/gateway/order_sender.py
@@ -11,7 +11,7 @@
 from ivystep.core import errors, units
 from ivystep.gateway import (
     engine_reports,
-    events,
+    leader_events,
     slot_usage,
     upstream_state,
 )
@@ -160,7 +160,7 @@
             )
         finally:
             self._log.write(
-                events.OrderGiven(
+                leader_events.OrderGiven(
                     entry.upstream_id,
                     'load' if order.is_load else 'unload',
                     order.target,
--- /dev/null
+++ b/ivystep/gateway/process_events.py
@@ -0,0 +1,74 @@
+"""Log events of the start, the drain and the end of a gateway."""
+
+import dataclasses
+import typing
+
+from ivystep.runtime import event_log
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Started(event_log.Event):
+    """The process has started.
+
+    Attributes:
+        callers: Address at which the gateway accepts callers.
+    """
+
+    name: typing.ClassVar[str] = 'started'
+
+    callers: str
+    data_centre: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reloaded(event_log.Event):
+    """SIGHUP was received; the addresses stay as they are."""
+
+    name: typing.ClassVar[str] = 'reloaded'
+
+    log_level: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Draining(event_log.Event):
+    """The process received SIGTERM and stops accepting new work.
+
+    Attributes:
+        requests: Requests in progress.
+        connections: Open connections of callers.
+    """
+
+    name: typing.ClassVar[str] = 'draining'
+
+    requests: int
+    connections: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListenerClosed(event_log.Event):
+    """The draining process accepts no more connections.
+
+    Attributes:
+        elapsed_ms: Time since the drain began.
+        requests: Requests in progress.
+        connections: Open connections of callers.
+    """
+
+    name: typing.ClassVar[str] = 'listener_closed'
+
+    elapsed_ms: int
+    requests: int
+    connections: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stopped(event_log.Event):
+    """The process exits.
+
+    Attributes:
+        requests: Requests that were aborted.
+    """
+
+    name: typing.ClassVar[str] = 'stopped'
+
+    requests: int
--- a/tests/gateway/test_event_metrics.py
+++ b/tests/gateway/test_event_metrics.py
@@ -3,7 +3,7 @@
 import pytest
 from prometheus_client import parser
 
-from ivystep.gateway import event_metrics, events
+from ivystep.gateway import event_metrics, events, process_events
 from ivystep.metrics import registry
 from ivystep.stream_origins import events as origin_events
 
@@ -103,7 +103,7 @@
     """Guards against an exception on an event type without a handler."""
     metrics, recorder = metrics_and_recorder
     before = samples(metrics)
-    recorder.record(events.Stopped(0))
+    recorder.record(process_events.Stopped(0))
     assert samples(metrics) == before
 
 
