Close idle connections of a stopping host whatever the store does

Cause: the drain waited for the release of the lease, up to 8 s, before it closed the listener and idle connections.

Change: the release runs beside the drain, which waits for no call to the store. The same wait of a sidecar at its exit is bounded by 1 s.

--- a/ivystep/coordination/lease.py
+++ b/ivystep/coordination/lease.py
@@ -21,6 +21,7 @@
 import typing
 from collections.abc import Callable
 
+import eventlet
 from eventlet import semaphore
 
 from ivystep.core import errors, ids
@@ -193,16 +194,25 @@
                 log.debug('Lease %s not read: %s.', self._key, error)
             clock.sleep(POLL_SHARE * self._duration_s)
 
-    def release(self) -> bool:
+    def release(self, limit_s: float | None = None) -> bool:
         """Release the lease, so that others need not wait for it to expire.
 
         If the table service is unavailable, the lease expires instead.
 
+        Args:
+            limit_s: Longest time in seconds to wait for the table service;
+                None for a few tries.
+
         Returns:
             Whether the row shows that this process does not hold the lease.
         """
         self._is_releasing = True
         self._valid_until = 0.0
+        with eventlet.Timeout(limit_s, exception=False):
+            return self._write_release()
+        return False
+
+    def _write_release(self) -> bool:
         with self._write_lock:
             for _ in range(RELEASE_TRIES):
                 try:
--- a/ivystep/gateway/draining.py
+++ b/ivystep/gateway/draining.py
@@ -1,8 +1,15 @@
-"""Drains a gateway: lets requests in progress end before the process exits."""
+"""Drains a gateway: lets requests in progress end before the process exits.
+
+The platform kills the process after a fixed time, whatever the store does. So
+no step waits for a call to the store: those run beside, and are given up as the
+process exits.
+"""
 
 import typing
 from collections.abc import Callable
 
+import eventlet
+
 from ivystep.core import units
 from ivystep.gateway import callers, process_events
 from ivystep.runtime import clock, drain, event_log
@@ -20,7 +27,7 @@
 
     Args:
         server_state: The connections of callers.
-        release: Gives up what other hosts wait for.
+        release: Gives up what other hosts wait for; may wait for the store.
         grace_s: Time in seconds after which the platform kills the process.
         log: Event log of the drain.
     """
@@ -51,7 +58,7 @@
                 len(self._server_state.open_connections),
             )
         )
-        self._release()
+        released = eventlet.spawn(self._release)
         clock.sleep(ACCEPT_AFTER_SIGTERM_S)
         listener.close()
         self._log.write(
@@ -65,3 +72,5 @@
         while self._server_state.open_connections and clock.now() < end:
             self._server_state.close_idle()
             clock.sleep(drain.POLL_S)
+        with eventlet.Timeout(max(end - clock.now(), 0), exception=False):
+            released.wait()
--- a/ivystep/sidecar/ownership.py
+++ b/ivystep/sidecar/ownership.py
@@ -29,6 +29,7 @@
 from ivystep.runtime import logs
 
 KEY_PREFIX = 'engine/'
+RELEASE_TIMEOUT_S = 1.0
 
 log = logs.get('sidecar')
 
@@ -107,8 +108,11 @@
         return eventlet.spawn(self.hold)
 
     def release(self) -> None:
-        """Release the lease, so that the next owner need not wait."""
-        self._lease.release()
+        """Release the lease, so that the next owner need not wait.
+
+        The process exits afterwards, also if the table service is silent.
+        """
+        self._lease.release(RELEASE_TIMEOUT_S)
 
     def token(self) -> int:
         """Return the token of the lease; see ``Owner.token``."""
--- a/tests/sidecar/test_ownership.py
+++ b/tests/sidecar/test_ownership.py
@@ -5,6 +5,7 @@
 from ivystep.coordination import lease
 from ivystep.runtime import clock, virtual_hub
 from ivystep.sidecar import ownership
+from tests.coordination import fakes
 from tests.entry import harness
 from tests.sidecar import bench
 
@@ -119,3 +120,20 @@
     sidecar_bench.stop()
     assert outcome.code == 'fenced'
     assert not sidecar_bench.upstream_host.residency.is_unsettled(bench.REF)
+
+
+def test_silent_table_service_does_not_delay_the_exit():
+    """Guards against a sidecar that the platform kills while it waits."""
+
+    def scenario():
+        rows = fakes.TableView(fakes.FakeTable())
+        one = owner(rows, 'inc-1', checks_fencing=False)
+        lease_task = one.start()
+        clock.sleep(1)
+        lease_task.kill()
+        rows.planned.extend([fakes.Fault(fakes.Kind.DOWN, before_s=60)] * 9)
+        started = clock.now()
+        one.release()
+        return clock.now() - started
+
+    assert virtual_hub.run(scenario) <= ownership.RELEASE_TIMEOUT_S
