Log what a host finds in the lease's row before it acquires the lease

Change: lease_acquired with its basis, the row's token and holder, and the wait; the record of the row has a module of its own. No change of logic.

--- a/ivystep/coordination/lease.py
+++ b/ivystep/coordination/lease.py
@@ -18,12 +18,12 @@
 
 import dataclasses
 import random
-import typing
 from collections.abc import Callable
 
 import eventlet
 from eventlet import semaphore
 
+from ivystep.coordination import lease_row
 from ivystep.core import errors, ids
 from ivystep.platform import table
 from ivystep.runtime import clock, logs
@@ -48,24 +48,6 @@
 log = logs.get('lease')
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Record:
-    """The value of a lease's row."""
-
-    holder_id: str
-    token: int
-    duration_s: float
-    write_id: str
-    is_released: bool
-
-    def to_value(self) -> dict[str, typing.Any]:
-        return dataclasses.asdict(self)
-
-    @classmethod
-    def from_row(cls, row: table.Row) -> typing.Self:
-        return cls(**row.value)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Renewal:
     """A write of the holder, as another process was told of it.
@@ -91,6 +73,7 @@
             if the row was not read or its lease was released.
         previous_holder_id: Holder before the last acquisition, possibly this
             process itself; empty if there was none.
+        acquisition: How the lease was acquired last.
 
     Args:
         rows: The table service.
@@ -120,6 +103,7 @@
         self.token = 0
         self.seen_holder_id = ''
         self.previous_holder_id = ''
+        self.acquisition = lease_row.Acquisition()
         self._is_sole = is_sole
         self._told_renewal = told_renewal
         self._delay_s = delay_s
@@ -228,23 +212,31 @@
 
     def _try_acquire(self) -> None:
         row = self._read()
-        row_token = _Record.from_row(row).token if row else 0
-        is_older = row_token < self._highest_token
-        if is_older:
+        read_at = clock.uptime()
+        record = lease_row.Record.from_row(row) if row else None
+        row_token = record.token if record else 0
+        basis = self._find_basis(record, row_token)
+        if basis is lease_row.Basis.FORGOTTEN:
             self._wait_for_forgotten_holder(row)
-        elif row is not None and not self._is_free(row):
+        elif basis is lease_row.Basis.EXPIRED:
             row = self._wait_for_expiry(row)
         clock.sleep(self._delay_s)
         with self._write_lock:
             self._is_releasing = False
             self._version = _version(row)
             self._row_token = row_token
-            replaced_id = _Record.from_row(row).holder_id if row else ''
-            if is_older:
+            replaced_id = record.holder_id if record else ''
+            if basis is lease_row.Basis.FORGOTTEN:
                 replaced_id = self._highest_holder_id
             if replaced_id != self._holder_id:
                 # A retry after an unanswered write may replace its own row.
                 self.previous_holder_id = replaced_id
+            self.acquisition = lease_row.Acquisition(
+                basis,
+                row_token,
+                record.holder_id if record else '',
+                clock.uptime() - read_at,
+            )
             self._write(max(row_token, self._highest_token) + 1)
 
     def _renew(self) -> None:
@@ -260,24 +252,31 @@
     def _read(self) -> table.Row | None:
         row = self._rows.get(self._key)
         if row is not None:
-            record = _Record.from_row(row)
+            record = lease_row.Record.from_row(row)
             is_open = not record.is_released
             self._remember(record)
             self.seen_holder_id = record.holder_id if is_open else ''
         return row
 
-    def _is_free(self, row: table.Row) -> bool:
-        """Return whether no other process can hold the lease.
+    def _find_basis(
+        self, record: lease_row.Record | None, row_token: int
+    ) -> lease_row.Basis:
+        """Return why no other process holds the lease, maybe after a wait.
 
-        This includes a row that this object wrote itself, because it does not
-        use an earlier acquisition any more.
+        A row that this object wrote itself is free, because it does not use an
+        earlier acquisition any more.
         """
-        record = _Record.from_row(row)
+        if row_token < self._highest_token:
+            return lease_row.Basis.FORGOTTEN
+        if record is None:
+            return lease_row.Basis.ABSENT
         if record.is_released:
-            return True
+            return lease_row.Basis.RELEASED
         if self._is_sole and record.holder_id == self._holder_id:
-            return True
-        return record.write_id in self._sent_at_by_write_id
+            return lease_row.Basis.OWN_ROW
+        if record.write_id in self._sent_at_by_write_id:
+            return lease_row.Basis.OWN_WRITE
+        return lease_row.Basis.EXPIRED
 
     def _wait_for_expiry(self, row: table.Row) -> table.Row:
         """Wait until a row has been unchanged for the duration of its lease.
@@ -297,7 +296,7 @@
         Raises:
             errors.ConflictError: The row has changed.
         """
-        duration_s = _Record.from_row(row).duration_s
+        duration_s = lease_row.Record.from_row(row).duration_s
         deadline = clock.uptime() + duration_s
         while clock.uptime() < deadline:
             clock.sleep(
@@ -349,7 +348,9 @@
             errors.ConflictError: The row has changed.
             errors.UnavailableError: The row could not be read.
         """
-        row_duration_s = _Record.from_row(row).duration_s if row else 0.0
+        row_duration_s = (
+            lease_row.Record.from_row(row).duration_s if row else 0.0
+        )
         clock.sleep(max(self._highest_duration_s, row_duration_s))
         if _version(self._read()) != _version(row):
             raise errors.ConflictError(
@@ -367,7 +368,7 @@
             errors.UnavailableError: The row was not written.
             errors.UncertainWriteError: The row may still be written.
         """
-        record = _Record(
+        record = lease_row.Record(
             holder_id=self._holder_id,
             token=token,
             duration_s=self._duration_s,
@@ -399,7 +400,7 @@
             raise errors.UncertainWriteError(
                 'the table service did not answer', step='write lease'
             )
-        record = _Record.from_row(row)
+        record = lease_row.Record.from_row(row)
         if record.write_id not in self._sent_at_by_write_id:
             raise errors.ConflictError(
                 f'{record.holder_id} holds the lease', step='write lease'
@@ -407,7 +408,7 @@
         self._record_write(record, row.version)
         return record.write_id
 
-    def _record_write(self, record: _Record, version: int) -> None:
+    def _record_write(self, record: lease_row.Record, version: int) -> None:
         """Record a write of this object that took effect.
 
         All other writes still in transit expected an older version and can no
@@ -425,7 +426,7 @@
             self._renewed_at = sent_at
             self._valid_until = sent_at + valid_s
 
-    def _remember(self, record: _Record) -> None:
+    def _remember(self, record: lease_row.Record) -> None:
         if record.token >= self._highest_token:
             self._highest_token = record.token
             self._highest_holder_id = record.holder_id
@@ -451,7 +452,7 @@
     """Return whether a row is the one that a renewal has written."""
     if renewal is None:
         return False
-    token = _Record.from_row(row).token
+    token = lease_row.Record.from_row(row).token
     return (token, row.version) == (renewal.token, renewal.version)
 
 
--- a/ivystep/gateway/leader_events.py
+++ b/ivystep/gateway/leader_events.py
@@ -22,6 +22,27 @@
     change: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseAcquired(event_log.Event):
+    """This host has acquired the lease.
+
+    Attributes:
+        token: Fencing token of the lease.
+        basis: Why no other host can hold it; see ``lease_row.Basis``.
+        row_token: Token of the row that was replaced; 0 without a row.
+        row_holder: Holder that this row names.
+        waited_ms: Time from the read of that row to the write.
+    """
+
+    name: typing.ClassVar[str] = 'lease_acquired'
+
+    token: int
+    basis: str
+    row_token: int
+    row_holder: str
+    waited_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseReleased(event_log.Event):
     """The store was asked to let others acquire the lease at once.
--- a/ivystep/gateway/leadership.py
+++ b/ivystep/gateway/leadership.py
@@ -226,6 +226,7 @@
             self._log.write(
                 leader_events.DutyChanged(self._host, token, 'acquired')
             )
+            self._log_acquisition()
             renewal = eventlet.spawn(self._lease.keep)
             clock.sleep(wait_s)
             if self._lease.is_held():
@@ -259,6 +260,18 @@
                 )
             )
 
+    def _log_acquisition(self) -> None:
+        acquisition = self._lease.acquisition
+        self._log.write(
+            leader_events.LeaseAcquired(
+                self._lease.token,
+                acquisition.basis.value,
+                acquisition.row_token,
+                acquisition.row_holder_id.partition('@')[0],
+                int(acquisition.waited_s * units.MS_PER_S),
+            )
+        )
+
     def _release(self) -> None:
         started = clock.now()
         is_acknowledged = self._lease.release()
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -5,7 +5,7 @@
 from hypothesis import stateful
 from hypothesis import strategies as st
 
-from ivystep.coordination import lease
+from ivystep.coordination import lease, lease_row
 from ivystep.core import errors
 from ivystep.platform import table
 from ivystep.runtime import clock
@@ -119,7 +119,7 @@
 
     def _read_back(self):
         write_id = list(self._sent_at_by_write_id)[-1]
-        record = lease._Record(
+        record = lease_row.Record(
             self._holder_id, self._row_token + 1, DURATION_S, write_id, False
         )
         self._record_write(record, self._version + 1)
