--- a/tests/coordination/fakes.py
+++ b/tests/coordination/fakes.py
@@ -71,11 +71,21 @@
 
 
 class FakeTable:
-    """The shared rows; each process has its own ``TableView`` of them."""
+    """The shared rows; each process has its own ``TableView`` of them.
+
+    Attributes:
+        era: Number of times that the rows were restored from a copy.
+    """
 
     def __init__(self) -> None:
         self.row_by_key: dict[str, table.Row] = {}
         self.transactions = 0
+        self.era = 0
+
+    def restore(self, copied) -> None:
+        """Return to a copy of the rows; what was written since is gone."""
+        self.row_by_key = dict(copied)
+        self.era += 1
 
     def apply(self, puts) -> None:
         """Apply all puts or none.
@@ -99,11 +109,13 @@
     Attributes:
         planned: Faults of the next calls; ``NO_FAULT`` follows them.
         calls: Number of calls.
+        era: Highest era that an answer has named.
     """
 
     def __init__(self, shared: FakeTable) -> None:
         self.planned: collections.deque[Fault] = collections.deque()
         self.calls = 0
+        self.era = 0
         self._shared = shared
 
     def get(self, key: str) -> table.Row | None:
@@ -112,9 +124,11 @@
         if fault.kind is Kind.DOWN:
             raise errors.UnavailableError('down', step='get')
         row = self._shared.row_by_key.get(key)
+        era = self._shared.era
         clock.sleep(fault.after_s)
         if fault.kind is not Kind.OK:
             raise errors.UnavailableError('no answer', step='get')
+        self._receive(era)
         return row
 
     def transact(self, puts) -> None:
@@ -122,6 +136,7 @@
         clock.sleep(fault.before_s)
         if fault.kind is Kind.DOWN:
             raise errors.UnavailableError('down', step='transact')
+        era = self._shared.era
         if fault.kind is Kind.LATE:
             eventlet.spawn_after(fault.late_s, self._apply_late, tuple(puts))
         elif fault.kind is not Kind.LOST_BEFORE:
@@ -131,15 +146,23 @@
                 # Without an answer, the caller does not learn of the conflict.
                 if fault.kind is Kind.OK:
                     clock.sleep(fault.after_s)
+                    self._receive(era)
                     raise
         clock.sleep(fault.after_s)
         if fault.kind is not Kind.OK:
             raise errors.UncertainWriteError('no answer', step='transact')
+        self._receive(era)
 
     def scan(self, prefix: str):
         rows = self._shared.row_by_key
         return iter([rows[key] for key in sorted(rows) if key > prefix])
 
+    def _receive(self, era: int) -> None:
+        """Learn the era that an answer names, or refuse a late answer."""
+        if era < self.era:
+            raise errors.UncertainWriteError('an earlier era', step='answer')
+        self.era = era
+
     def _next_fault(self) -> Fault:
         self.calls += 1
         return self.planned.popleft() if self.planned else NO_FAULT
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -276,9 +276,10 @@
         first.release()
         copied = dict(shared.row_by_key) if has_row else {}
         second.acquire()
-        shared.row_by_key = copied
+        shared.restore(copied)
         started.acquire()
         assert not second.is_held()
+        assert started.token > second.token
 
     scenario()
 
