Give no fence number again after the store has returned to a copy

Cause: the token was one more than that of the row, and a start took the row's word for who holds the lease. A copy lacks both, and a process that starts remembers neither.

Change: tokens belong to an era of the store, which each answer names, and are higher than all of earlier eras. A row of an earlier era is waited out, and its holder counts as unknown, unless this process held the lease as it noticed the return. No write of an earlier era extends a lease. The row has the same fields, so that hosts of the former software can read it.

Ruled out: a leader that goes on by the copy (it ended 0.36 s after the return), and a late write of the former process (the row had its number from before the restart).

--- a/ivystep/coordination/lease.py
+++ b/ivystep/coordination/lease.py
@@ -11,9 +11,13 @@
 runs on while the process is stopped and while the host is suspended.
 
 The table service may be restored from an older copy, which lacks the latest
-acquisition. Each process therefore remembers the highest token that it has
-seen, and its holder. A row with a lower token, or none, does not tell whether
-that holder still relies on the lease.
+acquisition. Tokens of a later era are higher (see ``lease_row``). A lease that
+was acquired in an earlier era is not extended, but acquired again. A row from a
+copy does not tell who held the lease when the service was restored. So any
+process waits for the duration of a lease, unless it held the lease itself.
+
+A service that does not count its restorations leaves only what each process
+remembers: the highest token that it has seen, and its holder.
 """
 
 import dataclasses
@@ -44,6 +48,8 @@
 # A process that no longer recognizes its own write waits for its own lease to
 # expire, which is safe. So many unanswered writes occur only in a long outage.
 MAX_TRACKED_WRITES = 32
+# Holder before an acquisition if nobody knows it.
+UNKNOWN_HOLDER_ID = '?'
 
 log = logs.get('lease')
 
@@ -72,7 +78,8 @@
         seen_holder_id: Holder named by the row when it was last read; empty
             if the row was not read or its lease was released.
         previous_holder_id: Holder before the last acquisition, possibly this
-            process itself; empty if there was none.
+            process itself; empty if there was none, ``UNKNOWN_HOLDER_ID`` if
+            the row was lost that named it.
         acquisition: How the lease was acquired last.
 
     Args:
@@ -112,6 +119,9 @@
         self._holder_id = holder_id
         self._duration_s = duration_s
         self._valid_until = 0.0
+        # Until then, no other process can have acquired the lease in the era
+        # in which this one did.
+        self._excludes_until = 0.0
         self._renewed_at = 0.0
         # Version and token of the row that the next write replaces.
         self._version = 0
@@ -192,6 +202,7 @@
         """
         self._is_releasing = True
         self._valid_until = 0.0
+        self._excludes_until = 0.0
         with eventlet.Timeout(limit_s, exception=False):
             return self._write_release()
         return False
@@ -213,6 +224,7 @@
     def _try_acquire(self) -> None:
         row = self._read()
         read_at = clock.uptime()
+        era = self._rows.era
         record = lease_row.Record.from_row(row) if row else None
         row_token = record.token if record else 0
         basis = self._find_basis(record, row_token)
@@ -222,22 +234,35 @@
             row = self._wait_for_expiry(row)
         clock.sleep(self._delay_s)
         with self._write_lock:
+            if self._rows.era != era:
+                raise errors.ConflictError(
+                    f'the store was restored from a copy, era {self._rows.era}',
+                    step='acquire',
+                )
             self._is_releasing = False
             self._version = _version(row)
             self._row_token = row_token
-            replaced_id = record.holder_id if record else ''
-            if basis is lease_row.Basis.FORGOTTEN:
-                replaced_id = self._highest_holder_id
-            if replaced_id != self._holder_id:
-                # A retry after an unanswered write may replace its own row.
-                self.previous_holder_id = replaced_id
+            row_holder_id = record.holder_id if record else ''
+            self._set_previous_holder(basis, row_holder_id)
             self.acquisition = lease_row.Acquisition(
-                basis,
-                row_token,
-                record.holder_id if record else '',
-                clock.uptime() - read_at,
+                basis, row_token, row_holder_id, clock.uptime() - read_at
             )
-            self._write(max(row_token, self._highest_token) + 1)
+            last_token = max(row_token, self._highest_token)
+            self._write(lease_row.next_token(last_token, era))
+
+    def _set_previous_holder(
+        self, basis: lease_row.Basis, row_holder_id: str
+    ) -> None:
+        replaced_id = row_holder_id
+        if basis is lease_row.Basis.CONTINUED:
+            replaced_id = self._holder_id
+        elif basis is lease_row.Basis.FORGOTTEN:
+            replaced_id = self._highest_holder_id
+            if replaced_id in {'', self._holder_id}:
+                replaced_id = UNKNOWN_HOLDER_ID
+        if replaced_id != self._holder_id:
+            # A retry after an unanswered write may replace its own row.
+            self.previous_holder_id = replaced_id
 
     def _renew(self) -> None:
         with self._write_lock:
@@ -266,6 +291,10 @@
         A row that this object wrote itself is free, because it does not use an
         earlier acquisition any more.
         """
+        if self._is_from_copy(row_token):
+            if clock.uptime() < self._excludes_until:
+                return lease_row.Basis.CONTINUED
+            return lease_row.Basis.FORGOTTEN
         if row_token < self._highest_token:
             return lease_row.Basis.FORGOTTEN
         if record is None:
@@ -278,6 +307,10 @@
             return lease_row.Basis.OWN_WRITE
         return lease_row.Basis.EXPIRED
 
+    def _is_from_copy(self, row_token: int) -> bool:
+        """Return whether a row was written before the last restoration."""
+        return lease_row.is_of_earlier_era(row_token, self._rows.era)
+
     def _wait_for_expiry(self, row: table.Row) -> table.Row:
         """Wait until a row has been unchanged for the duration of its lease.
 
@@ -341,17 +374,17 @@
         end, too.
 
         Args:
-            row: The row, which is older than one that was seen; None if the
-                store has none.
+            row: The row, which is older than one that was seen or from a copy;
+                None if the store has none.
 
         Raises:
             errors.ConflictError: The row has changed.
             errors.UnavailableError: The row could not be read.
         """
-        row_duration_s = (
-            lease_row.Record.from_row(row).duration_s if row else 0.0
-        )
-        clock.sleep(max(self._highest_duration_s, row_duration_s))
+        durations_s = [self._duration_s, self._highest_duration_s]
+        if row is not None:
+            durations_s.append(lease_row.Record.from_row(row).duration_s)
+        clock.sleep(max(durations_s))
         if _version(self._read()) != _version(row):
             raise errors.ConflictError(
                 'another process holds the lease', step='acquire'
@@ -421,10 +454,14 @@
         self.token = record.token
         self._remember(record)
         self.seen_holder_id = '' if record.is_released else record.holder_id
-        if not self._is_releasing and not record.is_released:
+        if self._is_from_copy(record.token):
+            # Another process may have been the last holder of that era.
+            self._valid_until = 0.0
+        elif not self._is_releasing and not record.is_released:
             valid_s = self._duration_s * (1 - SAFETY_MARGIN_SHARE)
             self._renewed_at = sent_at
             self._valid_until = sent_at + valid_s
+            self._excludes_until = self._valid_until
 
     def _remember(self, record: lease_row.Record) -> None:
         if record.token >= self._highest_token:
--- a/ivystep/coordination/lease_row.py
+++ b/ivystep/coordination/lease_row.py
@@ -1,4 +1,12 @@
-"""The row of a lease, and what a process finds in it before it acquires one."""
+"""The row of a lease, and what a process finds in it before it acquires one.
+
+The table service may be restored from an older copy, which lacks what was
+written since. No process need be left that remembers it. The service counts
+its restorations, its eras, and names the present one in each answer. A token
+therefore belongs to an era: it is higher than all tokens of earlier eras, also
+of those that no row shows any more. A row with a token of an earlier era is
+from a copy and does not tell who acquired the lease since.
+"""
 
 import dataclasses
 import enum
@@ -6,15 +14,32 @@
 
 from ivystep.platform import table
 
+# More than a lease is acquired in one era, also by a process that crashes again
+# and again. Tokens stay exact in a float for 900 million eras.
+TOKENS_PER_ERA = 10_000_000
+
 
 class Basis(enum.Enum):
-    """Why no other process holds a lease that is acquired."""
+    """Why no other process holds a lease that is acquired.
+
+    Attributes:
+        ABSENT: There was no row.
+        RELEASED: The row was released.
+        OWN_ROW: The row names this process, of which there is only one.
+        OWN_WRITE: The row was written by this object.
+        EXPIRED: The row stayed unchanged for the duration of its lease.
+        CONTINUED: The row is from a copy, but this process held the lease when
+            it noticed the restoration.
+        FORGOTTEN: The row is from a copy, or older than one that was seen. Any
+            holder that it does not name had time to end.
+    """
 
     ABSENT = 'absent'
     RELEASED = 'released'
     OWN_ROW = 'own_row'
     OWN_WRITE = 'own_write'
     EXPIRED = 'expired'
+    CONTINUED = 'continued'
     FORGOTTEN = 'forgotten'
 
 
@@ -62,3 +87,23 @@
     row_token: int = 0
     row_holder_id: str = ''
     waited_s: float = 0.0
+
+
+def is_of_earlier_era(token: int, era: int) -> bool:
+    """Return whether a token was given before the last restoration.
+
+    Args:
+        token: A fencing token; 0 stands for a row that is missing.
+        era: The present era.
+    """
+    return era > 0 and token <= era * TOKENS_PER_ERA
+
+
+def next_token(last_token: int, era: int) -> int:
+    """Return the token of an acquisition.
+
+    Args:
+        last_token: Highest token that was seen.
+        era: The present era.
+    """
+    return max(last_token, era * TOKENS_PER_ERA) + 1
--- a/ivystep/platform/http.py
+++ b/ivystep/platform/http.py
@@ -111,7 +111,7 @@
         path: str,
         body: bytes,
         content_type: str = 'application/json',
-    ) -> tuple[int, bytes]:
+    ) -> Answer:
         """Send a body.
 
         Args:
@@ -121,7 +121,7 @@
             content_type: Media type of the body.
 
         Returns:
-            HTTP status, always below 500, and body of the answer.
+            The answer; its status is always below 500.
 
         Raises:
             errors.UnavailableError: No connection could be opened, or the
@@ -159,7 +159,7 @@
             raise errors.UncertainWriteError(
                 f'status {response.status}', step='send', peer=self.name
             )
-        return response.status, content
+        return Answer(response.status, content, response.headers)
 
     def parse(self, body: bytes) -> typing.Any:
         """Parse a JSON answer.
--- a/ivystep/platform/objects.py
+++ b/ivystep/platform/objects.py
@@ -50,12 +50,12 @@
     def put(self, body: bytes) -> str:
         """Store an object; see ``Objects.put``."""
         digest = digest_of(body)
-        status, _ = self._http.send(
+        answer = self._http.send(
             'PUT', f'{WRITE_PATH}{digest}', body, CONTENT_TYPE
         )
-        if status not in {200, 201}:
+        if answer.status not in {200, 201}:
             raise errors.UnavailableError(
-                f'status {status}', step='put', peer=self._http.name
+                f'status {answer.status}', step='put', peer=self._http.name
             )
         return digest
 
--- a/ivystep/platform/rows.py
+++ b/ivystep/platform/rows.py
@@ -112,9 +112,13 @@
 
     Args:
         calls: HTTP calls to the store.
+
+    Attributes:
+        era: Highest era that an answer has named; 0 before.
     """
 
     def __init__(self, calls: http.PlatformHttp) -> None:
+        self.era = 0
         self._http = calls
 
     @classmethod
@@ -236,19 +240,20 @@
                 _row_key(write) for write in writes if write.content is None
             ],
         }
-        status, body = self._http.send(
+        answer = self._http.send(
             'POST', TRANSACT_PATH, json.dumps(document).encode()
         )
-        if status == 412:
-            rows = tuple(self._rows(self._http.parse(body)))
+        self._era(answer)
+        if answer.status == 412:
+            rows = tuple(self._rows(self._http.parse(answer.body)))
             raise RowConflictError(
                 'a row has another version', rows, peer=self._http.name
             )
-        if status != 200:
+        if answer.status != 200:
             raise errors.UnavailableError(
-                f'status {status}', step='transact', peer=self._http.name
+                f'status {answer.status}', step='transact', peer=self._http.name
             )
-        return self._version(self._http.parse(body))
+        return self._version(self._http.parse(answer.body))
 
     def _row_set(self, answer: http.Answer) -> RowSet:
         if answer.status != 200:
@@ -267,12 +272,15 @@
         )
 
     def _era(self, answer: http.Answer) -> int | None:
+        """Return the era that an answer names, and remember the highest."""
         named = answer.headers.get(ERA_HEADER)
         if named is None:
             return None
         if not ERA.fullmatch(named):
             raise self._malformed(f'malformed era {named!r}')
-        return int(named)
+        era = int(named)
+        self.era = max(self.era, era)
+        return era
 
     def _version(self, page: typing.Any) -> int:
         version = page.get('ver') if isinstance(page, dict) else None
--- a/ivystep/platform/table.py
+++ b/ivystep/platform/table.py
@@ -42,7 +42,14 @@
 
 
 class Table(typing.Protocol):
-    """Interface of the table service."""
+    """Interface of the table service.
+
+    Attributes:
+        era: Number of times that the service has been restored from an older
+            copy, as far as its answers to this process have named it.
+    """
+
+    era: int
 
     def get(self, key: str) -> Row | None:
         """Read one row.
@@ -106,9 +113,20 @@
             collections.OrderedDict()
         )
 
+    @property
+    def era(self) -> int:
+        """Highest era that an answer has named; see ``Table.era``."""
+        return self._rows.era
+
     def get(self, key: str) -> Row | None:
         """Read one row; see ``Table.get``."""
         page = self._rows.read(self._table, key, f'{key}\0', limit=1)
+        if page.era is not None and page.era < self.era:
+            raise errors.UnavailableError(
+                f'era {page.era} is older than {self.era}',
+                step='get',
+                peer='table service',
+            )
         if not page.rows:
             self._cache_versions(key, ABSENT)
             return None
--- a/soak/schedules/simulation.py
+++ b/soak/schedules/simulation.py
@@ -37,6 +37,11 @@
         self._choices = choices
         self._view = fakes.TableView(shared)
 
+    @property
+    def era(self) -> int:
+        """Number of restorations that this process has noticed."""
+        return self._view.era
+
     def get(self, key: str) -> typing.Any:
         """Read one row."""
         self._plan()
--- a/tests/coordination/test_claims.py
+++ b/tests/coordination/test_claims.py
@@ -333,3 +333,15 @@
     log.acquire(ACCOUNT, 'secret-key', 'req-1', b'f')
     assert 'secret-key' not in repr(shared.row_by_key)
     assert isinstance(next(iter(shared.row_by_key.values())), table.Row)
+
+
+@fakes.on_virtual_clock
+def test_claim_that_a_copy_lacks_is_not_granted_again():
+    """Guards against a second run of a request after the table was restored."""
+    shared = fakes.FakeTable()
+    log = claims.ClaimLog(fakes.TableView(shared), 'entry-1')
+    copied = dict(shared.row_by_key)
+    assert log.acquire(ACCOUNT, 'return-1', 'req-1', b'f').granted
+    log.settle(ACCOUNT, 'return-1', 'req-1', types.ExecutionStatus.YES, 201)
+    shared.restore(copied)
+    assert not log.acquire(ACCOUNT, 'return-1', 'req-2', b'f').granted
--- a/tests/coordination/test_lease_restoration.py
+++ b/tests/coordination/test_lease_restoration.py
@@ -1,6 +1,7 @@
 """Tests of leases in a table that is restored from older copies."""
 
 import eventlet
+import pytest
 from hypothesis import stateful
 from hypothesis import strategies as st
 
@@ -54,6 +55,29 @@
         self.restart(process)
 
 
+class IgnoresTheEra(lease.Lease):
+    """Takes a row of a copy for the newest one."""
+
+    def _is_from_copy(self, row_token):
+        return False
+
+
+class AlwaysGoesOn(lease.Lease):
+    """Takes its former lease again, however long it has lapsed."""
+
+    def _find_basis(self, record, row_token):
+        self._excludes_until = float('inf')
+        return super()._find_basis(record, row_token)
+
+
+class ExtendsEarlierEras(lease.Lease):
+    """Goes on with a lease of an earlier era that it writes again."""
+
+    def _record_write(self, record, version):
+        super()._record_write(record, version)
+        self._valid_until = self._sent_at_by_write_id[record.write_id] + 9
+
+
 def _machine(kind):
     name = f'{kind.__name__}RestoredMachine'
     return type(name, (RestoredLeaseMachine,), {'lease_type': kind})
@@ -68,6 +92,17 @@
     )
 
 
+@pytest.mark.parametrize(
+    'broken', [IgnoresTheEra, AlwaysGoesOn, ExtendsEarlierEras]
+)
+def test_oracle_sees_each_missing_mechanism(broken):
+    """Guards against an oracle that misses the faults it is meant to find."""
+    with pytest.raises(fakes.ViolationError):
+        stateful.run_state_machine_as_test(
+            _machine(broken), settings=fakes.VIOLATION_SEARCH
+        )
+
+
 @fakes.on_virtual_clock
 def test_restarted_process_gives_no_token_that_the_copy_lacks():
     """Guards against a host that takes its own former lease from a copy."""
--- a/tests/entry/harness.py
+++ b/tests/entry/harness.py
@@ -123,6 +123,8 @@
 class MemoryTable:
     """In-memory table service; ``faults`` lists faults of the next calls."""
 
+    era = 0
+
     def __init__(self):
         self.row_by_key = {}
         self.faults = []
--- a/tests/gateway/test_leadership.py
+++ b/tests/gateway/test_leadership.py
@@ -199,3 +199,42 @@
     strong.task.kill()
     strong.leadership.release()
     wait_until(lambda: weak.may_send_orders)
+
+
+@clocks.on_virtual_clock
+def test_host_that_starts_after_a_restoration_waits_for_orders_of_another():
+    """Guards against two hosts that give orders with one fence number, or by
+    turns: the copy names the host that starts, which led before the other one.
+    """
+    shared = clocks.FakeTable()
+    first = Host(shared, 'host-1')
+    clock.sleep(0.1)
+    copied = dict(shared.row_by_key)
+    first.task.kill()
+    first.leadership.release()
+    second = Host(shared, 'host-2')
+    wait_until(lambda: second.may_send_orders)
+    second_token = second.leadership.authority().token
+    shared.restore(copied)
+    restored = clock.now()
+    # The host that led when the store was restored does not go on.
+    second.task.kill()
+    again = Host(shared, 'host-1')
+    wait_until(lambda: again.may_send_orders)
+    assert again.leadership.authority().token > second_token
+    assert clock.now() - restored >= TIMINGS.lease_s + TIMINGS.handover_delay_s
+
+
+@clocks.on_virtual_clock
+def test_leader_goes_on_after_a_restoration_without_a_handover():
+    """Guards against seconds without loads after each drill of the store."""
+    shared = clocks.FakeTable()
+    leader = Host(shared, 'host-1')
+    clock.sleep(0.1)
+    copied = dict(shared.row_by_key)
+    clock.sleep(5)
+    token = leader.leadership.authority().token
+    shared.restore(copied)
+    wait_until(lambda: leader.leadership.term > token, timeout_s=2)
+    clock.sleep(0.01)
+    assert leader.may_send_orders
