Log the error by which a background task ends

Cause: other operators report hosts that end or stop to follow the list of upstreams after one odd entry. A task that ended by an error left only a traceback on standard error, so that three hypotheses could not be told apart.

Change: task_failed with the task, the error and its place, and a counter; the tasks of a gateway are kept by a class of their own. No change of logic.

--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -2,14 +2,14 @@
 
 import signal
 import typing
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 import eventlet
 
-from ivystep.accounts import revocation
 from ivystep.core import types
 from ivystep.gateway import (
     account_metrics,
+    background,
     base_model_loader,
     callers,
     centre_choice,
@@ -70,13 +70,13 @@
         self.is_ready = True
         self._shares = host_shares.HostShares.from_config(settings.bounds)
         self._signals = drain.DrainSignal()
-        self._tasks: list[typing.Any] = []
         host = settings.process.id
         self._metrics = registry.Metrics(account_metrics.MAX_ACCOUNT_LABELS)
         self._event_metrics = event_metrics.EventMetrics(self._metrics)
         self._log = event_log.EventLog(
             'gateway', host, self._event_metrics.record
         )
+        self._tasks = background.BackgroundTasks(self._log)
         self._server_state = callers.ServerState()
         self._measured = measurements.Measurements.empty()
         self._prefill_queues = prefill_queues.PrefillQueues(
@@ -183,10 +183,8 @@
             max(settings.bounds.config_age_s, settings.store.longest_read_s),
         )
         self._progress.add_source(config_age)
-        self._access = request_access.RequestAccess(
-            self._config,
-            self._log,
-            revocation.RevocationPolicy(settings.bounds.revoke_strict),
+        self._access = request_access.RequestAccess.from_config(
+            settings, self._config, self._log
         )
         requests_log = request_log.RequestLog(self._log, self._config)
         self._request_handler = request_handler.RequestHandler(
@@ -239,7 +237,7 @@
         listener = eventlet.listen(
             self.settings.addresses.callers, backlog=BACKLOG
         )
-        self._spawn(
+        self._tasks.spawn(
             callers.serve,
             listener,
             self._server_state,
@@ -269,8 +267,7 @@
 
     def stop(self) -> None:
         """Kill all tasks; for programs that embed a gateway."""
-        while self._tasks:
-            self._tasks.pop().kill()
+        self._tasks.kill()
 
     def status(self) -> operators_app.ProcessStatus:
         """Return the status for operators."""
@@ -293,16 +290,8 @@
     def _accepts_connections(self) -> bool:
         return self.is_ready and self._config.current is not None
 
-    def _spawn(
-        self,
-        task: Callable[..., typing.Any],
-        *arguments: typing.Any,
-        **named: typing.Any,
-    ) -> None:
-        self._tasks.append(eventlet.spawn(task, *arguments, **named))
-
     def _start_background(self) -> None:
-        started = servers.Servers(self.settings.addresses, self._spawn)
+        started = servers.Servers(self.settings.addresses, self._tasks.spawn)
         started.start_readiness(self._accepts_connections)
         started.start_operators(self._metrics, self.status)
         started.start_peers(
@@ -314,14 +303,14 @@
             self._quotas.answer,
         )
         self._follow_tables()
-        self._spawn(self._remove_expired_crashes)
-        self._spawn(self._leadership.run)
-        self._spawn(self._leadership.follow)
-        self._spawn(self._quotas.run)
-        self._spawn(self._base_model_loader.run)
-        self._spawn(self._close_expired_connections)
-        self._spawn(self._apply_totals_as_leader)
-        self._spawn(loop_lag.measure, self._event_metrics, self._log)
+        self._tasks.spawn(self._remove_expired_crashes)
+        self._tasks.spawn(self._leadership.run)
+        self._tasks.spawn(self._leadership.follow)
+        self._tasks.spawn(self._quotas.run)
+        self._tasks.spawn(self._base_model_loader.run)
+        self._tasks.spawn(self._close_expired_connections)
+        self._tasks.spawn(self._apply_totals_as_leader)
+        self._tasks.spawn(loop_lag.measure, self._event_metrics, self._log)
 
     def _follow_tables(self) -> None:
         """Start the feeds of the tables of the store."""
@@ -329,11 +318,13 @@
             self._membership, self._last_needed_version
         )
         crashes_feed = self._followed.feed_of_crashes(self._crashes)
-        self._spawn(self._config_feed.run)
-        self._spawn(crashes_feed.run)
+        self._tasks.spawn(self._config_feed.run)
+        self._tasks.spawn(crashes_feed.run)
         # A request that crashes upstreams must be known before there are any.
-        self._spawn(self._followed.run_after, crashes_feed, upstreams_feed)
-        self._spawn(
+        self._tasks.spawn(
+            self._followed.run_after, crashes_feed, upstreams_feed
+        )
+        self._tasks.spawn(
             self._origins.maintain,
             upstreams_feed,
             lambda: self._leadership.is_leader,
--- a/ivystep/gateway/event_metrics.py
+++ b/ivystep/gateway/event_metrics.py
@@ -9,7 +9,7 @@
 import aioprometheus
 
 from ivystep.core import units
-from ivystep.gateway import events, leader_events
+from ivystep.gateway import events, leader_events, process_events
 from ivystep.metrics import registry
 from ivystep.runtime import event_log
 from ivystep.stream_origins import events as origin_events
@@ -74,6 +74,9 @@
         self.store_calls = self._counter(
             'store_calls', 'Calls to the store, by method and status.'
         )
+        self.failed_tasks = self._counter(
+            'failed_tasks', 'Errors that a background task does not handle.'
+        )
         self.config_version = self._gauge(
             'config_version', 'Version of the configuration in force.'
         )
@@ -199,6 +202,13 @@
     metrics.dependencies_lost.inc({'kind': kind})
 
 
+@_record_event.register
+def _record_task(
+    event: process_events.TaskFailed, metrics: EventMetrics
+) -> None:
+    metrics.failed_tasks.inc({'task': event.task})
+
+
 @_record_event.register
 def _record_config(event: events.ConfigAdopted, metrics: EventMetrics) -> None:
     metrics.config_version.set({}, event.version)
--- a/ivystep/gateway/process_events.py
+++ b/ivystep/gateway/process_events.py
@@ -1,6 +1,7 @@
 """Log events of the start, the drain and the end of a gateway."""
 
 import dataclasses
+import logging
 import typing
 
 from ivystep.runtime import event_log
@@ -72,3 +73,21 @@
     name: typing.ClassVar[str] = 'stopped'
 
     requests: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskFailed(event_log.Event):
+    """A background task met an error that it does not handle.
+
+    Attributes:
+        task: Name of the task's function.
+        error: The error.
+        place: File and line at which it was raised.
+    """
+
+    name: typing.ClassVar[str] = 'task_failed'
+    level: typing.ClassVar[int] = logging.ERROR
+
+    task: str
+    error: str
+    place: str
--- a/ivystep/gateway/request_access.py
+++ b/ivystep/gateway/request_access.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import typing
 from collections.abc import Generator
 
 import greenlet
@@ -11,6 +12,7 @@
 from ivystep.core import errors
 from ivystep.gateway import configuration, request_state
 from ivystep.runtime import event_log
+from ivystep.settings import gateway as settings_models
 from ivystep.traffic import contracts
 
 
@@ -46,6 +48,23 @@
         self._policy = policy
         self._running: set[_RunningStream] = set()
 
+    @classmethod
+    def from_config(
+        cls,
+        settings: settings_models.GatewaySettings,
+        config: configuration.Configuration,
+        log: event_log.EventLog,
+    ) -> typing.Self:
+        """Check the keys as a host's settings say.
+
+        Args:
+            settings: The settings.
+            config: The configuration in force.
+            log: Event log of ended streams.
+        """
+        policy = revocation.RevocationPolicy(settings.bounds.revoke_strict)
+        return cls(config, log, policy)
+
     def renew(self, state: request_state.RequestState) -> None:
         """Find the account of a request again, before an attempt.
 
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -85,7 +85,12 @@
 
 def encoded(document):
     """Return a document in the encoding of the store's row values."""
-    return base64.b64encode(json.dumps(document).encode()).decode()
+    return encoded_bytes(json.dumps(document).encode())
+
+
+def encoded_bytes(content):
+    """Return bytes in the encoding of the store's row values."""
+    return base64.b64encode(content).decode()
 
 
 def entry(upstream_id='i-1', *held, started_at_ms=0):
