Bound what other programs write before it is used or logged

Other operators saw: machines that read the list of replicas ended, or stopped to follow it, after one odd entry (nested, a number too large, a port out of range). Here no process ended, but the feed of the upstreams did, and requests to such an entry were cut off.

Cause: models of the border checked types, not ranges, and each decoder had its own list of errors that mean "malformed". Evidence: task_failed with OverflowError of FollowedTables.run_after and _apply_totals_as_leader, and OverflowError of connect in requests.

Change: platform/decoding.py bounds numbers, times, ports, ids and texts of entries, reports, versions and ivystep's own rows. One malformed host no longer hides the host list. Log lines bound their fields, since a lone surrogate or a number over 64 bits raised an error in the task that logged it.

Ruled out: deep nesting in entries was refused before (tests pass there).

--- a/ivystep/platform/crash_rows.py
+++ b/ivystep/platform/crash_rows.py
@@ -6,25 +6,15 @@
 write that is carried out late does no harm.
 """
 
-import binascii
 import dataclasses
 import functools
 import json
 import typing
 
 from ivystep.core import errors, ids, units
-from ivystep.platform import rows
+from ivystep.platform import decoding, rows
 
 TABLE = 'ivystep-crashes'
-# Raised when a malformed row, written by another program, is decoded.
-DECODE_ERRORS = (
-    KeyError,
-    TypeError,
-    ValueError,
-    AttributeError,
-    RecursionError,
-    binascii.Error,
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -115,18 +105,18 @@
         errors.SetupError: The row is malformed.
     """
     try:
-        document = json.loads(row.content)
+        document = decoding.load(row.content)
         upstream = (
             str(document['upstream']),
             str(document['incarnation']),
-            float(document['recorded_ms']) / units.MS_PER_S,
+            decoding.seconds(document['recorded_ms']),
         )
         part_id = document.get('part')
         if part_id is not None:
             has_begun = bool(document['has_begun'])
             return PartCrash(str(part_id), *upstream, has_begun)
         return Crash(bytes.fromhex(document['fingerprint']), *upstream)
-    except DECODE_ERRORS as error:
+    except decoding.DECODE_ERRORS as error:
         raise errors.SetupError(
             f'row {row.key!r} is malformed: {error}', step='decode crash'
         ) from error
--- a/ivystep/platform/operator_config.py
+++ b/ivystep/platform/operator_config.py
@@ -12,7 +12,7 @@
 
 from ivystep.accounts import directory
 from ivystep.core import errors, ids, units
-from ivystep.platform import rows
+from ivystep.platform import decoding, rows
 from ivystep.runtime import clock
 from ivystep.traffic import contracts
 
@@ -120,7 +120,7 @@
 class _AdapterVersion(_RowModel):
     model: str
     adapter: str = ''
-    version: int
+    version: decoding.Number
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ivystep/platform/rows.py
+++ b/ivystep/platform/rows.py
@@ -16,7 +16,7 @@
 from collections.abc import Iterator, Sequence
 
 from ivystep.core import errors, units
-from ivystep.platform import http
+from ivystep.platform import decoding, http
 
 READ_PATH = '/ivystep/rows-get'
 FEED_PATH = '/ivystep/rows-feed'
@@ -24,8 +24,6 @@
 # Number of times that the store has been restored from an older copy.
 ERA_HEADER = 'Store-Era'
 ERA = re.compile(r'\d{1,18}')
-# Raised when a malformed row is decoded.
-DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
 # Latest time on the store's clock that a float represents to the millisecond.
 MAX_TIME_MS = 2**53
 # Largest number of rows in one answer.
@@ -295,7 +293,7 @@
         for raw in rows:
             try:
                 yield _stored_row(raw)
-            except DECODE_ERRORS as error:
+            except decoding.DECODE_ERRORS as error:
                 raise self._malformed(f'a row is malformed: {error}') from error
 
     def _malformed(self, reason: str) -> errors.UnavailableError:
--- a/ivystep/platform/stream_rows.py
+++ b/ivystep/platform/stream_rows.py
@@ -11,18 +11,9 @@
 import typing
 
 from ivystep.core import errors, units
-from ivystep.platform import rows
+from ivystep.platform import decoding, rows
 
 TABLE = 'ivystep-streams'
-# Raised when a malformed row, written by another program, is decoded.
-DECODE_ERRORS = (
-    KeyError,
-    TypeError,
-    ValueError,
-    AttributeError,
-    RecursionError,
-    OverflowError,
-)
 # Separates a stream's key from the number of its row; END sorts after it.
 SEPARATOR = '/'
 END = '0'
@@ -105,14 +96,14 @@
         errors.SetupError: The row is malformed.
     """
     try:
-        document = json.loads(row.content)
+        document = decoding.load(row.content)
         return StreamOrigin(
             str(document['service']),
             str(document['software_version']),
-            float(document['recorded_ms']) / units.MS_PER_S,
-            int(document.get('era', 0)),
+            decoding.seconds(document['recorded_ms']),
+            decoding.whole(document.get('era', 0)),
         )
-    except DECODE_ERRORS as error:
+    except decoding.DECODE_ERRORS as error:
         raise errors.SetupError(
             f'row {row.key!r} is malformed: {error}', step='decode stream'
         ) from error
--- a/ivystep/platform/table.py
+++ b/ivystep/platform/table.py
@@ -13,13 +13,11 @@
 from collections.abc import Iterable, Iterator, Sequence
 
 from ivystep.core import errors
-from ivystep.platform import http, rows
+from ivystep.platform import decoding, http, rows
 
 TABLE = 'ivystep'
 # A row whose versions are not cached is read before it is written.
 MAX_CACHED_VERSIONS = 4096
-# Raised when a malformed row, written by another program, is decoded.
-DECODE_ERRORS = (KeyError, TypeError, ValueError, RecursionError)
 LAST_CHARACTER = '\U0010ffff'
 
 
@@ -205,7 +203,7 @@
         try:
             document = json.loads(stored.content)
             row = Row(stored.key, document['value'], document['version'])
-        except DECODE_ERRORS as error:
+        except decoding.DECODE_ERRORS as error:
             raise self._malformed() from error
         if not isinstance(row.version, int):
             raise self._malformed()
--- a/ivystep/platform/upstream_entries.py
+++ b/ivystep/platform/upstream_entries.py
@@ -4,14 +4,12 @@
 entry raises an error and does not affect the others.
 """
 
-import ipaddress
-import json
 from types import MappingProxyType
 
 import pydantic
 
 from ivystep.core import errors, types, units
-from ivystep.platform import rows
+from ivystep.platform import decoding, rows
 from ivystep.traffic import upstreams
 
 TABLE = 'servers'
@@ -21,47 +19,46 @@
         'draining': upstreams.UpstreamState.DRAINING,
     }
 )
-# Raised when a malformed entry or report is decoded.
-DECODE_ERRORS = (pydantic.ValidationError, KeyError, ValueError, RecursionError)
 
 
 class _Held(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra='ignore', strict=True)
 
-    name: str
-    version: int = 1
+    name: decoding.Text
+    version: decoding.Number = 1
     # In the form NAME@VERSION.
-    adapters: list[str] = []
+    adapters: list[decoding.Text] = []
 
 
 class _Entry(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra='ignore', strict=True)
 
-    service: str
+    service: decoding.Text
     address: str
-    zone: str = ''
+    zone: decoding.Text = ''
     # Version of its software, not of the weights that it holds.
-    version: str = ''
-    slots: int = pydantic.Field(ge=0)
+    version: decoding.Text = ''
+    slots: decoding.Count
     state: str
-    born: int = 0
+    born: decoding.Number = 0
     models: list[_Held] = []
-    remaining_ms: float | None = None
+    remaining_ms: decoding.Milliseconds | None = None
 
 
 class _Report(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra='ignore', strict=True)
 
-    models: list[_Held] = []
-    busy: bool = False
+    # No default, because an engine that seems to be empty would be overfilled.
+    models: list[_Held]
+    busy: bool
     # Number of accepted orders; in an entry, this field counts heartbeats.
-    sequence: int = 0
+    sequence: decoding.Number
     # In the form MODEL/NAME@VERSION.
-    coming: list[str] = []
-    queued: int = 0
-    active: int = 0
-    kv_used: int = 0
-    born: int = 0
+    coming: list[decoding.Text] = []
+    queued: decoding.Count
+    active: decoding.Count
+    kv_used: decoding.Number
+    born: decoding.Number = 0
 
 
 def decode_entry(row: rows.StoredRow) -> upstreams.UpstreamEntry:
@@ -71,11 +68,11 @@
         errors.SetupError: The entry is malformed.
     """
     try:
-        entry = _Entry.model_validate(json.loads(row.content))
+        entry = _Entry.model_validate(decoding.load(row.content))
         return upstreams.UpstreamEntry(
-            upstream_id=row.key,
+            upstream_id=decoding.header_id(row.key),
             service=entry.service,
-            address=_address(entry.address),
+            address=decoding.address(entry.address),
             data_centre=entry.zone,
             started_at_ms=entry.born,
             state=STATE_BY_NAME[entry.state],
@@ -89,7 +86,7 @@
             version=row.version,
             software_version=entry.version,
         )
-    except DECODE_ERRORS as error:
+    except decoding.DECODE_ERRORS as error:
         raise errors.SetupError(
             f'entry {row.key!r} is malformed: {error}',
             step='decode entry',
@@ -103,20 +100,18 @@
         errors.LinkError: The body is not a report.
     """
     try:
-        report = _Report.model_validate(json.loads(body))
+        report = _Report.model_validate(decoding.load(body))
         return upstreams.EngineReport(
             started_at_ms=report.born,
             held_model_by_name=_held(report.models),
             is_busy=report.busy,
             order_count=report.sequence,
-            loading=tuple(
-                types.AdapterRef.from_lora_name(name) for name in report.coming
-            ),
+            loading=tuple(_adapter_ref(name) for name in report.coming),
             queued=report.queued,
             running=report.active,
             kv_used=report.kv_used,
         )
-    except DECODE_ERRORS as error:
+    except decoding.DECODE_ERRORS as error:
         raise errors.LinkError(
             f'malformed report: {error}', step='report'
         ) from error
@@ -136,10 +131,15 @@
     version_by_name = {}
     for text in names:
         name, _, version = text.rpartition('@')
-        version_by_name[name or version] = int(version) if name else 1
+        version_by_name[name or version] = _version(version) if name else 1
     return version_by_name
 
 
-def _address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(':')
-    return str(ipaddress.IPv4Address(host)), int(port)
+def _adapter_ref(name: str) -> types.AdapterRef:
+    ref = types.AdapterRef.from_lora_name(name)
+    decoding.whole(ref.version)
+    return ref
+
+
+def _version(digits: str) -> int:
+    return decoding.whole(int(digits))
--- a/ivystep/platform/version_rows.py
+++ b/ivystep/platform/version_rows.py
@@ -6,22 +6,12 @@
 
 import dataclasses
 import json
-import typing
 from collections.abc import Mapping
 
 from ivystep.core import errors, units
-from ivystep.platform import rows
+from ivystep.platform import decoding, rows
 
 TABLE = 'ivystep-versions'
-# Raised when a malformed row, written by another program, is decoded.
-DECODE_ERRORS = (
-    KeyError,
-    TypeError,
-    ValueError,
-    AttributeError,
-    RecursionError,
-    OverflowError,
-)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,16 +60,18 @@
         errors.SetupError: The row is malformed.
     """
     try:
-        document = json.loads(row.content)
+        document = decoding.load(row.content)
         return ServiceVersions(
             {
-                str(version): None if gone_ms is None else _to_s(gone_ms)
+                str(version): None
+                if gone_ms is None
+                else decoding.seconds(gone_ms)
                 for version, gone_ms in document['versions'].items()
             },
-            int(document['era']),
-            _to_s(document['complete_from_ms']),
+            decoding.whole(document['era']),
+            decoding.seconds(document['complete_from_ms']),
         )
-    except DECODE_ERRORS as error:
+    except decoding.DECODE_ERRORS as error:
         raise errors.SetupError(
             f'row {row.key!r} is malformed: {error}', step='decode versions'
         ) from error
@@ -87,7 +79,3 @@
 
 def _to_ms(seconds: float) -> int:
     return round(seconds * units.MS_PER_S)
-
-
-def _to_s(milliseconds: typing.Any) -> float:
-    return float(milliseconds) / units.MS_PER_S
--- a/ivystep/runtime/event_log.py
+++ b/ivystep/runtime/event_log.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import functools
 import logging
 import os
 import sys
@@ -23,6 +24,11 @@
 # Rate limit for each kind of event, equal to about 10 KB/s of log lines.
 DEFAULT_RATE_PER_S = 40.0
 DEFAULT_BURST = 200.0
+# Longest text of a field, in characters. A line that is longer than the buffer
+# of a pipe would be cut off.
+MAX_TEXT = 4096
+# Largest number of a JSON line, which has 64 bits.
+MAX_NUMBER = 2**63 - 1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,10 +64,10 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write one line."""
-        line = f'{self.format(record)}\n'.encode(errors='replace')
         try:
+            line = f'{self.format(record)}\n'.encode(errors='replace')
             UNPATCHED_OS.write(self._descriptor, line)
-        except OSError:
+        except (OSError, TypeError, ValueError):
             # The failure itself cannot be logged, only counted.
             self.dropped += 1
 
@@ -141,4 +147,22 @@
                 rate_limit.left_out = 0
         if self._host:
             fields['host'] = self._host
+        fields = {name: _loggable(value) for name, value in fields.items()}
         self._log.log(event.level, event.name, extra=fields)
+
+
+@functools.singledispatch
+def _loggable(value: typing.Any) -> typing.Any:
+    """Return a value in a form that JSON can represent on a short line."""
+    return value
+
+
+@_loggable.register
+def _loggable_text(value: str) -> str:
+    # A lone surrogate, which JSON can contain, has no bytes.
+    return value[:MAX_TEXT].encode(errors='backslashreplace').decode()
+
+
+@_loggable.register
+def _loggable_number(value: int) -> int | str:
+    return value if abs(value) <= MAX_NUMBER else hex(value)[:MAX_TEXT]
--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -1,6 +1,7 @@
 """Tests of the platform clients against misbehaving services."""
 
 import contextlib
+import json
 
 import pytest
 
@@ -64,3 +65,33 @@
     assert type(caught.value) is expected
     with pytest.raises(errors.UnavailableError):
         table.TableClient('http://127.0.0.1:1', 2).transact(())
+
+
+HOST = {
+    'host': 'up-1',
+    'role': 'sidecar',
+    'address': '127.0.0.1',
+    'port': 7000,
+    'data_centre': 'dc',
+    'pool': 'base',
+    'state': 'live',
+}
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        {**HOST, 'port': 70000},
+        {**HOST, 'port': 10**300},
+        {**HOST, 'port': 0},
+        {**HOST, 'address': ['127.0.0.1']},
+        {**HOST, 'state': 'asleep'},
+        {**HOST, 'host': []},
+        {'host': 'up-0'},
+        7,
+    ],
+)
+def test_odd_host_does_not_hide_the_others(serve, odd):
+    """Guards against an entry that stops to follow the list of hosts."""
+    url = serve(200, json.dumps({'hosts': [odd, HOST]}).encode())
+    assert list(hosts.HostsClient(url, 2).read()) == ['up-1']
--- a/tests/platform/test_decoding.py
+++ b/tests/platform/test_decoding.py
@@ -1,13 +1,21 @@
 """Tests of decoding rows that the operator and upstreams write."""
 
 import json
+import math
 
 import hypothesis
 import pytest
 from hypothesis import strategies
 
 from ivystep.core import errors, ids
-from ivystep.platform import operator_config, rows, upstream_entries
+from ivystep.platform import (
+    crash_rows,
+    operator_config,
+    rows,
+    stream_rows,
+    upstream_entries,
+    version_rows,
+)
 from ivystep.traffic import contracts, upstreams
 
 ENTRY = {
@@ -95,6 +103,24 @@
         {'born': 1.5},
         {'models': [{'name': 'daka', 'adapters': 'a3@2'}]},
         {'models': [{'name': 'daka', 'adapters': ['a3@x']}]},
+        {'address': '10.0.0.1:70000'},
+        {'address': '10.0.0.1:0'},
+        {'address': '10.0.0.1:-80'},
+        {'address': '10.0.0.1:8_0'},
+        {'address': '10.0.0.1:\uff18\uff10'},
+        {'slots': 10**300},
+        {'born': 10**300},
+        {'born': -1},
+        {'remaining_ms': 1e300},
+        {'remaining_ms': math.inf},
+        {'remaining_ms': math.nan},
+        {'models': [{'name': 'daka', 'version': 10**300}]},
+        {'models': [{'name': 'daka', 'adapters': ['a3@' + '9' * 300]}]},
+        {'models': [{'name': 'daka\r\n'}]},
+        {'service': '\ud800'},
+        {'version': 'v1\r\nx: y'},
+        {'version': 'v' * 300},
+        {'zone': 'z' * 300},
     ],
 )
 def test_malformed_entry_is_refused(change):
@@ -103,6 +129,101 @@
         upstream_entries.decode_entry(row({**ENTRY, **change}))
 
 
+@pytest.mark.parametrize(
+    'key', ['', 'i-7f\r\nX: 1', 'i 7f', 'i-\u4e00', 'i-\ud800', 'i' * 300]
+)
+def test_entry_with_an_id_that_is_no_header_is_refused(key):
+    """Guards against an id that breaks requests to its upstream."""
+    with pytest.raises(errors.SetupError):
+        upstream_entries.decode_entry(row(ENTRY, key))
+
+
+REPORT = {
+    'stage': 'unified',
+    'models': [{'name': 'daka', 'version': 1, 'adapters': ['a3@2']}],
+    'busy': False,
+    'sequence': 2,
+    'queued': 1,
+    'active': 12,
+    'kv_used': 41000,
+}
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'sequence': 10**300},
+        {'sequence': -1},
+        {'queued': 10**300},
+        {'active': 10**300},
+        {'kv_used': 10**300},
+        {'coming': ['daka/a3@' + '9' * 300]},
+    ],
+)
+def test_odd_report_is_refused(change):
+    """Guards against a task that ends because of a report's numbers."""
+    with pytest.raises(errors.LinkError):
+        upstream_entries.decode_report(json.dumps(REPORT | change).encode())
+
+
+@pytest.mark.parametrize(
+    'missing', ['models', 'busy', 'sequence', 'queued', 'active', 'kv_used']
+)
+def test_report_with_a_missing_field_is_refused(missing):
+    """Guards against an engine that is taken for an empty one and overfilled.
+
+    The answer to another call may come once more in place of the report.
+    """
+    partial = {key: REPORT[key] for key in REPORT if key != missing}
+    with pytest.raises(errors.LinkError):
+        upstream_entries.decode_report(json.dumps(partial).encode())
+
+
+ODD_NUMBERS = ('1e999', '9' * 400, '-1e999', 'NaN', '[' * 900 + ']' * 900)
+
+
+@pytest.mark.parametrize('odd', ODD_NUMBERS)
+@pytest.mark.parametrize(
+    ('decode', 'document'),
+    [
+        (
+            crash_rows.decode,
+            (
+                '{"upstream": "i", "incarnation": "i/0", "fingerprint": "00", '
+                '"recorded_ms": %s}'
+            ),
+        ),
+        (
+            stream_rows.decode,
+            '{"service": "s", "software_version": "v", "recorded_ms": %s}',
+        ),
+        (
+            stream_rows.decode,
+            (
+                '{"service": "s", "software_version": "v", "recorded_ms": 1, '
+                '"era": %s}'
+            ),
+        ),
+        (
+            version_rows.decode,
+            '{"versions": {"v": %s}, "era": 0, "complete_from_ms": 0}',
+        ),
+        (
+            version_rows.decode,
+            '{"versions": {}, "era": 0, "complete_from_ms": %s}',
+        ),
+        (
+            operator_config.decode_version,
+            '{"model": "m", "adapter": "a", "version": %s}',
+        ),
+    ],
+)
+def test_odd_number_in_a_row_is_refused(decode, document, odd):
+    """Guards against a feed that ends because of a number in another row."""
+    with pytest.raises(errors.SetupError):
+        decode(row((document % odd).encode()))
+
+
 @pytest.mark.parametrize('missing', ['service', 'address', 'slots', 'state'])
 def test_entry_with_a_missing_field_is_refused(missing):
     """Guards against a task that ends because of an incomplete entry."""
--- a/tests/runtime/test_event_log.py
+++ b/tests/runtime/test_event_log.py
@@ -91,3 +91,28 @@
     for number in range(5000):
         log.write(Failure(number))
     assert handler.dropped > 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Named(event_log.Event):
+    """An event with text that another program has written."""
+
+    name: typing.ClassVar[str] = 'named'
+
+    text: str
+
+
+@pytest.mark.parametrize(
+    'event', [Named('\ud800'), Failure(2**70), Named('x' * 100_000)]
+)
+def test_odd_content_does_not_end_the_task_that_logs_it(pipe, event):
+    """Guards against a host that stops to follow a table because of a row that
+    it cannot log.
+    """
+    log, reading, _ = pipe
+    log.write(event)
+    log.write(Failure(1))
+    assert [line['message'] for line in lines(reading)] == [
+        event.name,
+        'failure',
+    ]
