Go on with a table and a task after an error that nobody expects

Cause: the feed of the upstreams ended for good by one OverflowError, as did the task that applies the totals of all hosts, and nothing noticed. A malformed row of the lease, or one with a field of later software, ended the election in the same way.

Change: a row that raises an error as it is applied is logged and left out; a background task that ends by an error is logged and starts again. The row of the lease is decoded with bounds, its unknown fields are ignored, and a malformed one is read again.

Ruled out: to acquire the lease over a malformed row; its token is unknown to a process that starts.

--- a/ivystep/coordination/lease_row.py
+++ b/ivystep/coordination/lease_row.py
@@ -12,11 +12,14 @@
 import enum
 import typing
 
-from ivystep.platform import table
+from ivystep.core import errors
+from ivystep.platform import decoding, table
 
 # More than a lease is acquired in one era, also by a process that crashes again
 # and again. Tokens stay exact in a float for 900 million eras.
 TOKENS_PER_ERA = 10_000_000
+# A row that claims the lease for longer is malformed.
+MAX_DURATION_S = 3600.0
 
 
 class Basis(enum.Enum):
@@ -68,8 +71,25 @@
 
     @classmethod
     def from_row(cls, row: table.Row) -> typing.Self:
-        """Decode a row."""
-        return cls(**row.value)
+        """Decode a row. Fields of later software are ignored.
+
+        Raises:
+            errors.UnavailableError: The row is malformed.
+        """
+        try:
+            return cls(
+                holder_id=str(row.value['holder_id']),
+                token=decoding.whole(row.value['token']),
+                duration_s=_duration_s(row.value['duration_s']),
+                write_id=str(row.value['write_id']),
+                is_released=bool(row.value['is_released']),
+            )
+        except decoding.DECODE_ERRORS as error:
+            raise errors.UnavailableError(
+                f'row {row.key!r} is malformed: {error}',
+                step='read lease',
+                peer='table service',
+            ) from error
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -89,6 +109,13 @@
     waited_s: float = 0.0
 
 
+def _duration_s(written: typing.Any) -> float:
+    duration_s = float(written)
+    if not 0 <= duration_s <= MAX_DURATION_S:
+        raise ValueError('a duration is out of range')
+    return duration_s
+
+
 def is_of_earlier_era(token: int, era: int) -> bool:
     """Return whether a token was given before the last restoration.
 
--- a/ivystep/gateway/background.py
+++ b/ivystep/gateway/background.py
@@ -1,4 +1,9 @@
-"""Runs the background tasks of a gateway."""
+"""Runs the background tasks of a gateway.
+
+An error that a task does not handle is logged, and the task starts again. A
+gateway that lacks one of its tasks would go on with what it knew then: it would
+send requests to upstreams that have gone, or never lead.
+"""
 
 import os
 import traceback
@@ -8,14 +13,16 @@
 import eventlet
 
 from ivystep.gateway import process_events
-from ivystep.runtime import event_log
+from ivystep.runtime import clock, event_log
+
+RESTART_PAUSE_S = 1.0
 
 
 class BackgroundTasks:
     """The tasks of one gateway, which run until it stops.
 
     Args:
-        log: Event log of the errors by which they end.
+        log: Event log of the errors that they do not handle.
     """
 
     def __init__(self, log: event_log.EventLog) -> None:
@@ -28,7 +35,7 @@
         *arguments: typing.Any,
         **named: typing.Any,
     ) -> None:
-        """Start a task."""
+        """Start a task, and start it again if it ends by an error."""
         self._tasks.append(eventlet.spawn(self._run, task, arguments, named))
 
     def kill(self) -> None:
@@ -42,20 +49,29 @@
         arguments: tuple[typing.Any, ...],
         named: dict[str, typing.Any],
     ) -> None:
-        try:
-            task(*arguments, **named)
-        except Exception as error:
-            self._log.write(
-                process_events.TaskFailed(
-                    getattr(task, '__qualname__', repr(task)),
-                    f'{type(error).__name__}: {error}',
-                    _place(error),
+        is_ended = False
+        while not is_ended:
+            try:
+                task(*arguments, **named)
+            except Exception as error:
+                self._log.write(
+                    process_events.TaskFailed(
+                        getattr(task, '__qualname__', repr(task)),
+                        describe(error),
+                        place(error),
+                    )
                 )
-            )
-            raise
+                clock.sleep(RESTART_PAUSE_S)
+            else:
+                is_ended = True
+
+
+def describe(error: Exception) -> str:
+    """Return an error with its kind."""
+    return f'{type(error).__name__}: {error}'
 
 
-def _place(error: Exception) -> str:
+def place(error: Exception) -> str:
     """Return the file and line at which an error was raised."""
     frames = traceback.extract_tb(error.__traceback__)
     if not frames:
--- a/ivystep/gateway/configuration.py
+++ b/ivystep/gateway/configuration.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Sequence
 
 from ivystep.core import errors, types, units
-from ivystep.gateway import events
+from ivystep.gateway import events, row_application
 from ivystep.platform import operator_config, rows
 from ivystep.runtime import clock, event_log
 from ivystep.traffic import contracts
@@ -101,8 +101,7 @@
 
     def replace_rows(self, found: Sequence[rows.StoredRow]) -> None:
         """Apply all rows; see ``feeds.TableSink``."""
-        for row in found:
-            self.apply_row(row)
+        row_application.apply_each(found, self.apply_row, self._log)
 
     def apply_row(self, row: rows.StoredRow) -> None:
         """Apply one row; see ``feeds.TableSink``."""
--- a/ivystep/gateway/crashes.py
+++ b/ivystep/gateway/crashes.py
@@ -26,6 +26,7 @@
     events,
     part_crashes,
     request_state,
+    row_application,
     row_writer,
     upstream_state,
 )
@@ -213,8 +214,7 @@
 
         A crash without a row still counts: its row may not be written yet.
         """
-        for row in found:
-            self.apply_row(row)
+        row_application.apply_each(found, self.apply_row, self._log)
 
     def apply_row(self, row: rows.StoredRow) -> None:
         """Apply one row; see ``feeds.TableSink``."""
--- a/ivystep/gateway/event_metrics.py
+++ b/ivystep/gateway/event_metrics.py
@@ -209,6 +209,11 @@
     metrics.failed_tasks.inc({'task': event.task})
 
 
+@_record_event.register
+def _record_row(event: process_events.RowFailed, metrics: EventMetrics) -> None:
+    metrics.failed_tasks.inc({'task': f'rows of {event.table}'})
+
+
 @_record_event.register
 def _record_config(event: events.ConfigAdopted, metrics: EventMetrics) -> None:
     metrics.config_version.set({}, event.version)
--- a/ivystep/gateway/feeds.py
+++ b/ivystep/gateway/feeds.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Sequence
 
 from ivystep.core import errors
-from ivystep.gateway import events, table_progress
+from ivystep.gateway import events, row_application, table_progress
 from ivystep.platform import rows
 from ivystep.policy import store_clock
 from ivystep.runtime import clock, event_log
@@ -199,11 +199,13 @@
             self._read()
             return
         self._raise_if_stale(changes)
-        for row in self._dated(changes):
+        for row in changes.rows:
             self._newest_row_version = max(
                 self._newest_row_version, row.version
             )
-            self._sink.apply_row(row)
+        row_application.apply_each(
+            self._dated(changes), self._sink.apply_row, self._log
+        )
         self.version = changes.version
         self._on_answer(changes, sent_at)
 
--- a/ivystep/gateway/leadership.py
+++ b/ivystep/gateway/leadership.py
@@ -161,8 +161,7 @@
         _, _, leader_address = self._lease.seen_holder_id.partition('@')
         if not leader_address or self.holder == self._host:
             return None
-        ip, _, port = leader_address.rpartition(':')
-        return ip, int(port)
+        return _address(leader_address)
 
     def renewal(self) -> lease.Renewal:
         """Return this host's last renewal of the lease."""
@@ -297,8 +296,7 @@
                 link.close()
 
     def _link(self, leader_address: str) -> peers.PeerLink:
-        ip, _, port = leader_address.rpartition(':')
-        address = (ip, int(port))
+        address = _address(leader_address)
         link = self._link_by_address.get(address)
         if link is None:
             self._close_links()
@@ -314,3 +312,8 @@
 
 def _holder_id(host: str, address: tuple[str, int]) -> str:
     return f'{host}@{address[0]}:{address[1]}'
+
+
+def _address(text: str) -> tuple[str, int]:
+    ip, _, port = text.rpartition(':')
+    return ip, int(port)
--- a/ivystep/gateway/membership.py
+++ b/ivystep/gateway/membership.py
@@ -17,7 +17,12 @@
 import eventlet
 
 from ivystep.core import errors
-from ivystep.gateway import events, store_contact, upstream_state
+from ivystep.gateway import (
+    events,
+    row_application,
+    store_contact,
+    upstream_state,
+)
 from ivystep.platform import rows, upstream_entries
 from ivystep.runtime import clock, event_log
 from ivystep.traffic import upstreams
@@ -79,8 +84,7 @@
         present = {row.key for row in found}
         for gone in set(self._essentials_by_id) - present:
             del self._essentials_by_id[gone]
-        for row in found:
-            self.apply_row(row)
+        row_application.apply_each(found, self.apply_row, self._log)
         for upstream_id in set(self.upstream_by_id) - present:
             self._on_missing(upstream_id)
 
--- a/ivystep/gateway/process_events.py
+++ b/ivystep/gateway/process_events.py
@@ -91,3 +91,22 @@
     task: str
     error: str
     place: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RowFailed(event_log.Event):
+    """A row of the store raised an error as it was applied.
+
+    Attributes:
+        error: The error.
+        place: File and line at which it was raised.
+    """
+
+    name: typing.ClassVar[str] = 'row_failed'
+    level: typing.ClassVar[int] = logging.ERROR
+
+    table: str
+    key: str
+    store_version: int
+    error: str
+    place: str
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -379,3 +379,51 @@
     while bench.acquired_at is None:
         clock.sleep(0.01)
     assert bench.acquired_at >= renewed_at + DURATION_S
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        {'token': 10**300},
+        {'token': -1},
+        {'token': '7'},
+        {'duration_s': 1e300},
+        {'duration_s': 'long'},
+        {'holder_id': None, 'token': None},
+    ],
+)
+def test_odd_row_neither_ends_a_process_nor_gives_the_lease(odd):
+    """Guards against a row of another program that ends the election."""
+
+    @fakes.on_virtual_clock
+    def scenario():
+        shared = fakes.FakeTable()
+        _, holder = _lease(shared, 'side-1')
+        _, waiting = _lease(shared, 'side-2')
+        holder.acquire()
+        value = shared.row_by_key[KEY].value
+        shared.apply((table.Put(KEY, value | odd, 1),))
+        task = eventlet.spawn(waiting.acquire)
+        clock.sleep(100)
+        assert not waiting.is_held()
+        assert not task.dead
+        shared.apply((table.Put(KEY, value, 2),))
+        assert task.wait() > holder.token
+
+    scenario()
+
+
+def test_row_of_later_software_can_be_read():
+    """Guards against hosts that end while a new field is rolled out."""
+
+    @fakes.on_virtual_clock
+    def scenario():
+        shared = fakes.FakeTable()
+        _, holder = _lease(shared, 'side-1')
+        _, waiting = _lease(shared, 'side-2')
+        holder.acquire()
+        value = shared.row_by_key[KEY].value
+        shared.apply((table.Put(KEY, {**value, 'new_field': 1}, 1),))
+        assert waiting.acquire() > holder.token
+
+    scenario()
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -227,3 +227,25 @@
     clock.sleep(0.1)
     feed.step()
     assert sink.written_after['b'] <= read_at
+
+
+class FailingSink(FakeSink):
+    """Sink in which one row raises an error that nobody expects."""
+
+    def apply_row(self, row):
+        if row.key == 'odd':
+            raise OverflowError('int too large to convert to float')
+        super().apply_row(row)
+
+
+@clocks.on_virtual_clock
+def test_row_that_raises_an_error_does_not_keep_back_the_others():
+    """Guards against a host that stops to follow a table at one row."""
+    log = fakes.FakeLog()
+    store = FakeStore(found(1), found(2, 'odd', 'b'), found(3, 'c'))
+    sink = FailingSink()
+    feed = feeds.TableFeed(store, 't', sink, log, feeds.FeedTimings(1.0, 0.1))
+    for _ in range(3):
+        feed.step()
+    assert sink.calls[1:] == [('one', 'b'), ('one', 'c')]
+    assert [event.key for event in log.named('row_failed')] == ['odd']
