Log answers of an upstream that are not those to the request

Cause: other operators report refusals that a replica wrote once more on a kept connection and that were believed. The gateway discarded answers that name another request without a word, so that three hypotheses could not be told apart.

No change of logic.

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -120,6 +120,9 @@
             on_head=functools.partial(
                 self._on_head, state, upstream, ref, sent_at=clock.now()
             ),
+            on_discarded=functools.partial(
+                self._log.answer_discarded, state, upstream
+            ),
             may_repeat=state.route.is_repeatable
             and state.has_attempt_left
             and self._budgets.budget(state.service).balance >= 1,
--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -73,6 +73,25 @@
     latency_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerDiscarded(event_log.Event):
+    """An upstream wrote an answer that is not that to the request.
+
+    Attributes:
+        answered: Id of the request that it answers; empty if it names none.
+        status: Its status.
+    """
+
+    name: typing.ClassVar[str] = 'answer_discarded'
+    level: typing.ClassVar[int] = logging.WARNING
+
+    request_id: str
+    route: str
+    upstream: str
+    answered: str
+    status: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptFailed(event_log.Event):
     """An attempt did not yield a complete answer.
--- a/ivystep/gateway/relay.py
+++ b/ivystep/gateway/relay.py
@@ -75,6 +75,7 @@
         upstream: The upstream.
         answer: The caller's side of the answer.
         on_head: Called with the head of the upstream's answer as it arrives.
+        on_discarded: Called with the head of an answer to another request.
         may_repeat: Whether another upstream can be tried, so that a failure
             status is raised as an error instead of forwarded.
 
@@ -93,12 +94,14 @@
         answer: CallerAnswer,
         *,
         on_head: Callable[[calls.AnswerHead], None],
+        on_discarded: Callable[[calls.AnswerHead], None],
         may_repeat: bool,
     ) -> None:
         self.has_sent = False
         self.is_given_up = False
         self.body: answer_body.AnswerBody | None = None
         self._on_head = on_head
+        self._on_discarded = on_discarded
         self._may_repeat = may_repeat
         self._call = call
         self._route = route
@@ -213,9 +216,10 @@
             event = connection.next_event()
             if not isinstance(event, http1.RawHead):
                 continue
-            answered = messages.decode_answer(event).request_id
-            if answered in {'', self._call.request_id}:
+            head = messages.decode_answer(event)
+            if head.request_id in {'', self._call.request_id}:
                 return event
+            self._on_discarded(head)
 
     def _read_rest(self, body: answer_body.AnswerBody) -> bytes:
         buffered = bytearray()
--- a/ivystep/gateway/request_log.py
+++ b/ivystep/gateway/request_log.py
@@ -102,6 +102,29 @@
             )
         )
 
+    def answer_discarded(
+        self,
+        state: request_state.RequestState,
+        upstream: upstream_state.Upstream,
+        head: calls.AnswerHead,
+    ) -> None:
+        """Log that an answer to another request was discarded.
+
+        Args:
+            state: The request that waits for an answer.
+            upstream: The upstream.
+            head: Head of the discarded answer.
+        """
+        self._log.write(
+            events.AnswerDiscarded(
+                state.call.request_id,
+                state.route.name,
+                upstream.upstream_id,
+                head.request_id,
+                head.status,
+            )
+        )
+
     def answer_ended(
         self,
         state: request_state.RequestState,
