Believe no answer on a kept connection that may be to an earlier call

Other operators saw: a replica wrote an earlier refusal once more on a kept connection; clients were told "not run" of requests that ran, or they ran twice.

Cause: the gateway took an answer without a request's name for its own, and orders, reports and a sidecar's attempts have no name to check.

Change: where answers have named their request, one that names none ends the attempt with an unknown outcome; an order, and each call of a sidecar, has a connection of its own; a refused report closes its connection.

Ruled out: a connection that is used again after a refusal, and repeats that name an earlier request: tests show that both cannot happen here.

--- a/ivystep/gateway/connections.py
+++ b/ivystep/gateway/connections.py
@@ -92,10 +92,14 @@
     Args:
         connection: The connected socket.
         peer: Name of the upstream for errors.
+
+    Attributes:
+        names_requests: Whether an answer on it has named its request.
     """
 
     def __init__(self, connection: typing.Any, peer: str) -> None:
         self.peer = peer
+        self.names_requests = False
         self.usable_until = 0.0
         self._socket = connection
         self._reader = http1.AnswerReader()
--- a/ivystep/gateway/relay.py
+++ b/ivystep/gateway/relay.py
@@ -210,16 +210,30 @@
         """Read up to the head of the answer to this request.
 
         An answer to an earlier request may arrive late or twice. It is
-        recognized by its request id and discarded.
+        recognized by its request id and discarded. One that names no request
+        after others have done so may be that to any of them.
+
+        Raises:
+            errors.LinkError: It is not known which request was answered.
         """
         while True:
             event = connection.next_event()
             if not isinstance(event, http1.RawHead):
                 continue
             head = messages.decode_answer(event)
-            if head.request_id in {'', self._call.request_id}:
+            if head.request_id == self._call.request_id:
+                connection.names_requests = True
+                return event
+            is_named = bool(head.request_id)
+            if not (is_named or connection.names_requests):
                 return event
             self._on_discarded(head)
+            if not is_named:
+                raise errors.LinkError(
+                    f'an answer with status {head.status} names no request',
+                    step='read answer',
+                    peer=self._peer,
+                )
 
     def _read_rest(self, body: answer_body.AnswerBody) -> bytes:
         buffered = bytearray()
--- a/ivystep/platform/engine_api.py
+++ b/ivystep/platform/engine_api.py
@@ -1,11 +1,15 @@
-"""Implements the client of model engines: reports of state, and orders."""
+"""Implements the client of model engines: reports of state, and orders.
+
+Answers do not name their call, and an engine may write one late or twice. So an
+order has a connection of its own, and one that brought a refusal is not kept.
+"""
 
 import json
 import types
 
 import urllib3
 
-from ivystep.core import errors
+from ivystep.core import errors, units
 from ivystep.platform import upstream_entries
 from ivystep.runtime import sockets
 from ivystep.traffic import orders, upstreams
@@ -17,6 +21,8 @@
 # states the expected number of earlier orders.
 TIMEOUT = urllib3.Timeout(connect=0.4, read=0.3)
 MAX_POOLS = 64
+# Longest report that is read; one names some dozens of adapters.
+MAX_ANSWER_BYTES = units.MIB
 OUTCOME_BY_STATUS = types.MappingProxyType(
     {
         200: orders.Outcome.ALREADY_HELD,
@@ -30,16 +36,10 @@
 
 
 class EngineClient:
-    """Calls engines over persistent connections."""
+    """Calls engines, for reports over persistent connections."""
 
     def __init__(self) -> None:
-        self._pool = urllib3.PoolManager(
-            num_pools=MAX_POOLS,
-            maxsize=4,
-            timeout=TIMEOUT,
-            retries=False,
-            socket_options=sockets.RESET_ON_CLOSE_OPTIONS,
-        )
+        self._reports = _pool(MAX_POOLS, maxsize=4)
 
     def read_report(self, address: tuple[str, int]) -> upstreams.EngineReport:
         """Request an engine's state.
@@ -48,16 +48,24 @@
             errors.LinkError: The engine sent no valid report.
         """
         try:
-            response = self._pool.request('GET', _url(address, REPORT_PATH))
+            response = self._reports.request(
+                'GET', _url(address, REPORT_PATH), preload_content=False
+            )
+            if response.status != 200:
+                # Not read to its end, so that the connection is not kept.
+                response.close()
+                raise errors.LinkError(
+                    f'status {response.status}',
+                    step='report',
+                    peer=_peer(address),
+                )
+            content = response.read(MAX_ANSWER_BYTES)
         except urllib3.exceptions.HTTPError as error:
             raise errors.LinkError(
                 str(error), step='report', peer=_peer(address)
             ) from error
-        if response.status != 200:
-            raise errors.LinkError(
-                f'status {response.status}', step='report', peer=_peer(address)
-            )
-        return upstream_entries.decode_report(response.data)
+        response.release_conn()
+        return upstream_entries.decode_report(content)
 
     def send_order(
         self, address: tuple[str, int], upstream_id: str, order: orders.Order
@@ -85,11 +93,12 @@
         if order.version is not None:
             document['version'] = order.version
         try:
-            response = self._pool.request(
+            response = _pool().request(
                 'POST',
                 _url(address, ORDER_PATH),
                 body=json.dumps(document).encode(),
                 headers={
+                    'Connection': 'close',
                     'Content-Type': 'application/json',
                     'Expect-Instance': upstream_id,
                 },
@@ -106,6 +115,16 @@
         return outcome
 
 
+def _pool(num_pools: int = 1, *, maxsize: int = 1) -> urllib3.PoolManager:
+    return urllib3.PoolManager(
+        num_pools=num_pools,
+        maxsize=maxsize,
+        timeout=TIMEOUT,
+        retries=False,
+        socket_options=sockets.RESET_ON_CLOSE_OPTIONS,
+    )
+
+
 def _url(address: tuple[str, int], path: str) -> str:
     return f'http://{_peer(address)}{path}'
 
--- a/ivystep/sidecar/run.py
+++ b/ivystep/sidecar/run.py
@@ -126,9 +126,7 @@
         self.ran = types.ExecutionStatus.UNKNOWN
         with self._before_deadline():
             response = self._upstream_host.http.run(
-                self._message.path,
-                self._message.body,
-                idempotent=self._message.idempotent,
+                self._message.path, self._message.body
             )
         with _released(response):
             self._relay(response)
--- a/ivystep/sidecar/upstream.py
+++ b/ivystep/sidecar/upstream.py
@@ -1,5 +1,9 @@
 """HTTP clients for the upstream of this sidecar.
 
+Each call opens a connection of its own. Answers of an upstream do not name
+their call, so one that comes late or twice on a kept connection would be taken
+for the answer to the next call, which may be that of another account.
+
 Each error states whether the upstream can have run the call: it has not if no
 connection was established, and may have after any other error.
 """
@@ -22,7 +26,10 @@
 START_TIME_METRIC = 'process_start_time_seconds'
 RUNNING_METRIC = 'num_requests_running'
 Response: typing.TypeAlias = urllib3.BaseHTTPResponse
-JSON_HEADERS = MappingProxyType({'Content-Type': 'application/json'})
+CLOSE_HEADERS = MappingProxyType({'Connection': 'close'})
+JSON_HEADERS = MappingProxyType(
+    {**CLOSE_HEADERS, 'Content-Type': 'application/json'}
+)
 FENCED_STATUS = 409
 
 
@@ -46,20 +53,18 @@
 
     Args:
         base_url: URL without a trailing slash.
-        max_connections: Idle connections to keep.
     """
 
-    def __init__(self, base_url: str, max_connections: int) -> None:
+    def __init__(self, base_url: str) -> None:
         self.base_url = base_url.rstrip('/')
-        self._pool = _pool(max_connections)
 
     @classmethod
     def from_settings(cls, settings: models.Upstream) -> 'UpstreamHttp':
         """Return the client for the kind of upstream in the settings."""
         chosen = EngineHttp if settings.kind == 'engine' else UpstreamHttp
-        return chosen(settings.url, settings.max_running)
+        return chosen(settings.url)
 
-    def run(self, path: str, body: bytes, *, idempotent: bool) -> Response:
+    def run(self, path: str, body: bytes) -> Response:
         """Start a call and return its answer without reading the body.
 
         The caller bounds the time with ``eventlet.Timeout``.
@@ -67,9 +72,6 @@
         Args:
             path: HTTP path.
             body: JSON body.
-            idempotent: False opens a new connection, because a reused one
-                that the upstream has just closed would leave the outcome
-                unknown.
 
         Returns:
             The response; the caller must close or release it.
@@ -78,17 +80,12 @@
             errors.RequestError: The call failed; ``ran`` says whether it may
                 have been run.
         """
-        headers = dict(JSON_HEADERS)
-        pool = self._pool
-        if not idempotent:
-            pool = _pool(max_connections=1)
-            headers['Connection'] = 'close'
         try:
-            return pool.request(
+            return _pool().request(
                 'POST',
                 self.base_url + path,
                 body=body,
-                headers=headers,
+                headers=JSON_HEADERS,
                 preload_content=False,
                 timeout=urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=None),
             )
@@ -124,8 +121,11 @@
 
     def _get(self, path: str, accepted: tuple[int, ...] = (200,)) -> bytes:
         try:
-            response = self._pool.request(
-                'GET', self.base_url + path, timeout=HEALTH_TIMEOUT_S
+            response = _pool().request(
+                'GET',
+                self.base_url + path,
+                headers=CLOSE_HEADERS,
+                timeout=HEALTH_TIMEOUT_S,
             )
         except urllib3.exceptions.HTTPError as error:
             raise self._unavailable(str(error)) from error
@@ -214,16 +214,9 @@
         fencing_token: int,
         accepted: tuple[int, ...] = (200,),
     ) -> None:
-        headers = {
-            **JSON_HEADERS,
-            'X-Fencing-Token': str(fencing_token),
-            'Connection': 'close',
-        }
-        # Each order opens a connection: a reused one that the engine has just
-        # closed would leave the outcome unknown.
-        pool = _pool(max_connections=1)
+        headers = {**JSON_HEADERS, 'X-Fencing-Token': str(fencing_token)}
         try:
-            response = pool.request(
+            response = _pool().request(
                 'POST',
                 self.base_url + path,
                 body=json.dumps(document).encode(),
@@ -238,10 +231,10 @@
             raise _status_error(response.status, path, self.base_url)
 
 
-def _pool(max_connections: int) -> urllib3.PoolManager:
-    """Return a pool whose connections are reset when they are closed."""
+def _pool() -> urllib3.PoolManager:
+    """Return a pool for one call, whose connection is reset as it closes."""
     return urllib3.PoolManager(
-        maxsize=max_connections,
+        maxsize=1,
         retries=False,
         socket_options=sockets.RESET_ON_CLOSE_OPTIONS,
     )
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -1,6 +1,7 @@
 """Serves a stand-in within the process of a test."""
 
 import contextlib
+import json
 
 import eventlet
 from eventlet import hubs, wsgi
@@ -48,3 +49,70 @@
                 return 'reset'
             if not received:
                 return 'closed'
+
+
+class RepeatingServer:
+    """Writes an earlier answer once more, before the one to the next call.
+
+    An extra answer may come late, where the next one is due.
+
+    Args:
+        first: Status and body of the answer to the first call.
+        then: Status and body of the answers to the others.
+    """
+
+    def __init__(self, first, then):
+        self.connections = 0
+        self._first = encoded(*first)
+        self._then = encoded(*then)
+        self._is_first = True
+
+    @contextlib.contextmanager
+    def start(self):
+        """Serve on loopback and yield the address."""
+        listener = eventlet.listen(('127.0.0.1', 0))
+        server = eventlet.spawn(self._accept, listener)
+        try:
+            yield listener.getsockname()
+        finally:
+            server.kill()
+            listener.close()
+
+    def _accept(self, listener):
+        while True:
+            connection, _ = listener.accept()
+            self.connections += 1
+            eventlet.spawn(self._serve, connection)
+
+    def _serve(self, connection):
+        is_used = False
+        with contextlib.suppress(OSError, EOFError):
+            while read_call(connection):
+                if is_used:
+                    connection.sendall(self._first)
+                    eventlet.sleep(0.05)
+                is_used = True
+                connection.sendall(
+                    self._first if self._is_first else self._then
+                )
+                self._is_first = False
+
+
+def read_call(connection):
+    """Read one call; return whether there was one."""
+    received = b''
+    while b'\r\n\r\n' not in received:
+        part = connection.recv(65536)
+        if not part:
+            return False
+        received += part
+    return True
+
+
+def encoded(status, body):
+    """Return an answer with a JSON body as bytes."""
+    content = json.dumps(body).encode()
+    return (
+        f'HTTP/1.1 {status} Answer\r\nContent-Type: application/json\r\n'
+        f'Content-Length: {len(content)}\r\n\r\n'
+    ).encode() + content
--- a/tests/sidecar/simulated.py
+++ b/tests/sidecar/simulated.py
@@ -60,7 +60,7 @@
     def unload(self, ref, fencing_token):
         self._order(lambda: self._apply_unload(ref))
 
-    def run(self, path, body, *, idempotent):
+    def run(self, path, body):
         self._delay()
         document = json.loads(body)
         if all(ref.lora_name != document['model'] for ref in self.held):
