Show that a host out of step joins no streams of two software versions

Cause: other operators report streams that were taken up at a machine which had not heard of the new version, and went on at another one.

The product is not changed.

Ruled out: that the host decides by what it has heard, by a row of its own, or by the only version that it knows; it asks the store or refuses.

--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -200,19 +200,35 @@
 )
 
 
+class StoreGate:
+    """The way of one host to the store.
+
+    Attributes:
+        is_blocked: Returns whether a path and query get no answer.
+    """
+
+    def __init__(self, store):
+        self.is_blocked = lambda path, query: False
+        self._store = store
+
+    def handle(self, environ):
+        path, query = environ['PATH_INFO'], environ.get('QUERY_STRING', '')
+        while self.is_blocked(path, query):
+            eventlet.sleep(0.05)
+        return self._store.handle(environ)
+
+
 class GatewayHarness:
     """A running gateway with its store and upstreams."""
 
     def __init__(
         self, stack, *upstreams, config=None, host='host-1', peer=None, **bounds
     ):
-        if peer is None:
-            self.store = table_standin.TableStandin()
-            self.store_port = stack.enter_context(
-                serving.serve(self.store.handle)
-            )
-        else:
-            self.store, self.store_port = peer.store, peer.store_port
+        is_first = peer is None
+        self.store = table_standin.TableStandin() if is_first else peer.store
+        # Each host reaches the store at a port of its own.
+        self.gate = StoreGate(self.store)
+        self.store_port = stack.enter_context(serving.serve(self.gate.handle))
         ports = unused_port()
         self.port = unused_port()
         self.readiness_port = unused_port()
