Use upstreams again whose entries were gone and are back

Cause: an upstream that is back has a new state, whose statuses were numbered from 1; the pool ignored them as older. The queue of permits of an engine stayed closed for its incarnation.

Change: statuses are numbered by the process, and the queue opens again with the entry. An upstream whose answer said that it leaves is remembered as drained, since it would now be used again.

Ruled out: that the list of upstreams keeps it out (upstream_changed has "added").

--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -381,6 +381,8 @@
                 self._pools.remove_upstream(upstream)
         if upstream.is_draining:
             self._prefill_queues.close(upstream.entry.incarnation)
+        elif known is upstream:
+            self._prefill_queues.reopen(upstream.entry.incarnation)
 
     def _on_usable(self, service: str) -> None:
         for upstream in list(self._membership.upstream_by_id.values()):
--- a/ivystep/gateway/membership.py
+++ b/ivystep/gateway/membership.py
@@ -232,6 +232,10 @@
             return
         self._left[removed.entry.identity] = None
         _drop_oldest(self._left)
+        if removed.is_draining:
+            # An answer may have told it, which no entry need have done.
+            self._drained[removed.entry.identity] = None
+            _drop_oldest(self._drained)
         self._log_change(removed, 'removed', reason)
         removed.connections.close()
         self._on_removed(removed)
--- a/ivystep/gateway/prefill_queues.py
+++ b/ivystep/gateway/prefill_queues.py
@@ -180,8 +180,8 @@
     def __init__(self, rates: prefill_rates.PrefillRates) -> None:
         self._rates = rates
         self._queue_by_engine: dict[str, _EngineQueue] = {}
-        self._closed_engines: collections.deque[str] = collections.deque(
-            maxlen=MAX_CLOSED_ENGINES
+        self._closed_engines: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
         )
 
     def wait(
@@ -214,12 +214,17 @@
 
     def close(self, engine: str) -> None:
         """End all waits for an engine that takes no new work."""
-        if engine not in self._closed_engines:
-            self._closed_engines.append(engine)
+        self._closed_engines[engine] = None
+        if len(self._closed_engines) > MAX_CLOSED_ENGINES:
+            self._closed_engines.popitem(last=False)
         queue = self._queue_by_engine.pop(engine, None)
         if queue is not None:
             queue.close()
 
+    def reopen(self, engine: str) -> None:
+        """Give permits for an engine again whose entry is back."""
+        self._closed_engines.pop(engine, None)
+
     def answer(self, message: ttypes.PermitRequest) -> ttypes.Permit:
         """Answer another host's request for a permit."""
         now = clock.now()
--- a/ivystep/gateway/upstream_state.py
+++ b/ivystep/gateway/upstream_state.py
@@ -32,6 +32,9 @@
 SUSPEND_MAX_S = 2.0
 # A longer rest is taken for a mistake of the upstream.
 MAX_REST_S = 3600.0
+# Numbers of all statuses of this process. An incarnation that was removed and
+# is back has a new state, whose statuses must be newer than the earlier ones.
+_status_numbers = itertools.count(1)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,7 +79,6 @@
         self._held = set(_adapter_refs(entry.held_model_by_name))
         self._held_as_of = float('-inf')
         self._residency_by_ref: dict[types.AdapterRef, _Residency] = {}
-        self._sequence = itertools.count(1)
 
     @property
     def upstream_id(self) -> str:
@@ -289,7 +291,7 @@
             upstream_id=entry.upstream_id,
             sidecar_incarnation=entry.incarnation,
             engine_incarnation=entry.incarnation,
-            sequence=next(self._sequence),
+            sequence=next(_status_numbers),
             healthy=(
                 self.is_available(now)
                 and (not model or self.holds_model(model))
