Order a base model only in the state that the engine reports

Cause: the decision rested on the entry; the order was repeated after a 409 with the count of a fresh report, without a look at what it holds. Evidence: order_given with 409, then accepted 0.4 s later, with one token.

Change: the order expects the count of a report that says that the engine is empty and not busy, and is not repeated.

Ruled out: a report that does not show the load in progress, and a late order of a former leader.

--- a/ivystep/gateway/base_model_loader.py
+++ b/ivystep/gateway/base_model_loader.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+import contextlib
 from collections.abc import Callable
 
 import eventlet
@@ -98,7 +99,7 @@
             return
         self._recent_starts.append(now)
         self._busy_until[upstream] = now + model.load_s + RETRY_DELAY_S
-        eventlet.spawn(self._order_load, upstream, model)
+        eventlet.spawn(self._order_load, upstream, model, now)
 
     def _may_load(self, loads_per_s: float, now: float) -> bool:
         """Return whether the weight store allows one more load."""
@@ -108,7 +109,10 @@
         return len(self._recent_starts) < max(loads_per_s * window_s, 1)
 
     def _order_load(
-        self, upstream: upstream_state.Upstream, model: contracts.Model
+        self,
+        upstream: upstream_state.Upstream,
+        model: contracts.Model,
+        started_at: float,
     ) -> None:
         try:
             outcome = self._link_to(upstream).load_model(model.name)
@@ -119,7 +123,11 @@
                 )
             )
             return
+        now = clock.now()
         if outcome is orders.Outcome.ACCEPTED:
-            self._busy_until[upstream] = (
-                clock.now() + model.load_s + RETRY_DELAY_S
-            )
+            self._busy_until[upstream] = now + model.load_s + RETRY_DELAY_S
+        elif outcome is orders.Outcome.OUT_OF_SEQUENCE:
+            # No load has begun; the engine is looked at again soon.
+            self._busy_until[upstream] = now + RETRY_DELAY_S
+            with contextlib.suppress(ValueError):
+                self._recent_starts.remove(started_at)
--- a/ivystep/gateway/engine_link.py
+++ b/ivystep/gateway/engine_link.py
@@ -19,7 +19,7 @@
     slot_usage,
     upstream_state,
 )
-from ivystep.policy import load_times
+from ivystep.policy import base_models, load_times
 from ivystep.runtime import clock, event_log
 from ivystep.traffic import orders, upstreams
 
@@ -119,13 +119,26 @@
         return result
 
     def load_model(self, model: str) -> orders.Outcome:
-        """Order the load of a base model.
+        """Order the load of a base model, if the engine is empty.
+
+        Its entry may be older, or say nothing of its models. Its report names
+        what it holds together with the number of orders that it has accepted,
+        and the order expects this number: so it is carried out in the state of
+        the report, or not at all.
+
+        Returns:
+            The outcome; ``OUT_OF_SEQUENCE`` also if no order was sent.
 
         Raises:
             errors.LinkError: The engine may carry the order out later.
         """
         with self._lock:
-            return self._sender.send(model, '', None, is_load=True)
+            report = self._read_report()
+            if not base_models.may_load(report):
+                return orders.Outcome.OUT_OF_SEQUENCE
+            return self._sender.send_once(
+                model, expected_orders=report.order_count
+            )
 
     def _load(self, order: types.LoadOrder) -> types.LoadResult:
         ref = order.ref
--- a/ivystep/gateway/order_sender.py
+++ b/ivystep/gateway/order_sender.py
@@ -101,6 +101,36 @@
             clock.sleep(upstream_state.REPORT_AGE_S)
         return orders.Outcome.OUT_OF_SEQUENCE
 
+    def send_once(self, model: str, *, expected_orders: int) -> orders.Outcome:
+        """Order the load of a base model in a known state of the engine.
+
+        Args:
+            model: Base model.
+            expected_orders: Number of orders that the engine had accepted in
+                that state. If it has accepted others since, it refuses this
+                one, which is not repeated.
+
+        Raises:
+            errors.LinkError: The engine may carry the order out later.
+        """
+        authority = self._authority()
+        if authority is None:
+            return orders.Outcome.FENCED
+        outcome = self._send_until_answered(
+            orders.Order(
+                is_load=True,
+                model=model,
+                adapter='',
+                version=None,
+                expected_orders=expected_orders,
+                holder=authority.holder,
+                token=authority.token,
+            )
+        )
+        if outcome is orders.Outcome.OUT_OF_SEQUENCE:
+            self._order_count = None
+        return outcome
+
     def _send_until_answered(self, order: orders.Order) -> orders.Outcome:
         """Send an order until it is answered.
 
--- a/ivystep/policy/base_models.py
+++ b/ivystep/policy/base_models.py
@@ -40,3 +40,12 @@
         key=lambda model: sum(model.name in one for one in held_by_all),
         default=None,
     )
+
+
+def may_load(report: upstreams.EngineReport) -> bool:
+    """Return whether an engine may be ordered to load a base model.
+
+    Args:
+        report: What the engine says; a load in progress will use its memory.
+    """
+    return not (report.is_busy or report.held_model_by_name)
