Let a report of an engine lack what only tells its load

The test of the missing fields was stricter than the danger: only models, busy and sequence make an engine seem empty or idle to an order.

--- a/ivystep/platform/upstream_entries.py
+++ b/ivystep/platform/upstream_entries.py
@@ -55,9 +55,9 @@
     sequence: decoding.Number
     # In the form MODEL/NAME@VERSION.
     coming: list[decoding.Text] = []
-    queued: decoding.Count
-    active: decoding.Count
-    kv_used: decoding.Number
+    queued: decoding.Count = 0
+    active: decoding.Count = 0
+    kv_used: decoding.Number = 0
     born: decoding.Number = 0
 
 
