Give the simulated engine the call that the sidecar makes

Cause: since each call of a sidecar has a connection of its own, it does not tell its client whether an attempt may be repeated.

Change: its run method takes what the client's takes.

Result: the eight tests of test_schedules.py fail without and pass with it.

--- a/soak/schedules/engine.py
+++ b/soak/schedules/engine.py
@@ -78,7 +78,7 @@
         self._source_by_name.clear()
         self._running.clear()
 
-    def run(self, path: str, body: bytes, *, idempotent: bool) -> typing.Any:
+    def run(self, path: str, body: bytes) -> typing.Any:
         """Start a completion; see ``upstream.UpstreamHttp.run``."""
         self._check_not_draining()
         clock.sleep(CALL_S)
