--- a/tests/platform/test_clients.py
+++ b/tests/platform/test_clients.py
@@ -77,15 +77,17 @@
     'state': 'live',
 }
 
+OTHER = {**HOST, 'host': 'up-0'}
+
 
 @pytest.mark.parametrize(
     'odd',
     [
-        {**HOST, 'port': 70000},
-        {**HOST, 'port': 10**300},
-        {**HOST, 'port': 0},
-        {**HOST, 'address': ['127.0.0.1']},
-        {**HOST, 'state': 'asleep'},
+        {**OTHER, 'port': 70000},
+        {**OTHER, 'port': 10**300},
+        {**OTHER, 'port': 0},
+        {**OTHER, 'address': ['127.0.0.1']},
+        {**OTHER, 'state': 'asleep'},
         {**HOST, 'host': []},
         {'host': 'up-0'},
         7,
