Say in plain words why an era has so many tokens

Cause: the comment could be read only by who knew what it meant. Change: it names tokens and eras. Result: no code changed; the tests of leases pass.

--- a/ivystep/coordination/lease_row.py
+++ b/ivystep/coordination/lease_row.py
@@ -15,8 +15,8 @@
 from ivystep.core import errors
 from ivystep.platform import decoding, table
 
-# More than a lease is acquired in one era, also by a process that crashes again
-# and again. Tokens stay exact in a float for 900 million eras.
+# More tokens than one era uses, also if processes crash again and again. They
+# stay exact in a float for 900 million eras.
 TOKENS_PER_ERA = 10_000_000
 # A row that claims the lease for longer is malformed.
 MAX_DURATION_S = 3600.0
