--- a/Makefile
+++ b/Makefile
@@ -1,16 +1,19 @@
 VENV ?= .venv
 PYTHON ?= python3
 BIN := $(VENV)/bin
-STAMP := $(VENV)/.installed
+# An environment of another interpreter or processor is made anew.
+MACHINE := $(shell $(PYTHON) -c 'import sys, sysconfig; \
+	print(sys.implementation.cache_tag, sysconfig.get_platform(), sep="-")')
+STAMP := $(VENV)/.installed-$(MACHINE)
 export PYTHONPATH := $(CURDIR)
 
 
 .PHONY: capacity demo log-events test lint format measure soak schedules binary thrift clean
 
 $(STAMP): requirements.txt requirements-dev.txt
-	$(PYTHON) -m venv $(VENV)
+	$(PYTHON) -m venv --clear $(VENV)
 	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
-	touch $(STAMP)
+	touch "$@"
 
 demo: $(STAMP)
 	$(BIN)/python -m demo.platform
