--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -45,6 +45,18 @@
     return hashlib.sha256(key.encode()).hexdigest()
 
 
+def launch(
+    arguments: tuple[str, ...], output: typing.BinaryIO | int
+) -> subprocess.Popen[bytes]:
+    """Start a process.
+
+    Args:
+        arguments: The command line.
+        output: File of the standard output and error.
+    """
+    return subprocess.Popen(arguments, stdout=output, stderr=output)
+
+
 @dataclasses.dataclass
 class Node:
     """One process.
@@ -256,6 +268,26 @@
         self.list_host(host, 'entry', peers, data_centre, '')
         return node
 
+    def start_console(self, name: str) -> Node:
+        """Start a console with one operator."""
+        port = next(self._ports)
+        path = self.folder / f'{name}.ini'
+        self._write_ini(
+            path,
+            {
+                'platform': self._platform_section(),
+                'listen': {'address': self.address, 'port': port},
+                'operators': {'demo': key_digest('key-of-demo')},
+            },
+        )
+        node = self._start(
+            name,
+            (*self.program, 'console', '--config', str(path)),
+            f'http://{self.address}:{port}',
+        )
+        self._await_unless_parallel(port, node)
+        return node
+
     def list_host(
         self, host: str, role: str, port: int, data_centre: str, pool: str
     ) -> None:
@@ -358,7 +390,7 @@
         operators_url: str = '',
     ) -> Node:
         with (self.folder / f'{name}.log').open('ab') as log:
-            process = subprocess.Popen(arguments, stdout=log, stderr=log)
+            process = launch(arguments, log)
         node = Node(name, process, url, operators_url, arguments)
         self.node_by_name[name] = node
         return node
