--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export PYTHONPATH := $(CURDIR)
 
 
-.PHONY: capacity demo log-events test lint format measure soak schedules binary thrift clean
+.PHONY: capacity demo log-events test lint format measure soak soak-starts schedules binary thrift clean
 
 $(STAMP): requirements.txt requirements-dev.txt
 	$(PYTHON) -m venv --clear $(VENV)
@@ -26,6 +26,11 @@
 soak: $(STAMP)
 	$(BIN)/python -m soak --seed $(or $(SEED),1) --minutes $(or $(MINUTES),5)
 
+# Starts and stops of real processes beside random disturbances.
+soak-starts: $(STAMP)
+	$(BIN)/python -m soak.starts --first $(or $(FIRST),1) \
+		--count $(or $(COUNT),1)
+
 # Random fault schedules in one process on the virtual clock.
 schedules: $(STAMP)
 	$(BIN)/python -m soak.schedules --first $(or $(FIRST),0) \
--- /dev/null
+++ b/soak/starts/__init__.py
@@ -0,0 +1,1 @@
+"""Starts and stops real processes beside disturbances of their surroundings."""
