Bound the memory that the requests of all callers take together

Any caller could do it with some hundred open connections and long bodies that it does not complete.

Cause: bodies were bounded for each connection, not over all. Besides, reader and parser refer to each other, so a body stayed until a garbage collection after its connection had ended.

Change: a byte budget of a quarter of memory_mb. Beyond it the largest incomplete request is refused (503, not run, Retry-After); requests in progress and those up to 4 KB are not. Pipelined bytes count.

--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -12,38 +12,72 @@
 
 import eventlet
 import greenlet
+from eventlet import hubs
 
-from ivystep.core import errors
+from ivystep.core import errors, units
 from ivystep.gateway import (
     answer_writer,
     connections,
     disconnect_watch,
     relay,
 )
-from ivystep.runtime import clock
+from ivystep.runtime import byte_budget, clock
 from ivystep.traffic import contracts, http1
 
 # Time for which input is still read after the last answer. Closing a socket
 # with unread bytes sends a reset, which can discard the answer at the caller.
 LINGER_S = 0.5
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+DEFAULT_BUFFER_BYTES = 64 * units.MIB
+# Requests that are not longer are never refused for lack of memory; the number
+# of connections bounds them.
+ALWAYS_BUFFERED_BYTES = 4 * units.KIB
+NO_MEMORY = 'no_memory'
+# Time in which requests that were read in full end and make room for others.
+NO_MEMORY_RETRY_S = 1.0
 
 
 class ServerState:
     """State shared by all callers' connections of this host.
 
+    Args:
+        buffer_bytes: Limit on the bytes of all requests that are buffered.
+
     Attributes:
+        buffered: Bytes of the requests of each connection.
         limits: Size limits and time-outs of a connection.
         is_closing: Whether each connection closes after its current answer.
         open_connections: The open connections.
         requests: Number of requests in progress.
+        refused_for_memory: Number of requests refused as memory was short.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, buffer_bytes: int = DEFAULT_BUFFER_BYTES) -> None:
+        self.buffered: byte_budget.ByteBudget[CallerConnection] = (
+            byte_budget.ByteBudget(buffer_bytes)
+        )
         self.limits = contracts.ClientLimits()
         self.is_closing = False
         self.open_connections: set[CallerConnection] = set()
         self.requests = 0
+        self.refused_for_memory = 0
+
+    def make_room(self, asking: 'CallerConnection') -> bool:
+        """Refuse the largest incomplete requests while memory is short.
+
+        Args:
+            asking: Connection that has received a part of a request.
+
+        Returns:
+            False if its own request must be refused.
+        """
+        while self.buffered.is_exceeded:
+            largest = self.buffered.largest(asking.may_be_refused_with)
+            if largest is None or largest is asking:
+                return asking.buffered_bytes <= ALWAYS_BUFFERED_BYTES
+            self.buffered.hold(largest, 0)
+            largest.refuse_incomplete()
+        return True
 
     def close_idle(self) -> None:
         """Close the connections on which no request has started."""
@@ -92,6 +126,7 @@
 
     Attributes:
         answer: The answer to the current request, or to the last one.
+        is_waiting: Whether the task waits for the rest of a request.
     """
 
     def __init__(
@@ -110,10 +145,13 @@
             server_state.limits.max_body_bytes,
         )
         self._watch = disconnect_watch.DisconnectWatch(
-            connection, self._reader, self._cancel_task
+            connection, self._reader, self._cancel_task, self._may_buffer
         )
         self.answer = self._new_answer(is_http10=False, is_kept_alive=True)
         self._is_idle = True
+        self.is_waiting = False
+        self._is_refused = False
+        self._running_bytes = 0
         self._task: typing.Any = None
 
     def run(self) -> None:
@@ -127,9 +165,7 @@
             # The caller has disconnected, so no answer can be delivered.
             self._watch.is_closed = True
         finally:
-            self._server_state.open_connections.discard(self)
-            with contextlib.suppress(OSError):
-                self._socket.close()
+            self._close()
 
     def close_if_idle(self) -> None:
         """Close the connection if no byte of a request has arrived."""
@@ -138,6 +174,20 @@
             with contextlib.suppress(OSError):
                 self._socket.shutdown(socket.SHUT_RDWR)
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of the requests that are received, waiting or in progress."""
+        return self._running_bytes + self._reader.buffered_bytes
+
+    def may_be_refused_with(self, other: 'CallerConnection') -> bool:
+        """Return whether another connection's request may be refused now."""
+        return other is self or other.is_waiting
+
+    def refuse_incomplete(self) -> None:
+        """Refuse the request that is being received, as memory is short."""
+        self._is_refused = True
+        hubs.get_hub().schedule_call_global(0, self._interrupt_waiting)
+
     def raise_on_disconnect(self) -> contextlib.AbstractContextManager[None]:
         """Raise an error in the task when the caller disconnects.
 
@@ -145,6 +195,13 @@
         """
         return self._watch.raise_on_disconnect()
 
+    def _close(self) -> None:
+        self._server_state.open_connections.discard(self)
+        self._server_state.buffered.hold(self, 0)
+        self._reader.discard()
+        with contextlib.suppress(OSError):
+            self._socket.close()
+
     def _serve(self) -> None:
         while self.answer.is_kept_alive:
             try:
@@ -157,13 +214,19 @@
             self.answer = self._new_answer(
                 is_http10=raw.version == '1.0', is_kept_alive=raw.is_kept_alive
             )
-            self._server_state.requests += 1
-            try:
-                self._handle_request(raw, self)
-            finally:
-                self._server_state.requests -= 1
+            self._handle(raw)
         self._linger()
 
+    def _handle(self, raw: http1.RawRequest) -> None:
+        self._server_state.requests += 1
+        self._running_bytes = len(raw.body)
+        try:
+            self._handle_request(raw, self)
+        finally:
+            self._server_state.requests -= 1
+            self._running_bytes = 0
+        self._may_buffer()
+
     def _new_answer(
         self, *, is_http10: bool, is_kept_alive: bool
     ) -> answer_writer.AnswerWriter:
@@ -194,17 +257,54 @@
                 started_at = min(started_at, clock.now())
             if self._reader.pop_expect_continue():
                 self._socket.sendall(CONTINUE)
-            received = self._receive(self._read_timeout_s(started_at))
+            received = self._await_rest(self._read_timeout_s(started_at))
             if received is None and not self._is_idle:
                 raise http1.BadRequestError(
                     408, 'Reading the request timed out.'
                 )
             if not received:
                 return None
-            self._reader.feed(received)
+            self._buffer(received)
             raw = self._reader.next_request()
         return raw
 
+    def _await_rest(self, timeout_s: float) -> bytes | None:
+        """Return received bytes like ``_receive``.
+
+        Raises:
+            http1.BadRequestError: Memory has become short meanwhile.
+        """
+        self.is_waiting = True
+        try:
+            received = self._receive(timeout_s)
+        finally:
+            self.is_waiting = False
+        if self._is_refused:
+            raise _no_memory()
+        return received
+
+    def _buffer(self, received: bytes) -> None:
+        """Take received bytes.
+
+        Raises:
+            http1.BadRequestError: There is no memory for them.
+        """
+        self._reader.feed(received)
+        self._may_buffer()
+        if not self._server_state.make_room(self):
+            raise _no_memory()
+
+    def _may_buffer(self) -> bool:
+        """Record the buffered bytes; return whether there is room for more."""
+        buffered = self._server_state.buffered
+        buffered.hold(self, self.buffered_bytes)
+        return not buffered.is_exceeded
+
+    def _interrupt_waiting(self) -> None:
+        """Wake the task up, if it still waits for the rest of a request."""
+        if self.is_waiting and not self._task.dead:
+            self._task.throw(_no_memory())
+
     def _read_timeout_s(self, started_at: float) -> float:
         """Return the time-out of the next read, while idle or in a request."""
         limits = self._server_state.limits
@@ -229,11 +329,17 @@
         return b'' if self._watch.is_closed else received
 
     def _refuse_bad_request(self, error: http1.BadRequestError) -> None:
+        self._reader.discard()
+        if error.code == NO_MEMORY:
+            self._server_state.refused_for_memory += 1
         self.answer.is_kept_alive = False
         self.answer.has_started = False
         self.answer.send_error(
             errors.RefusedError(
-                'invalid_request', error.reason, status=error.status
+                error.code,
+                error.reason,
+                status=error.status,
+                retry_after_s=error.retry_after_s,
             ),
             '',
         )
@@ -262,3 +368,12 @@
             )
         except OSError:
             return b''
+
+
+def _no_memory() -> http1.BadRequestError:
+    return http1.BadRequestError(
+        503,
+        'The host has no memory for the body now.',
+        NO_MEMORY,
+        NO_MEMORY_RETRY_S,
+    )
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -77,7 +77,7 @@
             'gateway', host, self._event_metrics.record
         )
         self._tasks = background.BackgroundTasks(self._log)
-        self._server_state = callers.ServerState()
+        self._server_state = callers.ServerState(settings.capacity.buffer_bytes)
         self._measured = measurements.Measurements.empty()
         self._prefill_queues = prefill_queues.PrefillQueues(
             self._measured.rates
@@ -281,6 +281,8 @@
             details={
                 'upstreams': len(self._membership.upstream_by_id),
                 'requests': self._server_state.requests,
+                'buffered_bytes': self._server_state.buffered.used_bytes,
+                'refused_for_memory': self._server_state.refused_for_memory,
                 'holder': self._leadership.holder,
                 'hosts': self._shares.known_hosts,
                 **self._quotas.status(),
--- a/ivystep/gateway/disconnect_watch.py
+++ b/ivystep/gateway/disconnect_watch.py
@@ -26,6 +26,8 @@
         connection: The caller's socket.
         reader: Takes the bytes of pipelined requests.
         cancel: Cancels the request in progress; called on the hub.
+        may_buffer: Counts what is buffered; returns whether there is room for
+            more.
 
     Attributes:
         is_closed: Whether the caller or this host has closed the connection.
@@ -36,11 +38,13 @@
         connection: typing.Any,
         reader: http1.RequestReader,
         cancel: Callable[[], None],
+        may_buffer: Callable[[], bool],
     ) -> None:
         self.is_closed = False
         self._socket = connection
         self._reader = reader
         self._cancel = cancel
+        self._may_buffer = may_buffer
         self._pipelined_bytes = 0
         self._hub_listener: typing.Any = None
 
@@ -99,12 +103,11 @@
         """Buffer pipelined bytes, or detect that the caller has disconnected.
 
         The socket is no longer watched after a disconnect, or when too many
-        bytes are buffered.
+        bytes are buffered here or on all connections.
         """
+        has_room = self._may_buffer()
         try:
-            received = self._socket.fd.recv(
-                http1.READ_BYTES, socket.MSG_DONTWAIT
-            )
+            received = self._receive() if has_room else self._peek()
         except BlockingIOError:
             return
         except OSError:
@@ -113,7 +116,17 @@
             self._stop()
             self.is_closed = True
             return
+        if not has_room:
+            self._stop()
+            return
         self._pipelined_bytes += len(received)
         self._reader.feed(received)
+        self._may_buffer()
         if self._pipelined_bytes > MAX_PIPELINED_BYTES:
             self._stop()
+
+    def _receive(self) -> bytes:
+        return self._socket.fd.recv(http1.READ_BYTES, socket.MSG_DONTWAIT)
+
+    def _peek(self) -> bytes:
+        return self._socket.fd.recv(1, socket.MSG_DONTWAIT | socket.MSG_PEEK)
--- a/ivystep/settings/gateway.py
+++ b/ivystep/settings/gateway.py
@@ -48,6 +48,9 @@
 CONFIG_AGE_SHARE = 0.9
 # Longest usual duration of a call to the store beside its wait, in seconds.
 USUAL_CALL_S = 0.5
+# Share of the memory for buffered requests. Their bytes are copied once more as
+# they are sent, and the rest is for code, tables and connections.
+BUFFER_SHARE = 0.25
 # Time in seconds by which a host of one usual core is behind an infinitely
 # strong one in the election, and the longest such time.
 ACQUIRE_DELAY_S = 0.1
@@ -135,6 +138,19 @@
         1.0, gt=0, description='Share of a core that the gateway may use.'
     )
 
+    memory_mb: float = pydantic.Field(
+        256.0,
+        gt=0,
+        allow_inf_nan=False,
+        description='Memory that the gateway may use. A quarter of it is for '
+        'requests that are received, wait or are in progress.',
+    )
+
+    @property
+    def buffer_bytes(self) -> int:
+        """Limit on the bytes of all requests that are buffered."""
+        return int(BUFFER_SHARE * self.memory_mb * units.MIB)
+
     @property
     def acquire_delay_s(self) -> float:
         """Time for which stronger hosts may become the leader first.
--- a/ivystep/traffic/http1.py
+++ b/ivystep/traffic/http1.py
@@ -26,11 +26,22 @@
 
     Attributes:
         status: HTTP status of the answer.
+        code: Stable code for programs.
+        retry_after_s: Seconds after which a retry may succeed; None if it
+            cannot.
     """
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        code: str = 'invalid_request',
+        retry_after_s: float | None = None,
+    ) -> None:
         super().__init__(reason, step='read request')
         self.status = status
+        self.code = code
+        self.retry_after_s = retry_after_s
 
 
 @dataclasses.dataclass(slots=True)
@@ -68,6 +79,12 @@
         self._ready: collections.deque[RawRequest] = collections.deque()
         self._problem: BadRequestError | None = None
 
+    @property
+    def buffered_bytes(self) -> int:
+        """Number of bytes of bodies that are buffered."""
+        waiting = sum(len(one.body) for one in self._ready)
+        return waiting if self.is_idle else waiting + len(self._current.body)
+
     @property
     def is_in_head(self) -> bool:
         """Whether the head of a request is partly received."""
@@ -102,6 +119,15 @@
             raise self._problem
         return None
 
+    def discard(self) -> None:
+        """Release what is buffered; the connection has ended.
+
+        Reader and parser refer to each other, so the bytes would stay until
+        the next garbage collection.
+        """
+        self._current = RawRequest()
+        self._ready.clear()
+
     def pop_expect_continue(self) -> bool:
         """Return whether the caller expects a 100 (Continue), and reset it."""
         expects = self._has_expect_header
--- a/tests/settings/test_gateway.py
+++ b/tests/settings/test_gateway.py
@@ -25,6 +25,7 @@
     'platform.address': '10.200.1.7:8142',
     'limits.cores': '3',
     'limits.cpu_share': '0.717',
+    'limits.memory_mb': '300',
     'bounds.lease_ms': '3000',
     'bounds.thaw_ms': '300',
     'bounds.version_ms': '5000',
