Wake the event loop when a signal arrives

Operators saw a console that nobody used go on for up to a minute after SIGTERM; the other daemons stopped only at their next timer.

Cause: the handler added a timer to the hub, which was in epoll_wait. Python resumes that call after the handler (PEP 475), so the hub did not look at its timers before its own sleep of 60 s, or the next timer, was over.

The handlers now only record the signal. The interpreter writes a byte to a pipe on each signal (signal.set_wakeup_fd), and the main task waits for that pipe on the hub, so a signal is an event like any other.

Before: test_idle_daemon_stops_at_once[console] failed, "timed out after 20.0 seconds"; the other three daemons passed. After: all four pass, with the tests of the drains of gateway, entry and sidecar.

Ruled out: a handler that is not installed (the exit code is 0 in the end); polling a flag, which would wake idle processes 20 times a second.

tests/entry/test_drain.py sends its two signals through the recording handler, since the private method that it called is gone; what it checks is unchanged.

--- a/ivystep/runtime/drain.py
+++ b/ivystep/runtime/drain.py
@@ -1,37 +1,42 @@
 """Implements the graceful shutdown of a daemon."""
 
-import signal
+import contextlib
 import typing
 from collections.abc import Callable
 
-import eventlet
-from eventlet import event
+from eventlet import hubs, patcher
 
-from ivystep.runtime import clock, logs
+from ivystep.runtime import clock, logs, signals
 
 POLL_S = 0.05
+# The patched ``os.read`` of eventlet waits while the pipe is empty.
+_UNPATCHED_OS = patcher.original('os')
 
 log = logs.get('drain')
 
 
 class DrainSignal:
-    """Handles SIGTERM and SIGINT.
+    """Waits for SIGTERM and SIGINT.
 
     The first signal starts the drain, the second ends it early.
+
+    Args:
+        received: Signals of the process; None for signals of its own.
     """
 
-    def __init__(self) -> None:
-        self._started = event.Event()
-        self._is_forced = False
+    def __init__(self, received: signals.ReceivedSignals | None = None) -> None:
+        self.received = received or signals.ReceivedSignals()
+        self._wakeup: signals.WakeupPipe | None = None
 
     def install(self) -> None:
         """Install the signal handlers of this process."""
-        for number in (signal.SIGTERM, signal.SIGINT):
-            signal.signal(number, self._on_signal)
+        self._wakeup = signals.WakeupPipe()
+        self.received.install()
 
     def wait(self) -> None:
         """Wait for the first signal."""
-        self._started.wait()
+        while not self.received.stops:
+            self._wait_for_any()
 
     def finish(self, is_idle: Callable[[], bool], deadline_s: float) -> bool:
         """Wait until all requests have ended.
@@ -45,19 +50,15 @@
         """
         deadline = clock.now() + deadline_s
         while not is_idle():
-            if self._is_forced or clock.now() >= deadline:
+            if self.received.stops > 1 or clock.now() >= deadline:
                 log.warning('Drain ended with requests still in progress.')
                 return False
             clock.sleep(POLL_S)
         return True
 
-    def _on_signal(self, number: int, frame: typing.Any) -> None:
-        # A signal handler interrupts an arbitrary task, so the work is
-        # scheduled on the hub.
-        eventlet.spawn_after(0, self._handle_signal)
-
-    def _handle_signal(self) -> None:
-        if self._started.ready():
-            self._is_forced = True
-        else:
-            self._started.send()
+    def _wait_for_any(self) -> None:
+        """Wait until a signal has been received since the last call."""
+        descriptor = typing.cast(signals.WakeupPipe, self._wakeup).descriptor
+        hubs.trampoline(descriptor, read=True)
+        with contextlib.suppress(BlockingIOError):
+            _UNPATCHED_OS.read(descriptor, signals.WAKEUP_READ_BYTES)
--- a/tests/entry/test_drain.py
+++ b/tests/entry/test_drain.py
@@ -1,5 +1,6 @@
 """Tests the drain of an entry over real connections."""
 
+import signal
 import socket
 import types as std_types
 
@@ -140,8 +141,8 @@
     streaming = draining.open_stream()
     drain_task = draining.start()
     eventlet.sleep(0.1)
-    draining.signals._handle_signal()
-    draining.signals._handle_signal()
+    draining.signals.received.on_stop(signal.SIGTERM, None)
+    draining.signals.received.on_stop(signal.SIGTERM, None)
     assert b'entry_draining' in harness.read_all(streaming)
     with eventlet.Timeout(2):
         drain_task.wait()
