--- a/ivystep/runtime/signals.py
+++ b/ivystep/runtime/signals.py
@@ -45,7 +45,6 @@
     """
 
     def __init__(self) -> None:
-        self.descriptor, self._write_end = os.pipe2(
-            os.O_NONBLOCK | os.O_CLOEXEC
-        )
-        signal.set_wakeup_fd(self._write_end, warn_on_full_buffer=False)
+        read_end, write_end = os.pipe2(os.O_NONBLOCK | os.O_CLOEXEC)
+        signal.set_wakeup_fd(write_end, warn_on_full_buffer=False)
+        self.descriptor = read_end
