Refuse requests that a planned stop leaves no time for

Callers saw: in a planned stop of one machine, a request whose last byte came late in the grace was sent on to an upstream and cut with no answer as the host ended, also where it may not be repeated. A request that waited for a place or a permit at the end got no answer either.

Cause: the drain only waited. Nothing in the path of a request knew when its host ends, nor how long an answer takes.

Change: planned_stop knows the end of the grace, answer_times how long the last 64 answers of each route took relative to the expected time of the request, so that tokens count. Before placing and before the bytes are sent, a request that was read by 3 s after the signal is refused only if a usual answer would come too late, a later one if the longest known would, or, with fewer than 8 answers, if its own deadline does not end it in time. Refused is 503, ran=no, Retry-After. Waiting requests are refused at their latest start. At the end what was sent on gets 502, a begun stream a reset. It works because each attempt is checked without a wait before its bytes are sent.

Ruled out: kept idle connections; they close as the listener does (test_idle_connections_close_in_time_while_the_store_is_silent).

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -76,6 +76,7 @@
         self._crashes = safeguards.crashes
         self._limits = safeguards.limits
         self._access = safeguards.access
+        self._stop = safeguards.stop
         self._on_change = on_change
         self._log = log
         self._origins = origins
@@ -252,6 +253,7 @@
         state.raise_if_unwanted()
         self._crashes.raise_if_refused(state)
         self._access.renew(state)
+        self._stop.raise_if_too_late(state)
         self.raise_if_outdated(state, upstream, ref)
         attempt = messages.AttemptHeaders(
             upstream_id=upstream.upstream_id,
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -28,6 +28,7 @@
     measurements,
     membership,
     model_pools,
+    planned_stop,
     prefill_queues,
     process_events,
     request_access,
@@ -78,6 +79,7 @@
         )
         self._tasks = background.BackgroundTasks(self._log)
         self._server_state = callers.ServerState()
+        self._planned_stop = planned_stop.PlannedStop()
         self._measured = measurements.Measurements.empty()
         self._prefill_queues = prefill_queues.PrefillQueues(
             self._measured.rates
@@ -203,6 +205,7 @@
                         self._log,
                     ),
                     self._access,
+                    self._planned_stop,
                 ),
                 self._on_change,
                 self._leadership.wait_for_permit,
@@ -260,6 +263,7 @@
         self.is_ready = False
         draining.Drain(
             self._server_state,
+            self._planned_stop,
             self._leadership.release,
             self.settings.bounds.grace_s,
             self._log,
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -15,6 +15,7 @@
 from ivystep.gateway import (
     attempt_sender,
     model_pools,
+    planned_stop,
     relay,
     request_log,
     request_state,
@@ -73,6 +74,7 @@
         self._crashes = safeguards.crashes
         self._limits = safeguards.limits
         self._access = safeguards.access
+        self._stop = safeguards.stop
         self._wait_for_permit = wait_for_permit
         self._log = log
         self._origins = origins
@@ -119,13 +121,17 @@
             with (
                 eventlet.Timeout(state.remaining_s, DeadlineExceededError),
                 self._access.end_if_revoked(state),
+                self._stop.watch(state),
             ):
                 self._run_attempts(state)
         except DeadlineExceededError as error:
             raise request_state.deadline_error(state) from error
+        except planned_stop.HostStoppedError as error:
+            raise request_state.stopped_error(state) from error
         except (relay.CallerDisconnectedError, OSError):
             self._log.abandoned(state)
             raise
+        self._stop.times.record(state)
         self._log.ended(state)
 
     def _run_attempts(self, state: request_state.RequestState) -> None:
@@ -154,6 +160,7 @@
 
     def _make_attempt(self, state: request_state.RequestState) -> None:
         self._crashes.raise_if_refused(state)
+        self._stop.raise_if_too_late(state)
         state.has_run_before = bool(state.may_have_run)
         self._access.renew(state)
         target = self._pools.find(state.service, state.model)
--- a/ivystep/gateway/draining.py
+++ b/ivystep/gateway/draining.py
@@ -11,15 +11,17 @@
 import eventlet
 
 from ivystep.core import units
-from ivystep.gateway import callers, process_events
+from ivystep.gateway import callers, planned_stop, process_events
 from ivystep.runtime import clock, drain, event_log
 
 # Time for which new connections are still accepted after SIGTERM. The platform
 # probes readiness once a second and stops routing after two failed probes.
 ACCEPT_AFTER_SIGTERM_S = 2.6
-# Answers still in progress are aborted this long before the platform kills
+# Requests still in progress are ended this long before the platform kills
 # the process.
 ABORT_MARGIN_S = 0.4
+# Time in which the answers of the ended requests are sent.
+FLUSH_S = 0.15
 
 
 class Drain:
@@ -27,6 +29,7 @@
 
     Args:
         server_state: The connections of callers.
+        stop: Ends requests that the stop leaves no time for.
         release: Gives up what other hosts wait for; may wait for the store.
         grace_s: Time in seconds after which the platform kills the process.
         log: Event log of the drain.
@@ -35,11 +38,13 @@
     def __init__(
         self,
         server_state: callers.ServerState,
+        stop: planned_stop.PlannedStop,
         release: Callable[[], None],
         grace_s: float,
         log: event_log.EventLog,
     ) -> None:
         self._server_state = server_state
+        self._stop = stop
         self._release = release
         self._grace_s = grace_s
         self._log = log
@@ -51,7 +56,9 @@
             listener: The listener for callers.
         """
         started = clock.now()
+        end = started + self._grace_s - ABORT_MARGIN_S
         self._server_state.is_closing = True
+        self._stop.begin(end)
         self._log.write(
             process_events.Draining(
                 self._server_state.requests,
@@ -68,9 +75,15 @@
                 len(self._server_state.open_connections),
             )
         )
-        end = started + self._grace_s - ABORT_MARGIN_S
-        while self._server_state.open_connections and clock.now() < end:
-            self._server_state.close_idle()
-            clock.sleep(drain.POLL_S)
+        self._wait_for_callers(end)
+        self._stop.end_due()
+        self._wait_for_callers(end + FLUSH_S)
         with eventlet.Timeout(max(end - clock.now(), 0), exception=False):
             released.wait()
+
+    def _wait_for_callers(self, until: float) -> None:
+        """Wait until all connections are closed, or until a time."""
+        while self._server_state.open_connections and clock.now() < until:
+            self._server_state.close_idle()
+            self._stop.end_due()
+            clock.sleep(drain.POLL_S)
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -187,6 +187,11 @@
         """
         return self.stream_version if self.answer.last_event_id else None
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the next attempt has not been sent yet."""
+        return self.step in {'place', 'permit'} or self.progress.sent_at is None
+
     def record_version(self, upstream: upstream_state.Upstream) -> None:
         """Record the software version of an attempt that is about to be sent.
 
@@ -374,3 +379,19 @@
         step='wait',
         peer=state.upstream_id,
     )
+
+
+def stopped_error(state: RequestState) -> errors.RequestError:
+    """Return the error of a request that this host has no time left for."""
+    has_run = bool(state.may_have_run)
+    return errors.RequestError(
+        'host_stopping',
+        'This host stops before the answer would be complete.',
+        status=502 if has_run else 503,
+        ran=types.ExecutionStatus.UNKNOWN
+        if has_run
+        else types.ExecutionStatus.NO,
+        retry_after_s=None if has_run else MIN_RETRY_AFTER_S,
+        step=state.step,
+        peer=state.upstream_id,
+    )
--- a/tests/gateway/test_draining.py
+++ b/tests/gateway/test_draining.py
@@ -4,7 +4,7 @@
 
 import eventlet
 
-from ivystep.gateway import callers, draining
+from ivystep.gateway import answer_times, callers, draining, planned_stop
 from ivystep.runtime import clock
 from tests.coordination import fakes as clocks
 from tests.gateway import fakes, harness
@@ -56,7 +56,11 @@
     listener = Listener()
     started = clock.now()
     draining.Drain(
-        callers.ServerState(), release, GRACE_S, fakes.FakeLog()
+        callers.ServerState(),
+        planned_stop.PlannedStop(),
+        release,
+        GRACE_S,
+        fakes.FakeLog(),
     ).run(listener)
     return listener.closed_at - started, clock.now() - started
 
@@ -81,3 +85,129 @@
     _, drained_s = drain_for(release)
     assert answered
     assert drained_s < GRACE_S
+
+
+# After the listener has closed and after requests are taken in good faith,
+# with less time left than the answers take.
+LATE_S = 3.3
+SHORT_GRACE = {'grace_s': 5.0}
+SLOW_S = 1.5
+SLOW_CALLERS = {
+    'limits': {**harness.LIMITS, 'idle_timeout_ms': 9000},
+    'routes': (
+        harness.route('slow', 'non_idempotent', timeout_ms=9000),
+        harness.route('again', 'idempotent', timeout_ms=9000),
+        harness.route('flow', 'stream', timeout_ms=9000),
+    ),
+}
+
+
+def slow_request(path, request_id='r-1', body=b'{}'):
+    """Return a request whose caller waits for longer than the grace."""
+    head = (
+        f'POST {path} HTTP/1.1\r\nHost: {harness.HOST}\r\n'
+        f'Request-Id: {request_id}\r\nDeadline-Ms: 9000\r\n'
+        f'Content-Length: {len(body)}\r\n\r\n'
+    )
+    return head.encode() + body
+
+
+def start_drain(gateway):
+    """Start the drain of a gateway once it has read what was sent to it."""
+    eventlet.sleep(0.1)
+    return eventlet.spawn(gateway.daemon.drain, gateway.listener)
+
+
+def slow_answer(_, headers):
+    eventlet.sleep(SLOW_S)
+    return harness.ok_answer(headers)
+
+
+def test_request_completed_too_late_is_refused_instead_of_cut(build):
+    """Guards against requests that are sent on and cut at the end of a stop.
+
+    The head comes before the stop signal and the last byte of the body late.
+    """
+    gateway, (upstream,) = build(
+        slow_answer, config=SLOW_CALLERS, **SHORT_GRACE
+    )
+    whole = slow_request('/slow/2f')
+    with contextlib.closing(gateway.connect()) as connection:
+        connection.sendall(whole[:-1])
+        drained = start_drain(gateway)
+        eventlet.sleep(LATE_S)
+        connection.sendall(whole[-1:])
+        sent_at = clock.now()
+        answer = harness.read_to_end(connection)
+    assert (answer.status, answer.document['ran']) == (503, 'no')
+    assert 0 < float(answer.headers['retry-after']) < 1
+    assert clock.now() - sent_at < 0.5
+    assert not upstream.requests
+    drained.wait()
+
+
+def test_request_completed_late_is_taken_if_it_can_end(build):
+    """Guards against refusals of requests that end before the stop does."""
+    gateway, _ = build(
+        lambda _, headers: harness.ok_answer(headers),
+        config=SLOW_CALLERS,
+        **SHORT_GRACE,
+    )
+    with contextlib.closing(gateway.connect()) as connection:
+        for number in range(answer_times.MIN_SAMPLES):
+            connection.sendall(slow_request('/slow/2f', f'r-{number}'))
+            harness.receive_until(connection, b'whole answer')
+        whole = slow_request('/slow/2f', 'r-late')
+        connection.sendall(whole[:-1])
+        drained = start_drain(gateway)
+        eventlet.sleep(LATE_S)
+        connection.sendall(whole[-1:])
+        assert harness.read_to_end(connection).status == 200
+    drained.wait()
+
+
+def test_request_at_work_at_the_end_of_a_stop_gets_an_answer(build):
+    """Guards against silent cuts: a caller learns that it may have run.
+
+    The request was sent before the stop, when it was not known how long its
+    answer takes.
+    """
+    gateway, (upstream,) = build(lambda *_: None, config=SLOW_CALLERS)
+    with contextlib.closing(gateway.connect()) as connection:
+        connection.sendall(slow_request('/again/2f'))
+        drained = start_drain(gateway)
+        answer = harness.read_to_end(connection)
+    assert (answer.status, answer.document['ran']) == (502, 'unknown')
+    assert len(upstream.requests) == 1
+    drained.wait()
+
+
+def test_stream_at_work_at_the_end_of_a_stop_is_reset(build):
+    """Guards against streams that look complete as their host ends."""
+
+    def begin(connection, headers):
+        connection.sendall(
+            harness.stream_head(headers) + harness.chunk(harness.EVENTS[0])
+        )
+
+    gateway, _ = build(begin, config=SLOW_CALLERS)
+    with contextlib.closing(gateway.connect()) as connection:
+        connection.sendall(slow_request('/flow/2f'))
+        received = harness.receive_until(connection, harness.EVENTS[0])
+        drained = start_drain(gateway)
+        answer = harness.read_to_end(connection, received)
+    assert answer.was_reset
+    assert not answer.is_complete
+    drained.wait()
+
+
+def test_request_that_waits_at_the_end_of_a_stop_is_refused(build):
+    """Guards against requests that wait for a place and get no answer."""
+    gateway, () = build(config=SLOW_CALLERS)
+    with contextlib.closing(gateway.connect()) as connection:
+        connection.sendall(slow_request('/slow/2f'))
+        drained = start_drain(gateway)
+        answer = harness.read_to_end(connection)
+    assert (answer.status, answer.document['ran']) == (503, 'no')
+    assert 'retry-after' in answer.headers
+    drained.wait()
