Serve connections that are opened in the notice of a stop

Callers saw: for 2.6 s after the stop signal, while they are still routed to the host, new connections were accepted and reset with no byte read.

Cause: a connection that waits for its next request returned at once while its host drains, a new one too.

Evidence: test_connection_that_is_opened_during_the_notice_is_served fails on: the connection is accepted and ends with an empty answer.

Change: the connection waits as always. Drain.run closes idle connections as soon as the listener is closed and looks for bytes that have arrived, which is enough: test_idle_connections_close_in_time_while_the_store_is_silent passes as before.

Ruled out: a listener that closes early (the connection is not refused).

--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -34,7 +34,9 @@
 
     Attributes:
         limits: Size limits and time-outs of a connection.
-        is_closing: Whether each connection closes after its current answer.
+        is_closing: Whether each connection closes after its current answer. An
+            idle one is closed by ``close_idle``, so that callers that are still
+            routed to this host are served.
         open_connections: The open connections.
         requests: Number of requests in progress.
     """
@@ -188,8 +190,6 @@
         raw = None
         while raw is None:
             self._is_idle = self._reader.is_idle
-            if self._is_idle and self._server_state.is_closing:
-                return None
             if not self._is_idle:
                 started_at = min(started_at, clock.now())
             if self._reader.pop_expect_continue():
--- a/tests/gateway/test_draining.py
+++ b/tests/gateway/test_draining.py
@@ -211,3 +211,18 @@
     assert (answer.status, answer.document['ran']) == (503, 'no')
     assert 'retry-after' in answer.headers
     drained.wait()
+
+
+def test_connection_that_is_opened_during_the_notice_is_served(build):
+    """Guards against connections that are accepted and closed unread.
+
+    Callers are still routed to a host until readiness probes have failed.
+    """
+    gateway, _ = build(lambda _, headers: harness.ok_answer(headers))
+    drained = start_drain(gateway)
+    eventlet.sleep(0.2)
+    with contextlib.closing(gateway.connect()) as connection:
+        connection.sendall(slow_request('/once/2f'))
+        answer = harness.read_to_end(connection)
+    assert (answer.status, answer.headers['connection']) == (200, 'close')
+    drained.wait()
