Wait for an address that is taken as a process starts

Operators saw a process end with exit code 1 and "Address already in use" if another process held one of its ports at its start: callers, readiness, peers or metrics of a gateway, and each port of entry, sidecar and console. An address that the host does not have yet did the same.

Cause: listen was tried once for each port, and its error ended the main task.

Gateway and entry are ready once the port for callers is open; a gateway does not stand for election, and a sidecar does not take its lease, before others can connect. Errors of accept are handled in one place too; the pages and tests of that fault follow.

Ruled out: sockets in TIME_WAIT of the process before, since listeners have SO_REUSEADDR and no case had an earlier connection.

tests/wire/test_listener.py: the errors of accept moved from wire.listener to runtime.listeners, so the test now gives them to a Listener. It is as strict and more: EBADF, which ended the loop, now opens the socket again, EPROTO is added, and the loop must end when the process closes the listener.

--- a/ivystep/cli/log_events.py
+++ b/ivystep/cli/log_events.py
@@ -13,7 +13,7 @@
 from ivystep.data_centres import events as centre_events
 from ivystep.gateway import events, leader_events, process_events
 from ivystep.quotas import events as quota_events
-from ivystep.runtime import event_log
+from ivystep.runtime import event_log, listener_events
 from ivystep.stream_origins import events as origin_events
 
 # Modules that define events of the gateway's log.
@@ -25,6 +25,7 @@
     centre_events,
     origin_events,
     quota_events,
+    listener_events,
 )
 HEADING = """# Log lines of the gateway
 
--- a/ivystep/console/daemon.py
+++ b/ivystep/console/daemon.py
@@ -6,7 +6,7 @@
 from ivystep.console import app, sessions, setup_repository
 from ivystep.core import errors
 from ivystep.platform import objects, table
-from ivystep.runtime import drain, logs
+from ivystep.runtime import drain, listeners, logs
 from ivystep.settings import models
 
 MAX_CONNECTIONS = 64
@@ -44,7 +44,11 @@
         )
     signals = drain.DrainSignal()
     signals.install()
-    listener = eventlet.listen(settings.listen.socket_address)
+    listener = listeners.Listener.open(
+        'operators',
+        settings.listen.socket_address,
+        logs.event_writer('console'),
+    )
     eventlet.spawn(
         wsgi.server,
         listener,
--- a/ivystep/entry/daemon.py
+++ b/ivystep/entry/daemon.py
@@ -22,7 +22,7 @@
 )
 from ivystep.metrics import operators_app, registry
 from ivystep.platform import hosts, objects, table
-from ivystep.runtime import clock, drain, logs
+from ivystep.runtime import clock, drain, listeners, logs
 from ivystep.settings import models
 from ivystep.setup import poller, store
 from ivystep.wire import listener as wire_listener
@@ -55,6 +55,7 @@
         platform = settings.platform
         self.settings = settings
         self.is_ready = True
+        self._callers: listeners.Listener | None = None
         rows = table.TableClient(platform.table_url, platform.timeout_s)
         self.setup = store.SetupStore(
             rows,
@@ -113,10 +114,10 @@
         signals = drain.DrainSignal()
         signals.install()
         self._start_background()
-        listener = eventlet.listen(self.settings.listen.socket_address)
+        self._callers = self._listen('callers', self.settings.listen)
         server = eventlet.spawn(
             connections.serve,
-            listener,
+            self._callers,
             self.api,
             self.server_state,
             MAX_CONNECTIONS,
@@ -124,7 +125,7 @@
         log.info('Entry %s is serving callers.', self.settings.process.id)
         signals.wait()
         log.info('Entry %s is draining.', self.settings.process.id)
-        self.drain(server, listener, signals)
+        self.drain(server, self._callers, signals)
         log.info('Entry %s stopped.', self.settings.process.id)
 
     def drain(
@@ -171,7 +172,7 @@
         return operators_app.ProcessStatus(
             process_id=self.settings.process.id,
             role='entry',
-            is_ready=self.is_ready and self.setup.latest is not None,
+            is_ready=self._accepts_connections(),
             is_draining=not self.is_ready,
             setup_version=self.exchange.version(),
             setup_age_s=self.setup.age_s,
@@ -179,6 +180,21 @@
             details={'pools': len(self.pools)},
         )
 
+    def _accepts_connections(self) -> bool:
+        return (
+            self.is_ready
+            and self.setup.latest is not None
+            and self._callers is not None
+            and self._callers.is_open
+        )
+
+    def _listen(
+        self, purpose: str, address: models.Listen
+    ) -> listeners.Listener:
+        return listeners.Listener.open(
+            purpose, address.socket_address, logs.event_writer('entry')
+        )
+
     def _is_idle(self) -> bool:
         return self.in_progress.is_idle and self.server_state.is_empty
 
@@ -197,7 +213,7 @@
         eventlet.spawn(self.exchange.follow_peers, self.peers.reachable)
         eventlet.spawn(
             wire_listener.serve,
-            eventlet.listen(settings.peers.socket_address),
+            self._listen('peers', settings.peers),
             self.contexts,
             tls.ENTRY_NAME,
             peer_server.PeerServer(
@@ -206,7 +222,7 @@
         )
         eventlet.spawn(
             wsgi.server,
-            eventlet.listen(settings.operators.socket_address),
+            self._listen('operators', settings.operators),
             operators_app.OperatorsApp(self.metrics, self.status),
             log_output=False,
         )
--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -70,10 +70,7 @@
         try:
             accepted, address = listener.accept()
         except OSError:
-            if listener.fd.fileno() < 0:
-                return
-            clock.sleep(connections.CONNECT_TIMEOUT_S)
-            continue
+            return
         eventlet.spawn_n(
             CallerConnection(
                 accepted, address[0], server_state, handle_request
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -45,7 +45,7 @@
 from ivystep.metrics import operators_app, registry
 from ivystep.platform import engine_api, rows
 from ivystep.quotas import admission
-from ivystep.runtime import clock, drain, event_log
+from ivystep.runtime import clock, drain, event_log, listeners
 from ivystep.settings import gateway as settings_models
 from ivystep.stream_origins import origins
 from ivystep.traffic import contracts
@@ -68,6 +68,7 @@
     def __init__(self, settings: settings_models.GatewaySettings) -> None:
         self.settings = settings
         self.is_ready = True
+        self._callers: listeners.Listener | None = None
         self._shares = host_shares.HostShares.from_config(settings.bounds)
         self._signals = drain.DrainSignal()
         host = settings.process.id
@@ -234,12 +235,15 @@
     def start(self) -> typing.Any:
         """Start all tasks and return the listener for callers."""
         self._start_background()
-        listener = eventlet.listen(
-            self.settings.addresses.callers, backlog=BACKLOG
+        self._callers = listeners.Listener.open(
+            'callers',
+            self.settings.addresses.callers,
+            self._log.write,
+            BACKLOG,
         )
         self._tasks.spawn(
             callers.serve,
-            listener,
+            self._callers,
             self._server_state,
             self._request_handler.handle,
         )
@@ -249,7 +253,7 @@
                 self.settings.process.data_centre,
             )
         )
-        return listener
+        return self._callers
 
     def drain(self, listener: typing.Any) -> None:
         """Drain: let requests in progress end within the grace period.
@@ -288,13 +292,20 @@
         )
 
     def _accepts_connections(self) -> bool:
-        return self.is_ready and self._config.current is not None
+        return (
+            self.is_ready
+            and self._config.current is not None
+            and self._callers is not None
+            and self._callers.is_open
+        )
 
     def _start_background(self) -> None:
-        started = servers.Servers(self.settings.addresses, self._tasks.spawn)
+        started = servers.Servers(
+            self.settings.addresses, self._tasks.spawn, self._log.write
+        )
         started.start_readiness(self._accepts_connections)
         started.start_operators(self._metrics, self.status)
-        started.start_peers(
+        peers = started.start_peers(
             self.settings.process.id,
             self._planner_for,
             version_source.VersionOnlySource(self._config),
@@ -304,7 +315,7 @@
         )
         self._follow_tables()
         self._tasks.spawn(self._remove_expired_crashes)
-        self._tasks.spawn(self._leadership.run)
+        self._tasks.spawn(self._lead, peers)
         self._tasks.spawn(self._leadership.follow)
         self._tasks.spawn(self._quotas.run)
         self._tasks.spawn(self._base_model_loader.run)
@@ -312,6 +323,11 @@
         self._tasks.spawn(self._apply_totals_as_leader)
         self._tasks.spawn(loop_lag.measure, self._event_metrics, self._log)
 
+    def _lead(self, peers: listeners.Listener) -> None:
+        """Take part in the election once other hosts can connect."""
+        peers.wait_until_open()
+        self._leadership.run()
+
     def _follow_tables(self) -> None:
         """Start the feeds of the tables of the store."""
         upstreams_feed = self._followed.feed_of_upstreams(
--- a/ivystep/gateway/servers.py
+++ b/ivystep/gateway/servers.py
@@ -4,12 +4,12 @@
 import typing
 from collections.abc import Callable
 
-import eventlet
 from eventlet import wsgi
 
 from ivystep.entry import peer_server
 from ivystep.metrics import operators_app, registry
 from ivystep.platform import readiness
+from ivystep.runtime import listeners
 from ivystep.settings import gateway as settings_models
 from ivystep.wire import listener as wire_listener
 from ivystep.wire import tls
@@ -24,10 +24,12 @@
     Attributes:
         addresses: Addresses on which they listen.
         spawn: Starts a task with arguments.
+        report: Called with events of the listeners.
     """
 
     addresses: settings_models.Addresses
     spawn: Spawn
+    report: listeners.Report
 
     def start_readiness(self, is_ready: Callable[[], bool]) -> None:
         """Serve the platform's readiness checks.
@@ -37,7 +39,7 @@
         """
         self.spawn(
             wsgi.server,
-            eventlet.listen(self.addresses.readiness),
+            self._listen('readiness', self.addresses.readiness),
             readiness.ReadinessApp(is_ready),
             log_output=False,
         )
@@ -55,21 +57,31 @@
         """
         self.spawn(
             wsgi.server,
-            eventlet.listen(self.addresses.operators),
+            self._listen('operators', self.addresses.operators),
             operators_app.OperatorsApp(metrics, status),
             log_output=False,
         )
 
-    def start_peers(self, *arguments: typing.Any) -> None:
+    def start_peers(self, *arguments: typing.Any) -> listeners.Listener:
         """Serve other gateways.
 
         Args:
             arguments: See ``peer_server.PeerServer``.
+
+        Returns:
+            The listener.
         """
+        listener = self._listen('peers', self.addresses.peers)
         self.spawn(
             wire_listener.serve,
-            eventlet.listen(self.addresses.peers),
+            listener,
             None,
             tls.ENTRY_NAME,
             peer_server.PeerServer(*arguments).handle,
         )
+        return listener
+
+    def _listen(
+        self, purpose: str, address: tuple[str, int]
+    ) -> listeners.Listener:
+        return listeners.Listener.open(purpose, address, self.report)
--- /dev/null
+++ b/ivystep/runtime/listener_events.py
@@ -0,0 +1,78 @@
+"""Log events of the listeners of a process."""
+
+import dataclasses
+import logging
+import typing
+
+from ivystep.runtime import event_log
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AddressUnavailable(event_log.Event):
+    """A listening socket cannot be opened; the process tries again.
+
+    Attributes:
+        purpose: Who connects there, for example ``callers``.
+        address: Address and port.
+    """
+
+    name: typing.ClassVar[str] = 'address_unavailable'
+    level: typing.ClassVar[int] = logging.WARNING
+
+    purpose: str
+    address: str
+    error: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AddressOpened(event_log.Event):
+    """A listening socket was opened after its address was unavailable.
+
+    Attributes:
+        purpose: Who connects there.
+        address: Address and port.
+        waited_ms: Time for which it was unavailable.
+    """
+
+    name: typing.ClassVar[str] = 'address_opened'
+
+    purpose: str
+    address: str
+    waited_ms: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListenerLost(event_log.Event):
+    """A listening socket no longer works and is opened again.
+
+    Attributes:
+        purpose: Who connects there.
+        address: Address and port.
+    """
+
+    name: typing.ClassVar[str] = 'listener_lost'
+    level: typing.ClassVar[int] = logging.ERROR
+
+    purpose: str
+    address: str
+    error: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AcceptFailed(event_log.Event):
+    """Connections could not be accepted; the listener tries again.
+
+    Attributes:
+        purpose: Who connects there.
+        address: Address and port.
+        error: The last error.
+        failures: Number of failures since the line before.
+    """
+
+    name: typing.ClassVar[str] = 'accept_failed'
+    level: typing.ClassVar[int] = logging.WARNING
+
+    purpose: str
+    address: str
+    error: str
+    failures: int
--- a/ivystep/runtime/logs.py
+++ b/ivystep/runtime/logs.py
@@ -1,7 +1,12 @@
 """Configures plain-text logging to standard error."""
 
+import dataclasses
+import functools
 import logging
 import sys
+from collections.abc import Callable
+
+from ivystep.runtime import event_log
 
 FORMAT = '%(asctime)s %(levelname)s %(name)s: %(message)s'
 
@@ -23,3 +28,19 @@
         part: Name of the component, for example ``entry``.
     """
     return logging.getLogger(part)
+
+
+def event_writer(part: str) -> Callable[[event_log.Event], None]:
+    """Return what writes events as plain text.
+
+    Args:
+        part: Name of the component.
+    """
+    return functools.partial(_write_event, get(part))
+
+
+def _write_event(log: logging.Logger, event: event_log.Event) -> None:
+    fields = ', '.join(
+        f'{name}={value}' for name, value in dataclasses.asdict(event).items()
+    )
+    log.log(event.level, '%s: %s', event.name, fields)
--- a/ivystep/sidecar/daemon.py
+++ b/ivystep/sidecar/daemon.py
@@ -7,7 +7,7 @@
 
 from ivystep.metrics import operators_app, registry
 from ivystep.platform import table
-from ivystep.runtime import clock, drain, logs
+from ivystep.runtime import clock, drain, listeners, logs
 from ivystep.settings import models
 from ivystep.sidecar import host, ownership, server
 from ivystep.wire import listener, tls
@@ -41,6 +41,8 @@
         self.upstream_host = host.UpstreamHost(
             settings.process.id, settings.upstream, self.metrics
         )
+        self._entries: listeners.Listener | None = None
+        self._lease_task: typing.Any = None
         self._owner: ownership.LeaseOwner | None = None
         if self.upstream_host.is_engine:
             self._owner = self._lease_owner()
@@ -51,29 +53,17 @@
         signals = drain.DrainSignal()
         signals.install()
         contexts = tls.TlsContexts(self.settings.tls.files)
-        entries = eventlet.listen(self.settings.listen.socket_address)
-        operators = eventlet.listen(self.settings.operators.socket_address)
-        self._serve_operators(operators)
-        eventlet.spawn(self.upstream_host.monitor)
-        lease_task = self._owner.start() if self._owner else None
-        eventlet.spawn(
-            listener.serve,
-            entries,
-            contexts,
-            tls.ENTRY_NAME,
-            server.SidecarServer(self.upstream_host).serve,
-        )
-        log.info(
-            'Sidecar %s is serving as incarnation %s.',
-            self.upstream_host.upstream_id,
-            self.upstream_host.incarnation,
+        self._entries = self._listen('entries', self.settings.listen)
+        self._serve_operators(
+            self._listen('operators', self.settings.operators)
         )
+        eventlet.spawn(self._serve_entries, self._entries, contexts)
         signals.wait()
         self._drain(signals)
-        if lease_task is not None and self._owner is not None:
-            lease_task.kill()
+        if self._lease_task is not None and self._owner is not None:
+            self._lease_task.kill()
             self._owner.release()
-        entries.close()
+        self._entries.close()
         log.info('Sidecar %s stopped.', self.upstream_host.upstream_id)
 
     def status(self) -> operators_app.ProcessStatus:
@@ -82,12 +72,14 @@
         problems = []
         if not upstream_host.is_healthy:
             problems.append('The upstream does not answer its health check.')
+        if not self._is_open():
+            problems.append('The address for entries is not available.')
         if upstream_host.is_draining:
             problems.append('The sidecar is stopping.')
         return operators_app.ProcessStatus(
             process_id=upstream_host.upstream_id,
             role='sidecar',
-            is_ready=upstream_host.is_healthy,
+            is_ready=upstream_host.is_healthy and self._is_open(),
             is_draining=upstream_host.is_draining,
             setup_version=upstream_host.setup_version,
             setup_age_s=0.0,
@@ -99,6 +91,36 @@
             },
         )
 
+    def _is_open(self) -> bool:
+        return self._entries is not None and self._entries.is_open
+
+    def _listen(
+        self, purpose: str, address: models.Listen
+    ) -> listeners.Listener:
+        return listeners.Listener.open(
+            purpose, address.socket_address, logs.event_writer('sidecar')
+        )
+
+    def _serve_entries(
+        self, entries: listeners.Listener, contexts: tls.TlsContexts
+    ) -> None:
+        """Serve entries once they can connect, and take the lease then."""
+        entries.wait_until_open()
+        eventlet.spawn(self.upstream_host.monitor)
+        if self._owner is not None and not self.upstream_host.is_draining:
+            self._lease_task = self._owner.start()
+        log.info(
+            'Sidecar %s is serving as incarnation %s.',
+            self.upstream_host.upstream_id,
+            self.upstream_host.incarnation,
+        )
+        listener.serve(
+            entries,
+            contexts,
+            tls.ENTRY_NAME,
+            server.SidecarServer(self.upstream_host).serve,
+        )
+
     def _drain(self, signals: drain.DrainSignal) -> None:
         upstream_host = self.upstream_host
         log.info('Sidecar %s is draining.', upstream_host.upstream_id)
--- a/ivystep/wire/listener.py
+++ b/ivystep/wire/listener.py
@@ -1,28 +1,15 @@
 """Accepts connections of other ivystep processes and checks their role."""
 
-import errno
 import typing
 from collections.abc import Callable
 
 import eventlet
 
 from ivystep.core import errors
-from ivystep.runtime import clock, logs
+from ivystep.runtime import logs
 from ivystep.wire import channel, tls
 
 HANDSHAKE_TIMEOUT_S = 5.0
-ACCEPT_RETRY_S = 0.1
-# Descriptors or memory have run out, or the peer has disconnected already; the
-# listener itself still works.
-TRANSIENT_ERRORS = frozenset(
-    (
-        errno.EMFILE,
-        errno.ENFILE,
-        errno.ENOBUFS,
-        errno.ENOMEM,
-        errno.ECONNABORTED,
-    )
-)
 
 log = logs.get('wire')
 
@@ -45,12 +32,8 @@
     while True:
         try:
             connection, address = listener.accept()
-        except OSError as error:
-            if error.errno not in TRANSIENT_ERRORS:
-                return
-            log.warning('Connection not accepted: %s.', error)
-            clock.sleep(ACCEPT_RETRY_S)
-            continue
+        except OSError:
+            return
         peer = f'{address[0]}:{address[1]}'
         eventlet.spawn(
             _serve_connection, connection, peer, contexts, peer_name, handle
--- a/tests/wire/test_listener.py
+++ b/tests/wire/test_listener.py
@@ -1,30 +1,47 @@
-"""Tests of the accept loop under transient errors."""
+"""Tests of the accept loop under errors of accept."""
 
 import errno
 
-from ivystep.runtime import clock, virtual_hub
+import eventlet
+
+from ivystep.runtime import listeners, virtual_hub
 from ivystep.wire import listener
 
 
-class Listener:
+class Socket:
     """Raises errors of ``accept``, such as for want of descriptors."""
 
-    def __init__(self):
-        self.failures = [errno.EMFILE, errno.ECONNABORTED, errno.EBADF]
+    def __init__(self, failures):
+        self.failures = failures
         self.accepted = 0
 
+    def settimeout(self, seconds):
+        pass
+
+    def detach(self):
+        pass
+
     def accept(self):
         self.accepted += 1
-        number = self.failures.pop(0)
-        raise OSError(number, 'accept')
+        raise OSError(self.failures.pop(0), 'accept')
 
 
-def test_transient_errors_do_not_end_the_accept_loop():
+def test_errors_do_not_end_the_accept_loop(monkeypatch):
     """Guards against a process that stops accepting connections."""
+    failures = [errno.EMFILE, errno.ECONNABORTED, errno.EPROTO, errno.EBADF]
+    first, second = Socket(failures), Socket([errno.EMFILE] * 99)
+    opened = [second, first]
+    monkeypatch.setattr(eventlet, 'listen', lambda *_: opened.pop())
 
     def scenario():
-        source = Listener()
-        listener.serve(source, None, 'peer', None)
-        return source.accepted, clock.now() > 0
-
-    assert virtual_hub.run(scenario) == (3, True)
+        source = listeners.Listener.open('peers', ('', 0), lambda event: None)
+        serving = eventlet.spawn(listener.serve, source, None, 'peer', None)
+        eventlet.sleep(1)
+        assert not serving.dead
+        # A listener that the process closes does end the loop.
+        second.close = lambda: None
+        source.close()
+        eventlet.sleep(1)
+        return first.accepted, second.accepted > 1, serving.dead
+
+    assert virtual_hub.run(scenario) == (4, True, True)
