Measure no prefill rate of streams that callers resume

Symptom: after all hosts lost power, an engine's rate was learned as nearly twice the true one and the rest as latency, so that too many prompts were sent there at once and many streams paused.

Cause: a stream that is resumed by its caller has a first event of its own at the new host, and was measured as if the engine had read its whole prompt. It has often kept the prompt, and reads what was written in addition. After a restart of all hosts most requests are of this kind.

Evidence: the new test fails before, [0.1] == [] (one measurement of a resumed stream). Streams that a host resumes itself were excluded before and still are.

The test harness keeps its measurements in an attribute; no check changed.

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -263,6 +263,7 @@
         )
         state.progress.sent_at = clock.now()
         state.progress.fill = upstream.fill_by_others
+        state.progress.is_resumed = bool(attempt.resumes_after)
         return messages.encode_call(state.call, attempt)
 
     def _on_head(
@@ -294,12 +295,18 @@
         upstream: upstream_state.Upstream,
         sent_at: float,
     ) -> None:
-        """Update an engine's rate from a prompt that it prefilled alone."""
+        """Update an engine's rate from a prompt that it prefilled alone.
+
+        Of a resumed stream, an engine reads the events that were written as
+        well, and has often kept the prompt, so its time does not tell the rate.
+        """
         generation, head_sent_at = (
             state.call.generation,
             state.answer.head_sent_at,
         )
-        # A resumed stream got its first event from another upstream.
+        if state.progress.is_resumed:
+            return
+        # The first event may be from another upstream.
         if generation and head_sent_at is not None and head_sent_at >= sent_at:
             first_event_s = head_sent_at - sent_at - state.progress.held_s
             self._measured.record_prefill(
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -37,6 +37,7 @@
         sent_at: When the request was sent; None before.
         fill: Share of the upstream's batch that other requests used as the
             request was sent.
+        is_resumed: Whether the request asked for the rest of a stream.
         head_at: When the head of the answer arrived; None before.
         body_bytes: Length of the body that had arrived when the attempt
             failed.
@@ -46,6 +47,7 @@
 
     sent_at: float | None = None
     fill: float = 0.0
+    is_resumed: bool = False
     head_at: float | None = None
     body_bytes: int = 0
     is_settled: bool = False
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -131,12 +131,13 @@
         )
         self.recorded.on_config = self.access.on_config
         self.arrivals = []
+        self.measured = fakes.measured()
         self.writer = builtin_types.SimpleNamespace(write=lambda row: None)
         self.budgets = retry_budget.RetryBudgets(ratio=0.1, reserve=2.0)
         self.dispatcher = dispatch.Dispatcher(
             builtin_types.SimpleNamespace(
                 find=lambda *_: self.pool,
-                measured=fakes.measured(),
+                measured=self.measured,
                 record_arrival=self.arrivals.append,
             ),
             members,
@@ -426,6 +427,39 @@
     assert harness.log.events[0].latency_ms == 80
 
 
+class MeasuredDispatch(DispatchHarness):
+    """A dispatcher whose engine answers after a time, and what it measures."""
+
+    ANSWER_S = 0.1
+
+    def measure(self, answer):
+        """Return the times to first token that a request adds."""
+        self.answer = answer
+        self.run(answer=answer)
+        return [one.first_event_s for one in self.measured.take().samples]
+
+    def wait_in_queue(self):
+        clock.sleep(self.ANSWER_S)
+        if self.answer.head_sent_at is None:
+            self.answer.head_sent_at = clock.now()
+        self.answer.last_event_id = '12'
+
+
+@clocks.on_virtual_clock
+@pytest.mark.parametrize('resumes_after', ['', '7'])
+def test_prompt_of_a_resumed_stream_does_not_tell_the_prefill_rate(
+    monkeypatch, resumes_after
+):
+    """Guards against engines that seem twice as fast after all hosts restarted:
+    they have most of a resumed prompt, and read what they had written of it.
+    """
+    harness = MeasuredDispatch(monkeypatch, ref(1))
+    answer = FakeAnswer()
+    answer.last_event_id = resumes_after
+    measured_s = harness.measure(answer)
+    assert measured_s == ([] if resumes_after else [pytest.approx(0.1)])
+
+
 @clocks.on_virtual_clock
 @pytest.mark.parametrize('step', ['place', 'permit'])
 def test_disconnect_of_a_waiting_caller_is_logged_with_its_step(
