Forget a learned latency that busy engines show to be too long

Symptom: after all hosts lost power, an engine's latency stands at 55 ms and its rate at 26,000 tokens/s and more, where 12 ms and 14,000 are usual, for as long as the engines are busy. Too many prompts are sent at once.

Cause: a new leader knows nothing of the requests that engines still work off, so prompts that wait for them count as alone. What is learned from them can only be corrected by prompts at engines that are hardly used, and then there are none.

Why the fix works: other requests only add to the time of a prompt, so the fit over all prompts bounds the latency from above. It is never learned from them.

Ruled out: cached prompts alone; half of them cached changed the latency in none of 20 trials without waits.

--- a/ivystep/prefill/estimate.py
+++ b/ivystep/prefill/estimate.py
@@ -36,6 +36,9 @@
 # The same for a latency that is shorter than assumed, with which the engine
 # seems faster than it is.
 CLEAR_BELOW_S = 0.001
+# The same for prompts beside other requests, whose times scatter more. Their
+# latency is not learned; they only show that one which was learned is too long.
+CLEAR_BESIDE_S = 0.01
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +93,10 @@
         """Return whether the samples clearly show a shorter latency."""
         return self.highest_s < latency_s - CLEAR_BELOW_S
 
+    def excludes(self, latency_s: float) -> bool:
+        """Return whether a latency is too long, also beside other requests."""
+        return self.highest_s < latency_s - CLEAR_BESIDE_S
+
 
 def fit(samples: Collection[PrefillSample]) -> LatencyFit | None:
     """Fit the latency of prompts.
--- a/ivystep/prefill/prefill_rates.py
+++ b/ivystep/prefill/prefill_rates.py
@@ -73,6 +73,7 @@
         self._latency_s: float | None = None
         self._keeps_latency = keeps_latency
         self._unfitted = 0
+        self._unchecked = 0
 
     def add(self, sample: PrefillSample, usual_s: float) -> None:
         """Add a measurement.
@@ -82,6 +83,10 @@
             usual_s: Latency in seconds that is assumed until another is clear.
         """
         self.samples.append(sample)
+        self._unchecked += 1
+        if self._unchecked >= REFIT_SHARE * len(self.samples):
+            self._unchecked = 0
+            self._forget_contradicted()
         if not sample.is_undisturbed:
             return
         self._undisturbed.append(sample)
@@ -94,6 +99,21 @@
         """Return the latency in seconds; the usual one before it is clear."""
         return usual_s if self._latency_s is None else self._latency_s
 
+    def _forget_contradicted(self) -> None:
+        """Forget a latency that the last measurements exclude.
+
+        Other requests only add to the time. So a latency that is longer than
+        the one which prompts beside others show was learned from prompts that
+        seemed to be alone and were not.
+        """
+        if self._latency_s is None:
+            return
+        found = estimate.fit(self.samples)
+        if found is not None and found.excludes(self._latency_s):
+            self._latency_s = None
+            self._undisturbed.clear()
+            self._unfitted = 0
+
     def _fit(self, usual_s: float) -> float | None:
         current_s = self.latency_s(usual_s) if self._keeps_latency else usual_s
         latency_s = estimate.next_latency_s(
--- a/tests/prefill/test_estimate.py
+++ b/tests/prefill/test_estimate.py
@@ -30,6 +30,8 @@
         }
         self.slow_share = 0.0
         self.cached_share = 0.1
+        self.longest_wait_s = 0.0
+        self.fill = 0.0
         for name in self.tokens_per_s:
             self.rates.add_engine(name, 'llm')
 
@@ -54,8 +56,10 @@
             if chance.random() < self.slow_share:
                 seconds *= 2.5
             seconds += chance.expovariate(1 / 0.003)
+            if self.longest_wait_s:
+                seconds += chance.uniform(0, self.longest_wait_s)
             self.rates.record(
-                prefill_rates.PrefillSample(name, tokens, seconds)
+                prefill_rates.PrefillSample(name, tokens, seconds, self.fill)
             )
 
     def latency(self, engine='i-0/0'):
@@ -113,6 +117,37 @@
     assert fleet.rate() == pytest.approx(20000, rel=0.2)
 
 
+@pytest.mark.parametrize('longest_wait_s', [0.1, 0.2])
+@pytest.mark.parametrize('seed', range(7, 17))
+def test_latency_that_busy_engines_exclude_is_forgotten(seed, longest_wait_s):
+    """Guards against prompts that a new leader takes for alone after all hosts
+    lost power, while engines work off what nobody knows any more: their waits
+    count as latency for the rest of a busy day.
+    """
+    fleet = Fleet(USUAL_S, 14000.0, seed=seed)
+    fleet.longest_wait_s = longest_wait_s
+    fleet.run(60)
+    fleet.longest_wait_s = 0.0
+    fleet.fill = 0.5
+    fleet.run(100)
+    assert fleet.latency() == pytest.approx(USUAL_S)
+    assert fleet.rate() == pytest.approx(14000, rel=0.15)
+
+
+@pytest.mark.parametrize('slow_share', [0.0, 0.2])
+@pytest.mark.parametrize('latency_s', [0.08, 0.2])
+def test_busy_engines_do_not_exclude_their_true_latency(latency_s, slow_share):
+    """Guards against engines that seem slow as soon as they are busy."""
+    fleet = Fleet(latency_s)
+    fleet.run(100)
+    fleet.fill = 0.5
+    fleet.slow_share = slow_share
+    fleet.longest_wait_s = 0.03
+    for _ in range(100):
+        fleet.run(10)
+        assert fleet.latency() == pytest.approx(latency_s, abs=0.015)
+
+
 @pytest.mark.parametrize('latency_s', [0.0, USUAL_S, 0.2])
 def test_prompts_of_one_length_do_not_tell_a_latency(latency_s):
     """Guards against a latency that is guessed where lengths hardly differ."""
