--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -28,7 +28,6 @@
     measurements,
     membership,
     model_pools,
-    planned_stop,
     prefill_queues,
     process_events,
     request_access,
@@ -79,10 +78,7 @@
             'gateway', host, self._event_metrics.record
         )
         self._tasks = background.BackgroundTasks(self._log)
-        self._server_state = callers.ServerState(
-            settings.capacity.buffer_bytes
-        )
-        self._planned_stop = planned_stop.PlannedStop()
+        self._server_state = callers.ServerState(settings.capacity.buffer_bytes)
         self._measured = measurements.Measurements.empty()
         self._prefill_queues = prefill_queues.PrefillQueues(
             self._measured.rates
@@ -191,6 +187,17 @@
         self._access = request_access.RequestAccess.from_config(
             settings, self._config, self._log
         )
+        self._safeguards = safeguard.Safeguards(
+            self._shares.budgets,
+            self._crashes,
+            limited_upstreams.LimitedUpstreams(
+                self._membership.upstream_by_id,
+                lambda: self._shares.hosts,
+                self._on_change,
+                self._log,
+            ),
+            self._access,
+        )
         requests_log = request_log.RequestLog(self._log, self._config)
         self._request_handler = request_handler.RequestHandler(
             self._config,
@@ -198,18 +205,7 @@
                 self._pools,
                 self._membership,
                 self._versions,
-                safeguard.Safeguards(
-                    self._shares.budgets,
-                    self._crashes,
-                    limited_upstreams.LimitedUpstreams(
-                        self._membership.upstream_by_id,
-                        lambda: self._shares.hosts,
-                        self._on_change,
-                        self._log,
-                    ),
-                    self._access,
-                    self._planned_stop,
-                ),
+                self._safeguards,
                 self._on_change,
                 self._leadership.wait_for_permit,
                 requests_log,
@@ -269,7 +265,7 @@
         self.is_ready = False
         draining.Drain(
             self._server_state,
-            self._planned_stop,
+            self._safeguards.stop,
             self._leadership.release,
             self.settings.bounds.grace_s,
             self._log,
--- a/ivystep/gateway/safeguard.py
+++ b/ivystep/gateway/safeguard.py
@@ -27,4 +27,6 @@
     crashes: crashes.Crashes
     limits: limited_upstreams.LimitedUpstreams
     access: request_access.RequestAccess
-    stop: planned_stop.PlannedStop
+    stop: planned_stop.PlannedStop = dataclasses.field(
+        default_factory=planned_stop.PlannedStop
+    )
