Count each send of a request against its route's attempts

Callers and operators saw a resumable stream that had broken off sent 28, 14 and 13 times within 5 s on a route with three attempts, while upstreams answered the take-ups with 500; then the stream was cut.

Cause: the upstreams on which a request may have run were a set whose size was compared with the attempts of the route, so that a second send to the same upstream added nothing. Only the retry budget of the service ended the sends, and later requests found it used up. The list now has one entry for each send. Refusals, which state that the request has not run, are taken out as before.

Ruled out: a cause in the manner of the end; a close and a reset are counted alike.

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -110,8 +110,7 @@
         state.record_version(upstream)
         self._origins.record(state, upstream)
         state.progress = request_state.AttemptProgress()
-        was_tried = upstream.upstream_id in state.may_have_run
-        state.may_have_run.add(upstream.upstream_id)
+        state.may_have_run.append(upstream.upstream_id)
         exchange = relay.Exchange(
             state.call,
             state.route,
@@ -140,13 +139,13 @@
             with self._crashes.parts.watch(state, exchange):
                 self._run(state, upstream, ref, exchange)
         except errors.RequestError as error:
-            if error.ran is types.ExecutionStatus.NO and not was_tried:
-                state.may_have_run.discard(upstream.upstream_id)
+            if error.ran is types.ExecutionStatus.NO and exchange.has_sent:
+                state.may_have_run.remove(upstream.upstream_id)
             state.progress.record_body(exchange.body)
             self._on_failure(state, upstream, ref, error)
             raise
         finally:
-            self._on_end(state, upstream, exchange, was_tried=was_tried)
+            self._on_end(state, upstream, exchange)
         upstream.reset_failures()
         self._crashes.on_completed(state)
         if permit and permit.decision is prefill.PermitDecision.ALONE:
@@ -188,8 +187,6 @@
         state: request_state.RequestState,
         upstream: upstream_state.Upstream,
         exchange: relay.Exchange,
-        *,
-        was_tried: bool,
     ) -> None:
         """Record how an attempt has ended, whatever its outcome."""
         self._log.answer_ended(state, exchange.body)
@@ -199,8 +196,8 @@
             self._given_up.add(state, upstream)
         if exchange.has_sent:
             state.step = 'run'
-        elif not was_tried:
-            state.may_have_run.discard(upstream.upstream_id)
+        else:
+            state.may_have_run.remove(upstream.upstream_id)
 
     def _run(
         self,
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -71,7 +71,8 @@
         deadline: Time by which the answer must be complete.
         answer: The caller's side of the answer.
         attempts: Number of attempts.
-        may_have_run: Upstreams on which the request may have run.
+        may_have_run: Upstreams on which the request may have run, once for
+            each time that it was sent there.
         avoid: Upstreams that failed or refused the request.
         upstream_id: Upstream of the last attempt; empty before the first.
         content_id: Short id of the content, equal for a repeated request.
@@ -96,7 +97,7 @@
     deadline: float
     answer: relay.CallerAnswer
     attempts: int = 0
-    may_have_run: set[str] = dataclasses.field(default_factory=set)
+    may_have_run: list[str] = dataclasses.field(default_factory=list)
     avoid: set[str] = dataclasses.field(default_factory=set)
     upstream_id: str = ''
     turn_at: upstream_state.Upstream | None = None
@@ -176,7 +177,10 @@
 
     @property
     def has_attempt_left(self) -> bool:
-        """Whether the request may run on another upstream."""
+        """Whether the request may be sent once more, also to the same upstream.
+
+        Upstreams that refused it do not count, since it has not run there.
+        """
         return len(self.may_have_run) < self.route.max_attempts
 
     @property
--- a/ivystep/traffic/contracts.py
+++ b/ivystep/traffic/contracts.py
@@ -93,7 +93,7 @@
         target_latency_s: Time within which an answer, or the first event of a
             stream, has its full value.
         priority: 0 is the most urgent.
-        max_attempts: Number of upstreams on which one request may run.
+        max_attempts: How often one request may run, also on one upstream.
         is_resumable: Whether a stream may be resumed on another upstream
             after the last event that was delivered.
         max_gap_s: Longest pause between events of a stream that has its full
