Take a settled stream up again however many upstreams crash under it

Callers saw a resumable stream cut once as many upstreams had crashed as its route has attempts, at the first crash where it has one, though others could take it up.

Cause: a run that ended with its upstream counted as an attempt. The platform does not count upstreams that ended. It is no longer counted if the caller has a part of the stream and the answer had settled, since an upstream that crashes on the request does so sooner. The third crash under the same content is still refused by the quarantine, and each retry is charged to the budget.

Ruled out: leaving out each crash after a delivered event.

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -377,6 +377,7 @@
                 state, upstream, is_closed=_is_closed_by_peer(error)
             )
             if has_crashed:
+                state.on_upstream_ended()
                 self._given_up.on_crash(upstream)
             return has_crashed
         return error.code in {'other_upstream', 'upstream_unavailable'}
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -73,6 +73,7 @@
         attempts: Number of attempts.
         may_have_run: Upstreams on which the request may have run, once for
             each time that it was sent there.
+        uncounted_runs: Number of these that do not count as attempts.
         avoid: Upstreams that failed or refused the request.
         upstream_id: Upstream of the last attempt; empty before the first.
         content_id: Short id of the content, equal for a repeated request.
@@ -98,6 +99,7 @@
     answer: relay.CallerAnswer
     attempts: int = 0
     may_have_run: list[str] = dataclasses.field(default_factory=list)
+    uncounted_runs: int = 0
     avoid: set[str] = dataclasses.field(default_factory=set)
     upstream_id: str = ''
     turn_at: upstream_state.Upstream | None = None
@@ -181,7 +183,17 @@
 
         Upstreams that refused it do not count, since it has not run there.
         """
-        return len(self.may_have_run) < self.route.max_attempts
+        counted_runs = len(self.may_have_run) - self.uncounted_runs
+        return counted_runs < self.route.max_attempts
+
+    def on_upstream_ended(self) -> None:
+        """Don't count a run that ended with its upstream against a stream.
+
+        What its caller has received would be lost with it. An upstream that
+        crashes on the request does so before its answer is settled.
+        """
+        if self.is_resumed and self.progress.is_settled:
+            self.uncounted_runs += 1
 
     @property
     def required_version(self) -> str | None:
--- a/tests/gateway/test_bounded_sends.py
+++ b/tests/gateway/test_bounded_sends.py
@@ -5,6 +5,7 @@
 import eventlet
 import pytest
 
+from ivystep.gateway import answer_body
 from ivystep.runtime import clock
 from tests.gateway import harness
 
@@ -25,8 +26,10 @@
         resumable=True,
     ),
 )
+COMMENT = b': still there\n\n'
 # What arrives with a reset is lost, so it must be read before.
 ARRIVAL_S = 0.05
+SETTLED_S = 0.05
 # Far below the time budget of the requests.
 TOLD_WITHIN_S = 1.0
 
@@ -106,3 +109,38 @@
     )
     gateway.send('/resume/2f')
     assert gateway.send('/read/2f', 'r-other').status == 200
+
+
+def test_stream_stays_whole_if_upstreams_crash_one_after_another(
+    build, monkeypatch
+):
+    """Guards against crashed upstreams that count as attempts of a stream."""
+    monkeypatch.setattr(answer_body, 'SETTLED_S', SETTLED_S)
+    crashed = []
+
+    def script(connection, headers):
+        after = int(headers.get('last-event-id', 0))
+        if len(crashed) < ATTEMPTS - 1:
+            begin_stream(connection, headers, EVENTS[after])
+            for _ in range(2):
+                eventlet.sleep(SETTLED_S)
+                connection.sendall(harness.chunk(COMMENT))
+            eventlet.sleep(ARRIVAL_S)
+            port = connection.getsockname()[1]
+            upstream = next(one for one in built if one.port == port)
+            crashed.append(upstream)
+            upstream.crash()
+            return None
+        rest = b''.join(EVENTS[after:])
+        return harness.stream_head(headers) + harness.chunk(rest) + b'0\r\n\r\n'
+
+    routes = (
+        harness.route(
+            'resume', 'stream', attempts=1, gap_target_ms=300, resumable=True
+        ),
+    )
+    gateway, built = build(*([script] * 4), config={'routes': routes})
+    answer = gateway.send('/resume/2f')
+    assert answer.body.replace(COMMENT, b'') == b''.join(EVENTS)
+    assert answer.is_complete
+    assert sends(built) == ATTEMPTS
