Lengthen the pause while a broken-off stream can't be taken up

Operators saw the take-ups of a broken-off stream follow one another every 0.03 s while the upstreams failed them.

Cause: one constant pause before each retry, made for full upstreams. It now doubles with each attempt that brings the stream no further, up to 0.24 s, and starts again after an event. The first take-up and the retries of other requests come as early as before.

--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -28,8 +28,6 @@
 from ivystep.stream_origins import origins as stream_origins
 from ivystep.traffic import calls, contracts
 
-# Pause before a retry, so that a full upstream can finish some requests.
-RETRY_PAUSE_S = 0.03
 # Crashed upstreams of a software version may be back by then.
 VERSION_RETRY_S = 1.0
 NO_PERMIT = frozenset(
@@ -131,11 +129,13 @@
     def _run_attempts(self, state: request_state.RequestState) -> None:
         self._origins.resolve(state)
         while True:
+            last_event_id = state.answer.last_event_id
             try:
                 self._make_attempt(state)
             except errors.RefusedError as refusal:
                 raise request_state.final_error(refusal, state) from refusal
             except errors.RequestError as error:
+                state.on_attempt_failed(last_event_id)
                 may_retry = self._may_retry(state, error)
                 self._log.attempt_failed(
                     state,
@@ -148,7 +148,7 @@
                     raise request_state.final_error(
                         error, state, wait_s
                     ) from error
-                clock.sleep(RETRY_PAUSE_S)
+                clock.sleep(state.retry_pause_s)
             else:
                 return
 
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -12,6 +12,11 @@
 from ivystep.traffic import calls, contracts
 
 MIN_RETRY_AFTER_S = 0.2
+# Pause before a retry, so that a full upstream can finish some requests. It
+# doubles while a stream can't be taken up, up to a bound that leaves callers,
+# who wait for two seconds at least, some attempts.
+RETRY_PAUSE_S = 0.03
+MAX_RETRY_PAUSE_S = 0.24
 # Expected time to the first event where nothing tells it.
 FIRST_EVENT_LATENCY_S = 0.2
 # Expected inter-token gap in a batch of usual size.
@@ -74,6 +79,8 @@
         may_have_run: Upstreams on which the request may have run, once for
             each time that it was sent there.
         uncounted_runs: Number of these that do not count as attempts.
+        failed_take_ups: Attempts in a row that have brought a resumed stream
+            no further.
         avoid: Upstreams that failed or refused the request.
         upstream_id: Upstream of the last attempt; empty before the first.
         content_id: Short id of the content, equal for a repeated request.
@@ -100,6 +107,7 @@
     attempts: int = 0
     may_have_run: list[str] = dataclasses.field(default_factory=list)
     uncounted_runs: int = 0
+    failed_take_ups: int = 0
     avoid: set[str] = dataclasses.field(default_factory=set)
     upstream_id: str = ''
     turn_at: upstream_state.Upstream | None = None
@@ -195,6 +203,22 @@
         if self.is_resumed and self.progress.is_settled:
             self.uncounted_runs += 1
 
+    def on_attempt_failed(self, last_event_id: str) -> None:
+        """Count a failed attempt that has brought a resumed stream no further.
+
+        Args:
+            last_event_id: Id of the last event before the attempt.
+        """
+        is_stuck = self.is_resumed and (
+            self.answer.last_event_id == last_event_id
+        )
+        self.failed_take_ups = self.failed_take_ups + 1 if is_stuck else 0
+
+    @property
+    def retry_pause_s(self) -> float:
+        """Pause before the next attempt."""
+        return min(RETRY_PAUSE_S * 2**self.failed_take_ups, MAX_RETRY_PAUSE_S)
+
     @property
     def required_version(self) -> str | None:
         """Software version at which a resumed stream may go on; None for any.
--- a/tests/gateway/test_bounded_sends.py
+++ b/tests/gateway/test_bounded_sends.py
@@ -1,11 +1,13 @@
 """Tests of how often one request is sent while its attempts fail."""
 
+import contextlib
+import itertools
 import socket
 
 import eventlet
 import pytest
 
-from ivystep.gateway import answer_body
+from ivystep.gateway import answer_body, request_state
 from ivystep.runtime import clock
 from tests.gateway import harness
 
@@ -144,3 +146,29 @@
     assert answer.body.replace(COMMENT, b'') == b''.join(EVENTS)
     assert answer.is_complete
     assert sends(built) == ATTEMPTS
+
+
+def test_failed_take_ups_come_at_growing_intervals(build):
+    """Guards against a burst of attempts that no upstream can serve."""
+    sent_at = []
+
+    def script(connection, headers):
+        sent_at.append(clock.now())
+        return break_off_and_fail(close)(connection, headers)
+
+    routes = (
+        harness.route(
+            'resume', 'stream', attempts=5, gap_target_ms=300, resumable=True
+        ),
+    )
+    gateway, _ = build(*([script] * 5), config={'routes': routes})
+    with contextlib.closing(gateway.connect()) as connection:
+        connection.sendall(harness.request('/resume/2f'))
+        harness.read_to_end(connection)
+    pauses = [
+        later - earlier
+        for earlier, later in itertools.pairwise(sent_at[1:])
+    ]
+    assert len(pauses) == 3
+    for number, pause_s in enumerate(pauses, 1):
+        assert pause_s >= request_state.RETRY_PAUSE_S * 2**number
