Handle signals from the first line of all four daemons

Operators saw processes that a change of settings (SIGHUP) or a stop ended as they started, with the signal as the exit status and no log line; an entry, a sidecar and a console ended by SIGHUP at any time, and a stopped console that got a second signal reported the signal instead of 0.

Cause: the handlers were installed after all imports and all parts were built, about a second after exec; three daemons had none for SIGHUP; the interpreter gives the handlers back before the process has ended.

Until the process serves, a signal to stop exits with 0 and a SIGHUP is remembered; once the command has ended, signals are ignored. SIGHUPs in quick succession count as one.

Ruled out: SystemExit in the handler, which a module that is being imported can catch.

tests/entry/test_drain.py marks its signals as those of a serving process, since a signal to stop before that ends the process; its checks are unchanged.

--- a/ivystep/console/daemon.py
+++ b/ivystep/console/daemon.py
@@ -42,7 +42,7 @@
         raise errors.SettingsError(
             'the console needs the sections [listen] and [operators]'
         )
-    signals = drain.DrainSignal()
+    signals = drain.DrainSignal.of_process()
     signals.install()
     listener = eventlet.listen(settings.listen.socket_address)
     eventlet.spawn(
@@ -55,5 +55,5 @@
         debug=False,
     )
     log.info('The console accepts connections.')
-    signals.wait()
+    signals.wait(lambda: log.info('The console keeps its settings.'))
     listener.close()
--- a/ivystep/entry/daemon.py
+++ b/ivystep/entry/daemon.py
@@ -110,7 +110,7 @@
 
     def run(self) -> None:
         """Serve until SIGTERM or SIGINT, then drain."""
-        signals = drain.DrainSignal()
+        signals = drain.DrainSignal.of_process()
         signals.install()
         self._start_background()
         listener = eventlet.listen(self.settings.listen.socket_address)
@@ -122,7 +122,7 @@
             MAX_CONNECTIONS,
         )
         log.info('Entry %s is serving callers.', self.settings.process.id)
-        signals.wait()
+        signals.wait(self._reload)
         log.info('Entry %s is draining.', self.settings.process.id)
         self.drain(server, listener, signals)
         log.info('Entry %s stopped.', self.settings.process.id)
@@ -179,6 +179,9 @@
             details={'pools': len(self.pools)},
         )
 
+    def _reload(self) -> None:
+        log.info('Entry %s keeps its settings.', self.settings.process.id)
+
     def _is_idle(self) -> bool:
         return self.in_progress.is_idle and self.server_state.is_empty
 
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -1,6 +1,5 @@
 """The gateway daemon: builds all parts of a gateway and runs their tasks."""
 
-import signal
 import typing
 from collections.abc import Mapping
 
@@ -69,7 +68,7 @@
         self.settings = settings
         self.is_ready = True
         self._shares = host_shares.HostShares.from_config(settings.bounds)
-        self._signals = drain.DrainSignal()
+        self._signals = drain.DrainSignal.of_process()
         host = settings.process.id
         self._metrics = registry.Metrics(account_metrics.MAX_ACCOUNT_LABELS)
         self._event_metrics = event_metrics.EventMetrics(self._metrics)
@@ -225,9 +224,8 @@
     def run(self) -> None:
         """Serve until SIGTERM, then drain."""
         self._signals.install()
-        signal.signal(signal.SIGHUP, self._on_sighup)
         listener = self.start()
-        self._signals.wait()
+        self._signals.wait(self._reload)
         self.drain(listener)
         self._log.write(process_events.Stopped(self._server_state.requests))
 
@@ -461,12 +459,9 @@
             for upstream in list(self._membership.upstream_by_id.values()):
                 upstream.connections.drop_expired()
 
-    def _on_sighup(self, number: int, frame: typing.Any) -> None:
-        # The handler interrupts an arbitrary task, so a new one writes the log.
-        eventlet.spawn_after(
-            0,
-            self._log.write,
-            process_events.Reloaded(self.settings.process.log_level),
+    def _reload(self) -> None:
+        self._log.write(
+            process_events.Reloaded(self.settings.process.log_level)
         )
 
 
--- a/ivystep/runtime/drain.py
+++ b/ivystep/runtime/drain.py
@@ -16,9 +16,9 @@
 
 
 class DrainSignal:
-    """Waits for SIGTERM and SIGINT.
+    """Waits for signals: SIGTERM and SIGINT stop the process, SIGHUP does not.
 
-    The first signal starts the drain, the second ends it early.
+    The first signal to stop starts the drain, the second ends it early.
 
     Args:
         received: Signals of the process; None for signals of its own.
@@ -28,15 +28,29 @@
         self.received = received or signals.ReceivedSignals()
         self._wakeup: signals.WakeupPipe | None = None
 
+    @classmethod
+    def of_process(cls) -> typing.Self:
+        """Build the waiter for the signals of this process."""
+        return cls(signals.of_process)
+
     def install(self) -> None:
-        """Install the signal handlers of this process."""
+        """Handle signals from now on by a drain."""
         self._wakeup = signals.WakeupPipe()
+        self.received.is_serving = True
         self.received.install()
 
-    def wait(self) -> None:
-        """Wait for the first signal."""
+    def wait(self, on_reload: Callable[[], None]) -> None:
+        """Wait for the first signal to stop.
+
+        Args:
+            on_reload: Called after SIGHUP; signals in quick succession count
+                as one.
+        """
         while not self.received.stops:
-            self._wait_for_any()
+            if self.received.take_reload():
+                on_reload()
+            else:
+                self._wait_for_any()
 
     def finish(self, is_idle: Callable[[], bool], deadline_s: float) -> bool:
         """Wait until all requests have ended.
--- a/ivystep/sidecar/daemon.py
+++ b/ivystep/sidecar/daemon.py
@@ -48,7 +48,7 @@
 
     def run(self) -> None:
         """Serve until drained after SIGTERM."""
-        signals = drain.DrainSignal()
+        signals = drain.DrainSignal.of_process()
         signals.install()
         contexts = tls.TlsContexts(self.settings.tls.files)
         entries = eventlet.listen(self.settings.listen.socket_address)
@@ -68,7 +68,7 @@
             self.upstream_host.upstream_id,
             self.upstream_host.incarnation,
         )
-        signals.wait()
+        signals.wait(self._reload)
         self._drain(signals)
         if lease_task is not None and self._owner is not None:
             lease_task.kill()
@@ -99,6 +99,9 @@
             },
         )
 
+    def _reload(self) -> None:
+        log.info('Sidecar %s keeps its settings.', self.settings.process.id)
+
     def _drain(self, signals: drain.DrainSignal) -> None:
         upstream_host = self.upstream_host
         log.info('Sidecar %s is draining.', upstream_host.upstream_id)
--- a/tests/entry/test_drain.py
+++ b/tests/entry/test_drain.py
@@ -22,6 +22,7 @@
         self.gate = harness.new_gate()
         self.entry = harness.Entry(self.run)
         self.signals = drain.DrainSignal()
+        self.signals.received.is_serving = True
         # The daemon is built around the harness's parts, since its own
         # constructor connects to the platform.
         self.daemon = object.__new__(daemon.EntryDaemon)
