Answer pipelined requests that were read before a stop

Callers saw: of two requests in one piece just before the stop signal, the second got no answer, although it had been read whole.

Cause: the head of the first answer had Connection: close because the host drains, and what had been read behind it was dropped.

Evidence: test_pipelined_request_is_answered_before_its_connection_closes fails before: one answer, with the close; the upstream has one request.

Change: the close is announced with the last request that has been read. The second request is taken or refused as any other one in a stop.

Ruled out: an answer to the second request that is lost.

--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -172,11 +172,19 @@
         return answer_writer.AnswerWriter(
             self._socket,
             self._watch,
-            lambda: self._server_state.is_closing,
+            self._closes_after_answer,
             is_http10=is_http10,
             is_kept_alive=is_kept_alive,
         )
 
+    def _closes_after_answer(self) -> bool:
+        """Return whether the current answer is the last one.
+
+        A pipelined request that has been read is answered before the close.
+        """
+        is_closing = self._server_state.is_closing
+        return is_closing and not self._reader.has_request
+
     def _next_request(self) -> http1.RawRequest | None:
         """Return the next complete request; None if the connection closes."""
         raw = self._reader.next_request()
--- a/ivystep/traffic/http1.py
+++ b/ivystep/traffic/http1.py
@@ -73,6 +73,11 @@
         """Whether the head of a request is partly received."""
         return not self.is_idle and not self._is_head_complete
 
+    @property
+    def has_request(self) -> bool:
+        """Whether a complete request waits for ``next_request``."""
+        return bool(self._ready)
+
     def feed(self, received: bytes) -> None:
         """Parse received bytes; ``next_request`` raises any error."""
         if self._problem is not None:
--- a/tests/gateway/test_draining.py
+++ b/tests/gateway/test_draining.py
@@ -226,3 +226,18 @@
         answer = harness.read_to_end(connection)
     assert (answer.status, answer.headers['connection']) == (200, 'close')
     drained.wait()
+
+
+def test_pipelined_request_is_answered_before_its_connection_closes(build):
+    """Guards against requests that were read and get no answer in a stop."""
+    gateway, _ = build(slow_answer, config=SLOW_CALLERS)
+    with contextlib.closing(gateway.connect()) as connection:
+        connection.sendall(
+            slow_request('/slow/2f', 'r-1') + slow_request('/slow/2f', 'r-2')
+        )
+        drained = start_drain(gateway)
+        received = harness.read_to_end(connection).received
+    assert b'seal-r-1' in received
+    assert b'seal-r-2' in received
+    assert received.count(b'Connection: close') == 1
+    drained.wait()
