Test late requests and further signals in stops of real gateways

test_stream_completed_late_in_a_stop_is_refused_instead_of_cut fails on: the caller gets a 200 and a stream that is cut with the process. test_stop_is_not_hurried_by_further_signals passes before and after; it guards a stream beside a second SIGTERM and a SIGHUP.

--- a/tests/processes/test_platform.py
+++ b/tests/processes/test_platform.py
@@ -82,6 +82,40 @@
     assert gateway.process.wait(10) == 0
 
 
+def test_stop_is_not_hurried_by_further_signals(system):
+    """Guards against streams cut off by a second signal during a stop."""
+    gateway = system.gateways[0]
+    assert system.call(0, gateway).status == 200
+    running = eventlet.spawn(system.call, 0, gateway, 100)
+    eventlet.sleep(0.3)
+    for number in (signal.SIGTERM, signal.SIGHUP, signal.SIGTERM):
+        gateway.process.send_signal(number)
+        eventlet.sleep(0.1)
+    answer = running.wait()
+    assert answer.data.count(b'id: ') == 100
+    assert gateway.process.wait(10) == 0
+
+
+def test_stream_completed_late_in_a_stop_is_refused_instead_of_cut(system):
+    """Guards against streams that are sent on and cut as their host ends."""
+    gateway = system.gateways[0]
+    assert statuses(system, range(4), gateway) == [200] * 4
+    whole = stream_request('late', 0, events=400, body=b'{}')
+    with connect(gateway) as connection:
+        connection.sendall(whole[:-1])
+        eventlet.sleep(0.2)
+        gateway.process.send_signal(signal.SIGTERM)
+        eventlet.sleep(3.6)
+        connection.sendall(whole[-1:])
+        with eventlet.Timeout(1):
+            received = connection.recv(65536)
+    assert received.startswith(b'HTTP/1.1 503')
+    assert b'"ran": "no"' in received
+    assert gateway.process.wait(10) == 0
+    runs = {run for one in system.observations() for run in one['runs']}
+    assert 'late' not in runs
+
+
 def test_paused_gateway_runs_nothing_for_callers_that_left(system):
     """Guards against work for callers that left while a gateway was paused."""
     for gateway in system.gateways:
@@ -97,15 +131,26 @@
 
 def leave_at_once(gateway, request_id, adapter):
     """Send a request and close the connection without reading an answer."""
+    with connect(gateway) as connection:
+        connection.sendall(stream_request(request_id, adapter))
+
+
+def connect(gateway):
+    """Open a connection to a gateway."""
     address = urllib3.util.parse_url(gateway.url)
+    return socket.create_connection((address.host, address.port))
+
+
+def stream_request(request_id, adapter, events=5, body=b''):
+    """Return the bytes of a request for a stream of events."""
     lines = (
-        'POST /plans/left HTTP/1.1',
+        'POST /plans/raw HTTP/1.1',
         f'Host: {platform.HOST}',
         f'Request-Id: {request_id}',
         f'Model: {platform_engine.MODEL}/a{adapter}',
         'Token-Count: 400,80',
         'Deadline-Ms: 9000',
-        'Content-Length: 0',
+        f'X-Events: {events}',
+        f'Content-Length: {len(body)}',
     )
-    with socket.create_connection((address.host, address.port)) as connection:
-        connection.sendall('\r\n'.join((*lines, '', '')).encode())
+    return '\r\n'.join((*lines, '', '')).encode() + body
