Let a stopping console finish its requests

Operators saw: SIGTERM during a submission ended the connection with no answer, so that the outcome was unknown.

Cause: run closed the listener and returned, so the process exited at once.

Change: the task of the server is killed after the listener is closed; it then closes idle connections and goes on until its requests have ended. The drain waits for it, 10 s at most; a second signal ends the wait, as in the entry.

Ruled out: that closing the listener closes connections (idle ones end by the server's task).

--- a/ivystep/console/daemon.py
+++ b/ivystep/console/daemon.py
@@ -1,4 +1,6 @@
-"""Runs the console server until SIGTERM."""
+"""Runs the console server until SIGTERM, then lets requests end."""
+
+import typing
 
 import eventlet
 from eventlet import wsgi
@@ -11,6 +13,9 @@
 
 MAX_CONNECTIONS = 64
 SOCKET_TIMEOUT_S = 30.0
+# Longest time for requests in progress to end. A submission makes several
+# calls of the platform's services, each with its own time-out.
+DRAIN_DEADLINE_S = 10.0
 
 log = logs.get('console')
 
@@ -32,7 +37,7 @@
 
 
 def run(settings: models.OperatorSettings) -> None:
-    """Serve until SIGTERM.
+    """Serve until SIGTERM, then drain.
 
     Raises:
         errors.SettingsError: The listening address or the operators are
@@ -49,7 +54,7 @@
         settings.listen.socket_address,
         logs.event_writer('console'),
     )
-    eventlet.spawn(
+    server = eventlet.spawn(
         wsgi.server,
         listener,
         build(settings),
@@ -60,4 +65,18 @@
     )
     log.info('The console accepts connections.')
     signals.wait()
+    stop_server(server, listener)
+    signals.finish(lambda: bool(server.dead), DRAIN_DEADLINE_S)
+
+
+def stop_server(server: typing.Any, listener: typing.Any) -> None:
+    """Accept no more connections and close idle ones.
+
+    The task of the server goes on until its requests have ended.
+
+    Args:
+        server: The task that serves operators.
+        listener: Its listening socket.
+    """
     listener.close()
+    server.kill()
