--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -28,6 +28,7 @@
     measurements,
     membership,
     model_pools,
+    planned_stop,
     prefill_queues,
     process_events,
     request_access,
@@ -78,7 +79,10 @@
             'gateway', host, self._event_metrics.record
         )
         self._tasks = background.BackgroundTasks(self._log)
-        self._server_state = callers.ServerState()
+        self._server_state = callers.ServerState(
+            settings.capacity.buffer_bytes
+        )
+        self._planned_stop = planned_stop.PlannedStop()
         self._measured = measurements.Measurements.empty()
         self._prefill_queues = prefill_queues.PrefillQueues(
             self._measured.rates
@@ -204,6 +208,7 @@
                         self._log,
                     ),
                     self._access,
+                    self._planned_stop,
                 ),
                 self._on_change,
                 self._leadership.wait_for_permit,
@@ -264,6 +269,7 @@
         self.is_ready = False
         draining.Drain(
             self._server_state,
+            self._planned_stop,
             self._leadership.release,
             self.settings.bounds.grace_s,
             self._log,
@@ -285,6 +291,8 @@
             details={
                 'upstreams': len(self._membership.upstream_by_id),
                 'requests': self._server_state.requests,
+                'buffered_bytes': self._server_state.buffered.used_bytes,
+                'refused_for_memory': self._server_state.refused_for_memory,
                 'holder': self._leadership.holder,
                 'hosts': self._shares.known_hosts,
                 **self._quotas.status(),
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -37,6 +37,7 @@
         sent_at: When the request was sent; None before.
         fill: Share of the upstream's batch that other requests used as the
             request was sent.
+        is_resumed: Whether the request asked for the rest of a stream.
         head_at: When the head of the answer arrived; None before.
         body_bytes: Length of the body that had arrived when the attempt
             failed.
@@ -46,6 +47,7 @@
 
     sent_at: float | None = None
     fill: float = 0.0
+    is_resumed: bool = False
     head_at: float | None = None
     body_bytes: int = 0
     is_settled: bool = False
@@ -187,6 +189,11 @@
         """
         return self.stream_version if self.answer.last_event_id else None
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the next attempt has not been sent yet."""
+        return self.step in {'place', 'permit'} or self.progress.sent_at is None
+
     def record_version(self, upstream: upstream_state.Upstream) -> None:
         """Record the software version of an attempt that is about to be sent.
 
@@ -374,3 +381,19 @@
         step='wait',
         peer=state.upstream_id,
     )
+
+
+def stopped_error(state: RequestState) -> errors.RequestError:
+    """Return the error of a request that this host has no time left for."""
+    has_run = bool(state.may_have_run)
+    return errors.RequestError(
+        'host_stopping',
+        'This host stops before the answer would be complete.',
+        status=502 if has_run else 503,
+        ran=types.ExecutionStatus.UNKNOWN
+        if has_run
+        else types.ExecutionStatus.NO,
+        retry_after_s=None if has_run else MIN_RETRY_AFTER_S,
+        step=state.step,
+        peer=state.upstream_id,
+    )
