--- a/ivystep/sidecar/daemon.py
+++ b/ivystep/sidecar/daemon.py
@@ -58,7 +58,7 @@
             self._listen('operators', self.settings.operators)
         )
         eventlet.spawn(self._serve_entries, self._entries, contexts)
-                signals.wait(self._reload)
+        signals.wait(self._reload)
         self._drain(signals)
         if self._lease_task is not None and self._owner is not None:
             self._lease_task.kill()
