Bound what strangers cost at readiness and metrics

Operators saw a gateway that was not ready while 300 connections to its readiness port said nothing, for as long as these stayed, and two lines on standard error, beside the event log, for each malformed request. A write to standard error blocks the whole process while its reader is slow.

Cause: eventlet.wsgi.server takes 1,024 connections, has no time-out unless it is told one, and its protocol class writes errors as http.server does.

runtime.page_server now serves readiness and metrics: 16 connections a port, of which the oldest without a complete request is closed for a new one, and 4 s for a request and its answer. Failures are counted and logged at most once in 10 s, by the event log of the gateway, without the peer's bytes. The console keeps its server, whose stop closes idle connections, with the same protocol class.

Ruled out: the entry's port for callers, whose protocol class writes nothing. Accepting no more at the limit was not chosen, because 16 silent connections would then keep all probes out.

The backlog of listeners other than that for callers of a gateway is 256 instead of 50, because connections wait there for 0.05 s at the limit.

--- a/ivystep/console/daemon.py
+++ b/ivystep/console/daemon.py
@@ -1,5 +1,6 @@
 """Runs the console server until SIGTERM, then lets requests end."""
 
+import functools
 import typing
 
 import eventlet
@@ -8,7 +9,7 @@
 from ivystep.console import app, sessions, setup_repository
 from ivystep.core import errors
 from ivystep.platform import objects, table
-from ivystep.runtime import drain, listeners, logs
+from ivystep.runtime import drain, listeners, logs, page_server
 from ivystep.settings import models
 
 MAX_CONNECTIONS = 64
@@ -59,6 +60,12 @@
         listener,
         build(settings),
         max_size=MAX_CONNECTIONS,
+        protocol=functools.partial(
+            page_server.PageConnection,
+            on_failure=page_server.FailureReports(listener).add,
+            # A submission is not interrupted.
+            request_timeout_s=None,
+        ),
         socket_timeout=SOCKET_TIMEOUT_S,
         log_output=False,
         debug=False,
--- a/ivystep/entry/daemon.py
+++ b/ivystep/entry/daemon.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 
 import eventlet
-from eventlet import wsgi
 
 from ivystep.coordination import claims, retry_budget
 from ivystep.core import types
@@ -22,7 +21,7 @@
 )
 from ivystep.metrics import operators_app, registry
 from ivystep.platform import hosts, objects, table
-from ivystep.runtime import clock, drain, listeners, logs
+from ivystep.runtime import clock, drain, listeners, logs, page_server
 from ivystep.settings import models
 from ivystep.setup import poller, store
 from ivystep.wire import listener as wire_listener
@@ -223,12 +222,11 @@
                 settings.process.id, self.pools.planner, self.exchange
             ).handle,
         )
-        eventlet.spawn(
-            wsgi.server,
+        operators = page_server.PageServer(
             self._listen('operators', settings.operators),
             operators_app.OperatorsApp(self.metrics, self.status),
-            log_output=False,
         )
+        eventlet.spawn(operators.run)
 
     def _on_status(self, status: types.UpstreamStatus) -> None:
         self.exchange.announce_version(status.setup_version)
--- a/ivystep/gateway/servers.py
+++ b/ivystep/gateway/servers.py
@@ -4,12 +4,10 @@
 import typing
 from collections.abc import Callable
 
-from eventlet import wsgi
-
 from ivystep.entry import peer_server
 from ivystep.metrics import operators_app, registry
 from ivystep.platform import readiness
-from ivystep.runtime import listeners
+from ivystep.runtime import listeners, page_server
 from ivystep.settings import gateway as settings_models
 from ivystep.wire import listener as wire_listener
 from ivystep.wire import tls
@@ -37,12 +35,11 @@
         Args:
             is_ready: Returns whether the host accepts callers.
         """
-        self.spawn(
-            wsgi.server,
+        server = page_server.PageServer(
             self._listen('readiness', self.addresses.readiness),
             readiness.ReadinessApp(is_ready),
-            log_output=False,
         )
+        self.spawn(server.run)
 
     def start_operators(
         self,
@@ -55,12 +52,11 @@
             metrics: The metrics.
             status: Returns the status.
         """
-        self.spawn(
-            wsgi.server,
+        server = page_server.PageServer(
             self._listen('operators', self.addresses.operators),
             operators_app.OperatorsApp(metrics, status),
-            log_output=False,
         )
+        self.spawn(server.run)
 
     def start_peers(self, *arguments: typing.Any) -> listeners.Listener:
         """Serve other gateways.
--- a/ivystep/runtime/listener_events.py
+++ b/ivystep/runtime/listener_events.py
@@ -76,3 +76,23 @@
     address: str
     error: str
     failures: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PageRequestsFailed(event_log.Event):
+    """Requests for pages of the process were malformed or met an error.
+
+    Attributes:
+        purpose: Who connects there.
+        peer: IP address of the last one.
+        error: The last error.
+        failures: Number of failures since the line before.
+    """
+
+    name: typing.ClassVar[str] = 'page_requests_failed'
+    level: typing.ClassVar[int] = logging.WARNING
+
+    purpose: str
+    peer: str
+    error: str
+    failures: int
--- a/ivystep/runtime/listeners.py
+++ b/ivystep/runtime/listeners.py
@@ -15,7 +15,7 @@
 from ivystep.core import units
 from ivystep.runtime import clock, event_log, listener_events
 
-BACKLOG = 50
+BACKLOG = 256
 OPEN_RETRY_S = 0.2
 ACCEPT_RETRY_S = 0.1
 # Time after which a task that accepts sees that its socket was closed.
@@ -57,6 +57,9 @@
         address: IP address and port.
         report: Called with events of ``listener_events``.
         backlog: Length of the queue of connections to accept.
+
+    Attributes:
+        report: Called with events, also by the server of the connections.
     """
 
     def __init__(
@@ -68,7 +71,7 @@
     ) -> None:
         self.purpose = purpose
         self._address = address
-        self._report = report
+        self.report = report
         self._backlog = backlog
         self._socket: typing.Any = None
         self._is_closed = False
@@ -178,7 +181,7 @@
         if self._unavailable_since is not None:
             waited_s = clock.now() - self._unavailable_since
             self._unavailable_since = None
-            self._report(
+            self.report(
                 listener_events.AddressOpened(
                     self.purpose, self.address, int(waited_s * units.MS_PER_S)
                 )
@@ -192,7 +195,7 @@
         """
         if self._unavailable_since is None:
             self._unavailable_since = clock.now()
-            self._report(
+            self.report(
                 listener_events.AddressUnavailable(
                     self.purpose, self.address, str(error)
                 )
@@ -206,7 +209,7 @@
             # not be closed.
             self._socket.detach()
             self._socket = None
-            self._report(
+            self.report(
                 listener_events.ListenerLost(
                     self.purpose, self.address, str(error)
                 )
@@ -220,7 +223,7 @@
     def _report_failures(self, error: str = '') -> None:
         if not self._failures:
             return
-        self._report(
+        self.report(
             listener_events.AcceptFailed(
                 self.purpose, self.address, error, self._failures
             )
--- a/ivystep/sidecar/daemon.py
+++ b/ivystep/sidecar/daemon.py
@@ -3,11 +3,10 @@
 import typing
 
 import eventlet
-from eventlet import wsgi
 
 from ivystep.metrics import operators_app, registry
 from ivystep.platform import table
-from ivystep.runtime import clock, drain, listeners, logs
+from ivystep.runtime import clock, drain, listeners, logs, page_server
 from ivystep.settings import models
 from ivystep.sidecar import host, ownership, server
 from ivystep.wire import listener, tls
@@ -153,8 +152,6 @@
             checks_fencing=self.settings.upstream.checks_fencing,
         )
 
-    def _serve_operators(self, operators: typing.Any) -> None:
+    def _serve_operators(self, operators: listeners.Listener) -> None:
         app = operators_app.OperatorsApp(self.metrics, self.status)
-        eventlet.spawn(
-            wsgi.server, operators, app, log_output=False, debug=False
-        )
+        eventlet.spawn(page_server.PageServer(operators, app).run)
