Keep the planned stop of a gateway with its callers' connections

The state that connections share has the stop, which needs no import there and saves the drain an argument. No change of behaviour.

--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -19,6 +19,7 @@
     answer_writer,
     connections,
     disconnect_watch,
+    planned_stop,
     relay,
 )
 from ivystep.runtime import byte_budget, clock
@@ -49,6 +50,7 @@
         is_closing: Whether each connection closes after its current answer. An
             idle one is closed by ``close_idle``, so that callers that are still
             routed to this host are served.
+        stop: Ends requests that a planned stop leaves no time for.
         open_connections: The open connections.
         requests: Number of requests in progress.
         refused_for_memory: Number of requests refused as memory was short.
@@ -60,6 +62,7 @@
         )
         self.limits = contracts.ClientLimits()
         self.is_closing = False
+        self.stop = planned_stop.PlannedStop()
         self.open_connections: set[CallerConnection] = set()
         self.requests = 0
         self.refused_for_memory = 0
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -28,7 +28,6 @@
     measurements,
     membership,
     model_pools,
-    planned_stop,
     prefill_queues,
     process_events,
     request_access,
@@ -80,7 +79,6 @@
         )
         self._tasks = background.BackgroundTasks(self._log)
         self._server_state = callers.ServerState(settings.capacity.buffer_bytes)
-        self._planned_stop = planned_stop.PlannedStop()
         self._measured = measurements.Measurements.empty()
         self._prefill_queues = prefill_queues.PrefillQueues(
             self._measured.rates
@@ -206,7 +204,7 @@
                         self._log,
                     ),
                     self._access,
-                    self._planned_stop,
+                    self._server_state.stop,
                 ),
                 self._on_change,
                 self._leadership.wait_for_permit,
@@ -267,7 +265,6 @@
         self.is_ready = False
         draining.Drain(
             self._server_state,
-            self._planned_stop,
             self._leadership.release,
             self.settings.bounds.grace_s,
             self._log,
--- a/ivystep/gateway/draining.py
+++ b/ivystep/gateway/draining.py
@@ -11,7 +11,7 @@
 import eventlet
 
 from ivystep.core import units
-from ivystep.gateway import callers, planned_stop, process_events
+from ivystep.gateway import callers, process_events
 from ivystep.runtime import clock, drain, event_log
 
 # Time for which new connections are still accepted after SIGTERM. The platform
@@ -29,7 +29,6 @@
 
     Args:
         server_state: The connections of callers.
-        stop: Ends requests that the stop leaves no time for.
         release: Gives up what other hosts wait for; may wait for the store.
         grace_s: Time in seconds after which the platform kills the process.
         log: Event log of the drain.
@@ -38,13 +37,12 @@
     def __init__(
         self,
         server_state: callers.ServerState,
-        stop: planned_stop.PlannedStop,
         release: Callable[[], None],
         grace_s: float,
         log: event_log.EventLog,
     ) -> None:
         self._server_state = server_state
-        self._stop = stop
+        self._stop = server_state.stop
         self._release = release
         self._grace_s = grace_s
         self._log = log
--- a/tests/gateway/test_draining.py
+++ b/tests/gateway/test_draining.py
@@ -4,7 +4,7 @@
 
 import eventlet
 
-from ivystep.gateway import answer_times, callers, draining, planned_stop
+from ivystep.gateway import answer_times, callers, draining
 from ivystep.runtime import clock
 from tests.coordination import fakes as clocks
 from tests.gateway import fakes, harness
@@ -57,7 +57,6 @@
     started = clock.now()
     draining.Drain(
         callers.ServerState(),
-        planned_stop.PlannedStop(),
         release,
         GRACE_S,
         fakes.FakeLog(),
