Refuse requests that an entry completes after its drain deadline

Callers saw: a request whose head was sent in part before an entry's drain deadline, or before a second signal, was sent on after it and cut as the process exited, at most 4 s later.

Cause: the deadline aborted the requests registered at that time; the request was registered later.

Evidence: test_request_completed_after_the_deadline_is_not_sent_on fails before: the request reaches an upstream and has no end within 2 s.

Change: the registry keeps that the deadline has passed and aborts requests that start later before anything is sent: 503, ran=no, Retry-After.

Ruled out: an abort that is lost while a body is read; that request was refused before the change too (same test).

--- a/ivystep/entry/progress.py
+++ b/ivystep/entry/progress.py
@@ -190,6 +190,7 @@
     def __init__(self) -> None:
         self._tasks: set[RequestTask] = set()
         self._background_count = 0
+        self._is_past_deadline = False
 
     @property
     def is_idle(self) -> bool:
@@ -197,9 +198,14 @@
         return not self._tasks and not self._background_count
 
     def start(self) -> RequestTask:
-        """Register the current task as a request in progress."""
+        """Register the current task as a request in progress.
+
+        After the drain deadline it is aborted before anything is sent.
+        """
         task = RequestTask()
         self._tasks.add(task)
+        if self._is_past_deadline:
+            task.on_drain_deadline()
         return task
 
     def end(self, task: RequestTask) -> None:
@@ -225,7 +231,8 @@
         return thread
 
     def on_drain_deadline(self) -> None:
-        """Abort all requests."""
+        """Abort all requests, and those that are still to come."""
+        self._is_past_deadline = True
         for task in tuple(self._tasks):
             task.on_drain_deadline()
 
--- a/tests/entry/test_drain.py
+++ b/tests/entry/test_drain.py
@@ -159,3 +159,26 @@
     received = harness.read_all(streaming)
     assert b'[DONE]' in received
     streaming.shutdown(socket.SHUT_RDWR)
+
+
+def test_request_completed_after_the_deadline_is_not_sent_on():
+    """Guards against requests that are sent on as their entry exits."""
+    draining = DrainableEntry(deadline_s=0.1, notice_s=0.0)
+    whole = harness.head_and_body(STREAM, connection='keep-alive')
+    in_head, in_body = draining.entry.connect(), draining.entry.connect()
+    in_head.sendall(whole[:20])
+    in_body.sendall(whole[:-1])
+    eventlet.sleep(0.05)
+    drain_task = draining.start()
+    eventlet.sleep(0.2)
+    in_head.sendall(whole[20:])
+    in_body.sendall(whole[-1:])
+    for connection in (in_head, in_body):
+        with eventlet.Timeout(2):
+            received = harness.read_all(connection)
+        status, headers, document = harness.parse(received)
+        assert (status, headers['Retry-After']) == (503, '1')
+        assert document['error']['ran'] == 'no'
+    assert not draining.entry.pool.attempts
+    with eventlet.Timeout(2):
+        drain_task.wait()
