Refuse requests that are not admitted as their host ends

Callers saw: a request that waits for a current configuration or for a quota as the grace of a planned stop ends got no answer, although it was not run.

Cause: the planned stop knew requests from their dispatch on.

Evidence: test_request_that_waits_to_be_admitted_is_refused_at_the_end fails before: no answer within 5 s.

Change: the connection registers the request until its dispatch does. At the end it is refused: 503, ran=no, Retry-After.

Ruled out: that the wait of the drain covers it; it ends at the same time.

--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -8,7 +8,7 @@
 import math
 import socket
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Generator
 
 import eventlet
 import greenlet
@@ -190,12 +190,18 @@
         self._is_refused = True
         hubs.get_hub().schedule_call_global(0, self._interrupt_waiting)
 
-    def raise_on_disconnect(self) -> contextlib.AbstractContextManager[None]:
+    @contextlib.contextmanager
+    def raise_on_disconnect(self) -> Generator[None]:
         """Raise an error in the task when the caller disconnects.
 
-        The error is ``relay.CallerDisconnectedError``.
+        The error is ``relay.CallerDisconnectedError``. A request that is not
+        admitted as this host ends is refused.
         """
-        return self._watch.raise_on_disconnect()
+        with (
+            self._server_state.stop.refuse_unplaced(),
+            self._watch.raise_on_disconnect(),
+        ):
+            yield
 
     def _close(self) -> None:
         self._server_state.open_connections.discard(self)
--- a/ivystep/gateway/planned_stop.py
+++ b/ivystep/gateway/planned_stop.py
@@ -14,6 +14,7 @@
 import greenlet
 from eventlet import hubs
 
+from ivystep.core import errors
 from ivystep.gateway import answer_times, request_state
 from ivystep.runtime import clock
 
@@ -28,9 +29,13 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Request:
-    """A request in progress and the task that handles it."""
+    """A request in progress and the task that handles it.
 
-    state: request_state.RequestState
+    Attributes:
+        state: Its state; None until it is admitted.
+    """
+
+    state: request_state.RequestState | None
     task: greenlet.greenlet
 
 
@@ -45,7 +50,7 @@
         self.times = answer_times.AnswerTimes()
         self._ends_at = math.inf
         self._good_faith_until = math.inf
-        self._requests: set[_Request] = set()
+        self._request_by_task: dict[greenlet.greenlet, _Request] = {}
 
     def begin(self, ends_at: float) -> None:
         """Begin the stop.
@@ -66,12 +71,27 @@
         Raises:
             HostStoppedError: The request was ended.
         """
-        request = _Request(state, greenlet.getcurrent())
-        self._requests.add(request)
-        try:
+        with self._register(state):
             yield
-        finally:
-            self._requests.discard(request)
+
+    @contextlib.contextmanager
+    def refuse_unplaced(self) -> Generator[None]:
+        """Refuse a request that waits within the context as this host ends.
+
+        Raises:
+            errors.RefusedError: The request was ended before it was watched.
+        """
+        try:
+            with self._register(None):
+                yield
+        except HostStoppedError as error:
+            raise errors.RefusedError(
+                request_state.HOST_STOPPING,
+                'This host stops before the request was admitted.',
+                status=503,
+                retry_after_s=request_state.MIN_RETRY_AFTER_S,
+                step='admit',
+            ) from error
 
     def raise_if_too_late(self, state: request_state.RequestState) -> None:
         """Raise an error if the answer would come too late.
@@ -90,18 +110,42 @@
         # The hub ends them, so that the present task goes on.
         hubs.get_hub().schedule_call_global(0, self._end_due)
 
+    @contextlib.contextmanager
+    def _register(
+        self, state: request_state.RequestState | None
+    ) -> Generator[None]:
+        """Register the request of the present task, in place of an outer one.
+
+        Args:
+            state: See ``_Request``.
+        """
+        task = greenlet.getcurrent()
+        outer = self._request_by_task.get(task)
+        self._request_by_task[task] = _Request(state, task)
+        try:
+            yield
+        finally:
+            if outer is None:
+                self._request_by_task.pop(task, None)
+            else:
+                self._request_by_task[task] = outer
+
     def _end_due(self) -> None:
-        for request in tuple(self._requests):
-            if request in self._requests and self._is_due(request.state):
-                self._requests.discard(request)
+        for request in tuple(self._request_by_task.values()):
+            is_current = self._request_by_task.get(request.task) is request
+            if is_current and self._is_due(request.state):
+                del self._request_by_task[request.task]
                 request.task.throw(HostStoppedError())
 
-    def _is_due(self, state: request_state.RequestState) -> bool:
+    def _is_due(self, state: request_state.RequestState | None) -> bool:
+        if state is None:
+            return clock.now() >= self._ends_at
         if state.answer.is_complete:
             return False
+        due_at = self._ends_at
         if state.is_waiting:
-            return clock.now() >= self._latest_start(state)
-        return clock.now() >= self._ends_at
+            due_at = self._latest_start(state)
+        return clock.now() >= due_at
 
     def _latest_start(self, state: request_state.RequestState) -> float:
         """Return the latest time at which a request may be sent.
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -12,6 +12,7 @@
 from ivystep.traffic import calls, contracts
 
 MIN_RETRY_AFTER_S = 0.2
+HOST_STOPPING = 'host_stopping'
 # Expected time to the first event where nothing tells it.
 FIRST_EVENT_LATENCY_S = 0.2
 # Expected inter-token gap in a batch of usual size.
@@ -387,7 +388,7 @@
     """Return the error of a request that this host has no time left for."""
     has_run = bool(state.may_have_run)
     return errors.RequestError(
-        'host_stopping',
+        HOST_STOPPING,
         'This host stops before the answer would be complete.',
         status=502 if has_run else 503,
         ran=types.ExecutionStatus.UNKNOWN
--- a/tests/gateway/test_draining.py
+++ b/tests/gateway/test_draining.py
@@ -240,3 +240,19 @@
     assert b'seal-r-2' in received
     assert received.count(b'Connection: close') == 1
     drained.wait()
+
+
+def test_request_that_waits_to_be_admitted_is_refused_at_the_end(build):
+    """Guards against requests that wait for a configuration and are cut."""
+    gateway, (upstream,) = build(
+        lambda _, headers: harness.ok_answer(headers), config=SLOW_CALLERS
+    )
+    handler = gateway.daemon._request_handler
+    handler._wait_until_current = lambda: eventlet.sleep(30)
+    with contextlib.closing(gateway.connect()) as connection:
+        connection.sendall(slow_request('/slow/2f'))
+        drained = start_drain(gateway)
+        answer = harness.read_to_end(connection)
+    assert (answer.status, answer.document['ran']) == (503, 'no')
+    assert not upstream.requests
+    drained.wait()
