Name the time at which callers are routed elsewhere as a host stops

Callers saw: a request that a stopping host refuses while its listener is still open was told to come back in 0.2 s, when the platform may route it to the same host again.

Cause: Retry-After was a constant.

Change: it is the time until the listener closes, at least 0.2 s.

Evidence: test_refused_caller_waits_until_it_is_routed_elsewhere; there was nothing to ask before. Late refusals are as before.

--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -127,7 +127,9 @@
         except DeadlineExceededError as error:
             raise request_state.deadline_error(state) from error
         except planned_stop.HostStoppedError as error:
-            raise request_state.stopped_error(state) from error
+            raise request_state.stopped_error(
+                state, self._stop.retry_after_s
+            ) from error
         except (relay.CallerDisconnectedError, OSError):
             self._log.abandoned(state)
             raise
--- a/ivystep/gateway/draining.py
+++ b/ivystep/gateway/draining.py
@@ -56,7 +56,7 @@
         started = clock.now()
         end = started + self._grace_s - ABORT_MARGIN_S
         self._server_state.is_closing = True
-        self._stop.begin(end)
+        self._stop.begin(end, started + ACCEPT_AFTER_SIGTERM_S)
         self._log.write(
             process_events.Draining(
                 self._server_state.requests,
--- a/ivystep/gateway/planned_stop.py
+++ b/ivystep/gateway/planned_stop.py
@@ -50,15 +50,25 @@
         self.times = answer_times.AnswerTimes()
         self._ends_at = math.inf
         self._good_faith_until = math.inf
+        self._accepts_until = -math.inf
         self._request_by_task: dict[greenlet.greenlet, _Request] = {}
 
-    def begin(self, ends_at: float) -> None:
+    @property
+    def retry_after_s(self) -> float:
+        """Time in seconds after which a caller is routed to another host."""
+        return max(
+            self._accepts_until - clock.now(), request_state.MIN_RETRY_AFTER_S
+        )
+
+    def begin(self, ends_at: float, accepts_until: float) -> None:
         """Begin the stop.
 
         Args:
             ends_at: Time at which the last requests are ended.
+            accepts_until: Time at which the listener for callers closes.
         """
         self._ends_at = ends_at
+        self._accepts_until = accepts_until
         self._good_faith_until = clock.now() + SENT_IN_GOOD_FAITH_S
 
     @contextlib.contextmanager
@@ -89,7 +99,7 @@
                 request_state.HOST_STOPPING,
                 'This host stops before the request was admitted.',
                 status=503,
-                retry_after_s=request_state.MIN_RETRY_AFTER_S,
+                retry_after_s=self.retry_after_s,
                 step='admit',
             ) from error
 
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -384,8 +384,15 @@
     )
 
 
-def stopped_error(state: RequestState) -> errors.RequestError:
-    """Return the error of a request that this host has no time left for."""
+def stopped_error(
+    state: RequestState, retry_after_s: float
+) -> errors.RequestError:
+    """Return the error of a request that this host has no time left for.
+
+    Args:
+        state: The request.
+        retry_after_s: Time after which another host can take it.
+    """
     has_run = bool(state.may_have_run)
     return errors.RequestError(
         HOST_STOPPING,
@@ -394,7 +401,7 @@
         ran=types.ExecutionStatus.UNKNOWN
         if has_run
         else types.ExecutionStatus.NO,
-        retry_after_s=None if has_run else MIN_RETRY_AFTER_S,
+        retry_after_s=None if has_run else retry_after_s,
         step=state.step,
         peer=state.upstream_id,
     )
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -59,7 +59,7 @@
     stop = planned_stop.PlannedStop()
     learn(stop, *answers_s, **more)
     ends_at = clock.now() + GRACE_S
-    stop.begin(ends_at)
+    stop.begin(ends_at, accepts_until=clock.now())
     return stop, ends_at
 
 
@@ -135,7 +135,7 @@
         with stop.watch(state):
             clock.sleep(100)
     except planned_stop.HostStoppedError:
-        error = request_state.stopped_error(state)
+        error = request_state.stopped_error(state, 0.2)
         ended.append((clock.now(), error.status, error.ran.value))
 
 
@@ -171,6 +171,18 @@
     assert (status, ran) == (502, 'unknown')
 
 
+@clocks.on_virtual_clock
+def test_refused_caller_waits_until_it_is_routed_elsewhere():
+    """Guards against callers that come back to the host that refused them."""
+    stop = planned_stop.PlannedStop()
+    stop.begin(clock.now() + GRACE_S, accepts_until=clock.now() + 2.6)
+    assert stop.retry_after_s == pytest.approx(2.6)
+    clock.sleep(2.0)
+    assert stop.retry_after_s == pytest.approx(0.6)
+    clock.sleep(2.0)
+    assert stop.retry_after_s == request_state.MIN_RETRY_AFTER_S
+
+
 @clocks.on_virtual_clock
 def test_complete_answer_is_not_ended():
     """Guards against a reset of a complete answer that is being delivered."""
