--- a/ivystep/console/daemon.py
+++ b/ivystep/console/daemon.py
@@ -47,7 +47,7 @@
         raise errors.SettingsError(
             'the console needs the sections [listen] and [operators]'
         )
-    signals = drain.DrainSignal()
+    signals = drain.DrainSignal.of_process()
     signals.install()
     listener = listeners.Listener.open(
         'operators',
@@ -64,7 +64,7 @@
         debug=False,
     )
     log.info('The console accepts connections.')
-    signals.wait()
+    signals.wait(lambda: log.info('The console keeps its settings.'))
     stop_server(server, listener)
     signals.finish(lambda: bool(server.dead), DRAIN_DEADLINE_S)
 
--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -111,8 +111,7 @@
         state.record_version(upstream)
         self._origins.record(state, upstream)
         state.progress = request_state.AttemptProgress()
-        was_tried = upstream.upstream_id in state.may_have_run
-        state.may_have_run.add(upstream.upstream_id)
+        state.may_have_run.append(upstream.upstream_id)
         exchange = relay.Exchange(
             state.call,
             state.route,
@@ -141,13 +140,13 @@
             with self._crashes.parts.watch(state, exchange):
                 self._run(state, upstream, ref, exchange)
         except errors.RequestError as error:
-            if error.ran is types.ExecutionStatus.NO and not was_tried:
-                state.may_have_run.discard(upstream.upstream_id)
+            if error.ran is types.ExecutionStatus.NO and exchange.has_sent:
+                state.may_have_run.remove(upstream.upstream_id)
             state.progress.record_body(exchange.body)
             self._on_failure(state, upstream, ref, error)
             raise
         finally:
-            self._on_end(state, upstream, exchange, was_tried=was_tried)
+            self._on_end(state, upstream, exchange)
         upstream.reset_failures()
         self._crashes.on_completed(state)
         if permit and permit.decision is prefill.PermitDecision.ALONE:
@@ -189,8 +188,6 @@
         state: request_state.RequestState,
         upstream: upstream_state.Upstream,
         exchange: relay.Exchange,
-        *,
-        was_tried: bool,
     ) -> None:
         """Record how an attempt has ended, whatever its outcome."""
         self._log.answer_ended(state, exchange.body)
@@ -200,8 +197,8 @@
             self._given_up.add(state, upstream)
         if exchange.has_sent:
             state.step = 'run'
-        elif not was_tried:
-            state.may_have_run.discard(upstream.upstream_id)
+        else:
+            state.may_have_run.remove(upstream.upstream_id)
 
     def _run(
         self,
@@ -389,6 +386,7 @@
                 state, upstream, is_closed=_is_closed_by_peer(error)
             )
             if has_crashed:
+                state.on_upstream_ended()
                 self._given_up.on_crash(upstream)
             return has_crashed
         return error.code in {'other_upstream', 'upstream_unavailable'}
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -1,6 +1,5 @@
 """The gateway daemon: builds all parts of a gateway and runs their tasks."""
 
-import signal
 import typing
 from collections.abc import Mapping
 
@@ -70,7 +69,7 @@
         self.is_ready = True
         self._callers: listeners.Listener | None = None
         self._shares = host_shares.HostShares.from_config(settings.bounds)
-        self._signals = drain.DrainSignal()
+        self._signals = drain.DrainSignal.of_process()
         host = settings.process.id
         self._metrics = registry.Metrics(account_metrics.MAX_ACCOUNT_LABELS)
         self._event_metrics = event_metrics.EventMetrics(self._metrics)
@@ -187,6 +186,18 @@
         self._access = request_access.RequestAccess.from_config(
             settings, self._config, self._log
         )
+        self._safeguards = safeguard.Safeguards(
+            self._shares.budgets,
+            self._crashes,
+            limited_upstreams.LimitedUpstreams(
+                self._membership.upstream_by_id,
+                lambda: self._shares.hosts,
+                self._on_change,
+                self._log,
+            ),
+            self._access,
+            self._server_state.stop,
+        )
         requests_log = request_log.RequestLog(self._log, self._config)
         self._request_handler = request_handler.RequestHandler(
             self._config,
@@ -194,18 +205,7 @@
                 self._pools,
                 self._membership,
                 self._versions,
-                safeguard.Safeguards(
-                    self._shares.budgets,
-                    self._crashes,
-                    limited_upstreams.LimitedUpstreams(
-                        self._membership.upstream_by_id,
-                        lambda: self._shares.hosts,
-                        self._on_change,
-                        self._log,
-                    ),
-                    self._access,
-                    self._server_state.stop,
-                ),
+                self._safeguards,
                 self._on_change,
                 self._leadership.wait_for_permit,
                 requests_log,
@@ -227,9 +227,8 @@
     def run(self) -> None:
         """Serve until SIGTERM, then drain."""
         self._signals.install()
-        signal.signal(signal.SIGHUP, self._on_sighup)
         listener = self.start()
-        self._signals.wait()
+        self._signals.wait(self._reload)
         self.drain(listener)
         self._log.write(process_events.Stopped(self._server_state.requests))
 
@@ -480,12 +479,9 @@
             for upstream in list(self._membership.upstream_by_id.values()):
                 upstream.connections.drop_expired()
 
-    def _on_sighup(self, number: int, frame: typing.Any) -> None:
-        # The handler interrupts an arbitrary task, so a new one writes the log.
-        eventlet.spawn_after(
-            0,
-            self._log.write,
-            process_events.Reloaded(self.settings.process.log_level),
+    def _reload(self) -> None:
+        self._log.write(
+            process_events.Reloaded(self.settings.process.log_level)
         )
 
 
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -13,6 +13,11 @@
 
 MIN_RETRY_AFTER_S = 0.2
 HOST_STOPPING = 'host_stopping'
+# Pause before a retry, so that a full upstream can finish some requests. It
+# doubles while a stream can't be taken up, up to a bound that leaves callers,
+# who wait for two seconds at least, some attempts.
+RETRY_PAUSE_S = 0.03
+MAX_RETRY_PAUSE_S = 0.24
 # Expected time to the first event where nothing tells it.
 FIRST_EVENT_LATENCY_S = 0.2
 # Expected inter-token gap in a batch of usual size.
@@ -74,7 +79,11 @@
         deadline: Time by which the answer must be complete.
         answer: The caller's side of the answer.
         attempts: Number of attempts.
-        may_have_run: Upstreams on which the request may have run.
+        may_have_run: Upstreams on which the request may have run, once for
+            each time that it was sent there.
+        uncounted_runs: Number of these that do not count as attempts.
+        failed_take_ups: Attempts in a row that have brought a resumed stream
+            no further.
         avoid: Upstreams that failed or refused the request.
         upstream_id: Upstream of the last attempt; empty before the first.
         content_id: Short id of the content, equal for a repeated request.
@@ -99,7 +108,9 @@
     deadline: float
     answer: relay.CallerAnswer
     attempts: int = 0
-    may_have_run: set[str] = dataclasses.field(default_factory=set)
+    may_have_run: list[str] = dataclasses.field(default_factory=list)
+    uncounted_runs: int = 0
+    failed_take_ups: int = 0
     avoid: set[str] = dataclasses.field(default_factory=set)
     upstream_id: str = ''
     turn_at: upstream_state.Upstream | None = None
@@ -179,8 +190,37 @@
 
     @property
     def has_attempt_left(self) -> bool:
-        """Whether the request may run on another upstream."""
-        return len(self.may_have_run) < self.route.max_attempts
+        """Whether the request may be sent once more, also to the same upstream.
+
+        Upstreams that refused it do not count, since it has not run there.
+        """
+        counted_runs = len(self.may_have_run) - self.uncounted_runs
+        return counted_runs < self.route.max_attempts
+
+    def on_upstream_ended(self) -> None:
+        """Don't count a run that ended with its upstream against a stream.
+
+        What its caller has received would be lost with it. An upstream that
+        crashes on the request does so before its answer is settled.
+        """
+        if self.is_resumed and self.progress.is_settled:
+            self.uncounted_runs += 1
+
+    def on_attempt_failed(self, last_event_id: str) -> None:
+        """Count a failed attempt that has brought a resumed stream no further.
+
+        Args:
+            last_event_id: Id of the last event before the attempt.
+        """
+        is_stuck = self.is_resumed and (
+            self.answer.last_event_id == last_event_id
+        )
+        self.failed_take_ups = self.failed_take_ups + 1 if is_stuck else 0
+
+    @property
+    def retry_pause_s(self) -> float:
+        """Pause before the next attempt."""
+        return min(RETRY_PAUSE_S * 2**self.failed_take_ups, MAX_RETRY_PAUSE_S)
 
     @property
     def required_version(self) -> str | None:
--- a/ivystep/sidecar/daemon.py
+++ b/ivystep/sidecar/daemon.py
@@ -50,7 +50,7 @@
 
     def run(self) -> None:
         """Serve until drained after SIGTERM."""
-        signals = drain.DrainSignal()
+        signals = drain.DrainSignal.of_process()
         signals.install()
         contexts = tls.TlsContexts(self.settings.tls.files)
         self._entries = self._listen('entries', self.settings.listen)
@@ -58,7 +58,7 @@
             self._listen('operators', self.settings.operators)
         )
         eventlet.spawn(self._serve_entries, self._entries, contexts)
-        signals.wait()
+        signals.wait(self._reload)
         self._drain(signals)
         if self._lease_task is not None and self._owner is not None:
             self._lease_task.kill()
@@ -121,6 +121,9 @@
             server.SidecarServer(self.upstream_host).serve,
         )
 
+    def _reload(self) -> None:
+        log.info('Sidecar %s keeps its settings.', self.settings.process.id)
+
     def _drain(self, signals: drain.DrainSignal) -> None:
         upstream_host = self.upstream_host
         log.info('Sidecar %s is draining.', upstream_host.upstream_id)
