--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -196,6 +196,7 @@
                 self._log,
             ),
             self._access,
+            self._server_state.stop,
         )
         requests_log = request_log.RequestLog(self._log, self._config)
         self._request_handler = request_handler.RequestHandler(
@@ -263,7 +264,6 @@
         self.is_ready = False
         draining.Drain(
             self._server_state,
-            self._safeguards.stop,
             self._leadership.release,
             self.settings.bounds.grace_s,
             self._log,
