Keep connections to engines on which answers name their call

Cause: orders and reports had no id, so their answers could name none, and an answer that an engine writes once more could not be told from the next one.

Change: each call has a Request-Id, which the platform's upstreams repeat in their answers. A connection is kept if the answer names its call. On it an answer with another name or none is not believed and closes it; the order is sent again as after any lost answer, which its expected number makes harmless. Where no name comes, an order's connection is closed as before.

Evidence: of ten new test cases eight fail before (4 connections for three orders and three reports instead of 1; repeats were believed).

Ruled out: reading on after a repeated answer; urllib3 gives no second answer to one request. tests/serving.read_call returns the head of the call instead of True, and the stand-in of an engine names calls; no check changed.

--- a/ivystep/platform/engine_api.py
+++ b/ivystep/platform/engine_api.py
@@ -1,28 +1,18 @@
 """Implements the client of model engines: reports of state, and orders.
 
-Answers do not name their call, and an engine may write one late or twice. So an
-order has a connection of its own, and one that brought a refusal is not kept.
+An order without an answer is sent again, which is harmless: an engine accepts
+it at most once, because it states the expected number of earlier orders.
 """
 
 import json
 import types
 
-import urllib3
-
-from ivystep.core import errors, units
-from ivystep.platform import upstream_entries
-from ivystep.runtime import sockets
+from ivystep.core import errors
+from ivystep.platform import engine_connections, upstream_entries
 from ivystep.traffic import orders, upstreams
 
 REPORT_PATH = '/ivystep/report'
 ORDER_PATH = '/ivystep/order'
-# An engine answers within a few milliseconds. An order without an answer is
-# sent again, which is harmless: an engine accepts it at most once, because it
-# states the expected number of earlier orders.
-TIMEOUT = urllib3.Timeout(connect=0.4, read=0.3)
-MAX_POOLS = 64
-# Longest report that is read; one names some dozens of adapters.
-MAX_ANSWER_BYTES = units.MIB
 OUTCOME_BY_STATUS = types.MappingProxyType(
     {
         200: orders.Outcome.ALREADY_HELD,
@@ -36,10 +26,10 @@
 
 
 class EngineClient:
-    """Calls engines, for reports over persistent connections."""
+    """Calls engines; see ``EngineConnections`` for what answers it believes."""
 
     def __init__(self) -> None:
-        self._reports = _pool(MAX_POOLS, maxsize=4)
+        self._connections = engine_connections.EngineConnections()
 
     def read_report(self, address: tuple[str, int]) -> upstreams.EngineReport:
         """Request an engine's state.
@@ -47,25 +37,15 @@
         Raises:
             errors.LinkError: The engine sent no valid report.
         """
-        try:
-            response = self._reports.request(
-                'GET', _url(address, REPORT_PATH), preload_content=False
-            )
-            if response.status != 200:
-                # Not read to its end, so that the connection is not kept.
-                response.close()
-                raise errors.LinkError(
-                    f'status {response.status}',
-                    step='report',
-                    peer=_peer(address),
-                )
-            content = response.read(MAX_ANSWER_BYTES)
-        except urllib3.exceptions.HTTPError as error:
-            raise errors.LinkError(
-                str(error), step='report', peer=_peer(address)
-            ) from error
-        response.release_conn()
-        return upstream_entries.decode_report(content)
+        answer = self._connections.send(
+            address,
+            engine_connections.Call(
+                'report', 'GET', REPORT_PATH, may_be_earlier=True
+            ),
+        )
+        if answer.status != 200:
+            raise _refusal(answer, 'report', address)
+        return upstream_entries.decode_report(answer.body)
 
     def send_order(
         self, address: tuple[str, int], upstream_id: str, order: orders.Order
@@ -92,42 +72,28 @@
             document['adapter'] = order.adapter
         if order.version is not None:
             document['version'] = order.version
-        try:
-            response = _pool().request(
+        answer = self._connections.send(
+            address,
+            engine_connections.Call(
+                'order',
                 'POST',
-                _url(address, ORDER_PATH),
-                body=json.dumps(document).encode(),
-                headers={
-                    'Connection': 'close',
-                    'Content-Type': 'application/json',
-                    'Expect-Instance': upstream_id,
-                },
-            )
-        except urllib3.exceptions.HTTPError as error:
-            raise errors.LinkError(
-                str(error), step='order', peer=_peer(address)
-            ) from error
-        outcome = OUTCOME_BY_STATUS.get(response.status)
+                ORDER_PATH,
+                json.dumps(document).encode(),
+                (
+                    ('Content-Type', 'application/json'),
+                    ('Expect-Instance', upstream_id),
+                ),
+            ),
+        )
+        outcome = OUTCOME_BY_STATUS.get(answer.status)
         if outcome is None:
-            raise errors.LinkError(
-                f'status {response.status}', step='order', peer=_peer(address)
-            )
+            raise _refusal(answer, 'order', address)
         return outcome
 
 
-def _pool(num_pools: int = 1, *, maxsize: int = 1) -> urllib3.PoolManager:
-    return urllib3.PoolManager(
-        num_pools=num_pools,
-        maxsize=maxsize,
-        timeout=TIMEOUT,
-        retries=False,
-        socket_options=sockets.RESET_ON_CLOSE_OPTIONS,
+def _refusal(
+    answer: engine_connections.Answer, step: str, address: tuple[str, int]
+) -> errors.LinkError:
+    return errors.LinkError(
+        f'status {answer.status}', step=step, peer=f'{address[0]}:{address[1]}'
     )
-
-
-def _url(address: tuple[str, int], path: str) -> str:
-    return f'http://{_peer(address)}{path}'
-
-
-def _peer(address: tuple[str, int]) -> str:
-    return f'{address[0]}:{address[1]}'
--- /dev/null
+++ b/ivystep/platform/engine_connections.py
@@ -0,0 +1,181 @@
+"""Connections to model engines, which are kept as far as answers name calls.
+
+An engine may write an answer late or twice, where the next one is due. So an
+answer on a kept connection is believed only if it names its call, once others
+on that connection have done so. A connection without such names serves only
+calls whose answers may be of an earlier one; all others open their own.
+"""
+
+import collections
+import dataclasses
+
+import urllib3
+
+from ivystep.core import errors, ids, units
+from ivystep.platform import header_names
+from ivystep.runtime import sockets
+
+# An engine answers within a few milliseconds.
+TIMEOUT = urllib3.Timeout(connect=0.4, read=0.3)
+# Engines to which connections are kept, and connections to each.
+MAX_ENGINES = 64
+MAX_IDLE = 4
+# Longest answer that is read; a report names some dozens of adapters.
+MAX_ANSWER_BYTES = units.MIB
+CALL_ID = header_names.REQUEST_ID.decode()
+SUCCESS_STATUS = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Call:
+    """A call to an engine.
+
+    Attributes:
+        step: Name of the call in errors.
+        may_be_earlier: Whether an answer to an earlier call of its kind does
+            no harm.
+    """
+
+    step: str
+    method: str
+    path: str
+    body: bytes | None = None
+    headers: tuple[tuple[str, str], ...] = ()
+    may_be_earlier: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """The answer to a call."""
+
+    status: int
+    body: bytes
+
+
+class _Connection:
+    """One connection, which is opened again if the engine has closed it.
+
+    Args:
+        address: IP address and port of the engine.
+
+    Attributes:
+        names_calls: Whether its last answer has named its call.
+        may_be_kept: Whether another call may use it.
+    """
+
+    def __init__(self, address: tuple[str, int]) -> None:
+        self.names_calls = False
+        self.may_be_kept = False
+        self._peer = f'{address[0]}:{address[1]}'
+        self._pool = urllib3.HTTPConnectionPool(
+            address[0],
+            address[1],
+            maxsize=1,
+            timeout=TIMEOUT,
+            retries=False,
+            socket_options=sockets.RESET_ON_CLOSE_OPTIONS,
+        )
+
+    def close(self) -> None:
+        """Reset the connection."""
+        self._pool.close()
+
+    def send(self, call: Call) -> Answer:
+        """Send a call and read the answer.
+
+        Raises:
+            errors.LinkError: No answer to this call was received.
+        """
+        self.may_be_kept = False
+        call_id = ids.new_id('call')
+        try:
+            response = self._pool.request(
+                call.method,
+                call.path,
+                body=call.body,
+                headers={CALL_ID: call_id, **dict(call.headers)},
+                redirect=False,
+                preload_content=False,
+            )
+        except urllib3.exceptions.HTTPError as error:
+            raise self._failure(call, str(error)) from error
+        try:
+            return self._read(response, call, call_id)
+        except urllib3.exceptions.HTTPError as error:
+            raise self._failure(call, str(error)) from error
+        finally:
+            if not self.may_be_kept:
+                response.close()
+
+    def _read(
+        self, response: urllib3.BaseHTTPResponse, call: Call, call_id: str
+    ) -> Answer:
+        self._check_name(response, call, call_id)
+        content = response.read(MAX_ANSWER_BYTES + 1)
+        if len(content) > MAX_ANSWER_BYTES:
+            raise self._failure(call, 'the answer is too long')
+        response.release_conn()
+        # A refusal without a name would be believed where it comes once more.
+        is_harmless = call.may_be_earlier and response.status == SUCCESS_STATUS
+        self.may_be_kept = self.names_calls or is_harmless
+        return Answer(response.status, content)
+
+    def _check_name(
+        self, response: urllib3.BaseHTTPResponse, call: Call, call_id: str
+    ) -> None:
+        named = response.headers.get(CALL_ID, '')
+        if named != call_id and (named or self.names_calls):
+            raise self._failure(call, f'the answer names the call {named!r}')
+        self.names_calls = named == call_id
+
+    def _failure(self, call: Call, reason: str) -> errors.LinkError:
+        return errors.LinkError(reason, step=call.step, peer=self._peer)
+
+
+class EngineConnections:
+    """The connections of this host to all engines."""
+
+    def __init__(self) -> None:
+        self._idle_by_address: collections.OrderedDict[
+            tuple[str, int], list[_Connection]
+        ] = collections.OrderedDict()
+
+    def send(self, address: tuple[str, int], call: Call) -> Answer:
+        """Send a call to an engine and read the answer.
+
+        Args:
+            address: IP address and port of the engine.
+            call: The call.
+
+        Raises:
+            errors.LinkError: No answer to this call was received; the engine
+                may still run it.
+        """
+        connection = self._take(address, call)
+        try:
+            return connection.send(call)
+        finally:
+            if connection.may_be_kept:
+                self._keep(address, connection)
+            else:
+                connection.close()
+
+    def _take(self, address: tuple[str, int], call: Call) -> _Connection:
+        idle = self._idle_by_address.get(address, [])
+        for connection in reversed(idle):
+            if connection.names_calls or call.may_be_earlier:
+                idle.remove(connection)
+                return connection
+        return _Connection(address)
+
+    def _keep(self, address: tuple[str, int], connection: _Connection) -> None:
+        idle = self._idle_by_address.setdefault(address, [])
+        self._idle_by_address.move_to_end(address)
+        if len(idle) < MAX_IDLE:
+            idle.append(connection)
+        else:
+            connection.close()
+        if len(self._idle_by_address) > MAX_ENGINES:
+            _, removed = self._idle_by_address.popitem(last=False)
+            for unused in removed:
+                unused.close()
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -84,9 +84,10 @@
             )
         self._complete_loads()
         if path == '/ivystep/report':
-            return 200, self._report()
+            return _named(environ, 200, self._report())
         if path == '/ivystep/order':
-            return self._order(json.loads(web.read_body(environ)))
+            order = json.loads(web.read_body(environ))
+            return _named(environ, *self._order(order))
         return self._generate(environ)
 
     def _write_upstream_entry(self, state: str) -> None:
@@ -145,7 +146,7 @@
         visible = [state for at, state in self._past_states if at <= cutoff]
         return visible[-1] if visible else self._past_states[0][1]
 
-    def _order(self, order: dict[str, typing.Any]) -> web.Reply:
+    def _order(self, order: dict[str, typing.Any]) -> tuple[int, State]:
         self.observations['holders'].append(
             [time.monotonic(), order['holder'], order['fencing_token']]
         )
@@ -195,3 +196,12 @@
         for number in range(1, count + 1):
             eventlet.sleep(self._step_s)
             yield f'id: {number}\ndata: {adapter}@{version}\n\n'.encode()
+
+
+def _named(environ: web.Environ, status: int, body: State) -> web.Reply:
+    """Return a reply that names its call."""
+    headers = (
+        ('Content-Type', 'application/json'),
+        ('Request-Id', environ.get('HTTP_REQUEST_ID', '')),
+    )
+    return web.ReplyWithHeaders(status, headers, json.dumps(body).encode())
--- a/tests/platform/test_engine_api.py
+++ b/tests/platform/test_engine_api.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ivystep.core import errors
-from ivystep.platform import engine_api
+from ivystep.platform import engine_api, engine_connections
 from ivystep.traffic import orders
 from tests import serving
 
@@ -88,3 +88,69 @@
     with pytest.raises(errors.LinkError):
         client.read_report(address)
     assert client.read_report(address).order_count == 3
+
+
+def test_connection_is_kept_if_answers_name_their_call(start):
+    """Guards against a new connection for each order, whose handshake delays
+    loads and which engines count.
+    """
+    engine = serving.NamingServer((202, {}), (200, REPORT))
+    address = start(engine)
+    client = engine_api.EngineClient()
+    for _ in range(3):
+        client.send_order(address, 'i-1', ORDER)
+        assert client.read_report(address).order_count == 3
+    assert engine.connections == 1
+
+
+@pytest.mark.parametrize('names_repeats', [True, False])
+@pytest.mark.parametrize('repeated', [(200, {}), (202, {}), (409, {})])
+def test_repeated_answer_on_a_kept_connection_is_not_believed(
+    start, repeated, names_repeats
+):
+    """Guards against an order that seems done or refused by what an engine
+    answered to an earlier one, where its answers name their calls.
+    """
+    engine = serving.NamingServer(repeated, (412, {}), 1, names_repeats)
+    address = start(engine)
+    client = engine_api.EngineClient()
+    client.send_order(address, 'i-1', ORDER)
+    with pytest.raises(errors.LinkError):
+        client.send_order(address, 'i-1', ORDER)
+    assert client.send_order(address, 'i-1', ORDER) is orders.Outcome.FENCED
+    assert engine.connections == 2
+
+
+def test_repeated_answer_is_no_report_of_an_engine_that_names_calls(start):
+    """Guards against a report of an earlier state on a kept connection."""
+    engine = serving.NamingServer((200, REPORT), (200, REPORT), 1)
+    address = start(engine)
+    client = engine_api.EngineClient()
+    client.read_report(address)
+    with pytest.raises(errors.LinkError):
+        client.read_report(address)
+    assert client.read_report(address).order_count == 3
+
+
+def test_order_whose_connection_the_engine_has_closed_opens_another(start):
+    """Guards against orders that are lost as an idle connection ends."""
+    engine = serving.NamingServer((202, {}), (202, {}))
+    engine.closes_after_answer = True
+    address = start(engine)
+    client = engine_api.EngineClient()
+    for _ in range(3):
+        outcome = client.send_order(address, 'i-1', ORDER)
+        assert outcome is orders.Outcome.ACCEPTED
+        eventlet.sleep(0.01)
+    assert engine.connections == 3
+
+
+def test_connections_to_many_engines_are_bounded(monkeypatch, start):
+    """Guards against file descriptors that run out as engines come and go."""
+    monkeypatch.setattr(engine_connections, 'MAX_ENGINES', 1)
+    engines = [serving.NamingServer((202, {}), (202, {})) for _ in range(2)]
+    addresses = [start(engine) for engine in engines]
+    client = engine_api.EngineClient()
+    for address in addresses * 2:
+        client.send_order(address, 'i-1', ORDER)
+    assert [engine.connections for engine in engines] == [2, 2]
--- a/tests/serving.py
+++ b/tests/serving.py
@@ -98,21 +98,66 @@
                 self._is_first = False
 
 
+class NamingServer(RepeatingServer):
+    """Names the call in its answers, and writes earlier ones once more.
+
+    Args:
+        first: Status and body of the answer to the first call.
+        then: Status and body of the answers to the others.
+        repeats: How often an earlier answer is written once more.
+        names_repeats: Whether a repeat names its call.
+
+    Attributes:
+        closes_after_answer: Whether it closes connections that it answered on.
+    """
+
+    def __init__(self, first, then, repeats=0, names_repeats=True):
+        super().__init__(first, then)
+        self._answers = (first, then)
+        self._repeats = repeats
+        self._names_repeats = names_repeats
+        self.closes_after_answer = False
+
+    def _serve(self, connection):
+        earlier = b''
+        with contextlib.suppress(OSError, EOFError):
+            while call := read_call(connection):
+                if earlier and self._repeats:
+                    self._repeats -= 1
+                    connection.sendall(earlier)
+                    eventlet.sleep(0.05)
+                answer = self._answers[0 if self._is_first else 1]
+                self._is_first = False
+                connection.sendall(encoded(*answer, named(call)))
+                earlier = encoded(
+                    *answer, named(call) if self._names_repeats else ''
+                )
+                if self.closes_after_answer:
+                    connection.close()
+
+
 def read_call(connection):
-    """Read one call; return whether there was one."""
+    """Return the head of one call, or nothing after the last one."""
     received = b''
     while b'\r\n\r\n' not in received:
         part = connection.recv(65536)
         if not part:
-            return False
+            return b''
         received += part
-    return True
+    return received
+
+
+def named(call):
+    """Return the header of a call that names it; empty if there is none."""
+    lines = call.decode().split('\r\n')
+    names = [one for one in lines if one.lower().startswith('request-id:')]
+    return ''.join(f'{line}\r\n' for line in names)
 
 
-def encoded(status, body):
+def encoded(status, body, headers=''):
     """Return an answer with a JSON body as bytes."""
     content = json.dumps(body).encode()
     return (
         f'HTTP/1.1 {status} Answer\r\nContent-Type: application/json\r\n'
-        f'Content-Length: {len(content)}\r\n\r\n'
+        f'{headers}Content-Length: {len(content)}\r\n\r\n'
     ).encode() + content
