Measure prefill from the send, not from before the connect

Symptom: after all hosts restarted, no connection is kept, so the handshake of each first prompt counts as latency of its engine.

Cause: the interval began before a connection was chosen or opened.

Evidence: the new test fails before with [0.15] instead of 0.1 for an engine that answers after 0.1 s behind a connect of 0.05 s. The send time is what the attempt records for other measurements as well.

Ruled out: the reverse, requests that are sent too late because expected times shrink; those were learned from kept connections for the most part, and carry a margin of half.

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -127,7 +127,6 @@
             and state.has_attempt_left
             and self._budgets.budget(state.service).balance >= 1,
         )
-        sent_at = clock.now()
         self._log.placed(
             state,
             upstream,
@@ -150,7 +149,7 @@
         upstream.reset_failures()
         self._crashes.on_completed(state)
         if permit and permit.decision is prefill.PermitDecision.ALONE:
-            self._update_prefill_rate(state, upstream, sent_at)
+            self._update_prefill_rate(state, upstream)
 
     def suspend(self, upstream: upstream_state.Upstream) -> None:
         """Send no new requests to an upstream for a back-off period.
@@ -293,18 +292,17 @@
         self,
         state: request_state.RequestState,
         upstream: upstream_state.Upstream,
-        sent_at: float,
     ) -> None:
         """Update an engine's rate from a prompt that it prefilled alone.
 
-        Of a resumed stream, an engine reads the events that were written as
-        well, and has often kept the prompt, so its time does not tell the rate.
+        Its time begins as it is sent, after a connection was opened. Of a
+        resumed stream, an engine reads the events that were written as well,
+        and has often kept the prompt, so its time does not tell the rate.
         """
-        generation, head_sent_at = (
-            state.call.generation,
-            state.answer.head_sent_at,
-        )
-        if state.progress.is_resumed:
+        generation = state.call.generation
+        sent_at = state.progress.sent_at
+        head_sent_at = state.answer.head_sent_at
+        if state.progress.is_resumed or sent_at is None:
             return
         # The first event may be from another upstream.
         if generation and head_sent_at is not None and head_sent_at >= sent_at:
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -460,6 +460,16 @@
     assert measured_s == ([] if resumes_after else [pytest.approx(0.1)])
 
 
+@clocks.on_virtual_clock
+def test_time_to_connect_is_not_measured_as_prefill(monkeypatch):
+    """Guards against engines that seem to have a longer latency after all hosts
+    restarted, because no host has an open connection yet.
+    """
+    harness = MeasuredDispatch(monkeypatch, ref(1))
+    harness.on_connect = lambda: clock.sleep(0.05)
+    assert harness.measure(FakeAnswer()) == [pytest.approx(0.1)]
+
+
 @clocks.on_virtual_clock
 @pytest.mark.parametrize('step', ['place', 'permit'])
 def test_disconnect_of_a_waiting_caller_is_logged_with_its_step(
