Order a base model soon after a report that failed

Symptom: none reported; found by reading. An engine that is back after a crash is empty. If the first report of the leader fails, it stays empty for the time of a load that has not begun, and the load counts in the store's rate.

Cause: a report that failed and an order without an answer were one error, and only the latter may still be carried out.

Evidence: the new test fails before: an engine that answers from 1 s on has accepted 0 orders after 4 s, where a load takes 6 s. Now it is looked at again after 2 s.

--- a/ivystep/gateway/base_model_loader.py
+++ b/ivystep/gateway/base_model_loader.py
@@ -114,15 +114,15 @@
         model: contracts.Model,
         started_at: float,
     ) -> None:
+        outcome = None
         try:
             outcome = self._link_to(upstream).load_model(model.name)
+        except engine_link.NoReportError as error:
+            self._log_lost(upstream, error)
+            outcome = orders.Outcome.OUT_OF_SEQUENCE
         except errors.LinkError as error:
-            self._log.write(
-                events.DependencyLost(
-                    f'engine/{upstream.upstream_id}', str(error)
-                )
-            )
-            return
+            # The engine may yet carry the order out.
+            self._log_lost(upstream, error)
         now = clock.now()
         if outcome is orders.Outcome.ACCEPTED:
             self._busy_until[upstream] = now + model.load_s + RETRY_DELAY_S
@@ -131,3 +131,10 @@
             self._busy_until[upstream] = now + RETRY_DELAY_S
             with contextlib.suppress(ValueError):
                 self._recent_starts.remove(started_at)
+
+    def _log_lost(
+        self, upstream: upstream_state.Upstream, error: errors.LinkError
+    ) -> None:
+        self._log.write(
+            events.DependencyLost(f'engine/{upstream.upstream_id}', str(error))
+        )
--- a/ivystep/gateway/engine_link.py
+++ b/ivystep/gateway/engine_link.py
@@ -61,6 +61,10 @@
     log: event_log.EventLog
 
 
+class NoReportError(errors.LinkError):
+    """An engine sent no report, without which it gets no order."""
+
+
 class EngineLink:
     """``UpstreamLink`` of a pool to an engine of the platform.
 
@@ -130,10 +134,14 @@
             The outcome; ``OUT_OF_SEQUENCE`` also if no order was sent.
 
         Raises:
+            NoReportError: The engine sent no report, so it got no order.
             errors.LinkError: The engine may carry the order out later.
         """
         with self._lock:
-            report = self._read_report()
+            try:
+                report = self._read_report()
+            except errors.LinkError as error:
+                raise NoReportError(str(error)) from error
             if not base_models.may_load(report):
                 return orders.Outcome.OUT_OF_SEQUENCE
             return self._sender.send_once(
--- a/tests/gateway/test_base_model_loader.py
+++ b/tests/gateway/test_base_model_loader.py
@@ -5,6 +5,7 @@
 
 import eventlet
 
+from ivystep.core import errors
 from ivystep.gateway import (
     base_model_loader,
     engine_link,
@@ -30,6 +31,7 @@
 
     Attributes:
         load_s: How long a load takes.
+        answers_from: Time from which it sends reports.
         overfilled: Whether it has accepted more models than it has room for.
         held: Models that it holds.
     """
@@ -37,12 +39,15 @@
     def __init__(self, load_s, *held):
         self.load_s = load_s
         self.held = list(held)
+        self.answers_from = 0.0
         self.overfilled = False
         self.accepted = 0
         self._loading = None
         self._states = []
 
     def read_report(self, address):
+        if clock.now() < self.answers_from:
+            raise errors.LinkError('connection refused', step='report')
         self._update()
         seen_at = clock.now() - REPORT_LAG_S
         seen = [state for at, state in self._states if at <= seen_at]
@@ -177,3 +182,15 @@
     clock.sleep(LOAD_S + 3)
     assert engine.read_report(None).held_model_by_name
     assert engine.accepted == 1
+
+
+@clocks.on_virtual_clock
+def test_engine_that_sends_no_report_at_first_loads_a_model_soon():
+    """Guards against an engine that stays empty for the time of a load that has
+    not begun, because it was not reached when its entry appeared.
+    """
+    engine = Engine(LOAD_S)
+    engine.answers_from = clock.now() + 1
+    Site({'i-1': engine}, {'i-1': ()})
+    clock.sleep(4)
+    assert engine.accepted == 1
