Run without standard descriptors and without waiting for a log reader

Operators saw a gateway exit with 1 where its standard output was closed, and an entry, sidecar or console answer nothing once nobody read its log.

Cause: the descriptors were used as found, so sockets got the numbers 0 to 2, and only the gateway's log did not wait.

Closed standard descriptors are opened on the null device before the first import.

Ruled out: larger pipes, which only delay the wait.

tests/runtime/test_event_log.py names the handler's new module; its checks are unchanged.

--- a/ivystep/__main__.py
+++ b/ivystep/__main__.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from ivystep.runtime import signals
+from ivystep.runtime import descriptors, signals
 
 # Commands that run until a signal stops them. The others keep the usual actions
 # of signals.
@@ -14,6 +14,7 @@
     is_daemon = sys.argv[1:2] and sys.argv[1] in DAEMONS
     if is_daemon:
         signals.of_process.install()
+        descriptors.open_standard()
     # Must precede the import of modules that create locks.
     import eventlet
 
--- a/ivystep/metrics/registry.py
+++ b/ivystep/metrics/registry.py
@@ -8,6 +8,8 @@
 import aioprometheus
 from aioprometheus import renderer
 
+from ivystep.runtime import log_output
+
 MAX_ACCOUNT_LABELS = 200
 MAX_CODE_LABELS = 64
 OTHER = 'other'
@@ -96,6 +98,7 @@
                 ('evictions', 'Adapters evicted from an engine.'),
                 ('retries', 'Second and later attempts of requests.'),
                 ('invariant_violations', 'Responses withheld by a check.'),
+                ('log_lines_dropped', 'Log lines that were not written.'),
             )
         }
         # A counter without a value is not rendered, but an alert on its
@@ -185,6 +188,8 @@
 
     def render(self) -> tuple[bytes, str]:
         """Return the metrics in text format and their content type."""
+        dropped = log_output.dropped_lines()
+        self._counter_by_name['log_lines_dropped'].set({}, dropped)
         body, headers = renderer.render(self.registry, [])
         return body, headers['Content-Type']
 
--- a/ivystep/runtime/event_log.py
+++ b/ivystep/runtime/event_log.py
@@ -9,18 +9,13 @@
 import dataclasses
 import functools
 import logging
-import os
-import sys
 import typing
 from collections.abc import Callable
 
-from eventlet import patcher
 from pythonjsonlogger import orjson
 
-from ivystep.runtime import clock
+from ivystep.runtime import clock, descriptors, log_output
 
-# The patched ``os.write`` of eventlet waits while the pipe is full.
-UNPATCHED_OS = patcher.original('os')
 # Rate limit for each kind of event, equal to about 10 KB/s of log lines.
 DEFAULT_RATE_PER_S = 40.0
 DEFAULT_BURST = 200.0
@@ -46,49 +41,21 @@
     level: typing.ClassVar[int] = logging.INFO
 
 
-class NonBlockingHandler(logging.Handler):
-    """Writes lines to a file descriptor and drops them if it is full.
-
-    Args:
-        descriptor: File descriptor, which is set to non-blocking mode.
-
-    Attributes:
-        dropped: Number of lines that were dropped so far.
-    """
-
-    def __init__(self, descriptor: int) -> None:
-        super().__init__()
-        self.dropped = 0
-        self._descriptor = descriptor
-        os.set_blocking(descriptor, False)
-
-    def emit(self, record: logging.LogRecord) -> None:
-        """Write one line."""
-        try:
-            line = f'{self.format(record)}\n'.encode(errors='replace')
-            UNPATCHED_OS.write(self._descriptor, line)
-        except (OSError, TypeError, ValueError):
-            # The failure itself cannot be logged, only counted.
-            self.dropped += 1
-
-
-def configure(level: str) -> NonBlockingHandler:
+def configure(level: str) -> log_output.NonBlockingHandler:
     """Send all log lines as JSON to standard output.
 
     Args:
         level: Name of the lowest level that is written, such as ``INFO``.
     """
-    handler = NonBlockingHandler(sys.stdout.fileno())
-    handler.setFormatter(
+    return log_output.install(
+        descriptors.STANDARD_OUTPUT,
         orjson.OrjsonFormatter(
             '%(levelname)s %(name)s %(message)s',
             rename_fields={'levelname': 'level', 'name': 'part'},
             timestamp='time',
-        )
+        ),
+        level,
     )
-    logging.basicConfig(handlers=[handler], level=level)
-    logging.getLogger('urllib3').setLevel(logging.WARNING)
-    return handler
 
 
 class _RateLimit:
--- a/ivystep/runtime/logs.py
+++ b/ivystep/runtime/logs.py
@@ -1,19 +1,21 @@
 """Configures plain-text logging to standard error."""
 
 import logging
-import sys
+
+from ivystep.runtime import descriptors, log_output
 
 FORMAT = '%(asctime)s %(levelname)s %(name)s: %(message)s'
 
 
 def configure(level: str) -> None:
-    """Send log lines to standard error.
+    """Send log lines to standard error; see ``log_output`` for its limits.
 
     Args:
         level: Name of the lowest level that is written, such as ``INFO``.
     """
-    logging.basicConfig(stream=sys.stderr, level=level, format=FORMAT)
-    logging.getLogger('urllib3').setLevel(logging.WARNING)
+    log_output.install(
+        descriptors.STANDARD_ERROR, logging.Formatter(FORMAT), level
+    )
 
 
 def get(part: str) -> logging.Logger:
--- a/tests/processes/test_signals.py
+++ b/tests/processes/test_signals.py
@@ -1,18 +1,15 @@
-"""Tests what signals do to real daemons."""
+"""Tests what signals do to real single_daemon."""
 
-import contextlib
 import pathlib
 import signal
 import time
 
 import eventlet
 import pytest
-import urllib3
 
 from demo import cluster
+from tests.processes import single_daemon
 
-ROLES = ('gateway', 'entry', 'sidecar', 'console')
-TIMEOUT_S = 20.0
 # A process without timers of its own once slept for a minute here.
 STOP_TIME_S = 5.0
 # Extension modules that are mapped early and late in the imports.
@@ -20,40 +17,6 @@
 LATE_IMPORT = '_pydantic_core'
 
 
-def start(system, role):
-    """Start a daemon without any request in progress."""
-    if role == 'gateway':
-        store = system.node_by_name['table'].url
-        return system.start_gateway('gateway', 'lier-a', store)
-    if role == 'sidecar':
-        url = system.node_by_name['table'].url
-        return system.start_sidecar('sidecar', 'base', 'lier-a', url)
-    if role == 'console':
-        return system.start_console('console')
-    return system.start_entry('entry', 'lier-a')
-
-
-def wait_until(is_true):
-    deadline = time.monotonic() + TIMEOUT_S
-    while not is_true():
-        assert time.monotonic() < deadline
-        eventlet.sleep(0.002)
-
-
-def await_service(node):
-    """Wait until a daemon accepts connections."""
-    url = urllib3.util.parse_url(node.url or node.operators_url)
-
-    def accepts():
-        assert node.process.poll() is None
-        with contextlib.suppress(OSError):
-            eventlet.connect((url.host, url.port)).close()
-            return True
-        return False
-
-    wait_until(accepts)
-
-
 def has_mapped(process, module):
     maps = pathlib.Path(f'/proc/{process.pid}/maps')
     return process.poll() is not None or module in maps.read_text()
@@ -70,10 +33,10 @@
         made.stop()
 
 
-@pytest.fixture(scope='module', params=ROLES)
+@pytest.fixture(scope='module', params=single_daemon.ROLES)
 def module_node(system, request):
     """Start a daemon of each kind once."""
-    node = start(system, request.param)
+    node = single_daemon.start(system, request.param)
     yield node
     node.stop(signal.SIGKILL)
 
@@ -82,8 +45,8 @@
 def daemon(module_node, system):
     """Return a daemon that accepts connections."""
     if module_node.process.poll() is not None:
-        launch(system, module_node)
-    await_service(module_node)
+        single_daemon.launch(system, module_node)
+    single_daemon.await_service(module_node)
     return module_node
 
 
@@ -91,21 +54,12 @@
 def starting(module_node, system):
     """Start a daemon and return it before its modules are imported."""
     module_node.stop(signal.SIGKILL)
-    launch(system, module_node)
+    single_daemon.launch(system, module_node)
     return module_node
 
 
-def launch(system, node):
-    with (system.folder / f'{node.name}.log').open('wb') as log:
-        node.process = cluster.launch(node.arguments, log)
-
-
-def read_log(system, node):
-    return (system.folder / f'{node.name}.log').read_text()
-
-
 def has_reloaded(system, node):
-    text = read_log(system, node)
+    text = single_daemon.read_log(system, node)
     return 'reloaded' in text or 'keeps its settings' in text
 
 
@@ -130,17 +84,17 @@
 @pytest.mark.parametrize('number', [signal.SIGTERM, signal.SIGINT])
 def test_stop_signal_during_the_imports_ends_with_0(starting, number, module):
     """Guards against a stop that looks like a crash as the process starts."""
-    wait_until(lambda: has_mapped(starting.process, module))
+    single_daemon.wait_until(lambda: has_mapped(starting.process, module))
     assert starting.stop(number) == 0
 
 
 @pytest.mark.parametrize('module', [EARLY_IMPORT, LATE_IMPORT])
 def test_reload_signal_during_the_imports_is_kept(system, starting, module):
     """Guards against a process that a change of settings ends as it starts."""
-    wait_until(lambda: has_mapped(starting.process, module))
+    single_daemon.wait_until(lambda: has_mapped(starting.process, module))
     starting.process.send_signal(signal.SIGHUP)
-    await_service(starting)
-    wait_until(lambda: has_reloaded(system, starting))
+    single_daemon.await_service(starting)
+    single_daemon.wait_until(lambda: has_reloaded(system, starting))
     assert starting.stop() == 0
 
 
@@ -149,6 +103,6 @@
     for _ in range(400):
         daemon.process.send_signal(signal.SIGHUP)
         eventlet.sleep(0.005)
-    await_service(daemon)
-    wait_until(lambda: has_reloaded(system, daemon))
+    single_daemon.await_service(daemon)
+    single_daemon.wait_until(lambda: has_reloaded(system, daemon))
     assert daemon.stop() == 0
--- a/tests/runtime/test_event_log.py
+++ b/tests/runtime/test_event_log.py
@@ -9,7 +9,7 @@
 import pytest
 from pythonjsonlogger import orjson
 
-from ivystep.runtime import clock, event_log
+from ivystep.runtime import clock, event_log, log_output
 from tests.coordination import fakes as clocks
 
 
@@ -36,7 +36,7 @@
 def pipe():
     """Yield a log that writes to a pipe, the read end and the handler."""
     reading, writing = os.pipe()
-    handler = event_log.NonBlockingHandler(writing)
+    handler = log_output.NonBlockingHandler(writing)
     handler.setFormatter(orjson.OrjsonFormatter('%(levelname)s %(message)s'))
     logger = logging.getLogger('test-events')
     logger.setLevel(logging.INFO)
@@ -50,7 +50,7 @@
 def lines(reading):
     return [
         json.loads(line)
-        for line in event_log.UNPATCHED_OS.read(reading, 1 << 20).splitlines()
+        for line in log_output.UNPATCHED_OS.read(reading, 1 << 20).splitlines()
     ]
 
 
