--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -76,6 +76,7 @@
         self._crashes = safeguards.crashes
         self._limits = safeguards.limits
         self._access = safeguards.access
+        self._stop = safeguards.stop
         self._on_change = on_change
         self._log = log
         self._origins = origins
@@ -110,8 +111,7 @@
         state.record_version(upstream)
         self._origins.record(state, upstream)
         state.progress = request_state.AttemptProgress()
-        was_tried = upstream.upstream_id in state.may_have_run
-        state.may_have_run.add(upstream.upstream_id)
+        state.may_have_run.append(upstream.upstream_id)
         exchange = relay.Exchange(
             state.call,
             state.route,
@@ -140,13 +140,13 @@
             with self._crashes.parts.watch(state, exchange):
                 self._run(state, upstream, ref, exchange)
         except errors.RequestError as error:
-            if error.ran is types.ExecutionStatus.NO and not was_tried:
-                state.may_have_run.discard(upstream.upstream_id)
+            if error.ran is types.ExecutionStatus.NO and exchange.has_sent:
+                state.may_have_run.remove(upstream.upstream_id)
             state.progress.record_body(exchange.body)
             self._on_failure(state, upstream, ref, error)
             raise
         finally:
-            self._on_end(state, upstream, exchange, was_tried=was_tried)
+            self._on_end(state, upstream, exchange)
         upstream.reset_failures()
         self._crashes.on_completed(state)
         if permit and permit.decision is prefill.PermitDecision.ALONE:
@@ -188,8 +188,6 @@
         state: request_state.RequestState,
         upstream: upstream_state.Upstream,
         exchange: relay.Exchange,
-        *,
-        was_tried: bool,
     ) -> None:
         """Record how an attempt has ended, whatever its outcome."""
         self._log.answer_ended(state, exchange.body)
@@ -199,8 +197,8 @@
             self._given_up.add(state, upstream)
         if exchange.has_sent:
             state.step = 'run'
-        elif not was_tried:
-            state.may_have_run.discard(upstream.upstream_id)
+        else:
+            state.may_have_run.remove(upstream.upstream_id)
 
     def _run(
         self,
@@ -252,6 +250,7 @@
         state.raise_if_unwanted()
         self._crashes.raise_if_refused(state)
         self._access.renew(state)
+        self._stop.raise_if_too_late(state)
         self.raise_if_outdated(state, upstream, ref)
         attempt = messages.AttemptHeaders(
             upstream_id=upstream.upstream_id,
@@ -263,6 +262,7 @@
         )
         state.progress.sent_at = clock.now()
         state.progress.fill = upstream.fill_by_others
+        state.progress.is_resumed = bool(attempt.resumes_after)
         return messages.encode_call(state.call, attempt)
 
     def _on_head(
@@ -294,12 +294,18 @@
         upstream: upstream_state.Upstream,
         sent_at: float,
     ) -> None:
-        """Update an engine's rate from a prompt that it prefilled alone."""
+        """Update an engine's rate from a prompt that it prefilled alone.
+
+        Of a resumed stream, an engine reads the events that were written as
+        well, and has often kept the prompt, so its time does not tell the rate.
+        """
         generation, head_sent_at = (
             state.call.generation,
             state.answer.head_sent_at,
         )
-        # A resumed stream got its first event from another upstream.
+        if state.progress.is_resumed:
+            return
+        # The first event may be from another upstream.
         if generation and head_sent_at is not None and head_sent_at >= sent_at:
             first_event_s = head_sent_at - sent_at - state.progress.held_s
             self._measured.record_prefill(
@@ -380,6 +386,7 @@
                 state, upstream, is_closed=_is_closed_by_peer(error)
             )
             if has_crashed:
+                state.on_upstream_ended()
                 self._given_up.on_crash(upstream)
             return has_crashed
         return error.code in {'other_upstream', 'upstream_unavailable'}
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -15,6 +15,7 @@
 from ivystep.gateway import (
     attempt_sender,
     model_pools,
+    planned_stop,
     relay,
     request_log,
     request_state,
@@ -28,8 +29,6 @@
 from ivystep.stream_origins import origins as stream_origins
 from ivystep.traffic import calls, contracts
 
-# Pause before a retry, so that a full upstream can finish some requests.
-RETRY_PAUSE_S = 0.03
 # Crashed upstreams of a software version may be back by then.
 VERSION_RETRY_S = 1.0
 NO_PERMIT = frozenset(
@@ -73,6 +72,7 @@
         self._crashes = safeguards.crashes
         self._limits = safeguards.limits
         self._access = safeguards.access
+        self._stop = safeguards.stop
         self._wait_for_permit = wait_for_permit
         self._log = log
         self._origins = origins
@@ -119,23 +119,29 @@
             with (
                 eventlet.Timeout(state.remaining_s, DeadlineExceededError),
                 self._access.end_if_revoked(state),
+                self._stop.watch(state),
             ):
                 self._run_attempts(state)
         except DeadlineExceededError as error:
             raise request_state.deadline_error(state) from error
+        except planned_stop.HostStoppedError as error:
+            raise request_state.stopped_error(state) from error
         except (relay.CallerDisconnectedError, OSError):
             self._log.abandoned(state)
             raise
+        self._stop.times.record(state)
         self._log.ended(state)
 
     def _run_attempts(self, state: request_state.RequestState) -> None:
         self._origins.resolve(state)
         while True:
+            last_event_id = state.answer.last_event_id
             try:
                 self._make_attempt(state)
             except errors.RefusedError as refusal:
                 raise request_state.final_error(refusal, state) from refusal
             except errors.RequestError as error:
+                state.on_attempt_failed(last_event_id)
                 may_retry = self._may_retry(state, error)
                 self._log.attempt_failed(
                     state,
@@ -148,12 +154,13 @@
                     raise request_state.final_error(
                         error, state, wait_s
                     ) from error
-                clock.sleep(RETRY_PAUSE_S)
+                clock.sleep(state.retry_pause_s)
             else:
                 return
 
     def _make_attempt(self, state: request_state.RequestState) -> None:
         self._crashes.raise_if_refused(state)
+        self._stop.raise_if_too_late(state)
         state.has_run_before = bool(state.may_have_run)
         self._access.renew(state)
         target = self._pools.find(state.service, state.model)
--- a/ivystep/runtime/log_output.py
+++ b/ivystep/runtime/log_output.py
@@ -63,7 +63,8 @@
 
     def write(self, text: str) -> int:
         """Log each whole line."""
-        *lines, self._rest = f'{self._rest}{text}'.split('\n')
+        lines = f'{self._rest}{text}'.split('\n')
+        self._rest = lines.pop()
         if len(self._rest) > MAX_LINE:
             lines.append(self._rest)
             self._rest = ''
