--- a/ivystep/runtime/logs.py
+++ b/ivystep/runtime/logs.py
@@ -3,22 +3,22 @@
 import dataclasses
 import functools
 import logging
-import sys
 from collections.abc import Callable
 
-from ivystep.runtime import event_log
+from ivystep.runtime import descriptors, event_log, log_output
 
 FORMAT = '%(asctime)s %(levelname)s %(name)s: %(message)s'
 
 
 def configure(level: str) -> None:
-    """Send log lines to standard error.
+    """Send log lines to standard error; see ``log_output`` for its limits.
 
     Args:
         level: Name of the lowest level that is written, such as ``INFO``.
     """
-    logging.basicConfig(stream=sys.stderr, level=level, format=FORMAT)
-    logging.getLogger('urllib3').setLevel(logging.WARNING)
+    log_output.install(
+        descriptors.STANDARD_ERROR, logging.Formatter(FORMAT), level
+    )
 
 
 def get(part: str) -> logging.Logger:
