Learn no latency before a leader has told an engine's load

Symptom: after all hosts restarted, engines seem to have a longer latency than they have.

Cause: until the first total of a leader, a host took the share of an engine's batch that others use for 0, so that its prompts counted as undisturbed.

Evidence: the new test fails before, 0.0 instead of 1. The share is used for measurements only; placing counts what this host knows, as before. Such a prompt still tells the rate.

Ruled out: nothing more; how many measurements fall into that time, a heartbeat of 0.15 s in calm, was not looked at.

--- a/ivystep/gateway/upstream_state.py
+++ b/ivystep/gateway/upstream_state.py
@@ -75,6 +75,7 @@
         self._failures = 0
         self.running_elsewhere = 0
         self.in_progress = 0
+        self._is_total_known = False
         self._applied_load = (0, 0)
         self._held = set(_adapter_refs(entry.held_model_by_name))
         self._held_as_of = float('-inf')
@@ -87,7 +88,13 @@
 
     @property
     def fill_by_others(self) -> float:
-        """Share of the batch that requests other than one of this host use."""
+        """Share of the batch that requests other than one of this host use.
+
+        Before a leader has told the requests of all hosts, the batch may be
+        full.
+        """
+        if not self._is_total_known:
+            return 1.0
         return max(self.running - 1, 0) / max(self.entry.batch_size, 1)
 
     @property
@@ -118,6 +125,7 @@
         Returns:
             Whether the upstream's load has changed since the last total.
         """
+        self._is_total_known = True
         self.running_elsewhere = max(total - self.in_progress, 0)
         load = (self.running_elsewhere, self.in_progress)
         is_changed = load != self._applied_load
--- a/tests/gateway/test_upstream_state.py
+++ b/tests/gateway/test_upstream_state.py
@@ -82,6 +82,17 @@
     assert status(upstream_state.Upstream(draining)).draining
 
 
+def test_upstream_without_a_total_does_not_seem_empty():
+    """Guards against prompts that a host which has just started takes for alone
+    at an engine, because no leader has told the requests of the others.
+    """
+    upstream = upstream_state.Upstream(fakes.entry())
+    assert upstream.fill_by_others == pytest.approx(1)
+    upstream.apply_total(0)
+    with upstream.track_request():
+        assert upstream.fill_by_others == pytest.approx(0)
+
+
 def test_unchanged_load_needs_no_new_evaluation():
     """Guards against work for all upstreams on each message of the leader."""
     upstream = upstream_state.Upstream(fakes.entry())
