Test that a head that is cut is no answer at the sidecar

The HTTP library takes the end of a connection for the end of a head. The check of the framing keeps such an answer from being relayed: a head cut at nine places, closed or reset, ends the attempt with 502, and never as not run. This held before and is kept.

The stand-in of a service that breaks off is a function of its own, for both tests; the test of answers without framing checks the same as before.

--- a/tests/sidecar/test_run.py
+++ b/tests/sidecar/test_run.py
@@ -10,6 +10,7 @@
 from ivystep.wire import channel
 from ivystep.wire.gen import ttypes
 from standins import web
+from tests.gateway import harness
 from tests.sidecar import bench
 
 
@@ -406,26 +407,18 @@
     assert [crash.fingerprint for crash in recorded] == [b'guilty']
 
 
-@pytest.mark.parametrize(
-    'framing',
-    [
-        b'',
-        b'Content-Length: many\r\n',
-        b'Content-Length: -1\r\n',
-        b'Transfer-Encoding: chunkedness\r\n',
-    ],
-    ids=['none', 'word', 'negative', 'other-coding'],
-)
-def test_answer_without_framing_is_not_complete(framing):
-    """Guards against a truncated answer that cannot be detected."""
+def run_on_cut_service(received, end=None):
+    """Run an attempt on a service that closes after a part of its answer."""
 
     def serve(connection, _):
-        request = connection.recv(65536)
-        head = b'HTTP/1.1 200 OK\r\n'
-        if request.startswith(b'POST'):
-            connection.sendall(head + framing + b'\r\n{"cut": ')
+        if connection.recv(65536).startswith(b'POST'):
+            connection.sendall(received)
+            if end is not None:
+                end(connection)
         else:
-            connection.sendall(head + b'Content-Length: 2\r\n\r\n{}')
+            connection.sendall(
+                b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
+            )
         connection.close()
 
     sidecar_bench = bench.Bench(kind='service')
@@ -436,12 +429,43 @@
         f'http://{bench.LOOPBACK}:{port}'
     )
     sidecar_bench.start()
-    last = sidecar_bench.run(ref=None, path='/tags/9')[-1]
+    frames = sidecar_bench.run(ref=None, path='/tags/9')
     task.kill()
     sidecar_bench.stop()
+    return frames
+
+
+@pytest.mark.parametrize(
+    'framing',
+    [
+        b'',
+        b'Content-Length: many\r\n',
+        b'Content-Length: -1\r\n',
+        b'Transfer-Encoding: chunkedness\r\n',
+    ],
+    ids=['none', 'word', 'negative', 'other-coding'],
+)
+def test_answer_without_framing_is_not_complete(framing):
+    """Guards against a truncated answer that cannot be detected."""
+    head = b'HTTP/1.1 200 OK\r\n'
+    last = run_on_cut_service(head + framing + b'\r\n{"cut": ')[-1]
     assert (last.code, last.ran) == ('invalid_answer', 'yes')
 
 
+CUT_HEAD = b'HTTP/1.1 200 OK\r\nContent-Length: 12\r\nServer: s\r\n'
+
+
+@pytest.mark.parametrize('end', [None, harness.reset])
+@pytest.mark.parametrize('part', [1, 9, 12, 15, 17, 32, 34, 37, len(CUT_HEAD)])
+def test_head_that_is_cut_is_no_answer(part, end):
+    """Guards against an empty or short body of an answer taken for whole."""
+    (*earlier, last) = run_on_cut_service(CUT_HEAD[:part], end)
+    assert not any(isinstance(one, ttypes.AnswerHead) for one in earlier)
+    assert isinstance(last, ttypes.AttemptFailed)
+    assert last.status == 502
+    assert last.ran != 'no'
+
+
 def test_attempt_is_not_sent_after_its_deadline(engine_bench, monkeypatch):
     """Guards against a run whose caller has been told that it was too late."""
     send, now = channel.Channel.send, clock.now
