Keep descriptors back from callers' connections

With 128 descriptors and 300 connections of callers that said nothing, a gateway did not answer on its readiness port and an entry not on its operators' port: callers could take every descriptor of the process, also those for its store and upstreams.

Cause: connections of callers were bounded by nothing (gateway) or by 2,048 (entry), whatever the limit of descriptors.

Callers now get half of what is left of RLIMIT_NOFILE, or of the platform's max_fds less 200 for files, after 64 descriptors or an eighth are kept back; half, because each request takes a connection to its upstream too. At the limit a gateway closes the connections that have been idle longest, for at least 1 s, because they serve nobody, and waits if all are in use, because the kernel's queue costs no descriptor. An entry waits for one to close.

Ruled out: that only ports with the same accept loop suffer.

tests/settings/test_gateway.py: the template has one more placeholder, so the list of the platform's values has it too, with a check that it is read.

--- a/ivystep/entry/daemon.py
+++ b/ivystep/entry/daemon.py
@@ -21,7 +21,14 @@
 )
 from ivystep.metrics import operators_app, registry
 from ivystep.platform import hosts, objects, table
-from ivystep.runtime import clock, drain, listeners, logs, page_server
+from ivystep.runtime import (
+    clock,
+    descriptors,
+    drain,
+    listeners,
+    logs,
+    page_server,
+)
 from ivystep.settings import models
 from ivystep.setup import poller, store
 from ivystep.wire import listener as wire_listener
@@ -119,7 +126,7 @@
             self._callers,
             self.api,
             self.server_state,
-            MAX_CONNECTIONS,
+            min(MAX_CONNECTIONS, descriptors.caller_connections()),
         )
         log.info('Entry %s is serving callers.', self.settings.process.id)
         signals.wait(self._reload)
--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -17,11 +17,13 @@
 from ivystep.core import errors, units
 from ivystep.gateway import (
     answer_writer,
+    connection_limit,
     connections,
     disconnect_watch,
     relay,
 )
-from ivystep.runtime import byte_budget, clock
+from ivystep.runtime import byte_budget, clock, descriptors
+from ivystep.settings import gateway as settings_models
 from ivystep.traffic import contracts, http1
 
 # Time for which input is still read after the last answer. Closing a socket
@@ -42,6 +44,7 @@
 
     Args:
         buffer_bytes: Limit on the bytes of all requests that are buffered.
+        max_connections: Connections that may be open at once.
 
     Attributes:
         buffered: Bytes of the requests of each connection.
@@ -54,7 +57,12 @@
         refused_for_memory: Number of requests refused as memory was short.
     """
 
-    def __init__(self, buffer_bytes: int = DEFAULT_BUFFER_BYTES) -> None:
+    def __init__(
+        self,
+        buffer_bytes: int = DEFAULT_BUFFER_BYTES,
+        max_connections: int = descriptors.UNLIMITED,
+    ) -> None:
+        self.max_connections = max_connections
         self.buffered: byte_budget.ByteBudget[CallerConnection] = (
             byte_budget.ByteBudget(buffer_bytes)
         )
@@ -64,6 +72,14 @@
         self.requests = 0
         self.refused_for_memory = 0
 
+    @classmethod
+    def from_config(cls, capacity: settings_models.Capacity) -> typing.Self:
+        """Create the state for the capacity of the host."""
+        return cls(
+            capacity.buffer_bytes,
+            descriptors.caller_connections(capacity.max_fds),
+        )
+
     def make_room(self, asking: 'CallerConnection') -> bool:
         """Refuse the largest incomplete requests while memory is short.
 
@@ -102,16 +118,20 @@
         server_state: State shared by all connections.
         handle_request: Handles one request.
     """
+    limit = connection_limit.ConnectionLimit(
+        server_state.max_connections, listener
+    )
     while True:
+        limit.wait_for_room(server_state.open_connections)
         try:
             accepted, address = listener.accept()
         except OSError:
             return
-        eventlet.spawn_n(
-            CallerConnection(
-                accepted, address[0], server_state, handle_request
-            ).run
+        connection = CallerConnection(
+            accepted, address[0], server_state, handle_request
         )
+        server_state.open_connections.add(connection)
+        eventlet.spawn_n(connection.run)
 
 
 class CallerConnection:
@@ -126,6 +146,7 @@
     Attributes:
         answer: The answer to the current request, or to the last one.
         is_waiting: Whether the task waits for the rest of a request.
+        idle_since: Time at which the last wait for a request began.
     """
 
     def __init__(
@@ -148,6 +169,7 @@
         )
         self.answer = self._new_answer(is_http10=False, is_kept_alive=True)
         self._is_idle = True
+        self.idle_since = clock.now()
         self.is_waiting = False
         self._is_refused = False
         self._running_bytes = 0
@@ -155,7 +177,6 @@
 
     def run(self) -> None:
         """Serve requests until the connection closes."""
-        self._server_state.open_connections.add(self)
         self._task = greenlet.getcurrent()
         try:
             connections.set_tcp_options(self._socket)
@@ -166,6 +187,18 @@
         finally:
             self._close()
 
+    def is_idle_for(self, seconds: float) -> bool:
+        """Return whether the connection has been idle for a time.
+
+        Args:
+            seconds: The time.
+        """
+        return (
+            self._is_idle
+            and not self._watch.is_closed
+            and clock.now() >= self.idle_since + seconds
+        )
+
     def close_if_idle(self) -> None:
         """Close the connection if no byte of a request has arrived."""
         if self._is_idle and not self._peek():
@@ -254,6 +287,7 @@
         return raw
 
     def _read_request(self) -> http1.RawRequest | None:
+        self.idle_since = clock.now()
         started_at = math.inf
         raw = None
         while raw is None:
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -77,7 +77,7 @@
             'gateway', host, self._event_metrics.record
         )
         self._tasks = background.BackgroundTasks(self._log)
-        self._server_state = callers.ServerState(settings.capacity.buffer_bytes)
+        self._server_state = callers.ServerState.from_config(settings.capacity)
         self._measured = measurements.Measurements.empty()
         self._prefill_queues = prefill_queues.PrefillQueues(
             self._measured.rates
--- a/ivystep/runtime/listener_events.py
+++ b/ivystep/runtime/listener_events.py
@@ -96,3 +96,21 @@
     peer: str
     error: str
     failures: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionsLimited(event_log.Event):
+    """As many connections are open as the descriptors allow.
+
+    Attributes:
+        purpose: Who connects there.
+        connections: Open connections.
+        idle: How many of them may be closed for new ones.
+    """
+
+    name: typing.ClassVar[str] = 'connections_limited'
+    level: typing.ClassVar[int] = logging.WARNING
+
+    purpose: str
+    connections: int
+    idle: int
--- a/ivystep/settings/gateway.py
+++ b/ivystep/settings/gateway.py
@@ -146,6 +146,15 @@
         'requests that are received, wait or are in progress.',
     )
 
+    max_fds: float = pydantic.Field(
+        0.0,
+        ge=0,
+        allow_inf_nan=False,
+        description='File descriptors that the platform allows, of which 200 '
+        'are for files. Callers get less than half of the rest as connections. '
+        '0: only the limit of the process counts.',
+    )
+
     @property
     def buffer_bytes(self) -> int:
         """Limit on the bytes of all requests that are buffered."""
--- a/tests/processes/daemons.py
+++ b/tests/processes/daemons.py
@@ -57,10 +57,12 @@
     def status(self, purpose, path):
         port = self.port_by_purpose[purpose]
         url = f'http://{self.system.address}:{port}{path}'
-        try:
-            return self.system.http.request('GET', url, timeout=2.0).status
-        except urllib3.exceptions.HTTPError:
-            return 0
+        # A connection that is kept would not show that others are accepted.
+        with urllib3.PoolManager(retries=False, timeout=2.0) as http:
+            try:
+                return http.request('GET', url).status
+            except urllib3.exceptions.HTTPError:
+                return 0
 
     def answers(self, purpose):
         """Return whether the process accepts a connection and reads it."""
--- a/tests/processes/test_stray_connections.py
+++ b/tests/processes/test_stray_connections.py
@@ -76,12 +76,59 @@
         (DESCRIPTORS, DESCRIPTORS),
     )
     address = started.system.address, started.port_by_purpose[purpose]
-    with contextlib.ExitStack() as stack:
-        for _ in range(SILENT_CONNECTIONS):
-            silent = stack.enter_context(contextlib.closing(socket.socket()))
-            silent.setblocking(False)
-            silent.connect_ex(address)
+    with open_silently(address):
         eventlet.sleep(1)
         for _ in range(10):
             path = PATH_BY_PURPOSE[purpose]
             assert started.status(purpose, path) == 200, started.log()
+
+
+@pytest.mark.parametrize(
+    ('kind', 'page'), [('gateway', 'readiness'), ('entry', 'operators')]
+)
+def test_callers_leave_descriptors_for_the_pages(
+    deployment, start, kind, page, monkeypatch
+):
+    """Guards against callers that make a host seem not ready."""
+    monkeypatch.setattr(deployment, 'program', few_descriptors(deployment))
+    started = start(kind)
+    address = started.system.address, started.port_by_purpose['callers']
+    with open_silently(address):
+        eventlet.sleep(0.5)
+        for _ in range(10):
+            path = PATH_BY_PURPOSE[page]
+            assert started.status(page, path) == 200, started.log()
+            eventlet.sleep(0.1)
+    assert 'Too many open files' not in started.log()
+
+
+def test_gateway_serves_callers_beside_idle_connections(
+    deployment, start, monkeypatch
+):
+    """Guards against idle connections that keep new callers out."""
+    monkeypatch.setattr(deployment, 'program', few_descriptors(deployment))
+    started = start('gateway')
+    address = started.system.address, started.port_by_purpose['callers']
+    with open_silently(address, 100):
+        for _ in range(5):
+            with eventlet.Timeout(8):
+                while started.status('callers', '/none') != 404:
+                    eventlet.sleep(0.05)
+    assert 'connections_limited' in started.log()
+    assert 'Too many open files' not in started.log()
+
+
+def few_descriptors(deployment):
+    limited = f'ulimit -n {DESCRIPTORS} && exec "$@"'
+    return ('bash', '-c', limited, 'bash', *deployment.program)
+
+
+@contextlib.contextmanager
+def open_silently(address, number=SILENT_CONNECTIONS):
+    """Hold connections that say nothing."""
+    with contextlib.ExitStack() as stack:
+        for _ in range(number):
+            silent = stack.enter_context(contextlib.closing(socket.socket()))
+            silent.setblocking(False)
+            silent.connect_ex(address)
+        yield
--- a/tests/settings/test_gateway.py
+++ b/tests/settings/test_gateway.py
@@ -26,6 +26,7 @@
     'limits.cores': '3',
     'limits.cpu_share': '0.717',
     'limits.memory_mb': '300',
+    'limits.max_fds': '1024',
     'bounds.lease_ms': '3000',
     'bounds.thaw_ms': '300',
     'bounds.version_ms': '5000',
@@ -58,6 +59,7 @@
 def test_rendered_template_is_valid(tmp_path):
     """Guards against a template that renders settings which do not validate."""
     settings = load(tmp_path, render())
+    assert settings.capacity.max_fds == 1024
     assert settings.addresses.callers == ('10.1.0.38', 8149)
     assert settings.addresses.peers == ('10.1.0.38', 7380)
     assert settings.store.url == 'http://10.200.1.7:8142'
@@ -166,3 +168,9 @@
     path = tmp_path / 'local.ini'
     path.write_text(render())
     assert check.check(str(path), 'auto') == 'gateway'
+
+
+def test_limit_of_descriptors_without_a_value_is_that_of_the_process(tmp_path):
+    """Guards against a platform without the value that ends the start."""
+    settings = load(tmp_path, render(**{'limits.max_fds': ''}))
+    assert settings.capacity.max_fds == 0
