--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -8,7 +8,7 @@
 import math
 import socket
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Generator
 
 import eventlet
 import greenlet
@@ -20,6 +20,7 @@
     connection_limit,
     connections,
     disconnect_watch,
+    planned_stop,
     relay,
 )
 from ivystep.runtime import byte_budget, clock, descriptors
@@ -52,6 +53,7 @@
         is_closing: Whether each connection closes after its current answer. An
             idle one is closed by ``close_idle``, so that callers that are still
             routed to this host are served.
+        stop: Ends requests that a planned stop leaves no time for.
         open_connections: The open connections.
         requests: Number of requests in progress.
         refused_for_memory: Number of requests refused as memory was short.
@@ -68,6 +70,7 @@
         )
         self.limits = contracts.ClientLimits()
         self.is_closing = False
+        self.stop = planned_stop.PlannedStop()
         self.open_connections: set[CallerConnection] = set()
         self.requests = 0
         self.refused_for_memory = 0
@@ -220,12 +223,18 @@
         self._is_refused = True
         hubs.get_hub().schedule_call_global(0, self._interrupt_waiting)
 
-    def raise_on_disconnect(self) -> contextlib.AbstractContextManager[None]:
+    @contextlib.contextmanager
+    def raise_on_disconnect(self) -> Generator[None]:
         """Raise an error in the task when the caller disconnects.
 
-        The error is ``relay.CallerDisconnectedError``.
+        The error is ``relay.CallerDisconnectedError``. A request that is not
+        admitted as this host ends is refused.
         """
-        return self._watch.raise_on_disconnect()
+        with (
+            self._server_state.stop.refuse_unplaced(),
+            self._watch.raise_on_disconnect(),
+        ):
+            yield
 
     def _close(self) -> None:
         self._server_state.open_connections.discard(self)
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -12,6 +12,7 @@
 from ivystep.traffic import calls, contracts
 
 MIN_RETRY_AFTER_S = 0.2
+HOST_STOPPING = 'host_stopping'
 # Pause before a retry, so that a full upstream can finish some requests. It
 # doubles while a stream can't be taken up, up to a bound that leaves callers,
 # who wait for two seconds at least, some attempts.
@@ -423,17 +424,24 @@
     )
 
 
-def stopped_error(state: RequestState) -> errors.RequestError:
-    """Return the error of a request that this host has no time left for."""
+def stopped_error(
+    state: RequestState, retry_after_s: float
+) -> errors.RequestError:
+    """Return the error of a request that this host has no time left for.
+
+    Args:
+        state: The request.
+        retry_after_s: Time after which another host can take it.
+    """
     has_run = bool(state.may_have_run)
     return errors.RequestError(
-        'host_stopping',
+        HOST_STOPPING,
         'This host stops before the answer would be complete.',
         status=502 if has_run else 503,
         ran=types.ExecutionStatus.UNKNOWN
         if has_run
         else types.ExecutionStatus.NO,
-        retry_after_s=None if has_run else MIN_RETRY_AFTER_S,
+        retry_after_s=None if has_run else retry_after_s,
         step=state.step,
         peer=state.upstream_id,
     )
