Count failed accepts and show the addresses that are waited for

A port in trouble was told by a log line only, on the process itself.

ivystep_address_unavailable is 1 while a process waits for an address; ivystep_accept_failures_total, ivystep_listeners_lost_total and ivystep_page_failures_total count what the listeners report, for gateway, entry and sidecar, by purpose and from zero on. The console has no metrics.

--- a/ivystep/entry/daemon.py
+++ b/ivystep/entry/daemon.py
@@ -19,7 +19,7 @@
     progress,
     setup_exchange,
 )
-from ivystep.metrics import operators_app, registry
+from ivystep.metrics import listener_metrics, operators_app, registry
 from ivystep.platform import hosts, objects, table
 from ivystep.runtime import (
     clock,
@@ -39,6 +39,7 @@
 # attempt takes up to 1 s, the close of a connection up to 2 s.
 ABORT_GRACE_S = 4.0
 CONFIGURE_INTERVAL_S = 0.2
+LISTENER_PURPOSES = ('callers', 'operators', 'peers')
 
 log = logs.get('entry')
 
@@ -68,6 +69,9 @@
             objects.ObjectsClient(platform.objects_url, platform.timeout_s),
         )
         self.metrics = registry.Metrics()
+        self._report = listener_metrics.ListenerMetrics(
+            self.metrics, LISTENER_PURPOSES
+        ).record_and(logs.event_writer('entry'))
         self.exchange = setup_exchange.SetupExchange(self.setup)
         self.contexts = tls.TlsContexts(settings.tls.files)
         self.peers = peers.Peers(
@@ -198,7 +202,7 @@
         self, purpose: str, address: models.Listen
     ) -> listeners.Listener:
         return listeners.Listener.open(
-            purpose, address.socket_address, logs.event_writer('entry')
+            purpose, address.socket_address, self._report
         )
 
     def _reload(self) -> None:
--- a/ivystep/gateway/event_metrics.py
+++ b/ivystep/gateway/event_metrics.py
@@ -10,12 +10,13 @@
 
 from ivystep.core import units
 from ivystep.gateway import events, leader_events, process_events
-from ivystep.metrics import registry
+from ivystep.metrics import listener_metrics, registry
 from ivystep.runtime import event_log
 from ivystep.stream_origins import events as origin_events
 
 MAX_ROUTE_LABELS = 200
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1.0, 2.0, 4.0, 8.0, 16.0)
+LISTENER_PURPOSES = ('callers', 'readiness', 'operators', 'peers')
 LAG_BUCKETS_S = (0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0)
 
 
@@ -28,6 +29,9 @@
 
     def __init__(self, metrics: registry.Metrics) -> None:
         self._metrics = metrics
+        self.listeners = listener_metrics.ListenerMetrics(
+            metrics, LISTENER_PURPOSES
+        )
         self._routes = registry.BoundedLabel(MAX_ROUTE_LABELS)
         self.placement_wait_s = self._histogram(
             'placement_wait', 'Time from reading a request to sending it on.'
@@ -91,6 +95,7 @@
             event: Any event of the gateway.
         """
         _record_event(event, self)
+        self.listeners.record(event)
 
     def on_store_call(self, method: str, outcome: str) -> None:
         """Count a call to the store.
--- a/ivystep/sidecar/daemon.py
+++ b/ivystep/sidecar/daemon.py
@@ -4,7 +4,7 @@
 
 import eventlet
 
-from ivystep.metrics import operators_app, registry
+from ivystep.metrics import listener_metrics, operators_app, registry
 from ivystep.platform import table
 from ivystep.runtime import clock, drain, listeners, logs, page_server
 from ivystep.settings import models
@@ -14,6 +14,7 @@
 # Time for interrupted attempts to send their outcome to their entries.
 INTERRUPT_TIMEOUT_S = 2.0
 POLL_INTERVAL_S = 0.02
+LISTENER_PURPOSES = ('entries', 'operators')
 
 log = logs.get('sidecar')
 
@@ -37,6 +38,9 @@
     def __init__(self, settings: models.SidecarSettings) -> None:
         self.settings = settings
         self.metrics = registry.Metrics()
+        self._report = listener_metrics.ListenerMetrics(
+            self.metrics, LISTENER_PURPOSES
+        ).record_and(logs.event_writer('sidecar'))
         self.upstream_host = host.UpstreamHost(
             settings.process.id, settings.upstream, self.metrics
         )
@@ -97,7 +101,7 @@
         self, purpose: str, address: models.Listen
     ) -> listeners.Listener:
         return listeners.Listener.open(
-            purpose, address.socket_address, logs.event_writer('sidecar')
+            purpose, address.socket_address, self._report
         )
 
     def _serve_entries(
--- a/tests/processes/test_taken_addresses.py
+++ b/tests/processes/test_taken_addresses.py
@@ -48,6 +48,25 @@
         started.stop()
 
 
+@pytest.mark.parametrize('kind', ['gateway', 'entry', 'sidecar'])
+def test_metrics_name_the_address_that_a_process_waits_for(deployment, kind):
+    """Guards against a process without a port that no alert can tell."""
+    purpose = daemons.PORTS_BY_KIND[kind][0]
+    started = daemons.Started(deployment, kind, taken=purpose)
+    try:
+        daemons.wait_until(lambda: unavailable(started), started)
+        url = f'{started.node.operators_url}/metrics'
+        body = deployment.http.request('GET', url).data.decode()
+        sample = f'ivystep_address_unavailable{{purpose="{purpose}"}}'
+        assert f'{sample} 1' in body
+        started.holder.close()
+        daemons.wait_until(started.is_ready, started)
+        body = deployment.http.request('GET', url).data.decode()
+        assert f'{sample} 0' in body
+    finally:
+        started.stop()
+
+
 def test_gateway_serves_callers_while_its_metrics_port_is_taken(deployment):
     """Guards against metrics that keep a host from serving."""
     started = daemons.Started(deployment, 'gateway', taken='operators')
