--- a/ivystep/entry/daemon.py
+++ b/ivystep/entry/daemon.py
@@ -23,7 +23,7 @@
 from ivystep.platform import hosts, objects, table
 from ivystep.runtime import (
     clock,
-    descriptors,
+    descriptor_limit,
     drain,
     listeners,
     logs,
@@ -130,7 +130,7 @@
             self._callers,
             self.api,
             self.server_state,
-            min(MAX_CONNECTIONS, descriptors.caller_connections()),
+            min(MAX_CONNECTIONS, descriptor_limit.caller_connections()),
         )
         log.info('Entry %s is serving callers.', self.settings.process.id)
         signals.wait(self._reload)
--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -23,7 +23,7 @@
     planned_stop,
     relay,
 )
-from ivystep.runtime import byte_budget, clock, descriptors
+from ivystep.runtime import byte_budget, clock, descriptor_limit
 from ivystep.settings import gateway as settings_models
 from ivystep.traffic import contracts, http1
 
@@ -62,7 +62,7 @@
     def __init__(
         self,
         buffer_bytes: int = DEFAULT_BUFFER_BYTES,
-        max_connections: int = descriptors.UNLIMITED,
+        max_connections: int = descriptor_limit.UNLIMITED,
     ) -> None:
         self.max_connections = max_connections
         self.buffered: byte_budget.ByteBudget[CallerConnection] = (
@@ -80,7 +80,7 @@
         """Create the state for the capacity of the host."""
         return cls(
             capacity.buffer_bytes,
-            descriptors.caller_connections(capacity.max_fds),
+            descriptor_limit.caller_connections(capacity.max_fds),
         )
 
     def make_room(self, asking: 'CallerConnection') -> bool:
--- a/tests/runtime/test_descriptors.py
+++ b/tests/runtime/test_descriptor_limit.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ivystep.runtime import descriptors
+from ivystep.runtime import descriptor_limit
 
 
 @pytest.mark.parametrize(
@@ -25,4 +25,4 @@
 ):
     """Guards against callers that use up what the store and probes need."""
     monkeypatch.setattr(resource, 'getrlimit', lambda kind: (limit, limit))
-    assert descriptors.caller_connections(max_fds) == connections
+    assert descriptor_limit.caller_connections(max_fds) == connections
