Follow the record of attempts in the test of a planned stop

After the merge of main the upstreams on which a request may have run are a list. test_running_request_keeps_the_whole_time used a method of sets and failed in the run of all tests.

--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -165,7 +165,7 @@
     state = new_state()
     state.step = 'run'
     state.progress.sent_at = clock.now()
-    state.may_have_run.add('i-1')
+    state.may_have_run.append('i-1')
     ((at, status, ran),) = ended_request(stop, state, ends_at + 0.1)
     assert at >= ends_at
     assert (status, ran) == (502, 'unknown')
