Read the settings on SIGHUP and log the start and end of each process

Operators saw a gateway answer SIGHUP with "reloaded" whatever the file said, and ends by an error without a line that names the exit code.

Cause: the handler only wrote the line; each daemon had a life of its own, and the first and last lines and the exit code were nobody's.

ivystep.runtime.process owns both for the four daemons. On SIGHUP the file is read and validated: the log level is in force at once, other changed keys are named in needs_restart, and an invalid, missing or half-written file leaves what is in force and gives one reload_failed. process_started has version, interpreter, architecture, limits and digest of the settings; process_ended has reason, exit code, error and place.

Before, on the gateway and the console: the tests of reload and of the first and last lines failed (no reload_failed after 20 s, no process_started); exit 2 for invalid or missing settings held already and now has a test. After: the 12 cases of tests/processes/test_life.py and the 36 of test_signals.py passed.

Ruled out: replacing the settings of running parts, which would be in force in part only.

tests/processes/test_signals.py accepts one form of the reload line, now that all daemons write the same.

--- a/ivystep/cli/commands.py
+++ b/ivystep/cli/commands.py
@@ -1,6 +1,7 @@
 """Subcommands that run the daemons and the console."""
 
 import dataclasses
+import functools
 import typing
 
 import cappa
@@ -8,7 +9,7 @@
 from ivystep.console import daemon as console_daemon
 from ivystep.entry import daemon as entry_daemon
 from ivystep.gateway import daemon as gateway_daemon
-from ivystep.runtime import event_log, logs
+from ivystep.runtime import event_log, logs, process
 from ivystep.settings import gateway as gateway_settings
 from ivystep.settings import ini, models
 from ivystep.sidecar import daemon as sidecar_daemon
@@ -27,9 +28,12 @@
 
     def __call__(self) -> None:
         """Run until drained."""
-        settings = ini.load(self.config, models.EntrySettings)
-        logs.configure(settings.process.log_level)
-        entry_daemon.EntryDaemon.from_config(settings).run()
+        life = process.Process(
+            'entry',
+            functools.partial(ini.load, self.config, models.EntrySettings),
+        )
+        logs.configure(process.log_level(life.settings))
+        life.run(entry_daemon.run, logs.event_writer('entry'))
 
 
 @cappa.command(help='Run a gateway, which serves the configured routes.')
@@ -41,9 +45,17 @@
 
     def __call__(self) -> None:
         """Run until drained."""
-        settings = ini.load(self.config, gateway_settings.GatewaySettings)
-        event_log.configure(settings.process.log_level)
-        gateway_daemon.GatewayDaemon.from_config(settings).run()
+        life = process.Process(
+            'gateway',
+            functools.partial(
+                ini.load, self.config, gateway_settings.GatewaySettings
+            ),
+        )
+        event_log.configure(process.log_level(life.settings))
+        life.run(
+            gateway_daemon.run,
+            event_log.EventLog('process', life.settings.process.id).write,
+        )
 
 
 @cappa.command(help='Run the sidecar of one upstream on its host.')
@@ -55,9 +67,12 @@
 
     def __call__(self) -> None:
         """Run until drained."""
-        settings = ini.load(self.config, models.SidecarSettings)
-        logs.configure(settings.process.log_level)
-        sidecar_daemon.run(settings)
+        life = process.Process(
+            'sidecar',
+            functools.partial(ini.load, self.config, models.SidecarSettings),
+        )
+        logs.configure(process.log_level(life.settings))
+        life.run(sidecar_daemon.run, logs.event_writer('sidecar'))
 
 
 @cappa.command(help='Run the console, which serves forms to operators.')
@@ -69,6 +84,9 @@
 
     def __call__(self) -> None:
         """Run until SIGTERM."""
-        settings = ini.load(self.config, models.OperatorSettings)
-        logs.configure('INFO')
-        console_daemon.run(settings)
+        life = process.Process(
+            'console',
+            functools.partial(ini.load, self.config, models.OperatorSettings),
+        )
+        logs.configure(process.log_level(life.settings))
+        life.run(console_daemon.run, logs.event_writer('console'))
--- a/ivystep/cli/log_events.py
+++ b/ivystep/cli/log_events.py
@@ -14,6 +14,7 @@
 from ivystep.gateway import events, leader_events, process_events
 from ivystep.quotas import events as quota_events
 from ivystep.runtime import event_log, listener_events
+from ivystep.runtime import process_events as life_events
 from ivystep.stream_origins import events as origin_events
 
 # Modules that define events of the gateway's log.
@@ -21,6 +22,7 @@
     events,
     leader_events,
     process_events,
+    life_events,
     account_events,
     centre_events,
     origin_events,
--- a/ivystep/console/daemon.py
+++ b/ivystep/console/daemon.py
@@ -8,7 +8,7 @@
 from ivystep.console import app, sessions, setup_repository
 from ivystep.core import errors
 from ivystep.platform import objects, table
-from ivystep.runtime import drain, listeners, logs
+from ivystep.runtime import drain, listeners, logs, process
 from ivystep.settings import models
 
 MAX_CONNECTIONS = 64
@@ -36,9 +36,13 @@
     )
 
 
-def run(settings: models.OperatorSettings) -> None:
+def run(settings: models.OperatorSettings, reload: process.Reload) -> None:
     """Serve until SIGTERM, then drain.
 
+    Args:
+        settings: The validated settings.
+        reload: Called on SIGHUP.
+
     Raises:
         errors.SettingsError: The listening address or the operators are
             missing.
@@ -64,7 +68,7 @@
         debug=False,
     )
     log.info('The console accepts connections.')
-    signals.wait(lambda: log.info('The console keeps its settings.'))
+    signals.wait(reload)
     stop_server(server, listener)
     signals.finish(lambda: bool(server.dead), DRAIN_DEADLINE_S)
 
--- a/ivystep/entry/daemon.py
+++ b/ivystep/entry/daemon.py
@@ -22,7 +22,7 @@
 )
 from ivystep.metrics import operators_app, registry
 from ivystep.platform import hosts, objects, table
-from ivystep.runtime import clock, drain, listeners, logs
+from ivystep.runtime import clock, drain, listeners, logs, process
 from ivystep.settings import models
 from ivystep.setup import poller, store
 from ivystep.wire import listener as wire_listener
@@ -44,6 +44,16 @@
         """Wait until idle; return False if the deadline passes first."""
 
 
+def run(settings: models.EntrySettings, reload: process.Reload) -> None:
+    """Run an entry until it has drained after SIGTERM.
+
+    Args:
+        settings: The validated settings.
+        reload: Called on SIGHUP.
+    """
+    EntryDaemon.from_config(settings).run(reload)
+
+
 class EntryDaemon:
     """One entry and its components.
 
@@ -109,8 +119,12 @@
         """Build the entry that the settings describe."""
         return cls(settings)
 
-    def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then drain."""
+    def run(self, reload: process.Reload) -> None:
+        """Serve until SIGTERM or SIGINT, then drain.
+
+        Args:
+            reload: Called on SIGHUP.
+        """
         signals = drain.DrainSignal.of_process()
         signals.install()
         self._start_background()
@@ -123,7 +137,7 @@
             MAX_CONNECTIONS,
         )
         log.info('Entry %s is serving callers.', self.settings.process.id)
-        signals.wait(self._reload)
+        signals.wait(reload)
         log.info('Entry %s is draining.', self.settings.process.id)
         self.drain(server, self._callers, signals)
         log.info('Entry %s stopped.', self.settings.process.id)
@@ -195,9 +209,6 @@
             purpose, address.socket_address, logs.event_writer('entry')
         )
 
-    def _reload(self) -> None:
-        log.info('Entry %s keeps its settings.', self.settings.process.id)
-
     def _is_idle(self) -> bool:
         return self.in_progress.is_idle and self.server_state.is_empty
 
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -44,7 +44,7 @@
 from ivystep.metrics import operators_app, registry
 from ivystep.platform import engine_api, rows
 from ivystep.quotas import admission
-from ivystep.runtime import clock, drain, event_log, listeners
+from ivystep.runtime import clock, drain, event_log, listeners, process
 from ivystep.settings import gateway as settings_models
 from ivystep.stream_origins import origins
 from ivystep.traffic import contracts
@@ -57,6 +57,18 @@
 INTERVALS_TO_EXPIRE = 2
 
 
+def run(
+    settings: settings_models.GatewaySettings, reload: process.Reload
+) -> None:
+    """Run a gateway until it has drained after SIGTERM.
+
+    Args:
+        settings: The validated settings.
+        reload: Called on SIGHUP.
+    """
+    GatewayDaemon.from_config(settings).run(reload)
+
+
 class GatewayDaemon:
     """A gateway process.
 
@@ -223,11 +235,15 @@
         """Build a gateway from its settings."""
         return cls(settings)
 
-    def run(self) -> None:
-        """Serve until SIGTERM, then drain."""
+    def run(self, reload: process.Reload) -> None:
+        """Serve until SIGTERM, then drain.
+
+        Args:
+            reload: Called on SIGHUP.
+        """
         self._signals.install()
         listener = self.start()
-        self._signals.wait(self._reload)
+        self._signals.wait(reload)
         self.drain(listener)
         self._log.write(process_events.Stopped(self._server_state.requests))
 
@@ -479,11 +495,6 @@
             for upstream in list(self._membership.upstream_by_id.values()):
                 upstream.connections.drop_expired()
 
-    def _reload(self) -> None:
-        self._log.write(
-            process_events.Reloaded(self.settings.process.log_level)
-        )
-
 
 def _format_address(address: tuple[str, int]) -> str:
     return f'{address[0]}:{address[1]}'
--- a/ivystep/gateway/process_events.py
+++ b/ivystep/gateway/process_events.py
@@ -21,15 +21,6 @@
     data_centre: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Reloaded(event_log.Event):
-    """SIGHUP was received; the addresses stay as they are."""
-
-    name: typing.ClassVar[str] = 'reloaded'
-
-    log_level: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Draining(event_log.Event):
     """The process received SIGTERM and stops accepting new work.
--- a/ivystep/sidecar/daemon.py
+++ b/ivystep/sidecar/daemon.py
@@ -7,7 +7,7 @@
 
 from ivystep.metrics import operators_app, registry
 from ivystep.platform import table
-from ivystep.runtime import clock, drain, listeners, logs
+from ivystep.runtime import clock, drain, listeners, logs, process
 from ivystep.settings import models
 from ivystep.sidecar import host, ownership, server
 from ivystep.wire import listener, tls
@@ -19,13 +19,14 @@
 log = logs.get('sidecar')
 
 
-def run(settings: models.SidecarSettings) -> None:
+def run(settings: models.SidecarSettings, reload: process.Reload) -> None:
     """Run a sidecar until it has drained after SIGTERM.
 
     Args:
         settings: The validated settings.
+        reload: Called on SIGHUP.
     """
-    SidecarDaemon(settings).run()
+    SidecarDaemon(settings).run(reload)
 
 
 class SidecarDaemon:
@@ -48,8 +49,12 @@
             self._owner = self._lease_owner()
             self.upstream_host.orders.owner = self._owner
 
-    def run(self) -> None:
-        """Serve until drained after SIGTERM."""
+    def run(self, reload: process.Reload) -> None:
+        """Serve until drained after SIGTERM.
+
+        Args:
+            reload: Called on SIGHUP.
+        """
         signals = drain.DrainSignal.of_process()
         signals.install()
         contexts = tls.TlsContexts(self.settings.tls.files)
@@ -58,7 +63,7 @@
             self._listen('operators', self.settings.operators)
         )
         eventlet.spawn(self._serve_entries, self._entries, contexts)
-        signals.wait(self._reload)
+        signals.wait(reload)
         self._drain(signals)
         if self._lease_task is not None and self._owner is not None:
             self._lease_task.kill()
@@ -121,9 +126,6 @@
             server.SidecarServer(self.upstream_host).serve,
         )
 
-    def _reload(self) -> None:
-        log.info('Sidecar %s keeps its settings.', self.settings.process.id)
-
     def _drain(self, signals: drain.DrainSignal) -> None:
         upstream_host = self.upstream_host
         log.info('Sidecar %s is draining.', upstream_host.upstream_id)
--- a/tests/processes/test_signals.py
+++ b/tests/processes/test_signals.py
@@ -59,8 +59,7 @@
 
 
 def has_reloaded(system, node):
-    text = single_daemon.read_log(system, node)
-    return 'reloaded' in text or 'keeps its settings' in text
+    return 'reloaded' in single_daemon.read_log(system, node)
 
 
 def test_idle_daemon_stops_at_once(daemon):
