Start tasks again that a time-out or an exit has ended

Found by a test: a gateway goes on without a background task, and without a task_failed line, after a time-out that the task does not handle.

Cause: eventlet.Timeout and SystemExit derive from BaseException; the runner caught Exception. SystemExit also left the event loop and ended the process.

The runner catches all but GreenletExit, by which tasks are stopped.

Before: both cases of test_task_that_a_time_out_or_an_exit_ends_starts_again failed (started once; SystemExit in the main task). After: they pass, with the tests of restart and of the stop.

--- a/ivystep/gateway/background.py
+++ b/ivystep/gateway/background.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 
 import eventlet
+import greenlet
 
 from ivystep.gateway import process_events
 from ivystep.runtime import clock, event_log
@@ -53,7 +54,11 @@
         while not is_ended:
             try:
                 task(*arguments, **named)
-            except Exception as error:
+            except greenlet.GreenletExit:
+                raise
+            except BaseException as error:
+                # Time-outs of eventlet are no ``Exception``, and an exit would
+                # end the event loop.
                 self._log.write(
                     process_events.TaskFailed(
                         getattr(task, '__qualname__', repr(task)),
@@ -66,12 +71,12 @@
                 is_ended = True
 
 
-def describe(error: Exception) -> str:
+def describe(error: BaseException) -> str:
     """Return an error with its kind."""
     return f'{type(error).__name__}: {error}'
 
 
-def place(error: Exception) -> str:
+def place(error: BaseException) -> str:
     """Return the file and line at which an error was raised."""
     frames = traceback.extract_tb(error.__traceback__)
     if not frames:
--- a/tests/gateway/test_background.py
+++ b/tests/gateway/test_background.py
@@ -1,5 +1,8 @@
 """Tests of the background tasks of a gateway."""
 
+import eventlet
+import pytest
+
 from ivystep.gateway import background
 from ivystep.runtime import clock
 from tests.coordination import fakes as clocks
@@ -43,3 +46,21 @@
     tasks.kill()
     clock.sleep(5)
     assert len(ticks) == 3
+
+
+@pytest.mark.parametrize('raised', [eventlet.Timeout(None), SystemExit(1)])
+@clocks.on_virtual_clock
+def test_task_that_a_time_out_or_an_exit_ends_starts_again(raised):
+    """Guards against errors outside ``Exception`` that end a task for good."""
+    log = fakes.FakeLog()
+    started = []
+
+    def task():
+        started.append(clock.now())
+        if len(started) == 1:
+            raise raised
+
+    background.BackgroundTasks(log).spawn(task)
+    clock.sleep(5)
+    assert len(started) == 2
+    assert len(log.named('task_failed')) == 1
