--- a/ivystep/entry/daemon.py
+++ b/ivystep/entry/daemon.py
@@ -28,6 +28,7 @@
     listeners,
     logs,
     page_server,
+    process,
 )
 from ivystep.settings import models
 from ivystep.setup import poller, store
@@ -51,6 +52,16 @@
         """Wait until idle; return False if the deadline passes first."""
 
 
+def run(settings: models.EntrySettings, reload: process.Reload) -> None:
+    """Run an entry until it has drained after SIGTERM.
+
+    Args:
+        settings: The validated settings.
+        reload: Called on SIGHUP.
+    """
+    EntryDaemon.from_config(settings).run(reload)
+
+
 class EntryDaemon:
     """One entry and its components.
 
@@ -119,8 +130,12 @@
         """Build the entry that the settings describe."""
         return cls(settings)
 
-    def run(self) -> None:
-        """Serve until SIGTERM or SIGINT, then drain."""
+    def run(self, reload: process.Reload) -> None:
+        """Serve until SIGTERM or SIGINT, then drain.
+
+        Args:
+            reload: Called on SIGHUP.
+        """
         signals = drain.DrainSignal.of_process()
         signals.install()
         self._start_background()
@@ -133,7 +148,7 @@
             min(MAX_CONNECTIONS, descriptor_limit.caller_connections()),
         )
         log.info('Entry %s is serving callers.', self.settings.process.id)
-        signals.wait(self._reload)
+        signals.wait(reload)
         log.info('Entry %s is draining.', self.settings.process.id)
         self.drain(server, self._callers, signals)
         log.info('Entry %s stopped.', self.settings.process.id)
@@ -205,9 +220,6 @@
             purpose, address.socket_address, self._report
         )
 
-    def _reload(self) -> None:
-        log.info('Entry %s keeps its settings.', self.settings.process.id)
-
     def _is_idle(self) -> bool:
         return self.in_progress.is_idle and self.server_state.is_empty
 
