Start the background tasks of all daemons again after an error

Cause: only the gateway ran its tasks by BackgroundTasks; entry and sidecar spawned them, and eventlet drops a task that an error ends.

Change: BackgroundTasks moves to runtime, writes its events by a function, and runs the tasks of entry and sidecar, the one that holds the lease included. LeaseOwner.start goes; tests spawn hold.

--- a/ivystep/entry/daemon.py
+++ b/ivystep/entry/daemon.py
@@ -22,6 +22,7 @@
 from ivystep.metrics import listener_metrics, operators_app, registry
 from ivystep.platform import hosts, objects, table
 from ivystep.runtime import (
+    background,
     clock,
     descriptor_limit,
     drain,
@@ -74,6 +75,7 @@
         self.settings = settings
         self.is_ready = True
         self._callers: listeners.Listener | None = None
+        self._tasks = background.BackgroundTasks(logs.event_writer('entry'))
         rows = table.TableClient(platform.table_url, platform.timeout_s)
         self.setup = store.SetupStore(
             rows,
@@ -231,12 +233,12 @@
             interval_s,
             read_timeout_s=settings.platform.timeout_s,
         )
-        eventlet.spawn(setup_poller.run)
-        eventlet.spawn(self._configure_pools)
-        eventlet.spawn(self.membership.follow, interval_s)
-        eventlet.spawn(self.peers.spread_version)
-        eventlet.spawn(self.exchange.follow_peers, self.peers.reachable)
-        eventlet.spawn(
+        self._tasks.spawn(setup_poller.run)
+        self._tasks.spawn(self._configure_pools)
+        self._tasks.spawn(self.membership.follow, interval_s)
+        self._tasks.spawn(self.peers.spread_version)
+        self._tasks.spawn(self.exchange.follow_peers, self.peers.reachable)
+        self._tasks.spawn(
             wire_listener.serve,
             self._listen('peers', settings.peers),
             self.contexts,
@@ -249,7 +251,7 @@
             self._listen('operators', settings.operators),
             operators_app.OperatorsApp(self.metrics, self.status),
         )
-        eventlet.spawn(operators.run)
+        self._tasks.spawn(operators.run)
 
     def _on_status(self, status: types.UpstreamStatus) -> None:
         self.exchange.announce_version(status.setup_version)
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -8,7 +8,6 @@
 from ivystep.core import types
 from ivystep.gateway import (
     account_metrics,
-    background,
     base_model_loader,
     callers,
     centre_choice,
@@ -44,7 +43,14 @@
 from ivystep.metrics import operators_app, registry
 from ivystep.platform import engine_api, rows
 from ivystep.quotas import admission
-from ivystep.runtime import clock, drain, event_log, listeners, process
+from ivystep.runtime import (
+    background,
+    clock,
+    drain,
+    event_log,
+    listeners,
+    process,
+)
 from ivystep.settings import gateway as settings_models
 from ivystep.stream_origins import origins
 from ivystep.traffic import contracts
@@ -88,7 +94,7 @@
         self._log = event_log.EventLog(
             'gateway', host, self._event_metrics.record
         )
-        self._tasks = background.BackgroundTasks(self._log)
+        self._tasks = background.BackgroundTasks(self._log.write)
         self._server_state = callers.ServerState.from_config(settings.capacity)
         self._measured = measurements.Measurements.empty()
         self._prefill_queues = prefill_queues.PrefillQueues(
--- a/ivystep/gateway/event_metrics.py
+++ b/ivystep/gateway/event_metrics.py
@@ -12,6 +12,7 @@
 from ivystep.gateway import events, leader_events, process_events
 from ivystep.metrics import listener_metrics, registry
 from ivystep.runtime import event_log
+from ivystep.runtime import process_events as life_events
 from ivystep.stream_origins import events as origin_events
 
 MAX_ROUTE_LABELS = 200
@@ -208,9 +209,7 @@
 
 
 @_record_event.register
-def _record_task(
-    event: process_events.TaskFailed, metrics: EventMetrics
-) -> None:
+def _record_task(event: life_events.TaskFailed, metrics: EventMetrics) -> None:
     metrics.failed_tasks.inc({'task': event.task})
 
 
--- a/ivystep/gateway/row_application.py
+++ b/ivystep/gateway/row_application.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Callable, Iterable
 
-from ivystep.gateway import background, process_events
+from ivystep.gateway import process_events
 from ivystep.platform import rows
-from ivystep.runtime import event_log
+from ivystep.runtime import background, event_log
 
 
 def apply_each(
--- a/ivystep/gateway/background.py
+++ b/ivystep/runtime/background.py
@@ -1,4 +1,4 @@
-"""Runs the background tasks of a gateway.
+"""Runs the background tasks of a daemon.
 
 An error that a task does not handle is logged, and the task starts again. A
 gateway that lacks one of its tasks would go on with what it knew then: it would
@@ -13,21 +13,20 @@
 import eventlet
 import greenlet
 
-from ivystep.gateway import process_events
-from ivystep.runtime import clock, event_log
+from ivystep.runtime import clock, event_log, process_events
 
 RESTART_PAUSE_S = 1.0
 
 
 class BackgroundTasks:
-    """The tasks of one gateway, which run until it stops.
+    """The tasks of one daemon, which run until it stops.
 
     Args:
-        log: Event log of the errors that they do not handle.
+        write: Writes the events of errors that they do not handle.
     """
 
-    def __init__(self, log: event_log.EventLog) -> None:
-        self._log = log
+    def __init__(self, write: Callable[[event_log.Event], None]) -> None:
+        self._write = write
         self._tasks: list[typing.Any] = []
 
     def spawn(
@@ -59,7 +58,7 @@
             except BaseException as error:
                 # Time-outs of eventlet are no ``Exception``, and an exit would
                 # end the event loop.
-                self._log.write(
+                self._write(
                     process_events.TaskFailed(
                         getattr(task, '__qualname__', repr(task)),
                         describe(error),
--- a/ivystep/runtime/process_events.py
+++ b/ivystep/runtime/process_events.py
@@ -81,3 +81,21 @@
     exit_code: int
     error: str = ''
     place: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskFailed(event_log.Event):
+    """A background task met an error that it does not handle.
+
+    Attributes:
+        task: Name of the task's function.
+        error: The error.
+        place: File and line at which it was raised.
+    """
+
+    name: typing.ClassVar[str] = 'task_failed'
+    level: typing.ClassVar[int] = logging.ERROR
+
+    task: str
+    error: str
+    place: str
--- a/ivystep/sidecar/daemon.py
+++ b/ivystep/sidecar/daemon.py
@@ -1,12 +1,18 @@
 """Runs the sidecar process: listeners, health monitor, lease and drain."""
 
-import typing
-
 import eventlet
 
 from ivystep.metrics import listener_metrics, operators_app, registry
 from ivystep.platform import table
-from ivystep.runtime import clock, drain, listeners, logs, page_server, process
+from ivystep.runtime import (
+    background,
+    clock,
+    drain,
+    listeners,
+    logs,
+    page_server,
+    process,
+)
 from ivystep.settings import models
 from ivystep.sidecar import host, ownership, server
 from ivystep.wire import listener, tls
@@ -46,7 +52,8 @@
             settings.process.id, settings.upstream, self.metrics
         )
         self._entries: listeners.Listener | None = None
-        self._lease_task: typing.Any = None
+        self._tasks = background.BackgroundTasks(logs.event_writer('sidecar'))
+        self._has_lease_task = False
         self._owner: ownership.LeaseOwner | None = None
         if self.upstream_host.is_engine:
             self._owner = self._lease_owner()
@@ -68,8 +75,8 @@
         eventlet.spawn(self._serve_entries, self._entries, contexts)
         signals.wait(reload)
         self._drain(signals)
-        if self._lease_task is not None and self._owner is not None:
-            self._lease_task.kill()
+        self._tasks.kill()
+        if self._has_lease_task and self._owner is not None:
             self._owner.release()
         self._entries.close()
         log.info('Sidecar %s stopped.', self.upstream_host.upstream_id)
@@ -114,15 +121,17 @@
     ) -> None:
         """Serve entries once they can connect, and take the lease then."""
         entries.wait_until_open()
-        eventlet.spawn(self.upstream_host.monitor)
+        self._tasks.spawn(self.upstream_host.monitor)
         if self._owner is not None and not self.upstream_host.is_draining:
-            self._lease_task = self._owner.start()
+            self._has_lease_task = True
+            self._tasks.spawn(self._owner.hold)
         log.info(
             'Sidecar %s is serving as incarnation %s.',
             self.upstream_host.upstream_id,
             self.upstream_host.incarnation,
         )
-        listener.serve(
+        self._tasks.spawn(
+            listener.serve,
             entries,
             contexts,
             tls.ENTRY_NAME,
@@ -160,4 +169,4 @@
 
     def _serve_operators(self, operators: listeners.Listener) -> None:
         app = operators_app.OperatorsApp(self.metrics, self.status)
-        eventlet.spawn(page_server.PageServer(operators, app).run)
+        self._tasks.spawn(page_server.PageServer(operators, app).run)
--- a/ivystep/sidecar/ownership.py
+++ b/ivystep/sidecar/ownership.py
@@ -20,9 +20,6 @@
 
 import typing
 
-import eventlet
-from eventlet import greenthread
-
 from ivystep.coordination import lease
 from ivystep.core import errors
 from ivystep.platform import table
@@ -103,10 +100,6 @@
             self._lease.keep()
             log.warning('The engine lease with token %s was lost.', token)
 
-    def start(self) -> greenthread.GreenThread:
-        """Start and return a task that holds the lease."""
-        return eventlet.spawn(self.hold)
-
     def release(self) -> None:
         """Release the lease, so that the next owner need not wait.
 
--- a/tests/gateway/test_background.py
+++ b/tests/runtime/test_background.py
@@ -1,17 +1,16 @@
-"""Tests of the background tasks of a gateway."""
+"""Tests of the background tasks of a daemon."""
 
 import eventlet
 import pytest
 
-from ivystep.gateway import background
-from ivystep.runtime import clock
+from ivystep.runtime import background, clock
 from tests.coordination import fakes as clocks
 from tests.gateway import fakes
 
 
 @clocks.on_virtual_clock
 def test_task_that_ends_by_an_error_starts_again():
-    """Guards against a gateway that goes on without one of its tasks."""
+    """Guards against a daemon that goes on without one of its tasks."""
     log = fakes.FakeLog()
     started = []
 
@@ -20,7 +19,7 @@
         if len(started) < ends_at:
             raise OverflowError(name)
 
-    tasks = background.BackgroundTasks(log)
+    tasks = background.BackgroundTasks(log.write)
     tasks.spawn(task, 'odd', ends_at=3)
     clock.sleep(10)
     assert len(started) == 3
@@ -31,8 +30,8 @@
 
 
 @clocks.on_virtual_clock
-def test_tasks_end_when_the_gateway_stops():
-    """Guards against tasks of a stopped gateway that go on."""
+def test_tasks_end_when_the_daemon_stops():
+    """Guards against tasks of a stopped daemon that go on."""
     ticks = []
 
     def task():
@@ -40,7 +39,7 @@
             ticks.append(clock.now())
             clock.sleep(1)
 
-    tasks = background.BackgroundTasks(fakes.FakeLog())
+    tasks = background.BackgroundTasks(fakes.FakeLog().write)
     tasks.spawn(task)
     clock.sleep(2.5)
     tasks.kill()
@@ -60,7 +59,7 @@
         if len(started) == 1:
             raise raised
 
-    background.BackgroundTasks(log).spawn(task)
+    background.BackgroundTasks(log.write).spawn(task)
     clock.sleep(5)
     assert len(started) == 2
     assert len(log.named('task_failed')) == 1
--- a/tests/sidecar/test_ownership.py
+++ b/tests/sidecar/test_ownership.py
@@ -1,5 +1,6 @@
 """Tests of the right to send orders across changes of the lease's holder."""
 
+import eventlet
 import pytest
 
 from ivystep.coordination import lease
@@ -33,7 +34,7 @@
         rows = harness.MemoryTable()
         first = owner(rows, 'inc-1', checks_fencing=checks_fencing)
         before = token_or_none(first)
-        first.start()
+        eventlet.spawn(first.hold)
         clock.sleep(1)
         held = token_or_none(first)
         rows.is_down = True
@@ -55,11 +56,11 @@
     def scenario():
         rows = harness.MemoryTable()
         first = owner(rows, 'inc-1', checks_fencing=False)
-        lease_task = first.start()
+        lease_task = eventlet.spawn(first.hold)
         clock.sleep(1)
         held = first.token()
         second = owner(rows, 'inc-2', checks_fencing=False)
-        second.start()
+        eventlet.spawn(second.hold)
         clock.sleep(3 * LEASE_S)
         while_kept = token_or_none(second)
         lease_task.kill()
@@ -82,7 +83,7 @@
     def scenario():
         rows = harness.MemoryTable()
         first = owner(rows, 'inc-1', checks_fencing=False)
-        lease_task = first.start()
+        lease_task = eventlet.spawn(first.hold)
         clock.sleep(1)
         lease_task.kill()
         first.release()
@@ -128,7 +129,7 @@
     def scenario():
         rows = fakes.TableView(fakes.FakeTable())
         one = owner(rows, 'inc-1', checks_fencing=False)
-        lease_task = one.start()
+        lease_task = eventlet.spawn(one.hold)
         clock.sleep(1)
         lease_task.kill()
         rows.planned.extend([fakes.Fault(fakes.Kind.DOWN, before_s=60)] * 9)
