List failing tests of memory, tasks and drains found in review

- Pipelined requests are counted by their bodies only, and the limit of a connection starts again with each of its requests.
- The tasks that write rows and give prefill permits count as running after an unexpected error has ended them, so none is started again.
- The entry's task that reads the setup from peers ends by an answer of another kind or without its fields.
- A number of running requests that is NaN raises out of the sidecar's probe after a lost answer.
- An error of the lease's release is raised in the main task of a drain.

--- a/tests/entry/test_setup_exchange.py
+++ b/tests/entry/test_setup_exchange.py
@@ -6,6 +6,7 @@
 from ivystep.entry import peer_server, setup_exchange
 from ivystep.runtime import virtual_hub
 from ivystep.setup import store, submission
+from ivystep.wire.gen import ttypes
 from tests.setup import fakes
 
 
@@ -95,3 +96,31 @@
         return started.store.current.version
 
     assert virtual_hub.run(scenario) == 1
+
+
+class OddPeer:
+    """A peer that answers each message alike."""
+
+    address = 'odd'
+
+    def __init__(self, reply):
+        self._reply = reply
+
+    def ask(self, _):
+        return self._reply
+
+
+@pytest.mark.parametrize(
+    'reply',
+    [ttypes.SetupNotice(3), ttypes.Manifest(), ttypes.Manifest(3)],
+    ids=['other', 'empty', 'without_sections'],
+)
+def test_odd_answer_of_a_peer_does_not_end_the_reading_from_peers(reply):
+    """Guards against an entry that never reads the setup from peers again."""
+
+    def scenario():
+        _, peer, started = make_entries()
+        assert started.exchange.fetch_from([OddPeer(reply), peer])
+        return started.store.current.version
+
+    assert virtual_hub.run(scenario) == 1
--- a/tests/gateway/test_draining.py
+++ b/tests/gateway/test_draining.py
@@ -86,6 +86,17 @@
     assert drained_s < GRACE_S
 
 
+@clocks.on_virtual_clock
+def test_release_that_fails_does_not_end_the_process_by_an_error():
+    """Guards against a planned stop that looks like a crash."""
+
+    def release():
+        raise OverflowError('odd')
+
+    closed_s, _ = drain_for(release)
+    assert closed_s == draining.ACCEPT_AFTER_SIGTERM_S
+
+
 # After the listener has closed and after requests are taken in good faith,
 # with less time left than the answers take.
 LATE_S = 3.3
--- a/tests/gateway/test_prefill_queues.py
+++ b/tests/gateway/test_prefill_queues.py
@@ -317,3 +317,24 @@
     result = Arrivals(0.8)
     assert not result.refused_after_s
     assert result.late == 0
+
+
+@clocks.on_virtual_clock
+def test_permits_are_given_after_an_unexpected_error(monkeypatch):
+    """Guards against an engine whose queued prompts all wait in vain."""
+    queues = new_queues()
+    choose = prefill.choose
+    calls = []
+
+    def fail_once(*arguments):
+        calls.append(arguments)
+        if len(calls) == 1:
+            raise OverflowError('odd')
+        return choose(*arguments)
+
+    monkeypatch.setattr(prefill, 'choose', fail_once)
+    for _ in range(2):
+        queues.wait('i-1', ticket())
+    clock.sleep(10)
+    queues.wait('i-1', ticket())
+    assert queues.wait('i-1', ticket()).decision in SENT
--- a/tests/gateway/test_request_memory.py
+++ b/tests/gateway/test_request_memory.py
@@ -5,11 +5,15 @@
 import eventlet
 import pytest
 
+from ivystep.gateway import disconnect_watch
+from ivystep.traffic import http1
 from tests.gateway import harness
 
 BODY_BYTES = 60000
 LIMIT_BYTES = 4 * BODY_BYTES
 CALLERS = 12
+PIECES = 200
+PIECE_REQUESTS = 50
 
 
 @pytest.fixture
@@ -104,3 +108,45 @@
     # The last read may begin just below the limit.
     assert used_bytes(made) <= LIMIT_BYTES + BODY_BYTES
     assert upstream.requests
+
+
+def kept_bytes(gateway, sent_bytes):
+    """Return the length of the requests that wait behind those in progress."""
+    state = gateway.daemon._server_state
+    return sent_bytes * sum(
+        len(one._reader._ready) for one in state.open_connections
+    )
+
+
+def test_pipelined_heads_count(stack, build):
+    """Guards against memory used up by requests without a body."""
+    made, (upstream,) = build(lambda *_: None)
+    made.daemon._server_state.buffered.limit_bytes = LIMIT_BYTES
+    behind = harness.request('/once/2f', 'b-1')
+    for number in range(CALLERS):
+        connection = stack.enter_context(contextlib.closing(made.connect()))
+        connection.sendall(harness.request('/once/2f', f'r-{number}'))
+        eventlet.sleep(0.02)
+        connection.sendall(behind * (BODY_BYTES // len(behind)))
+    eventlet.sleep(0.1)
+    assert kept_bytes(made, len(behind)) <= LIMIT_BYTES + BODY_BYTES
+    assert upstream.requests
+
+
+def test_pipelined_bytes_of_a_connection_are_bounded(stack, build):
+    """Guards against a bound that each request of the connection renews."""
+
+    def answer_later(_, headers):
+        eventlet.sleep(0.02)
+        return harness.ok_answer(headers)
+
+    made, _ = build(answer_later)
+    behind = harness.request('/once/2f', 'b-1')
+    connection = stack.enter_context(contextlib.closing(made.connect()))
+    for _ in range(PIECES):
+        connection.sendall(behind * PIECE_REQUESTS)
+        eventlet.sleep(0.005)
+    # The last read may begin just below the limit.
+    limit = disconnect_watch.MAX_PIPELINED_BYTES + http1.READ_BYTES
+    assert PIECES * PIECE_REQUESTS * len(behind) > 2 * limit
+    assert kept_bytes(made, len(behind)) <= limit
--- a/tests/sidecar/test_host.py
+++ b/tests/sidecar/test_host.py
@@ -66,3 +66,22 @@
         )
 
     assert virtual_hub.run(scenario) == (True, False, '')
+
+
+class OddMetrics(upstream.EngineHttp):
+    """An engine that publishes no usable number of running requests."""
+
+    def _get(self, path, accepted=(200,)):
+        return b'process_start_time_seconds 1\nvllm:num_requests_running NaN\n'
+
+
+def test_odd_metrics_after_a_lost_answer_do_not_end_its_attempt_silently():
+    """Guards against attempts that end without a message to their entry."""
+
+    def scenario():
+        upstream_host = host_with_snapshots((0, '1'))
+        upstream_host.refresh()
+        upstream_host.http = OddMetrics('http://127.0.0.1:1')
+        return upstream_host.confirm_failure('1')
+
+    assert virtual_hub.run(scenario) is False
