Count all bytes of waiting requests against the memory of a gateway

What operators would see: memory beyond its bound by pipelined requests without bodies. Cause: the budget counted bodies only, the bound of one connection started again with each of its requests, and a refused request stayed in the budget until its connection had closed.

Change: heads and the objects of a parsed request count; the bound of a connection is on what it keeps; a refusal gives its bytes back at once.

--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -260,7 +260,7 @@
 
     def _handle(self, raw: http1.RawRequest) -> None:
         self._server_state.requests += 1
-        self._running_bytes = len(raw.body)
+        self._running_bytes = raw.kept_bytes
         try:
             self._handle_request(raw, self)
         finally:
@@ -378,6 +378,7 @@
 
     def _refuse_bad_request(self, error: http1.BadRequestError) -> None:
         self._reader.discard()
+        self._may_buffer()
         if error.code == NO_MEMORY:
             self._server_state.refused_for_memory += 1
         self.answer.is_kept_alive = False
--- a/ivystep/gateway/disconnect_watch.py
+++ b/ivystep/gateway/disconnect_watch.py
@@ -45,7 +45,6 @@
         self._reader = reader
         self._cancel = cancel
         self._may_buffer = may_buffer
-        self._pipelined_bytes = 0
         self._hub_listener: typing.Any = None
 
     def raise_if_disconnected(self) -> None:
@@ -75,7 +74,6 @@
             self._stop()
 
     def _start(self) -> None:
-        self._pipelined_bytes = 0
         hub = hubs.get_hub()
         self._hub_listener = hub.add(
             hub.READ,
@@ -105,7 +103,10 @@
         The socket is no longer watched after a disconnect, or when too many
         bytes are buffered here or on all connections.
         """
-        has_room = self._may_buffer()
+        has_room = (
+            self._may_buffer()
+            and self._reader.buffered_bytes <= MAX_PIPELINED_BYTES
+        )
         try:
             received = self._receive() if has_room else self._peek()
         except BlockingIOError:
@@ -119,11 +120,8 @@
         if not has_room:
             self._stop()
             return
-        self._pipelined_bytes += len(received)
         self._reader.feed(received)
         self._may_buffer()
-        if self._pipelined_bytes > MAX_PIPELINED_BYTES:
-            self._stop()
 
     def _receive(self) -> bytes:
         return self._socket.fd.recv(http1.READ_BYTES, socket.MSG_DONTWAIT)
--- a/ivystep/traffic/http1.py
+++ b/ivystep/traffic/http1.py
@@ -18,6 +18,8 @@
 READ_BYTES = 64 * units.KIB
 # Bytes of a header line besides its name and value: colon, space, CR and LF.
 HEADER_OVERHEAD_BYTES = 4
+# Objects of a parsed request besides its bytes.
+REQUEST_OVERHEAD_BYTES = 512
 CHUNKED_ENCODING = b'chunked'
 
 
@@ -57,6 +59,12 @@
         default_factory=list, repr=False
     )
     body: bytearray = dataclasses.field(default_factory=bytearray)
+    head_bytes: int = 0
+
+    @property
+    def kept_bytes(self) -> int:
+        """Number of bytes that the request occupies, about."""
+        return REQUEST_OVERHEAD_BYTES + self.head_bytes + len(self.body)
 
 
 class RequestReader:
@@ -77,13 +85,15 @@
         self._is_head_complete = False
         self._has_expect_header = False
         self._ready: collections.deque[RawRequest] = collections.deque()
+        self._ready_bytes = 0
         self._problem: BadRequestError | None = None
 
     @property
     def buffered_bytes(self) -> int:
-        """Number of bytes of bodies that are buffered."""
-        waiting = sum(len(one.body) for one in self._ready)
-        return waiting if self.is_idle else waiting + len(self._current.body)
+        """Number of bytes that waiting and incomplete requests occupy."""
+        if self.is_idle:
+            return self._ready_bytes
+        return self._ready_bytes + self._head_bytes + len(self._current.body)
 
     @property
     def is_in_head(self) -> bool:
@@ -119,7 +129,9 @@
             BadRequestError: What follows the last complete request is refused.
         """
         if self._ready:
-            return self._ready.popleft()
+            raw = self._ready.popleft()
+            self._ready_bytes -= raw.kept_bytes
+            return raw
         if self._problem is not None:
             raise self._problem
         return None
@@ -131,7 +143,9 @@
         the next garbage collection.
         """
         self._current = RawRequest()
+        self._head_bytes = 0
         self._ready.clear()
+        self._ready_bytes = 0
 
     def pop_expect_continue(self) -> bool:
         """Return whether the caller expects a 100 (Continue), and reset it."""
@@ -180,7 +194,9 @@
         """End a request. Called by the parser."""
         if self._problem is None:
             self._current.is_kept_alive = self._parser.should_keep_alive()
+            self._current.head_bytes = self._head_bytes
             self._ready.append(self._current)
+            self._ready_bytes += self._current.kept_bytes
         self.is_idle = True
         self._is_head_complete = False
         self._has_expect_header = False
