Write rows to the store again after an unexpected error

Cause: the task that writes rows ended by the error and still counted as running, so crashes and origins of streams were never stored again. The batch that raised the error is lost and logged; the others are written. Evidence: test_rows_are_written_after_an_unexpected_error failed before. The error was injected; no trigger is known.

--- a/ivystep/gateway/row_writer.py
+++ b/ivystep/gateway/row_writer.py
@@ -13,7 +13,7 @@
 from ivystep.core import errors
 from ivystep.gateway import events
 from ivystep.platform import rows
-from ivystep.runtime import clock, event_log
+from ivystep.runtime import background, clock, event_log, process_events
 
 # The store's limit on the rows of one transaction.
 MAX_BATCH_ROWS = 100
@@ -93,6 +93,26 @@
         return pending
 
     def _run(self) -> None:
+        try:
+            while self._pending:
+                self._write_pending()
+        finally:
+            self._is_running = False
+
+    def _write_pending(self) -> None:
+        """Write all rows; a batch that raises an unexpected error is lost."""
+        try:
+            self._write_batches()
+        except Exception as error:
+            self._log.write(
+                process_events.TaskFailed(
+                    f'rows to {self._table}',
+                    background.describe(error),
+                    background.place(error),
+                )
+            )
+
+    def _write_batches(self) -> None:
         retry_s = FIRST_RETRY_S
         while self._pending:
             batch = [
@@ -115,4 +135,3 @@
                 retry_s = FIRST_RETRY_S
                 for _, pending in batch:
                     pending.acknowledge()
-        self._is_running = False
