Give permits again after an unexpected error

Cause: the task of an engine's queue ended by the error and still counted as running, so each queued prompt waited until its latest start. Evidence: test_permits_are_given_after_an_unexpected_error failed before. The error was injected; no trigger is known.

--- a/ivystep/gateway/prefill_queues.py
+++ b/ivystep/gateway/prefill_queues.py
@@ -16,7 +16,7 @@
 from ivystep.entry import peers
 from ivystep.fair_shares import max_min
 from ivystep.prefill import prefill, prefill_forecast, prefill_rates
-from ivystep.runtime import clock
+from ivystep.runtime import clock, logs
 from ivystep.wire.gen import ttypes
 
 # Longest wait of one permit request, so that a host soon notices that the
@@ -33,6 +33,9 @@
 CHECK_INTERVAL_S = 0.05
 
 
+log = logs.get('prefill')
+
+
 @dataclasses.dataclass(slots=True)
 class _QueuedTicket:
     """A ticket with the event that ends its wait."""
@@ -154,6 +157,15 @@
         )
 
     def _run(self) -> None:
+        try:
+            self._permit_waiting()
+        except Exception:
+            # The hosts ask again for those that wait.
+            log.exception('The queue of an engine failed.')
+        finally:
+            self._is_running = False
+
+    def _permit_waiting(self) -> None:
         while self._waiting:
             now = clock.now()
             self._refuse_late_without_room(now)
@@ -167,7 +179,6 @@
                 continue
             queued = self._waiting.pop(tickets.index(chosen))
             queued.permitted.send(self._grant(chosen, now))
-        self._is_running = False
 
 
 class PrefillQueues:
