Refuse a manifest of a setup that lacks its fields

What operators would see: an entry that never reads the setup from peers again. Cause: an odd answer raised an error out of the task that asks them. Evidence: test_odd_answer_of_a_peer_does_not_end_the_reading_from_peers failed before in three cases.

--- a/ivystep/entry/setup_exchange.py
+++ b/ivystep/entry/setup_exchange.py
@@ -4,6 +4,7 @@
 entry that learns of a higher setup version which it cannot read itself.
 """
 
+import typing
 from collections.abc import Callable
 
 from ivystep.core import errors
@@ -81,15 +82,30 @@
         return False
 
     def _fetch(self, link: peers.PeerLink) -> bool:
-        manifest = link.ask(ttypes.GetManifest())
+        manifest = _checked(link.ask(ttypes.GetManifest()))
         if manifest.version <= self.version():
             return False
         body_by_name = {}
         for name, digest in manifest.digest_by_section.items():
             section = link.ask(ttypes.GetSection(digest))
-            if section.body is None:
+            if getattr(section, 'body', None) is None:
                 raise errors.LinkError(
                     'the peer no longer has this setup version'
                 )
             body_by_name[name] = section.body
         return self._setup.import_version(manifest.version, body_by_name)
+
+
+def _checked(reply: typing.Any) -> ttypes.Manifest:
+    """Return a reply that is a whole manifest.
+
+    Raises:
+        errors.LinkError: It is not; a field that a peer leaves out is None.
+    """
+    if (
+        not isinstance(reply, ttypes.Manifest)
+        or reply.version is None
+        or reply.digest_by_section is None
+    ):
+        raise errors.LinkError('the peer sent no manifest of a setup')
+    return reply
