Take a count of running requests that is no number for unknown

What callers would see: an attempt that ends without a message to its entry. Cause: NaN in the metrics of an upstream raised an error out of the probe after a lost answer. Evidence: test_odd_metrics_after_a_lost_answer_do_not_end_its_attempt_silently failed before.

--- a/ivystep/sidecar/upstream.py
+++ b/ivystep/sidecar/upstream.py
@@ -113,10 +113,9 @@
         """
         text = self._get('/metrics', accepted=(200, 404))
         value_by_name = dict(_metric_samples(text.decode(errors='replace')))
-        running = value_by_name.get(RUNNING_METRIC)
         return UpstreamSnapshot(
             value_by_name.get(START_TIME_METRIC, ''),
-            running=None if running is None else int(float(running)),
+            running=_count(value_by_name.get(RUNNING_METRIC, '')),
         )
 
     def _get(self, path: str, accepted: tuple[int, ...] = (200,)) -> bytes:
@@ -324,3 +323,11 @@
         step='run',
         peer=peer,
     )
+
+
+def _count(text: str) -> int | None:
+    """Return a published count; None if there is none that is a number."""
+    try:
+        return int(float(text))
+    except (ValueError, OverflowError):
+        return None
