End a drain in good order although the release of the lease fails

What operators would see: exit code 1 of a planned stop. Cause: the error of the release was raised in the main task. Evidence: test_release_that_fails_does_not_end_the_process_by_an_error failed before. The error was injected.

--- a/ivystep/gateway/draining.py
+++ b/ivystep/gateway/draining.py
@@ -12,7 +12,8 @@
 
 from ivystep.core import units
 from ivystep.gateway import callers, process_events
-from ivystep.runtime import clock, drain, event_log
+from ivystep.runtime import background, clock, drain, event_log
+from ivystep.runtime import process_events as life_events
 
 # Time for which new connections are still accepted after SIGTERM. The platform
 # probes readiness once a second and stops routing after two failed probes.
@@ -77,7 +78,7 @@
         self._stop.end_due()
         self._wait_for_callers(end + FLUSH_S)
         with eventlet.Timeout(max(end - clock.now(), 0), exception=False):
-            released.wait()
+            self._await_release(released)
 
     def _wait_for_callers(self, until: float) -> None:
         """Wait until all connections are closed, or until a time."""
@@ -85,3 +86,16 @@
             self._server_state.close_idle()
             self._stop.end_due()
             clock.sleep(drain.POLL_S)
+
+    def _await_release(self, released: typing.Any) -> None:
+        """Wait for the release, whose errors must not end the drain."""
+        try:
+            released.wait()
+        except Exception as error:
+            self._log.write(
+                life_events.TaskFailed(
+                    'release',
+                    background.describe(error),
+                    background.place(error),
+                )
+            )
