Share no port with another process

What callers would see: a part of the connections to one process reaches another one of the same user that listens on the same port, as one that drains beside its successor, or a second one by a wrong setting; no line tells. Cause: eventlet's listen sets SO_REUSEPORT on fixed ports, so the address is not taken. Change: it is not set; the second process waits for the port with its log line, as for any other that is taken.

Evidence: test_port_of_another_process_is_not_shared fails before ((True, True) instead of (True, False)).

--- a/ivystep/runtime/listeners.py
+++ b/ivystep/runtime/listeners.py
@@ -175,7 +175,11 @@
         Raises:
             OSError: The address is unavailable.
         """
-        opened = eventlet.listen(self._address, self.family, self._backlog)
+        # Otherwise two processes could share the port, and each would get a
+        # part of the other's connections.
+        opened = eventlet.listen(
+            self._address, self.family, self._backlog, reuse_port=False
+        )
         opened.settimeout(ACCEPT_CHECK_S)
         self._socket = opened
         if self._unavailable_since is not None:
--- a/tests/runtime/test_listeners.py
+++ b/tests/runtime/test_listeners.py
@@ -44,7 +44,7 @@
         self.outcomes = list(outcomes)
         self.tries = 0
 
-    def listen(self, address, family, backlog):
+    def listen(self, address, family, backlog, *, reuse_port):
         self.tries += 1
         outcome = self.outcomes.pop(0)
         if isinstance(outcome, int):
@@ -161,3 +161,17 @@
     listener.close()
     with eventlet.Timeout(3), pytest.raises(listeners.ListenerClosedError):
         accepting.wait()
+
+
+def test_port_of_another_process_is_not_shared():
+    """Guards against two processes that each get a part of the connections."""
+    with contextlib.closing(socket.socket()) as probe:
+        probe.bind(('127.0.0.1', 0))
+        address = probe.getsockname()
+    first = listeners.Listener.open('callers', address, lambda event: None)
+    second = listeners.Listener.open('callers', address, lambda event: None)
+    assert (first.is_open, second.is_open) == (True, False)
+    first.close()
+    with eventlet.Timeout(2):
+        second.wait_until_open()
+    second.close()
--- a/tests/wire/test_listener.py
+++ b/tests/wire/test_listener.py
@@ -31,7 +31,7 @@
     failures = [errno.EMFILE, errno.ECONNABORTED, errno.EPROTO, errno.EBADF]
     first, second = Socket(failures), Socket([errno.EMFILE] * 99)
     opened = [second, first]
-    monkeypatch.setattr(eventlet, 'listen', lambda *_: opened.pop())
+    monkeypatch.setattr(eventlet, 'listen', lambda *_, **__: opened.pop())
 
     def scenario():
         source = listeners.Listener.open('peers', ('', 0), lambda event: None)
