--- a/soak/schedules/simulation.py
+++ b/soak/schedules/simulation.py
@@ -91,7 +91,7 @@
         owner = ownership.LeaseOwner(upstream_lease, checks_fencing=True)
         self.upstream_host.orders.owner = owner
         self._tasks = [
-            owner.start(),
+            eventlet.spawn(owner.hold),
             eventlet.spawn(self.upstream_host.monitor),
         ]
 
