--- a/tests/processes/test_descriptors.py
+++ b/tests/processes/test_descriptors.py
@@ -8,7 +8,6 @@
 
 import pytest
 
-from demo import cluster
 from tests.processes import single_daemon
 
 CLOSED = {
@@ -19,25 +18,6 @@
 DROPPED = re.compile(r'^ivystep_log_lines_dropped_total\S* (\d+)', re.MULTILINE)
 
 
-@pytest.fixture(scope='module')
-def system(tmp_path_factory):
-    """Start the platform."""
-    made = cluster.Cluster(tmp_path_factory.mktemp('descriptors'))
-    try:
-        made.start_platform()
-        yield made
-    finally:
-        made.stop()
-
-
-@pytest.fixture(scope='module', params=single_daemon.ROLES)
-def node(system, request):
-    """Start a daemon of each kind once, for its arguments."""
-    made = single_daemon.start(system, request.param)
-    yield made
-    made.stop(signal.SIGKILL)
-
-
 def relaunch(node, redirections, **options):
     """Start a daemon with other standard descriptors."""
     node.stop(signal.SIGKILL)
--- a/tests/processes/test_life.py
+++ b/tests/processes/test_life.py
@@ -3,31 +3,9 @@
 import pathlib
 import signal
 
-import pytest
-
-from demo import cluster
 from tests.processes import single_daemon
 
 
-@pytest.fixture(scope='module')
-def system(tmp_path_factory):
-    """Start the platform."""
-    made = cluster.Cluster(tmp_path_factory.mktemp('life'))
-    try:
-        made.start_platform()
-        yield made
-    finally:
-        made.stop()
-
-
-@pytest.fixture(scope='module', params=single_daemon.ROLES)
-def node(system, request):
-    """Start a daemon of each kind."""
-    made = single_daemon.start(system, request.param)
-    yield made
-    made.stop(signal.SIGKILL)
-
-
 def await_log(system, node, text):
     single_daemon.wait_until(
         lambda: text in single_daemon.read_log(system, node)
--- a/tests/processes/test_signals.py
+++ b/tests/processes/test_signals.py
@@ -1,4 +1,4 @@
-"""Tests what signals do to real single_daemon."""
+"""Tests what signals do to real daemons."""
 
 import pathlib
 import signal
@@ -7,7 +7,6 @@
 import eventlet
 import pytest
 
-from demo import cluster
 from tests.processes import single_daemon
 
 # A process without timers of its own once slept for a minute here.
@@ -22,40 +21,21 @@
     return process.poll() is not None or module in maps.read_text()
 
 
-@pytest.fixture(scope='module')
-def system(tmp_path_factory):
-    """Start the platform."""
-    made = cluster.Cluster(tmp_path_factory.mktemp('signals'))
-    try:
-        made.start_platform()
-        yield made
-    finally:
-        made.stop()
-
-
-@pytest.fixture(scope='module', params=single_daemon.ROLES)
-def module_node(system, request):
-    """Start a daemon of each kind once."""
-    node = single_daemon.start(system, request.param)
-    yield node
-    node.stop(signal.SIGKILL)
-
-
 @pytest.fixture
-def daemon(module_node, system):
+def daemon(node, system):
     """Return a daemon that accepts connections."""
-    if module_node.process.poll() is not None:
-        single_daemon.launch(system, module_node)
-    single_daemon.await_service(module_node)
-    return module_node
+    if node.process.poll() is not None:
+        single_daemon.launch(system, node)
+    single_daemon.await_service(node)
+    return node
 
 
 @pytest.fixture
-def starting(module_node, system):
+def starting(node, system):
     """Start a daemon and return it before its modules are imported."""
-    module_node.stop(signal.SIGKILL)
-    single_daemon.launch(system, module_node)
-    return module_node
+    node.stop(signal.SIGKILL)
+    single_daemon.launch(system, node)
+    return node
 
 
 def has_reloaded(system, node):
