--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -56,7 +56,6 @@
 from ivystep.traffic import contracts
 
 BACKLOG = 1024
-IDLE_CHECK_INTERVAL_S = 0.5
 EXPIRY_INTERVAL_S = 60.0
 # Heartbeat intervals of an outage in which entries of upstreams may expire.
 # They do after three of silence, of which one may have passed before it.
@@ -343,7 +342,7 @@
         self._tasks.spawn(self._leadership.follow)
         self._tasks.spawn(self._quotas.run)
         self._tasks.spawn(self._base_model_loader.run)
-        self._tasks.spawn(self._close_expired_connections)
+        self._tasks.spawn(self._membership.close_expired_connections)
         self._tasks.spawn(self._apply_totals_as_leader)
         self._tasks.spawn(loop_lag.measure, self._event_metrics, self._log)
 
@@ -494,13 +493,6 @@
                 self._crashes.remove_expired()
                 self._origins.remove_abandoned()
 
-    def _close_expired_connections(self) -> None:
-        """Close idle connections to upstreams before the upstreams do."""
-        while True:
-            clock.sleep(IDLE_CHECK_INTERVAL_S)
-            for upstream in list(self._membership.upstream_by_id.values()):
-                upstream.connections.drop_expired()
-
 
 def _format_address(address: tuple[str, int]) -> str:
     return f'{address[0]}:{address[1]}'
--- a/ivystep/gateway/membership.py
+++ b/ivystep/gateway/membership.py
@@ -32,6 +32,7 @@
 RETURN_GRACE_S = 2.3
 # Incarnations that have left and are remembered.
 MAX_REMEMBERED = 4096
+IDLE_CHECK_INTERVAL_S = 0.5
 
 
 class Membership:
@@ -133,6 +134,16 @@
         for upstream_id in tuple(self._missing_since):
             self._remove_later(upstream_id, max(self._grace_left_s, 0.0))
 
+    def close_expired_connections(self) -> None:
+        """Close idle connections to upstreams before the upstreams do.
+
+        Runs until the task is killed.
+        """
+        while True:
+            clock.sleep(IDLE_CHECK_INTERVAL_S)
+            for upstream in list(self.upstream_by_id.values()):
+                upstream.connections.drop_expired()
+
     def _apply_entry(self, entry: upstreams.UpstreamEntry) -> None:
         if self._is_late_heartbeat(entry):
             self._log.write(
