Log and count how a planned stop ends a request

Change: request_stopped says when a request was whole and sent relative to the stop, what time was expected and by what, bytes received and written, and how it ended for the caller. ivystep_stopped_requests_total counts the ends by route. No decision changes.

--- a/ivystep/gateway/answer_writer.py
+++ b/ivystep/gateway/answer_writer.py
@@ -44,6 +44,7 @@
         self.last_event_id = ''
         self.can_resume = True
         self.longest_gap_s = 0.0
+        self.written_bytes = 0
         self.is_kept_alive = is_kept_alive
         self._written_at = 0.0
         self._socket = connection
@@ -89,6 +90,7 @@
         """Send a complete answer; see ``relay.CallerAnswer``."""
         self._mark_started(head.status)
         self._socket.sendall(self._encode_head(head, len(body)) + body)
+        self.written_bytes = len(body)
         self.is_complete = True
 
     def start(self, head: calls.AnswerHead, length: int) -> None:
@@ -114,6 +116,7 @@
         self._socket.sendall(
             http1.chunk(content) if self._is_chunked else content
         )
+        self.written_bytes += len(content)
 
     def finish(self) -> None:
         """Complete the answer; see ``relay.CallerAnswer``."""
--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -190,8 +190,8 @@
     ) -> None:
         """Record how an attempt has ended, whatever its outcome."""
         self._log.answer_ended(state, exchange.body)
+        state.progress.record_body(exchange.body)
         if exchange.is_given_up:
-            state.progress.record_body(exchange.body)
             self._log.given_up(state)
             self._given_up.add(state, upstream)
         if exchange.has_sent:
@@ -259,6 +259,7 @@
             resumes_after=state.answer.last_event_id,
             account=state.account_name,
         )
+        state.progress.expectation = self._stop.expectation(state)
         state.progress.sent_at = clock.now()
         state.progress.fill = upstream.fill_by_others
         state.progress.is_resumed = bool(attempt.resumes_after)
--- a/ivystep/gateway/event_metrics.py
+++ b/ivystep/gateway/event_metrics.py
@@ -58,6 +58,10 @@
         self.failed_attempts = self._counter(
             'failed_attempts', 'Attempts without a complete answer, by step.'
         )
+        self.stopped_requests = self._counter(
+            'stopped_requests',
+            'Requests ended by a planned stop, by their end for the caller.',
+        )
         self.answer_ends = self._counter(
             'unclear_answer_ends',
             'Answers without a length and streams cut inside an event.',
@@ -171,6 +175,20 @@
     metrics.answer_s.observe(route, event.elapsed_ms / units.MS_PER_S)
 
 
+@_record_event.register
+def _record_stopped(
+    event: events.RequestStopped, metrics: EventMetrics
+) -> None:
+    is_resumable = str(event.is_resumable).lower()
+    metrics.stopped_requests.inc(
+        {
+            **metrics.route(event.route),
+            'end': event.end,
+            'is_resumable': is_resumable,
+        }
+    )
+
+
 @_record_event.register
 def _record_answer_end(
     event: events.AnswerEnded, metrics: EventMetrics
--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -305,6 +305,44 @@
     account: str = ''
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestStopped(event_log.Event):
+    """A planned stop of this host has ended a request.
+
+    Attributes:
+        upstream: Upstream of the last attempt; empty before the first.
+        is_resumable: Whether the caller can take up the stream elsewhere.
+        whole_ms: When the request was received in full, in milliseconds after
+            the stop began; negative before.
+        is_sent: Whether the last attempt was sent.
+        sent_ms: When it was sent, like ``whole_ms``; 0 if it was not.
+        expected_ms: Time that the answer was expected to take as it was sent;
+            -1 if the stop had not begun, or nothing tells it.
+        bound: What told that time: ``deadline``, ``history``, or empty.
+        received_bytes: Length of the body received from the upstream.
+        written_bytes: Length of the body written to the caller's connection.
+        end: How it ended for the caller: ``refused``, ``failed`` (it may have
+            run) or ``reset``.
+    """
+
+    name: typing.ClassVar[str] = 'request_stopped'
+    is_rate_limited: typing.ClassVar[bool] = False
+    level: typing.ClassVar[int] = logging.WARNING
+
+    request_id: str
+    route: str
+    upstream: str
+    is_resumable: bool
+    whole_ms: int
+    is_sent: bool
+    sent_ms: int
+    expected_ms: int
+    bound: str
+    received_bytes: int
+    written_bytes: int
+    end: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigAdopted(event_log.Event):
     """A version of the configuration came into force at this host.
--- a/ivystep/gateway/planned_stop.py
+++ b/ivystep/gateway/planned_stop.py
@@ -44,10 +44,12 @@
 
     Attributes:
         times: How long answers take.
+        began_at: Time at which the stop began; infinite before.
     """
 
     def __init__(self) -> None:
         self.times = answer_times.AnswerTimes()
+        self.began_at = math.inf
         self._ends_at = math.inf
         self._good_faith_until = math.inf
         self._accepts_until = -math.inf
@@ -67,9 +69,10 @@
             ends_at: Time at which the last requests are ended.
             accepts_until: Time at which the listener for callers closes.
         """
+        self.began_at = clock.now()
         self._ends_at = ends_at
         self._accepts_until = accepts_until
-        self._good_faith_until = clock.now() + SENT_IN_GOOD_FAITH_S
+        self._good_faith_until = self.began_at + SENT_IN_GOOD_FAITH_S
 
     @contextlib.contextmanager
     def watch(self, state: request_state.RequestState) -> Generator[None]:
@@ -115,6 +118,26 @@
         if clock.now() >= self._latest_start(state):
             raise HostStoppedError
 
+    def expectation(
+        self, state: request_state.RequestState
+    ) -> request_state.Expectation | None:
+        """Return how long an answer is expected to take, and what tells it.
+
+        Args:
+            state: A request that is about to be sent.
+
+        Returns:
+            The expectation; None before the stop.
+        """
+        if clock.now() < self.began_at:
+            return None
+        if state.deadline <= self._ends_at:
+            return request_state.Expectation(state.remaining_s, 'deadline')
+        run_s = self._usual_s(state)
+        return request_state.Expectation(
+            run_s, '' if run_s is None else 'history'
+        )
+
     def end_due(self) -> None:
         """End the requests whose latest start, or this host's end, has come."""
         # The hub ends them, so that the present task goes on.
@@ -168,9 +191,16 @@
             return self._ends_at
         if state.deadline <= self._ends_at:
             return math.inf
-        if state.call.arrived <= self._good_faith_until:
-            return self._ends_at - (self.times.typical_s(state) or 0.0)
-        longest_s = self.times.longest_s(state)
-        if longest_s is None:
-            return -math.inf
-        return self._ends_at - longest_s
+        usual_s = self._usual_s(state)
+        if usual_s is not None:
+            return self._ends_at - usual_s
+        return self._ends_at if self._is_early(state) else -math.inf
+
+    def _usual_s(self, state: request_state.RequestState) -> float | None:
+        """Return the time that the last answers tell; None without any."""
+        if self._is_early(state):
+            return self.times.typical_s(state)
+        return self.times.longest_s(state)
+
+    def _is_early(self, state: request_state.RequestState) -> bool:
+        return state.call.arrived <= self._good_faith_until
--- a/ivystep/gateway/relay.py
+++ b/ivystep/gateway/relay.py
@@ -40,6 +40,7 @@
             received on an earlier connection; empty if there is none.
         can_resume: Whether only complete events have been sent so far.
         longest_gap_s: Longest time between two parts of the body.
+        written_bytes: Length of the body that was written so far.
     """
 
     has_started: bool
@@ -49,6 +50,7 @@
     last_event_id: str
     can_resume: bool
     longest_gap_s: float
+    written_bytes: int
 
     def raise_if_disconnected(self) -> None:
         """Raise ``CallerDisconnectedError`` if the caller has disconnected."""
--- a/ivystep/gateway/request_log.py
+++ b/ivystep/gateway/request_log.py
@@ -224,6 +224,35 @@
             )
         )
 
+    def stopped(
+        self, state: request_state.RequestState, began_at: float
+    ) -> None:
+        """Log that a planned stop has ended a request.
+
+        Args:
+            state: The request.
+            began_at: Time at which the stop began.
+        """
+        sent_at = state.progress.sent_at
+        expectation = state.progress.expectation or request_state.Expectation()
+        run_s = expectation.run_s
+        self._log.write(
+            events.RequestStopped(
+                state.call.request_id,
+                state.route.name,
+                state.upstream_id,
+                state.route.is_resumable,
+                _milliseconds(state.call.arrived - began_at),
+                sent_at is not None,
+                0 if sent_at is None else _milliseconds(sent_at - began_at),
+                -1 if run_s is None else _milliseconds(run_s),
+                expectation.bound,
+                state.progress.body_bytes,
+                state.answer.written_bytes,
+                _end_by_stop(state),
+            )
+        )
+
     def failed(
         self,
         call: calls.Call,
@@ -274,6 +303,17 @@
     return f'{generation.model}/{generation.adapter}'
 
 
+def _milliseconds(seconds: float) -> int:
+    return int(seconds * units.MS_PER_S)
+
+
+def _end_by_stop(state: request_state.RequestState) -> str:
+    """Return how a request that a planned stop ends is ended for its caller."""
+    if state.answer.has_started:
+        return 'reset'
+    return 'failed' if state.may_have_run else 'refused'
+
+
 def _permit_field(permit: prefill.Permit | None) -> str:
     """Return a permit as a log field; empty for a plain service."""
     if permit is None:
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -35,6 +35,19 @@
 MAX_LOGGED_PART_ID = 16
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Expectation:
+    """The time that an answer is expected to take.
+
+    Attributes:
+        run_s: The time in seconds; None if nothing tells it.
+        bound: What tells it: ``deadline``, ``history`` or empty.
+    """
+
+    run_s: float | None = None
+    bound: str = ''
+
+
 @dataclasses.dataclass(slots=True)
 class AttemptProgress:
     """How far an attempt has come.
@@ -49,6 +62,8 @@
             failed.
         is_settled: Whether the answer had gone on after its beginning by then.
         held_s: Time for which its head waited for the origin's row.
+        expectation: Time that the answer was expected to take as the attempt
+            was sent in a planned stop; None if none had begun.
     """
 
     sent_at: float | None = None
@@ -58,6 +73,7 @@
     body_bytes: int = 0
     is_settled: bool = False
     held_s: float = 0.0
+    expectation: Expectation | None = None
 
     def record_body(self, body: answer_body.AnswerBody | None) -> None:
         """Record how much of the answer's body has arrived.
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -67,6 +67,7 @@
     last_event_id = ''
     can_resume = True
     longest_gap_s = 0.0
+    written_bytes = 0
 
     def raise_if_disconnected(self):
         """The caller waits for the answer."""
--- a/tests/gateway/test_draining.py
+++ b/tests/gateway/test_draining.py
@@ -267,3 +267,46 @@
     assert (answer.status, answer.document['ran']) == (503, 'no')
     assert not upstream.requests
     drained.wait()
+
+
+def test_log_tells_how_a_stream_ended_in_a_stop(build, monkeypatch):
+    """Guards against a cut stream of which the log does not tell the cause."""
+
+    def begin(connection, headers):
+        connection.sendall(
+            harness.stream_head(headers) + harness.chunk(harness.EVENTS[0])
+        )
+
+    log = fakes.FakeLog()
+    gateway, _ = build(begin, config=SLOW_CALLERS)
+    monkeypatch.setattr(gateway.daemon._log, 'write', log.write)
+    with contextlib.closing(gateway.connect()) as connection:
+        drained = start_drain(gateway)
+        connection.sendall(slow_request('/flow/2f'))
+        harness.read_to_end(connection)
+    drained.wait()
+    (event,) = log.named('request_stopped')
+    assert (event.request_id, event.upstream, event.end) == (
+        'r-1',
+        'i-1',
+        'reset',
+    )
+    assert 0 <= event.whole_ms <= event.sent_ms < 1000
+    assert event.is_sent
+    assert (event.expected_ms, event.bound) == (-1, '')
+    assert event.received_bytes == event.written_bytes == len(harness.EVENTS[0])
+
+
+def test_log_tells_that_a_request_was_refused_in_a_stop(build, monkeypatch):
+    """Guards against a refusal that the log does not tell from a cut."""
+    log = fakes.FakeLog()
+    gateway, () = build(config=SLOW_CALLERS)
+    monkeypatch.setattr(gateway.daemon._log, 'write', log.write)
+    with contextlib.closing(gateway.connect()) as connection:
+        connection.sendall(slow_request('/slow/2f'))
+        drained = start_drain(gateway)
+        harness.read_to_end(connection)
+    drained.wait()
+    (event,) = log.named('request_stopped')
+    assert (event.end, event.is_sent, event.upstream) == ('refused', False, '')
+    assert event.whole_ms < 0
--- a/tests/gateway/test_event_metrics.py
+++ b/tests/gateway/test_event_metrics.py
@@ -131,3 +131,21 @@
     assert published['ivystep_resumed_streams_total', 'row'] == 1
     assert published['ivystep_resumed_streams_total', 'unknown: store'] == 1
     assert published['ivystep_origin_rows_late_total',] == 1
+
+
+def test_requests_ended_by_a_stop_are_counted_by_their_end(
+    metrics_and_recorder,
+):
+    """Guards against streams cut by a planned stop that do not show."""
+    metrics, recorder = metrics_and_recorder
+    fields = ('plans', 'i-1', True, -5, True, 9, -1, '', 70, 60)
+    for end in ('reset', 'reset', 'refused'):
+        recorder.record(events.RequestStopped('r-1', *fields, end))
+    published = samples(metrics)
+    name = 'ivystep_stopped_requests_total'
+    assert {
+        key[1:]: count for key, count in published.items() if key[0] == name
+    } == {
+        ('plans', 'reset', 'true'): 2,
+        ('plans', 'refused', 'true'): 1,
+    }
