Send nothing on in a planned stop by a guess of how long it takes

What callers saw: with 20 short answers of a route known, a request that became whole 3.3 s after SIGTERM was sent on, run and cut as its host ended: a stream by a reset, a plain request by 502 ran=unknown, also where it may not be repeated.

Cause: a request read later than 3 s after the signal was sent on if the longest of the last 64 answers of its route would have ended in time. No answer bounds the next one: an engine that slows down, queues it, or gets a colder adapter or a longer prompt does not know the history. The class: a promise (it is not cut) that rests on an estimate.

Change: what has not been sent when the listener closes, because callers are routed elsewhere by then, is sent only if its own deadline ends it in time. This also holds for requests that were read before and wait for a place, and for repeats. They are refused at once: 503, not run, Retry-After. The history is used only before that, to refuse what would usually be cut. The two times 2.6 s and 3.0 s become one.

Ruled out: a margin on the longest answer, which is a guess as well.

Evidence: test_late_request_is_refused_although_earlier_answers_were_short failed before on all three routes, (502, 'unknown') for (503, 'no').

Replaced tests: those that asked for a request to be taken by the longest known answer now ask for its refusal, and that one with a deadline is taken; a waiting request is refused when it can't be sent any more in place of at its latest start; retries within the time of the listener are tested as before, and one after it is added.

--- a/ivystep/gateway/answer_times.py
+++ b/ivystep/gateway/answer_times.py
@@ -11,10 +11,9 @@
 from ivystep.gateway import request_state
 from ivystep.runtime import clock
 
-# Answers that are kept of each route. The next one takes longer than all of
-# them once in about 65 times.
+# Answers that are kept of each route.
 SAMPLES = 64
-# With fewer answers, the longest says little about the next one.
+# With fewer answers, their median says little about the next one.
 MIN_SAMPLES = 8
 # Routes that are remembered; the one whose last answer is oldest is dropped.
 MAX_ROUTES = 1024
@@ -48,20 +47,6 @@
         if len(self._ratios_by_key) > MAX_ROUTES:
             self._ratios_by_key.popitem(last=False)
 
-    def longest_s(self, state: request_state.RequestState) -> float | None:
-        """Return the time in seconds that hardly any answer exceeds.
-
-        Args:
-            state: A request of the same route.
-
-        Returns:
-            The time; None if too few answers are known.
-        """
-        ratios = self._ratios_by_key.get(_key(state), ())
-        if len(ratios) < MIN_SAMPLES:
-            return None
-        return max(ratios) * state.expected_run_s
-
     def typical_s(self, state: request_state.RequestState) -> float | None:
         """Return the time in seconds that half of the answers take.
 
--- a/ivystep/gateway/planned_stop.py
+++ b/ivystep/gateway/planned_stop.py
@@ -1,9 +1,11 @@
 """Ends the requests that a planned stop of this host leaves no time for.
 
 A request that is sent to an upstream and cut off as this host ends has no
-outcome, and may not be repeated unless it is idempotent. So it is refused
-before it is sent, with the promise that it has not run, if its answer would
-probably come too late.
+outcome, and may not be repeated unless it is idempotent. While callers are
+still routed here, a request is refused before it is sent if its answer would
+usually come too late. Once they are routed elsewhere, only a request whose own
+deadline ends it in time is sent: how long earlier answers took is no bound.
+A refusal promises that the request has not run.
 """
 
 import contextlib
@@ -18,10 +20,6 @@
 from ivystep.gateway import answer_times, request_state
 from ivystep.runtime import clock
 
-# Callers may still send requests for this time after the stop signal, because
-# the platform routes them here until two readiness probes have failed.
-SENT_IN_GOOD_FAITH_S = 3.0
-
 
 class HostStoppedError(Exception):
     """This host ends too soon for the answer to a request."""
@@ -51,8 +49,7 @@
         self.times = answer_times.AnswerTimes()
         self.began_at = math.inf
         self._ends_at = math.inf
-        self._good_faith_until = math.inf
-        self._accepts_until = -math.inf
+        self._accepts_until = math.inf
         self._request_by_task: dict[greenlet.greenlet, _Request] = {}
 
     @property
@@ -67,12 +64,12 @@
 
         Args:
             ends_at: Time at which the last requests are ended.
-            accepts_until: Time at which the listener for callers closes.
+            accepts_until: Time at which the listener for callers closes,
+                because they are routed to other hosts by then.
         """
         self.began_at = clock.now()
         self._ends_at = ends_at
         self._accepts_until = accepts_until
-        self._good_faith_until = self.began_at + SENT_IN_GOOD_FAITH_S
 
     @contextlib.contextmanager
     def watch(self, state: request_state.RequestState) -> Generator[None]:
@@ -133,7 +130,7 @@
             return None
         if state.deadline <= self._ends_at:
             return request_state.Expectation(state.remaining_s, 'deadline')
-        run_s = self._usual_s(state)
+        run_s = self.times.typical_s(state)
         return request_state.Expectation(
             run_s, '' if run_s is None else 'history'
         )
@@ -181,26 +178,11 @@
         return clock.now() >= due_at
 
     def _latest_start(self, state: request_state.RequestState) -> float:
-        """Return the latest time at which a request may be sent.
-
-        One that was sent in good faith is refused only if most answers would
-        come too late, a later one if any might.
-        """
+        """Return the latest time at which a request may be sent."""
         if state.answer.has_started:
             # The caller has a part of the answer, which a refusal loses too.
             return self._ends_at
         if state.deadline <= self._ends_at:
             return math.inf
-        usual_s = self._usual_s(state)
-        if usual_s is not None:
-            return self._ends_at - usual_s
-        return self._ends_at if self._is_early(state) else -math.inf
-
-    def _usual_s(self, state: request_state.RequestState) -> float | None:
-        """Return the time that the last answers tell; None without any."""
-        if self._is_early(state):
-            return self.times.typical_s(state)
-        return self.times.longest_s(state)
-
-    def _is_early(self, state: request_state.RequestState) -> bool:
-        return state.call.arrived <= self._good_faith_until
+        usual_start = self._ends_at - (self.times.typical_s(state) or 0.0)
+        return min(usual_start, self._accepts_until)
--- a/tests/gateway/test_draining.py
+++ b/tests/gateway/test_draining.py
@@ -3,9 +3,11 @@
 import contextlib
 
 import eventlet
+import pytest
 
 from ivystep.gateway import answer_times, callers, draining
 from ivystep.runtime import clock
+from ivystep.traffic import http1
 from tests.coordination import fakes as clocks
 from tests.gateway import fakes, harness
 
@@ -102,6 +104,8 @@
 LATE_S = 3.3
 SHORT_GRACE = {'grace_s': 5.0}
 SLOW_S = 1.5
+# Shorter than what is left then.
+LATE_DEADLINE_MS = 1000
 SLOW_CALLERS = {
     'limits': {**harness.LIMITS, 'idle_timeout_ms': 9000},
     'routes': (
@@ -112,11 +116,11 @@
 }
 
 
-def slow_request(path, request_id='r-1', body=b'{}'):
-    """Return a request whose caller waits for longer than the grace."""
+def slow_request(path, request_id='r-1', body=b'{}', deadline_ms=9000):
+    """Return a request whose caller waits for longer than most graces."""
     head = (
         f'POST {path} HTTP/1.1\r\nHost: {harness.HOST}\r\n'
-        f'Request-Id: {request_id}\r\nDeadline-Ms: 9000\r\n'
+        f'Request-Id: {request_id}\r\nDeadline-Ms: {deadline_ms}\r\n'
         f'Content-Length: {len(body)}\r\n\r\n'
     )
     return head.encode() + body
@@ -156,7 +160,7 @@
     drained.wait()
 
 
-def test_request_completed_late_is_taken_if_it_can_end(build):
+def test_request_completed_late_is_taken_if_its_deadline_ends_it(build):
     """Guards against refusals of requests that end before the stop does."""
     gateway, _ = build(
         lambda _, headers: harness.ok_answer(headers),
@@ -164,10 +168,7 @@
         **SHORT_GRACE,
     )
     with contextlib.closing(gateway.connect()) as connection:
-        for number in range(answer_times.MIN_SAMPLES):
-            connection.sendall(slow_request('/slow/2f', f'r-{number}'))
-            harness.receive_until(connection, b'whole answer')
-        whole = slow_request('/slow/2f', 'r-late')
+        whole = slow_request('/slow/2f', deadline_ms=LATE_DEADLINE_MS)
         connection.sendall(whole[:-1])
         drained = start_drain(gateway)
         eventlet.sleep(LATE_S)
@@ -310,3 +311,54 @@
     (event,) = log.named('request_stopped')
     assert (event.end, event.is_sent, event.upstream) == ('refused', False, '')
     assert event.whole_ms < 0
+
+
+# The answers of a route before the stop, and one that needs longer.
+HISTORY_S = 0.2
+SLOWER_S = 5.5
+LONG_GRACE = {'grace_s': 8.0}
+# Less than what was left when the engine needed ``HISTORY_S``.
+LATE_AFTER_S = 3.3
+
+
+class SlowingEngine:
+    """An upstream whose answers take longer from some moment on."""
+
+    def __init__(self):
+        self.answer_s = 0.0
+
+    def answer(self, _, headers):
+        eventlet.sleep(self.answer_s)
+        return (
+            harness.stream_head(headers)
+            + harness.chunk(harness.EVENTS[0])
+            + http1.LAST_CHUNK
+        )
+
+
+@pytest.mark.parametrize('path', ['/slow/2f', '/again/2f', '/flow/2f'])
+def test_late_request_is_refused_although_earlier_answers_were_short(
+    build, path
+):
+    """Guards against requests sent on by a guess, run, and cut by a reset."""
+    engine = SlowingEngine()
+    gateway, (upstream,) = build(
+        engine.answer, config=SLOW_CALLERS, **LONG_GRACE
+    )
+    with contextlib.closing(gateway.connect()) as connection:
+        for number in range(answer_times.MIN_SAMPLES):
+            connection.sendall(slow_request(path, f'r-{number}'))
+            harness.receive_until(connection, harness.EVENTS[0])
+        known = len(upstream.requests)
+        whole = slow_request(path, 'r-late')
+        connection.sendall(whole[:-1])
+        drained = start_drain(gateway)
+        eventlet.sleep(LATE_AFTER_S)
+        engine.answer_s = SLOWER_S
+        connection.sendall(whole[-1:])
+        sent_at = clock.now()
+        answer = harness.read_to_end(connection)
+    assert (answer.status, answer.document['ran']) == (503, 'no')
+    assert clock.now() - sent_at < 0.5
+    assert len(upstream.requests) == known
+    drained.wait()
--- a/tests/gateway/test_late_attempts.py
+++ b/tests/gateway/test_late_attempts.py
@@ -18,10 +18,11 @@
 }
 
 
-def late_harness(monkeypatch, left_s, **more):
+def late_harness(monkeypatch, left_s, accepts_s=GRACE_S, **more):
     """Return a dispatcher whose host ends requests in a given time.
 
-    Its upstreams have needed a known time for each answer so far.
+    Callers are routed here for a time after the stop has begun. The
+    dispatcher's upstreams have needed a known time for each answer so far.
     """
     harness = test_dispatch.DispatchHarness(monkeypatch, **more)
     harness.wait_in_queue = lambda: clock.sleep(ANSWER_S)
@@ -29,7 +30,7 @@
         harness.run(**ROUTE)
     harness.sent.clear()
     stop = harness.dispatcher._stop
-    stop.begin(clock.now() + GRACE_S, accepts_until=clock.now())
+    stop.begin(clock.now() + GRACE_S, clock.now() + accepts_s)
     clock.sleep(GRACE_S - left_s)
     return harness
 
@@ -99,3 +100,23 @@
         assert len(harness.sent) == 2
 
     scenario()
+
+
+def test_retry_after_callers_have_left_is_not_made(monkeypatch):
+    """Guards against a second run that is cut; earlier answers are no bound."""
+
+    @clocks.on_virtual_clock
+    def scenario():
+        harness = late_harness(
+            monkeypatch,
+            left_s=4 * ANSWER_S,
+            accepts_s=GRACE_S - 3.5 * ANSWER_S,
+            upstreams=2,
+        )
+        harness.outcomes.append(
+            test_dispatch.failure(types.ExecutionStatus.UNKNOWN)
+        )
+        assert refused(harness) == (502, types.ExecutionStatus.UNKNOWN)
+        assert len(harness.sent) == 1
+
+    scenario()
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -11,6 +11,7 @@
 from tests.coordination import fakes as clocks
 
 GRACE_S = 7.6
+ACCEPTS_S = 2.6
 ANSWER_S = 2.0
 
 
@@ -59,7 +60,7 @@
     stop = planned_stop.PlannedStop()
     learn(stop, *answers_s, **more)
     ends_at = clock.now() + GRACE_S
-    stop.begin(ends_at, accepts_until=clock.now())
+    stop.begin(ends_at, accepts_until=clock.now() + ACCEPTS_S)
     return stop, ends_at
 
 
@@ -72,30 +73,32 @@
 
 
 @clocks.on_virtual_clock
-def test_late_request_is_taken_if_the_longest_answer_ends_in_time():
-    """Guards against cuts where some answers take longer than others."""
-    stop, ends_at = begun_stop(*[0.1] * answer_times.MIN_SAMPLES, ANSWER_S)
-    clock.sleep(ends_at - ANSWER_S - 0.1 - clock.now())
-    assert is_taken(stop, new_state())
+def test_late_request_is_not_taken_because_earlier_answers_were_short():
+    """Guards against cuts where an answer takes longer than all before."""
+    stop, _ = begun_stop(*[0.1] * answer_times.SAMPLES)
+    early = new_state()
+    clock.sleep(ACCEPTS_S - 0.1)
+    assert is_taken(stop, early)
     clock.sleep(0.2)
+    assert not is_taken(stop, early)
     assert not is_taken(stop, new_state())
 
 
 @clocks.on_virtual_clock
-def test_late_request_of_an_unknown_route_is_taken_if_its_timeout_ends_it():
-    """Guards against guesses where nothing tells how long answers take."""
+def test_late_request_is_taken_if_its_timeout_ends_it():
+    """Guards against refusals of requests that can't be cut by the end."""
     stop, ends_at = begun_stop()
-    clock.sleep(planned_stop.SENT_IN_GOOD_FAITH_S + 0.1)
+    clock.sleep(ACCEPTS_S + 0.1)
     left_s = ends_at - clock.now()
     assert is_taken(stop, new_state(timeout_s=left_s - 0.1))
     assert not is_taken(stop, new_state(timeout_s=left_s + 0.1))
 
 
 @clocks.on_virtual_clock
-def test_request_in_good_faith_is_taken_whatever_is_known():
+def test_early_request_is_taken_if_most_answers_end_in_time():
     """Guards against refusals while the platform still routes callers here."""
     stop, _ = begun_stop(*[GRACE_S / 2] * answer_times.MIN_SAMPLES, 60.0)
-    clock.sleep(planned_stop.SENT_IN_GOOD_FAITH_S)
+    clock.sleep(ACCEPTS_S - 0.1)
     assert is_taken(stop, new_state())
     assert is_taken(stop, new_state(route_name='other'))
 
@@ -103,10 +106,9 @@
 @clocks.on_virtual_clock
 def test_long_stream_is_refused_when_a_short_one_is_still_taken():
     """Guards against one estimate for streams of all lengths."""
-    stop, ends_at = begun_stop(
+    stop, _ = begun_stop(
         *[1.0] * answer_times.MIN_SAMPLES, max_output_tokens=100
     )
-    clock.sleep(ends_at - 2.0 - clock.now())
     assert is_taken(stop, new_state(100))
     assert not is_taken(stop, new_state(1000))
 
@@ -149,12 +151,19 @@
     return ended
 
 
+@pytest.mark.parametrize(
+    ('answer_s', 'waits_s'),
+    [(ANSWER_S, ACCEPTS_S), (GRACE_S - 1, 1.0), (2 * GRACE_S, 0.0)],
+)
 @clocks.on_virtual_clock
-def test_waiting_request_is_refused_at_its_latest_start():
-    """Guards against requests that wait for a place and are cut with it."""
-    stop, ends_at = begun_stop(*[ANSWER_S] * answer_times.MIN_SAMPLES)
+def test_waiting_request_is_refused_as_soon_as_it_is_not_sent_any_more(
+    answer_s, waits_s
+):
+    """Guards against callers that wait for a place and are refused late."""
+    stop, ends_at = begun_stop(*[answer_s] * answer_times.MIN_SAMPLES)
+    began_at = clock.now()
     ((at, status, ran),) = ended_request(stop, new_state(), ends_at)
-    assert at == pytest.approx(ends_at - ANSWER_S, abs=0.1)
+    assert at - began_at == pytest.approx(waits_s, abs=0.1)
     assert (status, ran) == (503, 'no')
 
 
@@ -201,5 +210,5 @@
             state = new_state(route_name=f'route-{number}')
             state.progress.sent_at = clock.now()
             times.record(state)
-    assert times.longest_s(new_state(route_name='route-0')) is None
-    assert times.longest_s(new_state(route_name='route-1')) is not None
+    assert times.typical_s(new_state(route_name='route-0')) is None
+    assert times.typical_s(new_state(route_name='route-1')) is not None
