Count a drain from its signal, not from the turn that hears it

What callers saw, on a host whose event loop is busy as it is told to stop: all requests in progress end without an answer, because the platform kills the process before its drain has ended.

Cause: the handler recorded that a signal had come, and the drain counted from the later turn of the task that waits for it. The class: a bound of two parties that each counts from a moment of its own.

Change: the handler records the time. The deadlines of gateway, entry, sidecar and console count from it; the gateway's listener stays open for the whole notice within the grace, and requests that may be cut are sent until the notice has passed since the signal.

--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -288,6 +288,7 @@
             self._leadership.release,
             self.settings.bounds.grace_s,
             self._log,
+            self._signals.delay_s,
         ).run(listener)
 
     def stop(self) -> None:
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -126,7 +126,7 @@
         except DeadlineExceededError as error:
             raise request_state.deadline_error(state) from error
         except planned_stop.HostStoppedError as error:
-            self._log.stopped(state, self._stop.began_at)
+            self._log.stopped(state, self._stop.begun.signalled_at)
             raise request_state.stopped_error(
                 state, self._stop.retry_after_s
             ) from error
--- a/ivystep/gateway/draining.py
+++ b/ivystep/gateway/draining.py
@@ -11,7 +11,7 @@
 import eventlet
 
 from ivystep.core import units
-from ivystep.gateway import callers, process_events
+from ivystep.gateway import callers, planned_stop, process_events
 from ivystep.runtime import background, clock, drain, event_log
 from ivystep.runtime import process_events as life_events
 
@@ -32,6 +32,7 @@
         server_state: The connections of callers.
         release: Gives up what other hosts wait for; may wait for the store.
         grace_s: Time in seconds after which the platform kills the process.
+        delay_s: Time in seconds by which the drain starts after its signal.
         log: Event log of the drain.
     """
 
@@ -41,12 +42,14 @@
         release: Callable[[], None],
         grace_s: float,
         log: event_log.EventLog,
+        delay_s: float = 0.0,
     ) -> None:
         self._server_state = server_state
         self._stop = server_state.stop
         self._release = release
         self._grace_s = grace_s
         self._log = log
+        self._delay_s = delay_s
 
     def run(self, listener: typing.Any) -> None:
         """Let requests in progress end within the grace period.
@@ -55,9 +58,18 @@
             listener: The listener for callers.
         """
         started = clock.now()
-        end = started + self._grace_s - ABORT_MARGIN_S
+        signalled = started - self._delay_s
+        end = signalled + self._grace_s - ABORT_MARGIN_S
+        closes_at = min(started + ACCEPT_AFTER_SIGTERM_S, end)
         self._server_state.is_closing = True
-        self._stop.begin(end, started + ACCEPT_AFTER_SIGTERM_S)
+        self._stop.begin(
+            planned_stop.StopTimes(
+                signalled_at=signalled,
+                sends_until=signalled + ACCEPT_AFTER_SIGTERM_S,
+                closes_at=closes_at,
+                ends_at=end,
+            )
+        )
         self._log.write(
             process_events.Draining(
                 self._server_state.requests,
@@ -65,7 +77,7 @@
             )
         )
         released = eventlet.spawn(self._release)
-        clock.sleep(ACCEPT_AFTER_SIGTERM_S)
+        clock.sleep(max(closes_at - clock.now(), 0))
         listener.close()
         self._log.write(
             process_events.ListenerClosed(
--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -313,7 +313,7 @@
         upstream: Upstream of the last attempt; empty before the first.
         is_resumable: Whether the caller can take up the stream elsewhere.
         whole_ms: When the request was received in full, in milliseconds after
-            the stop began; negative before.
+            the stop signal; negative before.
         is_sent: Whether the last attempt was sent.
         sent_ms: When it was sent, like ``whole_ms``; 0 if it was not.
         expected_ms: Time that the answer was expected to take as it was sent;
--- a/ivystep/gateway/planned_stop.py
+++ b/ivystep/gateway/planned_stop.py
@@ -21,6 +21,24 @@
 from ivystep.runtime import clock
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StopTimes:
+    """The times of a planned stop.
+
+    Attributes:
+        signalled_at: When the stop signal came.
+        sends_until: Until when a request is sent that this host may cut,
+            because callers are still routed here.
+        closes_at: When the listener for callers closes.
+        ends_at: When the last requests are ended.
+    """
+
+    signalled_at: float = math.inf
+    sends_until: float = math.inf
+    closes_at: float = math.inf
+    ends_at: float = math.inf
+
+
 class HostStoppedError(Exception):
     """This host ends too soon for the answer to a request."""
 
@@ -42,34 +60,28 @@
 
     Attributes:
         times: How long answers take.
-        began_at: Time at which the stop began; infinite before.
+        begun: The times of the stop; infinite before it.
     """
 
     def __init__(self) -> None:
         self.times = answer_times.AnswerTimes()
-        self.began_at = math.inf
-        self._ends_at = math.inf
-        self._accepts_until = math.inf
+        self.begun = StopTimes()
         self._request_by_task: dict[greenlet.greenlet, _Request] = {}
 
     @property
     def retry_after_s(self) -> float:
         """Time in seconds after which a caller is routed to another host."""
         return max(
-            self._accepts_until - clock.now(), request_state.MIN_RETRY_AFTER_S
+            self.begun.closes_at - clock.now(), request_state.MIN_RETRY_AFTER_S
         )
 
-    def begin(self, ends_at: float, accepts_until: float) -> None:
+    def begin(self, times: StopTimes) -> None:
         """Begin the stop.
 
         Args:
-            ends_at: Time at which the last requests are ended.
-            accepts_until: Time at which the listener for callers closes,
-                because they are routed to other hosts by then.
+            times: Its times.
         """
-        self.began_at = clock.now()
-        self._ends_at = ends_at
-        self._accepts_until = accepts_until
+        self.begun = times
 
     @contextlib.contextmanager
     def watch(self, state: request_state.RequestState) -> Generator[None]:
@@ -126,9 +138,9 @@
         Returns:
             The expectation; None before the stop.
         """
-        if clock.now() < self.began_at:
+        if clock.now() < self.begun.signalled_at:
             return None
-        if state.deadline <= self._ends_at:
+        if state.deadline <= self.begun.ends_at:
             return request_state.Expectation(state.remaining_s, 'deadline')
         run_s = self.times.typical_s(state)
         return request_state.Expectation(
@@ -169,10 +181,10 @@
 
     def _is_due(self, state: request_state.RequestState | None) -> bool:
         if state is None:
-            return clock.now() >= self._ends_at
+            return clock.now() >= self.begun.ends_at
         if state.answer.is_complete:
             return False
-        due_at = self._ends_at
+        due_at = self.begun.ends_at
         if state.is_waiting:
             due_at = self._latest_start(state)
         return clock.now() >= due_at
@@ -181,8 +193,8 @@
         """Return the latest time at which a request may be sent."""
         if state.answer.has_started:
             # The caller has a part of the answer, which a refusal loses too.
-            return self._ends_at
-        if state.deadline <= self._ends_at:
+            return self.begun.ends_at
+        if state.deadline <= self.begun.ends_at:
             return math.inf
-        usual_start = self._ends_at - (self.times.typical_s(state) or 0.0)
-        return min(usual_start, self._accepts_until)
+        usual_start = self.begun.ends_at - (self.times.typical_s(state) or 0.0)
+        return min(usual_start, self.begun.sends_until)
--- a/ivystep/gateway/request_log.py
+++ b/ivystep/gateway/request_log.py
@@ -225,13 +225,13 @@
         )
 
     def stopped(
-        self, state: request_state.RequestState, began_at: float
+        self, state: request_state.RequestState, signalled_at: float
     ) -> None:
         """Log that a planned stop has ended a request.
 
         Args:
             state: The request.
-            began_at: Time at which the stop began.
+            signalled_at: When the stop signal came.
         """
         sent_at = state.progress.sent_at
         expectation = state.progress.expectation or request_state.Expectation()
@@ -242,9 +242,9 @@
                 state.route.name,
                 state.upstream_id,
                 state.route.is_resumable,
-                _milliseconds(state.call.arrived - began_at),
+                _milliseconds(state.call.arrived - signalled_at),
                 sent_at is not None,
-                0 if sent_at is None else _milliseconds(sent_at - began_at),
+                0 if sent_at is None else _milliseconds(sent_at - signalled_at),
                 -1 if run_s is None else _milliseconds(run_s),
                 expectation.bound,
                 state.progress.body_bytes,
--- a/ivystep/runtime/drain.py
+++ b/ivystep/runtime/drain.py
@@ -27,6 +27,7 @@
     def __init__(self, received: signals.ReceivedSignals | None = None) -> None:
         self.received = received or signals.ReceivedSignals()
         self._wakeup: signals.WakeupPipe | None = None
+        self._delay_s: float | None = None
 
     @classmethod
     def of_process(cls) -> typing.Self:
@@ -51,18 +52,31 @@
                 on_reload()
             else:
                 self._wait_for_any()
+        self._delay_s = self.received.since_stop_s
+
+    @property
+    def delay_s(self) -> float:
+        """Time in seconds from the first signal to the start of the drain.
+
+        Whoever stops the process counts from its signal, while a busy event
+        loop starts the drain later. The drain starts with the first call.
+        """
+        if self._delay_s is None:
+            self._delay_s = self.received.since_stop_s
+        return self._delay_s
 
     def finish(self, is_idle: Callable[[], bool], deadline_s: float) -> bool:
         """Wait until all requests have ended.
 
         Args:
             is_idle: Returns whether no request is in progress.
-            deadline_s: Longest wait in seconds; a second signal ends it early.
+            deadline_s: Longest wait in seconds; a second signal ends it early,
+                and so does a start of the drain later than the first signal.
 
         Returns:
             Whether all requests ended in time.
         """
-        deadline = clock.now() + deadline_s
+        deadline = clock.now() + deadline_s - self.delay_s
         while not is_idle():
             if self.received.stops > 1 or clock.now() >= deadline:
                 log.warning('Drain ended with requests still in progress.')
--- a/ivystep/runtime/signals.py
+++ b/ivystep/runtime/signals.py
@@ -8,8 +8,10 @@
 before its handler ends the process. So it imports nothing that takes long.
 """
 
+import math
 import os
 import signal
+import time
 import typing
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -24,6 +26,7 @@
 
     Attributes:
         stops: Number of signals to stop.
+        stopped_at: Monotonic time of the first of them; infinite before.
         has_reload: Whether the settings are to be read again.
         is_serving: Whether a signal to stop starts a drain. Until then there is
             nothing to drain, and it ends the process.
@@ -31,6 +34,7 @@
 
     def __init__(self) -> None:
         self.stops = 0
+        self.stopped_at = math.inf
         self.has_reload = False
         self.is_serving = False
 
@@ -46,11 +50,17 @@
             # An exception could be caught by a module that is being imported.
             os._exit(EXIT_DRAINED)
         self.stops += 1
+        self.stopped_at = min(self.stopped_at, time.monotonic())
 
     def on_reload(self, number: int, frame: typing.Any) -> None:
         """Record that the settings are to be read again."""
         self.has_reload = True
 
+    @property
+    def since_stop_s(self) -> float:
+        """Time in seconds since the first signal to stop; 0 before it."""
+        return max(time.monotonic() - self.stopped_at, 0.0)
+
     def take_reload(self) -> bool:
         """Return whether a reload is due; signals until now count as one."""
         is_due = self.has_reload
--- a/tests/gateway/test_draining.py
+++ b/tests/gateway/test_draining.py
@@ -1,6 +1,8 @@
 """Tests of the drain of a gateway."""
 
 import contextlib
+import math
+import time
 
 import eventlet
 import pytest
@@ -362,3 +364,24 @@
     assert clock.now() - sent_at < 0.5
     assert len(upstream.requests) == known
     drained.wait()
+
+
+def test_end_of_a_stop_counts_from_its_signal(build):
+    """Guards against answers cut by the platform, which counts from there.
+
+    A busy event loop starts the drain late.
+    """
+    gateway, _ = build(lambda *_: None, config=SLOW_CALLERS, **SHORT_GRACE)
+    delay_s = SHORT_GRACE['grace_s'] / 2
+    with contextlib.closing(gateway.connect()) as connection:
+        connection.sendall(slow_request('/again/2f'))
+        eventlet.sleep(0.1)
+        received = gateway.daemon._signals.received
+        received.stopped_at = time.monotonic() - delay_s
+        started = clock.now()
+        drained = start_drain(gateway)
+        answer = harness.read_to_end(connection)
+    received.stopped_at = math.inf
+    assert answer.status == 502
+    assert clock.now() - started < SHORT_GRACE['grace_s'] - delay_s + 0.1
+    drained.wait()
--- a/tests/gateway/test_late_attempts.py
+++ b/tests/gateway/test_late_attempts.py
@@ -3,7 +3,7 @@
 import pytest
 
 from ivystep.core import errors, types
-from ivystep.gateway import answer_times
+from ivystep.gateway import answer_times, planned_stop
 from ivystep.runtime import clock
 from ivystep.traffic import contracts
 from tests.coordination import fakes as clocks
@@ -30,7 +30,12 @@
         harness.run(**ROUTE)
     harness.sent.clear()
     stop = harness.dispatcher._stop
-    stop.begin(clock.now() + GRACE_S, clock.now() + accepts_s)
+    now = clock.now()
+    stop.begin(
+        planned_stop.StopTimes(
+            now, now + accepts_s, now + accepts_s, now + GRACE_S
+        )
+    )
     clock.sleep(GRACE_S - left_s)
     return harness
 
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/test_planned_stop.py
@@ -55,13 +55,21 @@
         stop.times.record(state)
 
 
+def begin(stop):
+    """Begin a stop whose signal comes now."""
+    now = clock.now()
+    accepts_until = now + ACCEPTS_S
+    stop.begin(
+        planned_stop.StopTimes(now, accepts_until, accepts_until, now + GRACE_S)
+    )
+
+
 def begun_stop(*answers_s, **more):
     """Return a stop that has begun, and when it ends the last requests."""
     stop = planned_stop.PlannedStop()
     learn(stop, *answers_s, **more)
-    ends_at = clock.now() + GRACE_S
-    stop.begin(ends_at, accepts_until=clock.now() + ACCEPTS_S)
-    return stop, ends_at
+    begin(stop)
+    return stop, stop.begun.ends_at
 
 
 def is_taken(stop, state):
@@ -184,7 +192,7 @@
 def test_refused_caller_waits_until_it_is_routed_elsewhere():
     """Guards against callers that come back to the host that refused them."""
     stop = planned_stop.PlannedStop()
-    stop.begin(clock.now() + GRACE_S, accepts_until=clock.now() + 2.6)
+    begin(stop)
     assert stop.retry_after_s == pytest.approx(2.6)
     clock.sleep(2.0)
     assert stop.retry_after_s == pytest.approx(0.6)
