--- a/tests/gateway/test_draining.py
+++ b/tests/gateway/test_draining.py
@@ -7,11 +7,11 @@
 import eventlet
 import pytest
 
-from ivystep.gateway import answer_times, callers, draining
+from ivystep.gateway import answer_times, callers, draining, planned_stop
 from ivystep.runtime import clock
 from ivystep.traffic import http1
 from tests.coordination import fakes as clocks
-from tests.gateway import fakes, harness
+from tests.gateway import fakes, harness, test_planned_stop
 
 # The store answers later than the gateway waits, and after the test has ended.
 SILENT = {'mode': 'slow', 'delay_s': 30.0}
@@ -385,3 +385,51 @@
     assert answer.status == 502
     assert clock.now() - started < SHORT_GRACE['grace_s'] - delay_s + 0.1
     drained.wait()
+
+
+class WatchedConnection:
+    """A connection whose request waits for a place; records its end."""
+
+    def __init__(self, server_state):
+        self.ended_at = None
+        self._server_state = server_state
+        server_state.open_connections.add(self)
+        eventlet.spawn(self._run)
+
+    def close_if_idle(self):
+        """Stay open, because a request is in progress."""
+
+    def _run(self):
+        stop = self._server_state.stop
+        state = test_planned_stop.new_state()
+        with (
+            contextlib.suppress(planned_stop.HostStoppedError),
+            stop.watch(state),
+        ):
+            clock.sleep(100)
+        self.ended_at = clock.now()
+        self._server_state.open_connections.discard(self)
+
+
+def drain_with_request(delay_s, *answers_s):
+    """Drain with one waiting request; return when it was ended."""
+    server_state = callers.ServerState()
+    test_planned_stop.learn(server_state.stop, *answers_s)
+    connection = WatchedConnection(server_state)
+    clock.sleep(0)
+    started = clock.now()
+    draining.Drain(
+        server_state, lambda: None, GRACE_S, fakes.FakeLog(), delay_s
+    ).run(Listener())
+    assert connection.ended_at is not None
+    return connection.ended_at - started
+
+
+@pytest.mark.parametrize('before_kill_s', [0.2, 0.0])
+@clocks.on_virtual_clock
+def test_requests_get_their_answers_if_the_end_of_the_drain_is_late(
+    before_kill_s,
+):
+    """Guards against exits without answers where the event loop was busy."""
+    delay_s = GRACE_S - before_kill_s
+    assert drain_with_request(delay_s) < draining.FLUSH_S
