Let the kernel deliver completed answers after a host has ended

What callers saw: a caller that reads slowly, whose engine ended its answer well before the end of the grace, gets a reset in place of the rest.

Cause: the rest waited in the process for room in the send buffer, and the reset at the end of the grace also destroyed what the kernel had taken. The class: finished work is thrown away by the deadline for unfinished work.

Change: 0.5 s before the end of the grace the send buffers of callers with a request in progress grow to 256 KiB, together at most buffer_bytes. The kernel delivers what it holds after the process has exited.

Ruled out: a reset by an orderly close of an answer that is written in full; the linger reads what arrives for 0.5 s.

--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -23,7 +23,7 @@
     planned_stop,
     relay,
 )
-from ivystep.runtime import byte_budget, clock, descriptor_limit
+from ivystep.runtime import byte_budget, clock, descriptor_limit, sockets
 from ivystep.settings import gateway as settings_models
 from ivystep.traffic import contracts, http1
 
@@ -32,6 +32,9 @@
 LINGER_S = 0.5
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 DEFAULT_BUFFER_BYTES = 64 * units.MIB
+# Bytes of an answer that the kernel takes over as this host ends: four times
+# what is buffered of a short answer.
+TAKEN_OVER_BYTES = 256 * units.KIB
 # Requests that are not longer are never refused for lack of memory; the number
 # of connections bounds them.
 ALWAYS_BUFFERED_BYTES = 4 * units.KIB
@@ -105,6 +108,18 @@
         for connection in list(self.open_connections):
             connection.close_if_idle()
 
+    def grow_send_buffers(self) -> None:
+        """Let the kernel take over what slow callers have not read yet.
+
+        It delivers that after the end of this process. All buffers together
+        stay within the limit on the bytes of all requests.
+        """
+        busy = [each for each in self.open_connections if each.is_busy]
+        for connection in busy:
+            connection.grow_send_buffer(
+                min(TAKEN_OVER_BYTES, self.buffered.limit_bytes // len(busy))
+            )
+
 
 HandleRequest = Callable[[http1.RawRequest, 'CallerConnection'], None]
 
@@ -209,6 +224,16 @@
             with contextlib.suppress(OSError):
                 self._socket.shutdown(socket.SHUT_RDWR)
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request has begun, or its answer is being sent."""
+        return not (self._is_idle or self._watch.is_closed)
+
+    def grow_send_buffer(self, size: int) -> None:
+        """Have the kernel take more bytes of the answers; see ``sockets``."""
+        with contextlib.suppress(OSError):
+            sockets.grow_send_buffer(self._socket, size)
+
     @property
     def buffered_bytes(self) -> int:
         """Bytes of the requests that are received, waiting or in progress."""
--- a/ivystep/gateway/draining.py
+++ b/ivystep/gateway/draining.py
@@ -21,6 +21,9 @@
 # Requests still in progress are ended this long before the platform kills
 # the process.
 ABORT_MARGIN_S = 0.4
+# Time before that in which the kernel takes over what upstreams have completed
+# and callers read slowly.
+TAKE_OVER_S = 0.5
 # Time in which the answers of the ended requests are sent.
 FLUSH_S = 0.15
 
@@ -86,6 +89,8 @@
                 len(self._server_state.open_connections),
             )
         )
+        self._wait_for_callers(end - TAKE_OVER_S)
+        self._server_state.grow_send_buffers()
         self._wait_for_callers(end)
         self._stop.end_due()
         self._wait_for_callers(end + FLUSH_S)
--- a/ivystep/runtime/sockets.py
+++ b/ivystep/runtime/sockets.py
@@ -26,3 +26,16 @@
         connection: A connected TCP socket.
     """
     connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_ZERO)
+
+
+def grow_send_buffer(connection: socket.socket, size: int) -> None:
+    """Have the kernel take more bytes for a peer that reads slowly.
+
+    A writer that waits is woken up. The kernel keeps to its own limit.
+
+    Args:
+        connection: A connected TCP socket.
+        size: Bytes that the buffer holds at least; a larger one stays.
+    """
+    if connection.getsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF) < size:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
