--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -23,15 +23,19 @@
     planned_stop,
     relay,
 )
-from ivystep.runtime import byte_budget, clock, descriptor_limit
+from ivystep.runtime import byte_budget, clock, descriptor_limit, sockets
 from ivystep.settings import gateway as settings_models
 from ivystep.traffic import contracts, http1
 
-# Time for which input is still read after the last answer. Closing a socket
-# with unread bytes sends a reset, which can discard the answer at the caller.
+# Time for which input is still read after the last answer, and after its caller
+# has taken it. Closing a socket with unread bytes sends a reset, which discards
+# what the caller has not taken.
 LINGER_S = 0.5
 CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
 DEFAULT_BUFFER_BYTES = 64 * units.MIB
+# Bytes of an answer that the kernel takes over as this host ends: four times
+# what is buffered of a short answer.
+TAKEN_OVER_BYTES = 256 * units.KIB
 # Requests that are not longer are never refused for lack of memory; the number
 # of connections bounds them.
 ALWAYS_BUFFERED_BYTES = 4 * units.KIB
@@ -105,6 +109,18 @@
         for connection in list(self.open_connections):
             connection.close_if_idle()
 
+    def grow_send_buffers(self) -> None:
+        """Let the kernel take over what slow callers have not read yet.
+
+        It delivers that after the end of this process. All buffers together
+        stay within the limit on the bytes of all requests.
+        """
+        busy = [each for each in self.open_connections if each.is_busy]
+        for connection in busy:
+            connection.grow_send_buffer(
+                min(TAKEN_OVER_BYTES, self.buffered.limit_bytes // len(busy))
+            )
+
 
 HandleRequest = Callable[[http1.RawRequest, 'CallerConnection'], None]
 
@@ -209,6 +225,16 @@
             with contextlib.suppress(OSError):
                 self._socket.shutdown(socket.SHUT_RDWR)
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request has begun, or its answer is being sent."""
+        return not (self._is_idle or self._watch.is_closed)
+
+    def grow_send_buffer(self, size: int) -> None:
+        """Have the kernel take more bytes of the answers; see ``sockets``."""
+        with contextlib.suppress(OSError):
+            sockets.grow_send_buffer(self._socket, size)
+
     @property
     def buffered_bytes(self) -> int:
         """Bytes of the requests that are received, waiting or in progress."""
@@ -399,10 +425,14 @@
         if not self.answer.is_complete:
             return
         self._socket.shutdown(socket.SHUT_WR)
+        given_up_at = clock.now() + self._server_state.limits.idle_timeout_s
         deadline = clock.now() + LINGER_S
         while clock.now() < deadline:
-            if not self._receive(max(deadline - clock.now(), 0)):
+            if self._receive(max(deadline - clock.now(), 0)) == b'':
                 return
+            is_over = clock.now() >= deadline
+            if is_over and sockets.undelivered_bytes(self._socket):
+                deadline = min(clock.now() + LINGER_S, given_up_at)
 
     def _cancel_task(self) -> None:
         """Raise the disconnect in the task, unless the answer is complete."""
