Refuse what can't be sent any more from the start of a drain

What callers saw: a request that waits for a place or a permit as its host is told to stop, and whose answer would usually come too late, was refused up to 2.6 s after its latest start. If the drain starts late after its signal, so was every waiting request.

Cause: the drain slept until the listener closes, and ended due requests only after that.

Change: it ends them from its start.

Evidence: test_waiting_request_is_refused_at_once_while_callers_are_routed_here failed before in its three cases: 2.6 s for 0, 1.0 and 0 s.

Ruled out: a wrong latest start; PlannedStop alone keeps to it, but its tests poll it themselves.

--- a/ivystep/gateway/draining.py
+++ b/ivystep/gateway/draining.py
@@ -77,7 +77,7 @@
             )
         )
         released = eventlet.spawn(self._release)
-        clock.sleep(max(closes_at - clock.now(), 0))
+        self._wait_for_close(closes_at)
         listener.close()
         self._log.write(
             process_events.ListenerClosed(
@@ -93,6 +93,12 @@
         with eventlet.Timeout(max(end - clock.now(), 0), exception=False):
             self._await_release(released)
 
+    def _wait_for_close(self, closes_at: float) -> None:
+        """Refuse what cannot be sent any more until the listener closes."""
+        while clock.now() < closes_at:
+            self._stop.end_due()
+            clock.sleep(min(drain.POLL_S, closes_at - clock.now()))
+
     def _wait_for_callers(self, until: float) -> None:
         """Wait until all connections are closed, or until a time."""
         while self._server_state.open_connections and clock.now() < until:
--- a/tests/gateway/test_draining.py
+++ b/tests/gateway/test_draining.py
@@ -433,3 +433,21 @@
     """Guards against exits without answers where the event loop was busy."""
     delay_s = GRACE_S - before_kill_s
     assert drain_with_request(delay_s) < draining.FLUSH_S
+
+
+@pytest.mark.parametrize(
+    ('delay_s', 'answer_s', 'waits_s'),
+    [
+        (0.0, 2 * GRACE_S, 0.0),
+        (0.0, GRACE_S - draining.ABORT_MARGIN_S - 1.0, 1.0),
+        (draining.ACCEPT_AFTER_SIGTERM_S, 1.0, 0.0),
+    ],
+)
+@clocks.on_virtual_clock
+def test_waiting_request_is_refused_at_once_while_callers_are_routed_here(
+    delay_s, answer_s, waits_s
+):
+    """Guards against callers that wait until the listener closes in vain."""
+    answers_s = [answer_s] * answer_times.MIN_SAMPLES
+    ended_s = drain_with_request(delay_s, *answers_s)
+    assert ended_s == pytest.approx(waits_s, abs=0.1)
