Leave a new connection time for its first request in a drain

What callers saw: a connection opened in the last moments before the listener closes, with its request 0.3 s later, was closed without an answer.

Cause: from then on the drain closed each connection at once on which no request had begun.

Evidence: test_first_request_of_a_connection_opened_before_the_close_is_answered failed before: "assert 0 == 503", no byte received.

Ruled out: that the request is read and cut.

--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -100,10 +100,15 @@
             largest.refuse_incomplete()
         return True
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request has started."""
+    def close_idle(self, idle_s: float = 0.0) -> None:
+        """Close the connections on which no request has started.
+
+        Args:
+            idle_s: Time in seconds for which they have been idle at least.
+        """
         for connection in list(self.open_connections):
-            connection.close_if_idle()
+            if connection.is_idle_for(idle_s):
+                connection.close_if_idle()
 
 
 HandleRequest = Callable[[http1.RawRequest, 'CallerConnection'], None]
--- a/ivystep/gateway/draining.py
+++ b/ivystep/gateway/draining.py
@@ -11,7 +11,12 @@
 import eventlet
 
 from ivystep.core import units
-from ivystep.gateway import callers, planned_stop, process_events
+from ivystep.gateway import (
+    callers,
+    connection_limit,
+    planned_stop,
+    process_events,
+)
 from ivystep.runtime import background, clock, drain, event_log
 from ivystep.runtime import process_events as life_events
 
@@ -88,6 +93,7 @@
         )
         self._wait_for_callers(end)
         self._stop.end_due()
+        self._server_state.close_idle()
         # A busy event loop comes here late, and the answers are sent later.
         self._wait_for_callers(max(end, clock.now()) + FLUSH_S)
         with eventlet.Timeout(max(end - clock.now(), 0), exception=False):
@@ -102,7 +108,7 @@
     def _wait_for_callers(self, until: float) -> None:
         """Wait until all connections are closed, or until a time."""
         while self._server_state.open_connections and clock.now() < until:
-            self._server_state.close_idle()
+            self._server_state.close_idle(connection_limit.MIN_IDLE_S)
             self._stop.end_due()
             clock.sleep(drain.POLL_S)
 
--- /dev/null
+++ b/tests/gateway/test_closing_connections.py
@@ -0,0 +1,28 @@
+"""Tests of the connections that a drain closes while callers use them."""
+
+import contextlib
+
+import eventlet
+
+from ivystep.gateway import draining
+from tests.gateway import harness, test_draining
+
+# Shorter than a caller takes to send the first request of a connection.
+CROSSES_CLOSE_S = 0.3
+
+
+def test_first_request_of_a_connection_opened_before_the_close_is_answered(
+    build,
+):
+    """Guards against a new connection that is closed as its request comes."""
+    gateway, _ = build(config=test_draining.SLOW_CALLERS)
+    drained = test_draining.start_drain(gateway)
+    eventlet.sleep(draining.ACCEPT_AFTER_SIGTERM_S - CROSSES_CLOSE_S / 2)
+    with contextlib.closing(gateway.connect()) as connection:
+        eventlet.sleep(CROSSES_CLOSE_S)
+        with contextlib.suppress(OSError):
+            connection.sendall(test_draining.slow_request('/slow/2f'))
+        answer = harness.read_to_end(connection)
+    assert answer.status == 503
+    assert answer.document['ran'] == 'no'
+    drained.wait()
--- a/tests/gateway/test_draining.py
+++ b/tests/gateway/test_draining.py
@@ -396,8 +396,9 @@
         server_state.open_connections.add(self)
         eventlet.spawn(self._run)
 
-    def close_if_idle(self):
-        """Stay open, because a request is in progress."""
+    def is_idle_for(self, seconds):
+        """Return whether it has been idle, which it never is."""
+        return False
 
     def _run(self):
         stop = self._server_state.stop
