Bound what upstreams and callers send besides bodies

Cause: the readers bounded what the parser reports, and it reports a header or chunk line only when it is whole. The reader of callers compared the length of one segment with its bound, not the sum, and took trailers for headers.

Change: named bounds of head bytes, headers, interim answers, chunk lines, trailers, time of an incomplete part, and of what is discarded in search of the own answer. A meter shared by both readers counts the bytes since the last complete part. An upstream that exceeds a bound is suspended, and its attempt may have run. Trailers are dropped.

Ruled out: a bound on reported headers alone; endless header values do not reach it.

--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -27,7 +27,7 @@
 from ivystep.prefill import prefill
 from ivystep.runtime import clock
 from ivystep.stream_origins import origins as stream_origins
-from ivystep.traffic import calls, contracts
+from ivystep.traffic import calls, contracts, peer_bounds
 
 # Value of the least urgent requests on the wire; 0 is the most urgent.
 MAX_URGENCY = 9
@@ -370,7 +370,7 @@
         if error.code == 'not_held' and ref is not None:
             upstream.set_resident(ref, now, is_held=False)
             self._on_change(upstream)
-        elif self._has_ended(state, upstream, error):
+        elif self._has_ended(state, upstream, error) or _exceeds_bound(error):
             self.suspend(upstream)
 
     def _has_ended(
@@ -394,10 +394,17 @@
 def _is_closed_by_peer(error: errors.RequestError) -> bool:
     """Return whether the upstream has closed the connection of an attempt.
 
-    A link that is cut ends it by a timeout of this host.
+    A link that is cut ends it by a timeout of this host, which also closes the
+    connection of an upstream that exceeds a bound.
     """
     lost = error.__cause__
-    return not (lost and isinstance(lost.__cause__, TimeoutError))
+    is_timed_out = lost and isinstance(lost.__cause__, TimeoutError)
+    return not (is_timed_out or _exceeds_bound(error))
+
+
+def _exceeds_bound(error: errors.RequestError) -> bool:
+    """Return whether the upstream has sent more than it may."""
+    return isinstance(error.__cause__, peer_bounds.BoundExceededError)
 
 
 def _is_queued(exchange: relay.Exchange) -> bool:
--- a/ivystep/gateway/connections.py
+++ b/ivystep/gateway/connections.py
@@ -16,7 +16,7 @@
 from ivystep.core import errors, types
 from ivystep.data_centres import round_trips
 from ivystep.runtime import clock, sockets
-from ivystep.traffic import http1
+from ivystep.traffic import http1, peer_bounds
 
 CONNECT_TIMEOUT_S = 0.6
 # For a connection that only finds out whether an upstream has ended.
@@ -92,17 +92,25 @@
     Args:
         connection: The connected socket.
         peer: Name of the upstream for errors.
+        bounds: Bounds of what the upstream may send.
 
     Attributes:
+        bounds: Bounds of what the upstream may send.
         names_requests: Whether an answer on it has named its request.
     """
 
-    def __init__(self, connection: typing.Any, peer: str) -> None:
+    def __init__(
+        self,
+        connection: typing.Any,
+        peer: str,
+        bounds: peer_bounds.PeerBounds = peer_bounds.DEFAULT_BOUNDS,
+    ) -> None:
         self.peer = peer
+        self.bounds = bounds
         self.names_requests = False
         self.usable_until = 0.0
         self._socket = connection
-        self._reader = http1.AnswerReader()
+        self._reader = http1.AnswerReader(bounds, peer)
 
     def send(self, encoded: bytes) -> None:
         """Send a complete request.
@@ -143,6 +151,11 @@
         """Return an event that has already been received, or None."""
         return self._reader.next_event()
 
+    @property
+    def received_bytes(self) -> int:
+        """Number of all bytes that the upstream has sent."""
+        return self._reader.received_bytes
+
     @property
     def is_clean(self) -> bool:
         """Whether the last answer is complete and nothing follows it."""
--- a/ivystep/gateway/relay.py
+++ b/ivystep/gateway/relay.py
@@ -11,7 +11,12 @@
 from collections.abc import Callable, Generator
 
 from ivystep.core import errors, types, units
-from ivystep.gateway import answer_body, connections, upstream_state
+from ivystep.gateway import (
+    answer_body,
+    connections,
+    own_answer_search,
+    upstream_state,
+)
 from ivystep.platform import messages
 from ivystep.traffic import calls, contracts, event_stream, http1
 
@@ -216,11 +221,14 @@
         after others have done so may be that to any of them.
 
         Raises:
-            errors.LinkError: It is not known which request was answered.
+            errors.LinkError: It is not known which request was answered, or
+                too much has arrived in search of its answer.
         """
+        search = own_answer_search.OwnAnswerSearch(connection)
         while True:
             event = connection.next_event()
             if not isinstance(event, http1.RawHead):
+                search.on_skipped()
                 continue
             head = messages.decode_answer(event)
             if head.request_id == self._call.request_id:
@@ -229,6 +237,7 @@
             is_named = bool(head.request_id)
             if not (is_named or connection.names_requests):
                 return event
+            search.on_discarded()
             self._on_discarded(head)
             if not is_named:
                 raise errors.LinkError(
--- a/ivystep/traffic/http1.py
+++ b/ivystep/traffic/http1.py
@@ -1,23 +1,24 @@
 """Parses HTTP/1.1 messages with ``httptools``.
 
 ``RequestReader`` parses a caller's requests and enforces size limits.
-``AnswerReader`` parses an upstream's answers incrementally and distinguishes a
-complete answer from a truncated one.
+``AnswerReader`` parses an upstream's answers incrementally, distinguishes a
+complete answer from a truncated one and enforces the bounds of peers. Trailers
+are dropped: a recipient must not merge them into the headers.
 """
 
 import collections
 import dataclasses
 import enum
 import typing
+from collections.abc import Callable
 
 import httptools
 
 from ivystep.core import errors, units
-from ivystep.traffic import calls
+from ivystep.runtime import clock
+from ivystep.traffic import calls, peer_bounds
 
 READ_BYTES = 64 * units.KIB
-# Bytes of a header line besides its name and value: colon, space, CR and LF.
-HEADER_OVERHEAD_BYTES = 4
 # Objects of a parsed request besides its bytes.
 REQUEST_OVERHEAD_BYTES = 512
 CHUNKED_ENCODING = b'chunked'
@@ -82,6 +83,7 @@
         self._current = RawRequest()
         self._target = bytearray()
         self._head_bytes = 0
+        self._partial = peer_bounds.PartialMeter()
         self._is_head_complete = False
         self._has_expect_header = False
         self._ready: collections.deque[RawRequest] = collections.deque()
@@ -93,7 +95,9 @@
         """Number of bytes that waiting and incomplete requests occupy."""
         if self.is_idle:
             return self._ready_bytes
-        return self._ready_bytes + self._head_bytes + len(self._current.body)
+        # Whole headers are among the bytes of an incomplete head.
+        head_bytes = max(self._head_bytes, self._partial.pending_bytes)
+        return self._ready_bytes + head_bytes + len(self._current.body)
 
     @property
     def is_in_head(self) -> bool:
@@ -111,15 +115,15 @@
             return
         if self.is_idle and received.strip(b'\r\n'):
             self.is_idle = False
+        self._partial.add(len(received), 0.0)
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserUpgrade:
             self._fail(400, 'Protocol upgrades are not supported.')
         except httptools.HttpParserError:
             self._fail(400, 'The request is malformed.')
-        # The parser reports a header only when its value is complete, so the
-        # number of received bytes is checked as well.
-        if self.is_in_head and len(received) > self._max_header_bytes:
+        # Chunk lines and trailers have the bound of a head.
+        if self._partial.pending_bytes > self._max_header_bytes:
             self._fail(431, 'The headers are too long.')
 
     def next_request(self) -> RawRequest | None:
@@ -144,6 +148,7 @@
         """
         self._current = RawRequest()
         self._head_bytes = 0
+        self._partial.complete()
         self._ready.clear()
         self._ready_bytes = 0
 
@@ -167,12 +172,16 @@
         self._add_head_bytes(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header. Called by the parser."""
-        self._current.headers.append((name, value))
-        self._add_head_bytes(len(name) + len(value) + HEADER_OVERHEAD_BYTES)
+        """Append a header, or drop a trailer. Called by the parser."""
+        if not self._is_head_complete:
+            self._current.headers.append((name, value))
+        self._add_head_bytes(
+            len(name) + len(value) + peer_bounds.FIELD_OVERHEAD_BYTES
+        )
 
     def on_headers_complete(self) -> None:
         """End the head. Called by the parser."""
+        self._partial.complete()
         self._is_head_complete = True
         current = self._current
         current.method = self._parser.get_method().decode('latin-1')
@@ -183,8 +192,13 @@
         if current.version == '1.0' and b'transfer-encoding' in names:
             self._fail(400, 'The length of the body is ambiguous.')
 
+    def on_chunk_header(self) -> None:
+        """End the line before a chunk. Called by the parser."""
+        self._partial.complete()
+
     def on_body(self, piece: bytes) -> None:
         """Append to the body. Called by the parser."""
+        self._partial.complete()
         if len(self._current.body) + len(piece) > self._max_body_bytes:
             self._fail(413, 'The body is too long.')
             return
@@ -192,6 +206,7 @@
 
     def on_message_complete(self) -> None:
         """End a request. Called by the parser."""
+        self._partial.complete()
         if self._problem is None:
             self._current.is_kept_alive = self._parser.should_keep_alive()
             self._current.head_bytes = self._head_bytes
@@ -250,13 +265,28 @@
 class AnswerReader:
     """Parses the answers on one connection to an upstream.
 
+    Args:
+        bounds: Bounds of what the upstream may send.
+        peer: Name of the upstream for errors.
+        now: Returns the time in seconds.
+
     Attributes:
         is_clean: Whether no answer is in progress and no unexpected bytes have
             arrived, so that the connection can be reused.
+        received_bytes: Number of all bytes that have arrived.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        bounds: peer_bounds.PeerBounds = peer_bounds.DEFAULT_BOUNDS,
+        peer: str = '',
+        now: Callable[[], float] = clock.now,
+    ) -> None:
         self.is_clean = True
+        self.received_bytes = 0
+        self._meter = peer_bounds.AnswerMeter(bounds, peer)
+        self._peer = peer
+        self._now = now
         self._parser = httptools.HttpResponseParser(self)
         self._headers: list[calls.Header] = []
         self._reason = b''
@@ -268,8 +298,10 @@
         """Parse received bytes.
 
         Raises:
-            errors.LinkError: They are not an HTTP answer.
+            errors.LinkError: They are not an HTTP answer, or exceed a bound.
         """
+        self.received_bytes += len(received)
+        self._meter.add(len(received), self._now())
         try:
             self._parser.feed_data(received)
         except (
@@ -279,8 +311,11 @@
             self.is_clean = False
             if not self._is_ended or not self._events:
                 raise errors.LinkError(
-                    f'malformed answer: {error}', step='read answer'
+                    f'malformed answer: {error}',
+                    step='read answer',
+                    peer=self._peer,
                 ) from error
+        self._meter.raise_if_exceeded()
 
     def feed_eof(self) -> None:
         """Handle an orderly close of the connection by the upstream.
@@ -293,7 +328,9 @@
             self._is_ended = True
             self._events.append(MessageEnd())
         elif not self._events:
-            raise errors.LinkError('connection closed', step='read answer')
+            raise errors.LinkError(
+                'connection closed', step='read answer', peer=self._peer
+            )
 
     def next_event(self) -> AnswerEvent | None:
         """Return the next event, or None if more bytes are needed."""
@@ -311,12 +348,14 @@
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header. Called by the parser."""
-        self._headers.append((name, value))
+        """Append a header, or drop a trailer. Called by the parser."""
+        if self._meter.may_keep_header(name, value):
+            self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """End the head. Called by the parser."""
         status = self._parser.get_status_code()
+        self._meter.on_head(is_interim=status < 200)
         length = _content_length(self._headers)
         self._framing = self._find_framing(status, length)
         if status >= 200:
@@ -331,14 +370,20 @@
                 )
             )
 
+    def on_chunk_header(self) -> None:
+        """End the line before a chunk. Called by the parser."""
+        self._meter.on_chunk_line()
+
     def on_body(self, piece: bytes) -> None:
         """Append to the body. Called by the parser."""
+        self._meter.on_body()
         self._events.append(BodyChunk(piece))
 
     def on_message_complete(self) -> None:
         """End an answer. Called by the parser."""
         self._is_ended = True
         self.is_clean = True
+        self._meter.on_end()
         if self._parser.get_status_code() >= 200:
             self._events.append(MessageEnd())
 
--- a/tests/traffic/test_http1.py
+++ b/tests/traffic/test_http1.py
@@ -1,10 +1,12 @@
 """Tests of parsing HTTP/1.1 from callers and upstreams."""
 
+import itertools
+
 import hypothesis
 import pytest
 from hypothesis import strategies
 
-from ivystep.core import errors
+from ivystep.core import errors, units
 from ivystep.traffic import http1
 
 MAX_HEADER = 1000
@@ -190,3 +192,130 @@
         continue
     with pytest.raises(errors.LinkError):
         reader.feed_eof()
+
+
+CHUNKED_HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n'
+SEGMENT_BYTES = 16 * units.KIB
+ENDLESS_BYTES = 2 * units.MIB
+ENDLESS = {
+    'status line': (b'HTTP/1.1 200 ', b'a'),
+    'header name': (b'HTTP/1.1 200 OK\r\n', b'a'),
+    'header value': (b'HTTP/1.1 200 OK\r\nA: ', b'a'),
+    'headers': (b'HTTP/1.1 200 OK\r\n', b'Name: some value\r\n'),
+    'short headers': (b'HTTP/1.1 200 OK\r\n', b'A:\r\n'),
+    'trailers': (CHUNKED_HEAD + b'1\r\na\r\n0\r\n', b'Name: some value\r\n'),
+    'trailer value': (CHUNKED_HEAD + b'1\r\na\r\n0\r\nA: ', b'a'),
+    'chunk extension': (CHUNKED_HEAD + b'1;a=', b'a'),
+    '100': (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+    '102': (b'', b'HTTP/1.1 102 Processing\r\nA: b\r\n\r\n'),
+    'blank lines': (b'', b'\r\n'),
+}
+
+
+def endless_segments(start, repeated):
+    """Yield a start and then a repetition of bytes, in segments."""
+    stream = start + repeated * (ENDLESS_BYTES // len(repeated))
+    for begin in range(0, len(stream), SEGMENT_BYTES):
+        yield stream[begin : begin + SEGMENT_BYTES]
+
+
+def feed_all(reader, segments):
+    """Feed segments as long as the reader takes them."""
+    for segment in segments:
+        reader.feed(segment)
+        while reader.next_event() is not None:
+            continue
+
+
+@pytest.mark.parametrize('name', ENDLESS)
+def test_answers_without_an_end_raise_an_error(name):
+    """Guards against an upstream that uses up the memory or the loop."""
+    reader = http1.AnswerReader()
+    with pytest.raises(errors.LinkError, match='exceeds the bound'):
+        feed_all(reader, endless_segments(*ENDLESS[name]))
+    assert reader.received_bytes <= 8 * SEGMENT_BYTES
+
+
+@pytest.mark.parametrize(
+    'name', ['status line', 'header name', 'trailer value', 'chunk extension']
+)
+def test_parts_of_an_answer_that_arrive_too_slowly_raise_an_error(name):
+    """Guards against one byte a second, below all bounds of bytes."""
+    seconds = itertools.count()
+    reader = http1.AnswerReader(now=lambda: float(next(seconds)))
+    start, repeated = ENDLESS[name]
+    reader.feed(start)
+    with pytest.raises(errors.LinkError, match='partial_s'):
+        feed_all(reader, itertools.repeat(repeated[:1], 16))
+
+
+def test_slow_streams_are_not_bound_in_time():
+    """Guards against streams that are ended for their pauses."""
+    hours = itertools.count(step=3600)
+    reader = http1.AnswerReader(now=lambda: float(next(hours)))
+    reader.feed(CHUNKED_HEAD)
+    for _ in range(4):
+        reader.feed(b'1\r\na\r')
+        reader.feed(b'\n')
+    reader.feed(b'0\r\n\r\n')
+    assert reader.is_clean
+
+
+def test_many_answers_and_long_bodies_are_within_the_bounds():
+    """Guards against bounds that count over more than one answer."""
+    reader = http1.AnswerReader()
+    for _ in range(200):
+        reader.feed(b'HTTP/1.1 100 Continue\r\n\r\n')
+        reader.feed(CHUNKED_HEAD + http1.chunk(b'a' * 32 * units.KIB))
+        reader.feed(b'1;b=c\r\na\r\n0\r\nName: value\r\n\r\n')
+    assert reader.is_clean
+
+
+def test_trailers_are_not_taken_for_headers_of_the_next_answer():
+    """Guards against headers that an upstream did not send in the head."""
+    _, found = events_of(
+        CHUNKED_HEAD + b'0\r\nA: b\r\n\r\n' + b'HTTP/1.1 204 No\r\n\r\n'
+    )
+    assert found[2].headers == ()
+
+
+ENDLESS_REQUESTS = {
+    'header value': (b'GET / HTTP/1.1\r\nA: ', b'a'),
+    'header name': (b'GET / HTTP/1.1\r\n', b'a'),
+    'trailers': (CHUNKED[:-2], b'Name: some value\r\n'),
+    'trailer value': (CHUNKED[:-2] + b'A: ', b'a'),
+    'chunk extension': (CHUNKED[:-5] + b'1;a=', b'a'),
+}
+
+
+@pytest.mark.parametrize('name', ENDLESS_REQUESTS)
+def test_requests_without_an_end_are_refused(name):
+    """Guards against callers that send below the bound in each segment."""
+    start, repeated = ENDLESS_REQUESTS[name]
+    reader = reader_of(start)
+    for _ in range(4 * MAX_HEADER):
+        reader.feed(repeated)
+    with pytest.raises(http1.BadRequestError) as caught:
+        read_all(reader)
+    assert caught.value.status == 431
+
+
+def test_trailers_of_a_caller_are_no_headers():
+    """Guards against trailers that override headers of a request."""
+    reader = reader_of(CHUNKED[:-2] + b'Authorization: other\r\n\r\n')
+    names = [name for name, _ in reader.next_request().headers]
+    assert b'Authorization' not in names
+
+
+def test_head_after_a_long_body_in_one_segment_is_not_refused():
+    """Guards against bytes of a body that count as those of a head."""
+    body = b'a' * MAX_BODY
+    posts = b'POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 100\r\n\r\n' + body
+    reader = reader_of(posts * 8 + GET[:20], GET[20:])
+    assert len(read_all(reader)) == 9
+
+
+def test_incomplete_header_of_a_caller_counts_as_buffered():
+    """Guards against memory of callers that no budget counts."""
+    reader = reader_of(b'GET / HTTP/1.1\r\nA: ' + b'a' * 500)
+    assert reader.buffered_bytes >= 500
