Give the event loop its turn while a peer writes without a pause

What callers saw: while one upstream or caller writes as fast as it is read, no timer, deadline or other connection of the host is served.

Cause: a task gives the loop its turn only if a read or write has to wait. The class: a loop whose end depends on the speed of a peer.

Accepted connections of all processes read by these rules. The length of a head is counted over all parts, since a part is shorter than the limit.

Ruled out: a sleep after each read, which costs each quiet connection a round of the loop; a smaller read alone, which bounds one parse but not the loop.

Replaced: test_answer_ends patches the receive function at its new place.

--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -23,7 +23,7 @@
     planned_stop,
     relay,
 )
-from ivystep.runtime import byte_budget, clock, descriptor_limit
+from ivystep.runtime import byte_budget, clock, descriptor_limit, turns
 from ivystep.settings import gateway as settings_models
 from ivystep.traffic import contracts, http1
 
@@ -289,6 +289,8 @@
 
     def _next_request(self) -> http1.RawRequest | None:
         """Return the next complete request; None if the connection closes."""
+        if self._reader.has_request and turns.is_spent_after(0):
+            turns.give()
         raw = self._reader.next_request()
         if raw is None:
             raw = self._read_request()
@@ -337,10 +339,15 @@
         Raises:
             http1.BadRequestError: There is no memory for them.
         """
-        self._reader.feed(received)
-        self._may_buffer()
-        if not self._server_state.make_room(self):
-            raise _no_memory()
+        for start in range(0, len(received), turns.PARSED_BYTES):
+            if start and turns.is_spent_after(0):
+                # What has been read is not seen as unread any more.
+                self._is_idle = False
+                turns.give()
+            self._reader.feed(received[start : start + turns.PARSED_BYTES])
+            self._may_buffer()
+            if not self._server_state.make_room(self):
+                raise _no_memory()
 
     def _may_buffer(self) -> bool:
         """Record the buffered bytes; return whether there is room for more."""
--- a/ivystep/gateway/connections.py
+++ b/ivystep/gateway/connections.py
@@ -11,11 +11,10 @@
 import typing
 
 import eventlet
-from eventlet import hubs
 
 from ivystep.core import errors, types
 from ivystep.data_centres import round_trips
-from ivystep.runtime import clock, sockets
+from ivystep.runtime import clock, sockets, turns
 from ivystep.traffic import http1
 
 CONNECT_TIMEOUT_S = 0.6
@@ -66,26 +65,6 @@
     )
 
 
-def receive(connection: typing.Any, size: int) -> bytes:
-    """Wait for bytes; empty after an orderly shutdown by the peer.
-
-    Eventlet's own ``recv`` reports a reset as an orderly shutdown, which would
-    make a truncated answer without a length look complete.
-
-    Args:
-        connection: An eventlet socket.
-        size: Maximum number of bytes to return.
-
-    Raises:
-        OSError: The connection was reset or is broken.
-    """
-    while True:
-        try:
-            return connection.fd.recv(size)
-        except BlockingIOError:
-            hubs.trampoline(connection, read=True)
-
-
 class UpstreamConnection:
     """One connection to an upstream.
 
@@ -103,6 +82,7 @@
         self.usable_until = 0.0
         self._socket = connection
         self._reader = http1.AnswerReader()
+        self._unparsed = memoryview(b'')
 
     def send(self, encoded: bytes) -> None:
         """Send a complete request.
@@ -126,16 +106,7 @@
         """
         event = self._reader.next_event()
         while event is None:
-            try:
-                received = receive(self._socket, http1.READ_BYTES)
-            except OSError as error:
-                raise errors.LinkError(
-                    str(error), step='read answer', peer=self.peer
-                ) from error
-            if received:
-                self._reader.feed(received)
-            else:
-                self._reader.feed_eof()
+            self._parse_more()
             event = self._reader.next_event()
         return event
 
@@ -146,6 +117,8 @@
     @property
     def is_clean(self) -> bool:
         """Whether the last answer is complete and nothing follows it."""
+        if self._unparsed:
+            return False
         return self._reader.is_clean and self._reader.next_event() is None
 
     def is_usable(self) -> bool:
@@ -167,6 +140,29 @@
         with contextlib.suppress(OSError):
             self._socket.close()
 
+    def _parse_more(self) -> None:
+        """Parse what has arrived until the turn is spent."""
+        if self._unparsed:
+            turns.give()
+        else:
+            self._unparsed = memoryview(self._receive())
+        if not self._unparsed:
+            self._reader.feed_eof()
+        while self._unparsed:
+            part = self._unparsed[: turns.PARSED_BYTES]
+            self._unparsed = self._unparsed[turns.PARSED_BYTES :]
+            self._reader.feed(part)
+            if self._unparsed and turns.is_spent_after(0):
+                return
+
+    def _receive(self) -> bytes:
+        try:
+            return turns.receive(self._socket, http1.READ_BYTES)
+        except OSError as error:
+            raise errors.LinkError(
+                str(error), step='read answer', peer=self.peer
+            ) from error
+
 
 class UpstreamConnections:
     """The connection pool of this host for one upstream.
--- a/ivystep/runtime/listeners.py
+++ b/ivystep/runtime/listeners.py
@@ -13,7 +13,7 @@
 import eventlet
 
 from ivystep.core import units
-from ivystep.runtime import clock, event_log, listener_events
+from ivystep.runtime import clock, event_log, listener_events, turns
 
 BACKLOG = 256
 OPEN_RETRY_S = 0.2
@@ -160,6 +160,7 @@
                 self._on_accept_error(error)
             else:
                 self._report_failures()
+                turns.end_with_turn(accepted[0])
                 return accepted
 
     def close(self) -> None:
--- a/ivystep/runtime/page_server.py
+++ b/ivystep/runtime/page_server.py
@@ -16,7 +16,7 @@
 import eventlet
 from eventlet import greenio, wsgi
 
-from ivystep.runtime import clock, listener_events, listeners
+from ivystep.runtime import clock, listener_events, listeners, turns
 
 MAX_CONNECTIONS = 16
 # Time for a request and its answer, and for a connection without a request.
@@ -63,6 +63,9 @@
         self.conn_state[2] = wsgi.STATE_IDLE
         is_parsed = super().parse_request()
         self.conn_state[2] = wsgi.STATE_REQUEST
+        # Many requests can be read at once.
+        turns.count(0)
+        turns.give()
         return is_parsed
 
     def log_error(self, text: str, *values: typing.Any) -> None:
--- a/ivystep/traffic/http1.py
+++ b/ivystep/traffic/http1.py
@@ -82,6 +82,8 @@
         self._current = RawRequest()
         self._target = bytearray()
         self._head_bytes = 0
+        self._fed_head_bytes = 0
+        self._has_ended_one = False
         self._is_head_complete = False
         self._has_expect_header = False
         self._ready: collections.deque[RawRequest] = collections.deque()
@@ -111,6 +113,7 @@
             return
         if self.is_idle and received.strip(b'\r\n'):
             self.is_idle = False
+        self._has_ended_one = False
         try:
             self._parser.feed_data(received)
         except httptools.HttpParserUpgrade:
@@ -119,8 +122,7 @@
             self._fail(400, 'The request is malformed.')
         # The parser reports a header only when its value is complete, so the
         # number of received bytes is checked as well.
-        if self.is_in_head and len(received) > self._max_header_bytes:
-            self._fail(431, 'The headers are too long.')
+        self._check_fed_bytes(len(received))
 
     def next_request(self) -> RawRequest | None:
         """Return the next complete request, or None if more is needed.
@@ -198,9 +200,20 @@
             self._ready.append(self._current)
             self._ready_bytes += self._current.kept_bytes
         self.is_idle = True
+        self._has_ended_one = True
         self._is_head_complete = False
         self._has_expect_header = False
 
+    def _check_fed_bytes(self, fed: int) -> None:
+        if not self.is_in_head or self._has_ended_one:
+            # Which of the bytes belong to the next head is not known.
+            self._fed_head_bytes = 0
+        else:
+            self._fed_head_bytes += fed
+        longest = max(fed, self._fed_head_bytes)
+        if self.is_in_head and longest > self._max_header_bytes:
+            self._fail(431, 'The headers are too long.')
+
     def _add_head_bytes(self, added: int) -> None:
         self._head_bytes += added
         if self._head_bytes > self._max_header_bytes:
--- a/tests/gateway/test_answer_ends.py
+++ b/tests/gateway/test_answer_ends.py
@@ -6,7 +6,7 @@
 import eventlet
 import pytest
 
-from ivystep.gateway import connections
+from ivystep.runtime import turns
 from tests.gateway import harness
 
 # What arrives with a reset is lost, so it must be read before.
@@ -176,7 +176,7 @@
     build, monkeypatch
 ):
     """Guards against a link that is cut and ends a request."""
-    receive = connections.receive
+    receive = turns.receive
     timed_out = set()
 
     def time_out_first(connection, size):
@@ -187,7 +187,7 @@
             eventlet.sleep(ARRIVAL_S)
         raise TimeoutError('timed out')
 
-    monkeypatch.setattr(connections, 'receive', time_out_first)
+    monkeypatch.setattr(turns, 'receive', time_out_first)
     play = Play(build, b'', lambda connection: None)
     play.assert_repeated_by_route()
 
--- a/tests/traffic/test_http1.py
+++ b/tests/traffic/test_http1.py
@@ -190,3 +190,25 @@
         continue
     with pytest.raises(errors.LinkError):
         reader.feed_eof()
+
+
+def test_header_value_that_never_ends_is_refused_in_small_parts():
+    """Guards against a header that takes memory as long as it arrives."""
+    reader = http1.RequestReader(100, 1000)
+    reader.feed(b'GET / HTTP/1.1\r\nHost: ')
+    for _ in range(100):
+        reader.feed(b'x' * 10)
+    with pytest.raises(http1.BadRequestError) as caught:
+        reader.next_request()
+    assert caught.value.status == 431
+
+
+def test_bytes_of_an_earlier_request_are_not_counted_as_headers():
+    """Guards against refusals of a short head that follows a long body."""
+    reader = http1.RequestReader(100, 1000)
+    reader.feed(b'POST / HTTP/1.1\r\nContent-Length: 70\r\n\r\n' + b'x' * 60)
+    reader.feed(b'x' * 10 + b'GET / HTTP/1.1\r\nHost: ')
+    reader.feed(b'y' * 60)
+    reader.feed(b'\r\n\r\n')
+    assert reader.next_request().method == 'POST'
+    assert reader.next_request().method == 'GET'
