--- a/tests/gateway/test_draining.py
+++ b/tests/gateway/test_draining.py
@@ -390,6 +390,8 @@
 class WatchedConnection:
     """A connection whose request waits for a place; records its end."""
 
+    is_busy = False
+
     def __init__(self, server_state):
         self.ended_at = None
         self._server_state = server_state
