Take late requests at a draining entry only if they end in time

What callers saw: an entry whose listener has closed sends on a request that its drain deadline then ends with ran=unknown.

Cause: nothing asked when the entry ends.

Change: once the listener has closed, a request that has been read is taken only if its own deadline lies before the drain deadline. Otherwise: 503 entry_draining, not run, Retry-After.

Ruled out: an estimate by earlier answers, which is no bound.

Evidence: test_late_request_is_taken_only_if_its_deadline_ends_it[9000-503] failed before with "assert 200 == 503".

--- a/ivystep/entry/api.py
+++ b/ivystep/entry/api.py
@@ -130,7 +130,9 @@
             call.environ, grant, setup, self._request_limits, call.request_id
         )
         call.renew = functools.partial(self._renew, call, received)
-        return self._run(call, received.request(grant, setup), ticket)
+        request = received.request(grant, setup)
+        self._in_progress.raise_if_too_late(request.deadline)
+        return self._run(call, request, ticket)
 
     def _renew(
         self,
--- a/ivystep/entry/daemon.py
+++ b/ivystep/entry/daemon.py
@@ -49,6 +49,10 @@
 class DrainDeadline(typing.Protocol):
     """The part of ``drain.DrainSignal`` that the drain uses."""
 
+    @property
+    def delay_s(self) -> float:
+        """Time in seconds from the signal to the start of the drain."""
+
     def finish(self, is_idle: Callable[[], bool], deadline_s: float) -> bool:
         """Wait until idle; return False if the deadline passes first."""
 
@@ -172,7 +176,11 @@
         self.server_state.is_closing = True
         clock.sleep(self.settings.drain.notice_s)
         self.close_listener(server, listener)
-        if not signals.finish(self._is_idle, self.settings.drain.deadline_s):
+        deadline_s = self.settings.drain.deadline_s
+        self.in_progress.require_end_by(
+            clock.now() + deadline_s - signals.delay_s
+        )
+        if not signals.finish(self._is_idle, deadline_s):
             self.in_progress.on_drain_deadline()
             abort_deadline = clock.now() + ABORT_GRACE_S
             while not self._is_idle() and clock.now() < abort_deadline:
--- a/ivystep/entry/progress.py
+++ b/ivystep/entry/progress.py
@@ -7,6 +7,7 @@
 
 import contextlib
 import enum
+import math
 import typing
 from collections.abc import Callable, Generator
 
@@ -17,6 +18,9 @@
 from ivystep.core import errors, types
 from ivystep.entry import answers
 
+# Time in which a caller connects to another entry.
+ABORTED_RETRY_S = 1.0
+
 
 class Phase(enum.Enum):
     """Phase of a request, which decides whether it can be aborted.
@@ -158,7 +162,7 @@
                 'entry_draining',
                 'The entry is stopping and the request did not end in time.',
                 status=503,
-                retry_after_s=1.0,
+                retry_after_s=ABORTED_RETRY_S,
             ),
         )
 
@@ -191,6 +195,7 @@
         self._tasks: set[RequestTask] = set()
         self._background_count = 0
         self._is_past_deadline = False
+        self._must_end_by = math.inf
 
     @property
     def is_idle(self) -> bool:
@@ -230,6 +235,34 @@
         thread.link(self._on_background_end)
         return thread
 
+    def require_end_by(self, deadline: float) -> None:
+        """Take only requests from now on that end by the drain deadline.
+
+        Args:
+            deadline: The drain deadline.
+        """
+        self._must_end_by = deadline
+
+    def raise_if_too_late(self, deadline: float) -> None:
+        """Raise an error if a request might be aborted by the drain deadline.
+
+        Callers are routed to other entries by then, and how long earlier
+        answers took is no bound.
+
+        Args:
+            deadline: Deadline of a request that has been read.
+
+        Raises:
+            errors.RefusedError: The request might be aborted.
+        """
+        if deadline > self._must_end_by:
+            raise answers.refusal(
+                'entry_draining',
+                'The entry stops before the deadline of the request.',
+                status=503,
+                retry_after_s=ABORTED_RETRY_S,
+            )
+
     def on_drain_deadline(self) -> None:
         """Abort all requests, and those that are still to come."""
         self._is_past_deadline = True
--- a/tests/entry/test_drain.py
+++ b/tests/entry/test_drain.py
@@ -183,3 +183,28 @@
     assert not draining.entry.pool.attempts
     with eventlet.Timeout(2):
         drain_task.wait()
+
+
+@pytest.mark.parametrize(('timeout_ms', 'status'), [(2000, 200), (9000, 503)])
+def test_late_request_is_taken_only_if_its_deadline_ends_it(timeout_ms, status):
+    """Guards against requests that are sent on and cut by the deadline."""
+    draining = DrainableEntry(deadline_s=3.0, notice_s=0.0)
+    whole = harness.head_and_body(
+        connection='keep-alive', X_Request_Timeout_Ms=timeout_ms
+    )
+    connections = [draining.entry.connect() for _ in range(2)]
+    connections[0].sendall(whole[:20])
+    connections[1].sendall(whole[:-1])
+    eventlet.sleep(0.05)
+    drain_task = draining.start()
+    eventlet.sleep(0.1)
+    for connection, begun in zip(connections, (20, -1), strict=True):
+        connection.sendall(whole[begun:])
+        received = harness.read_all(connection)
+        assert harness.parse(received)[0] == status
+        if status == 503:
+            assert b'"ran": "no"' in received
+            assert b'entry_draining' in received
+    assert len(draining.entry.pool.attempts) == (2 if status == 200 else 0)
+    with eventlet.Timeout(2):
+        drain_task.wait()
