Deliver an upstream's answer whatever bytes follow it

Cause: the reader raised a fault as it was found, before the events that precede it were returned, so the outcome depended on the segments.

Change: a fault is kept and raised after the events before it. A refusal with a malformed body is believed in one segment as it was in two. The age of a head begins at its first byte, not at a blank line before it.

Ruled out: the relay reads beyond the end of the answer.

--- a/ivystep/gateway/connections.py
+++ b/ivystep/gateway/connections.py
@@ -134,6 +134,7 @@
         """
         event = self._reader.next_event()
         while event is None:
+            self._reader.raise_if_failed()
             try:
                 received = receive(self._socket, http1.READ_BYTES)
             except OSError as error:
--- a/ivystep/traffic/http1.py
+++ b/ivystep/traffic/http1.py
@@ -292,30 +292,31 @@
         self._reason = b''
         self._framing = Framing.NONE
         self._is_ended = True
+        self._problem: errors.LinkError | None = None
         self._events: collections.deque[AnswerEvent] = collections.deque()
 
     def feed(self, received: bytes) -> None:
         """Parse received bytes.
 
+        What arrived before a fault is returned by ``next_event`` first, so
+        that it does not matter which bytes arrive together.
+
         Raises:
-            errors.LinkError: They are not an HTTP answer, or exceed a bound.
+            errors.LinkError: What follows the last event is not an HTTP
+                answer, or exceeds a bound.
         """
-        self.received_bytes += len(received)
-        self._meter.add(len(received), self._now())
-        try:
-            self._parser.feed_data(received)
-        except (
-            httptools.HttpParserError,
-            httptools.HttpParserUpgrade,
-        ) as error:
-            self.is_clean = False
-            if not self._is_ended or not self._events:
-                raise errors.LinkError(
-                    f'malformed answer: {error}',
-                    step='read answer',
-                    peer=self._peer,
-                ) from error
-        self._meter.raise_if_exceeded()
+        if self._problem is None:
+            self._parse(received)
+        self.raise_if_failed()
+
+    def raise_if_failed(self) -> None:
+        """Raise an error if all events before a fault have been returned.
+
+        Raises:
+            errors.LinkError: As for ``feed``.
+        """
+        if self._problem is not None and not self._events:
+            raise self._problem
 
     def feed_eof(self) -> None:
         """Handle an orderly close of the connection by the upstream.
@@ -342,6 +343,7 @@
         self._reason = b''
         self._is_ended = False
         self.is_clean = False
+        self._meter.on_begin()
 
     def on_status(self, reason: bytes) -> None:
         """Append to the reason phrase. Called by the parser."""
@@ -387,6 +389,25 @@
         if self._parser.get_status_code() >= 200:
             self._events.append(MessageEnd())
 
+    def _parse(self, received: bytes) -> None:
+        self.received_bytes += len(received)
+        self._meter.add(len(received), self._now())
+        try:
+            self._parser.feed_data(received)
+        except (
+            httptools.HttpParserError,
+            httptools.HttpParserUpgrade,
+        ) as error:
+            self._problem = errors.LinkError(
+                f'malformed answer: {error}',
+                step='read answer',
+                peer=self._peer,
+            )
+            self._problem.__cause__ = error
+        self._problem = self._problem or self._meter.exceeded()
+        if self._problem is not None:
+            self.is_clean = False
+
     def _find_framing(self, status: int, length: int | None) -> Framing:
         if status < 200 or status in {204, 304}:
             return Framing.NONE
--- a/ivystep/traffic/peer_bounds.py
+++ b/ivystep/traffic/peer_bounds.py
@@ -92,6 +92,14 @@
         """Record that a part is complete, or that content has arrived."""
         self.pending_bytes = 0
 
+    def begin(self, now: float) -> None:
+        """Start to measure the age: what came before were blank lines.
+
+        Args:
+            now: The time in seconds.
+        """
+        self._began_at = now
+
     def age_s(self, now: float) -> float:
         """Return since when the incomplete part arrives; 0 without one.
 
@@ -113,7 +121,7 @@
     """Measures the answers of one peer against its bounds.
 
     The owner's parser calls the methods whose names begin with ``on``. An
-    exceeded bound is raised later: a parser hides the errors of its callbacks.
+    exceeded bound is told later: a parser hides the errors of its callbacks.
 
     Args:
         bounds: The bounds.
@@ -146,20 +154,17 @@
         self._now = now
         self._partial.add(count, now)
 
-    def raise_if_exceeded(self) -> None:
-        """Raise an error if the peer has exceeded a bound.
-
-        Raises:
-            BoundExceededError: It has.
-        """
+    def exceeded(self) -> BoundExceededError | None:
+        """Return an error if the peer has exceeded a bound, or None."""
         bound = self._section.value
         if self._partial.pending_bytes > getattr(self._bounds, bound):
             self._exceeded = self._exceeded or bound
         elif self._partial.age_s(self._now) > self._bounds.partial_s:
             self._exceeded = self._exceeded or 'partial_s'
-        if self._exceeded:
-            limit = getattr(self._bounds, self._exceeded)
-            raise BoundExceededError(self._exceeded, limit, self._peer)
+        if not self._exceeded:
+            return None
+        limit = getattr(self._bounds, self._exceeded)
+        return BoundExceededError(self._exceeded, limit, self._peer)
 
     def may_keep_header(self, name: bytes, content: bytes) -> bool:
         """Count a header or trailer; return whether to keep it.
@@ -177,6 +182,10 @@
         self._check('head_bytes', self._head_bytes)
         return not self._exceeded
 
+    def on_begin(self) -> None:
+        """Start a head."""
+        self._partial.begin(self._now)
+
     def on_head(self, *, is_interim: bool) -> None:
         """End a head.
 
--- a/tests/traffic/test_http1.py
+++ b/tests/traffic/test_http1.py
@@ -1,5 +1,6 @@
 """Tests of parsing HTTP/1.1 from callers and upstreams."""
 
+import contextlib
 import itertools
 
 import hypothesis
@@ -319,3 +320,67 @@
     """Guards against memory of callers that no budget counts."""
     reader = reader_of(b'GET / HTTP/1.1\r\nA: ' + b'a' * 500)
     assert reader.buffered_bytes >= 500
+
+
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabc'
+NEXT_ANSWER = b'HTTP/1.1 204 No\r\n\r\n'
+NO_ANSWERS = [b'nonsense\r\n\r\n', b'HTTP/1.1 2x0', b'\x00\x01', b'HTTP/1.1 ']
+
+
+@pytest.mark.parametrize('surplus', NO_ANSWERS)
+@pytest.mark.parametrize('answer', [ANSWER, CHUNKED_HEAD + b'0\r\n\r\n'])
+def test_answer_is_delivered_whatever_follows_it(answer, surplus):
+    """Guards against a whole answer lost to bytes in the same segment."""
+    reader, found = events_of(answer + surplus)
+    assert [found[0].status, found[-1]] == [200, http1.MessageEnd()]
+    assert not reader.is_clean
+
+
+@pytest.mark.parametrize('surplus', NO_ANSWERS[:3])
+def test_bytes_after_an_answer_are_no_answer_to_the_next_request(surplus):
+    """Guards against a wait for more of what is no answer."""
+    reader, _ = events_of(ANSWER + surplus)
+    with pytest.raises(errors.LinkError):
+        reader.raise_if_failed()
+    with pytest.raises(errors.LinkError):
+        reader.feed(ANSWER)
+
+
+def test_next_answer_in_the_same_segment_is_no_error():
+    """Guards against answers that are lost to those before them."""
+    reader, found = events_of(ANSWER + NEXT_ANSWER)
+    assert [type(event) for event in found] == [
+        http1.RawHead,
+        http1.BodyChunk,
+        http1.MessageEnd,
+        http1.RawHead,
+        http1.MessageEnd,
+    ]
+    reader.raise_if_failed()
+    assert reader.is_clean
+
+
+@pytest.mark.parametrize('size', [1, 20, 50, 1000])
+def test_malformed_answers_are_read_up_to_their_fault(size):
+    """Guards against content that is lost by the segment it arrives in."""
+    stream = CHUNKED_HEAD + b'1\r\na\r\n2\r\nbc\r\nxyz\r\n'
+    parts = [stream[at : at + size] for at in range(0, len(stream), size)]
+    reader = http1.AnswerReader()
+    found = []
+    with contextlib.suppress(errors.LinkError):
+        for part in parts:
+            reader.feed(part)
+            found.extend(iter(reader.next_event, None))
+    content = b''.join(chunk.content for chunk in found[1:])
+    assert (found[0].status, content) == (200, b'abc')
+    assert not reader.is_clean
+
+
+def test_blank_line_after_an_answer_does_not_age_the_next_head():
+    """Guards against an idle time that counts as the time of a head."""
+    times = iter((0, 60, 61))
+    reader = http1.AnswerReader(now=lambda: float(next(times)))
+    reader.feed(b'\r\n')
+    reader.feed(NEXT_ANSWER[:10])
+    reader.feed(NEXT_ANSWER[10:12])
+    assert reader.next_event() is None
