Deliver no answer that is beyond a bound

Cause: since a fault is raised after the events before it, a whole answer whose head is beyond a bound and that arrives in one segment was delivered without the headers that were too many.

Change: the reader adds no event once a complete part was beyond a bound.

Evidence: test_whole_answer_beyond_a_bound_is_not_delivered did not raise before, for a header of 70,000 bytes and for 300 headers.

--- a/ivystep/traffic/http1.py
+++ b/ivystep/traffic/http1.py
@@ -361,7 +361,7 @@
         length = _content_length(self._headers)
         self._framing = self._find_framing(status, length)
         if status >= 200:
-            self._events.append(
+            self._add_event(
                 RawHead(
                     status=status,
                     reason=self._reason.decode('latin-1'),
@@ -379,7 +379,7 @@
     def on_body(self, piece: bytes) -> None:
         """Append to the body. Called by the parser."""
         self._meter.on_body()
-        self._events.append(BodyChunk(piece))
+        self._add_event(BodyChunk(piece))
 
     def on_message_complete(self) -> None:
         """End an answer. Called by the parser."""
@@ -387,7 +387,12 @@
         self.is_clean = True
         self._meter.on_end()
         if self._parser.get_status_code() >= 200:
-            self._events.append(MessageEnd())
+            self._add_event(MessageEnd())
+
+    def _add_event(self, event: AnswerEvent) -> None:
+        """Append an event, unless the parts of an answer are incomplete."""
+        if not self._meter.is_exceeded:
+            self._events.append(event)
 
     def _parse(self, received: bytes) -> None:
         self.received_bytes += len(received)
--- a/ivystep/traffic/peer_bounds.py
+++ b/ivystep/traffic/peer_bounds.py
@@ -144,6 +144,11 @@
         """Bytes that are received and belong to an incomplete part."""
         return self._partial.pending_bytes
 
+    @property
+    def is_exceeded(self) -> bool:
+        """Whether a part that is complete was beyond a bound."""
+        return bool(self._exceeded)
+
     def add(self, count: int, now: float) -> None:
         """Count received bytes, before they are parsed.
 
--- a/tests/traffic/test_http1.py
+++ b/tests/traffic/test_http1.py
@@ -384,3 +384,18 @@
     reader.feed(NEXT_ANSWER[:10])
     reader.feed(NEXT_ANSWER[10:12])
     assert reader.next_event() is None
+
+
+BEYOND = {
+    'head': b'HTTP/1.1 200 OK\r\nA: %b\r\n' % (b'a' * 70000),
+    'headers': b'HTTP/1.1 200 OK\r\n' + b'A: b\r\n' * 300,
+}
+
+
+@pytest.mark.parametrize('name', BEYOND)
+def test_whole_answer_beyond_a_bound_is_not_delivered(name):
+    """Guards against an answer without those headers that were too many."""
+    reader = http1.AnswerReader()
+    with pytest.raises(errors.LinkError, match='exceeds the bound'):
+        reader.feed(BEYOND[name] + b'Content-Length: 1\r\n\r\na')
+    assert reader.next_event() is None
