Let operators set the bounds of what upstreams may send

The bounds were constants of the code. They are a section of the gateway's settings now, whose defaults are the only place with their values, and a value that admits no answer is refused as the settings are read.

Evidence: test_bounds_are_those_of_the_settings and test_bound_of_peers_that_admits_nothing_is_refused; both need the new section.

--- a/ivystep/gateway/connections.py
+++ b/ivystep/gateway/connections.py
@@ -188,14 +188,21 @@
     Args:
         address: IP address and port.
         name: Id of the upstream for errors.
+        bounds: Bounds of what the upstream may send.
 
     Attributes:
         opened: Number of connections that this host has tried to open.
         connect_time: Smallest time that a connection took lately.
     """
 
-    def __init__(self, address: tuple[str, int], name: str) -> None:
+    def __init__(
+        self,
+        address: tuple[str, int],
+        name: str,
+        bounds: peer_bounds.PeerBounds = peer_bounds.DEFAULT_BOUNDS,
+    ) -> None:
         self.address = address
+        self._bounds = bounds
         self.opened = 0
         self.connect_time = round_trips.SmallestTime()
         self._name = name
@@ -312,7 +319,7 @@
             if connection is not None:
                 connection.close()
             raise
-        return UpstreamConnection(connection, self._name)
+        return UpstreamConnection(connection, self._name, self._bounds)
 
 
 def to_request_error(
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -119,6 +119,7 @@
             self._on_removed,
             contact,
             settings.bounds.heartbeat_s,
+            settings.peer_bounds,
         )
         self._centres = centre_choice.CentreChoice(
             settings,
--- a/ivystep/gateway/membership.py
+++ b/ivystep/gateway/membership.py
@@ -25,7 +25,8 @@
 )
 from ivystep.platform import rows, upstream_entries
 from ivystep.runtime import clock, event_log
-from ivystep.traffic import upstreams
+from ivystep.settings import gateway as settings_models
+from ivystep.traffic import peer_bounds, upstreams
 
 # Time within which the platform writes expired entries again after an outage,
 # plus the delay of the feed.
@@ -33,6 +34,7 @@
 # Incarnations that have left and are remembered.
 MAX_REMEMBERED = 4096
 IDLE_CHECK_INTERVAL_S = 0.5
+DEFAULT_BOUNDS = settings_models.PeerBounds()
 
 
 class Membership:
@@ -44,6 +46,7 @@
         on_removed: Called with an upstream that gets no new work any more.
         contact: Tells when the store has returned from an outage.
         heartbeat_s: Heartbeat interval of the upstreams.
+        bounds: Bounds of what an upstream may send.
 
     Attributes:
         upstream_by_id: Upstreams that have an entry or may regain it.
@@ -59,6 +62,7 @@
         on_removed: Callable[[upstream_state.Upstream], None],
         contact: store_contact.StoreContact,
         heartbeat_s: float,
+        bounds: settings_models.PeerBounds = DEFAULT_BOUNDS,
     ) -> None:
         self.upstream_by_id: dict[str, upstream_state.Upstream] = {}
         self.needed_version = 0
@@ -67,6 +71,7 @@
         self._on_change = on_change
         self._on_removed = on_removed
         self._heartbeat_s = heartbeat_s
+        self._bounds = peer_bounds.PeerBounds.from_config(bounds)
         self._missing_since: dict[str, float] = {}
         self._drained: collections.OrderedDict[tuple[object, ...], None] = (
             collections.OrderedDict()
@@ -159,7 +164,7 @@
         if known is None or known.entry.identity != entry.identity:
             if known is not None:
                 self._remove(entry.upstream_id, 'restarted')
-            known = upstream_state.Upstream(entry)
+            known = upstream_state.Upstream(entry, self._bounds)
             self.upstream_by_id[entry.upstream_id] = known
             self._log_change(known, 'added', '')
         elif known.entry.state is not entry.state:
--- a/ivystep/gateway/upstream_state.py
+++ b/ivystep/gateway/upstream_state.py
@@ -14,7 +14,7 @@
 from ivystep.gateway import connections
 from ivystep.policy import shared_limit
 from ivystep.runtime import clock
-from ivystep.traffic import contracts, upstreams
+from ivystep.traffic import contracts, peer_bounds, upstreams
 
 # Age of an entry on arrival; the store's feed is polled at intervals.
 ENTRY_AGE_S = 1.0
@@ -50,6 +50,7 @@
 
     Args:
         entry: Its entry in the store.
+        bounds: Bounds of what it may send.
 
     Attributes:
         in_progress: Requests of this host that the upstream runs or that
@@ -62,10 +63,14 @@
         limit: Limit that the upstream names, and this host's share of it.
     """
 
-    def __init__(self, entry: upstreams.UpstreamEntry) -> None:
+    def __init__(
+        self,
+        entry: upstreams.UpstreamEntry,
+        bounds: peer_bounds.PeerBounds = peer_bounds.DEFAULT_BOUNDS,
+    ) -> None:
         self.entry = entry
         self.connections = connections.UpstreamConnections(
-            entry.address, entry.upstream_id
+            entry.address, entry.upstream_id, bounds
         )
         self.loading: dict[types.AdapterRef, float] = {}
         self.suspended_until = 0.0
--- a/ivystep/settings/gateway.py
+++ b/ivystep/settings/gateway.py
@@ -289,6 +289,43 @@
         return self.revoke_ms if self.revoke_strict else math.inf
 
 
+class PeerBounds(GatewaySection):
+    """Bounds of what an upstream may send besides the bodies of answers."""
+
+    head_bytes: pydantic.PositiveInt = pydantic.Field(
+        64 * units.KIB,
+        description='Length of the head of one answer, of an interim one too.',
+    )
+    headers: pydantic.PositiveInt = pydantic.Field(
+        256, description='Number of headers of one answer.'
+    )
+    interim_answers: pydantic.PositiveInt = pydantic.Field(
+        64, description='Interim answers (1xx) before one answer.'
+    )
+    chunk_line_bytes: pydantic.PositiveInt = pydantic.Field(
+        16 * units.KIB,
+        description='Length of the size and extensions of one chunk.',
+    )
+    trailer_bytes: pydantic.PositiveInt = pydantic.Field(
+        64 * units.KIB, description='Length of all trailers of one answer.'
+    )
+    trailers: pydantic.PositiveInt = pydantic.Field(
+        256, description='Number of trailers of one answer.'
+    )
+    partial_s: models.Seconds = pydantic.Field(
+        5.0,
+        description='Time from the first byte of a head, chunk line or trailer '
+        'section to its end. Longer than TCP needs to send lost bytes again.',
+    )
+    discarded_answers: pydantic.PositiveInt = pydantic.Field(
+        64, description='Answers to other requests before the own one.'
+    )
+    discarded_bytes: pydantic.PositiveInt = pydantic.Field(
+        units.MIB,
+        description='Length of what is read in search of the own answer.',
+    )
+
+
 class DataCentres(GatewaySection):
     """When requests are sent to another data centre."""
 
@@ -315,3 +352,4 @@
     bounds: Bounds = Bounds()
     capacity: Capacity = Capacity()
     data_centres: DataCentres = DataCentres()
+    peer_bounds: PeerBounds = PeerBounds()
--- a/ivystep/traffic/peer_bounds.py
+++ b/ivystep/traffic/peer_bounds.py
@@ -6,8 +6,10 @@
 
 import dataclasses
 import enum
+import typing
 
-from ivystep.core import errors, units
+from ivystep.core import errors
+from ivystep.settings import gateway as settings_models
 
 # Bytes of a header line besides its name and value: colon, space, CR and LF.
 FIELD_OVERHEAD_BYTES = 4
@@ -31,18 +33,23 @@
         discarded_bytes: Length of what is read in search of the own answer.
     """
 
-    head_bytes: int = 64 * units.KIB
-    headers: int = 256
-    interim_answers: int = 64
-    chunk_line_bytes: int = 16 * units.KIB
-    trailer_bytes: int = 64 * units.KIB
-    trailers: int = 256
-    partial_s: float = 5.0
-    discarded_answers: int = 64
-    discarded_bytes: int = units.MIB
+    head_bytes: int
+    headers: int
+    interim_answers: int
+    chunk_line_bytes: int
+    trailer_bytes: int
+    trailers: int
+    partial_s: float
+    discarded_answers: int
+    discarded_bytes: int
 
+    @classmethod
+    def from_config(cls, section: settings_models.PeerBounds) -> typing.Self:
+        """Create the bounds from the settings."""
+        return cls(**section.model_dump())
 
-DEFAULT_BOUNDS = PeerBounds()
+
+DEFAULT_BOUNDS = PeerBounds.from_config(settings_models.PeerBounds())
 
 
 class BoundExceededError(errors.LinkError):
--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -222,7 +222,14 @@
     """A running gateway with its store and upstreams."""
 
     def __init__(
-        self, stack, *upstreams, config=None, host='host-1', peer=None, **bounds
+        self,
+        stack,
+        *upstreams,
+        config=None,
+        host='host-1',
+        peer=None,
+        peer_bounds=None,
+        **bounds,
     ):
         is_first = peer is None
         self.store = table_standin.TableStandin() if is_first else peer.store
@@ -247,6 +254,7 @@
                     'upstream_pause_s': 0.01,
                 },
                 'bounds': {'grace_s': 4.0, **bounds},
+                'peer_bounds': peer_bounds or {},
             }
         )
         if config is not False and peer is None:
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/test_endless_answers.py
@@ -77,3 +77,13 @@
         assert gateway.send('/read/2f', f'r-{number}').status == 200
     assert len(good.requests) == 8
     assert len(bad.requests) == 1
+
+
+@pytest.mark.parametrize(('length', 'status'), [(900, 200), (1100, 502)])
+def test_bounds_are_those_of_the_settings(build, length, status):
+    """Guards against bounds that operators cannot change."""
+    gateway, _ = build(
+        lambda _, headers: harness.ok_answer(headers, A='a' * length),
+        peer_bounds={'head_bytes': 1100},
+    )
+    assert gateway.send('/once/2f').status == status
--- a/tests/settings/test_gateway.py
+++ b/tests/settings/test_gateway.py
@@ -174,3 +174,12 @@
     """Guards against a platform without the value that ends the start."""
     settings = load(tmp_path, render(**{'limits.max_fds': ''}))
     assert settings.capacity.max_fds == 0
+
+
+@pytest.mark.parametrize('bound', gateway.PeerBounds.model_fields)
+@pytest.mark.parametrize('value', ['0', '-1', 'many'])
+def test_bound_of_peers_that_admits_nothing_is_refused(tmp_path, bound, value):
+    """Guards against a gateway that takes no answer at all."""
+    text = f'{render()}\n[peer_bounds]\n{bound} = {value}\n'
+    with pytest.raises(errors.SettingsError, match=bound):
+        load(tmp_path, text)
