--- a/ivystep/traffic/peer_bounds.py
+++ b/ivystep/traffic/peer_bounds.py
@@ -6,8 +6,10 @@
 
 import dataclasses
 import enum
+import typing
 
-from ivystep.core import errors, units
+from ivystep.core import errors
+from ivystep.settings import gateway as settings_models
 
 # Bytes of a header line besides its name and value: colon, space, CR and LF.
 FIELD_OVERHEAD_BYTES = 4
@@ -31,18 +33,23 @@
         discarded_bytes: Length of what is read in search of the own answer.
     """
 
-    head_bytes: int = 64 * units.KIB
-    headers: int = 256
-    interim_answers: int = 64
-    chunk_line_bytes: int = 16 * units.KIB
-    trailer_bytes: int = 64 * units.KIB
-    trailers: int = 256
-    partial_s: float = 5.0
-    discarded_answers: int = 64
-    discarded_bytes: int = units.MIB
+    head_bytes: int
+    headers: int
+    interim_answers: int
+    chunk_line_bytes: int
+    trailer_bytes: int
+    trailers: int
+    partial_s: float
+    discarded_answers: int
+    discarded_bytes: int
 
+    @classmethod
+    def from_config(cls, section: settings_models.PeerBounds) -> typing.Self:
+        """Create the bounds from the settings."""
+        return cls(**section.model_dump())
 
-DEFAULT_BOUNDS = PeerBounds()
+
+DEFAULT_BOUNDS = PeerBounds.from_config(settings_models.PeerBounds())
 
 
 class BoundExceededError(errors.LinkError):
@@ -92,6 +99,14 @@
         """Record that a part is complete, or that content has arrived."""
         self.pending_bytes = 0
 
+    def begin(self, now: float) -> None:
+        """Start to measure the age: what came before were blank lines.
+
+        Args:
+            now: The time in seconds.
+        """
+        self._began_at = now
+
     def age_s(self, now: float) -> float:
         """Return since when the incomplete part arrives; 0 without one.
 
@@ -113,7 +128,7 @@
     """Measures the answers of one peer against its bounds.
 
     The owner's parser calls the methods whose names begin with ``on``. An
-    exceeded bound is raised later: a parser hides the errors of its callbacks.
+    exceeded bound is told later: a parser hides the errors of its callbacks.
 
     Args:
         bounds: The bounds.
@@ -136,6 +151,11 @@
         """Bytes that are received and belong to an incomplete part."""
         return self._partial.pending_bytes
 
+    @property
+    def is_exceeded(self) -> bool:
+        """Whether a part that is complete was beyond a bound."""
+        return bool(self._exceeded)
+
     def add(self, count: int, now: float) -> None:
         """Count received bytes, before they are parsed.
 
@@ -146,20 +166,17 @@
         self._now = now
         self._partial.add(count, now)
 
-    def raise_if_exceeded(self) -> None:
-        """Raise an error if the peer has exceeded a bound.
-
-        Raises:
-            BoundExceededError: It has.
-        """
+    def exceeded(self) -> BoundExceededError | None:
+        """Return an error if the peer has exceeded a bound, or None."""
         bound = self._section.value
         if self._partial.pending_bytes > getattr(self._bounds, bound):
             self._exceeded = self._exceeded or bound
         elif self._partial.age_s(self._now) > self._bounds.partial_s:
             self._exceeded = self._exceeded or 'partial_s'
-        if self._exceeded:
-            limit = getattr(self._bounds, self._exceeded)
-            raise BoundExceededError(self._exceeded, limit, self._peer)
+        if not self._exceeded:
+            return None
+        limit = getattr(self._bounds, self._exceeded)
+        return BoundExceededError(self._exceeded, limit, self._peer)
 
     def may_keep_header(self, name: bytes, content: bytes) -> bool:
         """Count a header or trailer; return whether to keep it.
@@ -177,6 +194,10 @@
         self._check('head_bytes', self._head_bytes)
         return not self._exceeded
 
+    def on_begin(self) -> None:
+        """Start a head."""
+        self._partial.begin(self._now)
+
     def on_head(self, *, is_interim: bool) -> None:
         """End a head.
 
