Give the event loop its turn while another process writes frames

Cause: Channel.receive returns without a wait as long as frames are in its buffer or in the kernel, and a host that follows the leader applies all that have arrived before it goes on. The class: a loop whose end depends on the speed of a peer.

Change: receive lets the loop run once the turn is spent, and receive_ready returns no more messages then. Not by a wait for the socket, since what TLS has decrypted is not seen there.

--- a/ivystep/wire/channel.py
+++ b/ivystep/wire/channel.py
@@ -19,7 +19,7 @@
 from thrift.transport import TTransport
 
 from ivystep.core import errors, units
-from ivystep.runtime import clock
+from ivystep.runtime import clock, turns
 from ivystep.wire import tls
 from ivystep.wire.gen import ttypes
 
@@ -96,6 +96,7 @@
         self._buffer = bytearray()
         # Whether the last read found no data, so that the next must wait.
         self._is_socket_empty = False
+        self._is_after_wait = False
         self.has_waited = False
 
     @classmethod
@@ -178,9 +179,11 @@
         """
         with self._closed_on_error():
             deadline = None if timeout_s is None else clock.now() + timeout_s
+            turns.give()
             payload = self._buffered_payload()
             self.has_waited = False
             while payload is None:
+                turns.give()
                 if self._is_socket_empty or not self._read_available():
                     self._wait(deadline)
                 payload = self._buffered_payload()
@@ -190,15 +193,19 @@
         """Return the next message if it has arrived, without waiting.
 
         Returns:
-            The message, or None if none has arrived in full.
+            The message, or None if none has arrived in full, or if the task
+            has kept the event loop so long that it must wait.
 
         Raises:
             errors.LinkError: As for ``receive``.
         """
         with self._closed_on_error():
-            payload = self._buffered_payload()
-            while payload is None and self._read_available():
+            payload = None
+            is_received = True
+            while payload is None and is_received and not turns.is_spent():
                 payload = self._buffered_payload()
+                if payload is None:
+                    is_received = self._read_available()
             return None if payload is None else decode(payload)
 
     def request(
@@ -265,6 +272,9 @@
             return None
         payload = bytes(buffer[HEADER.size : end])
         del buffer[:end]
+        if buffer:
+            # Each of many small frames takes time for itself.
+            turns.count(0)
         return payload
 
     def _read_available(self) -> bool:
@@ -285,6 +295,9 @@
         if not received:
             raise errors.LinkError('connection closed')
         self._buffer += received
+        if not self._is_after_wait:
+            turns.count(len(received))
+        self._is_after_wait = False
         return True
 
     def _wait(self, deadline: float | None) -> None:
@@ -301,4 +314,5 @@
             timeout_exc=TimeoutError,
         )
         self._is_socket_empty = False
+        self._is_after_wait = True
         self.has_waited = True
