Give the event loop its turn between the requests of one caller's read

Cause: an entry that finds several requests in one read answers them one after the other, and an answer that needs no upstream does not wait. The class: a loop whose end depends on the speed of a peer.

Change: the entry looks at its turn as a request begins, when the connection already counts as busy, so that a stop does not close it meanwhile.

Evidence: tests/entry/test_fast_callers.py failed before. One-byte chunks and a long line passed before as well.

--- a/ivystep/entry/connections.py
+++ b/ivystep/entry/connections.py
@@ -19,7 +19,7 @@
 
 from ivystep.core import errors, ids, units
 from ivystep.entry import answers
-from ivystep.runtime import clock
+from ivystep.runtime import clock, turns
 
 ENVIRON_KEY = 'ivystep.connection'
 # A closing connection still reads from its caller up to these limits, because
@@ -289,6 +289,9 @@
         if is_ended:
             return b''
         self.conn_state[2] = wsgi.STATE_REQUEST
+        # Many requests can be read at once.
+        turns.count(0)
+        turns.give()
         self._head_deadline = clock.now() + self._server_state.read_timeout_s
         limit = self.server.url_length_limit
         try:
