Give the event loop its turn while a platform service writes

Cause: urllib3 reads an answer of up to 64 MB without a wait as long as bytes are there, skips interim answers without an end, and copies the whole of a long body several times. The class: a loop whose end depends on the speed of a peer.

--- a/ivystep/platform/engine_connections.py
+++ b/ivystep/platform/engine_connections.py
@@ -12,7 +12,7 @@
 import urllib3
 
 from ivystep.core import errors, ids, units
-from ivystep.platform import header_names
+from ivystep.platform import connection_pools, header_names
 from ivystep.runtime import sockets
 
 # An engine answers within a few milliseconds.
@@ -67,7 +67,7 @@
         self.names_calls = False
         self.may_be_kept = False
         self._peer = f'{address[0]}:{address[1]}'
-        self._pool = urllib3.HTTPConnectionPool(
+        self._pool = connection_pools.ConnectionPool(
             address[0],
             address[1],
             maxsize=1,
--- a/ivystep/platform/http.py
+++ b/ivystep/platform/http.py
@@ -7,9 +7,11 @@
 
 import urllib3
 
-from ivystep.core import errors
+from ivystep.core import errors, units
+from ivystep.platform import connection_pools
 
 MAX_ANSWER_BYTES = 67108864
+PART_BYTES = units.MIB
 NO_ANSWER = 'no answer'
 
 OnCall = Callable[[str, str], None]
@@ -50,7 +52,7 @@
         self._on_call = on_call or _ignore_call
         self._base_url = base_url.rstrip('/')
         self._timeout_s = timeout_s
-        self._pool = urllib3.PoolManager(
+        self._pool = connection_pools.PoolManager(
             maxsize=8,
             timeout=urllib3.Timeout(total=timeout_s),
             retries=False,
@@ -180,11 +182,14 @@
 
 
 def _read(response: urllib3.BaseHTTPResponse) -> bytes:
-    body = response.read(MAX_ANSWER_BYTES + 1)
-    if len(body) > MAX_ANSWER_BYTES:
-        response.close()
-        raise urllib3.exceptions.HTTPError(
-            f'answer is longer than {MAX_ANSWER_BYTES} bytes'
-        )
+    body = bytearray()
+    # One read of a long answer would copy all of it at once, several times.
+    while part := response.read(PART_BYTES):
+        body += part
+        if len(body) > MAX_ANSWER_BYTES:
+            response.close()
+            raise urllib3.exceptions.HTTPError(
+                f'answer is longer than {MAX_ANSWER_BYTES} bytes'
+            )
     response.release_conn()
-    return body
+    return bytes(body)
