Bound the bytes and the time of each call to engines and the store

A peer that answered an order, a report or a call to the store with interim answers, trailers or chunks of one byte without an end, or with one byte each 0.2 s, held the call for as long as it wrote.

Cause: http.client bounds a line and the number of headers of one head, and a time-out of urllib3 the wait for the next bytes; neither bounds the message or the call. A green socket gives the loop no turn while bytes are ready.

Change: all pools of urllib3 come from ivystep.platform.bounded_answers, which bounds a head with its interim answers (64 KiB), an answer (longest body and 1 MiB of framing) and the time of a call, and lets other tasks run between two reads. Past a bound the call fails as one whose connection broke.

Ruled out: lines and headers without an end, chunk extensions and a gzip body of 80 MiB were held before.

Before: 12 of 24 cases of test_answer_without_an_end_is_given_up ('Timeout: 10 seconds') and 3 of 3 of test_answer_sent_one_byte_at_a_time_ends_at_the_deadline failed.

--- a/ivystep/platform/engine_connections.py
+++ b/ivystep/platform/engine_connections.py
@@ -12,11 +12,13 @@
 import urllib3
 
 from ivystep.core import errors, ids, units
-from ivystep.platform import header_names
+from ivystep.platform import bounded_answers, header_names
 from ivystep.runtime import sockets
 
 # An engine answers within a few milliseconds.
 TIMEOUT = urllib3.Timeout(connect=0.4, read=0.3)
+# Time for a whole call, as the read time-out is that of each read.
+CALL_TIMEOUT_S = 0.7
 # Engines to which connections are kept, and connections to each.
 MAX_ENGINES = 64
 MAX_IDLE = 4
@@ -67,9 +69,9 @@
         self.names_calls = False
         self.may_be_kept = False
         self._peer = f'{address[0]}:{address[1]}'
-        self._pool = urllib3.HTTPConnectionPool(
-            address[0],
-            address[1],
+        self._pool = bounded_answers.pool(
+            address,
+            MAX_ANSWER_BYTES,
             maxsize=1,
             timeout=TIMEOUT,
             retries=False,
@@ -87,22 +89,23 @@
             errors.LinkError: No answer to this call was received.
         """
         self.may_be_kept = False
-        call_id = ids.new_id('call')
         try:
-            response = self._pool.request(
-                call.method,
-                call.path,
-                body=call.body,
-                headers={CALL_ID: call_id, **dict(call.headers)},
-                redirect=False,
-                preload_content=False,
-            )
+            with bounded_answers.deadline(CALL_TIMEOUT_S):
+                return self._call(call, ids.new_id('call'))
         except urllib3.exceptions.HTTPError as error:
             raise self._failure(call, str(error)) from error
+
+    def _call(self, call: Call, call_id: str) -> Answer:
+        response = self._pool.request(
+            call.method,
+            call.path,
+            body=call.body,
+            headers={CALL_ID: call_id, **dict(call.headers)},
+            redirect=False,
+            preload_content=False,
+        )
         try:
             return self._read(response, call, call_id)
-        except urllib3.exceptions.HTTPError as error:
-            raise self._failure(call, str(error)) from error
         finally:
             if not self.may_be_kept:
                 response.close()
--- a/ivystep/platform/http.py
+++ b/ivystep/platform/http.py
@@ -8,9 +8,13 @@
 import urllib3
 
 from ivystep.core import errors
+from ivystep.platform import bounded_answers
 
 MAX_ANSWER_BYTES = 67108864
 NO_ANSWER = 'no answer'
+# Added to the time of a whole call, so that a connection that can't be opened
+# fails by its own time-out, after which nothing was applied.
+DEADLINE_MARGIN_S = 0.1
 
 OnCall = Callable[[str, str], None]
 
@@ -50,7 +54,8 @@
         self._on_call = on_call or _ignore_call
         self._base_url = base_url.rstrip('/')
         self._timeout_s = timeout_s
-        self._pool = urllib3.PoolManager(
+        self._pool = bounded_answers.pool_manager(
+            MAX_ANSWER_BYTES,
             maxsize=8,
             timeout=urllib3.Timeout(total=timeout_s),
             retries=False,
@@ -90,20 +95,14 @@
             errors.UnavailableError: The service gave no valid answer.
         """
         try:
-            response = self._pool.request(
-                'GET',
-                self._base_url + path,
-                preload_content=False,
-                timeout=urllib3.Timeout(total=self._timeout_s + wait_s),
-            )
-            content = _read(response)
+            answer = self._call('GET', path, self._timeout_s + wait_s)
         except urllib3.exceptions.HTTPError as error:
             self._on_call('GET', NO_ANSWER)
             raise errors.UnavailableError(
                 str(error), step='get', peer=self.name
             ) from error
-        self._on_call('GET', str(response.status))
-        return Answer(response.status, content, response.headers)
+        self._on_call('GET', str(answer.status))
+        return answer
 
     def send(
         self,
@@ -129,14 +128,13 @@
             errors.UncertainWriteError: The write may have been applied.
         """
         try:
-            response = self._pool.request(
+            answer = self._call(
                 method,
-                self._base_url + path,
+                path,
+                self._timeout_s,
                 body=body,
                 headers={'Content-Type': content_type},
-                preload_content=False,
             )
-            content = _read(response)
         except (
             urllib3.exceptions.NewConnectionError,
             urllib3.exceptions.ConnectTimeoutError,
@@ -150,16 +148,16 @@
             raise errors.UncertainWriteError(
                 str(error), step='send', peer=self.name
             ) from error
-        self._on_call(method, str(response.status))
-        if response.status == 503:
+        self._on_call(method, str(answer.status))
+        if answer.status == 503:
             raise errors.UnavailableError(
                 'status 503', step='send', peer=self.name
             )
-        if response.status >= 500:
+        if answer.status >= 500:
             raise errors.UncertainWriteError(
-                f'status {response.status}', step='send', peer=self.name
+                f'status {answer.status}', step='send', peer=self.name
             )
-        return Answer(response.status, content, response.headers)
+        return answer
 
     def parse(self, body: bytes) -> typing.Any:
         """Parse a JSON answer.
@@ -174,6 +172,19 @@
                 'answer is not JSON', step='parse', peer=self.name
             ) from error
 
+    def _call(
+        self, method: str, path: str, timeout_s: float, **options: typing.Any
+    ) -> Answer:
+        with bounded_answers.deadline(timeout_s + DEADLINE_MARGIN_S):
+            response = self._pool.request(
+                method,
+                self._base_url + path,
+                preload_content=False,
+                timeout=urllib3.Timeout(total=timeout_s),
+                **options,
+            )
+            return Answer(response.status, _read(response), response.headers)
+
 
 def _ignore_call(method: str, outcome: str) -> None:
     """Ignore a call."""
--- /dev/null
+++ b/tests/platform/test_bounded_answers.py
@@ -0,0 +1,164 @@
+"""Tests of calls to peers that send bytes without an end."""
+
+import contextlib
+import gzip
+import itertools
+import tracemalloc
+
+import eventlet
+import pytest
+
+from ivystep.core import errors, units
+from ivystep.platform import engine_api, http
+from ivystep.runtime import clock
+
+OK = b'HTTP/1.1 200 OK\r\n'
+CHUNKED = OK + b'Transfer-Encoding: chunked\r\n\r\n'
+PIECE = 64 * units.KIB
+# First bytes, and what follows them without an end.
+ENDLESS = {
+    'status line': (b'HTTP/1.1 200 ', b'x' * PIECE),
+    'header': (OK + b'a: ', b'x' * PIECE),
+    'headers': (OK, b'a: b\r\n' * (PIECE // 6)),
+    'interim answers': (b'', b'HTTP/1.1 100 Continue\r\n\r\n' * 2600),
+    'interim headers': (b'', b'HTTP/1.1 100 Continue\r\na: b\r\n\r\n' * 2000),
+    'trailers': (CHUNKED + b'0\r\n', b'a: b\r\n' * (PIECE // 6)),
+    'chunk extension': (CHUNKED + b'1;', b'x' * PIECE),
+    'small chunks': (CHUNKED, b'1\r\nx\r\n' * (PIECE // 6)),
+    'body': (OK + b'\r\n', b'x' * PIECE),
+}
+ALLOWED_MEMORY_BYTES = 16 * units.MIB
+# The target for others while a peer writes as fast as loopback allows.
+MAX_LAG_S = 0.1
+
+
+class _Writer:
+    """Answers one call with pieces until the caller closes the connection.
+
+    Args:
+        pieces: What is written, one after the other.
+        pause_s: Time before each piece.
+    """
+
+    def __init__(self, pieces, pause_s=0.0):
+        self.is_closed_by_caller = eventlet.event.Event()
+        self._pieces = pieces
+        self._pause_s = pause_s
+
+    @contextlib.contextmanager
+    def start(self):
+        """Serve within a context and yield the address."""
+        with contextlib.closing(eventlet.listen(('127.0.0.1', 0))) as listener:
+            task = eventlet.spawn(self._serve, listener)
+            try:
+                yield listener.getsockname()
+            finally:
+                task.kill()
+
+    def _serve(self, listener):
+        connection, _ = listener.accept()
+        with contextlib.closing(connection):
+            connection.recv(PIECE)
+            try:
+                for piece in self._pieces:
+                    eventlet.sleep(self._pause_s)
+                    connection.sendall(piece)
+            except OSError:
+                self.is_closed_by_caller.send(None)
+
+
+def _report(address):
+    engine_api.EngineClient().read_report(address)
+
+
+def _read_page(address):
+    http.PlatformHttp('store', f'http://127.0.0.1:{address[1]}', 1).get('/')
+
+
+def _write_rows(address):
+    http.PlatformHttp('store', f'http://127.0.0.1:{address[1]}', 1).send(
+        'POST', '/', b'{}'
+    )
+
+
+CALLS = pytest.mark.parametrize('call', [_report, _read_page, _write_rows])
+
+
+@contextlib.contextmanager
+def _measured_lag(found):
+    """Append how late a task runs that sleeps for a millisecond at a time."""
+
+    def tick():
+        while True:
+            before = clock.now()
+            eventlet.sleep(0.001)
+            found.append(clock.now() - before)
+
+    task = eventlet.spawn(tick)
+    try:
+        yield
+    finally:
+        task.kill()
+
+
+def _fail(call, address):
+    """Make a call that fails, and return its error and peak of memory."""
+    tracemalloc.start()
+    try:
+        with (
+            eventlet.Timeout(10),
+            pytest.raises((errors.LinkError, errors.PlatformError)) as caught,
+        ):
+            call(address)
+        return str(caught.value), tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+
+
+@CALLS
+@pytest.mark.parametrize('name', [name for name in ENDLESS if name != 'body'])
+def test_answer_without_an_end_is_given_up(call, name):
+    """Guards against a peer that takes memory and all time of the process."""
+    first, rest = ENDLESS[name]
+    writer = _Writer(itertools.chain([first], itertools.repeat(rest)))
+    lags = []
+    with writer.start() as address, _measured_lag(lags):
+        _, peak = _fail(call, address)
+        with eventlet.Timeout(1):
+            writer.is_closed_by_caller.wait()
+    assert peak < ALLOWED_MEMORY_BYTES
+    assert max(lags) < MAX_LAG_S
+
+
+def test_endless_body_of_an_engine_is_given_up():
+    """Guards against an engine whose body takes memory and time."""
+    first, rest = ENDLESS['body']
+    writer = _Writer(itertools.chain([first], itertools.repeat(rest)))
+    with writer.start() as address:
+        error, peak = _fail(_report, address)
+    assert 'too long' in error
+    assert peak < ALLOWED_MEMORY_BYTES
+
+
+@CALLS
+def test_answer_sent_one_byte_at_a_time_ends_at_the_deadline(call):
+    """Guards against calls without an end, each byte of which is in time."""
+    whole = OK + b'Content-Length: 100\r\n\r\n' + b'x' * 100
+    pieces = [whole[at : at + 1] for at in range(len(whole))]
+    with _Writer(pieces, 0.2).start() as address:
+        started_at = clock.now()
+        error, _ = _fail(call, address)
+        assert clock.now() - started_at < 1.5
+    assert 'no whole answer' in error
+
+
+@CALLS
+def test_compressed_answer_is_inflated_within_a_bound(call):
+    """Guards against a small body that takes gigabytes when inflated."""
+    content = gzip.compress(b' ' * (80 * units.MIB))
+    head = b'Content-Encoding: gzip\r\nContent-Length: %d\r\n\r\n'
+    writer = _Writer([OK + head % len(content) + content])
+    with writer.start() as address:
+        _, peak = _fail(call, address)
+    limit = units.MIB if call is _report else http.MAX_ANSWER_BYTES
+    assert peak < 2.5 * limit + ALLOWED_MEMORY_BYTES
