Bound the time of a frame from its first byte to its last

A process that sent a frame one byte at a time held the connection and its task: servers wait for the next frame without a time-out, and that wait was also the one for the rest of a frame.

Change: a frame is complete 10 s after its first byte, or the connection is closed with a FrameError that names step, peer and bound. Idle connections may last as before. Frames that are too long or malformed raise FrameError too.

--- a/ivystep/wire/channel.py
+++ b/ivystep/wire/channel.py
@@ -25,6 +25,8 @@
 
 MAX_FRAME_BYTES = 4 * units.MIB
 CONNECT_TIMEOUT_S = 2.0
+# Longest time from the first byte of a frame to its last.
+FRAME_TIMEOUT_S = 10.0
 READ_BYTES = 64 * units.KIB
 HEADER = struct.Struct('!I')
 WOULD_BLOCK_ERRORS = (
@@ -61,7 +63,7 @@
         payload: The frame without its length.
 
     Raises:
-        errors.LinkError: The bytes are not a frame with one message.
+        FrameError: The bytes are not a frame with one message.
     """
     frame = ttypes.Frame()
     buffer = TTransport.TMemoryBuffer(payload)
@@ -70,12 +72,16 @@
             TCompactProtocol.TCompactProtocolAccelerated(buffer, fallback=True),
         )
     except DECODE_ERRORS as error:
-        raise errors.LinkError(f'malformed frame: {error}') from error
+        raise FrameError(f'malformed frame: {error}') from error
     for name in _FIELD_NAMES:
         message = getattr(frame, name)
         if message is not None:
             return message
-    raise errors.LinkError('empty frame')
+    raise FrameError('empty frame')
+
+
+class FrameError(errors.LinkError):
+    """A peer has sent what is no frame, or none within its bounds."""
 
 
 class Channel:
@@ -94,6 +100,8 @@
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._connection = connection
         self._buffer = bytearray()
+        # Time at which the first byte in the buffer was received.
+        self._frame_started_at = 0.0
         # Whether the last read found no data, so that the next must wait.
         self._is_socket_empty = False
         self.has_waited = False
@@ -173,8 +181,9 @@
             The message.
 
         Raises:
-            errors.LinkError: The connection ended, timed out, or the frame is
-                malformed or too long.
+            errors.LinkError: The connection ended or timed out.
+            FrameError: The frame is malformed, too long, or was not complete
+                ``FRAME_TIMEOUT_S`` after it had begun.
         """
         with self._closed_on_error():
             deadline = None if timeout_s is None else clock.now() + timeout_s
@@ -246,6 +255,11 @@
         """Close the channel on an error and add step and peer to it."""
         try:
             yield
+        except FrameError as error:
+            self.close()
+            raise FrameError(
+                str(error), step='receive', peer=self.peer
+            ) from error
         except (OSError, errors.LinkError) as error:
             self.close()
             raise errors.LinkError(
@@ -259,12 +273,13 @@
             return None
         length = HEADER.unpack_from(buffer)[0]
         if length > MAX_FRAME_BYTES:
-            raise errors.LinkError(f'frame of {length} bytes is too long')
+            raise FrameError(f'frame of {length} bytes is too long')
         end = HEADER.size + length
         if len(buffer) < end:
             return None
         payload = bytes(buffer[HEADER.size : end])
         del buffer[:end]
+        self._frame_started_at = clock.now()
         return payload
 
     def _read_available(self) -> bool:
@@ -284,6 +299,8 @@
             self._connection.act_non_blocking = False
         if not received:
             raise errors.LinkError('connection closed')
+        if not self._buffer:
+            self._frame_started_at = clock.now()
         self._buffer += received
         return True
 
@@ -292,7 +309,25 @@
 
         Raises:
             TimeoutError: No data has arrived by the deadline.
+            FrameError: A frame that has begun is not complete in time.
         """
+        limit = deadline
+        if self._buffer:
+            frame_deadline = self._frame_started_at + FRAME_TIMEOUT_S
+            if limit is None or frame_deadline < limit:
+                limit = frame_deadline
+        try:
+            self._wait_until(limit)
+        except TimeoutError as error:
+            if limit == deadline:
+                raise
+            raise FrameError(
+                f'the frame is not complete after {FRAME_TIMEOUT_S:g} s'
+            ) from error
+        self._is_socket_empty = False
+        self.has_waited = True
+
+    def _wait_until(self, deadline: float | None) -> None:
         left_s = None if deadline is None else max(deadline - clock.now(), 0)
         hubs.trampoline(
             self._connection,
@@ -300,5 +335,3 @@
             timeout=left_s,
             timeout_exc=TimeoutError,
         )
-        self._is_socket_empty = False
-        self.has_waited = True
