--- a/tests/wire/test_listener.py
+++ b/tests/wire/test_listener.py
@@ -1,11 +1,13 @@
 """Tests of the accept loop under errors of accept."""
 
 import errno
+import logging
+import socket
 
 import eventlet
 
 from ivystep.runtime import listeners, virtual_hub
-from ivystep.wire import listener
+from ivystep.wire import channel, listener
 
 
 class Socket:
@@ -45,3 +47,24 @@
         return first.accepted, second.accepted > 1, serving.dead
 
     assert virtual_hub.run(scenario) == (4, True, True)
+
+
+def test_peer_that_sends_no_frame_costs_one_line_and_its_connection(caplog):
+    """Guards against broken frames that no log line names."""
+    caplog.set_level(logging.WARNING)
+    source = eventlet.listen(('127.0.0.1', 0))
+    eventlet.spawn(
+        listener.serve, source, None, 'peer', lambda link: link.receive()
+    )
+    with socket.create_connection(source.getsockname()) as far:
+        peer = '{}:{}'.format(*far.getsockname())
+        far.sendall(channel.HEADER.pack(channel.MAX_FRAME_BYTES + 1))
+        with eventlet.Timeout(2):
+            assert far.recv(1) == b''
+    source.close()
+    expected = (
+        f'Connection from {peer} closed: '
+        f'receive {peer}: frame of {channel.MAX_FRAME_BYTES + 1} bytes '
+        'is too long.'
+    )
+    assert [record.getMessage() for record in caplog.records] == [expected]
