Bound what a sidecar reads from its upstream

An upstream whose answer to a health check, to metrics or to an order had no end, or came one byte each 0.2 s, held the sidecar's call, and the sidecar kept all of the body. A JSON document was read and joined in full before its length was checked.

Cause: the calls had urllib3's time-out for each read and no bound of bytes; limit_size was applied to the joined document only.

Change: all calls use bounded_answers, those besides requests with one deadline and 4 MiB; a document is bounded as it is read. The writer of the tests moves to tests/endless.py.

--- a/ivystep/sidecar/answers.py
+++ b/ivystep/sidecar/answers.py
@@ -78,7 +78,7 @@
         errors.InvariantError: Another adapter produced the answer.
         errors.RequestError: The answer is malformed.
     """
-    body = b''.join(chunks)
+    body = b''.join(limit_size(chunks))
     _check_model(body, ref)
     yield from limit_size((body,))
 
--- a/ivystep/sidecar/upstream.py
+++ b/ivystep/sidecar/upstream.py
@@ -11,18 +11,25 @@
 import dataclasses
 import functools
 import json
+import sys
 import typing
 from types import MappingProxyType
 
 import urllib3
 
-from ivystep.core import errors, types
+from ivystep.core import errors, types, units
+from ivystep.platform import bounded_answers
 from ivystep.runtime import sockets
 from ivystep.settings import models
 
 CONNECT_TIMEOUT_S = 1.0
 LOAD_TIMEOUT_S = 60.0
 HEALTH_TIMEOUT_S = 1.0
+# Added to the time of a whole call, so that a connection that can't be opened
+# fails by its own time-out.
+DEADLINE_MARGIN_S = 0.1
+# Longest answer of health, metrics, list of models and orders.
+MAX_ANSWER_BYTES = 4 * units.MIB
 START_TIME_METRIC = 'process_start_time_seconds'
 RUNNING_METRIC = 'num_requests_running'
 Response: typing.TypeAlias = urllib3.BaseHTTPResponse
@@ -81,7 +88,7 @@
                 have been run.
         """
         try:
-            return _pool().request(
+            return _pool(sys.maxsize).request(
                 'POST',
                 self.base_url + path,
                 body=body,
@@ -120,17 +127,18 @@
 
     def _get(self, path: str, accepted: tuple[int, ...] = (200,)) -> bytes:
         try:
-            response = _pool().request(
+            status, content = _call(
                 'GET',
                 self.base_url + path,
+                HEALTH_TIMEOUT_S,
                 headers=CLOSE_HEADERS,
                 timeout=HEALTH_TIMEOUT_S,
             )
         except urllib3.exceptions.HTTPError as error:
             raise self._unavailable(str(error)) from error
-        if response.status not in accepted:
-            raise self._unavailable(f'status {response.status}')
-        return response.data
+        if status not in accepted:
+            raise self._unavailable(f'status {status}')
+        return content
 
     def _unavailable(self, reason: str) -> errors.UnavailableError:
         return errors.UnavailableError(
@@ -215,9 +223,10 @@
     ) -> None:
         headers = {**JSON_HEADERS, 'X-Fencing-Token': str(fencing_token)}
         try:
-            response = _pool().request(
+            status, _ = _call(
                 'POST',
                 self.base_url + path,
+                CONNECT_TIMEOUT_S + LOAD_TIMEOUT_S,
                 body=json.dumps(document).encode(),
                 headers=headers,
                 timeout=urllib3.Timeout(
@@ -226,13 +235,37 @@
             )
         except urllib3.exceptions.HTTPError as error:
             raise _order_error(error, path, self.base_url) from error
-        if response.status not in accepted:
-            raise _status_error(response.status, path, self.base_url)
+        if status not in accepted:
+            raise _status_error(status, path, self.base_url)
 
 
-def _pool() -> urllib3.PoolManager:
+def _call(
+    method: str, url: str, timeout_s: float, **options: typing.Any
+) -> tuple[int, bytes]:
+    """Make a call and return status and body.
+
+    Raises:
+        urllib3.exceptions.HTTPError: No answer within the bounds was received.
+    """
+    with bounded_answers.deadline(timeout_s + DEADLINE_MARGIN_S):
+        response = _pool(MAX_ANSWER_BYTES).request(
+            method, url, preload_content=False, **options
+        )
+        try:
+            content = response.read(MAX_ANSWER_BYTES + 1)
+        finally:
+            response.close()
+    if len(content) > MAX_ANSWER_BYTES:
+        raise urllib3.exceptions.HTTPError(
+            f'answer is longer than {MAX_ANSWER_BYTES} bytes'
+        )
+    return response.status, content
+
+
+def _pool(max_body_bytes: int) -> urllib3.PoolManager:
     """Return a pool for one call, whose connection is reset as it closes."""
-    return urllib3.PoolManager(
+    return bounded_answers.pool_manager(
+        max_body_bytes,
         maxsize=1,
         retries=False,
         socket_options=sockets.RESET_ON_CLOSE_OPTIONS,
--- a/tests/platform/test_bounded_answers.py
+++ b/tests/platform/test_bounded_answers.py
@@ -11,6 +11,7 @@
 from ivystep.core import errors, units
 from ivystep.platform import engine_api, http
 from ivystep.runtime import clock
+from tests import endless
 
 OK = b'HTTP/1.1 200 OK\r\n'
 CHUNKED = OK + b'Transfer-Encoding: chunked\r\n\r\n'
@@ -32,41 +33,6 @@
 MAX_LAG_S = 0.1
 
 
-class _Writer:
-    """Answers one call with pieces until the caller closes the connection.
-
-    Args:
-        pieces: What is written, one after the other.
-        pause_s: Time before each piece.
-    """
-
-    def __init__(self, pieces, pause_s=0.0):
-        self.is_closed_by_caller = eventlet.event.Event()
-        self._pieces = pieces
-        self._pause_s = pause_s
-
-    @contextlib.contextmanager
-    def start(self):
-        """Serve within a context and yield the address."""
-        with contextlib.closing(eventlet.listen(('127.0.0.1', 0))) as listener:
-            task = eventlet.spawn(self._serve, listener)
-            try:
-                yield listener.getsockname()
-            finally:
-                task.kill()
-
-    def _serve(self, listener):
-        connection, _ = listener.accept()
-        with contextlib.closing(connection):
-            connection.recv(PIECE)
-            try:
-                for piece in self._pieces:
-                    eventlet.sleep(self._pause_s)
-                    connection.sendall(piece)
-            except OSError:
-                self.is_closed_by_caller.send(None)
-
-
 def _report(address):
     engine_api.EngineClient().read_report(address)
 
@@ -120,7 +86,7 @@
 def test_answer_without_an_end_is_given_up(call, name):
     """Guards against a peer that takes memory and all time of the process."""
     first, rest = ENDLESS[name]
-    writer = _Writer(itertools.chain([first], itertools.repeat(rest)))
+    writer = endless.Writer(itertools.chain([first], itertools.repeat(rest)))
     lags = []
     with writer.start() as address, _measured_lag(lags):
         _, peak = _fail(call, address)
@@ -133,7 +99,7 @@
 def test_endless_body_of_an_engine_is_given_up():
     """Guards against an engine whose body takes memory and time."""
     first, rest = ENDLESS['body']
-    writer = _Writer(itertools.chain([first], itertools.repeat(rest)))
+    writer = endless.Writer(itertools.chain([first], itertools.repeat(rest)))
     with writer.start() as address:
         error, peak = _fail(_report, address)
     assert 'too long' in error
@@ -145,7 +111,7 @@
     """Guards against calls without an end, each byte of which is in time."""
     whole = OK + b'Content-Length: 100\r\n\r\n' + b'x' * 100
     pieces = [whole[at : at + 1] for at in range(len(whole))]
-    with _Writer(pieces, 0.2).start() as address:
+    with endless.Writer(pieces, 0.2).start() as address:
         started_at = clock.now()
         error, _ = _fail(call, address)
         assert clock.now() - started_at < 1.5
@@ -157,7 +123,7 @@
     """Guards against a small body that takes gigabytes when inflated."""
     content = gzip.compress(b' ' * (80 * units.MIB))
     head = b'Content-Encoding: gzip\r\nContent-Length: %d\r\n\r\n'
-    writer = _Writer([OK + head % len(content) + content])
+    writer = endless.Writer([OK + head % len(content) + content])
     with writer.start() as address:
         _, peak = _fail(call, address)
     limit = units.MIB if call is _report else http.MAX_ANSWER_BYTES
