Report deeply nested JSON of an upstream as malformed

An answer, an event or a list of models of 100,000 open brackets ended the sidecar's task with a RecursionError.

Cause: the sidecar's three readers caught a list of errors of their own; the parser's are in decoding.DECODE_ERRORS. They now catch these.

Ruled out: readers of the store, of reports and of callers' bodies, which catch RecursionError, and frames, which the codec refuses.

Before: test_deeply_nested_answer_is_malformed and test_deeply_nested_list_of_models_is_malformed failed with 'RecursionError'.

--- a/ivystep/sidecar/answers.py
+++ b/ivystep/sidecar/answers.py
@@ -11,6 +11,7 @@
 from collections.abc import Iterable, Iterator
 
 from ivystep.core import errors, types, units
+from ivystep.platform import decoding
 from ivystep.traffic import event_stream
 
 MAX_ANSWER_BYTES = 16 * units.MIB
@@ -186,7 +187,7 @@
 def _check_model(document: bytes, ref: types.AdapterRef) -> None:
     try:
         model = json.loads(document)['model']
-    except (ValueError, KeyError, TypeError) as error:
+    except decoding.DECODE_ERRORS as error:
         raise invalid_answer('The answer is malformed.') from error
     if model != ref.lora_name:
         raise errors.InvariantError(
--- a/ivystep/sidecar/run.py
+++ b/ivystep/sidecar/run.py
@@ -9,6 +9,7 @@
 import urllib3
 
 from ivystep.core import errors, types, units
+from ivystep.platform import decoding
 from ivystep.runtime import clock, logs
 from ivystep.sidecar import answers, attempts, host, interrupts, upstream
 from ivystep.wire import channel, convert
@@ -369,7 +370,7 @@
 def _model_of(body: bytes) -> str | None:
     try:
         return json.loads(body)['model']
-    except (ValueError, KeyError, TypeError):
+    except decoding.DECODE_ERRORS:
         return None
 
 
--- a/ivystep/sidecar/upstream.py
+++ b/ivystep/sidecar/upstream.py
@@ -18,7 +18,7 @@
 import urllib3
 
 from ivystep.core import errors, types, units
-from ivystep.platform import bounded_answers
+from ivystep.platform import bounded_answers, decoding
 from ivystep.runtime import sockets
 from ivystep.settings import models
 
@@ -207,7 +207,7 @@
         try:
             listed = json.loads(self._get('/v1/models'))['data']
             names = [str(model['id']) for model in listed]
-        except (ValueError, KeyError, TypeError) as error:
+        except decoding.DECODE_ERRORS as error:
             raise self._unavailable(
                 'the list of models is malformed'
             ) from error
--- a/tests/sidecar/test_endless_answers.py
+++ b/tests/sidecar/test_endless_answers.py
@@ -8,7 +8,7 @@
 
 from ivystep.core import errors, types, units
 from ivystep.runtime import clock
-from ivystep.sidecar import answers, upstream
+from ivystep.sidecar import answers, run, upstream
 from tests import endless
 
 REF = types.AdapterRef('acme', 'a1', 1)
@@ -72,3 +72,23 @@
     with pytest.raises(errors.RequestError, match='too long'):
         next(answers.check_document(received, REF))
     assert len(list(received)) > 180
+
+
+def test_deeply_nested_answer_is_malformed():
+    """Guards against a task that ends by an error that nobody handles."""
+    nested = b'[' * 100000
+    with pytest.raises(errors.RequestError, match='malformed'):
+        next(answers.check_document([nested], REF))
+    with pytest.raises(errors.RequestError, match='malformed'):
+        next(answers.check_stream([b'data: ', nested, b'\n\n'], REF))
+    assert run._model_of(nested) is None
+
+
+def test_deeply_nested_list_of_models_is_malformed():
+    """Guards against an upstream that stays unread without a reason."""
+    nested = b'[' * 100000
+    head = OK + b'Content-Length: %d\r\n\r\n' % len(nested)
+    with endless.Writer([head + nested]).start() as (ip, port):
+        client = upstream.EngineHttp(f'http://{ip}:{port}')
+        with pytest.raises(errors.UnavailableError, match='malformed'):
+            client._resident()
