Refuse frames whose texts are longer than the codec allows

A frame of a few bytes whose text claims more than 16 MB ended the task of its connection with an OverflowError, which DECODE_ERRORS lacked. It is now a malformed frame: the connection is closed with a FrameError and a log line.

Found by the fuzz of the readers. Before: test_hostile_frame_costs_no_more_than_its_bytes failed with 'OverflowError: size exceeded specified limit:'.

--- a/ivystep/wire/channel.py
+++ b/ivystep/wire/channel.py
@@ -35,7 +35,13 @@
     ssl.SSLWantWriteError,
 )
 # The codec raises these on bytes that are not a frame.
-DECODE_ERRORS = (Thrift.TException, EOFError, ValueError, TypeError)
+DECODE_ERRORS = (
+    Thrift.TException,
+    EOFError,
+    ValueError,
+    TypeError,
+    OverflowError,
+)
 
 _FIELD_NAMES = tuple(spec[2] for spec in ttypes.Frame.thrift_spec if spec)
 _FIELD_BY_TYPE = MappingProxyType(
--- a/tests/wire/test_channel_buffer.py
+++ b/tests/wire/test_channel_buffer.py
@@ -105,11 +105,13 @@
     assert link.receive().data == b'x'
 
 
-# An unknown field of nested structs or lists, and a list without its entries.
+# An unknown field of nested structs or lists, a list without its entries, and a
+# text that is longer than the codec allows.
 HOSTILE_PAYLOADS = (
     b'\x0c\xc8\x01' + b'\x1c' * 1_000_000,
     b'\x0c\xc8\x01' + b'\x19' * 1_000_000,
     b'\xec\x39\xfc\xff\xff\xff\xff\x07\x00\x00',
+    b'\x5c\x18\x80\x80\x80\x08body',
     b'',
     b'\x00',
 )
