Bound a request header that is received in pieces

A caller could send a header value without an end, which the parser kept until the time-out of the head: it reports a value only when it is complete, and only the length of each received piece was checked against the bound of a head.

The reader now counts what it receives after the first piece of a head. The first piece may hold the end of an earlier request and is checked as before.

Ruled out: targets, many headers, chunks and long bodies, which were refused whatever the pieces.

Before: test_header_without_an_end_is_refused_whatever_its_pieces failed with pieces of 1, 40 and 1000 bytes: 'DID NOT RAISE BadRequestError'.

--- a/ivystep/traffic/http1.py
+++ b/ivystep/traffic/http1.py
@@ -82,6 +82,8 @@
         self._current = RawRequest()
         self._target = bytearray()
         self._head_bytes = 0
+        # Pieces received since the first one of the present head.
+        self._later_head_bytes = 0
         self._is_head_complete = False
         self._has_expect_header = False
         self._ready: collections.deque[RawRequest] = collections.deque()
@@ -109,6 +111,8 @@
         """Parse received bytes; ``next_request`` raises any error."""
         if self._problem is not None:
             return
+        if self.is_in_head:
+            self._later_head_bytes += len(received)
         if self.is_idle and received.strip(b'\r\n'):
             self.is_idle = False
         try:
@@ -119,7 +123,8 @@
             self._fail(400, 'The request is malformed.')
         # The parser reports a header only when its value is complete, so the
         # number of received bytes is checked as well.
-        if self.is_in_head and len(received) > self._max_header_bytes:
+        unreported = max(len(received), self._later_head_bytes)
+        if self.is_in_head and unreported > self._max_header_bytes:
             self._fail(431, 'The headers are too long.')
 
     def next_request(self) -> RawRequest | None:
@@ -158,6 +163,7 @@
         self._current = RawRequest()
         self._target = bytearray()
         self._head_bytes = 0
+        self._later_head_bytes = 0
         self._is_head_complete = False
         self.is_idle = False
 
--- a/tests/traffic/test_http1.py
+++ b/tests/traffic/test_http1.py
@@ -190,3 +190,22 @@
         continue
     with pytest.raises(errors.LinkError):
         reader.feed_eof()
+
+
+@pytest.mark.parametrize('size', [1, 40, MAX_HEADER])
+def test_header_without_an_end_is_refused_whatever_its_pieces(size):
+    """Guards against a caller whose header is kept until it times out."""
+    reader = reader_of(b'GET / HTTP/1.1\r\na: ')
+    for _ in range(2 * MAX_HEADER // size + 1):
+        reader.feed(b'b' * size)
+    with pytest.raises(http1.BadRequestError) as caught:
+        reader.next_request()
+    assert caught.value.status == 431
+
+
+def test_whole_head_is_read_in_small_pieces_after_other_requests():
+    """Guards against a bound that counts the bytes of earlier requests."""
+    head = b'GET / HTTP/1.1\r\nHost: x\r\na: ' + b'b' * 900 + b'\r\n\r\n'
+    stream = head * 3
+    pieces = [stream[at : at + 7] for at in range(0, len(stream), 7)]
+    assert len(read_all(reader_of(*pieces))) == 3
