--- a/ivystep/wire/channel.py
+++ b/ivystep/wire/channel.py
@@ -25,6 +25,8 @@
 
 MAX_FRAME_BYTES = 4 * units.MIB
 CONNECT_TIMEOUT_S = 2.0
+# Longest time from the first byte of a frame to its last.
+FRAME_TIMEOUT_S = 10.0
 READ_BYTES = 64 * units.KIB
 HEADER = struct.Struct('!I')
 WOULD_BLOCK_ERRORS = (
@@ -33,7 +35,13 @@
     ssl.SSLWantWriteError,
 )
 # The codec raises these on bytes that are not a frame.
-DECODE_ERRORS = (Thrift.TException, EOFError, ValueError, TypeError)
+DECODE_ERRORS = (
+    Thrift.TException,
+    EOFError,
+    ValueError,
+    TypeError,
+    OverflowError,
+)
 
 _FIELD_NAMES = tuple(spec[2] for spec in ttypes.Frame.thrift_spec if spec)
 _FIELD_BY_TYPE = MappingProxyType(
@@ -61,7 +69,7 @@
         payload: The frame without its length.
 
     Raises:
-        errors.LinkError: The bytes are not a frame with one message.
+        FrameError: The bytes are not a frame with one message.
     """
     frame = ttypes.Frame()
     buffer = TTransport.TMemoryBuffer(payload)
@@ -70,12 +78,16 @@
             TCompactProtocol.TCompactProtocolAccelerated(buffer, fallback=True),
         )
     except DECODE_ERRORS as error:
-        raise errors.LinkError(f'malformed frame: {error}') from error
+        raise FrameError(f'malformed frame: {error}') from error
     for name in _FIELD_NAMES:
         message = getattr(frame, name)
         if message is not None:
             return message
-    raise errors.LinkError('empty frame')
+    raise FrameError('empty frame')
+
+
+class FrameError(errors.LinkError):
+    """A peer has sent what is no frame, or none within its bounds."""
 
 
 class Channel:
@@ -94,6 +106,8 @@
             connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._connection = connection
         self._buffer = bytearray()
+        # Time at which the first byte in the buffer was received.
+        self._frame_started_at = 0.0
         # Whether the last read found no data, so that the next must wait.
         self._is_socket_empty = False
         self._is_after_wait = False
@@ -174,8 +188,9 @@
             The message.
 
         Raises:
-            errors.LinkError: The connection ended, timed out, or the frame is
-                malformed or too long.
+            errors.LinkError: The connection ended or timed out.
+            FrameError: The frame is malformed, too long, or was not complete
+                ``FRAME_TIMEOUT_S`` after it had begun.
         """
         with self._closed_on_error():
             deadline = None if timeout_s is None else clock.now() + timeout_s
@@ -253,6 +268,11 @@
         """Close the channel on an error and add step and peer to it."""
         try:
             yield
+        except FrameError as error:
+            self.close()
+            raise FrameError(
+                str(error), step='receive', peer=self.peer
+            ) from error
         except (OSError, errors.LinkError) as error:
             self.close()
             raise errors.LinkError(
@@ -266,7 +286,7 @@
             return None
         length = HEADER.unpack_from(buffer)[0]
         if length > MAX_FRAME_BYTES:
-            raise errors.LinkError(f'frame of {length} bytes is too long')
+            raise FrameError(f'frame of {length} bytes is too long')
         end = HEADER.size + length
         if len(buffer) < end:
             return None
@@ -275,6 +295,7 @@
         if buffer:
             # Each of many small frames takes time for itself.
             turns.count(0)
+        self._frame_started_at = clock.now()
         return payload
 
     def _read_available(self) -> bool:
@@ -294,6 +315,8 @@
             self._connection.act_non_blocking = False
         if not received:
             raise errors.LinkError('connection closed')
+        if not self._buffer:
+            self._frame_started_at = clock.now()
         self._buffer += received
         if not self._is_after_wait:
             turns.count(len(received))
@@ -305,7 +328,26 @@
 
         Raises:
             TimeoutError: No data has arrived by the deadline.
+            FrameError: A frame that has begun is not complete in time.
         """
+        limit = deadline
+        if self._buffer:
+            frame_deadline = self._frame_started_at + FRAME_TIMEOUT_S
+            if limit is None or frame_deadline < limit:
+                limit = frame_deadline
+        try:
+            self._wait_until(limit)
+        except TimeoutError as error:
+            if limit == deadline:
+                raise
+            raise FrameError(
+                f'the frame is not complete after {FRAME_TIMEOUT_S:g} s'
+            ) from error
+        self._is_socket_empty = False
+        self._is_after_wait = True
+        self.has_waited = True
+
+    def _wait_until(self, deadline: float | None) -> None:
         left_s = None if deadline is None else max(deadline - clock.now(), 0)
         hubs.trampoline(
             self._connection,
@@ -313,6 +355,3 @@
             timeout=left_s,
             timeout_exc=TimeoutError,
         )
-        self._is_socket_empty = False
-        self._is_after_wait = True
-        self.has_waited = True
