Accept what the kernel has queued before a listener closes

What callers saw: a caller that had connected to a busy gateway and sent its whole request got a reset as the listener closed.

Cause: the kernel resets the connections that wait in the queue of a listener as it closes, and nothing accepted them before.

Change: the listener accepts them first and hands them out, and the drain leaves the task that accepts the time to take them. Their requests are then refused, 503 and not run, or taken if their deadline ends them in time.

Evidence: test_request_that_waits_in_the_kernel_at_the_close_is_answered failed before: "assert 0 == 503", no byte received.

Ruled out: that such requests are read and cut; they were never accepted. Entry and console end the task that accepts in the same turn and are as before.

--- a/ivystep/gateway/draining.py
+++ b/ivystep/gateway/draining.py
@@ -84,6 +84,8 @@
         released = eventlet.spawn(self._release)
         self._wait_for_close(closes_at)
         listener.close()
+        # The task that accepts takes the connections that were queued.
+        clock.sleep(drain.POLL_S)
         self._log.write(
             process_events.ListenerClosed(
                 int((clock.now() - started) * units.MS_PER_S),
--- a/ivystep/runtime/listeners.py
+++ b/ivystep/runtime/listeners.py
@@ -5,12 +5,14 @@
 listener waits for it, so the process neither ends nor lacks its other ports.
 """
 
+import collections
 import errno
 import socket
 import typing
 from collections.abc import Callable
 
 import eventlet
+from eventlet import greenio
 
 from ivystep.core import units
 from ivystep.runtime import clock, event_log, listener_events
@@ -75,6 +77,9 @@
         self._backlog = backlog
         self._socket: typing.Any = None
         self._is_closed = False
+        self._queued: collections.deque[tuple[typing.Any, typing.Any]] = (
+            collections.deque()
+        )
         self._unavailable_since: float | None = None
         self._failures = 0
         self._reported_at = -FAILURE_REPORT_S
@@ -148,9 +153,12 @@
         """Return the next connection and the address of its peer.
 
         Raises:
-            ListenerClosedError: The listener was closed.
+            ListenerClosedError: The listener was closed, and no connection is
+                left that came before.
         """
         while True:
+            if self._queued:
+                return self._queued.popleft()
             self.wait_until_open()
             try:
                 accepted = self._socket.accept()
@@ -163,9 +171,14 @@
                 return accepted
 
     def close(self) -> None:
-        """Close the listener for good; does not yield to other tasks."""
+        """Close the listener for good; does not yield to other tasks.
+
+        ``accept`` returns the connections that the kernel has queued before,
+        because the close would reset them.
+        """
         self._is_closed = True
         if self._socket is not None:
+            self._accept_queued()
             self._socket.close()
             self._socket = None
 
@@ -205,8 +218,20 @@
                 )
             )
 
+    def _accept_queued(self) -> None:
+        """Accept what the kernel holds, as far as there are descriptors."""
+        self._socket.setblocking(False)
+        for _ in range(self._backlog):
+            try:
+                accepted, address = self._socket.accept()
+            except OSError:
+                return
+            self._queued.append((greenio.GreenSocket(accepted), address))
+
     def _on_accept_error(self, error: OSError) -> None:
         if self._is_closed:
+            if self._queued:
+                return
             raise ListenerClosedError from error
         if error.errno in LOST_ERRORS:
             # The descriptor may already be that of another socket, which must
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -3,6 +3,7 @@
 import contextlib
 
 import eventlet
+from eventlet import greenio, patcher
 
 from ivystep.gateway import draining
 from tests.gateway import harness, test_draining
@@ -26,3 +27,31 @@
     assert answer.status == 503
     assert answer.document['ran'] == 'no'
     drained.wait()
+
+
+class ConnectingListener:
+    """Lets a caller connect and send just before the listener closes."""
+
+    def __init__(self, gateway):
+        self._gateway = gateway
+        self.caller = None
+
+    def close(self):
+        # No other task has a turn between these calls.
+        caller = patcher.original('socket').create_connection(
+            ('127.0.0.1', self._gateway.port)
+        )
+        caller.sendall(test_draining.slow_request('/slow/2f'))
+        self.caller = greenio.GreenSocket(caller)
+        self._gateway.listener.close()
+
+
+def test_request_that_waits_in_the_kernel_at_the_close_is_answered(build):
+    """Guards against resets of connections that a busy host did not accept."""
+    gateway, _ = build(config=test_draining.SLOW_CALLERS)
+    listener = ConnectingListener(gateway)
+    drained = eventlet.spawn(gateway.daemon.drain, listener)
+    drained.wait()
+    answer = harness.read_to_end(listener.caller)
+    assert answer.status == 503
+    assert answer.document['ran'] == 'no'
