Refuse requests that are still being received as a drain ends

What callers saw: a caller that sends slowly got a closed connection or a reset as its gateway ended, and could not tell whether its request had run.

Cause: a planned stop ends only the requests that were received in full.

Change: at its end the drain refuses each request of which a part has arrived: 503, not run, Retry-After. The refusal for lack of memory takes the same way.

Evidence: test_request_that_is_incomplete_at_the_end_of_a_stop_is_refused failed before: no answer when the drain had returned ("assert False", answered.dead).

Ruled out: that the drain does not see the connection; it waits for it.

--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -22,6 +22,7 @@
     disconnect_watch,
     planned_stop,
     relay,
+    request_state,
 )
 from ivystep.runtime import byte_budget, clock, descriptor_limit
 from ivystep.settings import gateway as settings_models
@@ -97,7 +98,7 @@
             if largest is None or largest is asking:
                 return asking.buffered_bytes <= ALWAYS_BUFFERED_BYTES
             self.buffered.hold(largest, 0)
-            largest.refuse_incomplete()
+            largest.refuse_incomplete(_no_memory())
         return True
 
     def close_idle(self, idle_s: float = 0.0) -> None:
@@ -110,6 +111,14 @@
             if connection.is_idle_for(idle_s):
                 connection.close_if_idle()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse the requests that are still being received, as this ends."""
+        for connection in list(self.open_connections):
+            if connection.is_receiving:
+                connection.refuse_incomplete(
+                    _host_stopping(self.stop.retry_after_s)
+                )
+
 
 HandleRequest = Callable[[http1.RawRequest, 'CallerConnection'], None]
 
@@ -179,7 +188,7 @@
         self._is_idle = True
         self.idle_since = clock.now()
         self.is_waiting = False
-        self._is_refused = False
+        self._refusal: http1.BadRequestError | None = None
         self._running_bytes = 0
         self._task: typing.Any = None
 
@@ -223,9 +232,18 @@
         """Return whether another connection's request may be refused now."""
         return other is self or other.is_waiting
 
-    def refuse_incomplete(self) -> None:
-        """Refuse the request that is being received, as memory is short."""
-        self._is_refused = True
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of a request has arrived, and not all of it."""
+        return self.is_waiting and not self._is_idle
+
+    def refuse_incomplete(self, refusal: http1.BadRequestError) -> None:
+        """Refuse the request that is being received.
+
+        Args:
+            refusal: The error for the caller.
+        """
+        self._refusal = refusal
         hubs.get_hub().schedule_call_global(0, self._interrupt_waiting)
 
     @contextlib.contextmanager
@@ -325,15 +343,15 @@
         """Return received bytes like ``_receive``.
 
         Raises:
-            http1.BadRequestError: Memory has become short meanwhile.
+            http1.BadRequestError: The request was refused meanwhile.
         """
         self.is_waiting = True
         try:
             received = self._receive(timeout_s)
         finally:
             self.is_waiting = False
-        if self._is_refused:
-            raise _no_memory()
+        if self._refusal is not None:
+            raise self._refusal
         return received
 
     def _buffer(self, received: bytes) -> None:
@@ -356,7 +374,7 @@
     def _interrupt_waiting(self) -> None:
         """Wake the task up, if it still waits for the rest of a request."""
         if self.is_waiting and not self._task.dead:
-            self._task.throw(_no_memory())
+            self._task.throw(self._refusal)
 
     def _read_timeout_s(self, started_at: float) -> float:
         """Return the time-out of the next read, while idle or in a request."""
@@ -431,3 +449,12 @@
         NO_MEMORY,
         NO_MEMORY_RETRY_S,
     )
+
+
+def _host_stopping(retry_after_s: float) -> http1.BadRequestError:
+    return http1.BadRequestError(
+        503,
+        'This host stops before the request was received in full.',
+        request_state.HOST_STOPPING,
+        retry_after_s,
+    )
--- a/ivystep/gateway/draining.py
+++ b/ivystep/gateway/draining.py
@@ -96,6 +96,7 @@
         self._wait_for_callers(end)
         self._stop.end_due()
         self._server_state.close_idle()
+        self._server_state.refuse_incomplete()
         # A busy event loop comes here late, and the answers are sent later.
         self._wait_for_callers(max(end, clock.now()) + FLUSH_S)
         with eventlet.Timeout(max(end - clock.now(), 0), exception=False):
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/test_closing_connections.py
@@ -55,3 +55,20 @@
     answer = harness.read_to_end(listener.caller)
     assert answer.status == 503
     assert answer.document['ran'] == 'no'
+
+
+def test_request_that_is_incomplete_at_the_end_of_a_stop_is_refused(build):
+    """Guards against callers that still send and get no answer."""
+    gateway, _ = build(
+        config=test_draining.SLOW_CALLERS, **test_draining.SHORT_GRACE
+    )
+    with contextlib.closing(gateway.connect()) as connection:
+        connection.sendall(test_draining.slow_request('/slow/2f')[:-1])
+        drained = test_draining.start_drain(gateway)
+        drained.wait()
+        answered = eventlet.spawn(harness.read_to_end, connection)
+        with eventlet.Timeout(0.1, exception=False):
+            answered.wait()
+        assert answered.dead
+    answer = answered.wait()
+    assert (answer.status, answer.document['ran']) == (503, 'no')
--- a/tests/gateway/test_draining.py
+++ b/tests/gateway/test_draining.py
@@ -400,6 +400,8 @@
         """Return whether it has been idle, which it never is."""
         return False
 
+    is_receiving = False
+
     def _run(self):
         stop = self._server_state.stop
         state = test_planned_stop.new_state()
