List a request that a draining entry sends on after a wait

A test shows that an entry sends a request on that has waited for a place since before its listener closed, although its deadline lies behind that of the drain: work is begun that nothing ends in time, as it was in the gateway.

Seen: "assert not [Attempt(...)]", one attempt in place of none.

--- a/tests/entry/test_drain.py
+++ b/tests/entry/test_drain.py
@@ -183,3 +183,22 @@
     assert not draining.entry.pool.attempts
     with eventlet.Timeout(2):
         drain_task.wait()
+
+
+def test_request_that_waits_is_not_sent_once_callers_are_routed_elsewhere():
+    """Guards against requests that wait for a place, are run, and are cut."""
+    draining = DrainableEntry(deadline_s=3.0, notice_s=0.0)
+    gate = draining.entry.pool.gate = harness.new_gate()
+    waiting = draining.entry.connect()
+    # Its own deadline lies behind that of the drain.
+    waiting.sendall(harness.head_and_body())
+    eventlet.sleep(0.05)
+    drain_task = draining.start()
+    eventlet.sleep(0.1)
+    gate.send()
+    received = harness.read_all(waiting)
+    with eventlet.Timeout(2):
+        drain_task.wait()
+    assert not draining.entry.pool.attempts
+    assert harness.parse(received)[0] == 503
+    assert b'"ran": "no"' in received
