--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -20,9 +20,9 @@
     connection_limit,
     connections,
     disconnect_watch,
+    incomplete_requests,
     planned_stop,
     relay,
-    request_state,
 )
 from ivystep.runtime import byte_budget, clock, descriptor_limit
 from ivystep.settings import gateway as settings_models
@@ -36,9 +36,6 @@
 # Requests that are not longer are never refused for lack of memory; the number
 # of connections bounds them.
 ALWAYS_BUFFERED_BYTES = 4 * units.KIB
-NO_MEMORY = 'no_memory'
-# Time in which requests that were read in full end and make room for others.
-NO_MEMORY_RETRY_S = 1.0
 
 
 class ServerState:
@@ -98,7 +95,7 @@
             if largest is None or largest is asking:
                 return asking.buffered_bytes <= ALWAYS_BUFFERED_BYTES
             self.buffered.hold(largest, 0)
-            largest.refuse_incomplete(_no_memory())
+            largest.refuse_incomplete(incomplete_requests.no_memory())
         return True
 
     def close_idle(self, idle_s: float = 0.0) -> None:
@@ -116,7 +113,7 @@
         for connection in list(self.open_connections):
             if connection.is_receiving:
                 connection.refuse_incomplete(
-                    _host_stopping(self.stop.retry_after_s)
+                    incomplete_requests.host_stopping(self.stop.retry_after_s)
                 )
 
 
@@ -363,7 +360,7 @@
         self._reader.feed(received)
         self._may_buffer()
         if not self._server_state.make_room(self):
-            raise _no_memory()
+            raise incomplete_requests.no_memory()
 
     def _may_buffer(self) -> bool:
         """Record the buffered bytes; return whether there is room for more."""
@@ -402,7 +399,7 @@
     def _refuse_bad_request(self, error: http1.BadRequestError) -> None:
         self._reader.discard()
         self._may_buffer()
-        if error.code == NO_MEMORY:
+        if error.code == incomplete_requests.NO_MEMORY:
             self._server_state.refused_for_memory += 1
         self.answer.is_kept_alive = False
         self.answer.has_started = False
@@ -440,21 +437,3 @@
             )
         except OSError:
             return b''
-
-
-def _no_memory() -> http1.BadRequestError:
-    return http1.BadRequestError(
-        503,
-        'The host has no memory for the body now.',
-        NO_MEMORY,
-        NO_MEMORY_RETRY_S,
-    )
-
-
-def _host_stopping(retry_after_s: float) -> http1.BadRequestError:
-    return http1.BadRequestError(
-        503,
-        'This host stops before the request was received in full.',
-        request_state.HOST_STOPPING,
-        retry_after_s,
-    )
