--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -20,6 +20,7 @@
     connection_limit,
     connections,
     disconnect_watch,
+    incomplete_requests,
     planned_stop,
     relay,
 )
@@ -45,9 +46,6 @@
 # Requests that are not longer are never refused for lack of memory; the number
 # of connections bounds them.
 ALWAYS_BUFFERED_BYTES = 4 * units.KIB
-NO_MEMORY = 'no_memory'
-# Time in which requests that were read in full end and make room for others.
-NO_MEMORY_RETRY_S = 1.0
 
 
 class ServerState:
@@ -107,7 +105,7 @@
             if largest is None or largest is asking:
                 return asking.buffered_bytes <= ALWAYS_BUFFERED_BYTES
             self.buffered.hold(largest, 0)
-            largest.refuse_incomplete()
+            largest.refuse_incomplete(incomplete_requests.no_memory())
         return True
 
     def close_idle(self, idle_s: float = 0.0) -> None:
@@ -132,6 +130,14 @@
                 min(TAKEN_OVER_BYTES, self.buffered.limit_bytes // len(busy))
             )
 
+    def refuse_incomplete(self) -> None:
+        """Refuse the requests that are still being received, as this ends."""
+        for connection in list(self.open_connections):
+            if connection.is_receiving:
+                connection.refuse_incomplete(
+                    incomplete_requests.host_stopping(self.stop.retry_after_s)
+                )
+
 
 HandleRequest = Callable[[http1.RawRequest, 'CallerConnection'], None]
 
@@ -201,7 +207,7 @@
         self._is_idle = True
         self.idle_since = clock.now()
         self.is_waiting = False
-        self._is_refused = False
+        self._refusal: http1.BadRequestError | None = None
         self._running_bytes = 0
         self._task: typing.Any = None
 
@@ -255,9 +261,18 @@
         """Return whether another connection's request may be refused now."""
         return other is self or other.is_waiting
 
-    def refuse_incomplete(self) -> None:
-        """Refuse the request that is being received, as memory is short."""
-        self._is_refused = True
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of a request has arrived, and not all of it."""
+        return self.is_waiting and not self._is_idle
+
+    def refuse_incomplete(self, refusal: http1.BadRequestError) -> None:
+        """Refuse the request that is being received.
+
+        Args:
+            refusal: The error for the caller.
+        """
+        self._refusal = refusal
         hubs.get_hub().schedule_call_global(0, self._interrupt_waiting)
 
     @contextlib.contextmanager
@@ -359,15 +374,15 @@
         """Return received bytes like ``_receive``.
 
         Raises:
-            http1.BadRequestError: Memory has become short meanwhile.
+            http1.BadRequestError: The request was refused meanwhile.
         """
         self.is_waiting = True
         try:
             received = self._receive(timeout_s)
         finally:
             self.is_waiting = False
-        if self._is_refused:
-            raise _no_memory()
+        if self._refusal is not None:
+            raise self._refusal
         return received
 
     def _buffer(self, received: bytes) -> None:
@@ -384,7 +399,7 @@
             self._reader.feed(received[start : start + turns.PARSED_BYTES])
             self._may_buffer()
             if not self._server_state.make_room(self):
-                raise _no_memory()
+                raise incomplete_requests.no_memory()
 
     def _may_buffer(self) -> bool:
         """Record the buffered bytes; return whether there is room for more."""
@@ -395,7 +410,7 @@
     def _interrupt_waiting(self) -> None:
         """Wake the task up, if it still waits for the rest of a request."""
         if self.is_waiting and not self._task.dead:
-            self._task.throw(_no_memory())
+            self._task.throw(self._refusal)
 
     def _read_timeout_s(self, started_at: float) -> float:
         """Return the time-out of the next read, while idle or in a request."""
@@ -423,7 +438,7 @@
     def _refuse_bad_request(self, error: http1.BadRequestError) -> None:
         self._reader.discard()
         self._may_buffer()
-        if error.code == NO_MEMORY:
+        if error.code == incomplete_requests.NO_MEMORY:
             self._server_state.refused_for_memory += 1
         self.answer.is_kept_alive = False
         self.answer.has_started = False
@@ -465,12 +480,3 @@
             )
         except OSError:
             return b''
-
-
-def _no_memory() -> http1.BadRequestError:
-    return http1.BadRequestError(
-        503,
-        'The host has no memory for the body now.',
-        NO_MEMORY,
-        NO_MEMORY_RETRY_S,
-    )
--- a/ivystep/gateway/draining.py
+++ b/ivystep/gateway/draining.py
@@ -87,6 +87,8 @@
         released = eventlet.spawn(self._release)
         self._wait_for_close(closes_at)
         listener.close()
+        # The task that accepts takes the connections that were queued.
+        clock.sleep(drain.POLL_S)
         self._log.write(
             process_events.ListenerClosed(
                 int((clock.now() - started) * units.MS_PER_S),
@@ -99,6 +101,7 @@
         self._wait_for_callers(end)
         self._stop.end_due()
         self._server_state.close_idle()
+        self._server_state.refuse_incomplete()
         # A busy event loop comes here late, and the answers are sent later.
         self._wait_for_callers(max(end, clock.now()) + FLUSH_S)
         with eventlet.Timeout(max(end - clock.now(), 0), exception=False):
--- a/tests/gateway/test_draining.py
+++ b/tests/gateway/test_draining.py
@@ -285,6 +285,7 @@
     monkeypatch.setattr(gateway.daemon._log, 'write', log.write)
     with contextlib.closing(gateway.connect()) as connection:
         drained = start_drain(gateway)
+        eventlet.sleep(0.05)
         connection.sendall(slow_request('/flow/2f'))
         harness.read_to_end(connection)
     drained.wait()
@@ -402,6 +403,8 @@
         """Return whether it has been idle, which it never is."""
         return False
 
+    is_receiving = False
+
     def _run(self):
         stop = self._server_state.stop
         state = test_planned_stop.new_state()
