Count only a request's own bytes against the bound of its head

A short pipelined request was refused with 431 if its head began at the end of a received piece that was longer than the bound of a head: the whole piece was counted, with the requests before it.

Received bytes are now parsed in slices of the bound, and only slices after the one in which a head begins are counted.

Before: test_head_that_begins_after_a_long_piece_is_not_too_long failed with 'The headers are too long.'

--- a/ivystep/traffic/http1.py
+++ b/ivystep/traffic/http1.py
@@ -109,23 +109,12 @@
 
     def feed(self, received: bytes) -> None:
         """Parse received bytes; ``next_request`` raises any error."""
-        if self._problem is not None:
-            return
-        if self.is_in_head:
-            self._later_head_bytes += len(received)
-        if self.is_idle and received.strip(b'\r\n'):
-            self.is_idle = False
-        try:
-            self._parser.feed_data(received)
-        except httptools.HttpParserUpgrade:
-            self._fail(400, 'Protocol upgrades are not supported.')
-        except httptools.HttpParserError:
-            self._fail(400, 'The request is malformed.')
-        # The parser reports a header only when its value is complete, so the
-        # number of received bytes is checked as well.
-        unreported = max(len(received), self._later_head_bytes)
-        if self.is_in_head and unreported > self._max_header_bytes:
-            self._fail(431, 'The headers are too long.')
+        # In slices, so that the bytes of an earlier request do not count as
+        # those of the head that begins after it.
+        for start in range(0, len(received), self._max_header_bytes):
+            if self._problem is not None:
+                return
+            self._feed_slice(received[start : start + self._max_header_bytes])
 
     def next_request(self) -> RawRequest | None:
         """Return the next complete request, or None if more is needed.
@@ -207,6 +196,22 @@
         self._is_head_complete = False
         self._has_expect_header = False
 
+    def _feed_slice(self, received: bytes) -> None:
+        if self.is_in_head:
+            self._later_head_bytes += len(received)
+        if self.is_idle and received.strip(b'\r\n'):
+            self.is_idle = False
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserUpgrade:
+            self._fail(400, 'Protocol upgrades are not supported.')
+        except httptools.HttpParserError:
+            self._fail(400, 'The request is malformed.')
+        # The parser reports a header only when its value is complete, so the
+        # number of received bytes is checked as well.
+        if self.is_in_head and self._later_head_bytes > self._max_header_bytes:
+            self._fail(431, 'The headers are too long.')
+
     def _add_head_bytes(self, added: int) -> None:
         self._head_bytes += added
         if self._head_bytes > self._max_header_bytes:
--- a/tests/traffic/test_http1.py
+++ b/tests/traffic/test_http1.py
@@ -209,3 +209,10 @@
     stream = head * 3
     pieces = [stream[at : at + 7] for at in range(0, len(stream), 7)]
     assert len(read_all(reader_of(*pieces))) == 3
+
+
+def test_head_that_begins_after_a_long_piece_is_not_too_long():
+    """Guards against a pipelined request refused for the bytes before it."""
+    sent = CHUNKED * (MAX_HEADER // len(CHUNKED) + 1) + POST
+    reader = reader_of(sent[:-20], sent[-20:])
+    assert len(read_all(reader)) == sent.count(b'Host')
