--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -78,6 +78,7 @@
 
     is_ended = False
     received_bytes = 1
+    is_settled = False
 
 
 class DispatchHarness:
