--- a/ivystep/gateway/base_model_loader.py
+++ b/ivystep/gateway/base_model_loader.py
@@ -12,13 +12,13 @@
 
 from ivystep.core import errors
 from ivystep.gateway import (
-    configuration,
     engine_link,
     events,
     leadership,
     membership,
     upstream_state,
 )
+from ivystep.gateway.store import configuration
 from ivystep.policy import base_models
 from ivystep.runtime import clock, event_log
 from ivystep.traffic import contracts, orders, upstreams
--- a/ivystep/gateway/crashes.py
+++ b/ivystep/gateway/crashes.py
@@ -22,14 +22,8 @@
 import eventlet
 
 from ivystep.core import errors, units
-from ivystep.gateway import (
-    events,
-    part_crashes,
-    request_state,
-    row_application,
-    row_writer,
-    upstream_state,
-)
+from ivystep.gateway import events, part_crashes, request_state, upstream_state
+from ivystep.gateway.store import row_application, row_writer
 from ivystep.platform import crash_rows, rows
 from ivystep.policy import quarantine
 from ivystep.runtime import clock, event_log
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -11,14 +11,11 @@
     base_model_loader,
     callers,
     centre_choice,
-    configuration,
-    configuration_age,
     crashes,
     dispatch,
     draining,
     engine_link,
     event_metrics,
-    followed_tables,
     host_shares,
     leadership,
     limited_upstreams,
@@ -34,10 +31,15 @@
     residency_updates,
     safeguard,
     servers,
-    store_contact,
-    table_progress,
     upstream_state,
     version_choice,
+)
+from ivystep.gateway.store import (
+    configuration,
+    configuration_age,
+    followed_tables,
+    store_contact,
+    table_progress,
     version_source,
 )
 from ivystep.metrics import operators_app, registry
--- a/ivystep/gateway/membership.py
+++ b/ivystep/gateway/membership.py
@@ -17,12 +17,8 @@
 import eventlet
 
 from ivystep.core import errors
-from ivystep.gateway import (
-    events,
-    row_application,
-    store_contact,
-    upstream_state,
-)
+from ivystep.gateway import events, upstream_state
+from ivystep.gateway.store import row_application, store_contact
 from ivystep.platform import rows, upstream_entries
 from ivystep.runtime import clock, event_log
 from ivystep.settings import gateway as settings_models
--- a/ivystep/gateway/part_crashes.py
+++ b/ivystep/gateway/part_crashes.py
@@ -11,12 +11,8 @@
 import math
 from collections.abc import Generator, Iterable
 
-from ivystep.gateway import (
-    relay,
-    request_state,
-    row_writer,
-    upstream_state,
-)
+from ivystep.gateway import relay, request_state, upstream_state
+from ivystep.gateway.store import row_writer
 from ivystep.platform import crash_rows
 from ivystep.policy import crashing_parts
 from ivystep.runtime import clock
--- a/ivystep/gateway/request_handler.py
+++ b/ivystep/gateway/request_handler.py
@@ -6,12 +6,11 @@
 from ivystep.gateway import (
     account_metrics,
     callers,
-    configuration,
-    configuration_age,
     dispatch,
     relay,
     request_log,
 )
+from ivystep.gateway.store import configuration, configuration_age
 from ivystep.metrics import registry
 from ivystep.platform import messages
 from ivystep.runtime import clock
--- /dev/null
+++ b/ivystep/gateway/store/__init__.py
@@ -0,0 +1,1 @@
+"""Follows the tables of the platform's store and writes rows to it."""
--- a/ivystep/gateway/configuration.py
+++ b/ivystep/gateway/store/configuration.py
@@ -9,7 +9,8 @@
 from collections.abc import Callable, Sequence
 
 from ivystep.core import errors, types, units
-from ivystep.gateway import events, row_application
+from ivystep.gateway import events
+from ivystep.gateway.store import row_application
 from ivystep.platform import operator_config, rows
 from ivystep.runtime import clock, event_log
 from ivystep.traffic import contracts
--- a/ivystep/gateway/configuration_age.py
+++ b/ivystep/gateway/store/configuration_age.py
@@ -8,7 +8,7 @@
 
 from ivystep.accounts import authentication, freshness
 from ivystep.core import errors
-from ivystep.gateway import configuration, feeds, table_progress
+from ivystep.gateway.store import configuration, feeds, table_progress
 from ivystep.runtime import clock
 
 # Name under which the leader tells of the configuration version. It is not the
--- a/ivystep/gateway/feeds.py
+++ b/ivystep/gateway/store/feeds.py
@@ -13,7 +13,8 @@
 from collections.abc import Callable, Sequence
 
 from ivystep.core import errors
-from ivystep.gateway import events, row_application, table_progress
+from ivystep.gateway import events
+from ivystep.gateway.store import row_application, table_progress
 from ivystep.platform import rows
 from ivystep.policy import store_clock
 from ivystep.runtime import clock, event_log
--- a/ivystep/gateway/followed_tables.py
+++ b/ivystep/gateway/store/followed_tables.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from ivystep.gateway import feeds, table_progress
+from ivystep.gateway.store import feeds, table_progress
 from ivystep.platform import (
     crash_rows,
     operator_config,
--- a/ivystep/gateway/version_source.py
+++ b/ivystep/gateway/store/version_source.py
@@ -1,6 +1,6 @@
 """Tells other hosts the version of the configuration that is in force."""
 
-from ivystep.gateway import configuration
+from ivystep.gateway.store import configuration
 
 
 class VersionOnlySource:
--- a/ivystep/gateway/version_choice.py
+++ b/ivystep/gateway/version_choice.py
@@ -5,7 +5,8 @@
 
 from ivystep.core import types
 from ivystep.entry import pool
-from ivystep.gateway import configuration, version_waits
+from ivystep.gateway import version_waits
+from ivystep.gateway.store import configuration
 from ivystep.traffic import calls
 
 # Part of the time limit for adopting a new adapter version in which requests
--- a/ivystep/gateway/version_waits.py
+++ b/ivystep/gateway/version_waits.py
@@ -15,7 +15,7 @@
 from eventlet import hubs
 
 from ivystep.core import types
-from ivystep.gateway import configuration
+from ivystep.gateway.store import configuration
 from ivystep.runtime import clock
 
 # The hub's timers do not count the time for which the machine is suspended.
--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/store/test_configuration.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies
 
 from ivystep.core import types
-from ivystep.gateway import configuration
+from ivystep.gateway.store import configuration
 from ivystep.platform import rows
 from ivystep.runtime import clock
 from tests.coordination import fakes as clocks
--- a/tests/gateway/test_configuration_age.py
+++ b/tests/gateway/store/test_configuration_age.py
@@ -7,11 +7,12 @@
 import pytest
 
 from ivystep.core import errors
-from ivystep.gateway import configuration_age, feeds, table_progress
+from ivystep.gateway.store import configuration_age, feeds, table_progress
 from ivystep.platform import rows
 from ivystep.runtime import clock
 from tests.coordination import fakes as clocks
-from tests.gateway import fakes, test_configuration
+from tests.gateway import fakes
+from tests.gateway.store import test_configuration
 
 LIMIT_S = 2.7
 STORE_AHEAD_S = 1000.0
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/store/test_feeds.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ivystep.core import errors
-from ivystep.gateway import feeds
+from ivystep.gateway.store import feeds
 from ivystep.platform import rows
 from ivystep.runtime import clock
 from tests.coordination import fakes as clocks
--- a/tests/gateway/test_row_writer.py
+++ b/tests/gateway/store/test_row_writer.py
@@ -1,6 +1,6 @@
 """Tests of the task that writes rows to the store."""
 
-from ivystep.gateway import row_writer
+from ivystep.gateway.store import row_writer
 from ivystep.platform import crash_rows, rows
 from ivystep.runtime import clock
 from tests.coordination import fakes as clocks
--- a/tests/gateway/test_store_contact.py
+++ b/tests/gateway/store/test_store_contact.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ivystep.gateway import store_contact
+from ivystep.gateway.store import store_contact
 from ivystep.platform import http
 from ivystep.runtime import clock
 from tests.coordination import fakes as clocks
--- a/tests/gateway/test_table_progress.py
+++ b/tests/gateway/store/test_table_progress.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ivystep.core import errors
-from ivystep.gateway import feeds, table_progress
+from ivystep.gateway.store import feeds, table_progress
 from ivystep.platform import rows
 from ivystep.runtime import clock
 from tests.coordination import fakes as clocks
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/test_crashes.py
@@ -6,7 +6,8 @@
 import pytest
 
 from ivystep.core import errors
-from ivystep.gateway import crashes, request_state, row_writer
+from ivystep.gateway import crashes, request_state
+from ivystep.gateway.store import row_writer
 from ivystep.platform import crash_rows, rows
 from ivystep.policy import quarantine
 from ivystep.runtime import clock
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -25,7 +25,8 @@
 from ivystep.stream_origins import origins, recorder
 from ivystep.traffic import calls, contracts, upstreams
 from tests.coordination import fakes as clocks
-from tests.gateway import fakes, test_configuration
+from tests.gateway import fakes
+from tests.gateway.store import test_configuration
 from tests.traffic import test_contracts
 
 VERSION_S = 5.0
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/test_membership.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from ivystep.gateway import membership, store_contact
+from ivystep.gateway import membership
+from ivystep.gateway.store import store_contact
 from ivystep.runtime import clock
 from ivystep.traffic import upstreams
 from tests.coordination import fakes as clocks
--- a/tests/gateway/test_residency_updates.py
+++ b/tests/gateway/test_residency_updates.py
@@ -6,11 +6,8 @@
 from ivystep.coordination import lease
 from ivystep.core import errors, types
 from ivystep.data_centres import planner
-from ivystep.gateway import (
-    residency_updates,
-    table_progress,
-    upstream_state,
-)
+from ivystep.gateway import residency_updates, upstream_state
+from ivystep.gateway.store import table_progress
 from ivystep.runtime import clock
 from ivystep.wire import channel, convert, tls
 from ivystep.wire import listener as wire_listener
--- a/tests/gateway/test_version_choice.py
+++ b/tests/gateway/test_version_choice.py
@@ -5,12 +5,13 @@
 import pytest
 
 from ivystep.core import errors, types
-from ivystep.gateway import feeds, version_choice
+from ivystep.gateway import version_choice
+from ivystep.gateway.store import feeds
 from ivystep.platform import rows
 from ivystep.runtime import clock
 from ivystep.traffic import calls
 from tests.coordination import fakes as clocks
-from tests.gateway import test_configuration, test_feeds
+from tests.gateway.store import test_configuration, test_feeds
 
 VERSION_S = 5.0
 CALL = builtin_types.SimpleNamespace(
--- a/tests/gateway/test_version_waits.py
+++ b/tests/gateway/test_version_waits.py
@@ -13,7 +13,8 @@
 from ivystep.traffic import contracts
 from tests.coordination import fakes as clocks
 from tests.core import statuses
-from tests.gateway import harness, test_configuration, test_dispatch
+from tests.gateway import harness, test_dispatch
+from tests.gateway.store import test_configuration
 
 ENGINE_QUEUE_S = 9.0
 TARGET_LATENCY_S = 4.0
--- a/tests/stream_origins/test_origins.py
+++ b/tests/stream_origins/test_origins.py
@@ -6,7 +6,8 @@
 import pytest
 
 from ivystep.core import errors, types
-from ivystep.gateway import request_state, row_writer, upstream_state
+from ivystep.gateway import request_state, upstream_state
+from ivystep.gateway.store import row_writer
 from ivystep.platform import stream_rows
 from ivystep.runtime import clock
 from ivystep.stream_origins import lookup, origins, service_versions
