--- a/ivystep/gateway/answer_body.py
+++ b/ivystep/gateway/answer_body.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterator
 
 from ivystep.core import errors
-from ivystep.gateway import connections
+from ivystep.gateway.upstreams import connections
 from ivystep.runtime import clock
 from ivystep.traffic import event_stream, http1
 
--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/attempt_sender.py
@@ -13,16 +13,15 @@
 from ivystep.core import errors, types
 from ivystep.gateway import (
     given_up_attempts,
-    measurements,
     relay,
     request_log,
     request_state,
     retries,
     safeguard,
-    upstream_state,
     version_choice,
     version_waits,
 )
+from ivystep.gateway.upstreams import measurements, upstream_state
 from ivystep.platform import messages
 from ivystep.prefill import prefill
 from ivystep.runtime import clock
--- a/ivystep/gateway/base_model_loader.py
+++ b/ivystep/gateway/base_model_loader.py
@@ -11,14 +11,9 @@
 import eventlet
 
 from ivystep.core import errors
-from ivystep.gateway import (
-    engine_link,
-    events,
-    leadership,
-    membership,
-    upstream_state,
-)
+from ivystep.gateway import engine_link, events, leadership
 from ivystep.gateway.store import configuration
+from ivystep.gateway.upstreams import membership, upstream_state
 from ivystep.policy import base_models
 from ivystep.runtime import clock, event_log
 from ivystep.traffic import contracts, orders, upstreams
--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/callers.py
@@ -18,12 +18,12 @@
 from ivystep.gateway import (
     answer_writer,
     connection_limit,
-    connections,
     disconnect_watch,
     incomplete_requests,
     planned_stop,
     relay,
 )
+from ivystep.gateway.upstreams import connections
 from ivystep.runtime import (
     byte_budget,
     clock,
--- a/ivystep/gateway/crashes.py
+++ b/ivystep/gateway/crashes.py
@@ -22,8 +22,9 @@
 import eventlet
 
 from ivystep.core import errors, units
-from ivystep.gateway import events, part_crashes, request_state, upstream_state
+from ivystep.gateway import events, part_crashes, request_state
 from ivystep.gateway.store import row_application, row_writer
+from ivystep.gateway.upstreams import upstream_state
 from ivystep.platform import crash_rows, rows
 from ivystep.policy import quarantine
 from ivystep.runtime import clock, event_log
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -10,18 +10,14 @@
     account_metrics,
     base_model_loader,
     callers,
-    centre_choice,
     crashes,
     dispatch,
     draining,
     engine_link,
     event_metrics,
-    host_shares,
     leadership,
     limited_upstreams,
     loop_lag,
-    measurements,
-    membership,
     model_pools,
     prefill_queues,
     process_events,
@@ -31,7 +27,6 @@
     residency_updates,
     safeguard,
     servers,
-    upstream_state,
     version_choice,
 )
 from ivystep.gateway.store import (
@@ -42,6 +37,13 @@
     table_progress,
     version_source,
 )
+from ivystep.gateway.upstreams import (
+    centre_choice,
+    host_shares,
+    measurements,
+    membership,
+    upstream_state,
+)
 from ivystep.metrics import operators_app, registry
 from ivystep.platform import engine_api, rows
 from ivystep.quotas import admission
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -21,10 +21,10 @@
     request_state,
     retries,
     safeguard,
-    upstream_state,
     version_choice,
     version_waits,
 )
+from ivystep.gateway.upstreams import upstream_state
 from ivystep.prefill import prefill
 from ivystep.runtime import clock
 from ivystep.stream_origins import origins as stream_origins
--- a/ivystep/gateway/engine_link.py
+++ b/ivystep/gateway/engine_link.py
@@ -17,8 +17,8 @@
     order_sender,
     residency_updates,
     slot_usage,
-    upstream_state,
 )
+from ivystep.gateway.upstreams import upstream_state
 from ivystep.policy import base_models, load_times
 from ivystep.runtime import clock, event_log
 from ivystep.traffic import orders, upstreams
--- a/ivystep/gateway/engine_reports.py
+++ b/ivystep/gateway/engine_reports.py
@@ -1,6 +1,6 @@
 """Reads the reports of engines."""
 
-from ivystep.gateway import upstream_state
+from ivystep.gateway.upstreams import upstream_state
 from ivystep.runtime import clock
 from ivystep.traffic import orders, upstreams
 
--- a/ivystep/gateway/given_up_attempts.py
+++ b/ivystep/gateway/given_up_attempts.py
@@ -11,7 +11,8 @@
 
 import eventlet
 
-from ivystep.gateway import crashes, request_state, upstream_state
+from ivystep.gateway import crashes, request_state
+from ivystep.gateway.upstreams import upstream_state
 from ivystep.runtime import clock
 
 # An upstream that crashes is down for longer.
--- a/ivystep/gateway/model_pools.py
+++ b/ivystep/gateway/model_pools.py
@@ -9,9 +9,9 @@
 
 from ivystep.core import types
 from ivystep.entry import pool
-from ivystep.gateway import (
+from ivystep.gateway import load_planner
+from ivystep.gateway.upstreams import (
     centre_choice,
-    load_planner,
     measurements,
     upstream_state,
 )
--- a/ivystep/gateway/own_answer_search.py
+++ b/ivystep/gateway/own_answer_search.py
@@ -1,6 +1,6 @@
 """Bounds what is read and discarded in search of a request's own answer."""
 
-from ivystep.gateway import connections
+from ivystep.gateway.upstreams import connections
 from ivystep.traffic import peer_bounds
 
 
--- a/ivystep/gateway/part_crashes.py
+++ b/ivystep/gateway/part_crashes.py
@@ -11,8 +11,9 @@
 import math
 from collections.abc import Generator, Iterable
 
-from ivystep.gateway import relay, request_state, upstream_state
+from ivystep.gateway import relay, request_state
 from ivystep.gateway.store import row_writer
+from ivystep.gateway.upstreams import upstream_state
 from ivystep.platform import crash_rows
 from ivystep.policy import crashing_parts
 from ivystep.runtime import clock
--- a/ivystep/gateway/relay.py
+++ b/ivystep/gateway/relay.py
@@ -11,12 +11,8 @@
 from collections.abc import Callable, Generator
 
 from ivystep.core import errors, types, units
-from ivystep.gateway import (
-    answer_body,
-    connections,
-    own_answer_search,
-    upstream_state,
-)
+from ivystep.gateway import answer_body, own_answer_search
+from ivystep.gateway.upstreams import connections, upstream_state
 from ivystep.platform import messages
 from ivystep.traffic import calls, contracts, event_stream, http1
 
--- a/ivystep/gateway/request_log.py
+++ b/ivystep/gateway/request_log.py
@@ -1,8 +1,9 @@
 """Writes the log lines of the decisions on requests."""
 
 from ivystep.core import errors, types, units
-from ivystep.gateway import answer_body, events, request_state, upstream_state
+from ivystep.gateway import answer_body, events, request_state
 from ivystep.gateway.store import configuration
+from ivystep.gateway.upstreams import upstream_state
 from ivystep.prefill import prefill
 from ivystep.runtime import clock, event_log
 from ivystep.traffic import calls, contracts, http1
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/request_state.py
@@ -6,8 +6,9 @@
 
 from ivystep.accounts import authentication
 from ivystep.core import errors, types, units
-from ivystep.gateway import answer_body, relay, upstream_state
+from ivystep.gateway import answer_body, relay
 from ivystep.gateway.store import row_writer
+from ivystep.gateway.upstreams import upstream_state
 from ivystep.prefill import prefill
 from ivystep.runtime import clock
 from ivystep.traffic import calls, contracts
--- a/ivystep/gateway/residency_updates.py
+++ b/ivystep/gateway/residency_updates.py
@@ -18,8 +18,8 @@
 from ivystep.coordination import lease
 from ivystep.core import errors, types, units
 from ivystep.data_centres import exchange
-from ivystep.gateway import measurements
 from ivystep.gateway.store import table_progress
+from ivystep.gateway.upstreams import measurements
 from ivystep.policy import load_correction
 from ivystep.prefill import prefill_rates
 from ivystep.runtime import clock
--- a/ivystep/gateway/slot_usage.py
+++ b/ivystep/gateway/slot_usage.py
@@ -7,7 +7,7 @@
 import dataclasses
 
 from ivystep.core import types
-from ivystep.gateway import upstream_state
+from ivystep.gateway.upstreams import upstream_state
 from ivystep.runtime import clock
 from ivystep.traffic import orders, upstreams
 
--- /dev/null
+++ b/ivystep/gateway/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Knows the upstreams and keeps the connections to them."""
--- a/ivystep/gateway/centre_choice.py
+++ b/ivystep/gateway/upstreams/centre_choice.py
@@ -11,7 +11,7 @@
 
 from ivystep.core import units
 from ivystep.data_centres import exchange, planner, share_metrics, shares
-from ivystep.gateway import upstream_state
+from ivystep.gateway.upstreams import upstream_state
 from ivystep.metrics import registry
 from ivystep.policy import routing
 from ivystep.runtime import event_log
--- a/ivystep/gateway/measurements.py
+++ b/ivystep/gateway/upstreams/measurements.py
@@ -10,7 +10,7 @@
 from collections.abc import Iterable
 
 from ivystep.core import types
-from ivystep.gateway import upstream_state
+from ivystep.gateway.upstreams import upstream_state
 from ivystep.policy import load_correction, load_times
 from ivystep.prefill import prefill_rates
 
--- a/ivystep/gateway/membership.py
+++ b/ivystep/gateway/upstreams/membership.py
@@ -17,8 +17,9 @@
 import eventlet
 
 from ivystep.core import errors
-from ivystep.gateway import events, upstream_state
+from ivystep.gateway import events
 from ivystep.gateway.store import row_application, store_contact
+from ivystep.gateway.upstreams import upstream_state
 from ivystep.platform import rows, upstream_entries
 from ivystep.runtime import clock, event_log
 from ivystep.settings import gateway as settings_models
--- a/ivystep/gateway/upstream_state.py
+++ b/ivystep/gateway/upstreams/upstream_state.py
@@ -11,7 +11,7 @@
 from collections.abc import Generator, Iterator, Mapping
 
 from ivystep.core import types
-from ivystep.gateway import connections
+from ivystep.gateway.upstreams import connections
 from ivystep.policy import shared_limit
 from ivystep.runtime import clock
 from ivystep.traffic import contracts, peer_bounds, upstreams
--- a/ivystep/stream_origins/origins.py
+++ b/ivystep/stream_origins/origins.py
@@ -18,8 +18,9 @@
 from collections.abc import Callable
 
 from ivystep.core import ids, units
-from ivystep.gateway import request_state, upstream_state
+from ivystep.gateway import request_state
 from ivystep.gateway.store import row_writer
+from ivystep.gateway.upstreams import upstream_state
 from ivystep.platform import rows, stream_rows
 from ivystep.runtime import clock, event_log
 from ivystep.stream_origins import events, lookup, recorder, service_versions
--- a/tests/gateway/store/test_host_out_of_step.py
+++ b/tests/gateway/store/test_host_out_of_step.py
@@ -8,7 +8,8 @@
 import pytest
 
 from ivystep.stream_origins import lookup
-from tests.gateway import harness, test_software_versions
+from tests.gateway import harness
+from tests.gateway.upstreams import test_software_versions
 
 EVENTS = harness.EVENTS
 STREAMS = 8
--- a/tests/gateway/test_base_model_loader.py
+++ b/tests/gateway/test_base_model_loader.py
@@ -11,8 +11,8 @@
     engine_link,
     order_sender,
     residency_updates,
-    upstream_state,
 )
+from ivystep.gateway.upstreams import upstream_state
 from ivystep.policy import load_times
 from ivystep.runtime import clock
 from ivystep.traffic import contracts, orders, upstreams
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/test_dispatch.py
@@ -17,9 +17,9 @@
     request_access,
     request_log,
     safeguard,
-    upstream_state,
     version_choice,
 )
+from ivystep.gateway.upstreams import upstream_state
 from ivystep.prefill import prefill, prefill_rates
 from ivystep.runtime import clock
 from ivystep.stream_origins import origins, recorder
--- a/tests/gateway/test_turns.py
+++ b/tests/gateway/test_turns.py
@@ -6,7 +6,8 @@
 import pytest
 
 from ivystep.core import errors
-from ivystep.gateway import limited_upstreams, upstream_state
+from ivystep.gateway import limited_upstreams
+from ivystep.gateway.upstreams import upstream_state
 from ivystep.runtime import clock
 from ivystep.traffic import calls
 from tests.coordination import fakes as clocks
--- a/tests/gateway/test_version_waits.py
+++ b/tests/gateway/test_version_waits.py
@@ -7,8 +7,8 @@
 
 from ivystep.core import errors, types
 from ivystep.entry import pool
-from ivystep.gateway import connections as upstream_connections
 from ivystep.gateway import version_waits
+from ivystep.gateway.upstreams import connections as upstream_connections
 from ivystep.runtime import clock
 from ivystep.traffic import contracts
 from tests.coordination import fakes as clocks
--- a/tests/gateway/test_centre_choice.py
+++ b/tests/gateway/upstreams/test_centre_choice.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from ivystep.data_centres import planner
-from ivystep.gateway import centre_choice, upstream_state
+from ivystep.gateway.upstreams import centre_choice, upstream_state
 from ivystep.metrics import registry
 from ivystep.runtime import clock
 from ivystep.settings import gateway as settings_models
--- a/tests/gateway/test_host_shares.py
+++ b/tests/gateway/upstreams/test_host_shares.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ivystep.gateway import host_shares
+from ivystep.gateway.upstreams import host_shares
 
 RETRY_EXTRA = 54.0
 
--- a/tests/gateway/test_leaving_upstreams.py
+++ b/tests/gateway/upstreams/test_leaving_upstreams.py
@@ -4,8 +4,8 @@
 import pytest
 
 from ivystep.core import errors
-from ivystep.gateway import membership
 from ivystep.gateway.store import feeds, store_contact
+from ivystep.gateway.upstreams import membership
 from ivystep.platform import rows
 from ivystep.runtime import clock
 from tests.coordination import fakes as clocks
--- a/tests/gateway/test_membership.py
+++ b/tests/gateway/upstreams/test_membership.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from ivystep.gateway import membership
 from ivystep.gateway.store import store_contact
+from ivystep.gateway.upstreams import membership
 from ivystep.runtime import clock
 from ivystep.traffic import upstreams
 from tests.coordination import fakes as clocks
--- a/tests/gateway/test_upstream_state.py
+++ b/tests/gateway/upstreams/test_upstream_state.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ivystep.core import types
-from ivystep.gateway import upstream_state
+from ivystep.gateway.upstreams import upstream_state
 from ivystep.traffic import upstreams
 from tests.gateway import fakes
 
--- a/tests/stream_origins/test_origins.py
+++ b/tests/stream_origins/test_origins.py
@@ -6,8 +6,9 @@
 import pytest
 
 from ivystep.core import errors, types
-from ivystep.gateway import request_state, upstream_state
+from ivystep.gateway import request_state
 from ivystep.gateway.store import row_writer
+from ivystep.gateway.upstreams import upstream_state
 from ivystep.platform import stream_rows
 from ivystep.runtime import clock
 from ivystep.stream_origins import lookup, origins, service_versions
