--- a/ivystep/cli/log_events.py
+++ b/ivystep/cli/log_events.py
@@ -11,7 +11,8 @@
 
 from ivystep.accounts import events as account_events
 from ivystep.data_centres import events as centre_events
-from ivystep.gateway import events, leader_events, process_events
+from ivystep.gateway import events, process_events
+from ivystep.gateway.loads import leader_events
 from ivystep.quotas import events as quota_events
 from ivystep.runtime import event_log, listener_events
 from ivystep.runtime import process_events as life_events
--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -8,27 +8,29 @@
 from ivystep.core import types
 from ivystep.gateway import (
     account_metrics,
-    base_model_loader,
     callers,
     crashes,
     dispatch,
     draining,
-    engine_link,
     event_metrics,
-    leadership,
     limited_upstreams,
     loop_lag,
-    model_pools,
-    prefill_queues,
     process_events,
     request_access,
     request_handler,
     request_log,
-    residency_updates,
     safeguard,
     servers,
     version_choice,
 )
+from ivystep.gateway.loads import (
+    base_model_loader,
+    engine_link,
+    leadership,
+    model_pools,
+    prefill_queues,
+    residency_updates,
+)
 from ivystep.gateway.store import (
     configuration,
     configuration_age,
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/dispatch.py
@@ -14,7 +14,6 @@
 from ivystep.entry import pool
 from ivystep.gateway import (
     attempt_sender,
-    model_pools,
     planned_stop,
     relay,
     request_log,
@@ -24,6 +23,7 @@
     version_choice,
     version_waits,
 )
+from ivystep.gateway.loads import model_pools
 from ivystep.gateway.upstreams import upstream_state
 from ivystep.prefill import prefill
 from ivystep.runtime import clock
--- a/ivystep/gateway/event_metrics.py
+++ b/ivystep/gateway/event_metrics.py
@@ -9,7 +9,8 @@
 import aioprometheus
 
 from ivystep.core import units
-from ivystep.gateway import events, leader_events, process_events
+from ivystep.gateway import events, process_events
+from ivystep.gateway.loads import leader_events
 from ivystep.metrics import listener_metrics, registry
 from ivystep.runtime import event_log
 from ivystep.runtime import process_events as life_events
--- /dev/null
+++ b/ivystep/gateway/loads/__init__.py
@@ -0,0 +1,1 @@
+"""Elects the leader, which plans and orders the loads of engines."""
--- a/ivystep/gateway/base_model_loader.py
+++ b/ivystep/gateway/loads/base_model_loader.py
@@ -11,7 +11,8 @@
 import eventlet
 
 from ivystep.core import errors
-from ivystep.gateway import engine_link, events, leadership
+from ivystep.gateway import events
+from ivystep.gateway.loads import engine_link, leadership
 from ivystep.gateway.store import configuration
 from ivystep.gateway.upstreams import membership, upstream_state
 from ivystep.policy import base_models
--- a/ivystep/gateway/engine_link.py
+++ b/ivystep/gateway/loads/engine_link.py
@@ -11,9 +11,9 @@
 from eventlet import semaphore
 
 from ivystep.core import errors, types
-from ivystep.gateway import (
+from ivystep.gateway import events
+from ivystep.gateway.loads import (
     engine_reports,
-    events,
     order_sender,
     residency_updates,
     slot_usage,
--- a/ivystep/gateway/leadership.py
+++ b/ivystep/gateway/loads/leadership.py
@@ -14,8 +14,8 @@
 from ivystep.coordination import lease
 from ivystep.core import errors, types, units
 from ivystep.entry import peers, planner
-from ivystep.gateway import (
-    events,
+from ivystep.gateway import events
+from ivystep.gateway.loads import (
     leader_events,
     order_sender,
     prefill_queues,
--- a/ivystep/gateway/load_planner.py
+++ b/ivystep/gateway/loads/load_planner.py
@@ -13,7 +13,7 @@
 from eventlet import event
 
 from ivystep.core import errors, types
-from ivystep.gateway import host_demands
+from ivystep.gateway.loads import host_demands
 from ivystep.policy import (
     eviction,
     load_target,
--- a/ivystep/gateway/model_pools.py
+++ b/ivystep/gateway/loads/model_pools.py
@@ -9,7 +9,7 @@
 
 from ivystep.core import types
 from ivystep.entry import pool
-from ivystep.gateway import load_planner
+from ivystep.gateway.loads import load_planner
 from ivystep.gateway.upstreams import (
     centre_choice,
     measurements,
--- a/ivystep/gateway/order_sender.py
+++ b/ivystep/gateway/loads/order_sender.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from ivystep.core import errors, units
-from ivystep.gateway import engine_reports, leader_events, slot_usage
+from ivystep.gateway.loads import engine_reports, leader_events, slot_usage
 from ivystep.gateway.upstreams import upstream_state
 from ivystep.runtime import clock, event_log
 from ivystep.traffic import orders
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -9,7 +9,7 @@
 from ivystep.coordination import lease
 from ivystep.core import errors
 from ivystep.data_centres import exchange, share_metrics, shares
-from ivystep.gateway import residency_updates
+from ivystep.gateway.loads import residency_updates
 from ivystep.gateway.store import table_progress
 from ivystep.gateway.upstreams import measurements
 from ivystep.metrics import registry
--- a/tests/gateway/test_base_model_loader.py
+++ b/tests/gateway/loads/test_base_model_loader.py
@@ -6,7 +6,7 @@
 import eventlet
 
 from ivystep.core import errors
-from ivystep.gateway import (
+from ivystep.gateway.loads import (
     base_model_loader,
     engine_link,
     order_sender,
--- a/tests/gateway/test_engine_link.py
+++ b/tests/gateway/loads/test_engine_link.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies
 
 from ivystep.core import types
-from ivystep.gateway import engine_link, order_sender, residency_updates
+from ivystep.gateway.loads import engine_link, order_sender, residency_updates
 from ivystep.gateway.upstreams import upstream_state
 from ivystep.policy import load_correction, load_times
 from ivystep.runtime import clock
--- a/tests/gateway/test_host_demands.py
+++ b/tests/gateway/loads/test_host_demands.py
@@ -3,7 +3,7 @@
 import random
 
 from ivystep.core import types
-from ivystep.gateway import host_demands
+from ivystep.gateway.loads import host_demands
 from ivystep.policy import load_value
 
 
--- a/tests/gateway/test_leadership.py
+++ b/tests/gateway/loads/test_leadership.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ivystep.core import errors
-from ivystep.gateway import leadership, prefill_queues, residency_updates
+from ivystep.gateway.loads import leadership, prefill_queues, residency_updates
 from ivystep.prefill import prefill_rates
 from ivystep.runtime import clock
 from tests.coordination import fakes as clocks
--- a/tests/gateway/test_load_planner.py
+++ b/tests/gateway/loads/test_load_planner.py
@@ -7,7 +7,7 @@
 import pytest
 
 from ivystep.core import types
-from ivystep.gateway import load_planner
+from ivystep.gateway.loads import load_planner
 from ivystep.policy import load_target, load_times, load_value, routing
 from ivystep.runtime import clock
 from tests.coordination import fakes as clocks
--- a/tests/gateway/test_prefill_queues.py
+++ b/tests/gateway/loads/test_prefill_queues.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ivystep.core import errors
-from ivystep.gateway import prefill_queues
+from ivystep.gateway.loads import prefill_queues
 from ivystep.prefill import prefill, prefill_forecast, prefill_rates
 from ivystep.runtime import clock
 from ivystep.wire.gen import ttypes
--- a/tests/gateway/test_residency_updates.py
+++ b/tests/gateway/loads/test_residency_updates.py
@@ -6,7 +6,7 @@
 from ivystep.coordination import lease
 from ivystep.core import errors, types
 from ivystep.data_centres import planner
-from ivystep.gateway import residency_updates
+from ivystep.gateway.loads import residency_updates
 from ivystep.gateway.store import table_progress
 from ivystep.gateway.upstreams import upstream_state
 from ivystep.runtime import clock
--- a/tests/gateway/test_request_state.py
+++ b/tests/gateway/test_request_state.py
@@ -4,7 +4,8 @@
 
 import eventlet
 
-from ivystep.gateway import prefill_queues, request_state
+from ivystep.gateway import request_state
+from ivystep.gateway.loads import prefill_queues
 from ivystep.prefill import prefill, prefill_rates
 from ivystep.runtime import clock
 from ivystep.traffic import calls, contracts
--- a/tests/prefill/test_admitted_load.py
+++ b/tests/prefill/test_admitted_load.py
@@ -5,7 +5,7 @@
 import eventlet
 import pytest
 
-from ivystep.gateway import prefill_queues
+from ivystep.gateway.loads import prefill_queues
 from ivystep.prefill import prefill, prefill_rates
 from ivystep.runtime import clock
 from tests.coordination import fakes as clocks
