--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -6,31 +6,28 @@
 import eventlet
 
 from ivystep.core import types
-from ivystep.gateway import (
+from ivystep.gateway import event_metrics, loop_lag, process_events, servers
+from ivystep.gateway.loads import (
+    base_model_loader,
+    engine_link,
+    leadership,
+    model_pools,
+    prefill_queues,
+    residency_updates,
+)
+from ivystep.gateway.requests import (
     account_metrics,
     callers,
     crashes,
     dispatch,
     draining,
-    event_metrics,
     limited_upstreams,
-    loop_lag,
-    process_events,
     request_access,
     request_handler,
     request_log,
     safeguard,
-    servers,
     version_choice,
 )
-from ivystep.gateway.loads import (
-    base_model_loader,
-    engine_link,
-    leadership,
-    model_pools,
-    prefill_queues,
-    residency_updates,
-)
 from ivystep.gateway.store import (
     configuration,
     configuration_age,
--- a/ivystep/gateway/answer_times.py
+++ b/ivystep/gateway/requests/answer_times.py
@@ -8,7 +8,7 @@
 import collections
 import statistics
 
-from ivystep.gateway import request_state
+from ivystep.gateway.requests import request_state
 from ivystep.runtime import clock
 
 # Answers that are kept of each route.
--- a/ivystep/gateway/answer_writer.py
+++ b/ivystep/gateway/requests/answer_writer.py
@@ -6,7 +6,7 @@
 
 from ivystep.core import errors
 from ivystep.entry import answers
-from ivystep.gateway import disconnect_watch, relay
+from ivystep.gateway.requests import disconnect_watch, relay
 from ivystep.runtime import clock, sockets
 from ivystep.traffic import calls, http1
 
--- a/ivystep/gateway/attempt_sender.py
+++ b/ivystep/gateway/requests/attempt_sender.py
@@ -11,7 +11,7 @@
 import eventlet
 
 from ivystep.core import errors, types
-from ivystep.gateway import (
+from ivystep.gateway.requests import (
     given_up_attempts,
     relay,
     request_log,
--- a/ivystep/gateway/callers.py
+++ b/ivystep/gateway/requests/callers.py
@@ -15,7 +15,7 @@
 from eventlet import hubs
 
 from ivystep.core import errors, units
-from ivystep.gateway import (
+from ivystep.gateway.requests import (
     answer_writer,
     connection_limit,
     disconnect_watch,
--- a/ivystep/gateway/crashes.py
+++ b/ivystep/gateway/requests/crashes.py
@@ -22,7 +22,8 @@
 import eventlet
 
 from ivystep.core import errors, units
-from ivystep.gateway import events, part_crashes, request_state
+from ivystep.gateway import events
+from ivystep.gateway.requests import part_crashes, request_state
 from ivystep.gateway.store import row_application, row_writer
 from ivystep.gateway.upstreams import upstream_state
 from ivystep.platform import crash_rows, rows
--- a/ivystep/gateway/disconnect_watch.py
+++ b/ivystep/gateway/requests/disconnect_watch.py
@@ -12,7 +12,7 @@
 from eventlet import hubs
 
 from ivystep.core import units
-from ivystep.gateway import relay
+from ivystep.gateway.requests import relay
 from ivystep.traffic import http1
 
 # Limit on the bytes of pipelined requests buffered while a request is handled.
--- a/ivystep/gateway/dispatch.py
+++ b/ivystep/gateway/requests/dispatch.py
@@ -12,7 +12,8 @@
 from ivystep.coordination import retry_budget
 from ivystep.core import errors, types
 from ivystep.entry import pool
-from ivystep.gateway import (
+from ivystep.gateway.loads import model_pools
+from ivystep.gateway.requests import (
     attempt_sender,
     planned_stop,
     relay,
@@ -23,7 +24,6 @@
     version_choice,
     version_waits,
 )
-from ivystep.gateway.loads import model_pools
 from ivystep.gateway.upstreams import upstream_state
 from ivystep.prefill import prefill
 from ivystep.runtime import clock
--- a/ivystep/gateway/draining.py
+++ b/ivystep/gateway/requests/draining.py
@@ -11,12 +11,8 @@
 import eventlet
 
 from ivystep.core import units
-from ivystep.gateway import (
-    callers,
-    connection_limit,
-    planned_stop,
-    process_events,
-)
+from ivystep.gateway import process_events
+from ivystep.gateway.requests import callers, connection_limit, planned_stop
 from ivystep.runtime import background, clock, drain, event_log
 from ivystep.runtime import process_events as life_events
 
--- a/ivystep/gateway/given_up_attempts.py
+++ b/ivystep/gateway/requests/given_up_attempts.py
@@ -11,7 +11,7 @@
 
 import eventlet
 
-from ivystep.gateway import crashes, request_state
+from ivystep.gateway.requests import crashes, request_state
 from ivystep.gateway.upstreams import upstream_state
 from ivystep.runtime import clock
 
--- a/ivystep/gateway/incomplete_requests.py
+++ b/ivystep/gateway/requests/incomplete_requests.py
@@ -1,6 +1,6 @@
 """Refusals of requests that are still being received."""
 
-from ivystep.gateway import request_state
+from ivystep.gateway.requests import request_state
 from ivystep.traffic import http1
 
 NO_MEMORY = 'no_memory'
--- a/ivystep/gateway/limited_upstreams.py
+++ b/ivystep/gateway/requests/limited_upstreams.py
@@ -13,7 +13,8 @@
 import eventlet
 
 from ivystep.core import errors
-from ivystep.gateway import events, request_state
+from ivystep.gateway import events
+from ivystep.gateway.requests import request_state
 from ivystep.gateway.upstreams import upstream_state
 from ivystep.runtime import clock, event_log
 from ivystep.traffic import calls
--- a/ivystep/gateway/part_crashes.py
+++ b/ivystep/gateway/requests/part_crashes.py
@@ -11,7 +11,7 @@
 import math
 from collections.abc import Generator, Iterable
 
-from ivystep.gateway import relay, request_state
+from ivystep.gateway.requests import relay, request_state
 from ivystep.gateway.store import row_writer
 from ivystep.gateway.upstreams import upstream_state
 from ivystep.platform import crash_rows
--- a/ivystep/gateway/planned_stop.py
+++ b/ivystep/gateway/requests/planned_stop.py
@@ -17,7 +17,7 @@
 from eventlet import hubs
 
 from ivystep.core import errors
-from ivystep.gateway import answer_times, request_state
+from ivystep.gateway.requests import answer_times, request_state
 from ivystep.runtime import clock
 
 
--- a/ivystep/gateway/relay.py
+++ b/ivystep/gateway/requests/relay.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable, Generator
 
 from ivystep.core import errors, types, units
-from ivystep.gateway import answer_body, own_answer_search
+from ivystep.gateway.requests import answer_body, own_answer_search
 from ivystep.gateway.upstreams import connections, upstream_state
 from ivystep.platform import messages
 from ivystep.traffic import calls, contracts, event_stream, http1
--- a/ivystep/gateway/request_access.py
+++ b/ivystep/gateway/requests/request_access.py
@@ -10,7 +10,7 @@
 
 from ivystep.accounts import authentication, events, revocation
 from ivystep.core import errors
-from ivystep.gateway import request_state
+from ivystep.gateway.requests import request_state
 from ivystep.gateway.store import configuration
 from ivystep.runtime import event_log
 from ivystep.settings import gateway as settings_models
--- a/ivystep/gateway/request_handler.py
+++ b/ivystep/gateway/requests/request_handler.py
@@ -3,7 +3,7 @@
 from ivystep.accounts import admission as account_admission
 from ivystep.accounts import authentication
 from ivystep.core import errors, types
-from ivystep.gateway import (
+from ivystep.gateway.requests import (
     account_metrics,
     callers,
     dispatch,
--- a/ivystep/gateway/request_log.py
+++ b/ivystep/gateway/requests/request_log.py
@@ -1,7 +1,8 @@
 """Writes the log lines of the decisions on requests."""
 
 from ivystep.core import errors, types, units
-from ivystep.gateway import answer_body, events, request_state
+from ivystep.gateway import events
+from ivystep.gateway.requests import answer_body, request_state
 from ivystep.gateway.store import configuration
 from ivystep.gateway.upstreams import upstream_state
 from ivystep.prefill import prefill
--- a/ivystep/gateway/request_state.py
+++ b/ivystep/gateway/requests/request_state.py
@@ -6,7 +6,7 @@
 
 from ivystep.accounts import authentication
 from ivystep.core import errors, types, units
-from ivystep.gateway import answer_body, relay
+from ivystep.gateway.requests import answer_body, relay
 from ivystep.gateway.store import row_writer
 from ivystep.gateway.upstreams import upstream_state
 from ivystep.prefill import prefill
--- a/ivystep/gateway/retries.py
+++ b/ivystep/gateway/requests/retries.py
@@ -9,7 +9,7 @@
 import types as builtin_types
 
 from ivystep.core import types
-from ivystep.gateway import request_state
+from ivystep.gateway.requests import request_state
 
 
 class Repeatable(enum.Enum):
--- a/ivystep/gateway/safeguard.py
+++ b/ivystep/gateway/requests/safeguard.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from ivystep.coordination import retry_budget
-from ivystep.gateway import (
+from ivystep.gateway.requests import (
     crashes,
     limited_upstreams,
     planned_stop,
--- a/ivystep/gateway/version_choice.py
+++ b/ivystep/gateway/requests/version_choice.py
@@ -5,7 +5,7 @@
 
 from ivystep.core import types
 from ivystep.entry import pool
-from ivystep.gateway import version_waits
+from ivystep.gateway.requests import version_waits
 from ivystep.gateway.store import configuration
 from ivystep.traffic import calls
 
--- a/ivystep/stream_origins/lookup.py
+++ b/ivystep/stream_origins/lookup.py
@@ -9,7 +9,7 @@
 
 from ivystep.core import errors
 from ivystep.gateway import events as gateway_events
-from ivystep.gateway import request_state
+from ivystep.gateway.requests import request_state
 from ivystep.platform import rows, stream_rows
 from ivystep.runtime import event_log
 from ivystep.stream_origins import events, recorder
--- a/ivystep/stream_origins/origins.py
+++ b/ivystep/stream_origins/origins.py
@@ -18,7 +18,7 @@
 from collections.abc import Callable
 
 from ivystep.core import ids, units
-from ivystep.gateway import request_state
+from ivystep.gateway.requests import request_state
 from ivystep.gateway.store import row_writer
 from ivystep.gateway.upstreams import upstream_state
 from ivystep.platform import rows, stream_rows
--- a/tests/gateway/test_accounts.py
+++ b/tests/gateway/requests/test_accounts.py
@@ -10,7 +10,7 @@
 
 from ivystep.cli import explain
 from ivystep.core import errors, ids, types
-from ivystep.gateway import account_metrics, request_handler
+from ivystep.gateway.requests import account_metrics, request_handler
 from ivystep.metrics import registry
 from ivystep.traffic import contracts, http1
 from tests.accounts import test_directory
--- a/tests/gateway/test_answer_body.py
+++ b/tests/gateway/requests/test_answer_body.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ivystep.gateway import answer_body
+from ivystep.gateway.requests import answer_body
 from ivystep.runtime import clock
 from ivystep.traffic import http1
 from tests.coordination import fakes as clocks
--- a/tests/gateway/test_bounded_sends.py
+++ b/tests/gateway/requests/test_bounded_sends.py
@@ -7,7 +7,7 @@
 import eventlet
 import pytest
 
-from ivystep.gateway import answer_body, request_state
+from ivystep.gateway.requests import answer_body, request_state
 from ivystep.runtime import clock
 from tests.gateway import harness
 
--- a/tests/gateway/test_closing_connections.py
+++ b/tests/gateway/requests/test_closing_connections.py
@@ -5,8 +5,9 @@
 import eventlet
 from eventlet import greenio, patcher
 
-from ivystep.gateway import draining
-from tests.gateway import harness, test_draining
+from ivystep.gateway.requests import draining
+from tests.gateway import harness
+from tests.gateway.requests import test_draining
 
 # Shorter than a caller takes to send the first request of a connection.
 CROSSES_CLOSE_S = 0.3
--- a/tests/gateway/test_connection_limit.py
+++ b/tests/gateway/requests/test_connection_limit.py
@@ -2,7 +2,7 @@
 
 import eventlet
 
-from ivystep.gateway import connection_limit
+from ivystep.gateway.requests import connection_limit
 from ivystep.runtime import clock, virtual_hub
 
 LIMIT = 4
--- a/tests/gateway/test_crashes.py
+++ b/tests/gateway/requests/test_crashes.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ivystep.core import errors
-from ivystep.gateway import crashes, request_state
+from ivystep.gateway.requests import crashes, request_state
 from ivystep.gateway.store import row_writer
 from ivystep.platform import crash_rows, rows
 from ivystep.policy import quarantine
--- a/tests/gateway/test_crashing_requests.py
+++ b/tests/gateway/requests/test_crashing_requests.py
@@ -4,7 +4,7 @@
 import pytest
 
 from ivystep.core import errors
-from ivystep.gateway import crashes
+from ivystep.gateway.requests import crashes
 from ivystep.platform import crash_rows, rows
 from tests.gateway import harness
 
--- a/tests/gateway/test_dispatch.py
+++ b/tests/gateway/requests/test_dispatch.py
@@ -8,7 +8,7 @@
 from ivystep.accounts import revocation
 from ivystep.coordination import retry_budget
 from ivystep.core import errors, types
-from ivystep.gateway import (
+from ivystep.gateway.requests import (
     crashes,
     dispatch,
     limited_upstreams,
--- a/tests/gateway/test_draining.py
+++ b/tests/gateway/requests/test_draining.py
@@ -7,11 +7,17 @@
 import eventlet
 import pytest
 
-from ivystep.gateway import answer_times, callers, draining, planned_stop
+from ivystep.gateway.requests import (
+    answer_times,
+    callers,
+    draining,
+    planned_stop,
+)
 from ivystep.runtime import clock
 from ivystep.traffic import http1
 from tests.coordination import fakes as clocks
-from tests.gateway import fakes, harness, test_planned_stop
+from tests.gateway import fakes, harness
+from tests.gateway.requests import test_planned_stop
 
 # The store answers later than the gateway waits, and after the test has ended.
 SILENT = {'mode': 'slow', 'delay_s': 30.0}
--- a/tests/gateway/test_endless_answers.py
+++ b/tests/gateway/requests/test_endless_answers.py
@@ -7,7 +7,8 @@
 from pythonjsonlogger import orjson
 
 from ivystep.core import units
-from tests.gateway import harness, test_answer_ends
+from tests.gateway import harness
+from tests.gateway.requests import test_answer_ends
 
 # A quarter of the time budget of the requests.
 END_S = 0.4
--- a/tests/gateway/test_late_attempts.py
+++ b/tests/gateway/requests/test_late_attempts.py
@@ -3,11 +3,11 @@
 import pytest
 
 from ivystep.core import errors, types
-from ivystep.gateway import answer_times, planned_stop
+from ivystep.gateway.requests import answer_times, planned_stop
 from ivystep.runtime import clock
 from ivystep.traffic import contracts
 from tests.coordination import fakes as clocks
-from tests.gateway import test_dispatch
+from tests.gateway.requests import test_dispatch
 
 GRACE_S = 7.6
 ANSWER_S = 1.0
--- a/tests/gateway/test_part_crashes.py
+++ b/tests/gateway/requests/test_part_crashes.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ivystep.gateway import part_crashes
+from ivystep.gateway.requests import part_crashes
 from ivystep.platform import crash_rows
 from ivystep.policy import crashing_parts
 
--- a/tests/gateway/test_planned_stop.py
+++ b/tests/gateway/requests/test_planned_stop.py
@@ -5,7 +5,7 @@
 import eventlet
 import pytest
 
-from ivystep.gateway import answer_times, planned_stop, request_state
+from ivystep.gateway.requests import answer_times, planned_stop, request_state
 from ivystep.runtime import clock
 from ivystep.traffic import calls, contracts
 from tests.coordination import fakes as clocks
--- a/tests/gateway/test_request_access.py
+++ b/tests/gateway/requests/test_request_access.py
@@ -7,7 +7,7 @@
 from ivystep.runtime import clock
 from ivystep.traffic import contracts
 from tests.coordination import fakes as clocks
-from tests.gateway import test_dispatch
+from tests.gateway.requests import test_dispatch
 from tests.gateway.store import test_configuration
 from tests.traffic import test_contracts
 
--- a/tests/gateway/test_request_log.py
+++ b/tests/gateway/requests/test_request_log.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from ivystep.gateway import request_log, request_state
+from ivystep.gateway.requests import request_log, request_state
 from ivystep.traffic import calls, http1
 from tests.gateway import fakes
 
--- a/tests/gateway/test_request_memory.py
+++ b/tests/gateway/requests/test_request_memory.py
@@ -5,7 +5,7 @@
 import eventlet
 import pytest
 
-from ivystep.gateway import disconnect_watch
+from ivystep.gateway.requests import disconnect_watch
 from ivystep.traffic import http1
 from tests.gateway import harness
 
--- a/tests/gateway/test_request_state.py
+++ b/tests/gateway/requests/test_request_state.py
@@ -4,8 +4,8 @@
 
 import eventlet
 
-from ivystep.gateway import request_state
 from ivystep.gateway.loads import prefill_queues
+from ivystep.gateway.requests import request_state
 from ivystep.prefill import prefill, prefill_rates
 from ivystep.runtime import clock
 from ivystep.traffic import calls, contracts
--- a/tests/gateway/test_retries.py
+++ b/tests/gateway/requests/test_retries.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ivystep.core import types
-from ivystep.gateway import request_state, retries
+from ivystep.gateway.requests import request_state, retries
 from ivystep.traffic import calls, contracts
 from tests.traffic import test_contracts
 
--- a/tests/gateway/test_stop_delivery.py
+++ b/tests/gateway/requests/test_stop_delivery.py
@@ -6,7 +6,7 @@
 import eventlet
 import pytest
 
-from ivystep.gateway import callers
+from ivystep.gateway.requests import callers
 from ivystep.traffic import http1
 from tests.gateway import harness
 
--- a/tests/gateway/test_surplus_bytes.py
+++ b/tests/gateway/requests/test_surplus_bytes.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from tests.gateway import harness, test_answer_ends
+from tests.gateway import harness
+from tests.gateway.requests import test_answer_ends
 
 ROUTES = {'routes': test_answer_ends.ROUTES}
 
--- a/tests/gateway/test_turns.py
+++ b/tests/gateway/requests/test_turns.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ivystep.core import errors
-from ivystep.gateway import limited_upstreams
+from ivystep.gateway.requests import limited_upstreams
 from ivystep.gateway.upstreams import upstream_state
 from ivystep.runtime import clock
 from ivystep.traffic import calls
--- a/tests/gateway/test_version_choice.py
+++ b/tests/gateway/requests/test_version_choice.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ivystep.core import errors, types
-from ivystep.gateway import version_choice
+from ivystep.gateway.requests import version_choice
 from ivystep.gateway.store import feeds
 from ivystep.platform import rows
 from ivystep.runtime import clock
--- a/tests/gateway/test_version_waits.py
+++ b/tests/gateway/requests/test_version_waits.py
@@ -7,13 +7,14 @@
 
 from ivystep.core import errors, types
 from ivystep.entry import pool
-from ivystep.gateway import version_waits
+from ivystep.gateway.requests import version_waits
 from ivystep.gateway.upstreams import connections as upstream_connections
 from ivystep.runtime import clock
 from ivystep.traffic import contracts
 from tests.coordination import fakes as clocks
 from tests.core import statuses
-from tests.gateway import harness, test_dispatch
+from tests.gateway import harness
+from tests.gateway.requests import test_dispatch
 from tests.gateway.store import test_configuration
 
 ENGINE_QUEUE_S = 9.0
--- a/tests/gateway/upstreams/test_resting_upstreams.py
+++ b/tests/gateway/upstreams/test_resting_upstreams.py
@@ -3,7 +3,7 @@
 import eventlet
 import pytest
 
-from ivystep.gateway import limited_upstreams
+from ivystep.gateway.requests import limited_upstreams
 from ivystep.gateway.upstreams import upstream_state
 from ivystep.traffic import calls
 from tests.gateway import fakes, harness
--- a/tests/stream_origins/test_origins.py
+++ b/tests/stream_origins/test_origins.py
@@ -6,7 +6,7 @@
 import pytest
 
 from ivystep.core import errors, types
-from ivystep.gateway import request_state
+from ivystep.gateway.requests import request_state
 from ivystep.gateway.store import row_writer
 from ivystep.gateway.upstreams import upstream_state
 from ivystep.platform import stream_rows
