Let the kernel take over answers before the end of a short grace

With a grace that ends before the notice, the listener closed at the end, and the answers of slow callers were reset in the same turn in which the kernel was asked to take them.

--- a/ivystep/gateway/requests/draining.py
+++ b/ivystep/gateway/requests/draining.py
@@ -64,7 +64,7 @@
         started = clock.now()
         signalled = started - self._delay_s
         end = signalled + self._grace_s - ABORT_MARGIN_S
-        closes_at = min(started + ACCEPT_AFTER_SIGTERM_S, end)
+        closes_at = min(started + ACCEPT_AFTER_SIGTERM_S, end - TAKE_OVER_S)
         self._server_state.is_closing = True
         self._stop.begin(
             planned_stop.StopTimes(
