--- a/tests/wire/test_listener.py
+++ b/tests/wire/test_listener.py
@@ -20,6 +20,9 @@
     def settimeout(self, seconds):
         pass
 
+    def setblocking(self, is_blocking):
+        pass
+
     def detach(self):
         pass
 
