--- a/ivystep/gateway/loads/engine_link.py
+++ b/ivystep/gateway/loads/engine_link.py
@@ -162,18 +162,19 @@
                     self._restore_victim(victim, refusal)
                     return refusal
             report = self._recent_report()
-            if not self._slot_usage.has_free_slot(
+            room = self._slot_usage.room(
                 ref,
                 report,
                 self._report_read_at,
                 self._context.adapter_slots(self._upstream),
-            ):
+            )
+            if not room.is_sufficient:
                 self._report = None
                 return types.LoadResult(
                     False, 'busy', 'No adapter slot is free.'
                 )
             outcome = self._sender.send(
-                ref.account, ref.name, ref.version, is_load=True
+                ref.account, ref.name, ref.version, is_load=True, room=room
             )
         if outcome is orders.Outcome.ALREADY_HELD:
             return types.LoadResult(True, 'loaded', '')
@@ -327,7 +328,7 @@
     def _read_report(self) -> upstreams.EngineReport:
         self._report_read_at = clock.now()
         self._report = engine_reports.read_report(
-            self._context.api, self._upstream
+            self._context.api, self._upstream, self._context.log
         )
         return self._report
 
--- a/ivystep/gateway/loads/engine_reports.py
+++ b/ivystep/gateway/loads/engine_reports.py
@@ -1,18 +1,23 @@
 """Reads the reports of engines."""
 
+from ivystep.core import errors
+from ivystep.gateway.loads import leader_events
 from ivystep.gateway.upstreams import upstream_state
-from ivystep.runtime import clock
+from ivystep.runtime import clock, event_log
 from ivystep.traffic import orders, upstreams
 
 
 def read_report(
-    api: orders.EngineApi, upstream: upstream_state.Upstream
+    api: orders.EngineApi,
+    upstream: upstream_state.Upstream,
+    log: event_log.EventLog,
 ) -> upstreams.EngineReport:
     """Read an engine's report and update the known state of the engine.
 
     Args:
         api: Client of the engines.
         upstream: The engine.
+        log: Event log of failed reads.
 
     Returns:
         The report.
@@ -20,6 +25,10 @@
     Raises:
         errors.LinkError: The engine sent no valid report.
     """
-    report = api.read_report(upstream.entry.address)
+    try:
+        report = api.read_report(upstream.entry.address)
+    except errors.LinkError as error:
+        log.write(leader_events.ReportFailed(upstream.upstream_id, str(error)))
+        raise
     upstream.on_report(report, clock.now())
     return report
--- a/ivystep/gateway/loads/leader_events.py
+++ b/ivystep/gateway/loads/leader_events.py
@@ -67,6 +67,11 @@
     Attributes:
         expected: Number of orders that the engine must have accepted before.
         outcome: Answer of the engine, or ``no answer``.
+        used_slots: Adapter slots in use by the decision, with the order; -1 if
+            it needed none.
+        slots: Adapter slots of the engine; -1 likewise.
+        counted_at: Number of accepted orders in the report by which the slots
+            were counted; -1 likewise.
     """
 
     name: typing.ClassVar[str] = 'order_given'
@@ -78,3 +83,21 @@
     token: int
     outcome: str
     elapsed_ms: int
+    used_slots: int = -1
+    slots: int = -1
+    counted_at: int = -1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReportFailed(event_log.Event):
+    """A read of an engine's report has failed.
+
+    Attributes:
+        upstream: Engine that was meant.
+        reason: Step, reason and peer, with the id of the call.
+    """
+
+    name: typing.ClassVar[str] = 'report_failed'
+
+    upstream: str
+    reason: str
--- a/ivystep/gateway/loads/order_sender.py
+++ b/ivystep/gateway/loads/order_sender.py
@@ -64,7 +64,13 @@
         self._order_count_token = 0
 
     def send(
-        self, model: str, adapter: str, version: int | None, *, is_load: bool
+        self,
+        model: str,
+        adapter: str,
+        version: int | None,
+        *,
+        is_load: bool,
+        room: slot_usage.Room | None = None,
     ) -> orders.Outcome:
         """Send one order, and repeat it if its sequence number was wrong.
 
@@ -73,6 +79,7 @@
             adapter: Adapter of the model; empty for the model itself.
             version: Version to load; None for the newest.
             is_load: Whether to load; otherwise unload.
+            room: The slots by which a load was decided on, for the log.
 
         Raises:
             errors.LinkError: The engine may carry the order out later.
@@ -90,7 +97,7 @@
                 holder=authority.holder,
                 token=authority.token,
             )
-            outcome = self._send_until_answered(order)
+            outcome = self._send_until_answered(order, room)
             if outcome is not orders.Outcome.OUT_OF_SEQUENCE:
                 return outcome
             self._order_count = None
@@ -127,7 +134,9 @@
             self._order_count = None
         return outcome
 
-    def _send_until_answered(self, order: orders.Order) -> orders.Outcome:
+    def _send_until_answered(
+        self, order: orders.Order, room: slot_usage.Room | None = None
+    ) -> orders.Outcome:
         """Send an order until it is answered.
 
         All attempts, and an unanswered order before this one, expect the same
@@ -135,7 +144,7 @@
         """
         for attempt in range(ANSWER_TRIES):
             try:
-                outcome = self._send_once(order)
+                outcome = self._send_once(order, room)
             except errors.LinkError:
                 if attempt + 1 < ANSWER_TRIES and self._may_still_send(order):
                     continue
@@ -176,7 +185,9 @@
         elif outcome is orders.Outcome.ALREADY_HELD and order.is_load:
             self._slot_usage.remember_order(order, LOAD_REPORT_DELAY_S)
 
-    def _send_once(self, order: orders.Order) -> orders.Outcome:
+    def _send_once(
+        self, order: orders.Order, room: slot_usage.Room | None
+    ) -> orders.Outcome:
         entry = self._upstream.entry
         sent_at = clock.now()
         outcome = None
@@ -194,6 +205,7 @@
                     order.token,
                     outcome.value if outcome else 'no answer',
                     int((clock.now() - sent_at) * units.MS_PER_S),
+                    *(dataclasses.astuple(room) if room else ()),
                 )
             )
         return outcome
@@ -205,7 +217,7 @@
             or self._order_count_token != authority.token
         ):
             self._order_count = engine_reports.read_report(
-                self._api, self._upstream
+                self._api, self._upstream, self._log
             ).order_count
             self._order_count_token = authority.token
         return self._order_count
--- a/ivystep/gateway/loads/slot_usage.py
+++ b/ivystep/gateway/loads/slot_usage.py
@@ -25,6 +25,27 @@
     hidden_until: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Room:
+    """The adapter slots of an engine as an order is decided on.
+
+    Attributes:
+        used: Slots that are in use with the adapter of the order.
+        slots: Adapter slots of the engine.
+        order_count: Number of orders that the engine had accepted in the
+            report by which the slots were counted.
+    """
+
+    used: int
+    slots: int
+    order_count: int
+
+    @property
+    def is_sufficient(self) -> bool:
+        """Whether the adapter of the order fits."""
+        return self.used <= self.slots
+
+
 class SlotUsage:
     """The adapter slots of one engine that are in use.
 
@@ -36,14 +57,14 @@
         self._upstream = upstream
         self._last_order_by_name: dict[tuple[str, str], _SentOrder] = {}
 
-    def has_free_slot(
+    def room(
         self,
         ref: types.AdapterRef,
         report: upstreams.EngineReport,
         read_at: float,
         slots: int,
-    ) -> bool:
-        """Return whether the engine has a slot for one more adapter.
+    ) -> Room:
+        """Return the slots in use if the engine gets one more adapter.
 
         An engine that is ordered to load more adapters than fit fails.
         Orders that reports may not show yet, and unanswered orders to load,
@@ -72,7 +93,7 @@
             else:
                 used.discard(name)
         used.add((ref.account, ref.name))
-        return len(used) <= slots
+        return Room(len(used), slots, report.order_count)
 
     def may_hold(self, order: orders.Order) -> bool:
         """Return whether the adapter of an order may be resident."""
--- a/ivystep/platform/engine_api.py
+++ b/ivystep/platform/engine_api.py
@@ -95,5 +95,7 @@
     answer: engine_connections.Answer, step: str, address: tuple[str, int]
 ) -> errors.LinkError:
     return errors.LinkError(
-        f'status {answer.status}', step=step, peer=f'{address[0]}:{address[1]}'
+        f'status {answer.status} ({answer.call_id})',
+        step=step,
+        peer=f'{address[0]}:{address[1]}',
     )
--- a/ivystep/platform/engine_connections.py
+++ b/ivystep/platform/engine_connections.py
@@ -48,10 +48,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """The answer to a call."""
+    """The answer to a call.
+
+    Attributes:
+        call_id: Id of the call, under which it stands in logs.
+    """
 
     status: int
     body: bytes
+    call_id: str
 
 
 class _Connection:
@@ -89,11 +94,12 @@
             errors.LinkError: No answer to this call was received.
         """
         self.may_be_kept = False
+        call_id = ids.new_id('call')
         try:
             with bounded_answers.deadline(CALL_TIMEOUT_S):
-                return self._call(call, ids.new_id('call'))
+                return self._call(call, call_id)
         except urllib3.exceptions.HTTPError as error:
-            raise self._failure(call, str(error)) from error
+            raise self._failure(call, call_id, str(error)) from error
 
     def _call(self, call: Call, call_id: str) -> Answer:
         response = self._pool.request(
@@ -116,23 +122,29 @@
         self._check_name(response, call, call_id)
         content = response.read(MAX_ANSWER_BYTES + 1)
         if len(content) > MAX_ANSWER_BYTES:
-            raise self._failure(call, 'the answer is too long')
+            raise self._failure(call, call_id, 'the answer is too long')
         response.release_conn()
         # A refusal without a name would be believed where it comes once more.
         is_harmless = call.may_be_earlier and response.status == SUCCESS_STATUS
         self.may_be_kept = self.names_calls or is_harmless
-        return Answer(response.status, content)
+        return Answer(response.status, content, call_id)
 
     def _check_name(
         self, response: urllib3.BaseHTTPResponse, call: Call, call_id: str
     ) -> None:
         named = response.headers.get(CALL_ID, '')
         if named != call_id and (named or self.names_calls):
-            raise self._failure(call, f'the answer names the call {named!r}')
+            raise self._failure(
+                call, call_id, f'the answer names the call {named!r}'
+            )
         self.names_calls = named == call_id
 
-    def _failure(self, call: Call, reason: str) -> errors.LinkError:
-        return errors.LinkError(reason, step=call.step, peer=self._peer)
+    def _failure(
+        self, call: Call, call_id: str, reason: str
+    ) -> errors.LinkError:
+        return errors.LinkError(
+            f'{reason} ({call_id})', step=call.step, peer=self._peer
+        )
 
 
 class EngineConnections:
--- a/tests/gateway/loads/test_engine_link.py
+++ b/tests/gateway/loads/test_engine_link.py
@@ -7,7 +7,7 @@
 import pytest
 from hypothesis import strategies
 
-from ivystep.core import types
+from ivystep.core import errors, types
 from ivystep.gateway.loads import engine_link, order_sender, residency_updates
 from ivystep.gateway.upstreams import upstream_state
 from ivystep.policy import load_correction, load_times
@@ -347,3 +347,30 @@
     clock.sleep(3)
     assert len(read) > before
     assert not bench.upstream.loading
+
+
+@clocks.on_virtual_clock
+def test_order_is_logged_with_the_slots_by_which_it_was_decided():
+    """Guards against an overfilled engine whose cause no log line shows."""
+    bench = Bench(None, 'a1')
+    assert bench.load('a2').ok
+    (order,) = bench.log.named('order_given')
+    assert (order.used_slots, order.slots) == (2, SLOTS)
+    assert (order.counted_at, order.expected) == (0, 0)
+
+
+@clocks.on_virtual_clock
+def test_failed_report_is_logged_with_the_engine_that_was_meant():
+    """Guards against a call to another upstream's address that no log shows."""
+    bench = Bench()
+
+    def fail(address):
+        raise errors.LinkError('status 404 (call-1)', step='report')
+
+    bench.engine.read_report = fail
+    assert not bench.load('a1').ok
+    (failed,) = bench.log.named('report_failed')
+    assert (failed.upstream, failed.reason) == (
+        'i-1',
+        'report: status 404 (call-1)',
+    )
--- a/tests/platform/test_engine_api.py
+++ b/tests/platform/test_engine_api.py
@@ -154,3 +154,10 @@
     for address in addresses * 2:
         client.send_order(address, 'i-1', ORDER)
     assert [engine.connections for engine in engines] == [2, 2]
+
+
+def test_refused_call_is_named_by_the_id_that_the_upstream_got(start):
+    """Guards against an upstream's record of a call that no log line shows."""
+    address = start(serving.RepeatingServer((404, {}), (404, {})))
+    with pytest.raises(errors.LinkError, match=r'status 404 \(call-'):
+        engine_api.EngineClient().read_report(address)
