--- a/ivystep/core/errors.py
+++ b/ivystep/core/errors.py
@@ -60,6 +60,13 @@
     """A connection to another process failed."""
 
 
+class MisdirectedError(LinkError):
+    """Another process has answered than the one that was meant.
+
+    Nothing that it has sent applies to the one that was meant.
+    """
+
+
 class RequestError(IvystepError):
     """A request ends with an error for the caller.
 
--- a/ivystep/gateway/loads/engine_reports.py
+++ b/ivystep/gateway/loads/engine_reports.py
@@ -23,10 +23,16 @@
         The report.
 
     Raises:
+        errors.MisdirectedError: Another upstream is at the entry's address, to
+            which nothing is sent until the entry changes.
         errors.LinkError: The engine sent no valid report.
     """
     try:
-        report = api.read_report(upstream.entry.address)
+        report = api.read_report(upstream.entry.endpoint)
+    except errors.MisdirectedError as error:
+        upstream.on_misdirected()
+        log.write(leader_events.ReportFailed(upstream.upstream_id, str(error)))
+        raise
     except errors.LinkError as error:
         log.write(leader_events.ReportFailed(upstream.upstream_id, str(error)))
         raise
--- a/ivystep/gateway/loads/order_sender.py
+++ b/ivystep/gateway/loads/order_sender.py
@@ -192,9 +192,7 @@
         sent_at = clock.now()
         outcome = None
         try:
-            outcome = self._api.send_order(
-                entry.address, entry.upstream_id, order
-            )
+            outcome = self._api.send_order(entry.endpoint, order)
         finally:
             self._log.write(
                 leader_events.OrderGiven(
--- a/ivystep/gateway/upstreams/upstream_state.py
+++ b/ivystep/gateway/upstreams/upstream_state.py
@@ -76,6 +76,8 @@
         self.suspended_until = 0.0
         self.limit = shared_limit.SharedLimit()
         self._resting_until = 0.0
+        # Version of the entry at whose address another upstream has answered.
+        self._misdirected_by: int | None = None
         self._is_leaving = False
         self._failures = 0
         self.running_elsewhere = 0
@@ -220,6 +222,15 @@
         """
         self._is_leaving = True
 
+    def on_misdirected(self) -> None:
+        """Send nothing until the entry changes: its address is another's."""
+        self._misdirected_by = self.entry.version
+
+    @property
+    def is_misdirected(self) -> bool:
+        """Whether another upstream has answered at the entry's address."""
+        return self._misdirected_by == self.entry.version
+
     def rest(self, asked_s: float, now: float) -> None:
         """Send nothing for as long as the upstream asks for.
 
@@ -251,7 +262,8 @@
 
         They count as requests for an upstream that takes few or none.
         """
-        return not (self.limit.is_limited or self.rest_s(now))
+        is_refused = self.is_misdirected or self.limit.is_limited
+        return not (is_refused or self.rest_s(now))
 
     def reset_failures(self) -> None:
         """Reset the back-off after an answer."""
@@ -326,7 +338,9 @@
         Args:
             now: Time in seconds.
         """
-        return now >= self.suspended_until and not self.wait_s(now)
+        if self.is_misdirected or now < self.suspended_until:
+            return False
+        return not self.wait_s(now)
 
     def replace_entry(self, entry: upstreams.UpstreamEntry, now: float) -> None:
         """Apply a newer entry of the same incarnation.
--- a/ivystep/platform/engine_api.py
+++ b/ivystep/platform/engine_api.py
@@ -13,6 +13,8 @@
 
 REPORT_PATH = '/ivystep/report'
 ORDER_PATH = '/ivystep/order'
+# Another upstream than the expected one.
+MISDIRECTED_STATUS = 421
 OUTCOME_BY_STATUS = types.MappingProxyType(
     {
         200: orders.Outcome.ALREADY_HELD,
@@ -20,7 +22,7 @@
         400: orders.Outcome.MALFORMED,
         409: orders.Outcome.OUT_OF_SEQUENCE,
         412: orders.Outcome.FENCED,
-        421: orders.Outcome.OTHER_UPSTREAM,
+        MISDIRECTED_STATUS: orders.Outcome.OTHER_UPSTREAM,
     }
 )
 
@@ -31,31 +33,31 @@
     def __init__(self) -> None:
         self._connections = engine_connections.EngineConnections()
 
-    def read_report(self, address: tuple[str, int]) -> upstreams.EngineReport:
+    def read_report(self, engine: upstreams.Endpoint) -> upstreams.EngineReport:
         """Request an engine's state.
 
+        Args:
+            engine: The engine; another upstream at its address refuses.
+
         Raises:
+            errors.MisdirectedError: Another upstream is at the address.
             errors.LinkError: The engine sent no valid report.
         """
-        answer = self._connections.send(
-            address,
-            engine_connections.Call(
-                'report', 'GET', REPORT_PATH, may_be_earlier=True
-            ),
+        call = engine_connections.Call(
+            engine, 'report', 'GET', REPORT_PATH, may_be_earlier=True
         )
+        answer = self._connections.send(call)
         if answer.status != 200:
-            raise _refusal(answer, 'report', address)
+            raise _refusal(answer, call)
         return upstream_entries.decode_report(answer.body)
 
     def send_order(
-        self, address: tuple[str, int], upstream_id: str, order: orders.Order
+        self, engine: upstreams.Endpoint, order: orders.Order
     ) -> orders.Outcome:
         """Send an order.
 
         Args:
-            address: IP address and port of the engine.
-            upstream_id: Id of the engine; an engine with another id refuses
-                the order.
+            engine: The engine; another upstream at its address refuses.
             order: The order.
 
         Raises:
@@ -72,30 +74,28 @@
             document['adapter'] = order.adapter
         if order.version is not None:
             document['version'] = order.version
-        answer = self._connections.send(
-            address,
-            engine_connections.Call(
-                'order',
-                'POST',
-                ORDER_PATH,
-                json.dumps(document).encode(),
-                (
-                    ('Content-Type', 'application/json'),
-                    ('Expect-Instance', upstream_id),
-                ),
-            ),
+        call = engine_connections.Call(
+            engine,
+            'order',
+            'POST',
+            ORDER_PATH,
+            json.dumps(document).encode(),
+            (('Content-Type', 'application/json'),),
         )
+        answer = self._connections.send(call)
         outcome = OUTCOME_BY_STATUS.get(answer.status)
         if outcome is None:
-            raise _refusal(answer, 'order', address)
+            raise _refusal(answer, call)
         return outcome
 
 
 def _refusal(
-    answer: engine_connections.Answer, step: str, address: tuple[str, int]
+    answer: engine_connections.Answer, call: engine_connections.Call
 ) -> errors.LinkError:
-    return errors.LinkError(
+    is_misdirected = answer.status == MISDIRECTED_STATUS
+    error_type = errors.MisdirectedError if is_misdirected else errors.LinkError
+    return error_type(
         f'status {answer.status} ({answer.call_id})',
-        step=step,
-        peer=f'{address[0]}:{address[1]}',
+        step=call.step,
+        peer=str(call.endpoint),
     )
--- a/ivystep/platform/engine_connections.py
+++ b/ivystep/platform/engine_connections.py
@@ -14,6 +14,7 @@
 from ivystep.core import errors, ids, units
 from ivystep.platform import bounded_answers, header_names
 from ivystep.runtime import sockets
+from ivystep.traffic import upstreams
 
 # An engine answers within a few milliseconds.
 TIMEOUT = urllib3.Timeout(connect=0.4, read=0.3)
@@ -25,6 +26,7 @@
 # Longest answer that is read; a report names some dozens of adapters.
 MAX_ANSWER_BYTES = units.MIB
 CALL_ID = header_names.REQUEST_ID.decode()
+EXPECTED_UPSTREAM = header_names.EXPECTED_UPSTREAM.decode()
 SUCCESS_STATUS = 200
 
 
@@ -33,11 +35,13 @@
     """A call to an engine.
 
     Attributes:
+        endpoint: The engine that is meant; another upstream refuses the call.
         step: Name of the call in errors.
         may_be_earlier: Whether an answer to an earlier call of its kind does
             no harm.
     """
 
+    endpoint: upstreams.Endpoint
     step: str
     method: str
     path: str
@@ -73,7 +77,6 @@
     def __init__(self, address: tuple[str, int]) -> None:
         self.names_calls = False
         self.may_be_kept = False
-        self._peer = f'{address[0]}:{address[1]}'
         self._pool = bounded_answers.pool(
             address,
             MAX_ANSWER_BYTES,
@@ -106,7 +109,11 @@
             call.method,
             call.path,
             body=call.body,
-            headers={CALL_ID: call_id, **dict(call.headers)},
+            headers={
+                CALL_ID: call_id,
+                EXPECTED_UPSTREAM: call.endpoint.upstream_id,
+                **dict(call.headers),
+            },
             redirect=False,
             preload_content=False,
         )
@@ -143,7 +150,7 @@
         self, call: Call, call_id: str, reason: str
     ) -> errors.LinkError:
         return errors.LinkError(
-            f'{reason} ({call_id})', step=call.step, peer=self._peer
+            f'{reason} ({call_id})', step=call.step, peer=str(call.endpoint)
         )
 
 
@@ -151,46 +158,47 @@
     """The connections of this host to all engines."""
 
     def __init__(self) -> None:
-        self._idle_by_address: collections.OrderedDict[
-            tuple[str, int], list[_Connection]
+        self._idle_by_engine: collections.OrderedDict[
+            upstreams.Endpoint, list[_Connection]
         ] = collections.OrderedDict()
 
-    def send(self, address: tuple[str, int], call: Call) -> Answer:
+    def send(self, call: Call) -> Answer:
         """Send a call to an engine and read the answer.
 
         Args:
-            address: IP address and port of the engine.
             call: The call.
 
         Raises:
             errors.LinkError: No answer to this call was received; the engine
                 may still run it.
         """
-        connection = self._take(address, call)
+        connection = self._take(call)
         try:
             return connection.send(call)
         finally:
             if connection.may_be_kept:
-                self._keep(address, connection)
+                self._keep(call.endpoint, connection)
             else:
                 connection.close()
 
-    def _take(self, address: tuple[str, int], call: Call) -> _Connection:
-        idle = self._idle_by_address.get(address, [])
+    def _take(self, call: Call) -> _Connection:
+        idle = self._idle_by_engine.get(call.endpoint, [])
         for connection in reversed(idle):
             if connection.names_calls or call.may_be_earlier:
                 idle.remove(connection)
                 return connection
-        return _Connection(address)
+        return _Connection(call.endpoint.address)
 
-    def _keep(self, address: tuple[str, int], connection: _Connection) -> None:
-        idle = self._idle_by_address.setdefault(address, [])
-        self._idle_by_address.move_to_end(address)
+    def _keep(
+        self, engine: upstreams.Endpoint, connection: _Connection
+    ) -> None:
+        idle = self._idle_by_engine.setdefault(engine, [])
+        self._idle_by_engine.move_to_end(engine)
         if len(idle) < MAX_IDLE:
             idle.append(connection)
         else:
             connection.close()
-        if len(self._idle_by_address) > MAX_ENGINES:
-            _, removed = self._idle_by_address.popitem(last=False)
+        if len(self._idle_by_engine) > MAX_ENGINES:
+            _, removed = self._idle_by_engine.popitem(last=False)
             for unused in removed:
                 unused.close()
--- a/ivystep/traffic/orders.py
+++ b/ivystep/traffic/orders.py
@@ -54,16 +54,15 @@
 class EngineApi(typing.Protocol):
     """The calls to engines that the gateway makes."""
 
-    def read_report(self, address: tuple[str, int]) -> upstreams.EngineReport:
+    def read_report(self, engine: upstreams.Endpoint) -> upstreams.EngineReport:
         """Request an engine's state.
 
         Raises:
+            errors.MisdirectedError: Another upstream is at the address.
             errors.LinkError: The engine sent no valid report.
         """
 
-    def send_order(
-        self, address: tuple[str, int], upstream_id: str, order: Order
-    ) -> Outcome:
+    def send_order(self, engine: upstreams.Endpoint, order: Order) -> Outcome:
         """Send an order.
 
         Raises:
--- a/ivystep/traffic/upstreams.py
+++ b/ivystep/traffic/upstreams.py
@@ -13,6 +13,26 @@
     DRAINING = 'draining'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Endpoint:
+    """The upstream that a call means, and where it is expected to be.
+
+    After an upstream has ended, its address may be another one's, which then
+    refuses the call.
+
+    Attributes:
+        upstream_id: Id of the upstream.
+        address: IP address and port.
+    """
+
+    upstream_id: str
+    address: tuple[str, int]
+
+    def __str__(self) -> str:
+        """Return id and address, as errors name the peer."""
+        return f'{self.upstream_id} at {self.address[0]}:{self.address[1]}'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class HeldModel:
     """A base model that an engine holds, with its adapters.
@@ -55,6 +75,11 @@
     version: int
     software_version: str = ''
 
+    @property
+    def endpoint(self) -> Endpoint:
+        """Whom a call to this upstream means, and where it is sent."""
+        return Endpoint(self.upstream_id, self.address)
+
     @property
     def identity(self) -> tuple[str, int, tuple[str, int], str, str]:
         """What two entries of one incarnation have in common."""
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -165,7 +165,7 @@
         self.token = 0
         self._history = []
 
-    def send_order(self, address, upstream_id, order):
+    def send_order(self, endpoint, order):
         delivery = self.deliveries.pop(0) if self.deliveries else Delivery()
         if delivery.is_answered:
             self.received_orders.append(order)
@@ -175,7 +175,7 @@
         clock.sleep(0.3)
         raise errors.LinkError('timed out', step='order')
 
-    def read_report(self, address):
+    def read_report(self, endpoint):
         self._complete_loads()
         as_of = clock.now() - self.report_lag_s
         state = self._state()
--- a/tests/gateway/loads/test_base_model_loader.py
+++ b/tests/gateway/loads/test_base_model_loader.py
@@ -45,7 +45,7 @@
         self._loading = None
         self._states = []
 
-    def read_report(self, address):
+    def read_report(self, endpoint):
         if clock.now() < self.answers_from:
             raise errors.LinkError('connection refused', step='report')
         self._update()
@@ -53,7 +53,7 @@
         seen = [state for at, state in self._states if at <= seen_at]
         return seen[-1] if seen else self._states[0][1]
 
-    def send_order(self, address, upstream_id, order):
+    def send_order(self, endpoint, order):
         self._update()
         if self._loading or order.expected_orders != self.accepted:
             return orders.Outcome.OUT_OF_SEQUENCE
--- a/tests/gateway/loads/test_engine_link.py
+++ b/tests/gateway/loads/test_engine_link.py
@@ -1,5 +1,6 @@
 """Tests of orders to an engine, on the virtual clock."""
 
+import dataclasses
 import functools
 
 import eventlet
@@ -307,9 +308,9 @@
     read = []
     read_report = engine.read_report
 
-    def counted(address):
+    def counted(endpoint):
         read.append(clock.now())
-        return read_report(address)
+        return read_report(endpoint)
 
     engine.read_report = counted
     return read
@@ -364,7 +365,7 @@
     """Guards against a call to another upstream's address that no log shows."""
     bench = Bench()
 
-    def fail(address):
+    def fail(endpoint):
         raise errors.LinkError('status 404 (call-1)', step='report')
 
     bench.engine.read_report = fail
@@ -374,3 +375,27 @@
         'i-1',
         'report: status 404 (call-1)',
     )
+
+
+@clocks.on_virtual_clock
+def test_upstream_at_a_reused_address_gets_no_calls_until_the_entry_changes():
+    """Guards against calls to an address that is another upstream's."""
+    bench = Bench()
+    asked = []
+
+    def refuse(endpoint):
+        asked.append(endpoint)
+        raise errors.MisdirectedError('status 421', step='report')
+
+    bench.engine.read_report = refuse
+    assert not bench.load('a1').ok
+    assert bench.load('a2').code == 'busy'
+    assert len(asked) == 1
+    assert not bench.upstream.is_available(clock.now())
+    entry = bench.upstream.entry
+    bench.upstream.replace_entry(
+        dataclasses.replace(entry, version=entry.version + 1), clock.now()
+    )
+    assert bench.upstream.is_available(clock.now())
+    bench.load('a3')
+    assert asked == [entry.endpoint] * 2
--- a/tests/platform/test_bounded_answers.py
+++ b/tests/platform/test_bounded_answers.py
@@ -11,6 +11,7 @@
 from ivystep.core import errors, units
 from ivystep.platform import engine_api, http
 from ivystep.runtime import clock
+from ivystep.traffic import upstreams
 from tests import endless
 
 OK = b'HTTP/1.1 200 OK\r\n'
@@ -34,7 +35,7 @@
 
 
 def _report(address):
-    engine_api.EngineClient().read_report(address)
+    engine_api.EngineClient().read_report(upstreams.Endpoint('i-1', address))
 
 
 def _read_page(address):
--- a/tests/platform/test_engine_api.py
+++ b/tests/platform/test_engine_api.py
@@ -7,7 +7,7 @@
 
 from ivystep.core import errors
 from ivystep.platform import engine_api, engine_connections
-from ivystep.traffic import orders
+from ivystep.traffic import orders, upstreams
 from tests import serving
 
 ORDER = orders.Order(
@@ -21,13 +21,18 @@
 )
 
 
+def at(address):
+    """Return the endpoint of the engine that is meant at an address."""
+    return upstreams.Endpoint('i-1', address)
+
+
 def test_unanswered_order_is_not_delivered_after_it_was_given_up():
     """Guards against orders that engines receive from a former leader."""
     with contextlib.closing(eventlet.listen(('127.0.0.1', 0))) as listener:
         end = eventlet.spawn(serving.read_silently, listener)
         with pytest.raises(errors.LinkError):
             engine_api.EngineClient().send_order(
-                listener.getsockname(), 'i-1', ORDER
+                at(listener.getsockname()), ORDER
             )
         assert end.wait() == 'reset'
 
@@ -57,8 +62,8 @@
     engine = serving.RepeatingServer(repeated, (412, {}))
     address = start(engine)
     client = engine_api.EngineClient()
-    client.send_order(address, 'i-1', ORDER)
-    assert client.send_order(address, 'i-1', ORDER) is orders.Outcome.FENCED
+    client.send_order(at(address), ORDER)
+    assert client.send_order(at(address), ORDER) is orders.Outcome.FENCED
 
 
 def test_answer_to_an_earlier_order_is_no_report(start):
@@ -66,8 +71,8 @@
     engine = serving.RepeatingServer((202, {}), (200, REPORT))
     address = start(engine)
     client = engine_api.EngineClient()
-    client.send_order(address, 'i-1', ORDER)
-    assert client.read_report(address).order_count == 3
+    client.send_order(at(address), ORDER)
+    assert client.read_report(at(address)).order_count == 3
 
 
 def test_earlier_report_is_not_the_answer_to_an_order(start):
@@ -75,8 +80,8 @@
     engine = serving.RepeatingServer((200, REPORT), (202, {}))
     address = start(engine)
     client = engine_api.EngineClient()
-    client.read_report(address)
-    outcome = client.send_order(address, 'i-1', ORDER)
+    client.read_report(at(address))
+    outcome = client.send_order(at(address), ORDER)
     assert outcome is orders.Outcome.ACCEPTED
 
 
@@ -86,8 +91,8 @@
     address = start(engine)
     client = engine_api.EngineClient()
     with pytest.raises(errors.LinkError):
-        client.read_report(address)
-    assert client.read_report(address).order_count == 3
+        client.read_report(at(address))
+    assert client.read_report(at(address)).order_count == 3
 
 
 def test_connection_is_kept_if_answers_name_their_call(start):
@@ -98,8 +103,8 @@
     address = start(engine)
     client = engine_api.EngineClient()
     for _ in range(3):
-        client.send_order(address, 'i-1', ORDER)
-        assert client.read_report(address).order_count == 3
+        client.send_order(at(address), ORDER)
+        assert client.read_report(at(address)).order_count == 3
     assert engine.connections == 1
 
 
@@ -114,10 +119,10 @@
     engine = serving.NamingServer(repeated, (412, {}), 1, names_repeats)
     address = start(engine)
     client = engine_api.EngineClient()
-    client.send_order(address, 'i-1', ORDER)
+    client.send_order(at(address), ORDER)
     with pytest.raises(errors.LinkError):
-        client.send_order(address, 'i-1', ORDER)
-    assert client.send_order(address, 'i-1', ORDER) is orders.Outcome.FENCED
+        client.send_order(at(address), ORDER)
+    assert client.send_order(at(address), ORDER) is orders.Outcome.FENCED
     assert engine.connections == 2
 
 
@@ -126,10 +131,10 @@
     engine = serving.NamingServer((200, REPORT), (200, REPORT), 1)
     address = start(engine)
     client = engine_api.EngineClient()
-    client.read_report(address)
+    client.read_report(at(address))
     with pytest.raises(errors.LinkError):
-        client.read_report(address)
-    assert client.read_report(address).order_count == 3
+        client.read_report(at(address))
+    assert client.read_report(at(address)).order_count == 3
 
 
 def test_order_whose_connection_the_engine_has_closed_opens_another(start):
@@ -139,7 +144,7 @@
     address = start(engine)
     client = engine_api.EngineClient()
     for _ in range(3):
-        outcome = client.send_order(address, 'i-1', ORDER)
+        outcome = client.send_order(at(address), ORDER)
         assert outcome is orders.Outcome.ACCEPTED
         eventlet.sleep(0.01)
     assert engine.connections == 3
@@ -152,7 +157,7 @@
     addresses = [start(engine) for engine in engines]
     client = engine_api.EngineClient()
     for address in addresses * 2:
-        client.send_order(address, 'i-1', ORDER)
+        client.send_order(at(address), ORDER)
     assert [engine.connections for engine in engines] == [2, 2]
 
 
@@ -160,4 +165,34 @@
     """Guards against an upstream's record of a call that no log line shows."""
     address = start(serving.RepeatingServer((404, {}), (404, {})))
     with pytest.raises(errors.LinkError, match=r'status 404 \(call-'):
-        engine_api.EngineClient().read_report(address)
+        engine_api.EngineClient().read_report(at(address))
+
+
+class OtherUpstream(serving.RepeatingServer):
+    """An upstream at an address that was an engine's; it runs what it gets.
+
+    Attributes:
+        ran: Heads of the calls that named no upstream, which it has run.
+    """
+
+    def __init__(self):
+        super().__init__((200, {}), (200, {}))
+        self.ran = []
+
+    def _serve(self, connection):
+        with contextlib.suppress(OSError, EOFError):
+            while call := serving.read_call(connection):
+                if b'expect-instance: i-1' in call.lower():
+                    connection.sendall(serving.encoded(421, {}))
+                else:
+                    self.ran.append(call)
+                    connection.sendall(serving.encoded(200, REPORT))
+
+
+def test_report_is_not_run_by_another_upstream_at_the_address(start):
+    """Guards against work that nobody sent, at a reused address."""
+    other = OtherUpstream()
+    address = start(other)
+    with pytest.raises(errors.LinkError):
+        engine_api.EngineClient().read_report(at(address))
+    assert not other.ran
