--- a/ivystep/gateway/loads/engine_link.py
+++ b/ivystep/gateway/loads/engine_link.py
@@ -84,6 +84,7 @@
             context.api,
             context.authority,
             self._slot_usage,
+            self._read_report,
             context.log,
         )
         self._lock = semaphore.Semaphore(1)
@@ -144,9 +145,7 @@
                 raise NoReportError(str(error)) from error
             if not base_models.may_load(report):
                 return orders.Outcome.OUT_OF_SEQUENCE
-            return self._sender.send_once(
-                model, expected_orders=report.order_count
-            )
+            return self._sender.load_model(model, report.order_count)
 
     def _load(self, order: types.LoadOrder) -> types.LoadResult:
         ref = order.ref
@@ -161,21 +160,9 @@
                 if refusal is not None:
                     self._restore_victim(victim, refusal)
                     return refusal
-            report = self._recent_report()
-            room = self._slot_usage.room(
-                ref,
-                report,
-                self._report_read_at,
-                self._context.adapter_slots(self._upstream),
-            )
-            if not room.is_sufficient:
-                self._report = None
-                return types.LoadResult(
-                    False, 'busy', 'No adapter slot is free.'
-                )
-            outcome = self._sender.send(
-                ref.account, ref.name, ref.version, is_load=True, room=room
-            )
+            outcome = self._order_load(ref)
+        if outcome is None:
+            return types.LoadResult(False, 'busy', 'No adapter slot is free.')
         if outcome is orders.Outcome.ALREADY_HELD:
             return types.LoadResult(True, 'loaded', '')
         if outcome is not orders.Outcome.ACCEPTED:
@@ -183,6 +170,50 @@
         self._upstream.loading[ref] = clock.now()
         return self._await_load(ref)
 
+    def _order_load(self, ref: types.AdapterRef) -> orders.Outcome | None:
+        """Order the load of an adapter if the engine has room.
+
+        A load that is refused because the engine has accepted other orders is
+        judged anew by a newer report.
+
+        Returns:
+            The outcome; None if no slot is free.
+        """
+        for attempt in range(order_sender.SEQUENCE_TRIES):
+            if attempt:
+                self._report = None
+                clock.sleep(upstream_state.REPORT_AGE_S)
+            room = self._judge_room(ref)
+            if room is None:
+                continue
+            if not room.is_sufficient:
+                self._report = None
+                return None
+            outcome = self._sender.load(
+                ref.account, ref.name, ref.version, room
+            )
+            if outcome is not orders.Outcome.OUT_OF_SEQUENCE:
+                return outcome
+        return orders.Outcome.OUT_OF_SEQUENCE
+
+    def _judge_room(self, ref: types.AdapterRef) -> slot_usage.Room | None:
+        """Return the slots in use if the engine gets one more adapter.
+
+        Returns:
+            None if the report is too old to judge by it.
+        """
+        report = self._recent_report()
+        expected = self._sender.expected_orders(report)
+        if expected is None:
+            return None
+        return self._slot_usage.room(
+            ref,
+            report,
+            self._report_read_at,
+            self._context.adapter_slots(self._upstream),
+            expected,
+        )
+
     def _restore_victim(
         self, victim: types.AdapterRef, refusal: types.LoadResult
     ) -> None:
@@ -222,7 +253,7 @@
         Returns:
             The reason of the failure; None on success.
         """
-        outcome = self._sender.send(ref.account, ref.name, None, is_load=False)
+        outcome = self._sender.unload(ref.account, ref.name)
         if outcome is orders.Outcome.ALREADY_HELD:
             return None
         if outcome is not orders.Outcome.ACCEPTED:
--- a/ivystep/gateway/loads/order_sender.py
+++ b/ivystep/gateway/loads/order_sender.py
@@ -3,16 +3,21 @@
 Each order names the number of orders that the engine must have accepted
 before it. An unanswered order can therefore not be carried out after a later
 one; until then, its adapter counts as possibly resident.
+
+A load names the number of orders of the very state by which its room was
+judged: a report, and the orders of this object that were accepted since. If
+the engine has accepted any other order, it refuses the load, which is not sent
+again with another number: its room has to be judged anew.
 """
 
 import dataclasses
 from collections.abc import Callable
 
 from ivystep.core import errors, units
-from ivystep.gateway.loads import engine_reports, leader_events, slot_usage
+from ivystep.gateway.loads import leader_events, slot_usage
 from ivystep.gateway.upstreams import upstream_state
 from ivystep.runtime import clock, event_log
-from ivystep.traffic import orders
+from ivystep.traffic import orders, upstreams
 
 # An accepted load uses a slot at once. Reports show it within this time, even
 # when many parallel loads slow each other down.
@@ -34,6 +39,21 @@
     token: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _KnownOrders:
+    """Orders that an engine has accepted, all known from one number on.
+
+    Attributes:
+        token: Fencing token under which they were sent.
+        first: Number of accepted orders in the report from which they count.
+        count: Number of accepted orders. All but the first ones are known.
+    """
+
+    token: int
+    first: int
+    count: int
+
+
 class OrderSender:
     """Sends the orders of this host to one engine.
 
@@ -44,6 +64,8 @@
         api: Client of the engines.
         authority: Returns the permission to send orders, or None.
         usage: The engine's slots in use, which orders change.
+        read_report: Reads a report of the engine, by which a later load may be
+            judged.
         log: Event log of orders.
     """
 
@@ -53,58 +75,66 @@
         api: orders.EngineApi,
         authority: Callable[[], Authority | None],
         usage: slot_usage.SlotUsage,
+        read_report: Callable[[], upstreams.EngineReport],
         log: event_log.EventLog,
     ) -> None:
         self._upstream = upstream
         self._api = api
         self._authority = authority
         self._slot_usage = usage
+        self._read_report = read_report
         self._log = log
-        self._order_count: int | None = None
-        self._order_count_token = 0
+        self._known: _KnownOrders | None = None
+
+    def unload(self, model: str, adapter: str) -> orders.Outcome:
+        """Order an unload, and repeat it if its sequence number was wrong.
+
+        It needs no room, so any state of the engine will do.
+
+        Args:
+            model: Base model.
+            adapter: Adapter of the model.
 
-    def send(
+        Raises:
+            errors.LinkError: The engine may carry the order out later.
+        """
+        for _ in range(SEQUENCE_TRIES):
+            expected = self._current_order_count()
+            outcome = self._send(model, adapter, None, expected, is_load=False)
+            if outcome is not orders.Outcome.OUT_OF_SEQUENCE:
+                return outcome
+            clock.sleep(upstream_state.REPORT_AGE_S)
+        return orders.Outcome.OUT_OF_SEQUENCE
+
+    def load(
         self,
         model: str,
         adapter: str,
         version: int | None,
-        *,
-        is_load: bool,
-        room: slot_usage.Room | None = None,
+        room: slot_usage.Room,
     ) -> orders.Outcome:
-        """Send one order, and repeat it if its sequence number was wrong.
+        """Order the load of an adapter in a known state of the engine.
 
         Args:
             model: Base model.
-            adapter: Adapter of the model; empty for the model itself.
+            adapter: Adapter of the model.
             version: Version to load; None for the newest.
-            is_load: Whether to load; otherwise unload.
-            room: The slots by which a load was decided on, for the log.
+            room: The slots by which the load was decided on. If the engine has
+                accepted other orders than that state has, it refuses this one.
 
         Raises:
             errors.LinkError: The engine may carry the order out later.
         """
-        for _ in range(SEQUENCE_TRIES):
-            authority = self._authority()
-            if authority is None:
-                return orders.Outcome.FENCED
-            order = orders.Order(
-                is_load=is_load,
-                model=model,
-                adapter=adapter,
-                version=version,
-                expected_orders=self._current_order_count(authority),
-                holder=authority.holder,
-                token=authority.token,
-            )
-            outcome = self._send_until_answered(order, room)
-            if outcome is not orders.Outcome.OUT_OF_SEQUENCE:
-                return outcome
-            self._order_count = None
-            clock.sleep(upstream_state.REPORT_AGE_S)
-        return orders.Outcome.OUT_OF_SEQUENCE
+        return self._send(
+            model,
+            adapter,
+            version,
+            room.expected_orders,
+            is_load=True,
+            room=room,
+        )
 
-    def send_once(self, model: str, *, expected_orders: int) -> orders.Outcome:
+    def load_model(self, model: str, expected_orders: int) -> orders.Outcome:
         """Order the load of a base model in a known state of the engine.
 
         Args:
@@ -116,23 +146,50 @@
         Raises:
             errors.LinkError: The engine may carry the order out later.
         """
+        return self._send(model, '', None, expected_orders, is_load=True)
+
+    def expected_orders(self, report: upstreams.EngineReport) -> int | None:
+        """Return the number of orders of a report and of those sent since.
+
+        Args:
+            report: The report by which room is judged.
+
+        Returns:
+            None if the report is older than the state in which this object
+            began to count its orders; then nothing can be judged by it.
+        """
+        authority = self._authority()
+        token = authority.token if authority else 0
+        known = self._known
+        is_unknown = known is None or known.token != token
+        if is_unknown or report.order_count > known.count:
+            known = _KnownOrders(token, report.order_count, report.order_count)
+            self._known = known
+        return known.count if report.order_count >= known.first else None
+
+    def _send(
+        self,
+        model: str,
+        adapter: str,
+        version: int | None,
+        expected_orders: int,
+        *,
+        is_load: bool,
+        room: slot_usage.Room | None = None,
+    ) -> orders.Outcome:
         authority = self._authority()
         if authority is None:
             return orders.Outcome.FENCED
-        outcome = self._send_until_answered(
-            orders.Order(
-                is_load=True,
-                model=model,
-                adapter='',
-                version=None,
-                expected_orders=expected_orders,
-                holder=authority.holder,
-                token=authority.token,
-            )
+        order = orders.Order(
+            is_load=is_load,
+            model=model,
+            adapter=adapter,
+            version=version,
+            expected_orders=expected_orders,
+            holder=authority.holder,
+            token=authority.token,
         )
-        if outcome is orders.Outcome.OUT_OF_SEQUENCE:
-            self._order_count = None
-        return outcome
+        return self._send_until_answered(order, room)
 
     def _send_until_answered(
         self, order: orders.Order, room: slot_usage.Room | None = None
@@ -149,7 +206,7 @@
                 if attempt + 1 < ANSWER_TRIES and self._may_still_send(order):
                     continue
                 # The engine may yet carry it out and count it.
-                self._order_count = None
+                self._known = None
                 self._slot_usage.remember_order(
                     order, upstream_state.UNANSWERED_ORDER_S
                 )
@@ -174,8 +231,10 @@
             and not order.is_load
             and self._slot_usage.may_hold(order)
         )
-        if outcome is orders.Outcome.ACCEPTED or is_unloaded:
-            self._order_count = order.expected_orders + 1
+        if outcome is orders.Outcome.OUT_OF_SEQUENCE:
+            self._known = None
+        elif outcome is orders.Outcome.ACCEPTED or is_unloaded:
+            self._count_order(order)
             self._slot_usage.remember_order(
                 order,
                 LOAD_REPORT_DELAY_S
@@ -203,19 +262,29 @@
                     order.token,
                     outcome.value if outcome else 'no answer',
                     int((clock.now() - sent_at) * units.MS_PER_S),
-                    *(dataclasses.astuple(room) if room else ()),
+                    *(
+                        (room.used, room.slots, room.order_count)
+                        if room
+                        else ()
+                    ),
                 )
             )
         return outcome
 
-    def _current_order_count(self, authority: Authority) -> int:
+    def _count_order(self, order: orders.Order) -> None:
+        """Count an accepted order."""
+        known = self._known
+        first = order.expected_orders
+        if known is not None and known.token == order.token:
+            first = known.first
+        self._known = _KnownOrders(
+            order.token, first, order.expected_orders + 1
+        )
+
+    def _current_order_count(self) -> int:
         """Return the number of orders that the engine has accepted."""
-        if (
-            self._order_count is None
-            or self._order_count_token != authority.token
-        ):
-            self._order_count = engine_reports.read_report(
-                self._api, self._upstream, self._log
-            ).order_count
-            self._order_count_token = authority.token
-        return self._order_count
+        authority = self._authority()
+        known = self._known
+        if known and authority and known.token == authority.token:
+            return known.count
+        return self._read_report().order_count
--- a/ivystep/gateway/loads/slot_usage.py
+++ b/ivystep/gateway/loads/slot_usage.py
@@ -34,11 +34,14 @@
         slots: Adapter slots of the engine.
         order_count: Number of orders that the engine had accepted in the
             report by which the slots were counted.
+        expected_orders: The same with the orders of this host that were
+            accepted since and are counted, too.
     """
 
     used: int
     slots: int
     order_count: int
+    expected_orders: int
 
     @property
     def is_sufficient(self) -> bool:
@@ -63,6 +66,7 @@
         report: upstreams.EngineReport,
         read_at: float,
         slots: int,
+        expected_orders: int,
     ) -> Room:
         """Return the slots in use if the engine gets one more adapter.
 
@@ -76,6 +80,8 @@
             read_at: Time at which it was read; orders since then, and those
                 that it may not show, are taken into account.
             slots: Number of adapter slots of the engine.
+            expected_orders: Number of orders that the engine has accepted if
+                no other host has sent any since the report.
         """
         used = {
             (model.name, adapter)
@@ -93,7 +99,7 @@
             else:
                 used.discard(name)
         used.add((ref.account, ref.name))
-        return Room(len(used), slots, report.order_count)
+        return Room(len(used), slots, report.order_count, expected_orders)
 
     def may_hold(self, order: orders.Order) -> bool:
         """Return whether the adapter of an order may be resident."""
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -7,7 +7,7 @@
 import eventlet
 
 from ivystep.coordination import lease
-from ivystep.core import errors
+from ivystep.core import errors, types
 from ivystep.data_centres import exchange, share_metrics, shares
 from ivystep.gateway.loads import residency_updates
 from ivystep.gateway.store import table_progress
@@ -148,6 +148,7 @@
 
     Attributes:
         deliveries: How the next orders are delivered; once empty, answered.
+        in_use: Adapters that requests use; their unloads wait.
         overfilled: Whether it ever accepted more adapters than it has slots.
     """
 
@@ -157,7 +158,8 @@
         self.report_lag_s = report_lag_s
         self.held = {}
         self.loading = {}
-        self.busy = set()
+        self.in_use = set()
+        self.unloading = set()
         self.sequence = 0
         self.deliveries = []
         self.received_orders = []
@@ -177,13 +179,37 @@
 
     def read_report(self, endpoint):
         self._complete_loads()
+        if not self._history:
+            return self._state()
         as_of = clock.now() - self.report_lag_s
-        state = self._state()
+        state = self._history[0][1]
         for at, known in self._history:
             if at <= as_of:
                 state = known
         return state
 
+    def order_by_others(self, adapter, expected_orders, after_s):
+        """Have an order of another leader carried out after a time."""
+        order = orders.Order(
+            is_load=True,
+            model=MODEL,
+            adapter=adapter,
+            version=1,
+            expected_orders=expected_orders,
+            holder='earlier',
+            token=1,
+        )
+        _spawn_later(after_s, self._execute, order)
+
+    def end_use(self, adapter):
+        """End the requests that use an adapter."""
+        self._record_state()
+        self.in_use.discard(adapter)
+        if adapter in self.unloading:
+            self.unloading.discard(adapter)
+            del self.held[adapter]
+        self._record_state()
+
     def _execute(self, order):
         self._complete_loads()
         if order.expected_orders != self.sequence:
@@ -208,6 +234,9 @@
         if order.adapter not in self.held:
             return orders.Outcome.ALREADY_HELD
         self.sequence += 1
+        if order.adapter in self.in_use:
+            self.unloading.add(order.adapter)
+            return orders.Outcome.ACCEPTED
         del self.held[order.adapter]
         return orders.Outcome.ALREADY_HELD
 
@@ -229,7 +258,10 @@
             },
             is_busy=False,
             order_count=self.sequence,
-            loading=(),
+            loading=tuple(
+                types.AdapterRef(MODEL, adapter, version)
+                for adapter, (_, version) in self.loading.items()
+            ),
             queued=0,
             running=0,
             kv_used=0,
--- a/tests/gateway/loads/test_engine_link.py
+++ b/tests/gateway/loads/test_engine_link.py
@@ -41,19 +41,21 @@
             lambda: True,
             fakes.heartbeat_contents(),
         )
-        self.link = engine_link.EngineLink(
-            self.upstream,
-            engine_link.LinkContext(
-                api=self.engine,
-                authority=self.authority,
-                on_change=lambda upstream: None,
-                adapter_slots=lambda upstream: SLOTS,
-                is_cached=lambda upstream, ref: False,
-                updates=updates,
-                times=self.times,
-                log=self.log,
-            ),
+        self._context = engine_link.LinkContext(
+            api=self.engine,
+            authority=self.authority,
+            on_change=lambda upstream: None,
+            adapter_slots=lambda upstream: SLOTS,
+            is_cached=lambda upstream, ref: False,
+            updates=updates,
+            times=self.times,
+            log=self.log,
         )
+        self.renew_link()
+
+    def renew_link(self):
+        """Replace the link, as when the entry went and came back."""
+        self.link = engine_link.EngineLink(self.upstream, self._context)
 
     def authority(self):
         return (
@@ -399,3 +401,47 @@
     assert bench.upstream.is_available(clock.now())
     bench.load('a3')
     assert asked == [entry.endpoint] * 2
+
+
+LATE_ORDERS = [
+    (carried_out_s, load_s)
+    for carried_out_s in (0.0, 0.1, 0.3, 0.6, 1.0, 2.0, 5.0, 8.0, 11.0)
+    for load_s in (0.0, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.2)
+]
+
+
+@pytest.mark.parametrize(('carried_out_s', 'before_s'), LATE_ORDERS)
+@clocks.on_virtual_clock
+def test_late_order_of_an_earlier_leader_does_not_overfill_an_engine(
+    carried_out_s, before_s
+):
+    """Guards against a load by the room of a state before that order."""
+    bench = Bench(None, 'a1', 'a2', 'a3')
+    bench.engine.order_by_others('a4', 0, 1.0 + carried_out_s)
+    clock.sleep(max(1.0 + carried_out_s - 0.35 + before_s, 0.0))
+    bench.load('a5')
+    clock.sleep(5)
+    assert not bench.engine.overfilled
+
+
+NEW_LINKS = [
+    (delay_s, pause_s)
+    for delay_s in (0.35, 0.5, 1.0, 2.0, 4.0, 8.0)
+    for pause_s in (0.0, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0)
+]
+
+
+@pytest.mark.parametrize(('delay_s', 'pause_s'), NEW_LINKS)
+@clocks.on_virtual_clock
+def test_order_of_an_earlier_link_does_not_overfill_an_engine(delay_s, pause_s):
+    """Guards against a load by the room of a state before that order."""
+    bench = Bench(None, 'a1', 'a2', 'a3')
+    bench.engine.deliveries = [
+        fakes.Delivery(is_answered=False, delay_s=delay_s)
+    ] + [fakes.Delivery(is_answered=False)] * 2
+    bench.load('a4')
+    bench.renew_link()
+    clock.sleep(max(delay_s - 0.9 - 0.35, 0.0) + pause_s)
+    bench.load('a5')
+    clock.sleep(15)
+    assert not bench.engine.overfilled
