--- a/ivystep/gateway/loads/order_sender.py
+++ b/ivystep/gateway/loads/order_sender.py
@@ -235,12 +235,15 @@
             self._known = None
         elif outcome is orders.Outcome.ACCEPTED or is_unloaded:
             self._count_order(order)
-            self._slot_usage.remember_order(
-                order,
-                LOAD_REPORT_DELAY_S
-                if order.is_load
-                else upstream_state.REPORT_AGE_S,
-            )
+            # An accepted unload waits for the requests that use the adapter;
+            # only a report tells that it has freed the slot.
+            if order.is_load or is_unloaded:
+                self._slot_usage.remember_order(
+                    order,
+                    LOAD_REPORT_DELAY_S
+                    if order.is_load
+                    else upstream_state.REPORT_AGE_S,
+                )
         elif outcome is orders.Outcome.ALREADY_HELD and order.is_load:
             self._slot_usage.remember_order(order, LOAD_REPORT_DELAY_S)
 
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -188,10 +188,12 @@
                 state = known
         return state
 
-    def order_by_others(self, adapter, expected_orders, after_s):
+    def order_by_others(
+        self, adapter, expected_orders, after_s, *, is_load=True
+    ):
         """Have an order of another leader carried out after a time."""
         order = orders.Order(
-            is_load=True,
+            is_load=is_load,
             model=MODEL,
             adapter=adapter,
             version=1,
--- a/tests/gateway/loads/test_engine_link.py
+++ b/tests/gateway/loads/test_engine_link.py
@@ -445,3 +445,28 @@
     bench.load('a5')
     clock.sleep(15)
     assert not bench.engine.overfilled
+
+
+@clocks.on_virtual_clock
+def test_unload_that_waits_for_requests_frees_no_slot():
+    """Guards against a load into the slot of an adapter that is in use."""
+    bench = Bench(None, 'a1', 'a2', 'a3', 'a4')
+    bench.engine.in_use.add('a1')
+    read = bench.engine.read_report
+    send = bench.engine.send_order
+
+    def fail_once(endpoint):
+        bench.engine.read_report = read
+        raise errors.LinkError('timed out', step='report')
+
+    def send_before_a_failed_read(*arguments):
+        bench.engine.read_report = fail_once
+        return send(*arguments)
+
+    bench.engine.send_order = send_before_a_failed_read
+    assert not bench.load('a5', 'a1').ok
+    bench.engine.send_order = send
+    for name in ('a6', 'a7', 'a8'):
+        bench.load(name)
+    clock.sleep(5)
+    assert not bench.engine.overfilled
