--- a/ivystep/gateway/loads/order_sender.py
+++ b/ivystep/gateway/loads/order_sender.py
@@ -224,28 +224,28 @@
         self, order: orders.Order, outcome: orders.Outcome
     ) -> None:
         """Record the effect of an answered order."""
-        # The engine unloads an idle adapter at once and gives the same answer
-        # as for an adapter that is not resident, but counts only the former.
-        is_unloaded = (
-            outcome is orders.Outcome.ALREADY_HELD
-            and not order.is_load
-            and self._slot_usage.may_hold(order)
-        )
         if outcome is orders.Outcome.OUT_OF_SEQUENCE:
             self._known = None
-        elif outcome is orders.Outcome.ACCEPTED or is_unloaded:
+        elif outcome is orders.Outcome.ACCEPTED:
             self._count_order(order)
             # An accepted unload waits for the requests that use the adapter;
             # only a report tells that it has freed the slot.
-            if order.is_load or is_unloaded:
-                self._slot_usage.remember_order(
-                    order,
-                    LOAD_REPORT_DELAY_S
-                    if order.is_load
-                    else upstream_state.REPORT_AGE_S,
-                )
-        elif outcome is orders.Outcome.ALREADY_HELD and order.is_load:
-            self._slot_usage.remember_order(order, LOAD_REPORT_DELAY_S)
+            if order.is_load:
+                self._slot_usage.remember_order(order, LOAD_REPORT_DELAY_S)
+        elif outcome is orders.Outcome.ALREADY_HELD:
+            self._record_held(order)
+
+    def _record_held(self, order: orders.Order) -> None:
+        """Record the effect of an order that the engine found carried out."""
+        if order.is_load:
+            self._slot_usage.remember_order(
+                order, LOAD_REPORT_DELAY_S, is_counted=False
+            )
+        elif self._slot_usage.may_hold(order):
+            # The engine unloads an idle adapter at once and gives the same
+            # answer as for one that is not resident, but counts only the first.
+            self._count_order(order)
+            self._slot_usage.remember_order(order, upstream_state.REPORT_AGE_S)
 
     def _send_once(
         self, order: orders.Order, room: slot_usage.Room | None
--- a/ivystep/gateway/loads/slot_usage.py
+++ b/ivystep/gateway/loads/slot_usage.py
@@ -1,7 +1,7 @@
 """Tracks which adapters use the adapter slots of one engine.
 
 Reports arrive late. The last order for each adapter therefore overrides them
-for as long as they may not show it.
+until one counts it among the orders that the engine has accepted.
 """
 
 import dataclasses
@@ -19,10 +19,22 @@
     Attributes:
         uses_slot: Whether the adapter may use a slot after the order.
         hidden_until: Time until which reports may not show the order.
+        counted_at: Number of accepted orders from which a report shows the
+            order, or that the engine will never carry it out; None if the
+            engine does not count it.
     """
 
     uses_slot: bool
     hidden_until: float
+    counted_at: int | None
+
+    def is_shown(self, report: upstreams.EngineReport, read_at: float) -> bool:
+        """Return whether a report shows the effect of the order."""
+        is_counted = (
+            self.counted_at is not None
+            and report.order_count >= self.counted_at
+        )
+        return is_counted or self.hidden_until < read_at
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -92,7 +104,7 @@
             (loading.account, loading.name) for loading in report.loading
         )
         for name, sent in list(self._last_order_by_name.items()):
-            if sent.hidden_until < read_at:
+            if sent.is_shown(report, read_at):
                 del self._last_order_by_name[name]
             elif sent.uses_slot:
                 used.add(name)
@@ -110,18 +122,23 @@
         held = self._upstream.entry.held_model_by_name.get(order.model)
         return held is not None and order.adapter in held.adapter_versions
 
-    def remember_order(self, order: orders.Order, hidden_s: float) -> None:
+    def remember_order(
+        self, order: orders.Order, hidden_s: float, *, is_counted: bool = True
+    ) -> None:
         """Remember an order until reports show it.
 
         Args:
             order: An order that was carried out, or was not answered.
             hidden_s: Seconds for which reports may not show it;
                 ``upstream_state.UNANSWERED_ORDER_S`` without an answer.
+            is_counted: Whether the engine counts the order if it accepts it.
         """
         if not order.adapter:
             return
         is_answered = hidden_s < upstream_state.UNANSWERED_ORDER_S
         if order.is_load or is_answered:
             self._last_order_by_name[order.model, order.adapter] = _SentOrder(
-                order.is_load, clock.now() + hidden_s
+                order.is_load,
+                clock.now() + hidden_s,
+                order.expected_orders + 1 if is_counted else None,
             )
--- a/tests/gateway/loads/test_engine_link.py
+++ b/tests/gateway/loads/test_engine_link.py
@@ -470,3 +470,19 @@
         bench.load(name)
     clock.sleep(5)
     assert not bench.engine.overfilled
+
+
+@clocks.on_virtual_clock
+def test_adapter_that_another_leader_loads_again_uses_a_slot():
+    """Guards against an unload that is believed after a later load of it."""
+    engine = fakes.FakeEngine(SLOTS, load_s=0.05, report_lag_s=0.02)
+    bench = Bench(engine, 'a1', 'a2', 'a3', 'a4')
+    eventlet.spawn(bench.load, 'a5', 'a1')
+    clock.sleep(0.1)
+    engine.order_by_others('a2', engine.sequence, 0.0, is_load=False)
+    engine.order_by_others('a1', engine.sequence + 1, 0.01)
+    clock.sleep(0.1)
+    bench.link._report = None
+    bench.load('a6')
+    clock.sleep(5)
+    assert not engine.overfilled
