--- a/ivystep/gateway/loads/engine_link.py
+++ b/ivystep/gateway/loads/engine_link.py
@@ -84,7 +84,7 @@
             context.api,
             context.authority,
             self._slot_usage,
-            self._read_report,
+            self._recent_report,
             context.log,
         )
         self._lock = semaphore.Semaphore(1)
@@ -347,10 +347,11 @@
             pause_s *= POLL_GROWTH
         self._publish(ref, is_held=False)
 
-    def _recent_report(self) -> upstreams.EngineReport:
+    def _recent_report(self, *, is_new: bool = False) -> upstreams.EngineReport:
         """Return the last report, or a new one if it is too old."""
         if (
-            self._report is None
+            is_new
+            or self._report is None
             or clock.now() > self._report_read_at + MAX_REPORT_AGE_S
         ):
             return self._read_report()
--- a/ivystep/gateway/loads/order_sender.py
+++ b/ivystep/gateway/loads/order_sender.py
@@ -11,6 +11,7 @@
 """
 
 import dataclasses
+import typing
 from collections.abc import Callable
 
 from ivystep.core import errors, units
@@ -54,6 +55,20 @@
     count: int
 
 
+class ReadReport(typing.Protocol):
+    """Returns a report of an engine."""
+
+    def __call__(self, *, is_new: bool) -> upstreams.EngineReport:
+        """Return a recent report.
+
+        Args:
+            is_new: Whether it must be read now.
+
+        Raises:
+            errors.LinkError: The engine sent no valid report.
+        """
+
+
 class OrderSender:
     """Sends the orders of this host to one engine.
 
@@ -64,8 +79,8 @@
         api: Client of the engines.
         authority: Returns the permission to send orders, or None.
         usage: The engine's slots in use, which orders change.
-        read_report: Reads a report of the engine, by which a later load may be
-            judged.
+        read_report: Returns the report of the engine by which a later load is
+            judged, or reads a new one.
         log: Event log of orders.
     """
 
@@ -75,7 +90,7 @@
         api: orders.EngineApi,
         authority: Callable[[], Authority | None],
         usage: slot_usage.SlotUsage,
-        read_report: Callable[[], upstreams.EngineReport],
+        read_report: ReadReport,
         log: event_log.EventLog,
     ) -> None:
         self._upstream = upstream
@@ -98,12 +113,18 @@
         Raises:
             errors.LinkError: The engine may carry the order out later.
         """
-        for _ in range(SEQUENCE_TRIES):
-            expected = self._current_order_count()
-            outcome = self._send(model, adapter, None, expected, is_load=False)
+        for attempt in range(SEQUENCE_TRIES):
+            if attempt:
+                clock.sleep(upstream_state.REPORT_AGE_S)
+            report = self._read_report(is_new=attempt > 0)
+            expected = self.expected_orders(report)
+            if expected is None:
+                continue
+            outcome = self._send(
+                model, adapter, None, expected, is_load=False, report=report
+            )
             if outcome is not orders.Outcome.OUT_OF_SEQUENCE:
                 return outcome
-            clock.sleep(upstream_state.REPORT_AGE_S)
         return orders.Outcome.OUT_OF_SEQUENCE
 
     def load(
@@ -176,6 +197,7 @@
         *,
         is_load: bool,
         room: slot_usage.Room | None = None,
+        report: upstreams.EngineReport | None = None,
     ) -> orders.Outcome:
         authority = self._authority()
         if authority is None:
@@ -189,10 +211,12 @@
             holder=authority.holder,
             token=authority.token,
         )
-        return self._send_until_answered(order, room)
+        outcome = self._send_until_answered(order, room)
+        self._record_outcome(order, outcome, report)
+        return outcome
 
     def _send_until_answered(
-        self, order: orders.Order, room: slot_usage.Room | None = None
+        self, order: orders.Order, room: slot_usage.Room | None
     ) -> orders.Outcome:
         """Send an order until it is answered.
 
@@ -201,8 +225,10 @@
         """
         for attempt in range(ANSWER_TRIES):
             try:
-                outcome = self._send_once(order, room)
+                return self._send_once(order, room)
             except errors.LinkError:
+                if not order.is_load:
+                    self._slot_usage.remember_waiting_unload(order)
                 if attempt + 1 < ANSWER_TRIES and self._may_still_send(order):
                     continue
                 # The engine may yet carry it out and count it.
@@ -211,9 +237,7 @@
                     order, upstream_state.UNANSWERED_ORDER_S
                 )
                 raise
-            break
-        self._record_outcome(order, outcome)
-        return outcome
+        raise AssertionError('the last attempt returns or raises')
 
     def _may_still_send(self, order: orders.Order) -> bool:
         """Return whether this host still has the authority of an order."""
@@ -221,7 +245,10 @@
         return authority is not None and authority.token == order.token
 
     def _record_outcome(
-        self, order: orders.Order, outcome: orders.Outcome
+        self,
+        order: orders.Order,
+        outcome: orders.Outcome,
+        report: upstreams.EngineReport | None,
     ) -> None:
         """Record the effect of an answered order."""
         if outcome is orders.Outcome.OUT_OF_SEQUENCE:
@@ -232,18 +259,24 @@
             # only a report tells that it has freed the slot.
             if order.is_load:
                 self._slot_usage.remember_order(order, LOAD_REPORT_DELAY_S)
+            else:
+                self._slot_usage.remember_waiting_unload(order)
         elif outcome is orders.Outcome.ALREADY_HELD:
-            self._record_held(order)
+            self._record_held(order, report)
 
-    def _record_held(self, order: orders.Order) -> None:
+    def _record_held(
+        self, order: orders.Order, report: upstreams.EngineReport | None
+    ) -> None:
         """Record the effect of an order that the engine found carried out."""
         if order.is_load:
             self._slot_usage.remember_order(
                 order, LOAD_REPORT_DELAY_S, is_counted=False
             )
-        elif self._slot_usage.may_hold(order):
-            # The engine unloads an idle adapter at once and gives the same
-            # answer as for one that is not resident, but counts only the first.
+            return
+        # The engine unloads an idle adapter at once and gives the same answer
+        # as for one that is not resident, but counts only the first. With too
+        # high a number, a load could follow an order of another leader.
+        if report and self._slot_usage.is_resident(order, report):
             self._count_order(order)
             self._slot_usage.remember_order(order, upstream_state.REPORT_AGE_S)
 
@@ -283,11 +316,3 @@
         self._known = _KnownOrders(
             order.token, first, order.expected_orders + 1
         )
-
-    def _current_order_count(self) -> int:
-        """Return the number of orders that the engine has accepted."""
-        authority = self._authority()
-        known = self._known
-        if known and authority and known.token == authority.token:
-            return known.count
-        return self._read_report().order_count
--- a/ivystep/gateway/loads/slot_usage.py
+++ b/ivystep/gateway/loads/slot_usage.py
@@ -71,6 +71,7 @@
     def __init__(self, upstream: upstream_state.Upstream) -> None:
         self._upstream = upstream
         self._last_order_by_name: dict[tuple[str, str], _SentOrder] = {}
+        self._waiting_unloads: set[tuple[str, str]] = set()
 
     def room(
         self,
@@ -113,15 +114,30 @@
         used.add((ref.account, ref.name))
         return Room(len(used), slots, report.order_count, expected_orders)
 
-    def may_hold(self, order: orders.Order) -> bool:
-        """Return whether the adapter of an order may be resident."""
+    def is_resident(
+        self, order: orders.Order, report: upstreams.EngineReport
+    ) -> bool:
+        """Return whether the adapter of an order is known to be resident.
+
+        Args:
+            order: An order of this host.
+            report: The last report. All orders that the engine accepted after
+                it are of this host.
+
+        Returns:
+            False also if it may have been unloaded since the report.
+        """
         name = (order.model, order.adapter)
         sent = self._last_order_by_name.get(name)
-        if sent is not None and sent.hidden_until >= clock.now():
-            return sent.uses_slot
-        held = self._upstream.entry.held_model_by_name.get(order.model)
+        if name in self._waiting_unloads or (sent and not sent.uses_slot):
+            return False
+        held = report.held_model_by_name.get(order.model)
         return held is not None and order.adapter in held.adapter_versions
 
+    def remember_waiting_unload(self, order: orders.Order) -> None:
+        """Remember an unload that the engine may carry out at any time."""
+        self._waiting_unloads.add((order.model, order.adapter))
+
     def remember_order(
         self, order: orders.Order, hidden_s: float, *, is_counted: bool = True
     ) -> None:
@@ -136,6 +152,8 @@
         if not order.adapter:
             return
         is_answered = hidden_s < upstream_state.UNANSWERED_ORDER_S
+        if order.is_load and is_answered:
+            self._waiting_unloads.discard((order.model, order.adapter))
         if order.is_load or is_answered:
             self._last_order_by_name[order.model, order.adapter] = _SentOrder(
                 order.is_load,
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -171,9 +171,9 @@
         delivery = self.deliveries.pop(0) if self.deliveries else Delivery()
         if delivery.is_answered:
             self.received_orders.append(order)
-            return self._execute(order)
+            return self.execute(order)
         if delivery.delay_s is not None:
-            _spawn_later(delivery.delay_s, self._execute, order)
+            _spawn_later(delivery.delay_s, self.execute, order)
         clock.sleep(0.3)
         raise errors.LinkError('timed out', step='order')
 
@@ -201,7 +201,7 @@
             holder='earlier',
             token=1,
         )
-        _spawn_later(after_s, self._execute, order)
+        _spawn_later(after_s, self.execute, order)
 
     def end_use(self, adapter):
         """End the requests that use an adapter."""
@@ -212,7 +212,8 @@
             del self.held[adapter]
         self._record_state()
 
-    def _execute(self, order):
+    def execute(self, order):
+        """Carry out an order, whoever sent it, and return the outcome."""
         self._complete_loads()
         if order.expected_orders != self.sequence:
             return orders.Outcome.OUT_OF_SEQUENCE
--- a/tests/gateway/loads/test_engine_link.py
+++ b/tests/gateway/loads/test_engine_link.py
@@ -486,3 +486,59 @@
     bench.load('a6')
     clock.sleep(5)
     assert not engine.overfilled
+
+
+def carry_out_between(bench, adapter):
+    """Carry out a load of another leader right after the next unload."""
+    send = bench.engine.send_order
+
+    def watch(endpoint, order):
+        outcome = send(endpoint, order)
+        if not order.is_load:
+            late = dataclasses.replace(order, is_load=True, adapter=adapter)
+            bench.engine.execute(dataclasses.replace(late, version=1))
+        return outcome
+
+    bench.engine.send_order = watch
+
+
+@clocks.on_virtual_clock
+def test_unload_of_an_adapter_that_only_the_entry_names_is_not_counted():
+    """Guards against a load whose number an order of another leader reaches."""
+    bench = Bench(None, 'a1', 'a2')
+    assert bench.load('a3').ok
+    bench.upstream.replace_entry(
+        fakes.entry('i-1', 'a1', 'a2', 'a3', 'a4'), clock.now()
+    )
+    carry_out_between(bench, 'a9')
+    bench.load('a5', 'a4')
+    clock.sleep(5)
+    assert not bench.engine.overfilled
+
+
+@clocks.on_virtual_clock
+def test_repeated_unload_of_an_adapter_that_was_in_use_is_not_counted():
+    """Guards against a load whose number an order of another leader reaches."""
+    bench = Bench(None, 'a1', 'a2', 'a3', 'a4')
+    bench.engine.in_use.add('a1')
+    assert bench.load('a5', 'a1').code == engine_link.IN_USE
+    bench.engine.end_use('a1')
+    carry_out_between(bench, 'a9')
+    bench.load('a6', 'a1')
+    clock.sleep(5)
+    assert not bench.engine.overfilled
+
+
+@clocks.on_virtual_clock
+def test_unload_that_was_carried_out_without_an_answer_is_not_counted():
+    """Guards against a load whose number an order of another leader reaches."""
+    bench = Bench(None, 'a1', 'a2', 'a3', 'a4')
+    bench.engine.in_use.add('a1')
+    bench.engine.deliveries = [fakes.Delivery(is_answered=False, delay_s=0.0)]
+    bench.engine.deliveries += [fakes.Delivery(is_answered=False)] * 2
+    assert not bench.load('a5', 'a1').ok
+    bench.engine.end_use('a1')
+    carry_out_between(bench, 'a9')
+    bench.load('a6', 'a1')
+    clock.sleep(5)
+    assert not bench.engine.overfilled
