--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -393,12 +393,15 @@
             self._link_by_upstream[upstream] = link
         return link
 
-    def _adapter_slots(self, upstream: upstream_state.Upstream) -> int:
+    def _adapter_slots(
+        self,
+        upstream: upstream_state.Upstream,
+        models: Mapping[str, object],
+    ) -> int:
         config = self._config.current
         service = config and config.service_by_name.get(upstream.entry.service)
         if not service or service.engine is None:
             return 0
-        models = tuple(upstream.entry.held_model_by_name)
         return service.engine.adapter_capacity(models)
 
     def _on_config(self, config: contracts.RouteConfig) -> None:
--- a/ivystep/gateway/loads/engine_link.py
+++ b/ivystep/gateway/loads/engine_link.py
@@ -5,7 +5,7 @@
 """
 
 import dataclasses
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import eventlet
 from eventlet import semaphore
@@ -44,7 +44,8 @@
         api: Client of the engines.
         authority: Returns the permission to send orders, or None.
         on_change: Called when the known state of an engine has changed.
-        adapter_slots: Returns the number of adapter slots of an engine.
+        adapter_slots: Returns the number of adapter slots of an engine beside
+            the base models that it holds.
         is_cached: Returns whether an engine's host caches an adapter.
         updates: Publishes residency updates.
         times: Estimates the duration of loads.
@@ -54,7 +55,9 @@
     api: orders.EngineApi
     authority: Callable[[], order_sender.Authority | None]
     on_change: Callable[[upstream_state.Upstream], None]
-    adapter_slots: Callable[[upstream_state.Upstream], int]
+    adapter_slots: Callable[
+        [upstream_state.Upstream, Mapping[str, object]], int
+    ]
     is_cached: Callable[[upstream_state.Upstream, types.AdapterRef], bool]
     updates: residency_updates.ResidencyUpdates
     times: load_times.LoadTimes
@@ -210,7 +213,9 @@
             ref,
             report,
             self._report_read_at,
-            self._context.adapter_slots(self._upstream),
+            self._context.adapter_slots(
+                self._upstream, report.held_model_by_name
+            ),
             expected,
         )
 
--- a/ivystep/gateway/loads/slot_usage.py
+++ b/ivystep/gateway/loads/slot_usage.py
@@ -71,6 +71,7 @@
     def __init__(self, upstream: upstream_state.Upstream) -> None:
         self._upstream = upstream
         self._last_order_by_name: dict[tuple[str, str], _SentOrder] = {}
+        self._model_order: _SentOrder | None = None
         self._waiting_unloads: set[tuple[str, str]] = set()
 
     def room(
@@ -92,7 +93,9 @@
             report: A report of the engine.
             read_at: Time at which it was read; orders since then, and those
                 that it may not show, are taken into account.
-            slots: Number of adapter slots of the engine.
+            slots: Number of adapter slots beside the base models of the
+                report. No slot counts as free while a base model may be on its
+                way, which will use memory.
             expected_orders: Number of orders that the engine has accepted if
                 no other host has sent any since the report.
         """
@@ -112,6 +115,10 @@
             else:
                 used.discard(name)
         used.add((ref.account, ref.name))
+        is_held = ref.account in report.held_model_by_name
+        is_changing = report.is_busy or self._may_load_model(report, read_at)
+        if is_changing or not is_held:
+            slots = 0
         return Room(len(used), slots, report.order_count, expected_orders)
 
     def is_resident(
@@ -149,14 +156,25 @@
                 ``upstream_state.UNANSWERED_ORDER_S`` without an answer.
             is_counted: Whether the engine counts the order if it accepts it.
         """
+        sent = _SentOrder(
+            order.is_load,
+            clock.now() + hidden_s,
+            order.expected_orders + 1 if is_counted else None,
+        )
         if not order.adapter:
+            self._model_order = sent
             return
         is_answered = hidden_s < upstream_state.UNANSWERED_ORDER_S
         if order.is_load and is_answered:
             self._waiting_unloads.discard((order.model, order.adapter))
         if order.is_load or is_answered:
-            self._last_order_by_name[order.model, order.adapter] = _SentOrder(
-                order.is_load,
-                clock.now() + hidden_s,
-                order.expected_orders + 1 if is_counted else None,
-            )
+            self._last_order_by_name[order.model, order.adapter] = sent
+
+    def _may_load_model(
+        self, report: upstreams.EngineReport, read_at: float
+    ) -> bool:
+        """Return whether a base model is on its way that no report shows."""
+        sent = self._model_order
+        if sent is not None and sent.is_shown(report, read_at):
+            self._model_order = None
+        return self._model_order is not None
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -130,6 +130,15 @@
     )
 
 
+def engine_class():
+    """Return a class with room for 6, 4 or 2 adapters beside 1 to 3 models."""
+    models = {
+        name: contracts.Model(name, 200.0, 6.0, 100.0)
+        for name in (MODEL, 'other', 'third')
+    }
+    return contracts.EngineClass(8, 1000, 800.0, 6, 2.0, models)
+
+
 @dataclasses.dataclass
 class Delivery:
     """Scripted delivery of one order to the engine.
@@ -150,10 +159,18 @@
         deliveries: How the next orders are delivered; once empty, answered.
         in_use: Adapters that requests use; their unloads wait.
         overfilled: Whether it ever accepted more adapters than it has slots.
+        engine_class: Its memory, if adapters and base models share it.
+        models: Base models that it holds.
+        model_load: Base model that it loads, and the time of its completion.
     """
 
-    def __init__(self, slots=4, load_s=0.25, report_lag_s=0.2):
+    def __init__(
+        self, slots=4, load_s=0.25, report_lag_s=0.2, engine_class=None
+    ):
         self.slots = slots
+        self.engine_class = engine_class
+        self.models = [MODEL]
+        self.model_load = None
         self.load_s = load_s
         self.report_lag_s = report_lag_s
         self.held = {}
@@ -189,12 +206,18 @@
         return state
 
     def order_by_others(
-        self, adapter, expected_orders, after_s, *, is_load=True
+        self,
+        adapter,
+        expected_orders,
+        after_s,
+        *,
+        is_load=True,
+        model=MODEL,
     ):
         """Have an order of another leader carried out after a time."""
         order = orders.Order(
             is_load=is_load,
-            model=MODEL,
+            model=model,
             adapter=adapter,
             version=1,
             expected_orders=expected_orders,
@@ -218,10 +241,33 @@
         if order.expected_orders != self.sequence:
             return orders.Outcome.OUT_OF_SEQUENCE
         self._record_state()
-        outcome = self._load(order) if order.is_load else self._unload(order)
+        if not order.adapter:
+            outcome = self._load_model(order)
+        elif order.is_load:
+            outcome = self._load(order)
+        else:
+            outcome = self._unload(order)
+        self._check_room()
         self._record_state()
         return outcome
 
+    def _load_model(self, order):
+        if self.model_load:
+            return orders.Outcome.OUT_OF_SEQUENCE
+        if order.model in self.models:
+            return orders.Outcome.ALREADY_HELD
+        self.sequence += 1
+        self.model_load = (clock.now() + self.load_s, order.model)
+        return orders.Outcome.ACCEPTED
+
+    def _check_room(self):
+        slots = self.slots
+        if self.engine_class:
+            coming = [self.model_load[1]] if self.model_load else []
+            slots = self.engine_class.adapter_capacity(self.models + coming)
+        if len(self.held.keys() | self.loading.keys()) > slots:
+            self.overfilled = True
+
     def _load(self, order):
         if self.held.get(order.adapter) == order.version:
             return orders.Outcome.ALREADY_HELD
@@ -229,8 +275,6 @@
             return orders.Outcome.OUT_OF_SEQUENCE
         self.sequence += 1
         self.loading[order.adapter] = (clock.now() + self.load_s, order.version)
-        if len(self.held.keys() | self.loading.keys()) > self.slots:
-            self.overfilled = True
         return orders.Outcome.ACCEPTED
 
     def _unload(self, order):
@@ -249,6 +293,11 @@
                 del self.loading[adapter]
                 self.held[adapter] = version
                 self._history.append((ready, self._state()))
+        if self.model_load and self.model_load[0] <= clock.now():
+            ready, model = self.model_load
+            self.model_load = None
+            self.models.append(model)
+            self._history.append((ready, self._state()))
 
     def _record_state(self):
         self._history.append((clock.now(), self._state()))
@@ -257,9 +306,12 @@
         return upstreams.EngineReport(
             started_at_ms=0,
             held_model_by_name={
-                MODEL: upstreams.HeldModel(MODEL, 1, dict(self.held))
+                model: upstreams.HeldModel(
+                    model, 1, dict(self.held) if model == MODEL else {}
+                )
+                for model in self.models
             },
-            is_busy=False,
+            is_busy=self.model_load is not None,
             order_count=self.sequence,
             loading=tuple(
                 types.AdapterRef(MODEL, adapter, version)
--- a/tests/gateway/loads/test_base_model_loader.py
+++ b/tests/gateway/loads/test_base_model_loader.py
@@ -114,7 +114,7 @@
             api=self._engines[engine_id],
             authority=self.authority,
             on_change=lambda upstream: None,
-            adapter_slots=lambda upstream: 4,
+            adapter_slots=lambda upstream, models: 4,
             is_cached=lambda upstream, ref: False,
             updates=residency_updates.ResidencyUpdates(
                 'host',
--- a/tests/gateway/loads/test_engine_link.py
+++ b/tests/gateway/loads/test_engine_link.py
@@ -1,5 +1,6 @@
 """Tests of orders to an engine, on the virtual clock."""
 
+import contextlib
 import dataclasses
 import functools
 
@@ -45,7 +46,7 @@
             api=self.engine,
             authority=self.authority,
             on_change=lambda upstream: None,
-            adapter_slots=lambda upstream: SLOTS,
+            adapter_slots=self.adapter_slots,
             is_cached=lambda upstream, ref: False,
             updates=updates,
             times=self.times,
@@ -53,6 +54,11 @@
         )
         self.renew_link()
 
+    def adapter_slots(self, upstream, models):
+        """Return the slots as the gateway does."""
+        engine_class = self.engine.engine_class
+        return engine_class.adapter_capacity(models) if engine_class else SLOTS
+
     def renew_link(self):
         """Replace the link, as when the entry went and came back."""
         self.link = engine_link.EngineLink(self.upstream, self._context)
@@ -542,3 +548,52 @@
     bench.load('a6', 'a1')
     clock.sleep(5)
     assert not bench.engine.overfilled
+
+
+def crowded_bench(*models):
+    """Return an engine with 3 adapters and some models beside the first."""
+    engine = fakes.FakeEngine(engine_class=fakes.engine_class())
+    engine.models.extend(models)
+    return Bench(engine, 'a1', 'a2', 'a3')
+
+
+@clocks.on_virtual_clock
+def test_base_model_that_only_the_report_names_uses_room():
+    """Guards against a load by the base models of an older entry."""
+    bench = crowded_bench('other')
+    assert bench.load('a4').ok
+    bench.upstream.replace_entry(
+        fakes.entry('i-1', 'a1', 'a2', 'a3'), clock.now()
+    )
+    assert bench.load('a5').code == 'busy'
+    assert not bench.engine.overfilled
+
+
+@clocks.on_virtual_clock
+def test_base_model_that_is_loading_uses_room():
+    """Guards against a load into the room that a base model takes."""
+    bench = crowded_bench()
+    bench.engine.load_s = 3.0
+    bench.engine.order_by_others('', 0, 0.0, model='other')
+    clock.sleep(1)
+    assert bench.load('a4').code == 'busy'
+    assert bench.load('a5').code == 'busy'
+    clock.sleep(5)
+    assert not bench.engine.overfilled
+
+
+@pytest.mark.parametrize('delay_s', [None, 0.0, 0.2, 5.0])
+@clocks.on_virtual_clock
+def test_ordered_base_model_uses_room_before_reports_show_it(delay_s):
+    """Guards against a load that follows the order of a base model."""
+    bench = crowded_bench()
+    bench.engine.models.clear()
+    bench.engine.held.clear()
+    bench.engine.deliveries = [fakes.Delivery(delay_s is None, delay_s)]
+    bench.engine.deliveries += [fakes.Delivery(is_answered=False)] * 2
+    with contextlib.suppress(errors.LinkError):
+        bench.link.load_model('other')
+    assert bench.load('a1').code == 'busy'
+    clock.sleep(9)
+    bench.load('a1')
+    assert not bench.engine.loading
