--- a/ivystep/platform/engine_api.py
+++ b/ivystep/platform/engine_api.py
@@ -43,9 +43,7 @@
             errors.MisdirectedError: Another upstream is at the address.
             errors.LinkError: The engine sent no valid report.
         """
-        call = engine_connections.Call(
-            engine, 'report', 'GET', REPORT_PATH, may_be_earlier=True
-        )
+        call = engine_connections.Call(engine, 'report', 'GET', REPORT_PATH)
         answer = self._connections.send(call)
         if answer.status != 200:
             raise _refusal(answer, call)
--- a/ivystep/platform/engine_connections.py
+++ b/ivystep/platform/engine_connections.py
@@ -1,9 +1,8 @@
 """Connections to model engines, which are kept as far as answers name calls.
 
-An engine may write an answer late or twice, where the next one is due. So an
-answer on a kept connection is believed only if it names its call, once others
-on that connection have done so. A connection without such names serves only
-calls whose answers may be of an earlier one; all others open their own.
+An engine may write an answer late or twice, where the next one is due. So a
+connection is kept only if its answers name their calls, and an answer on a kept
+connection is believed only if it names its call.
 """
 
 import collections
@@ -27,7 +26,6 @@
 MAX_ANSWER_BYTES = units.MIB
 CALL_ID = header_names.REQUEST_ID.decode()
 EXPECTED_UPSTREAM = header_names.EXPECTED_UPSTREAM.decode()
-SUCCESS_STATUS = 200
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -37,8 +35,6 @@
     Attributes:
         endpoint: The engine that is meant; another upstream refuses the call.
         step: Name of the call in errors.
-        may_be_earlier: Whether an answer to an earlier call of its kind does
-            no harm.
     """
 
     endpoint: upstreams.Endpoint
@@ -47,7 +43,6 @@
     path: str
     body: bytes | None = None
     headers: tuple[tuple[str, str], ...] = ()
-    may_be_earlier: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -70,13 +65,13 @@
         address: IP address and port of the engine.
 
     Attributes:
-        names_calls: Whether its last answer has named its call.
-        may_be_kept: Whether another call may use it.
+        may_be_kept: Whether another call may use it, because its last answer
+            has named its call.
     """
 
     def __init__(self, address: tuple[str, int]) -> None:
-        self.names_calls = False
         self.may_be_kept = False
+        self._names_calls = False
         self._pool = bounded_answers.pool(
             address,
             MAX_ANSWER_BYTES,
@@ -131,20 +126,18 @@
         if len(content) > MAX_ANSWER_BYTES:
             raise self._failure(call, call_id, 'the answer is too long')
         response.release_conn()
-        # A refusal without a name would be believed where it comes once more.
-        is_harmless = call.may_be_earlier and response.status == SUCCESS_STATUS
-        self.may_be_kept = self.names_calls or is_harmless
+        self.may_be_kept = self._names_calls
         return Answer(response.status, content, call_id)
 
     def _check_name(
         self, response: urllib3.BaseHTTPResponse, call: Call, call_id: str
     ) -> None:
         named = response.headers.get(CALL_ID, '')
-        if named != call_id and (named or self.names_calls):
+        if named != call_id and (named or self._names_calls):
             raise self._failure(
                 call, call_id, f'the answer names the call {named!r}'
             )
-        self.names_calls = named == call_id
+        self._names_calls = named == call_id
 
     def _failure(
         self, call: Call, call_id: str, reason: str
@@ -182,12 +175,8 @@
                 connection.close()
 
     def _take(self, call: Call) -> _Connection:
-        idle = self._idle_by_engine.get(call.endpoint, [])
-        for connection in reversed(idle):
-            if connection.names_calls or call.may_be_earlier:
-                idle.remove(connection)
-                return connection
-        return _Connection(call.endpoint.address)
+        idle = self._idle_by_engine.get(call.endpoint)
+        return idle.pop() if idle else _Connection(call.endpoint.address)
 
     def _keep(
         self, engine: upstreams.Endpoint, connection: _Connection
--- a/tests/platform/test_engine_api.py
+++ b/tests/platform/test_engine_api.py
@@ -95,6 +95,16 @@
     assert client.read_report(at(address)).order_count == 3
 
 
+def test_earlier_report_is_not_the_answer_to_a_later_call(start):
+    """Guards against room that a state before later orders seems to have."""
+    newer = {**REPORT, 'sequence': 4}
+    engine = serving.RepeatingServer((200, REPORT), (200, newer))
+    address = start(engine)
+    client = engine_api.EngineClient()
+    assert client.read_report(at(address)).order_count == 3
+    assert client.read_report(at(address)).order_count == 4
+
+
 def test_connection_is_kept_if_answers_name_their_call(start):
     """Guards against a new connection for each order, whose handshake delays
     loads and which engines count.
