--- a/ivystep/gateway/loads/engine_link.py
+++ b/ivystep/gateway/loads/engine_link.py
@@ -89,7 +89,7 @@
         )
         self._lock = semaphore.Semaphore(1)
         self._report: upstreams.EngineReport | None = None
-        self._report_read_at = 0.0
+        self._report_sent_at = 0.0
 
     def load(
         self, order: types.LoadOrder, setup_version: int
@@ -209,7 +209,7 @@
         return self._slot_usage.room(
             ref,
             report,
-            self._report_read_at,
+            self._report_sent_at,
             self._context.adapter_slots(self._upstream),
             expected,
         )
@@ -351,17 +351,21 @@
         """Return the last report, or a new one if it is too old."""
         if (
             self._report is None
-            or clock.now() > self._report_read_at + MAX_REPORT_AGE_S
+            or clock.now() > self._report_sent_at + MAX_REPORT_AGE_S
         ):
             return self._read_report()
         return self._report
 
     def _read_report(self) -> upstreams.EngineReport:
-        self._report_read_at = clock.now()
-        self._report = engine_reports.read_report(
+        sent_at = clock.now()
+        report = engine_reports.read_report(
             self._context.api, self._upstream, self._context.log
         )
-        return self._report
+        # The polling of a load may read at the same time.
+        if self._report is None or sent_at >= self._report_sent_at:
+            self._report = report
+            self._report_sent_at = sent_at
+        return report
 
 
 def _refusal(outcome: orders.Outcome) -> types.LoadResult:
--- a/ivystep/gateway/loads/engine_reports.py
+++ b/ivystep/gateway/loads/engine_reports.py
@@ -27,6 +27,7 @@
             which nothing is sent until the entry changes.
         errors.LinkError: The engine sent no valid report.
     """
+    sent_at = clock.now()
     try:
         report = api.read_report(upstream.entry.endpoint)
     except errors.MisdirectedError as error:
@@ -36,5 +37,5 @@
     except errors.LinkError as error:
         log.write(leader_events.ReportFailed(upstream.upstream_id, str(error)))
         raise
-    upstream.on_report(report, clock.now())
+    upstream.on_report(report, sent_at)
     return report
--- a/ivystep/gateway/loads/slot_usage.py
+++ b/ivystep/gateway/loads/slot_usage.py
@@ -28,13 +28,13 @@
     hidden_until: float
     counted_at: int | None
 
-    def is_shown(self, report: upstreams.EngineReport, read_at: float) -> bool:
+    def is_shown(self, report: upstreams.EngineReport, sent_at: float) -> bool:
         """Return whether a report shows the effect of the order."""
         is_counted = (
             self.counted_at is not None
             and report.order_count >= self.counted_at
         )
-        return is_counted or self.hidden_until < read_at
+        return is_counted or self.hidden_until < sent_at
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -76,7 +76,7 @@
         self,
         ref: types.AdapterRef,
         report: upstreams.EngineReport,
-        read_at: float,
+        sent_at: float,
         slots: int,
         expected_orders: int,
     ) -> Room:
@@ -89,8 +89,8 @@
         Args:
             ref: The adapter to load; a slot that it already uses suffices.
             report: A report of the engine.
-            read_at: Time at which it was read; orders since then, and those
-                that it may not show, are taken into account.
+            sent_at: Time at which its call was sent; orders since then, and
+                those that it may not show, are taken into account.
             slots: Number of adapter slots of the engine.
             expected_orders: Number of orders that the engine has accepted if
                 no other host has sent any since the report.
@@ -104,7 +104,7 @@
             (loading.account, loading.name) for loading in report.loading
         )
         for name, sent in list(self._last_order_by_name.items()):
-            if sent.is_shown(report, read_at):
+            if sent.is_shown(report, sent_at):
                 del self._last_order_by_name[name]
             elif sent.uses_slot:
                 used.add(name)
--- a/ivystep/gateway/upstreams/upstream_state.py
+++ b/ivystep/gateway/upstreams/upstream_state.py
@@ -18,7 +18,7 @@
 
 # Age of an entry on arrival; the store's feed is polled at intervals.
 ENTRY_AGE_S = 1.0
-# Age of an engine's report on arrival.
+# Age of an engine's report as it answers.
 REPORT_AGE_S = 0.4
 # An engine may carry out an unanswered order up to this much later.
 UNANSWERED_ORDER_S = 12.0
@@ -352,17 +352,20 @@
         self.entry = entry
         self._apply_held(entry.held_model_by_name, now - ENTRY_AGE_S)
 
-    def on_report(self, report: upstreams.EngineReport, now: float) -> None:
+    def on_report(self, report: upstreams.EngineReport, sent_at: float) -> None:
         """Apply a report of the engine.
 
         Args:
             report: The report.
-            now: Current time in seconds.
+            sent_at: Time at which its call was sent, in seconds.
         """
+        at = sent_at - REPORT_AGE_S
+        if at < self._held_as_of:
+            return
         self.entry = dataclasses.replace(
             self.entry, held_model_by_name=report.held_model_by_name
         )
-        self._apply_held(report.held_model_by_name, now - REPORT_AGE_S)
+        self._apply_held(report.held_model_by_name, at)
 
     def _apply_held(
         self, held: Mapping[str, upstreams.HeldModel], at: float
--- a/tests/gateway/loads/test_engine_link.py
+++ b/tests/gateway/loads/test_engine_link.py
@@ -403,6 +403,65 @@
     assert asked == [entry.endpoint] * 2
 
 
+@clocks.on_virtual_clock
+def test_age_of_a_report_counts_from_when_its_call_was_sent():
+    """Guards against a slow report that undoes what was known meanwhile."""
+    bench = Bench()
+    read = bench.engine.read_report
+
+    def read_slowly(endpoint):
+        report = read(endpoint)
+        clock.sleep(0.6)
+        return report
+
+    bench.engine.read_report = read_slowly
+    eventlet.spawn(bench.link._read_report)
+    clock.sleep(0.1)
+    bench.upstream.set_resident(ref('a1'), clock.now(), is_held=True)
+    clock.sleep(1.0)
+    assert bench.upstream.held() == {ref('a1')}
+
+
+@clocks.on_virtual_clock
+def test_report_counts_as_of_its_own_call_while_another_is_read():
+    """Guards against an earlier report that counts as read by a later call."""
+    bench = Bench()
+    bench.link._read_report()
+    clock.sleep(0.9)
+
+    def fail(endpoint):
+        raise errors.LinkError('timed out', step='report')
+
+    bench.engine.read_report = fail
+    with pytest.raises(errors.LinkError):
+        bench.link._read_report()
+    clock.sleep(0.5)
+    with pytest.raises(errors.LinkError):
+        bench.link._recent_report()
+
+
+@clocks.on_virtual_clock
+def test_report_that_overtakes_an_earlier_one_is_kept():
+    """Guards against an older state that counts because it came later."""
+    bench = Bench()
+    read = bench.engine.read_report
+
+    def read_slowly(endpoint):
+        report = read(endpoint)
+        clock.sleep(0.6)
+        return report
+
+    bench.engine.read_report = read_slowly
+    eventlet.spawn(bench.link._read_report)
+    clock.sleep(0.3)
+    bench.engine.read_report = read
+    bench.engine.held['a1'] = 1
+    newer = bench.link._read_report()
+    clock.sleep(0.5)
+    assert bench.link._recent_report() is newer
+    assert bench.upstream.held() == {ref('a1')}
+
+
 LATE_ORDERS = [
     (carried_out_s, load_s)
     for carried_out_s in (0.0, 0.1, 0.3, 0.6, 1.0, 2.0, 5.0, 8.0, 11.0)
--- a/tests/gateway/upstreams/test_upstream_state.py
+++ b/tests/gateway/upstreams/test_upstream_state.py
@@ -74,6 +74,16 @@
     assert status(upstream, 5.0).healthy
 
 
+def test_report_of_an_earlier_call_does_not_replace_a_newer_one():
+    """Guards against a slow report by which an engine lacks its model."""
+    empty = dataclasses.replace(fakes.entry(), held_model_by_name={})
+    upstream = upstream_state.Upstream(empty)
+    report = fakes.FakeEngine()._state()
+    upstream.on_report(report, 5.0)
+    upstream.on_report(dataclasses.replace(report, held_model_by_name={}), 4.9)
+    assert status(upstream, 5.5).healthy
+
+
 def test_status_of_a_draining_upstream_is_draining():
     """Guards against new requests to an upstream that shuts down."""
     draining = dataclasses.replace(
