--- a/ivystep/gateway/loads/slot_usage.py
+++ b/ivystep/gateway/loads/slot_usage.py
@@ -28,13 +28,13 @@
     hidden_until: float
     counted_at: int | None
 
-    def is_shown(self, report: upstreams.EngineReport, read_at: float) -> bool:
+    def is_shown(self, report: upstreams.EngineReport, sent_at: float) -> bool:
         """Return whether a report shows the effect of the order."""
         is_counted = (
             self.counted_at is not None
             and report.order_count >= self.counted_at
         )
-        return is_counted or self.hidden_until < read_at
+        return is_counted or self.hidden_until < sent_at
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,7 +78,7 @@
         self,
         ref: types.AdapterRef,
         report: upstreams.EngineReport,
-        read_at: float,
+        sent_at: float,
         slots: int,
         expected_orders: int,
     ) -> Room:
@@ -91,8 +91,8 @@
         Args:
             ref: The adapter to load; a slot that it already uses suffices.
             report: A report of the engine.
-            read_at: Time at which it was read; orders since then, and those
-                that it may not show, are taken into account.
+            sent_at: Time at which its call was sent; orders since then, and
+                those that it may not show, are taken into account.
             slots: Number of adapter slots beside the base models of the
                 report. No slot counts as free while a base model may be on its
                 way, which will use memory.
@@ -108,7 +108,7 @@
             (loading.account, loading.name) for loading in report.loading
         )
         for name, sent in list(self._last_order_by_name.items()):
-            if sent.is_shown(report, read_at):
+            if sent.is_shown(report, sent_at):
                 del self._last_order_by_name[name]
             elif sent.uses_slot:
                 used.add(name)
@@ -116,7 +116,7 @@
                 used.discard(name)
         used.add((ref.account, ref.name))
         is_held = ref.account in report.held_model_by_name
-        is_changing = report.is_busy or self._may_load_model(report, read_at)
+        is_changing = report.is_busy or self._may_load_model(report, sent_at)
         if is_changing or not is_held:
             slots = 0
         return Room(len(used), slots, report.order_count, expected_orders)
@@ -171,10 +171,10 @@
             self._last_order_by_name[order.model, order.adapter] = sent
 
     def _may_load_model(
-        self, report: upstreams.EngineReport, read_at: float
+        self, report: upstreams.EngineReport, sent_at: float
     ) -> bool:
         """Return whether a base model is on its way that no report shows."""
         sent = self._model_order
-        if sent is not None and sent.is_shown(report, read_at):
+        if sent is not None and sent.is_shown(report, sent_at):
             self._model_order = None
         return self._model_order is not None
