--- a/ivystep/entry/peer_server.py
+++ b/ivystep/entry/peer_server.py
@@ -6,11 +6,9 @@
 
 from ivystep.core import errors
 from ivystep.entry import peers, planner
-from ivystep.wire import channel
+from ivystep.wire import channel, handshake
 from ivystep.wire.gen import ttypes
 
-HELLO_TIMEOUT_S = 5.0
-
 
 class SetupSource(typing.Protocol):
     """Interface through which peers read this entry's setup."""
@@ -67,13 +65,12 @@
             connection: The connection.
 
         Raises:
-            errors.LinkError: The connection ended, or a message is invalid.
+            errors.LinkError: The connection ended, means another process, or
+                a message is invalid.
         """
-        hello = connection.receive(HELLO_TIMEOUT_S)
-        if not isinstance(hello, ttypes.Hello):
-            raise errors.LinkError('expected a hello', peer=connection.peer)
-        connection.send(
-            ttypes.Hello(self.process_id, '', 'entry', self.setup.version())
+        handshake.accept(
+            connection,
+            ttypes.Hello(self.process_id, '', 'entry', self.setup.version()),
         )
         while True:
             message = connection.receive()
--- a/ivystep/sidecar/server.py
+++ b/ivystep/sidecar/server.py
@@ -8,10 +8,9 @@
 from ivystep.core import errors
 from ivystep.runtime import clock, logs
 from ivystep.sidecar import host, run
-from ivystep.wire import channel, convert
+from ivystep.wire import channel, convert, handshake
 from ivystep.wire.gen import ttypes
 
-HELLO_TIMEOUT_S = 5.0
 STATUS_INTERVAL_S = 1.0
 STATUS_COALESCE_S = 0.05
 # An entry that has not read a status for this long is disconnected, and
@@ -38,12 +37,10 @@
             link: Connection to an entry.
 
         Raises:
-            errors.LinkError: The connection ended.
+            errors.LinkError: The connection ended or means another process.
         """
-        hello = link.receive(HELLO_TIMEOUT_S)
-        if not isinstance(hello, ttypes.Hello):
-            raise errors.LinkError('expected a hello', peer=link.peer)
-        link.send(
+        handshake.accept(
+            link,
             ttypes.Hello(
                 self.upstream_host.upstream_id,
                 self.upstream_host.incarnation,
--- a/ivystep/wire/gen/ttypes.py
+++ b/ivystep/wire/gen/ttypes.py
@@ -23,6 +23,7 @@
      - incarnation
      - role
      - setup_version
+     - addressee_id
 
     """
 
@@ -31,14 +32,16 @@
         'incarnation',
         'role',
         'setup_version',
+        'addressee_id',
     )
 
 
-    def __init__(self, process_id=None, incarnation=None, role=None, setup_version=None,):
+    def __init__(self, process_id=None, incarnation=None, role=None, setup_version=None, addressee_id=None,):
         self.process_id = process_id
         self.incarnation = incarnation
         self.role = role
         self.setup_version = setup_version
+        self.addressee_id = addressee_id
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -69,6 +72,11 @@
                     self.setup_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.addressee_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -95,6 +103,10 @@
             oprot.writeFieldBegin('setup_version', TType.I64, 4)
             oprot.writeI64(self.setup_version)
             oprot.writeFieldEnd()
+        if self.addressee_id is not None:
+            oprot.writeFieldBegin('addressee_id', TType.STRING, 5)
+            oprot.writeString(self.addressee_id.encode('utf-8') if sys.version_info[0] == 2 else self.addressee_id)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4992,6 +5004,7 @@
     (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
     (3, TType.STRING, 'role', 'UTF8', None, ),  # 3
     (4, TType.I64, 'setup_version', None, None, ),  # 4
+    (5, TType.STRING, 'addressee_id', 'UTF8', None, ),  # 5
 )
 all_structs.append(AdapterId)
 AdapterId.thrift_spec = (
--- a/ivystep/wire/ivystep.thrift
+++ b/ivystep/wire/ivystep.thrift
@@ -1,11 +1,14 @@
 // Messages between ivystep's own processes. One Frame carries one message.
 namespace py gen
 
+// Sent first in both directions. The side that connects names in addressee_id the
+// process that it means; older releases leave it out.
 struct Hello {
   1: string process_id
   2: string incarnation
   3: string role
   4: i64 setup_version
+  5: optional string addressee_id
 }
 
 struct AdapterId {
--- a/ivystep/wire/listener.py
+++ b/ivystep/wire/listener.py
@@ -56,7 +56,7 @@
     link = channel.Channel(secured, peer)
     try:
         handle(link)
-    except channel.FrameError as error:
+    except (channel.FrameError, errors.MisdirectedError) as error:
         log.warning('Connection from %s closed: %s.', peer, error)
     except errors.LinkError as error:
         log.debug('Connection from %s ended: %s.', peer, error)
--- a/tests/entry/test_wrong_addressee.py
+++ b/tests/entry/test_wrong_addressee.py
@@ -1,9 +1,11 @@
 """Tests of frames that arrive at another process than the one meant."""
 
+import contextlib
+
 import eventlet
 import pytest
 
-from ivystep.core import types
+from ivystep.core import errors, types
 from ivystep.entry import peer_server
 from ivystep.settings import models
 from ivystep.sidecar import host, server
@@ -124,3 +126,44 @@
     assert isinstance(
         answer, ttypes.UpstreamStatus | ttypes.AttemptState | ttypes.LoadResult
     )
+
+
+def is_ended(link):
+    """Return whether the other side ends a connection without a message."""
+    with pytest.raises(errors.LinkError, match=r'connection closed|reset'):
+        link.receive(1)
+    return True
+
+
+@pytest.mark.parametrize('message', PEER_MESSAGES, ids=_name)
+def test_peer_serves_nothing_that_is_meant_for_another_process(
+    listen, caplog, message
+):
+    """Guards against work of a host whose address is another one's now."""
+    parts = PeerParts()
+    address = listen(make_peer_server(parts).handle)
+    hello = ttypes.Hello('self', '', 'entry', 0, addressee_id='gone')
+    link, answer = introduce(address, hello)
+    assert answer.process_id == 'other'
+    with contextlib.suppress(errors.LinkError):
+        link.send(message)
+    assert is_ended(link)
+    assert not parts.served
+    assert 'self means gone' in caplog.text
+
+
+@pytest.mark.parametrize('message', SIDECAR_MESSAGES, ids=_name)
+def test_sidecar_serves_nothing_that_is_meant_for_another_process(
+    listen, caplog, message
+):
+    """Guards against loads at an engine that nobody ordered to load."""
+    address = listen(
+        server.SidecarServer(host.UpstreamHost('up-2', UPSTREAM)).serve
+    )
+    hello = ttypes.Hello('self', '', 'entry', 0, addressee_id='up-1')
+    link, answer = introduce(address, hello)
+    assert answer.process_id == 'up-2'
+    with contextlib.suppress(errors.LinkError):
+        link.send(message)
+    assert is_ended(link)
+    assert 'self means up-1' in caplog.text
