--- a/ivystep/entry/peers.py
+++ b/ivystep/entry/peers.py
@@ -19,11 +19,14 @@
 from ivystep.core import errors, ids, types, units
 from ivystep.entry import planner
 from ivystep.runtime import clock, logs
-from ivystep.wire import channel, convert, tls
+from ivystep.wire import channel, convert, handshake, tls
 from ivystep.wire.gen import ttypes
 
 CALL_TIMEOUT_S = 2.0
 UNREACHABLE_PERIOD_S = 5.0
+# Time for which nothing is sent to an address at which another process has
+# answered. The one that is meant may be started there later.
+MISDIRECTED_PERIOD_S = 1.0
 NOTICE_INTERVAL_S = 1.0
 PEERS_PER_NOTICE = 3
 
@@ -35,21 +38,22 @@
 
     Args:
         process_id: Id of this entry.
-        address: IP address and port of the peer.
+        addressee: The peer.
         contexts: TLS contexts of this entry; None for plain connections.
     """
 
     def __init__(
         self,
         process_id: str,
-        address: tuple[str, int],
+        addressee: handshake.Addressee,
         contexts: tls.TlsContexts | None,
     ) -> None:
-        self.address = address
+        self.addressee = addressee
         self._process_id = process_id
         self._contexts = contexts
         self._idle_connections: list[channel.Channel] = []
         self._unreachable_until = float('-inf')
+        self._misdirected_until = float('-inf')
 
     @property
     def is_reachable(self) -> bool:
@@ -101,14 +105,25 @@
         """Open a connection for the exclusive use of the caller.
 
         Raises:
+            errors.MisdirectedError: Another process is at the address.
             errors.LinkError: The peer cannot be reached.
         """
+        if clock.now() < self._misdirected_until:
+            raise errors.MisdirectedError(
+                'another process has answered',
+                step='connect',
+                peer=str(self.addressee),
+            )
         connection = channel.Channel.connect(
-            self.address, self._contexts, tls.ENTRY_NAME
-        )
-        connection.request(
-            ttypes.Hello(self._process_id, '', 'entry', 0), CALL_TIMEOUT_S
+            self.addressee.address, self._contexts, tls.ENTRY_NAME
         )
+        try:
+            handshake.introduce(
+                connection, self._process_id, self.addressee, CALL_TIMEOUT_S
+            )
+        except errors.MisdirectedError:
+            self._misdirected_until = clock.now() + MISDIRECTED_PERIOD_S
+            raise
         # A peer that has restarted is reachable before the period ends.
         self._unreachable_until = float('-inf')
         return connection
@@ -169,12 +184,14 @@
             entry_by_host: Live entries by host name.
         """
         for host, entry in entry_by_host.items():
-            address = (entry.address, entry.port)
+            addressee = handshake.Addressee(host, (entry.address, entry.port))
             known = self._link_by_host.get(host)
-            if host == self._process_id or (known and known.address == address):
+            if host == self._process_id or (
+                known and known.addressee == addressee
+            ):
                 continue
             self._link_by_host[host] = PeerLink(
-                self._process_id, address, self._contexts
+                self._process_id, addressee, self._contexts
             )
         for host in set(self._link_by_host) - set(entry_by_host):
             self._link_by_host.pop(host).close()
@@ -212,7 +229,7 @@
             try:
                 reply = link.ask(ttypes.SetupNotice(self._setup_version()))
             except errors.LinkError as error:
-                log.info('Peer %s is unreachable: %s.', link.address, error)
+                log.info('Peer %s is unreachable: %s.', link.addressee, error)
                 continue
             if isinstance(reply, ttypes.SetupNotice):
                 self._on_version(reply.version)
--- a/ivystep/entry/setup_exchange.py
+++ b/ivystep/entry/setup_exchange.py
@@ -78,7 +78,7 @@
                 if self._fetch(link):
                     return True
             except errors.IvystepError as error:
-                log.info('Setup not read from %s: %s.', link.address, error)
+                log.info('Setup not read from %s: %s.', link.addressee, error)
         return False
 
     def _fetch(self, link: peers.PeerLink) -> bool:
--- a/ivystep/gateway/loads/leadership.py
+++ b/ivystep/gateway/loads/leadership.py
@@ -25,6 +25,7 @@
 from ivystep.prefill import prefill
 from ivystep.runtime import clock, event_log
 from ivystep.settings import gateway as settings_models
+from ivystep.wire import handshake
 
 LEASE_KEY = 'lease/orders'
 FOLLOW_RETRY_S = 0.2
@@ -91,7 +92,7 @@
         self._log = log
         self._active_from = float('inf')
         self._is_stopping = False
-        self._link_by_address: dict[tuple[str, int], peers.PeerLink] = {}
+        self._link_by_leader: dict[handshake.Addressee, peers.PeerLink] = {}
         self._lease = lease.Lease(
             rows,
             LEASE_KEY,
@@ -156,12 +157,12 @@
         return self._lease.token if self._lease.is_held() else 0
 
     @property
-    def leader_address(self) -> tuple[str, int] | None:
-        """Address of another host that is the leader; None if unknown."""
-        _, _, leader_address = self._lease.seen_holder_id.partition('@')
-        if not leader_address or self.holder == self._host:
+    def leader(self) -> handshake.Addressee | None:
+        """Another host that is the leader; None if unknown."""
+        addressee = _addressee(self._lease.seen_holder_id)
+        if addressee is None or addressee.process_id == self._host:
             return None
-        return _address(leader_address)
+        return addressee
 
     def renewal(self) -> lease.Renewal:
         """Return this host's last renewal of the lease."""
@@ -177,10 +178,10 @@
         """Return the leader's planner of a pool; see ``pool.ChooseSink``."""
         if self._lease.is_held():
             return local
-        _, _, leader_address = self._lease.seen_holder_id.partition('@')
-        if not leader_address or self.holder == self._host:
+        leader = self.leader
+        if leader is None:
             return _NoLeaderSink()
-        return peers.RemotePlanner(pool, self._link(leader_address))
+        return peers.RemotePlanner(pool, self._link(leader))
 
     def wait_for_permit(
         self, engine: str, ticket: prefill.Ticket
@@ -196,16 +197,16 @@
         """
         if self._lease.is_held():
             return self._queues.wait(engine, ticket)
-        _, _, leader_address = self._lease.seen_holder_id.partition('@')
-        if not leader_address or self.holder == self._host:
+        leader = self.leader
+        if leader is None:
             return prefill.Permit(
                 prefill.PermitDecision.UNKNOWN, 'no leader is known'
             )
-        link = self._link(leader_address)
+        link = self._link(leader)
         if not link.is_reachable:
             return prefill.Permit(
                 prefill.PermitDecision.UNKNOWN,
-                f'{leader_address} cannot be reached',
+                f'{leader} cannot be reached',
             )
         return prefill_queues.request_permit(link, engine, ticket)
 
@@ -242,9 +243,9 @@
     def follow(self) -> None:
         """Apply the leader's residency updates until the task is killed."""
         while True:
-            _, _, leader_address = self._lease.seen_holder_id.partition('@')
-            if leader_address and not self._lease.is_held():
-                self._follow(leader_address)
+            leader = _addressee(self._lease.seen_holder_id)
+            if leader is not None and not self._lease.is_held():
+                self._follow(leader)
             clock.sleep(FOLLOW_RETRY_S)
 
     def release(self) -> None:
@@ -282,38 +283,41 @@
             )
         )
 
-    def _follow(self, leader_address: str) -> None:
+    def _follow(self, leader: handshake.Addressee) -> None:
         link = None
         try:
-            link = self._link(leader_address).open()
+            link = self._link(leader).open()
             self._updates.follow(link)
         except errors.LinkError as error:
             self._log.write(
-                events.DependencyLost(f'holder/{leader_address}', str(error))
+                events.DependencyLost(f'holder/{leader.location}', str(error))
             )
         finally:
             if link is not None:
                 link.close()
 
-    def _link(self, leader_address: str) -> peers.PeerLink:
-        address = _address(leader_address)
-        link = self._link_by_address.get(address)
+    def _link(self, leader: handshake.Addressee) -> peers.PeerLink:
+        link = self._link_by_leader.get(leader)
         if link is None:
             self._close_links()
-            link = peers.PeerLink(self._host, address, None)
-            self._link_by_address[address] = link
+            link = peers.PeerLink(self._host, leader, None)
+            self._link_by_leader[leader] = link
         return link
 
     def _close_links(self) -> None:
-        for link in self._link_by_address.values():
+        for link in self._link_by_leader.values():
             link.close()
-        self._link_by_address.clear()
+        self._link_by_leader.clear()
 
 
 def _holder_id(host: str, address: tuple[str, int]) -> str:
     return f'{host}@{address[0]}:{address[1]}'
 
 
-def _address(text: str) -> tuple[str, int]:
-    ip, _, port = text.rpartition(':')
-    return ip, int(port)
+def _addressee(holder_id: str) -> handshake.Addressee | None:
+    """Return the holder of a lease; None if its id names no address."""
+    host, _, address = holder_id.partition('@')
+    if not address:
+        return None
+    ip, _, port = address.rpartition(':')
+    return handshake.Addressee(host, (ip, int(port)))
--- a/ivystep/quotas/exchange.py
+++ b/ivystep/quotas/exchange.py
@@ -137,21 +137,21 @@
         self._apply(self._own_ledger.answer(report))
 
     def _ask(self, report: reports.HostReport) -> reports.HostGrants:
-        address = self._leadership.leader_address
-        if address is None:
+        leader = self._leadership.leader
+        if leader is None:
             raise errors.LinkError('no leader is known', step='quota')
         link = self._link
-        if link is None or link.address != address:
+        if link is None or link.addressee != leader:
             if link is not None:
                 link.close()
-            link = self._link = peers.PeerLink(self._host, address, None)
+            link = self._link = peers.PeerLink(self._host, leader, None)
         message = messages.report_message(report)
         with eventlet.Timeout(ASK_TIMEOUT_S, exception=False):
             answer = link.ask(message, ASK_TIMEOUT_S)
             if isinstance(answer, ttypes.QuotaGrants) and answer.term:
                 return messages.grants(answer)
         raise errors.LinkError(
-            'the leader does not answer', step='quota', peer=str(address)
+            'the leader does not answer', step='quota', peer=str(leader)
         )
 
     def _apply(self, grants: reports.HostGrants) -> None:
@@ -181,10 +181,10 @@
             )
             return
         self._contact_lost_at = now
-        address = self._leadership.leader_address
+        leader = self._leadership.leader
         self._log.write(
             events.QuotaContactLost(
-                '' if address is None else f'{address[0]}:{address[1]}',
+                '' if leader is None else leader.location,
                 reason,
                 contact.valid_share(now),
                 self._credit.term,
--- a/ivystep/quotas/leader_quotas.py
+++ b/ivystep/quotas/leader_quotas.py
@@ -15,6 +15,7 @@
     timing,
 )
 from ivystep.runtime import clock, event_log
+from ivystep.wire import handshake
 from ivystep.wire.gen import ttypes
 
 # Fencing token of the first leader that there ever was.
@@ -29,8 +30,8 @@
         """Fencing token of this host's lease; 0 if it does not hold it."""
 
     @property
-    def leader_address(self) -> tuple[str, int] | None:
-        """Address of another host that is the leader; None if unknown."""
+    def leader(self) -> handshake.Addressee | None:
+        """Another host that is the leader; None if unknown."""
 
 
 class LeaderQuotas:
--- a/ivystep/wire/handshake.py
+++ b/ivystep/wire/handshake.py
@@ -33,7 +33,12 @@
 
     def __str__(self) -> str:
         """Return id and address, as errors name the peer."""
-        return f'{self.process_id} at {self.address[0]}:{self.address[1]}'
+        return f'{self.process_id} at {self.location}'
+
+    @property
+    def location(self) -> str:
+        """The address, as logs name it."""
+        return f'{self.address[0]}:{self.address[1]}'
 
 
 def introduce(
--- a/tests/entry/test_peers.py
+++ b/tests/entry/test_peers.py
@@ -6,7 +6,7 @@
 
 from ivystep.core import errors, types
 from ivystep.entry import peer_server, peers
-from ivystep.wire import listener, tls
+from ivystep.wire import handshake, listener, tls
 from ivystep.wire.gen import ttypes
 from tests.wire import certificates
 
@@ -55,22 +55,27 @@
         self.planner = FakePlanner()
         self.setup = FakeSetup(version)
         self.socket = eventlet.listen(('127.0.0.1', 0))
-        server = peer_server.PeerServer('other', self._planner_of, self.setup)
+        self.server = peer_server.PeerServer(
+            'other', lambda pool: self._planner_of(pool), self.setup
+        )
         self.task = eventlet.spawn(
             listener.serve,
             self.socket,
             contexts,
             tls.ENTRY_NAME,
-            server.handle,
+            self.server.handle,
         )
 
     def _planner_of(self, pool):
         return self.planner if pool == 'base' else None
 
-    def host_entry(self):
+    def addressee(self, process_id='other'):
+        return handshake.Addressee(process_id, self.socket.getsockname())
+
+    def host_entry(self, host='other'):
         address, port = self.socket.getsockname()
         return types.HostEntry(
-            'other', 'entry', address, port, 'lier-a', '', types.HostState.LIVE
+            host, 'entry', address, port, 'lier-a', '', types.HostState.LIVE
         )
 
     def stop(self):
@@ -105,7 +110,7 @@
     """Guards against fields or units lost between entries."""
     other = Entry(contexts)
     other._planner_of = lambda pool: other.planner
-    link = peers.PeerLink('self', other.socket.getsockname(), contexts)
+    link = peers.PeerLink('self', other.addressee(), contexts)
     forecasts = peers.RemotePlanner('base', link).report_demand(
         'self', (DEMAND,)
     )
@@ -129,7 +134,7 @@
 def test_peer_that_answers_again_is_asked_again(contexts):
     """Guards against seconds without a planner after its restart."""
     other = Entry(contexts)
-    link = peers.PeerLink('self', other.socket.getsockname(), contexts)
+    link = peers.PeerLink('self', other.addressee(), contexts)
     with pytest.raises(errors.LinkError):
         link.ask(ttypes.SetupNotice(1), timeout_s=0.0)
     assert not link.is_reachable
@@ -154,7 +159,60 @@
     wrong = certificates.contexts(
         tmp_path / 'sidecar', authority, tls.SIDECAR_NAME
     )
-    link = peers.PeerLink('self', other.socket.getsockname(), wrong)
+    link = peers.PeerLink('self', other.addressee(), wrong)
     with pytest.raises(errors.LinkError):
         link.ask(peer_server.ttypes.SetupNotice(1))
     assert other.setup.offers == []
+
+
+def test_demand_for_another_host_at_the_address_is_not_reported(contexts):
+    """Guards against demand, and belief in forecasts, at a host that was
+    given the address of the planner.
+    """
+    other = Entry(contexts)
+    other._planner_of = lambda pool: other.planner
+    link = peers.PeerLink('self', other.addressee('gone'), contexts)
+    with pytest.raises(errors.MisdirectedError):
+        peers.RemotePlanner('base', link).report_demand('self', (DEMAND,))
+    assert not other.planner.reports
+    assert not link.is_reachable
+
+
+def test_version_of_another_host_at_the_address_is_not_believed(contexts):
+    """Guards against an entry that waits for the setup of another system."""
+    other = Entry(contexts, version=9)
+    received_versions = []
+    known_peers = make_peers(contexts, received_versions)
+    known_peers.set_entries({'gone': other.host_entry('gone')})
+    known_peers.exchange_versions()
+    assert (received_versions, other.setup.offers) == ([], [])
+
+
+def test_host_that_replaces_another_at_its_address_gets_a_new_link(contexts):
+    """Guards against a host that is unreachable under the name of the last."""
+    other = Entry(contexts)
+    known_peers = make_peers(contexts, [])
+    known_peers.set_entries({'gone': other.host_entry('gone')})
+    known_peers.exchange_versions()
+    known_peers.set_entries({'other': other.host_entry()})
+    known_peers.exchange_versions()
+    assert other.setup.offers == [4]
+
+
+def test_address_of_another_host_is_tried_again_only_after_a_while(
+    monkeypatch, contexts
+):
+    """Guards against a connection with each call to a wrong host, and against
+    a host that is never asked because it started late at its address.
+    """
+    monkeypatch.setattr(peers, 'MISDIRECTED_PERIOD_S', 0.2)
+    other = Entry(contexts)
+    link = peers.PeerLink('self', other.addressee('late'), contexts)
+    with pytest.raises(errors.MisdirectedError):
+        link.open()
+    other.server.process_id = 'late'
+    with pytest.raises(errors.MisdirectedError):
+        link.open()
+    eventlet.sleep(0.25)
+    link.open().close()
+    assert link.is_reachable
--- a/tests/entry/test_setup_exchange.py
+++ b/tests/entry/test_setup_exchange.py
@@ -19,7 +19,7 @@
         self.server = peer_server.PeerServer(
             'peer', lambda _: None, self.exchange
         )
-        self.address = 'peer'
+        self.addressee = 'peer'
         self.lost_sections = 0
 
     def ask(self, message):
@@ -101,7 +101,7 @@
 class OddPeer:
     """A peer that answers each message alike."""
 
-    address = 'odd'
+    addressee = 'odd'
 
     def __init__(self, reply):
         self._reply = reply
--- a/tests/gateway/loads/test_leadership.py
+++ b/tests/gateway/loads/test_leadership.py
@@ -18,14 +18,16 @@
 class Host:
     """One host that takes part in the election."""
 
-    def __init__(self, shared, name, acquire_delay_s=0.0):
+    def __init__(
+        self, shared, name, acquire_delay_s=0.0, address=('127.0.0.1', 1)
+    ):
         self.rows = clocks.TableView(shared)
         self.log = fakes.FakeLog()
         self.activated = []
         self.leadership = leadership.Leadership(
             self.rows,
             name,
-            ('127.0.0.1', 1),
+            address,
             dataclasses.replace(TIMINGS, acquire_delay_s=acquire_delay_s),
             updates=residency_updates.ResidencyUpdates(
                 name,
--- a/tests/quotas/test_admission.py
+++ b/tests/quotas/test_admission.py
@@ -11,11 +11,12 @@
 from ivystep.quotas import admission, exchange, timing
 from ivystep.runtime import clock
 from ivystep.traffic import contracts
-from ivystep.wire import channel
+from ivystep.wire import channel, handshake
 from tests.coordination import fakes as clocks
 from tests.gateway import fakes
 
 DELAY_S = 0.001
+SECOND = handshake.Addressee('host-1', ('10.0.0.2', 1))
 
 
 @dataclasses.dataclass
@@ -23,7 +24,7 @@
     """Election whose result the test sets."""
 
     term: int = 0
-    leader_address: tuple[str, int] | None = None
+    leader: handshake.Addressee | None = None
 
 
 class FakeNetwork:
@@ -34,8 +35,8 @@
         self.is_down = False
         self.messages = 0
 
-    def link(self, name, address, contexts):
-        return FakeLink(self, address)
+    def link(self, name, addressee, contexts):
+        return FakeLink(self, addressee)
 
 
 @dataclasses.dataclass
@@ -43,7 +44,7 @@
     """Connection to the leader."""
 
     network: FakeNetwork
-    address: tuple[str, int]
+    addressee: handshake.Addressee
 
     def ask(self, message, timeout_s):
         clock.sleep(DELAY_S)
@@ -51,7 +52,7 @@
             clock.sleep(timeout_s)
             raise errors.LinkError('timed out')
         self.network.messages += 1
-        host = self.network.host_by_address[self.address]
+        host = self.network.host_by_address[self.addressee.address]
         answer = host.admission.answer(_coded(message))
         clock.sleep(DELAY_S)
         return _coded(answer)
@@ -99,7 +100,9 @@
         self.leader.leadership.term = 1
         self.network.host_by_address['10.0.0.1', 1] = self.leader
         for host in self.hosts[1:]:
-            host.leadership.leader_address = ('10.0.0.1', 1)
+            host.leadership.leader = handshake.Addressee(
+                'host-0', ('10.0.0.1', 1)
+            )
         self.configure(1, **quota)
         # Shares are equal after a few reports of each host.
         clock.sleep(4)
@@ -194,11 +197,11 @@
     cluster = Cluster(monkeypatch, rate_per_s=1_000, burst=5_000)
     first, second, third = cluster.hosts
     first.leadership.term = 0
-    first.leadership.leader_address = ('10.0.0.2', 1)
+    first.leadership.leader = SECOND
     cluster.network.host_by_address['10.0.0.2', 1] = second
     second.leadership.term = 2
-    second.leadership.leader_address = None
-    third.leadership.leader_address = ('10.0.0.2', 1)
+    second.leadership.leader = None
+    third.leadership.leader = SECOND
     clock.sleep(4)
     assert [event.is_first for event in second.log.named('quota_term_began')]
     for host in cluster.hosts:
@@ -251,7 +254,7 @@
     cluster.network.host_by_address['10.0.0.2', 1] = successor
     cluster.leader.leadership.term = 0
     for host in cluster.hosts:
-        host.leadership.leader_address = ('10.0.0.2', 1)
+        host.leadership.leader = SECOND
     clock.sleep(1)
     host = cluster.hosts[1]
     admitted = sum(not host.admit(cluster.account, 1_000) for _ in range(50))
