--- a/ivystep/entry/links.py
+++ b/ivystep/entry/links.py
@@ -14,7 +14,7 @@
 from ivystep.core import errors, types, units
 from ivystep.entry import reception
 from ivystep.runtime import clock, logs
-from ivystep.wire import channel, convert, tls
+from ivystep.wire import channel, convert, handshake, tls
 from ivystep.wire.gen import ttypes
 
 HELLO_TIMEOUT_S = 2.0
@@ -57,17 +57,17 @@
 
     Args:
         process_id: Id of this entry.
-        address: IP address and port of the sidecar.
+        addressee: The sidecar.
         contexts: TLS contexts of this entry.
     """
 
     def __init__(
         self,
         process_id: str,
-        address: tuple[str, int],
+        addressee: handshake.Addressee,
         contexts: tls.TlsContexts,
     ) -> None:
-        self.address = address
+        self.addressee = addressee
         self.is_closed = False
         self._process_id = process_id
         self._contexts = contexts
@@ -141,7 +141,9 @@
                     on_status(_receive_status(connection))
                 connection.close()
             except errors.LinkError as error:
-                log.debug('Status watch of %s ended: %s.', self.address, error)
+                log.debug(
+                    'Status watch of %s ended: %s.', self.addressee, error
+                )
                 on_lost()
                 clock.sleep(random.uniform(MIN_RECONNECT_S, MAX_RECONNECT_S))
 
@@ -171,13 +173,17 @@
             ) from error
 
     def _open(self) -> channel.Channel:
-        connection = channel.Channel.connect(
-            self.address, self._contexts, tls.SIDECAR_NAME
+        connection = self._connect()
+        handshake.introduce(
+            connection, self._process_id, self.addressee, HELLO_TIMEOUT_S
         )
-        hello = ttypes.Hello(self._process_id, '', 'entry', 0)
-        connection.request(hello, HELLO_TIMEOUT_S)
         return connection
 
+    def _connect(self) -> channel.Channel:
+        return channel.Channel.connect(
+            self.addressee.address, self._contexts, tls.SIDECAR_NAME
+        )
+
     def _release(self, connection: channel.Channel) -> None:
         if (
             self.is_closed
--- a/ivystep/entry/membership.py
+++ b/ivystep/entry/membership.py
@@ -13,7 +13,7 @@
 from ivystep.entry import links, peers, pools
 from ivystep.platform import hosts
 from ivystep.runtime import clock, logs
-from ivystep.wire import tls
+from ivystep.wire import handshake, tls
 
 SIDECAR_ROLE = 'sidecar'
 ENTRY_ROLE = 'entry'
@@ -87,7 +87,9 @@
         log.info('Host %s of pool %s is live.', entry.host, entry.pool)
         self._pools.add(entry)
         link = links.ThriftLink(
-            self._process_id, (entry.address, entry.port), self._contexts
+            self._process_id,
+            handshake.Addressee(entry.host, (entry.address, entry.port)),
+            self._contexts,
         )
         self._entry_by_host[entry.host] = entry
         self._link_by_host[entry.host] = link
--- a/soak/schedules/network.py
+++ b/soak/schedules/network.py
@@ -12,11 +12,10 @@
 from ivystep.core import errors
 from ivystep.entry import links
 from ivystep.runtime import clock
-from ivystep.wire import channel
+from ivystep.wire import channel, handshake
 
 LATENCY_S = 0.002
 LONG_DELAY_S = 3.0
-CONNECT_TIMEOUT_S = 2.0
 
 
 class Delivery(enum.Enum):
@@ -212,18 +211,18 @@
 
     Args:
         process_id: Id of the entry.
+        host: Name of the sidecar's host.
         connect: Opens a connection to the current sidecar incarnation.
     """
 
-    def __init__(self, process_id: str, connect: Callable[[], Channel]) -> None:
-        super().__init__(process_id, ('', 0), None)
-        self._connect = connect
+    def __init__(
+        self, process_id: str, host: str, connect: Callable[[], Channel]
+    ) -> None:
+        super().__init__(process_id, handshake.Addressee(host, ('', 0)), None)
+        self._connect_to_host = connect
 
-    def _open(self) -> Channel:
-        link = self._connect()
-        hello = links.ttypes.Hello(self._process_id, '', 'entry', 0)
-        link.request(hello, CONNECT_TIMEOUT_S)
-        return link
+    def _connect(self) -> Channel:
+        return self._connect_to_host()
 
 
 def _serve(serve: Callable[[Channel], None], end: Channel) -> None:
--- a/soak/schedules/simulation.py
+++ b/soak/schedules/simulation.py
@@ -137,7 +137,7 @@
             claims.ClaimLog(self.table, name), self._progress
         )
         for one in simulation.upstreams:
-            link = network.MemoryLink(name, one.connect)
+            link = network.MemoryLink(name, one.name, one.connect)
             eventlet.spawn(
                 link.watch,
                 functools.partial(self._pool.on_status, link=link),
--- a/tests/entry/test_membership.py
+++ b/tests/entry/test_membership.py
@@ -17,8 +17,8 @@
 
     created = ()
 
-    def __init__(self, process_id, address, contexts):
-        self.address = address
+    def __init__(self, process_id, addressee, contexts):
+        self.addressee = addressee
         self.is_closed = False
         self.report_status = self.report_lost = None
         FakeLink.created = (*FakeLink.created, self)
@@ -40,7 +40,7 @@
         self.events.append(('add', entry.port))
 
     def on_status(self, name, status, link):
-        self.events.append(('status', link.address[1]))
+        self.events.append(('status', link.addressee.address[1]))
 
     def on_lost(self, name, upstream_id):
         self.events.append(('lost', upstream_id))
--- a/tests/sidecar/test_drain.py
+++ b/tests/sidecar/test_drain.py
@@ -10,7 +10,7 @@
 from ivystep.core import errors, ids, types
 from ivystep.entry import links
 from ivystep.runtime import clock
-from ivystep.wire import tls
+from ivystep.wire import handshake, tls
 from tests.sidecar import bench
 
 TIMEOUT_S = 20
@@ -28,7 +28,9 @@
         files = tls.TlsFiles(str(folder / 'ca.pem'), pem, pem)
         self.link = links.ThriftLink(
             'entry-1',
-            (entry['address'], entry['port']),
+            handshake.Addressee(
+                entry['host'], (entry['address'], entry['port'])
+            ),
             tls.TlsContexts(files),
         )
         self.statuses = []
