--- a/ivystep/coordination/lease.py
+++ b/ivystep/coordination/lease.py
@@ -232,6 +232,9 @@
             self._wait_for_forgotten_holder(row)
         elif basis is lease_row.Basis.EXPIRED:
             row = self._wait_for_expiry(row)
+            # Another process may have acquired the lease and told of it.
+            record = lease_row.Record.from_row(row)
+            row_token = record.token
         clock.sleep(self._delay_s)
         with self._write_lock:
             if self._rows.era != era:
@@ -345,6 +348,7 @@
                 continue
             if _is_written_by(told, current):
                 row = current
+                duration_s = lease_row.Record.from_row(row).duration_s
                 deadline = told.sent_at + duration_s
         return row
 
--- a/tests/coordination/test_lease.py
+++ b/tests/coordination/test_lease.py
@@ -2,6 +2,7 @@
 
 import eventlet
 import pytest
+from eventlet import event
 from hypothesis import stateful
 from hypothesis import strategies as st
 
@@ -427,3 +428,74 @@
         assert waiting.acquire() > holder.token
 
     scenario()
+
+
+class ToldBySuccessor:
+    """A process that waits for one holder while another becomes the next."""
+
+    def __init__(self, duration_s):
+        shared = fakes.FakeTable()
+        first = lease.Lease(
+            fakes.TableView(shared), KEY, 'first', DURATION_S / 2
+        )
+        first.acquire()
+        self.view = fakes.TableView(shared)
+        self.waiting = lease.Lease(
+            self.view,
+            KEY,
+            'waiting',
+            DURATION_S / 2,
+            told_renewal=lambda: self.told,
+        )
+        self.told = None
+        self.task = eventlet.spawn(self.waiting.acquire)
+        clock.sleep(0.1)
+        first.release()
+        self.next = lease.Lease(
+            fakes.TableView(shared), KEY, 'next', duration_s
+        )
+        self.next.acquire()
+        self.told = self.next.renewal()
+
+
+@pytest.mark.parametrize('duration_s', [DURATION_S / 2, 4 * DURATION_S])
+@fakes.on_virtual_clock
+def test_holder_that_is_told_of_in_a_wait_keeps_its_own_duration(duration_s):
+    """Guards against the duration of one holder's row applied to another's."""
+    bench = ToldBySuccessor(duration_s)
+    while bench.next.is_held():
+        assert not bench.waiting.is_held()
+        clock.sleep(0.1)
+    bench.task.wait()
+    assert bench.waiting.token > bench.next.token
+
+
+@fakes.on_virtual_clock
+def test_holder_that_is_told_of_in_a_wait_is_the_previous_one():
+    """Guards against an acquisition that names the row before the last."""
+    bench = ToldBySuccessor(DURATION_S / 2)
+    bench.task.wait()
+    assert bench.waiting.previous_holder_id == 'next'
+    assert bench.waiting.acquisition.row_holder_id == 'next'
+    assert bench.waiting.acquisition.row_token == bench.next.token
+
+
+@fakes.on_virtual_clock
+def test_release_after_a_told_holder_does_not_lower_its_token():
+    """Guards against a release with the token of the row before the last."""
+    bench = ToldBySuccessor(DURATION_S / 2)
+    write = bench.view.transact
+    is_lost = event.Event()
+
+    def lose(puts):
+        is_lost.send()
+        clock.sleep(DURATION_S)
+
+    bench.view.transact = lose
+    is_lost.wait()
+    bench.task.kill()
+    bench.view.transact = write
+    assert bench.waiting.release()
+    row = bench.view.get(KEY)
+    assert row.value['is_released']
+    assert row.value['token'] >= bench.next.token
