--- a/ivystep/console/app.py
+++ b/ivystep/console/app.py
@@ -139,7 +139,7 @@
         if request.method != 'POST':
             return self._show_draft(session)
         if action == ('submit',):
-            return self._submit(session)
+            return self._submit(request, session)
         if action == ('discard',):
             session.draft = None
             session.notice = 'Your draft was discarded.'
@@ -173,8 +173,18 @@
             text=text if len(text) < MAX_SHOWN_CHARACTERS else '',
         )
 
-    def _submit(self, session: sessions.Session) -> web.Response:
+    def _submit(
+        self, request: web.Request, session: sessions.Session
+    ) -> web.Response:
         draft = session.draft or self._repository.new_draft()
+        if request.form.get('shown', draft.submission_id) != (
+            draft.submission_id
+        ):
+            session.notice = (
+                'Nothing was submitted: your draft has changed since you '
+                'opened that page. Please review it again.'
+            )
+            return self._show_draft(session, status=409)
         if not draft.changes:
             session.notice = 'Your draft changes nothing.'
             return web.redirect('/draft')
--- a/ivystep/console/drafts.py
+++ b/ivystep/console/drafts.py
@@ -6,6 +6,7 @@
 
 import copy
 import dataclasses
+import json
 import types
 import typing
 
@@ -184,6 +185,12 @@
     }
 
 
+def part_digest(part: Raw) -> str:
+    """Return the digest of a part without its lists of other parts."""
+    own = {key: one for key, one in part.items() if key not in PART_LISTS}
+    return ids.digest(json.dumps(own, sort_keys=True).encode()).hex()
+
+
 def write_edit(raw: Raw, edit: Edit) -> None:
     """Write an edit into a raw document.
 
--- a/ivystep/console/parts.py
+++ b/ivystep/console/parts.py
@@ -10,6 +10,12 @@
 
 KEY_BYTES = 32
 MAX_LISTED_PARTS = 200
+# A form names the part that it was filled from. Saved onto another state of
+# it, it would undo changes that its operator has not seen.
+CHANGED_TEXT = (
+    'This part has changed since you opened this page, and nothing was saved. '
+    'Your input is kept below; open the page again to see the present values.'
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,7 +92,19 @@
                 session, path, part_type, text_by_key, {}, is_new=False
             )
         text_by_key = {**text_by_key, **request.form, 'name': path[-1]}
-        problems: dict[str, str] = {}
+        digest = drafts.part_digest(part)
+        if request.form.get('shown', digest) != digest:
+            problems = {forms.WHOLE_FORM: CHANGED_TEXT}
+            return self._render_form(
+                session,
+                path,
+                part_type,
+                text_by_key,
+                problems,
+                is_new=False,
+                changed_from=request.form['shown'],
+            )
+        problems = {}
         if request.form.get('action') == 'remove':
             problems = _apply_to_draft(session, path, None)
             success = web.redirect(f'/list/{"/".join(path[:-1])}')
@@ -147,19 +165,23 @@
         problems: typing.Mapping[str, str],
         *,
         is_new: bool,
+        changed_from: str = '',
     ) -> web.Response:
         draft = _draft(session)
+        status = 409 if changed_from else 422
         part = None if is_new else draft.part(path)
         return self.pages.render(
             'form',
             session,
-            status=422 if problems else 200,
+            status=status if problems else 200,
             part_type=part_type,
             path=path,
             text_by_key=text_by_key,
             problems=problems,
             is_new=is_new,
             part=part or {},
+            # The same form is refused again until it is opened anew.
+            shown=changed_from or drafts.part_digest(part or {}),
             choices={
                 field.key: field.choices or _pool_names(draft, part_type)
                 for field in part_type.fields
--- a/tests/console/test_console.py
+++ b/tests/console/test_console.py
@@ -208,3 +208,61 @@
     assert ama.get('/draft').status == 503
     with pytest.raises(errors.UnavailableError):
         console_app._repository.newest_version()
+
+
+def hidden_fields(page):
+    """Return the hidden fields of a page's forms but for the token."""
+    found = re.findall(r'type="hidden" name="(\w+)" value="([^"]*)"', page)
+    return {key: text for key, text in found if key != 'csrf_token'}
+
+
+def test_form_of_an_earlier_version_does_not_undo_a_later_change(
+    platform, console_app
+):
+    """Guards against a form filled by one version and saved onto another."""
+    ama = browser.Browser(console_app, 'ama')
+    ama.get('/part/accounts/vanhoutte')
+    seen = hidden_fields(ama.text)
+    kofi = browser.Browser(console_app, 'kofi')
+    kofi.post('/part/accounts/vanhoutte', weight='3')
+    kofi.post('/draft/submit')
+    ama.post('/draft/discard')
+    ama.post('/part/accounts/vanhoutte', weight='1', limits__burst='9', **seen)
+    assert ama.status == 409
+    assert 'has changed since you opened this page' in ama.text
+    assert 'value="9"' in ama.text
+    assert 'Nothing differs' in ama.get('/draft').text
+    ama.get('/part/accounts/vanhoutte')
+    seen = hidden_fields(ama.text)
+    ama.post('/part/accounts/vanhoutte', weight='3', limits__burst='9', **seen)
+    ama.post('/draft/submit', **hidden_fields(ama.get('/draft').text))
+    account = in_force(platform).accounts[0]
+    assert (account.weight, account.limits.burst) == (3, 9)
+
+
+def test_part_that_has_changed_is_not_removed_by_an_earlier_page(console_app):
+    """Guards against the removal of a part that the operator has not seen."""
+    ama = browser.Browser(console_app, 'ama')
+    ama.post('/new/pools', name='extra')
+    ama.get('/part/pools/extra')
+    seen = hidden_fields(ama.text)
+    ama.post('/part/pools/extra', kind='service')
+    ama.post('/part/pools/extra', action='remove', **seen)
+    assert ama.status == 409
+    assert ama.get('/part/pools/extra').status == 200
+
+
+def test_submission_puts_only_the_changes_that_were_shown_in_force(
+    platform, console_app
+):
+    """Guards against a draft that was edited after the page of it."""
+    ama = browser.Browser(console_app, 'ama')
+    ama.post('/part/accounts/vanhoutte', weight='2')
+    seen = hidden_fields(ama.get('/draft').text)
+    ama.post('/part/accounts/vanhoutte', weight='7')
+    ama.post('/draft/submit', **seen)
+    assert ama.status == 409
+    assert 'weight changed from 1.0 to 7.0' in ama.text
+    assert in_force(platform).accounts[0].weight == 1
+    ama.post('/draft/submit', **hidden_fields(ama.text))
+    assert in_force(platform).accounts[0].weight == 7
