--- a/ivystep/entry/load_runner.py
+++ b/ivystep/entry/load_runner.py
@@ -19,6 +19,7 @@
         'engine_down',
         'fenced',
         'link_failed',
+        'no_slot',
         'not_owner',
     )
 )
--- a/ivystep/sidecar/residency.py
+++ b/ivystep/sidecar/residency.py
@@ -101,6 +101,15 @@
             and ref not in self._unsettled_by_ref
         )
 
+    def has_slot(self, evicted: Iterable[types.AdapterRef]) -> bool:
+        """Return whether a further adapter fits once others are evicted.
+
+        Args:
+            evicted: Adapters to evict; absent ones make no room.
+        """
+        held = self._resident | self._unsettled_by_ref.keys()
+        return len(held.difference(evicted)) < self._slots
+
     def is_unsettled(self, ref: types.AdapterRef) -> bool:
         """Return whether an order for an adapter may still take effect."""
         return ref in self._unsettled_by_ref
--- a/tests/sidecar/test_orders.py
+++ b/tests/sidecar/test_orders.py
@@ -240,3 +240,44 @@
     )
     sidecar_bench.stop()
     assert outcome.ok is (running == 0)
+
+
+def test_second_planner_does_not_order_a_load_into_a_full_engine(engine_bench):
+    """Guards against a load by the free slot of an earlier status."""
+    planned = [types.AdapterRef('acme', f'x{number}', 1) for number in range(5)]
+    for ref in planned[:3]:
+        assert engine_bench.upstream_host.load(bench.order(ref)).ok
+    sent = []
+    send = engine_bench.upstream_host.http.load
+    engine_bench.upstream_host.http.load = lambda *arguments: (
+        sent.append(arguments) or send(*arguments)
+    )
+    outcome = engine_bench.upstream_host.load(bench.order(planned[3]))
+    assert (outcome.ok, outcome.code, sent) == (False, 'no_slot', [])
+    replaced = bench.order(planned[3], planned[0])
+    assert engine_bench.upstream_host.load(replaced).ok
+
+
+def test_load_that_names_an_evicted_adapter_again_finds_no_slot(engine_bench):
+    """Guards against a load that counts on a slot that was used meanwhile."""
+    planned = [types.AdapterRef('acme', f'x{number}', 1) for number in range(5)]
+    for ref in planned[:3]:
+        assert engine_bench.upstream_host.load(bench.order(ref)).ok
+    first = bench.order(planned[3], bench.REF)
+    second = bench.order(planned[4], bench.REF)
+    assert engine_bench.upstream_host.load(first).ok
+    assert engine_bench.upstream_host.load(second).code == 'no_slot'
+    assert len(engine_bench.engine.source_by_name) == 4
+
+
+def test_eviction_whose_adapter_has_gone_evicts_nothing_without_a_slot(
+    engine_bench,
+):
+    """Guards against an eviction for a load that then finds no room."""
+    planned = [types.AdapterRef('acme', f'x{number}', 1) for number in range(5)]
+    for ref in planned[:3]:
+        assert engine_bench.upstream_host.load(bench.order(ref)).ok
+    gone = types.AdapterRef('acme', 'gone', 1)
+    order = bench.order(planned[3], gone)
+    assert engine_bench.upstream_host.load(order).code == 'no_slot'
+    assert len(resident(engine_bench)) == 4
