--- a/ivystep/coordination/cas.py
+++ b/ivystep/coordination/cas.py
@@ -134,7 +134,7 @@
         earlier = row.value['write_ids'] if row else []
         write_ids = [*earlier, self._write_id][-KEPT_WRITE_IDS:]
         value = {'content': content, 'write_ids': write_ids}
-        return table.Put(self._key, value, row.version if row else 0)
+        return table.Put.replacing(row, self._key, value)
 
 
 def _has_write(row: table.Row | None, write_id: str) -> bool:
--- a/ivystep/coordination/claims.py
+++ b/ivystep/coordination/claims.py
@@ -149,12 +149,10 @@
         row_key = _row_key(account, key)
         wanted = self._record(claimant_id, fingerprint, ClaimState.TAKEN)
         is_uncertain = False
-        expected_version = 0
+        found: table.Row | None = None
         for _ in range(MAX_TRIES):
             try:
-                return self._try_acquire(
-                    row_key, wanted, fingerprint, expected_version
-                )
+                return self._try_acquire(row_key, wanted, fingerprint, found)
             except errors.ConflictError as error:
                 problem: errors.PlatformError = error
             except errors.UnavailableError as error:
@@ -163,7 +161,6 @@
                 is_uncertain = True
                 problem = error
             found = self._find(row_key, is_uncertain)
-            expected_version = found.version if found else 0
             decided = self._decide(found, wanted, fingerprint)
             if decided is not None:
                 return decided
@@ -205,7 +202,7 @@
             if settled is None:
                 return
             try:
-                self._put(row_key, settled, found.version if found else 0)
+                self._put(row_key, settled, found)
             except errors.ConflictError as error:
                 problem: errors.PlatformError = error
             except errors.UnavailableError as error:
@@ -231,9 +228,9 @@
         row_key: str,
         wanted: _Record,
         fingerprint: bytes,
-        expected_version: int,
+        found: table.Row | None,
     ) -> Claim:
-        self._put(row_key, wanted, expected_version)
+        self._put(row_key, wanted, found)
         return _granted(wanted, fingerprint)
 
     def _decide(
@@ -321,8 +318,12 @@
             expires_wall_time=clock.wall_time() + RETENTION_S,
         )
 
-    def _put(self, row_key: str, record: _Record, expected: int) -> None:
-        self._commits.put(table.Put(row_key, record.to_value(), expected))
+    def _put(
+        self, row_key: str, record: _Record, found: table.Row | None
+    ) -> None:
+        self._commits.put(
+            table.Put.replacing(found, row_key, record.to_value())
+        )
 
     def _find(self, row_key: str, is_uncertain: bool) -> table.Row | None:
         try:
--- a/ivystep/coordination/lease.py
+++ b/ivystep/coordination/lease.py
@@ -125,6 +125,7 @@
         self._renewed_at = 0.0
         # Version and token of the row that the next write replaces.
         self._version = 0
+        self._row_read: table.ReadState | None = None
         self._row_token = 0
         # Highest token that was seen, its holder and the holder's duration.
         self._highest_token = 0
@@ -244,6 +245,7 @@
                 )
             self._is_releasing = False
             self._version = _version(row)
+            self._row_read = row.read if row else None
             self._row_token = row_token
             row_holder_id = record.holder_id if record else ''
             self._set_previous_holder(basis, row_holder_id)
@@ -413,7 +415,9 @@
             is_released=is_released,
         )
         self._track_write(record.write_id)
-        put = table.Put(self._key, record.to_value(), self._version)
+        put = table.Put(
+            self._key, record.to_value(), self._version, self._row_read
+        )
         try:
             self._rows.transact((put,))
         except (errors.ConflictError, errors.UncertainWriteError):
@@ -443,6 +447,7 @@
                 f'{record.holder_id} holds the lease', step='write lease'
             )
         self._record_write(record, row.version)
+        self._row_read = row.read
         return record.write_id
 
     def _record_write(self, record: lease_row.Record, version: int) -> None:
@@ -454,6 +459,8 @@
         sent_at = self._sent_at_by_write_id[record.write_id]
         self._sent_at_by_write_id = {record.write_id: sent_at}
         self._version = version
+        # The state of a write is known to the table's client only.
+        self._row_read = None
         self._row_token = record.token
         self.token = record.token
         self._remember(record)
--- a/ivystep/platform/table.py
+++ b/ivystep/platform/table.py
@@ -4,6 +4,10 @@
 A put states the version that it expects; 0 means that the row does not exist.
 The store's own versions count its transactions, so the version of a row is
 stored in the row beside the value.
+
+A row that was deleted and written anew, or restored from a copy, may have the
+version of an earlier one. A put that follows a read therefore also names the
+state of the store that was read (``Put.replacing``).
 """
 
 import collections
@@ -21,22 +25,64 @@
 LAST_CHARACTER = '\U0010ffff'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadState:
+    """State of the store in which a row was read.
+
+    Attributes:
+        store_version: The store's own version of the row.
+        era: Era of the store; see ``Table``.
+    """
+
+    store_version: int
+    era: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Row:
-    """A row with its version."""
+    """A row with its version.
+
+    Attributes:
+        read: State in which it was read; None if that is unknown.
+    """
 
     key: str
     value: typing.Any
     version: int
+    read: ReadState | None = dataclasses.field(default=None, compare=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Put:
-    """A conditional write of one row."""
+    """A conditional write of one row.
+
+    Attributes:
+        expected_version: Version that the row must have; 0 if it must not
+            exist.
+        read: State in which the row must still be; None for any in which it
+            has the expected version.
+    """
 
     key: str
     value: typing.Any
     expected_version: int
+    read: ReadState | None = dataclasses.field(default=None, compare=False)
+
+    @classmethod
+    def replacing(
+        cls, row: Row | None, key: str, value: typing.Any
+    ) -> typing.Self:
+        """Return the write that replaces a row as it was read.
+
+        Args:
+            row: The row by which the write was decided on; None if the table
+                had none.
+            key: Key of the row.
+            value: New value.
+        """
+        if row is None:
+            return cls(key, value, 0)
+        return cls(key, value, row.version, row.read)
 
 
 class Table(typing.Protocol):
@@ -156,21 +202,29 @@
             first = f'{page.rows[-1].key}\0'
 
     def _write(self, put: Put) -> rows.RowWrite:
-        versions = self._find_versions(put)
-        if versions.version != put.expected_version:
-            raise errors.ConflictError(
-                f'{put.key} has version {versions.version}',
-                step='transact',
-                peer='table service',
-            )
         document = {'version': put.expected_version + 1, 'value': put.value}
         return rows.RowWrite(
             self._table,
             put.key,
             json.dumps(document).encode(),
-            versions.store_version,
+            self._expected_store_version(put),
         )
 
+    def _expected_store_version(self, put: Put) -> int:
+        """Return the store's version that a row must have.
+
+        Raises:
+            errors.ConflictError: The row has changed.
+        """
+        if put.read is not None:
+            if put.read.era != self.era:
+                raise _conflict(f'{put.key} was read in era {put.read.era}')
+            return put.read.store_version
+        versions = self._find_versions(put)
+        if versions.version != put.expected_version:
+            raise _conflict(f'{put.key} has version {versions.version}')
+        return versions.store_version
+
     def _find_versions(self, put: Put) -> _Versions:
         """Return the row's versions.
 
@@ -202,7 +256,12 @@
     def _row(self, stored: rows.StoredRow) -> Row:
         try:
             document = json.loads(stored.content)
-            row = Row(stored.key, document['value'], document['version'])
+            row = Row(
+                stored.key,
+                document['value'],
+                document['version'],
+                ReadState(stored.version, self.era),
+            )
         except decoding.DECODE_ERRORS as error:
             raise self._malformed() from error
         if not isinstance(row.version, int):
@@ -214,3 +273,7 @@
         return errors.UnavailableError(
             'malformed row', step='read', peer='table service'
         )
+
+
+def _conflict(reason: str) -> errors.ConflictError:
+    return errors.ConflictError(reason, step='transact', peer='table service')
--- a/ivystep/setup/submission.py
+++ b/ivystep/setup/submission.py
@@ -71,12 +71,17 @@
 
     Attributes:
         record: The record to write.
-        row_version: Version of the row that holds the outcome for this
-            submission id; 0 if there is none.
+        row: Row that holds the outcome for this submission id, as it was
+            read; None if there is none.
     """
 
     record: records.ChangeRecord
-    row_version: int
+    row: table.Row | None = None
+
+    @property
+    def row_version(self) -> int:
+        """Version of the row; 0 if there is none."""
+        return self.row.version if self.row else 0
 
 
 class Submitter:
@@ -128,16 +133,13 @@
                 version=base_version + 1,
                 root=submitted.root.digest,
                 outcome='accepted',
-            ),
-            row_version=0,
+            )
         )
         if submission_id:
             row = self._rows.get(records.submission_key(submission_id))
             if row and _is_accepted(row, pending):
                 return _repeated_result(row)
-            pending = _PendingSubmission(
-                pending.record, row.version if row else 0
-            )
+            pending = _PendingSubmission(pending.record, row)
         return self._submit(submitted, pending)
 
     def record_refusal(
@@ -160,7 +162,7 @@
             outcome='refused',
             reason=reason,
         )
-        self._try_record(_PendingSubmission(record, 0))
+        self._try_record(_PendingSubmission(record))
 
     def _submit(
         self, submitted: snapshot.Snapshot, pending: _PendingSubmission
@@ -178,7 +180,7 @@
                     'change_count': len(changes),
                 }
             ),
-            pending.row_version,
+            pending.row,
         )
         return self._write(submitted, pending)
 
@@ -214,7 +216,7 @@
                 record.base_version,
             ),
             table.Put(records.audit_key(record.version), content, 0),
-            table.Put(key, content, pending.row_version),
+            table.Put.replacing(pending.row, key, content),
         )
         try:
             self._rows.transact(puts)
@@ -282,9 +284,7 @@
             }
         )
         try:
-            self._write_outcome(
-                _PendingSubmission(cancelled, pending.row_version)
-            )
+            self._write_outcome(_PendingSubmission(cancelled, pending.row))
         except errors.ConflictError:
             log.info(
                 'The delayed write of submission %s took effect.',
@@ -318,7 +318,7 @@
                 'reason': f'Version {newest} was accepted first.',
             }
         )
-        self._try_record(_PendingSubmission(refused, pending.row_version))
+        self._try_record(_PendingSubmission(refused, pending.row))
         return error
 
     def _try_record(self, pending: _PendingSubmission) -> None:
@@ -334,10 +334,10 @@
         self._rows.transact(
             (
                 table.Put(refused, content, 0),
-                table.Put(
+                table.Put.replacing(
+                    pending.row,
                     records.submission_key(record.submission_id),
                     content,
-                    pending.row_version,
                 ),
             )
         )
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -6,6 +6,7 @@
 import eventlet
 import pytest
 
+from ivystep.coordination import cas
 from ivystep.core import errors
 from ivystep.platform import http, rows, table
 from standins import table as table_standin
@@ -192,3 +193,43 @@
     page = json.loads(f'{{"rows": [], "ver": 1, "now_ms": {now_ms}}}')
     found = rows.RowsClient(PagedCalls(page)).read('t')
     assert found.store_time_s == expected
+
+
+def test_update_is_not_written_onto_a_later_row_of_the_same_version(store):
+    """Guards against a decision by one row, written in place of another.
+
+    Another task of the process has read the later row in between.
+    """
+    standin, url = store
+    client = table.TableClient(url, 2)
+    cas.update(client, 'a', lambda _: ['first'])
+
+    def change(content):
+        if content == ['first']:
+            standin.write(table.TABLE, 'a', None)
+            other = table.TableClient(url, 2)
+            cas.update(other, 'a', lambda _: ['second'])
+            assert client.get('a').version == 1
+        return [*content, 'third']
+
+    assert cas.update(client, 'a', change) == ['second', 'third']
+    assert cas.read(client, 'a') == ['second', 'third']
+
+
+def test_update_is_not_written_into_a_later_era_of_the_store(store):
+    """Guards against a restored store in which row versions are used again."""
+    standin, url = store
+    client = table.TableClient(url, 2)
+    cas.update(client, 'a', lambda _: ['first'])
+    copied = standin.copy()
+    cas.update(client, 'a', lambda _: ['lost'])
+
+    def change(content):
+        if content == ['lost']:
+            standin.restore(copied)
+            other = table.TableClient(url, 2)
+            cas.update(other, 'a', lambda found: [*found, 'second'])
+            assert client.get('a').version == 2
+        return [*content, 'third']
+
+    assert cas.update(client, 'a', change) == ['first', 'second', 'third']
