--- a/ivystep/platform/stream_rows.py
+++ b/ivystep/platform/stream_rows.py
@@ -70,13 +70,14 @@
     return rows.RowWrite(TABLE, row_key(key, number), content)
 
 
-def encode_removal(key: str) -> rows.RowWrite:
+def encode_removal(key: str, expected: int | None = None) -> rows.RowWrite:
     """Return the write that deletes a row.
 
     Args:
         key: Key of the row.
+        expected: Version that the row must have; None for any.
     """
-    return rows.RowWrite(TABLE, key, None)
+    return rows.RowWrite(TABLE, key, None, expected)
 
 
 def row_key(key: str, number: int) -> str:
--- a/ivystep/stream_origins/lookup.py
+++ b/ivystep/stream_origins/lookup.py
@@ -5,11 +5,14 @@
 Takes one read of the store, and one more for each service of the route.
 """
 
+import contextlib
+
 import eventlet
 
 from ivystep.core import errors
 from ivystep.gateway import events as gateway_events
 from ivystep.gateway.requests import request_state
+from ivystep.gateway.store import row_writer
 from ivystep.platform import rows, stream_rows
 from ivystep.runtime import event_log
 from ivystep.stream_origins import events, recorder
@@ -67,23 +70,32 @@
             self._log_unknown(state, 'store', frozenset())
             raise refusal('stream_origin_unknown', state) from error
 
-    def older_than(self, horizon: float) -> list[str]:
-        """Return the keys of old and malformed rows of streams.
+    def remove_older_than(self, horizon: float) -> None:
+        """Delete old and malformed rows of streams.
+
+        A row that has changed since it was read stays, with those of the same
+        transaction; the next call reads them again.
 
         Args:
             horizon: Wall-clock time in seconds since the epoch.
         """
         try:
             found = self._client.read_all(stream_rows.TABLE).rows
+            removals = [
+                stream_rows.encode_removal(row.key, row.version)
+                for row in found
+                if self._is_older(row, horizon)
+            ]
+            size = row_writer.MAX_BATCH_ROWS
+            for first in range(0, len(removals), size):
+                with contextlib.suppress(rows.RowConflictError):
+                    self._client.transact(removals[first : first + size])
         except errors.PlatformError as error:
             self._log_store_lost(error)
-            return []
-        old = []
-        for row in found:
-            origin = self._decode(row)
-            if origin is None or origin.recorded < horizon:
-                old.append(row.key)
-        return old
+
+    def _is_older(self, row: rows.StoredRow, horizon: float) -> bool:
+        origin = self._decode(row)
+        return origin is None or origin.recorded < horizon
 
     def _only_place(self, state: request_state.RequestState) -> Place:
         """Return the place of all streams of a route if there is only one.
--- a/ivystep/stream_origins/origins.py
+++ b/ivystep/stream_origins/origins.py
@@ -261,8 +261,7 @@
         if not any(one.row_keys for one in self._stream_by_key.values()):
             return
         horizon = clock.wall_time() - 2 * service_versions.RETENTION_S
-        for row_key in self._lookup.older_than(horizon):
-            self._writer.write(stream_rows.encode_removal(row_key))
+        self._lookup.remove_older_than(horizon)
 
     def _next_record(
         self,
--- a/tests/stream_origins/test_origins.py
+++ b/tests/stream_origins/test_origins.py
@@ -444,3 +444,32 @@
     clock.sleep(0.1)
     with pytest.raises(errors.RefusedError):
         restarted.resolve(state('r-2', resumed='r-1', services=('other',)))
+
+
+@clocks.on_virtual_clock
+def test_row_that_is_written_again_is_not_deleted_as_abandoned(monkeypatch):
+    """Guards against a removal by the age of an earlier row."""
+    store = stores.FakeStore()
+    Host(store, OLD, NEW).begin('r-1', OLD)
+    later = clock.wall_time() + 3 * service_versions.RETENTION_S
+    monkeypatch.setattr(clock, 'wall_time', lambda: later)
+    leader = Host(store, OLD, NEW)
+    leader.begin('r-2', OLD)
+    (row,) = (
+        row
+        for row in store.rows(stream_rows.TABLE)
+        if stream_rows.decode(row).recorded < later - 1
+    )
+    origin = stream_rows.StreamOrigin(SERVICE, 'v1', later)
+    key, number = row.key.split(stream_rows.SEPARATOR)
+    read_all = store.read_all
+
+    def read_before_a_write(table):
+        page = read_all(table)
+        store.transact([stream_rows.encode(key, int(number), origin)])
+        return page
+
+    monkeypatch.setattr(store, 'read_all', read_before_a_write)
+    leader.origins.remove_abandoned()
+    clock.sleep(1)
+    assert len(store.rows(stream_rows.TABLE)) == 2
