--- a/ivystep/cli/setup_commands.py
+++ b/ivystep/cli/setup_commands.py
@@ -103,16 +103,34 @@
     config: commands.ConfigPath
     operator: OperatorName
     submission: SubmissionId = ''
+    base_version: typing.Annotated[
+        int | None,
+        cappa.Arg(
+            long=True,
+            help='Setup version to replace; the one in force if omitted.',
+        ),
+    ] = None
 
     def __call__(self) -> None:
-        """Submit a change to the version in force; print the new version."""
+        """Submit a change to the base version; print the new version.
+
+        Raises:
+            errors.SetupError: A submission is repeated without its base
+                version. That in force may be another one by now.
+        """
+        if self.submission and self.base_version is None:
+            raise errors.SetupError(
+                'name the version that the submission was based on with '
+                '"--base-version"'
+            )
         setup = SetupAccess.from_config(self.config)
+        base = self.base_version
+        if base is None:
+            base = setup.history.newest_version()
+            sys.stderr.write(f'This change is based on version {base}.\n')
         _, source = setup.read(self.version)
         outcome = setup.submitter.submit(
-            source,
-            setup.history.newest_version(),
-            self.operator,
-            self.submission,
+            source, base, self.operator, self.submission
         )
         sys.stdout.write(f'{describe_result(outcome)}\n')
 
--- a/tests/cli/test_commands.py
+++ b/tests/cli/test_commands.py
@@ -190,6 +190,39 @@
     assert (code, 'table service' in text) == (1, True)
 
 
+def test_repeated_restore_keeps_to_the_version_that_it_was_based_on(
+    run, platform
+):
+    """Guards against a repeat that undoes what others have changed since."""
+    _, config = platform
+    options = ('--config', config, '--operator', 'ama')
+    for base, weight in enumerate((1, 2, 3)):
+        account = fakes.account('authority', weight=weight)
+        write('a.json', fakes.raw_document(account))
+        submitted = run(
+            'submit', 'a.json', '--base-version', str(base), *options
+        )
+        assert submitted[0] == 0
+    repeat = ('restore', '1', '--submission', 'sub-lost', *options)
+    assert run(*repeat)[0] == 2
+    code, _, text = run(*repeat, '--base-version', '2')
+    assert (code, 'weight changed from 2.0 to 3.0' in text) == (1, True)
+    assert run(*repeat, '--base-version', '3')[0] == 0
+    assert 'already been applied' in run(*repeat, '--base-version', '3')[1]
+
+
+def test_restore_tells_the_version_that_it_is_based_on(run, platform):
+    """Guards against a repeat whose base version nobody knows."""
+    _, config = platform
+    options = ('--config', config, '--operator', 'ama')
+    write('a.json', fakes.raw_document(fakes.account('authority')))
+    assert run('submit', 'a.json', '--base-version', '0', *options)[0] == 0
+    write('a.json', fakes.raw_document(fakes.account('authority', weight=2)))
+    assert run('submit', 'a.json', '--base-version', '1', *options)[0] == 0
+    text = run('restore', '1', *options)[2]
+    assert 'based on version 2' in text
+
+
 def test_status_lists_all_problems(run, platform, tmp_path):
     """Guards against a summary that omits an unreachable or misnamed host."""
     standins, config = platform
