--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -8,8 +8,7 @@
 from ivystep.core import types
 from ivystep.gateway import event_metrics, loop_lag, process_events, servers
 from ivystep.gateway.loads import (
-    base_model_loader,
-    engine_link,
+    engine_orders,
     leadership,
     model_pools,
     prefill_queues,
@@ -26,6 +25,7 @@
     request_handler,
     request_log,
     safeguard,
+    shared_state,
     version_choice,
 )
 from ivystep.gateway.store import (
@@ -44,7 +44,7 @@
     upstream_state,
 )
 from ivystep.metrics import operators_app, registry
-from ivystep.platform import engine_api, rows
+from ivystep.platform import rows
 from ivystep.quotas import admission
 from ivystep.runtime import (
     background,
@@ -97,15 +97,13 @@
             'gateway', host, self._event_metrics.record
         )
         self._tasks = background.BackgroundTasks(self._log.write)
-        self._server_state = callers.ServerState.from_config(settings.capacity)
+        self._server_state = shared_state.ServerState.from_config(
+            settings.capacity
+        )
         self._measured = measurements.Measurements.empty()
         self._prefill_queues = prefill_queues.PrefillQueues(
             self._measured.rates
         )
-        self._api = engine_api.EngineClient()
-        self._link_by_upstream: dict[
-            upstream_state.Upstream, engine_link.EngineLink
-        ] = {}
         contact = store_contact.StoreContact(
             INTERVALS_TO_EXPIRE * settings.bounds.heartbeat_s,
             self._event_metrics.on_store_call,
@@ -160,33 +158,26 @@
         self._quotas = admission.QuotaAdmission.from_config(
             host, self._leadership, settings.bounds, self._metrics, self._log
         )
+        self._orders = engine_orders.EngineOrders(
+            self._config,
+            self._membership,
+            self._leadership,
+            self._residency_updates,
+            self._measured.times,
+            self._on_change,
+            lambda *cached: self._pools.is_cached(*cached),
+            self._log,
+        )
         self._pools = model_pools.ModelPools(
             host,
             self._centres,
             self._leadership.sink,
-            self._engine_link,
+            self._orders.link_to,
             self._may_order,
             self._config.is_replaced,
             self._measured,
             self._metrics,
         )
-        self._link_context = engine_link.LinkContext(
-            self._api,
-            self._leadership.authority,
-            self._on_change,
-            self._adapter_slots,
-            self._pools.is_cached,
-            self._residency_updates,
-            self._measured.times,
-            self._log,
-        )
-        self._base_model_loader = base_model_loader.BaseModelLoader(
-            self._membership,
-            self._config,
-            self._leadership,
-            self._engine_link,
-            self._log,
-        )
         self._crashes = crashes.Crashes.from_store(self._rows, self._log)
         self._origins = origins.StreamOrigins.from_store(self._rows, self._log)
         self._origins.on_usable = self._on_usable
@@ -346,7 +337,7 @@
         self._tasks.spawn(self._lead, peers)
         self._tasks.spawn(self._leadership.follow)
         self._tasks.spawn(self._quotas.run)
-        self._tasks.spawn(self._base_model_loader.run)
+        self._tasks.spawn(self._orders.run)
         self._tasks.spawn(self._membership.close_expired_connections)
         self._tasks.spawn(self._apply_totals_as_leader)
         self._tasks.spawn(loop_lag.measure, self._event_metrics, self._log)
@@ -384,26 +375,6 @@
     def _may_order(self) -> bool:
         return self._leadership.authority() is not None
 
-    def _engine_link(
-        self, upstream: upstream_state.Upstream
-    ) -> engine_link.EngineLink:
-        link = self._link_by_upstream.get(upstream)
-        if link is None:
-            link = engine_link.EngineLink(upstream, self._link_context)
-            self._link_by_upstream[upstream] = link
-        return link
-
-    def _adapter_slots(
-        self,
-        upstream: upstream_state.Upstream,
-        models: Mapping[str, object],
-    ) -> int:
-        config = self._config.current
-        service = config and config.service_by_name.get(upstream.entry.service)
-        if not service or service.engine is None:
-            return 0
-        return service.engine.adapter_capacity(models)
-
     def _on_config(self, config: contracts.RouteConfig) -> None:
         self._server_state.limits = config.limits
         self._access.on_config(config)
@@ -437,7 +408,7 @@
                 self._on_change(upstream)
 
     def _on_removed(self, upstream: upstream_state.Upstream) -> None:
-        self._link_by_upstream.pop(upstream, None)
+        self._orders.remove(upstream)
         self._origins.on_removed(upstream)
         self._prefill_queues.close(upstream.entry.incarnation)
         self._pools.remove_upstream(upstream)
--- a/ivystep/gateway/requests/draining.py
+++ b/ivystep/gateway/requests/draining.py
@@ -12,7 +12,11 @@
 
 from ivystep.core import units
 from ivystep.gateway import process_events
-from ivystep.gateway.requests import callers, connection_limit, planned_stop
+from ivystep.gateway.requests import (
+    connection_limit,
+    planned_stop,
+    shared_state,
+)
 from ivystep.runtime import background, clock, drain, event_log
 from ivystep.runtime import process_events as life_events
 
@@ -42,7 +46,7 @@
 
     def __init__(
         self,
-        server_state: callers.ServerState,
+        server_state: shared_state.ServerState,
         release: Callable[[], None],
         grace_s: float,
         log: event_log.EventLog,
--- a/ivystep/gateway/requests/request_handler.py
+++ b/ivystep/gateway/requests/request_handler.py
@@ -5,7 +5,7 @@
 from ivystep.core import errors, types
 from ivystep.gateway.requests import (
     account_metrics,
-    callers,
+    caller_connection,
     dispatch,
     relay,
     request_log,
@@ -49,7 +49,9 @@
         self._admission = admission or account_admission.AdmitAll()
 
     def handle(
-        self, raw: http1.RawRequest, connection: callers.CallerConnection
+        self,
+        raw: http1.RawRequest,
+        connection: caller_connection.CallerConnection,
     ) -> None:
         """Handle one request.
 
@@ -115,7 +117,7 @@
         call: calls.Call,
         route: contracts.Route,
         account: contracts.ClientAccount | None,
-        connection: callers.CallerConnection,
+        connection: caller_connection.CallerConnection,
     ) -> None:
         """Charge a request to its account and run it."""
         if account is None:
--- /dev/null
+++ b/ivystep/gateway/requests/shared_state.py
@@ -0,0 +1,139 @@
+"""State shared by all callers' connections of this host."""
+
+import typing
+
+from ivystep.core import units
+from ivystep.gateway.requests import incomplete_requests, planned_stop
+from ivystep.runtime import byte_budget, descriptor_limit
+from ivystep.settings import gateway as settings_models
+from ivystep.traffic import contracts, http1
+
+DEFAULT_BUFFER_BYTES = 64 * units.MIB
+# Bytes of an answer that the kernel takes over as this host ends: four times
+# what is buffered of a short answer.
+TAKEN_OVER_BYTES = 256 * units.KIB
+# Requests that are not longer are never refused for lack of memory; the number
+# of connections bounds them.
+ALWAYS_BUFFERED_BYTES = 4 * units.KIB
+
+
+class Connection(typing.Protocol):
+    """A caller's connection, as far as the host acts on all of them."""
+
+    @property
+    def buffered_bytes(self) -> int:
+        """Bytes of the requests that are received, waiting or in progress."""
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request has begun, or its answer is being sent."""
+
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a part of a request has arrived, and not all of it."""
+
+    def may_be_refused_with(self, other: typing.Any) -> bool:
+        """Return whether another connection's request may be refused now."""
+
+    def refuse_incomplete(self, refusal: http1.BadRequestError) -> None:
+        """Refuse the request that is being received."""
+
+    def is_idle_for(self, seconds: float) -> bool:
+        """Return whether the connection has been idle for a time."""
+
+    def close_if_idle(self) -> None:
+        """Close the connection if no byte of a request has arrived."""
+
+    def grow_send_buffer(self, size: int) -> None:
+        """Have the kernel take more bytes of the answers."""
+
+
+class ServerState:
+    """State shared by all callers' connections of this host.
+
+    Args:
+        buffer_bytes: Limit on the bytes of all requests that are buffered.
+        max_connections: Connections that may be open at once.
+
+    Attributes:
+        buffered: Bytes of the requests of each connection.
+        limits: Size limits and time-outs of a connection.
+        is_closing: Whether each connection closes after its current answer. An
+            idle one is closed by ``close_idle``, so that callers that are still
+            routed to this host are served.
+        stop: Ends requests that a planned stop leaves no time for.
+        open_connections: The open connections.
+        requests: Number of requests in progress.
+        refused_for_memory: Number of requests refused as memory was short.
+    """
+
+    def __init__(
+        self,
+        buffer_bytes: int = DEFAULT_BUFFER_BYTES,
+        max_connections: int = descriptor_limit.UNLIMITED,
+    ) -> None:
+        self.max_connections = max_connections
+        self.buffered: byte_budget.ByteBudget[Connection] = (
+            byte_budget.ByteBudget(buffer_bytes)
+        )
+        self.limits = contracts.ClientLimits()
+        self.is_closing = False
+        self.stop = planned_stop.PlannedStop()
+        self.open_connections: set[Connection] = set()
+        self.requests = 0
+        self.refused_for_memory = 0
+
+    @classmethod
+    def from_config(cls, capacity: settings_models.Capacity) -> typing.Self:
+        """Create the state for the capacity of the host."""
+        return cls(
+            capacity.buffer_bytes,
+            descriptor_limit.caller_connections(capacity.max_fds),
+        )
+
+    def make_room(self, asking: Connection) -> bool:
+        """Refuse the largest incomplete requests while memory is short.
+
+        Args:
+            asking: Connection that has received a part of a request.
+
+        Returns:
+            False if its own request must be refused.
+        """
+        while self.buffered.is_exceeded:
+            largest = self.buffered.largest(asking.may_be_refused_with)
+            if largest is None or largest is asking:
+                return asking.buffered_bytes <= ALWAYS_BUFFERED_BYTES
+            self.buffered.hold(largest, 0)
+            largest.refuse_incomplete(incomplete_requests.no_memory())
+        return True
+
+    def close_idle(self, idle_s: float = 0.0) -> None:
+        """Close the connections on which no request has started.
+
+        Args:
+            idle_s: Time in seconds for which they have been idle at least.
+        """
+        for connection in list(self.open_connections):
+            if connection.is_idle_for(idle_s):
+                connection.close_if_idle()
+
+    def grow_send_buffers(self) -> None:
+        """Let the kernel take over what slow callers have not read yet.
+
+        It delivers that after the end of this process. All buffers together
+        stay within the limit on the bytes of all requests.
+        """
+        busy = [each for each in self.open_connections if each.is_busy]
+        for connection in busy:
+            connection.grow_send_buffer(
+                min(TAKEN_OVER_BYTES, self.buffered.limit_bytes // len(busy))
+            )
+
+    def refuse_incomplete(self) -> None:
+        """Refuse the requests that are still being received, as this ends."""
+        for connection in list(self.open_connections):
+            if connection.is_receiving:
+                connection.refuse_incomplete(
+                    incomplete_requests.host_stopping(self.stop.retry_after_s)
+                )
--- a/tests/gateway/requests/test_draining.py
+++ b/tests/gateway/requests/test_draining.py
@@ -9,9 +9,9 @@
 
 from ivystep.gateway.requests import (
     answer_times,
-    callers,
     draining,
     planned_stop,
+    shared_state,
 )
 from ivystep.runtime import clock
 from ivystep.traffic import http1
@@ -66,7 +66,7 @@
     listener = Listener()
     started = clock.now()
     draining.Drain(
-        callers.ServerState(),
+        shared_state.ServerState(),
         release,
         GRACE_S,
         fakes.FakeLog(),
@@ -425,7 +425,7 @@
 
 def drain_with_request(delay_s, *answers_s):
     """Drain with one waiting request; return when it was ended."""
-    server_state = callers.ServerState()
+    server_state = shared_state.ServerState()
     test_planned_stop.learn(server_state.stop, *answers_s)
     connection = WatchedConnection(server_state)
     clock.sleep(0)
--- a/tests/gateway/requests/test_stop_delivery.py
+++ b/tests/gateway/requests/test_stop_delivery.py
@@ -6,7 +6,7 @@
 import eventlet
 import pytest
 
-from ivystep.gateway.requests import callers
+from ivystep.gateway.requests import caller_connection
 from ivystep.traffic import http1
 from tests.gateway import harness
 
@@ -89,7 +89,7 @@
 
 
 # Longer than a connection is read after its last answer.
-AFTER_LINGER_S = callers.LINGER_S + 0.3
+AFTER_LINGER_S = caller_connection.LINGER_S + 0.3
 
 
 @pytest.mark.parametrize('sent_after_s', [0.0, AFTER_LINGER_S])
