--- a/tests/gateway/loads/test_reviewed_orders.py
+++ b/tests/gateway/loads/test_reviewed_orders.py
@@ -3,6 +3,7 @@
 """
 
 import dataclasses
+import random
 
 import eventlet
 import pytest
@@ -196,3 +197,40 @@
                 eventlet.spawn(bench.load, name)
             clock.sleep(15)
             assert not bench.engine.overfilled
+
+
+def play_two_links(seed):
+    """Order loads by two links to one engine at once, some of them late.
+
+    Returns:
+        Whether the engine was overfilled.
+    """
+    draw = random.Random(seed)
+    engine = fakes.FakeEngine(links.SLOTS, load_s=draw.choice((0.05, 0.25, 2)))
+    benches = [links.Bench(engine), links.Bench(engine)]
+    benches[1].token = draw.choice((7, 8))
+    for _ in range(draw.randrange(3, 25)):
+        if draw.random() < 0.4:
+            engine.deliveries.append(
+                fakes.Delivery(
+                    is_answered=False,
+                    delay_s=draw.choice((None, 0.05, 0.5, 2.0, 8.0)),
+                )
+            )
+        if draw.random() < 0.2:
+            draw.choice(benches).renew_link()
+        victims = draw.sample('12345678', draw.choice((0, 0, 1)))
+        eventlet.spawn(
+            draw.choice(benches).load,
+            f'a{draw.randrange(1, 9)}',
+            *(f'a{victim}' for victim in victims),
+        )
+        clock.sleep(draw.choice((0.0, 0.01, 0.1, 0.4, 2.0)))
+    clock.sleep(30)
+    return engine.overfilled
+
+
+@clocks.on_virtual_clock
+def test_two_links_to_one_engine_do_not_overfill_it():
+    """Guards against orders of a link whose entry went and came back."""
+    assert [seed for seed in range(150) if play_two_links(seed)] == []
