--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -162,6 +162,7 @@
         engine_class: Its memory, if adapters and base models share it.
         models: Base models that it holds.
         model_load: Base model that it loads, and the time of its completion.
+        reads_fail_until: Time before which it sends no report.
     """
 
     def __init__(
@@ -171,6 +172,7 @@
         self.engine_class = engine_class
         self.models = [MODEL]
         self.model_load = None
+        self.reads_fail_until = 0.0
         self.load_s = load_s
         self.report_lag_s = report_lag_s
         self.held = {}
@@ -195,6 +197,9 @@
         raise errors.LinkError('timed out', step='order')
 
     def read_report(self, endpoint):
+        if clock.now() < self.reads_fail_until:
+            clock.sleep(0.1)
+            raise errors.LinkError('timed out', step='report')
         self._complete_loads()
         if not self._history:
             return self._state()
@@ -214,7 +219,10 @@
         is_load=True,
         model=MODEL,
     ):
-        """Have an order of another leader carried out after a time."""
+        """Have an order of another leader carried out after a time.
+
+        That leader has judged its room, so it never overfills the engine.
+        """
         order = orders.Order(
             is_load=is_load,
             model=model,
@@ -224,7 +232,12 @@
             holder='earlier',
             token=1,
         )
-        _spawn_later(after_s, self.execute, order)
+        _spawn_later(after_s, self._execute_if_room, order)
+
+    def _execute_if_room(self, order):
+        self._complete_loads()
+        if not order.is_load or self._has_room(order):
+            self.execute(order)
 
     def end_use(self, adapter):
         """End the requests that use an adapter."""
@@ -260,14 +273,27 @@
         self.model_load = (clock.now() + self.load_s, order.model)
         return orders.Outcome.ACCEPTED
 
+    def _has_room(self, order):
+        coming = [self.model_load[1]] if self.model_load else []
+        adapters = self.held.keys() | self.loading.keys()
+        if order.adapter:
+            adapters |= {order.adapter}
+        else:
+            coming.append(order.model)
+        return len(adapters) <= self._capacity(coming)
+
     def _check_room(self):
-        slots = self.slots
-        if self.engine_class:
-            coming = [self.model_load[1]] if self.model_load else []
-            slots = self.engine_class.adapter_capacity(self.models + coming)
-        if len(self.held.keys() | self.loading.keys()) > slots:
+        coming = [self.model_load[1]] if self.model_load else []
+        adapters = self.held.keys() | self.loading.keys()
+        if len(adapters) > self._capacity(coming):
             self.overfilled = True
 
+    def _capacity(self, coming):
+        """Return the slots beside the base models held and coming."""
+        if self.engine_class is None:
+            return self.slots
+        return self.engine_class.adapter_capacity({*self.models, *coming})
+
     def _load(self, order):
         if self.held.get(order.adapter) == order.version:
             return orders.Outcome.ALREADY_HELD
--- a/tests/gateway/loads/test_engine_link.py
+++ b/tests/gateway/loads/test_engine_link.py
@@ -174,61 +174,243 @@
         fakes.Delivery(is_answered=False, delay_s=8.0),
     )
 )
-LOADS = strategies.lists(
-    strategies.tuples(
-        strategies.integers(0, 9),
-        strategies.one_of(strategies.none(), strategies.integers(0, 9)),
-        strategies.sampled_from((0.0, 0.1, 0.4, 2.0)),
+
+
+@dataclasses.dataclass(frozen=True)
+class Load:
+    """A load by this leader, after the eviction of a victim."""
+
+    name: int
+    victim: int | None
+    pause_s: float
+    version: int = 1
+
+    def play(self, bench):
+        evict = () if self.victim is None else (f'a{self.victim}',)
+        eventlet.spawn(
+            bench.load, f'a{self.name}', *evict, version=self.version
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class LateOrder:
+    """An order of another leader that is carried out after a time."""
+
+    name: int
+    is_load: bool
+    ahead: int
+    delay_s: float
+    pause_s: float
+
+    def play(self, bench):
+        bench.engine.order_by_others(
+            f'a{self.name}',
+            bench.engine.sequence + self.ahead,
+            self.delay_s,
+            is_load=self.is_load,
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class LateModel:
+    """An order of a base model by another leader."""
+
+    model: str
+    delay_s: float
+    pause_s: float
+
+    def play(self, bench):
+        bench.engine.order_by_others(
+            '', bench.engine.sequence, self.delay_s, model=self.model
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class LoadModel:
+    """An order of a base model by this leader, if the engine is empty."""
+
+    model: str
+    pause_s: float
+
+    def play(self, bench):
+        eventlet.spawn(self._order, bench.link)
+
+    def _order(self, link):
+        with contextlib.suppress(errors.LinkError):
+            link.load_model(self.model)
+
+
+@dataclasses.dataclass(frozen=True)
+class OldEntry:
+    """An entry of the store that is older than the last report."""
+
+    held: tuple[int, ...]
+    pause_s: float
+
+    def play(self, bench):
+        names = [f'a{name}' for name in self.held]
+        bench.upstream.replace_entry(fakes.entry('i-1', *names), clock.now())
+
+
+@dataclasses.dataclass(frozen=True)
+class NewLink:
+    """A new link, of the same leader or after its restart."""
+
+    is_restart: bool
+    pause_s: float
+
+    def play(self, bench):
+        bench.token += self.is_restart
+        bench.renew_link()
+
+
+@dataclasses.dataclass(frozen=True)
+class Use:
+    """The begin or end of requests that use an adapter."""
+
+    name: int
+    is_begin: bool
+    pause_s: float
+
+    def play(self, bench):
+        if self.is_begin:
+            bench.engine.in_use.add(f'a{self.name}')
+        else:
+            bench.engine.end_use(f'a{self.name}')
+
+
+@dataclasses.dataclass(frozen=True)
+class FailedReads:
+    """A time in which no report is received."""
+
+    duration_s: float
+    pause_s: float
+
+    def play(self, bench):
+        bench.engine.reads_fail_until = clock.now() + self.duration_s
+
+
+NAMES = strategies.integers(0, 9)
+PAUSES = strategies.sampled_from((0.0, 0.1, 0.4, 2.0))
+LATENESS = strategies.floats(0.0, 12.0) | strategies.sampled_from(
+    (0.0, 0.05, 0.2, 0.4, 0.6, 1.0, 2.0)
+)
+MOVES = strategies.one_of(
+    strategies.builds(
+        Load,
+        NAMES,
+        strategies.none() | NAMES,
+        PAUSES,
+        strategies.sampled_from((1, 1, 1, 2)),
+    ),
+    strategies.builds(
+        Load, NAMES, strategies.none() | NAMES, strategies.just(0.0)
+    ),
+    strategies.builds(
+        LateOrder,
+        NAMES,
+        strategies.sampled_from((True, True, False)),
+        strategies.integers(0, 2),
+        LATENESS,
+        PAUSES,
+    ),
+    strategies.builds(NewLink, strategies.booleans(), PAUSES),
+    strategies.builds(Use, NAMES, strategies.booleans(), PAUSES),
+    strategies.builds(
+        FailedReads, strategies.sampled_from((0.1, 0.5, 2.0)), PAUSES
     ),
-    max_size=14,
+    strategies.builds(
+        OldEntry, strategies.lists(NAMES, max_size=4).map(tuple), PAUSES
+    ),
+)
+MODEL_NAMES = strategies.sampled_from((fakes.MODEL, 'other', 'third'))
+MODEL_MOVES = strategies.one_of(
+    MOVES,
+    strategies.builds(LateModel, MODEL_NAMES, LATENESS, PAUSES),
+    strategies.builds(LoadModel, MODEL_NAMES, PAUSES),
+)
+LAGS = strategies.sampled_from((0.0, 0.05, 0.2, 0.35))
+LOAD_TIMES = strategies.sampled_from((0.05, 0.25, 1.0))
+SEARCH = hypothesis.settings(
+    max_examples=clocks.EXAMPLES,
+    deadline=None,
+    suppress_health_check=[hypothesis.HealthCheck.too_slow],
 )
 
 
-@hypothesis.settings(max_examples=150, deadline=None)
-@hypothesis.given(LOADS, strategies.lists(DELIVERIES, max_size=20))
+@clocks.on_virtual_clock
+def play(engine, moves, deliveries):
+    """Return whether an engine is overfilled by moves and lost orders."""
+    bench = Bench(engine)
+    engine.deliveries = list(deliveries)
+    for move in moves:
+        move.play(bench)
+        clock.sleep(move.pause_s)
+    clock.sleep(30)
+    return engine.overfilled
+
+
+@SEARCH
+@hypothesis.given(
+    strategies.lists(MOVES, max_size=14),
+    strategies.lists(DELIVERIES, max_size=20),
+    LAGS,
+    LOAD_TIMES,
+)
 @hypothesis.example(
     # Reports do not show a load yet when the fourth load after it is ordered.
-    loads=[
-        (0, None, 0.5),
-        (3, None, 0.4),
-        (4, None, 0.0),
-        (1, None, 0.1),
-        (2, None, 0.0),
+    moves=[
+        Load(0, None, 0.5),
+        Load(3, None, 0.4),
+        Load(4, None, 0.0),
+        Load(1, None, 0.1),
+        Load(2, None, 0.0),
     ],
     deliveries=[
         fakes.Delivery(is_answered=False),
         fakes.Delivery(is_answered=False, delay_s=0.05),
     ],
+    report_lag_s=0.2,
+    load_s=0.25,
 )
 @hypothesis.example(
     # A second load of a loading adapter, which fails, and then its eviction.
-    loads=[
-        (0, None, 0.0),
-        (2, None, 0.0),
-        (3, None, 0.0),
-        (4, None, 0.0),
-        (0, 0, 0.0),
-        (1, 0, 0.0),
+    moves=[
+        Load(0, None, 0.0),
+        Load(2, None, 0.0),
+        Load(3, None, 0.0),
+        Load(4, None, 0.0),
+        Load(0, 0, 0.0),
+        Load(1, 0, 0.0),
     ],
     deliveries=[fakes.Delivery(is_answered=False, delay_s=0.05)],
+    report_lag_s=0.2,
+    load_s=0.25,
 )
-def test_engine_is_never_overfilled(loads, deliveries):
+def test_engine_is_never_overfilled(moves, deliveries, report_lag_s, load_s):
     """Guards against an engine that fails because it has too many adapters,
-    also when orders are lost or delayed.
+    also when orders are lost or delayed, and leaders and links change.
     """
+    engine = fakes.FakeEngine(SLOTS, load_s, report_lag_s)
+    assert not play(engine, moves, deliveries)
+
 
-    @clocks.on_virtual_clock
-    def play():
-        bench = Bench()
-        bench.engine.deliveries = list(deliveries)
-        for name, victim, pause_s in loads:
-            evict = () if victim is None else (f'a{victim}',)
-            eventlet.spawn(bench.load, f'a{name}', *evict)
-            clock.sleep(pause_s)
-        clock.sleep(30)
-        return bench.engine.overfilled
-
-    assert not play()
+@SEARCH
+@hypothesis.given(
+    strategies.lists(MODEL_MOVES, max_size=14),
+    strategies.lists(DELIVERIES, max_size=20),
+    LAGS,
+    LOAD_TIMES,
+    strategies.booleans(),
+)
+def test_engine_with_several_base_models_is_never_overfilled(
+    moves, deliveries, report_lag_s, load_s, is_empty
+):
+    """Guards against a load into the room that a base model takes."""
+    engine = fakes.FakeEngine(SLOTS, load_s, report_lag_s, fakes.engine_class())
+    if is_empty:
+        engine.models.clear()
+    assert not play(engine, moves, deliveries)
 
 
 @clocks.on_virtual_clock
