--- a/ivystep/gateway/loads/slot_usage.py
+++ b/ivystep/gateway/loads/slot_usage.py
@@ -28,13 +28,23 @@
     hidden_until: float
     counted_at: int | None
 
-    def is_shown(self, report: upstreams.EngineReport, read_at: float) -> bool:
-        """Return whether a report shows the effect of the order."""
-        is_counted = (
-            self.counted_at is not None
-            and report.order_count >= self.counted_at
-        )
-        return is_counted or self.hidden_until < read_at
+    def is_shown(
+        self,
+        report: upstreams.EngineReport,
+        read_at: float,
+        expected_orders: int,
+    ) -> bool:
+        """Return whether a report shows the effect of the order.
+
+        An order that is among the expected ones was accepted, so only a report
+        that counts it shows it, however late reports are.
+        """
+        if self.counted_at is None:
+            return self.hidden_until < read_at
+        if report.order_count >= self.counted_at:
+            return True
+        is_expected = self.counted_at <= expected_orders
+        return not is_expected and self.hidden_until < read_at
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,7 +118,7 @@
             (loading.account, loading.name) for loading in report.loading
         )
         for name, sent in list(self._last_order_by_name.items()):
-            if sent.is_shown(report, read_at):
+            if sent.is_shown(report, read_at, expected_orders):
                 del self._last_order_by_name[name]
             elif sent.uses_slot:
                 used.add(name)
@@ -116,7 +126,9 @@
                 used.discard(name)
         used.add((ref.account, ref.name))
         is_held = ref.account in report.held_model_by_name
-        is_changing = report.is_busy or self._may_load_model(report, read_at)
+        is_changing = report.is_busy or self._may_load_model(
+            report, read_at, expected_orders
+        )
         if is_changing or not is_held:
             slots = 0
         return Room(len(used), slots, report.order_count, expected_orders)
@@ -171,10 +183,13 @@
             self._last_order_by_name[order.model, order.adapter] = sent
 
     def _may_load_model(
-        self, report: upstreams.EngineReport, read_at: float
+        self,
+        report: upstreams.EngineReport,
+        read_at: float,
+        expected_orders: int,
     ) -> bool:
         """Return whether a base model is on its way that no report shows."""
         sent = self._model_order
-        if sent is not None and sent.is_shown(report, read_at):
+        if sent is not None and sent.is_shown(report, read_at, expected_orders):
             self._model_order = None
         return self._model_order is not None
--- a/tests/gateway/loads/test_engine_link.py
+++ b/tests/gateway/loads/test_engine_link.py
@@ -329,7 +329,7 @@
     strategies.builds(LateModel, MODEL_NAMES, LATENESS, PAUSES),
     strategies.builds(LoadModel, MODEL_NAMES, PAUSES),
 )
-LAGS = strategies.sampled_from((0.0, 0.05, 0.2, 0.35))
+LAGS = strategies.sampled_from((0.0, 0.05, 0.2, 0.35, 3.0))
 LOAD_TIMES = strategies.sampled_from((0.05, 0.25, 1.0))
 SEARCH = hypothesis.settings(
     max_examples=clocks.EXAMPLES,
@@ -779,3 +779,16 @@
     clock.sleep(9)
     bench.load('a1')
     assert not bench.engine.loading
+
+
+@pytest.mark.parametrize('pause_s', [1.5, 2.1, 2.5, 2.9])
+@clocks.on_virtual_clock
+def test_accepted_load_uses_a_slot_until_a_report_counts_it(pause_s):
+    """Guards against a load by a report that is older than the last load."""
+    bench = Bench(fakes.FakeEngine(SLOTS, 0.05, 3.0), 'a1', 'a2', 'a3')
+    clock.sleep(5)
+    assert bench.load('a4').ok
+    clock.sleep(pause_s)
+    bench.load('a5')
+    clock.sleep(5)
+    assert not bench.engine.overfilled
