--- a/ivystep/gateway/loads/order_sender.py
+++ b/ivystep/gateway/loads/order_sender.py
@@ -177,7 +177,8 @@
 
         Returns:
             None if the report is older than the state in which this object
-            began to count its orders; then nothing can be judged by it.
+            began to count its orders; then nothing can be judged by it. If the
+            next one is, too, the engine has started anew.
         """
         authority = self._authority()
         token = authority.token if authority else 0
@@ -186,7 +187,10 @@
         if is_unknown or report.order_count > known.count:
             known = _KnownOrders(token, report.order_count, report.order_count)
             self._known = known
-        return known.count if report.order_count >= known.first else None
+        if report.order_count >= known.first:
+            return known.count
+        self._known = None
+        return None
 
     def _send(
         self,
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -239,6 +239,16 @@
         if not order.is_load or self._has_room(order):
             self.execute(order)
 
+    def restart(self):
+        """Start anew under the same id, without adapters."""
+        self.held = {}
+        self.loading = {}
+        self.in_use = set()
+        self.unloading = set()
+        self.sequence = 0
+        self._history.clear()
+        self._record_state()
+
     def end_use(self, adapter):
         """End the requests that use an adapter."""
         self._record_state()
--- a/tests/gateway/loads/test_engine_link.py
+++ b/tests/gateway/loads/test_engine_link.py
@@ -792,3 +792,80 @@
     bench.load('a5')
     clock.sleep(5)
     assert not bench.engine.overfilled
+
+
+@clocks.on_virtual_clock
+def test_engine_that_starts_anew_under_the_same_id_gets_orders_again():
+    """Guards against a link that waits for a count that the engine has lost."""
+    bench = Bench()
+    for name in ('a1', 'a2', 'a3'):
+        assert bench.load(name).ok
+    bench.renew_link()
+    clock.sleep(2)
+    assert bench.load('a4').ok
+    bench.engine.restart()
+    clock.sleep(2)
+    assert bench.load('a5').ok
+    assert not bench.engine.overfilled
+
+
+@pytest.mark.parametrize('restart_s', [0.0, 0.1, 0.3, 0.5, 0.7])
+@clocks.on_virtual_clock
+def test_order_repeated_after_a_restart_does_not_overfill_an_engine(restart_s):
+    """Guards against a repeated order that meets the engine's next life."""
+    bench = Bench(None, 'b1', 'b2', 'b3')
+    bench.engine.deliveries = [
+        fakes.Delivery(is_answered=False, delay_s=2.0),
+        fakes.Delivery(is_answered=False, delay_s=1.0),
+    ]
+    eventlet.spawn_after(restart_s, bench.engine.restart)
+    bench.load('a1')
+    for name in ('a2', 'a3', 'a4', 'a5', 'a6'):
+        bench.load(name)
+        clock.sleep(0.3)
+    clock.sleep(5)
+    assert not bench.engine.overfilled
+
+
+@pytest.mark.parametrize('report_lag_s', [0.0, 0.2, 0.4, 1.0])
+@pytest.mark.parametrize('is_carried_out', [False, True])
+@pytest.mark.parametrize('pause_s', [0.0, 0.1, 0.5])
+@clocks.on_virtual_clock
+def test_leader_after_a_loss_of_power_does_not_overfill_an_engine(
+    report_lag_s, is_carried_out, pause_s
+):
+    """Guards against room by a report from before the last accepted order."""
+    engine = fakes.FakeEngine(SLOTS, 0.25, report_lag_s)
+    bench = Bench(engine, 'a1', 'a2', 'a3')
+    engine.deliveries = [fakes.Delivery(is_carried_out, 0.0)]
+    earlier = eventlet.spawn(bench.load, 'a4')
+    clock.sleep(0.01)
+    earlier.kill()
+    successor = Bench(engine, 'a1', 'a2', 'a3')
+    successor.token = bench.token + 1
+    clock.sleep(pause_s)
+    for name in ('a5', 'a6', 'a7'):
+        successor.load(name)
+    clock.sleep(15)
+    assert not engine.overfilled
+    assert len(engine.held | engine.loading) == SLOTS
+
+
+@pytest.mark.parametrize('delay_s', [0.0, 0.2, 0.35, 0.6, 1.5, 4.0])
+@pytest.mark.parametrize('change_s', [0.0, 0.1, 0.35])
+@clocks.on_virtual_clock
+def test_order_from_before_a_change_of_authority_does_not_overfill_an_engine(
+    delay_s, change_s
+):
+    """Guards against an order that is carried out under the next token."""
+    bench = Bench(None, 'a1', 'a2', 'a3')
+    bench.engine.deliveries = [
+        fakes.Delivery(is_answered=False, delay_s=delay_s)
+    ]
+    eventlet.spawn_after(change_s, setattr, bench, 'token', 8)
+    bench.load('a4')
+    for name in ('a5', 'a6', 'a7', 'a8'):
+        bench.load(name)
+        clock.sleep(0.2)
+    clock.sleep(15)
+    assert not bench.engine.overfilled
