--- a/ivystep/gateway/loads/engine_reports.py
+++ b/ivystep/gateway/loads/engine_reports.py
@@ -23,19 +23,60 @@
         The report.
 
     Raises:
-        errors.MisdirectedError: Another upstream is at the entry's address, to
-            which nothing is sent until the entry changes.
+        errors.MisdirectedError: The report is not of the incarnation that is
+            meant, or that one is gone; nothing of it is applied.
         errors.LinkError: The engine sent no valid report.
     """
     sent_at = clock.now()
+    entry = upstream.entry
     try:
-        report = api.read_report(upstream.entry.endpoint)
-    except errors.MisdirectedError as error:
-        upstream.on_misdirected()
-        log.write(leader_events.ReportFailed(upstream.upstream_id, str(error)))
-        raise
+        _raise_if_gone(entry, upstream)
+        report = _request(api, upstream)
+        _raise_if_gone(entry, upstream)
+        _raise_if_restarted(entry, report)
     except errors.LinkError as error:
         log.write(leader_events.ReportFailed(upstream.upstream_id, str(error)))
         raise
     upstream.on_report(report, sent_at)
     return report
+
+
+def _request(
+    api: orders.EngineApi, upstream: upstream_state.Upstream
+) -> upstreams.EngineReport:
+    """Request a report; nothing more is sent to a misdirected address."""
+    try:
+        return api.read_report(upstream.entry.endpoint)
+    except errors.MisdirectedError:
+        upstream.on_misdirected()
+        raise
+
+
+def _raise_if_gone(
+    entry: upstreams.UpstreamEntry, upstream: upstream_state.Upstream
+) -> None:
+    """Raise an error if the upstream that an entry means is gone."""
+    if upstream.is_gone or upstream.entry.identity != entry.identity:
+        raise errors.MisdirectedError(
+            "the entry was removed, or its address is another upstream's",
+            step='report',
+            peer=str(entry.endpoint),
+        )
+
+
+def _raise_if_restarted(
+    entry: upstreams.UpstreamEntry, report: upstreams.EngineReport
+) -> None:
+    """Raise an error if a report is of another start than the entry.
+
+    The id is that of the entry, so the address is not given up: the report may
+    be from before the start that the entry tells of.
+    """
+    started = (entry.started_at_ms, report.started_at_ms)
+    if all(started) and entry.started_at_ms != report.started_at_ms:
+        raise errors.MisdirectedError(
+            'the report is of another incarnation, started at '
+            f'{report.started_at_ms} ms instead of {entry.started_at_ms} ms',
+            step='report',
+            peer=str(entry.endpoint),
+        )
--- a/ivystep/gateway/loads/order_sender.py
+++ b/ivystep/gateway/loads/order_sender.py
@@ -180,6 +180,8 @@
         authority = self._authority()
         if authority is None:
             return orders.Outcome.FENCED
+        if self._upstream.is_gone:
+            return orders.Outcome.OTHER_UPSTREAM
         order = orders.Order(
             is_load=is_load,
             model=model,
@@ -216,9 +218,10 @@
         return outcome
 
     def _may_still_send(self, order: orders.Order) -> bool:
-        """Return whether this host still has the authority of an order."""
+        """Return whether the order still has its authority and engine."""
         authority = self._authority()
-        return authority is not None and authority.token == order.token
+        is_held = authority is not None and authority.token == order.token
+        return is_held and not self._upstream.is_gone
 
     def _record_outcome(
         self, order: orders.Order, outcome: orders.Outcome
--- a/ivystep/gateway/upstreams/membership.py
+++ b/ivystep/gateway/upstreams/membership.py
@@ -250,7 +250,7 @@
             self._drained[removed.entry.identity] = None
             _drop_oldest(self._drained)
         self._log_change(removed, 'removed', reason)
-        removed.connections.close()
+        removed.remove()
         self._on_removed(removed)
 
     def _log_change(
--- a/ivystep/gateway/upstreams/upstream_state.py
+++ b/ivystep/gateway/upstreams/upstream_state.py
@@ -78,6 +78,7 @@
         self._resting_until = 0.0
         # Version of the entry at whose address another upstream has answered.
         self._misdirected_by: int | None = None
+        self._is_removed = False
         self._is_leaving = False
         self._failures = 0
         self.running_elsewhere = 0
@@ -226,10 +227,15 @@
         """Send nothing until the entry changes: its address is another's."""
         self._misdirected_by = self.entry.version
 
+    def remove(self) -> None:
+        """Send nothing more: its entry was removed or replaced."""
+        self._is_removed = True
+        self.connections.close()
+
     @property
-    def is_misdirected(self) -> bool:
-        """Whether another upstream has answered at the entry's address."""
-        return self._misdirected_by == self.entry.version
+    def is_gone(self) -> bool:
+        """Whether its address is or may be another's: nothing is sent there."""
+        return self._is_removed or self._misdirected_by == self.entry.version
 
     def rest(self, asked_s: float, now: float) -> None:
         """Send nothing for as long as the upstream asks for.
@@ -262,7 +268,7 @@
 
         They count as requests for an upstream that takes few or none.
         """
-        is_refused = self.is_misdirected or self.limit.is_limited
+        is_refused = self.is_gone or self.limit.is_limited
         return not (is_refused or self.rest_s(now))
 
     def reset_failures(self) -> None:
@@ -338,7 +344,7 @@
         Args:
             now: Time in seconds.
         """
-        if self.is_misdirected or now < self.suspended_until:
+        if self.is_gone or now < self.suspended_until:
             return False
         return not self.wait_s(now)
 
--- a/tests/gateway/loads/test_engine_link.py
+++ b/tests/gateway/loads/test_engine_link.py
@@ -462,6 +462,90 @@
     assert bench.upstream.held() == {ref('a1')}
 
 
+def read_while(bench, change):
+    """Read a report and make a change while the call is under way.
+
+    Returns:
+        The upstream's known state and the report's error.
+    """
+    bench.engine.held['a1'] = 1
+    read = bench.engine.read_report
+
+    def read_slowly(endpoint):
+        report = read(endpoint)
+        clock.sleep(0.2)
+        return report
+
+    bench.engine.read_report = read_slowly
+    eventlet.spawn_after(0.1, change)
+    with pytest.raises(errors.MisdirectedError) as raised:
+        bench.link._read_report()
+    return bench.upstream.held(), str(raised.value)
+
+
+@pytest.mark.parametrize(
+    ('stated_by_entry', 'stated_by_report', 'is_applied'),
+    [(1, 2, False), (2, 1, False), (1, 1, True), (0, 1, True), (1, 0, True)],
+)
+@clocks.on_virtual_clock
+def test_report_of_another_incarnation_is_not_applied(
+    stated_by_entry, stated_by_report, is_applied
+):
+    """Guards against the state of one life that counts for another."""
+    bench = Bench()
+    bench.upstream.entry = dataclasses.replace(
+        bench.upstream.entry, started_at_ms=stated_by_entry
+    )
+    bench.engine.held['a1'] = 1
+    report = dataclasses.replace(
+        bench.engine._state(), started_at_ms=stated_by_report
+    )
+    bench.engine.read_report = lambda endpoint: report
+    if is_applied:
+        bench.link._read_report()
+    else:
+        with pytest.raises(errors.MisdirectedError, match='incarnation'):
+            bench.link._read_report()
+    assert bench.upstream.held() == ({ref('a1')} if is_applied else set())
+    assert len(bench.log.named('report_failed')) == (not is_applied)
+
+
+@clocks.on_virtual_clock
+def test_report_is_not_applied_after_the_entry_was_removed():
+    """Guards against the state of an upstream that has left meanwhile."""
+    bench = Bench()
+    held, error = read_while(bench, bench.upstream.remove)
+    assert held == set()
+    assert 'removed' in error
+
+
+@clocks.on_virtual_clock
+def test_report_is_not_applied_after_the_entry_names_another_incarnation():
+    """Guards against the state of one life that counts for the next."""
+    bench = Bench()
+    restarted = dataclasses.replace(bench.upstream.entry, started_at_ms=9)
+    held, _ = read_while(
+        bench, lambda: bench.upstream.replace_entry(restarted, clock.now())
+    )
+    assert held == set()
+
+
+@clocks.on_virtual_clock
+def test_removed_engine_gets_no_calls():
+    """Guards against calls to an address that may be another's soon."""
+    bench = Bench()
+    eventlet.spawn_after(0.05, bench.upstream.remove)
+    read = count_reports(bench.engine)
+    bench.engine.deliveries = [fakes.Delivery(is_answered=False)] * 9
+    assert not bench.load('a1').ok
+    orders_before = len(bench.log.named('order_given'))
+    assert orders_before == 1
+    assert bench.load('a2').code == 'busy'
+    clock.sleep(9)
+    assert len(bench.log.named('order_given')) == orders_before
+    assert len(read) == 1
+
+
 LATE_ORDERS = [
     (carried_out_s, load_s)
     for carried_out_s in (0.0, 0.1, 0.3, 0.6, 1.0, 2.0, 5.0, 8.0, 11.0)
