--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -386,7 +386,8 @@
     """This host's view of an upstream has changed.
 
     Attributes:
-        change: ``added``, ``ready``, ``draining``, ``missing`` or ``removed``.
+        change: ``added``, ``ready``, ``draining``, ``missing``, ``removed``, or
+            ``misdirected`` if its address is another upstream's.
         entry_version: Store version of the upstream's entry.
     """
 
--- a/ivystep/gateway/upstreams/membership.py
+++ b/ivystep/gateway/upstreams/membership.py
@@ -8,6 +8,10 @@
 
 An incarnation that has drained is never used again: a heartbeat from before it
 started to drain may be written late.
+
+An upstream that has ended may keep its entry while its address is given to
+another one. Once the entry of the other is known, the older upstream gets no
+calls and requests.
 """
 
 import collections
@@ -64,6 +68,7 @@
         self.upstream_by_id: dict[str, upstream_state.Upstream] = {}
         self.needed_version = 0
         self._essentials_by_id: dict[str, upstreams.UpstreamEntry] = {}
+        self._ids_by_address: dict[tuple[str, int], set[str]] = {}
         self._log = log
         self._on_change = on_change
         self._on_removed = on_removed
@@ -164,12 +169,42 @@
             known = upstream_state.Upstream(entry, self._bounds)
             self.upstream_by_id[entry.upstream_id] = known
             self._log_change(known, 'added', '')
+            self._claim_address(known)
         elif known.entry.state is not entry.state:
             known.replace_entry(entry, clock.now())
             self._log_change(known, entry.state.value, 'state in its entry')
         known.replace_entry(entry, clock.now())
         self._on_change(known)
 
+    def _claim_address(self, claimant: upstream_state.Upstream) -> None:
+        """Give the address of a new upstream to the newest entry.
+
+        A newer entry of a known upstream takes no address away, since it may
+        be a heartbeat that the platform has written late.
+        """
+        ids = self._ids_by_address.setdefault(claimant.entry.address, set())
+        for upstream_id in sorted(ids):
+            known = self.upstream_by_id[upstream_id]
+            older, newer = sorted(
+                (known, claimant), key=lambda one: one.entry.version
+            )
+            older.on_misdirected(newer.entry.version)
+            self._log_change(
+                older,
+                'misdirected',
+                f'{newer.upstream_id} has its address since store version '
+                f'{newer.entry.version}',
+            )
+            if older is known:
+                self._on_change(older)
+        ids.add(claimant.upstream_id)
+
+    def _release_address(self, removed: upstream_state.Upstream) -> None:
+        address = removed.entry.address
+        self._ids_by_address[address].discard(removed.upstream_id)
+        if not self._ids_by_address[address]:
+            del self._ids_by_address[address]
+
     def _record_essentials(
         self, row: rows.StoredRow, entry: upstreams.UpstreamEntry | None
     ) -> None:
@@ -243,6 +278,7 @@
         removed = self.upstream_by_id.pop(upstream_id, None)
         if removed is None:
             return
+        self._release_address(removed)
         self._left[removed.entry.identity] = None
         _drop_oldest(self._left)
         if removed.is_draining:
--- a/ivystep/gateway/upstreams/upstream_state.py
+++ b/ivystep/gateway/upstreams/upstream_state.py
@@ -76,8 +76,8 @@
         self.suspended_until = 0.0
         self.limit = shared_limit.SharedLimit()
         self._resting_until = 0.0
-        # Version of the entry at whose address another upstream has answered.
-        self._misdirected_by: int | None = None
+        # Newest store version of an entry that is known to be outdated.
+        self._misdirected_by = -1
         self._is_removed = False
         self._is_leaving = False
         self._failures = 0
@@ -223,9 +223,14 @@
         """
         self._is_leaving = True
 
-    def on_misdirected(self) -> None:
-        """Send nothing until the entry changes: its address is another's."""
-        self._misdirected_by = self.entry.version
+    def on_misdirected(self, known_by: int = 0) -> None:
+        """Send nothing until the entry changes: its address is another's.
+
+        Args:
+            known_by: Store version by which the address is another's; only a
+                newer entry counts.
+        """
+        self._misdirected_by = max(self.entry.version, known_by)
 
     def remove(self) -> None:
         """Send nothing more: its entry was removed or replaced."""
@@ -235,7 +240,7 @@
     @property
     def is_gone(self) -> bool:
         """Whether its address is or may be another's: nothing is sent there."""
-        return self._is_removed or self._misdirected_by == self.entry.version
+        return self._is_removed or self.entry.version <= self._misdirected_by
 
     def rest(self, asked_s: float, now: float) -> None:
         """Send nothing for as long as the upstream asks for.
--- a/tests/gateway/upstreams/test_membership.py
+++ b/tests/gateway/upstreams/test_membership.py
@@ -307,3 +307,108 @@
     members.on_store_restored()
     members.apply_row(fakes.entry_row('i-1', 4, state='draining'))
     assert members.needed_version == 4
+
+
+ADDRESS = '10.0.0.7:80'
+
+
+def is_available(recorded, upstream_id):
+    """Return whether an upstream gets requests."""
+    return recorded.members.upstream_by_id[upstream_id].is_available(0.0)
+
+
+def reuse_address(recorded):
+    """Let another upstream write an entry with the address of the first."""
+    recorded.members.apply_row(fakes.entry_row('i-1', 1, address=ADDRESS))
+    recorded.members.apply_row(fakes.entry_row('i-2', 2, address=ADDRESS))
+
+
+def test_upstream_whose_address_a_newer_entry_names_gets_nothing():
+    """Guards against calls and requests to an address that is another's."""
+    recorded = RecordedMembership()
+    reuse_address(recorded)
+    assert not is_available(recorded, 'i-1')
+    assert not recorded.members.upstream_by_id['i-1'].takes_orders(0.0)
+    assert is_available(recorded, 'i-2')
+    assert recorded.changed == ['i-1', 'i-1', 'i-2']
+    (change,) = [
+        event
+        for event in recorded.log.named('upstream_changed')
+        if event.change == 'misdirected'
+    ]
+    assert (change.upstream, change.reason) == (
+        'i-1',
+        'i-2 has its address since store version 2',
+    )
+
+
+def test_request_in_progress_outlives_the_reuse_of_its_address():
+    """Guards against cutting a request that its upstream still answers."""
+    recorded = RecordedMembership()
+    reuse_address(recorded)
+    assert recorded.ids == ['i-1', 'i-2']
+    assert recorded.removed == []
+
+
+def test_only_a_newer_entry_of_the_older_upstream_counts():
+    """Guards against an entry that is read again and gives the address back."""
+    recorded = RecordedMembership()
+    reuse_address(recorded)
+    recorded.members.apply_row(fakes.entry_row('i-1', 1, address=ADDRESS))
+    assert not is_available(recorded, 'i-1')
+    assert is_available(recorded, 'i-2')
+    recorded.members.apply_row(fakes.entry_row('i-1', 3, address=ADDRESS))
+    assert is_available(recorded, 'i-1')
+
+
+def test_late_heartbeat_of_the_older_upstream_takes_no_address():
+    """Guards against a living upstream that gets nothing by a late write."""
+    recorded = RecordedMembership()
+    reuse_address(recorded)
+    recorded.members.apply_row(fakes.entry_row('i-1', 3, address=ADDRESS))
+    assert is_available(recorded, 'i-2')
+
+
+@pytest.mark.parametrize('is_newer_first', [False, True])
+def test_address_belongs_to_the_newer_entry_in_any_order_of_rows(
+    is_newer_first,
+):
+    """Guards against an address that goes to whose row is read last."""
+    recorded = RecordedMembership()
+    found = [
+        fakes.entry_row('i-1', 1, address=ADDRESS),
+        fakes.entry_row('i-2', 2, address=ADDRESS),
+    ]
+    if is_newer_first:
+        found.reverse()
+    recorded.members.replace_rows(found)
+    assert not is_available(recorded, 'i-1')
+    assert is_available(recorded, 'i-2')
+
+
+def test_copy_of_the_store_does_not_give_an_address_back():
+    """Guards against calls to the older upstream by a copy from before."""
+    recorded = RecordedMembership()
+    recorded.members.apply_row(fakes.entry_row('i-1', 1, address=ADDRESS))
+    recorded.members.apply_row(fakes.entry_row('i-1', 4, address=ADDRESS))
+    recorded.members.apply_row(fakes.entry_row('i-2', 5, address=ADDRESS))
+    recorded.members.on_store_restored()
+    recorded.members.replace_rows([fakes.entry_row('i-1', 1, address=ADDRESS)])
+    assert not is_available(recorded, 'i-1')
+
+
+def test_older_upstream_stays_out_after_the_newer_one_has_left():
+    """Guards against calls to an address that has had another owner."""
+    recorded = RecordedMembership()
+    reuse_address(recorded)
+    recorded.members.apply_row(fakes.deleted_row('i-2', 3))
+    assert not is_available(recorded, 'i-1')
+
+
+def test_upstream_that_moves_to_another_address_gets_requests():
+    """Guards against an upstream that is lost for its earlier address."""
+    recorded = RecordedMembership()
+    reuse_address(recorded)
+    recorded.members.apply_row(fakes.entry_row('i-1', 3, address='10.0.0.8:80'))
+    assert is_available(recorded, 'i-1')
+    assert is_available(recorded, 'i-2')
