--- a/ivystep/gateway/loads/leadership.py
+++ b/ivystep/gateway/loads/leadership.py
@@ -243,7 +243,7 @@
     def follow(self) -> None:
         """Apply the leader's residency updates until the task is killed."""
         while True:
-            leader = _addressee(self._lease.seen_holder_id)
+            leader = self.leader
             if leader is not None and not self._lease.is_held():
                 self._follow(leader)
             clock.sleep(FOLLOW_RETRY_S)
--- a/tests/gateway/loads/test_leader_address.py
+++ b/tests/gateway/loads/test_leader_address.py
@@ -119,3 +119,19 @@
     with pytest.raises(errors.LinkError):
         quotas._exchange._exchange()
     assert not other.served
+
+
+def test_host_does_not_follow_itself(other):
+    """Guards against a host that counts itself twice as it becomes leader."""
+    own = test_leadership.Host(
+        clocks.FakeTable(), 'host-9', address=other.address
+    )
+    test_leadership.wait_until(lambda: own.leadership.is_leader)
+    own.rows.planned.extend([clocks.Fault(clocks.Kind.DOWN)] * 500)
+    test_leadership.wait_until(lambda: not own.leadership.is_leader)
+    assert own.leadership.holder == 'host-9'
+    task = eventlet.spawn(own.leadership.follow)
+    eventlet.sleep(0.5)
+    task.kill()
+    own.task.kill()
+    assert not other.served
