--- a/ivystep/gateway/loads/engine_link.py
+++ b/ivystep/gateway/loads/engine_link.py
@@ -169,7 +169,7 @@
         if outcome is orders.Outcome.ALREADY_HELD:
             return types.LoadResult(True, 'loaded', '')
         if outcome is not orders.Outcome.ACCEPTED:
-            return _refusal(outcome)
+            return self._refuse(outcome)
         self._upstream.loading[ref] = clock.now()
         return self._await_load(ref)
 
@@ -219,6 +219,15 @@
             expected,
         )
 
+    def _refuse(self, outcome: orders.Outcome) -> types.LoadResult:
+        """Return the result of a refused order.
+
+        The engine is not in the state that was known, or another upstream is
+        at its address; a new report tells before the next order.
+        """
+        self._report = None
+        return _refusal(outcome)
+
     def _restore_victim(
         self, victim: types.AdapterRef, refusal: types.LoadResult
     ) -> None:
@@ -262,7 +271,7 @@
         if outcome is orders.Outcome.ALREADY_HELD:
             return None
         if outcome is not orders.Outcome.ACCEPTED:
-            return _refusal(outcome)
+            return self._refuse(outcome)
         deadline = clock.now() + UNLOAD_TIMEOUT_S
         while clock.now() < deadline:
             clock.sleep(POLL_INTERVAL_S)
--- a/ivystep/gateway/loads/order_sender.py
+++ b/ivystep/gateway/loads/order_sender.py
@@ -25,6 +25,10 @@
 LOAD_REPORT_DELAY_S = 2.0
 SEQUENCE_TRIES = 3
 ANSWER_TRIES = 3
+# Refusals by an engine that is not in the state that was known.
+UNKNOWN_STATE_OUTCOMES = frozenset(
+    (orders.Outcome.OUT_OF_SEQUENCE, orders.Outcome.OTHER_UPSTREAM)
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -258,7 +262,7 @@
         report: upstreams.EngineReport | None,
     ) -> None:
         """Record the effect of an answered order."""
-        if outcome is orders.Outcome.OUT_OF_SEQUENCE:
+        if outcome in UNKNOWN_STATE_OUTCOMES:
             self._known = None
         elif outcome is orders.Outcome.ACCEPTED:
             self._count_order(order)
--- a/tests/gateway/loads/test_reviewed_orders.py
+++ b/tests/gateway/loads/test_reviewed_orders.py
@@ -127,8 +127,8 @@
     )
     bench._context = dataclasses.replace(
         bench._context,
-        adapter_slots=lambda upstream: engine_class.adapter_capacity(
-            upstream.entry.held_model_by_name
+        adapter_slots=lambda upstream, models: engine_class.adapter_capacity(
+            models
         ),
     )
     bench.renew_link()
--- a/tests/platform/test_engine_api.py
+++ b/tests/platform/test_engine_api.py
@@ -203,6 +203,16 @@
     """Guards against work that nobody sent, at a reused address."""
     other = OtherUpstream()
     address = start(other)
-    with pytest.raises(errors.LinkError):
+    with pytest.raises(errors.MisdirectedError):
         engine_api.EngineClient().read_report(at(address))
     assert not other.ran
+
+
+def test_connection_to_an_engine_is_not_used_for_another_one(start):
+    """Guards against a call to a later engine on a kept connection."""
+    engine = serving.NamingServer((202, {}), (202, {}))
+    address = start(engine)
+    client = engine_api.EngineClient()
+    client.send_order(at(address), ORDER)
+    client.send_order(upstreams.Endpoint('i-2', address), ORDER)
+    assert engine.connections == 2
