--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -87,7 +87,9 @@
             return _named(environ, 200, self._report())
         if path == '/ivystep/order':
             order = json.loads(web.read_body(environ))
-            return _named(environ, *self._order(order))
+            answer = self._order(order)
+            self._record_state(time.monotonic())
+            return _named(environ, *answer)
         return self._generate(environ)
 
     def _write_upstream_entry(self, state: str) -> None:
@@ -120,13 +122,18 @@
 
     def _complete_loads(self) -> None:
         now = time.monotonic()
-        for name, (ready, version) in list(self.loading_by_name.items()):
+        loads = sorted(self.loading_by_name.items(), key=lambda one: one[1])
+        for name, (ready, version) in loads:
             if ready <= now:
                 del self.loading_by_name[name]
                 self.resident_by_name[name] = version
-        self._past_states.append((now, self._state()))
+                self._record_state(ready)
+        self._record_state(now)
+
+    def _record_state(self, at: float) -> None:
+        self._past_states.append((at, self._state()))
         self._past_states = [
-            one for one in self._past_states if one[0] > now - 5
+            one for one in self._past_states if one[0] > at - 5
         ]
 
     def _state(self) -> dict[str, typing.Any]:
