--- a/ivystep/gateway/upstreams/connections.py
+++ b/ivystep/gateway/upstreams/connections.py
@@ -38,11 +38,16 @@
     """What a connection to an upstream's address has found."""
 
     OPEN = 'open'
+    REUSED = 'reused'
     REFUSED = 'refused'
     SILENT = 'silent'
     UNKNOWN = 'unknown'
 
 
+# An upstream's address is reused only after it has ended.
+ENDED = (Reachability.REFUSED, Reachability.REUSED)
+
+
 def set_tcp_options(connection: socket.socket) -> None:
     """Disable Nagle's algorithm and have the kernel detect dead peers.
 
@@ -187,6 +192,8 @@
         bounds: Bounds of what the upstream may send.
 
     Attributes:
+        is_reused: Whether the address is known to be another upstream's, so
+            that this one has ended, whoever accepts connections there.
         opened: Number of connections that this host has tried to open.
         connect_time: Smallest time that a connection took lately.
     """
@@ -199,6 +206,7 @@
     ) -> None:
         self.address = address
         self._bounds = bounds
+        self.is_reused = False
         self.opened = 0
         self.connect_time = round_trips.SmallestTime()
         self._name = name
@@ -219,19 +227,23 @@
         return self._open()
 
     def has_ended(self) -> bool:
-        """Return whether the upstream has ended since its last answer.
+        """Return whether the upstream is known to have ended.
 
-        An idle connection that is open shows that it has not. Without one, a
-        connection is opened, unless the upstream has been removed.
+        An idle connection that is open is no sign of it. Without one, a
+        connection is opened, unless the upstream has been removed. Another
+        upstream at the address may accept it, so that does not prove that this
+        one lives.
         """
+        if self.is_reused:
+            return True
         is_open = any(connection.is_usable() for connection in self._idle)
         if is_open or self._is_closed:
             return False
         return self.is_refused()
 
     def is_refused(self) -> bool:
-        """Return whether the upstream's address refuses a connection."""
-        return self._probe() is Reachability.REFUSED
+        """Return whether the address refuses connections or is reused."""
+        return self._probe() in ENDED
 
     def is_unreachable(self) -> bool:
         """Return whether the address refuses connections or answers nothing.
@@ -241,7 +253,7 @@
         for _ in range(SILENT_PROBES):
             found = self._probe()
             if found is not Reachability.SILENT:
-                return found is Reachability.REFUSED
+                return found in ENDED
         return True
 
     def release(
@@ -281,6 +293,8 @@
 
     def _probe(self) -> Reachability:
         """Try to connect; an accepted connection is kept for a request."""
+        if self.is_reused:
+            return Reachability.REUSED
         try:
             connection = self._open(PROBE_TIMEOUT_S)
         except errors.LinkError as error:
--- a/ivystep/gateway/upstreams/upstream_state.py
+++ b/ivystep/gateway/upstreams/upstream_state.py
@@ -231,6 +231,7 @@
                 newer entry counts.
         """
         self._misdirected_by = max(self.entry.version, known_by)
+        self.connections.is_reused = True
 
     def remove(self) -> None:
         """Send nothing more: its entry was removed or replaced."""
@@ -240,7 +241,7 @@
     @property
     def is_gone(self) -> bool:
         """Whether its address is or may be another's: nothing is sent there."""
-        return self._is_removed or self.entry.version <= self._misdirected_by
+        return self._is_removed or self._is_misdirected
 
     def rest(self, asked_s: float, now: float) -> None:
         """Send nothing for as long as the upstream asks for.
@@ -361,6 +362,7 @@
             now: Current time in seconds.
         """
         self.entry = entry
+        self.connections.is_reused = self._is_misdirected
         self._apply_held(entry.held_model_by_name, now - ENTRY_AGE_S)
 
     def on_report(self, report: upstreams.EngineReport, sent_at: float) -> None:
@@ -378,6 +380,10 @@
         )
         self._apply_held(report.held_model_by_name, at)
 
+    @property
+    def _is_misdirected(self) -> bool:
+        return self.entry.version <= self._misdirected_by
+
     def _apply_held(
         self, held: Mapping[str, upstreams.HeldModel], at: float
     ) -> None:
--- a/tests/gateway/upstreams/test_connections.py
+++ b/tests/gateway/upstreams/test_connections.py
@@ -1,12 +1,14 @@
 """Tests of the connections of a gateway to its upstreams."""
 
 import contextlib
+import dataclasses
 import socket
 import types
 
 import eventlet
 
-from tests.gateway import harness
+from ivystep.gateway.upstreams import upstream_state
+from tests.gateway import fakes, harness
 
 
 def test_unsent_bytes_of_an_abandoned_request_are_discarded(build):
@@ -80,3 +82,28 @@
     answers = [gateway.send('/once/2f', f'r-{n}').status for n in range(8)]
     assert answers == [200] * 8
     assert len(up.requests) == 8
+
+
+def test_connection_that_another_upstream_accepts_proves_no_life():
+    """Guards against a crash that is not counted as the address is reused."""
+    with contextlib.closing(eventlet.listen(('127.0.0.1', 0))) as listener:
+        entry = dataclasses.replace(
+            fakes.entry(), address=listener.getsockname()
+        )
+        upstream = upstream_state.Upstream(entry)
+        assert findings(upstream) == [False, False, False]
+        upstream.on_misdirected()
+        assert findings(upstream) == [True, True, True]
+        newer = dataclasses.replace(entry, version=entry.version + 1)
+        upstream.replace_entry(newer, 0.0)
+        assert findings(upstream) == [False, False, False]
+
+
+def findings(upstream):
+    """Return what is found out about an upstream by connections to it."""
+    address = upstream.connections
+    return [
+        address.has_ended(),
+        address.is_refused(),
+        address.is_unreachable(),
+    ]
