--- a/ivystep/gateway/requests/attempt_sender.py
+++ b/ivystep/gateway/requests/attempt_sender.py
@@ -369,6 +369,9 @@
         if error.code == 'not_held' and ref is not None:
             upstream.set_resident(ref, now, is_held=False)
             self._on_change(upstream)
+        elif error.code == 'other_upstream':
+            upstream.on_misdirected()
+            self._on_change(upstream)
         elif self._has_ended(state, upstream, error) or _exceeds_bound(error):
             self.suspend(upstream)
 
@@ -387,7 +390,7 @@
                 state.on_upstream_ended()
                 self._given_up.on_crash(upstream)
             return has_crashed
-        return error.code in {'other_upstream', 'upstream_unavailable'}
+        return error.code == 'upstream_unavailable'
 
 
 def _is_closed_by_peer(error: errors.RequestError) -> bool:
--- a/tests/gateway/requests/test_relaying.py
+++ b/tests/gateway/requests/test_relaying.py
@@ -64,6 +64,25 @@
     assert len(free.requests) == 6
 
 
+def test_address_of_another_upstream_gets_no_further_requests(build):
+    """Guards against requests by turns to an address that is another's."""
+
+    def refuse(_, headers):
+        return (
+            b'HTTP/1.1 421 Misdirected\r\nInstance-Id: i-9\r\n'
+            b'Content-Length: 0\r\n\r\n'
+        )
+
+    gateway, (other, right) = build(
+        refuse, lambda _, headers: harness.ok_answer(headers)
+    )
+    for number in range(12):
+        assert gateway.send('/once/2f', f'r-{number}').status == 200
+        eventlet.sleep(0.1)
+    assert len(other.requests) == 1
+    assert len(right.requests) == 12
+
+
 def test_non_idempotent_request_is_not_retried_after_a_reset(build):
     """Guards against a second run, and a ``Retry-After`` that invites one."""
 
