--- a/tests/platform/test_engine_api.py
+++ b/tests/platform/test_engine_api.py
@@ -206,3 +206,11 @@
     with pytest.raises(errors.LinkError):
         engine_api.EngineClient().read_report(at(address))
     assert not other.ran
+
+
+def test_order_is_not_run_by_another_upstream_at_the_address(start):
+    """Guards against an order that another engine carries out."""
+    other = OtherUpstream()
+    outcome = engine_api.EngineClient().send_order(at(start(other)), ORDER)
+    assert outcome is orders.Outcome.OTHER_UPSTREAM
+    assert not other.ran
--- a/tests/platform/test_messages.py
+++ b/tests/platform/test_messages.py
@@ -94,6 +94,12 @@
     ]
 
 
+def test_resumed_stream_names_the_upstream_that_is_meant():
+    """Guards against a stream that another upstream goes on with."""
+    encoded = messages.encode_call(call(), attempt(resumes_after='9'))
+    assert b'Expect-Instance: i-7f' in header_lines(encoded)[0]
+
+
 def answer(status, *headers):
     return messages.decode_answer(
         http1.RawHead(status, 'Reason', headers, http1.Framing.LENGTH, 0, True)
