--- a/tests/platform/test_engine_api.py
+++ b/tests/platform/test_engine_api.py
@@ -216,3 +216,11 @@
     client.send_order(at(address), ORDER)
     client.send_order(upstreams.Endpoint('i-2', address), ORDER)
     assert engine.connections == 2
+
+
+def test_order_is_not_run_by_another_upstream_at_the_address(start):
+    """Guards against an order that another engine carries out."""
+    other = OtherUpstream()
+    outcome = engine_api.EngineClient().send_order(at(start(other)), ORDER)
+    assert outcome is orders.Outcome.OTHER_UPSTREAM
+    assert not other.ran
