--- a/ivystep/sidecar/orders.py
+++ b/ivystep/sidecar/orders.py
@@ -85,6 +85,9 @@
             if not upstream_host.may_evict(ref):
                 reason = f'{ref.lora_name} is serving a request.'
                 return types.LoadResult(False, 'adapter_in_use', reason)
+        # The planner may have planned by an older status.
+        if not upstream_host.residency.has_room(order.ref, order.evict):
+            return types.LoadResult(False, 'busy', 'No adapter slot is free.')
         return None
 
     def _execute(self, order: types.LoadOrder) -> types.LoadResult:
--- a/ivystep/sidecar/residency.py
+++ b/ivystep/sidecar/residency.py
@@ -101,6 +101,18 @@
             and ref not in self._unsettled_by_ref
         )
 
+    def has_room(
+        self, ref: types.AdapterRef, evict: Collection[types.AdapterRef]
+    ) -> bool:
+        """Return whether an adapter fits after an eviction.
+
+        Args:
+            ref: The adapter to load.
+            evict: Adapters to evict; those that are gone free no slot.
+        """
+        settled = self._resident.difference(evict, self._unsettled_by_ref)
+        return len(settled | {ref}) <= self.slots
+
     def is_unsettled(self, ref: types.AdapterRef) -> bool:
         """Return whether an order for an adapter may still take effect."""
         return ref in self._unsettled_by_ref
--- a/tests/sidecar/test_orders.py
+++ b/tests/sidecar/test_orders.py
@@ -240,3 +240,27 @@
     )
     sidecar_bench.stop()
     assert outcome.ok is (running == 0)
+
+
+@pytest.mark.parametrize('evict', [(), (types.AdapterRef('acme', 'gone', 1),)])
+def test_full_engine_gets_no_order(engine_bench, evict):
+    """Guards against loads beyond the slots, by a plan of an older status."""
+    for name in ('a', 'b', 'c'):
+        ref = types.AdapterRef('acme', name, 1)
+        assert engine_bench.upstream_host.load(bench.order(ref)).ok
+    sent = []
+    engine_bench.upstream_host.http.load = lambda *order: sent.append(order)
+    outcome = engine_bench.upstream_host.load(bench.order(bench.OTHER, *evict))
+    assert (outcome.code, sent) == ('busy', [])
+
+
+def test_adapter_whose_load_is_unsettled_uses_a_slot(engine_bench):
+    """Guards against a load into the slot of one that may yet be loaded."""
+    for name in ('a', 'b'):
+        ref = types.AdapterRef('acme', name, 1)
+        assert engine_bench.upstream_host.load(bench.order(ref)).ok
+    engine_bench.upstream_host.residency.mark_unsettled(
+        types.AdapterRef('acme', 'c', 1), is_load=True, is_same_process=True
+    )
+    outcome = engine_bench.upstream_host.load(bench.order(bench.OTHER))
+    assert outcome.code == 'busy'
