--- a/ivystep/sidecar/orders.py
+++ b/ivystep/sidecar/orders.py
@@ -86,7 +86,7 @@
                 reason = f'{ref.lora_name} is serving a request.'
                 return types.LoadResult(False, 'adapter_in_use', reason)
         # The planner judged the slots by an earlier status.
-        if not upstream_host.residency.has_slot(order.evict):
+        if not upstream_host.residency.has_room(order.ref, order.evict):
             return types.LoadResult(False, 'no_slot', 'No slot is free.')
         return None
 
--- a/ivystep/sidecar/residency.py
+++ b/ivystep/sidecar/residency.py
@@ -101,14 +101,17 @@
             and ref not in self._unsettled_by_ref
         )
 
-    def has_slot(self, evicted: Iterable[types.AdapterRef]) -> bool:
-        """Return whether a further adapter fits once others are evicted.
+    def has_room(
+        self, ref: types.AdapterRef, evict: Collection[types.AdapterRef]
+    ) -> bool:
+        """Return whether an adapter fits after an eviction.
 
         Args:
-            evicted: Adapters to evict; absent ones make no room.
+            ref: The adapter to load.
+            evict: Adapters to evict; those that are gone free no slot.
         """
-        held = self._resident | self._unsettled_by_ref.keys()
-        return len(held.difference(evicted)) < self._slots
+        settled = self._resident.difference(evict, self._unsettled_by_ref)
+        return len(settled | {ref}) <= self.slots
 
     def is_unsettled(self, ref: types.AdapterRef) -> bool:
         """Return whether an order for an adapter may still take effect."""
