--- a/ivystep/core/types.py
+++ b/ivystep/core/types.py
@@ -210,12 +210,15 @@
 
     Attributes:
         planner: Process id of the entry that plans the loads of the pool.
+        sidecar_incarnation: Incarnation of the sidecar whose status the order
+            is based on; empty if none has reported it.
     """
 
     ref: AdapterRef
     source: str
     evict: tuple[AdapterRef, ...]
     planner: str
+    sidecar_incarnation: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/ivystep/entry/load_runner.py
+++ b/ivystep/entry/load_runner.py
@@ -20,6 +20,7 @@
         'fenced',
         'link_failed',
         'not_owner',
+        'wrong_incarnation',
     )
 )
 
--- a/ivystep/entry/planner.py
+++ b/ivystep/entry/planner.py
@@ -281,6 +281,7 @@
             source=wanted.source,
             evict=() if chosen.victim is None else (chosen.victim,),
             planner=self._process_id,
+            sidecar_incarnation=chosen.view.status.sidecar_incarnation,
         )
         self._admission.record_ordered(wanted.ref, now)
         self._targets.discard(chosen.view.status.upstream_id)
--- a/ivystep/sidecar/server.py
+++ b/ivystep/sidecar/server.py
@@ -5,7 +5,7 @@
 
 import eventlet
 
-from ivystep.core import errors
+from ivystep.core import errors, types
 from ivystep.runtime import clock, logs
 from ivystep.sidecar import host, run
 from ivystep.wire import channel, convert, handshake
@@ -90,7 +90,7 @@
     upstream_host.setup_version = max(
         upstream_host.setup_version, message.setup_version
     )
-    outcome = upstream_host.load(convert.load_order(message))
+    outcome = _load(convert.load_order(message), upstream_host)
     link.send(ttypes.LoadResult(outcome.ok, outcome.code, outcome.reason))
 
 
@@ -109,3 +109,14 @@
             # Crash evidence is sent without this delay: the caller may repeat
             # the request through another entry.
             clock.sleep(STATUS_COALESCE_S)
+
+
+def _load(
+    order: types.LoadOrder, upstream_host: host.UpstreamHost
+) -> types.LoadResult:
+    if order.sidecar_incarnation not in {'', upstream_host.incarnation}:
+        # The order is based on the state before the restart.
+        return types.LoadResult(
+            False, 'wrong_incarnation', 'The sidecar was restarted.'
+        )
+    return upstream_host.load(order)
--- a/ivystep/wire/convert.py
+++ b/ivystep/wire/convert.py
@@ -65,6 +65,7 @@
         evict=[adapter_id(ref) for ref in order.evict],
         planner=order.planner,
         setup_version=setup_version,
+        sidecar_incarnation=order.sidecar_incarnation or None,
     )
 
 
@@ -75,6 +76,7 @@
         source=message.source,
         evict=tuple(adapter_ref(item) for item in message.evict),
         planner=message.planner,
+        sidecar_incarnation=message.sidecar_incarnation or '',
     )
 
 
--- a/ivystep/wire/gen/ttypes.py
+++ b/ivystep/wire/gen/ttypes.py
@@ -1126,6 +1126,7 @@
      - evict
      - planner
      - setup_version
+     - sidecar_incarnation
 
     """
 
@@ -1135,15 +1136,17 @@
         'evict',
         'planner',
         'setup_version',
+        'sidecar_incarnation',
     )
 
 
-    def __init__(self, adapter=None, source=None, evict=None, planner=None, setup_version=None,):
+    def __init__(self, adapter=None, source=None, evict=None, planner=None, setup_version=None, sidecar_incarnation=None,):
         self.adapter = adapter
         self.source = source
         self.evict = evict
         self.planner = planner
         self.setup_version = setup_version
+        self.sidecar_incarnation = sidecar_incarnation
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1186,6 +1189,11 @@
                     self.setup_version = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRING:
+                    self.sidecar_incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1219,6 +1227,10 @@
             oprot.writeFieldBegin('setup_version', TType.I64, 5)
             oprot.writeI64(self.setup_version)
             oprot.writeFieldEnd()
+        if self.sidecar_incarnation is not None:
+            oprot.writeFieldBegin('sidecar_incarnation', TType.STRING, 6)
+            oprot.writeString(self.sidecar_incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.sidecar_incarnation)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -5090,6 +5102,7 @@
     (3, TType.LIST, 'evict', (TType.STRUCT, [AdapterId, None], False), None, ),  # 3
     (4, TType.STRING, 'planner', 'UTF8', None, ),  # 4
     (5, TType.I64, 'setup_version', None, None, ),  # 5
+    (6, TType.STRING, 'sidecar_incarnation', 'UTF8', None, ),  # 6
 )
 all_structs.append(LoadResult)
 LoadResult.thrift_spec = (
--- a/ivystep/wire/ivystep.thrift
+++ b/ivystep/wire/ivystep.thrift
@@ -79,12 +79,15 @@
   2: string ran
 }
 
+// sidecar_incarnation is that of the status on which the order is based; older
+// releases leave it out.
 struct LoadAdapter {
   1: AdapterId adapter
   2: string source
   3: list<AdapterId> evict
   4: string planner
   5: i64 setup_version
+  6: optional string sidecar_incarnation
 }
 
 struct LoadResult {
--- a/tests/entry/pool_fakes.py
+++ b/tests/entry/pool_fakes.py
@@ -58,6 +58,8 @@
 
     def load(self, order, setup_version):
         self.orders.append((clock.now(), order))
+        # An order without it would be carried out by a restarted sidecar.
+        assert order.sidecar_incarnation == self.incarnation
         assert not any(self.running.get(victim) for victim in order.evict)
         for victim in order.evict:
             del self.running[victim]
--- a/tests/entry/test_links.py
+++ b/tests/entry/test_links.py
@@ -1,5 +1,7 @@
 """Tests of the links from an entry to a sidecar at another's address."""
 
+import dataclasses
+
 import eventlet
 import pytest
 import trustme
@@ -118,3 +120,21 @@
     assert failed.value.code == 'upstream_unavailable'
     assert failed.value.ran is types.ExecutionStatus.NO
     assert isinstance(failed.value.__cause__, errors.MisdirectedError)
+
+
+@pytest.mark.parametrize('is_earlier', [True, False])
+def test_load_planned_for_an_earlier_sidecar_process_is_refused(
+    link, other, is_earlier
+):
+    """Guards against evictions chosen by the state before a restart."""
+    incarnation = other.upstream_host.incarnation
+    named = 'inc-earlier' if is_earlier else incarnation
+    same_host = links.ThriftLink(
+        'self', handshake.Addressee('up-2', other.address), link._contexts
+    )
+    result = same_host.load(
+        dataclasses.replace(ORDER, sidecar_incarnation=named), 1
+    )
+    assert (result.ok, len(other.loads)) == (not is_earlier, not is_earlier)
+    if is_earlier:
+        assert result.code == 'wrong_incarnation'
