--- a/ivystep/entry/load_runner.py
+++ b/ivystep/entry/load_runner.py
@@ -21,6 +21,7 @@
         'link_failed',
         'no_slot',
         'not_owner',
+        'wrong_incarnation',
     )
 )
 
