--- a/ivystep/accounts/admission.py
+++ b/ivystep/accounts/admission.py
@@ -3,6 +3,7 @@
 A deployment without quotas admits all requests.
 """
 
+import dataclasses
 import typing
 
 from ivystep.traffic import calls, contracts
@@ -10,27 +11,46 @@
 REQUEST_COST = 1.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Charge:
+    """What a request was charged.
+
+    Attributes:
+        account: Name of the account.
+        amount: Charged amount, in the unit of the quota.
+        quota: Quota that was in force.
+    """
+
+    account: str
+    amount: int
+    quota: contracts.Quota
+
+
 class Admission(typing.Protocol):
     """Admits requests by the quotas of their accounts."""
 
-    def admit(self, account: contracts.ClientAccount, cost: float) -> None:
+    def admit(
+        self, account: contracts.ClientAccount, cost: float
+    ) -> Charge | None:
         """Charge a request to its account; may wait for a short time.
 
         Args:
             account: The account.
             cost: What the request costs; see ``request_cost``.
 
+        Returns:
+            The charge; None if the account had no limit.
+
         Raises:
             errors.RefusedError: The account is over its limit. Nothing was
                 charged.
         """
 
-    def refund(self, account: contracts.ClientAccount, cost: float) -> None:
+    def refund(self, charge: Charge | None) -> None:
         """Return what was charged for a request that was refused and not run.
 
         Args:
-            account: The account that was charged.
-            cost: What was charged.
+            charge: What ``admit`` has returned.
         """
 
 
@@ -40,7 +60,7 @@
     def admit(self, account: contracts.ClientAccount, cost: float) -> None:
         """See ``Admission``."""
 
-    def refund(self, account: contracts.ClientAccount, cost: float) -> None:
+    def refund(self, charge: Charge | None) -> None:
         """See ``Admission``."""
 
 
--- a/ivystep/gateway/requests/request_handler.py
+++ b/ivystep/gateway/requests/request_handler.py
@@ -122,12 +122,12 @@
             self._dispatcher.run(call, route, connection.answer)
             return
         cost = account_admission.request_cost(account.quota, call)
-        self._admission.admit(account, cost)
+        charge = self._admission.admit(account, cost)
         try:
             self._dispatcher.run(call, route, connection.answer, account)
         except errors.RequestError as error:
             if error.ran is types.ExecutionStatus.NO:
-                self._admission.refund(account, cost)
+                self._admission.refund(charge)
             raise
 
     def _record(
--- a/ivystep/quotas/admission.py
+++ b/ivystep/quotas/admission.py
@@ -3,6 +3,7 @@
 import math
 import typing
 
+from ivystep.accounts import admission as account_admission
 from ivystep.core import errors
 from ivystep.metrics import registry
 from ivystep.quotas import (
@@ -43,6 +44,7 @@
         log: event_log.EventLog,
     ) -> None:
         self._limit_by_account: dict[str, reports.Limit] = {}
+        self._quota_by_account: dict[str, contracts.Quota] = {}
         self._is_configured = False
         self._metrics = quota_metrics.QuotaMetrics(metrics)
         self._log = log
@@ -94,13 +96,15 @@
 
     def on_config(self, config: contracts.RouteConfig) -> None:
         """Apply the limits of a new configuration at once."""
-        limits = {
-            account.name: reports.Limit(
-                account.quota.rate_per_s, account.quota.burst
-            )
+        self._quota_by_account = {
+            account.name: account.quota
             for account in _accounts(config)
             if account.quota.is_limited
         }
+        limits = {
+            name: reports.Limit(quota.rate_per_s, quota.burst)
+            for name, quota in self._quota_by_account.items()
+        }
         changed = [
             name
             for name in self._credit.account_names
@@ -122,20 +126,26 @@
                 )
             )
 
-    def admit(self, account: contracts.ClientAccount, cost: float) -> None:
+    def admit(
+        self, account: contracts.ClientAccount, cost: float
+    ) -> account_admission.Charge | None:
         """Charge a request to its account; may wait for a short time.
 
         Args:
             account: The account.
             cost: What the request costs.
 
+        Returns:
+            The charge; None if the account had no limit.
+
         Raises:
             errors.RefusedError: The account is over its limit. Nothing was
                 charged.
         """
         limit = self._limit_by_account.get(account.name)
         if limit is None:
-            return
+            return None
+        quota = self._quota_by_account[account.name]
         amount = _amount(cost)
         waiter = self._credit.decide(
             account.name, limit, amount, clock.uptime()
@@ -151,25 +161,30 @@
                 retry_after_s=waiter.retry_after_s,
                 step='quota',
             )
+        if not waiter.is_charged:
+            return None
+        return account_admission.Charge(account.name, amount, quota)
 
-    def refund(self, account: contracts.ClientAccount, cost: float) -> None:
+    def refund(self, charge: account_admission.Charge | None) -> None:
         """Return what was charged for a request that was refused and not run.
 
+        A charge under another quota is not returned under the present one.
+
         Args:
-            account: The account that was charged.
-            cost: What was charged.
+            charge: What ``admit`` has returned.
         """
-        if account.name in self._limit_by_account:
-            amount = _amount(cost)
-            self._credit.refund(account.name, amount)
-            self._record(account.name, 'refunded', amount)
+        if charge is None:
+            return
+        if self._quota_by_account.get(charge.account) == charge.quota:
+            self._credit.refund(charge.account, charge.amount)
+            self._record(charge.account, 'refunded', charge.amount)
 
     def _wait(self, waiter: host_accounts.Waiter) -> None:
         """Wait for the leader; a caller that leaves gets its charge back."""
         try:
             self._exchange.wait(waiter)
         except BaseException:
-            if waiter.decision is host_accounts.Decision.ADMITTED:
+            if waiter.is_charged:
                 self._credit.refund(waiter.account, waiter.cost)
             raise
 
--- a/ivystep/quotas/host_accounts.py
+++ b/ivystep/quotas/host_accounts.py
@@ -42,6 +42,8 @@
     Attributes:
         sequence: Report that has told its cost; 0 if none has.
         retry_after_s: Time after which a refused request may succeed.
+        is_charged: Whether credit or the fallback share was used. A request
+            of an account without a limit is admitted without a charge.
     """
 
     account: str
@@ -49,6 +51,7 @@
     decision: Decision = Decision.WAIT
     sequence: int = 0
     retry_after_s: float = UNKNOWN_RETRY_S
+    is_charged: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/ivystep/quotas/host_credit.py
+++ b/ivystep/quotas/host_credit.py
@@ -301,6 +301,7 @@
         now: float,
     ) -> None:
         found.spend(waiter.cost, now)
+        waiter.is_charged = True
         waiter.decision = Decision.ADMITTED
         # The bucket does not refill while its burst is granted and not
         # reported as spent.
@@ -320,6 +321,7 @@
         waiter.retry_after_s = max(wait_s, host_accounts.MIN_RETRY_S)
         if not wait_s:
             found.fallback += waiter.cost
+            waiter.is_charged = True
             waiter.decision = Decision.ADMITTED
         elif self._fallback.is_active(self.contact, now):
             waiter.decision = Decision.REFUSED
--- a/tests/gateway/requests/test_accounts.py
+++ b/tests/gateway/requests/test_accounts.py
@@ -8,6 +8,7 @@
 import pytest
 from pythonjsonlogger import orjson
 
+from ivystep.accounts import admission as admissions
 from ivystep.cli import explain
 from ivystep.core import errors, ids, types
 from ivystep.gateway.requests import account_metrics, request_handler
@@ -238,9 +239,10 @@
         if self.refusal is not None:
             raise self.refusal
         self.calls.append(('admit', account.name, cost))
+        return admissions.Charge(account.name, cost, account.quota)
 
-    def refund(self, account, cost):
-        self.calls.append(('refund', account.name, cost))
+    def refund(self, charge):
+        self.calls.append(('refund', charge.account, charge.amount))
 
 
 class HandledRequest:
--- a/tests/quotas/test_admission.py
+++ b/tests/quotas/test_admission.py
@@ -104,10 +104,9 @@
         # Shares are equal after a few reports of each host.
         clock.sleep(4)
 
-    def configure(self, version, **quota):
+    def configure(self, version, unit=contracts.QuotaUnit.TOKENS, **quota):
         self.account = contracts.ClientAccount(
-            'team-a',
-            quota=contracts.Quota(contracts.QuotaUnit.TOKENS, **quota),
+            'team-a', quota=contracts.Quota(unit, **quota)
         )
         config = contracts.RouteConfig.from_routes(
             version,
@@ -163,13 +162,44 @@
     """Guards against charges for requests that have not run."""
     cluster = Cluster(monkeypatch, rate_per_s=10, burst=1_000)
     host = cluster.hosts[1]
-    assert not host.admit(cluster.account, 1_000)
+    charge = host.admission.admit(cluster.account, 1_000)
     assert host.admit(cluster.account, 900)
-    host.admission.refund(cluster.account, 1_000)
+    host.admission.refund(charge)
     clock.sleep(0.4)
     assert not host.admit(cluster.account, 900)
 
 
+@clocks.on_virtual_clock
+def test_request_that_was_not_charged_is_not_refunded(monkeypatch):
+    """Guards against credit for a request from before there was a limit."""
+    cluster = Cluster(monkeypatch)
+    host = cluster.hosts[1]
+    charge = host.admission.admit(cluster.account, 5_000)
+    cluster.configure(2, rate_per_s=1, burst=1_000)
+    clock.sleep(10)
+    assert not host.admit(cluster.account, 1_000)
+    host.admission.refund(charge)
+    clock.sleep(0.6)
+    assert host.admit(cluster.account, 900)
+
+
+@clocks.on_virtual_clock
+@pytest.mark.parametrize(
+    'unit', [contracts.QuotaUnit.REQUESTS, contracts.QuotaUnit.TOKENS]
+)
+def test_charge_of_an_earlier_quota_is_not_refunded(monkeypatch, unit):
+    """Guards against a refund in the unit or the size of another quota."""
+    cluster = Cluster(monkeypatch, rate_per_s=100, burst=50_000)
+    host = cluster.hosts[1]
+    charge = host.admission.admit(cluster.account, 1_000)
+    cluster.configure(2, rate_per_s=100, burst=1_000, unit=unit)
+    clock.sleep(20)
+    assert not host.admit(cluster.account, 1_000)
+    host.admission.refund(charge)
+    clock.sleep(0.6)
+    assert host.admit(cluster.account, 900)
+
+
 @clocks.on_virtual_clock
 def test_silent_leader_delays_a_request_by_a_bounded_time(monkeypatch):
     """Guards against requests that wait for a leader that has failed."""
