--- a/ivystep/coordination/lease.py
+++ b/ivystep/coordination/lease.py
@@ -419,10 +419,11 @@
             self._key, record.to_value(), self._version, self._row_read
         )
         try:
-            self._rows.transact((put,))
+            state = self._rows.transact((put,))
         except (errors.ConflictError, errors.UncertainWriteError):
             return self._read_back() == record.write_id
         self._record_write(record, self._version + 1)
+        self._row_read = state
         return True
 
     def _read_back(self) -> str:
@@ -437,7 +438,7 @@
             errors.UncertainWriteError: The write may still take effect.
         """
         row = self._read()
-        if row is None or row.version == self._version:
+        if row is None or self._is_replaced_row(row):
             raise errors.UncertainWriteError(
                 'the table service did not answer', step='write lease'
             )
@@ -450,6 +451,12 @@
         self._row_read = row.read
         return record.write_id
 
+    def _is_replaced_row(self, row: table.Row) -> bool:
+        """Return whether a row is still the one that a write replaces."""
+        is_known = row.read is not None and self._row_read is not None
+        is_same = row.read == self._row_read or not is_known
+        return row.version == self._version and is_same
+
     def _record_write(self, record: lease_row.Record, version: int) -> None:
         """Record a write of this object that took effect.
 
@@ -459,8 +466,6 @@
         sent_at = self._sent_at_by_write_id[record.write_id]
         self._sent_at_by_write_id = {record.write_id: sent_at}
         self._version = version
-        # The state of a write is known to the table's client only.
-        self._row_read = None
         self._row_token = record.token
         self.token = record.token
         self._remember(record)
--- a/ivystep/platform/table.py
+++ b/ivystep/platform/table.py
@@ -102,9 +102,13 @@
             errors.UnavailableError: The row could not be read.
         """
 
-    def transact(self, puts: Sequence[Put]) -> None:
+    def transact(self, puts: Sequence[Put]) -> ReadState | None:
         """Apply all puts atomically.
 
+        Returns:
+            State of the written rows, as if they had been read; None if it is
+            unknown.
+
         Raises:
             errors.ConflictError: A row has another version; none was applied.
             errors.UnavailableError: None was applied.
@@ -176,7 +180,7 @@
             return None
         return self._row(page.rows[0])
 
-    def transact(self, puts: Sequence[Put]) -> None:
+    def transact(self, puts: Sequence[Put]) -> ReadState:
         """Apply all puts atomically; see ``Table.transact``."""
         writes = [self._write(put) for put in puts]
         try:
@@ -188,6 +192,7 @@
             self._cache_versions(
                 put.key, _Versions(put.expected_version + 1, store_version)
             )
+        return ReadState(store_version, self.era)
 
     def scan(self, prefix: str, after: str = '') -> Iterator[Row]:
         """Read all rows with a prefix; see ``Table.scan``."""
--- a/tests/platform/test_rows.py
+++ b/tests/platform/test_rows.py
@@ -6,7 +6,7 @@
 import eventlet
 import pytest
 
-from ivystep.coordination import cas
+from ivystep.coordination import cas, lease
 from ivystep.core import errors
 from ivystep.platform import http, rows, table
 from standins import table as table_standin
@@ -233,3 +233,28 @@
         return [*content, 'third']
 
     assert cas.update(client, 'a', change) == ['first', 'second', 'third']
+
+
+@pytest.mark.parametrize('is_restored', [True, False])
+def test_renewal_is_not_written_onto_another_row_of_the_same_version(
+    store, is_restored
+):
+    """Guards against a renewal in place of another holder's row.
+
+    Another task of the process has read that row.
+    """
+    standin, url = store
+    copied = standin.copy()
+    client = table.TableClient(url, 2)
+    held = lease.Lease(client, 'lease', 'here', 100)
+    held.acquire()
+    if is_restored:
+        standin.restore(copied)
+    else:
+        standin.write(table.TABLE, 'lease', None)
+    lease.Lease(table.TableClient(url, 2), 'lease', 'there', 0.5).acquire()
+    assert client.get('lease').value['holder_id'] == 'there'
+    with pytest.raises(errors.ConflictError):
+        held._renew()
+    assert not held.is_held()
+    assert client.get('lease').value['holder_id'] == 'there'
