--- a/tests/console/test_console.py
+++ b/tests/console/test_console.py
@@ -266,3 +266,23 @@
     assert in_force(platform).accounts[0].weight == 1
     ama.post('/draft/submit', **hidden_fields(ama.text))
     assert in_force(platform).accounts[0].weight == 7
+
+
+def test_draft_of_a_lost_version_is_not_submitted_onto_another_one(
+    platform, console_app
+):
+    """Guards against a base version whose number stands for another document.
+
+    The store was restored from a copy, and others have submitted since.
+    """
+    old_rows = dict(platform.rows.row_by_key)
+    ama = browser.Browser(console_app, 'ama')
+    ama.post('/part/accounts/vanhoutte', weight='2')
+    ama.post('/draft/submit')
+    ama.post('/new/pools', name='extra')
+    platform.rows.row_by_key = old_rows
+    other = browser.Browser(browser.console(platform), 'kofi')
+    other.post('/part/accounts/vanhoutte', weight='3')
+    other.post('/draft/submit')
+    ama.post('/draft/submit')
+    assert in_force(platform).accounts[0].weight == 3
