--- a/ivystep/gateway/loads/engine_link.py
+++ b/ivystep/gateway/loads/engine_link.py
@@ -92,7 +92,7 @@
         )
         self._lock = semaphore.Semaphore(1)
         self._report: upstreams.EngineReport | None = None
-        self._report_sent_at = 0.0
+        self._report_asked_at = 0.0
 
     def load(
         self, order: types.LoadOrder, setup_version: int
@@ -212,7 +212,7 @@
         return self._slot_usage.room(
             ref,
             report,
-            self._report_sent_at,
+            self._report_asked_at,
             self._context.adapter_slots(
                 self._upstream, report.held_model_by_name
             ),
@@ -366,20 +366,19 @@
         if (
             is_new
             or self._report is None
-            or clock.now() > self._report_sent_at + MAX_REPORT_AGE_S
+            or clock.now() > self._report_asked_at + MAX_REPORT_AGE_S
         ):
             return self._read_report()
         return self._report
 
     def _read_report(self) -> upstreams.EngineReport:
-        sent_at = clock.now()
-        report = engine_reports.read_report(
+        report, asked_at = engine_reports.read_report(
             self._context.api, self._upstream, self._context.log
         )
         # The polling of a load may read at the same time.
-        if self._report is None or sent_at >= self._report_sent_at:
+        if self._report is None or asked_at >= self._report_asked_at:
             self._report = report
-            self._report_sent_at = sent_at
+            self._report_asked_at = asked_at
         return report
 
 
--- a/ivystep/gateway/loads/engine_reports.py
+++ b/ivystep/gateway/loads/engine_reports.py
@@ -11,7 +11,7 @@
     api: orders.EngineApi,
     upstream: upstream_state.Upstream,
     log: event_log.EventLog,
-) -> upstreams.EngineReport:
+) -> tuple[upstreams.EngineReport, float]:
     """Read an engine's report and update the known state of the engine.
 
     Args:
@@ -20,7 +20,7 @@
         log: Event log of failed reads.
 
     Returns:
-        The report.
+        The report, and the time of the call that it answers.
 
     Raises:
         errors.MisdirectedError: The report is not of the incarnation that is
@@ -37,8 +37,9 @@
     except errors.LinkError as error:
         log.write(leader_events.ReportFailed(upstream.upstream_id, str(error)))
         raise
-    upstream.on_report(report, sent_at)
-    return report
+    asked_at = sent_at if report.asked_at is None else report.asked_at
+    upstream.on_report(report, asked_at)
+    return report, asked_at
 
 
 def _request(
--- a/ivystep/platform/engine_api.py
+++ b/ivystep/platform/engine_api.py
@@ -4,6 +4,7 @@
 it at most once, because it states the expected number of earlier orders.
 """
 
+import dataclasses
 import json
 import types
 
@@ -43,11 +44,14 @@
             errors.MisdirectedError: Another upstream is at the address.
             errors.LinkError: The engine sent no valid report.
         """
-        call = engine_connections.Call(engine, 'report', 'GET', REPORT_PATH)
+        call = engine_connections.Call(
+            engine, 'report', 'GET', REPORT_PATH, may_be_earlier=True
+        )
         answer = self._connections.send(call)
         if answer.status != 200:
             raise _refusal(answer, call)
-        return upstream_entries.decode_report(answer.body)
+        report = upstream_entries.decode_report(answer.body)
+        return dataclasses.replace(report, asked_at=answer.asked_at)
 
     def send_order(
         self, engine: upstreams.Endpoint, order: orders.Order
--- a/ivystep/platform/engine_connections.py
+++ b/ivystep/platform/engine_connections.py
@@ -1,8 +1,10 @@
 """Connections to model engines, which are kept as far as answers name calls.
 
-An engine may write an answer late or twice, where the next one is due. So a
-connection is kept only if its answers name their calls, and an answer on a kept
-connection is believed only if it names its call.
+An engine may write an answer late or twice, where the next one is due. So an
+answer on a kept connection is believed only if it names its call, once others
+on that connection have done so. A connection without such names serves only
+calls whose answers may be of an earlier one, and for a short time; an answer
+counts as one to the first call on it. All other calls open their own.
 """
 
 import collections
@@ -12,7 +14,7 @@
 
 from ivystep.core import errors, ids, units
 from ivystep.platform import bounded_answers, header_names
-from ivystep.runtime import sockets
+from ivystep.runtime import clock, sockets
 from ivystep.traffic import upstreams
 
 # An engine answers within a few milliseconds.
@@ -26,6 +28,10 @@
 MAX_ANSWER_BYTES = units.MIB
 CALL_ID = header_names.REQUEST_ID.decode()
 EXPECTED_UPSTREAM = header_names.EXPECTED_UPSTREAM.decode()
+SUCCESS_STATUS = 200
+# Time from the first call on a connection without names until the last one,
+# and so the greatest additional age of an answer.
+MAX_UNNAMED_S = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,6 +41,8 @@
     Attributes:
         endpoint: The engine that is meant; another upstream refuses the call.
         step: Name of the call in errors.
+        may_be_earlier: Whether an answer to an earlier call of its kind does
+            no harm, as its age is known.
     """
 
     endpoint: upstreams.Endpoint
@@ -43,6 +51,7 @@
     path: str
     body: bytes | None = None
     headers: tuple[tuple[str, str], ...] = ()
+    may_be_earlier: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,11 +60,13 @@
 
     Attributes:
         call_id: Id of the call, under which it stands in logs.
+        asked_at: Time at which the first call was sent that it may answer.
     """
 
     status: int
     body: bytes
     call_id: str
+    asked_at: float
 
 
 class _Connection:
@@ -65,13 +76,14 @@
         address: IP address and port of the engine.
 
     Attributes:
-        may_be_kept: Whether another call may use it, because its last answer
-            has named its call.
+        names_calls: Whether its last answer has named its call.
+        may_be_kept: Whether another call may use it.
     """
 
     def __init__(self, address: tuple[str, int]) -> None:
+        self.names_calls = False
         self.may_be_kept = False
-        self._names_calls = False
+        self._first_call_at: float | None = None
         self._pool = bounded_answers.pool(
             address,
             MAX_ANSWER_BYTES,
@@ -85,6 +97,13 @@
         """Reset the connection."""
         self._pool.close()
 
+    def is_usable_for(self, call: Call) -> bool:
+        """Return whether a call may be sent on this idle connection."""
+        if self.names_calls:
+            return True
+        age_s = clock.now() - (self._first_call_at or 0.0)
+        return call.may_be_earlier and age_s < MAX_UNNAMED_S
+
     def send(self, call: Call) -> Answer:
         """Send a call and read the answer.
 
@@ -92,6 +111,8 @@
             errors.LinkError: No answer to this call was received.
         """
         self.may_be_kept = False
+        if self._first_call_at is None or self.names_calls:
+            self._first_call_at = clock.now()
         call_id = ids.new_id('call')
         try:
             with bounded_answers.deadline(CALL_TIMEOUT_S):
@@ -126,18 +147,22 @@
         if len(content) > MAX_ANSWER_BYTES:
             raise self._failure(call, call_id, 'the answer is too long')
         response.release_conn()
-        self.may_be_kept = self._names_calls
-        return Answer(response.status, content, call_id)
+        # A refusal without a name would be believed where it comes once more.
+        is_harmless = call.may_be_earlier and response.status == SUCCESS_STATUS
+        self.may_be_kept = self.names_calls or is_harmless
+        return Answer(
+            response.status, content, call_id, self._first_call_at or 0.0
+        )
 
     def _check_name(
         self, response: urllib3.BaseHTTPResponse, call: Call, call_id: str
     ) -> None:
         named = response.headers.get(CALL_ID, '')
-        if named != call_id and (named or self._names_calls):
+        if named != call_id and (named or self.names_calls):
             raise self._failure(
                 call, call_id, f'the answer names the call {named!r}'
             )
-        self._names_calls = named == call_id
+        self.names_calls = named == call_id
 
     def _failure(
         self, call: Call, call_id: str, reason: str
@@ -175,18 +200,21 @@
                 connection.close()
 
     def _take(self, call: Call) -> _Connection:
-        idle = self._idle_by_engine.get(call.endpoint)
-        return idle.pop() if idle else _Connection(call.endpoint.address)
+        idle = self._idle_by_engine.get(call.endpoint, [])
+        for connection in reversed(idle):
+            if connection.is_usable_for(call):
+                idle.remove(connection)
+                return connection
+        return _Connection(call.endpoint.address)
 
     def _keep(
         self, engine: upstreams.Endpoint, connection: _Connection
     ) -> None:
         idle = self._idle_by_engine.setdefault(engine, [])
         self._idle_by_engine.move_to_end(engine)
-        if len(idle) < MAX_IDLE:
-            idle.append(connection)
-        else:
-            connection.close()
+        idle.append(connection)
+        if len(idle) > MAX_IDLE:
+            idle.pop(0).close()
         if len(self._idle_by_engine) > MAX_ENGINES:
             _, removed = self._idle_by_engine.popitem(last=False)
             for unused in removed:
--- a/ivystep/traffic/upstreams.py
+++ b/ivystep/traffic/upstreams.py
@@ -112,6 +112,8 @@
         queued: Number of requests in the engine's queue.
         running: Number of requests that the engine runs.
         kv_used: Tokens in the KV cache that cannot be evicted.
+        asked_at: Time at which the first call was sent that it may answer; None
+            if that is the call that it was read by.
     """
 
     started_at_ms: int
@@ -122,3 +124,4 @@
     queued: int
     running: int
     kv_used: int
+    asked_at: float | None = None
