--- a/ivystep/gateway/loads/engine_link.py
+++ b/ivystep/gateway/loads/engine_link.py
@@ -92,7 +92,9 @@
         )
         self._lock = semaphore.Semaphore(1)
         self._report: upstreams.EngineReport | None = None
+        # The report may answer an earlier call than that by which it was read.
         self._report_asked_at = 0.0
+        self._report_read_at = 0.0
 
     def load(
         self, order: types.LoadOrder, setup_version: int
@@ -366,12 +368,13 @@
         if (
             is_new
             or self._report is None
-            or clock.now() > self._report_asked_at + MAX_REPORT_AGE_S
+            or clock.now() > self._report_read_at + MAX_REPORT_AGE_S
         ):
             return self._read_report()
         return self._report
 
     def _read_report(self) -> upstreams.EngineReport:
+        read_at = clock.now()
         report, asked_at = engine_reports.read_report(
             self._context.api, self._upstream, self._context.log
         )
@@ -379,6 +382,7 @@
         if self._report is None or asked_at >= self._report_asked_at:
             self._report = report
             self._report_asked_at = asked_at
+            self._report_read_at = read_at
         return report
 
 
--- a/ivystep/platform/engine_connections.py
+++ b/ivystep/platform/engine_connections.py
@@ -31,7 +31,7 @@
 SUCCESS_STATUS = 200
 # Time from the first call on a connection without names until the last one,
 # and so the greatest additional age of an answer.
-MAX_UNNAMED_S = 1.0
+MAX_UNNAMED_S = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
