--- a/ivystep/platform/engine_connections.py
+++ b/ivystep/platform/engine_connections.py
@@ -3,8 +3,9 @@
 An engine may write an answer late or twice, where the next one is due. So an
 answer on a kept connection is believed only if it names its call, once others
 on that connection have done so. A connection without such names serves only
-calls whose answers may be of an earlier one, and for a short time; an answer
-counts as one to the first call on it. All other calls open their own.
+calls whose answers may be of an earlier one. Such an answer is as old as the
+first one with the same content; one that was not read before is new, because a
+connection with unread bytes is not used. All other calls open their own.
 """
 
 import collections
@@ -29,9 +30,8 @@
 CALL_ID = header_names.REQUEST_ID.decode()
 EXPECTED_UPSTREAM = header_names.EXPECTED_UPSTREAM.decode()
 SUCCESS_STATUS = 200
-# Time from the first call on a connection without names until the last one,
-# and so the greatest additional age of an answer.
-MAX_UNNAMED_S = 4.0
+# Calls on a connection without names, whose answers are remembered.
+MAX_UNNAMED_CALLS = 256
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,7 +60,8 @@
 
     Attributes:
         call_id: Id of the call, under which it stands in logs.
-        asked_at: Time at which the first call was sent that it may answer.
+        asked_at: Time at which the call was sent that it answers; if it is the
+            same as an earlier answer, that of the earlier one.
     """
 
     status: int
@@ -83,7 +84,7 @@
     def __init__(self, address: tuple[str, int]) -> None:
         self.names_calls = False
         self.may_be_kept = False
-        self._first_call_at: float | None = None
+        self._asked_at_by_content: dict[bytes, float] = {}
         self._pool = bounded_answers.pool(
             address,
             MAX_ANSWER_BYTES,
@@ -101,8 +102,8 @@
         """Return whether a call may be sent on this idle connection."""
         if self.names_calls:
             return True
-        age_s = clock.now() - (self._first_call_at or 0.0)
-        return call.may_be_earlier and age_s < MAX_UNNAMED_S
+        is_short = len(self._asked_at_by_content) < MAX_UNNAMED_CALLS
+        return call.may_be_earlier and is_short
 
     def send(self, call: Call) -> Answer:
         """Send a call and read the answer.
@@ -111,8 +112,6 @@
             errors.LinkError: No answer to this call was received.
         """
         self.may_be_kept = False
-        if self._first_call_at is None or self.names_calls:
-            self._first_call_at = clock.now()
         call_id = ids.new_id('call')
         try:
             with bounded_answers.deadline(CALL_TIMEOUT_S):
@@ -121,6 +120,7 @@
             raise self._failure(call, call_id, str(error)) from error
 
     def _call(self, call: Call, call_id: str) -> Answer:
+        sent_at = clock.now()
         response = self._pool.request(
             call.method,
             call.path,
@@ -134,14 +134,20 @@
             preload_content=False,
         )
         try:
-            return self._read(response, call, call_id)
+            content = self._read(response, call, call_id)
+            return Answer(
+                response.status,
+                content,
+                call_id,
+                self._asked_at(content, sent_at),
+            )
         finally:
             if not self.may_be_kept:
                 response.close()
 
     def _read(
         self, response: urllib3.BaseHTTPResponse, call: Call, call_id: str
-    ) -> Answer:
+    ) -> bytes:
         self._check_name(response, call, call_id)
         content = response.read(MAX_ANSWER_BYTES + 1)
         if len(content) > MAX_ANSWER_BYTES:
@@ -150,9 +156,14 @@
         # A refusal without a name would be believed where it comes once more.
         is_harmless = call.may_be_earlier and response.status == SUCCESS_STATUS
         self.may_be_kept = self.names_calls or is_harmless
-        return Answer(
-            response.status, content, call_id, self._first_call_at or 0.0
-        )
+        return content
+
+    def _asked_at(self, content: bytes, sent_at: float) -> float:
+        """Return the time of the first call that an answer may be for."""
+        if self.names_calls:
+            return sent_at
+        digest = ids.digest(content)
+        return self._asked_at_by_content.setdefault(digest, sent_at)
 
     def _check_name(
         self, response: urllib3.BaseHTTPResponse, call: Call, call_id: str
--- a/tests/platform/test_engine_api.py
+++ b/tests/platform/test_engine_api.py
@@ -108,19 +108,44 @@
     assert second.asked_at == first.asked_at
 
 
-def test_connection_without_names_is_used_for_a_short_time(monkeypatch, start):
-    """Guards against a report of any age, and a connection for each one."""
-    monkeypatch.setattr(engine_connections, 'MAX_UNNAMED_S', 0.3)
-    engine = serving.RepeatingServer((200, REPORT), (200, REPORT))
+class CountingEngine(serving.RepeatingServer):
+    """An engine that names no calls and answers each with a new state."""
+
+    def __init__(self):
+        super().__init__((200, {}), (200, {}))
+        self._calls = 0
+
+    def _serve(self, connection):
+        with contextlib.suppress(OSError, EOFError):
+            while serving.read_call(connection):
+                self._calls += 1
+                state = {**REPORT, 'sequence': self._calls}
+                connection.sendall(serving.encoded(200, state))
+
+
+def test_report_that_was_not_read_before_is_as_old_as_its_call(start):
+    """Guards against reports that are read anew because they seem old."""
+    engine = CountingEngine()
     address = start(engine)
     client = engine_api.EngineClient()
     first = client.read_report(at(address))
-    client.read_report(at(address))
+    eventlet.sleep(0.1)
+    second = client.read_report(at(address))
+    assert second.asked_at >= first.asked_at + 0.1
     assert engine.connections == 1
-    eventlet.sleep(0.35)
-    last = client.read_report(at(address))
+
+
+def test_connection_without_names_is_used_for_some_calls_only(
+    monkeypatch, start
+):
+    """Guards against memory that grows with each answer."""
+    monkeypatch.setattr(engine_connections, 'MAX_UNNAMED_CALLS', 2)
+    engine = CountingEngine()
+    address = start(engine)
+    client = engine_api.EngineClient()
+    for _ in range(4):
+        client.read_report(at(address))
     assert engine.connections == 2
-    assert last.asked_at >= first.asked_at + 0.3
 
 
 def test_report_that_names_its_call_is_as_old_as_that_call(start):
