Share the memory of a gateway out by one plan with a sum

What callers saw: 1,500 connections that stop short of the end of a body ended a gateway of 160 MB, although each connection and the requests together had bounds.

Cause: the kernel's receive buffers, those of connections in the queue of the listener, the read and unparsed bytes of tasks that wait for a turn, and tasks and parsers were in no sum.

Change: a plan of memory_mb with 80 MB at rest, 24 KB a connection, unread bytes of 8 to 64 KB for each open and waiting connection, and the requests. The listener sets the receive buffer; at most 4 KB are read at once. Connections that do not fit are left out, memory_planned and memory_too_small tell the parts.

--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -58,7 +58,6 @@
 from ivystep.stream_origins import origins
 from ivystep.traffic import contracts
 
-BACKLOG = 1024
 EXPIRY_INTERVAL_S = 60.0
 # Heartbeat intervals of an outage in which entries of upstreams may expire.
 # They do after three of silence, of which one may have passed before it.
@@ -255,7 +254,8 @@
             'callers',
             self.settings.addresses.callers,
             self._log.write,
-            BACKLOG,
+            self._server_state.plan.backlog,
+            self._server_state.plan.unread_bytes,
         )
         self._tasks.spawn(
             callers.serve,
@@ -263,6 +263,7 @@
             self._server_state,
             self._request_handler.handle,
         )
+        self._log.write(process_events.memory_event(self._server_state.plan))
         self._log.write(
             process_events.Started(
                 _format_address(self.settings.addresses.callers),
--- a/ivystep/gateway/process_events.py
+++ b/ivystep/gateway/process_events.py
@@ -4,7 +4,8 @@
 import logging
 import typing
 
-from ivystep.runtime import event_log
+from ivystep.core import units
+from ivystep.runtime import event_log, memory_plan
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -21,6 +22,49 @@
     data_centre: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemoryPlanned(event_log.Event):
+    """The memory was shared out; the parts add up to ``sum_mb``.
+
+    Attributes:
+        memory_mb: Memory that the gateway may use.
+        sum_mb: What it uses if callers bring all they can.
+        connections: Callers' connections that may be open at once.
+        left_out: Connections that the descriptors would allow beside those.
+        unread_kb: What the kernel holds unread for each connection.
+        requests_mb: All requests that are buffered.
+    """
+
+    name: typing.ClassVar[str] = 'memory_planned'
+
+    memory_mb: float
+    sum_mb: float
+    connections: int
+    left_out: int
+    unread_kb: float
+    requests_mb: float
+
+    @classmethod
+    def from_plan(cls, plan: memory_plan.MemoryPlan) -> typing.Self:
+        """Return the line for a plan that fits the memory."""
+        return cls(
+            memory_mb=_megabytes(plan.memory_bytes),
+            sum_mb=_megabytes(plan.sum_bytes),
+            connections=plan.connections,
+            left_out=plan.left_out,
+            unread_kb=round(plan.unread_bytes / units.KIB, 1),
+            requests_mb=_megabytes(plan.requests_bytes),
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemoryTooSmall(MemoryPlanned):
+    """The memory is too small for what the gateway needs at least."""
+
+    name: typing.ClassVar[str] = 'memory_too_small'
+    level: typing.ClassVar[int] = logging.WARNING
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Draining(event_log.Event):
     """The process received SIGTERM and stops accepting new work.
@@ -83,3 +127,13 @@
     store_version: int
     error: str
     place: str
+
+
+def memory_event(plan: memory_plan.MemoryPlan) -> MemoryPlanned:
+    """Return the line on how the memory was shared out."""
+    kind = MemoryPlanned if plan.fits else MemoryTooSmall
+    return kind.from_plan(plan)
+
+
+def _megabytes(count: int) -> float:
+    return round(count / memory_plan.MEGABYTE, 1)
--- a/ivystep/gateway/requests/caller_connection.py
+++ b/ivystep/gateway/requests/caller_connection.py
@@ -256,15 +256,10 @@
         Raises:
             http1.BadRequestError: There is no memory for them.
         """
-        for start in range(0, len(received), turns.PARSED_BYTES):
-            if start and turns.is_spent_after(0):
-                # What has been read is not seen as unread any more.
-                self._is_idle = False
-                turns.give()
-            self._reader.feed(received[start : start + turns.PARSED_BYTES])
-            self._may_buffer()
-            if not self._server_state.make_room(self):
-                raise incomplete_requests.no_memory()
+        self._reader.feed(received)
+        self._may_buffer()
+        if not self._server_state.make_room(self):
+            raise incomplete_requests.no_memory()
 
     def _may_buffer(self) -> bool:
         """Record the buffered bytes; return whether there is room for more."""
@@ -290,10 +285,13 @@
         return max(started_at + allowed_s - clock.now(), 0)
 
     def _receive(self, timeout_s: float) -> bytes | None:
-        """Return received bytes, empty at end of file, None on a time-out."""
+        """Return received bytes, empty at end of file, None on a time-out.
+
+        What is not parsed at once stays in the kernel, which bounds it.
+        """
         try:
             with eventlet.Timeout(timeout_s, TimeoutError):
-                received = self._socket.recv(http1.READ_BYTES)
+                received = self._socket.recv(turns.PARSED_BYTES)
         except TimeoutError:
             return None
         # A request that arrives while this host closes the connection must not
--- a/ivystep/gateway/requests/callers.py
+++ b/ivystep/gateway/requests/callers.py
@@ -24,7 +24,7 @@
         handle_request: Handles one request.
     """
     limit = connection_limit.ConnectionLimit(
-        server_state.max_connections, listener
+        server_state.plan.connections, listener
     )
     while True:
         limit.wait_for_room(server_state.open_connections)
--- a/ivystep/gateway/requests/shared_state.py
+++ b/ivystep/gateway/requests/shared_state.py
@@ -4,11 +4,13 @@
 
 from ivystep.core import units
 from ivystep.gateway.requests import incomplete_requests, planned_stop
-from ivystep.runtime import byte_budget, descriptor_limit
+from ivystep.runtime import byte_budget, descriptor_limit, memory_plan
 from ivystep.settings import gateway as settings_models
 from ivystep.traffic import contracts, http1
 
-DEFAULT_BUFFER_BYTES = 64 * units.MIB
+DEFAULT_PLAN = memory_plan.MemoryPlan(
+    256 * memory_plan.MEGABYTE, descriptor_limit.UNLIMITED
+)
 # Bytes of an answer that the kernel takes over as this host ends: four times
 # what is buffered of a short answer.
 TAKEN_OVER_BYTES = 256 * units.KIB
@@ -52,10 +54,10 @@
     """State shared by all callers' connections of this host.
 
     Args:
-        buffer_bytes: Limit on the bytes of all requests that are buffered.
-        max_connections: Connections that may be open at once.
+        plan: How the memory is shared out.
 
     Attributes:
+        plan: How the memory is shared out.
         buffered: Bytes of the requests of each connection.
         limits: Size limits and time-outs of a connection.
         is_closing: Whether each connection closes after its current answer. An
@@ -69,12 +71,11 @@
 
     def __init__(
         self,
-        buffer_bytes: int = DEFAULT_BUFFER_BYTES,
-        max_connections: int = descriptor_limit.UNLIMITED,
+        plan: memory_plan.MemoryPlan = DEFAULT_PLAN,
     ) -> None:
-        self.max_connections = max_connections
+        self.plan = plan
         self.buffered: byte_budget.ByteBudget[Connection] = (
-            byte_budget.ByteBudget(buffer_bytes)
+            byte_budget.ByteBudget(plan.requests_bytes)
         )
         self.limits = contracts.ClientLimits()
         self.is_closing = False
@@ -86,10 +87,7 @@
     @classmethod
     def from_config(cls, capacity: settings_models.Capacity) -> typing.Self:
         """Create the state for the capacity of the host."""
-        return cls(
-            capacity.buffer_bytes,
-            descriptor_limit.caller_connections(capacity.max_fds),
-        )
+        return cls(capacity.memory_plan)
 
     def make_room(self, asking: Connection) -> bool:
         """Refuse the largest incomplete requests while memory is short.
--- a/ivystep/runtime/listeners.py
+++ b/ivystep/runtime/listeners.py
@@ -15,7 +15,7 @@
 from eventlet import greenio
 
 from ivystep.core import units
-from ivystep.runtime import clock, event_log, listener_events, turns
+from ivystep.runtime import clock, event_log, listener_events, sockets, turns
 
 BACKLOG = 256
 OPEN_RETRY_S = 0.2
@@ -59,6 +59,8 @@
         address: IP address and port.
         report: Called with events of ``listener_events``.
         backlog: Length of the queue of connections to accept.
+        unread_bytes: Bytes that the kernel holds unread for each connection,
+            also for those in the queue; None for the usual number.
 
     Attributes:
         report: Called with events, also by the server of the connections.
@@ -70,11 +72,13 @@
         address: tuple[str, int],
         report: Report,
         backlog: int = BACKLOG,
+        unread_bytes: int | None = None,
     ) -> None:
         self.purpose = purpose
         self._address = address
         self.report = report
         self._backlog = backlog
+        self._unread_bytes = unread_bytes
         self._socket: typing.Any = None
         self._is_closed = False
         self._queued: collections.deque[tuple[typing.Any, typing.Any]] = (
@@ -91,6 +95,7 @@
         address: tuple[str, int],
         report: Report,
         backlog: int = BACKLOG,
+        unread_bytes: int | None = None,
     ) -> typing.Self:
         """Open a listener now, or later if its address is unavailable.
 
@@ -99,11 +104,13 @@
             address: IP address and port.
             report: Called with events of ``listener_events``.
             backlog: Length of the queue of connections to accept.
+            unread_bytes: Bytes that the kernel holds unread for each
+                connection; None for the usual number.
 
         Raises:
             OSError: The address can never be used.
         """
-        listener = cls(purpose, address, report, backlog)
+        listener = cls(purpose, address, report, backlog, unread_bytes)
         try:
             listener.try_open()
         except OSError as error:
@@ -195,6 +202,9 @@
             self._address, self.family, self._backlog, reuse_port=False
         )
         opened.settimeout(ACCEPT_CHECK_S)
+        if self._unread_bytes is not None:
+            # Each accepted socket inherits it.
+            sockets.bound_unread(opened, self._unread_bytes)
         self._socket = opened
         if self._unavailable_since is not None:
             waited_s = clock.now() - self._unavailable_since
--- a/ivystep/runtime/sockets.py
+++ b/ivystep/runtime/sockets.py
@@ -43,6 +43,20 @@
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size)
 
 
+def bound_unread(connection: socket.socket, size: int) -> None:
+    """Bound the bytes that the kernel holds unread.
+
+    Without it, the kernel lets the buffer of a fast peer grow to megabytes. It
+    reserves twice the size that is set, as its own records count too, and
+    what it then takes depends on the length of the packets.
+
+    Args:
+        connection: A TCP socket; one that listens passes the bound on.
+        size: Most bytes.
+    """
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, size // 2)
+
+
 def undelivered_bytes(connection: socket.socket) -> int:
     """Return how many bytes the kernel of the peer has not acknowledged.
 
--- a/ivystep/settings/gateway.py
+++ b/ivystep/settings/gateway.py
@@ -11,6 +11,7 @@
 import pydantic
 
 from ivystep.core import units
+from ivystep.runtime import descriptor_limit, memory_plan
 from ivystep.settings import models
 
 
@@ -48,9 +49,6 @@
 CONFIG_AGE_SHARE = 0.9
 # Longest usual duration of a call to the store beside its wait, in seconds.
 USUAL_CALL_S = 0.5
-# Share of the memory for buffered requests. Their bytes are copied once more as
-# they are sent, and the rest is for code, tables and connections.
-BUFFER_SHARE = 0.25
 # Time in seconds by which a host of one usual core is behind an infinitely
 # strong one in the election, and the longest such time.
 ACQUIRE_DELAY_S = 0.1
@@ -142,8 +140,9 @@
         256.0,
         gt=0,
         allow_inf_nan=False,
-        description='Memory that the gateway may use. A quarter of it is for '
-        'requests that are received, wait or are in progress.',
+        description='Memory that the gateway may use, with the bytes that its '
+        'connections hold unread. At most a quarter of it is for requests that '
+        'are received, wait or are in progress; OPERATIONS.md has the parts.',
     )
 
     max_fds: float = pydantic.Field(
@@ -156,9 +155,12 @@
     )
 
     @property
-    def buffer_bytes(self) -> int:
-        """Limit on the bytes of all requests that are buffered."""
-        return int(BUFFER_SHARE * self.memory_mb * units.MIB)
+    def memory_plan(self) -> memory_plan.MemoryPlan:
+        """How the memory is shared out among connections and requests."""
+        return memory_plan.MemoryPlan.from_capacity(
+            int(self.memory_mb * memory_plan.MEGABYTE),
+            descriptor_limit.caller_connections(self.max_fds),
+        )
 
     @property
     def acquire_delay_s(self) -> float:
--- a/tests/runtime/test_listeners.py
+++ b/tests/runtime/test_listeners.py
@@ -2,8 +2,11 @@
 
 import contextlib
 import errno
+import fcntl
 import os
 import socket
+import struct
+import termios
 
 import eventlet
 import pytest
@@ -175,3 +178,29 @@
     with eventlet.Timeout(2):
         second.wait_until_open()
     second.close()
+
+
+@pytest.mark.parametrize('unread_bytes', [8192, 65536])
+@pytest.mark.parametrize('is_accepted', [True, False])
+def test_unread_bytes_of_a_connection_are_bounded(unread_bytes, is_accepted):
+    """Guards against memory that the kernel takes for what nobody reads."""
+    listener = listeners.Listener.open(
+        'callers', ('127.0.0.1', 0), print, unread_bytes=unread_bytes
+    )
+    with (
+        contextlib.closing(listener),
+        contextlib.closing(socket.socket()) as peer,
+    ):
+        peer.connect(listener.getsockname())
+        accepted = listener.accept()[0] if is_accepted else None
+        peer.setblocking(False)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                peer.send(b'x' * 65536)
+        eventlet.sleep(0.3)
+        if accepted is None:
+            accepted = listener.accept()[0]
+        with contextlib.closing(accepted):
+            unread = struct.pack('i', 0)
+            unread = fcntl.ioctl(accepted.fileno(), termios.FIONREAD, unread)
+        assert 0 < struct.unpack('i', unread)[0] <= unread_bytes
