Refuse a body that cannot be taken by the length that it announces

What callers saw: a body of 1 GB was read up to 4 MB before its 413, and one without room was read until it was the largest; 200 such callers ended a gateway of 160 MB.

Cause: limits were checked on received bytes only.

Change: the announced length is compared with max_body_bytes (413), and with the room that requests in progress leave (503 with Retry-After). Incomplete requests still give way.

The tests in test_request_memory.py fail before: the first two wait for an answer that comes only as the body does.

--- a/ivystep/gateway/requests/caller_connection.py
+++ b/ivystep/gateway/requests/caller_connection.py
@@ -256,9 +256,15 @@
         Raises:
             http1.BadRequestError: There is no memory for them.
         """
+        was_in_body = self._reader.is_in_body
         self._reader.feed(received)
         self._may_buffer()
-        if not self._server_state.make_room(self):
+        has_room = self._server_state.make_room(self)
+        if has_room and self._reader.is_in_body and not was_in_body:
+            has_room = self._server_state.may_receive(
+                self._reader.announced_bytes
+            )
+        if not has_room:
             raise incomplete_requests.no_memory()
 
     def _may_buffer(self) -> bool:
--- a/ivystep/gateway/requests/shared_state.py
+++ b/ivystep/gateway/requests/shared_state.py
@@ -106,6 +106,21 @@
             largest.refuse_incomplete(incomplete_requests.no_memory())
         return True
 
+    def may_receive(self, announced_bytes: int) -> bool:
+        """Return whether there may be room for a body that is announced.
+
+        Requests that are still being received give way to it, if they have
+        more bytes by then.
+
+        Args:
+            announced_bytes: Its length; 0 if it is not announced.
+        """
+        held_bytes = int(announced_bytes * byte_budget.GROWTH)
+        if held_bytes <= ALWAYS_BUFFERED_BYTES:
+            return True
+        complete_bytes = self.buffered.sum_of(_is_not_receiving)
+        return complete_bytes + held_bytes <= self.buffered.limit_bytes
+
     def close_idle(self, idle_s: float = 0.0) -> None:
         """Close the connections on which no request has started.
 
@@ -135,3 +150,7 @@
                 connection.refuse_incomplete(
                     incomplete_requests.host_stopping(self.stop.retry_after_s)
                 )
+
+
+def _is_not_receiving(connection: Connection) -> bool:
+    return not connection.is_receiving
--- a/ivystep/runtime/byte_budget.py
+++ b/ivystep/runtime/byte_budget.py
@@ -45,6 +45,18 @@
         if count:
             self._bytes_by_holder[holder] = count
 
+    def sum_of(self, is_counted: Callable[[_Holder], bool]) -> int:
+        """Return the bytes of some holders.
+
+        Args:
+            is_counted: Returns whether a holder counts.
+        """
+        return sum(
+            count
+            for holder, count in self._bytes_by_holder.items()
+            if is_counted(holder)
+        )
+
     def largest(self, is_eligible: Callable[[_Holder], bool]) -> _Holder | None:
         """Return the eligible holder with most bytes; None if there is none.
 
--- a/ivystep/traffic/http1.py
+++ b/ivystep/traffic/http1.py
@@ -22,6 +22,7 @@
 # Objects of a parsed request besides its bytes.
 REQUEST_OVERHEAD_BYTES = 512
 CHUNKED_ENCODING = b'chunked'
+BODY_TOO_LONG = 'The body is too long.'
 
 
 class BadRequestError(errors.IvystepError):
@@ -97,6 +98,7 @@
         self._partial = peer_bounds.PartialMeter()
         self._is_head_complete = False
         self._has_expect_header = False
+        self._announced_bytes = 0
         self._ready: collections.deque[RawRequest] = collections.deque()
         self._ready_bytes = 0
         self._problem: BadRequestError | None = None
@@ -110,11 +112,21 @@
         head_bytes = max(self._head_bytes, self._partial.pending_bytes)
         return self._ready_bytes + head_bytes + _held_bytes(self._current.body)
 
+    @property
+    def announced_bytes(self) -> int:
+        """Length of the body that is being received; 0 if not announced."""
+        return self._announced_bytes if self._is_head_complete else 0
+
     @property
     def is_in_head(self) -> bool:
         """Whether the head of a request is partly received."""
         return not self.is_idle and not self._is_head_complete
 
+    @property
+    def is_in_body(self) -> bool:
+        """Whether the body of a request is partly received, or none of it."""
+        return not self.is_idle and self._is_head_complete
+
     @property
     def has_request(self) -> bool:
         """Whether a complete request waits for ``next_request``."""
@@ -202,6 +214,9 @@
         self._has_expect_header = b'expect' in names
         if current.version == '1.0' and b'transfer-encoding' in names:
             self._fail(400, 'The length of the body is ambiguous.')
+        self._announced_bytes = _content_length(current.headers) or 0
+        if self._announced_bytes > self._max_body_bytes:
+            self._fail(413, BODY_TOO_LONG)
 
     def on_chunk_header(self) -> None:
         """End the line before a chunk. Called by the parser."""
@@ -211,7 +226,7 @@
         """Append to the body. Called by the parser."""
         self._partial.complete()
         if len(self._current.body) + len(piece) > self._max_body_bytes:
-            self._fail(413, 'The body is too long.')
+            self._fail(413, BODY_TOO_LONG)
             return
         self._current.body += piece
 
--- a/tests/gateway/requests/test_request_memory.py
+++ b/tests/gateway/requests/test_request_memory.py
@@ -153,6 +153,45 @@
     assert kept_bytes(made, len(behind)) <= limit
 
 
+def announce(stack, gateway, body_bytes, request_id='r-announced'):
+    """Send the head of a request with a body that never comes."""
+    connection = stack.enter_context(contextlib.closing(gateway.connect()))
+    head = harness.request('/once/2f', request_id, body=b'x' * body_bytes)
+    connection.sendall(head[:-body_bytes])
+    return connection
+
+
+def test_body_above_the_limit_is_refused_by_its_length(stack, gateway):
+    """Guards against reading megabytes that can only be refused."""
+    limit = gateway.daemon._server_state.limits.max_body_bytes
+    connection = announce(stack, gateway, limit + 1)
+    assert harness.read_to_end(connection).status == 413
+
+
+def test_body_without_room_is_refused_by_its_length(stack, build):
+    """Guards against a caller that sends what cannot be taken."""
+    made, (upstream,) = build(lambda *_: None)
+    made.daemon._server_state.buffered.limit_bytes = LIMIT_BYTES
+    for number in range(3):
+        begin(stack, made, number).sendall(b'x')
+    with eventlet.Timeout(2):
+        while len(upstream.requests) < 3:
+            eventlet.sleep(0.01)
+    answer = harness.read_to_end(announce(stack, made, 2 * BODY_BYTES))
+    assert answer.status == 503
+    assert float(answer.headers['retry-after']) > 0
+    assert len(upstream.requests) == 3
+
+
+def test_announced_body_goes_before_incomplete_ones(stack, gateway):
+    """Guards against callers refused for the incomplete bodies of others."""
+    for number in range(CALLERS):
+        begin(stack, gateway, number)
+    eventlet.sleep(0.2)
+    answer = gateway.send('/once/2f', 'r-1', body=b'x' * (BODY_BYTES // 2))
+    assert answer.status == 200
+
+
 def test_body_is_handed_on_without_a_copy():
     """Guards against bodies that are held several times on their way."""
     raw = http1.RawRequest('POST', '/once/2f')
