Refuse incomplete requests for new connections at the limit

What callers saw: no answer while others hold all connections by heads or bodies without an end.

Cause: at the limit only idle connections made room for new ones.

Change: if none is idle, the request that has been incomplete for longest, and for 0.25 s at least, is refused: 503, no_connection, not run, with Retry-After. A connection without any request may go after the same time, an answered one does not linger. A request that has arrived is never refused so.

The tests in test_connection_limit.py fail before.

Ruled out: a bound on the pace of bodies. The time-outs of the configuration bound each request already, and the limit is what others wait for.

--- a/ivystep/gateway/requests/caller_connection.py
+++ b/ivystep/gateway/requests/caller_connection.py
@@ -48,6 +48,10 @@
         answer: The answer to the current request, or to the last one.
         is_waiting: Whether the task waits for the rest of a request.
         idle_since: Time at which the last wait for a request began.
+        receiving_since: Time at which the first byte of the request arrived
+            that is being received; infinite before.
+        is_new: Whether no request has arrived on it in full.
+        is_lingering: Whether its last answer has been sent.
     """
 
     def __init__(
@@ -71,6 +75,9 @@
         self.answer = self._new_answer(is_http10=False, is_kept_alive=True)
         self._is_idle = True
         self.idle_since = clock.now()
+        self.receiving_since = math.inf
+        self.is_new = True
+        self.is_lingering = False
         self.is_waiting = False
         self._refusal: http1.BadRequestError | None = None
         self._running_bytes = 0
@@ -131,6 +138,25 @@
         """Whether a part of a request has arrived, and not all of it."""
         return self.is_waiting and not self._is_idle
 
+    def is_receiving_for(self, seconds: float) -> bool:
+        """Return whether a request has been incomplete for a time.
+
+        Args:
+            seconds: The time.
+        """
+        return (
+            self.is_receiving
+            and self._refusal is None
+            and clock.now() >= self.receiving_since + seconds
+        )
+
+    def stop_lingering(self) -> None:
+        """Close the connection, as its last answer has been sent."""
+        if self.is_lingering:
+            self._watch.is_closed = True
+            with contextlib.suppress(OSError):
+                self._socket.shutdown(socket.SHUT_RDWR)
+
     def refuse_incomplete(self, refusal: http1.BadRequestError) -> None:
         """Refuse the request that is being received.
 
@@ -212,19 +238,20 @@
         if raw is None:
             raw = self._read_request()
         self._is_idle = False
+        self.is_new = self.is_new and raw is None
         return raw
 
     def _read_request(self) -> http1.RawRequest | None:
         self.idle_since = clock.now()
-        started_at = math.inf
+        self.receiving_since = math.inf
         raw = None
         while raw is None:
             self._is_idle = self._reader.is_idle
             if not self._is_idle:
-                started_at = min(started_at, clock.now())
+                self.receiving_since = min(self.receiving_since, clock.now())
             if self._reader.pop_expect_continue():
                 self._socket.sendall(CONTINUE)
-            received = self._await_rest(self._read_timeout_s(started_at))
+            received = self._await_rest()
             if received is None and not self._is_idle:
                 raise http1.BadRequestError(
                     408, 'Reading the request timed out.'
@@ -235,7 +262,7 @@
             raw = self._reader.next_request()
         return raw
 
-    def _await_rest(self, timeout_s: float) -> bytes | None:
+    def _await_rest(self) -> bytes | None:
         """Return received bytes like ``_receive``.
 
         Raises:
@@ -243,7 +270,7 @@
         """
         self.is_waiting = True
         try:
-            received = self._receive(timeout_s)
+            received = self._receive(self._read_timeout_s())
         finally:
             self.is_waiting = False
         if self._refusal is not None:
@@ -278,7 +305,7 @@
         if self.is_waiting and not self._task.dead:
             self._task.throw(self._refusal)
 
-    def _read_timeout_s(self, started_at: float) -> float:
+    def _read_timeout_s(self) -> float:
         """Return the time-out of the next read, while idle or in a request."""
         limits = self._server_state.limits
         if self._is_idle:
@@ -288,7 +315,7 @@
             if self._reader.is_in_head
             else limits.idle_timeout_s
         )
-        return max(started_at + allowed_s - clock.now(), 0)
+        return max(self.receiving_since + allowed_s - clock.now(), 0)
 
     def _receive(self, timeout_s: float) -> bytes | None:
         """Return received bytes, empty at end of file, None on a time-out.
@@ -327,6 +354,7 @@
         if not self.answer.is_complete:
             return
         self._socket.shutdown(socket.SHUT_WR)
+        self.is_lingering = True
         given_up_at = clock.now() + self._server_state.limits.idle_timeout_s
         deadline = clock.now() + LINGER_S
         while clock.now() < deadline:
--- a/ivystep/gateway/requests/connection_limit.py
+++ b/ivystep/gateway/requests/connection_limit.py
@@ -1,20 +1,29 @@
-"""Bounds the connections of callers, and closes idle ones for new ones.
+"""Bounds the connections of callers, and closes some of them for new ones.
 
 A connection that is idle serves nobody now, and HTTP/1.1 allows either side to
 close it; a new one has a request to come. So the longest idle ones go first.
-While all are in use, no more are accepted: they wait in the kernel, which
-costs no descriptor, and are served in order.
+If there are none, a request that is still being received is refused, the one
+that has taken longest: an ordinary request arrives within a moment, and
+connections that never send a whole one would keep everybody out. A request
+that has arrived is never refused for a new connection. While all are in use,
+no more are accepted: they wait in the kernel, which costs no descriptor, and
+are served in order.
 """
 
 import heapq
 import typing
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
+from ivystep.gateway.requests import incomplete_requests
 from ivystep.runtime import clock, listener_events, listeners
+from ivystep.traffic import http1
 
 # Time in which the first request of a connection, or the next one, is usually
 # under way. A request that crosses the close is lost for its caller.
 MIN_IDLE_S = 1.0
+# Time in which a request usually arrives in full, and the first one of a
+# connection begins. Callers that are slower are refused only at the limit.
+MIN_RECEIVING_S = 0.25
 # One in as many connections is closed at once, which bounds the searches.
 CLOSED_PART = 32
 POLL_S = 0.01
@@ -25,6 +34,9 @@
     """The part of a caller's connection that the limit uses."""
 
     idle_since: float
+    receiving_since: float
+    is_new: bool
+    is_lingering: bool
 
     def is_idle_for(self, seconds: float) -> bool:
         """Return whether it has been idle for a time."""
@@ -32,6 +44,15 @@
     def close_if_idle(self) -> None:
         """Close it if no byte of a request has arrived."""
 
+    def is_receiving_for(self, seconds: float) -> bool:
+        """Return whether a request has been incomplete for a time."""
+
+    def refuse_incomplete(self, refusal: http1.BadRequestError) -> None:
+        """Refuse the request that is being received."""
+
+    def stop_lingering(self) -> None:
+        """Close it, as its last answer has been sent."""
+
 
 class ConnectionLimit:
     """The limit on the connections of one listener.
@@ -39,6 +60,9 @@
     Args:
         max_connections: Connections that may be open at once.
         listener: The listener.
+
+    Attributes:
+        refused: Number of incomplete requests refused for new connections.
     """
 
     def __init__(
@@ -47,6 +71,7 @@
         self._max_connections = max_connections
         self._listener = listener
         self._reported_at = -REPORT_S
+        self.refused = 0
 
     def wait_for_room(self, open_connections: Collection[Connection]) -> None:
         """Wait until one more connection may be accepted.
@@ -57,27 +82,56 @@
         while len(open_connections) >= self._max_connections:
             if not self._listener.is_open:
                 return
-            idle = [
+            idle = list(filter(_is_idle, open_connections))
+            incomplete = [
                 connection
                 for connection in open_connections
-                if connection.is_idle_for(MIN_IDLE_S)
+                if connection.is_receiving_for(MIN_RECEIVING_S)
             ]
-            self._report(len(open_connections), len(idle))
+            self._report(len(open_connections), len(idle), len(incomplete))
             number = self._max_connections // CLOSED_PART + 1
             for connection in heapq.nsmallest(number, idle, key=_idle_since):
                 connection.close_if_idle()
+            if not idle:
+                self._refuse(
+                    heapq.nsmallest(number, incomplete, key=_receiving_since)
+                )
+            for connection in list(open_connections):
+                if connection.is_lingering:
+                    connection.stop_lingering()
             clock.sleep(POLL_S)
 
-    def _report(self, connections: int, idle: int) -> None:
+    def _refuse(self, incomplete: Iterable[Connection]) -> None:
+        for connection in incomplete:
+            self.refused += 1
+            connection.refuse_incomplete(
+                incomplete_requests.no_connection_left()
+            )
+
+    def _report(self, connections: int, idle: int, incomplete: int) -> None:
         if clock.now() < self._reported_at + REPORT_S:
             return
         self._reported_at = clock.now()
         self._listener.report(
             listener_events.ConnectionsLimited(
-                self._listener.purpose, connections, idle
+                self._listener.purpose,
+                connections,
+                idle,
+                incomplete,
+                self.refused,
             )
         )
 
 
+def _is_idle(connection: Connection) -> bool:
+    return connection.is_idle_for(
+        MIN_RECEIVING_S if connection.is_new else MIN_IDLE_S
+    )
+
+
 def _idle_since(connection: Connection) -> float:
     return connection.idle_since
+
+
+def _receiving_since(connection: Connection) -> float:
+    return connection.receiving_since
--- a/ivystep/gateway/requests/incomplete_requests.py
+++ b/ivystep/gateway/requests/incomplete_requests.py
@@ -6,6 +6,9 @@
 NO_MEMORY = 'no_memory'
 # Time in which requests that were read in full end and make room for others.
 NO_MEMORY_RETRY_S = 1.0
+NO_CONNECTION = 'no_connection'
+# Time in which the connections of others become idle.
+NO_CONNECTION_RETRY_S = 1.0
 
 
 def no_memory() -> http1.BadRequestError:
@@ -18,6 +21,16 @@
     )
 
 
+def no_connection_left() -> http1.BadRequestError:
+    """Return the refusal of a request that arrives slowly at the limit."""
+    return http1.BadRequestError(
+        503,
+        'The host has no connection left for a request that arrives slowly.',
+        NO_CONNECTION,
+        NO_CONNECTION_RETRY_S,
+    )
+
+
 def host_stopping(retry_after_s: float) -> http1.BadRequestError:
     """Return the refusal of a request that a planned stop ends.
 
--- a/ivystep/runtime/listener_events.py
+++ b/ivystep/runtime/listener_events.py
@@ -106,6 +106,9 @@
         purpose: Who connects there.
         connections: Open connections.
         idle: How many of them may be closed for new ones.
+        incomplete: How many have received a part of a request for longer than
+            usual, so that it may be refused for a new one.
+        refused: How many requests were refused so, since the start.
     """
 
     name: typing.ClassVar[str] = 'connections_limited'
@@ -114,3 +117,5 @@
     purpose: str
     connections: int
     idle: int
+    incomplete: int
+    refused: int
--- a/tests/gateway/requests/test_connection_limit.py
+++ b/tests/gateway/requests/test_connection_limit.py
@@ -9,13 +9,37 @@
 
 
 class Connection:
-    """An open connection that ends as it is closed."""
-
-    def __init__(self, opened, idle_since=None):
+    """An open connection that ends as it is closed or refused."""
+
+    def __init__(
+        self,
+        opened,
+        idle_since=None,
+        receiving_since=None,
+        *,
+        is_new=False,
+        is_lingering=False,
+    ):
         self.opened = opened
         self.idle_since = idle_since
+        self.receiving_since = receiving_since
+        self.is_new = is_new
+        self.is_lingering = is_lingering
+        self.refusal = None
         opened.append(self)
 
+    def is_receiving_for(self, seconds):
+        if self.receiving_since is None:
+            return False
+        return clock.now() >= self.receiving_since + seconds
+
+    def refuse_incomplete(self, refusal):
+        self.refusal = refusal
+        self.opened.remove(self)
+
+    def stop_lingering(self):
+        self.opened.remove(self)
+
     def is_idle_for(self, seconds):
         if self.idle_since is None:
             return False
@@ -77,3 +101,81 @@
         waiting.wait()
 
     virtual_hub.run(scenario)
+
+
+def wait_for_room(*connections, after_s=100):
+    """Return the connections that are left once there is room for one."""
+
+    def scenario():
+        opened = []
+        clock.sleep(after_s)
+        for options in connections:
+            Connection(opened, **options)
+        made = list(opened)
+        limit = connection_limit.ConnectionLimit(LIMIT, Listener())
+        limit.wait_for_room(opened)
+        return [made.index(one) for one in opened], made
+
+    return virtual_hub.run(scenario)
+
+
+def test_longest_incomplete_request_is_refused_for_a_new_caller():
+    """Guards against connections that callers hold by incomplete requests."""
+    left, made = wait_for_room(
+        {},
+        {'receiving_since': 90},
+        {'receiving_since': 70},
+        {'receiving_since': 80},
+    )
+    assert left == [0, 1, 3]
+    assert made[2].refusal.status == 503
+    assert made[2].refusal.retry_after_s > 0
+
+
+def test_idle_connection_goes_before_an_incomplete_request():
+    """Guards against a refusal where a connection serves nobody."""
+    left, _ = wait_for_room(
+        {}, {'receiving_since': 70}, {'idle_since': 98}, {'idle_since': 97}
+    )
+    assert left == [0, 1, 2]
+
+
+def test_request_that_has_just_begun_is_not_refused():
+    """Guards against refusing callers whose request arrives in two parts."""
+
+    def scenario():
+        opened = []
+        clock.sleep(100)
+        for _ in range(LIMIT):
+            Connection(opened, receiving_since=clock.now())
+        limit = connection_limit.ConnectionLimit(LIMIT, Listener())
+        eventlet.spawn(limit.wait_for_room, opened)
+        clock.sleep(connection_limit.MIN_RECEIVING_S / 2)
+        assert len(opened) == LIMIT
+        clock.sleep(connection_limit.MIN_RECEIVING_S)
+        assert len(opened) == LIMIT - 1
+
+    virtual_hub.run(scenario)
+
+
+def test_connection_that_has_never_sent_a_request_goes_sooner():
+    """Guards against silent connections that keep callers out for long."""
+
+    def scenario():
+        opened = []
+        clock.sleep(100)
+        for number in range(LIMIT):
+            Connection(opened, idle_since=clock.now(), is_new=number == 1)
+        kept = opened[:1] + opened[2:]
+        limit = connection_limit.ConnectionLimit(LIMIT, Listener())
+        eventlet.spawn(limit.wait_for_room, opened)
+        clock.sleep(connection_limit.MIN_IDLE_S / 2)
+        assert opened == kept
+
+    virtual_hub.run(scenario)
+
+
+def test_answered_connection_does_not_linger_at_the_limit():
+    """Guards against refused callers who hold their connections open."""
+    left, _ = wait_for_room({}, {}, {'is_lingering': True}, {})
+    assert left == [0, 1, 3]
