Let connections that read on in a body take turns

What callers saw: beside 1,500 connections with chunks of one byte, an ordinary request took up to 17.6 s (trial, with bounded receive buffers).

Cause: a task ends its turn after 2 ms, but all connections that can be read have one in each round of the event loop, and an ordinary request needs several rounds.

Change: connections in a body wait in a queue, in order, and use up one turn together in each round. Heads and short requests do not wait.

--- a/ivystep/gateway/requests/caller_connection.py
+++ b/ivystep/gateway/requests/caller_connection.py
@@ -270,6 +270,8 @@
         """
         self.is_waiting = True
         try:
+            if self._reader.is_in_body:
+                self._server_state.body_turns.wait()
             received = self._receive(self._read_timeout_s())
         finally:
             self.is_waiting = False
--- a/ivystep/gateway/requests/shared_state.py
+++ b/ivystep/gateway/requests/shared_state.py
@@ -4,7 +4,12 @@
 
 from ivystep.core import units
 from ivystep.gateway.requests import incomplete_requests, planned_stop
-from ivystep.runtime import byte_budget, descriptor_limit, memory_plan
+from ivystep.runtime import (
+    byte_budget,
+    descriptor_limit,
+    memory_plan,
+    turn_queue,
+)
 from ivystep.settings import gateway as settings_models
 from ivystep.traffic import contracts, http1
 
@@ -59,6 +64,8 @@
     Attributes:
         plan: How the memory is shared out.
         buffered: Bytes of the requests of each connection.
+        body_turns: The connections that read on in a body take turns, so that
+            many of them do not keep the event loop from others.
         limits: Size limits and time-outs of a connection.
         is_closing: Whether each connection closes after its current answer. An
             idle one is closed by ``close_idle``, so that callers that are still
@@ -77,6 +84,7 @@
         self.buffered: byte_budget.ByteBudget[Connection] = (
             byte_budget.ByteBudget(plan.requests_bytes)
         )
+        self.body_turns = turn_queue.TurnQueue()
         self.limits = contracts.ClientLimits()
         self.is_closing = False
         self.stop = planned_stop.PlannedStop()
