Bound chunk lines and trailers at entry, console and pages

Cause: the server library reads the line before a chunk, the one behind it and each trailer without a bound, and keeps each chunk as an object.

Change: a reader of our own takes the place of the library's at its seam: 8 KB a line, 64 KB of trailers, one buffer. After a malformed body all reads fail, so that nothing behind it is taken for a request. The size of a chunk is hexadecimal digits only.

--- a/ivystep/entry/connections.py
+++ b/ivystep/entry/connections.py
@@ -19,7 +19,7 @@
 
 from ivystep.core import errors, ids, units
 from ivystep.entry import answers
-from ivystep.runtime import clock, turns
+from ivystep.runtime import clock, request_input, turns
 
 ENVIRON_KEY = 'ivystep.connection'
 # A closing connection still reads from its caller up to these limits, because
@@ -200,7 +200,8 @@
 
     def get_environ(self) -> dict[str, typing.Any]:
         """Return the WSGI environment with this connection in it."""
-        return {**super().get_environ(), ENVIRON_KEY: self}
+        environ = request_input.bound_input(super().get_environ())
+        return {**environ, ENVIRON_KEY: self}
 
     def close_after_answer(self) -> None:
         """Close the connection after the current answer.
--- a/ivystep/runtime/page_server.py
+++ b/ivystep/runtime/page_server.py
@@ -16,7 +16,13 @@
 import eventlet
 from eventlet import greenio, wsgi
 
-from ivystep.runtime import clock, listener_events, listeners, turns
+from ivystep.runtime import (
+    clock,
+    listener_events,
+    listeners,
+    request_input,
+    turns,
+)
 
 MAX_CONNECTIONS = 16
 # Time for a request and its answer, and for a connection without a request.
@@ -68,6 +74,10 @@
         turns.give()
         return is_parsed
 
+    def get_environ(self) -> dict[str, typing.Any]:
+        """Return the WSGI environment, in which the body is bounded."""
+        return request_input.bound_input(super().get_environ())
+
     def log_error(self, text: str, *values: typing.Any) -> None:
         """Report a malformed request without its bytes."""
         status = values[0] if values else ''
--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -121,6 +121,16 @@
         'body_too_long',
     ),
     'chunk without size': (CHUNKED + b'\r\nzz\r\n', 400, 'invalid_request'),
+    'chunk line without an end': (
+        CHUNKED + b'\r\n1;' + b'a' * 9000,
+        400,
+        'invalid_request',
+    ),
+    'trailers without an end': (
+        CHUNKED + b'\r\n0\r\n' + b'X-A: b\r\n' * 9000,
+        400,
+        'invalid_request',
+    ),
     'slow head': (HEAD + b'X-Slow: ', 408, 'request_timeout'),
     'slow body': (
         HEAD + AUTH + b'Content-Length: 9\r\n\r\n{',
--- a/tests/runtime/test_page_server.py
+++ b/tests/runtime/test_page_server.py
@@ -18,6 +18,9 @@
     b'GET /' + b'a' * 20000 + b' HTTP/1.1\r\n\r\n',
     b'GET / HTTP/1.1\r\n' + b'a: b\r\n' * 500 + b'\r\n',
     b'GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n',
+    b'GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1;' + b'a' * 20000,
+    b'GET / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n'
+    + b'a: b\r\n' * 20000,
 )
 
 
