Take no status for one of an answer that no answer has

What callers saw: where an upstream in trouble answered with 000, 001, 099, or 199 with a body, they waited out their deadline; 600 and 999 reached them as answers.

Cause: readers asked whether a status is below 200, not whether an answer can have it.

Change: one type holds a status from 200 to 599, and from 100 to 199 only as an interim one without a body. The reader of upstreams' answers and that of all calls by urllib3 use it, the command line too. Such an answer is malformed: sent again where the route allows it, else 502.

--- a/ivystep/cli/load_generator.py
+++ b/ivystep/cli/load_generator.py
@@ -12,6 +12,7 @@
 import urllib3
 
 from ivystep.core import units
+from ivystep.platform import bounded_answers
 from ivystep.runtime import clock
 
 MAX_REQUESTS = 100000
@@ -61,8 +62,11 @@
 
 def run(workload: Workload) -> list[Sample]:
     """Send all requests and return their results in order."""
-    pool = urllib3.PoolManager(
-        maxsize=workload.concurrency, retries=False, timeout=workload.timeout_s
+    pool = bounded_answers.pool_manager(
+        MAX_ANSWER_BYTES,
+        maxsize=workload.concurrency,
+        retries=False,
+        timeout=workload.timeout_s,
     )
     workers = eventlet.GreenPool(workload.concurrency)
     models = itertools.islice(
@@ -85,7 +89,9 @@
     Returns:
         Totals by metric name; empty if the metrics cannot be read.
     """
-    pool = urllib3.PoolManager(retries=False, timeout=timeout_s)
+    pool = bounded_answers.pool_manager(
+        MAX_METRICS_BYTES, retries=False, timeout=timeout_s
+    )
     try:
         answer = pool.request(
             'GET', f'{operators_url}/metrics', preload_content=False
--- a/ivystep/cli/status.py
+++ b/ivystep/cli/status.py
@@ -17,7 +17,7 @@
 from ivystep.cli import commands
 from ivystep.core import types
 from ivystep.metrics import operators_app
-from ivystep.platform import hosts
+from ivystep.platform import bounded_answers, hosts
 from ivystep.settings import ini, models
 
 PARALLEL_READS = 32
@@ -74,8 +74,10 @@
 
     def __init__(self, settings: models.Status) -> None:
         self._port = settings.operators_port
-        self._http = urllib3.PoolManager(
-            timeout=urllib3.Timeout(total=settings.timeout_s), retries=False
+        self._http = bounded_answers.pool_manager(
+            MAX_STATUS_BYTES,
+            timeout=urllib3.Timeout(total=settings.timeout_s),
+            retries=False,
         )
 
     def read(self, host: types.HostEntry) -> StatusReply:
--- a/ivystep/platform/bounded_answers.py
+++ b/ivystep/platform/bounded_answers.py
@@ -18,6 +18,7 @@
 
 from ivystep.core import units
 from ivystep.runtime import turns
+from ivystep.traffic import answer_status
 
 # Status lines and headers, with those of interim answers.
 MAX_HEAD_BYTES = 64 * units.KIB
@@ -92,8 +93,21 @@
         self.fp = io.BufferedReader(self._reads)
 
     def begin(self) -> None:
-        """Read the head; see ``http.client.HTTPResponse``."""
+        """Read the head; see ``http.client.HTTPResponse``.
+
+        Raises:
+            http.client.BadStatusLine: No answer has such a status.
+        """
         super().begin()
+        try:
+            status = answer_status.AnswerStatus.from_head(
+                self.status, has_body=False
+            )
+        except answer_status.InvalidStatusError as error:
+            raise http.client.BadStatusLine(str(error)) from error
+        if status.is_interim:
+            # ``http.client`` goes on to read only after a 100.
+            raise http.client.BadStatusLine(f'status {self.status} is interim')
         self._reads.bound = 'the answer'
         self._reads.max_bytes = (
             MAX_HEAD_BYTES + self.max_body_bytes + MAX_FRAMING_BYTES
--- a/ivystep/traffic/http1.py
+++ b/ivystep/traffic/http1.py
@@ -16,7 +16,7 @@
 
 from ivystep.core import errors, units
 from ivystep.runtime import byte_budget, clock
-from ivystep.traffic import calls, peer_bounds
+from ivystep.traffic import answer_status, calls, peer_bounds
 
 READ_BYTES = 64 * units.KIB
 # Objects of a parsed request besides its bytes.
@@ -318,6 +318,7 @@
         self._reason = b''
         self._framing = Framing.NONE
         self._is_ended = True
+        self._is_interim = False
         self._problem: errors.LinkError | None = None
         self._events: collections.deque[AnswerEvent] = collections.deque()
 
@@ -382,14 +383,22 @@
 
     def on_headers_complete(self) -> None:
         """End the head. Called by the parser."""
-        status = self._parser.get_status_code()
-        self._meter.on_head(is_interim=status < 200)
         length = _content_length(self._headers)
+        try:
+            status = answer_status.AnswerStatus.from_head(
+                self._parser.get_status_code(),
+                has_body=bool(length or _transfer_encodings(self._headers)),
+            )
+        except answer_status.InvalidStatusError as error:
+            self._fail(error)
+            return
+        self._is_interim = status.is_interim
+        self._meter.on_head(is_interim=status.is_interim)
         self._framing = self._find_framing(status, length)
-        if status >= 200:
+        if not status.is_interim:
             self._add_event(
                 RawHead(
-                    status=status,
+                    status=status.code,
                     reason=self._reason.decode('latin-1'),
                     headers=tuple(self._headers),
                     framing=self._framing,
@@ -412,14 +421,23 @@
         self._is_ended = True
         self.is_clean = True
         self._meter.on_end()
-        if self._parser.get_status_code() >= 200:
+        if not self._is_interim:
             self._add_event(MessageEnd())
 
     def _add_event(self, event: AnswerEvent) -> None:
         """Append an event, unless the parts of an answer are incomplete."""
-        if not self._meter.is_exceeded:
+        if self._problem is None and not self._meter.is_exceeded:
             self._events.append(event)
 
+    def _fail(self, error: Exception) -> None:
+        if self._problem is None:
+            self._problem = errors.LinkError(
+                f'malformed answer: {error}',
+                step='read answer',
+                peer=self._peer,
+            )
+            self._problem.__cause__ = error
+
     def _parse(self, received: bytes) -> None:
         self.received_bytes += len(received)
         self._meter.add(len(received), self._now())
@@ -429,18 +447,15 @@
             httptools.HttpParserError,
             httptools.HttpParserUpgrade,
         ) as error:
-            self._problem = errors.LinkError(
-                f'malformed answer: {error}',
-                step='read answer',
-                peer=self._peer,
-            )
-            self._problem.__cause__ = error
+            self._fail(error)
         self._problem = self._problem or self._meter.exceeded()
         if self._problem is not None:
             self.is_clean = False
 
-    def _find_framing(self, status: int, length: int | None) -> Framing:
-        if status < 200 or status in {204, 304}:
+    def _find_framing(
+        self, status: answer_status.AnswerStatus, length: int | None
+    ) -> Framing:
+        if status.is_interim or status.code in {204, 304}:
             return Framing.NONE
         encodings = _transfer_encodings(self._headers)
         if not encodings:
--- a/tests/platform/test_bounded_answers.py
+++ b/tests/platform/test_bounded_answers.py
@@ -129,3 +129,15 @@
         _, peak = _fail(call, address)
     limit = units.MIB if call is _report else http.MAX_ANSWER_BYTES
     assert peak < 2.5 * limit + ALLOWED_MEMORY_BYTES
+
+
+@CALLS
+@pytest.mark.parametrize('status', ['000', '001', '099', '199', '600', '999'])
+def test_status_of_no_answer_fails_the_call_at_once(call, status):
+    """Guards against a peer in trouble whose bytes are taken for an answer."""
+    head = f'HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\n'.encode()
+    with endless.Writer([head + b'{}']).start() as address:
+        started_at = clock.now()
+        error, _ = _fail(call, address)
+        assert clock.now() - started_at < 0.5
+    assert 'no whole answer' not in error
