--- a/ivystep/coordination/lease.py
+++ b/ivystep/coordination/lease.py
@@ -20,14 +20,13 @@
 remembers: the highest token that it has seen, and its holder.
 """
 
-import dataclasses
 import random
 from collections.abc import Callable
 
 import eventlet
 from eventlet import semaphore
 
-from ivystep.coordination import lease_row
+from ivystep.coordination import lease_renewal, lease_row
 from ivystep.core import errors, ids
 from ivystep.platform import table
 from ivystep.runtime import clock, logs
@@ -40,9 +39,6 @@
 RENEWAL_SHARE = 1 / 3
 RETRY_SHARE = 1 / 12
 POLL_SHARE = 1 / 4
-# Age, as a share of the duration, up to which a renewal that the holder has
-# told of is recent. One that comes late once is no reason to read the row.
-RECENT_SHARE = 1 / 2
 JITTER_SHARE = 0.2
 RELEASE_TRIES = 3
 # A process that no longer recognizes its own write waits for its own lease to
@@ -54,22 +50,6 @@
 log = logs.get('lease')
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Renewal:
-    """A write of the holder, as another process was told of it.
-
-    Attributes:
-        token: Fencing token of the written row.
-        version: Version of the written row.
-        sent_at: Uptime of this process, in seconds, before which the holder
-            sent the write.
-    """
-
-    token: int
-    version: int
-    sent_at: float
-
-
 class Lease:
     """A lease that this process acquires, renews and releases.
 
@@ -104,7 +84,7 @@
         duration_s: float,
         *,
         is_sole: bool = False,
-        told_renewal: Callable[[], Renewal | None] | None = None,
+        told_renewal: Callable[[], lease_renewal.Renewal | None] | None = None,
         delay_s: float = 0.0,
     ) -> None:
         self.token = 0
@@ -139,9 +119,11 @@
         """Return whether the lease is certainly still held."""
         return clock.uptime() < self._valid_until
 
-    def renewal(self) -> Renewal:
+    def renewal(self) -> lease_renewal.Renewal:
         """Return the last write of this process that took effect."""
-        return Renewal(self.token, self._version, self._renewed_at)
+        return lease_renewal.Renewal(
+            self.token, self._version, self._renewed_at
+        )
 
     def acquire(self) -> int:
         """Wait until the lease is acquired.
@@ -341,21 +323,21 @@
                 min(deadline - clock.uptime(), POLL_SHARE * self._duration_s)
             )
             told = self._told_renewal() if self._told_renewal else None
-            if _is_recent(told, duration_s):
+            if told is not None and told.is_recent(duration_s):
                 deadline = clock.uptime() + duration_s
                 continue
             try:
                 current = self._read_unchanged(row, told)
             except errors.UnavailableError:
                 continue
-            if _is_written_by(told, current):
+            if told is not None and told.has_written(current):
                 row = current
                 duration_s = lease_row.Record.from_row(row).duration_s
                 deadline = told.sent_at + duration_s
         return row
 
     def _read_unchanged(
-        self, row: table.Row, told: Renewal | None
+        self, row: table.Row, told: lease_renewal.Renewal | None
     ) -> table.Row:
         """Read a row that is unchanged but for a renewal that was told.
 
@@ -364,10 +346,10 @@
             errors.UnavailableError: The row could not be read.
         """
         current = self._read()
-        if current is not None and (
-            current.version == row.version or _is_written_by(told, current)
-        ):
-            return current
+        if current is not None:
+            is_told = told is not None and told.has_written(current)
+            if is_told or current.version == row.version:
+                return current
         raise errors.ConflictError(
             'another process holds the lease', step='acquire'
         )
@@ -495,20 +477,6 @@
         clock.sleep(share * jitter * self._duration_s)
 
 
-def _is_recent(renewal: Renewal | None, duration_s: float) -> bool:
-    if renewal is None:
-        return False
-    return clock.uptime() < renewal.sent_at + RECENT_SHARE * duration_s
-
-
-def _is_written_by(renewal: Renewal | None, row: table.Row) -> bool:
-    """Return whether a row is the one that a renewal has written."""
-    if renewal is None:
-        return False
-    token = lease_row.Record.from_row(row).token
-    return (token, row.version) == (renewal.token, renewal.version)
-
-
 def _version(row: table.Row | None) -> int:
     """Return the version of a row; 0 if it does not exist."""
     return row.version if row else 0
--- a/ivystep/gateway/loads/leadership.py
+++ b/ivystep/gateway/loads/leadership.py
@@ -11,7 +11,7 @@
 
 import eventlet
 
-from ivystep.coordination import lease
+from ivystep.coordination import lease, lease_renewal
 from ivystep.core import errors, types, units
 from ivystep.entry import peers, planner
 from ivystep.gateway import events
@@ -164,7 +164,7 @@
             return None
         return addressee
 
-    def renewal(self) -> lease.Renewal:
+    def renewal(self) -> lease_renewal.Renewal:
         """Return this host's last renewal of the lease."""
         return self._lease.renewal()
 
--- a/ivystep/gateway/loads/residency_updates.py
+++ b/ivystep/gateway/loads/residency_updates.py
@@ -15,7 +15,7 @@
 import eventlet
 from eventlet import queue
 
-from ivystep.coordination import lease
+from ivystep.coordination import lease_renewal
 from ivystep.core import errors, types, units
 from ivystep.data_centres import exchange
 from ivystep.gateway.store import table_progress
@@ -69,7 +69,7 @@
     """
 
     progress: table_progress.SharedProgress
-    own_renewal: Callable[[], lease.Renewal]
+    own_renewal: Callable[[], lease_renewal.Renewal]
     measured: measurements.Measurements
     centres: exchange.CentreExchange
 
@@ -101,7 +101,7 @@
         self._centres = contents.centres
         self._data_centre_by_link: dict[channel.Channel, str] = {}
         self._own_renewal = contents.own_renewal
-        self._told_renewal: lease.Renewal | None = None
+        self._told_renewal: lease_renewal.Renewal | None = None
         self._progress = contents.progress
         self._host = host
         self._on_update = on_update
@@ -178,7 +178,7 @@
             self._told_renewal = None
             self._centres.clear()
 
-    def told_renewal(self) -> lease.Renewal | None:
+    def told_renewal(self) -> lease_renewal.Renewal | None:
         """Return the last renewal of its lease that the leader has told.
 
         Returns:
@@ -329,14 +329,14 @@
     ]
 
 
-def _renewal_item(renewal: lease.Renewal) -> ttypes.LeaseRenewal:
+def _renewal_item(renewal: lease_renewal.Renewal) -> ttypes.LeaseRenewal:
     age_s = clock.uptime() - renewal.sent_at
     return ttypes.LeaseRenewal(
         renewal.token, renewal.version, int(age_s * units.MS_PER_S)
     )
 
 
-def _renewal(item: ttypes.LeaseRenewal | None) -> lease.Renewal | None:
+def _renewal(item: ttypes.LeaseRenewal | None) -> lease_renewal.Renewal | None:
     """Return a renewal that the leader tells of.
 
     It was sent at least its age before the message arrived. The age is rounded
@@ -345,7 +345,7 @@
     if item is None:
         return None
     sent_at = clock.uptime() - item.age_ms / units.MS_PER_S
-    return lease.Renewal(item.token, item.version, sent_at)
+    return lease_renewal.Renewal(item.token, item.version, sent_at)
 
 
 def _told_progress(
--- a/tests/gateway/fakes.py
+++ b/tests/gateway/fakes.py
@@ -6,7 +6,7 @@
 
 import eventlet
 
-from ivystep.coordination import lease
+from ivystep.coordination import lease_renewal
 from ivystep.core import errors, types
 from ivystep.data_centres import exchange, share_metrics, shares
 from ivystep.gateway.loads import residency_updates
@@ -33,7 +33,7 @@
     """Return the contents of a host's heartbeats that tell nothing."""
     return residency_updates.HeartbeatContents(
         table_progress.SharedProgress(1.0, lambda: True, lambda: None),
-        lambda: lease.Renewal(0, 0, 0.0),
+        lambda: lease_renewal.Renewal(0, 0, 0.0),
         measured(),
         centre_exchange(),
     )
--- a/tests/gateway/loads/test_residency_updates.py
+++ b/tests/gateway/loads/test_residency_updates.py
@@ -3,7 +3,7 @@
 import eventlet
 import pytest
 
-from ivystep.coordination import lease
+from ivystep.coordination import lease_renewal
 from ivystep.core import errors, types
 from ivystep.data_centres import planner
 from ivystep.gateway.loads import residency_updates
@@ -45,7 +45,7 @@
             lambda: self.is_leader,
             residency_updates.HeartbeatContents(
                 self.progress,
-                lambda: lease.Renewal(7, 12, clock.uptime() - 0.5),
+                lambda: lease_renewal.Renewal(7, 12, clock.uptime() - 0.5),
                 self.measured,
                 self.centres,
             ),
