Refuse a body above the limit for good, and tell of bodies that cannot fit

A body that announces more than max_body_bytes and more than the free memory got 503 with Retry-After in place of 413.

Cause: the room was judged before the refusal of the reader.

Change: a request that the reader has refused announces no body. Where a configuration allows longer bodies than the memory can ever hold, long_bodies_refused says so as it comes.

Evidence: test_body_above_the_limit_is_refused_by_its_length[] got 503 before. The test of a body without room had announced more than the limit of its configuration, which hid this.

--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -378,6 +378,13 @@
 
     def _on_config(self, config: contracts.RouteConfig) -> None:
         self._server_state.limits = config.limits
+        longest_bytes = self._server_state.plan.longest_body_bytes
+        if config.limits.max_body_bytes > longest_bytes:
+            self._log.write(
+                process_events.LongBodiesRefused(
+                    config.limits.max_body_bytes, longest_bytes
+                )
+            )
         self._access.on_config(config)
         self._quotas.on_config(config)
         self._pools.configure(config)
--- a/ivystep/gateway/process_events.py
+++ b/ivystep/gateway/process_events.py
@@ -65,6 +65,24 @@
     level: typing.ClassVar[int] = logging.WARNING
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LongBodiesRefused(event_log.Event):
+    """Bodies that the configuration allows are longer than the memory allows.
+
+    They are refused as ``no_memory`` each time.
+
+    Attributes:
+        max_body_bytes: Longest body that the configuration allows.
+        longest_body_bytes: Longest body for which there can be room.
+    """
+
+    name: typing.ClassVar[str] = 'long_bodies_refused'
+    level: typing.ClassVar[int] = logging.WARNING
+
+    max_body_bytes: int
+    longest_body_bytes: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Draining(event_log.Event):
     """The process received SIGTERM and stops accepting new work.
--- a/ivystep/traffic/http1.py
+++ b/ivystep/traffic/http1.py
@@ -114,8 +114,10 @@
 
     @property
     def announced_bytes(self) -> int:
-        """Length of the body that is being received; 0 if not announced."""
-        return self._announced_bytes if self._is_head_complete else 0
+        """Length of the body that is to be received; 0 if not announced."""
+        if self._problem is not None or not self._is_head_complete:
+            return 0
+        return self._announced_bytes
 
     @property
     def is_in_head(self) -> bool:
--- a/tests/gateway/requests/test_request_memory.py
+++ b/tests/gateway/requests/test_request_memory.py
@@ -156,15 +156,18 @@
 def announce(stack, gateway, body_bytes, request_id='r-announced'):
     """Send the head of a request with a body that never comes."""
     connection = stack.enter_context(contextlib.closing(gateway.connect()))
-    head = harness.request('/once/2f', request_id, body=b'x' * body_bytes)
-    connection.sendall(head[:-body_bytes])
+    head = harness.request('/once/2f', request_id, body=b'x')[:-1]
+    announced = b'Content-Length: %d\r\n' % body_bytes
+    assert b'Content-Length: 1\r\n' in head
+    connection.sendall(head.replace(b'Content-Length: 1\r\n', announced))
     return connection
 
 
-def test_body_above_the_limit_is_refused_by_its_length(stack, gateway):
+@pytest.mark.parametrize('more', [1, 10**9])
+def test_body_above_the_limit_is_refused_by_its_length(stack, gateway, more):
     """Guards against reading megabytes that can only be refused."""
     limit = gateway.daemon._server_state.limits.max_body_bytes
-    connection = announce(stack, gateway, limit + 1)
+    connection = announce(stack, gateway, limit + more)
     assert harness.read_to_end(connection).status == 413
 
 
@@ -177,7 +180,7 @@
     with eventlet.Timeout(2):
         while len(upstream.requests) < 3:
             eventlet.sleep(0.01)
-    answer = harness.read_to_end(announce(stack, made, 2 * BODY_BYTES))
+    answer = harness.read_to_end(announce(stack, made, BODY_BYTES))
     assert answer.status == 503
     assert float(answer.headers['retry-after']) > 0
     assert len(upstream.requests) == 3
--- a/tests/gateway/test_daemon.py
+++ b/tests/gateway/test_daemon.py
@@ -1,12 +1,16 @@
 """Tests of the configuration, readiness and drain of a gateway."""
 
 import contextlib
+import dataclasses
 import socket
 
 import eventlet
+import pytest
 
+from ivystep.gateway import process_events
 from ivystep.platform import header_names
 from ivystep.runtime import clock
+from ivystep.traffic import contracts
 from tests.gateway import fakes, harness
 
 
@@ -137,3 +141,27 @@
             eventlet.sleep(0.01)
 
     assert 2 < clock.now() - started < 5
+
+
+@pytest.mark.parametrize(
+    ('max_body_bytes', 'is_told'), [(2**20, False), (2**30, True)]
+)
+def test_bodies_that_the_memory_cannot_hold_are_told(
+    stack, max_body_bytes, is_told
+):
+    """Guards against callers whose bodies are refused for no known reason."""
+    gateway = harness.GatewayHarness(stack)
+    with eventlet.Timeout(5):
+        while gateway.daemon._config.current is None:
+            eventlet.sleep(0.01)
+    gateway.daemon._log = fakes.FakeLog()
+    limits = contracts.ClientLimits(max_body_bytes=max_body_bytes)
+    gateway.daemon._on_config(
+        dataclasses.replace(gateway.daemon._config.current, limits=limits)
+    )
+    told = [
+        event
+        for event in gateway.daemon._log.events
+        if isinstance(event, process_events.LongBodiesRefused)
+    ]
+    assert bool(told) == is_told
