Bound the unread bytes of an entry's connections

What callers saw: 400 connections with chunk lines or trailers without an end bring an entry to 263 and 231 MB beside load, where 200 are allowed.

Change: the listeners of an entry bound them to 32 KB a connection.

--- a/ivystep/entry/daemon.py
+++ b/ivystep/entry/daemon.py
@@ -6,7 +6,7 @@
 import eventlet
 
 from ivystep.coordination import claims, retry_budget
-from ivystep.core import types
+from ivystep.core import types, units
 from ivystep.entry import (
     api,
     connections,
@@ -41,6 +41,9 @@
 # attempt takes up to 1 s, the close of a connection up to 2 s.
 ABORT_GRACE_S = 4.0
 CONFIGURE_INTERVAL_S = 0.2
+# Bytes that the kernel holds unread for one connection. Without a bound, those
+# of a few hundred callers exceed the memory of all else.
+UNREAD_BYTES = 32 * units.KIB
 LISTENER_PURPOSES = ('callers', 'operators', 'peers')
 
 log = logs.get('entry')
@@ -227,7 +230,10 @@
         self, purpose: str, address: models.Listen
     ) -> listeners.Listener:
         return listeners.Listener.open(
-            purpose, address.socket_address, self._report
+            purpose,
+            address.socket_address,
+            self._report,
+            unread_bytes=UNREAD_BYTES,
         )
 
     def _is_idle(self) -> bool:
