Test the most callers at each size of machine, and the longest body in calm

Cause of the gap: crowds were tried on 160 MB with 1,500 connections at most.

Change: tests with 1,706 connections, all that 4,100 descriptors allow, at 160, 232 and 300 MB.

--- a/tests/processes/test_gateway_crowds.py
+++ b/tests/processes/test_gateway_crowds.py
@@ -8,6 +8,7 @@
 
 import eventlet
 import pytest
+import urllib3
 
 from demo import platform
 from tests.processes import crowds
@@ -149,3 +150,53 @@
         eventlet.sleep(crowds.SETTLED_S)
     watch.stop()
     check(node, watch, max_fds=4100)
+
+
+# The machines of the sites, and as many callers as their descriptors allow.
+SITE_MEMORY_MB = (160, 232, 300)
+SITE_FDS = 4100
+SITE_CROWD = 1706
+
+
+@pytest.mark.parametrize('memory_mb', SITE_MEMORY_MB)
+def test_longest_body_is_served_in_calm(start, memory_mb):
+    """Guards against a machine too small for a request within the limits."""
+    node = start(memory_mb=memory_mb, max_fds=SITE_FDS)
+    answer = urllib3.request(
+        'POST',
+        f'{node.url}/plans/longest',
+        body=b'x' * crowds.BODY_BYTES,
+        headers={
+            'Host': platform.HOST,
+            'Request-Id': 'longest',
+            'Model': 'base',
+            'Token-Count': '400,80',
+            'Deadline-Ms': '60000',
+            'X-Events': '1',
+        },
+        retries=False,
+        timeout=crowds.ANSWER_TIMEOUT_S,
+    )
+    assert answer.status == 200
+
+
+@pytest.mark.parametrize('memory_mb', SITE_MEMORY_MB)
+@pytest.mark.parametrize(
+    'pieces',
+    [
+        crowds.whole_requests,
+        crowds.pipelined_requests,
+        crowds.short_of_the_end,
+        crowds.single_byte_chunks,
+    ],
+    ids=lambda one: one.__name__,
+)
+def test_most_callers_fit_each_size_of_machine(start, memory_mb, pieces):
+    """Guards against terms of the memory that grow with the connections."""
+    node = start(memory_mb=memory_mb, max_fds=SITE_FDS)
+    address = address_of(node)
+    watch = crowds.ProcessWatch(node.process.pid, address)
+    with crowds.crowd(address, pieces, SITE_CROWD):
+        assert crowds.await_answer(node.url) == 200
+    watch.stop()
+    check(node, watch, memory_mb, SITE_FDS)
