Send a refused request no later than an answer can come

Callers saw: 504 with an unknown outcome for a request that each upstream had refused as not run.

Cause: a request without a stream could be sent until its deadline. The last attempt of a refused one was sent with 1 ms left, so that the deadline passed before the refusal was read.

Change: it is sent again only while the shortest known answer of its route can still come, and is refused at once after that, without a charge to the retry budget. First attempts, and those of requests that may have run, are made as before.

--- a/ivystep/gateway/requests/answer_times.py
+++ b/ivystep/gateway/requests/answer_times.py
@@ -7,6 +7,7 @@
 
 import collections
 import statistics
+from collections.abc import Callable, Sequence
 
 from ivystep.gateway.requests import request_state
 from ivystep.runtime import clock
@@ -56,10 +57,29 @@
         Returns:
             The time; None if too few answers are known.
         """
+        return self._scaled(statistics.median, state)
+
+    def shortest_s(self, state: request_state.RequestState) -> float | None:
+        """Return the time in seconds that no answer has fallen short of.
+
+        Args:
+            state: A request of the same route.
+
+        Returns:
+            The time; None if too few answers are known.
+        """
+        return self._scaled(min, state)
+
+    def _scaled(
+        self,
+        choose: Callable[[Sequence[float]], float],
+        state: request_state.RequestState,
+    ) -> float | None:
+        """Return the chosen one of a route's ratios as a request's time."""
         ratios = self._ratios_by_key.get(_key(state), ())
         if len(ratios) < MIN_SAMPLES:
             return None
-        return statistics.median(ratios) * state.expected_run_s
+        return choose(ratios) * state.expected_run_s
 
 
 def _key(state: request_state.RequestState) -> _Key:
--- a/ivystep/gateway/requests/dispatch.py
+++ b/ivystep/gateway/requests/dispatch.py
@@ -146,6 +146,7 @@
                 raise request_state.final_error(refusal, state) from refusal
             except errors.RequestError as error:
                 state.on_attempt_failed(last_event_id)
+                state.on_refused(self._shortest_answer_s(state))
                 may_retry = self._may_retry(state, error)
                 self._log.attempt_failed(
                     state,
@@ -329,11 +330,18 @@
         self, state: request_state.RequestState, error: errors.RequestError
     ) -> bool:
         """Decide whether a request is retried, and charge the budget."""
+        next_attempt_at = clock.now() + state.retry_pause_s
         return (
             retries.may_follow(state, error.ran)
+            and next_attempt_at < state.send_by
             and self._retry_budget(state).try_spend()
         )
 
+    def _shortest_answer_s(self, state: request_state.RequestState) -> float:
+        """Return the time that an answer takes at least, as far as is known."""
+        known_s = self._stop.times.shortest_s(state)
+        return state.first_event_s if known_s is None else known_s
+
     def _retry_budget(
         self, state: request_state.RequestState
     ) -> retry_budget.RetryBudget:
--- a/ivystep/gateway/requests/request_state.py
+++ b/ivystep/gateway/requests/request_state.py
@@ -118,6 +118,7 @@
             of its answer, in seconds.
         account: Account that sends the request; None if there is none.
         has_run_before: Whether the request may have run before this attempt.
+        needed_s: Time in seconds that must be left as the next attempt is sent.
     """
 
     call: calls.Call
@@ -144,6 +145,7 @@
     first_event_s: float = FIRST_EVENT_LATENCY_S
     account: contracts.ClientAccount | None = None
     has_run_before: bool = False
+    needed_s: float = 0.0
 
     @classmethod
     def from_call(
@@ -235,6 +237,17 @@
         )
         self.failed_take_ups = self.failed_take_ups + 1 if is_stuck else 0
 
+    def on_refused(self, shortest_answer_s: float) -> None:
+        """Don't send the request again too late for an answer.
+
+        Its caller would be left with an unknown outcome, which a request that
+        may have run has in any case.
+
+        Args:
+            shortest_answer_s: Time in seconds that an answer takes at least.
+        """
+        self.needed_s = 0.0 if self.may_have_run else shortest_answer_s
+
     @property
     def retry_pause_s(self) -> float:
         """Pause before the next attempt."""
@@ -298,7 +311,7 @@
     def start_by(self) -> float:
         """Latest start that meets the deadline and avoids abandonment."""
         if self.route.kind is not contracts.Repeatability.STREAM:
-            return self.deadline
+            return self.deadline - self.needed_s
         first_event_by = self.call.arrived + self.route.abandon_after_s
         return min(self.deadline, first_event_by) - self.first_event_s
 
