Give each gateway of the tests ports that nobody else can take

Cause: a test's gateway listened at a port that had been bound and freed before, from the range that the kernel uses for connections and for listeners that take any port. Another process, or another listener of the same gateway, could have it by then: address_unavailable in the log, and the request got a closed connection.

Change: ports below that range, none twice in a process, each process from a place of its own.

Ruled out: the product, which reports and repeats its listen as it should.

--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -1,7 +1,10 @@
 """A complete gateway on loopback with a store and scripted upstreams."""
 
 import contextlib
+import itertools
 import json
+import pathlib
+import random
 import socket
 import struct
 
@@ -22,10 +25,25 @@
 }
 
 
+PORT_RANGE = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
+# The kernel gives none of these to a connection, nor to a listener that takes
+# any port.
+PORTS = range(10_000, int(PORT_RANGE.read_text().split()[0]))
+# A process begins anywhere, so that those of several test runs seldom meet.
+_first = random.randrange(len(PORTS))
+_ports = itertools.cycle((*PORTS[_first:], *PORTS[:_first]))
+
+
 def unused_port():
-    with contextlib.closing(socket.socket()) as probe:
-        probe.bind(('127.0.0.1', 0))
-        return probe.getsockname()[1]
+    """Return a port that this process has not returned before."""
+    while True:
+        port = next(_ports)
+        with (
+            contextlib.closing(socket.socket()) as probe,
+            contextlib.suppress(OSError),
+        ):
+            probe.bind(('127.0.0.1', port))
+            return port
 
 
 class ScriptedUpstream:
