--- a/ivystep/gateway/requests/dispatch.py
+++ b/ivystep/gateway/requests/dispatch.py
@@ -15,6 +15,7 @@
 from ivystep.gateway.loads import model_pools
 from ivystep.gateway.requests import (
     attempt_sender,
+    final_errors,
     planned_stop,
     relay,
     request_log,
@@ -124,10 +125,10 @@
             ):
                 self._run_attempts(state)
         except DeadlineExceededError as error:
-            raise request_state.deadline_error(state) from error
+            raise final_errors.deadline_error(state) from error
         except planned_stop.HostStoppedError as error:
             self._log.stopped(state, self._stop.begun.signalled_at)
-            raise request_state.stopped_error(
+            raise final_errors.stopped_error(
                 state, self._stop.retry_after_s
             ) from error
         except (relay.CallerDisconnectedError, OSError):
@@ -143,7 +144,7 @@
             try:
                 self._make_attempt(state)
             except errors.RefusedError as refusal:
-                raise request_state.final_error(refusal, state) from refusal
+                raise final_errors.final_error(refusal, state) from refusal
             except errors.RequestError as error:
                 state.on_attempt_failed(last_event_id)
                 state.on_refused(self._shortest_answer_s(state))
@@ -156,7 +157,7 @@
                 )
                 if not may_retry:
                     wait_s = self._limits.expected_wait_s(state.service)
-                    raise request_state.final_error(
+                    raise final_errors.final_error(
                         error, state, wait_s
                     ) from error
                 clock.sleep(state.retry_pause_s)
--- a/ivystep/gateway/requests/request_access.py
+++ b/ivystep/gateway/requests/request_access.py
@@ -10,7 +10,7 @@
 
 from ivystep.accounts import authentication, events, revocation
 from ivystep.core import errors
-from ivystep.gateway.requests import request_state
+from ivystep.gateway.requests import final_errors, request_state
 from ivystep.gateway.store import configuration
 from ivystep.runtime import event_log
 from ivystep.settings import gateway as settings_models
@@ -146,4 +146,4 @@
 
 def revoked_error(state: request_state.RequestState) -> errors.RequestError:
     """Return the error of a stream whose key has been removed."""
-    return request_state.final_error(authentication.revoked_key(), state)
+    return final_errors.final_error(authentication.revoked_key(), state)
--- a/tests/gateway/requests/test_planned_stop.py
+++ b/tests/gateway/requests/test_planned_stop.py
@@ -5,7 +5,12 @@
 import eventlet
 import pytest
 
-from ivystep.gateway.requests import answer_times, planned_stop, request_state
+from ivystep.gateway.requests import (
+    answer_times,
+    final_errors,
+    planned_stop,
+    request_state,
+)
 from ivystep.runtime import clock
 from ivystep.traffic import calls, contracts
 from tests.coordination import fakes as clocks
@@ -145,7 +150,7 @@
         with stop.watch(state):
             clock.sleep(100)
     except planned_stop.HostStoppedError:
-        error = request_state.stopped_error(state, 0.2)
+        error = final_errors.stopped_error(state, 0.2)
         ended.append((clock.now(), error.status, error.ran.value))
 
 
