Count the refusals of a crowd by their bound, and show the plan of the memory

What operators saw of a crowd: refused_for_memory and a line each ten seconds.

Cause: the refusal of a request that is not read in full was counted for one code only.

Change: ServerState counts each by status and code; CallerMetrics shows the counts, the parts of the memory plan, and what is used of the two that callers fill. Values that are cheaper to read than to follow are set as the page is rendered. The plan names its parts in one place, of which its sum is made.

Ruled out: a bound of the log by address. Such a refusal writes no line, and connections_limited comes once in ten seconds.

--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -16,6 +16,7 @@
 )
 from ivystep.gateway.requests import (
     account_metrics,
+    caller_metrics,
     callers,
     crashes,
     dispatch,
@@ -99,6 +100,7 @@
         self._server_state = shared_state.ServerState.from_config(
             settings.capacity
         )
+        caller_metrics.CallerMetrics(self._metrics, self._server_state)
         self._measured = measurements.Measurements.empty()
         self._prefill_queues = prefill_queues.PrefillQueues(
             self._measured.rates
@@ -302,9 +304,7 @@
             setup_age_s=0.0,
             details={
                 'upstreams': len(self._membership.upstream_by_id),
-                'requests': self._server_state.requests,
-                'buffered_bytes': self._server_state.buffered.used_bytes,
-                'refused_for_memory': self._server_state.refused_for_memory,
+                **self._server_state.status(),
                 'holder': self._leadership.holder,
                 'hosts': self._shares.known_hosts,
                 **self._quotas.status(),
--- a/ivystep/gateway/requests/caller_connection.py
+++ b/ivystep/gateway/requests/caller_connection.py
@@ -336,8 +336,7 @@
     def _refuse_bad_request(self, error: http1.BadRequestError) -> None:
         self._reader.discard()
         self._may_buffer()
-        if error.code == incomplete_requests.NO_MEMORY:
-            self._server_state.refused_for_memory += 1
+        self._server_state.count_refused(error)
         self.answer.is_kept_alive = False
         self.answer.has_started = False
         self.answer.send_error(
--- a/ivystep/gateway/requests/shared_state.py
+++ b/ivystep/gateway/requests/shared_state.py
@@ -1,5 +1,7 @@
 """State shared by all callers' connections of this host."""
 
+import collections
+import dataclasses
 import typing
 
 from ivystep.core import units
@@ -24,6 +26,19 @@
 ALWAYS_BUFFERED_BYTES = 4 * units.KIB
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """What a caller is told whose request is not read in full.
+
+    Attributes:
+        status: HTTP status.
+        code: Code of the error.
+    """
+
+    status: int
+    code: str
+
+
 class Connection(typing.Protocol):
     """A caller's connection, as far as the host acts on all of them."""
 
@@ -73,7 +88,7 @@
         stop: Ends requests that a planned stop leaves no time for.
         open_connections: The open connections.
         requests: Number of requests in progress.
-        refused_for_memory: Number of requests refused as memory was short.
+        count_by_refusal: Number of requests that were not read in full.
     """
 
     def __init__(
@@ -90,13 +105,37 @@
         self.stop = planned_stop.PlannedStop()
         self.open_connections: set[Connection] = set()
         self.requests = 0
-        self.refused_for_memory = 0
+        self.count_by_refusal: collections.Counter[Refusal] = (
+            collections.Counter()
+        )
 
     @classmethod
     def from_config(cls, capacity: settings_models.Capacity) -> typing.Self:
         """Create the state for the capacity of the host."""
         return cls(capacity.memory_plan)
 
+    def count_refused(self, error: http1.BadRequestError) -> None:
+        """Count a request that was refused before it was read in full.
+
+        Args:
+            error: The error for its caller.
+        """
+        self.count_by_refusal[Refusal(error.status, error.code)] += 1
+
+    def status(self) -> dict[str, int]:
+        """Return what operators see of the callers."""
+        return {
+            'requests': self.requests,
+            'connections': len(self.open_connections),
+            'buffered_bytes': self.buffered.used_bytes,
+            'refused_for_memory': self._refused_as(
+                incomplete_requests.NO_MEMORY
+            ),
+            'refused_for_connections': self._refused_as(
+                incomplete_requests.NO_CONNECTION
+            ),
+        }
+
     def make_room(self, asking: Connection) -> bool:
         """Refuse the largest incomplete requests while memory is short.
 
@@ -159,6 +198,13 @@
                     incomplete_requests.host_stopping(self.stop.retry_after_s)
                 )
 
+    def _refused_as(self, code: str) -> int:
+        return sum(
+            count
+            for refusal, count in self.count_by_refusal.items()
+            if refusal.code == code
+        )
+
 
 def _is_not_receiving(connection: Connection) -> bool:
     return not connection.is_receiving
--- a/ivystep/metrics/registry.py
+++ b/ivystep/metrics/registry.py
@@ -5,6 +5,8 @@
 only.
 """
 
+from collections.abc import Callable
+
 import aioprometheus
 from aioprometheus import renderer
 
@@ -57,6 +59,7 @@
     def __init__(self, waiting_accounts: int = MAX_ACCOUNT_LABELS) -> None:
         registry = aioprometheus.Registry()
         self.registry = registry
+        self._updates: list[Callable[[], None]] = []
         self._accounts = BoundedLabel(MAX_ACCOUNT_LABELS)
         self._waiting_accounts = BoundedLabel(waiting_accounts)
         self._codes = BoundedLabel(MAX_CODE_LABELS)
@@ -186,8 +189,18 @@
         self._setup_version.set({}, version)
         self._setup_age_s.set({}, age_s)
 
+    def update_before_render(self, update: Callable[[], None]) -> None:
+        """Have metrics set that are cheaper to read than to follow.
+
+        Args:
+            update: Sets them; called before each rendering.
+        """
+        self._updates.append(update)
+
     def render(self) -> tuple[bytes, str]:
         """Return the metrics in text format and their content type."""
+        for update in self._updates:
+            update()
         dropped = log_output.dropped_lines()
         self._counter_by_name['log_lines_dropped'].set({}, dropped)
         body, headers = renderer.render(self.registry, [])
--- a/ivystep/runtime/memory_plan.py
+++ b/ivystep/runtime/memory_plan.py
@@ -85,15 +85,20 @@
             requests_bytes=requests_bytes,
         )
 
+    @property
+    def bytes_by_part(self) -> dict[str, int]:
+        """Memory that each part takes if callers bring all they can."""
+        return {
+            'at_rest': AT_REST_BYTES,
+            'connections': self.connections * CONNECTION_BYTES,
+            'unread': (self.connections + self.backlog) * self.unread_bytes,
+            'requests': self.requests_bytes,
+        }
+
     @property
     def sum_bytes(self) -> int:
         """Memory that the gateway uses if callers bring all they can."""
-        return (
-            AT_REST_BYTES
-            + self.connections * CONNECTION_BYTES
-            + (self.connections + self.backlog) * self.unread_bytes
-            + self.requests_bytes
-        )
+        return sum(self.bytes_by_part.values())
 
     @property
     def fits(self) -> bool:
