Have clients that do not behave in both soaks

soak/crowds.py draws up to 60 clients that send parts of heads, bodies, handshakes and frames, small chunks, chunk lines and bodies without an end, pipelines or noise, with a key or without, and stay or reset. The soak of faults has them at an entry's ports beside ordinary callers, whose outcomes are compared with the engines' journals as before; the soak of starts at each port of gateway, entry, sidecar and console, which must be ready afterwards and stop with 0.

--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -177,6 +177,12 @@
         url = f'{self.system.node_by_name["table"].url}/faults'
         self.http.request('POST', url, json={'mode': mode, **more})
 
+    def addresses(self, name: str) -> list[tuple[str, int]]:
+        """Return where an entry serves its callers and its operators."""
+        node = self.system.node_by_name[name]
+        urls = map(urllib3.util.parse_url, (node.url, node.operators_url))
+        return [(str(url.host), int(url.port or 0)) for url in urls]
+
     def signal(self, name: str, number: int) -> None:
         """Send a signal to a process."""
         if name in ENTRIES and number != signal.SIGTERM:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,7 @@
 
 import eventlet
 
-from soak import callers, deployment, relay
+from soak import callers, crowds, deployment, relay
 
 # Longer than a deadline with its grace period, so that all requests expire.
 LONG_PAUSE_S = 2 * callers.TIMEOUT_MS / 1000
@@ -94,6 +94,14 @@
     link_relay.heal()
 
 
+def crowd_an_entry(deployed: deployment.Deployment) -> None:
+    """Have clients that do not behave at one of an entry's ports."""
+    name = deployed.random.choice(deployment.ENTRIES)
+    address = deployed.random.choice(deployed.addresses(name))
+    with crowds.crowd(address, deployed.random):
+        eventlet.sleep(LONG_PAUSE_S)
+
+
 ALL: tuple[Fault, ...] = (
     kill_engine,
     kill_sidecar,
@@ -104,6 +112,7 @@
     fail_loads,
     disturb_answers,
     disturb_link,
+    crowd_an_entry,
 )
 
 
--- a/soak/starts/disturbances.py
+++ b/soak/starts/disturbances.py
@@ -14,6 +14,7 @@
 import eventlet
 
 from demo import cluster
+from soak import crowds
 from soak.starts import daemon
 
 # Time within which all modules are imported on a machine that is not busy.
@@ -128,6 +129,14 @@
         scene.pause(HOLD_S)
 
 
+def crowd_at_a_port(scene: Scene) -> None:
+    """Have clients that do not behave at one of the ports."""
+    scene.start_ready(daemon.Surroundings())
+    name = scene.random.choice(sorted(scene.daemon.address_by_port))
+    with crowds.crowd(scene.daemon.address_by_port[name], scene.random):
+        scene.pause(HOLD_S)
+
+
 def output_is_closed(scene: Scene) -> None:
     """Start without standard output, or without any standard descriptor."""
     closed = scene.random.choice(((1,), (2,), (1, 2), (0, 1, 2)))
@@ -184,6 +193,7 @@
     stopped_while_starting,
     port_is_held,
     descriptors_run_out,
+    crowd_at_a_port,
     output_is_closed,
     log_reader_is_gone,
     settings_in_pieces,
