Wait until a test's gateway can be reached, and trace two known red tests

Cause of test_host_starts_beside_an_odd_entry[no time] (ConnectionRefusedError) and of the fixture's time-out in test_host_out_of_step (no number of hosts after 5 s): a port of the gateway was in use as it started. It listens later, as it should, but the fixture connected at once, and a host takes no part in the election until its peers' port is open.

--- a/tests/gateway/harness.py
+++ b/tests/gateway/harness.py
@@ -285,6 +285,8 @@
         stack.callback(self.daemon.stop)
         if peer is None:
             self.wait_for(len(upstreams))
+        if peer is None and config is not False:
+            self.wait_until_ready()
         # The retry budget is small until the number of hosts is known.
         with eventlet.Timeout(5):
             while not self.daemon.status().details['hosts']:
@@ -325,6 +327,12 @@
             while self.daemon.status().details['upstreams'] != upstreams:
                 eventlet.sleep(0.01)
 
+    def wait_until_ready(self):
+        """Wait until a configuration is in force and callers can connect."""
+        with eventlet.Timeout(5):
+            while not self.daemon.status().is_ready:
+                eventlet.sleep(0.01)
+
     def connect(self, caller='127.0.0.1'):
         """Open a connection from an address of the loopback network."""
         return socket.create_connection(
