Crash the engine of a test only once its requests have arrived

Cause of test_part_of_answered_requests..._if_engines_crash_otherwise[0.05] in KNOWN-RED.txt: it crashed the engine 50 ms after it had started three callers, and asserted that the engine had received all three. Beside load they come later.

Change: the time counts from the last request that has arrived.

--- a/tests/gateway/requests/test_crashing_prompt_parts.py
+++ b/tests/gateway/requests/test_crashing_prompt_parts.py
@@ -336,10 +336,14 @@
     fleet, callers = build_fleet(engines=1)
     for _ in range(2 * MAX_CRASHED):
         fleet.run_s = LONG_RUN_S
+        received = len(fleet.received)
         running = [
             eventlet.spawn(callers.send, fleet.gateway, FIRST, DOCUMENT)
             for _ in range(3)
         ]
+        with eventlet.Timeout(5):
+            while len(fleet.received) < received + len(running):
+                eventlet.sleep(0.001)
         eventlet.sleep(age_s)
         fleet.crash(fleet.running[0])
         assert all(one.wait()[1] for one in running)
