Close kept connections after their answers at the limit of connections

What callers saw: 100 callers that send a cheap request twice a second on kept connections hold the 28 connections of a gateway with 320 descriptors; an ordinary caller got no answer in 60 s.

Cause: at the limit, only idle connections (1 s without a request) and incomplete requests made room. One whole request after the other is neither.

Change: if no connection is idle and no request incomplete, those open for longest close after the next answer that begins, also before further requests that were sent ahead; the answer says so, and these have not run.

Why it works: each connection then serves at most one more request while others wait, so the queue of the listener advances with the requests.

Ruled out: callers that do not take their answers. The kernel ends their connections after 3 s (TCP_USER_TIMEOUT), and beside 100 that take 8 KB a second an ordinary caller was answered before the change as well; both rows are tests now.

--- a/ivystep/gateway/requests/caller_connection.py
+++ b/ivystep/gateway/requests/caller_connection.py
@@ -52,6 +52,9 @@
             that is being received; infinite before.
         is_new: Whether no request has arrived on it in full.
         is_lingering: Whether its last answer has been sent.
+        opened_at: Time at which it was accepted.
+        is_last_answer: Whether it closes after the next answer that begins,
+            even if further requests have been read.
     """
 
     def __init__(
@@ -78,6 +81,8 @@
         self.receiving_since = math.inf
         self.is_new = True
         self.is_lingering = False
+        self.opened_at = clock.now()
+        self.is_last_answer = False
         self.is_waiting = False
         self._refusal: http1.BadRequestError | None = None
         self._running_bytes = 0
@@ -150,6 +155,10 @@
             and clock.now() >= self.receiving_since + seconds
         )
 
+    def close_after_answer(self) -> None:
+        """Close the connection after the next answer that begins."""
+        self.is_last_answer = True
+
     def stop_lingering(self) -> None:
         """Close the connection, as its last answer has been sent."""
         if self.is_lingering:
@@ -225,8 +234,12 @@
     def _closes_after_answer(self) -> bool:
         """Return whether the current answer is the last one.
 
-        A pipelined request that has been read is answered before the close.
+        A pipelined request that has been read is answered before a planned
+        stop. To make room for other callers, the connection closes before it,
+        as its caller may send it again elsewhere.
         """
+        if self.is_last_answer:
+            return True
         is_closing = self._server_state.is_closing
         return is_closing and not self._reader.has_request
 
--- a/ivystep/gateway/requests/connection_limit.py
+++ b/ivystep/gateway/requests/connection_limit.py
@@ -7,7 +7,9 @@
 connections that never send a whole one would keep everybody out. A request
 that has arrived is never refused for a new connection. While all are in use,
 no more are accepted: they wait in the kernel, which costs no descriptor, and
-are served in order.
+are served in order. So that callers who send one request after the other do not
+keep others out, the connections that are open for longest close after their
+answer then, which tells their callers to open another one.
 """
 
 import heapq
@@ -35,8 +37,10 @@
 
     idle_since: float
     receiving_since: float
+    opened_at: float
     is_new: bool
     is_lingering: bool
+    is_last_answer: bool
 
     def is_idle_for(self, seconds: float) -> bool:
         """Return whether it has been idle for a time."""
@@ -53,6 +57,9 @@
     def stop_lingering(self) -> None:
         """Close it, as its last answer has been sent."""
 
+    def close_after_answer(self) -> None:
+        """Close it after the next answer that begins."""
+
 
 class ConnectionLimit:
     """The limit on the connections of one listener.
@@ -96,6 +103,8 @@
                 self._refuse(
                     heapq.nsmallest(number, incomplete, key=_receiving_since)
                 )
+            if not (idle or incomplete):
+                _end_kept(open_connections, number)
             for connection in list(open_connections):
                 if connection.is_lingering:
                     connection.stop_lingering()
@@ -123,6 +132,13 @@
         )
 
 
+def _end_kept(open_connections: Iterable[Connection], number: int) -> None:
+    """Close those open for longest after their answers, a number of them."""
+    kept = [each for each in open_connections if not each.is_last_answer]
+    for connection in heapq.nsmallest(number, kept, key=_opened_at):
+        connection.close_after_answer()
+
+
 def _is_idle(connection: Connection) -> bool:
     return connection.is_idle_for(
         MIN_RECEIVING_S if connection.is_new else MIN_IDLE_S
@@ -135,3 +151,7 @@
 
 def _receiving_since(connection: Connection) -> float:
     return connection.receiving_since
+
+
+def _opened_at(connection: Connection) -> float:
+    return connection.opened_at
--- a/tests/gateway/requests/test_callers.py
+++ b/tests/gateway/requests/test_callers.py
@@ -113,3 +113,20 @@
         eventlet.sleep(0.3)
         assert harness.read_to_end(connection).received == b''
     assert not upstream.requests
+
+
+def test_connection_that_makes_room_closes_after_its_answer(build):
+    """Guards against pipelined requests by which a caller keeps others out."""
+    gateway, (upstream,) = build(lambda _, headers: harness.ok_answer(headers))
+    with contextlib.closing(gateway.connect()) as connection:
+        eventlet.sleep(0.1)
+        (opened,) = gateway.daemon._server_state.open_connections
+        opened.close_after_answer()
+        connection.sendall(
+            harness.request('/once/a', 'r-1')
+            + harness.request('/once/b', 'r-2')
+        )
+        received = harness.read_to_end(connection).received
+    assert received.count(b'HTTP/1.1 200') == 1
+    assert b'Connection: close' in received
+    assert len(upstream.requests) == 1
--- a/tests/gateway/requests/test_connection_limit.py
+++ b/tests/gateway/requests/test_connection_limit.py
@@ -26,6 +26,8 @@
         self.is_new = is_new
         self.is_lingering = is_lingering
         self.refusal = None
+        self.opened_at = clock.now()
+        self.is_last_answer = False
         opened.append(self)
 
     def is_receiving_for(self, seconds):
@@ -37,6 +39,9 @@
         self.refusal = refusal
         self.opened.remove(self)
 
+    def close_after_answer(self):
+        self.is_last_answer = True
+
     def stop_lingering(self):
         self.opened.remove(self)
 
@@ -179,3 +184,30 @@
     """Guards against refused callers who hold their connections open."""
     left, _ = wait_for_room({}, {}, {'is_lingering': True}, {})
     assert left == [0, 1, 3]
+
+
+def test_connections_open_for_longest_close_after_their_answers():
+    """Guards against callers whose kept connections keep others out."""
+
+    def scenario():
+        opened = []
+        for _ in range(LIMIT):
+            Connection(opened)
+            clock.sleep(100)
+        limit = connection_limit.ConnectionLimit(LIMIT, Listener())
+        waiting = eventlet.spawn(limit.wait_for_room, opened)
+        clock.sleep(1.5 * connection_limit.POLL_S)
+        ending = [one.is_last_answer for one in opened]
+        opened.pop(0)
+        waiting.wait()
+        return ending
+
+    assert virtual_hub.run(scenario) == [True, True, False, False]
+
+
+def test_no_connection_ends_while_another_makes_room():
+    """Guards against callers who must connect again without need."""
+    _, made = wait_for_room({}, {}, {'idle_since': 98}, {'idle_since': 97})
+    assert not any(one.is_last_answer for one in made)
+    _, made = wait_for_room({}, {}, {'receiving_since': 80}, {})
+    assert not any(one.is_last_answer for one in made)
--- a/tests/processes/test_gateway_crowds.py
+++ b/tests/processes/test_gateway_crowds.py
@@ -20,6 +20,7 @@
 # As many callers as a gateway with so few descriptors cannot hold.
 FEW_FDS = 320
 LARGE_CROWD = 400
+SLOW_CROWD = 100
 # No time-out ends a crowd before its test.
 LIMITS = {'header_timeout_ms': 600000, 'idle_timeout_ms': 600000}
 READY_TIMEOUT_S = 20.0
@@ -136,6 +137,34 @@
     check(node, watch, max_fds=FEW_FDS)
 
 
+@pytest.mark.parametrize(
+    'pieces',
+    [crowds.refused_requests, crowds.refused_and_run_requests],
+    ids=lambda one: one.__name__,
+)
+def test_slow_readers_do_not_hold_all_connections(start, pieces):
+    """Guards against callers who get no answer beside others' full buffers."""
+    node = start(memory_mb=MEMORY_MB, max_fds=FEW_FDS)
+    address = address_of(node)
+    watch = crowds.ProcessWatch(node.process.pid, address)
+    with crowds.crowd(address, pieces, SLOW_CROWD, is_slow_reader=True):
+        assert crowds.await_answer(node.url) == 200
+    watch.stop()
+    check(node, watch, max_fds=FEW_FDS)
+
+
+def test_busy_connections_do_not_keep_others_out(start):
+    """Guards against callers who get no answer beside kept connections."""
+    node = start(memory_mb=MEMORY_MB, max_fds=FEW_FDS)
+    address = address_of(node)
+    watch = crowds.ProcessWatch(node.process.pid, address)
+    pieces = crowds.refused_requests_without_end
+    with crowds.crowd(address, pieces, SLOW_CROWD):
+        assert crowds.await_answer(node.url) == 200
+    watch.stop()
+    check(node, watch, max_fds=FEW_FDS)
+
+
 @pytest.mark.parametrize(
     'pieces',
     [crowds.short_of_the_end, crowds.single_byte_chunks],
