Split what passes changes of upstreams on from the gateway's daemon

RequestState.on_refused was called after each failed attempt, refused or not.

No behaviour changes.

Ruled out: handing the parts in at construction, as pools and orders need the callbacks to be made; they are connected before a task starts.

--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -1,12 +1,15 @@
 """The gateway daemon: builds all parts of a gateway and runs their tasks."""
 
 import typing
-from collections.abc import Mapping
-
-import eventlet
 
 from ivystep.core import types
-from ivystep.gateway import event_metrics, loop_lag, process_events, servers
+from ivystep.gateway import (
+    event_metrics,
+    loop_lag,
+    process_events,
+    servers,
+    upstream_changes,
+)
 from ivystep.gateway.loads import (
     engine_orders,
     leadership,
@@ -42,7 +45,6 @@
     host_shares,
     measurements,
     membership,
-    upstream_state,
 )
 from ivystep.metrics import operators_app, registry
 from ivystep.platform import rows
@@ -115,10 +117,16 @@
         self._config = configuration.Configuration(
             self._log, self._on_config, self._on_version
         )
+        self._origins = origins.StreamOrigins.from_store(self._rows, self._log)
+        self._changes = upstream_changes.UpstreamChanges(
+            self._origins,
+            self._prefill_queues,
+            lambda: self._leadership.is_leader,
+        )
         self._membership = membership.Membership(
             self._log,
-            self._on_change,
-            self._on_removed,
+            self._changes.on_change,
+            self._changes.on_removed,
             contact,
             settings.bounds.heartbeat_s,
             settings.peer_bounds,
@@ -136,9 +144,9 @@
         )
         self._residency_updates = residency_updates.ResidencyUpdates(
             host,
-            self._on_residency_update,
-            self._own_requests,
-            self._on_requests_in_progress,
+            self._changes.on_residency_update,
+            self._changes.own_requests,
+            self._changes.on_requests_in_progress,
             self._shares.on_host_count,
             lambda: self._leadership.is_leader,
             residency_updates.HeartbeatContents(
@@ -152,7 +160,7 @@
             settings,
             contact.on_call,
             updates=self._residency_updates,
-            on_active=self._update_all_upstreams,
+            on_active=self._changes.update_all,
             queues=self._prefill_queues,
             log=self._log,
         )
@@ -165,7 +173,7 @@
             self._leadership,
             self._residency_updates,
             self._measured.times,
-            self._on_change,
+            self._changes.on_change,
             lambda *cached: self._pools.is_cached(*cached),
             self._log,
         )
@@ -180,8 +188,7 @@
             self._metrics,
         )
         self._crashes = crashes.Crashes.from_store(self._rows, self._log)
-        self._origins = origins.StreamOrigins.from_store(self._rows, self._log)
-        self._origins.on_usable = self._on_usable
+        self._changes.connect(self._membership, self._orders, self._pools)
         self._versions = version_choice.VersionChoice(
             self._config, settings.bounds.version_s
         )
@@ -205,7 +212,7 @@
             limited_upstreams.LimitedUpstreams(
                 self._membership.upstream_by_id,
                 lambda: self._shares.hosts,
-                self._on_change,
+                self._changes.on_change,
                 self._log,
             ),
             self._access,
@@ -219,7 +226,7 @@
                 self._membership,
                 self._versions,
                 self._safeguards,
-                self._on_change,
+                self._changes.on_change,
                 self._leadership.wait_for_permit,
                 requests_log,
                 self._origins,
@@ -389,7 +396,7 @@
         self._quotas.on_config(config)
         self._pools.configure(config)
         self._origins.configure(config)
-        self._update_all_upstreams()
+        self._changes.update_all()
 
     def _on_version(
         self, newest: types.AdapterRef, previous: types.AdapterRef
@@ -397,73 +404,6 @@
         self._pools.transfer_popularity(previous, newest)
         self._versions.waits.on_version(newest)
 
-    def _on_change(self, upstream: upstream_state.Upstream) -> None:
-        known = self._membership.upstream_by_id.get(upstream.upstream_id)
-        if known is upstream:
-            self._origins.on_upstream(upstream)
-            if self._origins.may_use(upstream):
-                self._pools.update_upstream(upstream)
-            else:
-                self._pools.remove_upstream(upstream)
-        if upstream.is_draining:
-            self._prefill_queues.close(upstream.entry.incarnation)
-        elif known is upstream:
-            self._prefill_queues.reopen(upstream.entry.incarnation)
-
-    def _on_usable(self, service: str) -> None:
-        for upstream in list(self._membership.upstream_by_id.values()):
-            if upstream.entry.service == service:
-                self._on_change(upstream)
-
-    def _on_removed(self, upstream: upstream_state.Upstream) -> None:
-        self._orders.remove(upstream)
-        self._origins.on_removed(upstream)
-        self._prefill_queues.close(upstream.entry.incarnation)
-        self._pools.remove_upstream(upstream)
-
-    def _on_residency_update(
-        self, update: residency_updates.ResidencyUpdate
-    ) -> None:
-        if update.is_held and update.ready_in_s > 0:
-            eventlet.spawn_after(
-                update.ready_in_s, self._apply_residency_update, update
-            )
-        else:
-            self._apply_residency_update(update)
-
-    def _own_requests(self) -> dict[str, int]:
-        return {
-            upstream.upstream_id: upstream.in_progress
-            for upstream in self._membership.upstream_by_id.values()
-            if upstream.in_progress
-        }
-
-    def _on_requests_in_progress(self, running: Mapping[str, int]) -> None:
-        for upstream in list(self._membership.upstream_by_id.values()):
-            is_changed = upstream.apply_total(
-                running.get(upstream.upstream_id, 0)
-            )
-            # The leader ranks all upstreams as targets of loads.
-            if is_changed or self._leadership.is_leader:
-                self._on_change(upstream)
-
-    def _apply_residency_update(
-        self, update: residency_updates.ResidencyUpdate
-    ) -> None:
-        upstream = self._membership.upstream_by_id.get(update.upstream_id)
-        if upstream is None:
-            return
-        now = clock.now()
-        if update.is_held:
-            upstream.replace_version(update.ref, now)
-        else:
-            upstream.set_resident(update.ref, now, is_held=False)
-        self._on_change(upstream)
-
-    def _update_all_upstreams(self) -> None:
-        for upstream in list(self._membership.upstream_by_id.values()):
-            self._on_change(upstream)
-
     def _apply_totals_as_leader(self) -> None:
         """Apply the requests of all hosts while this host is the leader."""
         while True:
--- a/ivystep/gateway/requests/dispatch.py
+++ b/ivystep/gateway/requests/dispatch.py
@@ -147,7 +147,7 @@
                 raise final_errors.final_error(refusal, state) from refusal
             except errors.RequestError as error:
                 state.on_attempt_failed(last_event_id)
-                state.on_refused(self._shortest_answer_s(state))
+                state.require_time_for_answer(self._shortest_answer_s(state))
                 may_retry = self._may_retry(state, error)
                 self._log.attempt_failed(
                     state,
--- a/ivystep/gateway/requests/request_state.py
+++ b/ivystep/gateway/requests/request_state.py
@@ -236,7 +236,7 @@
         )
         self.failed_take_ups = self.failed_take_ups + 1 if is_stuck else 0
 
-    def on_refused(self, shortest_answer_s: float) -> None:
+    def require_time_for_answer(self, shortest_answer_s: float) -> None:
         """Don't send the request again too late for an answer.
 
         Its caller would be left with an unknown outcome, which a request that
