Make room for new connections at entries and consoles too

What callers saw: beside 100 connections that say nothing, stop inside a head or a body, or repeat a cheap request, an ordinary caller of an entry that serves 64 connections got no answer on a new connection in 60 s; an operator got no page of a console beside callers that repeat their request.

Cause: both gave their limit to wsgi.server, which accepts nothing at it until a connection ends by itself. Only gateways made room.

Change: the gateway's limit is a module of the runtime; LimitedListener asks it before each accept of wsgi.server, and LimitedConnection tells of a connection of that server whether it is idle, incomplete, or may close after its answer. An incomplete request is closed unanswered there: nothing has run.

Why it works: a request that arrives whole is never ended for it, and each other connection ends within its next answer while somebody waits.

Ruled out: shorter time-outs, as the crowd comes again.

--- a/demo/cluster.py
+++ b/demo/cluster.py
@@ -254,8 +254,19 @@
         self._await_unless_parallel(port, node)
         return node
 
-    def start_entry(self, host: str, data_centre: str) -> Node:
-        """Start an entry; ``await_ready`` waits until it is ready."""
+    def start_entry(
+        self,
+        host: str,
+        data_centre: str,
+        requests: Mapping[str, typing.Any] | None = None,
+    ) -> Node:
+        """Start an entry; ``await_ready`` waits until it is ready.
+
+        Args:
+            host: Its id.
+            data_centre: Its data centre.
+            requests: Settings of the section ``requests``.
+        """
         port, operators, peers = (
             next(self._ports),
             next(self._ports),
@@ -270,6 +281,7 @@
                 'operators': {'address': self.address, 'port': operators},
                 'peers': {'address': self.address, 'port': peers},
                 'drain': {'notice_s': 0.5, 'deadline_s': 10},
+                'requests': requests or {},
             },
         )
         node = self._start(
--- a/ivystep/console/daemon.py
+++ b/ivystep/console/daemon.py
@@ -9,7 +9,14 @@
 from ivystep.console import app, sessions, setup_repository
 from ivystep.core import errors
 from ivystep.platform import objects, table
-from ivystep.runtime import drain, listeners, logs, page_server, process
+from ivystep.runtime import (
+    connection_limit,
+    drain,
+    listeners,
+    logs,
+    page_server,
+    process,
+)
 from ivystep.settings import models
 
 MAX_CONNECTIONS = 64
@@ -59,16 +66,18 @@
         settings.listen.socket_address,
         logs.event_writer('console'),
     )
+    opened: set[page_server.PageConnection] = set()
     server = eventlet.spawn(
         wsgi.server,
-        listener,
+        connection_limit.LimitedListener(listener, MAX_CONNECTIONS, opened),
         build(settings),
-        max_size=MAX_CONNECTIONS,
+        max_size=MAX_CONNECTIONS + 1,
         protocol=functools.partial(
             page_server.PageConnection,
             on_failure=page_server.FailureReports(listener).add,
             # A submission is not interrupted.
             request_timeout_s=None,
+            open_connections=opened,
         ),
         socket_timeout=SOCKET_TIMEOUT_S,
         log_output=False,
--- a/ivystep/entry/api.py
+++ b/ivystep/entry/api.py
@@ -19,7 +19,7 @@
 )
 from ivystep.metrics import registry
 from ivystep.policy import limits
-from ivystep.runtime import clock, logs
+from ivystep.runtime import clock, limited_connection, logs
 from ivystep.settings import models
 from ivystep.setup import compiled
 
@@ -357,7 +357,9 @@
         connection = self._connection
         if connection is None:
             return
-        if connection.is_closing or _has_unread_body(self.environ):
+        if connection.is_closing or limited_connection.has_unread_body(
+            self.environ
+        ):
             connection.close_after_answer()
 
 
@@ -382,13 +384,6 @@
     )
 
 
-def _has_unread_body(environ: Environ) -> bool:
-    body = environ['wsgi.input']
-    if body.chunked_input:
-        return body.chunk_length != 0
-    return body.position < (body.content_length or 0)
-
-
 def _internal_error() -> errors.RequestError:
     return errors.RequestError(
         'internal_error',
--- a/ivystep/entry/connections.py
+++ b/ivystep/entry/connections.py
@@ -19,7 +19,14 @@
 
 from ivystep.core import errors, ids, units
 from ivystep.entry import answers
-from ivystep.runtime import clock, request_input, turns
+from ivystep.runtime import (
+    clock,
+    connection_limit,
+    limited_connection,
+    listeners,
+    request_input,
+    turns,
+)
 
 ENVIRON_KEY = 'ivystep.connection'
 # A closing connection still reads from its caller up to these limits, because
@@ -61,25 +68,18 @@
 
     Attributes:
         is_closing: Whether each connection closes after its current answer.
+        open_connections: The open connections.
     """
 
     def __init__(self, read_timeout_s: float) -> None:
         self.read_timeout_s = read_timeout_s
         self.is_closing = False
-        self._open: set[CallerConnection] = set()
+        self.open_connections: set[CallerConnection] = set()
 
     @property
     def is_empty(self) -> bool:
         """Whether no connection is open."""
-        return not self._open
-
-    def add(self, connection: 'CallerConnection') -> None:
-        """Register an open connection."""
-        self._open.add(connection)
-
-    def remove(self, connection: 'CallerConnection') -> None:
-        """Remove a connection that was closed."""
-        self._open.discard(connection)
+        return not self.open_connections
 
     def mark_busy_connections(self) -> None:
         """Mark connections whose next request has arrived as busy.
@@ -87,12 +87,12 @@
         Must be called just before the server is killed, which closes idle
         connections without checking whether a request has arrived.
         """
-        for connection in self._open:
+        for connection in self.open_connections:
             connection.mark_busy_if_request_arrived()
 
 
 def serve(
-    listener: typing.Any,
+    listener: listeners.Listener,
     application: Callable[..., typing.Any],
     server_state: ServerState,
     max_connections: int,
@@ -103,12 +103,15 @@
         listener: The listening socket.
         application: WSGI application.
         server_state: State shared by all connections.
-        max_connections: Connections served at once; further ones wait.
+        max_connections: Connections served at once; some of them are closed
+            for further ones, see ``connection_limit``.
     """
     wsgi.server(
-        listener,
+        connection_limit.LimitedListener(
+            listener, max_connections, server_state.open_connections
+        ),
         application,
-        max_size=max_connections,
+        max_size=max_connections + 1,
         protocol=functools.partial(CallerConnection, server_state=server_state),
         socket_timeout=server_state.read_timeout_s,
         log_output=False,
@@ -133,7 +136,7 @@
         return line
 
 
-class CallerConnection(wsgi.HttpProtocol):
+class CallerConnection(limited_connection.LimitedConnection):
     """Connection of one caller, created by ``wsgi.server``.
 
     Args:
@@ -155,13 +158,12 @@
         self._head_deadline = 0.0
         self._hub_listener: typing.Any = None
         self._on_gone: typing.Any = None
-        super().__init__(conn_state, server)
+        super().__init__(conn_state, server, server_state.open_connections)
 
     def setup(self) -> None:
         """Set up the connection; small chunks are sent without delay."""
         super().setup()
         self.connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._server_state.add(self)
 
     def parse_request(self) -> bool:
         """Read and check the head of a request.
@@ -267,8 +269,6 @@
         except OSError:
             # The caller has disconnected, so nothing is left to deliver.
             self.close_connection = True
-        finally:
-            self._server_state.remove(self)
         super().finish()
 
     def mark_busy_if_request_arrived(self) -> None:
@@ -290,6 +290,7 @@
         if is_ended:
             return b''
         self.conn_state[2] = wsgi.STATE_REQUEST
+        self.receiving_since = clock.now()
         # Many requests can be read at once.
         turns.count(0)
         turns.give()
@@ -372,6 +373,7 @@
     def _linger(self) -> None:
         self.wfile.flush()
         self.connection.shutdown(socket.SHUT_WR)
+        self.is_lingering = True
         total = 0
         with eventlet.Timeout(LINGER_S, exception=False):
             while total < LINGER_BYTES:
@@ -379,11 +381,3 @@
                 if not received:
                     return
                 total += received
-
-    def _peek(self) -> bytes:
-        """Return a received byte without consuming it; empty at the end.
-
-        Raises:
-            OSError: Nothing has arrived, or the connection is broken.
-        """
-        return self.connection.fd.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
--- a/ivystep/gateway/requests/caller_connection.py
+++ b/ivystep/gateway/requests/caller_connection.py
@@ -155,7 +155,7 @@
             and clock.now() >= self.receiving_since + seconds
         )
 
-    def close_after_answer(self) -> None:
+    def close_after_next_answer(self) -> None:
         """Close the connection after the next answer that begins."""
         self.is_last_answer = True
 
@@ -175,6 +175,10 @@
         self._refusal = refusal
         hubs.get_hub().schedule_call_global(0, self._interrupt_waiting)
 
+    def refuse_for_room(self) -> None:
+        """Refuse the request that is being received, for a new connection."""
+        self.refuse_incomplete(incomplete_requests.no_connection_left())
+
     @contextlib.contextmanager
     def raise_on_disconnect(self) -> Generator[None]:
         """Raise an error in the task when the caller disconnects.
--- a/ivystep/gateway/requests/callers.py
+++ b/ivystep/gateway/requests/callers.py
@@ -4,11 +4,8 @@
 
 import eventlet
 
-from ivystep.gateway.requests import (
-    caller_connection,
-    connection_limit,
-    shared_state,
-)
+from ivystep.gateway.requests import caller_connection, shared_state
+from ivystep.runtime import connection_limit
 
 
 def serve(
--- a/ivystep/gateway/requests/draining.py
+++ b/ivystep/gateway/requests/draining.py
@@ -13,11 +13,16 @@
 from ivystep.core import units
 from ivystep.gateway import process_events
 from ivystep.gateway.requests import (
-    connection_limit,
     planned_stop,
     shared_state,
 )
-from ivystep.runtime import background, clock, drain, event_log
+from ivystep.runtime import (
+    background,
+    clock,
+    connection_limit,
+    drain,
+    event_log,
+)
 from ivystep.runtime import process_events as life_events
 
 # Time for which new connections are still accepted after SIGTERM. The platform
--- a/ivystep/gateway/requests/connection_limit.py
+++ b/ivystep/runtime/connection_limit.py
@@ -13,12 +13,13 @@
 """
 
 import heapq
+import socket
 import typing
 from collections.abc import Collection, Iterable
 
-from ivystep.gateway.requests import incomplete_requests
+import eventlet
+
 from ivystep.runtime import clock, listener_events, listeners
-from ivystep.traffic import http1
 
 # Time in which the first request of a connection, or the next one, is usually
 # under way. A request that crosses the close is lost for its caller.
@@ -51,13 +52,13 @@
     def is_receiving_for(self, seconds: float) -> bool:
         """Return whether a request has been incomplete for a time."""
 
-    def refuse_incomplete(self, refusal: http1.BadRequestError) -> None:
-        """Refuse the request that is being received."""
+    def refuse_for_room(self) -> None:
+        """Refuse the request that is being received, or close it unanswered."""
 
     def stop_lingering(self) -> None:
         """Close it, as its last answer has been sent."""
 
-    def close_after_answer(self) -> None:
+    def close_after_next_answer(self) -> None:
         """Close it after the next answer that begins."""
 
 
@@ -113,9 +114,7 @@
     def _refuse(self, incomplete: Iterable[Connection]) -> None:
         for connection in incomplete:
             self.refused += 1
-            connection.refuse_incomplete(
-                incomplete_requests.no_connection_left()
-            )
+            connection.refuse_for_room()
 
     def _report(self, connections: int, idle: int, incomplete: int) -> None:
         if clock.now() < self._reported_at + REPORT_S:
@@ -136,7 +135,7 @@
     """Close those open for longest after their answers, a number of them."""
     kept = [each for each in open_connections if not each.is_last_answer]
     for connection in heapq.nsmallest(number, kept, key=_opened_at):
-        connection.close_after_answer()
+        connection.close_after_next_answer()
 
 
 def _is_idle(connection: Connection) -> bool:
@@ -155,3 +154,50 @@
 
 def _opened_at(connection: Connection) -> float:
     return connection.opened_at
+
+
+class LimitedListener:
+    """Makes room for a connection before it accepts one.
+
+    It takes the place of a listener of ``wsgi.server``, whose own limit would
+    wait for a connection to end.
+
+    Args:
+        listener: The listener.
+        max_connections: Connections that may be open at once.
+        open_connections: The open connections, as they change.
+    """
+
+    def __init__(
+        self,
+        listener: listeners.Listener,
+        max_connections: int,
+        open_connections: Collection[Connection],
+    ) -> None:
+        self._listener = listener
+        self._limit = ConnectionLimit(max_connections, listener)
+        self._open_connections = open_connections
+
+    @property
+    def family(self) -> socket.AddressFamily:
+        """The address family, as ``wsgi.server`` reads it."""
+        return self._listener.family
+
+    def getsockname(self) -> typing.Any:
+        """Return the address; see ``listeners.Listener``."""
+        return self._listener.getsockname()
+
+    def accept(self) -> tuple[typing.Any, typing.Any]:
+        """Return the next connection and the address of its peer.
+
+        Raises:
+            listeners.ListenerClosedError: The listener was closed.
+        """
+        # The task of the last connection adds it as it begins.
+        eventlet.sleep(0)
+        self._limit.wait_for_room(self._open_connections)
+        return self._listener.accept()
+
+    def close(self) -> None:
+        """Close the listener."""
+        self._listener.close()
--- a/ivystep/runtime/page_server.py
+++ b/ivystep/runtime/page_server.py
@@ -18,6 +18,7 @@
 
 from ivystep.runtime import (
     clock,
+    limited_connection,
     listener_events,
     listeners,
     request_input,
@@ -36,7 +37,7 @@
 Application = Callable[..., typing.Any]
 
 
-class PageConnection(wsgi.HttpProtocol):
+class PageConnection(limited_connection.LimitedConnection):
     """A connection to a page server.
 
     Args:
@@ -44,6 +45,7 @@
         server: See ``wsgi.HttpProtocol``.
         on_failure: Called with the peer's address and an error.
         request_timeout_s: Time for a request and its answer; None for no limit.
+        open_connections: Set to which it belongs while it is open.
     """
 
     def __init__(
@@ -52,10 +54,12 @@
         server: typing.Any,
         on_failure: Callable[[str, str], None],
         request_timeout_s: float | None,
+        open_connections: set[typing.Any] | None = None,
     ) -> None:
         self._on_failure = on_failure
         self._request_timeout_s = request_timeout_s
-        super().__init__(conn_state, server)
+        opened = set() if open_connections is None else open_connections
+        super().__init__(conn_state, server, opened)
 
     def handle_one_request(self) -> None:
         """Serve one request within its time."""
