Bound the connections of peers that have not said who they are

What callers saw: beside 300 connections at the port of an entry for peers that say nothing, or no frame, and come again once they are closed, an entry with 192 descriptors accepted nothing at its other ports in 60 s; gateways and sidecars had all descriptors in use.

Cause: the ports for other processes accepted without a bound. A silent connection ends after 5 s, and a crowd comes again.

Change: at most 32 connections of such a port have a peer that has not said hello; at the limit the oldest closes for the next one once it has had 1 s. Waiting ones stay in the kernel's queue, which costs no descriptor.

Why it works: the crowd holds at most 32 descriptors, which are kept back for this, and peers that said hello are never closed for it.

Ruled out: a bound on all connections of the port, which would cut peers off.

--- a/ivystep/wire/channel.py
+++ b/ivystep/wire/channel.py
@@ -9,7 +9,7 @@
 import ssl
 import struct
 import typing
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from types import MappingProxyType
 
 import eventlet
@@ -95,6 +95,7 @@
 
     Attributes:
         has_waited: Whether the last ``receive`` had to wait.
+        on_identified: Called once the peer has said who it is.
     """
 
     def __init__(self, connection: socket.socket, peer: str) -> None:
@@ -112,6 +113,7 @@
         self._is_socket_empty = False
         self._is_after_wait = False
         self.has_waited = False
+        self.on_identified: Callable[[], None] = _ignore
 
     @classmethod
     def connect(
@@ -355,3 +357,7 @@
             timeout=left_s,
             timeout_exc=TimeoutError,
         )
+
+
+def _ignore() -> None:
+    """Ignore who the peer is."""
--- a/ivystep/wire/handshake.py
+++ b/ivystep/wire/handshake.py
@@ -104,3 +104,4 @@
             step='accept',
             peer=connection.peer,
         )
+    connection.on_identified()
--- a/ivystep/wire/listener.py
+++ b/ivystep/wire/listener.py
@@ -1,19 +1,68 @@
 """Accepts connections of other ivystep processes and checks their role."""
 
+import functools
 import typing
 from collections.abc import Callable
 
 import eventlet
 
 from ivystep.core import errors
-from ivystep.runtime import logs
+from ivystep.runtime import clock, logs
 from ivystep.wire import channel, tls
 
 HANDSHAKE_TIMEOUT_S = 5.0
+# Connections of one listener whose peers have not said who they are. Each
+# process connects a few times, and says so within a round trip or two.
+MAX_UNIDENTIFIED = 32
+# Time after which such a connection may be closed for a new one.
+MIN_UNIDENTIFIED_S = 1.0
+POLL_S = 0.01
 
 log = logs.get('wire')
 
 
+class UnidentifiedPeers:
+    """The connections of one listener whose peers have not said who they are.
+
+    Any program on the network can open them, and each takes a descriptor.
+    """
+
+    def __init__(self) -> None:
+        # In the order in which they were opened.
+        self._opened_at_by_task: dict[typing.Any, float] = {}
+
+    def add(self, task: typing.Any) -> None:
+        """Count a connection.
+
+        Args:
+            task: The task that serves it.
+        """
+        self._opened_at_by_task[task] = clock.now()
+
+    def remove(self, task: typing.Any) -> None:
+        """Count a connection no more, as its peer is identified or it ended.
+
+        Args:
+            task: The task that serves it.
+        """
+        self._opened_at_by_task.pop(task, None)
+
+    def wait_for_room(self) -> None:
+        """Wait until one more connection may be accepted.
+
+        The oldest one is closed for it once it has had its time.
+        """
+        # The task of the last connection counts it as it begins.
+        eventlet.sleep(0)
+        while len(self._opened_at_by_task) >= MAX_UNIDENTIFIED:
+            task, opened_at = next(iter(self._opened_at_by_task.items()))
+            if clock.now() >= opened_at + MIN_UNIDENTIFIED_S:
+                self.remove(task)
+                task.kill(TimeoutError('gave way to a new connection'))
+            else:
+                clock.sleep(POLL_S)
+
+
 def serve(
     listener: typing.Any,
     contexts: tls.TlsContexts | None,
@@ -29,23 +78,42 @@
         handle: Runs in a task of its own for each connection; a LinkError
             ends the connection.
     """
+    unidentified = UnidentifiedPeers()
     while True:
+        unidentified.wait_for_room()
         try:
             connection, address = listener.accept()
         except OSError:
             return
         peer = f'{address[0]}:{address[1]}'
         eventlet.spawn(
-            _serve_connection, connection, peer, contexts, peer_name, handle
+            _count_connection,
+            unidentified,
+            functools.partial(
+                _serve_connection, connection, peer, contexts, peer_name, handle
+            ),
         )
 
 
+def _count_connection(
+    unidentified: UnidentifiedPeers,
+    serve_connection: Callable[[Callable[[], None]], None],
+) -> None:
+    task = eventlet.getcurrent()
+    unidentified.add(task)
+    try:
+        serve_connection(functools.partial(unidentified.remove, task))
+    finally:
+        unidentified.remove(task)
+
+
 def _serve_connection(
     connection: typing.Any,
     peer: str,
     contexts: tls.TlsContexts | None,
     peer_name: str,
     handle: Callable[[channel.Channel], None],
+    on_identified: Callable[[], None],
 ) -> None:
     try:
         secured = _secure(connection, contexts, peer_name)
@@ -54,6 +122,7 @@
         log.warning('Connection from %s refused: %s.', peer, error)
         return
     link = channel.Channel(secured, peer)
+    link.on_identified = on_identified
     try:
         handle(link)
     except (channel.FrameError, errors.MisdirectedError) as error:
--- a/tests/processes/crowds.py
+++ b/tests/processes/crowds.py
@@ -361,9 +361,14 @@
 
 def await_answer(url):
     """Send an ordinary request until it is answered, as callers do."""
+    return await_status(lambda: ordinary_request(url))
+
+
+def await_status(ask, expected=200):
+    """Ask until the expected status comes, for a while; return the last."""
     deadline = time.monotonic() + ANSWER_TIMEOUT_S
-    status = ordinary_request(url)
-    while status != 200 and time.monotonic() < deadline:
+    status = ask()
+    while status != expected and time.monotonic() < deadline:
         eventlet.sleep(0.2)
-        status = ordinary_request(url)
+        status = ask()
     return status
--- a/tests/processes/test_connection_crowds.py
+++ b/tests/processes/test_connection_crowds.py
@@ -4,8 +4,8 @@
 """
 
 import contextlib
+import functools
 import resource
-import time
 
 import eventlet
 import pytest
@@ -88,12 +88,7 @@
 
 def await_answer(node, key):
     """Call the entry on new connections until it answers, as callers do."""
-    deadline = time.monotonic() + crowds.ANSWER_TIMEOUT_S
-    status = call(node, key)
-    while status != 200 and time.monotonic() < deadline:
-        eventlet.sleep(0.2)
-        status = call(node, key)
-    return status
+    return crowds.await_status(lambda: call(node, key))
 
 
 def call(node, key):
@@ -130,16 +125,6 @@
     assert await_answer(node, KEY) == 200
 
 
-def await_page(started):
-    """Ask for a page until it is answered; return the status."""
-    deadline = time.monotonic() + crowds.ANSWER_TIMEOUT_S
-    status = page_status(started)
-    while not status and time.monotonic() < deadline:
-        eventlet.sleep(0.2)
-        status = page_status(started)
-    return status
-
-
 def page_status(started):
     port = started.port_by_purpose['operators']
     url = f'http://{started.system.address}:{port}{PAGE}'
@@ -165,10 +150,59 @@
         watch = crowds.ProcessWatch(started.node.process.pid, address)
         is_endless = pieces is repeated_requests
         with crowds.crowd(address, pieces, CROWD, is_endless=is_endless):
-            assert await_page(started) == usual
+            ask = functools.partial(page_status, started)
+            assert crowds.await_status(ask, usual) == usual
         watch.stop()
         assert started.node.process.poll() is None
         assert watch.peak_bytes <= MEMORY_MB * crowds.MEGABYTE
         assert page_status(started) == usual
     finally:
         started.stop()
+
+
+# Ports of other processes of ivystep, and the connections of each crowd there.
+PEER_PORTS = (('gateway', 'peers'), ('entry', 'peers'), ('sidecar', 'entries'))
+PEER_CROWD = 300
+
+
+@pytest.fixture
+def start(deployment):
+    """Return a function that starts a daemon with few descriptors."""
+    with contextlib.ExitStack() as stack:
+
+        def start_limited(kind):
+            with few_descriptors():
+                made = daemons.Started(deployment, kind)
+            stack.callback(made.stop)
+            daemons.wait_until(made.is_ready, made)
+            return made
+
+        yield start_limited
+
+
+@pytest.mark.parametrize(('kind', 'purpose'), PEER_PORTS)
+@pytest.mark.parametrize(
+    'pieces',
+    [silent_connections, incomplete_heads],
+    ids=lambda one: one.__name__,
+)
+def test_crowd_at_a_port_for_peers_leaves_descriptors(
+    start, kind, purpose, pieces
+):
+    """Guards against other ports without descriptors beside such a crowd."""
+    started = start(kind)
+    address = started.system.address, started.port_by_purpose[purpose]
+    watch = crowds.ProcessWatch(started.node.process.pid, address)
+    with crowds.crowd(
+        address, pieces, PEER_CROWD, is_endless=True, returns=True
+    ):
+        eventlet.sleep(crowds.SETTLED_S)
+        for other in daemons.PORTS_BY_KIND[kind]:
+            if other != purpose:
+                ask = functools.partial(started.answers, other)
+                assert crowds.await_status(ask, expected=True)
+    watch.stop()
+    assert started.node.process.poll() is None
+    assert watch.peak_bytes <= MEMORY_MB * crowds.MEGABYTE
+    assert watch.descriptors < MAX_FDS
+    assert started.is_ready()
--- a/tests/processes/test_entry_crowds.py
+++ b/tests/processes/test_entry_crowds.py
@@ -4,7 +4,6 @@
 """
 
 import itertools
-import time
 
 import eventlet
 import pytest
@@ -88,12 +87,7 @@
 
 def await_answer(system, key):
     """Call the entry until it answers, as callers do."""
-    deadline = time.monotonic() + crowds.ANSWER_TIMEOUT_S
-    status = call(system, key)
-    while status != 200 and time.monotonic() < deadline:
-        eventlet.sleep(0.2)
-        status = call(system, key)
-    return status
+    return crowds.await_status(lambda: call(system, key))
 
 
 def check(node, watch):
--- a/tests/wire/test_listener.py
+++ b/tests/wire/test_listener.py
@@ -1,5 +1,6 @@
 """Tests of the accept loop under errors of accept."""
 
+import contextlib
 import errno
 import logging
 import socket
@@ -7,7 +8,8 @@
 import eventlet
 
 from ivystep.runtime import listeners, virtual_hub
-from ivystep.wire import channel, listener
+from ivystep.wire import channel, handshake, listener
+from ivystep.wire.gen import ttypes
 
 
 class Socket:
@@ -71,3 +73,67 @@
         'is too long.'
     )
     assert [record.getMessage() for record in caplog.records] == [expected]
+
+
+def hello(process_id):
+    return ttypes.Hello(process_id, '', 'entry', 1)
+
+
+@contextlib.contextmanager
+def serving():
+    """Serve peers that only say hello; yield the address."""
+
+    def handle(link):
+        handshake.accept(link, hello('here'))
+        link.receive()
+
+    source = eventlet.listen(('127.0.0.1', 0), backlog=256)
+    task = eventlet.spawn(listener.serve, source, None, 'peer', handle)
+    try:
+        yield source.getsockname()
+    finally:
+        task.kill()
+        source.close()
+
+
+def say_hello(address):
+    """Connect and say hello; return the connection once it is answered."""
+    connection = socket.create_connection(address, timeout=5)
+    connection.sendall(channel.encode(hello('there')))
+    assert connection.recv(4096)
+    return connection
+
+
+def test_silent_connections_give_way_to_peers():
+    """Guards against descriptors held by programs that say nothing."""
+    with contextlib.ExitStack() as stack:
+        address = stack.enter_context(serving())
+        silent = [
+            stack.enter_context(socket.create_connection(address, timeout=5))
+            for _ in range(2 * listener.MAX_UNIDENTIFIED)
+        ]
+        stack.enter_context(say_hello(address))
+        ended = [one for one in silent if is_closed(one)]
+        assert len(ended) > listener.MAX_UNIDENTIFIED
+
+
+def test_identified_peers_do_not_give_way():
+    """Guards against peers who are cut off for other connections."""
+    with contextlib.ExitStack() as stack:
+        address = stack.enter_context(serving())
+        peers = [
+            stack.enter_context(say_hello(address))
+            for _ in range(2 * listener.MAX_UNIDENTIFIED)
+        ]
+        for _ in range(2 * listener.MAX_UNIDENTIFIED):
+            stack.enter_context(socket.create_connection(address, timeout=5))
+        stack.enter_context(say_hello(address))
+        assert not any(map(is_closed, peers))
+
+
+def is_closed(connection):
+    connection.setblocking(False)
+    try:
+        return connection.recv(1) == b''
+    except BlockingIOError:
+        return False
