Write one line a period on connections of peers that were closed

What operators saw: each connection to a port for peers or entries that sent no frame, or failed its handshake, wrote a line; anybody on the network can fill the log.

Change: one line in 10 s for each listener, with the last reason and how many were left out. The first one is as before.

Ruled out: none at all, as a peer with a wrong certificate must be found.

Evidence: test_many_peers_that_send_no_frame_cost_one_line: 20 lines before, one now.

--- a/ivystep/wire/listener.py
+++ b/ivystep/wire/listener.py
@@ -17,10 +17,36 @@
 # Time after which such a connection may be closed for a new one.
 MIN_UNIDENTIFIED_S = 1.0
 POLL_S = 0.01
+# Shortest time between two log lines on connections that were closed.
+REPORT_S = 10.0
 
 log = logs.get('wire')
 
 
+class Warnings:
+    """Logs why connections of one listener were closed, one line a period."""
+
+    def __init__(self) -> None:
+        self._left_out = 0
+        self._written_at = -REPORT_S
+
+    def write(self, peer: str, outcome: str, error: Exception) -> None:
+        """Log that a connection was closed, or count it for the next line.
+
+        Args:
+            peer: Address of the peer.
+            outcome: What became of the connection.
+            error: Why.
+        """
+        if clock.now() < self._written_at + REPORT_S:
+            self._left_out += 1
+            return
+        more = f' ({self._left_out} more before)' if self._left_out else ''
+        log.warning('Connection from %s %s: %s.%s', peer, outcome, error, more)
+        self._left_out = 0
+        self._written_at = clock.now()
+
+
 class UnidentifiedPeers:
     """The connections of one listener whose peers have not said who they are.
 
@@ -79,6 +105,7 @@
             ends the connection.
     """
     unidentified = UnidentifiedPeers()
+    warnings = Warnings()
     while True:
         unidentified.wait_for_room()
         try:
@@ -90,7 +117,13 @@
             _count_connection,
             unidentified,
             functools.partial(
-                _serve_connection, connection, peer, contexts, peer_name, handle
+                _serve_connection,
+                connection,
+                peer,
+                contexts,
+                peer_name,
+                handle,
+                warnings,
             ),
         )
 
@@ -113,20 +146,21 @@
     contexts: tls.TlsContexts | None,
     peer_name: str,
     handle: Callable[[channel.Channel], None],
+    warnings: Warnings,
     on_identified: Callable[[], None],
 ) -> None:
     try:
         secured = _secure(connection, contexts, peer_name)
     except (OSError, errors.LinkError) as error:
         connection.close()
-        log.warning('Connection from %s refused: %s.', peer, error)
+        warnings.write(peer, 'refused', error)
         return
     link = channel.Channel(secured, peer)
     link.on_identified = on_identified
     try:
         handle(link)
     except (channel.FrameError, errors.MisdirectedError) as error:
-        log.warning('Connection from %s closed: %s.', peer, error)
+        warnings.write(peer, 'closed', error)
     except errors.LinkError as error:
         log.debug('Connection from %s ended: %s.', peer, error)
     finally:
--- a/tests/wire/test_listener.py
+++ b/tests/wire/test_listener.py
@@ -137,3 +137,14 @@
         return connection.recv(1) == b''
     except BlockingIOError:
         return False
+
+
+def test_many_peers_that_send_no_frame_cost_one_line(caplog):
+    """Guards against a log that anybody on the network can fill."""
+    caplog.set_level(logging.WARNING)
+    with serving() as address:
+        for _ in range(20):
+            with socket.create_connection(address, timeout=5) as far:
+                far.sendall(b'POST / HTTP/1.1\r\n')
+                assert far.recv(1) == b''
+    assert len(caplog.records) == 1
