Count an entry's connection no more, however it fails as it closes

Cause: since a connection counts as open until LimitedConnection.finish, which the entry's finish did not reach if the wait after the last answer failed otherwise than by a broken connection, or was ended. A drain would have waited for it. Found by reading the change.

Change: the entry's finish always reaches it.

Ruled out: other ends of a task before finish; wsgi.HttpProtocol calls it in a finally.

--- a/ivystep/entry/connections.py
+++ b/ivystep/entry/connections.py
@@ -269,7 +269,8 @@
         except OSError:
             # The caller has disconnected, so nothing is left to deliver.
             self.close_connection = True
-        super().finish()
+        finally:
+            super().finish()
 
     def mark_busy_if_request_arrived(self) -> None:
         """Mark as busy if the first bytes of a request have arrived."""
