Show that an upgrade offer drops the body of a request

Cause: the HTTP parser skips the body of a request that offers an upgrade of the protocol and reports the request as complete before it raises its error. The request reader has queued it by then, so it is passed on without its body.

--- /dev/null
+++ b/review/harness_2/caller.py
@@ -0,0 +1,86 @@
+"""Stand-in of a caller: sends requests and reads their answers."""
+
+import dataclasses
+import socket
+
+from review.harness_2 import http_messages, record
+
+TIMEOUT_S = 4.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """One request of a caller.
+
+    Attributes:
+        headers: Headers beside the length of the body.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b''
+
+    def encode(self) -> bytes:
+        """Return the bytes of the request."""
+        lines = [
+            f'{self.method} {self.path} HTTP/1.1',
+            f'Request-Id: {self.request_id}',
+            *(f'{name}: {text}' for name, text in self.headers),
+        ]
+        if self.body:
+            lines.append(f'Content-Length: {len(self.body)}')
+        return '\r\n'.join((*lines, '', '')).encode('latin-1') + self.body
+
+
+class Channel:
+    """One connection of a caller.
+
+    Args:
+        address: Address of a gateway.
+        recorded: Record of the case.
+    """
+
+    def __init__(
+        self, address: tuple[str, int], recorded: record.Record
+    ) -> None:
+        self.connection = socket.create_connection(address, TIMEOUT_S)
+        self._record = recorded
+        self._reader = http_messages.MessageReader(self.connection)
+
+    def send(self, request: Request) -> None:
+        """Send a request."""
+        self._record.write(
+            'caller',
+            f'sends {request.request_id}: {request.method} {request.path}, '
+            f'body of {len(request.body)} bytes, headers {request.headers}',
+        )
+        self.connection.sendall(request.encode())
+
+    def read(self) -> http_messages.Message | None:
+        """Return the next answer; None if there is no whole one."""
+        try:
+            answer = self._reader.head()
+            if answer is not None:
+                self._reader.body(answer)
+        except (OSError, http_messages.BrokenOffError) as error:
+            self._record.write('caller', f'reads no answer: {error}')
+            return None
+        self._record.write('caller', f'reads {describe(answer)}')
+        return answer
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.connection.close()
+
+
+def describe(answer: http_messages.Message | None) -> str:
+    """Return an answer as a line of the record."""
+    if answer is None:
+        return 'the end of the connection'
+    fields = answer.header_by_name
+    return (
+        f'{answer.first_line!r} for {fields.get("request-id")}, '
+        f'seal {fields.get("response-seal")}, {len(answer.body)} bytes'
+    )
--- /dev/null
+++ b/review/harness_2/stage.py
@@ -0,0 +1,77 @@
+"""Runs a case: its processes, its stand-ins and its record."""
+
+import os
+import pathlib
+import tempfile
+from collections.abc import Callable
+
+from review.harness_2 import deployment, record, replica
+
+EXIT_HELD = 0
+EXIT_BROKEN = 1
+EXIT_NOT_RUN = 2
+
+
+class Stage:
+    """What a case needs; everything ends with the case.
+
+    Args:
+        folder: Temporary folder for settings and logs.
+        recorded: Record of the case.
+
+    Attributes:
+        is_troubled: Whether the disruption takes place.
+        record: Record of the case.
+        system: The processes.
+        replicas: The replicas that were added.
+    """
+
+    def __init__(self, folder: pathlib.Path, recorded: record.Record) -> None:
+        self.is_troubled = os.environ.get('TROUBLE', '1') != '0'
+        self.record = recorded
+        self.system = deployment.Deployment(folder, recorded)
+        self.replicas: list[replica.Replica] = []
+
+    def add_replica(
+        self, replica_id: str, service: str, answer: replica.Answer
+    ) -> replica.Replica:
+        """Start a replica and write its entry.
+
+        Args:
+            replica_id: Its id.
+            service: Its service.
+            answer: Returns the bytes of the answer to a request.
+        """
+        added = replica.Replica(replica_id, self.record, answer)
+        self.replicas.append(added)
+        self.system.write('servers', replica_id, added.entry(service))
+        return added
+
+    def runs(self) -> list[replica.Run]:
+        """Return the runs of all replicas."""
+        return [run for one in self.replicas for run in one.runs]
+
+    def close(self) -> None:
+        """End all processes and replicas."""
+        self.system.stop()
+        for one in self.replicas:
+            one.close()
+
+
+def perform(folder: pathlib.Path, play: Callable[[Stage], int]) -> int:
+    """Run a case and return its exit code.
+
+    Args:
+        folder: Folder of the case, which gets the record.
+        play: Runs the case and returns its exit code.
+    """
+    recorded = record.Record(folder / 'record.txt')
+    with tempfile.TemporaryDirectory() as temporary:
+        stage = Stage(pathlib.Path(temporary), recorded)
+        try:
+            return play(stage)
+        except (OSError, deployment.StartError) as error:
+            recorded.write('case', f'could not run: {error}')
+            return EXIT_NOT_RUN
+        finally:
+            stage.close()
