Show that streams of slow readers are cut after three seconds

Cause: the user time-out of TCP, which the gateway sets on the connections of callers to notice dead peers, also ends a connection whose peer is alive and keeps its window closed for longer than three seconds.

--- a/review/harness_2/caller.py
+++ b/review/harness_2/caller.py
@@ -5,7 +5,7 @@
 
 from review.harness_2 import http_messages, record
 
-TIMEOUT_S = 4.0
+TIMEOUT_S = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -40,12 +40,23 @@
     Args:
         address: Address of a gateway.
         recorded: Record of the case.
+        receive_buffer: Bytes that the caller's kernel takes before the caller
+            reads; 0 for the usual number.
     """
 
     def __init__(
-        self, address: tuple[str, int], recorded: record.Record
+        self,
+        address: tuple[str, int],
+        recorded: record.Record,
+        receive_buffer: int = 0,
     ) -> None:
-        self.connection = socket.create_connection(address, TIMEOUT_S)
+        self.connection = socket.socket()
+        self.connection.settimeout(TIMEOUT_S)
+        if receive_buffer:
+            self.connection.setsockopt(
+                socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer
+            )
+        self.connection.connect(address)
         self._record = recorded
         self._reader = http_messages.MessageReader(self.connection)
 
