Use events of the usual size for the slow readers

Cause: events of 4,000 bytes are longer than those of a few tokens. Change: events of 400 bytes, and a receive buffer of 4 KB.

--- a/review/7/case.py
+++ b/review/7/case.py
@@ -19,9 +19,9 @@
 HOST = 'plans.example'
 SETTLE_S = 1.0
 PAUSE_S = 4.0
-RECEIVE_BUFFER = 16384
+RECEIVE_BUFFER = 4096
 EVENTS = 57
-EVENT_TEXT = 'x' * 4000
+EVENT_TEXT = 'x' * 400
 SHORT_ANSWER = b'id: 1\ndata: ready\n\n'
 CONFIG = types.MappingProxyType(
     {
