Show that the answer to HEAD is followed by stray bytes

Cause: the reader of an upstream's answers expects a body after the answer to HEAD, and the gateway's own errors have a body whatever the method was.

--- a/review/harness_2/caller.py
+++ b/review/harness_2/caller.py
@@ -69,11 +69,19 @@
         )
         self.connection.sendall(request.encode())
 
-    def read(self) -> http_messages.Message | None:
-        """Return the next answer; None if there is no whole one."""
+    def read(self, *, has_body: bool = True) -> http_messages.Message | None:
+        """Return the next answer; None if there is no whole one.
+
+        Args:
+            has_body: Whether the answer may have a body; one to a request with
+                the method HEAD has none.
+
+        Raises:
+            http_messages.NoMessageError: What has arrived is no answer.
+        """
         try:
             answer = self._reader.head()
-            if answer is not None:
+            if answer is not None and has_body:
                 self._reader.body(answer)
         except (OSError, http_messages.BrokenOffError) as error:
             self._record.write('caller', f'reads no answer: {error}')
--- a/review/harness_2/http_messages.py
+++ b/review/harness_2/http_messages.py
@@ -64,7 +64,8 @@
                 return None
         head = self._take_until(HEAD_END)
         lines = head.decode('latin-1').lstrip('\r\n').split('\r\n')
-        if 'HTTP/1.1' not in lines[0]:
+        is_answer = lines[0].startswith('HTTP/1.1 ')
+        if not (is_answer or lines[0].endswith(' HTTP/1.1')):
             raise NoMessageError(lines[0][:80])
         fields = [line.partition(':') for line in lines[1:]]
         return Message(
