End a replica's stand-in as a crash does

Cause: a socket that another thread waits on stays open after its close. Change: the stand-in shuts its connections down first, and keeps its port.

--- a/review/harness_2/replica.py
+++ b/review/harness_2/replica.py
@@ -1,5 +1,6 @@
 """Stand-in of a plain replica: answers requests and records its runs."""
 
+import contextlib
 import dataclasses
 import socket
 import threading
@@ -48,6 +49,10 @@
         answer: Returns the bytes of the answer to a request.
         host: Loopback address.
         port: Port; 0 for a free one.
+
+    Attributes:
+        runs: The requests that it ran.
+        port: The port on which it listens.
     """
 
     def __init__(
@@ -64,6 +69,8 @@
         self._answer = answer
         self._is_closed = False
         self._listener = socket.create_server((host, port), backlog=BACKLOG)
+        self._host = host
+        self.port = int(self._listener.getsockname()[1])
         self._listener.settimeout(ACCEPT_POLL_S)
         self._connections: list[socket.socket] = []
         self._thread = threading.Thread(target=self._accept, daemon=True)
@@ -72,8 +79,7 @@
     @property
     def address(self) -> str:
         """IP address and port."""
-        host, port = self._listener.getsockname()
-        return f'{host}:{port}'
+        return f'{self._host}:{self.port}'
 
     def entry(self, service: str, state: str = 'ready') -> dict[str, object]:
         """Return the replica's entry in the store.
@@ -94,12 +100,15 @@
         }
 
     def close(self) -> None:
-        """Close the listener and all connections."""
+        """End as a process does that crashes: all its sockets close."""
         self._is_closed = True
-        self._thread.join()
         self._listener.close()
         for connection in self._connections:
+            # Another thread may wait in a call on the socket.
+            with contextlib.suppress(OSError):
+                connection.shutdown(socket.SHUT_RDWR)
             connection.close()
+        self._thread.join()
 
     def _accept(self) -> None:
         while not self._is_closed:
@@ -107,6 +116,8 @@
                 connection, _ = self._listener.accept()
             except TimeoutError:
                 continue
+            except OSError:
+                return
             connection.settimeout(IDLE_S)
             self._connections.append(connection)
             threading.Thread(
--- a/review/harness_2/stage.py
+++ b/review/harness_2/stage.py
@@ -33,7 +33,11 @@
         self.replicas: list[replica.Replica] = []
 
     def add_replica(
-        self, replica_id: str, service: str, answer: replica.Answer
+        self,
+        replica_id: str,
+        service: str,
+        answer: replica.Answer,
+        port: int = 0,
     ) -> replica.Replica:
         """Start a replica and write its entry.
 
@@ -41,8 +45,9 @@
             replica_id: Its id.
             service: Its service.
             answer: Returns the bytes of the answer to a request.
+            port: Its port; 0 for a free one.
         """
-        added = replica.Replica(replica_id, self.record, answer)
+        added = replica.Replica(replica_id, self.record, answer, port=port)
         self.replicas.append(added)
         self.system.write('servers', replica_id, added.entry(service))
         return added
