--- a/review/harness_2/replica.py
+++ b/review/harness_2/replica.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import select
 import socket
 import threading
 import time
@@ -19,12 +20,27 @@
     """One request that a replica ran.
 
     Attributes:
-        at: Time at which it began, on the steady clock.
+        at: Time at which it arrived, on the steady clock.
+        connection: Connection on which it arrived.
     """
 
     replica_id: str
     request: http_messages.Message
     at: float
+    connection: socket.socket
+
+    @property
+    def has_caller(self) -> bool:
+        """Whether the connection on which it arrived is open."""
+        if self.connection.fileno() < 0:
+            return False
+        readable, _, _ = select.select([self.connection], [], [], 0)
+        if not readable:
+            return True
+        try:
+            return bool(self.connection.recv(1, socket.MSG_PEEK))
+        except OSError:
+            return False
 
     @property
     def request_id(self) -> str:
@@ -152,7 +168,7 @@
                 % self.replica_id.encode()
             )
             return
-        run = Run(self.replica_id, request, time.monotonic())
+        run = Run(self.replica_id, request, time.monotonic(), connection)
         self.runs.append(run)
         self._record.write(
             self.replica_id,
