End a case that cannot run with 2, and its processes with it

Cause: an error in a stand-in, or a run that takes too long, would end a script with 1, as if the rule were broken, and leave processes behind.

--- a/review/harness_2/stage.py
+++ b/review/harness_2/stage.py
@@ -2,7 +2,9 @@
 
 import os
 import pathlib
+import signal
 import tempfile
+import typing
 from collections.abc import Callable
 
 from review.harness_2 import deployment, record, replica
@@ -63,6 +65,10 @@
             one.close()
 
 
+class OutOfTimeError(Exception):
+    """The run was ended from outside."""
+
+
 def perform(folder: pathlib.Path, play: Callable[[Stage], int]) -> int:
     """Run a case and return its exit code.
 
@@ -70,13 +76,21 @@
         folder: Folder of the case, which gets the record.
         play: Runs the case and returns its exit code.
     """
+    signal.signal(signal.SIGTERM, _end)
     recorded = record.Record(folder / 'record.txt')
     with tempfile.TemporaryDirectory() as temporary:
         stage = Stage(pathlib.Path(temporary), recorded)
         try:
             return play(stage)
-        except (OSError, deployment.StartError) as error:
-            recorded.write('case', f'could not run: {error}')
+        except Exception as error:
+            # Whatever else fails says nothing about the rule.
+            recorded.write('case', f'could not run: {error!r}')
             return EXIT_NOT_RUN
         finally:
             stage.close()
+
+
+def _end(number: int, frame: typing.Any) -> typing.NoReturn:
+    """End the run, so that its processes are ended too."""
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    raise OutOfTimeError(number)
