--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 export PYTHONPATH="$PWD:$PWD/target/deps"
-python3 -c 'import standins.__main__, review.harness_2.stage, review.harness_2.caller'
+python3 -c 'import standins.__main__, review.second_stage, review.second_caller'
--- a/review/harness_2/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Stand-ins and processes that the cases of the second review share."""
--- a/review/harness_2/caller.py
+++ b/review/second_caller.py
@@ -3,7 +3,8 @@
 import dataclasses
 import socket
 
-from review.harness_2 import http_messages, record
+from review import second_http_messages as http_messages
+from review import second_record as record
 
 TIMEOUT_S = 20.0
 
--- a/review/harness_2/deployment.py
+++ b/review/second_deployment.py
@@ -15,9 +15,9 @@
 import tomllib
 import typing
 
-from review.harness_2 import record
+from review import second_record as record
 
-ROOT = pathlib.Path(__file__).parents[2]
+ROOT = pathlib.Path(__file__).parents[1]
 LOOPBACK = '127.0.0.1'
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 15.0
--- a/review/harness_2/replica.py
+++ b/review/second_replica.py
@@ -8,7 +8,8 @@
 import time
 from collections.abc import Callable
 
-from review.harness_2 import http_messages, record
+from review import second_http_messages as http_messages
+from review import second_record as record
 
 ACCEPT_POLL_S = 0.2
 IDLE_S = 30.0
--- a/review/harness_2/stage.py
+++ b/review/second_stage.py
@@ -7,7 +7,9 @@
 import typing
 from collections.abc import Callable
 
-from review.harness_2 import deployment, record, replica
+from review import second_deployment as deployment
+from review import second_record as record
+from review import second_replica as replica
 
 EXIT_HELD = 0
 EXIT_BROKEN = 1
