End each doubt about whose an address is

Requests wait out their deadlines or get 503.

The store's order is that of writes: an ended upstream's last heartbeat may come after the entry of the one that is there. Heartbeats alone do not change that entry, so the mark had no end, also when the late entry expired.

Change: the entry of one that had left displaces nobody; an answer that names another upstream gives the address to those that were only in doubt; every mark ends after two heartbeats, and the upstream gets one request at a time until an answer shows it is there. Requests name their upstream, so a wrong one refuses (421) and does not run them: UNASKED and ROUTE do not depend on the guess.

Ruled out: ordering by birth time (entries need not have one), a health probe (may be run as a request by another service), dropping the doubt (each request to an ended upstream would be refused until its entry expires).

--- a/ivystep/gateway/daemon.py
+++ b/ivystep/gateway/daemon.py
@@ -346,7 +346,7 @@
         self._tasks.spawn(self._leadership.follow)
         self._tasks.spawn(self._quotas.run)
         self._tasks.spawn(self._orders.run)
-        self._tasks.spawn(self._membership.close_expired_connections)
+        self._tasks.spawn(self._membership.maintain)
         self._tasks.spawn(self._apply_totals_as_leader)
         self._tasks.spawn(loop_lag.measure, self._event_metrics, self._log)
 
--- a/ivystep/gateway/events.py
+++ b/ivystep/gateway/events.py
@@ -389,8 +389,9 @@
     """This host's view of an upstream has changed.
 
     Attributes:
-        change: ``added``, ``ready``, ``draining``, ``missing``, ``removed``, or
-            ``misdirected`` if its address is another upstream's.
+        change: ``added``, ``ready``, ``draining``, ``missing``, ``removed``,
+            ``misdirected`` if its address is another upstream's or may be, or
+            ``tried`` if it gets a request at a time to find out.
         entry_version: Store version of the upstream's entry.
     """
 
--- a/ivystep/gateway/requests/attempt_sender.py
+++ b/ivystep/gateway/requests/attempt_sender.py
@@ -145,7 +145,7 @@
             raise
         finally:
             self._on_end(state, upstream, exchange)
-        upstream.reset_failures()
+        upstream.on_answer()
         self._crashes.on_completed(state)
         if permit and permit.decision is prefill.PermitDecision.ALONE:
             self._update_prefill_rate(state, upstream)
@@ -370,8 +370,7 @@
             upstream.set_resident(ref, now, is_held=False)
             self._on_change(upstream)
         elif error.code == 'other_upstream':
-            upstream.on_misdirected()
-            self._on_change(upstream)
+            self._membership.on_other_upstream(upstream)
         elif self._has_ended(state, upstream, error) or _exceeds_bound(error):
             self.suspend(upstream)
 
--- a/ivystep/gateway/upstreams/membership.py
+++ b/ivystep/gateway/upstreams/membership.py
@@ -11,7 +11,10 @@
 
 An upstream that has ended may keep its entry while its address is given to
 another one. Once the entry of the other is known, the older upstream gets no
-calls and requests.
+calls and requests. Which one is older is a guess: the store's order is that of
+the writes, and the last write of an upstream that has ended may be late. So a
+doubt ends after some time, or as a request finds out who is there: each names
+its upstream, and another one refuses it without running it.
 """
 
 import collections
@@ -34,7 +37,11 @@
 RETURN_GRACE_S = 2.3
 # Incarnations that have left and are remembered.
 MAX_REMEMBERED = 4096
-IDLE_CHECK_INTERVAL_S = 0.5
+CHECK_INTERVAL_S = 0.5
+# Heartbeats for which an upstream gets nothing that has been found not to be at
+# its address, or whose address another entry names. The store drops the entry
+# of one that has ended after three.
+MISDIRECTED_HEARTBEATS = 2.0
 DEFAULT_BOUNDS = settings_models.PeerBounds()
 
 
@@ -141,15 +148,46 @@
         for upstream_id in tuple(self._missing_since):
             self._remove_later(upstream_id, max(self._grace_left_s, 0.0))
 
-    def close_expired_connections(self) -> None:
-        """Close idle connections to upstreams before the upstreams do.
+    def maintain(self) -> None:
+        """End doubts, and close idle connections before the upstreams do.
 
         Runs until the task is killed.
         """
         while True:
-            clock.sleep(IDLE_CHECK_INTERVAL_S)
+            clock.sleep(CHECK_INTERVAL_S)
+            now = clock.now()
             for upstream in list(self.upstream_by_id.values()):
                 upstream.connections.drop_expired()
+                self._try_again(upstream, now)
+
+    def on_other_upstream(self, upstream: upstream_state.Upstream) -> None:
+        """Apply that another upstream has answered at an address.
+
+        If there are others that claim it, each is as likely to be there.
+
+        Args:
+            upstream: The upstream that was meant.
+        """
+        upstream.on_misdirected()
+        self._log_change(upstream, 'misdirected', 'an answer says so')
+        self._on_change(upstream)
+        ids = self._ids_by_address.get(upstream.entry.address, set())
+        for upstream_id in sorted(ids):
+            claimant = self.upstream_by_id[upstream_id]
+            if claimant.is_doubted:
+                self._begin_trial(claimant, 'the other claimant is not there')
+
+    def _try_again(self, upstream: upstream_state.Upstream, now: float) -> None:
+        doubted_s = upstream.misdirected_s(now)
+        if doubted_s >= MISDIRECTED_HEARTBEATS * self._heartbeat_s:
+            self._begin_trial(upstream, 'after some time')
+
+    def _begin_trial(
+        self, upstream: upstream_state.Upstream, reason: str
+    ) -> None:
+        upstream.begin_trial()
+        self._log_change(upstream, 'tried', reason)
+        self._on_change(upstream)
 
     def _apply_entry(self, entry: upstreams.UpstreamEntry) -> None:
         if self._is_late_heartbeat(entry):
@@ -169,26 +207,35 @@
             known = upstream_state.Upstream(entry, self._bounds)
             self.upstream_by_id[entry.upstream_id] = known
             self._log_change(known, 'added', '')
-            self._claim_address(known)
+            self._claim_address(known, has_left=entry.identity in self._left)
         elif known.entry.state is not entry.state:
             known.replace_entry(entry, clock.now())
             self._log_change(known, entry.state.value, 'state in its entry')
         known.replace_entry(entry, clock.now())
         self._on_change(known)
 
-    def _claim_address(self, claimant: upstream_state.Upstream) -> None:
+    def _claim_address(
+        self, claimant: upstream_state.Upstream, *, has_left: bool
+    ) -> None:
         """Give the address of a new upstream to the newest entry.
 
         A newer entry of a known upstream takes no address away, since it may
-        be a heartbeat that the platform has written late.
+        be a heartbeat that the platform has written late. Nor does the entry
+        of one that had left: those that are known now came after it.
+
+        Args:
+            claimant: The upstream.
+            has_left: Whether its entry was gone before.
         """
         ids = self._ids_by_address.setdefault(claimant.entry.address, set())
         for upstream_id in sorted(ids):
             known = self.upstream_by_id[upstream_id]
-            older, newer = sorted(
-                (known, claimant), key=lambda one: one.entry.version
-            )
-            older.on_misdirected(newer.entry.version)
+            is_newer = claimant.entry.version > known.entry.version
+            if is_newer and not has_left:
+                older, newer = known, claimant
+            else:
+                older, newer = claimant, known
+            older.doubt(newer.entry.version)
             self._log_change(
                 older,
                 'misdirected',
--- a/ivystep/gateway/upstreams/upstream_state.py
+++ b/ivystep/gateway/upstreams/upstream_state.py
@@ -32,6 +32,8 @@
 SUSPEND_MAX_S = 2.0
 # A longer rest is taken for a mistake of the upstream.
 MAX_REST_S = 3600.0
+# Less than the store version of any entry.
+NOT_MISDIRECTED = -1
 # Numbers of all statuses of this process. An incarnation that was removed and
 # is back has a new state, whose statuses must be newer than the earlier ones.
 _status_numbers = itertools.count(1)
@@ -77,7 +79,11 @@
         self.limit = shared_limit.SharedLimit()
         self._resting_until = 0.0
         # Newest store version of an entry that is known to be outdated.
-        self._misdirected_by = -1
+        self._misdirected_by = NOT_MISDIRECTED
+        self._misdirected_at = 0.0
+        # Whether an answer from its address has said so.
+        self._was_refused = False
+        self._is_on_trial = False
         self._is_removed = False
         self._is_leaving = False
         self._failures = 0
@@ -223,15 +229,45 @@
         """
         self._is_leaving = True
 
-    def on_misdirected(self, known_by: int = 0) -> None:
-        """Send nothing until the entry changes: its address is another's.
+    def on_misdirected(self) -> None:
+        """Send nothing for some time: it has been found not to be there.
+
+        A newer entry ends that as well.
+        """
+        self._mark_misdirected(self.entry.version)
+        self._was_refused = True
+
+    def doubt(self, known_by: int) -> None:
+        """Send nothing for some time: another entry names its address.
 
         Args:
-            known_by: Store version by which the address is another's; only a
-                newer entry counts.
+            known_by: Store version of the other entry; only a newer entry of
+                this upstream ends the doubt.
         """
-        self._misdirected_by = max(self.entry.version, known_by)
-        self.connections.is_reused = True
+        self._mark_misdirected(max(self.entry.version, known_by))
+
+    @property
+    def is_doubted(self) -> bool:
+        """Whether only another entry says that its address is another's."""
+        return self._is_misdirected and not self._was_refused
+
+    def misdirected_s(self, now: float) -> float:
+        """Return for how long nothing has been sent to it; 0 if it gets some.
+
+        Args:
+            now: Current time in seconds.
+        """
+        return now - self._misdirected_at if self._is_misdirected else 0.0
+
+    def begin_trial(self) -> None:
+        """Send one request at a time, until an answer shows that it is there.
+
+        Each names the upstream that it is for, so another one refuses it.
+        """
+        self._misdirected_by = NOT_MISDIRECTED
+        self._was_refused = False
+        self._is_on_trial = True
+        self.connections.is_reused = False
 
     def remove(self) -> None:
         """Send nothing more: its entry was removed or replaced."""
@@ -277,9 +313,10 @@
         is_refused = self.is_gone or self.limit.is_limited
         return not (is_refused or self.rest_s(now))
 
-    def reset_failures(self) -> None:
-        """Reset the back-off after an answer."""
+    def on_answer(self) -> None:
+        """Reset the back-off after an answer; the upstream is there."""
         self._failures = 0
+        self._is_on_trial = False
 
     def held(self) -> set[types.AdapterRef]:
         """Return the adapters that are resident."""
@@ -363,6 +400,7 @@
         """
         self.entry = entry
         self.connections.is_reused = self._is_misdirected
+        self._was_refused = self._was_refused and self._is_misdirected
         self._apply_held(entry.held_model_by_name, now - ENTRY_AGE_S)
 
     def on_report(self, report: upstreams.EngineReport, sent_at: float) -> None:
@@ -384,6 +422,11 @@
     def _is_misdirected(self) -> bool:
         return self.entry.version <= self._misdirected_by
 
+    def _mark_misdirected(self, known_by: int) -> None:
+        self._misdirected_by = known_by
+        self._misdirected_at = clock.now()
+        self.connections.is_reused = True
+
     def _apply_held(
         self, held: Mapping[str, upstreams.HeldModel], at: float
     ) -> None:
@@ -401,6 +444,8 @@
                 self.loading.pop(ref, None)
 
     def _max_running(self, running: int, speed: float) -> int:
+        if self._is_on_trial:
+            return 1
         if self.limit.is_limited:
             return running + 1
         return max(int(self.entry.batch_size * speed), 1)
--- a/tests/gateway/upstreams/test_resting_upstreams.py
+++ b/tests/gateway/upstreams/test_resting_upstreams.py
@@ -129,7 +129,7 @@
     upstream.rest(5.0, now=10.0)
     upstream.rest(1.0, now=11.0)
     upstream.suspend(11.0)
-    upstream.reset_failures()
+    upstream.on_answer()
     assert upstream.rest_s(11.0) == pytest.approx(4.0)
     assert not upstream.is_available(14.9)
     assert upstream.is_available(15.0)
--- a/tests/gateway/upstreams/test_returning_upstreams.py
+++ b/tests/gateway/upstreams/test_returning_upstreams.py
@@ -1,5 +1,7 @@
 """Tests of upstreams whose entries were gone for a while."""
 
+import types
+
 import eventlet
 import pytest
 
@@ -82,3 +84,44 @@
     eventlet.sleep(0.2)
     assert gateway.send('/read/2f', 'r-1').status == 503
     assert len(upstream.requests) == 1
+
+
+def answer_if_meant(_, headers):
+    """Answer only requests for the upstream that is there: ``i-2``."""
+    if headers['expect-instance'] == 'i-2':
+        return harness.ok_answer(headers)
+    return (
+        b'HTTP/1.1 421 Misdirected\r\nInstance-Id: i-2\r\n'
+        b'Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+    )
+
+
+@pytest.mark.parametrize('is_known_before', [False, True])
+def test_live_upstream_is_used_beside_a_late_entry_of_the_one_before(
+    stack, is_known_before
+):
+    """Guards against a service without requests by a mark without an end.
+
+    The upstream that was at the address before has ended; its last heartbeat
+    is written after the entry of the one that is there now.
+    """
+    live = harness.ScriptedUpstream(answer_if_meant, 'i-2')
+    stack.callback(live.close)
+    ended = types.SimpleNamespace(
+        upstream_id='i-1', port=live.port, software_version='v1'
+    )
+    gateway = harness.GatewayHarness(stack)
+    if is_known_before:
+        gateway.add(ended)
+        gateway.wait_for(1)
+        remove(gateway, ended)
+    gateway.add(live)
+    gateway.wait_for(1)
+    gateway.add(ended, sequence=9)
+    gateway.wait_for(2)
+    answers = [gateway.send('/read/2f', f'r-{n}').status for n in range(5)]
+    assert answers == [200] * 5
+    gateway.store.write('servers', 'i-1', None)
+    gateway.wait_for(1)
+    answers = [gateway.send('/once/2f', f'o-{n}').status for n in range(5)]
+    assert answers == [200] * 5
--- a/tests/gateway/upstreams/test_upstream_state.py
+++ b/tests/gateway/upstreams/test_upstream_state.py
@@ -55,7 +55,7 @@
     assert pauses[-1] == pytest.approx(upstream_state.SUSPEND_MAX_S)
     assert not status(upstream, pauses[-1] - 0.01).healthy
     assert status(upstream, pauses[-1]).healthy
-    upstream.reset_failures()
+    upstream.on_answer()
     assert upstream.suspend(0.0) == pytest.approx(upstream_state.SUSPEND_MIN_S)
 
 
