Take a nameless refusal for another upstream's at a contested address

Cause: such a 421 counted as "not held", which marks an adapter, and a plain service has none, so nothing was learned and the request went to the same upstream again.

Change: where another entry names the same address, a 421 without a name from an upstream without models counts like one that names another upstream. Elsewhere it is sent again as before: the rows of test_answer_ends with 421 fail if it always counts (tried), since a service's only upstream would then be left out for two heartbeats.

--- a/ivystep/gateway/requests/attempt_sender.py
+++ b/ivystep/gateway/requests/attempt_sender.py
@@ -369,11 +369,26 @@
         if error.code == 'not_held' and ref is not None:
             upstream.set_resident(ref, now, is_held=False)
             self._on_change(upstream)
-        elif error.code == 'other_upstream':
+        elif error.code == 'other_upstream' or (
+            error.code == 'not_held' and self._is_other(state, upstream)
+        ):
             self._membership.on_other_upstream(upstream)
         elif self._has_ended(state, upstream, error) or _exceeds_bound(error):
             self.suspend(upstream)
 
+    def _is_other(
+        self,
+        state: request_state.RequestState,
+        upstream: upstream_state.Upstream,
+    ) -> bool:
+        """Return whether a refusal without a name may be another upstream's.
+
+        An upstream without models refuses as misdirected only what is meant
+        for another one; that counts if there is another one at its address.
+        """
+        is_plain = state.call.generation is None
+        return is_plain and self._membership.is_contested(upstream)
+
     def _has_ended(
         self,
         state: request_state.RequestState,
--- a/ivystep/gateway/upstreams/membership.py
+++ b/ivystep/gateway/upstreams/membership.py
@@ -160,6 +160,15 @@
                 upstream.connections.drop_expired()
                 self._try_again(upstream, now)
 
+    def is_contested(self, upstream: upstream_state.Upstream) -> bool:
+        """Return whether another entry names the address of an upstream.
+
+        Args:
+            upstream: The upstream.
+        """
+        ids = self._ids_by_address.get(upstream.entry.address, set())
+        return len(ids) > 1
+
     def on_other_upstream(self, upstream: upstream_state.Upstream) -> None:
         """Apply that another upstream has answered at an address.
 
--- a/tests/gateway/upstreams/test_returning_upstreams.py
+++ b/tests/gateway/upstreams/test_returning_upstreams.py
@@ -1,5 +1,6 @@
 """Tests of upstreams whose entries were gone for a while."""
 
+import functools
 import types
 
 import eventlet
@@ -86,26 +87,35 @@
     assert len(upstream.requests) == 1
 
 
-def answer_if_meant(_, headers):
+def answer_if_meant(refusal, _, headers):
     """Answer only requests for the upstream that is there: ``i-2``."""
     if headers['expect-instance'] == 'i-2':
         return harness.ok_answer(headers)
-    return (
-        b'HTTP/1.1 421 Misdirected\r\nInstance-Id: i-2\r\n'
-        b'Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
-    )
-
-
+    return refusal
+
+
+@pytest.mark.parametrize(
+    'refusal',
+    [
+        harness.not_run_answer(421),
+        harness.not_run_answer(421).replace(
+            b'\r\n', b'\r\nInstance-Id: i-2\r\n', 1
+        ),
+    ],
+    ids=['nameless', 'named'],
+)
 @pytest.mark.parametrize('is_known_before', [False, True])
 def test_live_upstream_is_used_beside_a_late_entry_of_the_one_before(
-    stack, is_known_before
+    stack, is_known_before, refusal
 ):
     """Guards against a service without requests by a mark without an end.
 
     The upstream that was at the address before has ended; its last heartbeat
     is written after the entry of the one that is there now.
     """
-    live = harness.ScriptedUpstream(answer_if_meant, 'i-2')
+    live = harness.ScriptedUpstream(
+        functools.partial(answer_if_meant, refusal), 'i-2'
+    )
     stack.callback(live.close)
     ended = types.SimpleNamespace(
         upstream_id='i-1', port=live.port, software_version='v1'
