Show the pool that an upstream's trial has ended

Found by reading the diff: the end of an attempt is passed on before its answer ends the trial, so the pool sees one request at a time until something else changes. The new test saw max_running 1 after a complete answer before, and more than 1 now. A closed socket has no undelivered bytes, too.

--- a/ivystep/gateway/requests/answer_writer.py
+++ b/ivystep/gateway/requests/answer_writer.py
@@ -99,7 +99,8 @@
         """Bytes sent on the connection that its caller has not taken."""
         try:
             return sockets.undelivered_bytes(self._socket)
-        except OSError:
+        except (OSError, ValueError):
+            # The socket is closed.
             return 0
 
     def abort(self) -> None:
--- a/ivystep/gateway/requests/attempt_sender.py
+++ b/ivystep/gateway/requests/attempt_sender.py
@@ -145,7 +145,8 @@
             raise
         finally:
             self._on_end(state, upstream, exchange)
-        upstream.on_answer()
+        if upstream.on_answer():
+            self._on_change(upstream)
         self._crashes.on_completed(state)
         if permit and permit.decision is prefill.PermitDecision.ALONE:
             self._update_prefill_rate(state, upstream)
--- a/ivystep/gateway/upstreams/upstream_state.py
+++ b/ivystep/gateway/upstreams/upstream_state.py
@@ -313,10 +313,16 @@
         is_refused = self.is_gone or self.limit.is_limited
         return not (is_refused or self.rest_s(now))
 
-    def on_answer(self) -> None:
-        """Reset the back-off after an answer; the upstream is there."""
+    def on_answer(self) -> bool:
+        """Reset the back-off after an answer; the upstream is there.
+
+        Returns:
+            Whether it takes more requests than before, as its trial ends.
+        """
+        was_on_trial = self._is_on_trial
         self._failures = 0
         self._is_on_trial = False
+        return was_on_trial
 
     def held(self) -> set[types.AdapterRef]:
         """Return the adapters that are resident."""
--- a/tests/gateway/upstreams/test_address_claims.py
+++ b/tests/gateway/upstreams/test_address_claims.py
@@ -104,7 +104,8 @@
     service = fakes.service()
     status = doubted.status(service, '', clock.now())
     assert (status.healthy, status.max_running) == (True, 1)
-    doubted.on_answer()
+    assert doubted.on_answer()
+    assert not doubted.on_answer()
     assert doubted.status(service, '', clock.now()).max_running > 1
 
 
--- a/tests/gateway/upstreams/test_returning_upstreams.py
+++ b/tests/gateway/upstreams/test_returning_upstreams.py
@@ -135,3 +135,17 @@
     gateway.wait_for(1)
     answers = [gateway.send('/once/2f', f'o-{n}').status for n in range(5)]
     assert answers == [200] * 5
+
+
+def test_upstream_takes_many_requests_again_after_its_trial(stack):
+    """Guards against a trial that the pool still sees after its answer."""
+    live = harness.ScriptedUpstream(answer)
+    stack.callback(live.close)
+    gateway = harness.GatewayHarness(stack, live)
+    members = gateway.daemon._membership
+    (known,) = members.upstream_by_id.values()
+    known.begin_trial()
+    members._on_change(known)
+    assert gateway.send('/read/2f', 'r-trial').status == 200
+    view = gateway.daemon._pools.find('app', '')._index.view('i-1')
+    assert view.status.max_running > 1
