Read the body of a request that offers an upgrade

Cause: the parser reports such a message as complete at the end of its head and raises an error for what follows; the reader had queued the request by then.

Change: the offer is declined as RFC 9110, section 7.8, has it: the parser gets the same head without the Upgrade header and reads on. CONNECT is refused before it counts as a request.

Ruled out: an error for the caller, whose request is proper and who has no way round it.

--- a/ivystep/traffic/http1.py
+++ b/ivystep/traffic/http1.py
@@ -18,6 +18,8 @@
 from ivystep.runtime import byte_budget, clock
 from ivystep.traffic import answer_status, calls, peer_bounds
 
+# Header that offers another protocol.
+UPGRADE = b'upgrade'
 READ_BYTES = 64 * units.KIB
 # Objects of a parsed request besides its bytes.
 REQUEST_OVERHEAD_BYTES = 512
@@ -141,12 +143,9 @@
         if self.is_idle and received.strip(b'\r\n'):
             self.is_idle = False
         self._partial.add(len(received), 0.0)
-        try:
-            self._parser.feed_data(received)
-        except httptools.HttpParserUpgrade:
-            self._fail(400, 'Protocol upgrades are not supported.')
-        except httptools.HttpParserError:
-            self._fail(400, 'The request is malformed.')
+        rest = received
+        while rest and self._problem is None:
+            rest = self._parse(rest)
         # Chunk lines and trailers have the bound of a head.
         if self._partial.pending_bytes > self._max_header_bytes:
             self._fail(431, 'The headers are too long.')
@@ -214,6 +213,8 @@
         current.version = self._parser.get_http_version()
         names = {name.lower() for name, _ in current.headers}
         self._has_expect_header = b'expect' in names
+        if current.method == 'CONNECT':
+            self._fail(400, 'Tunnels are not supported.')
         if current.version == '1.0' and b'transfer-encoding' in names:
             self._fail(400, 'The length of the body is ambiguous.')
         self._announced_bytes = _content_length(current.headers) or 0
@@ -235,6 +236,9 @@
     def on_message_complete(self) -> None:
         """End a request. Called by the parser."""
         self._partial.complete()
+        if self._parser.should_upgrade():
+            # Only its head has ended.
+            return
         if self._problem is None:
             self._current.is_kept_alive = self._parser.should_keep_alive()
             self._current.head_bytes = self._head_bytes
@@ -244,6 +248,40 @@
         self._is_head_complete = False
         self._has_expect_header = False
 
+    def _parse(self, received: bytes) -> bytes:
+        """Parse received bytes; return those that must be parsed again."""
+        try:
+            self._parser.feed_data(received)
+        except httptools.HttpParserUpgrade as offer:
+            return self._without_offer() + received[offer.args[0] :]
+        except httptools.HttpParserError:
+            self._fail(400, 'The request is malformed.')
+        return b''
+
+    def _without_offer(self) -> bytes:
+        """Return the head of a request without its offer of an upgrade.
+
+        The parser takes what follows such a head for another protocol. The
+        offer is declined by handling the request as one without it (RFC 9110,
+        section 7.8), so its body must be read.
+        """
+        self._parser = httptools.HttpRequestParser(self)
+        current = self._current
+        lines = [
+            b'%b %b HTTP/%b'
+            % (
+                current.method.encode('latin-1'),
+                self._target,
+                current.version.encode('latin-1'),
+            )
+        ]
+        lines.extend(
+            b'%b: %b' % header
+            for header in current.headers
+            if header[0].lower() != UPGRADE
+        )
+        return b'\r\n'.join((*lines, b'', b''))
+
     def _add_head_bytes(self, added: int) -> None:
         self._head_bytes += added
         if self._head_bytes > self._max_header_bytes:
--- a/tests/traffic/test_http1.py
+++ b/tests/traffic/test_http1.py
@@ -447,3 +447,74 @@
     sent = CHUNKED * (MAX_HEADER // len(CHUNKED) + 1) + POST
     reader = reader_of(sent[:-20], sent[-20:])
     assert len(read_all(reader)) == sent.count(b'Host')
+
+
+OFFERED_HEAD = (
+    b'POST /a HTTP/1.1\r\nHost: h\r\nConnection: Upgrade, HTTP2-Settings\r\n'
+    b'Upgrade: h2c\r\nHTTP2-Settings: AAMAAABkAARAAAAAAAIAAAAA\r\n'
+)
+OFFERED_REQUESTS = {
+    'with a length': OFFERED_HEAD + b'Content-Length: 4\r\n\r\nbody',
+    'in chunks': (
+        OFFERED_HEAD
+        + b'Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n'
+    ),
+    'that expects': (
+        OFFERED_HEAD + b'Expect: 100-continue\r\nContent-Length: 4\r\n\r\nbody'
+    ),
+}
+
+
+@pytest.mark.parametrize(
+    'sent', OFFERED_REQUESTS.values(), ids=list(OFFERED_REQUESTS)
+)
+@pytest.mark.parametrize('size', [1, 3, 17, 64, 10_000])
+def test_request_that_offers_an_upgrade_keeps_its_body(sent, size):
+    """Guards against requests that run without their body and count as done."""
+    reader = http1.RequestReader(4096, 4096)
+    plain = b'POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n\r\nx'
+    stream = plain + sent + sent + plain
+    for at in range(0, len(stream), size):
+        reader.feed(stream[at : at + size])
+    found = [reader.next_request() for _ in range(4)]
+    assert [bytes(each.body) for each in found] == [
+        b'x',
+        b'body',
+        b'body',
+        b'x',
+    ]
+    assert [each.target for each in found] == ['/b', '/a', '/a', '/b']
+    assert all(each.is_kept_alive for each in found)
+    assert reader.next_request() is None
+    assert reader.is_idle
+    assert not reader.buffered_bytes
+
+
+def test_offer_of_an_upgrade_leaves_the_bounds_in_force():
+    """Guards against a way around the limits on headers and bodies."""
+    reader = http1.RequestReader(4096, 3)
+    reader.feed(OFFERED_REQUESTS['with a length'])
+    with pytest.raises(http1.BadRequestError) as caught:
+        reader.next_request()
+    assert caught.value.status == 413
+    reader = http1.RequestReader(4096, 3)
+    reader.feed(OFFERED_REQUESTS['in chunks'])
+    with pytest.raises(http1.BadRequestError) as caught:
+        reader.next_request()
+    assert caught.value.status == 413
+    reader = http1.RequestReader(200, 4096)
+    reader.feed(OFFERED_HEAD + b'Other: ' + b'x' * 200 + b'\r\n\r\n')
+    with pytest.raises(http1.BadRequestError) as caught:
+        reader.next_request()
+    assert caught.value.status == 431
+
+
+def test_request_for_a_tunnel_is_refused_and_not_run():
+    """Guards against bytes of a tunnel that are taken for requests."""
+    reader = http1.RequestReader(4096, 4096)
+    reader.feed(
+        b'CONNECT h:80 HTTP/1.1\r\nHost: h:80\r\n\r\nGET / HTTP/1.1\r\n'
+    )
+    with pytest.raises(http1.BadRequestError) as caught:
+        reader.next_request()
+    assert caught.value.status == 400
