--- a/ivystep/gateway/requests/shared_state.py
+++ b/ivystep/gateway/requests/shared_state.py
@@ -25,7 +25,7 @@
 # what is buffered of a short answer.
 TAKEN_OVER_BYTES = 256 * units.KIB
 # At the limit of connections, one whose caller has taken nothing of its answer
-# for as long gives way. Callers that read slowly pause for less.
+# for as long gives way.
 MIN_STALLED_S = 5.0
 # Requests that are not longer are never refused for lack of memory; the number
 # of connections bounds them.
