Close the sockets of dropped connections at once

The file passes alone.

Cause: sockets of earlier tests that wait for a garbage collection count there. The check of a peer's life had made a cycle of each connection: before, one that was dropped closed its socket at once.

Change: the check holds its owner weakly (the new test failed before); the test collects garbage before it lowers its limit, which changes nothing of what it checks.

--- a/ivystep/runtime/peer_liveness.py
+++ b/ivystep/runtime/peer_liveness.py
@@ -8,6 +8,7 @@
 """
 
 import typing
+import weakref
 from collections.abc import Callable
 
 from eventlet import hubs
@@ -78,14 +79,16 @@
 
     Args:
         connection: A connected TCP socket.
-        on_gone: Called on the hub, once, if the peer's host is gone.
+        on_gone: Method of the connection's owner that is called on the hub,
+            once, if the peer's host is gone. It is not kept alive, so that an
+            owner that is dropped closes its socket at once.
     """
 
     def __init__(
         self, connection: typing.Any, on_gone: Callable[[], None]
     ) -> None:
         self._connection = connection
-        self._on_gone = on_gone
+        self._on_gone = weakref.WeakMethod(on_gone)
         self._timer: typing.Any = None
         self._silence = PeerSilence(0.0)
         self._acknowledged_bytes = 0
@@ -126,7 +129,9 @@
             self._progress_at = now
         self._silence.update(state, now)
         if self._silence.is_gone(now):
-            self._on_gone()
+            on_gone = self._on_gone()
+            if on_gone is not None:
+                on_gone()
             return
         self._look_in(
             LOOK_INTERVAL_S if self._silence.is_suspicious else FIRST_LOOK_S
--- a/tests/processes/test_connection_crowds.py
+++ b/tests/processes/test_connection_crowds.py
@@ -5,6 +5,7 @@
 
 import contextlib
 import functools
+import gc
 import resource
 
 import eventlet
@@ -61,6 +62,8 @@
 @contextlib.contextmanager
 def few_descriptors():
     """Give processes that are started few descriptors."""
+    # Sockets of earlier tests that nobody has closed count for this process.
+    gc.collect()
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
     resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, hard))
     try:
--- a/tests/runtime/test_peer_liveness.py
+++ b/tests/runtime/test_peer_liveness.py
@@ -1,5 +1,10 @@
 """Tests of the decision whether a peer's host is gone."""
 
+import contextlib
+import gc
+import socket
+
+import eventlet
 import pytest
 
 from ivystep.runtime import peer_liveness, tcp_state
@@ -90,3 +95,32 @@
     """Guards against looks that come late and find a peer silent."""
     looks = [(1.0, 0.5, 4), (31.0, 20.0, 9), (32.0, 20.0, 9)]
     assert not any(apply(looks))
+
+
+class Owner:
+    """Owns a connection, as those of callers and upstreams do."""
+
+    def __init__(self, connection):
+        self.connection = connection
+        self.liveness = peer_liveness.LivenessCheck(connection, self.on_gone)
+
+    def on_gone(self):
+        """Take note that the peer is gone."""
+
+
+def test_connection_that_is_dropped_closes_its_socket():
+    """Guards against descriptors that stay until a garbage collection."""
+    gc.disable()
+    try:
+        with (
+            contextlib.closing(
+                socket.create_server(('127.0.0.1', 0))
+            ) as listener,
+        ):
+            owner = Owner(socket.create_connection(listener.getsockname()))
+            accepted, _ = listener.accept()
+            with contextlib.closing(accepted), eventlet.Timeout(1):
+                del owner
+                assert accepted.recv(1) == b''
+    finally:
+        gc.enable()
