Keep three probes where the user time-out stays

Suspected cause, for a part: two keep-alive probes in place of three.

Change: a third probe where the user time-out stays.

--- a/ivystep/runtime/sockets.py
+++ b/ivystep/runtime/sockets.py
@@ -50,15 +50,16 @@
     connection.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S
     )
-    connection.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES
-    )
+    probes = KEEPALIVE_PROBES
     if tcp_state.TcpState.of_connection(connection) is None:
+        # The user time-out is to end the connection, not the last probe.
+        probes += 1
         connection.setsockopt(
             socket.IPPROTO_TCP,
             socket.TCP_USER_TIMEOUT,
             KEEPALIVE_S * units.MS_PER_S,
         )
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, probes)
 
 
 def reset_on_close(connection: socket.socket) -> None:
--- a/tests/runtime/test_tcp_state.py
+++ b/tests/runtime/test_tcp_state.py
@@ -73,3 +73,16 @@
     assert accepted.recv(1) == b'x'
     eventlet.sleep(0.1)
     assert tcp_state.TcpState.of_connection(opened).is_settled
+
+
+def test_user_timeout_stands_in_where_the_state_is_unknown(ends, monkeypatch):
+    """Guards against gone peers that nobody finds on such a kernel."""
+    monkeypatch.setattr(
+        tcp_state.TcpState, 'of_connection', lambda connection: None
+    )
+    sockets.set_tcp_options(ends[0])
+    options = [
+        ends[0].getsockopt(socket.IPPROTO_TCP, option)
+        for option in (socket.TCP_USER_TIMEOUT, socket.TCP_KEEPCNT)
+    ]
+    assert options == [3000, 3]
